--- /dev/null
+++ b/core/src/check/fit.rs
@@ -0,0 +1,193 @@
+//! Whether the declared artifacts find room on the engines that are listed.
+//!
+//! A trial placement: the largest artifact first, each copy on the engine where it leaves the least
+//! room. An adapter goes where its model is, or takes a further copy of its model along. Placement may
+//! do better than this trial by a hair, and then an inventory that fits is refused; it never does worse.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Fault;
+use crate::artifact::Artifact;
+use crate::catalog::{Catalog, Entry};
+use crate::config::Document;
+use crate::fleet;
+use crate::name::Name;
+use crate::vm::Phase;
+
+/// The engines of one group in one zone.
+#[derive(Debug, Default)]
+struct Room {
+    /// Free memory with the engine's index, so that the least that suffices is found quickly.
+    free: BTreeSet<(u64, usize)>,
+    engines: usize,
+    memory_mb: u64,
+}
+
+/// One trial placement.
+#[derive(Debug, Default)]
+struct Trial {
+    rooms: BTreeMap<(Name, Name), Room>,
+    /// Free memory of each engine.
+    free: Vec<u64>,
+    /// The group and zone of each engine.
+    place: Vec<(Name, Name)>,
+    /// Engines that hold a copy of a model, by model.
+    holders: BTreeMap<Name, BTreeSet<usize>>,
+    /// Copies that found no place, by group: their memory, and the first.
+    lacking: BTreeMap<Name, (u64, Entry)>,
+    /// Memory asked for, by group.
+    needed: BTreeMap<Name, u64>,
+}
+
+/// Groups that lack memory, and more of it than under the document in force.
+pub(super) fn worse(document: &Document, in_force: &Document, fleet: &fleet::Part) -> Vec<Fault> {
+    let after = trial(document, fleet);
+    if after.lacking.is_empty() {
+        return Vec::new();
+    }
+    let before = trial(in_force, fleet);
+    let lacked = |group: &Name| before.lacking.get(group).map_or(0, |(mb, _)| *mb);
+    let worse = after.lacking.iter().filter(|(group, (mb, _))| *mb > lacked(group));
+    worse.map(|(group, (mb, first))| after.fault(group, *mb, first)).collect()
+}
+
+fn trial(document: &Document, fleet: &fleet::Part) -> Trial {
+    let catalog = Catalog::new(document);
+    let mut trial = Trial::default();
+    for backend in fleet.backends.values().filter(|backend| backend.phase == Phase::Live) {
+        let declared = catalog.groups.get(&backend.group).map_or(0, |group| group.memory_mb);
+        let memory_mb = backend.report.as_ref().map_or(declared, |report| report.memory_mb);
+        trial.add(&backend.group, &backend.zone, memory_mb);
+    }
+    let mut entries: Vec<&Entry> = catalog.entries.iter().collect();
+    entries.sort_by_key(|entry| {
+        (entry.artifact.adapter.is_some(), std::cmp::Reverse(entry.memory_mb), entry.artifact.clone())
+    });
+    let smallest = smallest_versions(&catalog);
+    for entry in entries {
+        *trial.needed.entry(entry.group.clone()).or_default() += entry.memory_mb * u64::from(entry.copies);
+        let placed = match entry.artifact.adapter {
+            None => trial.place_model(entry),
+            Some(_) => trial.place_adapter(entry, smallest.get(&entry.artifact.model).copied()),
+        };
+        let missing = u64::from(entry.copies.saturating_sub(placed));
+        if missing > 0 {
+            let lacking = trial.lacking.entry(entry.group.clone()).or_insert_with(|| (0, entry.clone()));
+            lacking.0 += missing * entry.memory_mb;
+        }
+    }
+    trial
+}
+
+fn smallest_versions(catalog: &Catalog) -> BTreeMap<Name, u64> {
+    let mut smallest: BTreeMap<Name, u64> = BTreeMap::new();
+    for entry in catalog.entries.iter().filter(|entry| entry.artifact.adapter.is_none()) {
+        let least = smallest.entry(entry.artifact.model.clone()).or_insert(entry.memory_mb);
+        *least = entry.memory_mb.min(*least);
+    }
+    smallest
+}
+
+impl Trial {
+    fn add(&mut self, group: &Name, zone: &Name, memory_mb: u64) {
+        let index = self.free.len();
+        let room = self.rooms.entry((group.clone(), zone.clone())).or_default();
+        room.free.insert((memory_mb, index));
+        room.engines += 1;
+        room.memory_mb += memory_mb;
+        self.free.push(memory_mb);
+        self.place.push((group.clone(), zone.clone()));
+    }
+
+    /// Places the copies of a model's version on as many engines. Returns how many found room.
+    fn place_model(&mut self, entry: &Entry) -> u32 {
+        let mut used = BTreeSet::new();
+        while (used.len() as u32) < entry.copies {
+            let Some(engine) = self.best(entry, entry.memory_mb, &used) else {
+                break;
+            };
+            self.take(engine, entry.memory_mb);
+            self.holders.entry(entry.artifact.model.clone()).or_default().insert(engine);
+            used.insert(engine);
+        }
+        used.len() as u32
+    }
+
+    /// Places the copies of an adapter where its model is, or with a further copy of its model.
+    fn place_adapter(&mut self, entry: &Entry, model_mb: Option<u64>) -> u32 {
+        let mut used = BTreeSet::new();
+        while (used.len() as u32) < entry.copies {
+            let holders = self.holders.get(&entry.artifact.model);
+            let beside = holders
+                .into_iter()
+                .flatten()
+                .filter(|engine| self.free[**engine] >= entry.memory_mb && !used.contains(*engine))
+                .min_by_key(|engine| self.free[**engine])
+                .copied();
+            if let Some(engine) = beside {
+                self.take(engine, entry.memory_mb);
+                used.insert(engine);
+                continue;
+            }
+            let together = model_mb.map(|model_mb| model_mb + entry.memory_mb);
+            let engine = together.and_then(|mb| self.best(entry, mb, &used).map(|engine| (mb, engine)));
+            let Some((together, engine)) = engine else {
+                break;
+            };
+            self.take(engine, together);
+            self.holders.entry(entry.artifact.model.clone()).or_default().insert(engine);
+            used.insert(engine);
+        }
+        used.len() as u32
+    }
+
+    /// The engine with the least room that suffices, in the zones where the artifact may be.
+    fn best(&self, entry: &Entry, memory_mb: u64, used: &BTreeSet<usize>) -> Option<usize> {
+        self.allowed(entry)
+            .filter_map(|(_, room)| {
+                room.free.range((memory_mb, 0)..).find(|(_, engine)| !used.contains(engine)).copied()
+            })
+            .min()
+            .map(|(_, engine)| engine)
+    }
+
+    fn allowed<'a>(&'a self, entry: &'a Entry) -> impl Iterator<Item = (&'a Name, &'a Room)> {
+        let rooms = self.rooms.iter();
+        rooms
+            .filter(|((group, zone), _)| *group == entry.group && entry.allows(zone))
+            .map(|((_, zone), room)| (zone, room))
+    }
+
+    fn take(&mut self, engine: usize, memory_mb: u64) {
+        let free = self.free[engine];
+        let left = free - memory_mb;
+        self.free[engine] = left;
+        if let Some(room) = self.rooms.get_mut(&self.place[engine]) {
+            room.free.remove(&(free, engine));
+            room.free.insert((left, engine));
+        }
+    }
+
+    fn fault(&self, group: &Name, lacking_mb: u64, first: &Entry) -> Fault {
+        let rooms = || self.rooms.iter().filter(|((each, _), _)| each == group).map(|(_, room)| room);
+        Fault::Full {
+            group: group.clone(),
+            lacking_mb,
+            needed_mb: self.needed.get(group).copied().unwrap_or_default(),
+            engines: rooms().map(|room| room.engines).sum(),
+            memory_mb: rooms().map(|room| room.memory_mb).sum(),
+            first: Artifact::clone(&first.artifact),
+            first_mb: first.memory_mb,
+            zones: self.zones(first),
+        }
+    }
+
+    fn zones(&self, entry: &Entry) -> Name {
+        let each = |(zone, room): (&Name, &Room)| {
+            let most = room.free.last().map_or(0, |(free, _)| *free);
+            format!("{zone} ({} engines, {} MB, at most {most} MB free on one)", room.engines, room.memory_mb)
+        };
+        let zones: Vec<String> = self.allowed(entry).map(each).collect();
+        if zones.is_empty() { "no zone with an engine of the group".into() } else { zones.join(", ").into() }
+    }
+}
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -1,22 +1,35 @@
 //! The accepted configuration: one version that only grows, for all entry VMs.
+//!
+//! The version in force is that of the row [`crate::table::Key::Config`], which each accepted change
+//! writes anew on the condition that it still has the version that the change was made over.
 
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-use crate::audit::{self, Act, Cause};
 use crate::catalog::Catalog;
-use crate::code::Code;
-use crate::effect::Effect;
 use crate::id;
 use crate::inventory::Inventory;
 use crate::name::Name;
-use crate::operator::{self, Answer, Applied};
 use crate::rules::Rules;
-use crate::state::{Purpose, State};
-use crate::table;
 use crate::time::Time;
 
+mod accept;
+mod delta;
+mod spread;
+
+pub(crate) use accept::{Pending, apply, settle};
+pub use delta::{Delta, Patch};
+pub(crate) use spread::{Reach, adopt, answer_want, heard_steps, heard_version, history, poll, push};
+
+/// Steps that are kept for peers that are a little behind.
+const STEPS_KEPT: usize = 64;
+/// Changes that an operator is shown at most.
+pub(crate) const HISTORY_MAX: u64 = 100;
+/// Changes that stay in the table; older rows are removed.
+pub(crate) const HISTORY_KEPT: u64 = 1_024;
+
 /// What operators declared: the inventory and the rules on top of it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -30,7 +43,7 @@
 /// The head of the configuration in the table.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Head {
-    /// The version in force.
+    /// The version in force; also the version of the row.
     pub version: u64,
     /// The operation that brought it, to settle a lost answer.
     pub op: id::Op,
@@ -43,123 +56,106 @@
 pub struct Change {
     /// The version it brought.
     pub version: u64,
+    /// The operation that brought it.
+    pub op: id::Op,
     /// Who applied it.
     pub who: Name,
     /// When, by the clock of the entry VM that took it.
     pub at: Time,
     /// The operator's remark.
     pub note: Name,
+    /// What it changed in the version before; none in answers to operators, and where the order of a
+    /// list changed.
+    #[serde(default)]
+    pub delta: Option<Delta>,
 }
 
-/// The configuration in force at this entry VM.
+/// One step from a version to the next, for entry VMs that have the version before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// The version it leads to.
+    pub version: u64,
+    /// The operation that brought it.
+    pub op: id::Op,
+    /// What changes.
+    pub delta: Delta,
+}
+
+/// The configuration in force at this entry VM, and changes under way.
 #[derive(Debug, Default)]
 pub(crate) struct Part {
     /// Its version; zero before the first.
     pub version: u64,
+    /// The operation that brought it.
+    op: Option<id::Op>,
     /// Its document.
     pub document: Arc<Document>,
     /// Its document, arranged for look-up.
     pub catalog: Catalog,
+    /// The highest version that any peer has said to have in force.
+    known: u64,
+    /// The latest steps, oldest first, without a gap up to `version`.
+    steps: VecDeque<Step>,
+    /// Changes that wait for the table.
+    pending: BTreeMap<id::Op, Pending>,
+    /// Reads of the table in a row that brought nothing.
+    misses: u32,
+    /// When a peer was last asked for what is missing.
+    wanted: Option<Time>,
 }
 
-/// Steps of reading and writing the configuration that wait for the table.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Step {
-    /// The head was asked for.
-    Read,
-    /// A change was written for an operator.
-    Write {
-        /// The operator's question.
-        ask: id::Ask,
-        /// The head that was written.
-        head: Box<Head>,
-    },
-}
-
-/// Asks for the configuration's head.
-pub(crate) fn read(state: &mut State, out: &mut Vec<Effect>) {
-    state.call(table::Call::Get(vec![table::Key::Config]), Purpose::Config(Step::Read), out);
-}
-
-/// Takes a head over if it is newer than the one in force.
-pub(crate) fn adopt(state: &mut State, now: Time, head: &Head, out: &mut Vec<Effect>) {
-    if head.version <= state.config.version {
-        return;
+impl Part {
+    /// Keeps a step for peers that are behind.
+    fn keep(&mut self, step: Step) {
+        if self.steps.back().is_some_and(|last| last.version + 1 != step.version) {
+            self.steps.clear();
+        }
+        self.steps.push_back(step);
+        while self.steps.len() > STEPS_KEPT {
+            self.steps.pop_front();
+        }
     }
-    let first = state.config.version == 0;
-    state.config.version = head.version;
-    state.config.document = Arc::clone(&head.document);
-    state.config.catalog = Catalog::new(&head.document);
-    audit::record(state, now, Act::Configured(head.version), Cause::Operator, out);
-    if first && !state.drain.leaving() {
-        out.push(Effect::Ready(true));
+
+    /// The steps that lead from `version` to the one in force, if all are at hand.
+    fn steps_from(&self, version: u64) -> Option<Vec<Step>> {
+        let first = self.steps.front()?.version;
+        if version == 0 || version + 1 < first || version >= self.version {
+            return None;
+        }
+        Some(self.steps.iter().filter(|step| step.version > version).cloned().collect())
     }
-    crate::flow::dispatch_all(state, now, out);
 }
 
-/// Accepts an operator's configuration, if nothing speaks against it.
-pub(crate) fn apply(state: &mut State, ask: id::Ask, apply: operator::Apply, out: &mut Vec<Effect>) {
-    let current = state.config.version;
-    if apply.base.is_some_and(|base| base != current) {
-        refuse(state, ask, Code::Conflict, "read the version in force and apply to that", out);
-        return;
-    }
-    let op = state.next_op();
-    let head = Head { version: current + 1, op, document: Arc::new(apply.document) };
-    if apply.dry_run {
-        let answer = Answer::Applied(Applied { version: head.version, op });
-        out.push(Effect::Answer { ask, answer: Box::new(answer) });
-        return;
-    }
-    let write = table::Write {
-        key: table::Key::Config,
-        expect: table::Version(current),
-        value: Some(table::Value::Config(Box::new(head.clone()))),
-    };
-    let purpose = Purpose::Config(Step::Write { ask, head: Box::new(head) });
-    state.call_as(op, table::Call::Commit(vec![write]), purpose, out);
+/// What a call of the table about the configuration was for.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Wait {
+    /// The head was asked for.
+    Head,
+    /// The changes since the version in force were asked for.
+    Changes,
+    /// The history was asked for by an operator.
+    History(id::Ask),
+    /// A change was written; its operation.
+    Write(id::Op),
+    /// The rows of a change whose answer was lost were read back; its operation.
+    ReadBack(id::Op),
+    /// Rows of old changes were removed.
+    Trim,
 }
 
 /// The table answered about the configuration.
 pub(crate) fn answered(
-    state: &mut State,
+    state: &mut crate::State,
     now: Time,
-    step: Step,
-    reply: Result<table::Reply, table::Failure>,
-    out: &mut Vec<Effect>,
+    wait: &Wait,
+    reply: Result<crate::table::Reply, crate::table::Failure>,
+    out: &mut Vec<crate::effect::Effect>,
 ) {
-    match (step, reply) {
-        (Step::Read, Ok(table::Reply::Rows(rows))) => {
-            for row in rows {
-                if let table::Value::Config(head) = row.value {
-                    adopt(state, now, &head, out);
-                }
-            }
-        }
-        (Step::Read, _) => {}
-        (Step::Write { ask, head }, Ok(table::Reply::Committed)) => {
-            let answer = Answer::Applied(Applied { version: head.version, op: head.op });
-            adopt(state, now, &head, out);
-            out.push(Effect::Answer { ask, answer: Box::new(answer) });
-        }
-        (Step::Write { ask, .. }, Ok(_)) => {
-            refuse(state, ask, Code::Conflict, "read the version in force and apply to that", out);
-        }
-        (Step::Write { ask, .. }, Err(table::Failure::Unavailable)) => {
-            refuse(state, ask, Code::NotAccepted, "try again once the platform answers", out);
-        }
-        (Step::Write { ask, .. }, Err(table::Failure::Unknown)) => {
-            refuse(state, ask, Code::Unsettled, "look at the history before trying again", out);
-        }
+    match wait {
+        Wait::Head | Wait::Changes => spread::answered(state, now, reply, out),
+        Wait::History(ask) => spread::history_answered(state, *ask, reply, out),
+        Wait::Write(op) => accept::written(state, now, *op, reply, out),
+        Wait::ReadBack(op) => accept::read_back(state, now, *op, reply, out),
+        Wait::Trim => {}
     }
 }
-
-fn refuse(state: &State, ask: id::Ask, code: Code, hint: &str, out: &mut Vec<Effect>) {
-    let refusal = operator::Refusal {
-        code,
-        reasons: Vec::new(),
-        hint: hint.into(),
-        version: Some(state.config.version),
-    };
-    out.push(Effect::Answer { ask, answer: Box::new(Answer::Error(refusal)) });
-}
--- /dev/null
+++ b/core/src/config/accept.rs
@@ -0,0 +1,251 @@
+//! How a change is accepted: checked, written on condition, and settled when the answer is lost.
+
+use std::sync::Arc;
+
+use super::{Change, Delta, Head, Reach, Step, Wait, spread};
+use crate::check;
+use crate::code::Code;
+use crate::effect::Effect;
+use crate::id;
+use crate::name::Name;
+use crate::operator::{Answer, Applied, Apply, Refusal};
+use crate::state::{Purpose, State};
+use crate::table::{Call, Failure, Key, Reply, Row, Value, Version, Write};
+use crate::time::Time;
+use crate::timer::Timer;
+
+/// A change that waits for the table.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    ask: id::Ask,
+    head: Head,
+    change: Change,
+    /// When the operator is told that it cannot be settled.
+    until: Time,
+    /// Tries to settle it so far.
+    tries: u32,
+}
+
+/// Accepts an operator's configuration, if nothing speaks against it.
+pub(crate) fn apply(state: &mut State, now: Time, ask: id::Ask, apply: Apply, out: &mut Vec<Effect>) {
+    let current = state.config.version;
+    if apply.base.is_some_and(|base| base < current) {
+        conflict(ask, current, out);
+        return;
+    }
+    let faults = check::document(&apply.document, &state.config.document, &state.fleet);
+    if let Some(code) = check::code(&faults) {
+        let reasons = faults.iter().map(|fault| Name::from(fault.to_string())).collect();
+        let hint = "correct what is listed and apply again";
+        refuse(ask, Refusal { code, reasons, hint: hint.into(), version: Some(current) }, out);
+        return;
+    }
+    let base = apply.base.unwrap_or(current);
+    let op = state.next_op();
+    let head = Head { version: base + 1, op, document: Arc::new(apply.document) };
+    if apply.dry_run {
+        accepted(ask, &head, out);
+        return;
+    }
+    let delta = (base == current).then(|| Delta::between(&state.config.document, &head.document)).flatten();
+    let change = Change { version: head.version, op, who: apply.who, at: now, note: apply.note, delta };
+    let until = now + state.settings.settle_limit;
+    state.config.pending.insert(op, Pending { ask, head, change, until, tries: 0 });
+    write(state, op, out);
+}
+
+fn write(state: &mut State, op: id::Op, out: &mut Vec<Effect>) {
+    let Some(pending) = state.config.pending.get(&op) else {
+        return;
+    };
+    let head = Write {
+        key: Key::Config,
+        expect: Version(pending.head.version - 1),
+        value: Some(Value::Config(Box::new(pending.head.clone()))),
+    };
+    let change = Write {
+        key: Key::Change(pending.head.version),
+        expect: Version(0),
+        value: Some(Value::Change(Box::new(pending.change.clone()))),
+    };
+    state.call(Call::Commit(vec![head, change]), Purpose::Config(Wait::Write(op)), out);
+}
+
+/// The table answered the write of a change.
+pub(super) fn written(
+    state: &mut State,
+    now: Time,
+    op: id::Op,
+    reply: Result<Reply, Failure>,
+    out: &mut Vec<Effect>,
+) {
+    let sure = state.config.pending.get(&op).is_some_and(|pending| pending.tries == 0);
+    match reply {
+        Ok(Reply::Committed) => accept(state, now, op, out),
+        Ok(Reply::Conflict(rows)) => match winner(state, op, &rows) {
+            // A commit that was delivered twice conflicts with itself.
+            Some(winner) if winner == op => take(state, now, op, rows, out),
+            Some(_) => lose(state, now, op, rows, out),
+            None if sure => lose(state, now, op, rows, out),
+            None => settle_later(state, now, op, out),
+        },
+        Err(Failure::Unavailable) if sure => not_accepted(state, op, out),
+        Ok(_) | Err(_) => settle_later(state, now, op, out),
+    }
+}
+
+/// The rows of a change whose answer was lost were read back.
+pub(super) fn read_back(
+    state: &mut State,
+    now: Time,
+    op: id::Op,
+    reply: Result<Reply, Failure>,
+    out: &mut Vec<Effect>,
+) {
+    match reply {
+        Ok(Reply::Rows(rows)) => judge(state, now, op, rows, out),
+        Ok(_) | Err(_) => settle_later(state, now, op, out),
+    }
+}
+
+/// The next try to settle a lost answer is due.
+pub(crate) fn settle(state: &mut State, now: Time, op: id::Op, out: &mut Vec<Effect>) {
+    let Some(pending) = state.config.pending.get(&op) else {
+        return;
+    };
+    if now >= pending.until {
+        let refusal = Refusal {
+            code: Code::Unsettled,
+            reasons: vec![Name::from(format!(
+                "operation {op} for version {} may have taken effect; the platform's table did not answer",
+                pending.head.version
+            ))],
+            hint: "look for the operation in the history before applying again".into(),
+            version: Some(state.config.version),
+        };
+        let ask = pending.ask;
+        state.config.pending.remove(&op);
+        refuse(ask, refusal, out);
+        return;
+    }
+    let keys = vec![Key::Config, Key::Change(pending.head.version)];
+    state.call(Call::Get(keys), Purpose::Config(Wait::ReadBack(op)), out);
+}
+
+fn settle_later(state: &mut State, now: Time, op: id::Op, out: &mut Vec<Effect>) {
+    let Some(pending) = state.config.pending.get_mut(&op) else {
+        return;
+    };
+    pending.tries += 1;
+    if pending.tries == 1 {
+        settle(state, now, op, out);
+        return;
+    }
+    let base = state.settings.settle_every;
+    let wait = base.mul_f64(0.5 + state.rng.f64());
+    state.timers.set(now + wait, Timer::Settle(op));
+}
+
+/// Says from the rows of the table whether a change took effect. As long as its place is free, the
+/// first write may still arrive, so it is written again: one of the two takes effect, with the same id.
+fn judge(state: &mut State, now: Time, op: id::Op, rows: Vec<Row>, out: &mut Vec<Effect>) {
+    let Some(pending) = state.config.pending.get(&op) else {
+        return;
+    };
+    let base = pending.head.version - 1;
+    match winner(state, op, &rows) {
+        Some(winner) if winner == op => take(state, now, op, rows, out),
+        Some(_) => lose(state, now, op, rows, out),
+        None if head_version(&rows) == base => write(state, op, out),
+        None => settle_later(state, now, op, out),
+    }
+}
+
+/// The operation that brought the version which the change wants to bring, if the rows say.
+fn winner(state: &State, op: id::Op, rows: &[Row]) -> Option<id::Op> {
+    let version = state.config.pending.get(&op)?.head.version;
+    rows.iter().find_map(|row| match &row.value {
+        Value::Change(change) if change.version == version => Some(change.op),
+        Value::Config(head) if head.version == version => Some(head.op),
+        _ => None,
+    })
+}
+
+fn head_version(rows: &[Row]) -> u64 {
+    let versions = rows.iter().filter_map(|row| match &row.value {
+        Value::Config(head) => Some(head.version),
+        _ => None,
+    });
+    versions.max().unwrap_or(0)
+}
+
+fn take(state: &mut State, now: Time, op: id::Op, rows: Vec<Row>, out: &mut Vec<Effect>) {
+    spread::adopt_rows(state, now, rows, out);
+    accept(state, now, op, out);
+}
+
+fn accept(state: &mut State, now: Time, op: id::Op, out: &mut Vec<Effect>) {
+    let Some(pending) = state.config.pending.remove(&op) else {
+        return;
+    };
+    accepted(pending.ask, &pending.head, out);
+    let version = pending.head.version;
+    match pending.change.delta {
+        Some(delta) if state.config.version + 1 == version => {
+            spread::adopt_step(state, now, Step { version, op, delta }, out);
+        }
+        _ => spread::adopt(state, now, &pending.head, out),
+    }
+    spread::push(state, Reach::All, out);
+    trim(state, version, out);
+}
+
+/// Removes the row of a change that has become too old. A row that is missed stays; it does no harm.
+fn trim(state: &mut State, version: u64, out: &mut Vec<Effect>) {
+    let Some(old) = version.checked_sub(super::HISTORY_KEPT).filter(|old| *old > 0) else {
+        return;
+    };
+    let write = Write { key: Key::Change(old), expect: Version(1), value: None };
+    state.call(Call::Each(vec![write]), Purpose::Config(Wait::Trim), out);
+}
+
+fn lose(state: &mut State, now: Time, op: id::Op, rows: Vec<Row>, out: &mut Vec<Effect>) {
+    let Some(pending) = state.config.pending.remove(&op) else {
+        return;
+    };
+    spread::adopt_rows(state, now, rows, out);
+    spread::push(state, Reach::All, out);
+    conflict(pending.ask, state.config.version, out);
+}
+
+fn not_accepted(state: &mut State, op: id::Op, out: &mut Vec<Effect>) {
+    let Some(pending) = state.config.pending.remove(&op) else {
+        return;
+    };
+    let refusal = Refusal {
+        code: Code::NotAccepted,
+        reasons: vec!["the platform's table could not be reached, so nothing was written".into()],
+        hint: "try again once the platform answers".into(),
+        version: Some(state.config.version),
+    };
+    refuse(pending.ask, refusal, out);
+}
+
+fn conflict(ask: id::Ask, version: u64, out: &mut Vec<Effect>) {
+    let refusal = Refusal {
+        code: Code::Conflict,
+        reasons: vec![Name::from(format!("version {version} is in force and was accepted first"))],
+        hint: "read the version in force and apply to that".into(),
+        version: Some(version),
+    };
+    refuse(ask, refusal, out);
+}
+
+fn accepted(ask: id::Ask, head: &Head, out: &mut Vec<Effect>) {
+    let answer = Answer::Applied(Applied { version: head.version, op: head.op });
+    out.push(Effect::Answer { ask, answer: Box::new(answer) });
+}
+
+fn refuse(ask: id::Ask, refusal: Refusal, out: &mut Vec<Effect>) {
+    out.push(Effect::Answer { ask, answer: Box::new(Answer::Error(refusal)) });
+}
--- /dev/null
+++ b/core/src/config/delta.rs
@@ -0,0 +1,127 @@
+//! What one change alters in a document, so that it need not be sent whole.
+
+use serde::{Deserialize, Serialize};
+
+use super::Document;
+use crate::inventory::{Group, Model, Service};
+use crate::name::Name;
+use crate::rules::{Caller, Place, Precedence, Weights};
+
+/// Changes of one list of named things.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(bound(deserialize = "T: Deserialize<'de>"))]
+pub struct Patch<T> {
+    /// Things that are new, or replace those of the same name in their place.
+    #[serde(default = "Vec::new")]
+    pub set: Vec<T>,
+    /// Names of things that are gone.
+    #[serde(default)]
+    pub gone: Vec<Name>,
+}
+
+impl<T> Default for Patch<T> {
+    fn default() -> Self {
+        Self { set: Vec::new(), gone: Vec::new() }
+    }
+}
+
+/// What leads from one document to another.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Delta {
+    /// Groups.
+    pub groups: Patch<Group>,
+    /// Models, each with all its versions and adapters.
+    pub models: Patch<Model>,
+    /// Services.
+    pub services: Patch<Service>,
+    /// Callers.
+    pub callers: Patch<Caller>,
+    /// Places, by model.
+    pub places: Patch<Place>,
+    /// Priorities, by model.
+    pub priorities: Patch<Precedence>,
+    /// The weights, if they changed.
+    pub weights: Option<Weights>,
+}
+
+impl Delta {
+    /// What leads from `old` to `new`; none when only the whole document says it, as after a change
+    /// of a list's order.
+    #[must_use]
+    pub fn between(old: &Document, new: &Document) -> Option<Self> {
+        let weights = new.rules.weights;
+        let delta = Self {
+            groups: Patch::between(&old.inventory.groups, &new.inventory.groups, group),
+            models: Patch::between(&old.inventory.models, &new.inventory.models, model),
+            services: Patch::between(&old.inventory.services, &new.inventory.services, service),
+            callers: Patch::between(&old.rules.callers, &new.rules.callers, caller),
+            places: Patch::between(&old.rules.places, &new.rules.places, place),
+            priorities: Patch::between(&old.rules.priorities, &new.rules.priorities, precedence),
+            weights: (weights != old.rules.weights).then_some(weights),
+        };
+        (delta.apply(old) == *new).then_some(delta)
+    }
+
+    /// The document that `old` becomes.
+    #[must_use]
+    pub fn apply(&self, old: &Document) -> Document {
+        let mut new = old.clone();
+        self.groups.apply(&mut new.inventory.groups, group);
+        self.models.apply(&mut new.inventory.models, model);
+        self.services.apply(&mut new.inventory.services, service);
+        self.callers.apply(&mut new.rules.callers, caller);
+        self.places.apply(&mut new.rules.places, place);
+        self.priorities.apply(&mut new.rules.priorities, precedence);
+        if let Some(weights) = self.weights {
+            new.rules.weights = weights;
+        }
+        new
+    }
+}
+
+impl<T: Clone + PartialEq> Patch<T> {
+    fn between(old: &[T], new: &[T], name: fn(&T) -> &Name) -> Self {
+        let set = new.iter().filter(|each| find(old, name(each), name) != Some(*each)).cloned().collect();
+        let gone = old.iter().map(name).filter(|each| find(new, each, name).is_none()).cloned().collect();
+        Self { set, gone }
+    }
+
+    fn apply(&self, list: &mut Vec<T>, name: fn(&T) -> &Name) {
+        list.retain(|each| !self.gone.contains(name(each)));
+        for item in &self.set {
+            match list.iter_mut().find(|each| name(each) == name(item)) {
+                Some(old) => *old = item.clone(),
+                None => list.push(item.clone()),
+            }
+        }
+    }
+}
+
+fn find<'a, T>(list: &'a [T], wanted: &Name, name: fn(&T) -> &Name) -> Option<&'a T> {
+    list.iter().find(|each| name(each) == wanted)
+}
+
+fn group(group: &Group) -> &Name {
+    &group.name
+}
+
+fn model(model: &Model) -> &Name {
+    &model.name
+}
+
+fn service(service: &Service) -> &Name {
+    &service.name
+}
+
+fn caller(caller: &Caller) -> &Name {
+    &caller.name
+}
+
+fn place(place: &Place) -> &Name {
+    &place.model
+}
+
+fn precedence(precedence: &Precedence) -> &Name {
+    &precedence.model
+}
--- /dev/null
+++ b/core/src/config/spread.rs
@@ -0,0 +1,226 @@
+//! How the configuration in force spreads: pushed to peers, asked of peers, read from the table.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Change, Delta, HISTORY_MAX, Head, Step, Wait};
+use crate::audit::{self, Act, Cause};
+use crate::catalog::Catalog;
+use crate::code::Code;
+use crate::effect::Effect;
+use crate::id;
+use crate::member;
+use crate::name::Name;
+use crate::operator::{Answer, Refusal};
+use crate::peer::Item;
+use crate::state::{Purpose, State};
+use crate::table::{Call, Failure, Key, Prefix, Reply, Row, Value};
+use crate::time::Time;
+use crate::timer::Timer;
+
+/// Time after which a peer is asked again for what is missing.
+const WANT_AGAIN: Duration = Duration::from_millis(500);
+/// How often the time between reads doubles before there is a configuration; the usual time is its limit.
+const DOUBLINGS_MAX: u32 = 8;
+/// How often the usual time between reads doubles while the table does not answer.
+const SLOWDOWN_DOUBLINGS: u32 = 2;
+
+/// Which peers a version is passed on to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// All that this entry VM talks to.
+    All,
+    /// Those of other zones: the sender tells its own.
+    Across,
+}
+
+/// Reads the table now, and again later with jitter; less often while it does not help.
+pub(crate) fn poll(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    read(state, out);
+    let every = state.settings.config_every;
+    let misses = state.config.misses;
+    let base = if state.config.version == 0 {
+        every.min(state.settings.settle_every * (1 << misses.min(DOUBLINGS_MAX)))
+    } else {
+        every * (1 << misses.min(SLOWDOWN_DOUBLINGS))
+    };
+    let wait = base.mul_f64(0.5 + state.rng.f64());
+    state.timers.set(now + wait, Timer::Config);
+}
+
+/// Asks the table for what is above the version in force.
+pub(crate) fn read(state: &mut State, out: &mut Vec<Effect>) {
+    let version = state.config.version;
+    if version == 0 {
+        state.call(Call::Get(vec![Key::Config]), Purpose::Config(Wait::Head), out);
+    } else {
+        state.call(Call::List(Prefix::ChangesAfter(version)), Purpose::Config(Wait::Changes), out);
+    }
+}
+
+/// The table answered a read.
+pub(super) fn answered(state: &mut State, now: Time, reply: Result<Reply, Failure>, out: &mut Vec<Effect>) {
+    let Ok(Reply::Rows(rows)) = reply else {
+        state.config.misses = state.config.misses.saturating_add(1);
+        return;
+    };
+    let before = state.config.version;
+    adopt_rows(state, now, rows, out);
+    if state.config.version > before {
+        push(state, Reach::All, out);
+    }
+    let missed = state.config.version == 0;
+    state.config.misses = if missed { state.config.misses.saturating_add(1) } else { 0 };
+}
+
+/// Takes over what rows of the table bring.
+pub(super) fn adopt_rows(state: &mut State, now: Time, rows: Vec<Row>, out: &mut Vec<Effect>) {
+    let mut missing = false;
+    for row in rows {
+        match row.value {
+            Value::Config(head) => adopt(state, now, &head, out),
+            Value::Change(change) if change.version > state.config.version => match change.delta {
+                Some(delta) if change.version == state.config.version + 1 && state.config.version > 0 => {
+                    adopt_step(state, now, Step { version: change.version, op: change.op, delta }, out);
+                }
+                _ => missing = true,
+            },
+            _ => {}
+        }
+    }
+    if missing && state.config.version > 0 {
+        state.call(Call::Get(vec![Key::Config]), Purpose::Config(Wait::Head), out);
+    }
+}
+
+/// Takes a head over if it is newer than the one in force.
+pub(crate) fn adopt(state: &mut State, now: Time, head: &Head, out: &mut Vec<Effect>) {
+    let current = state.config.version;
+    if head.version <= current {
+        return;
+    }
+    state.config.known = state.config.known.max(head.version);
+    // A process that has just started does not serve what it knows to be out of date.
+    if current == 0 && head.version < state.config.known {
+        return;
+    }
+    let delta = (head.version == current + 1)
+        .then(|| Delta::between(&state.config.document, &head.document))
+        .flatten();
+    enforce(state, now, head.clone(), out);
+    match delta {
+        Some(delta) if current > 0 => state.config.keep(Step { version: head.version, op: head.op, delta }),
+        _ => state.config.steps.clear(),
+    }
+}
+
+/// Takes a step over if it leads on from the version in force.
+pub(super) fn adopt_step(state: &mut State, now: Time, step: Step, out: &mut Vec<Effect>) {
+    if step.version != state.config.version + 1 {
+        return;
+    }
+    let document = Arc::new(step.delta.apply(&state.config.document));
+    enforce(state, now, Head { version: step.version, op: step.op, document }, out);
+    state.config.keep(step);
+}
+
+fn enforce(state: &mut State, now: Time, head: Head, out: &mut Vec<Effect>) {
+    let first = state.config.version == 0;
+    state.config.version = head.version;
+    state.config.op = Some(head.op);
+    state.config.known = state.config.known.max(head.version);
+    state.config.catalog = Catalog::new(&head.document);
+    state.config.document = head.document;
+    audit::record(state, now, Act::Configured(head.version), Cause::Operator, out);
+    if first && !state.drain.leaving() {
+        out.push(Effect::Ready(true));
+    }
+    crate::flow::dispatch_all(state, now, out);
+}
+
+/// Tells the peers that are not known to have the version in force, at once: the steps they lack if
+/// these are at hand, else only the version, so that they ask for the whole document.
+pub(crate) fn push(state: &mut State, reach: Reach, out: &mut Vec<Effect>) {
+    let version = state.config.version;
+    for (peer, theirs) in member::behind(state, version, reach) {
+        let steps = state.config.steps_from(theirs);
+        let items = steps.map(Item::Steps).into_iter().collect();
+        member::tell(state, &peer, items, out);
+    }
+}
+
+/// A peer asks for what is above the version it has.
+pub(crate) fn answer_want(state: &mut State, peer: &Name, theirs: u64, out: &mut Vec<Effect>) {
+    if theirs >= state.config.version {
+        return;
+    }
+    let items = match (state.config.steps_from(theirs), state.config.op) {
+        (Some(steps), _) => vec![Item::Steps(steps)],
+        (None, Some(op)) => {
+            let document = Arc::clone(&state.config.document);
+            vec![Item::Config(Box::new(Head { version: state.config.version, op, document }))]
+        }
+        (None, None) => return,
+    };
+    member::tell(state, peer, items, out);
+}
+
+/// A peer said which version it has in force.
+pub(crate) fn heard_version(state: &mut State, now: Time, peer: &Name, theirs: u64, out: &mut Vec<Effect>) {
+    state.config.known = state.config.known.max(theirs);
+    if theirs <= state.config.version {
+        return;
+    }
+    if state.config.wanted.is_some_and(|at| now.since(at) < WANT_AGAIN) {
+        return;
+    }
+    state.config.wanted = Some(now);
+    let item = Item::WantConfig(state.config.version);
+    member::tell(state, peer, vec![item], out);
+}
+
+/// A peer sent steps.
+pub(crate) fn heard_steps(state: &mut State, now: Time, steps: Vec<Step>, out: &mut Vec<Effect>) {
+    if state.config.version == 0 {
+        return;
+    }
+    for step in steps {
+        adopt_step(state, now, step, out);
+    }
+}
+
+/// Asks the table for the latest changes, for an operator.
+pub(crate) fn history(state: &mut State, ask: id::Ask, out: &mut Vec<Effect>) {
+    let after = state.config.version.saturating_sub(HISTORY_MAX);
+    let call = Call::List(Prefix::ChangesAfter(after));
+    state.call(call, Purpose::Config(Wait::History(ask)), out);
+}
+
+/// The table answered with changes for an operator.
+pub(super) fn history_answered(
+    state: &State,
+    ask: id::Ask,
+    reply: Result<Reply, Failure>,
+    out: &mut Vec<Effect>,
+) {
+    let Ok(Reply::Rows(rows)) = reply else {
+        let refusal = Refusal {
+            code: Code::PlatformDown,
+            reasons: vec!["the history is kept in the platform's table, which does not answer".into()],
+            hint: "try again once the platform answers".into(),
+            version: Some(state.config.version),
+        };
+        out.push(Effect::Answer { ask, answer: Box::new(Answer::Error(refusal)) });
+        return;
+    };
+    let mut changes: Vec<Change> = rows
+        .into_iter()
+        .filter_map(|row| match row.value {
+            Value::Change(change) => Some(Change { delta: None, ..*change }),
+            _ => None,
+        })
+        .collect();
+    changes.sort_by_key(|change| std::cmp::Reverse(change.version));
+    changes.truncate(HISTORY_MAX as usize);
+    out.push(Effect::Answer { ask, answer: Box::new(Answer::History(changes)) });
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod audit;
 mod catalog;
+mod check;
 pub mod claim;
 pub mod code;
 pub mod config;
--- a/core/src/peer.rs
+++ b/core/src/peer.rs
@@ -44,6 +44,8 @@
     Closed(Closing),
     /// The copy is to be used again.
     Reopen(Closing),
+    /// Steps that lead to a newer configuration, oldest first.
+    Steps(Vec<crate::config::Step>),
     /// A newer configuration, whole.
     Config(Box<crate::config::Head>),
     /// The receiver is behind or ahead: send what is above this version.
--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -64,7 +64,7 @@
 ) {
     state.table_up = reply.is_ok();
     match state.settle(op) {
-        Some(Purpose::Config(step)) => config::answered(state, now, step, reply, out),
+        Some(Purpose::Config(wait)) => config::answered(state, now, &wait, reply, out),
         Some(Purpose::Lease(step)) => lease::answered(state, now, step, reply, out),
         Some(Purpose::Ledger(step)) => ledger::answered(state, step, reply, out),
         None => state.counters.stale += 1,
@@ -79,10 +79,9 @@
         Timer::List => {
             state.timers.set(now + state.settings.list_every, Timer::List);
             out.push(Effect::List);
-            if state.config.version == 0 {
-                config::read(state, out);
-            }
         }
+        Timer::Config => config::poll(state, now, out),
+        Timer::Settle(op) => config::settle(state, now, op, out),
         Timer::Poll(engine) => fleet::poll(state, now, engine, out),
         Timer::Heartbeat => member::due(state, now, out),
         Timer::Lease => lease::due(state, now, out),
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -25,6 +25,12 @@
     pub idle: Duration,
     /// Time between reads of the VM list.
     pub list_every: Duration,
+    /// Time between reads of the configuration's changes, on average.
+    pub config_every: Duration,
+    /// Time between tries to settle a change whose answer was lost, on average.
+    pub settle_every: Duration,
+    /// Time after which an operator is told that a change could not be settled.
+    pub settle_limit: Duration,
     /// Time between reads of an engine's report by its collector.
     pub poll_every: Duration,
     /// Time between frames to each peer.
@@ -60,6 +66,9 @@
             first_byte: Duration::from_secs(10),
             idle: Duration::from_secs(2),
             list_every: Duration::from_secs(1),
+            config_every: Duration::from_secs(10),
+            settle_every: Duration::from_millis(250),
+            settle_limit: Duration::from_secs(20),
             poll_every: Duration::from_millis(250),
             heartbeat_every: Duration::from_millis(500),
             suspect_after: Duration::from_secs(3),
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -55,7 +55,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Purpose {
     /// The configuration.
-    Config(config::Step),
+    Config(config::Wait),
     /// The zone's lease.
     Lease(lease::Step),
     /// The engines' ledgers.
@@ -67,7 +67,7 @@
     #[must_use]
     pub fn new(me: Identity, settings: Settings, seed: u64, now: Time) -> Self {
         let mut timers = Timers::default();
-        for timer in [Timer::List, Timer::Lease, Timer::Heartbeat, Timer::Plan] {
+        for timer in [Timer::List, Timer::Config, Timer::Lease, Timer::Heartbeat, Timer::Plan] {
             timers.set(now, timer);
         }
         Self {
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -17,11 +17,11 @@
 /// An operator asks.
 pub(crate) fn asked(state: &mut State, now: Time, ask: id::Ask, query: Query, out: &mut Vec<Effect>) {
     let answer = match query {
-        Query::Apply(apply) => return config::apply(state, ask, *apply, out),
+        Query::Apply(apply) => return config::apply(state, now, ask, *apply, out),
         Query::Config => {
             Answer::Config { version: state.config.version, document: Arc::clone(&state.config.document) }
         }
-        Query::History => Answer::History(Vec::new()),
+        Query::History => return config::history(state, ask, out),
         Query::Status => Answer::Status(Box::new(status(state, now))),
         Query::Models => {
             Answer::Models(state.config.catalog.entries.iter().map(|entry| model(state, entry)).collect())
--- a/core/src/timer.rs
+++ b/core/src/timer.rs
@@ -18,6 +18,10 @@
     Silence(id::Attempt),
     /// The VM list is to be read.
     List,
+    /// The configuration is to be read from the table.
+    Config,
+    /// A change of the configuration whose answer was lost is to be settled.
+    Settle(id::Op),
     /// An engine is to be asked for its report.
     Poll(Name),
     /// Peers are to be told.
--- /dev/null
+++ b/core/tests/cluster/mod.rs
@@ -0,0 +1,381 @@
+//! A few reducers, one table in memory and the frames between them, driven by events and timers.
+
+#![allow(dead_code, reason = "each test file uses its own part of this module")]
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use boragecove_core::config::Document;
+use boragecove_core::effect::Effect;
+use boragecove_core::event::Event;
+use boragecove_core::id::{self, Incarnation};
+use boragecove_core::inventory::{Group, Inventory, Kind, Model, Version as ModelVersion};
+use boragecove_core::name::Name;
+use boragecove_core::operator::{Answer, Apply, Query, Refusal, Status};
+use boragecove_core::peer::Frame;
+use boragecove_core::settings::Settings;
+use boragecove_core::state::Identity;
+use boragecove_core::table::{Call, Failure, Key, Prefix, Reply, Row, Version, Write};
+use boragecove_core::time::Time;
+use boragecove_core::vm::{Phase, Role, Vm};
+use boragecove_core::{State, apply};
+
+/// What becomes of calls of the table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// They are answered.
+    #[default]
+    Up,
+    /// They are refused.
+    Down,
+    /// They take effect and their answers are lost.
+    Mute,
+    /// They get lost on the way, which nobody can tell.
+    Deaf,
+    /// They wait until the mood changes.
+    Slow,
+}
+
+/// The platform's table.
+#[derive(Debug, Default)]
+pub struct Table {
+    pub rows: BTreeMap<Key, Row>,
+    pub mood: Mood,
+    pub calls: usize,
+    held: VecDeque<(usize, id::Op, Call)>,
+}
+
+impl Table {
+    pub fn call(&mut self, call: Call) -> Reply {
+        match call {
+            Call::Get(keys) => {
+                Reply::Rows(keys.iter().filter_map(|key| self.rows.get(key)).cloned().collect())
+            }
+            Call::List(prefix) => {
+                Reply::Rows(self.rows.values().filter(|row| under(&prefix, &row.key)).cloned().collect())
+            }
+            Call::Commit(writes) => {
+                let misses = writes.iter().any(|write| !self.holds(write));
+                if misses {
+                    let losers = writes.iter().filter(|write| !self.holds(write));
+                    return Reply::Conflict(losers.filter_map(|w| self.rows.get(&w.key)).cloned().collect());
+                }
+                writes.into_iter().for_each(|write| self.write(write));
+                Reply::Committed
+            }
+            Call::Each(writes) => {
+                for write in writes.into_iter() {
+                    if self.holds(&write) {
+                        self.write(write);
+                    }
+                }
+                Reply::Each(Vec::new())
+            }
+        }
+    }
+
+    fn holds(&self, write: &Write) -> bool {
+        self.rows.get(&write.key).map_or(Version(0), |row| row.version) == write.expect
+    }
+
+    fn write(&mut self, write: Write) {
+        self.rows.remove(&write.key);
+        let version = Version(write.expect.0 + 1);
+        if let Some(value) = write.value {
+            self.rows.insert(write.key.clone(), Row { key: write.key, version, value });
+        }
+    }
+}
+
+fn under(prefix: &Prefix, key: &Key) -> bool {
+    match (prefix, key) {
+        (Prefix::Leases, Key::Lease(_)) => true,
+        (Prefix::Ledgers(zone), Key::Ledger { zone: each, .. }) => zone == each,
+        (Prefix::ChangesAfter(after), Key::Change(version)) => version > after,
+        _ => false,
+    }
+}
+
+/// One entry VM.
+#[derive(Debug)]
+pub struct Node {
+    pub state: State,
+    pub name: Name,
+    pub zone: Name,
+    pub up: bool,
+    /// Whether it handles what reaches it only after it is resumed.
+    pub paused: bool,
+    pub ready: bool,
+    wake: Option<Time>,
+    backlog: Vec<Event>,
+}
+
+/// All of it.
+#[derive(Debug)]
+pub struct Cluster {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub table: Table,
+    pub vms: Vec<Vm>,
+    /// Pairs of zones that cannot reach each other.
+    pub cuts: BTreeSet<(Name, Name)>,
+    pub answers: BTreeMap<u64, Answer>,
+    pub frames: Vec<Frame>,
+    /// Effects that no part of this module carries out, with the node.
+    pub rest: Vec<(usize, Effect)>,
+    queue: VecDeque<(usize, Event)>,
+    settings: Settings,
+    asks: u64,
+    lives: u64,
+}
+
+impl Cluster {
+    /// Entry VMs named `entry-N`, one for each zone given.
+    pub fn new(zones: &[&str], settings: Settings) -> Self {
+        let mut cluster = Self {
+            now: Time::from_millis(1_000),
+            nodes: Vec::new(),
+            table: Table::default(),
+            vms: Vec::new(),
+            cuts: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            frames: Vec::new(),
+            rest: Vec::new(),
+            queue: VecDeque::new(),
+            settings,
+            asks: 0,
+            lives: 0,
+        };
+        for (at, zone) in zones.iter().enumerate() {
+            let name = Name::from(format!("entry-{at}"));
+            cluster.vms.push(vm(&name, zone, 7_000 + at as u16, Role::Entry));
+        }
+        for at in 0..zones.len() {
+            let node = cluster.start(at);
+            cluster.nodes.push(node);
+        }
+        cluster
+    }
+
+    fn start(&mut self, at: usize) -> Node {
+        self.lives += 1;
+        let Vm { name, zone, .. } = self.vms[at].clone();
+        let me =
+            Identity { vm: name.clone(), zone: zone.clone(), incarnation: Incarnation(100 + self.lives) };
+        let state = State::new(me, self.settings.clone(), self.lives, self.now);
+        let wake = Some(self.now);
+        Node { state, name, zone, up: true, paused: false, ready: false, wake, backlog: Vec::new() }
+    }
+
+    /// Replaces a process by a new one on the same VM, which remembers nothing.
+    pub fn restart(&mut self, at: usize) {
+        self.queue.retain(|(node, _)| *node != at);
+        self.table.held.retain(|(node, ..)| *node != at);
+        self.nodes[at] = self.start(at);
+    }
+
+    /// Adds engines of a group to the VM list.
+    pub fn add_engines(&mut self, group: &str, zones: &[&str]) {
+        for zone in zones {
+            let at = self.vms.len();
+            let name = Name::from(format!("engine-{at}"));
+            self.vms.push(vm(&name, zone, 8_000 + at as u16, Role::Backend(group.into())));
+        }
+    }
+
+    /// Asks a node something; the answer will be among `answers`.
+    pub fn ask(&mut self, node: usize, query: Query) -> u64 {
+        self.asks += 1;
+        let ask = id::Ask { by: Incarnation(0), seq: self.asks };
+        self.event(node, Event::Asked { ask, query: Box::new(query) });
+        self.asks
+    }
+
+    /// Asks a node to accept a document.
+    pub fn apply(&mut self, node: usize, document: Document, base: Option<u64>) -> u64 {
+        let apply = Apply { document, base, who: "op".into(), note: "test".into(), dry_run: false };
+        self.ask(node, Query::Apply(Box::new(apply)))
+    }
+
+    /// The answer that a question got.
+    pub fn answer(&self, ask: u64) -> Option<&Answer> {
+        self.answers.get(&ask)
+    }
+
+    /// The version that a question brought.
+    pub fn version(&self, ask: u64) -> Option<u64> {
+        match self.answer(ask) {
+            Some(Answer::Applied(applied)) => Some(applied.version),
+            _ => None,
+        }
+    }
+
+    /// The refusal that a question got.
+    pub fn refusal(&self, ask: u64) -> Option<&Refusal> {
+        match self.answer(ask) {
+            Some(Answer::Error(refusal)) => Some(refusal),
+            _ => None,
+        }
+    }
+
+    /// The configuration version in force at a node.
+    pub fn in_force(&mut self, node: usize) -> u64 {
+        self.status(node).config
+    }
+
+    pub fn status(&mut self, node: usize) -> Status {
+        let ask = self.ask(node, Query::Status);
+        self.run();
+        match self.answer(ask) {
+            Some(Answer::Status(status)) => (**status).clone(),
+            other => panic!("no status: {other:?}"),
+        }
+    }
+
+    /// Hands a node an event, with others in their order.
+    pub fn event(&mut self, node: usize, event: Event) {
+        self.queue.push_back((node, event));
+    }
+
+    /// Handles what is under way, without any time going by.
+    pub fn run(&mut self) {
+        loop {
+            if self.table.mood == Mood::Up
+                && let Some((node, op, call)) = self.table.held.pop_front()
+            {
+                let reply = Ok(self.table.call(call));
+                self.queue.push_back((node, Event::Table { op, reply }));
+            }
+            let Some((node, event)) = self.queue.pop_front() else {
+                return;
+            };
+            if !self.nodes[node].up {
+                continue;
+            }
+            if self.nodes[node].paused {
+                self.nodes[node].backlog.push(event);
+                continue;
+            }
+            let effects = apply(&mut self.nodes[node].state, self.now, event);
+            effects.into_iter().for_each(|effect| self.carry_out(node, effect));
+        }
+    }
+
+    /// Lets a paused node handle what reached it meanwhile.
+    pub fn resume(&mut self, node: usize) {
+        self.nodes[node].paused = false;
+        let backlog = std::mem::take(&mut self.nodes[node].backlog);
+        self.queue.extend(backlog.into_iter().map(|event| (node, event)));
+        self.run();
+    }
+
+    /// Lets time go by, firing timers in their order.
+    pub fn advance(&mut self, time: Duration) {
+        let end = self.now + time;
+        loop {
+            self.run();
+            let awake = self.nodes.iter().enumerate().filter(|(_, node)| node.up && !node.paused);
+            let next = awake.filter_map(|(at, node)| Some((node.wake?, at))).min();
+            let Some((wake, node)) = next.filter(|(wake, _)| *wake <= end) else {
+                break;
+            };
+            self.now = self.now.max(wake);
+            self.nodes[node].wake = None;
+            self.event(node, Event::Wake);
+        }
+        self.now = end;
+    }
+
+    /// Lets time go by until a condition holds; fails after `limit`.
+    pub fn until(
+        &mut self,
+        limit: Duration,
+        what: &str,
+        mut holds: impl FnMut(&mut Self) -> bool,
+    ) -> Duration {
+        const STEP: Duration = Duration::from_millis(50);
+        let begin = self.now;
+        loop {
+            self.run();
+            if holds(self) {
+                return self.now.since(begin);
+            }
+            assert!(self.now.since(begin) < limit, "{what}: not within {limit:?}");
+            self.advance(STEP);
+        }
+    }
+
+    /// Cuts two zones off from each other.
+    pub fn cut(&mut self, a: &str, b: &str) {
+        self.cuts.insert((a.into(), b.into()));
+        self.cuts.insert((b.into(), a.into()));
+    }
+
+    fn carry_out(&mut self, node: usize, effect: Effect) {
+        match effect {
+            Effect::Table { op, call } => self.table_call(node, op, call),
+            Effect::Tell { peer, frame, .. } => self.tell(node, &peer, *frame),
+            Effect::List => self.event(node, Event::Listed(self.vms.clone())),
+            Effect::Answer { ask, answer } => {
+                self.answers.insert(ask.seq, *answer);
+            }
+            Effect::Ready(ready) => self.nodes[node].ready = ready,
+            Effect::WakeAt(at) => self.nodes[node].wake = Some(at),
+            other => self.rest.push((node, other)),
+        }
+    }
+
+    fn table_call(&mut self, node: usize, op: id::Op, call: Call) {
+        self.table.calls += 1;
+        let reply = match self.table.mood {
+            Mood::Up => Ok(self.table.call(call)),
+            Mood::Down => Err(Failure::Unavailable),
+            Mood::Deaf => Err(Failure::Unknown),
+            Mood::Mute => {
+                self.table.call(call);
+                Err(Failure::Unknown)
+            }
+            Mood::Slow => return self.table.held.push_back((node, op, call)),
+        };
+        self.event(node, Event::Table { op, reply });
+    }
+
+    fn tell(&mut self, from: usize, peer: &Name, frame: Frame) {
+        self.frames.push(frame.clone());
+        let Some(to) = self.nodes.iter().position(|node| node.name == *peer) else {
+            return;
+        };
+        let pair = (self.nodes[from].zone.clone(), self.nodes[to].zone.clone());
+        if self.nodes[to].up && !self.cuts.contains(&pair) {
+            self.event(to, Event::Heard(Box::new(frame)));
+        } else {
+            self.event(from, Event::Unheard { peer: peer.clone() });
+        }
+    }
+}
+
+fn vm(name: &Name, zone: &str, port: u16, role: Role) -> Vm {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    Vm { name: name.clone(), zone: zone.into(), address, role, phase: Phase::Live }
+}
+
+/// The group that the documents of these tests use.
+pub const GROUP: &str = "brief-writer";
+
+/// A document with models of the sizes given, on engines of 24,000 MB.
+pub fn document(sizes: &[u64]) -> Document {
+    let group =
+        Group { name: GROUP.into(), kind: Kind::Engine, memory_mb: 24_000, slots: 8, checks_fences: true };
+    let model = |(at, size): (usize, &u64)| Model {
+        name: Name::from(format!("model-{at}")),
+        group: GROUP.into(),
+        versions: vec![ModelVersion { name: "1".into(), memory_mb: *size }],
+        adapters: Vec::new(),
+    };
+    let models = sizes.iter().enumerate().map(model).collect();
+    Document {
+        inventory: Inventory { groups: vec![group], models, services: Vec::new() },
+        ..Document::default()
+    }
+}
