Read JSON with comments with placed errors; read a completion's members

Cause: settings and the operators' documents need every error at once, each with its place; the callers' edge and the engines must read the same members of a body. Change: wire::jsonc and wire::completion. Conclusion: both stand for the edges to use.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,1 +1,3 @@
+//! `boragecove`: the operators' client.
+
 fn main() {}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,1 @@
-//! placeholder
+//! The daemon of an entry VM: its edges around the reducer.
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,1 +1,3 @@
+//! `boragecoved`: the daemon of an entry VM.
+
 fn main() {}
--- /dev/null
+++ b/wire/src/completion.rs
@@ -0,0 +1,86 @@
+//! The few members of a completion's body, and of its streamed events, that are read on the way.
+
+use std::borrow::Cow;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// What is read of a request's body. All else in it goes on as it is.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Body<'a> {
+    /// The model asked for, as `model[:adapter][@version]`.
+    #[serde(borrow)]
+    pub model: Cow<'a, str>,
+    /// Whether the answer is to be streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// Tokens asked for at most.
+    #[serde(default)]
+    pub max_tokens: Option<u32>,
+    /// Text that an answer to this request began with elsewhere; the answer goes on after it.
+    #[serde(default, borrow)]
+    pub continuation: Option<Cow<'a, str>>,
+    #[serde(default, borrow)]
+    prompt: Option<&'a RawValue>,
+    #[serde(default, borrow)]
+    messages: Option<&'a RawValue>,
+}
+
+impl<'a> Body<'a> {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// If it is no JSON object, or one of these members is missing or of another type.
+    pub fn read(bytes: &'a [u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+
+    /// The bytes that `request::prefix_hashes` covers: the JSON text of `prompt`, else of `messages`, as sent.
+    #[must_use]
+    pub fn prompt(&self) -> &'a [u8] {
+        self.prompt.or(self.messages).map_or(&[], |raw| raw.get().as_bytes())
+    }
+}
+
+/// What is read of one streamed event's JSON.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Piece<'a> {
+    #[serde(default, borrow)]
+    choices: Vec<Choice<'a>>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Choice<'a> {
+    #[serde(default, borrow)]
+    text: Option<Cow<'a, str>>,
+    #[serde(default, borrow)]
+    delta: Option<Delta<'a>>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Delta<'a> {
+    #[serde(default, borrow)]
+    content: Option<Cow<'a, str>>,
+}
+
+impl<'a> Piece<'a> {
+    /// Reads an event's data.
+    ///
+    /// # Errors
+    ///
+    /// If it is no JSON of the usual form.
+    pub fn read(bytes: &'a [u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+
+    /// The text it adds to the first choice.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        let Some(choice) = self.choices.first() else {
+            return "";
+        };
+        let delta = choice.delta.as_ref().and_then(|delta| delta.content.as_deref());
+        choice.text.as_deref().or(delta).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/wire/src/jsonc.rs
@@ -0,0 +1,354 @@
+//! Reads JSON with comments and reports every error in it at once, each with its place.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use thiserror::Error;
+
+/// One error in a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The file, as it was given.
+    pub file: Name,
+    /// Its line, from 1.
+    pub line: usize,
+    /// Its column, from 1.
+    pub column: usize,
+    /// The member it concerns, as `limits.body`; empty for the whole document.
+    pub member: Name,
+    /// What was expected, and what was found.
+    pub text: Name,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}: ", self.file, self.line, self.column)?;
+        if !self.member.is_empty() {
+            write!(f, "{}: ", self.member)?;
+        }
+        f.write_str(&self.text)
+    }
+}
+
+/// Every error of a document, in the order of their places.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Error)]
+pub struct Problems(pub Vec<Problem>);
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, problem) in self.0.iter().enumerate() {
+            if at > 0 {
+                f.write_str("\n")?;
+            }
+            problem.fmt(f)?;
+        }
+        Ok(())
+    }
+}
+
+/// Reads a document with `expect`, which asks its root for what it expects.
+///
+/// # Errors
+///
+/// Every error found, if there is any: those of the syntax, or else those that `expect` met.
+pub fn read<T>(file: &str, text: &str, expect: impl FnOnce(Node<'_>) -> T) -> Result<T, Problems> {
+    let report = Report { file: file.into(), text, found: RefCell::default() };
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    };
+    let value = match parse_to_ast(text, &CollectOptions::default(), &options) {
+        Ok(parsed) => parsed.value,
+        Err(error) => {
+            report.add(error.range().start, "", &error.kind().to_string());
+            return Err(report.into_problems());
+        }
+    };
+    let Some(value) = value else {
+        report.add(0, "", "expected an object, found an empty document");
+        return Err(report.into_problems());
+    };
+    let built = expect(Node { report: &report, value: &value, member: String::new() });
+    if report.found.borrow().is_empty() { Ok(built) } else { Err(report.into_problems()) }
+}
+
+/// Collects errors.
+#[derive(Debug)]
+struct Report<'a> {
+    file: Name,
+    text: &'a str,
+    found: RefCell<Vec<(usize, Problem)>>,
+}
+
+impl Report<'_> {
+    fn add(&self, at: usize, member: &str, text: &str) {
+        let before = &self.text[..self.text.floor_char_boundary(at)];
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        let problem = Problem {
+            file: self.file.clone(),
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+            member: member.into(),
+            text: text.into(),
+        };
+        self.found.borrow_mut().push((at, problem));
+    }
+
+    fn into_problems(self) -> Problems {
+        let mut found = self.found.into_inner();
+        found.sort_by_key(|(at, _)| *at);
+        Problems(found.into_iter().map(|(_, problem)| problem).collect())
+    }
+}
+
+/// One value of a document, with its place.
+#[derive(Clone, Debug)]
+pub struct Node<'a> {
+    report: &'a Report<'a>,
+    value: &'a Value<'a>,
+    member: String,
+}
+
+impl<'a> Node<'a> {
+    /// Reports an error at this value.
+    pub fn refuse(&self, text: &str) {
+        self.report.add(self.value.start(), &self.member, text);
+    }
+
+    fn mismatch(&self, expected: &str) {
+        let range = self.value.range();
+        let found = match self.value {
+            Value::Object(_) => "an object",
+            Value::Array(_) => "an array",
+            _ => &self.report.text[range.start..range.end],
+        };
+        self.refuse(&format!("expected {expected}, found {found}"));
+    }
+
+    fn text_if<T>(&self, expected: &str, parse: impl FnOnce(&str) -> Option<T>) -> Option<T> {
+        let found = match self.value {
+            Value::StringLit(text) => parse(&text.value),
+            _ => None,
+        };
+        if found.is_none() {
+            self.mismatch(expected);
+        }
+        found
+    }
+
+    /// A text that is not empty.
+    #[must_use]
+    pub fn name(&self) -> Option<Name> {
+        self.text_if("a text that is not empty", |text| (!text.is_empty()).then(|| text.into()))
+    }
+
+    /// Any text.
+    #[must_use]
+    pub fn text(&self) -> Option<Name> {
+        self.text_if("a text", |text| Some(text.into()))
+    }
+
+    /// `true` or `false`.
+    #[must_use]
+    pub fn boolean(&self) -> Option<bool> {
+        let Value::BooleanLit(literal) = self.value else {
+            self.mismatch("true or false");
+            return None;
+        };
+        Some(literal.value)
+    }
+
+    /// A whole number within bounds.
+    #[must_use]
+    pub fn integer(&self, least: u64, most: u64) -> Option<u64> {
+        let found = match self.value {
+            Value::NumberLit(literal) => literal.value.parse().ok(),
+            _ => None,
+        };
+        let fits = found.filter(|number| (least..=most).contains(number));
+        if fits.is_none() {
+            self.mismatch(&format!("a whole number from {least} to {most}"));
+        }
+        fits
+    }
+
+    /// A number within bounds.
+    #[must_use]
+    pub fn number(&self, least: f64, most: f64) -> Option<f64> {
+        let found = match self.value {
+            Value::NumberLit(literal) => literal.value.parse().ok(),
+            _ => None,
+        };
+        let fits = found.filter(|number| (least..=most).contains(number));
+        if fits.is_none() {
+            self.mismatch(&format!("a number from {least} to {most}"));
+        }
+        fits
+    }
+
+    /// A time with its unit: `us`, `ms`, `s`, `m` or `h`.
+    #[must_use]
+    pub fn duration(&self) -> Option<Duration> {
+        self.text_if("a time such as \"250ms\", \"2s\", \"5m\" or \"24h\"", parse_duration)
+    }
+
+    /// A size in bytes with its unit: `B`, `KiB`, `MiB` or `GiB`.
+    #[must_use]
+    pub fn size(&self) -> Option<usize> {
+        self.text_if("a size such as \"512B\", \"64KiB\" or \"8MiB\"", parse_size)
+    }
+
+    /// An IP address with its port.
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.text_if("an IP address and port such as \"10.0.0.1:8080\"", |text| text.parse().ok())
+    }
+
+    /// One of a few words, each with what it stands for.
+    #[must_use]
+    pub fn choice<T: Clone>(&self, words: &[(&str, T)]) -> Option<T> {
+        let expected = words.iter().map(|(word, _)| format!("\"{word}\"")).collect::<Vec<_>>().join(" or ");
+        self.text_if(&expected, |text| {
+            words.iter().find(|(word, _)| *word == text).map(|(_, meaning)| meaning.clone())
+        })
+    }
+
+    /// An array's values; none if this is no array.
+    #[must_use]
+    pub fn list(&self) -> Vec<Self> {
+        let Value::Array(array) = self.value else {
+            self.mismatch("an array");
+            return Vec::new();
+        };
+        let each =
+            |(at, value)| Self { report: self.report, value, member: format!("{}[{at}]", self.member) };
+        array.elements.iter().enumerate().map(each).collect()
+    }
+
+    /// An object. Members that are not asked for before it is dropped are reported as unknown.
+    #[must_use]
+    pub fn object(&self) -> Object<'a> {
+        let mut members = Vec::new();
+        if let Value::Object(object) = self.value {
+            members.extend(&object.properties);
+        } else {
+            self.mismatch("an object");
+        }
+        Object { node: self.clone(), members, asked: Vec::new() }
+    }
+
+    /// The value as plain JSON, without its comments.
+    #[must_use]
+    pub fn json(&self) -> serde_json::Value {
+        self.value.clone().into()
+    }
+}
+
+/// An object of a document.
+#[derive(Debug)]
+pub struct Object<'a> {
+    node: Node<'a>,
+    members: Vec<&'a jsonc_parser::ast::ObjectProp<'a>>,
+    asked: Vec<String>,
+}
+
+impl<'a> Object<'a> {
+    /// A member that may be absent.
+    #[must_use]
+    pub fn optional(&mut self, key: &str) -> Option<Node<'a>> {
+        self.asked.push(key.to_owned());
+        let property = self.members.iter().find(|each| each.name.as_str() == key)?;
+        Some(Node { report: self.node.report, value: &property.value, member: self.path(key) })
+    }
+
+    /// A member that must be there.
+    #[must_use]
+    pub fn required(&mut self, key: &str) -> Option<Node<'a>> {
+        let found = self.optional(key);
+        if found.is_none() && matches!(self.node.value, Value::Object(_)) {
+            self.node.refuse(&format!("expected a member \"{key}\", found none"));
+        }
+        found
+    }
+
+    /// Every member with its key, for an object whose keys are names; none of them is unknown.
+    #[must_use]
+    pub fn entries(&mut self) -> Vec<(Name, Node<'a>)> {
+        let keys: Vec<String> = self.members.iter().map(|each| each.name.as_str().to_owned()).collect();
+        self.asked.extend(keys.iter().cloned());
+        keys.iter().filter_map(|key| Some((key.as_str().into(), self.optional(key)?))).collect()
+    }
+
+    /// Reports an error at the object's start.
+    pub fn refuse(&self, text: &str) {
+        self.node.refuse(text);
+    }
+
+    fn path(&self, key: &str) -> String {
+        if self.node.member.is_empty() { key.to_owned() } else { format!("{}.{key}", self.node.member) }
+    }
+}
+
+impl Drop for Object<'_> {
+    fn drop(&mut self) {
+        let mut seen: Vec<&str> = Vec::new();
+        for property in &self.members {
+            let key = property.name.as_str();
+            let at = property.range.start;
+            if seen.contains(&key) {
+                self.node.report.add(at, &self.path(key), "expected each member once, found it again");
+            }
+            seen.push(key);
+            if self.asked.iter().any(|asked| asked == key) {
+                continue;
+            }
+            let known = self.asked.iter().map(|key| format!("\"{key}\"")).collect::<Vec<_>>().join(", ");
+            let text = format!("expected one of {known}, found an unknown member");
+            self.node.report.add(at, &self.path(key), &text);
+        }
+    }
+}
+
+fn parse_duration(text: &str) -> Option<Duration> {
+    let (number, unit) = split_unit(text)?;
+    match unit {
+        "us" => Some(Duration::from_micros(number)),
+        "ms" => Some(Duration::from_millis(number)),
+        "s" => Some(Duration::from_secs(number)),
+        "m" => number.checked_mul(60).map(Duration::from_secs),
+        "h" => number.checked_mul(3_600).map(Duration::from_secs),
+        _ => None,
+    }
+}
+
+fn parse_size(text: &str) -> Option<usize> {
+    let (number, unit) = split_unit(text)?;
+    let factor = match unit {
+        "B" => 1,
+        "KiB" => 1 << 10,
+        "MiB" => 1 << 20,
+        "GiB" => 1 << 30,
+        _ => return None,
+    };
+    usize::try_from(number).ok()?.checked_mul(factor)
+}
+
+fn split_unit(text: &str) -> Option<(u64, &str)> {
+    let digits = text.find(|letter: char| !letter.is_ascii_digit())?;
+    let (number, unit) = text.split_at(digits);
+    Some((number.parse().ok()?, unit))
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -3,7 +3,9 @@
 //! Nothing here decides anything: it says what things are called on the wire and turns the
 //! types of `boragecove-core` into bytes and back.
 
+pub mod completion;
 pub mod frame;
 pub mod header;
+pub mod jsonc;
 pub mod path;
 pub mod platform;
--- /dev/null
+++ b/wire/tests/completion_members.rs
@@ -0,0 +1,23 @@
+//! The members read of a completion's body and of its events.
+
+use boragecove_wire::completion::{Body, Piece};
+
+#[test]
+fn body_members() {
+    let body = Body::read(br#"{"model":"m:a@2","prompt":"a\"b","stream":true,"max_tokens":7,"odd":[1]}"#)
+        .expect("a body");
+    assert_eq!((&*body.model, body.stream, body.max_tokens), ("m:a@2", true, Some(7)));
+    assert_eq!(body.prompt(), br#""a\"b""#);
+    let chat = Body::read(br#"{"model":"m","messages":[{"role":"user"}]}"#).expect("a body");
+    assert_eq!(chat.prompt(), br#"[{"role":"user"}]"#);
+    assert!(Body::read(br#"{"prompt":"no model"}"#).is_err(), "a model is needed");
+}
+
+#[test]
+fn event_text() {
+    let text = |bytes: &[u8]| Piece::read(bytes).map(|piece| piece.text().to_owned()).ok();
+    assert_eq!(text(br#"{"choices":[{"text":"a\nb"}]}"#).as_deref(), Some("a\nb"));
+    assert_eq!(text(br#"{"choices":[{"delta":{"content":"c"}}]}"#).as_deref(), Some("c"));
+    assert_eq!(text(br#"{"choices":[{"delta":{"role":"assistant"}}]}"#).as_deref(), Some(""));
+    assert_eq!(text(b"[DONE]"), None);
+}
--- /dev/null
+++ b/wire/tests/positioned_errors.rs
@@ -0,0 +1,51 @@
+//! Documents in JSON with comments: what is read, and how errors are placed.
+
+use std::time::Duration;
+
+use boragecove_wire::jsonc;
+
+#[test]
+fn errors_placed() {
+    let text = "{\n  // a comment\n  \"wait\": \"5 parsecs\",\n  \"room\": 12,\n  \"odd\": 1,\n  \"list\": [1, true]\n}";
+    let problems = jsonc::read("f.jsonc", text, |root| {
+        let mut object = root.object();
+        let _wait = object.required("wait").and_then(|node| node.duration());
+        let _room = object.required("room").and_then(|node| node.size());
+        let _gone = object.required("gone").and_then(|node| node.name());
+        for node in object.required("list").map(|node| node.list()).unwrap_or_default() {
+            let _number = node.integer(0, 9);
+        }
+    })
+    .expect_err("four errors");
+    let shown: Vec<String> = problems.to_string().lines().map(str::to_owned).collect();
+    assert_eq!(
+        shown,
+        [
+            "f.jsonc:1:1: expected a member \"gone\", found none",
+            "f.jsonc:3:11: wait: expected a time such as \"250ms\", \"2s\", \"5m\" or \"24h\", found \"5 parsecs\"",
+            "f.jsonc:4:11: room: expected a size such as \"512B\", \"64KiB\" or \"8MiB\", found 12",
+            "f.jsonc:5:3: odd: expected one of \"wait\", \"room\", \"gone\", \"list\", found an unknown member",
+            "f.jsonc:6:15: list[1]: expected a whole number from 0 to 9, found true",
+        ]
+    );
+}
+
+#[test]
+fn units_read() {
+    let text = "{\"a\": \"250ms\", \"b\": \"8MiB\", /* last */ \"c\": \"24h\"}";
+    let read = jsonc::read("f.jsonc", text, |root| {
+        let mut object = root.object();
+        let short = object.required("a").and_then(|node| node.duration());
+        let size = object.required("b").and_then(|node| node.size());
+        let long = object.required("c").and_then(|node| node.duration());
+        (short, size, long)
+    });
+    let expected = (Some(Duration::from_millis(250)), Some(8 << 20), Some(Duration::from_hours(24)));
+    assert_eq!(read, Ok(expected));
+}
+
+#[test]
+fn syntax_error() {
+    let problems = jsonc::read("f.jsonc", "{\n  \"a\": ,\n}", |_root| ()).expect_err("no value");
+    assert_eq!((problems.0[0].line, problems.0[0].column), (2, 8), "{problems}");
+}
