Read inventory and rules documents with placed errors

Change: wire::document reads either part or both from JSON with comments and reports every error of form with its place.

--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! types of `boragecove-core` into bytes and back.
 
 pub mod completion;
+pub mod document;
 pub mod frame;
 pub mod header;
 pub mod jsonc;
