--- a/wire/tests/document_forms.rs
+++ b/wire/tests/document_forms.rs
@@ -41,7 +41,8 @@
 fn parts_kept() {
     let mut whole = example("varmevakt");
     let models = whole.inventory.models.len();
-    let part = document::read("r.jsonc", r#"{ "rules": { "weights": { "moves": 9 } } }"#).expect("well-formed");
+    let part =
+        document::read("r.jsonc", r#"{ "rules": { "weights": { "moves": 9 } } }"#).expect("well-formed");
     part.overlay(&mut whole);
     assert_eq!(whole.inventory.models.len(), models);
     assert!(whole.rules.callers.is_empty());
