--- a/core/tests/cluster/mod.rs
+++ b/core/tests/cluster/mod.rs
@@ -61,11 +61,13 @@
                     let losers = writes.iter().filter(|write| !self.holds(write));
                     return Reply::Conflict(losers.filter_map(|w| self.rows.get(&w.key)).cloned().collect());
                 }
-                writes.into_iter().for_each(|write| self.write(write));
+                for write in writes {
+                    self.write(write);
+                }
                 Reply::Committed
             }
             Call::Each(writes) => {
-                for write in writes.into_iter() {
+                for write in writes {
                     if self.holds(&write) {
                         self.write(write);
                     }
@@ -258,7 +260,9 @@
                 continue;
             }
             let effects = apply(&mut self.nodes[node].state, self.now, event);
-            effects.into_iter().for_each(|effect| self.carry_out(node, effect));
+            for effect in effects {
+                self.carry_out(node, effect);
+            }
         }
     }
 
--- a/core/tests/config_accept.rs
+++ b/core/tests/config_accept.rs
@@ -14,7 +14,7 @@
 use boragecove_core::table::{Key, Value};
 use cluster::{Cluster, GROUP, Mood, document};
 
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 
 fn two() -> Cluster {
     let mut cluster = Cluster::new(&["hall-a", "hall-b"], Settings::default());
