Settle lost lease answers by reading the row, hand the lease back on a planned stop

Cause: a lost answer to a lease write was taken for a failure and then ignored, a lease was never handed back, and the holder trusted its lease to the last moment of its length.

Change: a write whose answer is lost is settled by the row; the same row is written again over the same version while the first may still arrive. The holder stops a tenth before the lease ends. A planned stop writes the row without a holder before the process ends. Looks at the row are spread by jitter, and a row older than the one known is dropped.

--- a/core/src/drain.rs
+++ b/core/src/drain.rs
@@ -48,16 +48,20 @@
 }
 
 /// The balancer has had its time.
-pub(crate) fn grace(state: &mut State, out: &mut Vec<Effect>) {
+pub(crate) fn grace(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     if state.drain.stage == Stage::Grace {
         state.drain.stage = Stage::Finishing;
-        settle(state, out);
+        settle(state, now, out);
     }
 }
 
-/// Ends the process once nothing is in flight.
-pub(crate) fn settle(state: &mut State, out: &mut Vec<Effect>) {
-    if state.drain.stage == Stage::Finishing && state.flow.open() == 0 {
+/// Ends the process once nothing is in flight and its lease is handed back.
+pub(crate) fn settle(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if state.drain.stage != Stage::Finishing || state.flow.open() > 0 {
+        return;
+    }
+    crate::lease::hand_back(state, now, out);
+    if state.lease.is_handed_back() {
         state.drain.stage = Stage::Over;
         out.push(Effect::Exit);
     }
--- a/core/src/flow.rs
+++ b/core/src/flow.rs
@@ -399,5 +399,5 @@
     state.counters.end(end.code());
     out.push(Effect::End { request: id, end });
     dispatch(state, now, &flow.work, out);
-    crate::drain::settle(state, out);
+    crate::drain::settle(state, now, out);
 }
--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -1,5 +1,7 @@
 //! The lease of an availability zone: who plans placement for its engines.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::audit::{self, Act, Cause};
@@ -12,6 +14,10 @@
 use crate::time::Time;
 use crate::timer::Timer;
 
+/// Share of a lease by which its holder stops early, so that a clock running fast by less than this
+/// does not let an observer take over while the holder still plans.
+const MARGIN: f64 = 0.1;
+
 /// A lease as it stands in the table. An observer takes it over only after it saw the row unchanged
 /// for the whole of `length_ms` on its own clock, so clocks need not agree.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,26 +44,46 @@
 /// What this entry VM knows of its zone's lease.
 #[derive(Debug, Default)]
 pub(crate) struct Part {
-    /// The row as last read, with its version.
-    pub seen: Option<(table::Version, Row)>,
-    /// Since when the row has looked like that.
-    pub since: Time,
+    /// The row as last read or written, with its version.
+    seen: Option<(table::Version, Row)>,
+    /// Since when the row has looked like that, on this process's clock.
+    since: Time,
     /// Until when this process holds it; counted from before the write that renewed it.
-    pub held_until: Option<Time>,
+    held_until: Option<Time>,
+    /// The fence this process held last, whether or not it still does.
+    last: Option<Fence>,
+    /// A write whose answer has not come, or was lost and is to be read back.
+    pending: Option<Pending>,
+    /// Whether the lease was handed back for good.
+    done: bool,
+}
+
+/// A write of the row whose effect is not known yet.
+#[derive(Clone, Debug, PartialEq)]
+struct Pending {
+    row: Row,
+    over: table::Version,
+    at: Time,
+    lost: bool,
+    cause: Cause,
 }
 
 impl Part {
     /// The fence of the lease while this process holds it.
     pub(crate) fn fence(&self, now: Time) -> Option<Fence> {
         let until = self.held_until?;
-        let (_, row) = self.seen.as_ref()?;
-        (now < until).then_some(row.fence)
+        self.last.filter(|_| now < until)
     }
 
     /// Who holds it, as last read.
     pub(crate) fn holder(&self) -> Option<&Name> {
         self.seen.as_ref().and_then(|(_, row)| row.holder.as_ref()).map(|holder| &holder.vm)
     }
+
+    /// Whether nothing remains to be done before the process may end.
+    pub(crate) fn is_handed_back(&self) -> bool {
+        self.done && self.pending.is_none()
+    }
 }
 
 /// Steps that wait for the table.
@@ -66,85 +92,223 @@
     /// The row was asked for.
     Read,
     /// The row was written.
-    Write {
-        /// What was written.
-        row: Row,
-        /// The version it was written over.
-        over: table::Version,
-        /// When the write was sent.
-        at: Time,
-    },
+    Write,
+}
+
+fn key(state: &State) -> table::Key {
+    table::Key::Lease(state.me.zone.clone())
 }
 
 /// The lease is to be renewed, or someone else's looked at.
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    state.timers.set(now + state.settings.lease_renew, Timer::Lease);
-    let mine = state.lease.fence(now).is_some();
-    if let Some((over, row)) = state.lease.seen.clone().filter(|_| mine) {
-        write(state, now, over, Row { renewal: row.renewal + 1, ..row }, out);
+    let wait = state.settings.lease_renew.mul_f64(0.9 + 0.2 * state.rng.f64());
+    state.timers.set(now + wait, Timer::Lease);
+    expire(state, now, out);
+    let length = state.settings.lease_length;
+    if let Some(pending) = state.lease.pending.as_mut().filter(|pending| now.since(pending.at) >= length) {
+        pending.lost = true;
+    }
+    let idle = state.lease.pending.is_none();
+    if state.lease.done && idle {
         return;
     }
-    let key = table::Key::Lease(state.me.zone.clone());
+    if idle && state.lease.fence(now).is_some() {
+        renew(state, now, out);
+        return;
+    }
+    read(state, out);
+}
+
+fn read(state: &mut State, out: &mut Vec<Effect>) {
+    let key = key(state);
     state.call(table::Call::Get(vec![key]), Purpose::Lease(Step::Read), out);
 }
 
-fn write(state: &mut State, now: Time, over: table::Version, row: Row, out: &mut Vec<Effect>) {
-    let write = table::Write {
-        key: table::Key::Lease(state.me.zone.clone()),
-        expect: over,
-        value: Some(table::Value::Lease(row.clone())),
-    };
-    state.call(table::Call::Commit(vec![write]), Purpose::Lease(Step::Write { row, over, at: now }), out);
+/// Notes that the time of a lease held here ran out.
+fn expire(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if state.lease.held_until.is_some_and(|until| until <= now) {
+        leave(state, now, Cause::Expired, out);
+    }
+}
+
+fn leave(state: &mut State, now: Time, cause: Cause, out: &mut Vec<Effect>) {
+    if state.lease.held_until.take().is_none() {
+        return;
+    }
+    if let Some(fence) = state.lease.last {
+        audit::record(state, now, Act::LeaseLeft(fence), cause, out);
+    }
+}
+
+fn renew(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if let Some((over, row)) = state.lease.seen.clone() {
+        write(state, now, over, Row { renewal: row.renewal + 1, ..row }, Cause::Vacant, out);
+    }
+}
+
+fn write(state: &mut State, now: Time, over: table::Version, row: Row, cause: Cause, out: &mut Vec<Effect>) {
+    let value = Some(table::Value::Lease(row.clone()));
+    let write = table::Write { key: key(state), expect: over, value };
+    state.lease.pending = Some(Pending { row, over, at: now, lost: false, cause });
+    state.call(table::Call::Commit(vec![write]), Purpose::Lease(Step::Write), out);
+}
+
+/// Hands the lease back on a planned stop. Nothing more is planned here from now on.
+pub(crate) fn hand_back(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if state.lease.done {
+        return;
+    }
+    state.lease.done = true;
+    let held = state.lease.fence(now).is_some();
+    leave(state, now, Cause::Stopping, out);
+    let seen = state.lease.seen.clone().filter(|_| held && state.lease.pending.is_none());
+    if let Some((over, row)) = seen {
+        write(state, now, over, Row { holder: None, ..row }, Cause::Stopping, out);
+    }
 }
 
 /// The table answered about the lease.
 pub(crate) fn answered(
     state: &mut State,
     now: Time,
-    step: Step,
+    step: &Step,
     reply: Result<table::Reply, table::Failure>,
     out: &mut Vec<Effect>,
 ) {
     match (step, reply) {
-        (Step::Read, Ok(table::Reply::Rows(rows))) => read(state, now, rows.into_iter().next(), out),
-        (Step::Write { row, over, at }, Ok(table::Reply::Committed)) => {
-            let fresh = state.lease.held_until.is_none();
-            let fence = row.fence;
-            state.lease.held_until = Some(at + state.settings.lease_length);
-            state.lease.seen = Some((table::Version(over.0 + 1), row));
-            state.lease.since = now;
-            if fresh {
-                audit::record(state, now, Act::LeaseTaken(fence), Cause::Vacant, out);
+        (Step::Read, Ok(table::Reply::Rows(rows))) => looked(state, now, rows.into_iter().next(), out),
+        (Step::Write, Ok(table::Reply::Committed)) => committed(state, now, out),
+        (Step::Write, Err(table::Failure::Unavailable)) => state.lease.pending = None,
+        // A lease that cannot be handed back lapses by itself: the process need not stay for it.
+        (Step::Read | Step::Write, Err(_)) if state.lease.done => state.lease.pending = None,
+        (Step::Read, _) => {}
+        (Step::Write, Ok(_) | Err(table::Failure::Unknown)) => {
+            if let Some(pending) = &mut state.lease.pending {
+                pending.lost = true;
             }
+            read(state, out);
         }
-        (Step::Write { .. }, Ok(_)) => {
-            state.lease.held_until = None;
-            state.lease.seen = None;
+    }
+    if state.lease.is_handed_back() {
+        crate::drain::settle(state, now, out);
+    }
+}
+
+/// The pending write took effect.
+fn committed(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let Some(Pending { row, over, at, cause, .. }) = state.lease.pending.take() else {
+        return;
+    };
+    state.lease.since = now;
+    let mine = is_mine(state, &row);
+    let fence = row.fence;
+    state.lease.seen = Some((table::Version(over.0 + 1), row));
+    if !mine {
+        return;
+    }
+    if state.lease.done {
+        let seen = state.lease.seen.clone();
+        if let Some((over, row)) = seen {
+            write(state, now, over, Row { holder: None, ..row }, Cause::Stopping, out);
         }
-        _ => {}
+        return;
+    }
+    let length = state.settings.lease_length;
+    let fresh = state.lease.last != Some(fence) || state.lease.held_until.is_none();
+    state.lease.last = Some(fence);
+    state.lease.held_until = Some(at + length.mul_f64(1.0 - MARGIN));
+    if fresh {
+        audit::record(state, now, Act::LeaseTaken(fence), cause, out);
     }
+    expire(state, now, out);
+}
+
+fn is_mine(state: &State, row: &Row) -> bool {
+    row.holder.as_ref().is_some_and(|holder| holder.incarnation == state.me.incarnation)
 }
 
-fn read(state: &mut State, now: Time, row: Option<table::Row>, out: &mut Vec<Effect>) {
-    let (version, seen) = match row {
+/// The row was read: settle a lost answer by it, or take a lease that is free.
+fn looked(state: &mut State, now: Time, found: Option<table::Row>, out: &mut Vec<Effect>) {
+    let (version, row) = match found {
         Some(table::Row { version, value: table::Value::Lease(row), .. }) => (version, Some(row)),
         _ => (table::Version(0), None),
     };
-    let holder = Some(Holder { vm: state.me.vm.clone(), incarnation: state.me.incarnation });
-    let length_ms = state.settings.lease_length.as_millis() as u64;
-    let Some(seen) = seen else {
-        write(state, now, version, Row { holder, fence: Fence(1), renewal: 0, length_ms }, out);
+    if state.lease.seen.as_ref().is_some_and(|(known, _)| *known > version) {
         return;
-    };
+    }
+    if let Some(pending) = state.lease.pending.clone() {
+        if !pending.lost {
+            return;
+        }
+        settle(state, now, &pending, version, row.as_ref(), out);
+        if state.lease.pending.is_some() {
+            return;
+        }
+    }
     let unchanged = state.lease.seen.as_ref().is_some_and(|(known, _)| *known == version);
     if !unchanged {
         state.lease.since = now;
     }
-    let expired = now.since(state.lease.since).as_millis() as u64 >= seen.length_ms;
-    let vacant = seen.holder.is_none();
-    let fence = Fence(seen.fence.0 + 1);
-    state.lease.seen = Some((version, seen));
-    if vacant || expired {
-        write(state, now, version, Row { holder, fence, renewal: 0, length_ms }, out);
+    let known = row.clone();
+    state.lease.seen = row.map(|row| (version, row));
+    let fence = known.as_ref().map_or(Fence(0), |row| row.fence);
+    if state.lease.last.is_some_and(|last| last < fence) {
+        leave(state, now, Cause::Superseded, out);
+    }
+    if state.drain.leaving() || state.lease.done {
+        return;
+    }
+    take(state, now, version, known, out);
+}
+
+/// Takes the lease if nobody holds it, or its holder let it lapse.
+fn take(state: &mut State, now: Time, over: table::Version, seen: Option<Row>, out: &mut Vec<Effect>) {
+    let length_ms = state.settings.lease_length.as_millis() as u64;
+    let holder = Some(Holder { vm: state.me.vm.clone(), incarnation: state.me.incarnation });
+    let Some(seen) = seen else {
+        let row = Row { holder, fence: Fence(1), renewal: 0, length_ms };
+        write(state, now, over, row, Cause::Vacant, out);
+        return;
+    };
+    if is_mine(state, &seen) {
+        write(state, now, over, Row { renewal: seen.renewal + 1, ..seen }, Cause::Vacant, out);
+        return;
+    }
+    let unchanged_for = now.since(state.lease.since);
+    let cause = match &seen.holder {
+        None => Cause::Vacant,
+        Some(_) if unchanged_for >= Duration::from_millis(seen.length_ms) => Cause::Expired,
+        Some(_) => return,
+    };
+    let row = Row { holder, fence: Fence(seen.fence.0 + 1), renewal: 0, length_ms };
+    write(state, now, over, row, cause, out);
+}
+
+/// Decides by the row whether a write whose answer was lost took effect.
+fn settle(
+    state: &mut State,
+    now: Time,
+    pending: &Pending,
+    version: table::Version,
+    row: Option<&Row>,
+    out: &mut Vec<Effect>,
+) {
+    if row == Some(&pending.row) && version.0 == pending.over.0 + 1 {
+        committed(state, now, out);
+        return;
+    }
+    if version != pending.over {
+        state.lease.pending = None;
+        return;
+    }
+    // The write may still arrive: the same row over the same version lets either of the two win.
+    let write = table::Write {
+        key: key(state),
+        expect: pending.over,
+        value: Some(table::Value::Lease(pending.row.clone())),
+    };
+    if let Some(pending) = &mut state.lease.pending {
+        pending.lost = false;
     }
+    state.call(table::Call::Commit(vec![write]), Purpose::Lease(Step::Write), out);
 }
--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -65,7 +65,7 @@
     state.table_up = reply.is_ok();
     match state.settle(op) {
         Some(Purpose::Config(step)) => config::answered(state, now, step, reply, out),
-        Some(Purpose::Lease(step)) => lease::answered(state, now, step, reply, out),
+        Some(Purpose::Lease(step)) => lease::answered(state, now, &step, reply, out),
         Some(Purpose::Ledger(step)) => ledger::answered(state, step, reply, out),
         None => state.counters.stale += 1,
     }
@@ -87,6 +87,6 @@
         Timer::Heartbeat => member::due(state, now, out),
         Timer::Lease => lease::due(state, now, out),
         Timer::Plan => place::due(state, now, out),
-        Timer::Grace => drain::grace(state, out),
+        Timer::Grace => drain::grace(state, now, out),
     }
 }
--- /dev/null
+++ b/core/tests/control/lease_takeover.rs
@@ -0,0 +1,106 @@
+//! The lease of a zone: one holder, renewed, handed back, and taken over when its holder is gone.
+
+use std::time::Duration;
+
+use boragecove_core::audit::{Act, Cause};
+use boragecove_core::engine::Fence;
+use boragecove_core::event::Event;
+use boragecove_core::name::Name;
+use boragecove_core::settings::Settings;
+
+use super::world::{Mode, World, document};
+
+const LENGTH: Duration = Duration::from_secs(10);
+
+fn world(nodes: usize) -> World {
+    let mut world = World::new(nodes, 1, document(true, 24_000, Vec::new()));
+    world.until("a first holder", |world| world.holder().is_some());
+    world
+}
+
+fn taken(world: &World, at: usize) -> Vec<(Fence, Cause)> {
+    let records = world.nodes[at].records.iter();
+    records
+        .filter_map(|record| match record.act {
+            Act::LeaseTaken(fence) => Some((fence, record.cause)),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn renewed_by_one() {
+    let mut world = world(3);
+    let first = world.holder();
+    world.run(LENGTH * 20);
+    assert_eq!(world.holder(), first, "nobody else takes a lease that is renewed");
+    let all: usize = (0..3).map(|at| taken(&world, at).len()).sum();
+    assert_eq!(all, 1);
+}
+
+#[test]
+fn taken_after_expiry() {
+    let mut world = world(2);
+    let (first, fence) = world.holder().expect("a holder");
+    let at = world.holding().expect("a holder");
+    world.nodes[at].paused = true;
+    let since = world.now;
+    world.until("another holder", |world| world.holder().is_some_and(|(holder, _)| holder != first));
+    assert!(world.now.since(since) + Settings::default().lease_renew >= LENGTH, "not before it lapsed");
+    assert_eq!(world.holder().map(|(_, fence)| fence), Some(Fence(fence.0 + 1)));
+    assert_eq!(taken(&world, 1 - at), [(Fence(fence.0 + 1), Cause::Expired)]);
+
+    let second = world.holder();
+    world.resume(at);
+    world.run(LENGTH * 5);
+    assert_eq!(world.holder(), second, "the paused holder wakes to a lease that is not its own");
+    let left = |act: &Act| matches!(act, Act::LeaseLeft(_));
+    assert!(world.nodes[at].records.iter().any(|record| left(&record.act)));
+}
+
+#[test]
+fn handed_back() {
+    let mut world = world(2);
+    let at = world.holding().expect("a holder");
+    let first: Name = world.nodes[at].state.identity().vm.clone();
+    let asked = world.now;
+    world.step(at, Event::Stop);
+    let grace = Settings::default().balancer_grace;
+    world.until("another holder", |world| world.holder().is_some_and(|(holder, _)| holder != first));
+    assert!(world.now.since(asked) < grace + LENGTH, "a lease handed back is not waited for");
+    assert_eq!(taken(&world, 1 - at).last().map(|(_, cause)| *cause), Some(Cause::Vacant));
+}
+
+#[test]
+fn lost_answers() {
+    let mut world = world(1);
+    world.nodes[0].table = Mode::Mute;
+    world.run(Duration::from_secs(4));
+    world.nodes[0].table = Mode::Up;
+    world.run(LENGTH * 3);
+    assert_eq!(world.holder().map(|(_, fence)| fence), Some(Fence(1)), "the same holder goes on");
+    assert_eq!(taken(&world, 0).len(), 1, "a lost answer is settled by the row within the lease");
+}
+
+#[test]
+fn table_down() {
+    let mut world = world(2);
+    let first = world.holder();
+    for node in &mut world.nodes {
+        node.table = Mode::Down;
+    }
+    world.run(LENGTH * 10);
+    assert_eq!(world.holder(), first, "nobody takes over what cannot be read");
+    let left: usize = world
+        .nodes
+        .iter()
+        .flat_map(|node| &node.records)
+        .filter(|r| matches!(r.act, Act::LeaseLeft(_)))
+        .count();
+    assert_eq!(left, 1, "its holder knows that it lapsed");
+    for node in &mut world.nodes {
+        node.table = Mode::Up;
+    }
+    world.run(LENGTH * 3);
+    assert!(world.holder().is_some());
+}
--- /dev/null
+++ b/core/tests/control/world.rs
@@ -0,0 +1,450 @@
+//! A few reducers over fakes of the table and of engines, with knobs for what gets lost, late or held.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use boragecove_core::artifact::Artifact;
+use boragecove_core::config::{Document, Head};
+use boragecove_core::effect::Effect;
+use boragecove_core::engine::{Action, Copy, Ended, Fence, Order, Receipt, Report, Role as Part, Stage};
+use boragecove_core::event::Event;
+use boragecove_core::id::{self, Incarnation};
+use boragecove_core::inventory::{Group, Inventory, Kind, Model, Version as Release};
+use boragecove_core::name::Name;
+use boragecove_core::settings::Settings;
+use boragecove_core::state::Identity;
+use boragecove_core::table::{Call, Done, Failure, Key, Prefix, Reply, Row, Value, Version, Write};
+use boragecove_core::time::Time;
+use boragecove_core::vm::{Phase, Role, Vm};
+use boragecove_core::{State, apply};
+
+pub const ZONE: &str = "hall-a";
+pub const GROUP: &str = "brief-writer";
+const TICK: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    #[default]
+    Up,
+    Down,
+    /// Calls take effect, their answers are lost.
+    Mute,
+}
+
+#[derive(Debug, Default)]
+pub struct Table {
+    pub rows: BTreeMap<Key, (Version, Value)>,
+    /// Forgets what is written of ledgers, as if there were no such rows.
+    pub forgets_ledgers: bool,
+    pub calls: usize,
+}
+
+impl Table {
+    fn call(&mut self, call: &Call) -> Reply {
+        self.calls += 1;
+        match call {
+            Call::Get(keys) => Reply::Rows(keys.iter().filter_map(|key| self.row(key)).collect()),
+            Call::List(prefix) => {
+                let under = |key: &&Key| match (prefix, key) {
+                    (Prefix::Leases, Key::Lease(_)) => true,
+                    (Prefix::Ledgers(zone), Key::Ledger { zone: of, .. }) => zone == of,
+                    _ => false,
+                };
+                Reply::Rows(self.rows.keys().filter(under).filter_map(|key| self.row(key)).collect())
+            }
+            Call::Commit(writes) => {
+                let late: Vec<&Write> = writes.iter().filter(|write| !self.is_current(write)).collect();
+                if !late.is_empty() {
+                    return Reply::Conflict(late.iter().filter_map(|write| self.row(&write.key)).collect());
+                }
+                for write in writes {
+                    self.write(write);
+                }
+                Reply::Committed
+            }
+            Call::Each(writes) => Reply::Each(writes.iter().map(|write| self.each(write)).collect()),
+        }
+    }
+
+    pub fn row(&self, key: &Key) -> Option<Row> {
+        let (version, value) = self.rows.get(key)?;
+        Some(Row { key: key.clone(), version: *version, value: value.clone() })
+    }
+
+    fn is_current(&self, write: &Write) -> bool {
+        let forgotten = self.forgets_ledgers && matches!(write.key, Key::Ledger { .. });
+        forgotten || self.rows.get(&write.key).map_or(Version(0), |(version, _)| *version) == write.expect
+    }
+
+    fn each(&mut self, write: &Write) -> Done {
+        if !self.is_current(write) {
+            return Done::Kept(self.row(&write.key));
+        }
+        self.write(write);
+        Done::Written
+    }
+
+    fn write(&mut self, write: &Write) {
+        if self.forgets_ledgers && matches!(write.key, Key::Ledger { .. }) {
+            return;
+        }
+        match &write.value {
+            Some(value) => {
+                self.rows.insert(write.key.clone(), (Version(write.expect.0 + 1), value.clone()));
+            }
+            None => {
+                self.rows.remove(&write.key);
+            }
+        }
+    }
+}
+
+/// A model engine that never refuses a load for want of memory: only the sender guards that.
+#[derive(Debug)]
+pub struct Engine {
+    pub vm: Vm,
+    pub incarnation: Incarnation,
+    pub checks: bool,
+    pub memory_mb: u64,
+    pub copies: Vec<Copy>,
+    pub fence: Fence,
+    pub ended: Vec<Ended>,
+    receipts: BTreeMap<id::Order, Receipt>,
+    loading: Vec<(Time, Order)>,
+    seq: u64,
+}
+
+impl Engine {
+    pub fn order(&mut self, now: Time, order: &Order) -> Receipt {
+        if let Some(receipt) = self.receipts.get(&order.id) {
+            return receipt.clone();
+        }
+        let receipt = self.take(now, order);
+        self.receipts.insert(order.id, receipt.clone());
+        receipt
+    }
+
+    fn take(&mut self, now: Time, order: &Order) -> Receipt {
+        if self.checks && order.fence < self.fence {
+            return Receipt::Stale { seen: self.fence };
+        }
+        self.fence = self.fence.max(order.fence);
+        match &order.action {
+            Action::Load { artifact, memory_mb } => {
+                if !self.copies.iter().any(|copy| copy.artifact == *artifact) {
+                    let (artifact, memory_mb) = (artifact.clone(), *memory_mb);
+                    self.copies.push(Copy { artifact, memory_mb, stage: Stage::Loading, requests: 0 });
+                }
+                self.loading.push((now + Duration::from_secs(1), order.clone()));
+                return Receipt::Taken;
+            }
+            Action::Unload { artifact } => {
+                let Some(copy) = self.copies.iter().find(|copy| copy.artifact == *artifact) else {
+                    return Receipt::Invalid;
+                };
+                if copy.requests > 0 {
+                    return Receipt::Busy;
+                }
+                self.copies.retain(|copy| copy.artifact != *artifact);
+            }
+            Action::Role { .. } | Action::Raise => {}
+        }
+        self.ended.push(Ended { order: order.id, done: true });
+        Receipt::Taken
+    }
+
+    pub fn advance(&mut self, now: Time) {
+        let due: Vec<Order> =
+            self.loading.iter().filter(|(at, _)| *at <= now).map(|(_, order)| order.clone()).collect();
+        self.loading.retain(|(at, _)| *at > now);
+        for order in due {
+            let Action::Load { artifact, .. } = &order.action else { continue };
+            for copy in self.copies.iter_mut().filter(|copy| copy.artifact == *artifact) {
+                copy.stage = Stage::Ready;
+            }
+            self.ended.push(Ended { order: order.id, done: true });
+        }
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            engine: self.vm.name.clone(),
+            incarnation: self.incarnation,
+            seq: self.seq,
+            fence: self.fence,
+            role: Part::Both,
+            memory_mb: self.memory_mb,
+            running: self.copies.iter().map(|copy| copy.requests).sum(),
+            waiting: 0,
+            tokens_per_second: 0,
+            copies: self.copies.clone(),
+            ended: self.ended.iter().rev().take(64).rev().copied().collect(),
+            draining: false,
+        }
+    }
+
+    pub fn restart(&mut self) {
+        self.incarnation.0 += 1;
+        self.copies.clear();
+        self.ended.clear();
+        self.receipts.clear();
+        self.loading.clear();
+        self.fence = Fence(0);
+        self.seq = 0;
+    }
+
+    pub fn taken_mb(&self) -> u64 {
+        self.copies.iter().map(|copy| copy.memory_mb).sum()
+    }
+
+    pub fn holds(&self, model: &str) -> bool {
+        self.copies.iter().any(|copy| copy.artifact.model == model && copy.stage == Stage::Ready)
+    }
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub state: State,
+    pub paused: bool,
+    pub table: Mode,
+    /// What waits while the node is paused, and what it held back itself.
+    inbox: Vec<Event>,
+    pub records: Vec<boragecove_core::audit::Record>,
+    pub answers: Vec<boragecove_core::operator::Answer>,
+}
+
+/// An order on its way.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    pub node: usize,
+    pub engine: Name,
+    pub order: Order,
+}
+
+#[derive(Debug)]
+pub struct World {
+    pub now: Time,
+    pub table: Table,
+    pub nodes: Vec<Node>,
+    pub engines: BTreeMap<Name, Engine>,
+    /// Whether orders wait in `held` in place of arriving.
+    pub holds_orders: bool,
+    pub held: Vec<Flight>,
+    pub sent: Vec<Flight>,
+    vms: Vec<Vm>,
+}
+
+pub fn vm(name: &str, zone: &str, role: Role) -> Vm {
+    Vm {
+        name: name.into(),
+        zone: zone.into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        role,
+        phase: Phase::Live,
+    }
+}
+
+pub fn model(name: &str, memory_mb: u64) -> Model {
+    let versions = vec![Release { name: "1".into(), memory_mb }];
+    Model { name: name.into(), group: GROUP.into(), versions, adapters: Vec::new() }
+}
+
+pub fn document(checks: bool, memory_mb: u64, models: Vec<Model>) -> Document {
+    let (name, kind) = (GROUP.into(), Kind::Engine);
+    let group = Group { name, kind, memory_mb, slots: 8, checks_fences: checks };
+    Document {
+        inventory: Inventory { groups: vec![group], models, ..Inventory::default() },
+        ..Document::default()
+    }
+}
+
+pub fn artifact(model: &str) -> Artifact {
+    Artifact { model: model.into(), adapter: None, version: "1".into() }
+}
+
+impl World {
+    pub fn new(nodes: usize, engines: usize, document: Document) -> Self {
+        let now = Time::from_millis(1_000);
+        let group = document.inventory.groups[0].clone();
+        let mut vms = Vec::new();
+        let mut world = Self {
+            now,
+            table: Table::default(),
+            nodes: Vec::new(),
+            engines: BTreeMap::new(),
+            holds_orders: false,
+            held: Vec::new(),
+            sent: Vec::new(),
+            vms: Vec::new(),
+        };
+        world.declare(document);
+        for n in 1..=nodes {
+            vms.push(vm(&format!("entry-{n}"), ZONE, Role::Entry));
+            world.nodes.push(node(n as u64, now));
+        }
+        for n in 1..=engines {
+            let vm = vm(&format!("engine-{n}"), ZONE, Role::Backend(GROUP.into()));
+            vms.push(vm.clone());
+            let engine = Engine {
+                vm: vm.clone(),
+                incarnation: Incarnation(900 + 100 * n as u64),
+                checks: group.checks_fences,
+                memory_mb: group.memory_mb,
+                copies: Vec::new(),
+                fence: Fence(0),
+                ended: Vec::new(),
+                receipts: BTreeMap::new(),
+                loading: Vec::new(),
+                seq: 0,
+            };
+            world.engines.insert(vm.name, engine);
+        }
+        world.vms = vms;
+        world
+    }
+
+    /// Puts a configuration into the table, as the next version.
+    pub fn declare(&mut self, document: Document) {
+        let version = self.table.rows.get(&Key::Config).map_or(0, |(version, _)| version.0) + 1;
+        let head =
+            Head { version, op: id::Op { by: Incarnation(0), seq: version }, document: document.into() };
+        let value = Value::Config(Box::new(head.clone()));
+        self.table.rows.insert(Key::Config, (Version(version), value));
+        for at in 0..self.nodes.len() {
+            let frame = boragecove_core::peer::Frame {
+                from: "entry-0".into(),
+                zone: ZONE.into(),
+                incarnation: Incarnation(0),
+                seq: version,
+                config: version,
+                stopping: false,
+                items: vec![boragecove_core::peer::Item::Config(Box::new(head.clone()))],
+            };
+            self.step(at, Event::Heard(Box::new(frame)));
+        }
+    }
+
+    /// Brings an event to a node, and carries out what it asks for.
+    pub fn step(&mut self, at: usize, event: Event) {
+        if self.nodes[at].paused {
+            self.nodes[at].inbox.push(event);
+            return;
+        }
+        for effect in apply(&mut self.nodes[at].state, self.now, event) {
+            self.carry_out(at, effect);
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::Table { op, call } => {
+                let reply = match self.nodes[at].table {
+                    Mode::Down => Err(Failure::Unavailable),
+                    Mode::Mute => {
+                        let _lost = self.table.call(&call);
+                        Err(Failure::Unknown)
+                    }
+                    Mode::Up => Ok(self.table.call(&call)),
+                };
+                self.step(at, Event::Table { op, reply });
+            }
+            Effect::List => {
+                let vms = self.vms.clone();
+                self.step(at, Event::Listed(vms));
+            }
+            Effect::Poll { engine, .. } => {
+                let Some(engine) = self.engines.get_mut(&engine) else { return };
+                let report = engine.report();
+                for to in 0..self.nodes.len() {
+                    self.step(to, Event::Reported(Box::new(report.clone())));
+                }
+            }
+            Effect::Order { engine, order, .. } => {
+                let flight = Flight { node: at, engine, order: *order };
+                self.sent.push(flight.clone());
+                if self.holds_orders {
+                    self.held.push(flight);
+                } else {
+                    self.arrive(&flight);
+                }
+            }
+            Effect::Tell { peer, frame, .. } => {
+                if let Some(to) = self.nodes.iter().position(|node| node.state.identity().vm == peer) {
+                    self.step(to, Event::Heard(frame));
+                }
+            }
+            Effect::Record(record) => self.nodes[at].records.push(*record),
+            Effect::Answer { answer, .. } => self.nodes[at].answers.push(*answer),
+            _ => {}
+        }
+    }
+
+    /// An order arrives at its engine, and its answer at the node.
+    pub fn arrive(&mut self, flight: &Flight) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(&flight.engine) else { return };
+        let receipt = Some(engine.order(now, &flight.order));
+        let answer = Event::Ordered { order: flight.order.id, engine: flight.engine.clone(), receipt };
+        self.step(flight.node, answer);
+    }
+
+    /// Lets a node go on, with all that came while it was paused.
+    pub fn resume(&mut self, at: usize) {
+        self.nodes[at].paused = false;
+        for event in std::mem::take(&mut self.nodes[at].inbox) {
+            self.step(at, event);
+        }
+    }
+
+    pub fn tick(&mut self) {
+        self.now = self.now + TICK;
+        let now = self.now;
+        self.engines.values_mut().for_each(|engine| engine.advance(now));
+        for at in (0..self.nodes.len()).filter(|at| !self.nodes[*at].paused).collect::<Vec<_>>() {
+            self.step(at, Event::Wake);
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    /// Runs until a condition holds, at the most for ten minutes of the reducers' time.
+    pub fn until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let limit = self.now + Duration::from_mins(10);
+        while !condition(self) {
+            assert!(self.now < limit, "never happened: {what}");
+            self.tick();
+        }
+    }
+
+    /// Who holds the lease by the table's row.
+    pub fn holder(&self) -> Option<(Name, Fence)> {
+        match self.table.rows.get(&Key::Lease(ZONE.into())) {
+            Some((_, Value::Lease(row))) => row.holder.as_ref().map(|holder| (holder.vm.clone(), row.fence)),
+            _ => None,
+        }
+    }
+
+    /// The node that holds the lease by the table's row.
+    pub fn holding(&self) -> Option<usize> {
+        let (holder, _) = self.holder()?;
+        self.nodes.iter().position(|node| node.state.identity().vm == holder)
+    }
+}
+
+fn node(n: u64, now: Time) -> Node {
+    let me = Identity { vm: format!("entry-{n}").into(), zone: ZONE.into(), incarnation: Incarnation(n) };
+    Node {
+        state: State::new(me, Settings::default(), n, now),
+        paused: false,
+        table: Mode::Up,
+        inbox: Vec::new(),
+        records: Vec::new(),
+        answers: Vec::new(),
+    }
+}
