--- a/core/src/artifact.rs
+++ b/core/src/artifact.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::error::Malformed;
 use crate::name::Name;
@@ -14,12 +15,20 @@
     /// The model's name.
     pub model: Name,
     /// The adapter's name; none for the model itself.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub adapter: Option<Name>,
     /// The version of the adapter if there is one, else of the model.
     pub version: Name,
 }
 
+impl Artifact {
+    /// A short stand-in for it where a rare mix-up only costs time.
+    #[must_use]
+    pub fn digest(&self) -> u32 {
+        xxh3_64(self.to_string().as_bytes()) as u32
+    }
+}
+
 impl fmt::Display for Artifact {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.adapter {
--- /dev/null
+++ b/core/src/collect.rs
@@ -0,0 +1,193 @@
+//! Who reads which engine's reports, and how the rest of the zone hears of them.
+//!
+//! Each engine has one collector among the live entry VMs of its zone. It passes on a report whole, at
+//! once, when more than the load changed, and the load alone with the next frame to each peer.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::effect::Effect;
+use crate::engine::Report;
+use crate::fleet;
+use crate::inventory::Kind;
+use crate::member;
+use crate::name::Name;
+use crate::peer::{Item, Load};
+use crate::rendezvous;
+use crate::state::State;
+use crate::time::Time;
+use crate::timer::Timer;
+
+/// What this entry VM collects.
+#[derive(Debug, Default)]
+pub(crate) struct Part {
+    /// Engines it is the collector of.
+    mine: BTreeSet<Name>,
+    /// Engines whose next poll is set.
+    armed: BTreeSet<Name>,
+    /// Reports as last passed on to the zone, by engine.
+    told: BTreeMap<Name, Report>,
+    /// Engines of the zone by the digest of their name; none where two have the same.
+    digests: BTreeMap<u32, Option<Name>>,
+    /// When a peer was last asked for whole reports.
+    wanted: BTreeMap<Name, Time>,
+}
+
+/// The digest that stands for an engine's name between entry VMs of a zone.
+fn digest(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
+/// The digest of all in a report but the load.
+fn shape(report: &Report) -> u32 {
+    let mut text = Vec::with_capacity(256);
+    let mut number = |number: u64| text.extend_from_slice(&number.to_le_bytes());
+    number(report.incarnation.0);
+    number(report.fence.0);
+    number(report.role as u64);
+    number(report.memory_mb);
+    number(u64::from(report.draining));
+    for ended in &report.ended {
+        number(ended.order.by.0);
+        number(ended.order.seq);
+        number(u64::from(ended.done));
+    }
+    for copy in &report.copies {
+        number(copy.memory_mb);
+        number(copy.stage as u64);
+    }
+    for copy in &report.copies {
+        text.extend_from_slice(copy.artifact.to_string().as_bytes());
+        text.push(0);
+    }
+    xxh3_64(&text) as u32
+}
+
+/// Works out anew which engines this entry VM collects, after engines or entry VMs came or went.
+pub(crate) fn assign(state: &mut State, now: Time) {
+    let live: Vec<&str> = member::live_zone(state).collect();
+    let groups = &state.config.catalog.groups;
+    let engines = state.fleet.backends.values().filter(|backend| {
+        backend.zone == state.me.zone
+            && groups.get(&backend.group).is_some_and(|group| group.kind == Kind::Engine)
+    });
+    let mut digests = BTreeMap::new();
+    let mut mine = BTreeSet::new();
+    for engine in engines {
+        digests
+            .entry(digest(&engine.name))
+            .and_modify(|same| *same = None)
+            .or_insert_with(|| Some(engine.name.clone()));
+        if rendezvous::pick(live.iter().copied(), &engine.name) == Some(state.me.vm.as_str()) {
+            mine.insert(engine.name.clone());
+        }
+    }
+    let every = state.settings.poll_every;
+    for engine in mine.iter().filter(|engine| !state.collect.armed.contains(*engine)) {
+        let first = if state.collect.told.is_empty() { 0.0 } else { state.rng.f64() };
+        state.timers.set(now + every.mul_f64(first), Timer::Poll(engine.clone()));
+    }
+    state.collect.armed.extend(mine.iter().cloned());
+    state.collect.told.retain(|engine, _| mine.contains(engine));
+    state.collect.mine = mine;
+    state.collect.digests = digests;
+}
+
+/// An engine is to be asked for its report.
+pub(crate) fn poll(state: &mut State, now: Time, engine: Name, out: &mut Vec<Effect>) {
+    let backend = state.fleet.backends.get(&engine).filter(|_| state.collect.mine.contains(&engine));
+    let Some(backend) = backend else {
+        state.collect.armed.remove(&engine);
+        return;
+    };
+    let (address, cache_from) = (backend.address, backend.cache_seq);
+    out.push(Effect::Poll { engine: engine.clone(), address, cache_from });
+    state.timers.set(now + state.settings.poll_every, Timer::Poll(engine));
+}
+
+/// An engine that this entry VM polled reported.
+pub(crate) fn polled(state: &mut State, now: Time, report: &Report, out: &mut Vec<Effect>) {
+    fleet::reported(state, now, report, out);
+    if !state.collect.mine.contains(&report.engine) {
+        return;
+    }
+    let told = state.collect.told.get(&report.engine);
+    if told.is_some_and(|told| shape(told) == shape(report)) {
+        return;
+    }
+    state.collect.told.insert(report.engine.clone(), report.clone());
+    member::tell_all(state, &[Item::Report(Box::new(report.clone()))], out);
+}
+
+/// The loads that changed since they were last passed on.
+pub(crate) fn loads(state: &mut State) -> Option<Item> {
+    let mut loads = Vec::new();
+    for (engine, told) in &mut state.collect.told {
+        let report = state.fleet.backends.get(engine).and_then(|backend| backend.report.as_ref());
+        let Some(report) = report.filter(|report| report.seq > told.seq && differs(report, told)) else {
+            continue;
+        };
+        loads.push(Load {
+            engine: digest(engine),
+            shape: shape(report),
+            seq: report.seq,
+            running: report.running,
+            waiting: report.waiting,
+            tokens_per_second: report.tokens_per_second,
+            requests: report.copies.iter().map(|copy| copy.requests).collect(),
+        });
+        told.clone_from(report);
+    }
+    (!loads.is_empty()).then_some(Item::Loads(loads))
+}
+
+/// Whether loads differ enough to be passed on: any request, or a tenth of the tokens.
+fn differs(report: &Report, told: &Report) -> bool {
+    let requests = |report: &Report| -> Vec<u32> { report.copies.iter().map(|copy| copy.requests).collect() };
+    let tokens = report.tokens_per_second.abs_diff(told.tokens_per_second);
+    report.running != told.running
+        || report.waiting != told.waiting
+        || tokens * 10 > told.tokens_per_second
+        || requests(report) != requests(told)
+}
+
+/// All reports as last passed on, for a peer that has none.
+pub(crate) fn whole(state: &State) -> Vec<Item> {
+    state.collect.told.values().map(|report| Item::Report(Box::new(report.clone()))).collect()
+}
+
+/// Loads came from a collector. Asks it for whole reports if one does not fit what is known.
+pub(crate) fn heard_loads(state: &mut State, now: Time, from: &Name, loads: &[Load], out: &mut Vec<Effect>) {
+    let mut missing = false;
+    for load in loads {
+        match apply(state, load) {
+            Some(report) => fleet::reported(state, now, &report, out),
+            None => missing = true,
+        }
+    }
+    let interval = member::interval(state);
+    let asked = state.collect.wanted.get(from).is_some_and(|at| now.since(*at) < interval);
+    if missing && !asked {
+        state.collect.wanted.insert(from.clone(), now);
+        member::tell(state, from, vec![Item::WantReports], out);
+    }
+}
+
+/// The report that a load leads to, if what is known fits.
+fn apply(state: &State, load: &Load) -> Option<Report> {
+    let name = state.collect.digests.get(&load.engine)?.as_ref()?;
+    let known = state.fleet.backends.get(name)?.report.as_ref()?;
+    if shape(known) != load.shape || known.copies.len() != load.requests.len() {
+        return None;
+    }
+    let mut report = known.clone();
+    report.seq = load.seq;
+    report.running = load.running;
+    report.waiting = load.waiting;
+    report.tokens_per_second = load.tokens_per_second;
+    for (copy, requests) in report.copies.iter_mut().zip(&load.requests) {
+        copy.requests = *requests;
+    }
+    Some(report)
+}
--- a/core/src/config/spread.rs
+++ b/core/src/config/spread.rs
@@ -135,6 +135,7 @@
     if first && !state.drain.leaving() {
         out.push(Effect::Ready(true));
     }
+    crate::collect::assign(state, now);
     crate::flow::dispatch_all(state, now, out);
 }
 
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -92,3 +92,32 @@
     /// The time that an effect asked to be woken at has come.
     Wake,
 }
+
+impl Event {
+    /// Whether it shows that this process is reached from outside, or reaches others.
+    pub(crate) const fn is_evidence(&self) -> bool {
+        match self {
+            Self::Arrive(_)
+            | Self::Head { .. }
+            | Self::Chunk { .. }
+            | Self::Finished { .. }
+            | Self::Listed(_)
+            | Self::Reported(_)
+            | Self::Cached(_)
+            | Self::Heard(_)
+            | Self::Ordered { receipt: Some(_), .. }
+            | Self::Table { reply: Ok(_), .. } => true,
+            Self::Gone(_)
+            | Self::Overflow(_)
+            | Self::Failed { .. }
+            | Self::Unlisted
+            | Self::Unreported(_)
+            | Self::Ordered { receipt: None, .. }
+            | Self::Table { reply: Err(_), .. }
+            | Self::Unheard { .. }
+            | Self::Asked { .. }
+            | Self::Stop
+            | Self::Wake => false,
+        }
+    }
+}
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -2,17 +2,24 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::artifact::Artifact;
+use crate::collect;
 use crate::effect::Effect;
 use crate::engine::{Report, Stage};
-use crate::inventory::Kind;
+use crate::member;
 use crate::name::Name;
+use crate::peer::{Drain, Item};
 use crate::state::State;
 use crate::time::Time;
-use crate::timer::Timer;
 use crate::vm::{Phase, Role, Vm};
 
+/// Operators' words on back ends that are kept although the VM list does not show these.
+const DRAINS_MAX: usize = 1_024;
+/// Time after which a back end that said it is leaving, and is still listed as live, is tried again.
+const LEAVING_KEPT: Duration = Duration::from_mins(1);
+
 /// A backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct Backend {
@@ -30,6 +37,10 @@
     pub report: Option<Report>,
     /// When that came.
     pub reported_at: Option<Time>,
+    /// When it said itself that it is leaving; void once it starts anew.
+    pub left_at: Option<Time>,
+    /// Whether an operator took it out of use.
+    pub drained: bool,
     /// Own tries open there.
     pub own: u32,
     /// Artifacts that nothing more may be sent for, since they are about to be dropped.
@@ -47,9 +58,20 @@
         self.report.as_ref().is_some_and(ready) && !self.closing.contains(artifact)
     }
 
+    /// Artifacts that it answers requests for by its last report.
+    pub(crate) fn ready(&self) -> impl Iterator<Item = &Artifact> {
+        let copies = self.report.iter().flat_map(|report| &report.copies);
+        copies.filter(|copy| copy.stage == Stage::Ready).map(|copy| &copy.artifact)
+    }
+
+    /// Whether it is going to stop, by the VM list or its own word, or out of use by an operator's.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.phase == Phase::Leaving || self.left_at.is_some() || self.drained
+    }
+
     /// Whether new work may go to it.
     pub(crate) fn takes_work(&self) -> bool {
-        self.phase == Phase::Live && !self.report.as_ref().is_some_and(|report| report.draining)
+        !self.is_leaving() && !self.report.as_ref().is_some_and(|report| report.draining)
     }
 
     /// Requests there as far as known: those reported, or our own if they are more.
@@ -66,12 +88,13 @@
     pub backends: BTreeMap<Name, Backend>,
     /// Entry VMs as listed.
     pub entries: BTreeMap<Name, Vm>,
+    /// What operators said last of each back end of the zone.
+    drains: BTreeMap<Name, Drain>,
 }
 
 impl Part {
-    /// Takes over a VM list. Returns the backend servers that are new.
-    pub(crate) fn list(&mut self, vms: Vec<Vm>) -> Vec<Name> {
-        let mut fresh = Vec::new();
+    /// Takes over a VM list.
+    pub(crate) fn list(&mut self, now: Time, vms: Vec<Vm>) {
         self.entries.clear();
         let mut listed = BTreeMap::new();
         for vm in vms {
@@ -80,27 +103,39 @@
                 continue;
             };
             let backend = match self.backends.remove(&vm.name) {
-                Some(known) if known.address == vm.address => Backend { phase: vm.phase, ..known },
-                _ => {
-                    fresh.push(vm.name.clone());
-                    Backend {
-                        name: vm.name.clone(),
-                        zone: vm.zone.clone(),
-                        group: group.clone(),
-                        address: vm.address,
-                        phase: vm.phase,
-                        report: None,
-                        reported_at: None,
-                        own: 0,
-                        closing: Vec::new(),
-                        cache_seq: 0,
-                    }
+                Some(known) if known.address == vm.address => {
+                    let left_at = known.left_at.filter(|at| now.since(*at) < LEAVING_KEPT);
+                    Backend { phase: vm.phase, left_at, ..known }
                 }
+                _ => Backend {
+                    name: vm.name.clone(),
+                    zone: vm.zone.clone(),
+                    group: group.clone(),
+                    address: vm.address,
+                    phase: vm.phase,
+                    report: None,
+                    reported_at: None,
+                    left_at: None,
+                    drained: false,
+                    own: 0,
+                    closing: Vec::new(),
+                    cache_seq: 0,
+                },
             };
             listed.insert(vm.name.clone(), backend);
         }
         self.backends = listed;
-        fresh
+        if self.drains.len() > DRAINS_MAX {
+            let backends = &self.backends;
+            self.drains.retain(|name, _| backends.contains_key(name));
+        }
+        self.mark();
+    }
+
+    fn mark(&mut self) {
+        for backend in self.backends.values_mut() {
+            backend.drained = self.drains.get(&backend.name).is_some_and(|drain| drain.out);
+        }
     }
 
     /// Takes over a report, unless a later one of the same life is known. Returns whether it was taken.
@@ -112,6 +147,9 @@
         if known.is_some_and(|known| known.incarnation == report.incarnation && known.seq >= report.seq) {
             return false;
         }
+        if known.is_some_and(|known| known.incarnation != report.incarnation) {
+            backend.left_at = None;
+        }
         backend.report = Some(report);
         backend.reported_at = Some(now);
         true
@@ -129,25 +167,55 @@
 
 /// The VM list came.
 pub(crate) fn listed(state: &mut State, now: Time, vms: Vec<Vm>, out: &mut Vec<Effect>) {
-    for fresh in state.fleet.list(vms) {
-        state.timers.set(now, Timer::Poll(fresh));
+    state.fleet.list(now, vms);
+    member::listed(state, now);
+    collect::assign(state, now);
+    crate::flow::dispatch_all(state, now, out);
+}
+
+/// A back end refuses new work because it is leaving, by its own word to a peer. The VM list may take a
+/// while to show it.
+pub(crate) fn leaving(state: &mut State, now: Time, backend: &Name, out: &mut Vec<Effect>) {
+    if let Some(backend) = state.fleet.backends.get_mut(backend) {
+        backend.left_at = Some(now);
     }
     crate::flow::dispatch_all(state, now, out);
 }
 
-/// An engine is to be asked for its report.
-pub(crate) fn poll(state: &mut State, now: Time, engine: Name, out: &mut Vec<Effect>) {
-    let Some(backend) = state.fleet.backends.get(&engine) else {
-        return;
-    };
-    let is_engine =
-        state.config.catalog.groups.get(&backend.group).is_some_and(|group| group.kind == Kind::Engine);
-    if is_engine {
-        out.push(Effect::Poll {
-            engine: engine.clone(),
-            address: backend.address,
-            cache_from: backend.cache_seq,
-        });
+/// An operator takes a back end of this zone out of use, or back into it. Returns whether it is known.
+pub(crate) fn drain(
+    state: &mut State,
+    now: Time,
+    backend: &Name,
+    out_of_use: bool,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let known = state.fleet.backends.get(backend).is_some_and(|known| known.zone == state.me.zone);
+    if !known {
+        return false;
+    }
+    let stamp = state.fleet.drains.values().map(|drain| drain.stamp).max().unwrap_or_default() + 1;
+    let drain = Drain { backend: backend.clone(), out: out_of_use, stamp };
+    heard_drains(state, now, std::slice::from_ref(&drain), out);
+    member::tell_all(state, &[Item::Drains(vec![drain])], out);
+    true
+}
+
+/// Operators' words on back ends came from a peer, or from an operator here.
+pub(crate) fn heard_drains(state: &mut State, now: Time, drains: &[Drain], out: &mut Vec<Effect>) {
+    for drain in drains {
+        let known = state.fleet.drains.get(&drain.backend);
+        let newer = known.is_none_or(|known| (known.stamp, known.out) < (drain.stamp, drain.out));
+        if newer {
+            state.fleet.drains.insert(drain.backend.clone(), drain.clone());
+        }
     }
-    state.timers.set(now + state.settings.poll_every, Timer::Poll(engine));
+    state.fleet.mark();
+    crate::flow::dispatch_all(state, now, out);
+}
+
+/// All words of operators, for a peer that has heard none.
+pub(crate) fn drains(state: &State) -> Option<Item> {
+    let drains: Vec<Drain> = state.fleet.drains.values().cloned().collect();
+    (!drains.is_empty()).then_some(Item::Drains(drains))
 }
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -1,7 +1,10 @@
-//! Membership: the other entry VMs, and what they tell.
+//! Membership: the other entry VMs, which of them live, and what passes between them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
 
+use crate::collect;
 use crate::config::{self, Reach};
 use crate::effect::Effect;
 use crate::fleet;
@@ -9,49 +12,179 @@
 use crate::name::Name;
 use crate::peer::{Frame, Item};
 use crate::state::State;
+use crate::summary;
 use crate::time::Time;
 use crate::timer::Timer;
+use crate::vm::Phase;
 
-/// What was heard from a peer.
+mod mesh;
+mod verdict;
+
+pub(crate) use mesh::{behind, is_first, links, live_zone, zone_peers};
+
+/// Earlier lives of a peer that are remembered, so that their late frames are dropped.
+const RETIRED_MAX: usize = 4;
+/// Time between frames to a peer, for each peer of the zone: bounds what all frames together cost.
+const SPACING: Duration = Duration::from_millis(80);
+
+/// Another entry VM.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
-    /// The life of its process.
-    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+    /// Since when the VM list does not show it.
+    pub unlisted: Option<Time>,
+    /// The life of its process, once heard.
+    pub incarnation: Option<Incarnation>,
     /// Its last frame's number.
     pub seq: u64,
-    /// When it was last heard.
-    pub heard: Time,
-    /// The configuration version in force there.
+    /// When it was last heard; none: never.
+    pub heard: Option<Time>,
+    /// The configuration version in force there, as last heard.
     pub config: u64,
-    /// Whether it is stopping.
+    /// Whether it is stopping, by its own word or the VM list's.
     pub stopping: bool,
+    /// Whether it is thought to have failed.
+    pub suspected: bool,
+    /// Whether it has been told all reports that this entry VM collects.
+    pub synced: bool,
+    since: Time,
+    lost: u32,
+    lost_at: Time,
+    retired: VecDeque<Incarnation>,
+}
+
+impl Peer {
+    fn new(zone: Name, address: SocketAddr, now: Time) -> Self {
+        Self {
+            zone,
+            address,
+            unlisted: Some(now),
+            incarnation: None,
+            seq: 0,
+            heard: None,
+            config: 0,
+            stopping: false,
+            suspected: false,
+            synced: false,
+            since: now,
+            lost: 0,
+            lost_at: now,
+            retired: VecDeque::new(),
+        }
+    }
+
+    /// Whether duties of its zone may fall to it.
+    pub(crate) fn is_fit(&self) -> bool {
+        !self.suspected && !self.stopping
+    }
 }
 
 /// All peers.
 #[derive(Debug, Default)]
 pub(crate) struct Part {
-    /// Peers heard, by VM name.
+    /// The other entry VMs, by VM name.
     pub peers: BTreeMap<Name, Peer>,
+    /// When anything from outside last reached this process.
+    pub evidence: Time,
+    /// Items for the next frame to each entry VM of the zone.
+    news: Vec<Item>,
+    /// From when on silence counts.
+    listening: Time,
+    /// When the next frames are due.
+    due: Time,
     seq: u64,
 }
 
+/// The VM list was taken over.
+pub(crate) fn listed(state: &mut State, now: Time) {
+    let part = &mut state.member;
+    for peer in part.peers.values_mut() {
+        peer.unlisted = peer.unlisted.or(Some(now));
+    }
+    for vm in state.fleet.entries.values().filter(|vm| vm.name != state.me.vm) {
+        let fresh = || Peer::new(vm.zone.clone(), vm.address, now);
+        let peer = part.peers.entry(vm.name.clone()).or_insert_with(fresh);
+        // A peer's own word on its address is newer than the list's.
+        if peer.heard.is_none() {
+            peer.address = vm.address;
+        }
+        peer.unlisted = None;
+        peer.stopping |= vm.phase == Phase::Leaving;
+    }
+    let forget = state.settings.suspect_after;
+    part.peers
+        .retain(|_, peer| peer.unlisted.is_none() || peer.heard.is_some_and(|at| now.since(at) <= forget));
+}
+
+/// Time between the frames to each peer.
+pub(crate) fn interval(state: &State) -> Duration {
+    let peers = zone_peers(state).count() as u32;
+    state.settings.heartbeat_every.max(SPACING * peers)
+}
+
 /// Peers are to be told.
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    state.timers.set(now + state.settings.heartbeat_every, Timer::Heartbeat);
-    tell_all(state, &[], out);
+    let interval = interval(state);
+    let late = now.since(state.member.due) > interval && state.member.due > Time(0);
+    if late {
+        state.member.listening = now;
+    }
+    let next = now + interval.mul_f64(0.9 + 0.2 * state.rng.f64());
+    state.member.due = next;
+    state.timers.set(next, Timer::Heartbeat);
+    if verdict::judge(state, now, interval) {
+        collect::assign(state, now);
+    }
+    tell_zone(state, out);
+    tell_links(state, out);
 }
 
-/// Sends a frame with `items` to every other entry VM that is listed.
+fn tell_zone(state: &mut State, out: &mut Vec<Effect>) {
+    let mut items = std::mem::take(&mut state.member.news);
+    items.extend(collect::loads(state));
+    let peers: Vec<Name> = zone_peers(state).map(|(name, _)| name.clone()).collect();
+    for name in peers {
+        let synced = state.member.peers.get(&name).is_some_and(|peer| peer.synced);
+        if synced {
+            tell(state, &name, items.clone(), out);
+            continue;
+        }
+        if let Some(peer) = state.member.peers.get_mut(&name) {
+            peer.synced = peer.heard.is_some();
+        }
+        let mut all = collect::whole(state);
+        all.extend(summary::passed_on(state));
+        all.extend(fleet::drains(state));
+        tell(state, &name, all, out);
+    }
+}
+
+fn tell_links(state: &mut State, out: &mut Vec<Effect>) {
+    for name in links(state) {
+        let item = summary::next(state, &name);
+        tell(state, &name, vec![item], out);
+    }
+}
+
+/// Sends a frame with `items` to every other entry VM of the zone, at once.
 pub(crate) fn tell_all(state: &mut State, items: &[Item], out: &mut Vec<Effect>) {
-    let peers: Vec<Name> = state.fleet.entries.keys().filter(|name| **name != state.me.vm).cloned().collect();
+    let peers: Vec<Name> = zone_peers(state).map(|(name, _)| name.clone()).collect();
     for peer in peers {
         tell(state, &peer, items.to_vec(), out);
     }
 }
 
+/// Has an item go to every other entry VM of the zone with the next frame.
+pub(crate) fn spread(state: &mut State, item: Item) {
+    state.member.news.push(item);
+}
+
 /// Sends a frame with `items` to one peer, if it is known where that listens.
 pub(crate) fn tell(state: &mut State, peer: &Name, items: Vec<Item>, out: &mut Vec<Effect>) {
-    let Some(vm) = state.fleet.entries.get(peer) else {
+    let Some(address) = state.member.peers.get(peer).map(|peer| peer.address) else {
         return;
     };
     state.member.seq += 1;
@@ -60,39 +193,29 @@
         zone: state.me.zone.clone(),
         incarnation: state.me.incarnation,
         seq: state.member.seq,
+        address: state.settings.address,
         config: state.config.version,
         stopping: state.drain.leaving(),
         items,
     };
-    out.push(Effect::Tell { peer: peer.clone(), address: vm.address, frame: Box::new(frame) });
+    out.push(Effect::Tell { peer: peer.clone(), address, frame: Box::new(frame) });
 }
 
-/// Peers that are not known to have `version` in force, with the version last heard from each.
-pub(crate) fn behind(state: &State, version: u64, reach: Reach) -> Vec<(Name, u64)> {
-    let entries = state.fleet.entries.values();
-    entries
-        .filter(|vm| vm.name != state.me.vm)
-        .filter(|vm| reach == Reach::All || vm.zone != state.me.zone)
-        .map(|vm| (vm.name.clone(), state.member.peers.get(&vm.name).map_or(0, |peer| peer.config)))
-        .filter(|(_, theirs)| *theirs < version)
-        .collect()
+/// A frame could not be brought to a peer.
+pub(crate) fn unheard(state: &mut State, now: Time, peer: &Name) {
+    if let Some(peer) = state.member.peers.get_mut(peer) {
+        peer.lost = peer.lost.saturating_add(1);
+        peer.lost_at = now;
+        peer.synced = false;
+    }
 }
 
 /// A frame came.
 pub(crate) fn heard(state: &mut State, now: Time, frame: Frame, out: &mut Vec<Effect>) {
-    let known = state.member.peers.get(&frame.from);
-    if known.is_some_and(|known| known.incarnation == frame.incarnation && known.seq >= frame.seq) {
+    if frame.from == state.me.vm || !admit(state, now, &frame) {
         state.counters.stale += 1;
         return;
     }
-    let peer = Peer {
-        incarnation: frame.incarnation,
-        seq: frame.seq,
-        heard: now,
-        config: frame.config,
-        stopping: frame.stopping,
-    };
-    state.member.peers.insert(frame.from.clone(), peer);
     let before = state.config.version;
     for item in frame.items {
         take(state, now, &frame.from, item, out);
@@ -104,17 +227,63 @@
     config::heard_version(state, now, &frame.from, frame.config, out);
 }
 
+/// Takes over what a frame says of its sender. Returns false for a frame that is older than one heard.
+fn admit(state: &mut State, now: Time, frame: &Frame) -> bool {
+    let known = state.member.peers.get_mut(&frame.from);
+    let peer = match (known, frame.address) {
+        (Some(peer), _) => peer,
+        (None, Some(address)) => {
+            let fresh = Peer::new(frame.zone.clone(), address, now);
+            state.member.peers.entry(frame.from.clone()).or_insert(fresh)
+        }
+        // Its items are of use, though nothing can be sent to it before the VM list shows it.
+        (None, None) => return true,
+    };
+    let same = peer.incarnation == Some(frame.incarnation);
+    if peer.retired.contains(&frame.incarnation) || (same && peer.seq >= frame.seq) {
+        return false;
+    }
+    let back = peer.suspected || !same;
+    if !same {
+        if let Some(old) = peer.incarnation.replace(frame.incarnation) {
+            peer.retired.push_back(old);
+        }
+        if peer.retired.len() > RETIRED_MAX {
+            peer.retired.pop_front();
+        }
+        peer.synced = false;
+    }
+    peer.seq = frame.seq;
+    peer.heard = Some(now);
+    peer.config = frame.config;
+    peer.stopping = frame.stopping;
+    peer.suspected = false;
+    peer.lost = 0;
+    if let Some(address) = frame.address {
+        peer.address = address;
+        verdict::displace(state, &frame.from, address);
+    }
+    if back {
+        collect::assign(state, now);
+    }
+    true
+}
+
 fn take(state: &mut State, now: Time, from: &Name, item: Item, out: &mut Vec<Effect>) {
     match item {
         Item::Report(report) => fleet::reported(state, now, &report, out),
+        Item::Loads(loads) => collect::heard_loads(state, now, from, &loads, out),
+        Item::WantReports => {
+            if let Some(peer) = state.member.peers.get_mut(from) {
+                peer.synced = false;
+            }
+        }
+        Item::Leaving(backend) => fleet::leaving(state, now, &backend, out),
+        Item::Drains(drains) => fleet::heard_drains(state, now, &drains, out),
+        Item::Summary(summary) => summary::heard(state, now, *summary),
         Item::Config(head) => config::adopt(state, now, &head, out),
         Item::Steps(steps) => config::heard_steps(state, now, steps, out),
         Item::WantConfig(theirs) => config::answer_want(state, from, theirs, out),
-        Item::Leaving(_)
-        | Item::Summary(_)
-        | Item::Demand(_)
-        | Item::Close(_)
-        | Item::Closed(_)
-        | Item::Reopen(_) => {}
+        Item::Demand(_) | Item::Close(_) | Item::Closed(_) | Item::Reopen(_) => {}
     }
 }
--- /dev/null
+++ b/core/src/member/mesh.rs
@@ -0,0 +1,71 @@
+//! Who talks to whom: everyone within a zone, a few between each two zones.
+
+use crate::config::Reach;
+use crate::member::Peer;
+use crate::name::Name;
+use crate::rendezvous;
+use crate::state::State;
+
+/// Entry VMs of each zone that talk to each other zone.
+const LINKS: usize = 2;
+
+/// The other entry VMs of this zone.
+pub(crate) fn zone_peers(state: &State) -> impl Iterator<Item = (&Name, &Peer)> {
+    state.member.peers.iter().filter(|(_, peer)| peer.zone == state.me.zone)
+}
+
+/// The entry VMs of this zone that duties may fall to, among them this one unless it is stopping
+/// and others can take over.
+pub(crate) fn live_zone(state: &State) -> impl Iterator<Item = &str> {
+    let others = || zone_peers(state).filter(|(_, peer)| peer.is_fit()).map(|(name, _)| name.as_str());
+    let needed = !state.drain.leaving() || others().next().is_none();
+    let me = needed.then_some(state.me.vm.as_str());
+    me.into_iter().chain(others())
+}
+
+/// Names the pair that two zones are, the same at both.
+fn pair(a: &str, b: &str) -> String {
+    if a < b { format!("{a}/{b}") } else { format!("{b}/{a}") }
+}
+
+/// The place of this entry VM among those of its zone that talk to `zone`; zero is the first.
+fn place(state: &State, zone: &str) -> Option<usize> {
+    let ranked = rendezvous::rank(live_zone(state), &pair(&state.me.zone, zone));
+    ranked.iter().position(|name| *name == state.me.vm.as_str())
+}
+
+/// Whether this entry VM passes on within its zone what it hears from `zone`.
+pub(crate) fn is_first(state: &State, zone: &str) -> bool {
+    place(state, zone) == Some(0)
+}
+
+/// The entry VMs of other zones that this one talks to.
+pub(crate) fn links(state: &State) -> Vec<Name> {
+    let mut zones: Vec<&Name> = state.member.peers.values().map(|peer| &peer.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let others = zones.into_iter().filter(|zone| **zone != state.me.zone);
+    others.filter_map(|zone| link(state, zone)).collect()
+}
+
+fn link(state: &State, zone: &Name) -> Option<Name> {
+    let place = place(state, zone).filter(|place| *place < LINKS)?;
+    let of_zone = || state.member.peers.iter().filter(|(_, peer)| peer.zone == *zone);
+    let fit: Vec<&str> = of_zone().filter(|(_, peer)| peer.is_fit()).map(|(name, _)| name.as_str()).collect();
+    let all: Vec<&str> = of_zone().map(|(name, _)| name.as_str()).collect();
+    let candidates = if fit.is_empty() { all } else { fit };
+    let ranked = rendezvous::rank(candidates.into_iter(), &pair(&state.me.zone, zone));
+    ranked.get(place % ranked.len().max(1)).map(|name| Name::from(*name))
+}
+
+/// Peers to tell that are not known to have `version` in force, with the version last heard from each.
+pub(crate) fn behind(state: &State, version: u64, reach: Reach) -> Vec<(Name, u64)> {
+    let zone = zone_peers(state).filter(|_| reach == Reach::All).map(|(name, _)| name.clone());
+    zone.chain(links(state))
+        .map(|name| {
+            let theirs = state.member.peers.get(&name).map_or(0, |peer| peer.config);
+            (name, theirs)
+        })
+        .filter(|(_, theirs)| *theirs < version)
+        .collect()
+}
--- a/core/src/peer.rs
+++ b/core/src/peer.rs
@@ -1,8 +1,11 @@
 //! What entry VMs tell each other.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::artifact::Artifact;
+use crate::config;
 use crate::engine::Report;
 use crate::id::Incarnation;
 use crate::name::Name;
@@ -16,8 +19,10 @@
     pub zone: Name,
     /// The life of the sender's process.
     pub incarnation: Incarnation,
-    /// Grows with each frame from the sender to this receiver.
+    /// Grows with each frame from the sender.
     pub seq: u64,
+    /// Where the sender listens for peers, for receivers whose VM list does not show it yet.
+    pub address: Option<SocketAddr>,
     /// The configuration version in force at the sender.
     pub config: u64,
     /// Whether the sender is stopping.
@@ -26,15 +31,21 @@
     pub items: Vec<Item>,
 }
 
-/// One thing said in a frame.
+/// One thing said in a frame. A receiver skips those it does not know.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Item {
     /// An engine's report, from its collector to its zone.
     Report(Box<Report>),
+    /// Load of engines whose reports changed in nothing else, from their collector to its zone.
+    Loads(Vec<Load>),
+    /// The receiver's reports are wanted whole: one of the sender's did not fit its loads.
+    WantReports,
     /// A back end that refuses new work because it is leaving.
     Leaving(Name),
-    /// What the sender's zone offers for other zones.
+    /// Back ends that operators took out of use or back into it.
+    Drains(Vec<Drain>),
+    /// What a zone offers to the others; from there, or passed on within the receiver's zone.
     Summary(Box<Summary>),
     /// Requests for a model that arrived at the sender, for its zone's lease holder.
     Demand(Vec<Demand>),
@@ -45,13 +56,43 @@
     /// The copy is to be used again.
     Reopen(Closing),
     /// Steps that lead to a newer configuration, oldest first.
-    Steps(Vec<crate::config::Step>),
+    Steps(Vec<config::Step>),
     /// A newer configuration, whole.
-    Config(Box<crate::config::Head>),
+    Config(Box<config::Head>),
     /// The receiver is behind or ahead: send what is above this version.
     WantConfig(u64),
 }
 
+/// An engine's load since a report that differs in nothing else.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The digest of the engine's VM name.
+    pub engine: u32,
+    /// The digest of all else in the report.
+    pub shape: u32,
+    /// The number of the report that it is from.
+    pub seq: u64,
+    /// Requests being worked on.
+    pub running: u32,
+    /// Requests in the engine's own queue.
+    pub waiting: u32,
+    /// Tokens generated a second.
+    pub tokens_per_second: u32,
+    /// Requests on each copy, in the report's order.
+    pub requests: Vec<u32>,
+}
+
+/// An operator's word on a back end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// The backend server's VM name.
+    pub backend: Name,
+    /// Whether it is out of use.
+    pub out: bool,
+    /// Grows with each word on it; the higher one holds.
+    pub stamp: u64,
+}
+
 /// Names a copy that is about to be dropped.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Closing {
@@ -64,22 +105,32 @@
 /// A zone in short, for the other zones.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
-    /// Grows with each summary of the zone.
+    /// The zone.
+    pub zone: Name,
+    /// The life of the process that made it.
+    pub by: Incarnation,
+    /// Grows with each one made by that process.
     pub seq: u64,
-    /// What the zone holds ready, with its load in thousandths of its slots.
-    pub copies: Vec<Offer>,
-    /// Memory that no copy or order takes, in MB, over all engines.
+    /// The share of all artifacts that `offers` has in full; none: it has all of them.
+    pub share: Option<u32>,
+    /// What the zone holds ready: that share, and what else changed.
+    pub offers: Vec<Offer>,
+    /// Memory that no copy takes, in MB, over all engines.
     pub free_mb: u64,
+    /// The lowest configuration version in force at the zone's live entry VMs.
+    pub config: u64,
+    /// Entry VMs of the zone that are not heard there, or are stopping.
+    pub silent: Vec<Name>,
 }
 
 /// One artifact that a zone holds ready.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
-    /// The artifact.
-    pub artifact: Artifact,
-    /// Copies that answer.
+    /// The artifact's digest.
+    pub artifact: u32,
+    /// Copies that answer; zero when there are none any more.
     pub copies: u32,
-    /// Load of the engines that hold it, in thousandths of their slots.
+    /// Load of the engines that hold it, in eighths of their slots.
     pub load: u32,
 }
 
--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -1,5 +1,6 @@
 //! The reducer: one function over all events. It only hands each to the module that decides.
 
+use crate::collect;
 use crate::config;
 use crate::drain;
 use crate::effect::Effect;
@@ -23,6 +24,9 @@
 #[must_use]
 pub fn apply(state: &mut State, now: Time, event: Event) -> Vec<Effect> {
     let mut out = Vec::new();
+    if event.is_evidence() {
+        state.member.evidence = now;
+    }
     dispatch(state, now, event, &mut out);
     while let Some(timer) = state.timers.pop(now) {
         fire(state, now, timer, &mut out);
@@ -43,15 +47,16 @@
         Event::Overflow(attempt) => out.push(Effect::Commit(attempt)),
         Event::Failed { attempt, failure } => flow::failed(state, now, attempt, failure, out),
         Event::Listed(vms) => fleet::listed(state, now, vms, out),
-        Event::Reported(report) => fleet::reported(state, now, &report, out),
+        Event::Reported(report) => collect::polled(state, now, &report, out),
         Event::Ordered { order, engine, receipt } => {
             ledger::ordered(state, order, &engine, receipt.as_ref(), out);
         }
         Event::Table { op, reply } => answered(state, now, op, reply, out),
+        Event::Unheard { peer } => member::unheard(state, now, &peer),
         Event::Heard(frame) => member::heard(state, now, *frame, out),
         Event::Asked { ask, query } => status::asked(state, now, ask, *query, out),
         Event::Stop => drain::stop(state, now, out),
-        Event::Unlisted | Event::Unreported(_) | Event::Cached(_) | Event::Unheard { .. } | Event::Wake => {}
+        Event::Unlisted | Event::Unreported(_) | Event::Cached(_) | Event::Wake => {}
     }
 }
 
@@ -82,7 +87,7 @@
         }
         Timer::Config => config::poll(state, now, out),
         Timer::Settle(op) => config::settle(state, now, op, out),
-        Timer::Poll(engine) => fleet::poll(state, now, engine, out),
+        Timer::Poll(engine) => collect::poll(state, now, engine, out),
         Timer::Heartbeat => member::due(state, now, out),
         Timer::Lease => lease::due(state, now, out),
         Timer::Plan => place::due(state, now, out),
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -1,10 +1,13 @@
 //! Limits and intervals of a process. They are set once, at its start.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// What the reducer goes by besides the accepted configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// Where this process listens for peers, told to those whose VM list does not show it yet.
+    pub address: Option<SocketAddr>,
     /// Requests open at once.
     pub open_max: u32,
     /// Requests waiting at once for one model or service.
@@ -56,6 +59,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            address: None,
             open_max: 8_192,
             queue_max: 1_024,
             attempts_max: 4,
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -3,6 +3,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::audit;
+use crate::collect;
 use crate::config;
 use crate::count::Counters;
 use crate::drain;
@@ -15,6 +16,7 @@
 use crate::member;
 use crate::name::Name;
 use crate::settings::Settings;
+use crate::summary;
 use crate::table;
 use crate::time::Time;
 use crate::timer::{Timer, Timers};
@@ -42,6 +44,8 @@
     pub(crate) fleet: fleet::Part,
     pub(crate) flow: flow::Part,
     pub(crate) member: member::Part,
+    pub(crate) collect: collect::Part,
+    pub(crate) summary: summary::Part,
     pub(crate) lease: lease::Part,
     pub(crate) ledger: ledger::Part,
     pub(crate) drain: drain::Part,
@@ -80,6 +84,8 @@
             fleet: fleet::Part::default(),
             flow: flow::Part::default(),
             member: member::Part::default(),
+            collect: collect::Part::default(),
+            summary: summary::Part::default(),
             lease: lease::Part::default(),
             ledger: ledger::Part::default(),
             drain: drain::Part::default(),
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -1,18 +1,26 @@
 //! Answers to operators' questions from what this entry VM knows.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use crate::artifact::Artifact;
 use crate::catalog::Entry;
+use crate::code::Code;
 use crate::config;
 use crate::effect::Effect;
-use crate::engine::{Role, Stage};
+use crate::engine::Role;
+use crate::fleet::{self, Backend};
 use crate::id;
+use crate::inventory::Kind;
 use crate::ledger;
+use crate::member::Peer;
 use crate::name::Name;
-use crate::operator::{Answer, Engine, Held, Member, Model, Query, Status};
+use crate::operator::{Answer, Engine, Held, Member, Model, Query, Refusal, Status};
 use crate::route::Work;
 use crate::state::State;
+use crate::summary;
 use crate::time::Time;
+use crate::vm::Phase;
 
 /// An operator asks.
 pub(crate) fn asked(state: &mut State, now: Time, ask: id::Ask, query: Query, out: &mut Vec<Effect>) {
@@ -23,22 +31,22 @@
         }
         Query::History => return config::history(state, ask, out),
         Query::Status => Answer::Status(Box::new(status(state, now))),
-        Query::Models => {
-            Answer::Models(state.config.catalog.entries.iter().map(|entry| model(state, entry)).collect())
-        }
+        Query::Models => Answer::Models(models(state, now)),
         Query::Explain(_) => Answer::Explanation(Vec::new()),
         Query::Engines => Answer::Engines(engines(state, now)),
         Query::Members => Answer::Members(members(state, now)),
         Query::Moves => Answer::Moves(state.audit.latest()),
-        Query::Drain { .. } => Answer::Done,
+        Query::Drain { backend, out: out_of_use } => drain(state, now, &backend, out_of_use, out),
     };
     out.push(Effect::Answer { ask, answer: Box::new(answer) });
 }
 
 fn status(state: &State, now: Time) -> Status {
     let entries = &state.config.catalog.entries;
-    let reachable =
-        entries.iter().filter(|entry| state.fleet.backends.values().any(|b| b.holds(&entry.artifact)));
+    let here: BTreeSet<&Artifact> = state.fleet.backends.values().flat_map(Backend::ready).collect();
+    let reachable = entries.iter().filter(|entry| {
+        here.contains(&entry.artifact) || !summary::elsewhere(state, now, &entry.artifact).is_empty()
+    });
     Status {
         vm: state.me.vm.clone(),
         zone: state.me.zone.clone(),
@@ -50,32 +58,54 @@
         queued: state.flow.queued() as u32,
         artifacts: entries.len() as u32,
         reachable: reachable.count() as u32,
-        engines: engines(state, now).len() as u32,
+        engines: state.fleet.backends.values().filter(|b| b.zone == state.me.zone).count() as u32,
         moves_under_way: state.ledger.rows.values().map(|(_, row)| row.intents.len() as u32).sum(),
     }
 }
 
-fn model(state: &State, entry: &Entry) -> Model {
-    let mut copies = Vec::new();
+fn drain(state: &mut State, now: Time, backend: &Name, out_of_use: bool, out: &mut Vec<Effect>) -> Answer {
+    if fleet::drain(state, now, backend, out_of_use, out) {
+        return Answer::Done;
+    }
+    let zone = state.fleet.backends.get(backend).map(|backend| backend.zone.clone());
+    let (reason, hint) = match zone {
+        Some(zone) => (
+            format!("back end '{backend}' is in zone {zone}, this entry VM in zone {}", state.me.zone),
+            format!("ask an entry VM of zone {zone}"),
+        ),
+        None => (
+            format!("no back end '{backend}' is in the VM list as last read here"),
+            "look at the engines and the VM list".to_owned(),
+        ),
+    };
+    let (reasons, hint) = (vec![reason.into()], hint.into());
+    Answer::Error(Refusal { code: Code::UnknownVm, reasons, hint, version: None })
+}
+
+fn models(state: &State, now: Time) -> Vec<Model> {
+    let mut held: BTreeMap<&Artifact, Vec<Held>> = BTreeMap::new();
     for backend in state.fleet.backends.values() {
-        let held = backend.report.iter().flat_map(|report| &report.copies);
-        for copy in held.filter(|copy| copy.artifact == entry.artifact) {
+        for copy in backend.report.iter().flat_map(|report| &report.copies) {
+            let copies = held.entry(&copy.artifact).or_default();
             copies.push(Held { engine: backend.name.clone(), stage: copy.stage });
         }
     }
-    let mut zones: Vec<Name> = copies
-        .iter()
-        .filter(|held| held.stage == Stage::Ready)
-        .filter_map(|held| state.fleet.backends.get(&held.engine))
-        .filter(|backend| backend.zone != state.me.zone)
-        .map(|backend| backend.zone.clone())
-        .collect();
-    zones.dedup();
+    let entries = state.config.catalog.entries.iter();
+    entries
+        .map(|entry| {
+            let copies = held.remove(&entry.artifact).unwrap_or_default();
+            model(state, now, entry, copies)
+        })
+        .collect()
+}
+
+fn model(state: &State, now: Time, entry: &Entry, copies: Vec<Held>) -> Model {
+    let elsewhere = summary::elsewhere(state, now, &entry.artifact);
     Model {
         artifact: entry.artifact.clone(),
         memory_mb: entry.memory_mb,
         copies,
-        zones,
+        zones: elsewhere.into_iter().map(|elsewhere| elsewhere.zone.clone()).collect(),
         demand: 0.0,
         waiting: state.flow.waiting(&Work::Artifact(entry.artifact.clone())) as u32,
     }
@@ -87,6 +117,7 @@
         .fleet
         .backends
         .values()
+        .filter(|backend| backend.zone == state.me.zone && is_engine(state, backend))
         .map(|backend| {
             let report = backend.report.as_ref();
             let row = state.ledger.rows.get(&backend.name).map_or(&empty, |(_, row)| row);
@@ -94,7 +125,7 @@
                 name: backend.name.clone(),
                 group: backend.group.clone(),
                 zone: backend.zone.clone(),
-                phase: backend.phase,
+                phase: if backend.is_leaving() { Phase::Leaving } else { Phase::Live },
                 role: report.map_or(Role::Both, |report| report.role),
                 memory_mb: report.map_or(0, |report| report.memory_mb),
                 reserved_mb: report.map_or(0, |report| ledger::reserved(report, row)),
@@ -102,29 +133,62 @@
                 waiting: report.map_or(0, |report| report.waiting),
                 report_age_ms: backend.reported_at.map(|at| now.since(at).as_millis() as u64),
                 copies: report.map_or(0, |report| report.copies.len() as u32),
-                suspected: false,
+                suspected: backend.reported_at.is_some_and(|at| now.since(at) > state.settings.suspect_after),
             }
         })
         .collect()
 }
 
+fn is_engine(state: &State, backend: &Backend) -> bool {
+    let group = state.config.catalog.groups.get(&backend.group);
+    group.is_none_or(|group| group.kind == Kind::Engine)
+}
+
 fn members(state: &State, now: Time) -> Vec<Member> {
-    state
-        .fleet
-        .entries
-        .values()
-        .map(|vm| {
-            let peer = state.member.peers.get(&vm.name);
-            let own = vm.name == state.me.vm;
-            let heard = peer.map(|peer| now.since(peer.heard));
-            Member {
-                name: vm.name.clone(),
-                zone: vm.zone.clone(),
-                alive: own || heard.is_some_and(|age| age < state.settings.suspect_after),
-                leaving: if own { state.drain.leaving() } else { peer.is_some_and(|peer| peer.stopping) },
-                config: if own { state.config.version } else { peer.map_or(0, |peer| peer.config) },
-                heard_ms: if own { Some(0) } else { heard.map(|age| age.as_millis() as u64) },
-            }
-        })
-        .collect()
+    let me = Member {
+        name: state.me.vm.clone(),
+        zone: state.me.zone.clone(),
+        alive: true,
+        leaving: state.drain.leaving(),
+        config: state.config.version,
+        heard_ms: Some(0),
+    };
+    let mut members = vec![me];
+    for (name, peer) in &state.member.peers {
+        members.push(if peer.zone == state.me.zone {
+            neighbour(now, name, peer)
+        } else {
+            distant(state, now, name, peer)
+        });
+    }
+    members.sort_by(|a, b| (&a.zone, &a.name).cmp(&(&b.zone, &b.name)));
+    members
+}
+
+/// An entry VM of this zone, as heard from itself.
+fn neighbour(now: Time, name: &Name, peer: &Peer) -> Member {
+    Member {
+        name: name.clone(),
+        zone: peer.zone.clone(),
+        alive: peer.heard.is_some() && !peer.suspected,
+        leaving: peer.stopping,
+        config: peer.config,
+        heard_ms: peer.heard.map(|at| now.since(at).as_millis() as u64),
+    }
+}
+
+/// An entry VM of another zone, as that zone's summary has it.
+fn distant(state: &State, now: Time, name: &Name, peer: &Peer) -> Member {
+    let zone = summary::zones(state, now).find(|(zone, _)| **zone == peer.zone).map(|(_, zone)| zone);
+    let silent = zone.is_none_or(|zone| zone.silent.contains(name));
+    let said = zone.map_or(0, |zone| zone.config);
+    let heard = zone.map(|zone| zone.heard).into_iter().chain(peer.heard).max();
+    Member {
+        name: name.clone(),
+        zone: peer.zone.clone(),
+        alive: !silent,
+        leaving: peer.stopping,
+        config: if silent { peer.config } else { said.max(peer.config) },
+        heard_ms: heard.map(|at| now.since(at).as_millis() as u64),
+    }
 }
--- /dev/null
+++ b/core/src/summary.rs
@@ -0,0 +1,203 @@
+//! What each zone offers to the others, in short: which artifacts it holds ready and how busy they are.
+//!
+//! A summary states, for each artifact it names, how things are; it names those that changed and a share
+//! of the rest, so that one that got lost is made good within a few intervals.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+
+use crate::artifact::Artifact;
+use crate::engine::Stage;
+use crate::id::Incarnation;
+use crate::member;
+use crate::name::Name;
+use crate::peer::{Item, Offer, Summary};
+use crate::state::State;
+use crate::time::Time;
+
+/// Intervals within which a summary has named every artifact once.
+const SHARES: u32 = 16;
+/// Intervals without a summary after which a zone's offers count no more.
+const EXPIRY_INTERVALS: u32 = 8;
+/// The unit of load, as parts of an engine's slots.
+const LOAD_PARTS: u32 = 8;
+
+/// Another zone, as last heard.
+#[derive(Debug, Default)]
+pub(crate) struct Zone {
+    /// When it was last heard of.
+    pub heard: Time,
+    /// Memory that no copy takes, in MB.
+    pub free_mb: u64,
+    /// The lowest configuration version in force at its live entry VMs.
+    pub config: u64,
+    /// Entry VMs that are not heard there, or are stopping.
+    pub silent: Vec<Name>,
+    by: Incarnation,
+    seq: u64,
+    offers: FxHashMap<u32, Offer>,
+}
+
+/// The other zones, and what was told to them.
+#[derive(Debug, Default)]
+pub(crate) struct Part {
+    zones: BTreeMap<Name, Zone>,
+    /// Offers as last told to each entry VM of another zone, and the share that is next.
+    told: BTreeMap<Name, (BTreeMap<u32, Offer>, u32)>,
+    seq: u64,
+}
+
+/// What a zone holds of one artifact.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Elsewhere<'a> {
+    /// The zone.
+    pub zone: &'a Name,
+    /// Copies that answer.
+    pub copies: u32,
+    /// Load of the engines that hold it, in eighths of their slots.
+    pub load: u32,
+}
+
+/// The other zones that were heard of lately.
+pub(crate) fn zones(state: &State, now: Time) -> impl Iterator<Item = (&Name, &Zone)> {
+    let expiry = member::interval(state) * EXPIRY_INTERVALS;
+    state.summary.zones.iter().filter(move |(_, zone)| now.since(zone.heard) <= expiry)
+}
+
+/// The other zones that hold an artifact ready, the least busy first.
+pub(crate) fn elsewhere<'a>(state: &'a State, now: Time, artifact: &Artifact) -> Vec<Elsewhere<'a>> {
+    let digest = artifact.digest();
+    let mut found: Vec<Elsewhere> = zones(state, now)
+        .filter_map(|(name, zone)| {
+            let offer = zone.offers.get(&digest).filter(|offer| offer.copies > 0)?;
+            Some(Elsewhere { zone: name, copies: offer.copies, load: offer.load })
+        })
+        .collect();
+    found.sort_by_key(|elsewhere| (elsewhere.load, elsewhere.zone));
+    found
+}
+
+/// What this zone offers now.
+fn offers(state: &State) -> BTreeMap<u32, Offer> {
+    #[derive(Default)]
+    struct Sum {
+        copies: u32,
+        busy: u32,
+        slots: u32,
+    }
+    let mut sums: BTreeMap<u32, Sum> = BTreeMap::new();
+    let own = state.fleet.backends.values().filter(|backend| backend.zone == state.me.zone);
+    for backend in own.filter(|backend| backend.takes_work()) {
+        let slots = state.config.catalog.groups.get(&backend.group).map_or(1, |group| group.slots);
+        let Some(report) = &backend.report else {
+            continue;
+        };
+        let ready = report.copies.iter().filter(|copy| copy.stage == Stage::Ready);
+        for copy in ready.filter(|copy| !backend.closing.contains(&copy.artifact)) {
+            let sum = sums.entry(copy.artifact.digest()).or_default();
+            sum.copies += 1;
+            sum.busy += report.running + report.waiting;
+            sum.slots += slots;
+        }
+    }
+    let offer = |(artifact, sum): (u32, Sum)| {
+        let load = sum.busy * LOAD_PARTS / sum.slots.max(1);
+        (artifact, Offer { artifact, copies: sum.copies, load })
+    };
+    sums.into_iter().map(offer).collect()
+}
+
+/// The next summary for an entry VM of another zone.
+pub(crate) fn next(state: &mut State, peer: &Name) -> Item {
+    let synced = state.member.peers.get(peer).is_some_and(|peer| peer.synced);
+    let current = offers(state);
+    let (told, share) = state.summary.told.remove(peer).filter(|_| synced).unwrap_or_default();
+    let changed =
+        |offer: &&Offer| told.get(&offer.artifact) != Some(*offer) || offer.artifact % SHARES == share;
+    let mut offers: Vec<Offer> = current.values().filter(changed).copied().collect();
+    let gone = told.keys().filter(|artifact| !current.contains_key(artifact));
+    offers.extend(gone.map(|artifact| Offer { artifact: *artifact, copies: 0, load: 0 }));
+    if let Some(peer) = state.member.peers.get_mut(peer) {
+        peer.synced = peer.heard.is_some();
+    }
+    state.summary.seq += 1;
+    state.summary.told.insert(peer.clone(), (current, (share + 1) % SHARES));
+    let links = member::links(state);
+    state.summary.told.retain(|name, _| links.contains(name));
+    let peers = || member::zone_peers(state);
+    let configs = peers().filter(|(_, peer)| peer.is_fit()).map(|(_, peer)| peer.config);
+    Item::Summary(Box::new(Summary {
+        zone: state.me.zone.clone(),
+        by: state.me.incarnation,
+        seq: state.summary.seq,
+        share: synced.then_some(share),
+        offers,
+        free_mb: free_mb(state),
+        config: configs.chain([state.config.version]).min().unwrap_or_default(),
+        silent: peers().filter(|(_, peer)| !peer.is_fit()).map(|(name, _)| name.clone()).collect(),
+    }))
+}
+
+fn free_mb(state: &State) -> u64 {
+    let own = state.fleet.backends.values().filter(|backend| backend.zone == state.me.zone);
+    let reports = own.filter_map(|backend| backend.report.as_ref());
+    reports
+        .map(|report| {
+            let taken: u64 = report.copies.iter().map(|copy| copy.memory_mb).sum();
+            report.memory_mb.saturating_sub(taken)
+        })
+        .sum()
+}
+
+/// A summary came, from the zone itself or passed on within this one.
+pub(crate) fn heard(state: &mut State, now: Time, summary: Summary) {
+    if summary.zone == state.me.zone {
+        return;
+    }
+    let zone = state.summary.zones.entry(summary.zone.clone()).or_default();
+    if zone.by == summary.by && zone.seq >= summary.seq {
+        return;
+    }
+    match summary.share {
+        None => zone.offers.clear(),
+        Some(share) => zone.offers.retain(|artifact, _| artifact % SHARES != share),
+    }
+    for offer in &summary.offers {
+        if offer.copies == 0 {
+            zone.offers.remove(&offer.artifact);
+        } else {
+            zone.offers.insert(offer.artifact, *offer);
+        }
+    }
+    zone.heard = now;
+    zone.free_mb = summary.free_mb;
+    zone.config = summary.config;
+    zone.silent.clone_from(&summary.silent);
+    zone.by = summary.by;
+    zone.seq = summary.seq;
+    if member::is_first(state, &summary.zone) {
+        member::spread(state, Item::Summary(Box::new(summary)));
+    }
+}
+
+/// What this entry VM passes on within its zone, whole, for a peer that has heard nothing of it.
+pub(crate) fn passed_on(state: &State) -> Vec<Item> {
+    let first = state.summary.zones.iter().filter(|(name, _)| member::is_first(state, name));
+    first
+        .map(|(name, zone)| {
+            let mut offers: Vec<Offer> = zone.offers.values().copied().collect();
+            offers.sort_by_key(|offer| offer.artifact);
+            Item::Summary(Box::new(Summary {
+                zone: name.clone(),
+                by: zone.by,
+                seq: zone.seq,
+                share: None,
+                offers,
+                free_mb: zone.free_mb,
+                config: zone.config,
+                silent: zone.silent.clone(),
+            }))
+        })
+        .collect()
+}
--- a/core/tests/cluster/mod.rs
+++ b/core/tests/cluster/mod.rs
@@ -8,6 +8,7 @@
 
 use boragecove_core::config::Document;
 use boragecove_core::effect::Effect;
+use boragecove_core::engine::{Fence, Report, Role as EngineRole};
 use boragecove_core::event::Event;
 use boragecove_core::id::{self, Incarnation};
 use boragecove_core::inventory::{Group, Inventory, Kind, Model, Version as ModelVersion};
@@ -123,7 +124,16 @@
     /// Pairs of zones that cannot reach each other.
     pub cuts: BTreeSet<(Name, Name)>,
     pub answers: BTreeMap<u64, Answer>,
-    pub frames: Vec<Frame>,
+    /// Frames sent, with the sender and the receiver's name.
+    pub frames: Vec<(usize, Frame, Name)>,
+    /// Nodes that are cut off from the platform.
+    pub apart: BTreeSet<usize>,
+    /// Nodes that frames arrive at without being handled.
+    pub deaf: BTreeSet<usize>,
+    /// What engines report; those without an entry do not answer.
+    pub reports: BTreeMap<Name, Report>,
+    /// Polls of engines, with the node.
+    pub polls: Vec<(usize, Name)>,
     /// Effects that no part of this module carries out, with the node.
     pub rest: Vec<(usize, Effect)>,
     queue: VecDeque<(usize, Event)>,
@@ -143,6 +153,10 @@
             cuts: BTreeSet::new(),
             answers: BTreeMap::new(),
             frames: Vec::new(),
+            apart: BTreeSet::new(),
+            deaf: BTreeSet::new(),
+            reports: BTreeMap::new(),
+            polls: Vec::new(),
             rest: Vec::new(),
             queue: VecDeque::new(),
             settings,
@@ -162,10 +176,11 @@
 
     fn start(&mut self, at: usize) -> Node {
         self.lives += 1;
-        let Vm { name, zone, .. } = self.vms[at].clone();
+        let Vm { name, zone, address, .. } = self.vms[at].clone();
         let me =
             Identity { vm: name.clone(), zone: zone.clone(), incarnation: Incarnation(100 + self.lives) };
-        let state = State::new(me, self.settings.clone(), self.lives, self.now);
+        let settings = Settings { address: Some(address), ..self.settings.clone() };
+        let state = State::new(me, settings, self.lives, self.now);
         let wake = Some(self.now);
         Node { state, name, zone, up: true, paused: false, ready: false, wake, backlog: Vec::new() }
     }
@@ -183,6 +198,7 @@
             let at = self.vms.len();
             let name = Name::from(format!("engine-{at}"));
             self.vms.push(vm(&name, zone, 8_000 + at as u16, Role::Backend(group.into())));
+            self.reports.insert(name.clone(), report(&name));
         }
     }
 
@@ -310,6 +326,20 @@
         }
     }
 
+    /// Lets a new entry VM begin in a zone, on a VM that the list shows or not yet.
+    pub fn join(&mut self, zone: &str, listed: bool) -> usize {
+        let at = self.nodes.len();
+        let vm = vm(&Name::from(format!("entry-{at}")), zone, 7_000 + at as u16, Role::Entry);
+        let shown = self.vms.clone();
+        self.vms.insert(at, vm);
+        let node = self.start(at);
+        self.nodes.push(node);
+        if !listed {
+            self.vms = shown;
+        }
+        at
+    }
+
     /// Cuts two zones off from each other.
     pub fn cut(&mut self, a: &str, b: &str) {
         self.cuts.insert((a.into(), b.into()));
@@ -320,7 +350,9 @@
         match effect {
             Effect::Table { op, call } => self.table_call(node, op, call),
             Effect::Tell { peer, frame, .. } => self.tell(node, &peer, *frame),
+            Effect::List if self.apart.contains(&node) => self.event(node, Event::Unlisted),
             Effect::List => self.event(node, Event::Listed(self.vms.clone())),
+            Effect::Poll { engine, .. } => self.poll(node, engine),
             Effect::Answer { ask, answer } => {
                 self.answers.insert(ask.seq, *answer);
             }
@@ -332,7 +364,8 @@
 
     fn table_call(&mut self, node: usize, op: id::Op, call: Call) {
         self.table.calls += 1;
-        let reply = match self.table.mood {
+        let mood = if self.apart.contains(&node) { Mood::Down } else { self.table.mood };
+        let reply = match mood {
             Mood::Up => Ok(self.table.call(call)),
             Mood::Down => Err(Failure::Unavailable),
             Mood::Deaf => Err(Failure::Unknown),
@@ -345,13 +378,27 @@
         self.event(node, Event::Table { op, reply });
     }
 
+    fn poll(&mut self, node: usize, engine: Name) {
+        self.polls.push((node, engine.clone()));
+        let Some(report) = self.reports.get_mut(&engine) else {
+            return self.event(node, Event::Unreported(engine));
+        };
+        report.seq += 1;
+        let report = Box::new(report.clone());
+        self.event(node, Event::Reported(report));
+    }
+
     fn tell(&mut self, from: usize, peer: &Name, frame: Frame) {
-        self.frames.push(frame.clone());
+        self.frames.push((from, frame.clone(), peer.clone()));
         let Some(to) = self.nodes.iter().position(|node| node.name == *peer) else {
             return;
         };
         let pair = (self.nodes[from].zone.clone(), self.nodes[to].zone.clone());
-        if self.nodes[to].up && !self.cuts.contains(&pair) {
+        let arrives = self.nodes[to].up && !self.cuts.contains(&pair);
+        if arrives && self.deaf.contains(&to) {
+            return;
+        }
+        if arrives {
             self.event(to, Event::Heard(Box::new(frame)));
         } else {
             self.event(from, Event::Unheard { peer: peer.clone() });
@@ -364,6 +411,24 @@
     Vm { name: name.clone(), zone: zone.into(), address, role, phase: Phase::Live }
 }
 
+/// What an empty engine reports.
+fn report(name: &Name) -> Report {
+    Report {
+        engine: name.clone(),
+        incarnation: Incarnation(7),
+        seq: 0,
+        fence: Fence(0),
+        role: EngineRole::Both,
+        memory_mb: 24_000,
+        running: 0,
+        waiting: 0,
+        tokens_per_second: 0,
+        copies: Vec::new(),
+        ended: Vec::new(),
+        draining: false,
+    }
+}
+
 /// The group that the documents of these tests use.
 pub const GROUP: &str = "brief-writer";
 
--- a/core/tests/control/world.rs
+++ b/core/tests/control/world.rs
@@ -313,6 +313,7 @@
         self.table.rows.insert(Key::Config, (Version(version), value));
         for at in 0..self.nodes.len() {
             let frame = boragecove_core::peer::Frame {
+                address: None,
                 from: "entry-0".into(),
                 zone: ZONE.into(),
                 incarnation: Incarnation(0),
