Attack every effect at every step

Cause: the promises under faults were argued and not tried. Change: a driver over four reducers and fakes of the platform, engines and services; every fault at each step of each effect, once and twice, then drawn pairs; the checks after each event; docs/FAULTS.md with its table written by the test. Not yet checked, until the parts they need are in: that every declared model is loaded at the end of a run, and keys sent to two entry VMs (scene::LOADED, scene::KEYS).

--- /dev/null
+++ b/core/tests/fault_matrix.rs
@@ -0,0 +1,139 @@
+//! Every fault at every step of every effect, once and twice, then drawn pairs of them.
+
+mod matrix;
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::{env, fs, thread};
+
+use matrix::fault::{Fault, Kind, Stage, Step, Strike};
+use matrix::{page, world};
+
+/// Threads that run cases.
+const WORKERS: usize = 4;
+/// Pairs drawn by default.
+const PAIRS: u64 = 200;
+
+/// One run: a seed and what strikes in it.
+#[derive(Clone, Debug)]
+struct Case {
+    seed: u64,
+    plan: Vec<Strike>,
+}
+
+impl Case {
+    /// Its form in `FAULTS_CASE` and KNOWN-RED.txt.
+    fn name(&self) -> String {
+        let strikes: Vec<String> = self.plan.iter().map(Strike::to_string).collect();
+        format!("{}|{}", self.seed, strikes.join("|"))
+    }
+
+    fn parse(name: &str) -> Option<Self> {
+        let (seed, rest) = name.split_once('|')?;
+        let plan = rest.split('|').filter(|part| !part.is_empty()).map(|part| part.parse().ok());
+        Some(Self { seed: seed.parse().ok()?, plan: plan.collect::<Option<Vec<Strike>>>()? })
+    }
+}
+
+/// Runs cases on a few threads. Returns each with its strikes; panics with the first broken promise.
+fn run_all(cases: &[Case]) -> Vec<(&Case, u32)> {
+    let next = AtomicUsize::new(0);
+    let (struck, broken) = (Mutex::new(Vec::new()), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for _ in 0..WORKERS {
+            scope.spawn(|| {
+                while let Some(case) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let run = world::run(case.seed, &case.plan, false);
+                    if let Some(why) = run.broken {
+                        broken.lock().expect("no panic").push((case, why));
+                    }
+                    struck.lock().expect("no panic").push((case, run.struck));
+                }
+            });
+        }
+    });
+    report(broken.into_inner().expect("no panic"));
+    struck.into_inner().expect("no panic")
+}
+
+fn report(mut broken: Vec<(&Case, String)>) {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../KNOWN-RED.txt");
+    let known = fs::read_to_string(path).unwrap_or_default();
+    broken.sort_by_key(|(case, _)| case.seed);
+    let (red, new): (Vec<_>, Vec<_>) = broken.into_iter().partition(|(case, _)| known.contains(&case.name()));
+    for (case, why) in &red {
+        eprintln!("known red: {}: {why}", case.name());
+    }
+    for (case, why) in &new {
+        eprintln!("broken: FAULTS_CASE='{}': {why}", case.name());
+    }
+    if let Some((case, why)) = new.first() {
+        let trace = world::run(case.seed, &case.plan, true).trace;
+        eprintln!("{}\n{why}: FAULTS_CASE='{}'", trace.join("\n"), case.name());
+        panic!("{} of the cases break a promise", new.len());
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn cells() -> Vec<(Fault, Step)> {
+    let steps = Kind::ALL.iter().flat_map(|kind| Stage::ALL.iter().map(|stage| (*kind, *stage)));
+    let cells = steps.flat_map(|step| Fault::ALL.iter().map(move |fault| (*fault, step)));
+    cells.filter(|(fault, step)| fault.applies(*step)).collect()
+}
+
+/// Runs a case named in `FAULTS_CASE` alone, with its events.
+#[test]
+fn one_case() {
+    let name = env::var("FAULTS_CASE").unwrap_or_else(|_| "1|".into());
+    let case = Case::parse(&name).expect("a case as a failure prints it");
+    let run = world::run(case.seed, &case.plan, true);
+    println!("{}", run.trace.join("\n"));
+    assert_eq!(run.broken, None, "{name}");
+}
+
+#[test]
+fn every_cell() {
+    let reached = world::run(1, &[], false).reached;
+    let mut cases = Vec::new();
+    for seed in 1..=number("FAULTS_SEEDS", 1) {
+        for (at, (fault, step)) in cells().into_iter().enumerate() {
+            let last = reached.get(&step).map_or(1, |count| (count * 2 / 3).max(1));
+            let seed = seed * 100_000 + at as u64;
+            let nth = 1 + fastrand::Rng::with_seed(seed).u32(0..last);
+            cases.extend(
+                [false, true].map(|twice| Case { seed, plan: vec![Strike { fault, step, nth, twice }] }),
+            );
+        }
+    }
+    let struck = run_all(&cases);
+    let mut attacked = BTreeMap::new();
+    for (case, strikes) in struck {
+        let most = attacked.entry((case.plan[0].fault, case.plan[0].step)).or_insert(0);
+        *most = strikes.max(*most);
+    }
+    page::check(&page::table(&attacked));
+}
+
+#[test]
+fn drawn_pairs() {
+    let cells = cells();
+    let drawn = Mutex::new(Vec::new());
+    for seed in 1..=number("FAULTS_PAIRS", PAIRS) {
+        arbtest::arbtest(|u| {
+            let mut plan = Vec::new();
+            for _ in 0..2 {
+                let (fault, step) = *u.choose(&cells)?;
+                plan.push(Strike { fault, step, nth: u.int_in_range(1..=12)?, twice: u.arbitrary()? });
+            }
+            drawn.lock().expect("no panic").push(Case { seed: u.arbitrary()?, plan });
+            Ok(())
+        })
+        .seed(seed << 32 | 64)
+        .run();
+    }
+    run_all(&drawn.into_inner().expect("no panic"));
+}
--- /dev/null
+++ b/core/tests/matrix/check.rs
@@ -0,0 +1,188 @@
+//! What must hold after every event, by what really happened and not by what an entry VM believes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use boragecove_core::artifact::Artifact;
+use boragecove_core::code::Outcome;
+use boragecove_core::config::Document;
+use boragecove_core::end::End;
+use boragecove_core::engine::Stage;
+use boragecove_core::event::Event;
+use boragecove_core::id;
+use boragecove_core::name::Name;
+use boragecove_core::request::{Arrival, Subject};
+
+use super::fakes::Backend;
+use super::scene::MEMORY_MB;
+
+/// A broken promise.
+pub type Check = Result<(), String>;
+
+/// A request as one entry VM took it: from a caller, or from an entry VM of another zone.
+#[derive(Debug)]
+pub struct Taken {
+    pub node: usize,
+    pub life: u64,
+    /// The entry VM, its life and its attempt that brought it, if it is not a caller's.
+    pub parent: Option<(usize, u64, id::Attempt)>,
+    pub arrival: Arrival,
+    runs: u32,
+    delivered: u64,
+    committed: Option<id::Attempt>,
+    ended: Option<Outcome>,
+}
+
+impl Taken {
+    /// Events of its answer.
+    pub fn length(&self) -> u64 {
+        u64::from(self.arrival.max_tokens)
+    }
+
+    fn runs_once(&self) -> bool {
+        !self.arrival.idempotent.unwrap_or(matches!(self.arrival.subject, Subject::Model(_)))
+    }
+}
+
+/// Everything that really happened.
+#[derive(Debug, Default)]
+pub struct Truth {
+    pub taken: BTreeMap<id::Request, Taken>,
+    /// Attempts whose answer is another request's.
+    pub foreign: BTreeSet<id::Attempt>,
+    /// Models that had a ready copy, and must keep one.
+    pub certain: BTreeSet<Name>,
+    /// Documents by accepted version.
+    pub accepted: BTreeMap<u64, Document>,
+    /// Models that are declared by all that was offered lately.
+    pub declared: Vec<Name>,
+    key_runs: BTreeMap<Name, u32>,
+}
+
+fn hold(promise: bool, broken: impl FnOnce() -> String) -> Check {
+    if promise { Ok(()) } else { Err(broken()) }
+}
+
+impl Truth {
+    pub fn take(
+        &mut self,
+        node: usize,
+        life: u64,
+        parent: Option<(usize, u64, id::Attempt)>,
+        arrival: Arrival,
+    ) {
+        let id = arrival.id;
+        let taken =
+            Taken { node, life, parent, arrival, runs: 0, delivered: 0, committed: None, ended: None };
+        self.taken.insert(id, taken);
+    }
+
+    /// A back end begins to run an attempt.
+    pub fn run(&mut self, attempt: id::Attempt) -> Check {
+        let mut next = Some(attempt.request);
+        while let Some(taken) = next.and_then(|id| self.taken.get_mut(&id)) {
+            taken.runs += 1;
+            hold(taken.ended != Some(Outcome::NotRun), || {
+                format!("{attempt} runs after it was said not to")
+            })?;
+            let once = taken.runs_once();
+            hold(!once || taken.runs == 1, || format!("{attempt}, not idempotent, runs again"))?;
+            next = taken.parent.map(|(.., attempt)| attempt.request);
+            if let (None, true, Some(key)) = (next, once, &taken.arrival.key) {
+                let runs = self.key_runs.entry(key.clone()).or_default();
+                *runs += 1;
+                hold(*runs == 1, || format!("{attempt} runs again under {key}"))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// An event of a stream goes to the caller, on `event`.
+    pub fn deliver(&mut self, attempt: id::Attempt, offset: u64, event: &Event) -> Check {
+        hold(*event == Event::Chunk { attempt, offset }, || format!("{attempt} delivers what it has not"))?;
+        hold(!self.foreign.contains(&attempt), || format!("{attempt} delivers another request's answer"))?;
+        let taken = self.taken.get_mut(&attempt.request).ok_or("an unknown request is delivered to")?;
+        hold(taken.ended.is_none(), || format!("{attempt} delivers after its end"))?;
+        hold(taken.delivered == offset, || format!("{attempt} delivers {offset} at {}", taken.delivered))?;
+        taken.delivered += 1;
+        Ok(())
+    }
+
+    /// A whole answer is passed on before its end.
+    pub fn commit(&mut self, attempt: id::Attempt) {
+        if let Some(taken) = self.taken.get_mut(&attempt.request) {
+            taken.committed = Some(attempt);
+        }
+    }
+
+    /// A request ends, on `event`.
+    pub fn end(&mut self, request: id::Request, end: &End, event: &Event) -> Check {
+        let taken = self.taken.get_mut(&request).ok_or("an unknown request ends")?;
+        hold(taken.ended.is_none(), || format!("{request} ends twice"))?;
+        taken.ended = Some(end.outcome());
+        match (end.outcome(), end.attempt()) {
+            (Outcome::NotRun, _) => {
+                hold(taken.runs == 0, || format!("{request} ran, and is said not to have"))
+            }
+            (Outcome::Answered, Some(attempt)) => {
+                let whole = matches!(event, Event::Finished { attempt: of, .. } if *of == attempt);
+                hold(whole, || format!("{request} is answered before its answer's end"))?;
+                hold(!self.foreign.contains(&attempt), || format!("{request} gets another's answer"))?;
+                let other = taken.committed.is_some_and(|committed| committed != attempt);
+                hold(!other, || format!("{request} gets two answers"))?;
+                hold(!taken.arrival.stream || taken.delivered == taken.length(), || {
+                    format!("{request} is answered with {} of {}", taken.delivered, taken.length())
+                })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Every request of a life of a process has ended.
+    pub fn all_ended(&self, node: usize, life: u64) -> Check {
+        let open = self
+            .taken
+            .iter()
+            .find(|(_, taken)| taken.node == node && taken.life == life && taken.ended.is_none());
+        hold(open.is_none(), || format!("{open:?} has no end"))
+    }
+
+    /// A configuration was accepted.
+    pub fn accept(&mut self, version: u64, document: &Document) -> Check {
+        let first = self.accepted.insert(version, document.clone());
+        hold(first.is_none(), || format!("two changes were accepted as version {version}"))
+    }
+
+    /// What must hold of the engines after each event.
+    pub fn engines(&mut self, backends: &[Backend]) -> Check {
+        for backend in backends.iter().filter(|backend| backend.up) {
+            let taken = backend.taken();
+            hold(taken <= MEMORY_MB, || format!("{} holds {taken} MB of {MEMORY_MB}", backend.vm.name))?;
+        }
+        for model in &self.declared {
+            if is_ready(backends, model) {
+                self.certain.insert(model.clone());
+            } else if self.certain.contains(model) {
+                return Err(format!("{model} has lost its last copy"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Every declared model is loaded, at the end of a run.
+pub fn all_ready(document: &Document, backends: &[Backend]) -> Check {
+    for model in &document.inventory.models {
+        let (model, version) = (model.name.clone(), model.versions[0].name.clone());
+        let artifact = Artifact { model, adapter: None, version };
+        let ready = backends.iter().any(|backend| backend.up && backend.is_ready(&artifact));
+        hold(ready, || format!("{artifact} is declared and nowhere ready at the end"))?;
+    }
+    Ok(())
+}
+
+fn is_ready(backends: &[Backend], model: &Name) -> bool {
+    let ready = |backend: &Backend| {
+        backend.copies.iter().any(|copy| copy.artifact.model == *model && copy.stage == Stage::Ready)
+    };
+    backends.iter().any(|backend| backend.up && ready(backend))
+}
--- /dev/null
+++ b/core/tests/matrix/fakes.rs
@@ -0,0 +1,235 @@
+//! Fakes of the platform's table and of backend servers: their state machines alone.
+
+use std::collections::BTreeMap;
+
+use boragecove_core::artifact::Artifact;
+use boragecove_core::attempt::{Destination, Failure, Refusal, Resume, Send};
+use boragecove_core::engine::{Action, Copy, Ended, Fence, Order, Receipt, Report, Role, Stage};
+use boragecove_core::id::{self, Incarnation};
+use boragecove_core::table::{Call, Done, Key, Prefix, Reply, Row, Value, Version, Write};
+use boragecove_core::vm::{Phase, Vm};
+
+use super::scene::MEMORY_MB;
+
+/// Rows with their versions.
+#[derive(Debug, Default)]
+pub struct Table {
+    rows: BTreeMap<Key, (Version, Value)>,
+}
+
+impl Table {
+    pub fn call(&mut self, call: &Call) -> Reply {
+        match call {
+            Call::Get(keys) => Reply::Rows(keys.iter().filter_map(|key| self.row(key)).collect()),
+            Call::List(prefix) => {
+                let keys = self.rows.keys().filter(|key| is_under(prefix, key));
+                Reply::Rows(keys.filter_map(|key| self.row(key)).collect())
+            }
+            Call::Commit(writes) => {
+                let late: Vec<&Write> = writes.iter().filter(|write| !self.is_current(write)).collect();
+                if !late.is_empty() {
+                    return Reply::Conflict(late.iter().filter_map(|write| self.row(&write.key)).collect());
+                }
+                for write in writes {
+                    self.write(write);
+                }
+                Reply::Committed
+            }
+            Call::Each(writes) => Reply::Each(writes.iter().map(|write| self.each(write)).collect()),
+        }
+    }
+
+    pub fn row(&self, key: &Key) -> Option<Row> {
+        let (version, value) = self.rows.get(key)?;
+        Some(Row { key: key.clone(), version: *version, value: value.clone() })
+    }
+
+    fn is_current(&self, write: &Write) -> bool {
+        self.rows.get(&write.key).map_or(Version(0), |(version, _)| *version) == write.expect
+    }
+
+    fn each(&mut self, write: &Write) -> Done {
+        if !self.is_current(write) {
+            return Done::Kept(self.row(&write.key));
+        }
+        self.write(write);
+        Done::Written
+    }
+
+    fn write(&mut self, write: &Write) {
+        match &write.value {
+            Some(value) => {
+                self.rows.insert(write.key.clone(), (Version(write.expect.0 + 1), value.clone()));
+            }
+            None => {
+                self.rows.remove(&write.key);
+            }
+        }
+    }
+}
+
+fn is_under(prefix: &Prefix, key: &Key) -> bool {
+    match (prefix, key) {
+        (Prefix::Leases, Key::Lease(_)) => true,
+        (Prefix::Ledgers(zone), Key::Ledger { zone: of, .. }) => zone == of,
+        (Prefix::ChangesAfter(version), Key::Change(at)) => at > version,
+        _ => false,
+    }
+}
+
+/// A model engine, or a server of a plain service.
+#[derive(Debug)]
+pub struct Backend {
+    pub vm: Vm,
+    pub incarnation: Incarnation,
+    pub up: bool,
+    /// Whether it refuses old fencing numbers.
+    pub checks: bool,
+    pub copies: Vec<Copy>,
+    /// Attempts that run, with the artifact.
+    pub running: BTreeMap<id::Attempt, Option<Artifact>>,
+    /// Attempts it can take up again.
+    known: Vec<id::Attempt>,
+    pub cache: u64,
+    fence: Fence,
+    seq: u64,
+    receipts: Vec<(id::Order, Receipt)>,
+    ended: Vec<Ended>,
+    role: Role,
+}
+
+impl Backend {
+    pub fn new(vm: Vm, incarnation: u64, checks: bool) -> Self {
+        Self {
+            vm,
+            incarnation: Incarnation(incarnation),
+            up: true,
+            checks,
+            copies: Vec::new(),
+            running: BTreeMap::new(),
+            known: Vec::new(),
+            cache: 0,
+            fence: Fence(0),
+            seq: 0,
+            receipts: Vec::new(),
+            ended: Vec::new(),
+            role: Role::Both,
+        }
+    }
+
+    fn takes_work(&self) -> bool {
+        self.vm.phase == Phase::Live
+    }
+
+    /// Takes a try to run, or to run on, unless it refuses.
+    pub fn admit(&mut self, send: &Send) -> Result<(), Failure> {
+        let artifact = match &send.to {
+            Destination::Engine(artifact) => Some(artifact),
+            _ => None,
+        };
+        if !self.up {
+            return Err(Failure::Connect);
+        }
+        match send.resume {
+            _ if !self.takes_work() => return Err(Failure::Refused(Refusal::Leaving)),
+            _ if artifact.is_some_and(|artifact| !self.is_ready(artifact)) => {
+                return Err(Failure::Refused(Refusal::NotLoaded));
+            }
+            Resume::Same { of, .. } if !self.known.contains(&of) => return Err(Failure::Forgotten),
+            _ => {}
+        }
+        self.running.insert(send.attempt, artifact.cloned());
+        self.known.push(send.attempt);
+        self.cache += 1;
+        Ok(())
+    }
+
+    pub fn is_ready(&self, artifact: &Artifact) -> bool {
+        self.copies.iter().any(|copy| copy.artifact == *artifact && copy.stage == Stage::Ready)
+    }
+
+    /// Memory taken by what is held or being loaded.
+    pub fn taken(&self) -> u64 {
+        self.copies.iter().map(|copy| copy.memory_mb).sum()
+    }
+
+    /// Takes an order. It never refuses a load for want of memory: nothing but the sender guards that.
+    pub fn order(&mut self, order: &Order) -> Receipt {
+        if let Some((_, receipt)) = self.receipts.iter().find(|(id, _)| *id == order.id) {
+            return receipt.clone();
+        }
+        let receipt = self.take(order);
+        self.receipts.push((order.id, receipt.clone()));
+        receipt
+    }
+
+    fn take(&mut self, order: &Order) -> Receipt {
+        if self.checks && order.fence < self.fence {
+            return Receipt::Stale { seen: self.fence };
+        }
+        self.fence = self.fence.max(order.fence);
+        match &order.action {
+            Action::Load { artifact, memory_mb } => {
+                if !self.copies.iter().any(|copy| copy.artifact == *artifact) {
+                    let (artifact, memory_mb) = (artifact.clone(), *memory_mb);
+                    self.copies.push(Copy { artifact, memory_mb, stage: Stage::Loading, requests: 0 });
+                }
+                return Receipt::Taken;
+            }
+            Action::Unload { artifact } => {
+                if self.running.values().flatten().any(|used| used == artifact) {
+                    return Receipt::Busy;
+                }
+                if !self.copies.iter().any(|copy| copy.artifact == *artifact) {
+                    return Receipt::Invalid;
+                }
+                self.copies.retain(|copy| copy.artifact != *artifact);
+            }
+            Action::Role { role } => self.role = *role,
+            Action::Raise => {}
+        }
+        self.ended.push(Ended { order: order.id, done: true });
+        Receipt::Taken
+    }
+
+    /// A load comes to its end.
+    pub fn loaded(&mut self, order: &Order) {
+        let Action::Load { artifact, .. } = &order.action else {
+            return;
+        };
+        if let Some(copy) = self.copies.iter_mut().find(|copy| copy.artifact == *artifact) {
+            copy.stage = Stage::Ready;
+        }
+        if !self.ended.iter().any(|ended| ended.order == order.id) {
+            self.ended.push(Ended { order: order.id, done: true });
+        }
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        let requests = |artifact: &Artifact| {
+            self.running.values().flatten().filter(|used| *used == artifact).count() as u32
+        };
+        let copies =
+            self.copies.iter().map(|copy| Copy { requests: requests(&copy.artifact), ..copy.clone() });
+        Report {
+            engine: self.vm.name.clone(),
+            incarnation: self.incarnation,
+            seq: self.seq,
+            fence: self.fence,
+            role: self.role,
+            memory_mb: MEMORY_MB,
+            running: self.running.len() as u32,
+            waiting: 0,
+            tokens_per_second: 0,
+            copies: copies.collect(),
+            ended: self.ended.iter().rev().take(64).rev().copied().collect(),
+            draining: !self.takes_work(),
+        }
+    }
+
+    /// Starts again, empty.
+    pub fn restart(&mut self, incarnation: u64) {
+        *self = Self::new(self.vm.clone(), incarnation, self.checks);
+    }
+}
--- /dev/null
+++ b/core/tests/matrix/mod.rs
@@ -0,0 +1,9 @@
+//! The fault matrix: its runs, its fakes and what it checks.
+
+pub mod check;
+pub mod fakes;
+pub mod fault;
+pub mod page;
+pub mod scene;
+pub mod traffic;
+pub mod world;
--- /dev/null
+++ b/core/tests/matrix/world.rs
@@ -0,0 +1,602 @@
+//! One deterministic loop over a few reducers and the fakes: a set of messages and timers, and a seeded
+//! choice of the order in which they come. The waits drawn stand for an order and for nothing else.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::audit::Act;
+use boragecove_core::config::Document;
+use boragecove_core::effect::Effect;
+use boragecove_core::engine::{Action, CacheUpdate, Order, Report};
+use boragecove_core::event::Event;
+use boragecove_core::id::{self, Incarnation};
+use boragecove_core::operator::{Answer, Query};
+use boragecove_core::state::Identity;
+use boragecove_core::table::{Call, Failure};
+use boragecove_core::time::Time;
+use boragecove_core::vm::{Phase, Role, Vm};
+use boragecove_core::{State, apply};
+
+use super::check::{Check, Truth, all_ready};
+use super::fakes::{Backend, Table};
+use super::fault::{Fault, Kind, Stage, Step, Strike, exists};
+use super::scene::{self, BACKENDS, ENTRIES};
+
+const START: Time = Time::from_millis(1_000_000);
+const END: Time = Time::from_millis(1_048_000);
+/// How long an outage, a cut or a pause lasts; longer than a lease.
+pub const OUTAGE: Duration = Duration::from_secs(6);
+/// When the edge gives up waiting for an answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// A back end listed as leaving gets nothing new after this.
+const LEAVE_WITHIN: Duration = Duration::from_secs(3);
+
+/// Answers of a back end, each with its wait.
+pub type Answers = Vec<(Duration, Event)>;
+
+/// An entry VM.
+#[derive(Default)]
+pub struct Node {
+    pub state: Option<Box<State>>,
+    pub life: u64,
+    pub ready: bool,
+    /// Paused until then.
+    pub resume: Time,
+    wake: Time,
+    version: u64,
+}
+
+/// Something that happens to the deployment of itself.
+#[derive(Clone, Copy, Debug)]
+pub enum Turn {
+    Arrive(u64),
+    Repeat(u64),
+    Gone(u64),
+    Apply { node: usize, edition: u32 },
+    Stop(usize),
+    Silent,
+    Start(usize),
+    Up(usize),
+    Replace(usize),
+    Ran { backend: usize, attempt: id::Attempt },
+}
+
+/// Something that will come.
+pub enum Message {
+    /// An effect on its way, to this life of its back end.
+    Out { node: usize, life: u64, effect: Effect, to: Option<(usize, Incarnation)> },
+    /// An event on its way to a process, as the answer to an effect of this kind.
+    In { node: usize, life: u64, kind: Option<Kind>, event: Event },
+    /// A load ends.
+    Loaded { backend: usize, incarnation: Incarnation, order: Box<Order> },
+    /// Something happens to the deployment.
+    Turn(Turn),
+}
+
+/// How a run went.
+#[derive(Default)]
+pub struct Run {
+    /// The promise that was broken.
+    pub broken: Option<String>,
+    /// How often each step was reached.
+    pub reached: BTreeMap<Step, u32>,
+    /// Strikes that took place.
+    pub struck: u32,
+    /// The events, in order.
+    pub trace: Vec<String>,
+}
+
+pub struct World {
+    pub now: Time,
+    pub rng: fastrand::Rng,
+    pub queue: BTreeMap<(Time, u64), Message>,
+    pub nodes: Vec<Node>,
+    pub backends: Vec<Backend>,
+    pub truth: Truth,
+    /// Whether the checking group does check fencing numbers.
+    pub checks: bool,
+    /// Questions of operators that are open, with the edition they offer.
+    pub asks: BTreeMap<id::Ask, u32>,
+    /// The last edition accepted.
+    pub edition: u32,
+    /// The last number drawn for something new.
+    pub fresh: u64,
+    /// Connections that have gone silent, by entry VM and address.
+    pub silent: Vec<(usize, SocketAddr)>,
+    /// Since when back ends are listed as leaving.
+    pub leaving: BTreeMap<usize, Time>,
+    /// Lasting faults: until when.
+    until: BTreeMap<Fault, Time>,
+    /// The zone that is cut off from the platform.
+    cut_zone: usize,
+    table: Table,
+    old_list: Vec<Vm>,
+    old_reports: Vec<Report>,
+    plan: Vec<Strike>,
+    run: Run,
+    traced: bool,
+}
+
+/// Runs a case.
+pub fn run(seed: u64, plan: &[Strike], traced: bool) -> Run {
+    let mut world = World::new(seed, plan, traced);
+    for (ms, turn) in scene::script() {
+        world.turn_in(ms, turn);
+    }
+    let broken = world.play().err();
+    Run { broken, ..world.run }
+}
+
+impl World {
+    fn new(seed: u64, plan: &[Strike], traced: bool) -> Self {
+        let checks = !plan.iter().any(|strike| strike.fault == Fault::IgnoresFences);
+        let backends = BACKENDS.iter().zip(0_u16..).map(|((name, zone, group), at)| {
+            let role = Role::Backend((*group).into());
+            Backend::new(
+                vm(name, zone, 9_000 + at, role),
+                100 + u64::from(at),
+                checks && *group == "checking",
+            )
+        });
+        let mut world = Self {
+            now: START,
+            rng: fastrand::Rng::with_seed(seed),
+            queue: BTreeMap::new(),
+            nodes: ENTRIES.iter().map(|_| Node::default()).collect(),
+            backends: backends.collect(),
+            truth: Truth::default(),
+            checks,
+            asks: BTreeMap::new(),
+            edition: 0,
+            fresh: 1_000,
+            silent: Vec::new(),
+            leaving: BTreeMap::new(),
+            until: BTreeMap::new(),
+            cut_zone: 0,
+            table: Table::default(),
+            old_list: Vec::new(),
+            old_reports: Vec::new(),
+            plan: plan.to_vec(),
+            run: Run::default(),
+            traced,
+        };
+        (0..ENTRIES.len()).for_each(|at| world.start(at));
+        world.old_list = world.vms();
+        world
+    }
+
+    fn play(&mut self) -> Check {
+        while self.now < END {
+            let up = self.nodes.iter().zip(0..).filter(|(node, _)| node.state.is_some());
+            let wake = up.map(|(node, at)| (node.wake.max(node.resume), at)).min();
+            let next = self.queue.first_key_value().map(|((at, _), _)| *at);
+            match (wake, next) {
+                (Some((at, node)), next) if next.is_none_or(|next| at < next) => {
+                    self.now = self.now.max(at);
+                    self.nodes[node].wake = END;
+                    self.feed(node, None, &Event::Wake)?;
+                }
+                _ => {
+                    let Some(((at, _), message)) = self.queue.pop_first() else { break };
+                    self.now = self.now.max(at);
+                    self.take(message)?;
+                }
+            }
+            self.truth.engines(&self.backends)?;
+        }
+        self.rest()
+    }
+
+    /// What must hold once everything has come to rest.
+    fn rest(&mut self) -> Check {
+        let mut last = None;
+        for (at, (name, _)) in ENTRIES.iter().enumerate() {
+            self.truth.all_ended(at, self.nodes[at].life)?;
+            let config = self.config(at).ok_or("an entry VM does not say its configuration")?;
+            let want = self.truth.accepted.last_key_value();
+            let old = want.is_none_or(|(of, want)| config.0 < *of || config.0 == *of && *config.1 != *want);
+            if old || last.as_ref().is_some_and(|last| *last != config) {
+                return Err(format!("{name} is at version {}, not what was accepted last", config.0));
+            }
+            last = Some(config);
+        }
+        last.map_or(
+            Ok(()),
+            |(_, document)| if scene::LOADED { all_ready(&document, &self.backends) } else { Ok(()) },
+        )
+    }
+
+    fn config(&mut self, at: usize) -> Option<(u64, Arc<Document>)> {
+        let ask = id::Ask { by: Incarnation(0), seq: 0 };
+        let event = Event::Asked { ask, query: Box::new(Query::Config) };
+        let effects = apply(self.nodes[at].state.as_mut()?, self.now, event);
+        effects.into_iter().find_map(|effect| match effect {
+            Effect::Answer { answer, .. } => match *answer {
+                Answer::Config { version, document } => Some((version, document)),
+                _ => None,
+            },
+            _ => None,
+        })
+    }
+
+    pub fn turn_in(&mut self, ms: u64, turn: Turn) {
+        self.push(Duration::from_millis(ms), Message::Turn(turn));
+    }
+
+    pub fn event_in(&mut self, after: Duration, node: usize, life: u64, event: Event) {
+        self.push(after, Message::In { node, life, kind: None, event });
+    }
+
+    pub fn push(&mut self, after: Duration, message: Message) {
+        self.fresh += 1;
+        self.queue.insert((self.now + after, self.fresh), message);
+    }
+
+    pub fn soon(&mut self) -> Duration {
+        Duration::from_millis(self.rng.u64(1..=30))
+    }
+
+    /// A process begins a life.
+    pub fn start(&mut self, at: usize) {
+        let life = self.nodes[at].life + 1;
+        let (vm, zone) = ENTRIES[at];
+        let me = Identity { vm: vm.into(), zone: zone.into(), incarnation: incarnation(at, life) };
+        let state = State::new(me, scene::settings(), self.rng.u64(..), self.now);
+        let wake = self.now + self.soon();
+        self.nodes[at] = Node { state: Some(Box::new(state)), life, wake, ..Node::default() };
+    }
+
+    /// A process ends its life without a word.
+    pub fn kill(&mut self, at: usize) {
+        self.nodes[at].state = None;
+        self.nodes[at].ready = false;
+        self.turn_in(1_000, Turn::Start(at));
+    }
+
+    fn note(&mut self, at: usize, line: impl FnOnce() -> String) {
+        if self.traced {
+            self.run.trace.push(format!("{} {}: {}", self.now, ENTRIES[at].0, line()));
+        }
+    }
+
+    /// A step of an effect is reached: the faults due there strike.
+    fn step(&mut self, node: usize, to: Option<usize>, step: Step) -> Vec<Fault> {
+        if !exists(step) {
+            return Vec::new();
+        }
+        let count = self.run.reached.entry(step).or_default();
+        *count += 1;
+        let count = *count;
+        let due = |at: &&Strike| at.step == step && (count == at.nth || at.twice && count == at.nth + 1);
+        let faults: Vec<Fault> = self.plan.iter().filter(due).map(|strike| strike.fault).collect();
+        for fault in &faults {
+            self.run.struck += 1;
+            self.note(node, || format!("FAULT {fault} at {step:?}"));
+            self.befall(*fault, node, to);
+        }
+        faults
+    }
+
+    /// Hands an event to a process and takes its effects up.
+    fn feed(&mut self, at: usize, kind: Option<Kind>, event: &Event) -> Check {
+        self.note(at, || format!("{event:?}"));
+        let life = self.nodes[at].life;
+        let Some(state) = self.nodes[at].state.as_mut() else { return Ok(()) };
+        for effect in apply(state, self.now, event.clone()) {
+            if self.nodes[at].life != life || self.nodes[at].state.is_none() {
+                return Ok(());
+            }
+            self.emit(at, effect, event)?;
+        }
+        if let Some(kind) = kind {
+            self.step(at, None, (kind, Stage::Answered));
+        }
+        Ok(())
+    }
+
+    fn emit(&mut self, at: usize, effect: Effect, event: &Event) -> Check {
+        self.note(at, || format!("  -> {effect:?}"));
+        let (kind, to) = (Kind::of(&effect), self.target(&effect));
+        self.step(at, to, (kind, Stage::Before));
+        if self.nodes[at].state.is_none() {
+            return Ok(());
+        }
+        if !kind.is_remote() {
+            self.local(at, &effect, event)?;
+            self.step(at, to, (kind, Stage::Done));
+            return Ok(());
+        }
+        if kind == Kind::Send {
+            self.not_leaving(at, to)?;
+        }
+        let wait = self.soon() + self.nodes[at].resume.since(self.now);
+        let to = to.map(|to| (to, self.backends[to].incarnation));
+        self.push(wait, Message::Out { node: at, life: self.nodes[at].life, effect, to });
+        Ok(())
+    }
+
+    fn target(&self, effect: &Effect) -> Option<usize> {
+        let name = match effect {
+            Effect::Send(send) => &send.backend,
+            Effect::Poll { engine, .. } | Effect::Order { engine, .. } => engine,
+            _ => return None,
+        };
+        self.backends.iter().position(|backend| backend.vm.name == *name)
+    }
+
+    /// Nothing new goes to what is listed as leaving, by whoever can know it.
+    fn not_leaving(&self, at: usize, to: Option<usize>) -> Check {
+        let Some(since) = to.and_then(|to| self.leaving.get(&to)) else { return Ok(()) };
+        let blind =
+            [Fault::PlatformCut, Fault::ZonesCut, Fault::ListStale].map(|fault| self.until.get(&fault));
+        let blind =
+            blind.into_iter().flatten().any(|until| until >= since) || self.nodes[at].resume >= *since;
+        if blind || self.now <= *since + LEAVE_WITHIN {
+            return Ok(());
+        }
+        Err(format!("{} sends to what is listed as leaving since {since}", ENTRIES[at].0))
+    }
+
+    /// Carries out what stays within the process.
+    fn local(&mut self, at: usize, effect: &Effect, event: &Event) -> Check {
+        match effect {
+            Effect::Deliver { attempt, offset } => {
+                self.truth.deliver(*attempt, *offset, event)?;
+                self.relay(attempt.request, |attempt| Event::Chunk { attempt, offset: *offset });
+            }
+            Effect::Commit(attempt) => self.truth.commit(*attempt),
+            Effect::End { request, end } => {
+                self.truth.end(*request, end, event)?;
+                self.relay_end(*request, end.outcome());
+            }
+            Effect::Retire(address) => self.silent.retain(|silent| *silent != (at, *address)),
+            Effect::WakeAt(time) => self.nodes[at].wake = *time,
+            Effect::Ready(ready) => self.nodes[at].ready = *ready,
+            Effect::Exit => {
+                self.truth.all_ended(at, self.nodes[at].life)?;
+                self.kill(at);
+            }
+            Effect::Record(record) => {
+                if let Act::Configured(version) = record.act {
+                    let before = std::mem::replace(&mut self.nodes[at].version, version);
+                    return if version < before {
+                        Err(format!("{before} gives way to {version}"))
+                    } else {
+                        Ok(())
+                    };
+                }
+            }
+            Effect::Answer { ask, answer } => {
+                if let (Some(edition), Answer::Applied(applied)) = (self.asks.remove(ask), &**answer) {
+                    self.edition = self.edition.max(edition);
+                    self.truth.accept(applied.version, &scene::document(edition, self.checks))?;
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, message: Message) -> Check {
+        match message {
+            Message::Out { node, life, effect, to } => return self.arrive(node, life, effect, to),
+            Message::In { node, life, kind, event } if self.nodes[node].life == life => {
+                let resume = self.nodes[node].resume;
+                if resume <= self.now {
+                    return self.feed(node, kind, &event);
+                }
+                let wait = resume.since(self.now) + Duration::from_millis(1);
+                self.push(wait, Message::In { node, life, kind, event });
+            }
+            Message::Loaded { backend, incarnation, order } => {
+                if self.backends[backend].incarnation == incarnation {
+                    self.backends[backend].loaded(&order);
+                }
+            }
+            Message::Turn(turn) => self.turn(turn),
+            Message::In { .. } => {}
+        }
+        Ok(())
+    }
+
+    /// An effect arrives where it was sent, unless something befalls it on the way.
+    fn arrive(&mut self, at: usize, life: u64, effect: Effect, to: Option<(usize, Incarnation)>) -> Check {
+        let (kind, target) = (Kind::of(&effect), to.map(|(to, _)| to));
+        let faults = self.step(at, target, (kind, Stage::Sent));
+        if faults.contains(&Fault::Late) {
+            self.push(OUTAGE, Message::Out { node: at, life, effect, to });
+            return Ok(());
+        }
+        let gone = to.is_some_and(|(to, life)| self.backends[to].incarnation != life);
+        let lost = gone || faults.contains(&Fault::Lost);
+        let mut answers = if lost { Vec::new() } else { self.perform(at, life, &effect)? };
+        if faults.contains(&Fault::Twice) {
+            self.perform(at, life, &effect)?;
+        }
+        for fault in self.step(at, target, (kind, Stage::Done)) {
+            self.disturb(fault, &mut answers);
+        }
+        if answers.iter().all(|(wait, _)| *wait >= OUTAGE) {
+            answers.extend(given_up(&effect).map(|event| (TIMEOUT, event)));
+        }
+        for (wait, event) in answers {
+            self.push(wait, Message::In { node: at, life, kind: Some(kind), event });
+        }
+        Ok(())
+    }
+
+    /// Something befalls an answer on its way.
+    fn disturb(&mut self, fault: Fault, answers: &mut Answers) {
+        let waits: Vec<Duration> = answers.iter().rev().map(|(wait, _)| *wait).collect();
+        match fault {
+            Fault::AnswerLost => answers.clear(),
+            Fault::AnswerLate => answers.iter_mut().for_each(|(wait, _)| *wait += OUTAGE),
+            Fault::OutOfOrder => answers.iter_mut().zip(waits).for_each(|((wait, _), turned)| *wait = turned),
+            Fault::Foreign => {
+                for (_, event) in answers {
+                    if let Event::Head { attempt, echo } = event {
+                        self.truth.foreign.insert(*attempt);
+                        *echo = Some(id::Attempt { n: attempt.n + 7, ..*attempt });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// What the platform lists now.
+    fn vms(&self) -> Vec<Vm> {
+        let entries =
+            ENTRIES.iter().zip(8_000..).map(|((name, zone), port)| vm(name, zone, port, Role::Entry));
+        entries.chain(self.backends.iter().map(|backend| backend.vm.clone())).collect()
+    }
+
+    pub fn lasts(&self, fault: Fault) -> bool {
+        self.until.get(&fault).is_some_and(|until| *until > self.now)
+    }
+
+    /// Whether an entry VM cannot reach a zone.
+    pub fn is_cut(&self, at: usize, zone: &str) -> bool {
+        self.lasts(Fault::ZonesCut) && ENTRIES[at].1 != zone
+    }
+
+    /// Carries out what was sent. Returns the answers; none if there is none.
+    fn perform(&mut self, at: usize, life: u64, effect: &Effect) -> Result<Answers, String> {
+        let wait = self.soon();
+        let off_platform = self.lasts(Fault::PlatformCut) && self.cut_zone == at / 2;
+        let to = self.target(effect);
+        let to = to.filter(|to| self.backends[*to].up && !self.is_cut(at, &self.backends[*to].vm.zone));
+        let answers = match effect {
+            Effect::Send(send) => return self.send(at, life, send),
+            Effect::Cancel(attempt) => {
+                self.cancel(*attempt);
+                Vec::new()
+            }
+            Effect::List if off_platform => vec![Event::Unlisted],
+            Effect::List => vec![Event::Listed(self.list())],
+            Effect::Table { op, .. } if off_platform || self.lasts(Fault::TableDown) => {
+                vec![Event::Table { op: *op, reply: Err(Failure::Unavailable) }]
+            }
+            Effect::Table { op, call } => return Ok(self.call(*op, call, wait)),
+            Effect::Poll { cache_from, .. } => to.map_or_else(Vec::new, |to| self.poll(to, *cache_from)),
+            Effect::Order { order, .. } => to.map_or_else(Vec::new, |to| self.order(to, order)),
+            Effect::Tell { peer, frame, .. } => {
+                let to = ENTRIES.iter().position(|(name, _)| *peer == *name).ok_or("a frame to nobody")?;
+                if self.nodes[to].state.is_some() && !self.is_cut(at, ENTRIES[to].1) {
+                    self.event_in(wait, to, self.nodes[to].life, Event::Heard(frame.clone()));
+                    return Ok(Vec::new());
+                }
+                vec![Event::Unheard { peer: peer.clone() }]
+            }
+            _ => Vec::new(),
+        };
+        Ok(answers.into_iter().map(|event| (wait, event)).collect())
+    }
+
+    fn list(&mut self) -> Vec<Vm> {
+        if self.lasts(Fault::ListStale) {
+            return self.old_list.clone();
+        }
+        for (to, backend) in self.backends.iter().enumerate() {
+            if backend.vm.phase == Phase::Leaving {
+                self.leaving.entry(to).or_insert(self.now);
+            }
+        }
+        self.vms()
+    }
+
+    fn call(&mut self, op: id::Op, call: &Call, wait: Duration) -> Answers {
+        let reply = Event::Table { op, reply: Ok(self.table.call(call)) };
+        if !self.lasts(Fault::TableSlow) {
+            return vec![(wait, reply)];
+        }
+        vec![(TIMEOUT, Event::Table { op, reply: Err(Failure::Unknown) }), (TIMEOUT * 2, reply)]
+    }
+
+    fn poll(&mut self, to: usize, from: u64) -> Vec<Event> {
+        let stale = self.lasts(Fault::ReportStale);
+        let gap = if self.lasts(Fault::CacheGaps) { 100 } else { 0 };
+        let backend = &mut self.backends[to];
+        let mut report = backend.report();
+        let old = self.old_reports.iter().find(|old| old.engine == report.engine);
+        match old.filter(|_| stale) {
+            Some(old) => report = old.clone(),
+            None if self.rng.u8(..) < 32 => self.old_reports.insert(0, report.clone()),
+            None => {}
+        }
+        let update = CacheUpdate {
+            engine: backend.vm.name.clone(),
+            seq: from + gap,
+            stored: (from..backend.cache).map(|block| block % 5).collect(),
+            evicted: Vec::new(),
+            cleared: false,
+        };
+        vec![Event::Reported(Box::new(report)), Event::Cached(Box::new(update))]
+    }
+
+    fn order(&mut self, to: usize, order: &Order) -> Vec<Event> {
+        let backend = &mut self.backends[to];
+        let receipt = Some(backend.order(order));
+        let (engine, incarnation) = (backend.vm.name.clone(), backend.incarnation);
+        if matches!(order.action, Action::Load { .. }) {
+            let wait = Duration::from_millis(self.rng.u64(300..1_200));
+            self.push(wait, Message::Loaded { backend: to, incarnation, order: Box::new(order.clone()) });
+        }
+        vec![Event::Ordered { order: order.id, engine, receipt }]
+    }
+
+    /// A fault strikes at something that `node` does to `to`.
+    fn befall(&mut self, fault: Fault, node: usize, to: Option<usize>) {
+        let until = self.now + OUTAGE;
+        let to = to.unwrap_or_else(|| self.rng.usize(0..4));
+        self.until.insert(fault, until);
+        match fault {
+            Fault::Dies => self.kill(node),
+            Fault::Paused | Fault::IgnoresFences => self.nodes[node].resume = until,
+            Fault::PlatformCut => self.cut_zone = node / 2,
+            Fault::EngineDies | Fault::EngineEmpty => {
+                self.stop_engine(to);
+                self.backends[to].up = false;
+                let down = if fault == Fault::EngineDies { OUTAGE } else { Duration::ZERO };
+                self.push(down, Message::Turn(Turn::Up(to)));
+            }
+            Fault::Leaves => {
+                self.backends[to].vm.phase = Phase::Leaving;
+                self.push(OUTAGE, Message::Turn(Turn::Replace(to)));
+            }
+            Fault::Silent => self.silence(node, to),
+            Fault::Race => {
+                let (edition, base) = (self.edition.max(1), self.truth.accepted.keys().last().copied());
+                self.operate(node, edition, base);
+                self.operate((node + 2) % ENTRIES.len(), edition, base);
+            }
+            Fault::Demand => (0..10).for_each(|n| self.turn_in(n, Turn::Arrive(1_008 + 9 * n))),
+            _ => {}
+        }
+    }
+}
+
+/// The life of a process, as an id.
+pub fn incarnation(node: usize, life: u64) -> Incarnation {
+    Incarnation(1_000 * (node as u64 + 1) + life)
+}
+
+fn vm(name: &str, zone: &str, port: u16, role: Role) -> Vm {
+    let address = ([127, 0, 0, 1], port).into();
+    Vm { name: name.into(), zone: zone.into(), address, role, phase: Phase::Live }
+}
+
+/// What the edge says when no answer has come.
+fn given_up(effect: &Effect) -> Option<Event> {
+    match effect {
+        Effect::List => Some(Event::Unlisted),
+        Effect::Poll { engine, .. } => Some(Event::Unreported(engine.clone())),
+        Effect::Order { engine, order, .. } => {
+            Some(Event::Ordered { order: order.id, engine: engine.clone(), receipt: None })
+        }
+        Effect::Table { op, .. } => Some(Event::Table { op: *op, reply: Err(Failure::Unknown) }),
+        _ => None,
+    }
+}
