--- /dev/null
+++ b/core/src/admit.rs
@@ -0,0 +1,167 @@
+//! Admission: whether a request is taken, and in whose name and how urgently.
+
+use std::time::Duration;
+
+use crate::catalog::Catalog;
+use crate::code::Code;
+use crate::flow::Lane;
+use crate::queue::Ticket;
+use crate::request::{Arrival, Subject};
+use crate::route::Work;
+use crate::rules::{Caller, Priority};
+use crate::state::State;
+use crate::time::Time;
+
+/// When to come back where nothing better is known.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The shortest and the longest time after which callers are told to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
+/// The name of whoever calls where no callers are listed.
+const ANONYMOUS: &str = "anonymous";
+/// Entry VMs that a request may have passed before.
+const HOPS_MAX: u8 = 1;
+/// Tokens that count as one unit against a caller's share.
+const TOKENS_PER_UNIT: u32 = 64;
+
+/// A request that is taken.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    /// What it is for.
+    pub work: Work,
+    /// Its place in the line.
+    pub ticket: Ticket,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+}
+
+/// A request that is not taken.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refused {
+    /// Why.
+    pub code: Code,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+impl From<Code> for Refused {
+    fn from(code: Code) -> Self {
+        Self { code, retry_after: RETRY_AFTER }
+    }
+}
+
+/// Takes a request or refuses it. One that cannot be answered in time is refused at once.
+pub(crate) fn admit(state: &State, now: Time, arrival: &Arrival) -> Result<Admitted, Refused> {
+    if state.drain.stopping() {
+        return Err(Code::Stopping.into());
+    }
+    if state.config.version == 0 {
+        return Err(Code::NotReady.into());
+    }
+    if arrival.hops > HOPS_MAX {
+        return Err(Code::TooManyHops.into());
+    }
+    let catalog = &state.config.catalog;
+    let caller = arrival.token_sha256.as_deref().and_then(|token| catalog.caller(token));
+    if caller.is_none() && !catalog.is_open() {
+        return Err(Code::Unauthenticated.into());
+    }
+    let (work, idempotent) = subject(catalog, caller, &arrival.subject)?;
+    let ticket = ticket(arrival, caller);
+    limits(state, &work, &ticket, caller)?;
+    if now >= arrival.deadline {
+        return Err(Code::DeadlineUnreachable.into());
+    }
+    if let Some(lane) = state.flow.lanes.get(&work) {
+        in_time(lane, now, &ticket)?;
+    }
+    Ok(Admitted { work, ticket, idempotent: arrival.idempotent.unwrap_or(idempotent) })
+}
+
+fn subject(catalog: &Catalog, caller: Option<&Caller>, subject: &Subject) -> Result<(Work, bool), Code> {
+    let (name, work, idempotent) = match subject {
+        Subject::Model(target) => {
+            let entry = catalog.resolve(target).ok_or(Code::UnknownModel)?;
+            (&target.model, Work::Artifact(entry.artifact.clone()), true)
+        }
+        Subject::Service(name) => {
+            let service = catalog.services.get(name).ok_or(Code::UnknownService)?;
+            (name, Work::Service(name.clone()), service.idempotent)
+        }
+    };
+    let reaches = caller.is_none_or(|caller| caller.reach.is_empty() || caller.reach.contains(name));
+    if reaches { Ok((work, idempotent)) } else { Err(Code::Forbidden) }
+}
+
+fn ticket(arrival: &Arrival, caller: Option<&Caller>) -> Ticket {
+    let most_urgent = caller.map_or(Priority::default(), |caller| caller.priority);
+    let priority = arrival.priority.map_or(most_urgent, |asked| asked.max(most_urgent));
+    let cost = match arrival.subject {
+        Subject::Model(_) => arrival.max_tokens.div_ceil(TOKENS_PER_UNIT).max(1),
+        Subject::Service(_) => 1,
+    };
+    Ticket {
+        request: arrival.id,
+        caller: caller.map_or_else(|| ANONYMOUS.into(), |caller| caller.name.clone()),
+        weight: caller.map_or(1, |caller| caller.weight),
+        priority,
+        deadline: arrival.deadline,
+        cost,
+    }
+}
+
+/// The part of all requests that a priority may fill, in hundredths: the rest is kept for the more urgent.
+const fn part(priority: Priority) -> usize {
+    match priority {
+        Priority::Urgent => 100,
+        Priority::High => 95,
+        Priority::Normal => 90,
+        Priority::Deferrable => 70,
+    }
+}
+
+fn limits(state: &State, work: &Work, ticket: &Ticket, caller: Option<&Caller>) -> Result<(), Refused> {
+    let open_max = state.settings.open_max as usize;
+    if state.flow.open() * 100 >= open_max * part(ticket.priority) {
+        return Err(Code::EntryFull.into());
+    }
+    let Some(caller) = caller else {
+        return Ok(());
+    };
+    let limit = caller.open_limit.unwrap_or(state.settings.caller_open_max);
+    if state.flow.open_of(&caller.name) < limit {
+        return Ok(());
+    }
+    let pace = state.flow.lanes.get(work).and_then(|lane| lane.pace.mean());
+    let retry_after = pace.map_or(RETRY_AFTER, |pace| clamp(pace / limit.max(1)));
+    Err(Refused { code: Code::CallerLimit, retry_after })
+}
+
+/// Refuses a request whose turn would come too late, by the time that requests take and the number that
+/// run at once. Nothing is predicted while none runs, as when the model is being loaded.
+fn in_time(lane: &Lane, now: Time, ticket: &Ticket) -> Result<(), Refused> {
+    let Some(wait) = lane.wait(lane.queue.ahead(ticket.priority)) else {
+        return Ok(());
+    };
+    let needed = wait + lane.pace.least();
+    let left = ticket.deadline.since(now);
+    if needed <= left {
+        return Ok(());
+    }
+    Err(Refused { code: Code::DeadlineUnreachable, retry_after: clamp(needed.saturating_sub(left)) })
+}
+
+/// When a request that found a line full may come back: when half of it will have been served.
+pub(crate) fn full(lane: &Lane) -> Refused {
+    let wait = lane.wait(lane.queue.len() / 2);
+    Refused { code: Code::QueueFull, retry_after: wait.map_or(RETRY_AFTER, clamp) }
+}
+
+/// When a request that gave up its place may come back: when all that waits will have been served.
+pub(crate) fn preempted(lane: &Lane) -> Duration {
+    lane.wait(lane.queue.len()).map_or(RETRY_AFTER, clamp)
+}
+
+fn clamp(wait: Duration) -> Duration {
+    wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+}
--- a/core/src/attempt.rs
+++ b/core/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::artifact::Artifact;
 use crate::id;
 use crate::name::Name;
+use crate::rules::Priority;
 use crate::time::Time;
 
 /// A try to be sent to a back end. The edge adds the body it kept for the request.
@@ -24,6 +25,8 @@
     pub resume: Resume,
     /// When an answer is of no more use.
     pub deadline: Time,
+    /// How urgent it is, for engines that work by priority.
+    pub priority: Priority,
     /// Whether it must go out on a connection opened for it.
     pub fresh: bool,
 }
--- a/core/src/catalog.rs
+++ b/core/src/catalog.rs
@@ -106,6 +106,11 @@
         self.entries.get(*index)
     }
 
+    /// What is declared of an artifact, if it is.
+    pub(crate) fn entry(&self, artifact: &Artifact) -> Option<&Entry> {
+        self.by_artifact.get(artifact).and_then(|index| self.entries.get(*index))
+    }
+
     /// The caller with a token's digest.
     pub(crate) fn caller(&self, token_sha256: &str) -> Option<&Caller> {
         self.callers.get(token_sha256)
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -94,7 +94,7 @@
     if first && !state.drain.leaving() {
         out.push(Effect::Ready(true));
     }
-    crate::flow::dispatch_all(state, now, out);
+    crate::index::configured(state, now, out);
 }
 
 /// Accepts an operator's configuration, if nothing speaks against it.
--- /dev/null
+++ b/core/src/dispatch.rs
@@ -0,0 +1,193 @@
+//! Sending requests whose turn has come to back ends that have room.
+
+use std::time::Duration;
+
+use crate::attempt::{Destination, Resume, Send};
+use crate::code::Code;
+use crate::effect::Effect;
+use crate::end::End;
+use crate::flow::{self, Stage, Try};
+use crate::id;
+use crate::name::Name;
+use crate::route::{Choice, Site, Wanted, Work};
+use crate::spill::{self, Peer};
+use crate::state::State;
+use crate::time::Time;
+use crate::timer::Timer;
+
+/// Longest time between two tokens that a whole answer is given, as a multiple of the target.
+const TOKEN_GAPS: u32 = 2;
+
+/// Where a try goes.
+#[derive(Debug)]
+enum Target {
+    /// A back end of our own.
+    Site(Site),
+    /// An entry VM of another availability zone.
+    Peer(Peer),
+}
+
+/// Puts a request in its line and sends what can be sent from there.
+pub(crate) fn enqueue(state: &mut State, now: Time, id: id::Request, out: &mut Vec<Effect>) {
+    let Some(work) = state.flow.flows.get(&id).map(|flow| flow.work.clone()) else {
+        return;
+    };
+    state.flow.push(id);
+    lane(state, now, &work, out);
+}
+
+/// A request's next try is due.
+pub(crate) fn retry(state: &mut State, now: Time, id: id::Request, out: &mut Vec<Effect>) {
+    let paused = state.flow.flows.get(&id).is_some_and(|flow| matches!(flow.stage, Stage::Paused(_)));
+    if paused {
+        enqueue(state, now, id, out);
+    }
+}
+
+/// Sends waiting requests of all kinds.
+pub(crate) fn all(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    for work in state.flow.wanted() {
+        lane(state, now, &work, out);
+    }
+}
+
+/// Sends waiting requests that a back end may have room for, the most urgent first.
+pub(crate) fn at(state: &mut State, now: Time, backend: &Name, out: &mut Vec<Effect>) {
+    if state.flow.queued() == 0 {
+        return;
+    }
+    let Some(facts) = state.routes.site(backend).and_then(|site| state.routes.facts(site)) else {
+        return;
+    };
+    let mut wanted: Vec<_> = facts
+        .works
+        .iter()
+        .filter_map(|work| Some((state.flow.lanes.get(work)?.queue.urgency()?, work.clone())))
+        .collect();
+    wanted.sort_unstable();
+    for (_, work) in wanted {
+        lane(state, now, &work, out);
+    }
+}
+
+/// Sends waiting requests for one model or service, in their order, while there is room.
+pub(crate) fn lane(state: &mut State, now: Time, work: &Work, out: &mut Vec<Effect>) {
+    while let Some(id) = state.flow.lanes.get(work).and_then(|lane| lane.queue.peek()) {
+        match target(state, now, id) {
+            Ok(target) => {
+                state.flow.serve(id);
+                send(state, now, id, &target, out);
+            }
+            Err(Some(code)) => refuse(state, now, id, code, out),
+            Err(None) => return,
+        }
+    }
+}
+
+/// Where a request is to go; else the code to end it with, or none if it is to wait.
+fn target(state: &mut State, now: Time, id: id::Request) -> Result<Target, Option<Code>> {
+    let Some(flow) = state.flow.flows.get(&id) else {
+        return Err(None);
+    };
+    let Some(lane) = state.flow.lanes.get(&flow.work) else {
+        return Err(None);
+    };
+    if flow.tries == 0 && now + lane.pace.least() >= flow.ticket.deadline {
+        return Err(Some(Code::DeadlineUnreachable));
+    }
+    let wanted =
+        Wanted { work: &flow.work, prefix: &flow.prefix, avoid: &flow.avoid, priority: flow.ticket.priority };
+    let choice = state.routes.pick(&mut state.rng, now, &wanted);
+    match (choice, &flow.work) {
+        (Choice::Site(site), _) => Ok(Target::Site(site)),
+        (Choice::Full | Choice::Absent, Work::Artifact(_)) => {
+            let absent = choice == Choice::Absent;
+            spill::peer(state, now, flow, absent).map(Target::Peer).ok_or(None)
+        }
+        (Choice::Full, Work::Service(_)) => Err(None),
+        (Choice::Absent, Work::Service(_)) => Err(Some(Code::NoBackend)),
+    }
+}
+
+fn refuse(state: &mut State, now: Time, id: id::Request, code: Code, out: &mut Vec<Effect>) {
+    let Some(flow) = state.flow.flows.get(&id) else {
+        return;
+    };
+    let mean = state.flow.lanes.get(&flow.work).and_then(|lane| lane.pace.mean());
+    let wait = mean.filter(|_| code == Code::DeadlineUnreachable).unwrap_or(crate::admit::RETRY_AFTER);
+    let end = End::failed(flow.exposure, code, Some(wait));
+    flow::end(state, now, id, end, out);
+}
+
+/// Takes an answer up again at the back end that holds it, without waiting in line.
+pub(crate) fn resume(state: &mut State, now: Time, id: id::Request, backend: &Name, out: &mut Vec<Effect>) {
+    if let Some(site) = state.routes.site(backend) {
+        send(state, now, id, &Target::Site(site), out);
+        return;
+    }
+    if let Some(flow) = state.flow.flows.get_mut(&id) {
+        flow.resume = elsewhere(flow.delivered);
+    }
+    enqueue(state, now, id, out);
+}
+
+/// Where a try at another back end begins.
+pub(crate) const fn elsewhere(delivered: u64) -> Resume {
+    if delivered == 0 { Resume::Start } else { Resume::Continue { offset: delivered } }
+}
+
+fn send(state: &mut State, now: Time, id: id::Request, target: &Target, out: &mut Vec<Effect>) {
+    let Some(flow) = state.flow.flows.get_mut(&id) else {
+        return;
+    };
+    let (backend, address, to) = match target {
+        Target::Site(site) => {
+            let Some(facts) = state.routes.facts(*site) else {
+                return;
+            };
+            let to = match &flow.work {
+                Work::Artifact(artifact) => Destination::Engine(artifact.clone()),
+                Work::Service(name) => Destination::Service(name.clone()),
+            };
+            (facts.name.clone(), facts.address, to)
+        }
+        Target::Peer(peer) => (peer.name.clone(), peer.address, Destination::Peer),
+    };
+    let lane = state.flow.lanes.entry(flow.work.clone()).or_default();
+    lane.open += 1;
+    let mut patience = state.settings.first_byte;
+    if let Target::Site(site) = target {
+        patience += lane.pace.mean().unwrap_or_default().mul_f32(state.routes.excess(*site));
+        state.routes.open_try(*site, &flow.work, &flow.prefix);
+    }
+    if !flow.stream && !matches!(to, Destination::Service(_)) {
+        let gap_ms = state.config.document.rules.weights.token_gap_ms;
+        patience += Duration::from_millis(u64::from(gap_ms)) * TOKEN_GAPS * flow.max_tokens;
+    }
+    flow.tries += 1;
+    flow.exposure.send();
+    let attempt = id::Attempt { request: id, n: flow.tries };
+    let resumed = matches!(flow.resume, Resume::Same { .. });
+    flow.stage = Stage::Open(Try {
+        attempt,
+        backend: backend.clone(),
+        to: to.clone(),
+        sent: now,
+        progress: now,
+        headed: false,
+        resumed,
+        from: flow.delivered,
+        patience,
+        watch: state.timers.set(now + patience, Timer::Silence(attempt)),
+    });
+    out.push(Effect::Send(Box::new(Send {
+        attempt,
+        backend,
+        address,
+        to,
+        resume: flow.resume,
+        deadline: flow.ticket.deadline,
+        priority: flow.ticket.priority,
+        fresh: resumed || flow.strikes > 0,
+    })));
+}
--- a/core/src/end.rs
+++ b/core/src/end.rs
@@ -1,6 +1,9 @@
 //! How a request ended, and the proof that it takes to say that it was not run.
 
-use crate::code::{Code, Outcome};
+use std::time::Duration;
+
+use crate::attempt::Failure;
+use crate::code::{Code, Outcome, Retry};
 use crate::id;
 
 /// What the tries of a request, taken together, may have done.
@@ -16,8 +19,8 @@
         self.sent += 1;
     }
 
-    /// A try certainly did not run: no byte of it left, or the back end said so.
-    pub(crate) fn disprove(&mut self) {
+    /// A try certainly did not run.
+    pub(crate) fn disprove(&mut self, _evidence: Evidence) {
         self.disproved += 1;
     }
 
@@ -27,6 +30,20 @@
     }
 }
 
+/// Evidence that one try did not run: no byte of it left, or the back end itself said so.
+#[derive(Debug)]
+pub struct Evidence(());
+
+impl Evidence {
+    /// The evidence that lies in how a try failed, if there is any.
+    pub(crate) const fn of(failure: Failure) -> Option<Self> {
+        match failure {
+            Failure::Connect | Failure::Refused(_) => Some(Self(())),
+            Failure::Broken | Failure::Error | Failure::Foreign | Failure::Forgotten => None,
+        }
+    }
+}
+
 /// Proof that no back end ran a request. Only [`Exposure::proof`] makes one.
 #[derive(Debug)]
 pub struct NotRun(());
@@ -46,8 +63,10 @@
         Self { code: Code::Ok, outcome: Outcome::Answered, attempt: Some(attempt), retry_after_ms: None }
     }
 
-    /// No back end ran it.
-    pub(crate) const fn not_run(_proof: &NotRun, code: Code, retry_after_ms: Option<u64>) -> Self {
+    /// No back end ran it. A caller that may come back is told when.
+    pub(crate) fn not_run(_proof: &NotRun, code: Code, retry_after: Option<Duration>) -> Self {
+        let retry_after_ms = retry_after.filter(|_| code.retry() == Retry::Later);
+        let retry_after_ms = retry_after_ms.map(|wait| wait.as_millis() as u64);
         Self { code, outcome: Outcome::NotRun, attempt: None, retry_after_ms }
     }
 
@@ -57,9 +76,9 @@
     }
 
     /// Ends with `code`: not run where `exposure` proves it, else unknown.
-    pub(crate) fn failed(exposure: Exposure, code: Code, retry_after_ms: Option<u64>) -> Self {
+    pub(crate) fn failed(exposure: Exposure, code: Code, retry_after: Option<Duration>) -> Self {
         match exposure.proof() {
-            Some(proof) => Self::not_run(&proof, code, retry_after_ms),
+            Some(proof) => Self::not_run(&proof, code, retry_after),
             None => Self::unknown(code),
         }
     }
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -30,8 +30,6 @@
     pub report: Option<Report>,
     /// When that came.
     pub reported_at: Option<Time>,
-    /// Own tries open there.
-    pub own: u32,
     /// Artifacts that nothing more may be sent for, since they are about to be dropped.
     pub closing: Vec<Artifact>,
     /// Cache events were taken up to this number.
@@ -51,12 +49,6 @@
     pub(crate) fn takes_work(&self) -> bool {
         self.phase == Phase::Live && !self.report.as_ref().is_some_and(|report| report.draining)
     }
-
-    /// Requests there as far as known: those reported, or our own if they are more.
-    pub(crate) fn load(&self) -> u32 {
-        let reported = self.report.as_ref().map_or(0, |report| report.running + report.waiting);
-        reported.max(self.own)
-    }
 }
 
 /// All backend servers, and the other entry VMs by the VM list.
@@ -91,7 +83,6 @@
                         phase: vm.phase,
                         report: None,
                         reported_at: None,
-                        own: 0,
                         closing: Vec::new(),
                         cache_seq: 0,
                     }
@@ -123,8 +114,9 @@
     if !state.fleet.report(now, report.clone()) {
         return;
     }
+    crate::index::reported(state, now, report);
     crate::ledger::reported(state, report, out);
-    crate::flow::dispatch_all(state, now, out);
+    crate::dispatch::at(state, now, &report.engine, out);
 }
 
 /// The VM list came.
@@ -132,7 +124,8 @@
     for fresh in state.fleet.list(vms) {
         state.timers.set(now, Timer::Poll(fresh));
     }
-    crate::flow::dispatch_all(state, now, out);
+    crate::index::listed(state, now);
+    crate::dispatch::all(state, now, out);
 }
 
 /// An engine is to be asked for its report.
--- a/core/src/flow.rs
+++ b/core/src/flow.rs
@@ -1,49 +1,133 @@
 //! Requests under way: from arrival through their tries to their one end.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 
-use crate::attempt::{Destination, Failure, Refusal, Resume, Send};
+use crate::admit::{self, Admitted, Refused};
+use crate::attempt::{Destination, Resume};
 use crate::code::Code;
-use crate::count::Reason;
+use crate::dispatch;
 use crate::effect::Effect;
 use crate::end::{End, Exposure};
 use crate::id;
 use crate::name::Name;
-use crate::request::{Arrival, Subject};
-use crate::route::{self, Work};
+use crate::pace::Pace;
+use crate::queue::{Queue, Ticket};
+use crate::request::Arrival;
+use crate::route::Work;
 use crate::state::State;
 use crate::time::Time;
-use crate::timer::Timer;
+use crate::timer::{Handle, Timer};
 
 /// A request that has not ended.
 #[derive(Debug)]
-struct Flow {
-    arrival: Arrival,
-    work: Work,
-    idempotent: bool,
-    exposure: Exposure,
-    tries: u16,
-    current: Option<Try>,
-    delivered: u64,
-    avoid: Vec<Name>,
+pub(crate) struct Flow {
+    /// Its place in the line, for when it waits.
+    pub ticket: Ticket,
+    /// What it is for.
+    pub work: Work,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Whether its answer is passed on as it comes.
+    pub stream: bool,
+    /// Entry VMs it passed before this one.
+    pub hops: u8,
+    /// Chained hashes of the prompt's leading blocks.
+    pub prefix: Box<[u64]>,
+    /// Tokens asked for at most.
+    pub max_tokens: u32,
+    /// What its tries may have done.
+    pub exposure: Exposure,
+    /// Tries sent.
+    pub tries: u16,
+    /// Tries that failed in a row without progress.
+    pub strikes: u16,
+    /// Events of its stream passed on.
+    pub delivered: u64,
+    /// Whether a whole answer is being passed on already, so that it cannot be had from elsewhere.
+    pub committed: bool,
+    /// Where its next try begins.
+    pub resume: Resume,
+    /// Back ends that failed it.
+    pub avoid: Vec<Name>,
+    /// Where it stands.
+    pub stage: Stage,
+    expiry: Handle,
 }
 
-/// The try that is open.
+/// Where a request stands.
 #[derive(Debug)]
-struct Try {
-    attempt: id::Attempt,
-    backend: Name,
-    progress: Time,
-    headed: bool,
+pub(crate) enum Stage {
+    /// In its line.
+    Waiting,
+    /// Until its next try.
+    Paused(Handle),
+    /// With a try open.
+    Open(Try),
+}
+
+/// A try that is open.
+#[derive(Debug)]
+pub(crate) struct Try {
+    /// Its id.
+    pub attempt: id::Attempt,
+    /// The back end's VM name, or the peer's.
+    pub backend: Name,
+    /// What kind of back end it is.
+    pub to: Destination,
+    /// When it was sent.
+    pub sent: Time,
+    /// When something last came.
+    pub progress: Time,
+    /// Whether the head of the answer came, with the right id.
+    pub headed: bool,
+    /// Whether it takes up an earlier one.
+    pub resumed: bool,
+    /// Events passed on before it.
+    pub from: u64,
+    /// Time it may take to the head of its answer.
+    pub patience: Duration,
+    /// The next look at whether it has gone silent.
+    pub watch: Handle,
+}
+
+/// Requests for one model or service.
+#[derive(Debug, Default)]
+pub(crate) struct Lane {
+    /// Those that wait.
+    pub queue: Queue,
+    /// Tries open.
+    pub open: u32,
+    /// How long tries take.
+    pub pace: Pace,
+}
+
+impl Lane {
+    /// How long it takes until the request with `ahead` others before it is sent, by the time that
+    /// requests take and the number that run at once; none while that is not known.
+    pub(crate) fn wait(&self, ahead: usize) -> Option<Duration> {
+        if self.queue.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let mean = self.pace.mean()?;
+        (self.open > 0).then(|| mean.mul_f64((ahead + 1) as f64 / f64::from(self.open)))
+    }
+
+    fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.open == 0
+    }
 }
 
 /// All requests under way at this entry VM.
 #[derive(Debug, Default)]
 pub(crate) struct Part {
-    flows: FxHashMap<id::Request, Flow>,
-    queues: BTreeMap<Work, VecDeque<id::Request>>,
+    /// Requests that have not ended.
+    pub flows: FxHashMap<id::Request, Flow>,
+    /// Those for each model or service.
+    pub lanes: FxHashMap<Work, Lane>,
+    callers: FxHashMap<Name, u32>,
+    waiting: usize,
 }
 
 impl Part {
@@ -52,319 +136,171 @@
         self.flows.len()
     }
 
-    /// Requests that wait for a back end.
-    pub(crate) fn queued(&self) -> usize {
-        self.queues.values().map(VecDeque::len).sum()
+    /// Requests of a caller open.
+    pub(crate) fn open_of(&self, caller: &Name) -> u32 {
+        self.callers.get(caller).copied().unwrap_or(0)
     }
 
-    /// Requests that wait for one back end's work.
-    pub(crate) fn waiting(&self, work: &Work) -> usize {
-        self.queues.get(work).map_or(0, VecDeque::len)
+    /// Requests that wait for a back end.
+    pub(crate) const fn queued(&self) -> usize {
+        self.waiting
     }
-}
 
-/// Takes a request, or refuses it at once.
-pub(crate) fn arrive(state: &mut State, now: Time, arrival: Arrival, out: &mut Vec<Effect>) {
-    let id = arrival.id;
-    match admit(state, &arrival) {
-        Ok((work, idempotent)) => {
-            state.timers.set(arrival.deadline, Timer::Deadline(id));
-            let flow = Flow {
-                arrival,
-                work: work.clone(),
-                idempotent,
-                exposure: Exposure::default(),
-                tries: 0,
-                current: None,
-                delivered: 0,
-                avoid: Vec::new(),
-            };
-            state.flow.flows.insert(id, flow);
-            state.flow.queues.entry(work.clone()).or_default().push_back(id);
-            dispatch(state, now, &work, out);
-        }
-        Err(code) => {
-            state.counters.end(code);
-            out.push(Effect::End {
-                request: id,
-                end: End::failed(Exposure::default(), code, retry_after(code)),
-            });
-        }
+    /// Requests that wait for one model or service.
+    pub(crate) fn waiting(&self, work: &Work) -> usize {
+        self.lanes.get(work).map_or(0, |lane| lane.queue.len())
     }
-}
 
-fn admit(state: &State, arrival: &Arrival) -> Result<(Work, bool), Code> {
-    if state.drain.stopping() {
-        return Err(Code::Stopping);
-    }
-    if state.config.version == 0 {
-        return Err(Code::NotReady);
-    }
-    if state.flow.open() >= state.settings.open_max as usize {
-        return Err(Code::EntryFull);
-    }
-    let catalog = &state.config.catalog;
-    let caller = arrival.token_sha256.as_deref().and_then(|token| catalog.caller(token));
-    if caller.is_none() && !catalog.is_open() {
-        return Err(Code::Unauthenticated);
-    }
-    let may_reach =
-        |name: &Name| caller.is_none_or(|caller| caller.reach.is_empty() || caller.reach.contains(name));
-    let (name, work, idempotent) = match &arrival.subject {
-        Subject::Model(target) => {
-            let entry = catalog.resolve(target).ok_or(Code::UnknownModel)?;
-            (&target.model, Work::Artifact(entry.artifact.clone()), true)
+    /// Models and services that requests wait for.
+    pub(crate) fn wanted(&self) -> Vec<Work> {
+        if self.waiting == 0 {
+            return Vec::new();
         }
-        Subject::Service(name) => {
-            let service = catalog.services.get(name).ok_or(Code::UnknownService)?;
-            (name, Work::Service(name.clone()), service.idempotent)
-        }
-    };
-    if !may_reach(name) {
-        return Err(Code::Forbidden);
-    }
-    if state.flow.waiting(&work) >= state.settings.queue_max as usize {
-        return Err(Code::QueueFull);
+        let mut wanted: Vec<Work> = self
+            .lanes
+            .iter()
+            .filter(|(_, lane)| !lane.queue.is_empty())
+            .map(|(work, _)| work.clone())
+            .collect();
+        wanted.sort_unstable();
+        wanted
     }
-    Ok((work, arrival.idempotent.unwrap_or(idempotent)))
-}
-
-fn retry_after(code: Code) -> Option<u64> {
-    const RETRY_AFTER_MS: u64 = 1_000;
-    (code.retry() == crate::code::Retry::Later).then_some(RETRY_AFTER_MS)
-}
 
-/// Sends waiting requests while there are back ends with room.
-pub(crate) fn dispatch(state: &mut State, now: Time, work: &Work, out: &mut Vec<Effect>) {
-    while let Some(id) = state.flow.queues.get(work).and_then(|queue| queue.front().copied()) {
-        let Some(flow) = state.flow.flows.get(&id) else {
-            pop(state, work);
-            continue;
-        };
-        let Some(backend) = route::pick(state, work, &flow.avoid).or_else(|| route::pick(state, work, &[]))
-        else {
+    /// Puts a request in its line.
+    pub(crate) fn push(&mut self, id: id::Request) {
+        let Some(flow) = self.flows.get_mut(&id) else {
             return;
         };
-        pop(state, work);
-        send(state, now, id, &backend, out);
+        flow.stage = Stage::Waiting;
+        self.lanes.entry(flow.work.clone()).or_default().queue.push(&flow.ticket);
+        self.waiting += 1;
     }
-}
 
-fn pop(state: &mut State, work: &Work) {
-    if let Some(queue) = state.flow.queues.get_mut(work) {
-        queue.pop_front();
-        if queue.is_empty() {
-            state.flow.queues.remove(work);
+    /// Takes a request out of its line because its turn has come.
+    pub(crate) fn serve(&mut self, id: id::Request) {
+        let Some(flow) = self.flows.get(&id) else {
+            return;
+        };
+        if let Some(lane) = self.lanes.get_mut(&flow.work) {
+            lane.queue.serve(&flow.ticket);
+            self.waiting = self.waiting.saturating_sub(1);
         }
     }
-}
 
-/// Sends waiting requests of all kinds while there are back ends with room.
-pub(crate) fn dispatch_all(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    let works: Vec<Work> = state.flow.queues.keys().cloned().collect();
-    for work in works {
-        dispatch(state, now, &work, out);
+    /// Forgets models and services for which nothing is under way and that are not `declared` any more.
+    pub(crate) fn prune(&mut self, declared: impl Fn(&Work) -> bool) {
+        self.lanes.retain(|work, lane| !lane.is_idle() || declared(work));
     }
-}
-
-fn send(state: &mut State, now: Time, id: id::Request, backend: &Name, out: &mut Vec<Effect>) {
-    let (Some(flow), Some(backend)) = (state.flow.flows.get_mut(&id), state.fleet.backends.get_mut(backend))
-    else {
-        return;
-    };
-    flow.tries += 1;
-    flow.exposure.send();
-    backend.own += 1;
-    let attempt = id::Attempt { request: id, n: flow.tries };
-    let resume =
-        if flow.delivered == 0 { Resume::Start } else { Resume::Continue { offset: flow.delivered } };
-    let to = match &flow.work {
-        Work::Artifact(artifact) => Destination::Engine(artifact.clone()),
-        Work::Service(name) => Destination::Service(name.clone()),
-    };
-    flow.current = Some(Try { attempt, backend: backend.name.clone(), progress: now, headed: false });
-    state.timers.set(now + state.settings.first_byte, Timer::Silence(attempt));
-    out.push(Effect::Send(Box::new(Send {
-        attempt,
-        backend: backend.name.clone(),
-        address: backend.address,
-        to,
-        resume,
-        deadline: flow.arrival.deadline,
-        fresh: false,
-    })));
-}
 
-/// The head of an answer came.
-pub(crate) fn head(
-    state: &mut State,
-    now: Time,
-    attempt: id::Attempt,
-    echo: Option<id::Attempt>,
-    out: &mut Vec<Effect>,
-) {
-    if echo != Some(attempt) {
-        state.counters.foreign += 1;
-        out.push(Effect::Cancel(attempt));
-        failed(state, now, attempt, Failure::Foreign, out);
-        return;
+    fn close_lane(&mut self, work: &Work) {
+        if let Some(lane) = self.lanes.get_mut(work) {
+            lane.open = lane.open.saturating_sub(1);
+        }
     }
-    if let Some(current) = current(state, attempt) {
-        current.headed = true;
-        current.progress = now;
+
+    fn leave(&mut self, flow: &Flow) {
+        if let Some(lane) = self.lanes.get_mut(&flow.work)
+            && lane.queue.remove(&flow.ticket)
+        {
+            self.waiting = self.waiting.saturating_sub(1);
+        }
+        if let Some(open) = self.callers.get_mut(&flow.ticket.caller) {
+            *open -= 1;
+            if *open == 0 {
+                self.callers.remove(&flow.ticket.caller);
+            }
+        }
     }
 }
 
-fn current(state: &mut State, attempt: id::Attempt) -> Option<&mut Try> {
-    let found = state
-        .flow
-        .flows
-        .get_mut(&attempt.request)
-        .and_then(|flow| flow.current.as_mut())
-        .filter(|current| current.attempt == attempt);
-    if found.is_none() {
-        state.counters.stale += 1;
+/// Takes a request, or refuses it at once.
+pub(crate) fn arrive(state: &mut State, now: Time, arrival: Arrival, out: &mut Vec<Effect>) {
+    let id = arrival.id;
+    let admitted = admit::admit(state, now, &arrival)
+        .and_then(|admitted| make_room(state, now, &admitted, out).map(|()| admitted));
+    match admitted {
+        Ok(admitted) => {
+            open(state, arrival, admitted);
+            dispatch::enqueue(state, now, id, out);
+        }
+        Err(refused) => refuse(state, id, refused, out),
     }
-    found
 }
 
-/// One event of a streamed answer came.
-pub(crate) fn chunk(state: &mut State, now: Time, attempt: id::Attempt, offset: u64, out: &mut Vec<Effect>) {
-    let Some(current) = current(state, attempt) else {
-        return;
-    };
-    current.progress = now;
-    let Some(flow) = state.flow.flows.get_mut(&attempt.request) else {
-        return;
-    };
-    if offset < flow.delivered {
-        state.counters.repeated += 1;
-        return;
-    }
-    if offset > flow.delivered {
-        out.push(Effect::Cancel(attempt));
-        failed(state, now, attempt, Failure::Broken, out);
-        return;
-    }
-    flow.delivered += 1;
-    out.push(Effect::Deliver { attempt, offset });
+fn refuse(state: &mut State, id: id::Request, refused: Refused, out: &mut Vec<Effect>) {
+    state.counters.end(refused.code);
+    let end = End::failed(Exposure::default(), refused.code, Some(refused.retry_after));
+    out.push(Effect::End { request: id, end });
 }
 
-/// An answer came to its explicit end.
-pub(crate) fn finished(
-    state: &mut State,
-    now: Time,
-    attempt: id::Attempt,
-    length: u64,
-    out: &mut Vec<Effect>,
-) {
-    if current(state, attempt).is_none() {
-        return;
-    }
-    let missing = state
-        .flow
-        .flows
-        .get(&attempt.request)
-        .is_some_and(|flow| flow.arrival.stream && flow.delivered != length);
-    if missing {
-        failed(state, now, attempt, Failure::Broken, out);
-        return;
-    }
-    end(state, now, attempt.request, End::answered(attempt), out);
+fn open(state: &mut State, arrival: Arrival, admitted: Admitted) {
+    let expiry = state.timers.set(arrival.deadline, Timer::Deadline(arrival.id));
+    *state.flow.callers.entry(admitted.ticket.caller.clone()).or_default() += 1;
+    let flow = Flow {
+        ticket: admitted.ticket,
+        work: admitted.work,
+        idempotent: admitted.idempotent,
+        stream: arrival.stream,
+        hops: arrival.hops,
+        prefix: arrival.prefix.into_boxed_slice(),
+        max_tokens: arrival.max_tokens,
+        exposure: Exposure::default(),
+        tries: 0,
+        strikes: 0,
+        delivered: 0,
+        committed: false,
+        resume: Resume::Start,
+        avoid: Vec::new(),
+        stage: Stage::Waiting,
+        expiry,
+    };
+    state.flow.flows.insert(arrival.id, flow);
 }
 
-/// A try failed: try again where that is safe, else end the request.
-pub(crate) fn failed(
+/// Sees to it that there is room in the line, if need be at the cost of a request that waits.
+fn make_room(
     state: &mut State,
     now: Time,
-    attempt: id::Attempt,
-    failure: Failure,
+    admitted: &Admitted,
     out: &mut Vec<Effect>,
-) {
-    if current(state, attempt).is_none() {
-        return;
-    }
-    let (reason, harmless, code) = judge(failure);
-    release(state, attempt.request);
-    let attempts_max = state.settings.attempts_max;
-    let Some(flow) = state.flow.flows.get_mut(&attempt.request) else {
-        return;
+) -> Result<(), Refused> {
+    let Some(lane) = state.flow.lanes.get(&admitted.work) else {
+        return Ok(());
     };
-    if harmless {
-        flow.exposure.disprove();
-    }
-    let may_repeat = harmless || flow.idempotent;
-    if !may_repeat || flow.tries >= attempts_max {
-        let code = if harmless { Code::RetriesSpent } else { code };
-        let end_with = End::failed(flow.exposure, code, retry_after(code));
-        end(state, now, attempt.request, end_with, out);
-        return;
-    }
-    state.counters.retry(reason);
-    let wait = state.settings.backoff_base * u32::from(flow.tries);
-    state.timers.set(now + wait.mul_f64(state.rng.f64()), Timer::Retry(attempt.request));
-}
-
-fn judge(failure: Failure) -> (Reason, bool, Code) {
-    match failure {
-        Failure::Connect => (Reason::Connect, true, Code::RetriesSpent),
-        Failure::Refused(Refusal::Busy) => (Reason::Busy, true, Code::BackendRefused),
-        Failure::Refused(Refusal::Leaving) => (Reason::Leaving, true, Code::BackendRefused),
-        Failure::Refused(Refusal::NotLoaded) => (Reason::NotLoaded, true, Code::BackendRefused),
-        Failure::Refused(Refusal::Late) => (Reason::Late, true, Code::BackendRefused),
-        Failure::Broken => (Reason::Broken, false, Code::Interrupted),
-        Failure::Error => (Reason::Error, false, Code::BackendFailed),
-        Failure::Foreign => (Reason::Foreign, false, Code::BackendFailed),
-        Failure::Forgotten => (Reason::Forgotten, false, Code::Interrupted),
+    if lane.queue.len() < state.settings.queue_max as usize {
+        return Ok(());
     }
-}
-
-fn release(state: &mut State, id: id::Request) {
-    let Some(closed) = state.flow.flows.get_mut(&id).and_then(|flow| {
-        let closed = flow.current.take()?;
-        flow.avoid.push(closed.backend.clone());
-        Some(closed)
-    }) else {
-        return;
+    let unproven =
+        |id: &id::Request| state.flow.flows.get(id).and_then(|flow| flow.exposure.proof()).is_none();
+    let Some(victim) = lane.queue.displaced(&admitted.ticket).filter(|id| !unproven(id)) else {
+        return Err(admit::full(lane));
     };
-    if let Some(backend) = state.fleet.backends.get_mut(&closed.backend) {
-        backend.own = backend.own.saturating_sub(1);
-    }
+    let retry_after = admit::preempted(lane);
+    let exposure = state.flow.flows.get(&victim).map(|flow| flow.exposure).unwrap_or_default();
+    end(state, now, victim, End::failed(exposure, Code::Preempted, Some(retry_after)), out);
+    Ok(())
 }
 
-/// A request's next try is due.
-pub(crate) fn retry(state: &mut State, now: Time, id: id::Request, out: &mut Vec<Effect>) {
-    let Some(work) =
-        state.flow.flows.get(&id).filter(|flow| flow.current.is_none()).map(|flow| flow.work.clone())
-    else {
-        return;
+/// Closes the try that is open, if it is this one.
+pub(crate) fn close(state: &mut State, attempt: id::Attempt) -> Option<Try> {
+    let flow = state.flow.flows.get_mut(&attempt.request);
+    let is_open = flow
+        .as_ref()
+        .is_some_and(|flow| matches!(&flow.stage, Stage::Open(current) if current.attempt == attempt));
+    let (Some(flow), true) = (flow, is_open) else {
+        state.counters.stale += 1;
+        return None;
     };
-    state.flow.queues.entry(work.clone()).or_default().push_front(id);
-    dispatch(state, now, &work, out);
-}
-
-/// A look at whether an attempt has gone silent.
-pub(crate) fn silence(state: &mut State, now: Time, attempt: id::Attempt, out: &mut Vec<Effect>) {
-    let Some(open) = state
-        .flow
-        .flows
-        .get(&attempt.request)
-        .and_then(|flow| flow.current.as_ref())
-        .filter(|current| current.attempt == attempt)
-    else {
-        return;
+    let Stage::Open(closed) = std::mem::replace(&mut flow.stage, Stage::Waiting) else {
+        return None;
     };
-    let limit = if open.headed { state.settings.idle } else { state.settings.first_byte };
-    let due = open.progress + limit;
-    if due > now {
-        state.timers.set(due, Timer::Silence(attempt));
-        return;
-    }
-    if let Some(backend) = state.fleet.backends.get(&open.backend) {
-        out.push(Effect::Retire(backend.address));
+    let work = flow.work.clone();
+    state.timers.cancel(closed.watch);
+    state.flow.close_lane(&work);
+    if let Some(site) = state.routes.site(&closed.backend) {
+        state.routes.close_try(site, &work);
     }
-    out.push(Effect::Cancel(attempt));
-    failed(state, now, attempt, Failure::Broken, out);
+    Some(closed)
 }
 
 /// A request's deadline passed.
@@ -381,23 +317,34 @@
     let Some(flow) = state.flow.flows.get(&id) else {
         return;
     };
-    if let Some(current) = &flow.current {
-        out.push(Effect::Cancel(current.attempt));
-    }
     let end_with = End::failed(flow.exposure, code, None);
     end(state, now, id, end_with, out);
 }
 
-fn end(state: &mut State, now: Time, id: id::Request, end: End, out: &mut Vec<Effect>) {
-    release(state, id);
+/// Ends a request, with the try that is still open.
+pub(crate) fn end(state: &mut State, now: Time, id: id::Request, end: End, out: &mut Vec<Effect>) {
+    let open = state.flow.flows.get(&id).and_then(|flow| match &flow.stage {
+        Stage::Open(current) => Some(current.attempt),
+        Stage::Waiting | Stage::Paused(_) => None,
+    });
+    let closed = open.and_then(|attempt| close(state, attempt));
     let Some(flow) = state.flow.flows.remove(&id) else {
         return;
     };
-    if let Some(queue) = state.flow.queues.get_mut(&flow.work) {
-        queue.retain(|each| *each != id);
+    state.timers.cancel(flow.expiry);
+    if let Stage::Paused(pause) = flow.stage {
+        state.timers.cancel(pause);
     }
+    state.flow.leave(&flow);
     state.counters.end(end.code());
+    if let Some(closed) = &closed
+        && end.attempt() != Some(closed.attempt)
+    {
+        out.push(Effect::Cancel(closed.attempt));
+    }
     out.push(Effect::End { request: id, end });
-    dispatch(state, now, &flow.work, out);
+    if let Some(closed) = closed {
+        dispatch::at(state, now, &closed.backend, out);
+    }
     crate::drain::settle(state, out);
 }
--- /dev/null
+++ b/core/src/index.rs
@@ -0,0 +1,141 @@
+//! Keeps the routes in step with the VM list, the reports and what tries bring to light.
+
+use crate::artifact::Artifact;
+use crate::attempt::{Destination, Failure, Refusal};
+use crate::dispatch;
+use crate::effect::Effect;
+use crate::engine::{CacheUpdate, Report, Stage};
+use crate::fleet::Backend;
+use crate::flow::Try;
+use crate::inventory::Kind;
+use crate::member;
+use crate::name::Name;
+use crate::peer::Item;
+use crate::retry::Trouble;
+use crate::route::{Facts, Work};
+use crate::state::State;
+use crate::time::Time;
+
+/// The VM list or the configuration changed.
+pub(crate) fn listed(state: &mut State, now: Time) {
+    let backends = &state.fleet.backends;
+    let fresh = !state.routes.is_empty();
+    state.routes.retain(|name| backends.contains_key(name));
+    let all: Vec<Facts> = backends.values().map(|backend| facts(state, backend)).collect();
+    for each in all {
+        state.routes.set(now, each, fresh);
+    }
+}
+
+/// Another configuration is in force.
+pub(crate) fn configured(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    listed(state, now);
+    let catalog = &state.config.catalog;
+    state.flow.prune(|work| match work {
+        Work::Artifact(artifact) => catalog.entry(artifact).is_some(),
+        Work::Service(name) => catalog.services.contains_key(name),
+    });
+    dispatch::all(state, now, out);
+}
+
+/// What is known of one back end changed: its phase, its report or the copies that are about to be dropped.
+pub(crate) fn refresh(state: &mut State, now: Time, backend: &Name) {
+    if let Some(backend) = state.fleet.backends.get(backend) {
+        let facts = facts(state, backend);
+        state.routes.set(now, facts, true);
+    }
+}
+
+/// A report was taken over.
+pub(crate) fn reported(state: &mut State, now: Time, report: &Report) {
+    refresh(state, now, &report.engine);
+    state.routes.report(&report.engine, report.running + report.waiting);
+}
+
+fn facts(state: &State, backend: &Backend) -> Facts {
+    let catalog = &state.config.catalog;
+    let group = catalog.groups.get(&backend.group);
+    let mut works: Vec<Work> = match group.map(|group| group.kind) {
+        Some(Kind::Engine) => copies(backend).map(|artifact| Work::Artifact(artifact.clone())).collect(),
+        Some(Kind::Service) => {
+            let own = catalog.services.values().filter(|service| service.group == backend.group);
+            own.map(|service| Work::Service(service.name.clone())).collect()
+        }
+        None => Vec::new(),
+    };
+    works.sort_unstable();
+    works.dedup();
+    Facts {
+        name: backend.name.clone(),
+        address: backend.address,
+        local: backend.zone == state.me.zone,
+        slots: group.map_or(1, |group| group.slots),
+        takes_work: backend.takes_work(),
+        incarnation: backend.report.as_ref().map(|report| report.incarnation),
+        works,
+    }
+}
+
+fn copies(backend: &Backend) -> impl Iterator<Item = &Artifact> {
+    backend
+        .report
+        .iter()
+        .flat_map(|report| &report.copies)
+        .filter(|copy| copy.stage == Stage::Ready)
+        .map(|copy| &copy.artifact)
+        .filter(|artifact| !backend.closing.contains(artifact))
+}
+
+/// An engine's prefix cache changed.
+pub(crate) fn cached(state: &mut State, update: &CacheUpdate) {
+    if let Some(backend) = state.fleet.backends.get_mut(&update.engine) {
+        let events = (update.stored.len() + update.evicted.len()) as u64;
+        backend.cache_seq = update.seq + events;
+    }
+    state.routes.cached(&update.engine, &update.stored, &update.evicted, update.cleared);
+}
+
+/// A back end is leaving, by its own word or a peer's. Returns whether that is news.
+pub(crate) fn left(state: &mut State, now: Time, backend: &Name) -> bool {
+    let health = state.routes.site(backend).and_then(|site| state.routes.health(site));
+    health.is_some_and(|health| health.leave(now))
+}
+
+/// Draws what follows from a failed try for the back end it was at.
+pub(crate) fn troubled(state: &mut State, now: Time, closed: &Try, trouble: Trouble, out: &mut Vec<Effect>) {
+    if matches!(trouble, Trouble::Failed(Failure::Connect) | Trouble::Silent) {
+        retire(state, &closed.backend, out);
+    }
+    let Some(site) = state.routes.site(&closed.backend) else {
+        return;
+    };
+    match trouble {
+        Trouble::Failed(Failure::Connect) | Trouble::Silent => {
+            if let Some(health) = state.routes.health(site) {
+                health.suspect(now);
+            }
+        }
+        Trouble::Failed(Failure::Refused(Refusal::Leaving)) => {
+            if left(state, now, &closed.backend) {
+                member::tell_all(state, &[Item::Leaving(closed.backend.clone())], out);
+            }
+        }
+        Trouble::Failed(Failure::Refused(Refusal::NotLoaded)) => {
+            if let Destination::Engine(artifact) = &closed.to {
+                state.routes.unload(site, &Work::Artifact(artifact.clone()));
+            }
+        }
+        Trouble::Failed(Failure::Refused(Refusal::Busy | Refusal::Late) | Failure::Forgotten) => {}
+        Trouble::Failed(Failure::Broken | Failure::Error | Failure::Foreign) | Trouble::Gap => {
+            state.routes.fault(now, site);
+        }
+    }
+}
+
+fn retire(state: &State, name: &Name, out: &mut Vec<Effect>) {
+    let backend = state.fleet.backends.get(name).map(|backend| backend.address);
+    let address = backend.or_else(|| state.fleet.entries.get(name).map(|vm| vm.address));
+    if let Some(address) = address {
+        out.push(Effect::Retire(address));
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! returns [`effect::Effect`]s to carry out. It does no I/O, reads no clock and draws no random
 //! numbers but from the seed it was given, so many processes can be driven in one test.
 
+mod admit;
 pub mod artifact;
 pub mod attempt;
 pub mod audit;
@@ -12,6 +13,7 @@
 pub mod code;
 pub mod config;
 pub mod count;
+mod dispatch;
 mod drain;
 pub mod effect;
 pub mod end;
@@ -20,22 +22,30 @@
 pub mod event;
 mod fleet;
 mod flow;
+pub mod health;
 pub mod id;
+mod index;
 pub mod inventory;
 pub mod lease;
 pub mod ledger;
 mod member;
 pub mod name;
 pub mod operator;
+mod pace;
 pub mod peer;
 mod place;
+pub mod prefix;
+mod queue;
 mod reduce;
 pub mod request;
-mod route;
+mod retry;
+pub mod route;
 pub mod rules;
 pub mod settings;
+mod spill;
 pub mod state;
 mod status;
+mod stream;
 pub mod table;
 pub mod time;
 mod timer;
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -79,8 +79,10 @@
         match item {
             Item::Report(report) => fleet::reported(state, now, &report, out),
             Item::Config(head) => crate::config::adopt(state, now, &head, out),
-            Item::Leaving(_)
-            | Item::Summary(_)
+            Item::Leaving(backend) => {
+                crate::index::left(state, now, &backend);
+            }
+            Item::Summary(_)
             | Item::Demand(_)
             | Item::Close(_)
             | Item::Closed(_)
--- /dev/null
+++ b/core/src/pace.rs
@@ -0,0 +1,42 @@
+//! How long requests take: a running mean with its deviation.
+
+use std::time::Duration;
+
+/// Weight of a new sample in the mean; the deviation takes twice that.
+const GAIN: f32 = 0.125;
+
+/// Time from sending a request to the end of its answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    mean_ms: f32,
+    deviation_ms: f32,
+    known: bool,
+}
+
+impl Pace {
+    /// A request took this long.
+    pub(crate) fn took(&mut self, time: Duration) {
+        let ms = time.as_secs_f32() * 1_000.0;
+        if !self.known {
+            *self = Self { mean_ms: ms, deviation_ms: ms / 2.0, known: true };
+            return;
+        }
+        let error = ms - self.mean_ms;
+        self.mean_ms += GAIN * error;
+        self.deviation_ms += 2.0 * GAIN * (error.abs() - self.deviation_ms);
+    }
+
+    /// The mean; none before the first request.
+    pub(crate) fn mean(&self) -> Option<Duration> {
+        self.known.then(|| millis(self.mean_ms))
+    }
+
+    /// A time that few requests fall below; zero before the first.
+    pub(crate) fn least(&self) -> Duration {
+        millis((self.mean_ms - 2.0 * self.deviation_ms).max(0.0))
+    }
+}
+
+fn millis(ms: f32) -> Duration {
+    Duration::from_secs_f32(ms / 1_000.0)
+}
--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -1,18 +1,22 @@
 //! The reducer: one function over all events. It only hands each to the module that decides.
 
 use crate::config;
+use crate::dispatch;
 use crate::drain;
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::fleet;
 use crate::flow;
 use crate::id;
+use crate::index;
 use crate::lease;
 use crate::ledger;
 use crate::member;
 use crate::place;
+use crate::retry::{self, Trouble};
 use crate::state::{Purpose, State};
 use crate::status;
+use crate::stream;
 use crate::table;
 use crate::time::Time;
 use crate::timer::Timer;
@@ -23,7 +27,7 @@
 #[must_use]
 pub fn apply(state: &mut State, now: Time, event: Event) -> Vec<Effect> {
     let mut out = Vec::new();
-    dispatch(state, now, event, &mut out);
+    hand(state, now, event, &mut out);
     while let Some(timer) = state.timers.pop(now) {
         fire(state, now, timer, &mut out);
     }
@@ -33,15 +37,17 @@
     out
 }
 
-fn dispatch(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
+fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Arrive(arrival) => flow::arrive(state, now, *arrival, out),
         Event::Gone(request) => flow::gone(state, now, request, out),
-        Event::Head { attempt, echo } => flow::head(state, now, attempt, echo, out),
-        Event::Chunk { attempt, offset } => flow::chunk(state, now, attempt, offset, out),
-        Event::Finished { attempt, length } => flow::finished(state, now, attempt, length, out),
-        Event::Overflow(attempt) => out.push(Effect::Commit(attempt)),
-        Event::Failed { attempt, failure } => flow::failed(state, now, attempt, failure, out),
+        Event::Head { attempt, echo } => stream::head(state, now, attempt, echo, out),
+        Event::Chunk { attempt, offset } => stream::chunk(state, now, attempt, offset, out),
+        Event::Finished { attempt, length } => stream::finished(state, now, attempt, length, out),
+        Event::Overflow(attempt) => stream::overflow(state, attempt, out),
+        Event::Failed { attempt, failure } => {
+            retry::failed(state, now, attempt, Trouble::Failed(failure), out);
+        }
         Event::Listed(vms) => fleet::listed(state, now, vms, out),
         Event::Reported(report) => fleet::reported(state, now, &report, out),
         Event::Ordered { order, engine, receipt } => {
@@ -51,7 +57,8 @@
         Event::Heard(frame) => member::heard(state, now, *frame, out),
         Event::Asked { ask, query } => status::asked(state, now, ask, *query, out),
         Event::Stop => drain::stop(state, now, out),
-        Event::Unlisted | Event::Unreported(_) | Event::Cached(_) | Event::Unheard { .. } | Event::Wake => {}
+        Event::Cached(update) => index::cached(state, &update),
+        Event::Unlisted | Event::Unreported(_) | Event::Unheard { .. } | Event::Wake => {}
     }
 }
 
@@ -74,8 +81,8 @@
 fn fire(state: &mut State, now: Time, timer: Timer, out: &mut Vec<Effect>) {
     match timer {
         Timer::Deadline(request) => flow::deadline(state, now, request, out),
-        Timer::Retry(request) => flow::retry(state, now, request, out),
-        Timer::Silence(attempt) => flow::silence(state, now, attempt, out),
+        Timer::Retry(request) => dispatch::retry(state, now, request, out),
+        Timer::Silence(attempt) => stream::silence(state, now, attempt, out),
         Timer::List => {
             state.timers.set(now + state.settings.list_every, Timer::List);
             out.push(Effect::List);
--- /dev/null
+++ b/core/src/retry.rs
@@ -0,0 +1,224 @@
+//! What follows a failed try: another try where that is safe and within the budget, else the end.
+
+use std::time::Duration;
+
+use crate::attempt::{Destination, Failure, Refusal, Resume};
+use crate::code::Code;
+use crate::count::Reason;
+use crate::dispatch;
+use crate::effect::Effect;
+use crate::end::{End, Evidence};
+use crate::flow::{self, Flow, Try};
+use crate::id;
+use crate::index;
+use crate::settings::Settings;
+use crate::state::State;
+use crate::time::Time;
+use crate::timer::Timer;
+
+/// Retries allowed: a share of recent successes plus a floor, up to a burst.
+#[derive(Debug, Default)]
+pub(crate) struct Budget {
+    spent: f64,
+    at: Time,
+}
+
+impl Budget {
+    /// A request was answered: a part of a retry is earned.
+    pub(crate) fn earn(&mut self, settings: &Settings) {
+        self.spent = (self.spent - settings.retry_ratio).max(0.0);
+    }
+
+    /// Takes a retry out, if there is one left; else how long until there is.
+    fn take(&mut self, now: Time, settings: &Settings) -> Result<(), Duration> {
+        let floor = now.since(self.at).as_secs_f64() * settings.retry_floor;
+        self.spent = (self.spent - floor).max(0.0);
+        self.at = now;
+        let short = self.spent + 1.0 - settings.retry_burst;
+        if short > 0.0 {
+            return Err(Duration::from_secs_f64(short / settings.retry_floor.max(0.01)));
+        }
+        self.spent += 1.0;
+        Ok(())
+    }
+}
+
+/// What was wrong with a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    /// The back-end edge said so.
+    Failed(Failure),
+    /// Nothing came for too long.
+    Silent,
+    /// An event of the stream was missing.
+    Gap,
+}
+
+impl Trouble {
+    fn reason(self) -> Reason {
+        match self {
+            Self::Failed(Failure::Connect) => Reason::Connect,
+            Self::Failed(Failure::Refused(Refusal::Busy)) => Reason::Busy,
+            Self::Failed(Failure::Refused(Refusal::Leaving)) => Reason::Leaving,
+            Self::Failed(Failure::Refused(Refusal::NotLoaded)) => Reason::NotLoaded,
+            Self::Failed(Failure::Refused(Refusal::Late)) => Reason::Late,
+            Self::Failed(Failure::Broken) => Reason::Broken,
+            Self::Failed(Failure::Error) => Reason::Error,
+            Self::Failed(Failure::Foreign) => Reason::Foreign,
+            Self::Failed(Failure::Forgotten) => Reason::Forgotten,
+            Self::Silent => Reason::Silent,
+            Self::Gap => Reason::Gap,
+        }
+    }
+
+    /// The code of a request that ends with it.
+    fn code(self) -> Code {
+        match self {
+            Self::Failed(Failure::Connect) => Code::RetriesSpent,
+            Self::Failed(Failure::Refused(_)) => Code::BackendRefused,
+            Self::Failed(Failure::Error | Failure::Foreign) => Code::BackendFailed,
+            Self::Failed(Failure::Broken | Failure::Forgotten) | Self::Gap => Code::Interrupted,
+            Self::Silent => Code::BackendSilent,
+        }
+    }
+
+    fn evidence(self) -> Option<Evidence> {
+        match self {
+            Self::Failed(failure) => Evidence::of(failure),
+            Self::Silent | Self::Gap => None,
+        }
+    }
+
+    /// Whether the engine may still hold the answer and the connection alone was at fault.
+    const fn resumable(self) -> bool {
+        matches!(self, Self::Failed(Failure::Broken) | Self::Silent | Self::Gap)
+    }
+
+    /// Whether another try makes more work for back ends.
+    const fn costs(self) -> bool {
+        !matches!(
+            self,
+            Self::Failed(Failure::Connect | Failure::Refused(Refusal::Leaving | Refusal::NotLoaded))
+        )
+    }
+}
+
+/// A try failed: try again where that is safe, else end the request.
+pub(crate) fn failed(
+    state: &mut State,
+    now: Time,
+    attempt: id::Attempt,
+    trouble: Trouble,
+    out: &mut Vec<Effect>,
+) {
+    let Some(closed) = flow::close(state, attempt) else {
+        return;
+    };
+    index::troubled(state, now, &closed, trouble, out);
+    let Some(flow) = state.flow.flows.get_mut(&attempt.request) else {
+        return;
+    };
+    if let Some(evidence) = trouble.evidence() {
+        flow.exposure.disprove(evidence);
+    }
+    flow.strikes += 1;
+    let attempts_max = state.settings.attempts_max;
+    let next = if flow.strikes < attempts_max { next(flow, &closed, trouble) } else { Next::End };
+    match next {
+        Next::Same => {
+            state.counters.retry(trouble.reason());
+            flow.resume = Resume::Same { of: attempt, offset: flow.delivered };
+            dispatch::resume(state, now, attempt.request, &closed.backend, out);
+        }
+        Next::Other => other(state, now, attempt.request, &closed, trouble, out),
+        Next::End => give_up(state, now, attempt.request, trouble, None, out),
+    }
+    dispatch::at(state, now, &closed.backend, out);
+}
+
+/// What may follow a failed try.
+enum Next {
+    /// Take the answer up again where it is.
+    Same,
+    /// Try again, perhaps elsewhere.
+    Other,
+    /// Nothing.
+    End,
+}
+
+fn next(flow: &Flow, closed: &Try, trouble: Trouble) -> Next {
+    if flow.committed {
+        return Next::End;
+    }
+    let holds_answer = matches!(closed.to, Destination::Engine(_)) && flow.stream && trouble.resumable();
+    let worth_it = flow.delivered > 0 || !flow.idempotent;
+    let fruitless = closed.resumed && flow.delivered == closed.from;
+    if holds_answer && worth_it && !fruitless {
+        return Next::Same;
+    }
+    if flow.idempotent || flow.exposure.proof().is_some() { Next::Other } else { Next::End }
+}
+
+fn other(
+    state: &mut State,
+    now: Time,
+    id: id::Request,
+    closed: &Try,
+    trouble: Trouble,
+    out: &mut Vec<Effect>,
+) {
+    if trouble.costs()
+        && let Err(wait) = state.budget.take(now, &state.settings)
+    {
+        give_up(state, now, id, trouble, Some(wait), out);
+        return;
+    }
+    let Some(flow) = state.flow.flows.get_mut(&id) else {
+        return;
+    };
+    flow.resume = dispatch::elsewhere(flow.delivered);
+    if !flow.avoid.contains(&closed.backend) {
+        flow.avoid.push(closed.backend.clone());
+    }
+    let wait = backoff(&state.settings, &mut state.rng, flow.strikes);
+    if now + wait >= flow.ticket.deadline {
+        give_up(state, now, id, trouble, None, out);
+        return;
+    }
+    state.counters.retry(trouble.reason());
+    if wait.is_zero() {
+        dispatch::enqueue(state, now, id, out);
+        return;
+    }
+    flow.stage = flow::Stage::Paused(state.timers.set(now + wait, Timer::Retry(id)));
+}
+
+/// The first retry goes out at once, since it avoids the back end that failed; then full jitter below a
+/// bound that doubles.
+fn backoff(settings: &Settings, rng: &mut fastrand::Rng, strikes: u16) -> Duration {
+    let Some(doublings) = strikes.checked_sub(2) else {
+        return Duration::ZERO;
+    };
+    let bound = settings.backoff_base.saturating_mul(1 << doublings.min(16)).min(settings.backoff_max);
+    bound.mul_f64(rng.f64())
+}
+
+fn give_up(
+    state: &mut State,
+    now: Time,
+    id: id::Request,
+    trouble: Trouble,
+    wait: Option<Duration>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(flow) = state.flow.flows.get(&id) else {
+        return;
+    };
+    let code = match flow.exposure.proof() {
+        Some(_) => Code::RetriesSpent,
+        None => trouble.code(),
+    };
+    let wait = wait.unwrap_or(crate::admit::RETRY_AFTER);
+    let end = End::failed(flow.exposure, code, Some(wait));
+    flow::end(state, now, id, end, out);
+}
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -9,12 +9,16 @@
     pub open_max: u32,
     /// Requests waiting at once for one model or service.
     pub queue_max: u32,
-    /// Tries of one request.
+    /// Requests of one caller open at once, where no rule says otherwise and callers are named.
+    pub caller_open_max: u32,
+    /// Tries of one request that may fail in a row, without any progress in between.
     pub attempts_max: u16,
     /// Retries allowed, as a share of recent successes.
     pub retry_ratio: f64,
     /// Retries allowed beyond that share, a second.
     pub retry_floor: f64,
+    /// Retries allowed in a row when none were used for long: enough for all that one engine works on.
+    pub retry_burst: f64,
     /// Upper bound of the first wait before a retry; it doubles with each.
     pub backoff_base: Duration,
     /// Upper bound of any wait before a retry.
@@ -43,6 +47,8 @@
     pub claim_keep: Duration,
     /// Time between `/ready` turning to 503 and the end of the listener, for the balancer to see it.
     pub balancer_grace: Duration,
+    /// Cached prompt blocks that are remembered, over all engines; each takes four bytes.
+    pub prefix_blocks: usize,
     /// Records of control decisions kept for operators.
     pub records_kept: usize,
 }
@@ -52,9 +58,11 @@
         Self {
             open_max: 8_192,
             queue_max: 1_024,
+            caller_open_max: 4_096,
             attempts_max: 4,
             retry_ratio: 0.2,
             retry_floor: 2.0,
+            retry_burst: 100.0,
             backoff_base: Duration::from_millis(25),
             backoff_max: Duration::from_secs(1),
             first_byte: Duration::from_secs(10),
@@ -69,6 +77,7 @@
             claim_linger: Duration::from_millis(5),
             claim_keep: Duration::from_hours(24),
             balancer_grace: Duration::from_secs(5),
+            prefix_blocks: 1 << 18,
             records_kept: 512,
         }
     }
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -14,6 +14,8 @@
 use crate::ledger;
 use crate::member;
 use crate::name::Name;
+use crate::retry::Budget;
+use crate::route::Routes;
 use crate::settings::Settings;
 use crate::table;
 use crate::time::Time;
@@ -41,6 +43,8 @@
     pub(crate) config: config::Part,
     pub(crate) fleet: fleet::Part,
     pub(crate) flow: flow::Part,
+    pub(crate) routes: Routes,
+    pub(crate) budget: Budget,
     pub(crate) member: member::Part,
     pub(crate) lease: lease::Part,
     pub(crate) ledger: ledger::Part,
@@ -70,6 +74,7 @@
         for timer in [Timer::List, Timer::Lease, Timer::Heartbeat, Timer::Plan] {
             timers.set(now, timer);
         }
+        let routes = Routes::new(settings.prefix_blocks);
         Self {
             me,
             settings,
@@ -79,6 +84,8 @@
             config: config::Part::default(),
             fleet: fleet::Part::default(),
             flow: flow::Part::default(),
+            routes,
+            budget: Budget::default(),
             member: member::Part::default(),
             lease: lease::Part::default(),
             ledger: ledger::Part::default(),
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -102,7 +102,7 @@
                 waiting: report.map_or(0, |report| report.waiting),
                 report_age_ms: backend.reported_at.map(|at| now.since(at).as_millis() as u64),
                 copies: report.map_or(0, |report| report.copies.len() as u32),
-                suspected: false,
+                suspected: state.routes.is_doubted(&backend.name),
             }
         })
         .collect()
--- /dev/null
+++ b/core/src/stream.rs
@@ -0,0 +1,152 @@
+//! Answers as they come: their head, the events of a stream without gaps or repeats, their explicit end,
+//! and the watch for silence.
+
+use crate::attempt::{Destination, Failure};
+use crate::effect::Effect;
+use crate::end::End;
+use crate::flow::{self, Stage, Try};
+use crate::id;
+use crate::retry::{self, Trouble};
+use crate::state::State;
+use crate::time::Time;
+use crate::timer::Timer;
+
+fn open(state: &mut State, attempt: id::Attempt) -> Option<&mut Try> {
+    let found = state.flow.flows.get_mut(&attempt.request).and_then(|flow| match &mut flow.stage {
+        Stage::Open(current) if current.attempt == attempt => Some(current),
+        _ => None,
+    });
+    if found.is_none() {
+        state.counters.stale += 1;
+    }
+    found
+}
+
+/// The head of an answer came.
+pub(crate) fn head(
+    state: &mut State,
+    now: Time,
+    attempt: id::Attempt,
+    echo: Option<id::Attempt>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(current) = open(state, attempt) else {
+        return;
+    };
+    let silent_is_fine = matches!(current.to, Destination::Service(_));
+    if echo != Some(attempt) && !(echo.is_none() && silent_is_fine) {
+        foreign(state, now, attempt, out);
+        return;
+    }
+    current.headed = true;
+    current.progress = now;
+    let backend = current.backend.clone();
+    if let Some(health) = state.routes.site(&backend).and_then(|site| state.routes.health(site)) {
+        health.alive();
+    }
+}
+
+fn foreign(state: &mut State, now: Time, attempt: id::Attempt, out: &mut Vec<Effect>) {
+    state.counters.foreign += 1;
+    out.push(Effect::Cancel(attempt));
+    retry::failed(state, now, attempt, Trouble::Failed(Failure::Foreign), out);
+}
+
+/// One event of a streamed answer came.
+pub(crate) fn chunk(state: &mut State, now: Time, attempt: id::Attempt, offset: u64, out: &mut Vec<Effect>) {
+    let Some(current) = open(state, attempt) else {
+        return;
+    };
+    if !current.headed {
+        foreign(state, now, attempt, out);
+        return;
+    }
+    current.progress = now;
+    let Some(flow) = state.flow.flows.get_mut(&attempt.request) else {
+        return;
+    };
+    if offset < flow.delivered {
+        state.counters.repeated += 1;
+        return;
+    }
+    if offset > flow.delivered {
+        out.push(Effect::Cancel(attempt));
+        retry::failed(state, now, attempt, Trouble::Gap, out);
+        return;
+    }
+    flow.delivered += 1;
+    flow.strikes = 0;
+    out.push(Effect::Deliver { attempt, offset });
+}
+
+/// An answer came to its explicit end.
+pub(crate) fn finished(
+    state: &mut State,
+    now: Time,
+    attempt: id::Attempt,
+    length: u64,
+    out: &mut Vec<Effect>,
+) {
+    let Some(current) = open(state, attempt) else {
+        return;
+    };
+    if !current.headed {
+        foreign(state, now, attempt, out);
+        return;
+    }
+    let (took, backend) = (now.since(current.sent), current.backend.clone());
+    let Some(flow) = state.flow.flows.get(&attempt.request) else {
+        return;
+    };
+    if flow.stream && flow.delivered != length {
+        out.push(Effect::Cancel(attempt));
+        retry::failed(state, now, attempt, Trouble::Gap, out);
+        return;
+    }
+    if let Some(lane) = state.flow.lanes.get_mut(&flow.work) {
+        lane.pace.took(took);
+    }
+    state.budget.earn(&state.settings);
+    if let Some(health) = state.routes.site(&backend).and_then(|site| state.routes.health(site)) {
+        health.good();
+    }
+    flow::end(state, now, attempt.request, End::answered(attempt), out);
+}
+
+/// A whole answer outgrew the edge's buffer: it is passed on from now on and cannot be had from elsewhere.
+pub(crate) fn overflow(state: &mut State, attempt: id::Attempt, out: &mut Vec<Effect>) {
+    let headed = open(state, attempt).is_some_and(|current| current.headed);
+    if let Some(flow) = state.flow.flows.get_mut(&attempt.request).filter(|_| headed) {
+        flow.committed = true;
+        out.push(Effect::Commit(attempt));
+    }
+}
+
+/// A look at whether an attempt has gone silent.
+pub(crate) fn silence(state: &mut State, now: Time, attempt: id::Attempt, out: &mut Vec<Effect>) {
+    let idle = state.settings.idle;
+    let first_byte = state.settings.first_byte;
+    let Some(flow) = state.flow.flows.get_mut(&attempt.request) else {
+        return;
+    };
+    let (streams, committed) = (flow.stream, flow.committed);
+    let Stage::Open(current) = &mut flow.stage else {
+        return;
+    };
+    // Nothing is heard of a whole answer between its head and its end.
+    let limit = match (current.headed, streams) {
+        (false, _) => current.patience,
+        (true, true) => idle,
+        (true, false) => first_byte,
+    };
+    let due = current.progress + limit;
+    if current.attempt != attempt || committed {
+        return;
+    }
+    if due > now {
+        current.watch = state.timers.set(due, Timer::Silence(attempt));
+        return;
+    }
+    out.push(Effect::Cancel(attempt));
+    retry::failed(state, now, attempt, Trouble::Silent, out);
+}
--- a/core/src/timer.rs
+++ b/core/src/timer.rs
@@ -1,14 +1,13 @@
 //! What the reducer wants to be woken for.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 
 use crate::id;
 use crate::name::Name;
 use crate::time::Time;
 
 /// Something due at a time. A timer that has become pointless is ignored when it fires.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Timer {
     /// A request's deadline.
     Deadline(id::Request),
@@ -30,33 +29,44 @@
     Grace,
 }
 
+/// Names a timer that is set, to cancel it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Handle {
+    at: Time,
+    seq: u64,
+}
+
 /// Timers, earliest first; equal times fire in the order they were set.
 #[derive(Debug, Default)]
 pub(crate) struct Timers {
-    heap: BinaryHeap<Reverse<(Time, u64, Timer)>>,
+    set: BTreeMap<Handle, Timer>,
     seq: u64,
     announced: Option<Time>,
 }
 
 impl Timers {
     /// Sets a timer.
-    pub(crate) fn set(&mut self, at: Time, timer: Timer) {
+    pub(crate) fn set(&mut self, at: Time, timer: Timer) -> Handle {
         self.seq += 1;
-        self.heap.push(Reverse((at, self.seq, timer)));
+        let handle = Handle { at, seq: self.seq };
+        self.set.insert(handle, timer);
+        handle
+    }
+
+    /// Cancels a timer; one that has fired is let be.
+    pub(crate) fn cancel(&mut self, handle: Handle) {
+        self.set.remove(&handle);
     }
 
     /// Takes the next timer that is due.
     pub(crate) fn pop(&mut self, now: Time) -> Option<Timer> {
-        let Reverse((at, ..)) = self.heap.peek()?;
-        if *at > now {
-            return None;
-        }
-        self.heap.pop().map(|Reverse((_, _, timer))| timer)
+        let first = self.set.first_entry()?;
+        (first.key().at <= now).then(|| first.remove())
     }
 
     /// The time to be woken at, if it is not the one announced last.
     pub(crate) fn announce(&mut self, now: Time) -> Option<Time> {
-        let next = self.heap.peek().map(|Reverse((at, ..))| *at)?;
+        let next = self.set.first_key_value().map(|(handle, _)| handle.at)?;
         let pending = self.announced.is_some_and(|at| at > now && at <= next);
         if pending {
             return None;
