--- a/core/src/flow.rs
+++ b/core/src/flow.rs
@@ -346,5 +346,5 @@
     if let Some(closed) = closed {
         dispatch::at(state, now, &closed.backend, out);
     }
-    crate::drain::settle(state, out);
+    crate::drain::settle(state, now, out);
 }
