--- a/core/src/config/spread.rs
+++ b/core/src/config/spread.rs
@@ -135,7 +135,7 @@
     if first && !state.drain.leaving() {
         out.push(Effect::Ready(true));
     }
-    crate::flow::dispatch_all(state, now, out);
+    crate::index::configured(state, now, out);
 }
 
 /// Tells the peers that are not known to have the version in force, at once: the steps they lack if
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -110,11 +110,9 @@
         Item::Config(head) => config::adopt(state, now, &head, out),
         Item::Steps(steps) => config::heard_steps(state, now, steps, out),
         Item::WantConfig(theirs) => config::answer_want(state, from, theirs, out),
-        Item::Leaving(_)
-        | Item::Summary(_)
-        | Item::Demand(_)
-        | Item::Close(_)
-        | Item::Closed(_)
-        | Item::Reopen(_) => {}
+        Item::Leaving(backend) => {
+            crate::index::left(state, now, &backend);
+        }
+        Item::Summary(_) | Item::Demand(_) | Item::Close(_) | Item::Closed(_) | Item::Reopen(_) => {}
     }
 }
