--- a/core/src/config/spread.rs
+++ b/core/src/config/spread.rs
@@ -136,7 +136,7 @@
         out.push(Effect::Ready(true));
     }
     crate::collect::assign(state, now);
-    crate::flow::dispatch_all(state, now, out);
+    crate::index::configured(state, now, out);
 }
 
 /// Tells the peers that are not known to have the version in force, at once: the steps they lack if
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -41,8 +41,6 @@
     pub left_at: Option<Time>,
     /// Whether an operator took it out of use.
     pub drained: bool,
-    /// Own tries open there.
-    pub own: u32,
     /// Artifacts that nothing more may be sent for, since they are about to be dropped.
     pub closing: Vec<Artifact>,
     /// Cache events were taken up to this number.
@@ -50,14 +48,6 @@
 }
 
 impl Backend {
-    /// Whether it answers requests for `artifact` by its last report.
-    pub(crate) fn holds(&self, artifact: &Artifact) -> bool {
-        let ready = |report: &Report| {
-            report.copies.iter().any(|copy| copy.stage == Stage::Ready && copy.artifact == *artifact)
-        };
-        self.report.as_ref().is_some_and(ready) && !self.closing.contains(artifact)
-    }
-
     /// Artifacts that it answers requests for by its last report.
     pub(crate) fn ready(&self) -> impl Iterator<Item = &Artifact> {
         let copies = self.report.iter().flat_map(|report| &report.copies);
@@ -73,12 +63,6 @@
     pub(crate) fn takes_work(&self) -> bool {
         !self.is_leaving() && !self.report.as_ref().is_some_and(|report| report.draining)
     }
-
-    /// Requests there as far as known: those reported, or our own if they are more.
-    pub(crate) fn load(&self) -> u32 {
-        let reported = self.report.as_ref().map_or(0, |report| report.running + report.waiting);
-        reported.max(self.own)
-    }
 }
 
 /// All backend servers, and the other entry VMs by the VM list.
@@ -117,7 +101,6 @@
                     reported_at: None,
                     left_at: None,
                     drained: false,
-                    own: 0,
                     closing: Vec::new(),
                     cache_seq: 0,
                 },
@@ -161,8 +144,9 @@
     if !state.fleet.report(now, report.clone()) {
         return;
     }
+    crate::index::reported(state, now, report);
     crate::ledger::reported(state, report, out);
-    crate::flow::dispatch_all(state, now, out);
+    crate::dispatch::at(state, now, &report.engine, out);
 }
 
 /// The VM list came.
@@ -170,16 +154,8 @@
     state.fleet.list(now, vms);
     member::listed(state, now);
     collect::assign(state, now);
-    crate::flow::dispatch_all(state, now, out);
-}
-
-/// A back end refuses new work because it is leaving, by its own word to a peer. The VM list may take a
-/// while to show it.
-pub(crate) fn leaving(state: &mut State, now: Time, backend: &Name, out: &mut Vec<Effect>) {
-    if let Some(backend) = state.fleet.backends.get_mut(backend) {
-        backend.left_at = Some(now);
-    }
-    crate::flow::dispatch_all(state, now, out);
+    crate::index::listed(state, now);
+    crate::dispatch::all(state, now, out);
 }
 
 /// An operator takes a back end of this zone out of use, or back into it. Returns whether it is known.
@@ -211,7 +187,8 @@
         }
     }
     state.fleet.mark();
-    crate::flow::dispatch_all(state, now, out);
+    crate::index::listed(state, now);
+    crate::dispatch::all(state, now, out);
 }
 
 /// All words of operators, for a peer that has heard none.
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -9,6 +9,7 @@
 use crate::effect::Effect;
 use crate::fleet;
 use crate::id::Incarnation;
+use crate::index;
 use crate::name::Name;
 use crate::peer::{Frame, Item};
 use crate::state::State;
@@ -278,7 +279,9 @@
                 peer.synced = false;
             }
         }
-        Item::Leaving(backend) => fleet::leaving(state, now, &backend, out),
+        Item::Leaving(backend) => {
+            index::left(state, now, &backend);
+        }
         Item::Drains(drains) => fleet::heard_drains(state, now, &drains, out),
         Item::Summary(summary) => summary::heard(state, now, *summary),
         Item::Config(head) => config::adopt(state, now, &head, out),
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -15,6 +15,8 @@
 use crate::ledger;
 use crate::member;
 use crate::name::Name;
+use crate::retry::Budget;
+use crate::route::Routes;
 use crate::settings::Settings;
 use crate::summary;
 use crate::table;
@@ -43,6 +45,8 @@
     pub(crate) config: config::Part,
     pub(crate) fleet: fleet::Part,
     pub(crate) flow: flow::Part,
+    pub(crate) routes: Routes,
+    pub(crate) budget: Budget,
     pub(crate) member: member::Part,
     pub(crate) collect: collect::Part,
     pub(crate) summary: summary::Part,
@@ -74,6 +78,7 @@
         for timer in [Timer::List, Timer::Config, Timer::Lease, Timer::Heartbeat, Timer::Plan] {
             timers.set(now, timer);
         }
+        let routes = Routes::new(settings.prefix_blocks);
         Self {
             me,
             settings,
@@ -83,6 +88,8 @@
             config: config::Part::default(),
             fleet: fleet::Part::default(),
             flow: flow::Part::default(),
+            routes,
+            budget: Budget::default(),
             member: member::Part::default(),
             collect: collect::Part::default(),
             summary: summary::Part::default(),
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -133,7 +133,7 @@
                 waiting: report.map_or(0, |report| report.waiting),
                 report_age_ms: backend.reported_at.map(|at| now.since(at).as_millis() as u64),
                 copies: report.map_or(0, |report| report.copies.len() as u32),
-                suspected: backend.reported_at.is_some_and(|at| now.since(at) > state.settings.suspect_after),
+                suspected: state.routes.is_doubted(&backend.name),
             }
         })
         .collect()
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -60,7 +60,7 @@
 fn paused_doubts_itself() {
     let mut cluster = started(&[("hall-a", 2)]);
     cluster.nodes[0].paused = true;
-    cluster.advance(Duration::from_secs(60));
+    cluster.advance(Duration::from_mins(1));
     assert_eq!(alive(&mut cluster, 1).len(), 1, "the other misses it");
     let before = cluster.now;
     cluster.nodes[0].paused = false;
@@ -78,7 +78,7 @@
 fn deaf_doubts_itself() {
     let mut cluster = started(&[("hall-a", 5)]);
     cluster.deaf.insert(0);
-    cluster.advance(Duration::from_secs(60));
+    cluster.advance(Duration::from_mins(1));
     assert_eq!(alive(&mut cluster, 0).len(), 5, "its own frames arrive, so the fault is here");
     cluster.deaf.clear();
     cluster.nodes[1].up = false;
@@ -162,7 +162,7 @@
     let mut cluster = started(&[("hall-a", 4), ("hall-b", 4)]);
     for down in [4, 5, 6] {
         cluster.nodes[down].up = false;
-        cluster.advance(Duration::from_secs(60));
+        cluster.advance(Duration::from_mins(1));
         let last = members(&mut cluster, 0);
         let heard = last.iter().find(|member| member.name == "entry-7").and_then(|member| member.heard_ms);
         assert!(heard.is_some_and(|ms| ms < 10_000), "{down} down: {last:#?}");
--- a/wire/tests/peer_frames.rs
+++ b/wire/tests/peer_frames.rs
@@ -6,6 +6,7 @@
 
 fn sample() -> Frame {
     Frame {
+        address: None,
         from: "hall-a-entry-1".into(),
         zone: "hall-a".into(),
         incarnation: Incarnation(7),
