Write every member of an artifact in packed frames

Cause: A packed struct is an array. An artifact without an adapter left the member out, so a frame that names a model could not be read by its receiver. Change: The member is always written. Measured: the new test fails without the change (invalid length 2, expected struct Artifact with 3 elements) and passes with it. Conclusion: Frames that name models arrive.

--- a/core/src/artifact.rs
+++ b/core/src/artifact.rs
@@ -14,7 +14,7 @@
     /// The model's name.
     pub model: Name,
     /// The adapter's name; none for the model itself.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub adapter: Option<Name>,
     /// The version of the adapter if there is one, else of the model.
     pub version: Name,
--- a/wire/tests/peer_frames.rs
+++ b/wire/tests/peer_frames.rs
@@ -1,7 +1,8 @@
 //! Frames between entry VMs are taken only whole, of this version and with the shared secret.
 
+use boragecove_core::artifact::Artifact;
 use boragecove_core::id::Incarnation;
-use boragecove_core::peer::{Frame, Item};
+use boragecove_core::peer::{Closing, Frame, Item};
 use boragecove_wire::frame::{self, Rejected};
 
 fn sample() -> Frame {
@@ -22,6 +23,16 @@
     assert_eq!(frame::decode(&bytes, b"secret").expect("unpacks"), sample());
 }
 
+#[test]
+fn model_named() {
+    // Packed structs have no member names: one that leaves a member out cannot be read again.
+    let model = Artifact { model: "staff-notice".into(), adapter: None, version: "2".into() };
+    let closing = Closing { engine: "hall-a-brief-writer-1".into(), artifact: model };
+    let frame = Frame { items: vec![Item::Close(closing)], ..sample() };
+    let bytes = frame::encode(&frame, b"secret").expect("packs");
+    assert_eq!(frame::decode(&bytes, b"secret").expect("unpacks"), frame);
+}
+
 #[test]
 fn other_secret() {
     let bytes = frame::encode(&sample(), b"secret").expect("packs");
