Suggest the known word closest to a mistyped one

Cause: An unknown member was answered with all known ones, which hides the likely typing error. Change: wire::nearest, used for unknown members; times with units can be read outside a document too. Measured: nothing. Conclusion: A mistyped member names the one that was meant.

--- a/wire/src/jsonc.rs
+++ b/wire/src/jsonc.rs
@@ -11,6 +11,8 @@
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 use thiserror::Error;
 
+use crate::nearest::nearest;
+
 /// One error in a document.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -317,13 +319,18 @@
                 continue;
             }
             let known = self.asked.iter().map(|key| format!("\"{key}\"")).collect::<Vec<_>>().join(", ");
-            let text = format!("expected one of {known}, found an unknown member");
+            let mut text = format!("expected one of {known}, found an unknown member");
+            if let Some(meant) = nearest(key, self.asked.iter().map(String::as_str)) {
+                text = format!("{text}; did you mean \"{meant}\"?");
+            }
             self.node.report.add(at, &self.path(key), &text);
         }
     }
 }
 
-fn parse_duration(text: &str) -> Option<Duration> {
+/// Reads a time with its unit, as [`Node::duration`] does.
+#[must_use]
+pub fn parse_duration(text: &str) -> Option<Duration> {
     let (number, unit) = split_unit(text)?;
     match unit {
         "us" => Some(Duration::from_micros(number)),
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod frame;
 pub mod header;
 pub mod jsonc;
+pub mod nearest;
 pub mod path;
 pub mod platform;
