--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -95,6 +95,19 @@
     Idempotent,
 }
 
+impl Retry {
+    /// Its form in the documentation.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "nothing to retry",
+            Self::Changed => "only once changed",
+            Self::Later => "yes, after `Retry-After`",
+            Self::Idempotent => "only if idempotent",
+        }
+    }
+}
+
 codes! {
     Ok = 0, 200, Done, "ok", "A back end's answer was passed on whole.";
     Malformed = 100, 400, Changed, "malformed", "The request's body or a header could not be read.";
@@ -136,6 +149,16 @@
 }
 
 impl Code {
+    /// The outcomes that can go with it; the `Boragecove-Outcome` header says which it was.
+    #[must_use]
+    pub const fn outcomes(self) -> &'static [Outcome] {
+        match self.retry() {
+            Retry::Done => &[Outcome::Answered],
+            Retry::Changed | Retry::Later => &[Outcome::NotRun],
+            Retry::Idempotent => &[Outcome::NotRun, Outcome::Unknown],
+        }
+    }
+
     /// Its number.
     #[must_use]
     pub const fn number(self) -> u16 {
