--- /dev/null
+++ b/cli/src/cmd/moves.rs
@@ -0,0 +1,62 @@
+//! `moves`: lists the latest decisions of control, newest first, with the cause of each.
+
+use boragecove_core::audit::{Act, Cause, Record};
+use boragecove_core::operator::{Answer, Query};
+
+use crate::client::Client;
+use crate::console::Console;
+use crate::error::Error;
+use crate::options::{Options, Output};
+use crate::table::{self, Table};
+
+/// Asks for the records and prints them.
+pub(crate) async fn run(options: &Options, console: &mut Console<'_>) -> Result<(), Error> {
+    let client = Client::new(options)?;
+    let Answer::Moves(records) = client.ask(&Query::Moves).await? else {
+        return Err(client.mismatched());
+    };
+    if options.output == Output::Json {
+        return console.json(&records);
+    }
+    let mut table = Table::new(["AT", "ZONE", "DECIDED BY", "WHAT", "CAUSE"]);
+    for record in records {
+        table.row(cells(&record));
+    }
+    console.text(&table.to_string())
+}
+
+fn cells(record: &Record) -> [String; 5] {
+    [
+        table::moment(record.at),
+        record.zone.to_string(),
+        record.vm.to_string(),
+        act(&record.act),
+        cause(record.cause).to_owned(),
+    ]
+}
+
+fn act(act: &Act) -> String {
+    match act {
+        Act::LeaseTaken(fence) => format!("took the lease, fence {}", fence.0),
+        Act::LeaseLeft(fence) => format!("left the lease, fence {}", fence.0),
+        Act::Load { engine, artifact, .. } => format!("load {artifact} on {engine}"),
+        Act::Unload { engine, artifact, .. } => format!("unload {artifact} from {engine}"),
+        Act::Role { engine, role, .. } => format!("role of {engine} to {role:?}").to_lowercase(),
+        Act::Configured(version) => format!("version {version} in force"),
+    }
+}
+
+fn cause(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Unreachable => "no copy was loaded",
+        Cause::Demand => "demand grew",
+        Cause::Idle => "demand went",
+        Cause::Undeclared => "no longer declared here",
+        Cause::Version => "another version",
+        Cause::Expired => "the holder was gone",
+        Cause::Vacant => "nobody held it",
+        Cause::Stopping => "shutting down",
+        Cause::Superseded => "someone else took it",
+        Cause::Operator => "an operator",
+    }
+}
