Let the fake of the waiting test stay where it is

Cause: The test counted on one look within a millisecond. Change: The fake stays at its first look, however often it is asked. Conclusion: The verdict does not hang on time.

--- a/cli/tests/client/apply_changes.rs
+++ b/cli/tests/client/apply_changes.rs
@@ -62,6 +62,7 @@
 #[actix_rt::test]
 async fn wait_over() {
     let fake = Fake::start();
+    fake.state.lock().expect("not poisoned").mood = Mood::Stuck;
     let file = example("varmevakt/inventory.jsonc");
     let run = fake.run(&["apply", &file, "--wait", "--timeout", "1ms", "-o", "json"]).await;
     assert_eq!(run.class, Class::Pending);
--- a/cli/tests/client/fake.rs
+++ b/cli/tests/client/fake.rs
@@ -31,6 +31,8 @@
     /// Accepts them.
     #[default]
     Willing,
+    /// Accepts them, and gets no further than the first look.
+    Stuck,
     /// Accepts them and cuts the connection before it answers.
     Mute,
     /// Refuses them with this code.
@@ -175,11 +177,11 @@
         }
         self.version += 1;
         self.document = apply.document;
-        (self.mood == Mood::Willing).then_some(applied)
+        (self.mood != Mood::Mute).then_some(applied)
     }
 
     fn status(&mut self) -> Status {
-        self.looks += 1;
+        self.looks = if self.mood == Mood::Stuck { 1 } else { self.looks + 1 };
         Status {
             vm: "entry-1".into(),
             zone: "hall-a".into(),
