Resume streams without telling the engine to forget them

Cause: a stream that went silent was cancelled at its engine before it was taken up again there, so that the engine had forgotten it by then; silence after the head was noticed only once the time to the head was over.

Change: the effect Release closes an exchange and leaves the engine its answer. Only a resumed try asks for a new connection; the engine is named the try that it answered last. The watch is set anew at the head.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -167,7 +167,10 @@
     flow.tries += 1;
     flow.exposure.send();
     let attempt = id::Attempt { request: id, n: flow.tries };
-    let resumed = matches!(flow.resume, Resume::Same { .. });
+    let takes_up = match flow.resume {
+        Resume::Same { of, .. } => Some(of),
+        Resume::Start | Resume::Continue { .. } => None,
+    };
     flow.stage = Stage::Open(Try {
         attempt,
         backend: backend.clone(),
@@ -175,7 +178,7 @@
         sent: now,
         progress: now,
         headed: false,
-        resumed,
+        takes_up,
         from: flow.delivered,
         patience,
         watch: state.timers.set(now + patience, Timer::Silence(attempt)),
@@ -188,6 +191,6 @@
         resume: flow.resume,
         deadline: flow.ticket.deadline,
         priority: flow.ticket.priority,
-        fresh: resumed || flow.strikes > 0,
+        fresh: takes_up.is_some(),
     })));
 }
--- a/core/src/effect.rs
+++ b/core/src/effect.rs
@@ -20,6 +20,9 @@
     Send(Box<Send>),
     /// Give up a try: close its exchange, tell the engine, drop what still comes.
     Cancel(id::Attempt),
+    /// Close a try's exchange and drop what still comes, but leave the engine its answer: it is taken up
+    /// again.
+    Release(id::Attempt),
     /// Pass the streamed event just read on to the caller.
     Deliver {
         /// The attempt it came for.
--- a/core/src/flow.rs
+++ b/core/src/flow.rs
@@ -43,6 +43,8 @@
     pub tries: u16,
     /// Tries that failed in a row without progress.
     pub strikes: u16,
+    /// Times it was tried from the line again.
+    pub again: u16,
     /// Events of its stream passed on.
     pub delivered: u64,
     /// Whether a whole answer is being passed on already, so that it cannot be had from elsewhere.
@@ -82,8 +84,8 @@
     pub progress: Time,
     /// Whether the head of the answer came, with the right id.
     pub headed: bool,
-    /// Whether it takes up an earlier one.
-    pub resumed: bool,
+    /// The earlier one that it takes up again, if it does.
+    pub takes_up: Option<id::Attempt>,
     /// Events passed on before it.
     pub from: u64,
     /// Time it may take to the head of its answer.
@@ -247,6 +249,7 @@
         exposure: Exposure::default(),
         tries: 0,
         strikes: 0,
+        again: 0,
         delivered: 0,
         committed: false,
         resume: Resume::Start,
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -94,6 +94,11 @@
         matches!(self, Self::Failed(Failure::Broken) | Self::Silent | Self::Gap)
     }
 
+    /// Whether the exchange of the try is still open.
+    const fn leaves_open(self) -> bool {
+        matches!(self, Self::Silent | Self::Gap | Self::Failed(Failure::Foreign))
+    }
+
     /// Whether another try makes more work for back ends.
     const fn costs(self) -> bool {
         !matches!(
@@ -124,10 +129,16 @@
     flow.strikes += 1;
     let attempts_max = state.settings.attempts_max;
     let next = if flow.strikes < attempts_max { next(flow, &closed, trouble) } else { Next::End };
+    if trouble.leaves_open() {
+        let same = matches!(next, Next::Same);
+        out.push(if same { Effect::Release(attempt) } else { Effect::Cancel(attempt) });
+    }
     match next {
         Next::Same => {
             state.counters.retry(trouble.reason());
-            flow.resume = Resume::Same { of: attempt, offset: flow.delivered };
+            // The engine knows the try that it answered last.
+            let of = if closed.headed { attempt } else { closed.takes_up.unwrap_or(attempt) };
+            flow.resume = Resume::Same { of, offset: flow.delivered };
             dispatch::resume(state, now, attempt.request, &closed.backend, out);
         }
         Next::Other => other(state, now, attempt.request, &closed, trouble, out),
@@ -152,7 +163,8 @@
     }
     let holds_answer = matches!(closed.to, Destination::Engine(_)) && flow.stream && trouble.resumable();
     let worth_it = flow.delivered > 0 || !flow.idempotent;
-    let fruitless = closed.resumed && flow.delivered == closed.from;
+    // What may run only once has nowhere else to go.
+    let fruitless = closed.takes_up.is_some() && flow.delivered == closed.from && flow.idempotent;
     if holds_answer && worth_it && !fruitless {
         return Next::Same;
     }
@@ -180,7 +192,8 @@
     if !flow.avoid.contains(&closed.backend) {
         flow.avoid.push(closed.backend.clone());
     }
-    let wait = backoff(&state.settings, &mut state.rng, flow.strikes);
+    let wait = backoff(&state.settings, &mut state.rng, flow.again);
+    flow.again += 1;
     if now + wait >= flow.ticket.deadline {
         give_up(state, now, id, trouble, None, out);
         return;
@@ -195,8 +208,8 @@
 
 /// The first retry goes out at once, since it avoids the back end that failed; then full jitter below a
 /// bound that doubles.
-fn backoff(settings: &Settings, rng: &mut fastrand::Rng, strikes: u16) -> Duration {
-    let Some(doublings) = strikes.checked_sub(2) else {
+fn backoff(settings: &Settings, rng: &mut fastrand::Rng, again: u16) -> Duration {
+    let Some(doublings) = again.checked_sub(1) else {
         return Duration::ZERO;
     };
     let bound = settings.backoff_base.saturating_mul(1 << doublings.min(16)).min(settings.backoff_max);
--- a/core/src/stream.rs
+++ b/core/src/stream.rs
@@ -40,7 +40,9 @@
     }
     current.headed = true;
     current.progress = now;
-    let backend = current.backend.clone();
+    let (backend, watch) = (current.backend.clone(), current.watch);
+    state.timers.cancel(watch);
+    silence(state, now, attempt, out);
     if let Some(health) = state.routes.site(&backend).and_then(|site| state.routes.health(site)) {
         health.alive();
     }
@@ -48,7 +50,6 @@
 
 fn foreign(state: &mut State, now: Time, attempt: id::Attempt, out: &mut Vec<Effect>) {
     state.counters.foreign += 1;
-    out.push(Effect::Cancel(attempt));
     retry::failed(state, now, attempt, Trouble::Failed(Failure::Foreign), out);
 }
 
@@ -70,7 +71,6 @@
         return;
     }
     if offset > flow.delivered {
-        out.push(Effect::Cancel(attempt));
         retry::failed(state, now, attempt, Trouble::Gap, out);
         return;
     }
@@ -99,7 +99,6 @@
         return;
     };
     if flow.stream && flow.delivered != length {
-        out.push(Effect::Cancel(attempt));
         retry::failed(state, now, attempt, Trouble::Gap, out);
         return;
     }
@@ -147,6 +146,5 @@
         current.watch = state.timers.set(due, Timer::Silence(attempt));
         return;
     }
-    out.push(Effect::Cancel(attempt));
     retry::failed(state, now, attempt, Trouble::Silent, out);
 }
--- /dev/null
+++ b/core/tests/retry_budget.rs
@@ -0,0 +1,203 @@
+//! Which failures are tried again, where, how often, and what a caller may be told afterwards.
+
+use std::time::Duration;
+
+use boragecove_core::attempt::{Failure, Refusal};
+use boragecove_core::code::{Code, Outcome};
+use boragecove_core::count::Reason;
+use boragecove_core::effect::Effect;
+use boragecove_core::event::Event;
+use boragecove_core::peer::Item;
+use boragecove_core::settings::Settings;
+use boragecove_core::vm::Role;
+
+mod entry;
+use entry::{Ask, Entry, end, outcome, sends, sent, vm};
+
+const ONCE: Ask = Ask {
+    caller: None,
+    service: true,
+    idempotent: None,
+    key: None,
+    digest: "digest",
+    priority: None,
+    patience: Duration::from_mins(1),
+    stream: false,
+    prefix: Vec::new(),
+    hops: 0,
+};
+
+fn two() -> Entry {
+    Entry::new(Settings::default(), Vec::new(), &["engine-1", "engine-2"], &["gate-1", "gate-2"])
+}
+
+#[test]
+fn elsewhere_at_once() {
+    let mut entry = two();
+    let (_, effects) = entry.ask(Ask::default());
+    let first = sent(&effects);
+    let effects = entry.fail(first.attempt, Failure::Connect);
+    let second = sent(&effects);
+    assert_ne!(second.backend, first.backend);
+    assert!(effects.contains(&Effect::Retire(first.address)));
+    assert_eq!(entry.state.counters().retried(Reason::Connect), 1);
+}
+
+#[test]
+fn suspects_left_out() {
+    let mut entry = two();
+    let (_, effects) = entry.ask(Ask::default());
+    let dead = sent(&effects);
+    let _second = entry.fail(dead.attempt, Failure::Connect);
+    for _ in 0..4 {
+        let (_, effects) = entry.ask(Ask::default());
+        assert_ne!(sent(&effects).backend, dead.backend);
+    }
+    entry.advance(Duration::from_secs(1));
+    let (_, effects) = entry.ask(Ask::default());
+    let probe = sent(&effects);
+    assert_eq!(probe.backend, dead.backend, "one request finds out whether it answers again");
+    let _answered = entry.answer(probe.attempt);
+    let (_, effects) = entry.ask(Ask::default());
+    assert_eq!(sent(&effects).backend, dead.backend, "it has less to do and is trusted again");
+}
+
+#[test]
+fn only_once() {
+    let mut entry = two();
+    let (id, effects) = entry.ask(ONCE);
+    let effects = entry.fail(sent(&effects).attempt, Failure::Broken);
+    assert!(sends(&effects).is_empty());
+    assert_eq!(outcome(&effects, id), Some((Code::Interrupted, Outcome::Unknown)));
+
+    let (id, effects) = entry.ask(ONCE);
+    let second = sent(&entry.refuse(sent(&effects).attempt, Refusal::Busy));
+    let effects = entry.fail(second.attempt, Failure::Error);
+    assert_eq!(outcome(&effects, id), Some((Code::BackendFailed, Outcome::Unknown)));
+}
+
+#[test]
+fn proven_not_run() {
+    let mut entry = Entry::new(Settings::default(), Vec::new(), &[], &["gate-1"]);
+    let (id, effects) = entry.ask(ONCE);
+    let mut attempt = sent(&effects).attempt;
+    let end = loop {
+        let mut effects = entry.refuse(attempt, Refusal::Busy);
+        effects.extend(entry.advance(Duration::from_secs(2)));
+        if let Some(end) = end(&effects, id) {
+            break end;
+        }
+        attempt = sent(&effects).attempt;
+    };
+    assert_eq!((end.code(), end.outcome()), (Code::RetriesSpent, Outcome::NotRun));
+    assert!(end.retry_after_ms().is_some());
+    assert_eq!(entry.sent().len(), usize::from(Settings::default().attempts_max));
+}
+
+#[test]
+fn budget_spent() {
+    let settings = Settings { retry_burst: 3.0, retry_floor: 0.5, ..Settings::default() };
+    let mut entry = Entry::new(settings, Vec::new(), &["engine-1", "engine-2"], &[]);
+    let mut retried = 0;
+    for _ in 0..6 {
+        let (id, effects) = entry.ask(Ask::default());
+        let effects = entry.refuse(sent(&effects).attempt, Refusal::Busy);
+        match end(&effects, id) {
+            None => {
+                retried += 1;
+                let _answered = entry.answer(sent(&effects).attempt);
+            }
+            Some(end) => {
+                assert_eq!((end.code(), end.outcome()), (Code::RetriesSpent, Outcome::NotRun));
+                assert!(end.retry_after_ms().is_some_and(|wait| wait <= 2_000));
+            }
+        }
+    }
+    assert_eq!(retried, 3, "each answer earns a fifth");
+    entry.advance(Duration::from_secs(3));
+    let (_, effects) = entry.ask(Ask::default());
+    let _retried = sent(&entry.refuse(sent(&effects).attempt, Refusal::Busy));
+}
+
+#[test]
+fn within_deadline() {
+    let settings = Settings { backoff_base: Duration::from_secs(10), ..Settings::default() };
+    let mut entry = Entry::new(settings, Vec::new(), &["engine-1", "engine-2"], &[]);
+    let (id, effects) = entry.ask(Ask { patience: Duration::from_millis(40), ..Ask::default() });
+    let second = sent(&entry.refuse(sent(&effects).attempt, Refusal::Busy));
+    let effects = entry.refuse(second.attempt, Refusal::Busy);
+    assert_eq!(outcome(&effects, id), Some((Code::RetriesSpent, Outcome::NotRun)), "it is told at once");
+}
+
+#[test]
+fn another_requests_answer() {
+    let mut entry = two();
+    let (id, effects) = entry.ask(Ask::default());
+    let first = sent(&effects).attempt;
+    let (_, effects) = entry.ask(Ask::default());
+    let other = sent(&effects).attempt;
+    let effects = entry.event(Event::Head { attempt: first, echo: Some(other) });
+    assert!(effects.contains(&Effect::Cancel(first)));
+    let second = sent(&effects).attempt;
+    assert_eq!(second.request, id);
+    assert!(entry.chunk(first, 0).is_empty(), "nothing of it is passed on");
+    assert_eq!(entry.state.counters().foreign, 1);
+
+    let (_, effects) = entry.ask(Ask::default());
+    let unnamed = sent(&effects).attempt;
+    let effects = entry.event(Event::Head { attempt: unnamed, echo: None });
+    assert!(effects.contains(&Effect::Cancel(unnamed)), "an engine names the attempt");
+}
+
+#[test]
+fn service_need_not_echo() {
+    let mut entry = two();
+    let (id, effects) = entry.ask(ONCE);
+    let attempt = sent(&effects).attempt;
+    let effects = entry.event(Event::Head { attempt, echo: None });
+    assert!(effects.iter().all(|effect| !matches!(effect, Effect::Cancel(_))));
+    assert_eq!(outcome(&entry.finish(attempt, 0), id), Some((Code::Ok, Outcome::Answered)));
+}
+
+#[test]
+fn whole_answer_committed() {
+    let mut entry = two();
+    let (id, effects) = entry.ask(Ask { stream: false, ..Ask::default() });
+    let attempt = sent(&effects).attempt;
+    entry.head(attempt);
+    assert!(entry.event(Event::Overflow(attempt)).contains(&Effect::Commit(attempt)));
+    let effects = entry.fail(attempt, Failure::Broken);
+    assert_eq!(outcome(&effects, id), Some((Code::Interrupted, Outcome::Unknown)));
+    assert!(entry.event(Event::Overflow(attempt)).is_empty(), "it is over");
+}
+
+#[test]
+fn leaving_told() {
+    let mut entry = two();
+    entry.add(vm("entry-2", "hall-a", Role::Entry));
+    let (_, effects) = entry.ask(Ask::default());
+    let first = sent(&effects);
+    let effects = entry.refuse(first.attempt, Refusal::Leaving);
+    assert_ne!(sent(&effects).backend, first.backend);
+    let told = effects.iter().any(|effect| match effect {
+        Effect::Tell { frame, .. } => frame.items.contains(&Item::Leaving(first.backend.clone())),
+        _ => false,
+    });
+    assert!(told, "peers hear of it: {effects:?}");
+    entry.advance(Duration::from_secs(5));
+    for _ in 0..4 {
+        let (_, effects) = entry.ask(Ask::default());
+        assert_ne!(sent(&effects).backend, first.backend);
+    }
+}
+
+#[test]
+fn gone_cancels() {
+    let mut entry = two();
+    let (id, effects) = entry.ask(Ask::default());
+    let attempt = sent(&effects).attempt;
+    let effects = entry.event(Event::Gone(id));
+    assert!(effects.contains(&Effect::Cancel(attempt)));
+    assert_eq!(outcome(&effects, id), Some((Code::CallerGone, Outcome::Unknown)));
+    assert!(entry.answer(attempt).is_empty(), "a late answer is dropped");
+}
