--- a/core/tests/matrix/fault.rs
+++ b/core/tests/matrix/fault.rs
@@ -46,7 +46,7 @@
 closed!(
     /// A kind of effect.
     Kind {
-        Send = "send", Cancel = "cancel", Deliver = "deliver", Commit = "commit", End = "end", Retire = "retire",
+        Send = "send", Cancel = "cancel", Release = "release", Deliver = "deliver", Commit = "commit", End = "end", Retire = "retire",
         List = "list", Poll = "poll", Order = "order", Table = "table", Tell = "tell", Answer = "answer",
         Record = "record", Ready = "ready", WakeAt = "wake-at", Exit = "exit",
     }
@@ -66,6 +66,7 @@
         match effect {
             Effect::Send(_) => Self::Send,
             Effect::Cancel(_) => Self::Cancel,
+            Effect::Release(_) => Self::Release,
             Effect::Deliver { .. } => Self::Deliver,
             Effect::Commit(_) => Self::Commit,
             Effect::End { .. } => Self::End,
