--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! The daemon of an entry VM: its edges around the reducer.
+
+pub mod platform;
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -57,6 +57,7 @@
         .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(Duration::ZERO)
         .shutdown_timeout(SHUTDOWN_SECONDS)
+        .h1_allow_half_closed(false)
         .disable_signals()
         .bind(listen)?;
     let address = server.addrs().first().copied().ok_or(io::ErrorKind::AddrNotAvailable)?;
