Keep room for a model's adapters in the trial placement

Cause: Models were packed as tightly as they go before any adapter was looked at, so an inventory with 143,436 MB to spare of 884,736 MB was refused: its adapters found no room beside their models. Change: A model is placed where its adapters fit beside it, and they are placed right after it; the model that takes most with its adapters goes first.

--- a/core/src/check/fit.rs
+++ b/core/src/check/fit.rs
@@ -1,9 +1,11 @@
 //! Whether the declared artifacts find room on the engines that are listed.
 //!
-//! A trial placement: the largest artifact first, each copy on the engine where it leaves the least
-//! room. An adapter goes where its model is, or takes a further copy of its model along. Placement may
-//! do better than this trial by a hair, and then an inventory that fits is refused; it never does worse.
+//! A trial placement: the model that takes most with its adapters first, each copy on the engine where
+//! it leaves the least room, with room for the adapters if there is such an engine. An adapter goes
+//! where its model is, or takes a further copy of its model along. Placement may do better than this
+//! trial by a hair, and then an inventory that fits is refused; it never does worse.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Fault;
@@ -60,14 +62,23 @@
         trial.add(&backend.group, &backend.zone, memory_mb);
     }
     let mut entries: Vec<&Entry> = catalog.entries.iter().collect();
+    let adapters = adapters(&catalog);
+    let beside = |entry: &Entry| adapters.get(&entry.artifact.model).copied().unwrap_or_default();
+    let mut bundles: BTreeMap<&Name, u64> = BTreeMap::new();
+    for entry in catalog.entries.iter().filter(|entry| entry.artifact.adapter.is_none()) {
+        let bundle = bundles.entry(&entry.artifact.model).or_default();
+        *bundle = (entry.memory_mb + beside(entry)).max(*bundle);
+    }
     entries.sort_by_key(|entry| {
-        (entry.artifact.adapter.is_some(), std::cmp::Reverse(entry.memory_mb), entry.artifact.clone())
+        let model = &entry.artifact.model;
+        let is_adapter = entry.artifact.adapter.is_some();
+        (Reverse(bundles.get(model)), model, is_adapter, Reverse(entry.memory_mb), &entry.artifact)
     });
     let smallest = smallest_versions(&catalog);
     for entry in entries {
         *trial.needed.entry(entry.group.clone()).or_default() += entry.memory_mb * u64::from(entry.copies);
         let placed = match entry.artifact.adapter {
-            None => trial.place_model(entry),
+            None => trial.place_model(entry, beside(entry)),
             Some(_) => trial.place_adapter(entry, smallest.get(&entry.artifact.model).copied()),
         };
         let missing = u64::from(entry.copies.saturating_sub(placed));
@@ -79,6 +90,15 @@
     trial
 }
 
+/// Memory of all adapters of each model.
+fn adapters(catalog: &Catalog) -> BTreeMap<Name, u64> {
+    let mut adapters: BTreeMap<Name, u64> = BTreeMap::new();
+    for entry in catalog.entries.iter().filter(|entry| entry.artifact.adapter.is_some()) {
+        *adapters.entry(entry.artifact.model.clone()).or_default() += entry.memory_mb;
+    }
+    adapters
+}
+
 fn smallest_versions(catalog: &Catalog) -> BTreeMap<Name, u64> {
     let mut smallest: BTreeMap<Name, u64> = BTreeMap::new();
     for entry in catalog.entries.iter().filter(|entry| entry.artifact.adapter.is_none()) {
@@ -99,11 +119,13 @@
         self.place.push((group.clone(), zone.clone()));
     }
 
-    /// Places the copies of a model's version on as many engines. Returns how many found room.
-    fn place_model(&mut self, entry: &Entry) -> u32 {
+    /// Places the copies of a model's version on as many engines, if it can be with room for its
+    /// adapters beside them. Returns how many found room.
+    fn place_model(&mut self, entry: &Entry, beside_mb: u64) -> u32 {
         let mut used = BTreeSet::new();
         while (used.len() as u32) < entry.copies {
-            let Some(engine) = self.best(entry, entry.memory_mb, &used) else {
+            let roomy = self.best(entry, entry.memory_mb + beside_mb, &used);
+            let Some(engine) = roomy.or_else(|| self.best(entry, entry.memory_mb, &used)) else {
                 break;
             };
             self.take(engine, entry.memory_mb);
