Settle a change whose answer was lost by reading back

Cause: An operator whose connection broke had to find out by hand. Change: apply reads the configuration back: the version after the base is given out once, so what stands there says accepted or lost to another. A change gets 30 s, longer than an entry VM takes to settle one itself. Conclusion: Only a change that may still arrive is left unsettled.

--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -15,6 +15,10 @@
 use crate::error::Error;
 use crate::options::Options;
 
+/// Time for a question, if none is given.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Time for a change, if none is given: longer than an entry VM tries to settle one with the platform.
+const CHANGE_DEADLINE: Duration = Duration::from_secs(30);
 /// The longest answer that is taken, in bytes.
 const ANSWER_MAX_BYTES: usize = 64 << 20;
 
@@ -23,7 +27,7 @@
     http: awc::Client,
     address: SocketAddr,
     token: Option<String>,
-    deadline: Duration,
+    deadline: Option<Duration>,
 }
 
 impl fmt::Debug for Client {
@@ -50,7 +54,7 @@
         let address = bare.parse().map_err(|_bad: std::net::AddrParseError| {
             Error::usage(format!("'{address}' is no IP address with a port"), hint)
         })?;
-        let http = awc::Client::builder().timeout(options.deadline).finish();
+        let http = awc::Client::builder().disable_timeout().finish();
         Ok(Self { http, address, token: options.token.clone(), deadline: options.deadline })
     }
 
@@ -60,9 +64,11 @@
     ///
     /// If the daemon refuses, does not answer in time, or cannot be reached.
     pub async fn ask(&self, query: &Query) -> Result<Answer, Error> {
-        let answered = timeout(self.deadline, self.exchange(query)).await;
+        let default = if matches!(query, Query::Apply(_)) { CHANGE_DEADLINE } else { DEADLINE };
+        let deadline = self.deadline.unwrap_or(default);
+        let answered = timeout(deadline, self.exchange(query)).await;
         let answer = answered.unwrap_or_else(|_elapsed| {
-            Err(self.lost(format!("nothing came within {} ms", self.deadline.as_millis())))
+            Err(self.lost(format!("nothing came within {} ms", deadline.as_millis())))
         })?;
         match answer {
             Answer::Error(refusal) => Err(Error::Refused(refusal)),
--- a/cli/src/cmd/apply.rs
+++ b/cli/src/cmd/apply.rs
@@ -1,6 +1,9 @@
 //! `apply`: makes documents the configuration in force.
 
-use boragecove_core::operator::{Answer, Applied, Apply, Query};
+use boragecove_core::code::Code;
+use boragecove_core::config::Document;
+use boragecove_core::name::Name;
+use boragecove_core::operator::{Answer, Apply, Query, Refusal};
 use serde::Serialize;
 
 use crate::client::Client;
@@ -24,6 +27,14 @@
     changes: &'a [Change],
 }
 
+/// A change that was accepted, or would be.
+#[derive(Debug)]
+struct Accepted {
+    version: u64,
+    /// Its operation; none if its answer was lost and it was read back.
+    op: Option<String>,
+}
+
 /// Compares, applies on top of the version compared with, and waits if asked to.
 pub(crate) async fn run(options: &Options, console: &mut Console<'_>) -> Result<(), Error> {
     let client = Client::new(options)?;
@@ -54,7 +65,7 @@
     let waited =
         if waits { wait::until_in_line(&client, console, version, options.timeout).await } else { Ok(()) };
     if !for_people {
-        let op = applied.map(|applied| applied.op.to_string());
+        let op = applied.and_then(|applied| applied.op);
         let in_line = waits && waited.is_ok();
         let report = Report { base, version, op, dry_run: options.dry_run, in_line, changes: &changes };
         console.json(&report)?;
@@ -70,14 +81,30 @@
     }
 }
 
-async fn send(client: &Client, base: u64, apply: Apply) -> Result<Applied, Error> {
-    let dry_run = apply.dry_run;
+async fn send(client: &Client, base: u64, apply: Apply) -> Result<Accepted, Error> {
+    let (dry_run, document) = (apply.dry_run, apply.document.clone());
     match client.ask(&Query::Apply(Box::new(apply))).await {
-        Ok(Answer::Applied(applied)) => Ok(applied),
-        Ok(_) => Err(client.mismatched()),
-        Err(error @ Error::Lost { .. }) if !dry_run => {
-            Err(Error::Unsettled { base, version: base + 1, reason: error.to_string() })
+        Ok(Answer::Applied(applied)) => {
+            Ok(Accepted { version: applied.version, op: Some(applied.op.to_string()) })
         }
+        Ok(_) => Err(client.mismatched()),
+        Err(error @ Error::Lost { .. }) if !dry_run => settle(client, base, &document, &error).await,
         Err(other) => Err(other),
     }
 }
+
+/// Reads back whether a change was accepted whose answer was lost. The version after the base is
+/// given out once, so whatever stands there settles it.
+async fn settle(client: &Client, base: u64, document: &Document, lost: &Error) -> Result<Accepted, Error> {
+    let version = base + 1;
+    match in_force(client).await {
+        Ok((found, stored)) if found == version && stored == *document => Ok(Accepted { version, op: None }),
+        Ok((found, _)) if found == version => Err(Error::Refused(Refusal {
+            code: Code::Conflict,
+            reasons: vec!["the answer was lost; another change stands in its place".into()],
+            hint: Name::default(),
+            version: Some(found),
+        })),
+        Ok(_) | Err(_) => Err(Error::Unsettled { base, version, reason: lost.to_string() }),
+    }
+}
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -13,8 +13,6 @@
 use crate::error::Error;
 use crate::flag::{self, Flag, Id, Value};
 
-/// Time for each question, if none is given.
-const DEADLINE: Duration = Duration::from_secs(10);
 /// Time to wait for a change to be in line, if none is given.
 const TIMEOUT: Duration = Duration::from_mins(10);
 /// Who makes a change, if nobody is given.
@@ -56,8 +54,8 @@
     pub token: Option<String>,
     /// The form of the result.
     pub output: Output,
-    /// Time for each question.
-    pub deadline: Duration,
+    /// Time for each question, if it is given.
+    pub deadline: Option<Duration>,
     /// Whether only to say what would happen.
     pub dry_run: bool,
     /// The version that the files were made from.
@@ -85,7 +83,7 @@
             address: None,
             token: None,
             output: Output::default(),
-            deadline: DEADLINE,
+            deadline: None,
             dry_run: false,
             base: None,
             who: NOBODY.to_owned(),
@@ -191,7 +189,7 @@
             Id::Address => self.address = Some(value.to_owned()),
             Id::Token => self.token = Some(value.to_owned()),
             Id::Output => self.output = output(value)?,
-            Id::Deadline => self.deadline = duration(flag, value)?,
+            Id::Deadline => self.deadline = Some(duration(flag, value)?),
             Id::Help => self.info = Some(Info::Help),
             Id::Version => self.info = Some(Info::Release),
             Id::DryRun => self.dry_run = true,
--- a/cli/tests/client/apply_changes.rs
+++ b/cli/tests/client/apply_changes.rs
@@ -85,18 +85,32 @@
 #[actix_rt::test]
 async fn answer_lost() {
     let fake = Fake::start();
-    fake.state.lock().expect("not poisoned").mood = Mood::Mute;
     let file = example("varmevakt/inventory.jsonc");
-    let run = fake.run(&["apply", &file]).await;
-    assert_eq!(run.class, Class::Unsettled, "{}", run.err);
-    assert!(run.err.contains("whether version 7 was accepted is not known"), "{}", run.err);
-    assert!(run.err.contains("--base 6"), "{}", run.err);
+    for (mood, class, part) in [
+        (Mood::Deaf, Class::Unsettled, "run the same command again with --base 6"),
+        (Mood::Mute, Class::Done, "accepted as version 7"),
+    ] {
+        fake.state.lock().expect("not poisoned").mood = mood;
+        let run = fake.run(&["apply", &file]).await;
+        assert_eq!(run.class, class, "{}", run.err);
+        assert!(format!("{}{}", run.out, run.err).contains(part), "{}{}", run.out, run.err);
+    }
     let again = fake.run(&["apply", &file, "--base", "6"]).await;
     assert_eq!(again.class, Class::Conflict, "a repeat is never accepted twice: {}", again.err);
     assert_eq!(fake.state.lock().expect("not poisoned").version, 7);
     fake.stop().await;
 }
 
+#[actix_rt::test]
+async fn place_taken() {
+    let fake = Fake::start();
+    fake.state.lock().expect("not poisoned").mood = Mood::Beaten;
+    let run = fake.run(&["apply", &example("varmevakt/inventory.jsonc")]).await;
+    assert_eq!(run.class, Class::Conflict, "{}", run.err);
+    assert!(run.err.contains("another change stands in its place"), "{}", run.err);
+    fake.stop().await;
+}
+
 #[actix_rt::test]
 async fn refusal_shown() {
     let fake = Fake::start();
--- a/cli/tests/client/fake.rs
+++ b/cli/tests/client/fake.rs
@@ -35,6 +35,10 @@
     Stuck,
     /// Accepts them and cuts the connection before it answers.
     Mute,
+    /// Cuts the connection without having taken them.
+    Deaf,
+    /// Accepts another one in their place and cuts the connection.
+    Beaten,
     /// Refuses them with this code.
     Refusing(Code),
 }
@@ -175,7 +179,13 @@
         if apply.dry_run {
             return Some(applied);
         }
+        if self.mood == Mood::Deaf {
+            return None;
+        }
         self.version += 1;
+        if self.mood == Mood::Beaten {
+            return None;
+        }
         self.document = apply.document;
         (self.mood != Mood::Mute).then_some(applied)
     }
--- a/cli/tests/client/main.rs
+++ b/cli/tests/client/main.rs
@@ -2,6 +2,7 @@
 
 mod apply_changes;
 mod codes_page;
+mod examples_fit;
 mod exit_classes;
 mod fake;
 mod shell_completions;
