Run the daemon: callers, back ends, operators around one reducer

Cause: the reducer had no process around it. Change: node (an actor that owns the state and carries effects out), the callers' listener with body, header and time limits, exchanges with engines and services by awc with incremental reading of events, orders and reports, the operators' listener, settings with placed errors, logs, metrics, run and check. Event::Alive tells the reducer that a try whose answer is held back, or goes on without an event, is not silent; an answer passed on as it comes is watched for silence by it.

--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -31,6 +31,9 @@
         /// Its number in the answer, from 0.
         offset: u64,
     },
+    /// A try is not silent, though nothing of it is to be passed on: part of an answer came, or the
+    /// answer is held back for a caller that is slow to take it.
+    Alive(id::Attempt),
     /// An answer came to its explicit end; a whole answer is at hand complete.
     Finished {
         /// The attempt it came for.
--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -43,6 +43,7 @@
         Event::Gone(request) => flow::gone(state, now, request, out),
         Event::Head { attempt, echo } => stream::head(state, now, attempt, echo, out),
         Event::Chunk { attempt, offset } => stream::chunk(state, now, attempt, offset, out),
+        Event::Alive(attempt) => stream::alive(state, now, attempt),
         Event::Finished { attempt, length } => stream::finished(state, now, attempt, length, out),
         Event::Overflow(attempt) => stream::overflow(state, attempt, out),
         Event::Failed { attempt, failure } => {
--- a/core/src/stream.rs
+++ b/core/src/stream.rs
@@ -79,6 +79,13 @@
     out.push(Effect::Deliver { attempt, offset });
 }
 
+/// The answer goes on, or is held back for its caller: either way its back end is not silent.
+pub(crate) fn alive(state: &mut State, now: Time, attempt: id::Attempt) {
+    if let Some(current) = open(state, attempt) {
+        current.progress = now;
+    }
+}
+
 /// An answer came to its explicit end.
 pub(crate) fn finished(
     state: &mut State,
@@ -133,14 +140,14 @@
     let Stage::Open(current) = &mut flow.stage else {
         return;
     };
-    // Nothing is heard of a whole answer between its head and its end.
-    let limit = match (current.headed, streams) {
+    // A whole answer may take its time between its head and its body, until it is passed on as it comes.
+    let limit = match (current.headed, streams || committed) {
         (false, _) => current.patience,
         (true, true) => idle,
         (true, false) => first_byte,
     };
     let due = current.progress + limit;
-    if current.attempt != attempt || committed {
+    if current.attempt != attempt {
         return;
     }
     if due > now {
--- /dev/null
+++ b/daemon/src/backends/exchange.rs
@@ -0,0 +1,234 @@
+//! One try at one back end: sends it, reads the answer and tells the node what came.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Addr;
+use actix_web::http::header::CONTENT_LENGTH;
+use awc::{Client, ClientResponse};
+use boragecove_core::attempt::{Failure, Send};
+use boragecove_core::id;
+use boragecove_core::time::Time;
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+
+use super::classify::{self, Verdict};
+use super::{request, sse};
+use crate::callers::content::{self, Content};
+use crate::callers::outlet::{Gate, Head};
+use crate::node::Node;
+use crate::settings::Settings;
+
+/// Time to read what follows an answer's end mark, so that its connection can be used again.
+const REST: Duration = Duration::from_secs(1);
+
+/// A try to be made.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// What to send.
+    pub send: Box<Send>,
+    /// The caller's request.
+    pub content: Arc<Content>,
+    /// The text delivered so far.
+    pub delivered: String,
+    /// Holds the answer back while the caller's backlog is full.
+    pub gate: Arc<Gate>,
+    /// When the try was made.
+    pub now: Time,
+    /// Whom to tell.
+    pub node: Addr<Node>,
+}
+
+/// What came of a try, told in order.
+#[derive(Debug)]
+pub(crate) enum Step {
+    /// The head of a stream.
+    Head {
+        /// The attempt that the answer is for.
+        echo: Option<id::Attempt>,
+        /// The head.
+        head: Head,
+    },
+    /// Events of a stream.
+    Events(sse::Batch),
+    /// A whole answer.
+    Whole {
+        /// The attempt that the answer is for.
+        echo: Option<id::Attempt>,
+        /// Its head.
+        head: Head,
+        /// Its body.
+        body: Bytes,
+    },
+    /// A whole answer that outgrew the buffer; `More` follows.
+    Overflow {
+        /// The attempt that the answer is for.
+        echo: Option<id::Attempt>,
+        /// Its head.
+        head: Head,
+        /// What has come of its body.
+        body: Bytes,
+    },
+    /// The next bytes of an answer that outgrew the buffer.
+    More(Bytes),
+    /// An answer that outgrew the buffer is complete.
+    Complete,
+    /// The answer goes on, or is held back here, with nothing to pass on yet.
+    Alive,
+    /// The try failed.
+    Failed {
+        /// The attempt that the answer was for, if there was one.
+        echo: Option<id::Attempt>,
+        /// How.
+        failure: Failure,
+    },
+}
+
+/// What a node is told of a try. The answer comes once the node has dealt with it.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+pub(crate) struct Progress {
+    /// The try.
+    pub attempt: id::Attempt,
+    /// What came.
+    pub step: Step,
+}
+
+/// Makes a try and tells the node how it goes, up to its end.
+pub(crate) async fn run(job: Job, client: Client, settings: &Settings) {
+    let body = request::body(&job.send, &job.content, &job.delivered);
+    let head = request::head(&client, &job.send, &job.content, job.now, &settings.peer_secret);
+    let response = match head.send_body(body).await {
+        Ok(response) => response,
+        Err(error) => {
+            tracing::debug!(attempt = %job.send.attempt, %error, "try not sent or not answered");
+            let failure = classify::sending(&error);
+            // A connection that never answered says nothing of another attempt.
+            job.tell(Step::Failed { echo: Some(job.send.attempt), failure }).await;
+            return;
+        }
+    };
+    let echo = classify::echo(&job.send.to, job.send.attempt, response.headers());
+    let outcome = match classify::head(&job.send.to, response.status(), response.headers()) {
+        Verdict::Stream => stream(&job, echo, response, settings).await,
+        Verdict::Whole => whole(&job, echo, response, settings).await,
+        Verdict::Failed(failure) => Err(failure),
+    };
+    if let Err(failure) = outcome {
+        job.tell(Step::Failed { echo, failure }).await;
+    }
+}
+
+impl Job {
+    async fn tell(&self, step: Step) {
+        let _node_is_gone = self.node.send(Progress { attempt: self.send.attempt, step }).await;
+    }
+
+    /// Waits until the caller has room, and says meanwhile that it is not the back end that is silent.
+    async fn room(&self, settings: &Settings) {
+        while !self.gate.is_open() {
+            let wait = tokio::time::timeout(settings.core.idle / 2, self.gate.opened());
+            if wait.await.is_err() {
+                self.tell(Step::Alive).await;
+            }
+        }
+    }
+}
+
+async fn stream(
+    job: &Job,
+    echo: Option<id::Attempt>,
+    response: ClientResponse,
+    settings: &Settings,
+) -> Result<(), Failure> {
+    job.tell(Step::Head { echo, head: caller_head(&response) }).await;
+    let mut answer = Answer::new(response);
+    let mut parser = sse::Parser::default();
+    while let Some(chunk) = answer.next().await? {
+        let batch = parser.push(chunk);
+        if batch.broken {
+            return Err(Failure::Broken);
+        }
+        let done = batch.done.is_some();
+        let step = if batch.events.is_empty() && !done { Step::Alive } else { Step::Events(batch) };
+        job.tell(step).await;
+        if done {
+            answer.rest().await;
+            return Ok(());
+        }
+        job.room(settings).await;
+    }
+    Err(Failure::Broken)
+}
+
+async fn whole(
+    job: &Job,
+    echo: Option<id::Attempt>,
+    response: ClientResponse,
+    settings: &Settings,
+) -> Result<(), Failure> {
+    let head = caller_head(&response);
+    let mut answer = Answer::new(response);
+    let mut body = BytesMut::new();
+    while let Some(chunk) = answer.next().await? {
+        body.extend_from_slice(&chunk);
+        if body.len() > settings.limits.answer {
+            job.tell(Step::Overflow { echo, head, body: body.freeze() }).await;
+            return pass_on(job, answer, settings).await;
+        }
+        if answer.left != Some(0) {
+            job.tell(Step::Alive).await;
+        }
+    }
+    job.tell(Step::Whole { echo, head, body: body.freeze() }).await;
+    Ok(())
+}
+
+async fn pass_on(job: &Job, mut answer: Answer, settings: &Settings) -> Result<(), Failure> {
+    job.room(settings).await;
+    while let Some(chunk) = answer.next().await? {
+        job.tell(Step::More(chunk)).await;
+        job.room(settings).await;
+    }
+    job.tell(Step::Complete).await;
+    Ok(())
+}
+
+/// The body of an answer, up to the length that its head gives.
+struct Answer {
+    response: ClientResponse,
+    left: Option<usize>,
+}
+
+impl Answer {
+    fn new(response: ClientResponse) -> Self {
+        let length =
+            response.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+        Self { response, left: length }
+    }
+
+    /// The next bytes; none at the end, which is an error if it comes too early.
+    async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        let read = poll_fn(|cx| Pin::new(&mut self.response).poll_next(cx)).await;
+        let Some(chunk) = read.transpose().map_err(|_lost| Failure::Broken)? else {
+            return if self.left.unwrap_or(0) == 0 { Ok(None) } else { Err(Failure::Broken) };
+        };
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(chunk.len());
+        }
+        Ok(Some(chunk))
+    }
+
+    /// Reads what follows the end mark.
+    async fn rest(mut self) {
+        let read = async { while let Ok(Some(_)) = self.next().await {} };
+        let _too_long = tokio::time::timeout(REST, read).await;
+    }
+}
+
+fn caller_head(response: &ClientResponse) -> Head {
+    let headers = response.headers().iter().filter(|(name, _)| content::goes_on(name));
+    Head { status: response.status(), headers: headers.map(|(n, v)| (n.clone(), v.clone())).collect() }
+}
--- /dev/null
+++ b/daemon/src/cmd/mod.rs
@@ -0,0 +1,123 @@
+//! The command line of the daemon.
+
+mod check;
+mod run;
+
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+use thiserror::Error;
+
+use crate::node;
+use crate::settings::Unreadable;
+
+/// How the daemon is called.
+const USAGE: &str = "\
+usage: boragecoved run --settings FILE      serve
+       boragecoved check --settings FILE    report every error in the settings
+       boragecoved --help | --version";
+
+/// Exit code for a call that is not understood.
+const EXIT_USAGE: u8 = 2;
+/// Exit code for settings that are refused.
+const EXIT_SETTINGS: u8 = 3;
+
+/// What the daemon is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Serve.
+    Run {
+        /// The settings file.
+        settings: PathBuf,
+    },
+    /// Look at the settings only.
+    Check {
+        /// The settings file.
+        settings: PathBuf,
+    },
+    /// Say how to call it.
+    Help,
+    /// Say which version it is.
+    Version,
+}
+
+/// Why the daemon ended.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The command line was not understood.
+    #[error("{0}\n{USAGE}")]
+    Usage(#[from] lexopt::Error),
+    /// The settings are refused.
+    #[error("settings refused:\n{0}")]
+    Settings(#[from] Unreadable),
+    /// The node did not start.
+    #[error(transparent)]
+    Start(#[from] node::Failed),
+    /// The operating system refused something.
+    #[error("{0}")]
+    System(#[from] io::Error),
+}
+
+impl Error {
+    /// The exit code that goes with it.
+    #[must_use]
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Usage(_) => ExitCode::from(EXIT_USAGE),
+            Self::Settings(_) => ExitCode::from(EXIT_SETTINGS),
+            Self::Start(_) | Self::System(_) => ExitCode::FAILURE,
+        }
+    }
+}
+
+impl Command {
+    /// Reads the process's command line.
+    ///
+    /// # Errors
+    ///
+    /// If it is not understood.
+    pub fn parse() -> Result<Self, Error> {
+        let mut parser = lexopt::Parser::from_env();
+        match parser.next()? {
+            Some(Value(word)) if word == "run" => Ok(Self::Run { settings: settings(&mut parser)? }),
+            Some(Value(word)) if word == "check" => Ok(Self::Check { settings: settings(&mut parser)? }),
+            Some(Long("help") | Short('h')) => Ok(Self::Help),
+            Some(Long("version") | Short('V')) => Ok(Self::Version),
+            Some(other) => Err(other.unexpected().into()),
+            None => Err(lexopt::Error::from("expected a command").into()),
+        }
+    }
+
+    /// Does it.
+    ///
+    /// # Errors
+    ///
+    /// For whatever kept it from being done.
+    pub fn run(self) -> Result<(), Error> {
+        match self {
+            Self::Run { settings } => run::run(&settings),
+            Self::Check { settings } => check::run(&settings),
+            Self::Help => {
+                println!("{USAGE}");
+                Ok(())
+            }
+            Self::Version => {
+                println!("boragecoved {}", env!("CARGO_PKG_VERSION"));
+                Ok(())
+            }
+        }
+    }
+}
+
+fn settings(parser: &mut lexopt::Parser) -> Result<PathBuf, lexopt::Error> {
+    let mut file = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => file = Some(parser.value()?.into()),
+            other => return Err(other.unexpected()),
+        }
+    }
+    file.ok_or_else(|| lexopt::Error::from("expected --settings FILE"))
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,15 @@
 //! The daemon of an entry VM: its edges around the reducer.
+//!
+//! [`node`] owns the reducer's state. The edges feed it events and carry its effects out.
+
+mod backends;
+mod callers;
+pub mod clock;
+pub mod cmd;
+pub mod logs;
+mod metrics;
+pub mod node;
+mod operators;
+mod peers;
+pub mod settings;
+mod store;
--- a/wire/src/completion.rs
+++ b/wire/src/completion.rs
@@ -36,13 +36,20 @@
         serde_json::from_slice(bytes)
     }
 
-    /// The bytes that `request::prefix_hashes` covers: the JSON text of `prompt`, else of `messages`, as sent.
+    /// What `request::prefix_hashes` covers: `prompt` if it is a text, else the JSON of `prompt` or
+    /// `messages` as sent.
     #[must_use]
-    pub fn prompt(&self) -> &'a [u8] {
-        self.prompt.or(self.messages).map_or(&[], |raw| raw.get().as_bytes())
+    pub fn prompt(&self) -> Cow<'a, str> {
+        let Some(raw) = self.prompt.or(self.messages) else {
+            return Cow::Borrowed("");
+        };
+        serde_json::from_str::<Text<'a>>(raw.get()).map_or(Cow::Borrowed(raw.get()), |text| text.0)
     }
 }
 
+#[derive(Deserialize)]
+struct Text<'a>(#[serde(borrow)] Cow<'a, str>);
+
 /// What is read of one streamed event's JSON.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Piece<'a> {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod jsonc;
 pub mod path;
 pub mod platform;
+pub mod proof;
--- /dev/null
+++ b/wire/src/proof.rs
@@ -0,0 +1,38 @@
+//! The proof that a request between entry VMs comes from one that knows the shared secret.
+
+use std::fmt::Write as _;
+
+use boragecove_core::id;
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// The proof for an attempt, as lower-case hex.
+#[must_use]
+pub fn prove(attempt: id::Attempt, secret: &[u8]) -> String {
+    let mut text = String::new();
+    for byte in mac(attempt, secret).finalize().into_bytes() {
+        let _infallible = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+/// Whether a proof is the one for an attempt.
+#[must_use]
+pub fn holds(attempt: id::Attempt, secret: &[u8], proof: &str) -> bool {
+    let Some(bytes) = unhex(proof) else {
+        return false;
+    };
+    mac(attempt, secret).verify_slice(&bytes).is_ok()
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let pairs = text.as_bytes().chunks(2);
+    pairs.map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()).collect()
+}
+
+fn mac(attempt: id::Attempt, secret: &[u8]) -> Hmac<Sha256> {
+    let mut mac =
+        <Hmac<Sha256> as Mac>::new_from_slice(secret).unwrap_or_else(|_any_length_fits| unreachable!());
+    mac.update(attempt.to_string().as_bytes());
+    mac
+}
