--- a/daemon/src/node/carry.rs
+++ b/daemon/src/node/carry.rs
@@ -23,6 +23,7 @@
         match effect {
             Effect::Send(send) => self.send(now, send, ctx),
             Effect::Cancel(attempt) => self.cancel(attempt),
+            Effect::Release(attempt) => self.release(attempt),
             Effect::Commit(attempt) => {
                 if let Some(open) = self.requests.get_mut(&attempt.request) {
                     open.commit();
@@ -114,6 +115,12 @@
         self.exchanges.insert(attempt, Exchange { task: task.abort_handle(), address, tell });
     }
 
+    fn release(&mut self, attempt: id::Attempt) {
+        if let Some(exchange) = self.exchanges.remove(&attempt) {
+            exchange.task.abort();
+        }
+    }
+
     fn cancel(&mut self, attempt: id::Attempt) {
         let Some(exchange) = self.exchanges.remove(&attempt) else {
             return;
