--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,5 +11,5 @@
 pub mod node;
 mod operators;
 mod peers;
+pub mod platform;
 pub mod settings;
-mod store;
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -25,6 +25,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::peers;
+use crate::platform::{Platform, Source};
 use crate::settings::Settings;
 
 pub(crate) use message::Submit;
@@ -45,6 +46,7 @@
     asked: u64,
     pools: Pools,
     control: Pools,
+    platform: Platform,
     peers: peers::Sender,
     metrics: Metrics,
     wake: Option<SpawnHandle>,
@@ -69,7 +71,13 @@
 }
 
 impl Node {
-    fn new(settings: Settings, clock: Clock, shared: Arc<Shared>, exited: watch::Sender<bool>) -> Self {
+    fn new(
+        settings: Settings,
+        source: Source,
+        clock: Clock,
+        shared: Arc<Shared>,
+        exited: watch::Sender<bool>,
+    ) -> Self {
         let me = Identity {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
@@ -86,6 +94,7 @@
             asked: 0,
             pools: Pools::new(settings.timeouts),
             control: Pools::new(settings.timeouts),
+            platform: Platform::new(source),
             peers: peers::Sender::new(&settings),
             metrics: Metrics::default(),
             wake: None,
--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -18,6 +18,7 @@
 use super::{Ask, Node, Stop};
 use crate::callers::{self, Edge, Entrance, Shared};
 use crate::clock::Clock;
+use crate::platform::Source;
 use crate::settings::Settings;
 use crate::{operators, peers};
 
@@ -56,14 +57,14 @@
 /// # Errors
 ///
 /// If an address cannot be bound.
-pub fn start(settings: &Settings) -> Result<Running, Failed> {
+pub fn start(settings: &Settings, platform: Source) -> Result<Running, Failed> {
     let clock = Clock::start();
     let shared = Arc::new(Shared::new(Incarnation(fastrand::u64(1..))));
     let (exit, exited) = watch::channel(false);
     let arbiter = Arbiter::new();
     let node = Node::start_in_arbiter(&arbiter.handle(), {
         let (settings, shared) = (settings.clone(), Arc::clone(&shared));
-        move |_ctx| Node::new(settings, clock, shared, exit)
+        move |_ctx| Node::new(settings, platform, clock, shared, exit)
     });
     let edge =
         Edge { node: node.clone(), clock, limits: settings.limits, timeouts: settings.timeouts, shared };
