Claim idempotency keys before sending

Cause: a repeated submission ran again.

Change: a request with a key waits for its row to be inserted where there was none. A lost answer is settled by reading back; outcomes are written afterwards, and the key of what was not run may be taken over. Rows are overwritten and never removed: a write that lands late then meets another version. With the table down a request with a key is refused as not run.

--- a/core/src/count.rs
+++ b/core/src/count.rs
@@ -76,6 +76,8 @@
     pub foreign: u64,
     /// Streamed events dropped since they had been delivered before.
     pub repeated: u64,
+    /// Outcomes that could not be written to their claims: these keys count as used until they expire.
+    pub claims_left: u64,
     /// Orders sent to engines.
     pub orders: u64,
     /// Calls of the platform's table that write.
@@ -92,6 +94,7 @@
             stale: 0,
             foreign: 0,
             repeated: 0,
+            claims_left: 0,
             orders: 0,
             table_writes: 0,
             table_reads: 0,
--- a/core/src/drain.rs
+++ b/core/src/drain.rs
@@ -57,7 +57,7 @@
 
 /// Ends the process once nothing is in flight and its lease is handed back.
 pub(crate) fn settle(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    if state.drain.stage != Stage::Finishing || state.flow.open() > 0 {
+    if state.drain.stage != Stage::Finishing || state.flow.open() > 0 || !state.claim.is_quiet() {
         return;
     }
     crate::lease::hand_back(state, now, out);
--- a/core/src/end.rs
+++ b/core/src/end.rs
@@ -83,6 +83,14 @@
         }
     }
 
+    /// Another request under the same idempotency key holds it: the outcome is that request's.
+    pub(crate) fn repeated(code: Code, first: Outcome, retry_after: Option<Duration>) -> Self {
+        // Where the first was not run, its key would be free.
+        let outcome = if first == Outcome::NotRun { Outcome::Unknown } else { first };
+        let retry_after_ms = retry_after.map(|wait| wait.as_millis() as u64);
+        Self { code, outcome, attempt: None, retry_after_ms }
+    }
+
     /// The result code.
     #[must_use]
     pub const fn code(&self) -> Code {
--- a/core/src/flow.rs
+++ b/core/src/flow.rs
@@ -6,6 +6,7 @@
 
 use crate::admit::{self, Admitted, Refused};
 use crate::attempt::{Destination, Resume};
+use crate::claim::{self, Claim};
 use crate::code::Code;
 use crate::dispatch;
 use crate::effect::Effect;
@@ -53,6 +54,8 @@
     pub resume: Resume,
     /// Back ends that failed it.
     pub avoid: Vec<Name>,
+    /// Its claim on an idempotency key.
+    pub claim: Option<Box<Claim>>,
     /// Where it stands.
     pub stage: Stage,
     expiry: Handle,
@@ -61,6 +64,8 @@
 /// Where a request stands.
 #[derive(Debug)]
 pub(crate) enum Stage {
+    /// Until its idempotency key is claimed.
+    Claiming,
     /// In its line.
     Waiting,
     /// Until its next try.
@@ -220,12 +225,17 @@
     let id = arrival.id;
     let admitted = admit::admit(state, now, &arrival)
         .and_then(|admitted| make_room(state, now, &admitted, out).map(|()| admitted));
-    match admitted {
-        Ok(admitted) => {
-            open(state, arrival, admitted);
-            dispatch::enqueue(state, now, id, out);
-        }
-        Err(refused) => refuse(state, id, refused, out),
+    let admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(refused) => return refuse(state, id, refused, out),
+    };
+    // One that another entry VM passed on was claimed there.
+    let key = arrival.key.clone().filter(|_| arrival.hops == 0);
+    let digest = arrival.digest.clone();
+    open(state, arrival, admitted);
+    match key {
+        Some(key) => claim::begin(state, now, id, key, digest, out),
+        None => dispatch::enqueue(state, now, id, out),
     }
 }
 
@@ -254,6 +264,7 @@
         committed: false,
         resume: Resume::Start,
         avoid: Vec::new(),
+        claim: None,
         stage: Stage::Waiting,
         expiry,
     };
@@ -328,7 +339,7 @@
 pub(crate) fn end(state: &mut State, now: Time, id: id::Request, end: End, out: &mut Vec<Effect>) {
     let open = state.flow.flows.get(&id).and_then(|flow| match &flow.stage {
         Stage::Open(current) => Some(current.attempt),
-        Stage::Waiting | Stage::Paused(_) => None,
+        Stage::Claiming | Stage::Waiting | Stage::Paused(_) => None,
     });
     let closed = open.and_then(|attempt| close(state, attempt));
     let Some(flow) = state.flow.flows.remove(&id) else {
@@ -339,6 +350,9 @@
         state.timers.cancel(pause);
     }
     state.flow.leave(&flow);
+    if let Some(claim) = flow.claim {
+        claim::ended(state, now, *claim, &end);
+    }
     state.counters.end(end.code());
     if let Some(closed) = &closed
         && end.attempt() != Some(closed.attempt)
--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -1,5 +1,6 @@
 //! The reducer: one function over all events. It only hands each to the module that decides.
 
+use crate::claim;
 use crate::config;
 use crate::dispatch;
 use crate::drain;
@@ -71,6 +72,7 @@
 ) {
     state.table_up = reply.is_ok();
     match state.settle(op) {
+        Some(Purpose::Claim(step)) => claim::answered(state, now, step, reply, out),
         Some(Purpose::Config(wait)) => config::answered(state, now, &wait, reply, out),
         Some(Purpose::Lease(step)) => lease::answered(state, now, &step, reply, out),
         Some(Purpose::Ledger(step)) => ledger::answered(state, step, reply, out),
@@ -82,6 +84,7 @@
     match timer {
         Timer::Deadline(request) => flow::deadline(state, now, request, out),
         Timer::Retry(request) => dispatch::retry(state, now, request, out),
+        Timer::Claims => claim::due(state, now, out),
         Timer::Silence(attempt) => stream::silence(state, now, attempt, out),
         Timer::List => {
             state.timers.set(now + state.settings.list_every, Timer::List);
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -49,6 +49,11 @@
     pub plan_every: Duration,
     /// Time that claims wait for others to share a write with.
     pub claim_linger: Duration,
+    /// Rows in one write of claims.
+    pub claim_batch: usize,
+    /// Time between two writes of claims at the least, so that the daemons together stay within what the
+    /// platform's table takes.
+    pub claim_every: Duration,
     /// How long a claim holds its key.
     pub claim_keep: Duration,
     /// Time between `/ready` turning to 503 and the end of the listener, for the balancer to see it.
@@ -84,6 +89,8 @@
             lease_renew: Duration::from_secs(3),
             plan_every: Duration::from_secs(1),
             claim_linger: Duration::from_millis(5),
+            claim_batch: 64,
+            claim_every: Duration::from_millis(25),
             claim_keep: Duration::from_hours(24),
             balancer_grace: Duration::from_secs(5),
             prefix_blocks: 1 << 18,
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -3,6 +3,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::audit;
+use crate::claim;
 use crate::config;
 use crate::count::Counters;
 use crate::drain;
@@ -45,6 +46,7 @@
     pub(crate) flow: flow::Part,
     pub(crate) routes: Routes,
     pub(crate) budget: Budget,
+    pub(crate) claim: claim::Part,
     pub(crate) member: member::Part,
     pub(crate) lease: lease::Part,
     pub(crate) ledger: ledger::Part,
@@ -60,6 +62,8 @@
 pub(crate) enum Purpose {
     /// The configuration.
     Config(config::Wait),
+    /// Claims on idempotency keys.
+    Claim(claim::Step),
     /// The zone's lease.
     Lease(lease::Step),
     /// The engines' ledgers.
@@ -86,6 +90,7 @@
             flow: flow::Part::default(),
             routes,
             budget: Budget::default(),
+            claim: claim::Part::default(),
             member: member::Part::default(),
             lease: lease::Part::default(),
             ledger: ledger::Part::default(),
--- a/core/src/timer.rs
+++ b/core/src/timer.rs
@@ -15,6 +15,8 @@
     Retry(id::Request),
     /// A look at whether an attempt has gone silent.
     Silence(id::Attempt),
+    /// Claims are to be written.
+    Claims,
     /// The VM list is to be read.
     List,
     /// The configuration is to be read from the table.
