--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -1,5 +1,6 @@
 //! The reducer: one function over all events. It only hands each to the module that decides.
 
+use crate::claim;
 use crate::config;
 use crate::dispatch;
 use crate::drain;
@@ -43,6 +44,7 @@
         Event::Gone(request) => flow::gone(state, now, request, out),
         Event::Head { attempt, echo } => stream::head(state, now, attempt, echo, out),
         Event::Chunk { attempt, offset } => stream::chunk(state, now, attempt, offset, out),
+        Event::Alive(attempt) => stream::alive(state, now, attempt),
         Event::Finished { attempt, length } => stream::finished(state, now, attempt, length, out),
         Event::Overflow(attempt) => stream::overflow(state, attempt, out),
         Event::Failed { attempt, failure } => {
@@ -71,6 +73,7 @@
 ) {
     state.table_up = reply.is_ok();
     match state.settle(op) {
+        Some(Purpose::Claim(step)) => claim::answered(state, now, step, reply, out),
         Some(Purpose::Config(wait)) => config::answered(state, now, &wait, reply, out),
         Some(Purpose::Lease(step)) => lease::answered(state, now, &step, reply, out),
         Some(Purpose::Ledger(step)) => ledger::answered(state, step, reply, out),
@@ -82,6 +85,7 @@
     match timer {
         Timer::Deadline(request) => flow::deadline(state, now, request, out),
         Timer::Retry(request) => dispatch::retry(state, now, request, out),
+        Timer::Claims => claim::due(state, now, out),
         Timer::Silence(attempt) => stream::silence(state, now, attempt, out),
         Timer::List => {
             state.timers.set(now + state.settings.list_every, Timer::List);
