--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -31,6 +31,9 @@
         /// Its number in the answer, from 0.
         offset: u64,
     },
+    /// A try is not silent, though nothing of it is to be passed on: part of an answer came, or the
+    /// answer is held back for a caller that is slow to take it.
+    Alive(id::Attempt),
     /// An answer came to its explicit end; a whole answer is at hand complete.
     Finished {
         /// The attempt it came for.
@@ -96,28 +99,18 @@
 impl Event {
     /// Whether it shows that this process is reached from outside, or reaches others.
     pub(crate) const fn is_evidence(&self) -> bool {
-        match self {
+        matches!(
+            self,
             Self::Arrive(_)
-            | Self::Head { .. }
-            | Self::Chunk { .. }
-            | Self::Finished { .. }
-            | Self::Listed(_)
-            | Self::Reported(_)
-            | Self::Cached(_)
-            | Self::Heard(_)
-            | Self::Ordered { receipt: Some(_), .. }
-            | Self::Table { reply: Ok(_), .. } => true,
-            Self::Gone(_)
-            | Self::Overflow(_)
-            | Self::Failed { .. }
-            | Self::Unlisted
-            | Self::Unreported(_)
-            | Self::Ordered { receipt: None, .. }
-            | Self::Table { reply: Err(_), .. }
-            | Self::Unheard { .. }
-            | Self::Asked { .. }
-            | Self::Stop
-            | Self::Wake => false,
-        }
+                | Self::Head { .. }
+                | Self::Chunk { .. }
+                | Self::Finished { .. }
+                | Self::Listed(_)
+                | Self::Reported(_)
+                | Self::Cached(_)
+                | Self::Heard(_)
+                | Self::Ordered { receipt: Some(_), .. }
+                | Self::Table { reply: Ok(_), .. }
+        )
     }
 }
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -3,6 +3,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::audit;
+use crate::claim;
 use crate::collect;
 use crate::config;
 use crate::count::Counters;
@@ -47,6 +48,7 @@
     pub(crate) flow: flow::Part,
     pub(crate) routes: Routes,
     pub(crate) budget: Budget,
+    pub(crate) claim: claim::Part,
     pub(crate) member: member::Part,
     pub(crate) collect: collect::Part,
     pub(crate) summary: summary::Part,
@@ -64,6 +66,8 @@
 pub(crate) enum Purpose {
     /// The configuration.
     Config(config::Wait),
+    /// Claims on idempotency keys.
+    Claim(claim::Step),
     /// The zone's lease.
     Lease(lease::Step),
     /// The engines' ledgers.
@@ -90,6 +94,7 @@
             flow: flow::Part::default(),
             routes,
             budget: Budget::default(),
+            claim: claim::Part::default(),
             member: member::Part::default(),
             collect: collect::Part::default(),
             summary: summary::Part::default(),
