--- /dev/null
+++ b/daemon/src/cmd/dev.rs
@@ -0,0 +1,184 @@
+//! `boragecoved dev`: stand-ins and whole deployments for trials on one machine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lexopt::prelude::*;
+use lexopt::{Arg, Parser};
+
+use super::Error;
+use crate::dev::{Member, deployment, engine, platform, service};
+use crate::logs;
+use crate::settings::Level;
+
+/// How `dev` is called.
+pub(super) const USAGE: &str = "\
+       boragecoved dev [OPTION...]           try a whole deployment in one process
+           --listen ADDR          callers' address of the first entry VM (127.0.0.1:0)
+           --entries N            entry VMs (1)
+           --engines N            members of each engine group (9)
+           --services N           members of each service group (3)
+           --example DIR          folder with inventory.jsonc and rules.jsonc
+           --log LEVEL            error, warn, info or debug (warn)
+       boragecoved dev platform [OPTION...]  run one stand-in of the platform
+           --listen ADDR, --faults JSON, --vms JSON
+           --vm-lag-ms N          how far the VM list lags (0)
+           --loads-per-second X   starts of loads (2)
+           --load-slots N         loads at once (6)
+           --mb-per-second X      speed of one load (8000)
+       boragecoved dev engine|service [OPTION...]
+           --listen ADDR, --faults JSON
+           --name VM, --group GROUP, --zone ZONE
+           --platform ADDR        announce itself there, and read weights from there
+           --work-ms N            services: time of a call (0)
+           --memory-mb N, --slots N, --queue N, --ignore-fences
+           --load-ms N            time of a load without --platform (2000)
+           --first-token-ms N, --token-ms N, --report-ms N";
+
+/// What `dev` is to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// A whole deployment.
+    Deployment(Box<deployment::Options>),
+    /// One stand-in platform.
+    Platform(Box<platform::Options>),
+    /// One stand-in engine.
+    Engine(Box<engine::Options>),
+    /// One stand-in service.
+    Service(Box<service::Options>),
+}
+
+impl Command {
+    /// Reads what follows `dev` on the command line.
+    pub(super) fn parse(parser: &mut Parser) -> Result<Self, lexopt::Error> {
+        let mut whole = deployment::Options::default();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Value(word) if word == "platform" => return parse_platform(parser),
+                Value(word) if word == "engine" => return parse_engine(parser),
+                Value(word) if word == "service" => return parse_service(parser),
+                Long("listen") => whole.listen = value(parser)?,
+                Long("entries") => whole.entries = value(parser)?,
+                Long("engines") => whole.engines = value(parser)?,
+                Long("services") => whole.services = value(parser)?,
+                Long("example") => whole.example = Some(parser.value()?.into()),
+                Long("log") => whole.log = parser.value()?.parse_with(level)?,
+                other => return Err(other.unexpected()),
+            }
+        }
+        Ok(Self::Deployment(Box::new(whole)))
+    }
+
+    /// Does it, until the process is asked to stop.
+    pub(super) fn run(self) -> Result<(), Error> {
+        let level = match &self {
+            Self::Deployment(options) => options.log,
+            _ => Level::Info,
+        };
+        logs::start(level);
+        let done = actix_rt::System::new().block_on(async {
+            match self {
+                Self::Deployment(options) => deployment::run(*options).await,
+                Self::Platform(options) => platform::run(*options).await,
+                Self::Engine(options) => engine::run(*options).await,
+                Self::Service(options) => service::run(*options).await,
+            }
+        });
+        Ok(done?)
+    }
+}
+
+fn parse_platform(parser: &mut Parser) -> Result<Command, lexopt::Error> {
+    let mut options = platform::Options::default();
+    let weights = &mut options.settings.weights;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("listen") => options.listen = value(parser)?,
+            Long("faults") => options.faults = parser.value()?.parse_with(json)?,
+            Long("vms") => options.vms = parser.value()?.parse_with(json)?,
+            Long("vm-lag-ms") => options.settings.vm_lag = millis(parser)?,
+            Long("loads-per-second") => weights.loads_per_second = value(parser)?,
+            Long("load-slots") => weights.slots = value(parser)?,
+            Long("mb-per-second") => weights.mb_per_second = value(parser)?,
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Command::Platform(Box::new(options)))
+}
+
+fn parse_engine(parser: &mut Parser) -> Result<Command, lexopt::Error> {
+    let mut options = engine::Options::default();
+    let settings = &mut options.settings;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("listen") => options.listen = value(parser)?,
+            Long("faults") => options.faults = parser.value()?.parse_with(json)?,
+            Long("memory-mb") => settings.memory_mb = value(parser)?,
+            Long("slots") => settings.slots = value(parser)?,
+            Long("queue") => settings.queue = value(parser)?,
+            Long("ignore-fences") => settings.checks_fences = false,
+            Long("load-ms") => {
+                settings.weights = boragecove_standin::engine::Weights::Fixed(millis(parser)?);
+            }
+            Long("first-token-ms") => settings.first_token = millis(parser)?,
+            Long("token-ms") => settings.token = millis(parser)?,
+            Long("report-ms") => settings.report_every = millis(parser)?,
+            other => parse_member(parser, &other, &mut options.member)?,
+        }
+    }
+    Ok(Command::Engine(Box::new(options)))
+}
+
+fn parse_service(parser: &mut Parser) -> Result<Command, lexopt::Error> {
+    let mut options = service::Options::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("listen") => options.listen = value(parser)?,
+            Long("faults") => options.faults = parser.value()?.parse_with(json)?,
+            Long("work-ms") => options.settings.work = millis(parser)?,
+            other => parse_member(parser, &other, &mut options.member)?,
+        }
+    }
+    Ok(Command::Service(Box::new(options)))
+}
+
+fn parse_member(
+    parser: &mut Parser,
+    argument: &Arg<'_>,
+    member: &mut Member,
+) -> Result<(), lexopt::Error> {
+    match argument {
+        Long("name") => member.name = parser.value()?.string()?.into(),
+        Long("group") => member.group = parser.value()?.string()?.into(),
+        Long("zone") => member.zone = parser.value()?.string()?.into(),
+        Long("platform") => member.platform = Some(value::<SocketAddr>(parser)?),
+        other => return Err(other.unexpected()),
+    }
+    Ok(())
+}
+
+fn value<T>(parser: &mut Parser) -> Result<T, lexopt::Error>
+where
+    T: std::str::FromStr,
+    T::Err: Into<Box<dyn std::error::Error + Send + Sync + 'static>>,
+{
+    parser.value()?.parse()
+}
+
+fn millis(parser: &mut Parser) -> Result<Duration, lexopt::Error> {
+    Ok(Duration::from_millis(value(parser)?))
+}
+
+fn json<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, serde_json::Error> {
+    serde_json::from_str(text)
+}
+
+fn level(text: &str) -> Result<Level, &'static str> {
+    match text {
+        "error" => Ok(Level::Error),
+        "warn" => Ok(Level::Warn),
+        "info" => Ok(Level::Info),
+        "debug" => Ok(Level::Debug),
+        _ => Err("expected error, warn, info or debug"),
+    }
+}
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -114,6 +114,7 @@
                 .route(web::post().to(vms_put))
                 .route(web::put().to(vms_set)),
         )
+        .route(path::VM, web::delete().to(vms_remove))
         .route(path::WEIGHTS, web::post().to(weights_read));
 }
 
@@ -194,6 +195,11 @@
     HttpResponse::NoContent().finish()
 }
 
+async fn vms_remove(platform: web::Data<Platform>, name: web::Path<String>) -> HttpResponse {
+    platform.vms.remove(&name);
+    HttpResponse::NoContent().finish()
+}
+
 #[derive(Debug, Deserialize)]
 struct Wanted {
     mb: u64,
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -32,6 +32,8 @@
 pub const OBJECT: &str = "/objects/{key:.*}";
 /// Platform: the list of VMs (`GET`, JSON of `vm::Vm`s).
 pub const VMS: &str = "/vms";
+/// Stand-in platform: a machine on the list (`DELETE` takes it off).
+pub const VM: &str = "/vms/{name}";
 /// Platform, for engines: fetches weights (`POST ?mb=N`), answers when they are all there.
 pub const WEIGHTS: &str = "/weights";
 /// Stand-ins: faults to commit (`GET`, `PUT`).
