Try a whole deployment in one process, or stand-ins as processes

Cause: a newcomer wants to see a model loaded on demand and a stream come back, and an operator wants to put a deployment together by hand.

Change: boragecoved dev starts a platform, the engines and services of an example and an entry VM in each availability zone, applies the configuration through the operators' way and prints a command to try. dev platform, dev engine and dev service run one stand-in each; back ends announce themselves to the platform's VM list and drain when they are asked to stop. The node reaches its platform through the platform edge in place of its own client.

--- a/daemon/src/callers/arrival.rs
+++ b/daemon/src/callers/arrival.rs
@@ -193,7 +193,8 @@
     hex(&hash.finalize())
 }
 
-fn hex(bytes: &[u8]) -> Name {
+/// Bytes in lower-case hex.
+pub(crate) fn hex(bytes: &[u8]) -> Name {
     let mut text = String::with_capacity(bytes.len() * 2);
     for byte in bytes {
         let _infallible = write!(text, "{byte:02x}");
--- a/daemon/src/cmd/dev.rs
+++ b/daemon/src/cmd/dev.rs
@@ -1,10 +1,9 @@
 //! `boragecoved dev`: stand-ins and whole deployments for trials on one machine.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use lexopt::Parser;
 use lexopt::prelude::*;
-use lexopt::{Arg, Parser};
 
 use super::Error;
 use crate::dev::{Member, deployment, engine, platform, service};
@@ -12,10 +11,10 @@
 use crate::settings::Level;
 
 /// How `dev` is called.
-pub(super) const USAGE: &str = "\
-       boragecoved dev [OPTION...]           try a whole deployment in one process
+const USAGE: &str = "\
+usage: boragecoved dev [OPTION...]           try a whole deployment in one process
            --listen ADDR          callers' address of the first entry VM (127.0.0.1:0)
-           --entries N            entry VMs (1)
+           --entries N            entry VMs (one in each availability zone)
            --engines N            members of each engine group (9)
            --services N           members of each service group (3)
            --example DIR          folder with inventory.jsonc and rules.jsonc
@@ -46,6 +45,8 @@
     Engine(Box<engine::Options>),
     /// One stand-in service.
     Service(Box<service::Options>),
+    /// Say how to call it.
+    Help,
 }
 
 impl Command {
@@ -58,10 +59,11 @@
                 Value(word) if word == "engine" => return parse_engine(parser),
                 Value(word) if word == "service" => return parse_service(parser),
                 Long("listen") => whole.listen = value(parser)?,
-                Long("entries") => whole.entries = value(parser)?,
+                Long("entries") => whole.entries = Some(value(parser)?),
                 Long("engines") => whole.engines = value(parser)?,
                 Long("services") => whole.services = value(parser)?,
                 Long("example") => whole.example = Some(parser.value()?.into()),
+                Long("help") => return Ok(Self::Help),
                 Long("log") => whole.log = parser.value()?.parse_with(level)?,
                 other => return Err(other.unexpected()),
             }
@@ -71,6 +73,10 @@
 
     /// Does it, until the process is asked to stop.
     pub(super) fn run(self) -> Result<(), Error> {
+        if matches!(self, Self::Help) {
+            println!("{USAGE}");
+            return Ok(());
+        }
         let level = match &self {
             Self::Deployment(options) => options.log,
             _ => Level::Info,
@@ -82,6 +88,7 @@
                 Self::Platform(options) => platform::run(*options).await,
                 Self::Engine(options) => engine::run(*options).await,
                 Self::Service(options) => service::run(*options).await,
+                Self::Help => Ok(()),
             }
         });
         Ok(done?)
@@ -123,7 +130,11 @@
             Long("first-token-ms") => settings.first_token = millis(parser)?,
             Long("token-ms") => settings.token = millis(parser)?,
             Long("report-ms") => settings.report_every = millis(parser)?,
-            other => parse_member(parser, &other, &mut options.member)?,
+            Long(name) => {
+                let name = name.to_owned();
+                parse_member(parser, &name, &mut options.member)?;
+            }
+            other => return Err(other.unexpected()),
         }
     }
     Ok(Command::Engine(Box::new(options)))
@@ -136,23 +147,23 @@
             Long("listen") => options.listen = value(parser)?,
             Long("faults") => options.faults = parser.value()?.parse_with(json)?,
             Long("work-ms") => options.settings.work = millis(parser)?,
-            other => parse_member(parser, &other, &mut options.member)?,
+            Long(name) => {
+                let name = name.to_owned();
+                parse_member(parser, &name, &mut options.member)?;
+            }
+            other => return Err(other.unexpected()),
         }
     }
     Ok(Command::Service(Box::new(options)))
 }
 
-fn parse_member(
-    parser: &mut Parser,
-    argument: &Arg<'_>,
-    member: &mut Member,
-) -> Result<(), lexopt::Error> {
-    match argument {
-        Long("name") => member.name = parser.value()?.string()?.into(),
-        Long("group") => member.group = parser.value()?.string()?.into(),
-        Long("zone") => member.zone = parser.value()?.string()?.into(),
-        Long("platform") => member.platform = Some(value::<SocketAddr>(parser)?),
-        other => return Err(other.unexpected()),
+fn parse_member(parser: &mut Parser, option: &str, member: &mut Member) -> Result<(), lexopt::Error> {
+    match option {
+        "name" => member.name = parser.value()?.string()?.into(),
+        "group" => member.group = parser.value()?.string()?.into(),
+        "zone" => member.zone = parser.value()?.string()?.into(),
+        "platform" => member.platform = Some(value(parser)?),
+        other => return Err(lexopt::Error::UnexpectedOption(format!("--{other}"))),
     }
     Ok(())
 }
--- a/daemon/src/cmd/mod.rs
+++ b/daemon/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The command line of the daemon.
 
 mod check;
+mod dev;
 mod run;
 
 use std::io;
@@ -17,6 +18,7 @@
 const USAGE: &str = "\
 usage: boragecoved run --settings FILE      serve
        boragecoved check --settings FILE    report every error in the settings
+       boragecoved dev [...]                try it on one machine; see dev --help
        boragecoved --help | --version";
 
 /// Exit code for a call that is not understood.
@@ -25,7 +27,7 @@
 const EXIT_SETTINGS: u8 = 3;
 
 /// What the daemon is to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub enum Command {
     /// Serve.
     Run {
@@ -37,6 +39,8 @@
         /// The settings file.
         settings: PathBuf,
     },
+    /// Try it on one machine.
+    Dev(dev::Command),
     /// Say how to call it.
     Help,
     /// Say which version it is.
@@ -55,6 +59,9 @@
     /// The node did not start.
     #[error(transparent)]
     Start(#[from] node::Failed),
+    /// A trial did not start.
+    #[error(transparent)]
+    Dev(#[from] crate::dev::Failed),
     /// The operating system refused something.
     #[error("{0}")]
     System(#[from] io::Error),
@@ -67,7 +74,7 @@
         match self {
             Self::Usage(_) => ExitCode::from(EXIT_USAGE),
             Self::Settings(_) => ExitCode::from(EXIT_SETTINGS),
-            Self::Start(_) | Self::System(_) => ExitCode::FAILURE,
+            Self::Start(_) | Self::Dev(_) | Self::System(_) => ExitCode::FAILURE,
         }
     }
 }
@@ -83,6 +90,7 @@
         match parser.next()? {
             Some(Value(word)) if word == "run" => Ok(Self::Run { settings: settings(&mut parser)? }),
             Some(Value(word)) if word == "check" => Ok(Self::Check { settings: settings(&mut parser)? }),
+            Some(Value(word)) if word == "dev" => Ok(Self::Dev(dev::Command::parse(&mut parser)?)),
             Some(Long("help") | Short('h')) => Ok(Self::Help),
             Some(Long("version") | Short('V')) => Ok(Self::Version),
             Some(other) => Err(other.unexpected().into()),
@@ -99,6 +107,7 @@
         match self {
             Self::Run { settings } => run::run(&settings),
             Self::Check { settings } => check::run(&settings),
+            Self::Dev(command) => command.run(),
             Self::Help => {
                 println!("{USAGE}");
                 Ok(())
--- a/daemon/src/dev/deployment.rs
+++ b/daemon/src/dev/deployment.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use boragecove_core::code::Code;
-use boragecove_core::config::Document;
 use boragecove_core::inventory::{Group, Kind};
 use boragecove_core::name::Name;
 use boragecove_core::operator::{Answer, Apply, Query, Refusal};
+use boragecove_core::settings as core;
 use boragecove_core::vm::{Phase, Role, Vm};
 use boragecove_standin::engine::{self, Engine, Weights};
 use boragecove_standin::platform::{self, Platform};
@@ -19,7 +19,8 @@
 
 use super::{Failed, Member};
 use crate::node;
-use crate::settings::{Level, Listen, Settings};
+use crate::platform::Source;
+use crate::settings::{self, Level, Listen, Settings};
 
 pub use example::{Example, TOKEN};
 
@@ -28,8 +29,8 @@
 pub struct Options {
     /// Where the first entry VM listens for callers; the others take any free port.
     pub listen: SocketAddr,
-    /// Entry VMs, spread over the availability zones.
-    pub entries: usize,
+    /// Entry VMs, spread over the availability zones; none: one in each.
+    pub entries: Option<usize>,
     /// A folder with `inventory.jsonc` and `rules.jsonc`; none: the example that is built in.
     pub example: Option<PathBuf>,
     /// Members of each engine group.
@@ -42,6 +43,8 @@
     pub platform: platform::Settings,
     /// What is logged.
     pub log: Level,
+    /// What the reducers go by.
+    pub core: core::Settings,
 }
 
 impl Default for Options {
@@ -49,13 +52,15 @@
         let weights = platform::weight::Settings { mb_per_second: 20_000.0, ..Default::default() };
         Self {
             listen: loopback(),
-            entries: 1,
+            entries: None,
             example: None,
             engines: 9,
             services: 3,
             engine: engine::Settings { seed: fastrand::u64(..), ..super::engine::paced() },
             platform: platform::Settings { weights, ..Default::default() },
             log: Level::Warn,
+            // There is no balancer whose view of `/ready` would lag.
+            core: core::Settings { balancer_grace: Duration::ZERO, ..core::Settings::default() },
         }
     }
 }
@@ -80,6 +85,9 @@
 /// Tries to have the configuration accepted, and the time between them.
 const APPLY_TRIES: u32 = 100;
 const APPLY_EVERY: Duration = Duration::from_millis(200);
+/// Looks at whether an entry VM serves, and the time between them.
+const READY_TRIES: u32 = 1_000;
+const READY_EVERY: Duration = Duration::from_millis(10);
 
 impl Deployment {
     /// Starts everything and applies the example's configuration.
@@ -102,6 +110,7 @@
         deployment.start_backends(options)?;
         deployment.start_entries(options)?;
         deployment.apply().await?;
+        deployment.ready().await;
         Ok(deployment)
     }
 
@@ -140,12 +149,7 @@
         Ok(())
     }
 
-    fn start_engine(
-        &mut self,
-        group: &Group,
-        name: &Name,
-        options: &Options,
-    ) -> Result<SocketAddr, Failed> {
+    fn start_engine(&mut self, group: &Group, name: &Name, options: &Options) -> Result<SocketAddr, Failed> {
         let engine = Engine::new(engine::Settings {
             name: name.clone(),
             memory_mb: group.memory_mb,
@@ -170,7 +174,7 @@
 
     fn start_entries(&mut self, options: &Options) -> Result<(), Failed> {
         let platform = self.platform_at.address();
-        for n in 0..options.entries {
+        for n in 0..options.entries.unwrap_or(self.example.zones().len()) {
             let vm = Name::from(format!("entry-{}", n + 1));
             let zone = self.example.zone(n);
             let callers = if n == 0 { options.listen } else { loopback() };
@@ -178,13 +182,14 @@
                 vm: vm.clone(),
                 zone: zone.clone(),
                 listen: Listen { callers, ..Listen::default() },
-                platform: crate::settings::Platform { table: platform, objects: platform, vms: platform },
+                platform: settings::Platform { table: platform, objects: platform, vms: platform },
                 peer_secret: TOKEN.into(),
                 operator_token: TOKEN.into(),
                 log: options.log,
+                core: options.core.clone(),
                 ..Settings::default()
             };
-            let entry = node::start(&settings)?;
+            let entry = node::start_on(&settings, Source::Memory(self.platform.clone()))?;
             let listed = Vm { name: vm, zone, address: entry.peers, role: Role::Entry, phase: Phase::Live };
             self.platform.vms().put(listed);
             self.entries.push(entry);
@@ -207,6 +212,20 @@
         Err(Failed::Refused(Box::new(refusal.unwrap_or_else(no_answer))))
     }
 
+    /// Waits until every entry VM serves, or they have had their time.
+    async fn ready(&self) {
+        for entry in &self.entries {
+            for _ in 0..READY_TRIES {
+                if let Ok(Answer::Status(status)) = entry.ask(Query::Status).await
+                    && status.ready
+                {
+                    break;
+                }
+                tokio::time::sleep(READY_EVERY).await;
+            }
+        }
+    }
+
     fn change(&self) -> Apply {
         Apply {
             document: self.example.document.clone(),
@@ -219,7 +238,12 @@
 }
 
 fn no_answer() -> Refusal {
-    Refusal { code: Code::Internal, reasons: Vec::new(), hint: "the entry VM did not answer".into(), version: None }
+    Refusal {
+        code: Code::Internal,
+        reasons: Vec::new(),
+        hint: "the entry VM did not answer".into(),
+        version: None,
+    }
 }
 
 fn listening(
@@ -248,12 +272,12 @@
     pub fn guide(&self) -> String {
         use std::fmt::Write;
         let mut text = String::new();
-        for (vm, entry) in self.entries.iter().enumerate() {
-            let zone = self.example.zone(vm);
+        for (n, entry) in self.entries.iter().enumerate() {
+            let zone = self.example.zone(n);
             let _infallible = writeln!(
                 text,
                 "entry-{} in {zone}: callers http://{}, operators http://{}, peers http://{}",
-                vm + 1,
+                n + 1,
                 entry.callers,
                 entry.operators,
                 entry.peers
--- a/daemon/src/dev/deployment/example.rs
+++ b/daemon/src/dev/deployment/example.rs
@@ -9,6 +9,7 @@
 use boragecove_wire::document;
 use sha2::{Digest, Sha256};
 
+use crate::callers::arrival::hex;
 use crate::dev::Failed;
 
 /// The bearer token of callers and operators in a trial.
@@ -54,6 +55,12 @@
         Self { document, zones }
     }
 
+    /// The availability zones it speaks of.
+    #[must_use]
+    pub fn zones(&self) -> &[Name] {
+        &self.zones
+    }
+
     /// The availability zone of the `n`th machine of a kind, from 0.
     #[must_use]
     pub fn zone(&self, n: usize) -> Name {
@@ -75,11 +82,9 @@
 }
 
 fn caller() -> Caller {
-    let digest = Sha256::digest(TOKEN.as_bytes());
-    let token_sha256 = digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
     Caller {
         name: "dev".into(),
-        token_sha256: token_sha256.into(),
+        token_sha256: hex(&Sha256::digest(TOKEN)),
         priority: Priority::Urgent,
         weight: 1,
         open_limit: None,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,4 +14,3 @@
 mod peers;
 pub mod platform;
 pub mod settings;
-mod store;
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -25,12 +25,13 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::peers;
+use crate::platform::{Platform, Source};
 use crate::settings::Settings;
 
 pub(crate) use message::Submit;
 pub use message::{Ask, Ended, Feed, Gone, Scrape, Stop};
 use open::Open;
-pub use running::{Failed, Running, start};
+pub use running::{Failed, Running, start, start_on};
 
 /// One entry VM's daemon. It decides nothing: [`boragecove_core::apply`] does.
 #[derive(Debug)]
@@ -45,6 +46,7 @@
     asked: u64,
     pools: Pools,
     control: Pools,
+    platform: Platform,
     peers: peers::Sender,
     metrics: Metrics,
     wake: Option<SpawnHandle>,
@@ -69,7 +71,13 @@
 }
 
 impl Node {
-    fn new(settings: Settings, clock: Clock, shared: Arc<Shared>, exited: watch::Sender<bool>) -> Self {
+    fn new(
+        settings: Settings,
+        platform: Source,
+        clock: Clock,
+        shared: Arc<Shared>,
+        exited: watch::Sender<bool>,
+    ) -> Self {
         let me = Identity {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
@@ -86,6 +94,7 @@
             asked: 0,
             pools: Pools::new(settings.timeouts),
             control: Pools::new(settings.timeouts),
+            platform: Platform::new(platform),
             peers: peers::Sender::new(&settings),
             metrics: Metrics::default(),
             wake: None,
--- a/daemon/src/node/carry.rs
+++ b/daemon/src/node/carry.rs
@@ -16,7 +16,7 @@
 use super::{Exchange, Node, later};
 use crate::backends::control;
 use crate::backends::exchange::{self, Job};
-use crate::{logs, store};
+use crate::logs;
 
 impl Node {
     pub(super) fn carry(&mut self, now: Time, effect: Effect, ctx: &mut Context<Self>) {
@@ -40,14 +40,12 @@
                 later(ctx, control::order(client, engine, address, order, limit));
             }
             Effect::List => {
-                let address = self.settings.platform.vms;
-                let client = self.control.client(address);
-                later(ctx, store::list(client, address, self.settings.timeouts.platform));
+                let vms = Rc::clone(&self.platform.vms);
+                later(ctx, async move { vms.list().await.map_or(Event::Unlisted, Event::Listed) });
             }
             Effect::Table { op, call } => {
-                let address = self.settings.platform.table;
-                let client = self.control.client(address);
-                later(ctx, store::table(client, address, op, call, self.settings.timeouts.platform));
+                let table = Rc::clone(&self.platform.table);
+                later(ctx, async move { Event::Table { op, reply: table.call(call).await } });
             }
             Effect::Tell { peer, address, frame } => {
                 self.peers.tell(peer, address, &frame, ctx.address());
--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -18,6 +18,7 @@
 use super::{Ask, Node, Stop};
 use crate::callers::{self, Edge, Entrance, Shared};
 use crate::clock::Clock;
+use crate::platform::Source;
 use crate::settings::Settings;
 use crate::{operators, peers};
 
@@ -51,19 +52,28 @@
     exited: watch::Receiver<bool>,
 }
 
-/// Starts a node. Call it within an actix system.
+/// Starts a node that reaches its platform at the addresses in its settings. Call it within an actix system.
 ///
 /// # Errors
 ///
 /// If an address cannot be bound.
 pub fn start(settings: &Settings) -> Result<Running, Failed> {
+    start_on(settings, Source::Http(settings.into()))
+}
+
+/// Starts a node on a platform. Call it within an actix system.
+///
+/// # Errors
+///
+/// If an address cannot be bound.
+pub fn start_on(settings: &Settings, platform: Source) -> Result<Running, Failed> {
     let clock = Clock::start();
     let shared = Arc::new(Shared::new(Incarnation(fastrand::u64(1..))));
     let (exit, exited) = watch::channel(false);
     let arbiter = Arbiter::new();
     let node = Node::start_in_arbiter(&arbiter.handle(), {
         let (settings, shared) = (settings.clone(), Arc::clone(&shared));
-        move |_ctx| Node::new(settings, clock, shared, exit)
+        move |_ctx| Node::new(settings, platform, clock, shared, exit)
     });
     let edge =
         Edge { node: node.clone(), clock, limits: settings.limits, timeouts: settings.timeouts, shared };
--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -13,6 +13,8 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
+use crate::settings::{self, Settings};
+
 /// What a call of the platform comes to. A failure says whether the call may have had an effect.
 pub type Answer<'call, T> = LocalBoxFuture<'call, Result<T, Failure>>;
 
@@ -64,6 +66,13 @@
     pub limit: Duration,
 }
 
+impl From<&Settings> for Addresses {
+    fn from(settings: &Settings) -> Self {
+        let settings::Platform { table, objects, vms } = settings.platform;
+        Self { table, objects, vms, connect: settings.timeouts.connect, limit: settings.timeouts.platform }
+    }
+}
+
 /// The platform as one thread of a process uses it.
 #[derive(Clone, Debug)]
 pub struct Platform {
--- /dev/null
+++ b/daemon/tests/trial_deployment.rs
@@ -0,0 +1,74 @@
+//! The trial deployment of one process: the built-in example, applied, answers from a model loaded on demand.
+
+use std::time::Duration;
+
+use boragecove_core::artifact::Artifact;
+use boragecove_core::settings as core;
+use boragecove_daemon::dev::deployment::{Deployment, Options, TOKEN};
+use boragecove_standin::engine;
+use boragecove_standin::engine::answer::{Answer, Body};
+use boragecove_standin::platform::{self, weight};
+use serde_json::Value;
+
+/// How long a condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn quick() -> Options {
+    let ms = Duration::from_millis;
+    let weights = weight::Settings { loads_per_second: 1e3, slots: 8, mb_per_second: 1e9 };
+    let core = core::Settings {
+        list_every: ms(20),
+        poll_every: ms(20),
+        lease_renew: ms(50),
+        plan_every: ms(20),
+        balancer_grace: Duration::ZERO,
+        ..core::Settings::default()
+    };
+    Options {
+        entries: Some(2),
+        engine: engine::Settings::default(),
+        platform: platform::Settings { weights, ..platform::Settings::default() },
+        core,
+        ..Options::default()
+    }
+}
+
+/// The text of a stream that came to its end mark.
+fn streamed(body: &[u8]) -> Option<String> {
+    let body = std::str::from_utf8(body).ok()?;
+    let mut data = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let mut text = String::new();
+    loop {
+        let event = data.next()?;
+        if event == "[DONE]" {
+            return Some(text);
+        }
+        let event: Value = serde_json::from_str(event).ok()?;
+        text.push_str(event["choices"][0]["text"].as_str()?);
+    }
+}
+
+#[actix_web::test]
+async fn example_answers() {
+    let deployment = Deployment::start(&quick()).await.expect("a deployment");
+    let request = deployment.example.request().expect("a model");
+    let body: Body = serde_json::from_str(&request).expect("a body");
+    let model = &deployment.example.document.inventory.models[0];
+    let artifact =
+        Artifact { model: model.name.clone(), adapter: None, version: model.versions[0].name.clone() };
+    let expected = Answer::new(&artifact, &body.text(), body.length()).text();
+
+    let client = awc::Client::builder().timeout(PATIENCE).finish();
+    for entry in &deployment.entries {
+        let url = format!("http://{}/v1/completions", entry.callers);
+        let sent = client.post(&url).bearer_auth(TOKEN).send_body(request.clone());
+        let body = sent.await.expect("an answer").body().await.expect("a body");
+        assert_eq!(streamed(&body).as_deref(), Some(expected.as_str()), "{body:?}");
+    }
+    let memory = model.versions[0].memory_mb;
+    assert!(deployment.platform.weights().grants().contains(&memory), "its weights were read");
+    let runs = deployment.engines.iter().map(|(engine, _)| engine.runs_of(&body.text())).sum::<usize>();
+    assert_eq!(runs, deployment.entries.len());
+    assert!(deployment.guide().contains(&request));
+    tokio::time::timeout(PATIENCE, deployment.stop()).await.expect("it stops");
+}
