--- a/daemon/src/cmd/run.rs
+++ b/daemon/src/cmd/run.rs
@@ -11,7 +11,7 @@
     let settings = settings::load(file)?;
     logs::start(settings.log);
     actix_rt::System::new().block_on(async {
-        let mut running = node::start(&settings)?;
+        let mut running = node::start(&settings, settings.source())?;
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         tokio::select! {
--- a/daemon/src/dev/deployment.rs
+++ b/daemon/src/dev/deployment.rs
@@ -189,7 +189,7 @@
                 core: options.core.clone(),
                 ..Settings::default()
             };
-            let entry = node::start_on(&settings, Source::Memory(self.platform.clone()))?;
+            let entry = node::start(&settings, Source::Memory(self.platform.clone()))?;
             let listed = Vm { name: vm, zone, address: entry.peers, role: Role::Entry, phase: Phase::Live };
             self.platform.vms().put(listed);
             self.entries.push(entry);
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -31,7 +31,7 @@
 pub(crate) use message::Submit;
 pub use message::{Ask, Ended, Feed, Gone, Scrape, Stop};
 use open::Open;
-pub use running::{Failed, Running, start, start_on};
+pub use running::{Failed, Running, start};
 
 /// One entry VM's daemon. It decides nothing: [`boragecove_core::apply`] does.
 #[derive(Debug)]
@@ -73,7 +73,7 @@
 impl Node {
     fn new(
         settings: Settings,
-        platform: Source,
+        source: Source,
         clock: Clock,
         shared: Arc<Shared>,
         exited: watch::Sender<bool>,
@@ -94,7 +94,7 @@
             asked: 0,
             pools: Pools::new(settings.timeouts),
             control: Pools::new(settings.timeouts),
-            platform: Platform::new(platform),
+            platform: Platform::new(source),
             peers: peers::Sender::new(&settings),
             metrics: Metrics::default(),
             wake: None,
--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -52,21 +52,12 @@
     exited: watch::Receiver<bool>,
 }
 
-/// Starts a node that reaches its platform at the addresses in its settings. Call it within an actix system.
+/// Starts a node. Call it within an actix system.
 ///
 /// # Errors
 ///
 /// If an address cannot be bound.
-pub fn start(settings: &Settings) -> Result<Running, Failed> {
-    start_on(settings, Source::Http(settings.into()))
-}
-
-/// Starts a node on a platform. Call it within an actix system.
-///
-/// # Errors
-///
-/// If an address cannot be bound.
-pub fn start_on(settings: &Settings, platform: Source) -> Result<Running, Failed> {
+pub fn start(settings: &Settings, platform: Source) -> Result<Running, Failed> {
     let clock = Clock::start();
     let shared = Arc::new(Shared::new(Incarnation(fastrand::u64(1..))));
     let (exit, exited) = watch::channel(false);
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -9,6 +9,8 @@
 use boragecove_core::name::Name;
 use boragecove_core::settings as core;
 
+use crate::platform;
+
 pub use file::{Unreadable, load, read};
 
 /// All settings of a process. [`load`] reads them from a file.
@@ -56,6 +58,20 @@
     }
 }
 
+impl Settings {
+    /// The platform at the addresses given.
+    #[must_use]
+    pub fn source(&self) -> platform::Source {
+        platform::Source::Http(platform::Addresses {
+            table: self.platform.table,
+            objects: self.platform.objects,
+            vms: self.platform.vms,
+            connect: self.timeouts.connect,
+            limit: self.timeouts.platform,
+        })
+    }
+}
+
 /// Any free port of the loopback interface.
 #[must_use]
 pub const fn loopback() -> SocketAddr {
--- a/daemon/tests/deployment/mod.rs
+++ b/daemon/tests/deployment/mod.rs
@@ -80,7 +80,7 @@
         }
         let settings =
             Settings { platform: settings::Platform { table: at, objects: at, vms: at }, ..settings };
-        let node = node::start(&settings).expect("a node");
+        let node = node::start(&settings, settings.source()).expect("a node");
         platform.vms().put(vm(&settings.vm, node.peers, Role::Entry));
         let deployment = Self {
             platform,
