--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod callers;
 pub mod clock;
 pub mod cmd;
+pub mod dev;
 pub mod logs;
 mod metrics;
 pub mod node;
