--- a/core/benches/capacity/state.rs
+++ b/core/benches/capacity/state.rs
@@ -36,6 +36,7 @@
 
 fn frame(from: usize, items: Vec<Item>) -> Frame {
     Frame {
+        address: None,
         from: format!("entry-{from:03}").into(),
         zone: "hall-00".into(),
         incarnation: Incarnation(from as u64 + 1),
