--- a/daemon/src/settings/file.rs
+++ b/daemon/src/settings/file.rs
@@ -17,6 +17,10 @@
 const OPEN_MAX: u64 = 1 << 20;
 /// Tries of one request, at most.
 const ATTEMPTS_MAX: u64 = 100;
+/// Cached prompt blocks remembered, at most.
+const BLOCKS_MAX: u64 = 1 << 26;
+/// Rows in one write of claims, at most.
+const BATCH_MAX: u64 = 10_000;
 /// Records kept, at most.
 const RECORDS_MAX: u64 = 1 << 20;
 /// Retries a second beyond the share, at most.
@@ -175,7 +179,11 @@
     set(&mut limits.backlog, size(&mut object, "backlog"));
     set(&mut limits.kept, size(&mut object, "kept"));
     set(&mut core.open_max, integer(&mut object, "open", 1, OPEN_MAX).map(|found| found as u32));
+    let caller_open = integer(&mut object, "caller-open", 1, OPEN_MAX);
+    set(&mut core.caller_open_max, caller_open.map(|found| found as u32));
     set(&mut core.queue_max, integer(&mut object, "queue", 1, OPEN_MAX).map(|found| found as u32));
+    let blocks = integer(&mut object, "prefix-blocks", 1, BLOCKS_MAX);
+    set(&mut core.prefix_blocks, blocks.map(|found| found as usize));
     set(&mut core.records_kept, integer(&mut object, "records", 1, RECORDS_MAX).map(|found| found as usize));
 }
 
@@ -204,6 +212,7 @@
     set(&mut core.attempts_max, attempts.map(|found| found as u16));
     set(&mut core.retry_ratio, number(&mut object, "ratio", 0.0, 1.0));
     set(&mut core.retry_floor, number(&mut object, "floor", 0.0, FLOOR_MAX));
+    set(&mut core.retry_burst, number(&mut object, "burst", 0.0, FLOOR_MAX));
     set(&mut core.backoff_base, duration(&mut object, "backoff-base"));
     set(&mut core.backoff_max, duration(&mut object, "backoff-max"));
     if core.backoff_base > core.backoff_max {
@@ -214,6 +223,9 @@
 fn control(node: &Node<'_>, core: &mut core::Settings) {
     let mut object = node.object();
     set(&mut core.list_every, duration(&mut object, "list-every"));
+    set(&mut core.config_every, duration(&mut object, "config-every"));
+    set(&mut core.settle_every, duration(&mut object, "settle-every"));
+    set(&mut core.settle_limit, duration(&mut object, "settle-limit"));
     set(&mut core.poll_every, duration(&mut object, "poll-every"));
     set(&mut core.heartbeat_every, duration(&mut object, "heartbeat-every"));
     set(&mut core.suspect_after, duration(&mut object, "suspect-after"));
@@ -221,6 +233,9 @@
     set(&mut core.lease_renew, duration(&mut object, "lease-renew"));
     set(&mut core.plan_every, duration(&mut object, "plan-every"));
     set(&mut core.claim_linger, duration(&mut object, "claim-linger"));
+    let batch = integer(&mut object, "claim-batch", 1, BATCH_MAX);
+    set(&mut core.claim_batch, batch.map(|found| found as usize));
+    set(&mut core.claim_every, duration(&mut object, "claim-every"));
     set(&mut core.claim_keep, duration(&mut object, "claim-keep"));
     if core.suspect_after <= core.heartbeat_every {
         object.refuse("expected \"suspect-after\" to be longer than \"heartbeat-every\", found it shorter");
