--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -17,11 +17,11 @@
 /// An operator asks.
 pub(crate) fn asked(state: &mut State, now: Time, ask: id::Ask, query: Query, out: &mut Vec<Effect>) {
     let answer = match query {
-        Query::Apply(apply) => return config::apply(state, ask, *apply, out),
+        Query::Apply(apply) => return config::apply(state, now, ask, *apply, out),
         Query::Config => {
             Answer::Config { version: state.config.version, document: Arc::clone(&state.config.document) }
         }
-        Query::History => Answer::History(Vec::new()),
+        Query::History => return config::history(state, ask, out),
         Query::Status => Answer::Status(Box::new(status(state, now))),
         Query::Models => {
             Answer::Models(state.config.catalog.entries.iter().map(|entry| model(state, entry)).collect())
@@ -102,7 +102,7 @@
                 waiting: report.map_or(0, |report| report.waiting),
                 report_age_ms: backend.reported_at.map(|at| now.since(at).as_millis() as u64),
                 copies: report.map_or(0, |report| report.copies.len() as u32),
-                suspected: false,
+                suspected: state.routes.is_doubted(&backend.name),
             }
         })
         .collect()
