Read a lost write back at the next look, not at once

Cause: a table that answers a batch without its parts was asked again without end. Change: a write that is not settled is read back when the next plan or look is due.

--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -65,6 +65,8 @@
     over: table::Version,
     at: Time,
     lost: bool,
+    /// Whether it was sent again; the next look then waits its time.
+    again: bool,
     cause: Cause,
 }
 
@@ -149,7 +151,7 @@
 fn write(state: &mut State, now: Time, over: table::Version, row: Row, cause: Cause, out: &mut Vec<Effect>) {
     let value = Some(table::Value::Lease(row.clone()));
     let write = table::Write { key: key(state), expect: over, value };
-    state.lease.pending = Some(Pending { row, over, at: now, lost: false, cause });
+    state.lease.pending = Some(Pending { row, over, at: now, lost: false, again: false, cause });
     state.call(table::Call::Commit(vec![write]), Purpose::Lease(Step::Write), out);
 }
 
@@ -183,10 +185,13 @@
         (Step::Read | Step::Write, Err(_)) if state.lease.done => state.lease.pending = None,
         (Step::Read, _) => {}
         (Step::Write, Ok(_) | Err(table::Failure::Unknown)) => {
-            if let Some(pending) = &mut state.lease.pending {
-                pending.lost = true;
+            let Some(pending) = &mut state.lease.pending else {
+                return;
+            };
+            pending.lost = true;
+            if !pending.again {
+                read(state, out);
             }
-            read(state, out);
         }
     }
     if state.lease.is_handed_back() {
@@ -309,6 +314,7 @@
     };
     if let Some(pending) = &mut state.lease.pending {
         pending.lost = false;
+        pending.again = true;
     }
     state.call(table::Call::Commit(vec![write]), Purpose::Lease(Step::Write), out);
 }
--- a/core/src/ledger/book.rs
+++ b/core/src/ledger/book.rs
@@ -150,22 +150,14 @@
                     Done::Kept(row) => settle(state, now, engine, row, out),
                 }
             }
-            rewrite(state, &engines, out);
+            doubt(state, &engines);
         }
         (Step::Write(engines), Err(table::Failure::Unavailable)) => {
             for engine in &engines {
                 drop_write(state, engine);
             }
         }
-        (Step::Write(engines), _) => {
-            for engine in &engines {
-                let desk = state.ledger.desks.get_mut(engine);
-                if let Some(writing) = desk.and_then(|desk| desk.writing.as_mut()) {
-                    writing.lost = true;
-                }
-            }
-            check(state, out);
-        }
+        (Step::Write(engines), _) => doubt(state, &engines),
         (Step::Check(engines), Ok(table::Reply::Rows(rows))) => {
             for engine in &engines {
                 let row = rows.iter().find(|row| row.key == key(state, engine)).cloned();
@@ -177,6 +169,16 @@
     }
 }
 
+/// Marks the writes that are not settled, to be read back when the next plan is due.
+fn doubt(state: &mut State, engines: &[Name]) {
+    for engine in engines {
+        let desk = state.ledger.desks.get_mut(engine);
+        if let Some(writing) = desk.and_then(|desk| desk.writing.as_mut()) {
+            writing.lost = true;
+        }
+    }
+}
+
 /// A write certainly had no effect: its orders were never recorded, so they are never sent.
 fn drop_write(state: &mut State, engine: &Name) {
     if let Some(desk) = state.ledger.desks.get_mut(engine) {
