--- a/core/src/flow.rs
+++ b/core/src/flow.rs
@@ -6,6 +6,7 @@
 
 use crate::admit::{self, Admitted, Refused};
 use crate::attempt::{Destination, Resume};
+use crate::claim::{self, Claim};
 use crate::code::Code;
 use crate::dispatch;
 use crate::effect::Effect;
@@ -43,6 +44,8 @@
     pub tries: u16,
     /// Tries that failed in a row without progress.
     pub strikes: u16,
+    /// Times it was tried from the line again.
+    pub again: u16,
     /// Events of its stream passed on.
     pub delivered: u64,
     /// Whether a whole answer is being passed on already, so that it cannot be had from elsewhere.
@@ -51,6 +54,8 @@
     pub resume: Resume,
     /// Back ends that failed it.
     pub avoid: Vec<Name>,
+    /// Its claim on an idempotency key.
+    pub claim: Option<Box<Claim>>,
     /// Where it stands.
     pub stage: Stage,
     expiry: Handle,
@@ -59,6 +64,8 @@
 /// Where a request stands.
 #[derive(Debug)]
 pub(crate) enum Stage {
+    /// Until its idempotency key is claimed.
+    Claiming,
     /// In its line.
     Waiting,
     /// Until its next try.
@@ -82,8 +89,8 @@
     pub progress: Time,
     /// Whether the head of the answer came, with the right id.
     pub headed: bool,
-    /// Whether it takes up an earlier one.
-    pub resumed: bool,
+    /// The earlier one that it takes up again, if it does.
+    pub takes_up: Option<id::Attempt>,
     /// Events passed on before it.
     pub from: u64,
     /// Time it may take to the head of its answer.
@@ -218,12 +225,17 @@
     let id = arrival.id;
     let admitted = admit::admit(state, now, &arrival)
         .and_then(|admitted| make_room(state, now, &admitted, out).map(|()| admitted));
-    match admitted {
-        Ok(admitted) => {
-            open(state, arrival, admitted);
-            dispatch::enqueue(state, now, id, out);
-        }
-        Err(refused) => refuse(state, id, refused, out),
+    let admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(refused) => return refuse(state, id, refused, out),
+    };
+    // One that another entry VM passed on was claimed there.
+    let key = arrival.key.clone().filter(|_| arrival.hops == 0);
+    let digest = arrival.digest.clone();
+    open(state, arrival, admitted);
+    match key {
+        Some(key) => claim::begin(state, now, id, key, digest, out),
+        None => dispatch::enqueue(state, now, id, out),
     }
 }
 
@@ -247,10 +259,12 @@
         exposure: Exposure::default(),
         tries: 0,
         strikes: 0,
+        again: 0,
         delivered: 0,
         committed: false,
         resume: Resume::Start,
         avoid: Vec::new(),
+        claim: None,
         stage: Stage::Waiting,
         expiry,
     };
@@ -325,7 +339,7 @@
 pub(crate) fn end(state: &mut State, now: Time, id: id::Request, end: End, out: &mut Vec<Effect>) {
     let open = state.flow.flows.get(&id).and_then(|flow| match &flow.stage {
         Stage::Open(current) => Some(current.attempt),
-        Stage::Waiting | Stage::Paused(_) => None,
+        Stage::Claiming | Stage::Waiting | Stage::Paused(_) => None,
     });
     let closed = open.and_then(|attempt| close(state, attempt));
     let Some(flow) = state.flow.flows.remove(&id) else {
@@ -336,6 +350,9 @@
         state.timers.cancel(pause);
     }
     state.flow.leave(&flow);
+    if let Some(claim) = flow.claim {
+        claim::ended(state, now, *claim, &end);
+    }
     state.counters.end(end.code());
     if let Some(closed) = &closed
         && end.attempt() != Some(closed.attempt)
--- a/core/src/stream.rs
+++ b/core/src/stream.rs
@@ -40,7 +40,9 @@
     }
     current.headed = true;
     current.progress = now;
-    let backend = current.backend.clone();
+    let (backend, watch) = (current.backend.clone(), current.watch);
+    state.timers.cancel(watch);
+    silence(state, now, attempt, out);
     if let Some(health) = state.routes.site(&backend).and_then(|site| state.routes.health(site)) {
         health.alive();
     }
@@ -48,7 +50,6 @@
 
 fn foreign(state: &mut State, now: Time, attempt: id::Attempt, out: &mut Vec<Effect>) {
     state.counters.foreign += 1;
-    out.push(Effect::Cancel(attempt));
     retry::failed(state, now, attempt, Trouble::Failed(Failure::Foreign), out);
 }
 
@@ -70,7 +71,6 @@
         return;
     }
     if offset > flow.delivered {
-        out.push(Effect::Cancel(attempt));
         retry::failed(state, now, attempt, Trouble::Gap, out);
         return;
     }
@@ -79,6 +79,13 @@
     out.push(Effect::Deliver { attempt, offset });
 }
 
+/// The answer goes on, or is held back for its caller: either way its back end is not silent.
+pub(crate) fn alive(state: &mut State, now: Time, attempt: id::Attempt) {
+    if let Some(current) = open(state, attempt) {
+        current.progress = now;
+    }
+}
+
 /// An answer came to its explicit end.
 pub(crate) fn finished(
     state: &mut State,
@@ -99,7 +106,6 @@
         return;
     };
     if flow.stream && flow.delivered != length {
-        out.push(Effect::Cancel(attempt));
         retry::failed(state, now, attempt, Trouble::Gap, out);
         return;
     }
@@ -133,20 +139,19 @@
     let Stage::Open(current) = &mut flow.stage else {
         return;
     };
-    // Nothing is heard of a whole answer between its head and its end.
-    let limit = match (current.headed, streams) {
+    // A whole answer may take its time between its head and its body, until it is passed on as it comes.
+    let limit = match (current.headed, streams || committed) {
         (false, _) => current.patience,
         (true, true) => idle,
         (true, false) => first_byte,
     };
     let due = current.progress + limit;
-    if current.attempt != attempt || committed {
+    if current.attempt != attempt {
         return;
     }
     if due > now {
         current.watch = state.timers.set(due, Timer::Silence(attempt));
         return;
     }
-    out.push(Effect::Cancel(attempt));
     retry::failed(state, now, attempt, Trouble::Silent, out);
 }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -8,5 +8,7 @@
 pub mod frame;
 pub mod header;
 pub mod jsonc;
+pub mod nearest;
 pub mod path;
 pub mod platform;
+pub mod proof;
