--- a/cli/src/cmd/moves.rs
+++ b/cli/src/cmd/moves.rs
@@ -42,6 +42,7 @@
         Act::Load { engine, artifact, .. } => format!("load {artifact} on {engine}"),
         Act::Unload { engine, artifact, .. } => format!("unload {artifact} from {engine}"),
         Act::Role { engine, role, .. } => format!("role of {engine} to {role:?}").to_lowercase(),
+        Act::Cancel { order, engine } => format!("cancel order {order} at {engine}"),
         Act::Configured(version) => format!("version {version} in force"),
     }
 }
@@ -58,5 +59,9 @@
         Cause::Stopping => "shutting down",
         Cause::Superseded => "someone else took it",
         Cause::Operator => "an operator",
+        Cause::Copies => "fewer copies than the rules ask for",
+        Cause::Room => "memory was needed",
+        Cause::Leaving => "its engine is leaving",
+        Cause::Lost => "the answer was lost",
     }
 }
