--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -95,3 +95,22 @@
     /// The time that an effect asked to be woken at has come.
     Wake,
 }
+
+impl Event {
+    /// Whether it shows that this process is reached from outside, or reaches others.
+    pub(crate) const fn is_evidence(&self) -> bool {
+        matches!(
+            self,
+            Self::Arrive(_)
+                | Self::Head { .. }
+                | Self::Chunk { .. }
+                | Self::Finished { .. }
+                | Self::Listed(_)
+                | Self::Reported(_)
+                | Self::Cached(_)
+                | Self::Heard(_)
+                | Self::Ordered { receipt: Some(_), .. }
+                | Self::Table { reply: Ok(_), .. }
+        )
+    }
+}
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -4,6 +4,7 @@
 
 use crate::audit;
 use crate::claim;
+use crate::collect;
 use crate::config;
 use crate::count::Counters;
 use crate::drain;
@@ -18,6 +19,7 @@
 use crate::retry::Budget;
 use crate::route::Routes;
 use crate::settings::Settings;
+use crate::summary;
 use crate::table;
 use crate::time::Time;
 use crate::timer::{Timer, Timers};
@@ -48,6 +50,8 @@
     pub(crate) budget: Budget,
     pub(crate) claim: claim::Part,
     pub(crate) member: member::Part,
+    pub(crate) collect: collect::Part,
+    pub(crate) summary: summary::Part,
     pub(crate) lease: lease::Part,
     pub(crate) ledger: ledger::Part,
     pub(crate) drain: drain::Part,
@@ -92,6 +96,8 @@
             budget: Budget::default(),
             claim: claim::Part::default(),
             member: member::Part::default(),
+            collect: collect::Part::default(),
+            summary: summary::Part::default(),
             lease: lease::Part::default(),
             ledger: ledger::Part::default(),
             drain: drain::Part::default(),
