Send frames in order, in the version that a peer reads

Cause: frames to one peer could overtake each other, an item of a newer build spoiled its whole frame, and there was no way from one frame version to the next.

Change: one lane a peer with one frame under way; each item is packed by itself and skipped if unknown; two versions are read, and the older is written to a peer that refuses the newer. A node tells peers where it listens.

Conclusion: entry VMs can be replaced one by one over a change of the version.

--- a/daemon/src/node/carry.rs
+++ b/daemon/src/node/carry.rs
@@ -48,7 +48,7 @@
                 later(ctx, async move { Event::Table { op, reply: table.call(call).await } });
             }
             Effect::Tell { peer, address, frame } => {
-                self.peers.tell(peer, address, &frame, ctx.address());
+                self.peers.tell(peer, address, frame, ctx.address());
             }
             Effect::Answer { ask, answer } => {
                 if let Some(waiting) = self.asks.remove(&ask) {
--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -1,7 +1,7 @@
 //! Starts a node with its listeners, and stops it.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,6 +58,9 @@
 ///
 /// If an address cannot be bound.
 pub fn start(settings: &Settings, platform: Source) -> Result<Running, Failed> {
+    // Peers are told where to answer, so the address must be known before the node begins.
+    let peers = Place::bind("peers", settings.listen.peers)?;
+    let settings = &advertised(settings, peers.address);
     let clock = Clock::start();
     let shared = Arc::new(Shared::new(Incarnation(fastrand::u64(1..))));
     let (exit, exited) = watch::channel(false);
@@ -69,15 +72,17 @@
     let edge =
         Edge { node: node.clone(), clock, limits: settings.limits, timeouts: settings.timeouts, shared };
     let mut servers = Vec::new();
-    let callers = listen("callers", settings.listen.callers, settings.workers, settings, &mut servers, {
+    let callers = Place::at("callers", settings.listen.callers);
+    let callers = listen(callers, settings.workers, settings, &mut servers, {
         let edge = edge.clone();
         move |config| callers::routes(config, edge.clone(), Entrance::Callers)
     })?;
-    let peers = listen("peers", settings.listen.peers, SIDE_WORKERS, settings, &mut servers, {
+    let peers = listen(peers, SIDE_WORKERS, settings, &mut servers, {
         let (edge, secret) = (edge.clone(), settings.peer_secret.clone());
         move |config| peers::routes(config, edge.clone(), secret.clone())
     })?;
-    let operators = listen("operators", settings.listen.operators, SIDE_WORKERS, settings, &mut servers, {
+    let operators = Place::at("operators", settings.listen.operators);
+    let operators = listen(operators, SIDE_WORKERS, settings, &mut servers, {
         let token = settings.operator_token.clone();
         move |config| operators::routes(config, edge.clone(), token.clone())
     })?;
@@ -85,9 +90,38 @@
     Ok(Running { callers, peers, operators, node, arbiter, servers, exited })
 }
 
-fn listen<F>(
+/// Where to listen, for whom.
+#[derive(Debug)]
+struct Place {
     whom: &'static str,
     address: SocketAddr,
+    bound: Option<TcpListener>,
+}
+
+impl Place {
+    fn at(whom: &'static str, address: SocketAddr) -> Self {
+        Self { whom, address, bound: None }
+    }
+
+    fn bind(whom: &'static str, address: SocketAddr) -> Result<Self, Failed> {
+        let failed = |source| Failed { whom, address, source };
+        let listener = TcpListener::bind(address).map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        Ok(Self { whom, address, bound: Some(listener) })
+    }
+}
+
+/// The settings with the address that peers are told, unless it is set or nobody could reach it.
+fn advertised(settings: &Settings, bound: SocketAddr) -> Settings {
+    let mut settings = settings.clone();
+    if settings.core.address.is_none() && !bound.ip().is_unspecified() {
+        settings.core.address = Some(bound);
+    }
+    settings
+}
+
+fn listen<F>(
+    place: Place,
     workers: usize,
     settings: &Settings,
     servers: &mut Vec<ServerHandle>,
@@ -96,6 +130,7 @@
 where
     F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
 {
+    let Place { whom, address, bound } = place;
     let failed = |source| Failed { whom, address, source };
     let server = HttpServer::new(move || App::new().configure(routes.clone()))
         .workers(workers)
@@ -104,9 +139,12 @@
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
         .shutdown_timeout(settings.timeouts.shutdown.as_secs().max(1))
-        .disable_signals()
-        .bind(address)
-        .map_err(failed)?;
+        .disable_signals();
+    let server = match bound {
+        Some(listener) => server.listen(listener),
+        None => server.bind(address),
+    };
+    let server = server.map_err(failed)?;
     let bound = server.addrs().first().copied().unwrap_or(address);
     let server = server.run();
     servers.push(server.handle());
--- a/daemon/src/peers/mod.rs
+++ b/daemon/src/peers/mod.rs
@@ -1,63 +1,41 @@
-//! The edge towards other entry VMs: frames out and in.
+//! The edge towards other entry VMs: frames out and in, and the requests that they pass on.
 
-use std::net::SocketAddr;
+mod lane;
 
-use actix::Addr;
 use actix_web::HttpResponse;
-use actix_web::web::{self, Bytes, Data, ServiceConfig};
-use awc::Client;
+use actix_web::web::{self, Bytes, Data, PayloadConfig, ServiceConfig};
 use boragecove_core::event::Event;
-use boragecove_core::name::Name;
-use boragecove_core::peer::Frame;
-use boragecove_wire::{frame, path};
+use boragecove_wire::{frame, header, path};
 
 use crate::callers::{self, Edge, Entrance};
-use crate::node::{Feed, Node};
-use crate::settings::{Secret, Settings};
+use crate::node::Feed;
+use crate::settings::Secret;
 
-/// Sends frames to other entry VMs.
-pub(crate) struct Sender {
-    client: Client,
-    secret: Secret,
-}
-
-impl std::fmt::Debug for Sender {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Sender").finish_non_exhaustive()
-    }
-}
-
-impl Sender {
-    pub(crate) fn new(settings: &Settings) -> Self {
-        let client = Client::builder().timeout(settings.timeouts.control).finish();
-        Self { client, secret: settings.peer_secret.clone() }
-    }
+pub(crate) use lane::Sender;
 
-    /// Sends a frame; tells the node if it could not be brought there.
-    pub(crate) fn tell(&self, peer: Name, address: SocketAddr, frame: &Frame, node: Addr<Node>) {
-        let Ok(bytes) = frame::encode(frame, self.secret.reveal().as_bytes()) else {
-            return;
-        };
-        let request = self.client.post(format!("http://{address}{}", path::FRAME)).send_body(bytes);
-        actix_rt::spawn(async move {
-            if !request.await.is_ok_and(|response| response.status().is_success()) {
-                node.do_send(Feed(Event::Unheard { peer }));
-            }
-        });
-    }
-}
+/// Largest frame that is read, in bytes: a whole configuration of a few thousand artifacts, many times over.
+const FRAME_MAX: usize = 16 << 20;
 
 /// The paths of the listener for entry VMs.
 pub(crate) fn routes(config: &mut ServiceConfig, edge: Edge, secret: Secret) {
-    config.app_data(Data::new(secret.clone())).route(path::FRAME, web::post().to(heard));
+    let frames = web::resource(path::FRAME)
+        .app_data(PayloadConfig::new(FRAME_MAX))
+        .app_data(Data::new(secret.clone()))
+        .route(web::post().to(heard));
+    config.service(frames);
     callers::routes(config, edge, Entrance::Peers(secret));
 }
 
 async fn heard(body: Bytes, secret: Data<Secret>, edge: Data<Edge>) -> HttpResponse {
     match frame::decode(&body, secret.reveal().as_bytes()) {
-        Ok(frame) => {
-            edge.node.do_send(Feed(Event::Heard(Box::new(frame))));
-            HttpResponse::NoContent().finish()
+        Ok(received) => {
+            if received.skipped > 0 {
+                tracing::debug!(from = %received.frame.from, items = received.skipped, "items not known");
+            }
+            edge.node.do_send(Feed(Event::Heard(Box::new(received.frame))));
+            HttpResponse::NoContent()
+                .insert_header((header::FRAME_VERSION, frame::VERSION.to_string()))
+                .finish()
         }
         Err(error) => {
             tracing::warn!(%error, "frame refused");
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -1,16 +1,30 @@
 //! Frames between entry VMs: a version byte, a proof of the shared secret, and the packed content.
+//!
+//! Within a version, kinds of items may be added: a reader skips those it does not know. Any other change
+//! of the layout takes a new version. A build reads its own version and the one before, and writes the one
+//! before to a peer that refuses the newer, so that entry VMs can be replaced one by one.
 
+use boragecove_core::id::Incarnation;
+use boragecove_core::name::Name;
 use boragecove_core::peer;
 use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
 use sha2::Sha256;
+use std::net::SocketAddr;
 use thiserror::Error;
 
-/// The version this build writes. It reads this one only; see the operators' page on upgrades.
-pub const VERSION: u8 = 1;
+mod previous;
+
+/// The version this build writes to peers that read it.
+pub const VERSION: u8 = 2;
+/// The oldest version this build reads, and writes to peers that read no newer one.
+pub const PREVIOUS: u8 = VERSION - 1;
 /// Bytes of the proof.
 const PROOF_BYTES: usize = 32;
 /// Bytes before the packed content.
 const HEAD_BYTES: usize = 1 + PROOF_BYTES;
+/// Bytes of the length before each item.
+const LENGTH_BYTES: usize = 4;
 
 /// A frame that was not taken.
 #[derive(Debug, Error)]
@@ -19,7 +33,7 @@
     #[error("a frame of {0} bytes is too short")]
     Short(usize),
     /// A version this build does not read.
-    #[error("a frame of version {found}; this build reads version {VERSION}")]
+    #[error("a frame of version {found}; this build reads versions {PREVIOUS} and {VERSION}")]
     Version {
         /// The version found.
         found: u8,
@@ -32,16 +46,43 @@
     Content(#[from] rmp_serde::decode::Error),
 }
 
-/// Packs a frame.
+/// A frame that was taken.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Received {
+    /// Its content.
+    pub frame: peer::Frame,
+    /// The version it was written in, which its sender reads as well.
+    pub version: u8,
+    /// Items of a kind that this build does not know.
+    pub skipped: usize,
+}
+
+/// All of a frame but its items.
+#[derive(Debug, Serialize, Deserialize)]
+struct Head {
+    from: Name,
+    zone: Name,
+    incarnation: Incarnation,
+    seq: u64,
+    address: Option<SocketAddr>,
+    config: u64,
+    stopping: bool,
+}
+
+/// Packs a frame for a peer that reads `version`; another than this build's is taken for the one before.
 ///
 /// # Errors
 ///
 /// If the content cannot be packed, which no frame of this build does.
-pub fn encode(frame: &peer::Frame, secret: &[u8]) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    let content = rmp_serde::to_vec(frame)?;
+pub fn encode(frame: &peer::Frame, secret: &[u8], version: u8) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let (version, content) = if version == VERSION {
+        (VERSION, pack(frame)?)
+    } else {
+        (PREVIOUS, rmp_serde::to_vec(&previous::Frame::from(frame))?)
+    };
     let mut bytes = Vec::with_capacity(HEAD_BYTES + content.len());
-    bytes.push(VERSION);
-    bytes.extend_from_slice(&mac(&content, secret).finalize().into_bytes());
+    bytes.push(version);
+    bytes.extend_from_slice(&mac(version, &content, secret).finalize().into_bytes());
     bytes.extend_from_slice(&content);
     Ok(bytes)
 }
@@ -50,23 +91,87 @@
 ///
 /// # Errors
 ///
-/// If the frame is of another version, its proof does not fit, or it cannot be unpacked.
-pub fn decode(bytes: &[u8], secret: &[u8]) -> Result<peer::Frame, Rejected> {
+/// If the frame is of a version that is not read, its proof does not fit, or it cannot be unpacked.
+pub fn decode(bytes: &[u8], secret: &[u8]) -> Result<Received, Rejected> {
     if bytes.len() < HEAD_BYTES {
         return Err(Rejected::Short(bytes.len()));
     }
-    if bytes[0] != VERSION {
-        return Err(Rejected::Version { found: bytes[0] });
+    let version = bytes[0];
+    if version != VERSION && version != PREVIOUS {
+        return Err(Rejected::Version { found: version });
     }
     let (proof, content) = bytes[1..].split_at(PROOF_BYTES);
-    mac(content, secret).verify_slice(proof).map_err(|_mismatch| Rejected::Proof)?;
-    Ok(rmp_serde::from_slice(content)?)
+    mac(version, content, secret).verify_slice(proof).map_err(|_mismatch| Rejected::Proof)?;
+    if version == PREVIOUS {
+        let frame: previous::Frame = rmp_serde::from_slice(content)?;
+        return Ok(Received { frame: frame.into(), version, skipped: 0 });
+    }
+    let (frame, skipped) = unpack(content)?;
+    Ok(Received { frame, version, skipped })
+}
+
+fn pack(frame: &peer::Frame) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let head = Head {
+        from: frame.from.clone(),
+        zone: frame.zone.clone(),
+        incarnation: frame.incarnation,
+        seq: frame.seq,
+        address: frame.address,
+        config: frame.config,
+        stopping: frame.stopping,
+    };
+    let mut content = Vec::new();
+    append(&mut content, &rmp_serde::to_vec(&head)?);
+    for item in &frame.items {
+        append(&mut content, &rmp_serde::to_vec(item)?);
+    }
+    Ok(content)
+}
+
+fn append(content: &mut Vec<u8>, part: &[u8]) {
+    content.extend_from_slice(&(part.len() as u32).to_be_bytes());
+    content.extend_from_slice(part);
+}
+
+/// Takes the next part off, with the length before it.
+fn part<'a>(content: &mut &'a [u8]) -> Result<Option<&'a [u8]>, Rejected> {
+    if content.is_empty() {
+        return Ok(None);
+    }
+    let (length, rest) = content.split_first_chunk::<LENGTH_BYTES>().ok_or(Rejected::Short(content.len()))?;
+    let length = u32::from_be_bytes(*length) as usize;
+    let (part, rest) = rest.split_at_checked(length).ok_or(Rejected::Short(rest.len()))?;
+    *content = rest;
+    Ok(Some(part))
+}
+
+fn unpack(mut content: &[u8]) -> Result<(peer::Frame, usize), Rejected> {
+    let head: Head = rmp_serde::from_slice(part(&mut content)?.unwrap_or_default())?;
+    let mut items = Vec::new();
+    let mut skipped = 0;
+    while let Some(item) = part(&mut content)? {
+        match rmp_serde::from_slice(item) {
+            Ok(item) => items.push(item),
+            Err(_unknown) => skipped += 1,
+        }
+    }
+    let frame = peer::Frame {
+        from: head.from,
+        zone: head.zone,
+        incarnation: head.incarnation,
+        seq: head.seq,
+        address: head.address,
+        config: head.config,
+        stopping: head.stopping,
+        items,
+    };
+    Ok((frame, skipped))
 }
 
-fn mac(content: &[u8], secret: &[u8]) -> Hmac<Sha256> {
+fn mac(version: u8, content: &[u8], secret: &[u8]) -> Hmac<Sha256> {
     let mut mac =
         <Hmac<Sha256> as Mac>::new_from_slice(secret).unwrap_or_else(|_any_length_fits| unreachable!());
-    mac.update(&[VERSION]);
+    mac.update(&[version]);
     mac.update(content);
     mac
 }
--- a/wire/src/header.rs
+++ b/wire/src/header.rs
@@ -28,5 +28,7 @@
 pub const FORGOTTEN: &str = "boragecove-forgotten";
 /// Between entry VMs: how many entry VMs a request has passed.
 pub const HOPS: &str = "boragecove-hops";
+/// From an entry VM that took a frame: the newest frame version it reads.
+pub const FRAME_VERSION: &str = "boragecove-frame-version";
 /// Between entry VMs: proof that the sender knows the shared secret, as lower-case hex.
 pub const PROOF: &str = "boragecove-proof";
