Part what lies outside the processes from the loop

Change: the platform's fakes, the ways to them and what befalls them are in a file of their own; nothing else changes. Conclusion: two files with one job each.

--- a/core/tests/matrix/mod.rs
+++ b/core/tests/matrix/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod fakes;
 pub mod fault;
+pub mod outside;
 pub mod page;
 pub mod scene;
 pub mod traffic;
--- /dev/null
+++ b/core/tests/matrix/outside.rs
@@ -0,0 +1,184 @@
+//! What lies outside the processes: the platform, the ways to it, and what befalls them.
+
+use std::time::Duration;
+
+use boragecove_core::effect::Effect;
+use boragecove_core::engine::{Action, CacheUpdate, Order};
+use boragecove_core::event::Event;
+use boragecove_core::id;
+use boragecove_core::table::{Call, Failure};
+use boragecove_core::vm::{Phase, Role, Vm};
+
+use super::fault::Fault;
+use super::scene::ENTRIES;
+use super::world::{Answers, Message, OUTAGE, TIMEOUT, Turn, World};
+
+impl World {
+    /// Something befalls an answer on its way.
+    pub fn disturb(&mut self, fault: Fault, answers: &mut Answers) {
+        let waits: Vec<Duration> = answers.iter().rev().map(|(wait, _)| *wait).collect();
+        match fault {
+            Fault::AnswerLost => answers.clear(),
+            Fault::AnswerLate => answers.iter_mut().for_each(|(wait, _)| *wait += OUTAGE),
+            Fault::OutOfOrder => answers.iter_mut().zip(waits).for_each(|((wait, _), turned)| *wait = turned),
+            Fault::Foreign => {
+                for (_, event) in answers {
+                    if let Event::Head { attempt, echo } = event {
+                        self.truth.foreign.insert(*attempt);
+                        *echo = Some(id::Attempt { n: attempt.n + 7, ..*attempt });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// What the platform lists now.
+    pub fn vms(&self) -> Vec<Vm> {
+        let entries =
+            ENTRIES.iter().zip(8_000..).map(|((name, zone), port)| vm(name, zone, port, Role::Entry));
+        entries.chain(self.backends.iter().map(|backend| backend.vm.clone())).collect()
+    }
+
+    pub fn lasts(&self, fault: Fault) -> bool {
+        self.until.get(&fault).is_some_and(|until| *until > self.now)
+    }
+
+    /// Whether an entry VM cannot reach a zone.
+    pub fn is_cut(&self, at: usize, zone: &str) -> bool {
+        self.lasts(Fault::ZonesCut) && ENTRIES[at].1 != zone
+    }
+
+    /// Carries out what was sent. Returns the answers; none if there is none.
+    pub fn perform(&mut self, at: usize, life: u64, effect: &Effect) -> Result<Answers, String> {
+        let wait = self.soon();
+        let off_platform = self.lasts(Fault::PlatformCut) && self.cut_zone == at / 2;
+        let to = self.target(effect);
+        let to = to.filter(|to| self.backends[*to].up && !self.is_cut(at, &self.backends[*to].vm.zone));
+        let answers = match effect {
+            Effect::Send(send) => return self.send(at, life, send),
+            Effect::Cancel(attempt) => {
+                self.cancel(*attempt);
+                Vec::new()
+            }
+            Effect::List if off_platform => vec![Event::Unlisted],
+            Effect::List => vec![Event::Listed(self.list())],
+            Effect::Table { op, .. } if off_platform || self.lasts(Fault::TableDown) => {
+                vec![Event::Table { op: *op, reply: Err(Failure::Unavailable) }]
+            }
+            Effect::Table { op, call } => return Ok(self.call(*op, call, wait)),
+            Effect::Poll { cache_from, .. } => to.map_or_else(Vec::new, |to| self.poll(to, *cache_from)),
+            Effect::Order { order, .. } => to.map_or_else(Vec::new, |to| self.order(to, order)),
+            Effect::Tell { peer, frame, .. } => {
+                let to = ENTRIES.iter().position(|(name, _)| *peer == *name).ok_or("a frame to nobody")?;
+                if self.nodes[to].state.is_some() && !self.is_cut(at, ENTRIES[to].1) {
+                    self.event_in(wait, to, self.nodes[to].life, Event::Heard(frame.clone()));
+                    return Ok(Vec::new());
+                }
+                vec![Event::Unheard { peer: peer.clone() }]
+            }
+            _ => Vec::new(),
+        };
+        Ok(answers.into_iter().map(|event| (wait, event)).collect())
+    }
+
+    fn list(&mut self) -> Vec<Vm> {
+        if self.lasts(Fault::ListStale) {
+            return self.old_list.clone();
+        }
+        for (to, backend) in self.backends.iter().enumerate() {
+            if backend.vm.phase == Phase::Leaving {
+                self.leaving.entry(to).or_insert(self.now);
+            }
+        }
+        self.vms()
+    }
+
+    fn call(&mut self, op: id::Op, call: &Call, wait: Duration) -> Answers {
+        let reply = Event::Table { op, reply: Ok(self.table.call(call)) };
+        if !self.lasts(Fault::TableSlow) {
+            return vec![(wait, reply)];
+        }
+        vec![(TIMEOUT, Event::Table { op, reply: Err(Failure::Unknown) }), (TIMEOUT * 2, reply)]
+    }
+
+    fn poll(&mut self, to: usize, from: u64) -> Vec<Event> {
+        let stale = self.lasts(Fault::ReportStale);
+        let gap = if self.lasts(Fault::CacheGaps) { 100 } else { 0 };
+        let backend = &mut self.backends[to];
+        let mut report = backend.report();
+        let old = self.old_reports.iter().find(|old| old.engine == report.engine);
+        match old.filter(|_| stale) {
+            Some(old) => report = old.clone(),
+            None if self.rng.u8(..) < 32 => self.old_reports.insert(0, report.clone()),
+            None => {}
+        }
+        let update = CacheUpdate {
+            engine: backend.vm.name.clone(),
+            seq: from + gap,
+            stored: (from..backend.cache).map(|block| block % 5).collect(),
+            evicted: Vec::new(),
+            cleared: false,
+        };
+        vec![Event::Reported(Box::new(report)), Event::Cached(Box::new(update))]
+    }
+
+    fn order(&mut self, to: usize, order: &Order) -> Vec<Event> {
+        let backend = &mut self.backends[to];
+        let receipt = Some(backend.order(order));
+        let (engine, incarnation) = (backend.vm.name.clone(), backend.incarnation);
+        if matches!(order.action, Action::Load { .. }) {
+            let wait = Duration::from_millis(self.rng.u64(300..1_200));
+            self.push(wait, Message::Loaded { backend: to, incarnation, order: Box::new(order.clone()) });
+        }
+        vec![Event::Ordered { order: order.id, engine, receipt }]
+    }
+
+    /// A fault strikes at something that `node` does to `to`.
+    pub fn befall(&mut self, fault: Fault, node: usize, to: Option<usize>) {
+        let until = self.now + OUTAGE;
+        let to = to.unwrap_or_else(|| self.rng.usize(0..4));
+        self.until.insert(fault, until);
+        match fault {
+            Fault::Dies => self.kill(node),
+            Fault::Paused | Fault::IgnoresFences => self.nodes[node].resume = until,
+            Fault::PlatformCut => self.cut_zone = node / 2,
+            Fault::EngineDies | Fault::EngineEmpty => {
+                self.stop_engine(to);
+                self.backends[to].up = false;
+                let down = if fault == Fault::EngineDies { OUTAGE } else { Duration::ZERO };
+                self.push(down, Message::Turn(Turn::Up(to)));
+            }
+            Fault::Leaves => {
+                self.backends[to].vm.phase = Phase::Leaving;
+                self.push(OUTAGE, Message::Turn(Turn::Replace(to)));
+            }
+            Fault::Silent => self.silence(node, to),
+            Fault::Race => {
+                let (edition, base) = (self.edition.max(1), self.truth.accepted.keys().last().copied());
+                self.operate(node, edition, base);
+                self.operate((node + 2) % ENTRIES.len(), edition, base);
+            }
+            Fault::Demand => (0..10).for_each(|n| self.turn_in(n, Turn::Arrive(1_008 + 9 * n))),
+            _ => {}
+        }
+    }
+}
+
+pub fn vm(name: &str, zone: &str, port: u16, role: Role) -> Vm {
+    let address = ([127, 0, 0, 1], port).into();
+    Vm { name: name.into(), zone: zone.into(), address, role, phase: Phase::Live }
+}
+
+/// What the edge says when no answer has come.
+pub fn given_up(effect: &Effect) -> Option<Event> {
+    match effect {
+        Effect::List => Some(Event::Unlisted),
+        Effect::Poll { engine, .. } => Some(Event::Unreported(engine.clone())),
+        Effect::Order { engine, order, .. } => {
+            Some(Event::Ordered { order: order.id, engine: engine.clone(), receipt: None })
+        }
+        Effect::Table { op, .. } => Some(Event::Table { op: *op, reply: Err(Failure::Unknown) }),
+        _ => None,
+    }
+}
