Send keys to two entry VMs and silence streams in the fault matrix

Cause: claims are in and no run tried them; no run reached the effect that leaves an exchange without cancelling it. Change: callers say keyed requests again at another entry VM; connections go silent in the middle of a stream; two entry VMs stop as planned, so that each step is reached twice.

--- a/core/tests/matrix/check.rs
+++ b/core/tests/matrix/check.rs
@@ -27,7 +27,7 @@
     pub parent: Option<(usize, u64, id::Attempt)>,
     pub arrival: Arrival,
     runs: u32,
-    delivered: u64,
+    pub delivered: u64,
     committed: Option<id::Attempt>,
     ended: Option<Outcome>,
 }
--- a/core/tests/matrix/scene.rs
+++ b/core/tests/matrix/scene.rs
@@ -21,7 +21,7 @@
     ("service-b", "hall-b", "plain"),
 ];
 /// Whether callers send idempotency keys.
-pub const KEYS: bool = false;
+pub const KEYS: bool = true;
 /// Events of the longest answers; whole ones of that length outgrow the edge's buffer.
 pub const LONG: u64 = 6;
 /// Requests that callers send in each run.
@@ -104,9 +104,11 @@
     script.extend([
         (1_500, Turn::Apply { node: 0, edition: 1 }),
         (8_600, Turn::Gone(6)),
-        (9_000, Turn::Silent),
+        (7_000, Turn::Silent),
+        (12_000, Turn::Silent),
         (10_000, Turn::Apply { node: 2, edition: 2 }),
         (16_000, Turn::Stop(1)),
+        (22_000, Turn::Stop(3)),
     ]);
     script
 }
--- a/core/tests/matrix/traffic.rs
+++ b/core/tests/matrix/traffic.rs
@@ -122,7 +122,7 @@
                 self.turn_in(4_000, Turn::Apply { node: (node + 1) % ENTRIES.len(), edition });
             }
             Turn::Stop(node) => self.event_in(Duration::ZERO, node, self.nodes[node].life, Event::Stop),
-            Turn::Silent => (0..ENTRIES.len()).for_each(|node| self.silence(node, 0)),
+            Turn::Silent => self.silence_stream(),
             Turn::Start(node) => self.start(node),
             Turn::Up(backend) => {
                 self.fresh += 1;
@@ -196,6 +196,17 @@
         }
     }
 
+    /// The connections to an engine go silent in the middle of a stream.
+    fn silence_stream(&mut self) {
+        let streams = |attempt: &id::Attempt| {
+            self.truth.taken.get(&attempt.request).is_some_and(|taken| taken.delivered > 0)
+        };
+        match self.backends.iter().position(|backend| backend.running.keys().any(streams)) {
+            Some(engine) => (0..ENTRIES.len()).for_each(|node| self.silence(node, engine)),
+            None => self.turn_in(70, Turn::Silent),
+        }
+    }
+
     /// Of an attempt's answer nothing more comes, but for how it fails.
     fn forget(&mut self, attempt: id::Attempt, failure: Option<Failure>) {
         let mut from = None;
