Write usage errors in the form asked for, and no control characters

Cause: A program that asked for JSON got text when its command line was wrong; names in a difference could steer the terminal. Change: what was read of a command line before an error holds; lines for people are written without control characters.

--- a/cli/src/completion.rs
+++ b/cli/src/completion.rs
@@ -96,7 +96,7 @@
         let _infallible = writeln!(text, "        {}", zsh_flag(flag));
     }
     text.push_str(
-        "    )\n    local state\n    _arguments -C $common '1:command:->command' '*::argument:->argument'\n    \
+        "    )\n    local curcontext=\"$curcontext\" state line\n    typeset -A opt_args\n    _arguments -C $common '1:command:->command' '*::argument:->argument'\n    \
          case $state in\n        command) _describe command commands ;;\n        argument)\n            \
          case $words[1] in\n",
     );
--- a/cli/src/console.rs
+++ b/cli/src/console.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::error::Error;
+use crate::table::printable;
 
 /// The two streams of a command.
 pub struct Console<'a> {
@@ -28,7 +29,7 @@
     ///
     /// If the stream cannot be written to.
     pub fn line(&mut self, text: impl fmt::Display) -> Result<(), Error> {
-        Ok(writeln!(self.out, "{text}")?)
+        Ok(writeln!(self.out, "{}", printable(&text.to_string()))?)
     }
 
     /// Writes a result that ends its own lines.
@@ -46,7 +47,7 @@
     ///
     /// If the stream cannot be written to.
     pub fn progress(&mut self, text: impl fmt::Display) -> Result<(), Error> {
-        Ok(writeln!(self.err, "{text}")?)
+        Ok(writeln!(self.err, "{}", printable(&text.to_string()))?)
     }
 
     /// Writes the result as JSON.
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -13,6 +13,7 @@
 
 use crate::environment;
 use crate::options::Output;
+use crate::table::printable;
 
 /// How a command ended; each class has an exit code of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
@@ -221,7 +222,7 @@
         }
         writeln!(to, "error: {self}")?;
         for reason in reasons {
-            writeln!(to, "  - {reason}")?;
+            writeln!(to, "  - {}", printable(reason))?;
         }
         writeln!(to, "hint: {}", self.hint())
     }
--- a/cli/src/flag.rs
+++ b/cli/src/flag.rs
@@ -80,8 +80,12 @@
     help: "form of the result (markdown: codes only)",
 };
 /// Time for each question.
-pub const DEADLINE: Flag =
-    flag(Id::Deadline, "deadline", Value::Text("TIME"), "time for each question, default 10s (changes: 30s)");
+pub const DEADLINE: Flag = flag(
+    Id::Deadline,
+    "deadline",
+    Value::Text("TIME"),
+    "time for each question, default 10s, for changes 30s",
+);
 /// Show help.
 pub const HELP: Flag =
     Flag { id: Id::Help, long: "help", short: Some('h'), value: Value::None, help: "show help" };
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -30,12 +30,10 @@
     environment: Environment,
     console: &mut Console<'_>,
 ) -> Class {
-    let (options, result) = match Options::parse(args, environment) {
-        Ok(options) => {
-            let result = cmd::run(&options, console).await;
-            (options, result)
-        }
-        Err(refused) => (Options::default(), Err(refused)),
+    let mut options = Options::new(environment);
+    let result = match options.read(args) {
+        Ok(()) => cmd::run(&options, console).await,
+        Err(refused) => Err(refused),
     };
     match result {
         Ok(()) => Class::Done,
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -97,39 +97,43 @@
 }
 
 impl Options {
-    /// Reads a command line, without the program's name.
-    ///
-    /// # Errors
-    ///
-    /// If it cannot be understood.
-    pub fn parse(args: impl IntoIterator<Item = OsString>, environment: Environment) -> Result<Self, Error> {
-        let mut options = Self {
+    /// What holds before the command line is read.
+    #[must_use]
+    pub fn new(environment: Environment) -> Self {
+        Self {
             address: environment.address,
             token: environment.token,
             who: environment.user.unwrap_or_else(|| NOBODY.to_owned()),
             ..Self::default()
-        };
+        }
+    }
+
+    /// Reads a command line, without the program's name. What was read before an error holds.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be understood.
+    pub fn read(&mut self, args: impl IntoIterator<Item = OsString>) -> Result<(), Error> {
         let mut parser = Parser::from_args(args);
         while let Some(arg) = parser.next().map_err(unreadable)? {
             let (name, found) = match arg {
                 Arg::Value(operand) => {
-                    options.operand(operand)?;
+                    self.operand(operand)?;
                     continue;
                 }
-                Arg::Long(long) => (format!("--{long}"), options.flag(|flag| flag.long == long)),
-                Arg::Short(short) => (format!("-{short}"), options.flag(|flag| flag.short == Some(short))),
+                Arg::Long(long) => (format!("--{long}"), self.flag(|flag| flag.long == long)),
+                Arg::Short(short) => (format!("-{short}"), self.flag(|flag| flag.short == Some(short))),
             };
-            let flag = found.ok_or_else(|| options.unknown_flag(&name))?;
+            let flag = found.ok_or_else(|| self.unknown_flag(&name))?;
             let value = match flag.value {
                 Value::None => String::new(),
                 Value::Text(_) | Value::Choice(_) => {
                     parser.value().map_err(unreadable)?.string().map_err(unreadable)?
                 }
             };
-            options.set(flag, &value)?;
+            self.set(flag, &value)?;
         }
-        options.check()?;
-        Ok(options)
+        self.check()
     }
 
     fn spec(&self) -> Option<Spec> {
--- a/cli/src/table.rs
+++ b/cli/src/table.rs
@@ -42,8 +42,8 @@
     }
 }
 
-/// Names come from elsewhere: they must not steer the terminal.
-fn printable(text: &str) -> String {
+/// The text without control characters: names come from elsewhere and must not steer the terminal.
+pub(crate) fn printable(text: &str) -> String {
     text.chars().map(|letter| if letter.is_control() { '\u{fffd}' } else { letter }).collect()
 }
 
--- a/cli/tests/client/exit_classes.rs
+++ b/cli/tests/client/exit_classes.rs
@@ -36,6 +36,13 @@
     }
 }
 
+#[actix_rt::test]
+async fn errors_as_json() {
+    let run = run(&["status", "--output", "json", "--never"], Environment::default()).await;
+    let report: serde_json::Value = serde_json::from_str(&run.err).expect("JSON");
+    assert_eq!((&report["error"]["class"], &report["error"]["exit"]), (&"usage".into(), &2.into()));
+}
+
 #[actix_rt::test]
 async fn answers_refused() {
     let fake = Fake::start();
