Quote the texts of completions

Cause: An apostrophe in a help text left a quote open in the scripts for zsh and fish. Change: every text is quoted as one word; a test looks for open quotes. Conclusion: The scripts can be read by their shells as far as quotes go; only bash was at hand to run one.

--- a/cli/src/completion.rs
+++ b/cli/src/completion.rs
@@ -21,6 +21,11 @@
     format!("--{}", flag.long)
 }
 
+/// The text as one word of any of the shells.
+fn quoted(text: &str) -> String {
+    format!("'{}'", text.replace('\'', r"'\''"))
+}
+
 /// The options of all commands, each once.
 fn every_flag() -> Vec<&'static Flag> {
     let mut flags: Vec<&Flag> = COMMON.iter().collect();
@@ -89,7 +94,7 @@
 pub fn zsh() -> String {
     let mut text = "#compdef boragecove\n_boragecove() {\n    local -a commands\n    commands=(\n".to_owned();
     for spec in ALL {
-        let _infallible = writeln!(text, "        '{}:{}'", spec.name, spec.summary);
+        let _infallible = writeln!(text, "        {}", quoted(&format!("{}:{}", spec.name, spec.summary)));
     }
     text.push_str("    )\n    local -a common\n    common=(\n");
     for flag in COMMON {
@@ -116,10 +121,10 @@
 fn zsh_flag(flag: &Flag) -> String {
     let value = match flag.value {
         Value::None => String::new(),
-        Value::Text(word) => format!(":{word}: "),
+        Value::Text(word) => format!(":{}: ", word.replace(':', "\\:")),
         Value::Choice(choices) => format!(":{}:({})", flag.long, choices.join(" ")),
     };
-    format!("'{}[{}]{value}'", long(flag), flag.help)
+    quoted(&format!("{}[{}]{value}", long(flag), flag.help))
 }
 
 fn zsh_operands(spec: &Spec) -> String {
@@ -139,8 +144,9 @@
     for spec in ALL {
         let _infallible = writeln!(
             text,
-            "complete -c boragecove -n __fish_use_subcommand -a {} -d '{}'",
-            spec.name, spec.summary
+            "complete -c boragecove -n __fish_use_subcommand -a {} -d {}",
+            spec.name,
+            quoted(spec.summary)
         );
     }
     for flag in COMMON {
@@ -168,5 +174,5 @@
         Value::Text(_) => " -r".to_owned(),
         Value::Choice(choices) => format!(" -r -a '{}'", choices.join(" ")),
     };
-    format!(" -l {}{short}{value} -d '{}'", flag.long, flag.help)
+    format!(" -l {}{short}{value} -d {}", flag.long, quoted(flag.help))
 }
--- a/cli/tests/client/shell_completions.rs
+++ b/cli/tests/client/shell_completions.rs
@@ -21,6 +21,30 @@
     }
 }
 
+/// Whether single quotes are open at the end of a line of shell.
+fn is_open(line: &str) -> bool {
+    let (mut open, mut escaped) = (false, false);
+    for letter in line.chars() {
+        match letter {
+            _ if escaped => escaped = false,
+            '\\' if !open => escaped = true,
+            '\'' => open = !open,
+            _ => {}
+        }
+    }
+    open
+}
+
+#[actix_rt::test]
+async fn quotes_closed() {
+    for shell in SHELLS {
+        let script = run(&["completions", shell], Environment::default()).await;
+        for line in script.out.lines() {
+            assert!(!is_open(line), "{shell}: {line}");
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn help_complete() {
     let program = run(&["--help"], Environment::default()).await;
