Count and list engines only, without plain services

Cause: The status counted every backend server of the zone as an engine, and a plain service whose group is no longer declared was listed as one. Change: an engine is what is declared as one, or has reported. Conclusion: Both answers agree.

--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -58,7 +58,7 @@
         queued: state.flow.queued() as u32,
         artifacts: entries.len() as u32,
         reachable: reachable.count() as u32,
-        engines: state.fleet.backends.values().filter(|b| b.zone == state.me.zone).count() as u32,
+        engines: state.fleet.backends.values().filter(|backend| is_engine(state, backend)).count() as u32,
         moves_under_way: state.ledger.rows.values().map(|(_, row)| row.intents.len() as u32).sum(),
     }
 }
@@ -117,7 +117,7 @@
         .fleet
         .backends
         .values()
-        .filter(|backend| backend.zone == state.me.zone && is_engine(state, backend))
+        .filter(|backend| is_engine(state, backend))
         .map(|backend| {
             let report = backend.report.as_ref();
             let row = state.ledger.rows.get(&backend.name).map_or(&empty, |(_, row)| row);
@@ -139,9 +139,13 @@
         .collect()
 }
 
+/// Whether a backend server is an engine of this zone. One of a group that is not declared is known by its reports.
 fn is_engine(state: &State, backend: &Backend) -> bool {
-    let group = state.config.catalog.groups.get(&backend.group);
-    group.is_none_or(|group| group.kind == Kind::Engine)
+    let is_engine = match state.config.catalog.groups.get(&backend.group) {
+        Some(group) => group.kind == Kind::Engine,
+        None => backend.report.is_some(),
+    };
+    is_engine && backend.zone == state.me.zone
 }
 
 fn members(state: &State, now: Time) -> Vec<Member> {
