Serve first who can still be answered in time

Cause: in an overload requests were served by age, so that nearly all were answered late.

Change: of one priority, requests that can still meet the target for the first token go first; one turn in four goes to those that are late. One that is late and whose turn would not come before its deadline is refused then, not held until the deadline.

--- a/core/src/admit.rs
+++ b/core/src/admit.rs
@@ -67,7 +67,7 @@
         return Err(Code::Unauthenticated.into());
     }
     let (work, idempotent) = subject(catalog, caller, &arrival.subject)?;
-    let ticket = ticket(arrival, caller);
+    let ticket = ticket(arrival, caller, due(state, now, arrival, &work));
     limits(state, &work, &ticket, caller)?;
     if now >= arrival.deadline {
         return Err(Code::DeadlineUnreachable.into());
@@ -93,7 +93,14 @@
     if reaches { Ok((work, idempotent)) } else { Err(Code::Forbidden) }
 }
 
-fn ticket(arrival: &Arrival, caller: Option<&Caller>) -> Ticket {
+/// When a request has to be sent to have its first token in time.
+fn due(state: &State, now: Time, arrival: &Arrival, work: &Work) -> Time {
+    let target = Duration::from_millis(state.config.document.rules.weights.first_token_ms.into());
+    let head = state.flow.lanes.get(work).and_then(|lane| lane.head.mean()).unwrap_or_default();
+    (now + target.saturating_sub(head)).min(arrival.deadline)
+}
+
+fn ticket(arrival: &Arrival, caller: Option<&Caller>, due: Time) -> Ticket {
     let most_urgent = caller.map_or(Priority::default(), |caller| caller.priority);
     let priority = arrival.priority.map_or(most_urgent, |asked| asked.max(most_urgent));
     let cost = match arrival.subject {
@@ -105,6 +112,7 @@
         caller: caller.map_or_else(|| ANONYMOUS.into(), |caller| caller.name.clone()),
         weight: caller.map_or(1, |caller| caller.weight),
         priority,
+        due,
         deadline: arrival.deadline,
         cost,
     }
--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -72,6 +72,7 @@
 
 /// Sends waiting requests for one model or service, in their order, while there is room.
 pub(crate) fn lane(state: &mut State, now: Time, work: &Work, out: &mut Vec<Effect>) {
+    age(state, now, work, out);
     while let Some(id) = state.flow.lanes.get(work).and_then(|lane| lane.queue.peek()) {
         match target(state, now, id) {
             Ok(target) => {
@@ -84,6 +85,25 @@
     }
 }
 
+/// Has the requests that are too late for the target wait behind the others, or ends them where their turn
+/// would not come before their deadline.
+fn age(state: &mut State, now: Time, work: &Work, out: &mut Vec<Effect>) {
+    let overdue = state.flow.lanes.get(work).map(|lane| lane.queue.overdue(now)).unwrap_or_default();
+    for id in overdue {
+        let Some(lane) = state.flow.lanes.get_mut(work) else {
+            return;
+        };
+        let Some(flow) = state.flow.flows.get(&id) else {
+            continue;
+        };
+        if flow.tries == 0 && lane.is_hopeless(now, &flow.ticket) {
+            refuse(state, now, id, Code::DeadlineUnreachable, out);
+        } else {
+            lane.queue.delay(&flow.ticket);
+        }
+    }
+}
+
 /// Where a request is to go; else the code to end it with, or none if it is to wait.
 fn target(state: &mut State, now: Time, id: id::Request) -> Result<Target, Option<Code>> {
     let Some(flow) = state.flow.flows.get(&id) else {
--- a/core/src/flow.rs
+++ b/core/src/flow.rs
@@ -14,7 +14,7 @@
 use crate::id;
 use crate::name::Name;
 use crate::pace::Pace;
-use crate::queue::{Queue, Ticket};
+use crate::queue::{LATE_TURN, Queue, Ticket};
 use crate::request::Arrival;
 use crate::route::Work;
 use crate::state::State;
@@ -108,6 +108,8 @@
     pub open: u32,
     /// How long tries take.
     pub pace: Pace,
+    /// How long it takes from sending a try to the head of its answer.
+    pub head: Pace,
 }
 
 impl Lane {
@@ -121,6 +123,14 @@
         (self.open > 0).then(|| mean.mul_f64((ahead + 1) as f64 / f64::from(self.open)))
     }
 
+    /// Whether a request that has become late can still be answered by its deadline, given the turns that
+    /// late ones get.
+    pub(crate) fn is_hopeless(&self, now: Time, ticket: &Ticket) -> bool {
+        let (late, before) = self.queue.late(ticket.priority);
+        let wait = self.wait(before + late * LATE_TURN as usize);
+        wait.is_some_and(|wait| now + wait + self.pace.least() > ticket.deadline)
+    }
+
     fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.open == 0
     }
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -1,5 +1,9 @@
 //! The line of requests that wait for one model or service: by priority, then by fair shares between
 //! callers, then by earliest deadline.
+//!
+//! Of one priority, requests that can still meet the target for the first token go before those that
+//! cannot, but for one turn in a few: in an overload most are then answered in time, where serving strictly
+//! by age would answer all of them late.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,6 +14,8 @@
 
 /// Virtual time that a unit of cost takes at weight one.
 const SCALE: u64 = 1 << 20;
+/// One turn in this many goes to requests that are late already.
+pub(crate) const LATE_TURN: u32 = 4;
 
 /// A request's place in the line.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +28,8 @@
     pub weight: u32,
     /// Its priority.
     pub priority: Priority,
+    /// When it has to be sent to meet the target.
+    pub due: Time,
     /// Its deadline.
     pub deadline: Time,
     /// What it counts against the caller's share, in any unit.
@@ -40,7 +48,9 @@
 struct Class {
     lines: BTreeMap<Name, Line>,
     turn: u64,
-    len: usize,
+    served: u32,
+    timely: usize,
+    late: usize,
 }
 
 /// What one caller has waiting, and the virtual time from which it is to be served.
@@ -48,13 +58,24 @@
 struct Line {
     weight: u32,
     start: u64,
-    waiting: BTreeSet<(Time, id::Request)>,
+    /// By the time they have to be sent.
+    timely: BTreeSet<(Time, id::Request)>,
+    /// By their deadline.
+    late: BTreeSet<(Time, id::Request)>,
 }
 
 impl Line {
+    fn len(&self) -> usize {
+        self.timely.len() + self.late.len()
+    }
+
     /// Requests waiting for each unit of weight, in thousandths; `more` counts on top.
     fn share(&self, more: usize) -> u64 {
-        share(self.waiting.len() + more, self.weight)
+        share(self.len() + more, self.weight)
+    }
+
+    fn waiting(&self, late: bool) -> &BTreeSet<(Time, id::Request)> {
+        if late { &self.late } else { &self.timely }
     }
 }
 
@@ -62,6 +83,19 @@
     len as u64 * 1_000 / u64::from(weight.max(1))
 }
 
+impl Class {
+    fn len(&self) -> usize {
+        self.timely + self.late
+    }
+
+    fn next(&self) -> Option<(Time, id::Request)> {
+        let late = self.timely == 0 || (self.late > 0 && self.served % LATE_TURN == LATE_TURN - 1);
+        let lines = self.lines.values().filter(|line| !line.waiting(late).is_empty());
+        let line = lines.min_by_key(|line| (line.start, line.waiting(late).first().copied()))?;
+        line.waiting(late).first().copied()
+    }
+}
+
 impl Queue {
     /// Requests waiting.
     pub(crate) const fn len(&self) -> usize {
@@ -75,7 +109,14 @@
 
     /// Requests waiting that come before a new one of `priority`, taking callers together.
     pub(crate) fn ahead(&self, priority: Priority) -> usize {
-        self.classes.range(..=priority).map(|(_, class)| class.len).sum()
+        let more_urgent: usize = self.classes.range(..priority).map(|(_, class)| class.len()).sum();
+        more_urgent + self.classes.get(&priority).map_or(0, |class| class.timely)
+    }
+
+    /// Requests of `priority` that are late, and all that wait before these.
+    pub(crate) fn late(&self, priority: Priority) -> (usize, usize) {
+        let late = self.classes.get(&priority).map_or(0, |class| class.late);
+        (late, self.classes.range(..priority).map(|(_, class)| class.len()).sum())
     }
 
     /// Puts a request in line.
@@ -85,36 +126,51 @@
         let line = class.lines.entry(ticket.caller.clone()).or_insert_with(|| Line {
             weight: ticket.weight,
             start: turn,
-            waiting: BTreeSet::new(),
+            timely: BTreeSet::new(),
+            late: BTreeSet::new(),
         });
-        if line.waiting.is_empty() {
+        if line.len() == 0 {
             line.start = line.start.max(turn);
         }
         line.weight = ticket.weight.max(1);
-        if line.waiting.insert((ticket.deadline, ticket.request)) {
-            class.len += 1;
+        if line.timely.insert((ticket.due, ticket.request)) {
+            class.timely += 1;
             self.len += 1;
         }
     }
 
+    /// The requests that have become too late for the target by `now`.
+    pub(crate) fn overdue(&self, now: Time) -> Vec<id::Request> {
+        let lines =
+            self.classes.values().filter(|class| class.timely > 0).flat_map(|class| class.lines.values());
+        lines
+            .flat_map(|line| line.timely.iter().take_while(|(due, _)| *due < now))
+            .map(|(_, request)| *request)
+            .collect()
+    }
+
+    /// Lets a request wait among those that are late.
+    pub(crate) fn delay(&mut self, ticket: &Ticket) {
+        if let Some(class) = self.classes.get_mut(&ticket.priority)
+            && let Some(line) = class.lines.get_mut(&ticket.caller)
+            && line.timely.remove(&(ticket.due, ticket.request))
+        {
+            line.late.insert((ticket.deadline, ticket.request));
+            class.timely -= 1;
+            class.late += 1;
+        }
+    }
+
     /// The request whose turn it is.
     pub(crate) fn peek(&self) -> Option<id::Request> {
-        self.first().map(|(_, (_, request))| request)
+        let (_, class) = self.classes.first_key_value()?;
+        class.next().map(|(_, request)| request)
     }
 
-    /// Priority and deadline of the request whose turn it is.
+    /// Priority and time of the request whose turn it is.
     pub(crate) fn urgency(&self) -> Option<(Priority, Time)> {
-        self.first().map(|(priority, (deadline, _))| (priority, deadline))
-    }
-
-    fn first(&self) -> Option<(Priority, (Time, id::Request))> {
         let (priority, class) = self.classes.first_key_value()?;
-        let line = class
-            .lines
-            .values()
-            .filter(|line| !line.waiting.is_empty())
-            .min_by_key(|line| (line.start, line.waiting.first().copied()))?;
-        Some((*priority, *line.waiting.first()?))
+        class.next().map(|(time, _)| (*priority, time))
     }
 
     /// Takes a request out whose turn has come, at its caller's charge.
@@ -122,6 +178,7 @@
         if let Some(class) = self.classes.get_mut(&ticket.priority)
             && let Some(line) = class.lines.get_mut(&ticket.caller)
         {
+            class.served = class.served.wrapping_add(1);
             class.turn = class.turn.max(line.start);
             line.start += u64::from(ticket.cost.max(1)) * SCALE / u64::from(line.weight);
         }
@@ -133,19 +190,21 @@
         let Some(class) = self.classes.get_mut(&ticket.priority) else {
             return false;
         };
-        let found = class
-            .lines
-            .get_mut(&ticket.caller)
-            .is_some_and(|line| line.waiting.remove(&(ticket.deadline, ticket.request)));
-        if !found {
+        let Some(line) = class.lines.get_mut(&ticket.caller) else {
+            return false;
+        };
+        if line.timely.remove(&(ticket.due, ticket.request)) {
+            class.timely -= 1;
+        } else if line.late.remove(&(ticket.deadline, ticket.request)) {
+            class.late -= 1;
+        } else {
             return false;
         }
-        class.len -= 1;
         self.len -= 1;
         let turn = class.turn;
         // A caller's account stays until the others have caught up with it.
-        class.lines.retain(|_, line| !line.waiting.is_empty() || line.start > turn);
-        if class.len == 0 {
+        class.lines.retain(|_, line| line.len() > 0 || line.start > turn);
+        if class.len() == 0 {
             self.classes.remove(&ticket.priority);
         }
         true
@@ -156,7 +215,7 @@
     pub(crate) fn displaced(&self, ticket: &Ticket) -> Option<id::Request> {
         let (priority, class) = self.classes.last_key_value()?;
         let (caller, line) = class.lines.iter().max_by_key(|(_, line)| line.share(0))?;
-        let latest = line.waiting.last().map(|(_, request)| *request);
+        let latest = line.late.last().or_else(|| line.timely.last()).map(|(_, request)| *request);
         if *priority > ticket.priority {
             return latest;
         }
--- a/core/src/stream.rs
+++ b/core/src/stream.rs
@@ -38,11 +38,17 @@
         foreign(state, now, attempt, out);
         return;
     }
-    current.headed = true;
+    let took = now.since(current.sent);
+    let first = !std::mem::replace(&mut current.headed, true);
     current.progress = now;
     let (backend, watch) = (current.backend.clone(), current.watch);
     state.timers.cancel(watch);
     silence(state, now, attempt, out);
+    if let Some(flow) = state.flow.flows.get(&attempt.request)
+        && let Some(lane) = state.flow.lanes.get_mut(&flow.work).filter(|_| first && flow.stream)
+    {
+        lane.head.took(took);
+    }
     if let Some(health) = state.routes.site(&backend).and_then(|site| state.routes.health(site)) {
         health.alive();
     }
