Send no more to an engine than it has slots for

Change: no headroom beyond an engine's slots, instead of a quarter.

What waits here is served by urgency, what waits in an engine is not.

--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -26,7 +26,7 @@
 const HINTS: usize = 2;
 /// Load beyond an engine's slots that is still sent to it, as a part of the slots, so that a slot which
 /// comes free does not wait for the next try to travel.
-const HEADROOM: f32 = 0.25;
+const HEADROOM: f32 = 0.0;
 /// The part of an engine's slots up to which deferrable work is sent to it.
 const DEFERRABLE_PART: f32 = 0.75;
 /// What a wholly cached prompt is worth, in slots' worth of load.
