--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -15,7 +15,7 @@
 /// Virtual time that a unit of cost takes at weight one.
 const SCALE: u64 = 1 << 20;
 /// One turn in this many goes to requests that are late already.
-pub(crate) const LATE_TURN: u32 = 4;
+pub(crate) const LATE_TURN: u32 = 8;
 
 /// A request's place in the line.
 #[derive(Clone, Debug, PartialEq, Eq)]
