--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -36,6 +36,24 @@
     pub cost: u32,
 }
 
+/// Where a request stands in its caller's line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    first: Time,
+    then: Time,
+    request: id::Request,
+}
+
+impl Place {
+    const fn timely(ticket: &Ticket) -> Self {
+        Self { first: ticket.due, then: ticket.deadline, request: ticket.request }
+    }
+
+    const fn late(ticket: &Ticket) -> Self {
+        Self { first: ticket.deadline, then: ticket.due, request: ticket.request }
+    }
+}
+
 /// All that waits for one model or service.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -58,10 +76,10 @@
 struct Line {
     weight: u32,
     start: u64,
-    /// By the time they have to be sent.
-    timely: BTreeSet<(Time, id::Request)>,
+    /// By the time they have to be sent, then by their deadline.
+    timely: BTreeSet<Place>,
     /// By their deadline.
-    late: BTreeSet<(Time, id::Request)>,
+    late: BTreeSet<Place>,
 }
 
 impl Line {
@@ -74,7 +92,7 @@
         share(self.len() + more, self.weight)
     }
 
-    fn waiting(&self, late: bool) -> &BTreeSet<(Time, id::Request)> {
+    fn waiting(&self, late: bool) -> &BTreeSet<Place> {
         if late { &self.late } else { &self.timely }
     }
 }
@@ -88,7 +106,7 @@
         self.timely + self.late
     }
 
-    fn next(&self) -> Option<(Time, id::Request)> {
+    fn next(&self) -> Option<Place> {
         let late = self.timely == 0 || (self.late > 0 && self.served % LATE_TURN == LATE_TURN - 1);
         let lines = self.lines.values().filter(|line| !line.waiting(late).is_empty());
         let line = lines.min_by_key(|line| (line.start, line.waiting(late).first().copied()))?;
@@ -133,7 +151,7 @@
             line.start = line.start.max(turn);
         }
         line.weight = ticket.weight.max(1);
-        if line.timely.insert((ticket.due, ticket.request)) {
+        if line.timely.insert(Place::timely(ticket)) {
             class.timely += 1;
             self.len += 1;
         }
@@ -144,8 +162,8 @@
         let lines =
             self.classes.values().filter(|class| class.timely > 0).flat_map(|class| class.lines.values());
         lines
-            .flat_map(|line| line.timely.iter().take_while(|(due, _)| *due < now))
-            .map(|(_, request)| *request)
+            .flat_map(|line| line.timely.iter().take_while(|place| place.first < now))
+            .map(|place| place.request)
             .collect()
     }
 
@@ -153,9 +171,9 @@
     pub(crate) fn delay(&mut self, ticket: &Ticket) {
         if let Some(class) = self.classes.get_mut(&ticket.priority)
             && let Some(line) = class.lines.get_mut(&ticket.caller)
-            && line.timely.remove(&(ticket.due, ticket.request))
+            && line.timely.remove(&Place::timely(ticket))
         {
-            line.late.insert((ticket.deadline, ticket.request));
+            line.late.insert(Place::late(ticket));
             class.timely -= 1;
             class.late += 1;
         }
@@ -164,13 +182,13 @@
     /// The request whose turn it is.
     pub(crate) fn peek(&self) -> Option<id::Request> {
         let (_, class) = self.classes.first_key_value()?;
-        class.next().map(|(_, request)| request)
+        class.next().map(|place| place.request)
     }
 
     /// Priority and time of the request whose turn it is.
     pub(crate) fn urgency(&self) -> Option<(Priority, Time)> {
         let (priority, class) = self.classes.first_key_value()?;
-        class.next().map(|(time, _)| (*priority, time))
+        class.next().map(|place| (*priority, place.first))
     }
 
     /// Takes a request out whose turn has come, at its caller's charge.
@@ -193,9 +211,9 @@
         let Some(line) = class.lines.get_mut(&ticket.caller) else {
             return false;
         };
-        if line.timely.remove(&(ticket.due, ticket.request)) {
+        if line.timely.remove(&Place::timely(ticket)) {
             class.timely -= 1;
-        } else if line.late.remove(&(ticket.deadline, ticket.request)) {
+        } else if line.late.remove(&Place::late(ticket)) {
             class.late -= 1;
         } else {
             return false;
@@ -215,7 +233,7 @@
     pub(crate) fn displaced(&self, ticket: &Ticket) -> Option<id::Request> {
         let (priority, class) = self.classes.last_key_value()?;
         let (caller, line) = class.lines.iter().max_by_key(|(_, line)| line.share(0))?;
-        let latest = line.late.last().or_else(|| line.timely.last()).map(|(_, request)| *request);
+        let latest = line.late.last().or_else(|| line.timely.last()).map(|place| place.request);
         if *priority > ticket.priority {
             return latest;
         }
