--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -31,6 +31,9 @@
         /// Its number in the answer, from 0.
         offset: u64,
     },
+    /// A try is not silent, though nothing of it is to be passed on: part of an answer came, or the
+    /// answer is held back for a caller that is slow to take it.
+    Alive(id::Attempt),
     /// An answer came to its explicit end; a whole answer is at hand complete.
     Finished {
         /// The attempt it came for.
@@ -92,3 +95,22 @@
     /// The time that an effect asked to be woken at has come.
     Wake,
 }
+
+impl Event {
+    /// Whether it shows that this process is reached from outside, or reaches others.
+    pub(crate) const fn is_evidence(&self) -> bool {
+        matches!(
+            self,
+            Self::Arrive(_)
+                | Self::Head { .. }
+                | Self::Chunk { .. }
+                | Self::Finished { .. }
+                | Self::Listed(_)
+                | Self::Reported(_)
+                | Self::Cached(_)
+                | Self::Heard(_)
+                | Self::Ordered { receipt: Some(_), .. }
+                | Self::Table { reply: Ok(_), .. }
+        )
+    }
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod nearest;
 pub mod path;
 pub mod platform;
+pub mod proof;
