--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -394,7 +394,8 @@
             return;
         }
         best.known = true;
-        // A back end in doubt gets one try at a time; it may be all that is left.
+        best.sound |= standing != Standing::Doubtful;
+        // A back end in doubt gets one try at a time, and none while there is one that is not in doubt.
         if standing == Standing::Doubtful && place.open > 0 {
             return;
         }
@@ -433,6 +434,7 @@
 struct Best {
     found: Option<(Rank, u16)>,
     known: bool,
+    sound: bool,
 }
 
 impl Best {
@@ -448,6 +450,7 @@
 
     fn choice(&self) -> Choice {
         match self.found {
+            Some((rank, _)) if rank.doubtful && self.sound => Choice::Full,
             Some((_, site)) => Choice::Site(Site(site)),
             None if self.known => Choice::Full,
             None => Choice::Absent,
