Explain where a model is, and say who decides

Cause: The question why a model is where it is was answered with nothing, and the moves shown by an entry VM without the lease left out what matters. Change: an explanation names what is declared, who decides, each engine of the zone with its copy, order or free memory, and other zones; the list of moves says who decides if it is another entry VM. Conclusion: An operator sees what holds a model back.

--- a/cli/src/cmd/moves.rs
+++ b/cli/src/cmd/moves.rs
@@ -22,7 +22,23 @@
     for record in records {
         table.row(cells(&record));
     }
-    console.text(&table.to_string())
+    console.text(&table.to_string())?;
+    note_decider(&client, console).await
+}
+
+/// Says who decides, if it is not the entry VM that was asked: each keeps its own records only.
+async fn note_decider(client: &Client, console: &mut Console<'_>) -> Result<(), Error> {
+    let Answer::Status(status) = client.ask(&Query::Status).await? else {
+        return Err(client.mismatched());
+    };
+    match &status.lease_holder {
+        Some(holder) if *holder == status.vm => Ok(()),
+        Some(holder) => console.progress(format!(
+            "note: these are the records of {}; {holder} decides for zone {} now",
+            status.vm, status.zone
+        )),
+        None => console.progress(format!("note: nobody holds the lease of zone {}", status.zone)),
+    }
 }
 
 fn cells(record: &Record) -> [String; 5] {
--- a/cli/tests/client/shown_results.rs
+++ b/cli/tests/client/shown_results.rs
@@ -53,6 +53,7 @@
     let moves = fake.run(&["moves"]).await;
     assert!(moves.out.contains("entry-2     load staff-notice:kitchen"), "{}", moves.out);
     assert!(moves.out.ends_with("demand grew\n"), "{}", moves.out);
+    assert_eq!(moves.err, "note: these are the records of entry-1; entry-2 decides for zone hall-a now\n");
     fake.stop().await;
 }
 
--- /dev/null
+++ b/core/src/explain.rs
@@ -0,0 +1,101 @@
+//! Says why an artifact is where it is, from what this entry VM knows.
+
+use crate::artifact::Target;
+use crate::catalog::Entry;
+use crate::code::Code;
+use crate::engine::{Action, Stage};
+use crate::fleet::Backend;
+use crate::ledger;
+use crate::name::Name;
+use crate::operator::{Answer, Refusal};
+use crate::rules::Priority;
+use crate::state::State;
+use crate::summary;
+use crate::time::Time;
+
+/// Explains the artifact that a caller would get for `name`.
+pub(crate) fn answer(state: &State, now: Time, name: &str) -> Answer {
+    let target = name.parse::<Target>().ok();
+    let Some(entry) = target.and_then(|target| state.config.catalog.resolve(&target)) else {
+        return Answer::Error(Refusal {
+            code: Code::UnknownModel,
+            reasons: vec![format!("version {} declares no '{name}'", state.config.version).into()],
+            hint: "name it as callers do: model, model:adapter, model@version or model:adapter@version"
+                .into(),
+            version: Some(state.config.version),
+        });
+    };
+    let mut lines = vec![declared(entry), decider(state)];
+    let zone = &state.me.zone;
+    if entry.allows(zone) {
+        let own = state.fleet.backends.values().filter(|backend| backend.zone == *zone);
+        lines.extend(
+            own.filter(|backend| backend.group == entry.group).map(|each| engine(state, each, entry)),
+        );
+    } else {
+        lines.push(format!("the rules keep it out of zone {zone}"));
+    }
+    for elsewhere in summary::elsewhere(state, now, &entry.artifact) {
+        lines.push(format!("zone {}: {} ready copies", elsewhere.zone, elsewhere.copies));
+    }
+    Answer::Explanation(lines.into_iter().map(Name::from).collect())
+}
+
+fn declared(entry: &Entry) -> String {
+    let zones = if entry.zones.is_empty() { "any zone".to_owned() } else { entry.zones.join(", ") };
+    let rank = match entry.priority {
+        Priority::Urgent => "before all others",
+        Priority::High => "before most others",
+        Priority::Normal => "like most others",
+        Priority::Deferrable => "after all others",
+    };
+    format!(
+        "{}: {} MB on engines of group {} in {zones}; at least {} copies; {rank} when memory is short",
+        entry.artifact, entry.memory_mb, entry.group, entry.copies
+    )
+}
+
+fn decider(state: &State) -> String {
+    let zone = &state.me.zone;
+    let stand_still = if state.table_up { "" } else { "; the platform's table does not answer" };
+    match state.lease.holder() {
+        Some(holder) if *holder == state.me.vm => {
+            format!("this entry VM decides for zone {zone}{stand_still}")
+        }
+        Some(holder) => {
+            format!(
+                "{holder} decides for zone {zone}, and knows of orders that are not shown here{stand_still}"
+            )
+        }
+        None => format!("nobody holds the lease of zone {zone}, so nothing is moved{stand_still}"),
+    }
+}
+
+fn engine(state: &State, backend: &Backend, entry: &Entry) -> String {
+    let name = &backend.name;
+    let Some(report) = &backend.report else {
+        return format!("{name}: has not reported yet");
+    };
+    let empty = ledger::Row::default();
+    let row = state.ledger.rows.get(name).map_or(&empty, |(_, row)| row);
+    let leaving = if backend.takes_work() { "" } else { ", and it is leaving" };
+    if let Some(copy) = report.copies.iter().find(|copy| copy.artifact == entry.artifact) {
+        let progress = match copy.stage {
+            Stage::Ready if backend.closing.contains(&entry.artifact) => "is ready and takes nothing new",
+            Stage::Ready => "is ready",
+            Stage::Loading => "is being loaded",
+            Stage::Dropping => "is being dropped",
+        };
+        return format!("{name}: a copy {progress}, with {} requests{leaving}", copy.requests);
+    }
+    let ordered = row
+        .intents
+        .iter()
+        .any(|intent| matches!(&intent.action, Action::Load { artifact, .. } if *artifact == entry.artifact));
+    if ordered {
+        return format!("{name}: an order to load it is on its way{leaving}");
+    }
+    let free = report.memory_mb.saturating_sub(ledger::reserved(report, row));
+    let room = if free >= entry.memory_mb { "there would be room" } else { "there is no room" };
+    format!("{name}: no copy; {free} of {} MB are free, so {room}{leaving}", report.memory_mb)
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod engine;
 pub mod error;
 pub mod event;
+mod explain;
 mod fleet;
 mod flow;
 pub mod health;
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -9,6 +9,7 @@
 use crate::config;
 use crate::effect::Effect;
 use crate::engine::Role;
+use crate::explain;
 use crate::fleet::{self, Backend};
 use crate::id;
 use crate::inventory::Kind;
@@ -32,7 +33,7 @@
         Query::History => return config::history(state, ask, out),
         Query::Status => Answer::Status(Box::new(status(state, now))),
         Query::Models => Answer::Models(models(state, now)),
-        Query::Explain(_) => Answer::Explanation(Vec::new()),
+        Query::Explain(name) => explain::answer(state, now, &name),
         Query::Engines => Answer::Engines(engines(state, now)),
         Query::Members => Answer::Members(members(state, now)),
         Query::Moves => Answer::Moves(state.audit.latest()),
--- a/daemon/tests/operator_client.rs
+++ b/daemon/tests/operator_client.rs
@@ -98,6 +98,26 @@
     assert!(moves.contains("load notice@1 on engine-1"), "{moves}");
 }
 
+#[actix_rt::test]
+async fn model_explained() {
+    let deployment = Deployment::small().await;
+    let answers = async || deployment.complete("rest in the shade", 4, false).await.status() == 200;
+    deployment.until("a first answer", answers).await;
+    let explained = boragecove(&deployment, &["models", "--explain", "briefing"]).await.out;
+    let lines: Vec<&str> = explained.lines().collect();
+    assert_eq!(
+        lines[..2],
+        [
+            "briefing@1: 9000 MB on engines of group brief-writer in any zone; at least 1 copies; like most others when memory is short",
+            "this entry VM decides for zone zone-1",
+        ],
+    );
+    assert!(lines[2].starts_with("engine-1: a copy is ready, with "), "{explained}");
+    let unknown = boragecove(&deployment, &["models", "--explain", "briefing@9"]).await;
+    assert_eq!(unknown.class, Class::Refused, "{}", unknown.err);
+    assert!(unknown.err.contains("declares no 'briefing@9'"), "{}", unknown.err);
+}
+
 #[actix_rt::test]
 async fn changes_refused() {
     let deployment = Deployment::small().await;
