--- a/daemon/tests/trial_deployment.rs
+++ b/daemon/tests/trial_deployment.rs
@@ -6,8 +6,9 @@
 use boragecove_core::settings as core;
 use boragecove_daemon::dev::deployment::{Deployment, Options, TOKEN};
 use boragecove_standin::engine;
-use boragecove_standin::engine::answer::{Answer, Body};
+use boragecove_standin::engine::answer::{self, Answer};
 use boragecove_standin::platform::{self, weight};
+use boragecove_wire::completion::Body;
 use serde_json::Value;
 
 /// How long a condition is waited for.
@@ -52,12 +53,13 @@
 async fn example_answers() {
     let deployment = Deployment::start(&quick()).await.expect("a deployment");
     let request = deployment.example.request().expect("a model");
-    let body: Body = serde_json::from_str(&request).expect("a body");
+    let body = Body::read(request.as_bytes()).expect("a body");
     let model = &deployment.example.document.inventory.models[0];
     let artifact =
         Artifact { model: model.name.clone(), adapter: None, version: model.versions[0].name.clone() };
-    let expected = Answer::new(&artifact, &body.text(), body.length()).text();
+    let expected = Answer::new(&artifact, &body.prompt(), answer::length(body.max_tokens)).text();
 
+    let prompt = body.prompt();
     let client = awc::Client::builder().timeout(PATIENCE).finish();
     for entry in &deployment.entries {
         let url = format!("http://{}/v1/completions", entry.callers);
@@ -67,7 +69,7 @@
     }
     let memory = model.versions[0].memory_mb;
     assert!(deployment.platform.weights().grants().contains(&memory), "its weights were read");
-    let runs = deployment.engines.iter().map(|(engine, _)| engine.runs_of(&body.text())).sum::<usize>();
+    let runs = deployment.engines.iter().map(|(engine, _)| engine.runs_of(&prompt)).sum::<usize>();
     assert_eq!(runs, deployment.entries.len());
     assert!(deployment.guide().contains(&request));
     tokio::time::timeout(PATIENCE, deployment.stop()).await.expect("it stops");
--- a/standin/src/engine/answer.rs
+++ b/standin/src/engine/answer.rs
@@ -1,8 +1,6 @@
 //! What an engine answers: text that anyone can compute from artifact, prompt and offset.
 
 use boragecove_core::artifact::Artifact;
-use serde::Deserialize;
-use serde_json::Value;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Tokens of an answer when the request does not say.
@@ -10,42 +8,10 @@
 /// Tokens of an answer at most.
 const TOKENS_MAX: u64 = 65_536;
 
-/// A request's body, as far as an engine reads it.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Body {
-    /// The prompt of a completion: a string, or anything else by its JSON text.
-    #[serde(default)]
-    pub prompt: Option<Value>,
-    /// The conversation of a chat completion.
-    #[serde(default)]
-    pub messages: Option<Value>,
-    /// The tokens wanted; the answer has exactly as many.
-    #[serde(default)]
-    pub max_tokens: Option<u64>,
-    /// Whether the answer is to come as it is made.
-    #[serde(default)]
-    pub stream: bool,
-    /// What another engine has answered so far.
-    #[serde(default)]
-    pub continuation: Option<String>,
-}
-
-impl Body {
-    /// The prompt as text: a string as it is, anything else as JSON.
-    #[must_use]
-    pub fn text(&self) -> String {
-        match self.prompt.as_ref().or(self.messages.as_ref()) {
-            Some(Value::String(text)) => text.clone(),
-            Some(other) => other.to_string(),
-            None => String::new(),
-        }
-    }
-
-    /// Tokens, and so events, of the whole answer.
-    #[must_use]
-    pub fn length(&self) -> u64 {
-        self.max_tokens.unwrap_or(TOKENS_DEFAULT).min(TOKENS_MAX)
-    }
+/// Events of the answer to a request for at most `max_tokens`: exactly as many, if it says so.
+#[must_use]
+pub fn length(max_tokens: Option<u32>) -> u64 {
+    max_tokens.map_or(TOKENS_DEFAULT, u64::from).min(TOKENS_MAX)
 }
 
 /// An answer that can be computed at any offset.
--- a/standin/src/engine/http.rs
+++ b/standin/src/engine/http.rs
@@ -8,10 +8,11 @@
 use boragecove_core::engine::Order;
 use boragecove_core::id;
 use boragecove_core::request::prefix_hashes;
+use boragecove_wire::completion::Body;
 use boragecove_wire::{header, path};
 use serde::Deserialize;
 
-use super::answer::{Answer, Body};
+use super::answer::{self, Answer};
 use super::attempt::Run;
 use super::live::Live;
 use super::seat::Seat;
@@ -163,7 +164,7 @@
     if let Some(answer) = fault::before(kind, &request).await {
         return answer;
     }
-    let body: Body = match serde_json::from_slice(&body) {
+    let body = match Body::read(&body) {
         Ok(body) => body,
         Err(error) => return malformed(&error.to_string(), echo),
     };
@@ -179,8 +180,8 @@
         }
         state.attempts.release(attempt);
     }
-    let prompt = body.text();
-    let answer = Answer::new(&artifact, &prompt, body.length());
+    let prompt = body.prompt().into_owned();
+    let answer = Answer::new(&artifact, &prompt, answer::length(body.max_tokens));
     if body.continuation.as_ref().is_some_and(|given| *given != answer.until(head.from)) {
         return malformed("the continuation is not what was answered so far", echo);
     }
@@ -202,7 +203,7 @@
         state.attempts.run(run);
         state.cache.use_blocks(&blocks)
     };
-    let shape = if body.messages.is_some() { Shape::Chat } else { Shape::Text };
+    let shape = if request.path() == path::CHAT { Shape::Chat } else { Shape::Text };
     let job =
         stream::Job { seat, live, answer, shape, from: head.from, misses, kind, request: request.clone() };
     let answer = if body.stream { job.stream(echo) } else { job.whole(echo).await };
--- a/standin/tests/completion_faults.rs
+++ b/standin/tests/completion_faults.rs
@@ -40,7 +40,7 @@
 }
 
 fn body(stream: bool) -> Value {
-    json!({ "prompt": PROMPT, "max_tokens": TOKENS, "stream": stream })
+    json!({ "model": "m", "prompt": PROMPT, "max_tokens": TOKENS, "stream": stream })
 }
 
 /// What a stream brought before it ended: the numbers and texts of its events, and whether it was whole.
--- a/standin/tests/engine_orders.rs
+++ b/standin/tests/engine_orders.rs
@@ -116,7 +116,7 @@
         .post(format!("http://{at}{}", path::COMPLETIONS))
         .insert_header((header::ARTIFACT, base("a").to_string()))
         .insert_header((header::ATTEMPT, "1-1-1"))
-        .send_json(&json!({ "prompt": "p", "stream": true }))
+        .send_json(&json!({ "model": "m", "prompt": "p", "stream": true }))
         .await
         .expect("a stream");
     assert!(stream.status().is_success());
--- a/standin/tests/engine_queue.rs
+++ b/standin/tests/engine_queue.rs
@@ -30,7 +30,11 @@
         .post(format!("http://{at}{}", path::COMPLETIONS))
         .insert_header((header::ARTIFACT, artifact().to_string()))
         .insert_header((header::ATTEMPT, attempt));
-    request.send_json(&json!({ "prompt": prompt })).await.ok().map(|answer| answer.status().as_u16())
+    request
+        .send_json(&json!({ "model": "m", "prompt": prompt }))
+        .await
+        .ok()
+        .map(|answer| answer.status().as_u16())
 }
 
 async fn cancel(at: SocketAddr, attempt: &str) {
@@ -75,7 +79,7 @@
         .post(format!("http://{at}{}", path::COMPLETIONS))
         .insert_header((header::ARTIFACT, artifact().to_string()))
         .insert_header((header::DEADLINE_MS, "1"))
-        .send_json(&json!({ "prompt": "p1" }))
+        .send_json(&json!({ "model": "m", "prompt": "p1" }))
         .await
         .expect("an answer");
     assert_eq!(
