Say plainly that a connection was closed before the answer

Cause: The library's text for it says that the host could not be connected to. Change: an own text. Conclusion: Lost and unreachable read differently.

--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -112,15 +112,16 @@
     }
 
     fn failed(&self, error: &SendRequestError) -> Error {
-        let unsent = match error {
-            SendRequestError::Url(_) => true,
-            SendRequestError::Connect(connect) => !matches!(connect, ConnectError::Disconnected),
-            _ => false,
-        };
-        if unsent {
-            return Error::Unreachable { address: self.address.to_string(), reason: error.to_string() };
+        match error {
+            // So the library calls a connection that was open and is closed before the answer is whole.
+            SendRequestError::Connect(ConnectError::Disconnected) => {
+                self.lost("the connection was closed before the answer".to_owned())
+            }
+            SendRequestError::Url(_) | SendRequestError::Connect(_) => {
+                Error::Unreachable { address: self.address.to_string(), reason: error.to_string() }
+            }
+            _ => self.lost(error.to_string()),
         }
-        self.lost(error.to_string())
     }
 
     fn lost(&self, reason: String) -> Error {
