Name decisions and causes in one place, and repeat them in explanations

Cause: The client had the words for decisions and causes, so an explanation made by an entry VM could not use them; waiting printed a line for each order that came or went. Change: acts, causes and roles can be shown; an explanation ends with the latest decisions about its artifact; waiting prints what came nearer. Conclusion: The same words everywhere.

--- a/cli/src/cmd/engines.rs
+++ b/cli/src/cmd/engines.rs
@@ -1,6 +1,5 @@
 //! `engines`: lists engines, their memory and load.
 
-use boragecove_core::engine::Role;
 use boragecove_core::operator::{Answer, Engine, Query};
 use boragecove_core::vm::Phase;
 
@@ -38,7 +37,7 @@
             engine.group.to_string(),
             engine.zone.to_string(),
             state(&engine).to_owned(),
-            role(engine.role).to_owned(),
+            engine.role.to_string(),
             engine.memory_mb.to_string(),
             engine.reserved_mb.to_string(),
             engine.running.to_string(),
@@ -57,11 +56,3 @@
         (Phase::Live, false) => "live",
     }
 }
-
-fn role(role: Role) -> &'static str {
-    match role {
-        Role::Both => "both",
-        Role::Prefill => "prefill",
-        Role::Decode => "decode",
-    }
-}
--- a/cli/src/cmd/moves.rs
+++ b/cli/src/cmd/moves.rs
@@ -1,6 +1,6 @@
 //! `moves`: lists the latest decisions of control, newest first, with the cause of each.
 
-use boragecove_core::audit::{Act, Cause, Record};
+use boragecove_core::audit::Record;
 use boragecove_core::operator::{Answer, Query};
 
 use crate::client::Client;
@@ -46,38 +46,7 @@
         table::moment(record.at),
         record.zone.to_string(),
         record.vm.to_string(),
-        act(&record.act),
-        cause(record.cause).to_owned(),
+        record.act.to_string(),
+        record.cause.to_string(),
     ]
 }
-
-fn act(act: &Act) -> String {
-    match act {
-        Act::LeaseTaken(fence) => format!("took the lease, fence {}", fence.0),
-        Act::LeaseLeft(fence) => format!("left the lease, fence {}", fence.0),
-        Act::Load { engine, artifact, .. } => format!("load {artifact} on {engine}"),
-        Act::Unload { engine, artifact, .. } => format!("unload {artifact} from {engine}"),
-        Act::Role { engine, role, .. } => format!("role of {engine} to {role:?}").to_lowercase(),
-        Act::Cancel { order, engine } => format!("cancel order {order} at {engine}"),
-        Act::Configured(version) => format!("version {version} in force"),
-    }
-}
-
-fn cause(cause: Cause) -> &'static str {
-    match cause {
-        Cause::Unreachable => "no copy was loaded",
-        Cause::Demand => "demand grew",
-        Cause::Idle => "demand went",
-        Cause::Undeclared => "no longer declared here",
-        Cause::Version => "another version",
-        Cause::Expired => "the holder was gone",
-        Cause::Vacant => "nobody held it",
-        Cause::Stopping => "shutting down",
-        Cause::Superseded => "someone else took it",
-        Cause::Operator => "an operator",
-        Cause::Copies => "fewer copies than the rules ask for",
-        Cause::Room => "memory was needed",
-        Cause::Leaving => "its engine is leaving",
-        Cause::Lost => "the answer was lost",
-    }
-}
--- a/cli/src/wait.rs
+++ b/cli/src/wait.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Whether it is worth a line. Moves come and go all the time.
+    fn differs(&self, shown: Option<&Self>) -> bool {
+        shown.is_none_or(|shown| shown.behind != self.behind || shown.reachable != self.reachable)
+    }
+
     fn line(&self) -> String {
         format!(
             "version {} in force on {} of {} entry VMs; {} of {} artifacts reachable; {} moves under way",
@@ -82,14 +87,13 @@
     limit: Duration,
 ) -> Result<(), Error> {
     let begun = Instant::now();
-    let mut shown = String::new();
+    let mut shown = None;
     loop {
         let missing = match look(client, version).await {
             Ok(progress) => {
-                let line = progress.line();
-                if line != shown {
-                    console.progress(&line)?;
-                    shown = line;
+                if progress.differs(shown.as_ref()) {
+                    console.progress(progress.line())?;
+                    shown = Some(progress.clone());
                 }
                 if progress.settled {
                     return Ok(());
--- a/core/src/audit.rs
+++ b/core/src/audit.rs
@@ -1,6 +1,7 @@
 //! Records of what control decided, with the cause of each.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -107,6 +108,49 @@
     Operator,
 }
 
+impl fmt::Display for Act {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::LeaseTaken(fence) => write!(f, "took the lease, fence {}", fence.0),
+            Self::LeaseLeft(fence) => write!(f, "left the lease, fence {}", fence.0),
+            Self::Load { engine, artifact, .. } => write!(f, "load {artifact} on {engine}"),
+            Self::Unload { engine, artifact, .. } => write!(f, "unload {artifact} from {engine}"),
+            Self::Role { engine, role, .. } => write!(f, "give {engine} the role {role}"),
+            Self::Cancel { order, engine } => write!(f, "cancel order {order} at {engine}"),
+            Self::Configured(version) => write!(f, "put version {version} in force"),
+        }
+    }
+}
+
+impl Cause {
+    /// The cause as the end of a sentence that tells what was decided.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "no copy was certain",
+            Self::Demand => "demand grew",
+            Self::Idle => "demand went",
+            Self::Undeclared => "it is no longer declared here",
+            Self::Copies => "the rules ask for more copies",
+            Self::Room => "memory was needed",
+            Self::Leaving => "its engine is leaving",
+            Self::Lost => "the answer was lost",
+            Self::Version => "another version takes its place",
+            Self::Expired => "the holder was gone",
+            Self::Vacant => "nobody held it",
+            Self::Stopping => "it is shutting down",
+            Self::Superseded => "someone else took it",
+            Self::Operator => "an operator asked for it",
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
 /// The latest records, oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct Part {
--- a/core/src/engine.rs
+++ b/core/src/engine.rs
@@ -1,5 +1,7 @@
 //! What passes between the system and a model engine besides requests: orders, reports and cache events.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::artifact::Artifact;
@@ -60,6 +62,16 @@
     Decode,
 }
 
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Both => "both",
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+        })
+    }
+}
+
 /// An engine's answer to an order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/core/src/explain.rs
+++ b/core/src/explain.rs
@@ -1,6 +1,7 @@
 //! Says why an artifact is where it is, from what this entry VM knows.
 
-use crate::artifact::Target;
+use crate::artifact::{Artifact, Target};
+use crate::audit::{Act, Record};
 use crate::catalog::Entry;
 use crate::code::Code;
 use crate::engine::{Action, Stage};
@@ -13,6 +14,9 @@
 use crate::summary;
 use crate::time::Time;
 
+/// Records that are repeated at most.
+const RECORDS_MAX: usize = 8;
+
 /// Explains the artifact that a caller would get for `name`.
 pub(crate) fn answer(state: &State, now: Time, name: &str) -> Answer {
     let target = name.parse::<Target>().ok();
@@ -36,8 +40,11 @@
         lines.push(format!("the rules keep it out of zone {zone}"));
     }
     for elsewhere in summary::elsewhere(state, now, &entry.artifact) {
-        lines.push(format!("zone {}: {} ready copies", elsewhere.zone, elsewhere.copies));
+        lines.push(format!("zone {}: ready copies: {}", elsewhere.zone, elsewhere.copies));
     }
+    let records = state.audit.latest();
+    let about = records.iter().filter(|record| concerns(&record.act, &entry.artifact));
+    lines.extend(about.take(RECORDS_MAX).map(|record| decision(record, now)));
     Answer::Explanation(lines.into_iter().map(Name::from).collect())
 }
 
@@ -50,7 +57,7 @@
         Priority::Deferrable => "after all others",
     };
     format!(
-        "{}: {} MB on engines of group {} in {zones}; at least {} copies; {rank} when memory is short",
+        "{}: {} MB on engines of group {} in {zones}; copies at the least: {}; {rank} when memory is short",
         entry.artifact, entry.memory_mb, entry.group, entry.copies
     )
 }
@@ -99,3 +106,15 @@
     let room = if free >= entry.memory_mb { "there would be room" } else { "there is no room" };
     format!("{name}: no copy; {free} of {} MB are free, so {room}{leaving}", report.memory_mb)
 }
+
+fn concerns(act: &Act, subject: &Artifact) -> bool {
+    match act {
+        Act::Load { artifact, .. } | Act::Unload { artifact, .. } => artifact == subject,
+        _ => false,
+    }
+}
+
+fn decision(record: &Record, now: Time) -> String {
+    let ago = now.since(record.at).as_secs();
+    format!("{ago} s ago: {}, because {}", record.act, record.cause)
+}
--- a/daemon/tests/operator_client.rs
+++ b/daemon/tests/operator_client.rs
@@ -108,11 +108,15 @@
     assert_eq!(
         lines[..2],
         [
-            "briefing@1: 9000 MB on engines of group brief-writer in any zone; at least 1 copies; like most others when memory is short",
+            "briefing@1: 9000 MB on engines of group brief-writer in any zone; copies at the least: 1; like most others when memory is short",
             "this entry VM decides for zone zone-1",
         ],
     );
     assert!(lines[2].starts_with("engine-1: a copy is ready, with "), "{explained}");
+    assert!(
+        explained.ends_with("s ago: load briefing@1 on engine-1, because no copy was certain\n"),
+        "{explained}"
+    );
     let unknown = boragecove(&deployment, &["models", "--explain", "briefing@9"]).await;
     assert_eq!(unknown.class, Class::Refused, "{}", unknown.err);
     assert!(unknown.err.contains("declares no 'briefing@9'"), "{}", unknown.err);
