Shuffle and repeat the events of an answer

Cause: breaking the checks for gaps, repeats and an early end of a stream was caught by no cell: answers out of order came with their end first, which ends the try at once. Change: the events behind the head are shuffled and one comes twice; faults that befall single messages get eight seeds a cell.

--- a/core/tests/fault_matrix.rs
+++ b/core/tests/fault_matrix.rs
@@ -12,6 +12,8 @@
 
 /// Threads that run cases.
 const WORKERS: usize = 4;
+/// Seeds for each cell of a fault that has few cells, for each seed of the others.
+const MORE: u64 = 8;
 /// Pairs drawn by default.
 const PAIRS: u64 = 200;
 
@@ -99,8 +101,12 @@
 fn every_cell() {
     let reached = world::run(1, &[], false).reached;
     let mut cases = Vec::new();
-    for seed in 1..=number("FAULTS_SEEDS", 1) {
-        for (at, (fault, step)) in cells().into_iter().enumerate() {
+    let cells = cells();
+    let seeds = number("FAULTS_SEEDS", 1);
+    for (at, (fault, step)) in cells.iter().copied().enumerate() {
+        // What befalls single messages has few cells, and each message is another case.
+        let few = cells.iter().filter(|(other, _)| *other == fault).count() < Kind::ALL.len();
+        for seed in 1..=if few { seeds * MORE } else { seeds } {
             let count = reached.get(&step).copied().unwrap_or(1);
             let last = (count * 2 / 3).min(count.saturating_sub(2)).max(1);
             let seed = seed * 100_000 + at as u64;
--- a/core/tests/matrix/outside.rs
+++ b/core/tests/matrix/outside.rs
@@ -16,11 +16,16 @@
 impl World {
     /// Something befalls an answer on its way.
     pub fn disturb(&mut self, fault: Fault, answers: &mut Answers) {
-        let waits: Vec<Duration> = answers.iter().rev().map(|(wait, _)| *wait).collect();
         match fault {
             Fault::AnswerLost => answers.clear(),
             Fault::AnswerLate => answers.iter_mut().for_each(|(wait, _)| *wait += OUTAGE),
-            Fault::OutOfOrder => answers.iter_mut().zip(waits).for_each(|((wait, _), turned)| *wait = turned),
+            Fault::OutOfOrder if answers.len() > 1 => {
+                let again = self.rng.usize(1..answers.len());
+                answers.push(answers[again].clone());
+                let mut waits: Vec<Duration> = answers[1..].iter().map(|(wait, _)| *wait).collect();
+                self.rng.shuffle(&mut waits);
+                answers[1..].iter_mut().zip(waits).for_each(|((wait, _), drawn)| *wait = drawn);
+            }
             Fault::Foreign => {
                 for (_, event) in answers {
                     if let Event::Head { attempt, echo } = event {
