--- a/core/src/claim.rs
+++ b/core/src/claim.rs
@@ -106,6 +106,11 @@
 }
 
 impl Part {
+    /// Keys held, and rows still to be written or waited for.
+    pub(crate) fn unsettled(&self) -> usize {
+        self.held.len() + self.openings.len() + self.closings.len() + self.flights
+    }
+
     /// Whether nothing is left to be written.
     pub(crate) fn is_quiet(&self) -> bool {
         self.openings.is_empty() && self.closings.is_empty() && self.flights == 0
@@ -319,7 +324,10 @@
     out: &mut Vec<Effect>,
 ) {
     let Some(crate::table::Row { version, value: Value::Claim(first), .. }) = row else {
-        state.claim.openings.push_back(Opening { over: Version(0), ..opening });
+        // The write may still be on its way: a request that has ended looks a few times more.
+        let gone = !state.flow.flows.contains_key(&opening.request);
+        let lost = opening.lost.saturating_add(u8::from(gone));
+        state.claim.openings.push_back(Opening { over: Version(0), lost, ..opening });
         return;
     };
     if first.request == opening.request {
--- a/core/src/count.rs
+++ b/core/src/count.rs
@@ -65,6 +65,21 @@
     }
 }
 
+/// What is under way now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gauges {
+    /// Requests that have not ended.
+    pub requests: usize,
+    /// Those that wait for a back end.
+    pub waiting: usize,
+    /// Tries open at back ends.
+    pub tries: usize,
+    /// Claims on idempotency keys that are held or not settled.
+    pub claims: usize,
+    /// Timers that are set.
+    pub timers: usize,
+}
+
 /// Counts since the process started.
 #[derive(Clone, Debug)]
 pub struct Counters {
--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -115,6 +115,9 @@
     if flow.tries == 0 && now + lane.pace.least() >= flow.ticket.deadline {
         return Err(Some(Code::DeadlineUnreachable));
     }
+    if now >= flow.ticket.deadline {
+        return Err(Some(Code::DeadlinePassed));
+    }
     let wanted =
         Wanted { work: &flow.work, prefix: &flow.prefix, avoid: &flow.avoid, priority: flow.ticket.priority };
     let choice = state.routes.pick(&mut state.rng, now, &wanted);
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -128,7 +128,8 @@
     }
     flow.strikes += 1;
     let attempts_max = state.settings.attempts_max;
-    let next = if flow.strikes < attempts_max { next(flow, &closed, trouble) } else { Next::End };
+    let in_time = now < flow.ticket.deadline;
+    let next = if in_time && flow.strikes < attempts_max { next(flow, &closed, trouble) } else { Next::End };
     if trouble.leaves_open() {
         let same = matches!(next, Next::Same);
         out.push(if same { Effect::Release(attempt) } else { Effect::Cancel(attempt) });
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -276,6 +276,12 @@
         })
     }
 
+    /// Own tries open at all back ends.
+    #[must_use]
+    pub fn tries(&self) -> usize {
+        self.places.iter().flatten().map(|place| place.open as usize).sum()
+    }
+
     /// A back end reported its load.
     pub fn report(&mut self, name: &Name, load: u32) {
         if let Some(place) = self.site(name).and_then(|site| self.place_mut(site)) {
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -6,7 +6,7 @@
 use crate::claim;
 use crate::collect;
 use crate::config;
-use crate::count::Counters;
+use crate::count::{Counters, Gauges};
 use crate::drain;
 use crate::effect::Effect;
 use crate::fleet;
@@ -114,6 +114,18 @@
         &self.counters
     }
 
+    /// What is under way now.
+    #[must_use]
+    pub fn gauges(&self) -> Gauges {
+        Gauges {
+            requests: self.flow.open(),
+            waiting: self.flow.queued(),
+            tries: self.routes.tries(),
+            claims: self.claim.unsettled(),
+            timers: self.timers.len(),
+        }
+    }
+
     /// Who this process is.
     #[must_use]
     pub const fn identity(&self) -> &Identity {
--- a/core/src/timer.rs
+++ b/core/src/timer.rs
@@ -64,6 +64,11 @@
         self.set.remove(&handle);
     }
 
+    /// Timers that are set.
+    pub(crate) fn len(&self) -> usize {
+        self.set.len()
+    }
+
     /// Takes the next timer that is due.
     pub(crate) fn pop(&mut self, now: Time) -> Option<Timer> {
         let first = self.set.first_entry()?;
--- a/core/tests/entry/mod.rs
+++ b/core/tests/entry/mod.rs
@@ -214,6 +214,11 @@
         })))
     }
 
+    /// The id that the next request will have.
+    pub const fn next(&self) -> id::Request {
+        id::Request { by: ME, seq: self.requests + 1 }
+    }
+
     pub fn ask(&mut self, ask: Ask) -> (id::Request, Vec<Effect>) {
         self.requests += 1;
         let id = id::Request { by: ME, seq: self.requests };
