Serve callers on the node's thread or on threads of their own

Cause: with a thread of their own each request wakes two threads, which on a small entry VM costs more than it brings. Change: workers may be 0: the callers' and the peers' listeners run on the node's thread; Nagle's delay is off on all listeners; the bench runs both ways and counts the daemon's own threads only. Conclusion: both ways stand to be measured.

--- a/daemon/benches/through.rs
+++ b/daemon/benches/through.rs
@@ -1,5 +1,5 @@
-//! Requests and tokens a second through one daemon with one worker, beside the same stand-ins called
-//! directly. `cargo bench -p boragecove-daemon --bench through`; it takes about 20 seconds.
+//! Requests and tokens a second through one daemon, without and with a thread of callers' own, beside the same stand-ins called
+//! directly. `cargo bench -p boragecove-daemon --bench through`; it takes about 40 seconds.
 
 #[path = "through/load.rs"]
 mod load;
@@ -33,7 +33,14 @@
 const TOKENS: u32 = 400;
 
 fn main() {
-    let setup = Setup::start(Duration::ZERO);
+    for workers in [0, 1] {
+        println!("\nthreads that read callers' requests: {workers}");
+        run(workers);
+    }
+}
+
+fn run(workers: usize) {
+    let setup = Setup::start(Duration::ZERO, workers);
     let (direct, through) = targets(&setup);
     let short = Shape { tokens: 1, stream: false };
     let long = Shape { tokens: TOKENS, stream: true };
@@ -58,7 +65,7 @@
     measure(&setup, "direct, tokens all at once", &direct, long, STREAMS, None);
     measure(&setup, "through, tokens all at once", &through, long, STREAMS, None);
 
-    let setup = Setup::start(TOKEN);
+    let setup = Setup::start(TOKEN, workers);
     let (direct, through) = targets(&setup);
     let _warm_up = measure(&setup, "warm-up", &through, short, SATURATING, None);
     measure(&setup, "direct, tokens one by one", &direct, long, PACED_STREAMS, None);
@@ -81,7 +88,7 @@
 ) -> (Figures, f64) {
     let before = setup.daemon.cpu();
     let figures = load::run(target, shape, open, rate, RUN);
-    let busy = setup.daemon.cpu() - before;
+    let busy = setup.daemon.cpu().saturating_sub(before);
     let count = if shape.stream { figures.tokens } else { figures.requests };
     let a_core = count as f64 / busy.as_secs_f64();
     let a_core_text = match target {
--- a/daemon/benches/through/setup.rs
+++ b/daemon/benches/through/setup.rs
@@ -38,11 +38,11 @@
 
 impl Setup {
     /// Starts everything on a thread that lives as long as the process; engines take `token` for each token.
-    pub fn start(token: Duration) -> Self {
+    pub fn start(token: Duration, workers: usize) -> Self {
         let (sender, receiver) = mpsc::channel();
         thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
-                sender.send(start(token).await).expect("the bench waits for it");
+                sender.send(start(token, workers).await).expect("the bench waits for it");
                 std::future::pending::<()>().await;
             });
         });
@@ -50,7 +50,7 @@
     }
 }
 
-async fn start(token: Duration) -> Setup {
+async fn start(token: Duration, workers: usize) -> Setup {
     let platform = platform::Platform::new(platform::Settings::default());
     let mut engines = Vec::new();
     for number in 1..=ENGINES {
@@ -77,8 +77,14 @@
             phase: Phase::Live,
         });
     }
+    // Their threads have all started once they answer.
+    for address in &engines {
+        let url = format!("http://{address}/engine/report");
+        awc::Client::default().get(url).send().await.expect("a report");
+    }
+    let settings = Settings { workers, ..Settings::default() };
     let before = Threads::now();
-    let running = node::start(&Settings::default(), Source::Memory(platform)).expect("a node");
+    let running = node::start(&settings, Source::Memory(platform)).expect("a node");
     let apply =
         Apply { document: document(), base: None, who: "bench".into(), note: "".into(), dry_run: false };
     let query = Query::Apply(Box::new(apply));
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod cmd;
 pub mod dev;
+mod listener;
 pub mod logs;
 mod metrics;
 pub mod node;
--- /dev/null
+++ b/daemon/src/listener.rs
@@ -0,0 +1,191 @@
+//! Listens for HTTP: on threads of its own, or on the thread that it is started on.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use actix::Arbiter;
+use actix_http::HttpService;
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
+use actix_web::dev::{AppConfig, ServerHandle};
+use actix_web::web::ServiceConfig;
+use actix_web::{App, HttpServer};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::settings::Timeouts;
+
+/// Time for a connection's end to be acknowledged.
+const DISCONNECT: Duration = Duration::from_secs(1);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 2_048;
+/// Pause after a connection could not be accepted, as when there are no file descriptors left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// A listener that runs.
+#[derive(Debug)]
+pub(crate) struct Listener {
+    /// Where it listens.
+    pub address: SocketAddr,
+    stop: Stop,
+}
+
+/// How a listener is stopped.
+#[derive(Debug)]
+enum Stop {
+    Threads(ServerHandle),
+    Here(watch::Sender<Phase>),
+}
+
+/// How far a listener on its node's thread is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Open,
+    Closing,
+    Closed,
+}
+
+/// Serves `routes` on `workers` threads.
+pub(crate) fn on_threads<F>(
+    address: SocketAddr,
+    workers: usize,
+    timeouts: &Timeouts,
+    routes: F,
+) -> io::Result<Listener>
+where
+    F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+{
+    let server = HttpServer::new(move || App::new().configure(routes.clone()))
+        .workers(workers)
+        .backlog(BACKLOG)
+        .tcp_nodelay(true)
+        .keep_alive(timeouts.keep_alive)
+        .client_request_timeout(timeouts.read)
+        .client_disconnect_timeout(DISCONNECT)
+        .h1_allow_half_closed(false)
+        .shutdown_timeout(timeouts.shutdown.as_secs().max(1))
+        .disable_signals()
+        .bind(address)?;
+    let address = server.addrs().first().copied().unwrap_or(address);
+    let server = server.run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(Listener { address, stop: Stop::Threads(handle) })
+}
+
+/// Serves `routes` on the thread of `arbiter`.
+pub(crate) fn on_arbiter<F>(
+    address: SocketAddr,
+    arbiter: &Arbiter,
+    timeouts: Timeouts,
+    routes: F,
+) -> io::Result<Listener>
+where
+    F: Fn(&mut ServiceConfig) + Send + 'static,
+{
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let (sender, _) = watch::channel(Phase::Open);
+    let phase = sender.clone();
+    arbiter.spawn_fn(move || {
+        actix_rt::spawn(async move {
+            if let Err(error) = serve(listener, timeouts, routes, &phase).await {
+                tracing::error!(%address, %error, "cannot listen");
+            }
+            phase.send_replace(Phase::Closed);
+        });
+    });
+    Ok(Listener { address, stop: Stop::Here(sender) })
+}
+
+async fn serve<F>(
+    listener: TcpListener,
+    timeouts: Timeouts,
+    routes: F,
+    phase: &watch::Sender<Phase>,
+) -> io::Result<()>
+where
+    F: Fn(&mut ServiceConfig) + 'static,
+{
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let address = listener.local_addr()?;
+    let closing = phase.clone();
+    let app = App::new().configure(routes).into_factory();
+    let service = HttpService::build()
+        .graceful_shutdown_signal(move || closed(closing.subscribe()))
+        .tcp_nodelay(true)
+        .keep_alive(timeouts.keep_alive)
+        .client_request_timeout(timeouts.read)
+        .client_disconnect_timeout(DISCONNECT)
+        .h1_allow_half_closed(false)
+        .local_addr(address)
+        .finish(map_config(app, |()| AppConfig::default()))
+        .tcp();
+    let service = service.new_service(()).await.map_err(|()| io::Error::other("no service"))?;
+    let mut connections = JoinSet::new();
+    accept(&listener, &service, &mut connections, phase.subscribe()).await;
+    drop(listener);
+    let rest = async { while connections.join_next().await.is_some() {} };
+    let _cut_off = tokio::time::timeout(timeouts.shutdown, rest).await;
+    Ok(())
+}
+
+async fn closed(mut phase: watch::Receiver<Phase>) {
+    let _node_is_gone = phase.wait_for(|phase| *phase != Phase::Open).await;
+}
+
+/// Accepts connections until the listener is to close.
+async fn accept<S>(
+    listener: &tokio::net::TcpListener,
+    service: &S,
+    connections: &mut JoinSet<()>,
+    phase: watch::Receiver<Phase>,
+) where
+    S: Service<TcpStream>,
+    S::Future: 'static,
+{
+    let closed = closed(phase);
+    tokio::pin!(closed);
+    loop {
+        tokio::select! {
+            () = &mut closed => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let connection = service.call(stream);
+                    connections.spawn_local(async move {
+                        let _broke_off = connection.await;
+                    });
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "a connection could not be accepted");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+impl Listener {
+    /// Closes the listener, and its connections once their answers are out, or at once.
+    pub(crate) async fn stop(&self, graceful: bool) {
+        match &self.stop {
+            Stop::Threads(handle) => handle.stop(graceful).await,
+            Stop::Here(phase) => {
+                phase.send_if_modified(|phase| {
+                    let open = *phase == Phase::Open;
+                    if open {
+                        *phase = Phase::Closing;
+                    }
+                    open
+                });
+                if graceful {
+                    let mut phase = phase.subscribe();
+                    let _gone = phase.wait_for(|phase| *phase == Phase::Closed).await;
+                }
+            }
+        }
+    }
+}
--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -3,12 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use actix::{Actor, Addr, Arbiter};
-use actix_web::dev::ServerHandle;
 use actix_web::web::ServiceConfig;
-use actix_web::{App, HttpServer};
 use boragecove_core::id::Incarnation;
 use boragecove_core::operator::{Answer, Query};
 use thiserror::Error;
@@ -18,12 +15,13 @@
 use super::{Ask, Node, Stop};
 use crate::callers::{self, Edge, Entrance, Shared};
 use crate::clock::Clock;
+use crate::listener::{self, Listener};
 use crate::platform::Source;
 use crate::settings::Settings;
 use crate::{operators, peers};
 
-/// Threads of the listeners for peers and operators.
-const SIDE_WORKERS: usize = 1;
+/// Threads of the operators' listener: a large inventory is not read where callers are served.
+const OPERATOR_WORKERS: usize = 1;
 
 /// A node that did not start.
 #[derive(Debug, Error)]
@@ -48,7 +46,7 @@
     pub operators: SocketAddr,
     node: Addr<Node>,
     arbiter: Arbiter,
-    servers: Vec<ServerHandle>,
+    listeners: Vec<Listener>,
     exited: watch::Receiver<bool>,
 }
 
@@ -68,50 +66,50 @@
     });
     let edge =
         Edge { node: node.clone(), clock, limits: settings.limits, timeouts: settings.timeouts, shared };
-    let mut servers = Vec::new();
-    let callers = listen("callers", settings.listen.callers, settings.workers, settings, &mut servers, {
+    let failed = |whom, address| move |source| Failed { whom, address, source };
+    let routes = {
         let edge = edge.clone();
-        move |config| callers::routes(config, edge.clone(), Entrance::Callers)
-    })?;
-    let peers = listen("peers", settings.listen.peers, SIDE_WORKERS, settings, &mut servers, {
+        move |config: &mut ServiceConfig| callers::routes(config, edge.clone(), Entrance::Callers)
+    };
+    let address = settings.listen.callers;
+    let callers = match settings.workers {
+        0 => listener::on_arbiter(address, &arbiter, settings.timeouts, routes),
+        workers => listener::on_threads(address, workers, &settings.timeouts, routes),
+    }
+    .map_err(failed("callers", address))?;
+
+    let routes = {
         let (edge, secret) = (edge.clone(), settings.peer_secret.clone());
-        move |config| peers::routes(config, edge.clone(), secret.clone())
-    })?;
-    let operators = listen("operators", settings.listen.operators, SIDE_WORKERS, settings, &mut servers, {
-        let token = settings.operator_token.clone();
-        move |config| operators::routes(config, edge.clone(), token.clone())
-    })?;
-    tracing::info!(vm = %settings.vm, zone = %settings.zone, %callers, %peers, %operators, "started");
-    Ok(Running { callers, peers, operators, node, arbiter, servers, exited })
-}
+        move |config: &mut ServiceConfig| peers::routes(config, edge.clone(), secret.clone())
+    };
+    let address = settings.listen.peers;
+    let peers = listener::on_arbiter(address, &arbiter, settings.timeouts, routes)
+        .map_err(failed("peers", address))?;
+
+    let token = settings.operator_token.clone();
+    let routes = move |config: &mut ServiceConfig| operators::routes(config, edge.clone(), token.clone());
+    let address = settings.listen.operators;
+    let operators = listener::on_threads(address, OPERATOR_WORKERS, &settings.timeouts, routes)
+        .map_err(failed("operators", address))?;
 
-fn listen<F>(
-    whom: &'static str,
-    address: SocketAddr,
-    workers: usize,
-    settings: &Settings,
-    servers: &mut Vec<ServerHandle>,
-    routes: F,
-) -> Result<SocketAddr, Failed>
-where
-    F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
-{
-    let failed = |source| Failed { whom, address, source };
-    let server = HttpServer::new(move || App::new().configure(routes.clone()))
-        .workers(workers)
-        .keep_alive(settings.timeouts.keep_alive)
-        .client_request_timeout(settings.timeouts.read)
-        .client_disconnect_timeout(Duration::from_secs(1))
-        .h1_allow_half_closed(false)
-        .shutdown_timeout(settings.timeouts.shutdown.as_secs().max(1))
-        .disable_signals()
-        .bind(address)
-        .map_err(failed)?;
-    let bound = server.addrs().first().copied().unwrap_or(address);
-    let server = server.run();
-    servers.push(server.handle());
-    actix_rt::spawn(server);
-    Ok(bound)
+    let running = Running {
+        callers: callers.address,
+        peers: peers.address,
+        operators: operators.address,
+        node,
+        arbiter,
+        listeners: vec![callers, peers, operators],
+        exited,
+    };
+    tracing::info!(
+        vm = %settings.vm,
+        zone = %settings.zone,
+        callers = %running.callers,
+        peers = %running.peers,
+        operators = %running.operators,
+        "started"
+    );
+    Ok(running)
 }
 
 impl Running {
@@ -128,8 +126,8 @@
     /// Waits until the node has stopped and its listeners are closed.
     pub async fn exited(mut self) {
         self.stopped().await;
-        for server in &self.servers {
-            server.stop(true).await;
+        for listener in &self.listeners {
+            listener.stop(true).await;
         }
         self.arbiter.stop();
     }
@@ -137,8 +135,8 @@
     /// Ends the node at once, as when its process dies.
     pub async fn kill(self) {
         self.arbiter.stop();
-        for server in &self.servers {
-            server.stop(false).await;
+        for listener in &self.listeners {
+            listener.stop(false).await;
         }
     }
 
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -28,7 +28,7 @@
     pub peer_secret: Secret,
     /// The bearer token that operators send.
     pub operator_token: Secret,
-    /// Threads that read callers' requests.
+    /// Threads that read callers' requests; none: that of the node reads them too.
     pub workers: usize,
     /// What is logged.
     pub log: Level,
--- a/daemon/src/settings/file.rs
+++ b/daemon/src/settings/file.rs
@@ -75,7 +75,7 @@
     }
     set(&mut settings.peer_secret, secret(&mut object, "peer-secret"));
     set(&mut settings.operator_token, secret(&mut object, "operator-token"));
-    set(&mut settings.workers, integer(&mut object, "workers", 1, WORKERS_MAX).map(|found| found as usize));
+    set(&mut settings.workers, integer(&mut object, "workers", 0, WORKERS_MAX).map(|found| found as usize));
     set(&mut settings.log, object.optional("log").and_then(|node| level(&node)));
     if let Some(node) = object.optional("limits") {
         limits(&node, &mut settings.limits, &mut settings.core);
