--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -1,6 +1,7 @@
 //! The reducer: one function over all events. It only hands each to the module that decides.
 
 use crate::claim;
+use crate::collect;
 use crate::config;
 use crate::dispatch;
 use crate::drain;
@@ -28,6 +29,9 @@
 #[must_use]
 pub fn apply(state: &mut State, now: Time, event: Event) -> Vec<Effect> {
     let mut out = Vec::new();
+    if event.is_evidence() {
+        state.member.evidence = now;
+    }
     hand(state, now, event, &mut out);
     while let Some(timer) = state.timers.pop(now) {
         fire(state, now, timer, &mut out);
@@ -51,16 +55,17 @@
             retry::failed(state, now, attempt, Trouble::Failed(failure), out);
         }
         Event::Listed(vms) => fleet::listed(state, now, vms, out),
-        Event::Reported(report) => fleet::reported(state, now, &report, out),
+        Event::Reported(report) => collect::polled(state, now, &report, out),
         Event::Ordered { order, engine, receipt } => {
-            ledger::ordered(state, order, &engine, receipt.as_ref(), out);
+            ledger::ordered(state, order, &engine, receipt.as_ref());
         }
         Event::Table { op, reply } => answered(state, now, op, reply, out),
+        Event::Unheard { peer } => member::unheard(state, now, &peer),
         Event::Heard(frame) => member::heard(state, now, *frame, out),
         Event::Asked { ask, query } => status::asked(state, now, ask, *query, out),
         Event::Stop => drain::stop(state, now, out),
         Event::Cached(update) => index::cached(state, &update),
-        Event::Unlisted | Event::Unreported(_) | Event::Unheard { .. } | Event::Wake => {}
+        Event::Unlisted | Event::Unreported(_) | Event::Wake => {}
     }
 }
 
@@ -76,7 +81,7 @@
         Some(Purpose::Claim(step)) => claim::answered(state, now, step, reply, out),
         Some(Purpose::Config(wait)) => config::answered(state, now, &wait, reply, out),
         Some(Purpose::Lease(step)) => lease::answered(state, now, &step, reply, out),
-        Some(Purpose::Ledger(step)) => ledger::answered(state, step, reply, out),
+        Some(Purpose::Ledger(step)) => ledger::answered(state, now, step, reply, out),
         None => state.counters.stale += 1,
     }
 }
@@ -93,7 +98,7 @@
         }
         Timer::Config => config::poll(state, now, out),
         Timer::Settle(op) => config::settle(state, now, op, out),
-        Timer::Poll(engine) => fleet::poll(state, now, engine, out),
+        Timer::Poll(engine) => collect::poll(state, now, engine, out),
         Timer::Heartbeat => member::due(state, now, out),
         Timer::Lease => lease::due(state, now, out),
         Timer::Plan => place::due(state, now, out),
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -26,11 +26,11 @@
 const HINTS: usize = 2;
 /// Load beyond an engine's slots that is still sent to it, as a part of the slots, so that a slot which
 /// comes free does not wait for the next try to travel.
-const HEADROOM: f32 = 0.25;
+const HEADROOM: f32 = 0.0;
 /// The part of an engine's slots up to which deferrable work is sent to it.
 const DEFERRABLE_PART: f32 = 0.75;
 /// What a wholly cached prompt is worth, in slots' worth of load.
-const PREFIX_GAIN: f32 = 0.5;
+const PREFIX_GAIN: f32 = 0.25;
 /// What another availability zone costs, in slots' worth of load.
 const ZONE_COST: f32 = 1.0;
 /// At most one in this many back ends of a kind is ejected as an outlier at the same time.
@@ -394,7 +394,8 @@
             return;
         }
         best.known = true;
-        // A back end in doubt gets one try at a time; it may be all that is left.
+        best.sound |= standing != Standing::Doubtful;
+        // A back end in doubt gets one try at a time, and none while there is one that is not in doubt.
         if standing == Standing::Doubtful && place.open > 0 {
             return;
         }
@@ -433,6 +434,7 @@
 struct Best {
     found: Option<(Rank, u16)>,
     known: bool,
+    sound: bool,
 }
 
 impl Best {
@@ -448,6 +450,7 @@
 
     fn choice(&self) -> Choice {
         match self.found {
+            Some((rank, _)) if rank.doubtful && self.sound => Choice::Full,
             Some((_, site)) => Choice::Site(Site(site)),
             None if self.known => Choice::Full,
             None => Choice::Absent,
--- a/daemon/src/listener.rs
+++ b/daemon/src/listener.rs
@@ -18,8 +18,6 @@
 
 /// Time for a connection's end to be acknowledged.
 const DISCONNECT: Duration = Duration::from_secs(1);
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 2_048;
 /// Pause after a connection could not be accepted, as when there are no file descriptors left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -46,58 +44,71 @@
     Closed,
 }
 
-/// Serves `routes` on `workers` threads.
-pub(crate) fn on_threads<F>(
+/// A bound address that is not served yet.
+#[derive(Debug)]
+pub(crate) struct Socket {
+    listener: TcpListener,
     address: SocketAddr,
-    workers: usize,
-    timeouts: &Timeouts,
-    routes: F,
-) -> io::Result<Listener>
-where
-    F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
-{
-    let server = HttpServer::new(move || App::new().configure(routes.clone()))
-        .workers(workers)
-        .backlog(BACKLOG)
-        .tcp_nodelay(true)
-        .keep_alive(timeouts.keep_alive)
-        .client_request_timeout(timeouts.read)
-        .client_disconnect_timeout(DISCONNECT)
-        .h1_allow_half_closed(false)
-        .shutdown_timeout(timeouts.shutdown.as_secs().max(1))
-        .disable_signals()
-        .bind(address)?;
-    let address = server.addrs().first().copied().unwrap_or(address);
-    let server = server.run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(Listener { address, stop: Stop::Threads(handle) })
+    timeouts: Timeouts,
 }
 
-/// Serves `routes` on the thread of `arbiter`.
-pub(crate) fn on_arbiter<F>(
-    address: SocketAddr,
-    arbiter: &Arbiter,
-    timeouts: Timeouts,
-    routes: F,
-) -> io::Result<Listener>
-where
-    F: Fn(&mut ServiceConfig) + Send + 'static,
-{
-    let listener = TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    let address = listener.local_addr()?;
-    let (sender, _) = watch::channel(Phase::Open);
-    let phase = sender.clone();
-    arbiter.spawn_fn(move || {
-        actix_rt::spawn(async move {
-            if let Err(error) = serve(listener, timeouts, routes, &phase).await {
-                tracing::error!(%address, %error, "cannot listen");
-            }
-            phase.send_replace(Phase::Closed);
+impl Socket {
+    /// Binds an address.
+    pub(crate) fn bind(address: SocketAddr, timeouts: Timeouts) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        Ok(Self { listener, address, timeouts })
+    }
+
+    /// Where it is bound.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves `routes` on `workers` threads.
+    pub(crate) fn on_threads<F>(self, workers: usize, routes: F) -> io::Result<Listener>
+    where
+        F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    {
+        let Self { listener, address, timeouts } = self;
+        let server = HttpServer::new(move || App::new().configure(routes.clone()))
+            .workers(workers)
+            .tcp_nodelay(true)
+            .keep_alive(timeouts.keep_alive)
+            .client_request_timeout(timeouts.read)
+            .client_disconnect_timeout(DISCONNECT)
+            .h1_allow_half_closed(false)
+            .shutdown_timeout(timeouts.shutdown.as_secs().max(1))
+            .disable_signals()
+            .listen(listener)?
+            .run();
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        Ok(Listener { address, stop: Stop::Threads(handle) })
+    }
+
+    /// Serves `routes` on the thread of `arbiter`.
+    pub(crate) fn on_arbiter<F>(self, arbiter: &Arbiter, routes: F) -> io::Result<Listener>
+    where
+        F: Fn(&mut ServiceConfig) + Send + 'static,
+    {
+        let Self { listener, address, timeouts } = self;
+        let (sender, _) = watch::channel(Phase::Open);
+        let phase = sender.clone();
+        let sent = arbiter.spawn_fn(move || {
+            actix_rt::spawn(async move {
+                if let Err(error) = serve(listener, timeouts, routes, &phase).await {
+                    tracing::error!(%address, %error, "cannot listen");
+                }
+                phase.send_replace(Phase::Closed);
+            });
         });
-    });
-    Ok(Listener { address, stop: Stop::Here(sender) })
+        if !sent {
+            return Err(io::Error::other("the thread to listen on has ended"));
+        }
+        Ok(Listener { address, stop: Stop::Here(sender) })
+    }
 }
 
 async fn serve<F>(
--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -15,9 +15,9 @@
 use super::{Ask, Node, Stop};
 use crate::callers::{self, Edge, Entrance, Shared};
 use crate::clock::Clock;
-use crate::listener::{self, Listener};
+use crate::listener::{Listener, Socket};
 use crate::platform::Source;
-use crate::settings::Settings;
+use crate::settings::{Settings, Timeouts};
 use crate::{operators, peers};
 
 /// Threads of the operators' listener: a large inventory is not read where callers are served.
@@ -56,6 +56,11 @@
 ///
 /// If an address cannot be bound.
 pub fn start(settings: &Settings, platform: Source) -> Result<Running, Failed> {
+    let callers = Place::bind("callers", settings.listen.callers, settings.timeouts)?;
+    let operators = Place::bind("operators", settings.listen.operators, settings.timeouts)?;
+    // Peers are told where to answer, so the address must be known before the node begins.
+    let peers = Place::bind("peers", settings.listen.peers, settings.timeouts)?;
+    let settings = &advertised(settings, peers.socket.address());
     let clock = Clock::start();
     let shared = Arc::new(Shared::new(Incarnation(fastrand::u64(1..))));
     let (exit, exited) = watch::channel(false);
@@ -66,32 +71,22 @@
     });
     let edge =
         Edge { node: node.clone(), clock, limits: settings.limits, timeouts: settings.timeouts, shared };
-    let failed = |whom, address| move |source| Failed { whom, address, source };
     let routes = {
         let edge = edge.clone();
         move |config: &mut ServiceConfig| callers::routes(config, edge.clone(), Entrance::Callers)
     };
-    let address = settings.listen.callers;
     let callers = match settings.workers {
-        0 => listener::on_arbiter(address, &arbiter, settings.timeouts, routes),
-        workers => listener::on_threads(address, workers, &settings.timeouts, routes),
-    }
-    .map_err(failed("callers", address))?;
-
-    let routes = {
+        0 => callers.on_arbiter(&arbiter, routes)?,
+        workers => callers.on_threads(workers, routes)?,
+    };
+    let peers = peers.on_arbiter(&arbiter, {
         let (edge, secret) = (edge.clone(), settings.peer_secret.clone());
         move |config: &mut ServiceConfig| peers::routes(config, edge.clone(), secret.clone())
-    };
-    let address = settings.listen.peers;
-    let peers = listener::on_arbiter(address, &arbiter, settings.timeouts, routes)
-        .map_err(failed("peers", address))?;
-
-    let token = settings.operator_token.clone();
-    let routes = move |config: &mut ServiceConfig| operators::routes(config, edge.clone(), token.clone());
-    let address = settings.listen.operators;
-    let operators = listener::on_threads(address, OPERATOR_WORKERS, &settings.timeouts, routes)
-        .map_err(failed("operators", address))?;
-
+    })?;
+    let operators = operators.on_threads(OPERATOR_WORKERS, {
+        let token = settings.operator_token.clone();
+        move |config: &mut ServiceConfig| operators::routes(config, edge.clone(), token.clone())
+    })?;
     let running = Running {
         callers: callers.address,
         peers: peers.address,
@@ -112,6 +107,46 @@
     Ok(running)
 }
 
+/// A bound address, with the audience that errors name.
+struct Place {
+    whom: &'static str,
+    socket: Socket,
+}
+
+impl Place {
+    fn bind(whom: &'static str, address: SocketAddr, timeouts: Timeouts) -> Result<Self, Failed> {
+        let socket = Socket::bind(address, timeouts).map_err(|source| Failed { whom, address, source })?;
+        Ok(Self { whom, socket })
+    }
+
+    fn on_arbiter<F>(self, arbiter: &Arbiter, routes: F) -> Result<Listener, Failed>
+    where
+        F: Fn(&mut ServiceConfig) + Send + 'static,
+    {
+        let Self { whom, socket } = self;
+        let address = socket.address();
+        socket.on_arbiter(arbiter, routes).map_err(|source| Failed { whom, address, source })
+    }
+
+    fn on_threads<F>(self, workers: usize, routes: F) -> Result<Listener, Failed>
+    where
+        F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    {
+        let Self { whom, socket } = self;
+        let address = socket.address();
+        socket.on_threads(workers, routes).map_err(|source| Failed { whom, address, source })
+    }
+}
+
+/// The settings with the address that peers are told, unless it is set or nobody could reach it.
+fn advertised(settings: &Settings, bound: SocketAddr) -> Settings {
+    let mut settings = settings.clone();
+    if settings.core.address.is_none() && !bound.ip().is_unspecified() {
+        settings.core.address = Some(bound);
+    }
+    settings
+}
+
 impl Running {
     /// Asks the node to stop, cutting nothing. [`Running::exited`] says when it has.
     pub fn stop(&self) {
