Drive callers' addresses with a recorded demand

Cause: policies under load are compared by the same demand, sent again.

Change: boragecoved dev load sends requests at their recorded times, bounded in count, time and open requests, and prints attainment, quantiles of the first token and of the gaps, and the result codes, as a table or as JSON.

--- a/daemon/src/cmd/dev.rs
+++ b/daemon/src/cmd/dev.rs
@@ -6,7 +6,7 @@
 use lexopt::prelude::*;
 
 use super::Error;
-use crate::dev::{Member, deployment, engine, platform, service};
+use crate::dev::{Member, deployment, engine, load, platform, service};
 use crate::logs;
 use crate::settings::Level;
 
@@ -32,7 +32,15 @@
            --work-ms N            services: time of a call (0)
            --memory-mb N, --slots N, --queue N, --ignore-fences
            --load-ms N            time of a load without --platform (2000)
-           --first-token-ms N, --token-ms N, --report-ms N";
+           --first-token-ms N, --token-ms N, --report-ms N
+       boragecoved dev load --to ADDR --demand FILE [OPTION...]
+           FILE has one request a line, as JSON: at_ms, model, prompt_bytes, max_tokens, stream
+           --token TEXT           bearer token (dev)
+           --count N              requests at most (10000)
+           --seconds N            time at most (60)
+           --open N               requests open at once at most (1024)
+           --first-token-ms N, --token-gap-ms N   what is on time (1700, 41)
+           --output table|json";
 
 /// What `dev` is to do.
 #[derive(Clone, Debug)]
@@ -45,6 +53,8 @@
     Engine(Box<engine::Options>),
     /// One stand-in service.
     Service(Box<service::Options>),
+    /// A recorded demand.
+    Load(Box<load::Options>),
     /// Say how to call it.
     Help,
 }
@@ -58,6 +68,7 @@
                 Value(word) if word == "platform" => return parse_platform(parser),
                 Value(word) if word == "engine" => return parse_engine(parser),
                 Value(word) if word == "service" => return parse_service(parser),
+                Value(word) if word == "load" => return parse_load(parser),
                 Long("listen") => whole.listen = value(parser)?,
                 Long("entries") => whole.entries = Some(value(parser)?),
                 Long("engines") => whole.engines = value(parser)?,
@@ -88,6 +99,7 @@
                 Self::Platform(options) => platform::run(*options).await,
                 Self::Engine(options) => engine::run(*options).await,
                 Self::Service(options) => service::run(*options).await,
+                Self::Load(options) => load::run(*options).await,
                 Self::Help => Ok(()),
             }
         });
@@ -157,6 +169,28 @@
     Ok(Command::Service(Box::new(options)))
 }
 
+fn parse_load(parser: &mut Parser) -> Result<Command, lexopt::Error> {
+    let mut options = load::Options::default();
+    let (mut to, mut demand) = (None, None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("to") => to = Some(value(parser)?),
+            Long("demand") => demand = Some(parser.value()?.into()),
+            Long("token") => options.token = parser.value()?.string()?,
+            Long("count") => options.count = value(parser)?,
+            Long("seconds") => options.limit = Duration::from_secs(value(parser)?),
+            Long("open") => options.open = value(parser)?,
+            Long("first-token-ms") => options.target.first = millis(parser)?,
+            Long("token-gap-ms") => options.target.gap = millis(parser)?,
+            Long("output") => options.json = parser.value()?.parse_with(output)?,
+            other => return Err(other.unexpected()),
+        }
+    }
+    options.to = to.ok_or("expected --to ADDR")?;
+    options.demand = demand.ok_or("expected --demand FILE")?;
+    Ok(Command::Load(Box::new(options)))
+}
+
 fn parse_member(parser: &mut Parser, option: &str, member: &mut Member) -> Result<(), lexopt::Error> {
     match option {
         "name" => member.name = parser.value()?.string()?.into(),
@@ -184,6 +218,15 @@
     serde_json::from_str(text)
 }
 
+/// Whether the output is JSON.
+fn output(text: &str) -> Result<bool, &'static str> {
+    match text {
+        "table" => Ok(false),
+        "json" => Ok(true),
+        _ => Err("expected table or json"),
+    }
+}
+
 fn level(text: &str) -> Result<Level, &'static str> {
     match text {
         "error" => Ok(Level::Error),
--- a/daemon/src/dev.rs
+++ b/daemon/src/dev.rs
@@ -2,6 +2,7 @@
 
 pub mod deployment;
 pub mod engine;
+pub mod load;
 mod member;
 pub mod platform;
 pub mod service;
@@ -27,14 +28,24 @@
     /// The operating system refused something else.
     #[error("{0}")]
     System(#[from] io::Error),
-    /// A file of an example could not be read.
+    /// A file could not be read.
     #[error("cannot read {}: {source}", file.display())]
-    Example {
+    File {
         /// The file.
         file: std::path::PathBuf,
         /// Why.
         source: io::Error,
     },
+    /// A line of a recorded demand is no request.
+    #[error("{}:{line}: expected at_ms, model, prompt_bytes, max_tokens and stream: {source}", file.display())]
+    Demand {
+        /// The file.
+        file: std::path::PathBuf,
+        /// The line, from 1.
+        line: usize,
+        /// What does not fit.
+        source: serde_json::Error,
+    },
     /// An example is refused.
     #[error("the example is refused:\n{0}")]
     Document(#[from] boragecove_wire::jsonc::Problems),
--- a/daemon/src/dev/deployment.rs
+++ b/daemon/src/dev/deployment.rs
@@ -298,6 +298,11 @@
                 "\nTry it; the model is loaded on demand:\n\n  curl -sN http://{}/v1/completions -H 'Authorization: Bearer {TOKEN}' -d '{body}'\n",
                 entry.callers
             );
+            let _infallible = writeln!(
+                text,
+                "Look around:\n\n  boragecove --address {} --token {TOKEN} status\n",
+                entry.operators
+            );
         }
         text
     }
--- a/daemon/src/dev/deployment/example.rs
+++ b/daemon/src/dev/deployment/example.rs
@@ -37,7 +37,7 @@
         for (file, built_in) in [("inventory.jsonc", INVENTORY), ("rules.jsonc", RULES)] {
             let text = match folder {
                 Some(folder) => std::fs::read_to_string(folder.join(file))
-                    .map_err(|source| Failed::Example { file: folder.join(file), source })?,
+                    .map_err(|source| Failed::File { file: folder.join(file), source })?,
                 None => built_in.to_owned(),
             };
             document::read(file, &text)?.overlay(&mut document);
--- a/daemon/tests/trial_deployment.rs
+++ b/daemon/tests/trial_deployment.rs
@@ -5,6 +5,7 @@
 use boragecove_core::artifact::Artifact;
 use boragecove_core::settings as core;
 use boragecove_daemon::dev::deployment::{Deployment, Options, TOKEN};
+use boragecove_daemon::dev::load::{self, Demand, Target};
 use boragecove_standin::engine;
 use boragecove_standin::engine::answer::{self, Answer};
 use boragecove_standin::platform::{self, weight};
@@ -14,6 +15,9 @@
 /// How long a condition is waited for.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Time that an engine takes for the first token at the least.
+const FIRST_TOKEN: Duration = Duration::from_millis(5);
+
 fn quick() -> Options {
     let ms = Duration::from_millis;
     let weights = weight::Settings { loads_per_second: 1e3, slots: 8, mb_per_second: 1e9 };
@@ -74,3 +78,34 @@
     assert!(deployment.guide().contains(&request));
     tokio::time::timeout(PATIENCE, deployment.stop()).await.expect("it stops");
 }
+
+#[actix_web::test]
+async fn load_measured() {
+    let engine = engine::Settings { first_token: FIRST_TOKEN, ..engine::Settings::default() };
+    let deployment = Deployment::start(&Options { engine, ..quick() }).await.expect("a deployment");
+    let request = |n: u64, model: &str, stream| Demand {
+        at_ms: n,
+        model: model.to_owned(),
+        prompt_bytes: 100,
+        max_tokens: 8,
+        stream,
+    };
+    let model = deployment.example.document.inventory.models[0].name.clone();
+    let mut demand: Vec<Demand> = (0..20).map(|n| request(n, &model, n % 2 == 0)).collect();
+    demand.push(request(20, "no-such-model", true));
+    demand.push(request(3_600_000, &model, true));
+    let target = Target { first: PATIENCE, gap: PATIENCE };
+    let options = load::Options {
+        to: deployment.entries[0].callers,
+        limit: 2 * PATIENCE,
+        target,
+        ..load::Options::default()
+    };
+    let report = load::drive(&options, demand).await;
+    assert_eq!((report.requests, report.answered, report.not_run), (21, 20, 1), "{report:?}");
+    assert_eq!((report.codes[&0], report.codes[&103]), (20, 1));
+    assert!((report.attainment - 20.0 / 21.0).abs() < 1e-9);
+    assert!(report.first_ms.p50 >= FIRST_TOKEN.as_secs_f64() * 1_000.0, "{report:?}");
+    assert!(report.first_ms.p99 >= report.first_ms.p50);
+    tokio::time::timeout(PATIENCE, deployment.stop()).await.expect("it stops");
+}
