Report what needs attention

Cause: An operator had to put four lists together to see whether anything is wrong at an entry VM. Change: operators can ask how requests ended and why tries were repeated; boragecove report joins that with the status, the unreachable artifacts and the memory of each engine. Conclusion: One command for a first look.

--- a/cli/src/cmd/mod.rs
+++ b/cli/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod members;
 mod models;
 mod moves;
+mod report;
 mod status;
 
 use boragecove_core::config::Document;
@@ -48,6 +49,7 @@
         Command::Engines => engines::run(options, console).await,
         Command::Members => members::run(options, console).await,
         Command::Moves => moves::run(options, console).await,
+        Command::Report => report::run(options, console).await,
         Command::Drain => drain::run(options, console).await,
         Command::Codes => codes::run(options, console),
         Command::Completions => completions::run(options, console),
--- a/cli/src/cmd/status.rs
+++ b/cli/src/cmd/status.rs
@@ -20,7 +20,7 @@
     console.text(&table(&status).to_string())
 }
 
-fn table(status: &Status) -> Table {
+pub(crate) fn table(status: &Status) -> Table {
     let mut table = Table::plain();
     let mut row = |name: &str, value: String| table.row([name.to_owned(), value]);
     row("entry VM", format!("{} in {}", status.vm, status.zone));
--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -24,6 +24,8 @@
     Members,
     /// List decisions of control.
     Moves,
+    /// Sum up what needs attention.
+    Report,
     /// Take a back end out of use.
     Drain,
     /// Explain result codes.
@@ -116,6 +118,7 @@
     spec(Command::Engines, "engines", "list engines, their memory and load"),
     spec(Command::Members, "members", "list entry VMs"),
     spec(Command::Moves, "moves", "list the latest decisions of control"),
+    spec(Command::Report, "report", "sum up status, unreachable models, memory and refused requests"),
     Spec {
         operands: Operands::Backend,
         flags: &[flag::UNDO],
--- a/cli/src/table.rs
+++ b/cli/src/table.rs
@@ -36,6 +36,12 @@
         self.rows.push(cells.map(|cell| printable(&cell)).into());
     }
 
+    /// Whether it has no row besides its head.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.len() <= 1
+    }
+
     fn width(&self, column: usize) -> usize {
         let widths = self.rows.iter().filter_map(|row| row.get(column)).map(|cell| cell.chars().count());
         widths.max().unwrap_or(0)
--- a/cli/tests/client/fake.rs
+++ b/cli/tests/client/fake.rs
@@ -16,7 +16,7 @@
 use boragecove_core::engine::{Role, Stage};
 use boragecove_core::id;
 use boragecove_core::operator::{
-    Answer, Applied, Apply, Engine, Held, Member, Model, Query, Refusal, Status,
+    Answer, Applied, Apply, Counts, Ended, Engine, Held, Member, Model, Query, Refusal, Status,
 };
 use boragecove_core::time::Time;
 use boragecove_core::vm::Phase;
@@ -161,6 +161,10 @@
             Query::Engines => Answer::Engines(vec![engine()]),
             Query::Members => Answer::Members(self.members()),
             Query::Moves => Answer::Moves(vec![record()]),
+            Query::Counts => Answer::Counts(Counts {
+                ended: vec![Ended { code: Code::QueueFull, count: 17 }],
+                retried: Vec::new(),
+            }),
             Query::Drain { backend, .. } if backend == "engine-a" => Answer::Done,
             Query::Drain { .. } => refusal(Code::UnknownVm),
         })
--- a/cli/tests/client/shown_results.rs
+++ b/cli/tests/client/shown_results.rs
@@ -57,6 +57,18 @@
     fake.stop().await;
 }
 
+#[actix_rt::test]
+async fn report_shown() {
+    let fake = Fake::start();
+    let run = fake.run(&["report"]).await;
+    assert_eq!(run.class, Class::Done, "{}", run.err);
+    assert!(run.out.contains("\nUnreachable artifacts\n  none\n"), "hall-b holds it: {}", run.out);
+    assert!(run.out.contains("\n  engine-a      81920        58000    23920          70\n"), "{}", run.out);
+    assert!(run.out.contains("\n   300  queue_full        17  The queue for"), "{}", run.out);
+    assert!(run.out.ends_with("followed by another\n  none\n"), "{}", run.out);
+    fake.stop().await;
+}
+
 #[actix_rt::test]
 async fn json_read() {
     let fake = Fake::start();
--- a/core/src/operator.rs
+++ b/core/src/operator.rs
@@ -35,6 +35,8 @@
     Members,
     /// The latest records of control decisions.
     Moves,
+    /// How requests ended here, and why tries were repeated, since the process started.
+    Counts,
     /// Take a back end out of use, or back into it, at this entry VM's whole zone.
     Drain {
         /// The backend server's VM name.
@@ -90,6 +92,8 @@
     Members(Vec<Member>),
     /// Decisions of control, newest first.
     Moves(Vec<Record>),
+    /// How requests ended.
+    Counts(Counts),
     /// Done, with nothing to say.
     Done,
 }
@@ -216,3 +220,30 @@
     /// Time since it was last heard, in milliseconds; none: never.
     pub heard_ms: Option<u64>,
 }
+
+/// How requests ended at an entry VM since its process started. What never happened is left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Ended requests, by result code.
+    pub ended: Vec<Ended>,
+    /// Tries that were followed by another, by reason.
+    pub retried: Vec<Retried>,
+}
+
+/// Requests that ended with one result code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The result code.
+    pub code: Code,
+    /// How many.
+    pub count: u64,
+}
+
+/// Tries that were followed by another for one reason.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retried {
+    /// The reason, as the counter's label has it.
+    pub reason: Name,
+    /// How many.
+    pub count: u64,
+}
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -7,6 +7,7 @@
 use crate::catalog::Entry;
 use crate::code::Code;
 use crate::config;
+use crate::count::{Counters, Reason};
 use crate::effect::Effect;
 use crate::engine::Role;
 use crate::explain;
@@ -16,7 +17,7 @@
 use crate::ledger;
 use crate::member::Peer;
 use crate::name::Name;
-use crate::operator::{Answer, Engine, Held, Member, Model, Query, Refusal, Status};
+use crate::operator::{Answer, Counts, Ended, Engine, Held, Member, Model, Query, Refusal, Retried, Status};
 use crate::route::Work;
 use crate::state::State;
 use crate::summary;
@@ -37,6 +38,7 @@
         Query::Engines => Answer::Engines(engines(state, now)),
         Query::Members => Answer::Members(members(state, now)),
         Query::Moves => Answer::Moves(state.audit.latest()),
+        Query::Counts => Answer::Counts(counts(&state.counters)),
         Query::Drain { backend, out: out_of_use } => drain(state, now, &backend, out_of_use, out),
     };
     out.push(Effect::Answer { ask, answer: Box::new(answer) });
@@ -64,6 +66,17 @@
     }
 }
 
+fn counts(counters: &Counters) -> Counts {
+    let ended = Code::ALL.iter().map(|code| Ended { code: *code, count: counters.ended(*code) });
+    let retried = Reason::ALL
+        .iter()
+        .map(|reason| Retried { reason: reason.label().into(), count: counters.retried(*reason) });
+    Counts {
+        ended: ended.filter(|ended| ended.count > 0).collect(),
+        retried: retried.filter(|retried| retried.count > 0).collect(),
+    }
+}
+
 fn drain(state: &mut State, now: Time, backend: &Name, out_of_use: bool, out: &mut Vec<Effect>) -> Answer {
     if fleet::drain(state, now, backend, out_of_use, out) {
         return Answer::Done;
--- a/daemon/tests/operator_client.rs
+++ b/daemon/tests/operator_client.rs
@@ -117,6 +117,8 @@
         explained.ends_with("s ago: load briefing@1 on engine-1, because no copy was certain\n"),
         "{explained}"
     );
+    let report = boragecove(&deployment, &["report"]).await.out;
+    assert!(report.contains("     0  ok") && report.contains("engine-1      24000         9000"), "{report}");
     let unknown = boragecove(&deployment, &["models", "--explain", "briefing@9"]).await;
     assert_eq!(unknown.class, Class::Refused, "{}", unknown.err);
     assert!(unknown.err.contains("declares no 'briefing@9'"), "{}", unknown.err);
