--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -1,14 +1,11 @@
 //! Starts a node with its listeners, and stops it.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use actix::{Actor, Addr, Arbiter};
-use actix_web::dev::ServerHandle;
 use actix_web::web::ServiceConfig;
-use actix_web::{App, HttpServer};
 use boragecove_core::id::Incarnation;
 use boragecove_core::operator::{Answer, Query};
 use thiserror::Error;
@@ -18,12 +15,13 @@
 use super::{Ask, Node, Stop};
 use crate::callers::{self, Edge, Entrance, Shared};
 use crate::clock::Clock;
+use crate::listener::{Listener, Socket};
 use crate::platform::Source;
-use crate::settings::Settings;
+use crate::settings::{Settings, Timeouts};
 use crate::{operators, peers};
 
-/// Threads of the listeners for peers and operators.
-const SIDE_WORKERS: usize = 1;
+/// Threads of the operators' listener: a large inventory is not read where callers are served.
+const OPERATOR_WORKERS: usize = 1;
 
 /// A node that did not start.
 #[derive(Debug, Error)]
@@ -48,7 +46,7 @@
     pub operators: SocketAddr,
     node: Addr<Node>,
     arbiter: Arbiter,
-    servers: Vec<ServerHandle>,
+    listeners: Vec<Listener>,
     exited: watch::Receiver<bool>,
 }
 
@@ -58,9 +56,11 @@
 ///
 /// If an address cannot be bound.
 pub fn start(settings: &Settings, platform: Source) -> Result<Running, Failed> {
+    let callers = Place::bind("callers", settings.listen.callers, settings.timeouts)?;
+    let operators = Place::bind("operators", settings.listen.operators, settings.timeouts)?;
     // Peers are told where to answer, so the address must be known before the node begins.
-    let peers = Place::bind("peers", settings.listen.peers)?;
-    let settings = &advertised(settings, peers.address);
+    let peers = Place::bind("peers", settings.listen.peers, settings.timeouts)?;
+    let settings = &advertised(settings, peers.socket.address());
     let clock = Clock::start();
     let shared = Arc::new(Shared::new(Incarnation(fastrand::u64(1..))));
     let (exit, exited) = watch::channel(false);
@@ -71,43 +71,70 @@
     });
     let edge =
         Edge { node: node.clone(), clock, limits: settings.limits, timeouts: settings.timeouts, shared };
-    let mut servers = Vec::new();
-    let callers = Place::at("callers", settings.listen.callers);
-    let callers = listen(callers, settings.workers, settings, &mut servers, {
+    let routes = {
         let edge = edge.clone();
-        move |config| callers::routes(config, edge.clone(), Entrance::Callers)
-    })?;
-    let peers = listen(peers, SIDE_WORKERS, settings, &mut servers, {
+        move |config: &mut ServiceConfig| callers::routes(config, edge.clone(), Entrance::Callers)
+    };
+    let callers = match settings.workers {
+        0 => callers.on_arbiter(&arbiter, routes)?,
+        workers => callers.on_threads(workers, routes)?,
+    };
+    let peers = peers.on_arbiter(&arbiter, {
         let (edge, secret) = (edge.clone(), settings.peer_secret.clone());
-        move |config| peers::routes(config, edge.clone(), secret.clone())
+        move |config: &mut ServiceConfig| peers::routes(config, edge.clone(), secret.clone())
     })?;
-    let operators = Place::at("operators", settings.listen.operators);
-    let operators = listen(operators, SIDE_WORKERS, settings, &mut servers, {
+    let operators = operators.on_threads(OPERATOR_WORKERS, {
         let token = settings.operator_token.clone();
-        move |config| operators::routes(config, edge.clone(), token.clone())
+        move |config: &mut ServiceConfig| operators::routes(config, edge.clone(), token.clone())
     })?;
-    tracing::info!(vm = %settings.vm, zone = %settings.zone, %callers, %peers, %operators, "started");
-    Ok(Running { callers, peers, operators, node, arbiter, servers, exited })
+    let running = Running {
+        callers: callers.address,
+        peers: peers.address,
+        operators: operators.address,
+        node,
+        arbiter,
+        listeners: vec![callers, peers, operators],
+        exited,
+    };
+    tracing::info!(
+        vm = %settings.vm,
+        zone = %settings.zone,
+        callers = %running.callers,
+        peers = %running.peers,
+        operators = %running.operators,
+        "started"
+    );
+    Ok(running)
 }
 
-/// Where to listen, for whom.
-#[derive(Debug)]
+/// A bound address, with the audience that errors name.
 struct Place {
     whom: &'static str,
-    address: SocketAddr,
-    bound: Option<TcpListener>,
+    socket: Socket,
 }
 
 impl Place {
-    fn at(whom: &'static str, address: SocketAddr) -> Self {
-        Self { whom, address, bound: None }
+    fn bind(whom: &'static str, address: SocketAddr, timeouts: Timeouts) -> Result<Self, Failed> {
+        let socket = Socket::bind(address, timeouts).map_err(|source| Failed { whom, address, source })?;
+        Ok(Self { whom, socket })
     }
 
-    fn bind(whom: &'static str, address: SocketAddr) -> Result<Self, Failed> {
-        let failed = |source| Failed { whom, address, source };
-        let listener = TcpListener::bind(address).map_err(failed)?;
-        let address = listener.local_addr().map_err(failed)?;
-        Ok(Self { whom, address, bound: Some(listener) })
+    fn on_arbiter<F>(self, arbiter: &Arbiter, routes: F) -> Result<Listener, Failed>
+    where
+        F: Fn(&mut ServiceConfig) + Send + 'static,
+    {
+        let Self { whom, socket } = self;
+        let address = socket.address();
+        socket.on_arbiter(arbiter, routes).map_err(|source| Failed { whom, address, source })
+    }
+
+    fn on_threads<F>(self, workers: usize, routes: F) -> Result<Listener, Failed>
+    where
+        F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    {
+        let Self { whom, socket } = self;
+        let address = socket.address();
+        socket.on_threads(workers, routes).map_err(|source| Failed { whom, address, source })
     }
 }
 
@@ -120,38 +147,6 @@
     settings
 }
 
-fn listen<F>(
-    place: Place,
-    workers: usize,
-    settings: &Settings,
-    servers: &mut Vec<ServerHandle>,
-    routes: F,
-) -> Result<SocketAddr, Failed>
-where
-    F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
-{
-    let Place { whom, address, bound } = place;
-    let failed = |source| Failed { whom, address, source };
-    let server = HttpServer::new(move || App::new().configure(routes.clone()))
-        .workers(workers)
-        .keep_alive(settings.timeouts.keep_alive)
-        .client_request_timeout(settings.timeouts.read)
-        .client_disconnect_timeout(Duration::from_secs(1))
-        .h1_allow_half_closed(false)
-        .shutdown_timeout(settings.timeouts.shutdown.as_secs().max(1))
-        .disable_signals();
-    let server = match bound {
-        Some(listener) => server.listen(listener),
-        None => server.bind(address),
-    };
-    let server = server.map_err(failed)?;
-    let bound = server.addrs().first().copied().unwrap_or(address);
-    let server = server.run();
-    servers.push(server.handle());
-    actix_rt::spawn(server);
-    Ok(bound)
-}
-
 impl Running {
     /// Asks the node to stop, cutting nothing. [`Running::exited`] says when it has.
     pub fn stop(&self) {
@@ -166,8 +161,8 @@
     /// Waits until the node has stopped and its listeners are closed.
     pub async fn exited(mut self) {
         self.stopped().await;
-        for server in &self.servers {
-            server.stop(true).await;
+        for listener in &self.listeners {
+            listener.stop(true).await;
         }
         self.arbiter.stop();
     }
@@ -175,8 +170,8 @@
     /// Ends the node at once, as when its process dies.
     pub async fn kill(self) {
         self.arbiter.stop();
-        for server in &self.servers {
-            server.stop(false).await;
+        for listener in &self.listeners {
+            listener.stop(false).await;
         }
     }
 
