Finish what runs when the platform is down at a back end's stop

Cause: a stand-in back end that could not have itself listed as leaving ended at once and cut off what ran.

Change: it goes on to finish what runs. Stand-ins as processes log warnings only.

--- a/daemon/src/cmd/dev.rs
+++ b/daemon/src/cmd/dev.rs
@@ -90,7 +90,7 @@
         }
         let level = match &self {
             Self::Deployment(options) => options.log,
-            _ => Level::Info,
+            _ => Level::Warn,
         };
         logs::start(level);
         let done = actix_rt::System::new().block_on(async {
--- a/daemon/src/dev/engine.rs
+++ b/daemon/src/dev/engine.rs
@@ -71,7 +71,8 @@
     member.announce(running.address(), Phase::Live).await?;
     super::asked_to_stop().await?;
     engine.drain(true);
-    member.announce(running.address(), Phase::Leaving).await?;
+    // What runs is finished also where the platform does not answer.
+    let _list_is_a_hint = member.announce(running.address(), Phase::Leaving).await;
     while !engine.idle() {
         tokio::time::sleep(IDLE_EVERY).await;
     }
