Tell a cut answer in chunks from a whole one; tell the node of a read's events at once

Cause: the HTTP client reports a chunked answer whose connection ended early as if it were complete, and hands out each chunk by itself, so that each token cost a message to the node, a wake-up and a write. Change: connections to back ends count when the other side closes them; what one read brought goes to the node together. A body's continuation is refused from callers; it belongs to entry VMs. Conclusion: no silent cut is left for answers with a length or in chunks.

--- a/daemon/src/backends/exchange.rs
+++ b/daemon/src/backends/exchange.rs
@@ -3,6 +3,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use actix::Addr;
@@ -15,6 +16,7 @@
 use futures_util::Stream;
 
 use super::classify::{self, Verdict};
+use super::dial::Closed;
 use super::{request, sse};
 use crate::callers::content::{self, Content};
 use crate::callers::outlet::{Gate, Head};
@@ -24,6 +26,9 @@
 /// Time to read what follows an answer's end mark, so that its connection can be used again.
 const REST: Duration = Duration::from_secs(1);
 
+/// Bytes that are put together before the node is told of them.
+const GATHER_MAX: usize = 16 << 10;
+
 /// A try to be made.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -37,6 +42,8 @@
     pub gate: Arc<Gate>,
     /// When the try was made.
     pub now: Time,
+    /// Counts connections that the other side closed.
+    pub closed: Closed,
     /// Whom to tell.
     pub node: Addr<Node>,
 }
@@ -144,7 +151,7 @@
     settings: &Settings,
 ) -> Result<(), Failure> {
     job.tell(Step::Head { echo, head: caller_head(&response) }).await;
-    let mut answer = Answer::new(response);
+    let mut answer = Answer::new(response, job);
     let mut parser = sse::Parser::default();
     while let Some(chunk) = answer.next().await? {
         let batch = parser.push(chunk);
@@ -170,7 +177,7 @@
     settings: &Settings,
 ) -> Result<(), Failure> {
     let head = caller_head(&response);
-    let mut answer = Answer::new(response);
+    let mut answer = Answer::new(response, job);
     let mut body = BytesMut::new();
     while let Some(chunk) = answer.next().await? {
         body.extend_from_slice(&chunk);
@@ -200,25 +207,73 @@
 struct Answer {
     response: ClientResponse,
     left: Option<usize>,
+    state: State,
+    closed: Closed,
+}
+
+/// How far an answer was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    Over,
+    Broken,
 }
 
 impl Answer {
-    fn new(response: ClientResponse) -> Self {
+    fn new(response: ClientResponse, job: &Job) -> Self {
         let length =
             response.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
-        Self { response, left: length }
+        Self { response, left: length, state: State::Open, closed: job.closed.clone() }
     }
 
-    /// The next bytes; none at the end, which is an error if it comes too early.
+    /// All the bytes that are there, at most about [`GATHER_MAX`]; none at the end, which is an error if
+    /// it comes too early.
     async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
-        let read = poll_fn(|cx| Pin::new(&mut self.response).poll_next(cx)).await;
-        let Some(chunk) = read.transpose().map_err(|_lost| Failure::Broken)? else {
-            return if self.left.unwrap_or(0) == 0 { Ok(None) } else { Err(Failure::Broken) };
-        };
+        let bytes = poll_fn(|cx| self.gather(cx)).await;
         if let Some(left) = &mut self.left {
-            *left = left.saturating_sub(chunk.len());
+            *left = left.saturating_sub(bytes.len());
+        }
+        match self.state {
+            _ if !bytes.is_empty() => Ok(Some(bytes)),
+            State::Broken => Err(Failure::Broken),
+            State::Open | State::Over if self.left.unwrap_or(0) > 0 => Err(Failure::Broken),
+            State::Open | State::Over => Ok(None),
+        }
+    }
+
+    /// Puts together what one read brought: the library hands out each chunk of the transfer by itself.
+    fn gather(&mut self, cx: &mut Context<'_>) -> Poll<Bytes> {
+        let mut first = Bytes::new();
+        let mut all = BytesMut::new();
+        while self.state == State::Open && all.len() < GATHER_MAX {
+            match self.poll(cx) {
+                Poll::Ready(Some(chunk)) if first.is_empty() => first = chunk,
+                Poll::Ready(Some(chunk)) => {
+                    if all.is_empty() {
+                        all.extend_from_slice(&first);
+                    }
+                    all.extend_from_slice(&chunk);
+                }
+                Poll::Ready(None) => {}
+                Poll::Pending if first.is_empty() => return Poll::Pending,
+                Poll::Pending => break,
+            }
+        }
+        Poll::Ready(if all.is_empty() { first } else { all.freeze() })
+    }
+
+    /// The next chunk; none once the answer is over or broken.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        let closed = self.closed.count();
+        let chunk = ready!(Pin::new(&mut self.response).poll_next(cx));
+        match chunk {
+            Some(Ok(chunk)) => return Poll::Ready(Some(chunk)),
+            Some(Err(_lost)) => self.state = State::Broken,
+            // An answer in chunks has an end mark of its own: the connection's end is not it.
+            None if self.left.is_none() && self.closed.count() != closed => self.state = State::Broken,
+            None => self.state = State::Over,
         }
-        Ok(Some(chunk))
+        Poll::Ready(None)
     }
 
     /// Reads what follows the end mark.
--- a/daemon/src/backends/mod.rs
+++ b/daemon/src/backends/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod classify;
 pub(crate) mod control;
+pub(crate) mod dial;
 pub(crate) mod exchange;
 pub(crate) mod pool;
 pub(crate) mod request;
--- a/daemon/src/backends/pool.rs
+++ b/daemon/src/backends/pool.rs
@@ -6,6 +6,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time::Instant;
 
+use super::dial::{Closed, Dial};
 use crate::settings::Timeouts;
 
 /// Pools beyond which those unused for a connection's age are dropped.
@@ -17,7 +18,8 @@
 #[derive(Debug)]
 pub(crate) struct Pools {
     timeouts: Timeouts,
-    pools: FxHashMap<SocketAddr, Pool>,
+    closed: Closed,
+    by_address: FxHashMap<SocketAddr, Pool>,
 }
 
 struct Pool {
@@ -34,30 +36,39 @@
 impl Pools {
     /// No connections yet.
     pub(crate) fn new(timeouts: Timeouts) -> Self {
-        Self { timeouts, pools: FxHashMap::default() }
+        Self { timeouts, closed: Closed::default(), by_address: FxHashMap::default() }
     }
 
     /// A client that keeps its connections to `address` for the next request.
     pub(crate) fn client(&mut self, address: SocketAddr) -> Client {
         let now = Instant::now();
-        if self.pools.len() > POOLS_KEPT {
+        if self.by_address.len() > POOLS_KEPT {
             let age = self.timeouts.connection_age;
-            self.pools.retain(|_, pool| now.duration_since(pool.used) < age);
+            self.by_address.retain(|_, pool| now.duration_since(pool.used) < age);
         }
-        let timeouts = self.timeouts;
-        let pool = self.pools.entry(address).or_insert_with(|| Pool { client: connect(timeouts), used: now });
+        let (timeouts, closed) = (self.timeouts, &self.closed);
+        let pool = self
+            .by_address
+            .entry(address)
+            .or_insert_with(|| Pool { client: connect(timeouts, closed), used: now });
         pool.used = now;
         pool.client.clone()
     }
 
+    /// Counts the connections that were closed by the other side.
+    pub(crate) fn closed(&self) -> Closed {
+        self.closed.clone()
+    }
+
     /// Closes the idle connections to an address; those in use close once they are idle.
     pub(crate) fn retire(&mut self, address: SocketAddr) {
-        self.pools.remove(&address);
+        self.by_address.remove(&address);
     }
 }
 
-fn connect(timeouts: Timeouts) -> Client {
+fn connect(timeouts: Timeouts, closed: &Closed) -> Client {
     let connector = Connector::new()
+        .connector(Dial::new(closed.clone()))
         .limit(CONNECTIONS_MAX)
         .timeout(timeouts.connect)
         .conn_keep_alive(timeouts.keep_alive)
--- a/daemon/src/backends/request.rs
+++ b/daemon/src/backends/request.rs
@@ -5,8 +5,8 @@
 use boragecove_core::attempt::{Destination, Resume, Send};
 use boragecove_core::rules::Priority;
 use boragecove_core::time::Time;
-use boragecove_wire::{header, proof};
-use bytes::{Bytes, BytesMut};
+use boragecove_wire::{completion, header, proof};
+use bytes::Bytes;
 
 use crate::callers::content::Content;
 use crate::settings::Secret;
@@ -77,21 +77,7 @@
 /// The body of a try: the caller's, with the text delivered so far where it goes on from there.
 pub(crate) fn body(send: &Send, content: &Content, delivered: &str) -> Bytes {
     match send.resume {
-        Resume::Continue { offset } if offset > 0 => with_continuation(&content.body, delivered),
+        Resume::Continue { offset } if offset > 0 => completion::continued(&content.body, delivered).into(),
         _ => content.body.clone(),
     }
 }
-
-fn with_continuation(body: &Bytes, delivered: &str) -> Bytes {
-    let Some(brace) = memchr::memchr(b'{', body) else {
-        return body.clone();
-    };
-    let text = serde_json::Value::from(delivered).to_string();
-    let mut longer = BytesMut::with_capacity(body.len() + text.len() + 32);
-    longer.extend_from_slice(&body[..=brace]);
-    longer.extend_from_slice(b"\"continuation\":");
-    longer.extend_from_slice(text.as_bytes());
-    longer.extend_from_slice(b",");
-    longer.extend_from_slice(&body[brace + 1..]);
-    longer.freeze()
-}
--- a/daemon/src/callers/arrival.rs
+++ b/daemon/src/callers/arrival.rs
@@ -92,6 +92,9 @@
 ) -> Result<Arrival, Refused> {
     let read =
         Body::read(body).map_err(|error| Refused::new(Code::Malformed, format!("the body: {error}")))?;
+    if read.continuation.is_some() {
+        return Err(Refused::new(Code::Malformed, "the body: \"continuation\" is not for callers"));
+    }
     let target: Target =
         read.model.parse().map_err(|error| Refused::new(Code::Malformed, format!("\"model\": {error}")))?;
     let mut arrival = bare(request, id, Subject::Model(target), body, hops, edge)?;
--- a/daemon/src/callers/content.rs
+++ b/daemon/src/callers/content.rs
@@ -26,7 +26,7 @@
 }
 
 /// Headers that concern one connection, or that this edge sets anew.
-const OWN: [HeaderName; 13] = [
+const OWN: [HeaderName; 14] = [
     http::AUTHORIZATION,
     http::CONNECTION,
     http::CONTENT_LENGTH,
@@ -40,6 +40,7 @@
     http::PROXY_AUTHENTICATE,
     http::ACCEPT_ENCODING,
     HeaderName::from_static("keep-alive"),
+    HeaderName::from_static(header::LAST_EVENT_ID),
 ];
 /// Headers from the caller that tell other entry VMs as much as they tell this one.
 const KEPT: [&str; 3] = [header::IDEMPOTENT, header::PRIORITY, header::IDEMPOTENCY_KEY];
--- a/daemon/src/node/carry.rs
+++ b/daemon/src/node/carry.rs
@@ -105,6 +105,7 @@
             delivered,
             gate: open.outlet.gate(),
             now,
+            closed: self.pools.closed(),
             node: ctx.address(),
             send,
         };
--- a/daemon/tests/deployment/mod.rs
+++ b/daemon/tests/deployment/mod.rs
@@ -169,7 +169,7 @@
     (text, done)
 }
 
-fn vm(name: &str, address: SocketAddr, role: Role) -> Vm {
+pub fn vm(name: &str, address: SocketAddr, role: Role) -> Vm {
     Vm { name: name.into(), zone: "zone-1".into(), address, role, phase: Phase::Live }
 }
 
--- a/wire/src/completion.rs
+++ b/wire/src/completion.rs
@@ -91,3 +91,22 @@
         choice.text.as_deref().or(delta).unwrap_or_default()
     }
 }
+
+/// The member with which an entry VM or an engine is told to go on with an answer, up to its value.
+const CONTINUATION: &[u8] = b"\"continuation\":";
+
+/// A body that asks to go on after `text`, which goes in as its first member.
+#[must_use]
+pub fn continued(body: &[u8], text: &str) -> Vec<u8> {
+    let Some(brace) = body.iter().position(|byte| *byte == b'{') else {
+        return body.to_vec();
+    };
+    let value = serde_json::Value::from(text).to_string();
+    let mut longer = Vec::with_capacity(body.len() + CONTINUATION.len() + value.len() + 1);
+    longer.extend_from_slice(&body[..=brace]);
+    longer.extend_from_slice(CONTINUATION);
+    longer.extend_from_slice(value.as_bytes());
+    longer.push(b',');
+    longer.extend_from_slice(&body[brace + 1..]);
+    longer
+}
--- a/wire/tests/completion_members.rs
+++ b/wire/tests/completion_members.rs
@@ -1,6 +1,6 @@
 //! The members read of a completion's body and of its events.
 
-use boragecove_wire::completion::{Body, Piece};
+use boragecove_wire::completion::{Body, Piece, continued};
 
 #[test]
 fn body_members() {
@@ -21,3 +21,10 @@
     assert_eq!(text(br#"{"choices":[{"delta":{"role":"assistant"}}]}"#).as_deref(), Some(""));
     assert_eq!(text(b"[DONE]"), None);
 }
+
+#[test]
+fn continuation_first() {
+    let longer = continued(br#" {"model":"m","prompt":"x"}"#, "said \"so\" far");
+    let read = Body::read(&longer).expect("a body");
+    assert_eq!((read.continuation.as_deref(), &*read.model), (Some("said \"so\" far"), "m"));
+}
