--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -22,7 +22,8 @@
     pub idempotent: Option<bool>,
     /// The caller's idempotency key.
     pub key: Option<Name>,
-    /// SHA-256 of method, path and body, in lower-case hex: a key repeated with another request is refused.
+    /// SHA-256 of method, path and body, in lower-case hex, if there is a key: a key repeated with another
+    /// request is refused.
     pub digest: Name,
     /// The priority asked for.
     pub priority: Option<Priority>,
--- a/daemon/benches/through.rs
+++ b/daemon/benches/through.rs
@@ -26,7 +26,7 @@
 /// Streams open at once.
 const STREAMS: usize = 96;
 /// Streams open at once where the engines take their time.
-const PACED_STREAMS: usize = 600;
+const PACED_STREAMS: usize = 840;
 /// The time that engines take for a token there.
 const TOKEN: Duration = Duration::from_millis(4);
 /// Tokens of each stream.
--- a/daemon/src/callers/arrival.rs
+++ b/daemon/src/callers/arrival.rs
@@ -134,7 +134,7 @@
         subject,
         idempotent: idempotent(request)?,
         key: key.map(Name::from),
-        digest: digest(request, body),
+        digest: key.map_or_else(Name::default, |_| digest(request, body)),
         priority: priority(request)?,
         deadline: edge.clock.now() + deadline(request, edge)?,
         stream: false,
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -49,7 +49,7 @@
             platform: Platform::default(),
             peer_secret: Secret::default(),
             operator_token: Secret::default(),
-            workers: 1,
+            workers: 0,
             log: Level::default(),
             limits: Limits::default(),
             timeouts: Timeouts::default(),
--- a/daemon/tests/completions.rs
+++ b/daemon/tests/completions.rs
@@ -2,8 +2,9 @@
 
 mod deployment;
 
+use boragecove_daemon::settings::Settings;
 use boragecove_standin::engine::answer::Answer;
-use deployment::{Deployment, artifact, header, read_stream};
+use deployment::{Deployment, artifact, engine, header, quick, read_stream};
 use serde_json::Value;
 
 #[actix_web::test]
@@ -21,6 +22,15 @@
     deployment.node.kill().await;
 }
 
+#[actix_web::test]
+async fn thread_for_callers() {
+    let settings = Settings { workers: 1, ..quick() };
+    let deployment = Deployment::start(&[engine("engine-1")], settings).await;
+    let (text, done) = read_stream(&mut deployment.complete("shade", 40, true).await).await;
+    assert_eq!((text, done), (Answer::new(&artifact(), "shade", 40).text(), true));
+    deployment.node.kill().await;
+}
+
 #[actix_web::test]
 async fn whole_answer() {
     let deployment = Deployment::small().await;
