Wait for both copies to be known before an engine is killed

Change: the tests of two engines wait until both copies are known ready. Conclusion: the test states what it needs.

--- a/daemon/tests/broken_streams.rs
+++ b/daemon/tests/broken_streams.rs
@@ -4,8 +4,10 @@
 
 use std::time::Duration;
 
+use boragecove_core::engine::Stage;
+use boragecove_core::operator::{Answer, Query};
 use boragecove_daemon::settings::Settings;
-use boragecove_standin::engine::{self, answer::Answer};
+use boragecove_standin::engine::{self, answer};
 use boragecove_standin::fault::{Fault, Kind, Scope};
 use deployment::{Deployment, artifact, engine, quick, read_stream};
 use futures_util::StreamExt;
@@ -22,11 +24,19 @@
     for engine in &deployment.engines {
         assert!(engine.preload(&artifact(), 9_000), "it fits");
     }
+    deployment.until("both copies are known", async || ready_copies(&deployment).await == 2).await;
     deployment
 }
 
+async fn ready_copies(deployment: &Deployment) -> usize {
+    let Answer::Models(models) = deployment.node.ask(Query::Models).await.expect("an answer") else {
+        panic!("another answer");
+    };
+    models[0].copies.iter().filter(|copy| copy.stage == Stage::Ready).count()
+}
+
 fn expected(prompt: &str) -> String {
-    Answer::new(&artifact(), prompt, TOKENS.into()).text()
+    answer::Answer::new(&artifact(), prompt, TOKENS.into()).text()
 }
 
 #[actix_web::test]
@@ -39,7 +49,7 @@
     let (rest, done) = read_stream(&mut response).await;
     assert!(done, "the stream has its end mark");
     let begun = String::from_utf8_lossy(&first).matches("data: ").count() as u64;
-    let text = Answer::new(&artifact(), "watch", TOKENS.into()).until(begun) + &rest;
+    let text = answer::Answer::new(&artifact(), "watch", TOKENS.into()).until(begun) + &rest;
     assert_eq!(text, expected("watch"));
     assert_eq!(deployment.engines[1 - at].runs_of("watch"), 1, "the other engine went on");
     deployment.node.kill().await;
