Measure a zone of full size and the bytes of the VM list

Cause: lines from small fleets want a point to check them by, and the VM list's bytes were not counted. Change: two zones of 29 entry VMs and 480 engines with 780 models; the list's bytes as JSON.

--- a/core/benches/capacity.rs
+++ b/core/benches/capacity.rs
@@ -80,9 +80,21 @@
         let points = costs.iter().map(|(n, costs)| (*n, costs.change[of])).collect();
         Series::new(name, unit, points).print();
     }
-    for said in costs.last().into_iter().flat_map(|(_, costs)| &costs.said) {
-        let each = said.bytes / said.count;
-        println!("\nSaid at the largest: {} × {}, {each:.0} B each", said.count, said.name);
+}
+
+/// Measures two zones of the size that is expected within two years: more entry VMs than fit here beyond those.
+fn full() {
+    let costs = Fleet::measure(&Scale { zones: 2, entries: 29, engines: 480, models: 780 });
+    println!(
+        "\n## Two zones of the two-year size\n\n| what | unit | holder | other |\n| --- | --- | --- | --- |"
+    );
+    for (at, (head, unit)) in fleet::HEADS.iter().enumerate() {
+        println!("| {head} | {unit} | {:.1} | {:.1} |", costs.holder[at], costs.other[at]);
+    }
+    let [bytes, wait] = costs.change;
+    println!("\nOne change: {bytes:.0} B of frames, everywhere after {wait:.0} ms");
+    for said in &costs.said {
+        println!("Said: {:.0} × {}, {:.0} B each", said.count, said.name, said.bytes / said.count);
     }
 }
 
@@ -97,4 +109,5 @@
     vary("entry VMs of a zone", &[4, 8, 16, 29].map(|n| (n, Scale { entries: n, ..base })));
     vary("models", &[100, 200, 400, 780].map(|n| (n, Scale { models: n, engines: 240, ..base })));
     vary("zones", &[2, 4, 8, 14].map(|n| (n, Scale { zones: n, entries: 3, engines: 20, ..base })));
+    full();
 }
--- a/core/benches/capacity/fleet.rs
+++ b/core/benches/capacity/fleet.rs
@@ -23,7 +23,7 @@
 use super::sample::{arrival, document, vm};
 
 /// What is told apart of what an entry VM spends, each with its unit; the first six by kind of event.
-pub const HEADS: [(&str, &str); 16] = [
+pub const HEADS: [(&str, &str); 17] = [
     ("reports", "µs/s"),
     ("frames", "µs/s"),
     ("table", "µs/s"),
@@ -39,6 +39,7 @@
     ("table reads", "1/s"),
     ("table rows written", "1/s"),
     ("table calls and replies", "B/s"),
+    ("VM list read", "B/s"),
     ("state", "KB"),
 ];
 const CODING: usize = 6;
@@ -50,7 +51,8 @@
 const READS: usize = 12;
 const WRITES: usize = 13;
 const TABLE_BYTES: usize = 14;
-const STATE: usize = 15;
+const LIST_BYTES: usize = 15;
+const STATE: usize = 16;
 
 /// What an entry VM spends, by [`HEADS`].
 pub type Cost = [f64; HEADS.len()];
@@ -302,7 +304,9 @@
                     .map(|(name, at)| vm(name.to_string(), at / self.entries, *at, Role::Entry));
                 let vms: Vec<Vm> =
                     entries.chain(self.engines.iter().map(|engine| engine.vm.clone())).collect();
-                Event::Listed(copied::<Vec<Vm>>(&vms).0)
+                let (vms, bytes) = copied(&vms);
+                cost[LIST_BYTES] += bytes;
+                Event::Listed(vms)
             }
             Effect::Poll { engine, .. } => {
                 let report = self.engines[self.engine_names[&engine]].report();
