Let a silent connection be noticed, and back ends leave without knowing it

Cause: taking out the retirement of silent connections, and not heeding the list of VMs, was caught by no cell. Change: once an entry VM takes an answer up again, nothing of its goes out on the connection it gave up; half of the back ends that are listed as leaving do not refuse requests, and plain services leave too. That every stream is answered when nothing but connections fails waits for placement (scene::LOADED). Conclusion: silence and leaving are attacked each by itself.

--- a/core/tests/matrix/check.rs
+++ b/core/tests/matrix/check.rs
@@ -13,7 +13,7 @@
 use boragecove_core::request::{Arrival, Subject};
 
 use super::fakes::Backend;
-use super::scene::MEMORY_MB;
+use super::scene::{GONE, MEMORY_MB};
 
 /// A broken promise.
 pub type Check = Result<(), String>;
@@ -146,6 +146,14 @@
         hold(open.is_none(), || format!("{open:?} has no end"))
     }
 
+    /// Every streamed request whose caller stayed was answered, silent connections or not.
+    pub fn all_answered(&self) -> Check {
+        let failed = self.taken.iter().find(|(request, taken)| {
+            taken.arrival.stream && request.seq != GONE + 1 && taken.ended != Some(Outcome::Answered)
+        });
+        hold(failed.is_none(), || format!("{failed:?} was not answered"))
+    }
+
     /// A configuration was accepted.
     pub fn accept(&mut self, version: u64, document: &Document) -> Check {
         let first = self.accepted.insert(version, document.clone());
--- a/core/tests/matrix/fakes.rs
+++ b/core/tests/matrix/fakes.rs
@@ -7,7 +7,7 @@
 use boragecove_core::engine::{Action, Copy, Ended, Fence, Order, Receipt, Report, Role, Stage};
 use boragecove_core::id::{self, Incarnation};
 use boragecove_core::table::{Call, Done, Key, Prefix, Reply, Row, Value, Version, Write};
-use boragecove_core::vm::{Phase, Vm};
+use boragecove_core::vm::Vm;
 
 use super::scene::MEMORY_MB;
 
@@ -83,13 +83,15 @@
     pub vm: Vm,
     pub incarnation: Incarnation,
     pub up: bool,
+    /// Whether it refuses requests, since it knows that it leaves.
+    pub drains: bool,
     /// Whether it refuses old fencing numbers.
     pub checks: bool,
     pub copies: Vec<Copy>,
     /// Attempts that run, with the artifact.
     pub running: BTreeMap<id::Attempt, Option<Artifact>>,
     /// Attempts it can take up again.
-    known: Vec<id::Attempt>,
+    pub known: Vec<id::Attempt>,
     pub cache: u64,
     fence: Fence,
     seq: u64,
@@ -104,6 +106,7 @@
             vm,
             incarnation: Incarnation(incarnation),
             up: true,
+            drains: false,
             checks,
             copies: Vec::new(),
             running: BTreeMap::new(),
@@ -117,10 +120,6 @@
         }
     }
 
-    fn takes_work(&self) -> bool {
-        self.vm.phase == Phase::Live
-    }
-
     /// Takes a try to run, or to run on, unless it refuses.
     pub fn admit(&mut self, send: &Send) -> Result<(), Failure> {
         let artifact = match &send.to {
@@ -131,7 +130,7 @@
             return Err(Failure::Connect);
         }
         match send.resume {
-            _ if !self.takes_work() => return Err(Failure::Refused(Refusal::Leaving)),
+            _ if self.drains => return Err(Failure::Refused(Refusal::Leaving)),
             _ if artifact.is_some_and(|artifact| !self.is_ready(artifact)) => {
                 return Err(Failure::Refused(Refusal::NotLoaded));
             }
@@ -224,7 +223,7 @@
             tokens_per_second: 0,
             copies: copies.collect(),
             ended: self.ended.iter().rev().take(64).rev().copied().collect(),
-            draining: !self.takes_work(),
+            draining: self.drains,
         }
     }
 
--- a/core/tests/matrix/outside.rs
+++ b/core/tests/matrix/outside.rs
@@ -10,7 +10,7 @@
 use boragecove_core::vm::{Phase, Role, Vm};
 
 use super::fault::Fault;
-use super::scene::ENTRIES;
+use super::scene::{ENGINES, ENTRIES};
 use super::world::{Answers, Message, OUTAGE, TIMEOUT, Turn, World};
 
 impl World {
@@ -144,7 +144,9 @@
     /// A fault strikes at something that `node` does to `to`.
     pub fn befall(&mut self, fault: Fault, node: usize, to: Option<usize>) {
         let until = self.now + OUTAGE;
-        let to = to.unwrap_or_else(|| self.rng.usize(0..4));
+        // Engines come first; only what leaves may be a plain service.
+        let among = if fault == Fault::Leaves { self.backends.len() } else { ENGINES };
+        let to = to.unwrap_or_else(|| self.rng.usize(0..among));
         self.until.insert(fault, until);
         match fault {
             Fault::Dies => self.kill(node),
@@ -158,6 +160,7 @@
             }
             Fault::Leaves => {
                 self.backends[to].vm.phase = Phase::Leaving;
+                self.backends[to].drains = self.rng.bool();
                 self.push(OUTAGE, Message::Turn(Turn::Replace(to)));
             }
             Fault::Silent => self.silence(node, to),
--- a/core/tests/matrix/scene.rs
+++ b/core/tests/matrix/scene.rs
@@ -12,6 +12,8 @@
 
 pub const ENTRIES: [(&str, &str); 4] =
     [("entry-a1", "hall-a"), ("entry-a2", "hall-a"), ("entry-b1", "hall-b"), ("entry-b2", "hall-b")];
+/// Back ends that are engines; they come first.
+pub const ENGINES: usize = 4;
 pub const BACKENDS: [(&str, &str, &str); 6] = [
     ("engine-a1", "hall-a", "checking"),
     ("engine-a2", "hall-a", "trusting"),
@@ -24,6 +26,8 @@
 pub const KEYS: bool = true;
 /// Events of the longest answers; whole ones of that length outgrow the edge's buffer.
 pub const LONG: u64 = 6;
+/// The request whose caller goes away.
+pub const GONE: u64 = 6;
 /// Requests that callers send in each run.
 const ARRIVALS: u64 = 30;
 /// Whether all that is declared must be loaded at the end.
@@ -103,7 +107,7 @@
     let mut script: Vec<(u64, Turn)> = (0..ARRIVALS).map(|n| (6_000 + n * 400, Turn::Arrive(n))).collect();
     script.extend([
         (1_500, Turn::Apply { node: 0, edition: 1 }),
-        (8_600, Turn::Gone(6)),
+        (8_600, Turn::Gone(GONE)),
         (7_000, Turn::Silent),
         (12_000, Turn::Silent),
         (10_000, Turn::Apply { node: 2, edition: 2 }),
--- a/core/tests/matrix/traffic.rs
+++ b/core/tests/matrix/traffic.rs
@@ -1,5 +1,6 @@
 //! Callers, operators, and requests at the back ends.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use boragecove_core::attempt::{Destination, Failure, Refusal, Resume, Send};
@@ -23,7 +24,7 @@
         if send.to == Destination::Peer {
             return self.pass_on(at, life, send);
         }
-        if self.silent.contains(&(at, send.address)) && !send.fresh {
+        if self.silent.contains_key(&(at, send.address)) && !send.fresh {
             return Ok(Vec::new());
         }
         let found = self.backends.iter().position(|backend| backend.vm.address == send.address);
@@ -187,7 +188,9 @@
 
     /// A connection goes silent: nothing of what runs on it comes, nor of what is sent on it later.
     pub fn silence(&mut self, node: usize, to: usize) {
-        self.silent.push((node, self.backends[to].vm.address));
+        let connection = (node, self.backends[to].vm.address);
+        self.noticed.retain(|noticed| *noticed != connection);
+        self.silent.insert(connection, self.now);
         let by =
             |attempt: &&id::Attempt| self.truth.taken.get(&attempt.request).is_some_and(|t| t.node == node);
         let running: Vec<id::Attempt> = self.backends[to].running.keys().filter(by).copied().collect();
@@ -196,6 +199,14 @@
         }
     }
 
+    /// An entry VM gives a connection up, to take the answer up again on another.
+    pub fn notice(&mut self, node: usize, attempt: id::Attempt) {
+        let back_end = self.backends.iter().find(|backend| backend.known.contains(&attempt));
+        let connection = back_end.map(|backend| (node, backend.vm.address));
+        let old = |at: &(usize, SocketAddr)| self.silent.get(at).is_some_and(|since| *since < self.now);
+        self.noticed.extend(connection.filter(old));
+    }
+
     /// The connections to an engine go silent in the middle of a stream.
     fn silence_stream(&mut self) {
         let streams = |attempt: &id::Attempt| {
--- a/core/tests/matrix/world.rs
+++ b/core/tests/matrix/world.rs
@@ -103,8 +103,10 @@
     pub edition: u32,
     /// The last number drawn for something new.
     pub fresh: u64,
-    /// Connections that have gone silent, by entry VM and address.
-    pub silent: Vec<(usize, SocketAddr)>,
+    /// Connections that have gone silent, by entry VM and address, and since when.
+    pub silent: BTreeMap<(usize, SocketAddr), Time>,
+    /// Those of them that the entry VM has given up.
+    pub noticed: Vec<(usize, SocketAddr)>,
     /// Since when back ends are listed as leaving.
     pub leaving: BTreeMap<usize, Time>,
     /// Lasting faults: until when.
@@ -151,7 +153,8 @@
             asks: BTreeMap::new(),
             edition: 0,
             fresh: 1_000,
-            silent: Vec::new(),
+            silent: BTreeMap::new(),
+            noticed: Vec::new(),
             leaving: BTreeMap::new(),
             until: BTreeMap::new(),
             cut_zone: 0,
@@ -194,6 +197,9 @@
         let mut last = None;
         for (at, (name, _)) in ENTRIES.iter().enumerate() {
             self.truth.all_ended(at, self.nodes[at].life)?;
+            if scene::LOADED && self.plan.iter().all(|strike| strike.fault == Fault::Silent) {
+                self.truth.all_answered()?;
+            }
             let config = self.config(at).ok_or("an entry VM does not say its configuration")?;
             let want = self.truth.accepted.last_key_value();
             let old = want.is_none_or(|(of, want)| config.0 < *of || config.0 == *of && *config.1 != *want);
@@ -308,8 +314,12 @@
             self.step(at, to, (kind, Stage::Done));
             return Ok(());
         }
-        if kind == Kind::Send {
+        if let Effect::Send(send) = &effect {
             self.not_leaving(at, to)?;
+            let known = !send.fresh && self.noticed.contains(&(at, send.address));
+            if known && self.silent.contains_key(&(at, send.address)) {
+                return Err(format!("{} goes out on a connection known to be silent", send.attempt));
+            }
         }
         let wait = self.soon() + self.nodes[at].resume.since(self.now);
         let to = to.map(|to| (to, self.backends[to].incarnation));
@@ -351,7 +361,8 @@
                 self.truth.end(*request, end, event)?;
                 self.relay_end(*request, end.outcome());
             }
-            Effect::Retire(address) => self.silent.retain(|silent| *silent != (at, *address)),
+            Effect::Retire(address) => drop(self.silent.remove(&(at, *address))),
+            Effect::Release(attempt) => self.notice(at, *attempt),
             Effect::WakeAt(time) => self.nodes[at].wake = *time,
             Effect::Ready(ready) => self.nodes[at].ready = *ready,
             Effect::Exit => {
