Let a request wait when the only engine with its model is dead

Ruled out: the retry budget (failed connections take nothing from it) and the table's outage (it came later).

Change: a failure that makes no work for back ends is no strike against a model's request; it goes on with growing jittered waits until its deadline. Calls of plain services keep the limit: no placement brings those elsewhere.

A dead sole holder is tried fewer than 30 times in 5 s by one request (test `sole_holder_dead`, failed before).

--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -11,6 +11,7 @@
 use crate::flow::{self, Flow, Try};
 use crate::id;
 use crate::index;
+use crate::route::Work;
 use crate::settings::Settings;
 use crate::state::State;
 use crate::time::Time;
@@ -99,7 +100,8 @@
         matches!(self, Self::Silent | Self::Gap | Self::Failed(Failure::Foreign))
     }
 
-    /// Whether another try makes more work for back ends.
+    /// Whether another try makes more work for back ends. Where it does not, a model's request tries until its
+    /// deadline, since placement may bring the model elsewhere meanwhile.
     const fn costs(self) -> bool {
         !matches!(
             self,
@@ -126,7 +128,9 @@
     if let Some(evidence) = trouble.evidence() {
         flow.exposure.disprove(evidence);
     }
-    flow.strikes += 1;
+    if trouble.costs() || !matches!(flow.work, Work::Artifact(_)) {
+        flow.strikes += 1;
+    }
     let attempts_max = state.settings.attempts_max;
     let in_time = now < flow.ticket.deadline;
     let next = if in_time && flow.strikes < attempts_max { next(flow, &closed, trouble) } else { Next::End };
--- a/core/tests/retry_budget.rs
+++ b/core/tests/retry_budget.rs
@@ -204,3 +204,28 @@
     assert_eq!(outcome(&effects, id), Some((Code::CallerGone, Outcome::Unknown)));
     assert!(entry.answer(attempt).is_empty(), "a late answer is dropped");
 }
+
+#[test]
+fn sole_holder_dead() {
+    let mut entry = Entry::new(Settings::default(), Vec::new(), &["engine-1"], &[]);
+    let (id, effects) = entry.ask(Ask::default());
+    let mut open = sends(&effects);
+    for _ in 0..500 {
+        open = match open.pop() {
+            Some(send) => sends(&entry.fail(send.attempt, Failure::Connect)),
+            None => sends(&entry.advance(Duration::from_millis(10))),
+        };
+    }
+    assert!(entry.ended(id).is_none(), "it waits until the model is loaded elsewhere");
+    assert!(entry.sent().len() < 30, "a dead engine is not tried all the time: {}", entry.sent().len());
+    for send in open {
+        entry.fail(send.attempt, Failure::Connect);
+    }
+    entry.add(vm("engine-2", "hall-a", Role::Backend("writers".into())));
+    entry.report("engine-2", 0, true);
+    entry.advance(Duration::from_secs(2));
+    let last = entry.sent().pop().expect("a try");
+    assert_eq!(last.backend, "engine-2");
+    entry.answer(last.attempt);
+    assert_eq!(entry.ended(id).map(|end| end.outcome()), Some(Outcome::Answered));
+}
