Keep the form of names and digests in one place

Cause: The reader of documents and the check before a change is accepted each had their own rule for names and digests. Change: both use that of the types; names of groups, services and callers are checked where they stand in the file too. The client says so where no configuration is in force yet. Conclusion: What the reader takes, the check does not refuse for its form.

--- a/cli/src/cmd/apply.rs
+++ b/cli/src/cmd/apply.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::client::Client;
-use crate::cmd::in_force;
+use crate::cmd::{in_force, note_none};
 use crate::console::Console;
 use crate::diff::{self, Change};
 use crate::error::Error;
@@ -39,6 +39,7 @@
 pub(crate) async fn run(options: &Options, console: &mut Console<'_>) -> Result<(), Error> {
     let client = Client::new(options)?;
     let (current, before) = in_force(&client).await?;
+    note_none(current, console)?;
     let mut document = before.clone();
     files::overlay(&options.operands, &mut document)?;
     let changes = diff::documents(&before, &document)?;
--- a/cli/src/cmd/diff.rs
+++ b/cli/src/cmd/diff.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use crate::client::Client;
-use crate::cmd::in_force;
+use crate::cmd::{in_force, note_none};
 use crate::console::Console;
 use crate::diff::{self, Change};
 use crate::error::Error;
@@ -21,6 +21,7 @@
 pub(crate) async fn run(options: &Options, console: &mut Console<'_>) -> Result<(), Error> {
     let client = Client::new(options)?;
     let (base, before) = in_force(&client).await?;
+    note_none(base, console)?;
     let mut document = before.clone();
     files::overlay(&options.operands, &mut document)?;
     let changes = diff::documents(&before, &document)?;
--- a/cli/src/cmd/get.rs
+++ b/cli/src/cmd/get.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 use crate::client::Client;
-use crate::cmd::in_force;
+use crate::cmd::{in_force, note_none};
 use crate::console::Console;
 use crate::error::Error;
 use crate::options::{Options, Output};
@@ -21,6 +21,7 @@
 pub(crate) async fn run(options: &Options, console: &mut Console<'_>) -> Result<(), Error> {
     let client = Client::new(options)?;
     let (version, document) = in_force(&client).await?;
+    note_none(version, console)?;
     let document = readable(&document)?;
     if options.output == Output::Json {
         return console.json(&Report { version, document });
--- a/cli/src/cmd/mod.rs
+++ b/cli/src/cmd/mod.rs
@@ -63,3 +63,11 @@
         _ => Err(client.mismatched()),
     }
 }
+
+/// Says so where no configuration is in force: an entry VM that has just started may not have read it.
+fn note_none(version: u64, console: &mut Console<'_>) -> Result<(), Error> {
+    if version > 0 {
+        return Ok(());
+    }
+    console.progress("note: no configuration is in force at this entry VM")
+}
--- a/cli/tests/client/shown_results.rs
+++ b/cli/tests/client/shown_results.rs
@@ -57,6 +57,16 @@
     fake.stop().await;
 }
 
+#[actix_rt::test]
+async fn none_in_force() {
+    let fake = Fake::start();
+    fake.state.lock().expect("not poisoned").version = 0;
+    let run = fake.run(&["get"]).await;
+    assert!(run.out.starts_with("// Version 0."), "{}", run.out);
+    assert_eq!(run.err, "note: no configuration is in force at this entry VM\n");
+    fake.stop().await;
+}
+
 #[actix_rt::test]
 async fn report_shown() {
     let fake = Fake::start();
--- a/core/src/check.rs
+++ b/core/src/check.rs
@@ -8,17 +8,12 @@
 use crate::code::Code;
 use crate::config::Document;
 use crate::fleet;
-use crate::inventory::{Inventory, Kind, Version};
+use crate::inventory::{Inventory, Kind, SEPARATORS, Version};
 use crate::name::Name;
-use crate::rules::Rules;
+use crate::rules::{Rules, is_digest};
 
 mod fit;
 
-/// Characters that separate the parts of what callers ask for.
-const SEPARATORS: [char; 3] = [':', '@', '/'];
-/// Length of a SHA-256 digest in hex.
-const DIGEST_LENGTH: usize = 64;
-
 /// Something that speaks against a configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum Fault {
@@ -247,7 +242,3 @@
 fn unknown(what: &'static str, name: &Name, kind: &'static str, target: &Name) -> Fault {
     Fault::Unknown { what, name: name.clone(), kind, target: target.clone() }
 }
-
-fn is_digest(text: &str) -> bool {
-    text.len() == DIGEST_LENGTH && text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
-}
--- a/core/src/inventory.rs
+++ b/core/src/inventory.rs
@@ -4,6 +4,9 @@
 
 use crate::name::Name;
 
+/// Characters that separate the parts of what callers ask for, and that no name may have.
+pub const SEPARATORS: [char; 3] = [':', '@', '/'];
+
 /// Everything declared, from the operator's asset register.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/core/src/rules.rs
+++ b/core/src/rules.rs
@@ -55,6 +55,15 @@
     pub reach: Vec<Name>,
 }
 
+/// Digits of a SHA-256 in hex.
+const DIGEST_DIGITS: usize = 64;
+
+/// Whether a text has the form of a caller's `token_sha256`.
+#[must_use]
+pub fn is_digest(text: &str) -> bool {
+    text.len() == DIGEST_DIGITS && text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
+}
+
 fn one() -> u32 {
     1
 }
--- a/wire/src/document.rs
+++ b/wire/src/document.rs
@@ -1,9 +1,9 @@
 //! Reads inventory and rules documents: JSON with comments, every error with its place.
 
 use boragecove_core::config::Document;
-use boragecove_core::inventory::{Adapter, Group, Inventory, Kind, Model, Service, Version};
+use boragecove_core::inventory::{Adapter, Group, Inventory, Kind, Model, SEPARATORS, Service, Version};
 use boragecove_core::name::Name;
-use boragecove_core::rules::{Caller, Place, Precedence, Priority, Rules, Weights};
+use boragecove_core::rules::{Caller, Place, Precedence, Priority, Rules, Weights, is_digest};
 
 use crate::jsonc::{self, Node, Problems};
 
@@ -13,8 +13,6 @@
 const WEIGHT_MAX: f64 = 1_000_000.0;
 /// The longest target, in milliseconds.
 const TARGET_MAX_MS: u64 = 3_600_000;
-/// Hex digits of a SHA-256.
-const DIGEST_DIGITS: usize = 64;
 
 /// What one file declares: an inventory, rules, or both.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -75,7 +73,7 @@
 
 fn group(node: &Node<'_>) -> Option<Group> {
     let mut object = node.object();
-    let name = object.required("name").and_then(|node| node.name());
+    let name = object.required("name").and_then(|node| subject(&node));
     let kind = object.required("kind");
     let kind = kind.and_then(|node| node.choice(&[("engine", Kind::Engine), ("service", Kind::Service)]));
     let memory_mb = match kind {
@@ -129,7 +127,7 @@
 
 fn service(node: &Node<'_>) -> Option<Service> {
     let mut object = node.object();
-    let name = object.required("name").and_then(|node| node.name());
+    let name = object.required("name").and_then(|node| subject(&node));
     let group = object.required("group").and_then(|node| node.name());
     let idempotent = object.optional("idempotent").map_or(Some(false), |node| node.boolean());
     Some(Service { name: name?, group: group?, idempotent: idempotent? })
@@ -147,7 +145,7 @@
 
 fn caller(node: &Node<'_>) -> Option<Caller> {
     let mut object = node.object();
-    let name = object.required("name").and_then(|node| node.name());
+    let name = object.required("name").and_then(|node| subject(&node));
     let token_sha256 = object.required("token_sha256").and_then(|node| digest(&node));
     let priority = object.optional("priority").map_or(Some(Priority::default()), |node| priority(&node));
     let weight = object.optional("weight").map_or(Some(1), |node| count(&node, 1));
@@ -207,10 +205,10 @@
     node.integer(1, TARGET_MAX_MS).and_then(|number| u32::try_from(number).ok())
 }
 
-/// A name that callers can write as part of `model:adapter@version`.
+/// A name without the characters that separate names in `model:adapter@version` and in paths.
 fn subject(node: &Node<'_>) -> Option<Name> {
     let name = node.name()?;
-    if name.contains([':', '@', '/']) {
+    if name.contains(SEPARATORS) {
         node.refuse("expected a name without ':', '@' and '/', which separate names");
         return None;
     }
@@ -219,9 +217,7 @@
 
 fn digest(node: &Node<'_>) -> Option<Name> {
     let name = node.name()?;
-    let is_digest =
-        name.len() == DIGEST_DIGITS && name.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
-    if !is_digest {
+    if !is_digest(&name) {
         node.refuse("expected a SHA-256 as 64 lower-case hex digits, as `sha256sum` prints it");
         return None;
     }
