--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -22,7 +22,7 @@
 use crate::time::Time;
 use crate::timer::Timer;
 
-pub(crate) use explain::explain;
+pub(crate) use explain::weighed;
 use plan::{Bounds, Plan, Step};
 use view::{Item, View};
 
--- a/core/src/place/explain.rs
+++ b/core/src/place/explain.rs
@@ -1,77 +1,64 @@
-//! Why a model is where it is and what would move it, in sentences for operators.
+//! What placement weighs about an artifact, and what would move it, in sentences for operators.
 
-use crate::name::Name;
+use crate::artifact::Artifact;
 use crate::state::State;
 use crate::time::Time;
 
 use super::score::FULL;
 use super::view::View;
 
-/// Explains the placement of every version and adapter of a model in this zone.
-pub(crate) fn explain(state: &State, now: Time, model: &str) -> Vec<Name> {
-    let mut lines = Vec::new();
-    let zone = &state.me.zone;
-    let entries = &state.config.catalog.entries;
-    let known: Vec<usize> = (0..entries.len()).filter(|at| entries[*at].artifact.model == model).collect();
-    if known.is_empty() {
-        return vec![format!("{model} is not declared: copies that are still loaded will be dropped").into()];
-    }
-    let fence = state.lease.fence(now);
-    if fence.is_none() {
-        let holder = state.lease.holder().map_or("nobody", Name::as_str);
-        lines.push(format!("{holder} plans {zone}; what follows is what {} knows", state.me.vm));
-    }
-    let mut view = View::new(state, now, fence.unwrap_or_default());
+/// What is known of an artifact's demand in this zone, and what follows for its copies.
+pub(crate) fn weighed(state: &State, now: Time, artifact: &Artifact) -> Vec<String> {
+    let Some(at) = state.config.catalog.position(artifact) else {
+        return Vec::new();
+    };
+    let fence = state.lease.fence(now).unwrap_or_default();
+    let mut view = View::new(state, now, fence);
     view.share_out();
-    for at in known {
-        about(state, &view, at, &mut lines);
-    }
-    lines.into_iter().map(Name::from).collect()
-}
-
-fn about(state: &State, view: &View, at: usize, lines: &mut Vec<String>) {
     let item = &view.items[at];
-    let name = &item.artifact;
-    let zone = &state.me.zone;
-    lines.push(format!("{name} takes {} MB on engines of {}", item.memory_mb, item.group));
-    if !item.allowed {
-        lines.push(format!("{name} may not be in {zone} by the rules"));
-    }
+    let track = state.demand.track(artifact);
+    let mut lines = vec![format!(
+        "asked for {:.2} times a second, {:.2} by forecast, which takes {:.1} slots; {} requests wait",
+        track.rate(),
+        track.forecast(),
+        item.load,
+        item.waiting
+    )];
     for host in &item.holders {
         let there = &view.hosts[*host];
         lines.push(format!(
-            "{name} is on {}, whose {} slots are asked for {:.1} by forecast; {} of {} MB are free there",
-            there.name, there.slots, there.load, there.free_mb, there.memory_mb
+            "{}: {:.1} of {} slots are asked for by forecast",
+            there.name, there.load, there.slots
         ));
     }
+    lines.push(more(&view, at));
+    lines.push(fewer(&view, at));
+    lines
+}
+
+/// What would bring a copy more.
+fn more(view: &View, at: usize) -> String {
+    let item = &view.items[at];
     if item.holders.is_empty() && item.elsewhere == 0 {
-        lines.push(format!("{name} is nowhere: it is loaded before anything else, as soon as it fits"));
-    }
-    if item.elsewhere > 0 {
-        lines.push(format!("{name} has {} copies in other zones", item.elsewhere));
+        return "nowhere ready: it is loaded before anything else, as soon as it fits".to_owned();
     }
-    let track = state.demand.track(name);
-    lines.push(format!(
-        "{name} is asked for {:.2} times a second, {:.2} by forecast, and takes {:.1} slots; {} wait",
-        track.rate(),
-        track.forecast(),
-        item.load,
-        item.waiting
-    ));
     let excess: f64 = item.holders.iter().map(|host| view.excess(*host)).sum();
+    let full = FULL * 100.0;
     if excess > 0.0 {
-        lines.push(format!(
-            "its engines are asked for {excess:.1} slots beyond {:.0}% of what they have: a further copy is loaded \
-             where that saves more targets than its moves weigh",
-            FULL * 100.0
-        ));
-    } else if !item.holders.is_empty() {
-        lines.push("no further copy is loaded: its engines have slots to spare".to_owned());
+        return format!(
+            "its engines are asked for {excess:.1} slots beyond {full:.0}% of what they have: a further copy is \
+             loaded where that saves more targets than its moves weigh"
+        );
     }
+    format!("no further copy is loaded before its engines are asked for more than {full:.0}% of their slots")
+}
+
+/// What would drop a copy.
+fn fewer(view: &View, at: usize) -> String {
+    let item = &view.items[at];
     let copies = item.holders.len() as u32 + item.elsewhere;
     if copies <= item.least || (item.certain <= 1 && !item.kept_elsewhere) {
-        lines.push(format!("no copy is dropped: {copies} are there and {} must stay", item.least));
-    } else {
-        lines.push("a copy is dropped only when its memory is needed for another artifact".to_owned());
+        return format!("no copy is dropped: {copies} are there, and {} must stay", item.least);
     }
+    "a copy is dropped only when its memory is needed for another artifact".to_owned()
 }
