--- a/core/src/place/view.rs
+++ b/core/src/place/view.rs
@@ -18,7 +18,6 @@
     pub name: Name,
     pub group: Name,
     pub slots: f64,
-    pub memory_mb: u64,
     /// Memory that no copy and no order takes.
     pub free_mb: u64,
     /// Whether it takes requests.
@@ -123,7 +122,6 @@
                 name: backend.name.clone(),
                 group: backend.group.clone(),
                 slots: f64::from(group.slots.max(1)),
-                memory_mb: report.memory_mb,
                 free_mb: 0,
                 live: backend.takes_work(),
                 room: if ready { state.ledger.room(&backend.name) } else { 0 },
