--- a/core/tests/control/world.rs
+++ b/core/tests/control/world.rs
@@ -113,6 +113,7 @@
     pub ended: Vec<Ended>,
     receipts: BTreeMap<id::Order, Receipt>,
     loading: Vec<(Time, Order)>,
+    pub load_time: Duration,
     seq: u64,
 }
 
@@ -137,7 +138,7 @@
                     let (artifact, memory_mb) = (artifact.clone(), *memory_mb);
                     self.copies.push(Copy { artifact, memory_mb, stage: Stage::Loading, requests: 0 });
                 }
-                self.loading.push((now + Duration::from_secs(1), order.clone()));
+                self.loading.push((now + self.load_time, order.clone()));
                 return Receipt::Taken;
             }
             Action::Unload { artifact } => {
@@ -272,6 +273,10 @@
 
 impl World {
     pub fn new(nodes: usize, engines: usize, document: Document) -> Self {
+        Self::tuned(nodes, engines, document, &Settings::default())
+    }
+
+    pub fn tuned(nodes: usize, engines: usize, document: Document, settings: &Settings) -> Self {
         let now = Time::from_millis(1_000);
         let group = document.inventory.groups[0].clone();
         let mut vms = Vec::new();
@@ -290,7 +295,7 @@
         world.declare(document);
         for n in 1..=nodes {
             vms.push(vm(&format!("entry-{n}"), n, Role::Entry));
-            world.nodes.push(node(n as u64, now));
+            world.nodes.push(node(n as u64, now, settings));
         }
         for n in 1..=engines {
             let vm = vm(&format!("engine-{n}"), 100 + n, Role::Backend(GROUP.into()));
@@ -305,6 +310,7 @@
                 ended: Vec::new(),
                 receipts: BTreeMap::new(),
                 loading: Vec::new(),
+                load_time: Duration::from_secs(1),
                 seq: 0,
             };
             world.engines.insert(vm.name, engine);
@@ -346,7 +352,8 @@
         }
     }
 
-    fn carry_out(&mut self, at: usize, effect: Effect) {
+    /// Carries out what a node asks for.
+    pub fn carry_out(&mut self, at: usize, effect: Effect) {
         match effect {
             Effect::Table { op, call } => {
                 let reply = match self.nodes[at].table {
@@ -496,10 +503,10 @@
     }
 }
 
-fn node(n: u64, now: Time) -> Node {
+fn node(n: u64, now: Time, settings: &Settings) -> Node {
     let me = Identity { vm: format!("entry-{n}").into(), zone: ZONE.into(), incarnation: Incarnation(n) };
     Node {
-        state: State::new(me, Settings::default(), n, now),
+        state: State::new(me, settings.clone(), n, now),
         paused: false,
         table: Mode::Up,
         inbox: Vec::new(),
--- a/daemon/src/settings/file.rs
+++ b/daemon/src/settings/file.rs
@@ -25,6 +25,10 @@
 const RECORDS_MAX: u64 = 1 << 20;
 /// Retries a second beyond the share, at most.
 const FLOOR_MAX: f64 = 1_000_000.0;
+/// Loads a second of a weight store, at the most.
+const STORE_RATE_MAX: f64 = 100_000.0;
+/// Loads at once of a weight store, at the most.
+const STORE_SLOTS_MAX: u64 = 100_000;
 
 /// Settings that could not be had.
 #[derive(Debug, Error)]
@@ -232,6 +236,11 @@
     set(&mut core.lease_length, duration(&mut object, "lease-length"));
     set(&mut core.lease_renew, duration(&mut object, "lease-renew"));
     set(&mut core.plan_every, duration(&mut object, "plan-every"));
+    set(&mut core.store_rate, number(&mut object, "store-rate", 0.01, STORE_RATE_MAX));
+    set(
+        &mut core.store_slots,
+        integer(&mut object, "store-slots", 1, STORE_SLOTS_MAX).map(|found| found as u32),
+    );
     set(&mut core.claim_linger, duration(&mut object, "claim-linger"));
     let batch = integer(&mut object, "claim-batch", 1, BATCH_MAX);
     set(&mut core.claim_batch, batch.map(|found| found as usize));
