--- a/daemon/src/callers/arrival.rs
+++ b/daemon/src/callers/arrival.rs
@@ -92,6 +92,9 @@
 ) -> Result<Arrival, Refused> {
     let read =
         Body::read(body).map_err(|error| Refused::new(Code::Malformed, format!("the body: {error}")))?;
+    if read.continuation.is_some() {
+        return Err(Refused::new(Code::Malformed, "the body: \"continuation\" is not for callers"));
+    }
     let target: Target =
         read.model.parse().map_err(|error| Refused::new(Code::Malformed, format!("\"model\": {error}")))?;
     let mut arrival = bare(request, id, Subject::Model(target), body, hops, edge)?;
@@ -131,7 +134,7 @@
         subject,
         idempotent: idempotent(request)?,
         key: key.map(Name::from),
-        digest: digest(request, body),
+        digest: key.map_or_else(Name::default, |_| digest(request, body)),
         priority: priority(request)?,
         deadline: edge.clock.now() + deadline(request, edge)?,
         stream: false,
