Join the two tests of plain processes

Cause: two tests set up the same deployment of processes: one asked for an answer through each entry VM, the other also stopped each with a stream open.

Change: one test does both; each process still gets SIGTERM while 300 events stream, must pass them all on with the end mark, and must end with success.

Conclusion: nothing that either checked is lost.

--- a/daemon/tests/separate_processes.rs
+++ b/daemon/tests/separate_processes.rs
@@ -15,6 +15,9 @@
 /// Time between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Tokens of the stream that a stopping entry VM finishes.
+const TOKENS: usize = 300;
+
 /// A process that ends with the test.
 struct Process(Child);
 
@@ -65,6 +68,7 @@
         "platform": { "table": platform, "objects": platform, "vms": platform },
         "peer-secret": "peers",
         "operator-token": "operators",
+        "timeouts": { "balancer-grace": "100ms" },
         "control": { "list-every": "50ms", "poll-every": "50ms", "plan-every": "50ms", "config-every": "100ms" },
     });
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("separate-processes-{n}.jsonc"));
@@ -121,7 +125,7 @@
         })
         .collect();
     assert_eq!(engines.len(), 3);
-    let entries: Vec<(Process, Entry)> =
+    let mut entries: Vec<(Process, Entry)> =
         ["hall-a", "hall-b"].iter().enumerate().map(|(n, zone)| entry(n + 1, zone, platform)).collect();
     for (n, (zone, (_, entry))) in ["hall-a", "hall-b"].iter().zip(&entries).enumerate() {
         let name = format!("entry-{}", n + 1);
@@ -140,4 +144,24 @@
         })
         .await;
     }
+    for (process, entry) in &mut entries {
+        stop_while_streaming(&mut process.0, entry.callers).await;
+    }
+}
+
+/// Asks a process to stop while a stream is open: the stream comes whole, and the process ends well.
+async fn stop_while_streaming(process: &mut Child, callers: SocketAddr) {
+    let body = json!({ "model": "briefing", "prompt": "p", "max_tokens": TOKENS, "stream": true });
+    let request =
+        awc::Client::builder().timeout(PATIENCE).finish().post(format!("http://{callers}/v1/completions"));
+    let mut answer = request.send_json(&body).await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    let told = Command::new("kill").args(["-TERM", &process.id().to_string()]).status().expect("a signal");
+    assert!(told.success());
+    let text = answer.body().limit(1 << 20).await.expect("a whole body");
+    let text = String::from_utf8_lossy(&text);
+    assert_eq!(text.matches("\"choices\"").count(), TOKENS);
+    assert!(text.ends_with("data: [DONE]\n\n"), "the stream has its end mark");
+    let ended = process.wait().expect("an end");
+    assert!(ended.success(), "{ended}");
 }
