Pass on every load that a collector reads, and hand over on a stop

Cause: a report that did not change was never passed on, so it grew old elsewhere; an entry VM that stopped kept its engines until the VM list came.

Change: loads go out with each frame, changed or not; assignments follow a peer's word that it stops, and one's own stop.

--- a/core/src/collect.rs
+++ b/core/src/collect.rs
@@ -120,12 +120,12 @@
     member::tell_all(state, &[Item::Report(Box::new(report.clone()))], out);
 }
 
-/// The loads that changed since they were last passed on.
+/// The loads reported since they were last passed on, changed or not: that a report is recent counts, too.
 pub(crate) fn loads(state: &mut State) -> Option<Item> {
     let mut loads = Vec::new();
     for (engine, told) in &mut state.collect.told {
         let report = state.fleet.backends.get(engine).and_then(|backend| backend.report.as_ref());
-        let Some(report) = report.filter(|report| report.seq > told.seq && differs(report, told)) else {
+        let Some(report) = report.filter(|report| report.seq > told.seq) else {
             continue;
         };
         loads.push(Load {
@@ -142,16 +142,6 @@
     (!loads.is_empty()).then_some(Item::Loads(loads))
 }
 
-/// Whether loads differ enough to be passed on: any request, or a tenth of the tokens.
-fn differs(report: &Report, told: &Report) -> bool {
-    let requests = |report: &Report| -> Vec<u32> { report.copies.iter().map(|copy| copy.requests).collect() };
-    let tokens = report.tokens_per_second.abs_diff(told.tokens_per_second);
-    report.running != told.running
-        || report.waiting != told.waiting
-        || tokens * 10 > told.tokens_per_second
-        || requests(report) != requests(told)
-}
-
 /// All reports as last passed on, for a peer that has none.
 pub(crate) fn whole(state: &State) -> Vec<Item> {
     state.collect.told.values().map(|report| Item::Report(Box::new(report.clone()))).collect()
--- a/core/src/drain.rs
+++ b/core/src/drain.rs
@@ -44,6 +44,7 @@
     }
     state.drain.stage = Stage::Grace;
     out.push(Effect::Ready(false));
+    crate::collect::assign(state, now);
     state.timers.set(now + state.settings.balancer_grace, Timer::Grace);
 }
 
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -244,7 +244,7 @@
     if peer.retired.contains(&frame.incarnation) || (same && peer.seq >= frame.seq) {
         return false;
     }
-    let back = peer.suspected || !same;
+    let changed = peer.suspected || !same || peer.stopping != frame.stopping;
     if !same {
         if let Some(old) = peer.incarnation.replace(frame.incarnation) {
             peer.retired.push_back(old);
@@ -264,7 +264,7 @@
         peer.address = address;
         verdict::displace(state, &frame.from, address);
     }
-    if back {
+    if changed {
         collect::assign(state, now);
     }
     true
--- a/core/tests/cluster/mod.rs
+++ b/core/tests/cluster/mod.rs
@@ -6,9 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use boragecove_core::artifact::Artifact;
 use boragecove_core::config::Document;
 use boragecove_core::effect::Effect;
-use boragecove_core::engine::{Fence, Report, Role as EngineRole};
+use boragecove_core::engine::{Copy, Fence, Report, Role as EngineRole, Stage};
 use boragecove_core::event::Event;
 use boragecove_core::id::{self, Incarnation};
 use boragecove_core::inventory::{Group, Inventory, Kind, Model, Version as ModelVersion};
@@ -448,3 +449,9 @@
         ..Document::default()
     }
 }
+
+/// A ready copy of a model of [`document`].
+pub fn copy(model: &str) -> Copy {
+    let artifact = Artifact { model: model.into(), adapter: None, version: "1".into() };
+    Copy { artifact, memory_mb: 1_000, stage: Stage::Ready, requests: 0 }
+}
