Follow the linter in the order of audit records

Cause: a cast that may wrap and an event passed by value were refused.

Change: the cast names its intent, the event is passed by reference.

--- a/core/tests/audit_order.rs
+++ b/core/tests/audit_order.rs
@@ -84,7 +84,7 @@
 impl World {
     fn run(skew: u64, seed: u64) -> Vec<Record> {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let skew = skew as i64;
+        let skew = skew.cast_signed();
         let mut world = Self {
             offsets: std::array::from_fn(|_| rng.i64(-skew..=skew)),
             tags: Default::default(),
@@ -106,7 +106,7 @@
             if at > LENGTH {
                 break;
             }
-            world.step(at, event);
+            world.step(at, &event);
         }
         world.records
     }
@@ -140,8 +140,8 @@
         self.records.push(Record { node, at, wall, vector, hybrids, config, act });
     }
 
-    fn step(&mut self, at: u64, event: Event) {
-        match event {
+    fn step(&mut self, at: u64, event: &Event) {
+        match *event {
             Event::Change => self.change(at),
             Event::Frame { to, config, tag } => {
                 let tag = self.frames[tag].clone();
