--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -90,8 +90,6 @@
     pub peers: BTreeMap<Name, Peer>,
     /// When anything from outside last reached this process.
     pub evidence: Time,
-    /// Items for the next frame to each entry VM of the zone.
-    news: Vec<Item>,
     /// From when on silence counts.
     listening: Time,
     /// When the next frames are due.
@@ -144,7 +142,7 @@
 }
 
 fn tell_zone(state: &mut State, out: &mut Vec<Effect>) {
-    let mut items = std::mem::take(&mut state.member.news);
+    let mut items = summary::pass_on(state);
     items.extend(collect::loads(state));
     let peers: Vec<Name> = zone_peers(state).map(|(name, _)| name.clone()).collect();
     for name in peers {
@@ -178,11 +176,6 @@
     }
 }
 
-/// Has an item go to every other entry VM of the zone with the next frame.
-pub(crate) fn spread(state: &mut State, item: Item) {
-    state.member.news.push(item);
-}
-
 /// Sends a frame with `items` to one peer, if it is known where that listens.
 pub(crate) fn tell(state: &mut State, peer: &Name, items: Vec<Item>, out: &mut Vec<Effect>) {
     let Some(address) = state.member.peers.get(peer).map(|peer| peer.address) else {
--- a/core/src/peer.rs
+++ b/core/src/peer.rs
@@ -111,9 +111,9 @@
     pub by: Incarnation,
     /// Grows with each one made by that process.
     pub seq: u64,
-    /// The share of all artifacts that `offers` has in full; none: it has all of them.
-    pub share: Option<u32>,
-    /// What the zone holds ready: that share, and what else changed.
+    /// How far `offers` go.
+    pub extent: Extent,
+    /// What the zone holds ready.
     pub offers: Vec<Offer>,
     /// Memory that no copy takes, in MB, over all engines.
     pub free_mb: u64,
@@ -123,6 +123,19 @@
     pub silent: Vec<Name>,
 }
 
+/// How far the offers of a summary go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Extent {
+    /// They are all there are.
+    All,
+    /// They are all of this share, and what else changed.
+    Share(u32),
+    /// They are what changed.
+    #[default]
+    Changes,
+}
+
 /// One artifact that a zone holds ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -1,23 +1,26 @@
 //! What each zone offers to the others, in short: which artifacts it holds ready and how busy they are.
 //!
-//! A summary states, for each artifact it names, how things are; it names those that changed and a share
-//! of the rest, so that one that got lost is made good within a few intervals.
+//! A summary states, for each artifact it names, how things are: with every frame those whose copies
+//! changed, now and then also those whose load did, and a share of the rest, so that one that got lost is
+//! made good before long. Load that changes little is not told.
 
 use std::collections::BTreeMap;
 
-use rustc_hash::FxHashMap;
-
 use crate::artifact::Artifact;
 use crate::engine::Stage;
 use crate::id::Incarnation;
 use crate::member;
 use crate::name::Name;
-use crate::peer::{Item, Offer, Summary};
+use crate::peer::{Extent, Item, Offer, Summary};
 use crate::state::State;
 use crate::time::Time;
 
-/// Intervals within which a summary has named every artifact once.
+/// Shares of all artifacts, one of which goes out with each summary that tells load.
 const SHARES: u32 = 16;
+/// Every so many summaries one tells load as well.
+const LOAD_EVERY: u32 = 8;
+/// Change of load that is worth telling, in parts of an engine's slots.
+const LOAD_STEP: u32 = 2;
 /// Intervals without a summary after which a zone's offers count no more.
 const EXPIRY_INTERVALS: u32 = 8;
 /// The unit of load, as parts of an engine's slots.
@@ -36,15 +39,76 @@
     pub silent: Vec<Name>,
     by: Incarnation,
     seq: u64,
-    offers: FxHashMap<u32, Offer>,
+    offers: BTreeMap<u32, Offer>,
+    /// What was passed on of it within this zone, and when it was last heard then.
+    told: Told,
+    passed: Time,
+}
+
+impl Zone {
+    /// A summary of it that `by` passes on.
+    fn item(&self, zone: Name, by: Incarnation, seq: u64, extent: Extent, offers: Vec<Offer>) -> Item {
+        Item::Summary(Box::new(Summary {
+            zone,
+            by,
+            seq,
+            extent,
+            offers,
+            free_mb: self.free_mb,
+            config: self.config,
+            silent: self.silent.clone(),
+        }))
+    }
+}
+
+/// What was told to someone of a zone's offers.
+#[derive(Debug, Default)]
+struct Told {
+    offers: BTreeMap<u32, Offer>,
+    /// Summaries told so far; none before the first.
+    count: u32,
+}
+
+impl Told {
+    /// The offers to tell next, and how far they go.
+    fn next(&mut self, current: &BTreeMap<u32, Offer>) -> (Vec<Offer>, Extent) {
+        let whole = self.count == 0;
+        let with_load = whole || self.count.is_multiple_of(LOAD_EVERY);
+        let share = self.count / LOAD_EVERY % SHARES;
+        self.count = self.count.wrapping_add(1).max(1);
+        let news = |offer: &Offer| {
+            let Some(told) = self.offers.get(&offer.artifact) else {
+                return true;
+            };
+            let in_share = offer.artifact % SHARES == share;
+            told.copies != offer.copies
+                || (with_load && (in_share || told.load.abs_diff(offer.load) >= LOAD_STEP))
+        };
+        let mut offers: Vec<Offer> = current.values().filter(|offer| whole || news(offer)).copied().collect();
+        let gone = self.offers.keys().filter(|artifact| !current.contains_key(artifact));
+        offers.extend(gone.map(|artifact| Offer { artifact: *artifact, copies: 0, load: 0 }));
+        for offer in &offers {
+            if offer.copies == 0 {
+                self.offers.remove(&offer.artifact);
+            } else {
+                self.offers.insert(offer.artifact, *offer);
+            }
+        }
+        let extent = match (whole, with_load) {
+            (true, _) => Extent::All,
+            (false, true) => Extent::Share(share),
+            (false, false) => Extent::Changes,
+        };
+        (offers, extent)
+    }
 }
 
 /// The other zones, and what was told to them.
 #[derive(Debug, Default)]
 pub(crate) struct Part {
     zones: BTreeMap<Name, Zone>,
-    /// Offers as last told to each entry VM of another zone, and the share that is next.
-    told: BTreeMap<Name, (BTreeMap<u32, Offer>, u32)>,
+    /// What was told to each entry VM of another zone.
+    told: BTreeMap<Name, Told>,
     seq: u64,
 }
 
@@ -111,18 +175,13 @@
 /// The next summary for an entry VM of another zone.
 pub(crate) fn next(state: &mut State, peer: &Name) -> Item {
     let synced = state.member.peers.get(peer).is_some_and(|peer| peer.synced);
-    let current = offers(state);
-    let (told, share) = state.summary.told.remove(peer).filter(|_| synced).unwrap_or_default();
-    let changed =
-        |offer: &&Offer| told.get(&offer.artifact) != Some(*offer) || offer.artifact % SHARES == share;
-    let mut offers: Vec<Offer> = current.values().filter(changed).copied().collect();
-    let gone = told.keys().filter(|artifact| !current.contains_key(artifact));
-    offers.extend(gone.map(|artifact| Offer { artifact: *artifact, copies: 0, load: 0 }));
+    let mut told = state.summary.told.remove(peer).filter(|_| synced).unwrap_or_default();
+    let (offers, extent) = told.next(&offers(state));
     if let Some(peer) = state.member.peers.get_mut(peer) {
         peer.synced = peer.heard.is_some();
     }
     state.summary.seq += 1;
-    state.summary.told.insert(peer.clone(), (current, (share + 1) % SHARES));
+    state.summary.told.insert(peer.clone(), told);
     let links = member::links(state);
     state.summary.told.retain(|name, _| links.contains(name));
     let peers = || member::zone_peers(state);
@@ -131,7 +190,7 @@
         zone: state.me.zone.clone(),
         by: state.me.incarnation,
         seq: state.summary.seq,
-        share: synced.then_some(share),
+        extent,
         offers,
         free_mb: free_mb(state),
         config: configs.chain([state.config.version]).min().unwrap_or_default(),
@@ -159,9 +218,10 @@
     if zone.by == summary.by && zone.seq >= summary.seq {
         return;
     }
-    match summary.share {
-        None => zone.offers.clear(),
-        Some(share) => zone.offers.retain(|artifact, _| artifact % SHARES != share),
+    match summary.extent {
+        Extent::All => zone.offers.clear(),
+        Extent::Share(share) => zone.offers.retain(|artifact, _| artifact % SHARES != share),
+        Extent::Changes => {}
     }
     for offer in &summary.offers {
         if offer.copies == 0 {
@@ -176,28 +236,37 @@
     zone.silent.clone_from(&summary.silent);
     zone.by = summary.by;
     zone.seq = summary.seq;
-    if member::is_first(state, &summary.zone) {
-        member::spread(state, Item::Summary(Box::new(summary)));
+}
+
+/// What this entry VM passes on within its zone with the next frames: the zones it was told of since the
+/// last, if it is the one that passes them on.
+pub(crate) fn pass_on(state: &mut State) -> Vec<Item> {
+    let names: Vec<Name> = state.summary.zones.keys().cloned().collect();
+    let first: Vec<Name> = names.into_iter().filter(|name| member::is_first(state, name)).collect();
+    let mut items = Vec::new();
+    for name in first {
+        let by = state.me.incarnation;
+        state.summary.seq += 1;
+        let seq = state.summary.seq;
+        let Some(zone) = state.summary.zones.get_mut(&name).filter(|zone| zone.heard > zone.passed) else {
+            continue;
+        };
+        zone.passed = zone.heard;
+        let (offers, extent) = zone.told.next(&zone.offers);
+        items.push(zone.item(name, by, seq, extent, offers));
     }
+    items
 }
 
-/// What this entry VM passes on within its zone, whole, for a peer that has heard nothing of it.
-pub(crate) fn passed_on(state: &State) -> Vec<Item> {
+/// The same whole, for a peer that has heard nothing of it.
+pub(crate) fn passed_on(state: &mut State) -> Vec<Item> {
+    state.summary.seq += 1;
+    let (by, seq) = (state.me.incarnation, state.summary.seq);
     let first = state.summary.zones.iter().filter(|(name, _)| member::is_first(state, name));
     first
         .map(|(name, zone)| {
-            let mut offers: Vec<Offer> = zone.offers.values().copied().collect();
-            offers.sort_by_key(|offer| offer.artifact);
-            Item::Summary(Box::new(Summary {
-                zone: name.clone(),
-                by: zone.by,
-                seq: zone.seq,
-                share: None,
-                offers,
-                free_mb: zone.free_mb,
-                config: zone.config,
-                silent: zone.silent.clone(),
-            }))
+            let offers = zone.offers.values().copied().collect();
+            zone.item(name.clone(), by, seq, Extent::All, offers)
         })
         .collect()
 }
--- a/core/tests/routing.rs
+++ b/core/tests/routing.rs
@@ -9,7 +9,7 @@
 use boragecove_core::event::Event;
 use boragecove_core::id::Incarnation;
 use boragecove_core::name::Name;
-use boragecove_core::peer::{Frame, Item, Offer, Summary};
+use boragecove_core::peer::{Extent, Frame, Item, Offer, Summary};
 use boragecove_core::settings::Settings;
 use boragecove_core::vm::{Phase, Role, Vm};
 
@@ -191,7 +191,7 @@
         zone: "hall-b".into(),
         by: Incarnation(21),
         seq: entry.now.0,
-        share: None,
+        extent: Extent::All,
         offers,
         free_mb: 0,
         config: 1,
