--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -276,7 +276,7 @@
             index::left(state, now, &backend);
         }
         Item::Drains(drains) => fleet::heard_drains(state, now, &drains, out),
-        Item::Summary(summary) => summary::heard(state, now, *summary),
+        Item::Summary(summary) => summary::heard(state, now, &summary),
         Item::Config(head) => config::adopt(state, now, &head, out),
         Item::Steps(steps) => config::heard_steps(state, now, steps, out),
         Item::WantConfig(theirs) => config::answer_want(state, from, theirs, out),
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -210,7 +210,7 @@
 }
 
 /// A summary came, from the zone itself or passed on within this one.
-pub(crate) fn heard(state: &mut State, now: Time, summary: Summary) {
+pub(crate) fn heard(state: &mut State, now: Time, summary: &Summary) {
     if summary.zone == state.me.zone {
         return;
     }
--- a/daemon/src/settings/file.rs
+++ b/daemon/src/settings/file.rs
@@ -223,6 +223,9 @@
 fn control(node: &Node<'_>, core: &mut core::Settings) {
     let mut object = node.object();
     set(&mut core.list_every, duration(&mut object, "list-every"));
+    let address = object.optional("peer-address").and_then(|node| node.address());
+    core.address = address.or(core.address);
+    set(&mut core.config_first, duration(&mut object, "config-first"));
     set(&mut core.config_every, duration(&mut object, "config-every"));
     set(&mut core.settle_every, duration(&mut object, "settle-every"));
     set(&mut core.settle_limit, duration(&mut object, "settle-limit"));
