Stamp records with the configuration in force; test that load is told seldom

Cause: the versions that put records of several entry VMs in order were not all in them, and no test showed that little changes of load are not told to other zones.

Change: each record and its log line name the configuration version in force; a test of summaries.

--- a/cli/tests/client/fake.rs
+++ b/cli/tests/client/fake.rs
@@ -270,6 +270,7 @@
     let order = id::Order { by: id::Incarnation(1), seq: 1 };
     Record {
         at: Time::from_millis(1_790_000_000_123),
+        config: 3,
         vm: "entry-2".into(),
         zone: "hall-a".into(),
         act: Act::Load { order, engine: "engine-a".into(), artifact: artifact() },
--- a/core/src/audit.rs
+++ b/core/src/audit.rs
@@ -18,6 +18,10 @@
 pub struct Record {
     /// When, by the clock of the entry VM that decided.
     pub at: Time,
+    /// The configuration version in force there; with the fences, it puts records of several entry VMs in
+    /// order where clocks disagree.
+    #[serde(default)]
+    pub config: u64,
     /// The entry VM.
     pub vm: Name,
     /// The availability zone it concerns.
@@ -166,7 +170,8 @@
 
 /// Keeps a record of a decision about this zone, and has it logged.
 pub(crate) fn record(state: &mut State, now: Time, act: Act, cause: Cause, out: &mut Vec<Effect>) {
-    let record = Record { at: now, vm: state.me.vm.clone(), zone: state.me.zone.clone(), act, cause };
+    let config = state.config.version;
+    let record = Record { at: now, config, vm: state.me.vm.clone(), zone: state.me.zone.clone(), act, cause };
     state.audit.records.push_back(record.clone());
     while state.audit.records.len() > state.settings.records_kept {
         state.audit.records.pop_front();
--- a/core/tests/zone_cut.rs
+++ b/core/tests/zone_cut.rs
@@ -6,6 +6,7 @@
 
 use boragecove_core::code::Code;
 use boragecove_core::operator::{Answer, Model, Query};
+use boragecove_core::peer::{Extent, Item};
 use boragecove_core::settings::Settings;
 use boragecove_core::vm::Phase;
 use cluster::{Cluster, GROUP, Mood, copy, document};
@@ -134,3 +135,24 @@
     cluster.run();
     assert_eq!(cluster.refusal(ask).map(|refusal| refusal.code), Some(Code::UnknownVm), "of another zone");
 }
+
+/// Load that hardly changes is not told; load that does is, before long.
+#[test]
+fn load_seldom() {
+    let mut cluster = started();
+    let holder = cluster.vms[6].name.clone();
+    let loads = |cluster: &Cluster, wanted: fn(Extent) -> bool| -> Vec<u32> {
+        let items = cluster.frames.iter().flat_map(|(_, frame, _)| &frame.items);
+        let summaries = items.filter_map(|item| match item {
+            Item::Summary(summary) if summary.zone == "hall-a" && wanted(summary.extent) => Some(summary),
+            _ => None,
+        });
+        summaries.flat_map(|summary| &summary.offers).map(|offer| offer.load).collect()
+    };
+    cluster.frames.clear();
+    cluster.reports.get_mut(&holder).expect("it reports").running = 1;
+    cluster.advance(Duration::from_secs(30));
+    assert_eq!(loads(&cluster, |extent| extent == Extent::Changes), [], "an eighth is no news");
+    cluster.reports.get_mut(&holder).expect("it reports").running = 8;
+    cluster.until(Duration::from_secs(10), "told", |cluster| loads(cluster, |_| true).contains(&8));
+}
--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -65,5 +65,5 @@
 pub(crate) fn record(record: &Record) {
     let act = serde_json::to_string(&record.act).unwrap_or_default();
     let cause = serde_json::to_string(&record.cause).unwrap_or_default();
-    tracing::info!(at = %record.at, zone = %record.zone, act, cause = cause.trim_matches('"'), "decision");
+    tracing::info!(at = %record.at, zone = %record.zone, config = record.config, act, cause = cause.trim_matches('"'), "decision");
 }
