--- a/core/tests/control/world.rs
+++ b/core/tests/control/world.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use boragecove_core::audit::Act;
 use boragecove_core::config::{Document, Head};
 use boragecove_core::effect::Effect;
 use boragecove_core::engine::{Action, Copy, Ended, Fence, Order, Receipt, Report, Role as Part, Stage};
@@ -10,6 +11,8 @@
 use boragecove_core::id::{self, Incarnation};
 use boragecove_core::inventory::{Group, Inventory, Kind, Model, Version as Release};
 use boragecove_core::name::Name;
+use boragecove_core::operator::{Answer, Query};
+use boragecove_core::request::{Arrival, Subject};
 use boragecove_core::settings::Settings;
 use boragecove_core::state::Identity;
 use boragecove_core::table::{Call, Done, Failure, Key, Prefix, Reply, Row, Value, Version, Write};
@@ -110,6 +113,7 @@
     pub ended: Vec<Ended>,
     receipts: BTreeMap<id::Order, Receipt>,
     loading: Vec<(Time, Order)>,
+    pub load_time: Duration,
     seq: u64,
 }
 
@@ -134,7 +138,7 @@
                     let (artifact, memory_mb) = (artifact.clone(), *memory_mb);
                     self.copies.push(Copy { artifact, memory_mb, stage: Stage::Loading, requests: 0 });
                 }
-                self.loading.push((now + Duration::from_secs(1), order.clone()));
+                self.loading.push((now + self.load_time, order.clone()));
                 return Receipt::Taken;
             }
             Action::Unload { artifact } => {
@@ -200,6 +204,17 @@
     pub fn holds(&self, model: &str) -> bool {
         self.copies.iter().any(|copy| copy.artifact.model == model && copy.stage == Stage::Ready)
     }
+
+    pub fn holds_version(&self, model: &str, version: &str) -> bool {
+        self.copies.iter().any(|copy| copy.artifact.model == model && copy.artifact.version == version)
+    }
+
+    /// Sets how many requests run on a model.
+    pub fn run(&mut self, model: &str, requests: u32) {
+        for copy in self.copies.iter_mut().filter(|copy| copy.artifact.model == model) {
+            copy.requests = requests;
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -210,7 +225,7 @@
     /// What waits while the node is paused, and what it held back itself.
     inbox: Vec<Event>,
     pub records: Vec<boragecove_core::audit::Record>,
-    pub answers: Vec<boragecove_core::operator::Answer>,
+    pub answers: Vec<Answer>,
 }
 
 /// An order on its way.
@@ -233,17 +248,13 @@
     pub holds_all: bool,
     pub held: Vec<Flight>,
     pub sent: Vec<Flight>,
-    vms: Vec<Vm>,
+    pub vms: Vec<Vm>,
+    asked: u64,
 }
 
-pub fn vm(name: &str, zone: &str, role: Role) -> Vm {
-    Vm {
-        name: name.into(),
-        zone: zone.into(),
-        address: ([127, 0, 0, 1], 9_000).into(),
-        role,
-        phase: Phase::Live,
-    }
+pub fn vm(name: &str, port: usize, role: Role) -> Vm {
+    let address = ([127, 0, 0, 1], 9_000 + port as u16).into();
+    Vm { name: name.into(), zone: ZONE.into(), address, role, phase: Phase::Live }
 }
 
 pub fn model(name: &str, memory_mb: u64) -> Model {
@@ -262,6 +273,10 @@
 
 impl World {
     pub fn new(nodes: usize, engines: usize, document: Document) -> Self {
+        Self::tuned(nodes, engines, document, &Settings::default())
+    }
+
+    pub fn tuned(nodes: usize, engines: usize, document: Document, settings: &Settings) -> Self {
         let now = Time::from_millis(1_000);
         let group = document.inventory.groups[0].clone();
         let mut vms = Vec::new();
@@ -275,14 +290,15 @@
             held: Vec::new(),
             sent: Vec::new(),
             vms: Vec::new(),
+            asked: 0,
         };
         world.declare(document);
         for n in 1..=nodes {
-            vms.push(vm(&format!("entry-{n}"), ZONE, Role::Entry));
-            world.nodes.push(node(n as u64, now));
+            vms.push(vm(&format!("entry-{n}"), n, Role::Entry));
+            world.nodes.push(node(n as u64, now, settings));
         }
         for n in 1..=engines {
-            let vm = vm(&format!("engine-{n}"), ZONE, Role::Backend(GROUP.into()));
+            let vm = vm(&format!("engine-{n}"), 100 + n, Role::Backend(GROUP.into()));
             vms.push(vm.clone());
             let engine = Engine {
                 vm: vm.clone(),
@@ -294,6 +310,7 @@
                 ended: Vec::new(),
                 receipts: BTreeMap::new(),
                 loading: Vec::new(),
+                load_time: Duration::from_secs(1),
                 seq: 0,
             };
             world.engines.insert(vm.name, engine);
@@ -335,7 +352,8 @@
         }
     }
 
-    fn carry_out(&mut self, at: usize, effect: Effect) {
+    /// Carries out what a node asks for.
+    pub fn carry_out(&mut self, at: usize, effect: Effect) {
         match effect {
             Effect::Table { op, call } => {
                 let reply = match self.nodes[at].table {
@@ -428,6 +446,48 @@
         }
     }
 
+    /// Engines that hold a model ready.
+    pub fn copies(&self, model: &str) -> usize {
+        self.engines.values().filter(|engine| engine.holds(model)).count()
+    }
+
+    /// Loads and unloads that were decided so far.
+    pub fn moves(&self) -> usize {
+        let is_move = |act: &Act| matches!(act, Act::Load { .. } | Act::Unload { .. });
+        self.nodes.iter().flat_map(|node| &node.records).filter(|record| is_move(&record.act)).count()
+    }
+
+    /// Asks a node something.
+    pub fn ask(&mut self, at: usize, query: Query) -> Option<&Answer> {
+        self.asked += 1;
+        let ask = id::Ask { by: Incarnation(0), seq: self.asked };
+        self.step(at, Event::Asked { ask, query: Box::new(query) });
+        self.nodes[at].answers.last()
+    }
+
+    /// A request for a model comes to a node and waits or is sent; its caller leaves at once.
+    pub fn request(&mut self, at: usize, model: &str) {
+        self.asked += 1;
+        let id = id::Request { by: Incarnation(1_000 + at as u64), seq: self.asked };
+        let arrival = Arrival {
+            id,
+            token_sha256: None,
+            subject: Subject::Model(model.parse().expect("a target")),
+            idempotent: None,
+            key: None,
+            digest: "d".into(),
+            priority: None,
+            deadline: self.now + Duration::from_secs(30),
+            stream: true,
+            prefix: Vec::new(),
+            bytes: 100,
+            max_tokens: 2,
+            hops: 0,
+        };
+        self.step(at, Event::Arrive(Box::new(arrival)));
+        self.step(at, Event::Gone(id));
+    }
+
     /// Who holds the lease by the table's row.
     pub fn holder(&self) -> Option<(Name, Fence)> {
         match self.table.rows.get(&Key::Lease(ZONE.into())) {
@@ -443,10 +503,10 @@
     }
 }
 
-fn node(n: u64, now: Time) -> Node {
+fn node(n: u64, now: Time, settings: &Settings) -> Node {
     let me = Identity { vm: format!("entry-{n}").into(), zone: ZONE.into(), incarnation: Incarnation(n) };
     Node {
-        state: State::new(me, Settings::default(), n, now),
+        state: State::new(me, settings.clone(), n, now),
         paused: false,
         table: Mode::Up,
         inbox: Vec::new(),
