--- a/core/src/explain.rs
+++ b/core/src/explain.rs
@@ -9,6 +9,7 @@
 use crate::ledger;
 use crate::name::Name;
 use crate::operator::{Answer, Refusal};
+use crate::place;
 use crate::rules::Priority;
 use crate::state::State;
 use crate::summary;
@@ -42,6 +43,7 @@
     for elsewhere in summary::elsewhere(state, now, &entry.artifact) {
         lines.push(format!("zone {}: ready copies: {}", elsewhere.zone, elsewhere.copies));
     }
+    lines.extend(place::weighed(state, now, &entry.artifact));
     let records = state.audit.latest();
     let about = records.iter().filter(|record| concerns(&record.act, &entry.artifact));
     lines.extend(about.take(RECORDS_MAX).map(|record| decision(record, now)));
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::close;
 use crate::collect;
 use crate::config::{self, Reach};
+use crate::demand;
 use crate::effect::Effect;
 use crate::fleet;
 use crate::id::Incarnation;
@@ -90,8 +92,6 @@
     pub peers: BTreeMap<Name, Peer>,
     /// When anything from outside last reached this process.
     pub evidence: Time,
-    /// Items for the next frame to each entry VM of the zone.
-    news: Vec<Item>,
     /// From when on silence counts.
     listening: Time,
     /// When the next frames are due.
@@ -144,7 +144,7 @@
 }
 
 fn tell_zone(state: &mut State, out: &mut Vec<Effect>) {
-    let mut items = std::mem::take(&mut state.member.news);
+    let mut items = summary::pass_on(state);
     items.extend(collect::loads(state));
     let peers: Vec<Name> = zone_peers(state).map(|(name, _)| name.clone()).collect();
     for name in peers {
@@ -178,11 +178,6 @@
     }
 }
 
-/// Has an item go to every other entry VM of the zone with the next frame.
-pub(crate) fn spread(state: &mut State, item: Item) {
-    state.member.news.push(item);
-}
-
 /// Sends a frame with `items` to one peer, if it is known where that listens.
 pub(crate) fn tell(state: &mut State, peer: &Name, items: Vec<Item>, out: &mut Vec<Effect>) {
     let Some(address) = state.member.peers.get(peer).map(|peer| peer.address) else {
@@ -244,7 +239,7 @@
     if peer.retired.contains(&frame.incarnation) || (same && peer.seq >= frame.seq) {
         return false;
     }
-    let back = peer.suspected || !same;
+    let changed = peer.suspected || !same || peer.stopping != frame.stopping;
     if !same {
         if let Some(old) = peer.incarnation.replace(frame.incarnation) {
             peer.retired.push_back(old);
@@ -264,7 +259,7 @@
         peer.address = address;
         verdict::displace(state, &frame.from, address);
     }
-    if back {
+    if changed {
         collect::assign(state, now);
     }
     true
@@ -283,10 +278,13 @@
             index::left(state, now, &backend);
         }
         Item::Drains(drains) => fleet::heard_drains(state, now, &drains, out),
-        Item::Summary(summary) => summary::heard(state, now, *summary),
+        Item::Summary(summary) => summary::heard(state, now, &summary),
         Item::Config(head) => config::adopt(state, now, &head, out),
         Item::Steps(steps) => config::heard_steps(state, now, steps, out),
         Item::WantConfig(theirs) => config::answer_want(state, from, theirs, out),
-        Item::Demand(_) | Item::Close(_) | Item::Closed(_) | Item::Reopen(_) => {}
+        Item::Demand(items) => demand::heard(state, from, items),
+        Item::Close(closing) => close::heard_close(state, now, from, closing, out),
+        Item::Closed(closing) => close::heard_closed(state, from, closing),
+        Item::Reopen(closing) => close::heard_reopen(state, now, closing),
     }
 }
