--- a/core/benches/node/mod.rs
+++ b/core/benches/node/mod.rs
@@ -48,11 +48,17 @@
 impl Node {
     /// An entry VM that has heard of all engines.
     pub fn new(engines: usize, artifacts: usize, held: usize, slots: u32) -> Self {
+        Self::with_room(engines, artifacts, held, slots, Settings::default().open_max)
+    }
+
+    /// An entry VM with room for this many requests.
+    pub fn with_room(engines: usize, artifacts: usize, held: usize, slots: u32, open_max: u32) -> Self {
         let me = Identity { vm: "entry-1".into(), zone: "hall-a".into(), incarnation: ME };
         let now = Time::from_millis(1_000_000);
         let settings = Settings {
             list_every: Duration::from_hours(1),
             poll_every: Duration::from_hours(1),
+            open_max,
             idle: Duration::from_mins(1),
             ..Settings::default()
         };
@@ -172,6 +178,15 @@
         }))
     }
 
+    /// The arrival of a request with an idempotency key of its own.
+    pub fn keyed(&self, number: u64, patience: Duration, now: Time) -> Event {
+        let mut event = self.arrival(number, number as usize, Vec::new(), 64, patience, now);
+        if let Event::Arrive(arrival) = &mut event {
+            arrival.key = Some(format!("key-{number}").into());
+        }
+        event
+    }
+
     /// A request arrives. Returns the try that is sent, if one is.
     pub fn arrive(&mut self, artifact: usize, prefix: Vec<u64>) -> Option<Attempt> {
         self.requests += 1;
--- a/core/src/claim.rs
+++ b/core/src/claim.rs
@@ -33,6 +33,8 @@
 const TRIES_MAX: u8 = 8;
 /// Outcomes that wait to be written.
 const CLOSINGS_MAX: usize = 16_384;
+/// How long an outcome waits for claims to share a write with.
+const CLOSING_LINGER: Duration = Duration::from_millis(100);
 /// How long nothing is written after a write failed.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -100,7 +102,7 @@
     openings: VecDeque<Opening>,
     closings: VecDeque<Closing>,
     flights: usize,
-    due: Option<Handle>,
+    due: Option<(Time, Handle)>,
     /// No write before this.
     rest: Time,
 }
@@ -149,19 +151,28 @@
 }
 
 fn schedule(state: &mut State, at: Time) {
-    if state.claim.due.is_none() && state.claim.flights < FLIGHTS_MAX {
-        let at = at.max(state.claim.rest);
-        state.claim.due = Some(state.timers.set(at, Timer::Claims));
+    if state.claim.flights >= FLIGHTS_MAX {
+        return;
     }
+    let at = at.max(state.claim.rest);
+    if let Some((due, timer)) = state.claim.due {
+        if due <= at {
+            return;
+        }
+        state.timers.cancel(timer);
+    }
+    state.claim.due = Some((at, state.timers.set(at, Timer::Claims)));
 }
 
 /// Claims are due to be written.
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     state.claim.due = None;
     let batch = state.settings.claim_batch;
+    // Half of a write is kept for outcomes, if that many wait.
+    let share = batch - (batch / 2).min(state.claim.closings.len());
     let mut openings = Vec::new();
     let mut unsettled = Vec::new();
-    while openings.len() < batch {
+    while openings.len() < share {
         let Some(opening) = state.claim.openings.pop_front() else {
             break;
         };
@@ -374,5 +385,5 @@
     let past = Past { outcome: end.outcome(), code: end.code() };
     let row = Row { past: Some(past), ..claim.row };
     close(state, Closing { key: claim.key, over, row, tries: 0 });
-    schedule(state, now + state.settings.claim_linger);
+    schedule(state, now + CLOSING_LINGER);
 }
