Tell a pause of the process from silence; keep requests that another zone refused

Cause: a process that had been paused took every stream for silent when it went on, and doubted all engines. A request that found no room here and was refused by another zone spent all its tries there.

Change: silence counts from the end of a pause. A zone that refused is not asked again while this one holds the model, and two entry VMs at most otherwise. Leaving is kept with the back end alone.

Measured: no figures; the tests of both fail without the change.

--- a/core/src/health.rs
+++ b/core/src/health.rs
@@ -16,9 +16,6 @@
 const SLOW_START: Duration = Duration::from_secs(10);
 /// The share that a fresh back end gets at first.
 const SLOW_START_FLOOR: f32 = 0.25;
-/// How long a back end that refused new work as leaving is taken at its word, unless it is seen to have
-/// restarted.
-const LEAVING: Duration = Duration::from_mins(1);
 
 /// Whether a back end is to get work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,8 +26,6 @@
     Probe,
     /// Only if there is nothing better.
     Doubtful,
-    /// No: it said that it is leaving.
-    Leaving,
 }
 
 /// The health of one back end, as this process has found it.
@@ -40,7 +35,6 @@
     strikes: u32,
     ejections: u32,
     faults: u32,
-    leaving_until: Time,
     fresh_at: Option<Time>,
 }
 
@@ -54,9 +48,6 @@
     /// Whether it is to get work, given the tries that are open there.
     #[must_use]
     pub fn standing(&self, now: Time, open: u32) -> Standing {
-        if now < self.leaving_until {
-            return Standing::Leaving;
-        }
         if self.strikes == 0 && self.ejections == 0 {
             return Standing::Good;
         }
@@ -100,13 +91,6 @@
         self.strikes = 0;
     }
 
-    /// It refused new work as leaving, or someone said so. Returns whether that is news.
-    pub fn leave(&mut self, now: Time) -> bool {
-        let news = now >= self.leaving_until;
-        self.leaving_until = now + LEAVING;
-        news
-    }
-
     /// The part of its slots that it is to be given by now.
     #[must_use]
     pub fn share(&self, now: Time) -> f32 {
--- a/core/src/index.rs
+++ b/core/src/index.rs
@@ -97,11 +97,13 @@
 
 /// A back end is leaving, by its own word or a peer's. Returns whether that is news.
 pub(crate) fn left(state: &mut State, now: Time, backend: &Name) -> bool {
-    if let Some(backend) = state.fleet.backends.get_mut(backend) {
-        backend.left_at.get_or_insert(now);
-    }
-    let health = state.routes.site(backend).and_then(|site| state.routes.health(site));
-    health.is_some_and(|health| health.leave(now))
+    let known = state.fleet.backends.get_mut(backend).filter(|known| known.left_at.is_none());
+    let Some(known) = known else {
+        return false;
+    };
+    known.left_at = Some(now);
+    refresh(state, now, backend);
+    true
 }
 
 /// Draws what follows from a failed try for the back end it was at.
--- a/core/src/reduce.rs
+++ b/core/src/reduce.rs
@@ -32,6 +32,9 @@
     if event.is_evidence() {
         state.member.evidence = now;
     }
+    if state.timers.overslept(now) {
+        state.resumed = now;
+    }
     hand(state, now, event, &mut out);
     while let Some(timer) = state.timers.pop(now) {
         fire(state, now, timer, &mut out);
--- a/core/src/spill.rs
+++ b/core/src/spill.rs
@@ -17,6 +17,9 @@
 /// Load up to which another zone is sent what it is not alone in holding, in eighths of its slots.
 const LOAD_MAX: u32 = 5;
 
+/// Entry VMs of other zones that are tried for a model that this zone does not hold.
+const REFUSALS_MAX: usize = 2;
+
 /// An entry VM of another availability zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Peer {
@@ -36,6 +39,11 @@
     if flow.hops > 0 || flow.delivered > 0 {
         return None;
     }
+    // One that was refused there is not lost: it waits here.
+    let refused = flow.avoid.iter().filter(|name| state.fleet.entries.contains_key(*name)).count();
+    if refused >= if absent { REFUSALS_MAX } else { 1 } {
+        return None;
+    }
     let zones = summary::elsewhere(state, now, artifact);
     let zones = zones.iter().filter(|zone| absent || zone.load <= LOAD_MAX);
     zones.into_iter().find_map(|zone| entry(state, now, flow, zone.zone))
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -57,6 +57,8 @@
     pub(crate) drain: drain::Part,
     pub(crate) audit: audit::Part,
     pub(crate) table_up: bool,
+    /// When this process last went on after a pause.
+    pub(crate) resumed: Time,
     calls: FxHashMap<id::Op, Purpose>,
     seq: u64,
 }
@@ -103,6 +105,7 @@
             drain: drain::Part::default(),
             audit: audit::Part::default(),
             table_up: false,
+            resumed: now,
             calls: FxHashMap::default(),
             seq: 0,
         }
--- a/core/src/stream.rs
+++ b/core/src/stream.rs
@@ -137,7 +137,7 @@
 /// A look at whether an attempt has gone silent.
 pub(crate) fn silence(state: &mut State, now: Time, attempt: id::Attempt, out: &mut Vec<Effect>) {
     let idle = state.settings.idle;
-    let first_byte = state.settings.first_byte;
+    let (first_byte, resumed) = (state.settings.first_byte, state.resumed);
     let Some(flow) = state.flow.flows.get_mut(&attempt.request) else {
         return;
     };
@@ -151,7 +151,8 @@
         (true, true) => idle,
         (true, false) => first_byte,
     };
-    let due = current.progress + limit;
+    // What came while this process was paused has not been read yet.
+    let due = current.progress.max(resumed) + limit;
     if current.attempt != attempt {
         return;
     }
--- a/core/src/timer.rs
+++ b/core/src/timer.rs
@@ -1,6 +1,7 @@
 //! What the reducer wants to be woken for.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::id;
 use crate::name::Name;
@@ -35,6 +36,9 @@
     Grace,
 }
 
+/// How late a wake-up comes at the least when the process has been paused.
+const PAUSE: Duration = Duration::from_millis(500);
+
 /// Names a timer that is set, to cancel it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Handle {
@@ -64,6 +68,11 @@
         self.set.remove(&handle);
     }
 
+    /// Whether the process was woken long after it had asked for: it has been paused.
+    pub(crate) fn overslept(&self, now: Time) -> bool {
+        self.announced.is_some_and(|at| now.since(at) >= PAUSE)
+    }
+
     /// Timers that are set.
     pub(crate) fn len(&self) -> usize {
         self.set.len()
--- a/core/tests/routing.rs
+++ b/core/tests/routing.rs
@@ -242,6 +242,20 @@
     assert!(!sends(&effects).is_empty());
 }
 
+#[test]
+fn refused_elsewhere() {
+    let mut entry = engines(&["engine-1"]);
+    entry.add(vm("entry-b", "hall-b", Role::Entry));
+    entry.add(vm("entry-c", "hall-b", Role::Entry));
+    entry.report("engine-1", SLOTS, true);
+    offer(&mut entry, 2);
+    let (id, effects) = entry.ask(Ask::default());
+    let effects = entry.refuse(sent(&effects).attempt, Refusal::Busy);
+    assert!(sends(&effects).is_empty(), "it is not tried out of its tries");
+    let effects = entry.report("engine-1", 0, true);
+    assert_eq!(sent(&effects).attempt.request, id);
+}
+
 #[test]
 fn zone_cut_off() {
     let mut entry = engines(&[]);
--- a/core/tests/silent_connection.rs
+++ b/core/tests/silent_connection.rs
@@ -4,6 +4,7 @@
 
 use boragecove_core::code::{Code, Outcome};
 use boragecove_core::effect::Effect;
+use boragecove_core::event::Event;
 use boragecove_core::settings::Settings;
 
 mod entry;
@@ -44,6 +45,20 @@
     assert_eq!(entry.sent().len(), 1, "it may have run");
 }
 
+#[test]
+fn paused_process() {
+    let mut entry = Entry::new(Settings::default(), Vec::new(), &["engine-1"], &[]);
+    let (_, effects) = entry.ask(Ask::default());
+    let attempt = sent(&effects).attempt;
+    entry.head(attempt);
+    entry.now = entry.now + Settings::default().idle * 3;
+    let effects = entry.event(Event::Wake);
+    assert!(!effects.contains(&Effect::Release(attempt)) && !effects.contains(&Effect::Cancel(attempt)));
+    assert!(entry.chunk(attempt, 0).contains(&Effect::Deliver { attempt, offset: 0 }));
+    entry.advance(Settings::default().idle + STEP);
+    assert_eq!(entry.sent().len(), 2, "silence after the pause counts");
+}
+
 #[test]
 fn progress_is_life() {
     let mut entry = Entry::new(Settings::default(), Vec::new(), &["engine-1"], &[]);
