--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -32,7 +32,10 @@
     pub idle: Duration,
     /// Time between reads of the VM list.
     pub list_every: Duration,
-    /// Time between reads of the configuration's changes, on average.
+    /// Time between reads of the configuration's changes by the one entry VM of a zone that reads most often,
+    /// on average.
+    pub config_first: Duration,
+    /// Time between reads of the configuration's changes by the others, on average.
     pub config_every: Duration,
     /// Time between tries to settle a change whose answer was lost, on average.
     pub settle_every: Duration,
@@ -48,6 +51,10 @@
     pub lease_length: Duration,
     /// Time between renewals, and between looks at someone else's lease.
     pub lease_renew: Duration,
+    /// Loads a second that the weight store allows, over all zones.
+    pub store_rate: f64,
+    /// Loads at once that the weight store serves at full speed, over all zones.
+    pub store_slots: u32,
     /// Time between placement plans of a lease holder.
     pub plan_every: Duration,
     /// Time that claims wait for others to share a write with.
@@ -83,6 +90,7 @@
             first_byte: Duration::from_secs(10),
             idle: Duration::from_secs(2),
             list_every: Duration::from_secs(1),
+            config_first: Duration::from_secs(1),
             config_every: Duration::from_secs(10),
             settle_every: Duration::from_millis(250),
             settle_limit: Duration::from_secs(20),
@@ -91,6 +99,8 @@
             suspect_after: Duration::from_secs(3),
             lease_length: Duration::from_secs(10),
             lease_renew: Duration::from_secs(3),
+            store_rate: 2.0,
+            store_slots: 6,
             plan_every: Duration::from_secs(1),
             claim_linger: Duration::from_millis(5),
             claim_batch: 128,
--- a/core/tests/matrix/check.rs
+++ b/core/tests/matrix/check.rs
@@ -13,7 +13,7 @@
 use boragecove_core::request::{Arrival, Subject};
 
 use super::fakes::Backend;
-use super::scene::MEMORY_MB;
+use super::scene::{GONE, MEMORY_MB};
 
 /// A broken promise.
 pub type Check = Result<(), String>;
@@ -146,6 +146,24 @@
         hold(open.is_none(), || format!("{open:?} has no end"))
     }
 
+    /// A configuration is offered: what it leaves out may go from now on, whether it is accepted or not.
+    pub fn offer(&mut self, document: &Document) {
+        let names: Vec<&Name> = document.inventory.models.iter().map(|model| &model.name).collect();
+        if self.accepted.is_empty() {
+            self.declared = names.into_iter().cloned().collect();
+        } else {
+            self.declared.retain(|name| names.contains(&name));
+        }
+    }
+
+    /// Every streamed request whose caller stayed was answered, silent connections or not.
+    pub fn all_answered(&self) -> Check {
+        let failed = self.taken.iter().find(|(request, taken)| {
+            taken.arrival.stream && request.seq != GONE + 1 && taken.ended != Some(Outcome::Answered)
+        });
+        hold(failed.is_none(), || format!("{failed:?} was not answered"))
+    }
+
     /// A configuration was accepted.
     pub fn accept(&mut self, version: u64, document: &Document) -> Check {
         let first = self.accepted.insert(version, document.clone());
