Commit the platform's faults in one place

Cause: four handlers of the stand-in platform each asked for a fault, let it strike before and let it strike after, line by line alike.

Change: `under` does that around the work of a handler.

Conclusion: kept; the table and the weight store keep their own, since one can be doubled and the other waits.

--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -134,20 +134,30 @@
     fault::after(kind, &request, HttpResponse::Ok().json(reply)).await
 }
 
+/// Does `work`, unless a fault on its scope is to be committed in its place or around it.
+async fn under(
+    platform: &Platform,
+    scope: Scope,
+    request: &HttpRequest,
+    work: impl FnOnce() -> HttpResponse,
+) -> HttpResponse {
+    let kind = platform.faults.strike(scope);
+    if let Some(answer) = fault::before(kind, request).await {
+        return answer;
+    }
+    fault::after(kind, request, work()).await
+}
+
 async fn object_get(
     request: HttpRequest,
     platform: web::Data<Platform>,
     key: web::Path<String>,
 ) -> HttpResponse {
-    let kind = platform.faults.strike(Scope::Object);
-    if let Some(answer) = fault::before(kind, &request).await {
-        return answer;
-    }
-    let answer = match platform.objects.get(&key) {
+    let get = || match platform.objects.get(&key) {
         Some(bytes) => HttpResponse::Ok().body(bytes),
         None => HttpResponse::NotFound().finish(),
     };
-    fault::after(kind, &request, answer).await
+    under(&platform, Scope::Object, &request, get).await
 }
 
 async fn object_put(
@@ -156,12 +166,11 @@
     key: web::Path<String>,
     bytes: Bytes,
 ) -> HttpResponse {
-    let kind = platform.faults.strike(Scope::Object);
-    if let Some(answer) = fault::before(kind, &request).await {
-        return answer;
-    }
-    platform.objects.put(&key, bytes);
-    fault::after(kind, &request, HttpResponse::NoContent().finish()).await
+    let put = || {
+        platform.objects.put(&key, bytes);
+        HttpResponse::NoContent().finish()
+    };
+    under(&platform, Scope::Object, &request, put).await
 }
 
 async fn object_delete(
@@ -169,20 +178,16 @@
     platform: web::Data<Platform>,
     key: web::Path<String>,
 ) -> HttpResponse {
-    let kind = platform.faults.strike(Scope::Object);
-    if let Some(answer) = fault::before(kind, &request).await {
-        return answer;
-    }
-    platform.objects.delete(&key);
-    fault::after(kind, &request, HttpResponse::NoContent().finish()).await
+    let delete = || {
+        platform.objects.delete(&key);
+        HttpResponse::NoContent().finish()
+    };
+    under(&platform, Scope::Object, &request, delete).await
 }
 
 async fn vms_list(request: HttpRequest, platform: web::Data<Platform>) -> HttpResponse {
-    let kind = platform.faults.strike(Scope::Vms);
-    if let Some(answer) = fault::before(kind, &request).await {
-        return answer;
-    }
-    fault::after(kind, &request, HttpResponse::Ok().json(platform.vms.get())).await
+    let list = || HttpResponse::Ok().json(platform.vms.get());
+    under(&platform, Scope::Vms, &request, list).await
 }
 
 async fn vms_put(platform: web::Data<Platform>, vm: web::Json<Vm>) -> HttpResponse {
