--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -120,7 +120,7 @@
         memory_mb: entry.memory_mb,
         copies,
         zones: elsewhere.into_iter().map(|elsewhere| elsewhere.zone.clone()).collect(),
-        demand: 0.0,
+        demand: state.demand.track(&entry.artifact).rate(),
         waiting: state.flow.waiting(&Work::Artifact(entry.artifact.clone())) as u32,
     }
 }
--- a/core/tests/matrix/check.rs
+++ b/core/tests/matrix/check.rs
@@ -146,6 +146,16 @@
         hold(open.is_none(), || format!("{open:?} has no end"))
     }
 
+    /// A configuration is offered: what it leaves out may go from now on, whether it is accepted or not.
+    pub fn offer(&mut self, document: &Document) {
+        let names: Vec<&Name> = document.inventory.models.iter().map(|model| &model.name).collect();
+        if self.accepted.is_empty() {
+            self.declared = names.into_iter().cloned().collect();
+        } else {
+            self.declared.retain(|name| names.contains(&name));
+        }
+    }
+
     /// Every streamed request whose caller stayed was answered, silent connections or not.
     pub fn all_answered(&self) -> Check {
         let failed = self.taken.iter().find(|(request, taken)| {
