Test that two wants do not drop the last copy between them

Cause: no test failed when the guard of the last copy was taken out. Change: two large models each need the memory of one of a model's two copies; one of them gets it. Measured: passes; with the guards in the plan and before the order taken out, the model loses its last copy and it fails. Conclusion: the guard of the last copy is held by a test.

--- a/core/tests/control/two_holders.rs
+++ b/core/tests/control/two_holders.rs
@@ -5,6 +5,7 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use boragecove_core::config::Document;
+use boragecove_core::rules::Place;
 
 use super::world::{Flight, World, document, model};
 
@@ -136,3 +137,19 @@
 fn any_order_unchecking() {
     arbtest(|u| shuffle(u, false)).budget_ms(2_000);
 }
+
+#[test]
+fn both_wanted() {
+    let mut declared = document(false, MEMORY_MB, vec![model("a", 6_000)]);
+    declared.rules.places = vec![Place { model: "a".into(), zones: Vec::new(), copies: 2 }];
+    let mut world = World::new(2, 2, declared);
+    world.until("two copies", |world| world.copies("a") == 2);
+    // Each of the two needs the memory of one copy: only one can have it.
+    let large = vec![model("a", 6_000), model("c", 16_000), model("d", 16_000)];
+    world.declare(document(false, MEMORY_MB, large));
+    for _ in 0..1_800 {
+        world.tick();
+        assert!(world.copies("a") >= 1, "a has lost its last copy");
+    }
+    assert_eq!(world.copies("c") + world.copies("d"), 1);
+}
