--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -92,8 +92,6 @@
     pub peers: BTreeMap<Name, Peer>,
     /// When anything from outside last reached this process.
     pub evidence: Time,
-    /// Items for the next frame to each entry VM of the zone.
-    news: Vec<Item>,
     /// From when on silence counts.
     listening: Time,
     /// When the next frames are due.
@@ -146,7 +144,7 @@
 }
 
 fn tell_zone(state: &mut State, out: &mut Vec<Effect>) {
-    let mut items = std::mem::take(&mut state.member.news);
+    let mut items = summary::pass_on(state);
     items.extend(collect::loads(state));
     let peers: Vec<Name> = zone_peers(state).map(|(name, _)| name.clone()).collect();
     for name in peers {
@@ -180,11 +178,6 @@
     }
 }
 
-/// Has an item go to every other entry VM of the zone with the next frame.
-pub(crate) fn spread(state: &mut State, item: Item) {
-    state.member.news.push(item);
-}
-
 /// Sends a frame with `items` to one peer, if it is known where that listens.
 pub(crate) fn tell(state: &mut State, peer: &Name, items: Vec<Item>, out: &mut Vec<Effect>) {
     let Some(address) = state.member.peers.get(peer).map(|peer| peer.address) else {
@@ -215,13 +208,17 @@
 
 /// A frame came.
 pub(crate) fn heard(state: &mut State, now: Time, frame: Frame, out: &mut Vec<Effect>) {
-    if frame.from == state.me.vm || !admit(state, now, &frame) {
+    let own = frame.from == state.me.vm;
+    let overtaken = !own && is_overtaken(state, &frame);
+    if own || !overtaken && !admit(state, now, &frame) {
         state.counters.stale += 1;
         return;
     }
     let before = state.config.version;
     for item in frame.items {
-        take(state, now, &frame.from, item, out);
+        if !overtaken || stands_alone(&item) {
+            take(state, now, &frame.from, item, out);
+        }
     }
     if state.config.version > before {
         let reach = if frame.zone == state.me.zone { Reach::Across } else { Reach::All };
@@ -230,6 +227,28 @@
     config::heard_version(state, now, &frame.from, frame.config, out);
 }
 
+/// Whether a later frame of the same process came before this one. What it says of its sender is old then,
+/// but what it passes on is said once: it must not be lost with it.
+fn is_overtaken(state: &State, frame: &Frame) -> bool {
+    let peer = state.member.peers.get(&frame.from);
+    peer.is_some_and(|peer| peer.incarnation == Some(frame.incarnation) && peer.seq > frame.seq)
+}
+
+/// Whether an item carries an order of its own, so that it can be taken late and twice.
+fn stands_alone(item: &Item) -> bool {
+    match item {
+        Item::Report(_) | Item::Drains(_) | Item::Summary(_) | Item::Config(_) | Item::Steps(_) => true,
+        Item::Loads(_)
+        | Item::WantReports
+        | Item::Leaving(_)
+        | Item::WantConfig(_)
+        | Item::Demand(_)
+        | Item::Close(_)
+        | Item::Closed(_)
+        | Item::Reopen(_) => false,
+    }
+}
+
 /// Takes over what a frame says of its sender. Returns false for a frame that is older than one heard.
 fn admit(state: &mut State, now: Time, frame: &Frame) -> bool {
     let known = state.member.peers.get_mut(&frame.from);
@@ -246,7 +265,7 @@
     if peer.retired.contains(&frame.incarnation) || (same && peer.seq >= frame.seq) {
         return false;
     }
-    let back = peer.suspected || !same;
+    let changed = peer.suspected || !same || peer.stopping != frame.stopping;
     if !same {
         if let Some(old) = peer.incarnation.replace(frame.incarnation) {
             peer.retired.push_back(old);
@@ -266,7 +285,7 @@
         peer.address = address;
         verdict::displace(state, &frame.from, address);
     }
-    if back {
+    if changed {
         collect::assign(state, now);
     }
     true
@@ -285,7 +304,7 @@
             index::left(state, now, &backend);
         }
         Item::Drains(drains) => fleet::heard_drains(state, now, &drains, out),
-        Item::Summary(summary) => summary::heard(state, now, *summary),
+        Item::Summary(summary) => summary::heard(state, now, &summary),
         Item::Config(head) => config::adopt(state, now, &head, out),
         Item::Steps(steps) => config::heard_steps(state, now, steps, out),
         Item::WantConfig(theirs) => config::answer_want(state, from, theirs, out),
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -32,7 +32,10 @@
     pub idle: Duration,
     /// Time between reads of the VM list.
     pub list_every: Duration,
-    /// Time between reads of the configuration's changes, on average.
+    /// Time between reads of the configuration's changes by the one entry VM of a zone that reads most often,
+    /// on average.
+    pub config_first: Duration,
+    /// Time between reads of the configuration's changes by the others, on average.
     pub config_every: Duration,
     /// Time between tries to settle a change whose answer was lost, on average.
     pub settle_every: Duration,
@@ -87,6 +90,7 @@
             first_byte: Duration::from_secs(10),
             idle: Duration::from_secs(2),
             list_every: Duration::from_secs(1),
+            config_first: Duration::from_secs(1),
             config_every: Duration::from_secs(10),
             settle_every: Duration::from_millis(250),
             settle_limit: Duration::from_secs(20),
@@ -99,8 +103,8 @@
             store_slots: 6,
             plan_every: Duration::from_secs(1),
             claim_linger: Duration::from_millis(5),
-            claim_batch: 64,
-            claim_every: Duration::from_millis(25),
+            claim_batch: 128,
+            claim_every: Duration::from_millis(50),
             claim_keep: Duration::from_hours(24),
             balancer_grace: Duration::from_secs(5),
             prefix_blocks: 1 << 18,
