Join the three tables that tests keep in memory

Cause: the tests of control, the fault matrix and the cluster of reducers each had a table of their own, the same but for details; one answered `Each` with nothing, which no table does.

Conclusion: a change to the table's promise is made in one place.

--- a/core/benches/capacity.rs
+++ b/core/benches/capacity.rs
@@ -7,6 +7,9 @@
 #[path = "../tests/matrix/fakes.rs"]
 mod fakes;
 
+#[path = "../tests/table/mod.rs"]
+mod table;
+
 #[path = "capacity/fleet.rs"]
 mod fleet;
 
--- a/core/benches/capacity/fleet.rs
+++ b/core/benches/capacity/fleet.rs
@@ -19,8 +19,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::fakes::{Backend, Table};
+use super::fakes::Backend;
 use super::sample::{arrival, document, vm};
+use super::table::Table;
 
 /// What is told apart of what an entry VM spends, each with its unit; the first six by kind of event.
 pub const HEADS: [(&str, &str); 17] = [
--- a/core/benches/demand.rs
+++ b/core/benches/demand.rs
@@ -5,6 +5,8 @@
 
 #![expect(clippy::print_stdout, reason = "a benchmark prints its figures")]
 
+#[path = "../tests/table/mod.rs"]
+mod table;
 #[path = "../tests/control/world.rs"]
 #[expect(dead_code, reason = "the tests need more of it")]
 mod world;
--- a/core/benches/place.rs
+++ b/core/benches/place.rs
@@ -1,5 +1,7 @@
 //! Time of one placement plan, at the sizes of today and at the two-year size of a zone.
 
+#[path = "../tests/table/mod.rs"]
+mod table;
 #[path = "../tests/control/world.rs"]
 #[expect(dead_code, reason = "the tests need more of it")]
 mod world;
--- a/core/tests/cluster/mod.rs
+++ b/core/tests/cluster/mod.rs
@@ -18,10 +18,14 @@
 use boragecove_core::peer::Frame;
 use boragecove_core::settings::Settings;
 use boragecove_core::state::Identity;
-use boragecove_core::table::{Call, Failure, Key, Prefix, Reply, Row, Version, Write};
+use boragecove_core::table::{Call, Failure};
 use boragecove_core::time::Time;
 use boragecove_core::vm::{Phase, Role, Vm};
 use boragecove_core::{State, apply};
+use table::Table;
+
+#[path = "../table/mod.rs"]
+mod table;
 
 /// What becomes of calls of the table.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,68 +43,15 @@
     Slow,
 }
 
-/// The platform's table.
+/// The platform's table, and how it is.
 #[derive(Debug, Default)]
-pub struct Table {
-    pub rows: BTreeMap<Key, Row>,
+pub struct Platform {
+    pub store: Table,
     pub mood: Mood,
     pub calls: usize,
     held: VecDeque<(usize, id::Op, Call)>,
 }
 
-impl Table {
-    pub fn call(&mut self, call: Call) -> Reply {
-        match call {
-            Call::Get(keys) => {
-                Reply::Rows(keys.iter().filter_map(|key| self.rows.get(key)).cloned().collect())
-            }
-            Call::List(prefix) => {
-                Reply::Rows(self.rows.values().filter(|row| under(&prefix, &row.key)).cloned().collect())
-            }
-            Call::Commit(writes) => {
-                let misses = writes.iter().any(|write| !self.holds(write));
-                if misses {
-                    let losers = writes.iter().filter(|write| !self.holds(write));
-                    return Reply::Conflict(losers.filter_map(|w| self.rows.get(&w.key)).cloned().collect());
-                }
-                for write in writes {
-                    self.write(write);
-                }
-                Reply::Committed
-            }
-            Call::Each(writes) => {
-                for write in writes {
-                    if self.holds(&write) {
-                        self.write(write);
-                    }
-                }
-                Reply::Each(Vec::new())
-            }
-        }
-    }
-
-    fn holds(&self, write: &Write) -> bool {
-        self.rows.get(&write.key).map_or(Version(0), |row| row.version) == write.expect
-    }
-
-    fn write(&mut self, write: Write) {
-        self.rows.remove(&write.key);
-        let version = Version(write.expect.0 + 1);
-        if let Some(value) = write.value {
-            self.rows.insert(write.key.clone(), Row { key: write.key, version, value });
-        }
-    }
-}
-
-fn under(prefix: &Prefix, key: &Key) -> bool {
-    match (prefix, key) {
-        (Prefix::Leases, Key::Lease(_)) => true,
-        (Prefix::Ledgers(zone), Key::Ledger { zone: each, .. }) => zone == each,
-        (Prefix::ChangesAfter(after), Key::Change(version)) => version > after,
-        _ => false,
-    }
-}
-
 /// One entry VM.
 #[derive(Debug)]
 pub struct Node {
@@ -120,7 +71,7 @@
 pub struct Cluster {
     pub now: Time,
     pub nodes: Vec<Node>,
-    pub table: Table,
+    pub table: Platform,
     pub vms: Vec<Vm>,
     /// Pairs of zones that cannot reach each other.
     pub cuts: BTreeSet<(Name, Name)>,
@@ -149,7 +100,7 @@
         let mut cluster = Self {
             now: Time::from_millis(1_000),
             nodes: Vec::new(),
-            table: Table::default(),
+            table: Platform::default(),
             vms: Vec::new(),
             cuts: BTreeSet::new(),
             answers: BTreeMap::new(),
@@ -263,7 +214,7 @@
             if self.table.mood == Mood::Up
                 && let Some((node, op, call)) = self.table.held.pop_front()
             {
-                let reply = Ok(self.table.call(call));
+                let reply = Ok(self.table.store.call(&call));
                 self.queue.push_back((node, Event::Table { op, reply }));
             }
             let Some((node, event)) = self.queue.pop_front() else {
@@ -367,11 +318,11 @@
         self.table.calls += 1;
         let mood = if self.apart.contains(&node) { Mood::Down } else { self.table.mood };
         let reply = match mood {
-            Mood::Up => Ok(self.table.call(call)),
+            Mood::Up => Ok(self.table.store.call(&call)),
             Mood::Down => Err(Failure::Unavailable),
             Mood::Deaf => Err(Failure::Unknown),
             Mood::Mute => {
-                self.table.call(call);
+                self.table.store.call(&call);
                 Err(Failure::Unknown)
             }
             Mood::Slow => return self.table.held.push_back((node, op, call)),
--- a/core/tests/config_accept.rs
+++ b/core/tests/config_accept.rs
@@ -25,7 +25,7 @@
 }
 
 fn stored(cluster: &Cluster) -> (u64, Document) {
-    match cluster.table.rows.get(&Key::Config).map(|row| &row.value) {
+    match cluster.table.store.rows.get(&Key::Config).map(|row| &row.value) {
         Some(Value::Config(head)) => (head.version, (*head.document).clone()),
         _ => (0, Document::default()),
     }
--- a/core/tests/control/main.rs
+++ b/core/tests/control/main.rs
@@ -4,5 +4,7 @@
 mod demand_forecast;
 mod lease_takeover;
 mod placement_plan;
+#[path = "../table/mod.rs"]
+mod table;
 mod two_holders;
 mod world;
--- a/core/tests/control/world.rs
+++ b/core/tests/control/world.rs
@@ -15,11 +15,13 @@
 use boragecove_core::request::{Arrival, Subject};
 use boragecove_core::settings::Settings;
 use boragecove_core::state::Identity;
-use boragecove_core::table::{Call, Done, Failure, Key, Prefix, Reply, Row, Value, Version, Write};
+use boragecove_core::table::{Failure, Key, Row, Value, Version};
 use boragecove_core::time::Time;
 use boragecove_core::vm::{Phase, Role, Vm};
 use boragecove_core::{State, apply};
 
+use super::table::Table;
+
 pub const ZONE: &str = "hall-a";
 pub const GROUP: &str = "brief-writer";
 const TICK: Duration = Duration::from_millis(100);
@@ -33,74 +35,6 @@
     Mute,
 }
 
-#[derive(Debug, Default)]
-pub struct Table {
-    pub rows: BTreeMap<Key, (Version, Value)>,
-    /// Forgets what is written of ledgers, as if there were no such rows.
-    pub forgets_ledgers: bool,
-    pub calls: usize,
-}
-
-impl Table {
-    fn call(&mut self, call: &Call) -> Reply {
-        self.calls += 1;
-        match call {
-            Call::Get(keys) => Reply::Rows(keys.iter().filter_map(|key| self.row(key)).collect()),
-            Call::List(prefix) => {
-                let under = |key: &&Key| match (prefix, key) {
-                    (Prefix::Leases, Key::Lease(_)) => true,
-                    (Prefix::Ledgers(zone), Key::Ledger { zone: of, .. }) => zone == of,
-                    _ => false,
-                };
-                Reply::Rows(self.rows.keys().filter(under).filter_map(|key| self.row(key)).collect())
-            }
-            Call::Commit(writes) => {
-                let late: Vec<&Write> = writes.iter().filter(|write| !self.is_current(write)).collect();
-                if !late.is_empty() {
-                    return Reply::Conflict(late.iter().filter_map(|write| self.row(&write.key)).collect());
-                }
-                for write in writes {
-                    self.write(write);
-                }
-                Reply::Committed
-            }
-            Call::Each(writes) => Reply::Each(writes.iter().map(|write| self.each(write)).collect()),
-        }
-    }
-
-    pub fn row(&self, key: &Key) -> Option<Row> {
-        let (version, value) = self.rows.get(key)?;
-        Some(Row { key: key.clone(), version: *version, value: value.clone() })
-    }
-
-    fn is_current(&self, write: &Write) -> bool {
-        let forgotten = self.forgets_ledgers && matches!(write.key, Key::Ledger { .. });
-        forgotten || self.rows.get(&write.key).map_or(Version(0), |(version, _)| *version) == write.expect
-    }
-
-    fn each(&mut self, write: &Write) -> Done {
-        if !self.is_current(write) {
-            return Done::Kept(self.row(&write.key));
-        }
-        self.write(write);
-        Done::Written
-    }
-
-    fn write(&mut self, write: &Write) {
-        if self.forgets_ledgers && matches!(write.key, Key::Ledger { .. }) {
-            return;
-        }
-        match &write.value {
-            Some(value) => {
-                self.rows.insert(write.key.clone(), (Version(write.expect.0 + 1), value.clone()));
-            }
-            None => {
-                self.rows.remove(&write.key);
-            }
-        }
-    }
-}
-
 /// A model engine that never refuses a load for want of memory: only the sender guards that.
 #[derive(Debug)]
 pub struct Engine {
@@ -321,11 +255,12 @@
 
     /// Puts a configuration into the table, as the next version.
     pub fn declare(&mut self, document: Document) {
-        let version = self.table.rows.get(&Key::Config).map_or(0, |(version, _)| version.0) + 1;
+        let version = self.table.rows.get(&Key::Config).map_or(0, |row| row.version.0) + 1;
         let head =
             Head { version, op: id::Op { by: Incarnation(0), seq: version }, document: document.into() };
         let value = Value::Config(Box::new(head.clone()));
-        self.table.rows.insert(Key::Config, (Version(version), value));
+        let row = Row { key: Key::Config, version: Version(version), value };
+        self.table.rows.insert(Key::Config, row);
         for at in 0..self.nodes.len() {
             let frame = boragecove_core::peer::Frame {
                 address: None,
@@ -490,8 +425,8 @@
 
     /// Who holds the lease by the table's row.
     pub fn holder(&self) -> Option<(Name, Fence)> {
-        match self.table.rows.get(&Key::Lease(ZONE.into())) {
-            Some((_, Value::Lease(row))) => row.holder.as_ref().map(|holder| (holder.vm.clone(), row.fence)),
+        match self.table.rows.get(&Key::Lease(ZONE.into())).map(|row| &row.value) {
+            Some(Value::Lease(row)) => row.holder.as_ref().map(|holder| (holder.vm.clone(), row.fence)),
             _ => None,
         }
     }
--- a/core/tests/matrix/fakes.rs
+++ b/core/tests/matrix/fakes.rs
@@ -1,4 +1,4 @@
-//! Fakes of the platform's table and of backend servers: their state machines alone.
+//! Fakes of backend servers: their state machines alone.
 
 use std::collections::BTreeMap;
 
@@ -6,77 +6,10 @@
 use boragecove_core::attempt::{Destination, Failure, Refusal, Resume, Send};
 use boragecove_core::engine::{Action, Copy, Ended, Fence, Order, Receipt, Report, Role, Stage};
 use boragecove_core::id::{self, Incarnation};
-use boragecove_core::table::{Call, Done, Key, Prefix, Reply, Row, Value, Version, Write};
 use boragecove_core::vm::Vm;
 
 use super::scene::MEMORY_MB;
 
-/// Rows with their versions.
-#[derive(Debug, Default)]
-pub struct Table {
-    rows: BTreeMap<Key, (Version, Value)>,
-}
-
-impl Table {
-    pub fn call(&mut self, call: &Call) -> Reply {
-        match call {
-            Call::Get(keys) => Reply::Rows(keys.iter().filter_map(|key| self.row(key)).collect()),
-            Call::List(prefix) => {
-                let keys = self.rows.keys().filter(|key| is_under(prefix, key));
-                Reply::Rows(keys.filter_map(|key| self.row(key)).collect())
-            }
-            Call::Commit(writes) => {
-                let late: Vec<&Write> = writes.iter().filter(|write| !self.is_current(write)).collect();
-                if !late.is_empty() {
-                    return Reply::Conflict(late.iter().filter_map(|write| self.row(&write.key)).collect());
-                }
-                for write in writes {
-                    self.write(write);
-                }
-                Reply::Committed
-            }
-            Call::Each(writes) => Reply::Each(writes.iter().map(|write| self.each(write)).collect()),
-        }
-    }
-
-    pub fn row(&self, key: &Key) -> Option<Row> {
-        let (version, value) = self.rows.get(key)?;
-        Some(Row { key: key.clone(), version: *version, value: value.clone() })
-    }
-
-    fn is_current(&self, write: &Write) -> bool {
-        self.rows.get(&write.key).map_or(Version(0), |(version, _)| *version) == write.expect
-    }
-
-    fn each(&mut self, write: &Write) -> Done {
-        if !self.is_current(write) {
-            return Done::Kept(self.row(&write.key));
-        }
-        self.write(write);
-        Done::Written
-    }
-
-    fn write(&mut self, write: &Write) {
-        match &write.value {
-            Some(value) => {
-                self.rows.insert(write.key.clone(), (Version(write.expect.0 + 1), value.clone()));
-            }
-            None => {
-                self.rows.remove(&write.key);
-            }
-        }
-    }
-}
-
-fn is_under(prefix: &Prefix, key: &Key) -> bool {
-    match (prefix, key) {
-        (Prefix::Leases, Key::Lease(_)) => true,
-        (Prefix::Ledgers(zone), Key::Ledger { zone: of, .. }) => zone == of,
-        (Prefix::ChangesAfter(version), Key::Change(at)) => at > version,
-        _ => false,
-    }
-}
-
 /// A model engine, or a server of a plain service.
 #[derive(Debug)]
 pub struct Backend {
--- a/core/tests/matrix/mod.rs
+++ b/core/tests/matrix/mod.rs
@@ -6,5 +6,7 @@
 pub mod outside;
 pub mod page;
 pub mod scene;
+#[path = "../table/mod.rs"]
+pub mod table;
 pub mod traffic;
 pub mod world;
--- a/core/tests/matrix/world.rs
+++ b/core/tests/matrix/world.rs
@@ -19,10 +19,11 @@
 use boragecove_core::{State, apply};
 
 use super::check::{Check, Truth, all_ready};
-use super::fakes::{Backend, Table};
+use super::fakes::Backend;
 use super::fault::{Fault, Kind, Stage, Step, Strike, exists};
 use super::outside::{given_up, vm};
 use super::scene::{self, BACKENDS, ENTRIES};
+use super::table::Table;
 
 const START: Time = Time::from_millis(1_000_000);
 const END: Time = Time::from_millis(1_048_000);
