Place models elsewhere when their engine is silent

Cause: a soak of 180 s left 48 completions unanswered in 30 s. The soak now prints why a model is where it is: the last report of a dead engine that was still listed counted as a ready copy, so nothing was loaded elsewhere; it was loaded again only when the engine came back empty, 30 s later. A run of 60 s does not show it, since its engines come back after 5 s. Ruled out: the table's outage, which began later.

Change: an engine that has not reported for twice the time after which an entry VM is suspected holds nothing for placement. Its memory stays taken.

Measured: test `engine_silent`, failed before, passes; all tests green.

--- a/core/src/place/view.rs
+++ b/core/src/place/view.rs
@@ -4,6 +4,7 @@
 
 use crate::artifact::Artifact;
 use crate::engine::{Action, Fence, Stage};
+use crate::fleet::Backend;
 use crate::inventory::Kind;
 use crate::name::Name;
 use crate::rendezvous;
@@ -12,6 +13,9 @@
 use crate::summary;
 use crate::time::Time;
 
+/// How many times as long as an entry VM an engine may be silent before placement does without it.
+const SILENCES: u32 = 2;
+
 /// A model engine of the zone.
 #[derive(Debug)]
 pub(super) struct Host {
@@ -123,7 +127,7 @@
                 group: backend.group.clone(),
                 slots: f64::from(group.slots.max(1)),
                 free_mb: 0,
-                live: backend.takes_work(),
+                live: backend.takes_work() && is_heard(state, now, backend),
                 room: if ready { state.ledger.room(&backend.name) } else { 0 },
                 held: Vec::new(),
                 load: 0.0,
@@ -191,6 +195,12 @@
     }
 }
 
+/// Whether an engine reported lately. What a silent one holds counts for no reachability; its memory stays taken.
+fn is_heard(state: &State, now: Time, backend: &Backend) -> bool {
+    let limit = state.settings.suspect_after * SILENCES;
+    backend.reported_at.is_some_and(|at| now.since(at) < limit)
+}
+
 fn known_zones(state: &State) -> u32 {
     let mut zones: Vec<&Name> = state.member.peers.values().map(|peer| &peer.zone).collect();
     zones.push(&state.me.zone);
--- a/core/tests/control/placement_plan.rs
+++ b/core/tests/control/placement_plan.rs
@@ -126,6 +126,19 @@
     });
 }
 
+#[test]
+fn engine_silent() {
+    let mut world = loaded(six(), 3);
+    let dead = world.engines.get_mut("engine-1").expect("an engine");
+    dead.silent = true;
+    let elsewhere = |world: &World, name: &str| {
+        world.engines.iter().any(|(engine, held)| *engine != "engine-1" && held.holds(name))
+    };
+    world.until("all loaded elsewhere, though it is still listed", |world| {
+        ["a", "b", "c", "d", "e", "f"].iter().all(|name| elsewhere(world, name))
+    });
+}
+
 #[test]
 fn shifted_for_room() {
     let models = ["a", "b", "c", "d"].map(|name| model(name, 6_000)).to_vec();
--- a/core/tests/control/world.rs
+++ b/core/tests/control/world.rs
@@ -39,6 +39,8 @@
 #[derive(Debug)]
 pub struct Engine {
     pub vm: Vm,
+    /// Whether it is dead, so that nobody gets a report.
+    pub silent: bool,
     pub incarnation: Incarnation,
     pub checks: bool,
     pub memory_mb: u64,
@@ -236,6 +238,7 @@
             vms.push(vm.clone());
             let engine = Engine {
                 vm: vm.clone(),
+                silent: false,
                 incarnation: Incarnation(900 + 100 * n as u64),
                 checks: group.checks_fences,
                 memory_mb: group.memory_mb,
@@ -307,6 +310,9 @@
             }
             Effect::Poll { engine, .. } => {
                 let Some(engine) = self.engines.get_mut(&engine) else { return };
+                if engine.silent {
+                    return;
+                }
                 let report = engine.report();
                 for to in 0..self.nodes.len() {
                     self.step(to, Event::Reported(Box::new(report.clone())));
--- a/daemon/benches/soak/caller.rs
+++ b/daemon/benches/soak/caller.rs
@@ -46,6 +46,7 @@
         let url = format!("http://{}/v1/completions", fleet.callers(n + round));
         let Ok(mut response) = client().post(url).send_json(&body).await else {
             tally.unconnected();
+            fleet.explain(model).await;
             sleep(PAUSE).await;
             continue;
         };
@@ -62,6 +63,7 @@
         }
     }
     tally.lost();
+    eprintln!("soak: model-{model} was not answered in time; asked {} s ago", started.elapsed().as_secs());
 }
 
 /// Calls the plain service once; what was said of it is checked at the end against what ran.
--- a/daemon/benches/soak/fleet.rs
+++ b/daemon/benches/soak/fleet.rs
@@ -152,6 +152,21 @@
         }
     }
 
+    /// Prints why a model is where it is, as each entry VM says.
+    pub async fn explain(&self, model: u64) {
+        let asked: Vec<SocketAddr> =
+            self.entries.borrow().iter().flatten().map(|(_, running)| running.operators).collect();
+        for address in asked {
+            let query = Query::Explain(format!("model-{model}").into());
+            let client = awc::Client::default();
+            let request = client.post(format!("http://{address}/operator")).bearer_auth("operators");
+            if let Ok(mut answer) = request.send_json(&query).await {
+                let text = answer.body().await.unwrap_or_default();
+                eprintln!("soak: {address} says {}", String::from_utf8_lossy(&text));
+            }
+        }
+    }
+
     fn list_engine(&self, at: usize, address: SocketAddr) {
         self.list(&engine_name(at), ZONES[at / ENGINES], address, Role::Backend("writer".into()));
     }
