--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -55,7 +55,7 @@
 mod summary;
 pub mod table;
 pub mod time;
-mod timer;
+pub mod timer;
 pub mod vm;
 
 pub use reduce::apply;
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -44,7 +44,7 @@
     pub(crate) me: Identity,
     pub(crate) settings: Settings,
     pub(crate) rng: fastrand::Rng,
-    pub(crate) timers: Timers,
+    pub(crate) timers: Timers<Timer>,
     pub(crate) counters: Counters,
     pub(crate) config: config::Part,
     pub(crate) fleet: fleet::Part,
--- a/core/src/timer.rs
+++ b/core/src/timer.rs
@@ -41,22 +41,28 @@
 
 /// Names a timer that is set, to cancel it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Handle {
+pub struct Handle {
     at: Time,
     seq: u64,
 }
 
 /// Timers, earliest first; equal times fire in the order they were set.
-#[derive(Debug, Default)]
-pub(crate) struct Timers {
-    set: BTreeMap<Handle, Timer>,
+#[derive(Debug)]
+pub struct Timers<T> {
+    set: BTreeMap<Handle, T>,
     seq: u64,
     announced: Option<Time>,
 }
 
-impl Timers {
+impl<T> Default for Timers<T> {
+    fn default() -> Self {
+        Self { set: BTreeMap::new(), seq: 0, announced: None }
+    }
+}
+
+impl<T> Timers<T> {
     /// Sets a timer.
-    pub(crate) fn set(&mut self, at: Time, timer: Timer) -> Handle {
+    pub fn set(&mut self, at: Time, timer: T) -> Handle {
         self.seq += 1;
         let handle = Handle { at, seq: self.seq };
         self.set.insert(handle, timer);
@@ -64,28 +70,36 @@
     }
 
     /// Cancels a timer; one that has fired is let be.
-    pub(crate) fn cancel(&mut self, handle: Handle) {
+    pub fn cancel(&mut self, handle: Handle) {
         self.set.remove(&handle);
     }
 
     /// Whether the process was woken long after it had asked for: it has been paused.
-    pub(crate) fn overslept(&self, now: Time) -> bool {
+    #[must_use]
+    pub fn overslept(&self, now: Time) -> bool {
         self.announced.is_some_and(|at| now.since(at) >= PAUSE)
     }
 
     /// Timers that are set.
-    pub(crate) fn len(&self) -> usize {
+    #[must_use]
+    pub fn len(&self) -> usize {
         self.set.len()
     }
 
+    /// Whether no timer is set.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.set.is_empty()
+    }
+
     /// Takes the next timer that is due.
-    pub(crate) fn pop(&mut self, now: Time) -> Option<Timer> {
+    pub fn pop(&mut self, now: Time) -> Option<T> {
         let first = self.set.first_entry()?;
         (first.key().at <= now).then(|| first.remove())
     }
 
     /// The time to be woken at, if it is not the one announced last.
-    pub(crate) fn announce(&mut self, now: Time) -> Option<Time> {
+    pub fn announce(&mut self, now: Time) -> Option<Time> {
         let next = self.set.first_key_value().map(|(handle, _)| handle.at)?;
         let pending = self.announced.is_some_and(|at| at > now && at <= next);
         if pending {
--- a/daemon/src/cmd/mod.rs
+++ b/daemon/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod dev;
 mod run;
+mod serve;
 
 use std::io;
 use std::path::PathBuf;
@@ -17,6 +18,7 @@
 /// How the daemon is called.
 const USAGE: &str = "\
 usage: boragecoved run --settings FILE      serve
+       boragecoved serve --settings FILE    serve on the users' platform
        boragecoved check --settings FILE    report every error in the settings
        boragecoved dev [...]                try it on one machine; see dev --help
        boragecoved --help | --version";
@@ -34,6 +36,11 @@
         /// The settings file.
         settings: PathBuf,
     },
+    /// Serve on the users' platform.
+    Serve {
+        /// The settings file.
+        settings: PathBuf,
+    },
     /// Look at the settings only.
     Check {
         /// The settings file.
@@ -56,6 +63,9 @@
     /// The settings are refused.
     #[error("settings refused:\n{0}")]
     Settings(#[from] Unreadable),
+    /// An entry VM on the users' platform did not start.
+    #[error(transparent)]
+    Serve(#[from] crate::entry::Failed),
     /// The node did not start.
     #[error(transparent)]
     Start(#[from] node::Failed),
@@ -74,7 +84,8 @@
         match self {
             Self::Usage(_) => ExitCode::from(EXIT_USAGE),
             Self::Settings(_) => ExitCode::from(EXIT_SETTINGS),
-            Self::Start(_) | Self::Dev(_) | Self::System(_) => ExitCode::FAILURE,
+            Self::Serve(crate::entry::Failed::Settings(_)) => ExitCode::from(EXIT_SETTINGS),
+            Self::Serve(_) | Self::Start(_) | Self::Dev(_) | Self::System(_) => ExitCode::FAILURE,
         }
     }
 }
@@ -89,6 +100,7 @@
         let mut parser = lexopt::Parser::from_env();
         match parser.next()? {
             Some(Value(word)) if word == "run" => Ok(Self::Run { settings: settings(&mut parser)? }),
+            Some(Value(word)) if word == "serve" => Ok(Self::Serve { settings: settings(&mut parser)? }),
             Some(Value(word)) if word == "check" => Ok(Self::Check { settings: settings(&mut parser)? }),
             Some(Value(word)) if word == "dev" => Ok(Self::Dev(dev::Command::parse(&mut parser)?)),
             Some(Long("help") | Short('h')) => Ok(Self::Help),
@@ -106,6 +118,7 @@
     pub fn run(self) -> Result<(), Error> {
         match self {
             Self::Run { settings } => run::run(&settings),
+            Self::Serve { settings } => serve::run(&settings),
             Self::Check { settings } => check::run(&settings),
             Self::Dev(command) => command.run(),
             Self::Help => {
--- /dev/null
+++ b/daemon/src/entry/follow.rs
@@ -0,0 +1,134 @@
+//! Follows the store's tables: reads each whole once, then waits for its changes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Addr;
+use boragecove_fleet::event::Event;
+use boragecove_platform::store::{self, Page, Table};
+use thiserror::Error;
+use tokio::time::{Instant, sleep};
+
+use super::client::{self, Client};
+use super::node::{Feed, Node, store_request};
+use super::settings::Settings;
+
+/// How long the store is asked to wait for changes: short, since a connection may go silent for good.
+const WAIT: Duration = Duration::from_secs(3);
+/// Time for an answer beyond that.
+const ANSWER: Duration = Duration::from_millis(900);
+/// Pause after a failed call, at first; it doubles up to the longest.
+const PAUSE_MIN: Duration = Duration::from_millis(50);
+/// Longest pause after a failed call: what changed meanwhile is to be in force within two seconds.
+const PAUSE_MAX: Duration = Duration::from_millis(400);
+/// Bytes of a page, at most.
+const PAGE_MAX: usize = 8 << 20;
+
+#[derive(Debug, Error)]
+enum Failed {
+    #[error(transparent)]
+    Call(#[from] client::Error),
+    #[error(transparent)]
+    Body(#[from] boragecove_platform::error::Unreadable),
+    #[error("the store answered {0}")]
+    Status(u16),
+    #[error("the history is gone")]
+    HistoryGone,
+}
+
+struct Follower {
+    table: Table,
+    address: SocketAddr,
+    client: Rc<Client>,
+    node: Addr<Node>,
+    /// The version up to which the table is known; none before it was read whole.
+    version: Option<u64>,
+}
+
+/// Follows all tables that the reducer goes by.
+pub(crate) fn start(settings: &Settings, client: &Rc<Client>, node: &Addr<Node>) {
+    for table in [Table::Operator, Table::Engines] {
+        let follower = Follower {
+            table,
+            address: settings.store,
+            client: Rc::clone(client),
+            node: node.clone(),
+            version: None,
+        };
+        actix_rt::spawn(follower.run());
+    }
+}
+
+impl Follower {
+    async fn run(mut self) {
+        let mut pause = PAUSE_MIN;
+        while self.node.connected() {
+            match self.turn().await {
+                Ok(()) => {
+                    pause = PAUSE_MIN;
+                    self.node.do_send(Feed(Event::StoreUp(true)));
+                }
+                Err(Failed::HistoryGone) => self.version = None,
+                Err(error) => {
+                    tracing::debug!(table = ?self.table, %error, "cannot follow the store");
+                    self.node.do_send(Feed(Event::StoreUp(false)));
+                    sleep(pause.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
+                    pause = (pause * 2).min(PAUSE_MAX);
+                }
+            }
+        }
+    }
+
+    /// Reads the table whole, or waits for its changes.
+    async fn turn(&mut self) -> Result<(), Failed> {
+        let Some(version) = self.version else {
+            return self.read().await;
+        };
+        let page = self.call(self.table.follow(version, WAIT), WAIT + ANSWER).await?;
+        let version = page.version.max(version);
+        self.tell(&page, false)?;
+        self.version = Some(version);
+        Ok(())
+    }
+
+    async fn read(&mut self) -> Result<(), Failed> {
+        let mut page = self.call(self.table.read(None), ANSWER).await?;
+        // Later pages may be newer; changes are followed from the first on.
+        while let Some(after) = page.next.take() {
+            page.append(self.call(self.table.read(Some(&after)), ANSWER).await?);
+        }
+        self.tell(&page, true)?;
+        self.version = Some(page.version);
+        Ok(())
+    }
+
+    fn tell(&self, page: &Page, whole: bool) -> Result<(), Failed> {
+        match self.table {
+            Table::Operator => {
+                if let Some(config) = page.config()? {
+                    self.node.do_send(Feed(Event::Configured(Arc::new(config))));
+                }
+            }
+            Table::Engines => {
+                let (listing, errors) = page.engines(whole);
+                for error in errors {
+                    tracing::warn!(%error, "an engine's entry");
+                }
+                self.node.do_send(Feed(Event::Listed(listing)));
+            }
+        }
+        Ok(())
+    }
+
+    async fn call(&self, call: store::Call, limit: Duration) -> Result<Page, Failed> {
+        let until = Instant::now() + limit;
+        let (status, body) = self.client.call(self.address, store_request(call), PAGE_MAX, until).await?;
+        match status.as_u16() {
+            200 => Ok(store::page(&body)?),
+            status if store::history_gone(status) => Err(Failed::HistoryGone),
+            status => Err(Failed::Status(status)),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/log.rs
@@ -0,0 +1,164 @@
+//! Logs as JSON lines on standard output: one for each decision that touches a request or changes what
+//! the process believes. Their volume is bounded, and a reader that stops reading costs lines, not requests.
+
+use std::cell::Cell;
+use std::io::{self, Write as _};
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::record::Record;
+use boragecove_fleet::request::{Arrival, Id};
+use rustc_hash::FxHashMap;
+use serde::Serialize;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
+
+/// Lines that wait to be written, at most.
+const BUFFERED: usize = 4_096;
+/// Lines in one second, at most: four for each of the 500 requests that a small VM serves in it.
+const LINES_PER_S: u32 = 2_000;
+
+/// Writes lines, and counts those that it leaves out.
+#[derive(Debug)]
+pub(crate) struct Log {
+    out: NonBlocking,
+    lost: ErrorCounter,
+    vm: Name,
+    ids: FxHashMap<Id, Name>,
+    second: Cell<Time>,
+    lines: Cell<u32>,
+    left_out: Cell<u64>,
+}
+
+/// Ends the log's thread once everything is written.
+pub(crate) type Guard = WorkerGuard;
+
+#[derive(Serialize)]
+struct Line<'a, T: Serialize> {
+    at: Time,
+    vm: &'a Name,
+    /// The id that the caller gave its request.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    id: Option<&'a Name>,
+    #[serde(flatten)]
+    what: T,
+}
+
+#[derive(Serialize)]
+#[serde(tag = "decision", rename_all = "snake_case")]
+enum Note<'a> {
+    Received { request: u64, host: &'a Name, path: &'a Name, model: Option<&'a Name>, patience_ms: Option<u64> },
+    CallerGone { request: u64 },
+    Ready { ready: bool },
+    Started { version: &'static str, zone: &'a Name },
+    Reloaded { outcome: &'a str },
+    LeftOut { lines: u64 },
+}
+
+/// Starts writing to standard output.
+pub(crate) fn start(vm: &Name) -> (Log, Guard) {
+    let (out, guard) = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(BUFFERED).finish(io::stdout());
+    let log = Log {
+        lost: out.error_counter(),
+        out,
+        vm: vm.clone(),
+        ids: FxHashMap::default(),
+        second: Cell::new(Time::default()),
+        lines: Cell::new(0),
+        left_out: Cell::new(0),
+    };
+    (log, guard)
+}
+
+impl Log {
+    /// A writer for what the process says beside its decisions.
+    pub(crate) fn writer(&self) -> NonBlocking {
+        self.out.clone()
+    }
+
+    /// Logs a decision.
+    pub(crate) fn record(&self, now: Time, record: &Record) {
+        let request = match record {
+            Record::Sent { request, .. }
+            | Record::Waits { request, .. }
+            | Record::Ended { request, .. }
+            | Record::Refused { request, .. } => Some(Id(*request)),
+            _ => None,
+        };
+        self.line(now, request, record);
+    }
+
+    /// Logs that a request was read, and keeps its id for the lines that follow.
+    pub(crate) fn received(&mut self, now: Time, request: Id, arrival: &Arrival, id: Option<&Name>) {
+        if let Some(id) = id {
+            self.ids.insert(request, id.clone());
+        }
+        let note = Note::Received {
+            request: request.0,
+            host: &arrival.host,
+            path: &arrival.path,
+            model: arrival.prompt.as_ref().map(|prompt| &prompt.model),
+            patience_ms: arrival.patience.map(|patience| patience.as_millis() as u64),
+        };
+        self.line(now, Some(request), note);
+    }
+
+    /// Logs that a request's caller went away.
+    pub(crate) fn gone(&mut self, now: Time, request: Id) {
+        self.line(now, Some(request), Note::CallerGone { request: request.0 });
+        self.forget(request);
+    }
+
+    /// Forgets the id of a request that has ended.
+    pub(crate) fn forget(&mut self, request: Id) {
+        self.ids.remove(&request);
+    }
+
+    /// Logs whether the balancer may send requests here.
+    pub(crate) fn readiness(&self, now: Time, ready: bool) {
+        self.line(now, None, Note::Ready { ready });
+    }
+
+    /// Logs the process's start.
+    pub(crate) fn started(&self, now: Time, zone: &Name) {
+        self.line(now, None, Note::Started { version: env!("CARGO_PKG_VERSION"), zone });
+    }
+
+    /// Logs what came of reading the settings again.
+    pub(crate) fn reloaded(&self, now: Time, outcome: &str) {
+        self.line(now, None, Note::Reloaded { outcome });
+    }
+
+    /// Lines that were left out, over the bound or for want of a reader.
+    pub(crate) fn dropped(&self) -> u64 {
+        self.left_out.get() + self.lost.dropped_lines() as u64
+    }
+
+    fn line(&self, now: Time, request: Option<Id>, what: impl Serialize) {
+        if now.since(self.second.get()) >= Duration::from_secs(1) {
+            let over = self.lines.get().saturating_sub(LINES_PER_S);
+            self.second.set(now);
+            self.lines.set(0);
+            if over > 0 {
+                self.write(now, None, Note::LeftOut { lines: over.into() });
+            }
+        }
+        self.lines.set(self.lines.get() + 1);
+        if self.lines.get() > LINES_PER_S {
+            self.left_out.set(self.left_out.get() + 1);
+            return;
+        }
+        self.write(now, request, what);
+    }
+
+    fn write(&self, now: Time, request: Option<Id>, what: impl Serialize) {
+        let id = request.and_then(|request| self.ids.get(&request));
+        let line = Line { at: now, vm: &self.vm, id, what };
+        let Ok(mut text) = serde_json::to_vec(&line) else {
+            return;
+        };
+        text.push(b'\n');
+        // Lines that find no room are counted by the writer.
+        let _full = self.out.clone().write_all(&text);
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/mod.rs
@@ -0,0 +1,19 @@
+//! An entry VM on the users' platform: the edges around the reducer of `boragecove-fleet`.
+//!
+//! [`node`] owns the reducer's state. `doors` reads callers' requests, `relay` carries each to its end with
+//! `client`, `follow` keeps up with the store, and `peers` joins the entry VMs.
+
+pub mod client;
+mod doors;
+mod events;
+mod follow;
+mod log;
+mod metrics;
+mod node;
+mod outlet;
+mod peers;
+mod relay;
+mod run;
+pub mod settings;
+
+pub use run::{Failed, serve};
--- /dev/null
+++ b/daemon/src/entry/node.rs
@@ -0,0 +1,329 @@
+//! The actor that owns the reducer's state: turns what happens into events and carries effects out.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult, SpawnHandle};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use actix_http::{Method, Uri};
+use boragecove_core::time::Time;
+use boragecove_fleet::effect::{Dispatch, Effect};
+use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::{Frame, Reply};
+use boragecove_fleet::lease;
+use boragecove_fleet::request::{Arrival, Id, Step};
+use boragecove_fleet::state::{Identity, State};
+use boragecove_platform::{engine, front, store};
+use bytes::Bytes;
+use rustc_hash::FxHashMap;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use super::client::{Client, Request};
+use super::events::Events;
+use super::log::Log;
+use super::metrics;
+use super::outlet::Outlet;
+use super::relay::{Content, Relay};
+use super::settings::Settings;
+use super::{follow, peers};
+use crate::clock::Clock;
+
+/// Time for an engine to answer an order or a report; both take a few ms.
+const ENGINE_CALL: Duration = Duration::from_millis(800);
+/// Time for the store to answer a call about the lease: it takes some ms, and a slow one is as good as none.
+const LEASE_CALL: Duration = Duration::from_millis(1_200);
+/// Bytes of an answer of an engine or of the store about the lease, at most.
+const ANSWER_MAX: usize = 1 << 20;
+/// Time between looks for connections that will not be used again.
+const TIDY_EVERY: Duration = Duration::from_secs(1);
+
+/// One entry VM's process. It decides nothing: [`boragecove_fleet::apply`] does.
+#[derive(Debug)]
+pub(crate) struct Node {
+    state: State,
+    clock: Clock,
+    settings: Rc<Settings>,
+    client: Rc<Client>,
+    log: Log,
+    steps: FxHashMap<Id, mpsc::UnboundedSender<Step>>,
+    drawn: u64,
+    wake: Option<SpawnHandle>,
+    ready: watch::Sender<bool>,
+    changed: watch::Sender<u64>,
+    exited: watch::Sender<bool>,
+    metrics: metrics::Metrics,
+}
+
+/// What the node tells the rest of its process.
+#[derive(Debug)]
+pub(crate) struct Signals {
+    /// Whether the balancer may send requests here.
+    pub(crate) ready: watch::Sender<bool>,
+    /// Grows whenever what engines hold has changed.
+    pub(crate) changed: watch::Sender<u64>,
+    /// Whether nothing is left to do.
+    pub(crate) exited: watch::Sender<bool>,
+}
+
+/// Something happened.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+pub(crate) struct Feed(pub(crate) Event);
+
+/// A caller's request was read.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+pub(crate) struct Open {
+    pub(crate) arrival: Arrival,
+    pub(crate) content: Content,
+    pub(crate) outlet: Outlet,
+}
+
+/// What the hub would answer to a frame.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "Reply")]
+pub(crate) struct Ask(pub(crate) Frame);
+
+/// All metrics in their text format.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "String")]
+pub(crate) struct Scrape;
+
+impl Actor for Node {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        follow::start(&self.settings, &self.client, &ctx.address());
+        ctx.run_interval(TIDY_EVERY, |node, _ctx| node.client.tidy());
+        self.feed(Event::Wake, ctx);
+    }
+}
+
+impl Node {
+    pub(crate) fn new(settings: Settings, clock: Clock, log: Log, signals: Signals) -> Self {
+        let me = Identity {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            address: settings.listen.peers,
+        };
+        let state = State::new(me, settings.fleet.clone(), fastrand::u64(..), clock.now());
+        Self {
+            state,
+            clock,
+            client: Client::new(settings.connect),
+            log,
+            steps: FxHashMap::default(),
+            drawn: 0,
+            wake: None,
+            ready: signals.ready,
+            changed: signals.changed,
+            exited: signals.exited,
+            metrics: metrics::Metrics::default(),
+            settings: Rc::new(settings),
+        }
+    }
+
+    /// Gives an event to the reducer and carries out what it wants.
+    fn feed(&mut self, event: Event, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        for effect in boragecove_fleet::apply(&mut self.state, now, event) {
+            self.carry(now, effect, ctx);
+        }
+    }
+
+    fn carry(&mut self, now: Time, effect: Effect, ctx: &mut Context<Self>) {
+        match effect {
+            Effect::Step { request, step } => self.step(request, step),
+            Effect::Frame { address, frame } => self.frame(address, &frame, ctx),
+            Effect::Lease(call) => self.lease(call, ctx),
+            Effect::Order(dispatch) => self.order(&dispatch, ctx),
+            Effect::Report { engine, address } => self.report(engine, address, ctx),
+            Effect::Probe { engine, address } => {
+                let client = Rc::clone(&self.client);
+                later(ctx, async move {
+                    let well = client.reaches(address).await;
+                    Event::Probed { engine, well }
+                });
+            }
+            Effect::Record(record) => self.log.record(now, &record),
+            Effect::Ready(ready) => {
+                self.log.readiness(now, ready);
+                self.ready.send_replace(ready);
+            }
+            Effect::Changed => self.changed.send_modify(|version| *version += 1),
+            Effect::WakeAt(at) => self.wake_at(at, ctx),
+            Effect::Exit => {
+                self.exited.send_replace(true);
+            }
+        }
+    }
+
+    fn step(&mut self, request: Id, step: Step) {
+        let last = !matches!(step, Step::Send(_));
+        if let Some(steps) = self.steps.get(&request) {
+            // A relay that is gone has said so.
+            let _gone = steps.send(step);
+        }
+        if last {
+            self.steps.remove(&request);
+            self.log.forget(request);
+        }
+    }
+
+    fn wake_at(&mut self, at: Time, ctx: &mut Context<Self>) {
+        if let Some(before) = self.wake.take() {
+            ctx.cancel_future(before);
+        }
+        let wait = at.since(self.clock.now());
+        self.wake = Some(ctx.run_later(wait, |node, ctx| node.feed(Event::Wake, ctx)));
+    }
+
+    fn frame(&self, address: SocketAddr, frame: &Frame, ctx: &Context<Self>) {
+        let client = Rc::clone(&self.client);
+        let sending = peers::send(client, address, frame, self.settings.frame);
+        later(ctx, async move { Event::Replied(sending.await.map(Box::new)) });
+    }
+
+    fn lease(&self, call: lease::Call, ctx: &Context<Self>) {
+        let (client, address) = (Rc::clone(&self.client), self.settings.store);
+        later(ctx, async move {
+            let request = store_request(store::lease(&call));
+            let until = Instant::now() + LEASE_CALL;
+            let answer = match client.call(address, request, ANSWER_MAX, until).await {
+                Ok((status, body)) => store::leased(&call, status.as_u16(), &body).unwrap_or_else(|error| {
+                    tracing::warn!(%error, "the store's answer about the lease");
+                    lease::Answer::Unknown
+                }),
+                Err(error) => {
+                    tracing::debug!(%error, "no answer about the lease");
+                    lease::Answer::Unknown
+                }
+            };
+            Event::Lease(answer)
+        });
+    }
+
+    fn order(&self, dispatch: &Dispatch, ctx: &Context<Self>) {
+        let client = Rc::clone(&self.client);
+        let (name, address) = (dispatch.engine.clone(), dispatch.address);
+        let mut headers = front::meant_for(&dispatch.engine);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let body = engine::order(dispatch, &self.settings.vm);
+        let request =
+            Request { method: Method::POST, target: Uri::from_static(engine::ORDER_PATH), headers, body };
+        later(ctx, async move {
+            let until = Instant::now() + ENGINE_CALL;
+            let receipt = match client.call(address, request, ANSWER_MAX, until).await {
+                Ok((status, _)) => engine::receipt(status.as_u16()),
+                Err(error) => {
+                    tracing::debug!(engine = %name, %error, "order not answered");
+                    None
+                }
+            };
+            Event::Ordered { engine: name, receipt }
+        });
+    }
+
+    fn report(&self, name: boragecove_core::name::Name, address: SocketAddr, ctx: &Context<Self>) {
+        let client = Rc::clone(&self.client);
+        let request = Request {
+            method: Method::GET,
+            target: Uri::from_static(engine::REPORT_PATH),
+            headers: front::meant_for(&name),
+            body: Bytes::new(),
+        };
+        later(ctx, async move {
+            let until = Instant::now() + ENGINE_CALL;
+            let report = match client.call(address, request, ANSWER_MAX, until).await {
+                Ok((status, body)) if status.is_success() => engine::report(&body)
+                    .inspect_err(|error| tracing::warn!(engine = %name, %error, "report not read"))
+                    .ok(),
+                Ok((status, _)) => {
+                    tracing::debug!(engine = %name, %status, "report refused");
+                    None
+                }
+                Err(error) => {
+                    tracing::debug!(engine = %name, %error, "no report");
+                    None
+                }
+            };
+            Event::Reported { engine: name, report }
+        });
+    }
+}
+
+/// A call of the store as a request.
+pub(crate) fn store_request(call: store::Call) -> Request {
+    let mut headers = HeaderMap::new();
+    let method = if call.body.is_some() {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Method::POST
+    } else {
+        Method::GET
+    };
+    let target = call.target.parse().unwrap_or_else(|_invalid| Uri::from_static("/"));
+    Request { method, target, headers, body: call.body.unwrap_or_default() }
+}
+
+/// Runs `work` beside the node and feeds the event that comes of it.
+fn later(ctx: &Context<Node>, work: impl Future<Output = Event> + 'static) {
+    let node: Addr<Node> = ctx.address();
+    actix_rt::spawn(async move { node.do_send(Feed(work.await)) });
+}
+
+impl Handler<Feed> for Node {
+    type Result = ();
+
+    fn handle(&mut self, Feed(event): Feed, ctx: &mut Self::Context) {
+        if let Event::Gone(request) = &event {
+            self.steps.remove(request);
+            self.log.gone(self.clock.now(), *request);
+        }
+        self.feed(event, ctx);
+    }
+}
+
+impl Handler<Open> for Node {
+    type Result = ();
+
+    fn handle(&mut self, open: Open, ctx: &mut Self::Context) {
+        let Open { arrival, content, outlet } = open;
+        self.drawn += 1;
+        let id = Id(self.drawn);
+        self.log.received(self.clock.now(), id, &arrival, content.caller_id.as_ref());
+        let (sender, steps) = mpsc::unbounded_channel();
+        self.steps.insert(id, sender);
+        let relay = Relay {
+            id,
+            content,
+            outlet,
+            steps,
+            client: Rc::clone(&self.client),
+            clock: self.clock,
+            node: ctx.address(),
+            begun: false,
+            events: Events::default(),
+            held: None,
+        };
+        self.feed(Event::Arrive { request: id, arrival: Box::new(arrival) }, ctx);
+        actix_rt::spawn(relay.run());
+    }
+}
+
+impl Handler<Ask> for Node {
+    type Result = MessageResult<Ask>;
+
+    fn handle(&mut self, Ask(frame): Ask, _ctx: &mut Self::Context) -> Self::Result {
+        MessageResult(boragecove_fleet::reply(&self.state, self.clock.now(), &frame))
+    }
+}
+
+impl Handler<Scrape> for Node {
+    type Result = String;
+
+    fn handle(&mut self, _scrape: Scrape, _ctx: &mut Self::Context) -> String {
+        self.metrics.encode(&self.state, self.clock.now(), self.client.opened(), self.log.dropped())
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/relay.rs
@@ -0,0 +1,220 @@
+//! The way of one request through this process: makes the attempts that the reducer asks for and passes
+//! the answer on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::Addr;
+use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
+use boragecove_core::name::Name;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::request::{Attempt, End, Id, Refusal, Step};
+use boragecove_platform::front::{self, Verdict};
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::client::{Client, Error, Request, Response};
+use super::events::Events;
+use super::node::{Feed, Node};
+use super::outlet::{Head, Outlet, Part};
+use crate::clock::Clock;
+
+/// Bytes of a whole answer, at most.
+const ANSWER_MAX: usize = 16 << 20;
+/// Answers to other requests that are left out before the one that is due.
+const FOREIGN_MAX: u32 = 3;
+/// Time beyond the deadline in which an engine's own answer to it may still come.
+const AFTER_DEADLINE: Duration = Duration::from_millis(300);
+
+/// A request of a caller, as it is to be sent.
+#[derive(Debug)]
+pub(crate) struct Content {
+    /// The id that the caller gave it.
+    pub(crate) caller_id: Option<Name>,
+    /// The event after which the caller wants a stream to go on.
+    pub(crate) resumes_after: Option<u64>,
+    /// What is sent, but for what each attempt adds.
+    pub(crate) request: Request,
+}
+
+/// Everything that a request's relay works with.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    pub(crate) id: Id,
+    pub(crate) content: Content,
+    pub(crate) outlet: Outlet,
+    pub(crate) steps: mpsc::UnboundedReceiver<Step>,
+    pub(crate) client: Rc<Client>,
+    pub(crate) clock: Clock,
+    pub(crate) node: Addr<Node>,
+    /// Whether the head of an answer has gone to the caller.
+    pub(crate) begun: bool,
+    /// What has come of a stream.
+    pub(crate) events: Events,
+    /// An answer that waits for the word to pass it on.
+    pub(crate) held: Option<(Head, Bytes)>,
+}
+
+/// What ends an attempt from outside.
+enum Turn {
+    Ended(End),
+    Step(Step),
+    CallerGone,
+}
+
+impl Relay {
+    /// Carries the request to its end.
+    pub(crate) async fn run(mut self) {
+        let outlet = self.outlet.clone();
+        let mut next = tokio::select! {
+            step = self.steps.recv() => step,
+            () = outlet.closed() => None,
+        };
+        loop {
+            match next {
+                Some(Step::Send(attempt)) => next = self.attempt(attempt).await,
+                Some(Step::Pass) => return self.pass().await,
+                Some(Step::Refuse(refusal)) => return self.refuse(&refusal).await,
+                None => return self.node.do_send(Feed(Event::Gone(self.id))),
+            }
+        }
+    }
+
+    /// Makes an attempt, and returns what is to be done after it; none if the caller is gone.
+    async fn attempt(&mut self, attempt: Attempt) -> Option<Step> {
+        let outlet = self.outlet.clone();
+        let (gone, mut steps) = (outlet.closed(), std::mem::replace(&mut self.steps, mpsc::unbounded_channel().1));
+        let number = attempt.number;
+        let turn = tokio::select! {
+            end = self.exchange(attempt) => Turn::Ended(end),
+            step = steps.recv() => step.map_or(Turn::CallerGone, Turn::Step),
+            () = gone => Turn::CallerGone,
+        };
+        self.steps = steps;
+        match turn {
+            Turn::Step(step) => Some(step),
+            Turn::CallerGone => None,
+            Turn::Ended(end) => {
+                self.node.do_send(Feed(Event::Ended { request: self.id, attempt: number, end }));
+                tokio::select! {
+                    step = self.steps.recv() => step,
+                    () = outlet.closed() => None,
+                }
+            }
+        }
+    }
+
+    /// Sends the request to an engine and reads its answer.
+    async fn exchange(&mut self, attempt: Attempt) -> End {
+        self.held = None;
+        self.events.restart();
+        let left = attempt.deadline.since(self.clock.now());
+        let mut request = self.content.request.clone();
+        let resume_after = self.events.last().or(self.content.resumes_after);
+        front::address(&mut request.headers, &attempt, left, resume_after);
+        let until = Instant::now() + left + AFTER_DEADLINE;
+        let mut answer = self.client.send(attempt.address, request, until).await;
+        for _ in 0..FOREIGN_MAX {
+            let response = match answer {
+                Ok(response) => response,
+                Err(error) => return self.unanswered(&attempt, &error),
+            };
+            let caller_id = self.content.caller_id.as_deref();
+            let verdict = front::verdict(response.status(), response.headers(), &attempt.engine, caller_id);
+            match verdict {
+                Verdict::Foreign => answer = response.skip().await,
+                Verdict::Success if attempt.streams => return self.stream(&attempt, response).await,
+                Verdict::Success => return self.hold(response, End::Done).await,
+                Verdict::Failure => return self.hold(response, End::Failed).await,
+                Verdict::Refused(cause) => {
+                    // Its connection can be used again once the answer is read.
+                    let _read = self.hold(response, End::Refused(cause)).await;
+                    self.held = None;
+                    return End::Refused(cause);
+                }
+                Verdict::Broken => return End::Broken,
+            }
+        }
+        End::Broken
+    }
+
+    fn unanswered(&self, attempt: &Attempt, error: &Error) -> End {
+        tracing::debug!(request = %self.id, engine = %attempt.engine, %error, "no answer");
+        match error {
+            Error::Unsent(_) => End::Unsent,
+            Error::Lost(_) | Error::Garbled(_) | Error::Late => End::Broken,
+        }
+    }
+
+    /// Reads a whole answer and keeps it until the reducer says what becomes of it.
+    async fn hold(&mut self, mut response: Response, end: End) -> End {
+        let head = Head { status: response.status(), headers: front::returned(response.headers()) };
+        match response.whole(ANSWER_MAX).await {
+            Ok(body) => {
+                self.held = Some((head, body));
+                end
+            }
+            Err(_broke_off) => End::Broken,
+        }
+    }
+
+    /// Passes a stream on, event by event.
+    async fn stream(&mut self, attempt: &Attempt, mut response: Response) -> End {
+        let head = Head { status: response.status(), headers: front::returned(response.headers()) };
+        loop {
+            match response.chunk().await {
+                Ok(Some(bytes)) => {
+                    let whole = self.events.push(&bytes);
+                    if self.events.overlong() {
+                        return End::Broken;
+                    }
+                    if whole.is_empty() {
+                        continue;
+                    }
+                    self.node.do_send(Feed(Event::Began(self.id)));
+                    self.begin(&head).await;
+                    let _caller_gone = self.outlet.send(Part::Data(whole)).await;
+                }
+                Ok(None) if self.events.partial() => return End::Broken,
+                Ok(None) => {
+                    self.begin(&head).await;
+                    return End::Done;
+                }
+                Err(error) => {
+                    tracing::debug!(request = %self.id, engine = %attempt.engine, %error, "the stream broke off");
+                    return End::Broken;
+                }
+            }
+        }
+    }
+
+    /// Sends the head of a stream to the caller, unless an earlier attempt's has gone out.
+    async fn begin(&mut self, head: &Head) {
+        if !std::mem::replace(&mut self.begun, true) {
+            let _caller_gone = self.outlet.send(Part::Head(head.clone())).await;
+        }
+    }
+
+    async fn pass(mut self) {
+        let part = match self.held.take() {
+            // A failure of a later attempt cannot follow the head of an earlier one.
+            Some(_) if self.begun => return,
+            Some((head, body)) => Part::Whole(head, body),
+            None => Part::End,
+        };
+        let _caller_gone = self.outlet.send(part).await;
+    }
+
+    async fn refuse(self, refusal: &Refusal) {
+        // Without its end, the caller sees that the answer broke off.
+        if self.begun {
+            return;
+        }
+        let status = StatusCode::from_u16(refusal.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers: HeaderMap = front::refused(refusal, self.content.caller_id.as_deref());
+        let body = Bytes::from(format!("{} {}\n", refusal.code.number(), refusal.code.meaning()));
+        let _caller_gone = self.outlet.send(Part::Whole(Head { status, headers }, body)).await;
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/run.rs
@@ -0,0 +1,147 @@
+//! Starts an entry VM and stops it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use actix::{Actor, Arbiter};
+use thiserror::Error;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+use tracing_subscriber::filter::LevelFilter;
+
+use super::doors::{self, Door};
+use super::node::{Feed, Node, Signals};
+use super::peers::{self, Hub};
+use super::settings::{self, Settings};
+use super::log;
+use crate::clock::Clock;
+use crate::listener::{Listener, Socket};
+use crate::settings::{Timeouts, Unreadable};
+
+/// Time for connections to end once nothing is under way.
+const CLOSE: Duration = Duration::from_millis(300);
+/// Callers reuse connections that were idle for most of the operator's limit; longer than any such limit.
+const KEEP_ALIVE: Duration = Duration::from_mins(2);
+
+/// Why an entry VM did not start.
+#[derive(Debug, Error)]
+pub enum Failed {
+    /// Its settings are refused.
+    #[error("settings refused:\n{0}")]
+    Settings(#[from] Unreadable),
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The operating system refused something.
+    #[error("{0}")]
+    System(#[from] io::Error),
+}
+
+/// Serves with the settings of `file` until told to stop.
+///
+/// # Errors
+///
+/// If it cannot start.
+pub async fn serve(file: &Path) -> Result<(), Failed> {
+    let settings = settings::load(file)?;
+    let (log, guard) = log::start(&settings.vm);
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_max_level(LevelFilter::INFO)
+        .with_writer({
+            let writer = log.writer();
+            move || writer.clone()
+        })
+        .finish();
+    let _logging_already = tracing::subscriber::set_global_default(subscriber);
+    let clock = Clock::start();
+    log.started(clock.now(), &settings.zone);
+    let running = Running::start(&settings, clock, log)?;
+    running.run(file, settings).await?;
+    drop(guard);
+    Ok(())
+}
+
+struct Running {
+    node: actix::Addr<Node>,
+    listeners: Vec<Listener>,
+    stopping: watch::Sender<bool>,
+    exited: watch::Receiver<bool>,
+}
+
+impl Running {
+    fn start(settings: &Settings, clock: Clock, log: log::Log) -> Result<Self, Failed> {
+        let arbiter = Arbiter::current();
+        let (ready, is_ready) = watch::channel(false);
+        let (changed, on_change) = watch::channel(0);
+        let (exit, exited) = watch::channel(false);
+        let (stopping, is_stopping) = watch::channel(false);
+        let signals = Signals { ready, changed, exited: exit };
+        let node = Node::new(settings.clone(), clock, log, signals).start();
+        let door = Door { node: node.clone(), ready: is_ready, stopping: is_stopping };
+        let hub = Hub { node: node.clone(), changed: on_change };
+        let watchers = door.clone();
+        let listeners = vec![
+            listen(settings.listen.peers, &arbiter, move |config| peers::routes(config, hub.clone()))?,
+            listen(settings.listen.watchers, &arbiter, move |config| doors::watchers(config, watchers.clone()))?,
+            listen(settings.listen.callers, &arbiter, move |config| doors::callers(config, door.clone()))?,
+        ];
+        Ok(Self { node, listeners, stopping, exited })
+    }
+
+    async fn run(mut self, file: &Path, settings: Settings) -> Result<(), Failed> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => reload(file, &settings),
+            }
+        }
+        self.stop(&settings, &mut terminate).await;
+        Ok(())
+    }
+
+    /// Stops without cutting anything off that ends within the grace.
+    async fn stop(&mut self, settings: &Settings, again: &mut Signal) {
+        self.stopping.send_replace(true);
+        self.node.do_send(Feed(boragecove_fleet::event::Event::Stop));
+        tokio::select! {
+            _ = self.exited.wait_for(|exited| *exited) => {}
+            () = tokio::time::sleep(settings.stop_within()) => {}
+            _ = again.recv() => {}
+        }
+        for listener in &self.listeners {
+            let _cut_off = tokio::time::timeout(CLOSE, listener.stop(true)).await;
+        }
+    }
+}
+
+/// Looks at the settings again. What can change while a process runs is told by the store; the rest needs
+/// a restart, and is said so.
+fn reload(file: &Path, settings: &Settings) {
+    match settings::load(file) {
+        Ok(read) if read == *settings => tracing::info!(outcome = "unchanged", "settings read again"),
+        Ok(_) => tracing::warn!(outcome = "changed, in force at the next start", "settings read again"),
+        Err(error) => tracing::warn!(outcome = "refused", %error, "settings read again"),
+    }
+}
+
+fn listen<F>(address: SocketAddr, arbiter: &actix::ArbiterHandle, routes: F) -> Result<Listener, Failed>
+where
+    F: Fn(&mut actix_web::web::ServiceConfig) + Send + 'static,
+{
+    let failed = |source| Failed::Listen { address, source };
+    let timeouts = Timeouts { read: KEEP_ALIVE, keep_alive: KEEP_ALIVE, shutdown: CLOSE, ..Timeouts::default() };
+    Socket::bind(address, timeouts).map_err(failed)?.on_arbiter(arbiter, routes).map_err(failed)
+}
--- /dev/null
+++ b/daemon/src/entry/settings.rs
@@ -0,0 +1,140 @@
+//! The settings of an entry VM on the users' platform, in JSON with comments.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_fleet::settings as fleet;
+use boragecove_wire::jsonc::{self, Node, Problems};
+
+use crate::settings::{Unreadable, loopback};
+
+/// Ratios and slacks of repeats, at most.
+const REPEATS_MAX: f64 = 1_000_000.0;
+/// Time of the platform's grace that is left for the end itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(350);
+
+/// All settings of a process. [`load`] reads them from a file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The machine's name.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where to listen.
+    pub listen: Listen,
+    /// Where the platform's store listens.
+    pub store: SocketAddr,
+    /// Time to open a connection.
+    pub connect: Duration,
+    /// Time for the hub's answer to a frame.
+    pub frame: Duration,
+    /// Time from the word to stop until the process ends whatever is under way.
+    pub grace: Duration,
+    /// What the reducer goes by.
+    pub fleet: fleet::Settings,
+}
+
+/// Where a process listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer and for collectors of metrics.
+    pub watchers: SocketAddr,
+    /// For other entry VMs.
+    pub peers: SocketAddr,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            vm: "entry-1".into(),
+            zone: "zone-1".into(),
+            listen: Listen { callers: loopback(), watchers: loopback(), peers: loopback() },
+            store: loopback(),
+            connect: Duration::from_millis(400),
+            frame: Duration::from_millis(500),
+            grace: Duration::from_secs(8),
+            fleet: fleet::Settings::default(),
+        }
+    }
+}
+
+impl Settings {
+    /// Time from the word to stop until whatever is still under way is cut off.
+    #[must_use]
+    pub fn stop_within(&self) -> Duration {
+        self.grace.saturating_sub(GRACE_MARGIN)
+    }
+}
+
+/// Reads a settings file.
+///
+/// # Errors
+///
+/// If it cannot be read, or for everything that is wrong in it.
+pub fn load(path: &Path) -> Result<Settings, Unreadable> {
+    let text =
+        fs::read_to_string(path).map_err(|source| Unreadable::File { path: path.to_owned(), source })?;
+    Ok(read(&path.display().to_string(), &text)?)
+}
+
+/// Reads settings from a text; `file` names it in errors.
+///
+/// # Errors
+///
+/// For everything that is wrong in it.
+pub fn read(file: &str, text: &str) -> Result<Settings, Problems> {
+    jsonc::read(file, text, |root| settings(&root))
+}
+
+fn settings(root: &Node<'_>) -> Settings {
+    let mut settings = Settings::default();
+    let mut object = root.object();
+    set(&mut settings.vm, object.required("vm").and_then(|node| node.name()));
+    set(&mut settings.zone, object.required("zone").and_then(|node| node.name()));
+    if let Some(node) = object.required("listen") {
+        listen(&node, &mut settings.listen);
+    }
+    set(&mut settings.store, object.required("store").and_then(|node| node.address()));
+    set(&mut settings.connect, object.optional("connect").and_then(|node| node.duration()));
+    set(&mut settings.frame, object.optional("frame").and_then(|node| node.duration()));
+    set(&mut settings.grace, object.optional("grace").and_then(|node| node.duration()));
+    if let Some(node) = object.optional("repeats") {
+        repeats(&node, &mut settings.fleet);
+    }
+    if let Some(node) = object.optional("orders") {
+        orders(&node, &mut settings.fleet);
+    }
+    settings
+}
+
+fn listen(node: &Node<'_>, listen: &mut Listen) {
+    let mut object = node.object();
+    set(&mut listen.callers, object.required("callers").and_then(|node| node.address()));
+    set(&mut listen.watchers, object.required("watchers").and_then(|node| node.address()));
+    set(&mut listen.peers, object.required("peers").and_then(|node| node.address()));
+}
+
+fn repeats(node: &Node<'_>, fleet: &mut fleet::Settings) {
+    let mut object = node.object();
+    let mut number = |key| object.optional(key).and_then(|node: Node<'_>| node.number(0.0, REPEATS_MAX));
+    set(&mut fleet.repeat_ratio, number("ratio"));
+    set(&mut fleet.repeat_slack, number("slack"));
+    set(&mut fleet.repeat_window, object.optional("window").and_then(|node| node.duration()));
+}
+
+fn orders(node: &Node<'_>, fleet: &mut fleet::Settings) {
+    let mut object = node.object();
+    set(&mut fleet.order_gap, object.optional("gap").and_then(|node| node.duration()));
+    set(&mut fleet.load_window, object.optional("load-window").and_then(|node| node.duration()));
+}
+
+fn set<T>(place: &mut T, value: Option<T>) {
+    if let Some(value) = value {
+        *place = value;
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod cmd;
 pub mod dev;
+pub mod entry;
 mod listener;
 pub mod logs;
 mod metrics;
--- a/daemon/src/listener.rs
+++ b/daemon/src/listener.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
-use actix::Arbiter;
+use actix::ArbiterHandle;
 use actix_http::HttpService;
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
 use actix_web::dev::{AppConfig, ServerHandle};
@@ -89,7 +89,7 @@
     }
 
     /// Serves `routes` on the thread of `arbiter`.
-    pub(crate) fn on_arbiter<F>(self, arbiter: &Arbiter, routes: F) -> io::Result<Listener>
+    pub(crate) fn on_arbiter<F>(self, arbiter: &ArbiterHandle, routes: F) -> io::Result<Listener>
     where
         F: Fn(&mut ServiceConfig) + Send + 'static,
     {
--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -125,7 +125,7 @@
     {
         let Self { whom, socket } = self;
         let address = socket.address();
-        socket.on_arbiter(arbiter, routes).map_err(|source| Failed { whom, address, source })
+        socket.on_arbiter(&arbiter.handle(), routes).map_err(|source| Failed { whom, address, source })
     }
 
     fn on_threads<F>(self, workers: usize, routes: F) -> Result<Listener, Failed>
--- /dev/null
+++ b/fleet/src/config.rs
@@ -0,0 +1,195 @@
+//! What operators declare: routes, the services behind them, and limits on what callers may send.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+/// One version of the configuration, whole.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Config {
+    /// Its version; a higher one replaces a lower one, never the other way round.
+    pub version: u64,
+    /// Where requests may go.
+    pub routes: Vec<Arc<Route>>,
+    /// What runs them.
+    pub services: Vec<Arc<Service>>,
+    /// What callers may send.
+    pub limits: Limits,
+}
+
+/// A path prefix of a host, and the services that its requests go to.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Its name.
+    pub name: Name,
+    /// The host that requests name.
+    pub host: Name,
+    /// What their paths begin with; begins and ends with a slash.
+    pub prefix: Name,
+    /// What may be done with a request more than once.
+    pub kind: Kind,
+    /// How long a caller is kept waiting at most.
+    pub timeout: Duration,
+    /// The time to an answer, or to the first event of a stream, that the operator aims at.
+    pub target: Duration,
+    /// Its rank; 0 goes first.
+    pub priority: u8,
+    /// Engines to which one request may be sent.
+    pub attempts: u32,
+    /// The services, with their weights.
+    pub split: Vec<Share>,
+}
+
+/// A service's part of a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// The service's name.
+    pub service: Name,
+    /// Its weight among the route's services.
+    pub weight: u32,
+}
+
+/// What may be done with a request more than once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// It may run more than once.
+    Idempotent,
+    /// It may run once at most.
+    #[default]
+    Once,
+    /// It is answered by a stream of numbered events.
+    Stream {
+        /// Whether another engine may go on after the last event that was delivered.
+        resumable: bool,
+    },
+}
+
+impl Kind {
+    /// Whether another engine may be given a request that may have run.
+    #[must_use]
+    pub const fn repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Stream { resumable: true })
+    }
+
+    /// Whether the answer is a stream of events.
+    #[must_use]
+    pub const fn streams(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// Engines that are alike.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: Name,
+    /// Connections that one engine accepts from all callers together.
+    pub connections_max: u32,
+    /// What its engines hold, if they run models.
+    pub pool: Option<Pool>,
+}
+
+/// The size of each engine of a service, and the models to be spread over them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Pool {
+    /// Requests that one engine runs at once.
+    pub slots: u32,
+    /// Memory of one engine for prompts and what was generated, in tokens.
+    pub cache_tokens: u64,
+    /// Memory of one engine for weights and adapters, in MB.
+    pub memory_mb: f64,
+    /// Adapters that one engine holds.
+    pub adapters_max: u32,
+    /// Loads from the weight store a second, over all engines.
+    pub loads_per_s: f64,
+    /// The models.
+    pub models: Vec<Model>,
+}
+
+/// A model that engines may be told to load.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Model {
+    /// Its name.
+    pub name: Name,
+    /// Memory that its weights take, in MB.
+    pub memory_mb: f64,
+    /// Memory that one of its adapters takes, in MB.
+    pub adapter_mb: f64,
+    /// Time to load it from the weight store.
+    pub cold: Duration,
+    /// Time to load it from the engine's own disk.
+    pub disk: Duration,
+    /// Time to load it from the engine's own memory.
+    pub warm: Duration,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Bytes of a request's headers.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time to send the headers.
+    pub header_time: Duration,
+    /// Time that a connection may stay idle.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Config {
+    /// The service of that name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == *name).map(AsRef::as_ref)
+    }
+}
+
+impl Pool {
+    /// The model of that name.
+    #[must_use]
+    pub fn model(&self, name: &str) -> Option<&Model> {
+        self.models.iter().find(|model| model.name == *name)
+    }
+}
+
+/// The routes of one version, by host.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    /// The routes of each host, longest prefix first.
+    by_host: FxHashMap<Name, Vec<Arc<Route>>>,
+}
+
+impl Table {
+    /// Sorts the routes of `config`.
+    #[must_use]
+    pub fn new(config: &Config) -> Self {
+        let mut by_host: FxHashMap<Name, Vec<Arc<Route>>> = FxHashMap::default();
+        for route in &config.routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::clone(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self { by_host }
+    }
+
+    /// The route of `host` with the longest prefix that begins `path`.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.by_host.get(host)?.iter().find(|route| path.starts_with(route.prefix.as_str()))
+    }
+}
--- /dev/null
+++ b/fleet/src/demand.rs
@@ -0,0 +1,169 @@
+//! What callers ask for: counted by each entry VM, put together by the one that plans.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use serde::{Deserialize, Serialize};
+
+/// Time in which the memory of past demand halves: demand moves to other models within seconds, and a
+/// load takes one to four.
+const HALF_LIFE: Duration = Duration::from_millis(1_200);
+
+/// A model, or one of its adapters, of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Target {
+    /// The service.
+    pub service: Name,
+    /// The model.
+    pub model: Name,
+    /// The adapter; none for the model alone.
+    pub adapter: Option<Name>,
+}
+
+/// What one entry VM's callers asked for.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// For what.
+    pub target: Target,
+    /// Requests that came since the last frame.
+    pub arrived: u32,
+    /// Requests under way at engines.
+    pub open: u32,
+    /// Requests that wait for it to be loaded.
+    pub waiting: u32,
+}
+
+/// The demand at one entry VM.
+#[derive(Debug, Default)]
+pub struct Counts {
+    by_target: BTreeMap<Target, Demand>,
+}
+
+impl Counts {
+    fn entry(&mut self, target: &Target) -> &mut Demand {
+        let new = || Demand { target: target.clone(), ..Demand::default() };
+        self.by_target.entry(target.clone()).or_insert_with(new)
+    }
+
+    pub(crate) fn arrived(&mut self, target: &Target) {
+        self.entry(target).arrived += 1;
+    }
+
+    pub(crate) fn waits(&mut self, target: &Target) {
+        self.entry(target).waiting += 1;
+    }
+
+    pub(crate) fn waited(&mut self, target: &Target) {
+        let demand = self.entry(target);
+        demand.waiting = demand.waiting.saturating_sub(1);
+    }
+
+    pub(crate) fn sent(&mut self, target: &Target) {
+        self.entry(target).open += 1;
+    }
+
+    pub(crate) fn ended(&mut self, target: &Target) {
+        let demand = self.entry(target);
+        demand.open = demand.open.saturating_sub(1);
+    }
+
+    /// All there is, without counting anew.
+    pub(crate) fn peek(&self) -> impl Iterator<Item = &Demand> {
+        self.by_target.values()
+    }
+
+    /// All there is, for a frame; what came is counted anew from here.
+    pub(crate) fn take(&mut self) -> Vec<Demand> {
+        let taken = self.by_target.values().cloned().collect();
+        self.by_target.retain(|_, demand| demand.open + demand.waiting > 0);
+        for demand in self.by_target.values_mut() {
+            demand.arrived = 0;
+        }
+        taken
+    }
+}
+
+/// The demand of all entry VMs, as the one that plans sees it.
+#[derive(Debug, Default)]
+pub struct Appetite {
+    models: BTreeMap<Target, Trend>,
+    /// When an adapter was last asked for.
+    adapters: BTreeMap<Target, Time>,
+    arrived: BTreeMap<Target, u32>,
+    at: Time,
+}
+
+/// How much a model is asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Trend {
+    /// Requests under way or waiting, smoothed.
+    pub busy: f64,
+    /// Requests that wait now.
+    pub waiting: u32,
+    /// Requests a second, smoothed.
+    pub rate: f64,
+}
+
+impl Appetite {
+    /// An entry VM's callers asked for something.
+    pub(crate) fn arrived(&mut self, demand: &Demand) {
+        if demand.arrived > 0 {
+            *self.arrived.entry(demand.target.clone()).or_default() += demand.arrived;
+        }
+    }
+
+    /// Takes in what is under way now at all entry VMs.
+    pub(crate) fn update<'a>(&mut self, now: Time, demands: impl Iterator<Item = &'a Demand>) {
+        let past = now.since(self.at).as_secs_f64();
+        self.at = now;
+        let keep = (-past / HALF_LIFE.as_secs_f64()).exp2();
+        let mut sums: BTreeMap<Target, (u32, u32, u32)> = BTreeMap::new();
+        for demand in demands {
+            if demand.target.adapter.is_some() && demand.open + demand.waiting > 0 {
+                self.adapters.insert(demand.target.clone(), now);
+            }
+            let sum = sums.entry(demand.target.of_model()).or_default();
+            sum.0 += demand.open;
+            sum.1 += demand.waiting;
+        }
+        for (target, arrived) in std::mem::take(&mut self.arrived) {
+            sums.entry(target.of_model()).or_default().2 += arrived;
+            if target.adapter.is_some() {
+                self.adapters.insert(target, now);
+            }
+        }
+        for target in sums.keys() {
+            self.models.entry(target.clone()).or_default();
+        }
+        for (target, trend) in &mut self.models {
+            let (open, waiting, arrived) = sums.get(target).copied().unwrap_or_default();
+            let blend = |old: f64, new: f64| keep.mul_add(old - new, new);
+            trend.busy = blend(trend.busy, f64::from(open + waiting));
+            trend.waiting = waiting;
+            trend.rate = blend(trend.rate, f64::from(arrived) / past.max(0.001));
+        }
+    }
+
+    /// How much a model is asked for.
+    #[must_use]
+    pub fn trend(&self, service: &Name, model: &Name) -> Trend {
+        let target = Target { service: service.clone(), model: model.clone(), adapter: None };
+        self.models.get(&target).copied().unwrap_or_default()
+    }
+
+    /// When an adapter was last asked for.
+    #[must_use]
+    pub fn used(&self, target: &Target) -> Option<Time> {
+        self.adapters.get(target).copied()
+    }
+}
+
+impl Target {
+    /// The model alone.
+    #[must_use]
+    pub fn of_model(&self) -> Self {
+        Self { adapter: None, ..self.clone() }
+    }
+}
--- /dev/null
+++ b/fleet/src/effect.rs
@@ -0,0 +1,74 @@
+//! Every action of the reducer, as data for a process to carry out.
+
+use std::net::SocketAddr;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use crate::frame::Frame;
+use crate::lease;
+use crate::ledger::Order;
+use crate::record::Record;
+use crate::request::{Id, Step};
+
+/// Something to do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Do this for a request.
+    Step {
+        /// The request.
+        request: Id,
+        /// What to do.
+        step: Step,
+    },
+    /// Send a frame to the hub; its answer comes back as [`crate::event::Event::Replied`].
+    Frame {
+        /// Where the hub listens.
+        address: SocketAddr,
+        /// The frame.
+        frame: Box<Frame>,
+    },
+    /// Read or write the lease.
+    Lease(lease::Call),
+    /// Send an order to an engine.
+    Order(Box<Dispatch>),
+    /// Ask an engine what it holds.
+    Report {
+        /// The engine's id.
+        engine: Name,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Ask an engine that is suspected whether it is well.
+    Probe {
+        /// The engine's id.
+        engine: Name,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Keep a record of a decision.
+    Record(Record),
+    /// Take the entry VM in or out of the balancer's rotation.
+    Ready(bool),
+    /// What engines hold has changed; whoever waits for that may be answered.
+    Changed,
+    /// Send [`crate::event::Event::Wake`] at this time. A later effect of this kind replaces an earlier one.
+    WakeAt(Time),
+    /// End the process: nothing is in flight any more.
+    Exit,
+}
+
+/// An order on its way to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The engine's id; another engine at its address must refuse.
+    pub engine: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The order.
+    pub order: Order,
+    /// Orders that the engine has accepted before; it refuses if there were others.
+    pub sequence: u64,
+    /// The fencing number of the lease under which it is sent.
+    pub term: u64,
+}
--- /dev/null
+++ b/fleet/src/engine.rs
@@ -0,0 +1,264 @@
+//! Engines: what the platform's store says of each, and what this process believes beyond that.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::settings::Settings;
+
+/// An engine as it registered itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The id of this life of the engine; a restarted engine has another.
+    pub id: Name,
+    /// The service it belongs to.
+    pub service: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no more work.
+    pub leaving: bool,
+    /// How long it stays at most, if it is leaving at short notice.
+    pub remaining: Option<Duration>,
+    /// Orders that it had accepted.
+    pub sequence: u64,
+    /// What it held.
+    pub held: Vec<Held>,
+    /// Models whose weights it keeps in its own memory or on its disk.
+    pub cached: Cached,
+}
+
+/// A model that an engine held when it said so.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The model.
+    pub model: Name,
+    /// Its adapters there.
+    pub adapters: Vec<Name>,
+}
+
+/// Copies of weights that an engine can load without the weight store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cached {
+    /// In its memory.
+    pub memory: Vec<Name>,
+    /// On its disk.
+    pub disk: Vec<Name>,
+}
+
+/// One row of the engines' table: an entry, or the word that it was removed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The engine's id.
+    pub id: Name,
+    /// The store's version of the row.
+    pub version: u64,
+    /// The entry; none if it was removed.
+    pub entry: Option<Entry>,
+}
+
+/// What an engine holds, as far as orders sent by this deployment tell.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Residency {
+    /// The models.
+    pub copies: Vec<Copy>,
+}
+
+/// A model's copy at an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copy {
+    /// The model.
+    pub model: Name,
+    /// How far it is.
+    pub phase: Phase,
+    /// Its adapters that can be used.
+    pub adapters: Vec<Name>,
+}
+
+/// How far a copy is.
+#[derive(Clone, std::marker::Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It is being loaded.
+    Loading,
+    /// It serves requests.
+    Ready,
+    /// It is being dropped, and takes no new requests.
+    Closing,
+}
+
+impl Residency {
+    /// What an entry or a report says; everything in it is ready.
+    #[must_use]
+    pub fn of(held: &[Held]) -> Self {
+        let ready = |held: &Held| Copy {
+            model: held.model.clone(),
+            phase: Phase::Ready,
+            adapters: held.adapters.clone(),
+        };
+        Self { copies: held.iter().map(ready).collect() }
+    }
+
+    /// The copy of a model.
+    #[must_use]
+    pub fn copy(&self, model: &str) -> Option<&Copy> {
+        self.copies.iter().find(|copy| copy.model == *model)
+    }
+
+    /// Whether requests for the model, with the adapter if one is named, can run.
+    #[must_use]
+    pub fn serves(&self, model: &str, adapter: Option<&str>) -> bool {
+        self.copy(model).is_some_and(|copy| {
+            copy.phase == Phase::Ready
+                && adapter.is_none_or(|name| copy.adapters.iter().any(|held| *held == *name))
+        })
+    }
+}
+
+/// Requests under way at an engine.
+#[derive(Clone, std::marker::Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests sent that have not ended.
+    pub open: u32,
+    /// Prompt tokens of those that have not begun to answer.
+    pub unread_tokens: u64,
+}
+
+impl Load {
+    /// Both together.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self { open: self.open + other.open, unread_tokens: self.unread_tokens + other.unread_tokens }
+    }
+
+    /// This without the other; nothing below zero.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
+        Self {
+            open: self.open.saturating_sub(other.open),
+            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+        }
+    }
+}
+
+/// An engine, as this process believes it to be.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// As it registered itself.
+    pub entry: Entry,
+    /// The store's version of its row.
+    pub version: u64,
+    /// When its entry is to be taken as gone, if it went missing around an outage of the store.
+    pub missing_until: Option<Time>,
+    /// What this process has sent there.
+    pub own: Load,
+    /// What the other entry VMs have sent there.
+    pub others: Load,
+    /// How far it is trusted.
+    pub health: Health,
+    /// What it holds, as the process that orders it says; none until that is known.
+    pub ordered: Option<Residency>,
+    /// Models that it refused as absent, and until when that is believed.
+    pub absent: Vec<(Name, Option<Name>, Time)>,
+}
+
+impl Engine {
+    /// An engine that was just registered.
+    #[must_use]
+    pub fn new(entry: Entry, version: u64) -> Self {
+        Self {
+            entry,
+            version,
+            missing_until: None,
+            own: Load::default(),
+            others: Load::default(),
+            health: Health::default(),
+            ordered: None,
+            absent: Vec::new(),
+        }
+    }
+
+    /// Requests of all entry VMs under way there.
+    #[must_use]
+    pub const fn load(&self) -> Load {
+        self.own.plus(self.others)
+    }
+
+    /// Whether it may be sent work at all.
+    #[must_use]
+    pub const fn takes_work(&self) -> bool {
+        !self.entry.leaving
+    }
+
+    /// Whether it can run requests for a model, as far as is known.
+    #[must_use]
+    pub fn serves(&self, model: &str, adapter: Option<&str>, now: Time) -> bool {
+        let refused = self.absent.iter().any(|(name, with, until)| {
+            *until > now && *name == *model && (with.is_none() || with.as_deref() == adapter)
+        });
+        if refused {
+            return false;
+        }
+        match &self.ordered {
+            Some(residency) => residency.serves(model, adapter),
+            None => self.entry.held.iter().any(|held| {
+                held.model == *model
+                    && adapter.is_none_or(|adapter| held.adapters.iter().any(|name| *name == *adapter))
+            }),
+        }
+    }
+}
+
+/// How far an engine is trusted.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// Until when it gets no work, since it could not be reached or went silent.
+    pub suspect_until: Option<Time>,
+    /// How long the last suspicion was; the next is twice as long.
+    pub suspicion: Duration,
+    /// Failures lately: each adds one, and they halve with time.
+    faults: f64,
+    faults_at: Time,
+    /// When anything last came from it.
+    pub heard: Time,
+}
+
+impl Health {
+    /// Something came from the engine.
+    pub fn hear(&mut self, now: Time) {
+        self.heard = now;
+        self.suspect_until = None;
+        self.suspicion = Duration::ZERO;
+    }
+
+    /// The engine could not be reached, or was silent for too long.
+    pub fn suspect(&mut self, now: Time, settings: &Settings) {
+        let least = settings.suspicion_min;
+        self.suspicion = (self.suspicion * 2).clamp(least, settings.suspicion_max);
+        self.suspect_until = Some(now + self.suspicion);
+    }
+
+    /// Whether it is suspected now.
+    #[must_use]
+    pub fn suspected(&self, now: Time) -> bool {
+        self.suspect_until.is_some_and(|until| now < until)
+    }
+
+    /// A request failed there after it had been sent.
+    pub fn fail(&mut self, now: Time, settings: &Settings) {
+        self.faults = self.faults(now, settings) + 1.0;
+        self.faults_at = now;
+    }
+
+    /// Failures lately.
+    #[must_use]
+    pub fn faults(&self, now: Time, settings: &Settings) -> f64 {
+        let halvings = now.since(self.faults_at).as_secs_f64() / settings.fault_half_life.as_secs_f64();
+        self.faults * (-halvings).exp2()
+    }
+}
--- /dev/null
+++ b/fleet/src/entries.rs
@@ -0,0 +1,161 @@
+//! What the platform's store says: the configuration in force, and the engines that there are.
+
+use std::sync::Arc;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use crate::config::{Config, Table};
+use crate::effect::Effect;
+use crate::engine::{Engine, Entry, Row};
+use crate::event::Listing;
+use crate::flow;
+use crate::ledger;
+use crate::record::Record;
+use crate::state::State;
+use crate::timer::Timer;
+
+/// Removed engines that are remembered, so that older news of them does not bring them back.
+const REMOVED_MAX: usize = 1_000;
+
+/// A version of the configuration was learnt. A lower one than that in force is ignored.
+pub(crate) fn configured(state: &mut State, config: Arc<Config>, source: &'static str, out: &mut Vec<Effect>) {
+    let before = state.config.as_ref().map_or(0, |config| config.version);
+    if state.config.is_some() && config.version <= before {
+        return;
+    }
+    out.push(Effect::Record(Record::Configured {
+        version: config.version,
+        before,
+        routes: config.routes.len(),
+        source,
+    }));
+    state.routes = Table::new(&config);
+    state.config = Some(config);
+    announce(state, out);
+}
+
+/// Says whether this entry VM can serve.
+pub(crate) fn announce(state: &mut State, out: &mut Vec<Effect>) {
+    let ready = state.config.is_some() && state.listed > 0 && !state.stopping;
+    if ready != state.ready {
+        state.ready = ready;
+        out.push(Effect::Ready(ready));
+    }
+}
+
+/// The store can be reached, or cannot.
+pub(crate) fn store_up(state: &mut State, now: Time, up: bool, out: &mut Vec<Effect>) {
+    if up != state.store_up {
+        state.store_up = up;
+        out.push(Effect::Record(Record::Store { state: if up { "found" } else { "lost" } }));
+    }
+    if !up {
+        state.store_troubled = Some(now);
+    }
+}
+
+/// The engines' table, or a part of it, was read.
+pub(crate) fn listed(state: &mut State, now: Time, listing: Listing, out: &mut Vec<Effect>) {
+    if listing.whole {
+        missing(state, now, &listing, out);
+    }
+    for row in listing.rows {
+        take(state, now, row, out);
+    }
+    state.listed = state.listed.max(listing.version);
+    announce(state, out);
+    flow::stir_later(state);
+}
+
+/// Engines that a whole listing does not name.
+fn missing(state: &mut State, now: Time, listing: &Listing, out: &mut Vec<Effect>) {
+    let named = |id: &Name| listing.rows.iter().any(|row| row.id == *id);
+    let known = state.engines.values().filter(|engine| engine.version <= listing.version);
+    let gone: Vec<Name> =
+        known.map(|engine| engine.entry.id.clone()).filter(|id| !named(id)).collect();
+    for id in gone {
+        let row = Row { id, version: listing.version, entry: None };
+        take(state, now, row, out);
+    }
+}
+
+fn take(state: &mut State, now: Time, row: Row, out: &mut Vec<Effect>) {
+    let Row { id, version, entry } = row;
+    if state.removed.get(&id).is_some_and(|removed| *removed >= version) {
+        return;
+    }
+    if state.engines.get(&id).is_some_and(|engine| engine.version > version) {
+        return;
+    }
+    match entry {
+        Some(entry) => put(state, now, entry, version, out),
+        None => remove(state, now, id, version, out),
+    }
+}
+
+fn put(state: &mut State, now: Time, entry: Entry, version: u64, out: &mut Vec<Effect>) {
+    let id = entry.id.clone();
+    state.removed.remove(&id);
+    let label = if entry.leaving { "leaving" } else { "serving" };
+    let (service, leaving) = (entry.service.clone(), entry.leaving);
+    let mut changed = true;
+    if let Some(engine) = state.engines.get_mut(&id) {
+        changed = engine.entry.leaving != leaving || engine.missing_until.is_some();
+        engine.entry = entry;
+        engine.version = version;
+        engine.missing_until = None;
+    } else {
+        state.engines.insert(id.clone(), Engine::new(entry, version));
+    }
+    if changed {
+        out.push(Effect::Record(Record::Engine { engine: id.clone(), service, state: label, version }));
+    }
+    ledger::registered(state, now, &id, out);
+}
+
+/// An entry was removed. Around an outage of the store entries of sound engines lapse too, and are back
+/// soon after: those are kept for a while.
+fn remove(state: &mut State, now: Time, id: Name, version: u64, out: &mut Vec<Effect>) {
+    let grace = state.settings.lapse_grace;
+    let troubled = state.store_troubled.is_some_and(|at| now.since(at) < grace);
+    let Some(engine) = state.engines.get_mut(&id) else {
+        return;
+    };
+    engine.version = version;
+    let service = engine.entry.service.clone();
+    if troubled && !engine.entry.leaving {
+        if engine.missing_until.is_none() {
+            engine.missing_until = Some(now + grace);
+            state.timers.set(now + grace, Timer::Lapse(id.clone()));
+            out.push(Effect::Record(Record::Engine { engine: id, service, state: "lapsed", version }));
+        }
+        return;
+    }
+    forget(state, &id, version);
+    out.push(Effect::Record(Record::Engine { engine: id, service, state: "gone", version }));
+}
+
+/// An entry that lapsed around an outage has not come back.
+pub(crate) fn lapsed(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
+    let Some(engine) = state.engines.get(id) else {
+        return;
+    };
+    if engine.missing_until.is_none_or(|until| until > now) {
+        return;
+    }
+    let (service, version) = (engine.entry.service.clone(), engine.version);
+    forget(state, id, version);
+    out.push(Effect::Record(Record::Engine { engine: id.clone(), service, state: "gone", version }));
+}
+
+fn forget(state: &mut State, id: &Name, version: u64) {
+    state.engines.remove(id);
+    if state.removed.len() >= REMOVED_MAX {
+        let oldest = state.removed.iter().min_by_key(|(_, version)| **version).map(|(id, _)| id.clone());
+        if let Some(oldest) = oldest {
+            state.removed.remove(&oldest);
+        }
+    }
+    state.removed.insert(id.clone(), version);
+}
--- /dev/null
+++ b/fleet/src/event.rs
@@ -0,0 +1,87 @@
+//! Every input of the reducer.
+
+use std::sync::Arc;
+
+use boragecove_core::name::Name;
+
+use crate::config::Config;
+use crate::engine::Row;
+use crate::frame::{Frame, Reply};
+use crate::lease;
+use crate::ledger::{Receipt, Report};
+use crate::request::{Arrival, End, Id};
+
+/// Something that happened. The time at which it did is handed in beside it.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A version of the configuration was read.
+    Configured(Arc<Config>),
+    /// The engines' table, or what changed in it, was read.
+    Listed(Listing),
+    /// The store could not be reached, or can be again.
+    StoreUp(bool),
+    /// A caller's request was read.
+    Arrive {
+        /// Its number.
+        request: Id,
+        /// What it asks for.
+        arrival: Box<Arrival>,
+    },
+    /// A request's caller is gone.
+    Gone(Id),
+    /// The first of an answer's events came.
+    Began(Id),
+    /// Something came from an engine.
+    Heard(Name),
+    /// A request's current attempt ended.
+    Ended {
+        /// The request.
+        request: Id,
+        /// The attempt's number.
+        attempt: u32,
+        /// How it ended.
+        end: End,
+    },
+    /// A frame came from another entry VM. The answer is asked for with [`crate::reply`].
+    Framed(Box<Frame>),
+    /// The hub answered a frame; none if it could not be reached.
+    Replied(Option<Box<Reply>>),
+    /// The lease was read or written.
+    Lease(lease::Answer),
+    /// An engine answered an order; none if it is not known whether the order arrived.
+    Ordered {
+        /// The engine's id.
+        engine: Name,
+        /// Its answer.
+        receipt: Option<Receipt>,
+    },
+    /// An engine reported what it holds; none if it could not be asked.
+    Reported {
+        /// The engine's id.
+        engine: Name,
+        /// Its report.
+        report: Option<Report>,
+    },
+    /// An engine that was suspected was asked whether it is well.
+    Probed {
+        /// The engine's id.
+        engine: Name,
+        /// Whether it answered.
+        well: bool,
+    },
+    /// The process was asked to stop.
+    Stop,
+    /// The time that an effect asked to be woken at has come.
+    Wake,
+}
+
+/// What was read of the engines' table.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The rows that were read.
+    pub rows: Vec<Row>,
+    /// The store's version up to which they hold.
+    pub version: u64,
+    /// Whether they are all rows there are.
+    pub whole: bool,
+}
--- /dev/null
+++ b/fleet/src/frame.rs
@@ -0,0 +1,322 @@
+//! Frames: what each entry VM tells the hub several times a second, and what the hub answers. The cost
+//! grows with the number of entry VMs, not with its square.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::config::Config;
+use crate::demand::Demand;
+use crate::effect::Effect;
+use crate::engine::{Load, Residency, Row};
+use crate::entries;
+use crate::event::Listing;
+use crate::flow;
+use crate::record::Record;
+use crate::settings::Settings;
+use crate::state::State;
+use crate::timer::Timer;
+
+/// Time after which an entry VM that sends no frames no longer counts.
+const PEER_SILENCE: Duration = Duration::from_secs(2);
+
+/// What an entry VM tells the hub.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    /// The entry VM's name.
+    pub vm: Name,
+    /// The configuration that it goes by; 0 for none.
+    pub config: u64,
+    /// The store's version up to which it knows the engines' table.
+    pub listed: u64,
+    /// The term and the version of the hub's word on what engines hold that it knows.
+    pub view: View,
+    /// What it has under way, by engine.
+    pub loads: Vec<EngineLoad>,
+    /// What its callers asked for.
+    pub demand: Vec<Demand>,
+    /// What engines refused as absent since the last frame.
+    pub absent: Vec<Absent>,
+}
+
+/// A version of the hub's word on what engines hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// The term of the lease under which it holds.
+    pub term: u64,
+    /// Grows with each change.
+    pub version: u64,
+}
+
+/// What is under way at an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// The engine's id.
+    pub engine: Name,
+    /// What is under way.
+    pub load: Load,
+}
+
+/// A model or an adapter that an engine was thought to hold, and did not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Absent {
+    /// The engine's id.
+    pub engine: Name,
+    /// The model.
+    pub model: Name,
+    /// The adapter.
+    pub adapter: Option<Name>,
+}
+
+/// What the hub answers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// Whether it holds the lease; if not, another is to be found.
+    pub leads: bool,
+    /// Entry VMs that it hears, itself among them.
+    pub nodes: u32,
+    /// What all others have under way, by engine.
+    pub loads: Vec<EngineLoad>,
+    /// The version of its word on what engines hold.
+    pub view: View,
+    /// What those engines hold for which that has changed.
+    pub residencies: Vec<Resident>,
+    /// A newer configuration than the asker's.
+    pub config: Option<Arc<Config>>,
+    /// Rows of the engines' table that are newer than the asker's.
+    pub rows: Vec<Row>,
+    /// The store's version up to which the hub knows that table.
+    pub listed: u64,
+}
+
+/// What an engine holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resident {
+    /// The engine's id.
+    pub engine: Name,
+    /// What it holds.
+    pub residency: Residency,
+}
+
+/// What this process knows of the hub, and as the hub of the others.
+#[derive(Debug, Default)]
+pub struct Hub {
+    /// Whether the hub said that it holds the lease.
+    pub(crate) leads: bool,
+    /// Entry VMs, as the hub counted them.
+    pub(crate) nodes: u32,
+    /// What is known of what engines hold.
+    pub(crate) view: View,
+    /// When the hub last answered.
+    answered: Option<Time>,
+    /// Whether a frame is under way.
+    asking: bool,
+    /// Refusals to be told.
+    pub(crate) absent: Vec<Absent>,
+    /// The others' last frames, as the hub.
+    peers: BTreeMap<Name, Peer>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    heard: Time,
+    frame: Frame,
+}
+
+impl Hub {
+    /// Whether the hub has answered lately.
+    #[must_use]
+    pub fn alive(&self, now: Time, settings: &Settings) -> bool {
+        self.answered.is_some_and(|at| now.since(at) < settings.hub_silence)
+    }
+
+    /// Time since the hub last answered.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Duration {
+        self.answered.map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// The frames of the other entry VMs.
+    pub(crate) fn frames(&self) -> impl Iterator<Item = &Frame> {
+        self.peers.values().map(|peer| &peer.frame)
+    }
+}
+
+/// The next frame is due.
+pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let wait = state.settings.frame_every;
+    state.timers.set(now + wait.mul_f64(0.9 + 0.2 * state.rng.f64()), Timer::Frame);
+    expire(state, now);
+    send(state, now, out);
+}
+
+/// Sends a frame now, unless one is under way.
+pub(crate) fn send(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if state.lease.holds(now).is_some() {
+        state.hub.leads = true;
+        state.hub.answered = Some(now);
+        state.hub.nodes = state.hub.peers.len() as u32 + 1;
+        return;
+    }
+    let Some(row) = state.lease.hub() else {
+        return;
+    };
+    if state.hub.asking || row.holder == state.me.vm {
+        return;
+    }
+    let address = row.address;
+    let frame = Box::new(compose(state));
+    state.hub.asking = true;
+    out.push(Effect::Frame { address, frame });
+}
+
+fn compose(state: &mut State) -> Frame {
+    let loads = state.engines.iter().filter(|(_, engine)| engine.own != Load::default());
+    let loads = loads.map(|(id, engine)| EngineLoad { engine: id.clone(), load: engine.own }).collect();
+    Frame {
+        vm: state.me.vm.clone(),
+        config: state.config.as_ref().map_or(0, |config| config.version),
+        listed: state.listed,
+        view: state.hub.view,
+        loads,
+        demand: state.demand.take(),
+        absent: std::mem::take(&mut state.hub.absent),
+    }
+}
+
+/// Another entry VM told what it has under way.
+pub(crate) fn heard(state: &mut State, now: Time, frame: Frame, out: &mut Vec<Effect>) {
+    for refused in &frame.absent {
+        state.ledger.doubt(now, refused);
+    }
+    for demand in &frame.demand {
+        state.appetite.arrived(demand);
+    }
+    let wanted = frame.demand.iter().any(|demand| demand.waiting > 0);
+    replace(state, now, frame);
+    if wanted {
+        crate::plan::wanted(state, now, out);
+    }
+}
+
+/// Puts a frame in the place of the one before, in all sums.
+fn replace(state: &mut State, now: Time, frame: Frame) {
+    let before = state.hub.peers.get(&frame.vm).map(|peer| peer.frame.loads.clone()).unwrap_or_default();
+    for EngineLoad { engine, load } in before {
+        if let Some(engine) = state.engines.get_mut(&engine) {
+            engine.others = engine.others.minus(load);
+        }
+    }
+    for EngineLoad { engine, load } in &frame.loads {
+        if let Some(engine) = state.engines.get_mut(engine) {
+            engine.others = engine.others.plus(*load);
+        }
+    }
+    state.hub.peers.insert(frame.vm.clone(), Peer { heard: now, frame });
+}
+
+/// Forgets entry VMs that have fallen silent.
+fn expire(state: &mut State, now: Time) {
+    let silent = |peer: &Peer| now.since(peer.heard) > PEER_SILENCE;
+    if state.hub.peers.values().any(silent) {
+        state.hub.peers.retain(|_, peer| !silent(peer));
+        recount(state);
+    }
+}
+
+/// Counts anew what the others have under way.
+fn recount(state: &mut State) {
+    for engine in state.engines.values_mut() {
+        engine.others = Load::default();
+    }
+    for peer in state.hub.peers.values() {
+        for EngineLoad { engine, load } in &peer.frame.loads {
+            if let Some(engine) = state.engines.get_mut(engine) {
+                engine.others = engine.others.plus(*load);
+            }
+        }
+    }
+}
+
+/// What the hub answers to an entry VM's last frame.
+pub(crate) fn reply(state: &State, now: Time, asker: &Frame) -> Reply {
+    let mine = |engine: &Name| asker.loads.iter().find(|entry| entry.engine == *engine);
+    let loads = state.engines.iter().filter_map(|(id, engine)| {
+        let load = engine.load().minus(mine(id).map_or_else(Load::default, |entry| entry.load));
+        (load != Load::default()).then(|| EngineLoad { engine: id.clone(), load })
+    });
+    let config = state.config.as_ref().filter(|config| config.version > asker.config);
+    let rows = if state.listed > asker.listed { state.rows_after(asker.listed) } else { Vec::new() };
+    let view = state.view();
+    let since = if asker.view.term == view.term { asker.view.version } else { 0 };
+    let holds = state.lease.holds(now).is_some();
+    Reply {
+        leads: holds,
+        nodes: state.hub.peers.len() as u32 + 1,
+        loads: loads.collect(),
+        view,
+        residencies: if holds { state.ledger.changed_after(since) } else { Vec::new() },
+        config: config.cloned(),
+        rows,
+        listed: state.listed,
+    }
+}
+
+/// The hub answered, or could not be reached.
+pub(crate) fn replied(state: &mut State, now: Time, reply: Option<Reply>, out: &mut Vec<Effect>) {
+    state.hub.asking = false;
+    let Some(reply) = reply else {
+        if state.hub.leads {
+            state.hub.leads = false;
+            out.push(Effect::Record(Record::Hub { state: "lost", nodes: state.hub.nodes }));
+        }
+        return;
+    };
+    if state.lease.holds(now).is_some() {
+        return;
+    }
+    if reply.leads != state.hub.leads {
+        let found = if reply.leads { "found" } else { "lapsed" };
+        out.push(Effect::Record(Record::Hub { state: found, nodes: reply.nodes }));
+    }
+    state.hub.leads = reply.leads;
+    state.hub.nodes = reply.nodes;
+    state.hub.answered = Some(now);
+    if let Some(config) = reply.config {
+        entries::configured(state, config, "hub", out);
+    }
+    if !reply.rows.is_empty() {
+        let listing = Listing { rows: reply.rows, version: reply.listed, whole: false };
+        entries::listed(state, now, listing, out);
+    }
+    for engine in state.engines.values_mut() {
+        engine.others = Load::default();
+    }
+    for EngineLoad { engine, load } in reply.loads {
+        if let Some(engine) = state.engines.get_mut(&engine) {
+            engine.others = load;
+        }
+    }
+    if reply.leads {
+        learn(state, reply.view, reply.residencies);
+    }
+    flow::stir(state, now, out);
+}
+
+fn learn(state: &mut State, view: View, residencies: Vec<Resident>) {
+    if state.hub.view.term != view.term {
+        for engine in state.engines.values_mut() {
+            engine.ordered = None;
+        }
+    }
+    state.hub.view = view;
+    for Resident { engine, residency } in residencies {
+        if let Some(engine) = state.engines.get_mut(&engine) {
+            engine.ordered = Some(residency);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/ledger.rs
@@ -0,0 +1,633 @@
+//! What each engine holds, and the orders that change it, as the holder of the lease keeps it.
+//!
+//! Engines may run orders that were not answered, and late. Each order therefore names the number of
+//! orders that the engine has accepted before: one that is still on its way is dead as soon as
+//! another was accepted, and no two that were decided on the same state can both take effect.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::config::Pool;
+use crate::effect::{Dispatch, Effect};
+use crate::engine::{Copy, Entry, Held, Phase, Residency};
+use crate::flow;
+use crate::frame::{Absent, Resident};
+use crate::record::Record;
+use crate::settings::Settings;
+use crate::state::State;
+use crate::timer::Timer;
+
+/// Reports are some hundred ms old: time after which one tells of what happened before it was asked for.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+/// Time between looks at an order that takes longer than expected.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+/// Orders that wait for one engine, at most.
+const QUEUE_MAX: usize = 6;
+/// Adapters that an engine fetches at the same time.
+const FETCHES_MAX: usize = 4;
+/// Loads from the weight store that are left for models without any copy.
+const COLD_RESERVE: usize = 2;
+
+/// A change of what an engine holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Load a model.
+    Load {
+        /// The model.
+        model: Name,
+    },
+    /// Drop a model with its adapters once its runs have ended.
+    Unload {
+        /// The model.
+        model: Name,
+    },
+    /// Load an adapter of a model that is there.
+    LoadAdapter {
+        /// The model.
+        model: Name,
+        /// The adapter.
+        adapter: Name,
+    },
+    /// Drop an adapter.
+    UnloadAdapter {
+        /// The model.
+        model: Name,
+        /// The adapter.
+        adapter: Name,
+    },
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Receipt {
+    /// It is being carried out.
+    Accepted,
+    /// It holds already, or was carried out at once.
+    Holds,
+    /// Another order is under way, or the engine has accepted others.
+    Conflict,
+    /// It will never be carried out: another engine is there, or the order makes no sense.
+    Refused,
+}
+
+/// What an engine says of itself. It is some hundred ms old.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Orders that it has accepted.
+    pub sequence: u64,
+    /// Whether one is under way.
+    pub busy: bool,
+    /// What it holds.
+    pub held: Vec<Held>,
+    /// Adapters on their way to it.
+    pub fetching: Vec<(Name, Name)>,
+}
+
+/// All engines' books.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    books: BTreeMap<Name, Book>,
+    /// Grows with each change of what an engine holds.
+    version: u64,
+    /// When loads from the weight store were ordered lately.
+    cold: VecDeque<Time>,
+    /// Whether nobody has given orders before.
+    fresh: bool,
+}
+
+/// One engine's book.
+#[derive(Debug, Default)]
+pub(crate) struct Book {
+    /// Orders accepted; none while that is not known.
+    sequence: Option<u64>,
+    copies: Vec<Kept>,
+    pending: Option<Order>,
+    queue: VecDeque<Order>,
+    check_at: Option<Time>,
+    reporting: bool,
+    changed: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    model: Name,
+    phase: Phase,
+    adapters: Vec<Fetched>,
+}
+
+#[derive(Clone, Debug)]
+struct Fetched {
+    name: Name,
+    /// When it counts as loaded, if that is not yet so.
+    ready_at: Option<Time>,
+}
+
+impl Ledger {
+    /// Begins anew under a lease that was just taken. `fresh`: nobody has given orders before.
+    pub(crate) fn begin(&mut self, fresh: bool) {
+        self.books.clear();
+        self.cold.clear();
+        self.fresh = fresh;
+    }
+
+    /// The version of what it says of engines.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub(crate) fn book(&self, engine: &str) -> Option<&Book> {
+        self.books.get(engine)
+    }
+
+    /// What those engines hold that have changed since a version.
+    pub(crate) fn changed_after(&self, version: u64) -> Vec<Resident> {
+        let changed = self.books.iter().filter(|(_, book)| book.changed > version && book.known());
+        changed
+            .map(|(engine, book)| Resident { engine: engine.clone(), residency: book.residency() })
+            .collect()
+    }
+
+    /// Loads from the weight store that may begin now.
+    pub(crate) fn cold_left(&mut self, now: Time, rate: f64, settings: &Settings) -> usize {
+        while self.cold.front().is_some_and(|at| now.since(*at) > settings.load_window) {
+            self.cold.pop_front();
+        }
+        let allowed = (rate * settings.load_window.as_secs_f64()) as usize;
+        allowed.saturating_sub(self.cold.len())
+    }
+
+    /// An entry VM was refused by an engine that was thought to hold what it asked for.
+    pub(crate) fn doubt(&mut self, now: Time, refused: &Absent) {
+        let Some(book) = self.books.get_mut(&refused.engine) else {
+            return;
+        };
+        if book.residency().serves(&refused.model, refused.adapter.as_deref()) && book.check_at.is_none() {
+            book.check_at = Some(now);
+        }
+    }
+}
+
+impl Book {
+    fn new(entry: &Entry, fresh: bool, now: Time) -> Self {
+        let sequence = fresh.then_some(entry.sequence);
+        let check_at = sequence.is_none().then_some(now);
+        let mut book = Self { sequence, check_at, ..Self::default() };
+        book.adopt(&entry.held);
+        book
+    }
+
+    fn known(&self) -> bool {
+        self.sequence.is_some() || !self.copies.is_empty()
+    }
+
+    /// Whether another order may be decided on: the engine carries out nothing that takes long.
+    pub(crate) fn idle(&self) -> bool {
+        self.sequence.is_some() && self.pending.is_none() && self.queue.is_empty() && !self.moving()
+    }
+
+    /// Whether a model is being loaded or dropped.
+    fn moving(&self) -> bool {
+        self.copies.iter().any(|copy| copy.phase != Phase::Ready)
+    }
+
+    /// The models, with how far each is.
+    pub(crate) fn copies(&self) -> impl Iterator<Item = (&Name, Phase)> {
+        self.copies.iter().map(|copy| (&copy.model, copy.phase))
+    }
+
+    /// Whether an adapter is there or on its way, by the book and what is still to be ordered.
+    pub(crate) fn expects(&self, model: &Name, adapter: &Name) -> bool {
+        let order = Order::LoadAdapter { model: model.clone(), adapter: adapter.clone() };
+        self.kept(model).is_some_and(|copy| copy.adapters.iter().any(|held| held.name == *adapter))
+            || self.queue.contains(&order)
+    }
+
+    /// Adapters that are there or on their way, with their models.
+    pub(crate) fn adapters(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        self.copies.iter().flat_map(|copy| copy.adapters.iter().map(move |held| (&copy.model, &held.name)))
+    }
+
+    /// Adapters that are still to be ordered.
+    pub(crate) fn adapters_queued(&self) -> usize {
+        self.queue.iter().filter(|order| matches!(order, Order::LoadAdapter { .. })).count()
+    }
+
+    /// Whether the adapter is to be dropped already.
+    pub(crate) fn drops(&self, model: &Name, adapter: &Name) -> bool {
+        self.queue.contains(&Order::UnloadAdapter { model: model.clone(), adapter: adapter.clone() })
+    }
+
+    pub(crate) fn has_room(&self, orders: usize) -> bool {
+        self.sequence.is_some() && self.queue.len() + orders <= QUEUE_MAX
+    }
+
+    fn kept(&self, model: &Name) -> Option<&Kept> {
+        self.copies.iter().find(|copy| copy.model == *model)
+    }
+
+    fn kept_mut(&mut self, model: &Name) -> Option<&mut Kept> {
+        self.copies.iter_mut().find(|copy| copy.model == *model)
+    }
+
+    fn residency(&self) -> Residency {
+        let copy = |kept: &Kept| Copy {
+            model: kept.model.clone(),
+            phase: kept.phase,
+            adapters: kept
+                .adapters
+                .iter()
+                .filter(|held| held.ready_at.is_none())
+                .map(|held| held.name.clone())
+                .collect(),
+        };
+        Residency { copies: self.copies.iter().map(copy).collect() }
+    }
+
+    /// Takes over what the engine says that it holds.
+    fn adopt(&mut self, held: &[Held]) {
+        let fetched = |name: &Name| Fetched { name: name.clone(), ready_at: None };
+        let kept = |held: &Held| Kept {
+            model: held.model.clone(),
+            phase: Phase::Ready,
+            adapters: held.adapters.iter().map(fetched).collect(),
+        };
+        self.copies = held.iter().map(kept).collect();
+    }
+
+    /// Memory that all copies and adapters take, in MB.
+    pub(crate) fn memory_mb(&self, pool: &Pool) -> f64 {
+        let size = |copy: &Kept| {
+            let model = pool.model(&copy.model);
+            // What the configuration no longer names still takes memory: as much as anything may.
+            let weights = model.map_or(pool.memory_mb, |model| model.memory_mb);
+            let adapter = model.map_or(0.0, |model| model.adapter_mb);
+            adapter.mul_add(copy.adapters.len() as f64, weights)
+        };
+        self.copies.iter().map(size).sum()
+    }
+
+    /// Whether an order can be sent now without overfilling the engine.
+    fn permits(&self, order: &Order, pool: &Pool) -> bool {
+        let free = pool.memory_mb - self.memory_mb(pool);
+        match order {
+            Order::Load { model } => {
+                !self.moving()
+                    && self.kept(model).is_none()
+                    && pool.model(model).is_some_and(|model| model.memory_mb <= free)
+            }
+            Order::Unload { model } => !self.moving() && self.kept(model).is_some(),
+            Order::LoadAdapter { model, .. } => {
+                let ready = self.kept(model).is_some_and(|copy| copy.phase == Phase::Ready);
+                let held: usize = self.copies.iter().map(|copy| copy.adapters.len()).sum();
+                let fetching = self
+                    .copies
+                    .iter()
+                    .flat_map(|copy| &copy.adapters)
+                    .filter(|adapter| adapter.ready_at.is_some())
+                    .count();
+                ready
+                    && held < pool.adapters_max as usize
+                    && fetching < FETCHES_MAX
+                    && pool.model(model).is_some_and(|model| model.adapter_mb <= free)
+            }
+            Order::UnloadAdapter { model, adapter } => {
+                self.kept(model).is_some_and(|copy| copy.adapters.iter().any(|held| held.name == *adapter))
+            }
+        }
+    }
+
+    /// The engine accepted an order.
+    fn accepted(&mut self, now: Time, order: &Order, expected: Duration, settings: &Settings) {
+        self.sequence = self.sequence.map(|sequence| sequence + 1);
+        match order {
+            Order::Load { model } => {
+                self.copies.push(Kept { model: model.clone(), phase: Phase::Loading, adapters: Vec::new() });
+                self.check_at = Some(now + expected + REPORT_LAG);
+            }
+            Order::Unload { model } => {
+                if let Some(copy) = self.kept_mut(model) {
+                    copy.phase = Phase::Closing;
+                }
+                self.check_at = Some(now + REPORT_LAG);
+            }
+            Order::LoadAdapter { model, adapter } => {
+                let ready_at = Some(now + settings.adapter_ready);
+                if let Some(copy) = self.kept_mut(model) {
+                    copy.adapters.push(Fetched { name: adapter.clone(), ready_at });
+                }
+            }
+            Order::UnloadAdapter { model, adapter } => {
+                if let Some(copy) = self.kept_mut(model) {
+                    copy.adapters.retain(|held| held.name != *adapter);
+                }
+            }
+        }
+    }
+}
+
+/// Brings the books in line with the engines that there are.
+pub(crate) fn sync(state: &mut State, now: Time) {
+    let engines = &state.engines;
+    state.ledger.books.retain(|id, _| engines.contains_key(id));
+    let managed: Vec<Name> = state
+        .engines
+        .values()
+        .filter(|engine| state.pool(&engine.entry.service).is_some())
+        .map(|engine| engine.entry.id.clone())
+        .collect();
+    for id in managed {
+        if state.ledger.books.contains_key(&id) {
+            continue;
+        }
+        let entry = &state.engines[&id].entry;
+        // A new engine has accepted nothing yet: nobody else orders it.
+        let fresh = state.ledger.fresh || entry.sequence == 0;
+        let book = Book::new(entry, fresh, now);
+        state.timers.set(now, Timer::Check(id.clone()));
+        state.ledger.books.insert(id, book);
+    }
+}
+
+/// Decides on orders for an engine, to be sent in turn.
+pub(crate) fn order(
+    state: &mut State,
+    now: Time,
+    engine: &Name,
+    orders: impl IntoIterator<Item = Order>,
+    out: &mut Vec<Effect>,
+) {
+    if let Some(book) = state.ledger.books.get_mut(engine) {
+        book.queue.extend(orders);
+    }
+    drive(state, now, engine, out);
+}
+
+/// Sends the next order to an engine if it can be sent.
+pub(crate) fn drive(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
+    let Some(term) = state.lease.orders(now) else {
+        return;
+    };
+    let Some(engine) = state.engines.get(id) else {
+        return;
+    };
+    let (service, address) = (engine.entry.service.clone(), engine.entry.address);
+    let leaving = engine.entry.leaving;
+    let Some(pool) = state.pool(&service).cloned() else {
+        return;
+    };
+    let cold_left = state.ledger.cold_left(now, pool.loads_per_s, &state.settings);
+    let cached = &state.engines[id].entry.cached;
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
+    if leaving {
+        book.queue.clear();
+    }
+    let (Some(sequence), None, Some(next)) = (book.sequence, &book.pending, book.queue.front().cloned()) else {
+        return;
+    };
+    if !book.permits(&next, &pool) {
+        // A model that is still on its way out holds the rest up; anything else makes no sense any more.
+        if !book.moving() {
+            book.queue.pop_front();
+        }
+        return;
+    }
+    if let Order::Load { model } = &next
+        && !cached.memory.contains(model)
+        && !cached.disk.contains(model)
+    {
+        if cold_left == 0 {
+            return;
+        }
+        state.ledger.cold.push_back(now);
+    }
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
+    book.queue.pop_front();
+    book.pending = Some(next.clone());
+    out.push(Effect::Record(Record::Order {
+        engine: id.clone(),
+        order: next.clone(),
+        state: "sent",
+        sequence,
+    }));
+    if let Order::Unload { model } = &next
+        && let Some(copy) = book.kept_mut(model)
+    {
+        copy.phase = Phase::Closing;
+    }
+    if let Order::UnloadAdapter { model, adapter } = &next
+        && let Some(copy) = book.kept_mut(model)
+    {
+        // Nobody is to use it any more; it takes its place until the engine says otherwise.
+        for held in copy.adapters.iter_mut().filter(|held| held.name == *adapter) {
+            held.ready_at = Some(now + REPORT_LAG);
+        }
+    }
+    publish(state, id, out);
+    out.push(Effect::Order(Box::new(Dispatch { engine: id.clone(), address, order: next, sequence, term })));
+}
+
+/// An engine answered an order, or may have got it.
+pub(crate) fn ordered(
+    state: &mut State,
+    now: Time,
+    id: &Name,
+    receipt: Option<Receipt>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(engine) = state.engines.get(id) else {
+        return;
+    };
+    let pool = state.pool(&engine.entry.service).cloned();
+    let cached = engine.entry.cached.clone();
+    let settings = state.settings.clone();
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
+    let Some(order) = book.pending.take() else {
+        return;
+    };
+    let label = match receipt {
+        Some(Receipt::Accepted) => "accepted",
+        Some(Receipt::Holds) => "holds",
+        Some(Receipt::Conflict) => "conflict",
+        Some(Receipt::Refused) => "refused",
+        None => "unanswered",
+    };
+    let sequence = book.sequence.unwrap_or_default();
+    out.push(Effect::Record(Record::Order { engine: id.clone(), order: order.clone(), state: label, sequence }));
+    match receipt {
+        Some(Receipt::Accepted) => {
+            let expected = duration(&order, pool.as_ref(), &cached);
+            book.accepted(now, &order, expected, &settings);
+        }
+        Some(Receipt::Holds) => match &order {
+            // It takes effect at once, and counts.
+            Order::UnloadAdapter { .. } => book.accepted(now, &order, Duration::ZERO, &settings),
+            _ => unsure(book, now),
+        },
+        Some(Receipt::Conflict | Receipt::Refused) | None => unsure(book, now),
+    }
+    wake_for(state, id);
+    publish(state, id, out);
+    drive(state, now, id, out);
+}
+
+/// What the engine holds is not known until it has been asked.
+fn unsure(book: &mut Book, now: Time) {
+    book.sequence = None;
+    book.queue.clear();
+    book.check_at = Some(now + REPORT_LAG);
+}
+
+fn duration(order: &Order, pool: Option<&Pool>, cached: &crate::engine::Cached) -> Duration {
+    let Order::Load { model } = order else {
+        return Duration::ZERO;
+    };
+    let Some(known) = pool.and_then(|pool| pool.model(model)) else {
+        return Duration::ZERO;
+    };
+    if cached.memory.contains(model) {
+        known.warm
+    } else if cached.disk.contains(model) {
+        known.disk
+    } else {
+        known.cold
+    }
+}
+
+/// Sets the timer for the next thing that is due at an engine's book.
+fn wake_for(state: &mut State, id: &Name) {
+    let Some(book) = state.ledger.books.get(id) else {
+        return;
+    };
+    let ready = book.copies.iter().flat_map(|copy| &copy.adapters).filter_map(|held| held.ready_at).min();
+    for at in [ready, book.check_at].into_iter().flatten() {
+        state.timers.set(at, Timer::Check(id.clone()));
+    }
+}
+
+/// An adapter may have become ready, or the engine is to be asked what it holds.
+pub(crate) fn check(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
+    if state.lease.holds(now).is_none() {
+        return;
+    }
+    let Some(engine) = state.engines.get(id) else {
+        return;
+    };
+    let address = engine.entry.address;
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
+    let mut changed = book.changed == 0;
+    let pending = book.pending.clone();
+    for copy in &mut book.copies {
+        for held in &mut copy.adapters {
+            let dropped = matches!(&pending, Some(Order::UnloadAdapter { adapter, .. }) if *adapter == held.name);
+            if !dropped && held.ready_at.is_some_and(|at| at <= now) {
+                held.ready_at = None;
+                changed = true;
+            }
+        }
+    }
+    if book.check_at.is_some_and(|at| at <= now) && !book.reporting {
+        book.check_at = None;
+        book.reporting = true;
+        out.push(Effect::Report { engine: id.clone(), address });
+    }
+    if changed {
+        publish(state, id, out);
+    }
+    drive(state, now, id, out);
+}
+
+/// An engine said what it holds.
+pub(crate) fn reported(
+    state: &mut State,
+    now: Time,
+    id: &Name,
+    report: Option<Report>,
+    out: &mut Vec<Effect>,
+) {
+    let settings = state.settings.clone();
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
+    book.reporting = false;
+    let known = book.sequence;
+    match report {
+        // What it says may be from before the order that is under way.
+        _ if book.pending.is_some() => book.check_at = Some(now + REPORT_LAG),
+        Some(report) if !report.busy && known.is_none_or(|known| report.sequence >= known) => {
+            book.adopt(&report.held);
+            book.sequence = Some(report.sequence);
+            for (model, adapter) in report.fetching {
+                let ready_at = Some(now + settings.adapter_ready);
+                if let Some(copy) = book.kept_mut(&model) {
+                    copy.adapters.push(Fetched { name: adapter, ready_at });
+                }
+            }
+        }
+        _ => book.check_at = Some(now + LOOK_AGAIN),
+    }
+    wake_for(state, id);
+    publish(state, id, out);
+    drive(state, now, id, out);
+}
+
+/// An engine registered itself anew: that tells when a model was loaded or dropped.
+pub(crate) fn registered(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
+    let Some(entry) = state.engines.get(id).map(|engine| engine.entry.clone()) else {
+        return;
+    };
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
+    if book.pending.is_some() || book.sequence.is_none_or(|known| entry.sequence < known) {
+        return;
+    }
+    let holds = |model: &Name| entry.held.iter().any(|held| held.model == *model);
+    let before = book.copies.len();
+    book.copies.retain(|copy| copy.phase != Phase::Closing || holds(&copy.model));
+    let mut changed = book.copies.len() != before;
+    for copy in &mut book.copies {
+        if copy.phase == Phase::Loading && holds(&copy.model) {
+            copy.phase = Phase::Ready;
+            changed = true;
+        }
+    }
+    if changed {
+        publish(state, id, out);
+        drive(state, now, id, out);
+    }
+}
+
+/// Tells everyone what an engine holds now.
+fn publish(state: &mut State, id: &Name, out: &mut Vec<Effect>) {
+    state.ledger.version += 1;
+    let version = state.ledger.version;
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
+    book.changed = version;
+    let residency = book.residency();
+    if let Some(engine) = state.engines.get_mut(id) {
+        engine.ordered = Some(residency);
+    }
+    out.push(Effect::Changed);
+    flow::stir_later(state);
+}
+
+/// How many of the loads that may begin now are for models that have copies already.
+pub(crate) const fn beyond_reserve(cold_left: usize) -> usize {
+    cold_left.saturating_sub(COLD_RESERVE)
+}
--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,32 @@
+//! The decisions of an entry VM that forwards requests by routes to engines that all entry VMs share.
+//!
+//! [`apply`] takes the [`State`] of one process, the time and an [`event::Event`], and returns
+//! [`effect::Effect`]s to carry out. It does no I/O, reads no clock and draws no random numbers but from
+//! the seed it was given.
+//!
+//! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
+//! keeps what the store says; `choose`, `budget` and `flow` serve requests; `frame` joins the entry VMs;
+//! `lease`, `ledger`, `demand` and `plan` decide what engines hold.
+
+pub mod budget;
+pub mod choose;
+pub mod config;
+pub mod demand;
+pub mod effect;
+pub mod engine;
+mod entries;
+pub mod event;
+mod flow;
+pub mod frame;
+pub mod lease;
+pub mod ledger;
+pub mod plan;
+pub mod record;
+mod reduce;
+pub mod request;
+pub mod settings;
+pub mod state;
+pub mod timer;
+
+pub use reduce::{apply, reply};
+pub use state::State;
--- /dev/null
+++ b/fleet/src/plan.rs
@@ -0,0 +1,353 @@
+//! Placement: which models and adapters are to be where, decided by the holder of the lease.
+//!
+//! It answers demand that moves to other models within seconds: a copy goes from the model whose copies
+//! have least to do to the one whose copies have most. Each model keeps a copy at all times.
+
+use std::collections::BTreeMap;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use crate::config::Pool;
+use crate::demand::{Demand, Target, Trend};
+use crate::effect::Effect;
+use crate::engine::{Cached, Phase};
+use crate::ledger::{self, Order};
+use crate::state::State;
+use crate::timer::Timer;
+
+/// Requests that a copy should have under way before the model gets another. An engine of 32 slots runs
+/// that many at hardly less than full speed each.
+const BUSY_PER_COPY: f64 = 3.0;
+/// How much busier the receiving model's copies must be than the giving model's would become.
+const GAIN: f64 = 2.0;
+/// Changes decided on in one plan.
+const MOVES_MAX: usize = 4;
+
+/// A plan is due.
+pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    state.timers.set(now + state.settings.plan_every, Timer::Plan);
+    if state.lease.holds(now).is_none() {
+        return;
+    }
+    ledger::sync(state, now);
+    take_in(state, now);
+    if state.lease.orders(now).is_none() {
+        return;
+    }
+    let managed: Vec<Name> = state.engines.keys().cloned().collect();
+    for id in &managed {
+        ledger::drive(state, now, id, out);
+    }
+    let Some(config) = state.config.clone() else {
+        return;
+    };
+    for service in &config.services {
+        if let Some(pool) = &service.pool {
+            models(state, now, &service.name, pool, out);
+        }
+    }
+    wanted(state, now, out);
+}
+
+/// Takes in what all entry VMs have under way.
+fn take_in(state: &mut State, now: Time) {
+    let own = state.demand.take();
+    for demand in &own {
+        state.appetite.arrived(demand);
+    }
+    let State { appetite, hub, .. } = state;
+    appetite.update(now, hub.frames().flat_map(|frame| &frame.demand).chain(&own));
+}
+
+fn models(state: &mut State, now: Time, service: &Name, pool: &Pool, out: &mut Vec<Effect>) {
+    let cold_left = state.ledger.cold_left(now, pool.loads_per_s, &state.settings);
+    let spots: Vec<Spot> = state.engines_of(service).filter_map(|engine| spot(state, now, engine, pool)).collect();
+    let demand = pool.models.iter().map(|model| (model.name.clone(), state.appetite.trend(service, &model.name)));
+    let view = View { pool, spots, demand: demand.collect(), cold_left };
+    for step in moves(view) {
+        let drop = step.drop.map(|model| Order::Unload { model });
+        let load = Order::Load { model: step.load };
+        ledger::order(state, now, &step.engine, drop.into_iter().chain([load]), out);
+    }
+}
+
+fn spot(state: &State, now: Time, engine: &crate::engine::Engine, pool: &Pool) -> Option<Spot> {
+    let book = state.ledger.book(&engine.entry.id)?;
+    Some(Spot {
+        engine: engine.entry.id.clone(),
+        usable: engine.takes_work() && engine.missing_until.is_none() && !engine.health.suspected(now),
+        idle: book.idle(),
+        copies: book.copies().map(|(model, phase)| (model.clone(), phase)).collect(),
+        free_mb: pool.memory_mb - book.memory_mb(pool),
+        cached: engine.entry.cached.clone(),
+        open: engine.load().open,
+    })
+}
+
+/// What a plan is made from.
+#[derive(Clone, Debug)]
+pub struct View<'a> {
+    /// The sizes.
+    pub pool: &'a Pool,
+    /// The engines.
+    pub spots: Vec<Spot>,
+    /// How much each model is asked for.
+    pub demand: BTreeMap<Name, Trend>,
+    /// Loads from the weight store that may begin now.
+    pub cold_left: usize,
+}
+
+/// An engine, as a plan sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Spot {
+    /// Its id.
+    pub engine: Name,
+    /// Whether it serves and will go on to.
+    pub usable: bool,
+    /// Whether it can be given an order.
+    pub idle: bool,
+    /// What it holds.
+    pub copies: Vec<(Name, Phase)>,
+    /// Memory that nothing takes, in MB.
+    pub free_mb: f64,
+    /// Copies of weights that it can load without the weight store.
+    pub cached: Cached,
+    /// Requests under way there.
+    pub open: u32,
+}
+
+/// A change at one engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// The engine.
+    pub engine: Name,
+    /// The model that makes way.
+    pub drop: Option<Name>,
+    /// The model that comes.
+    pub load: Name,
+}
+
+/// What is to be changed now.
+#[must_use]
+pub fn moves(mut view: View<'_>) -> Vec<Move> {
+    let mut out = Vec::new();
+    while out.len() < MOVES_MAX {
+        let Some(step) = view.next() else {
+            break;
+        };
+        view.carry(&step);
+        out.push(step);
+    }
+    out
+}
+
+impl View<'_> {
+    /// Copies of a model that serve or soon will, at engines that will go on to.
+    fn copies(&self, model: &Name, phases: &[Phase]) -> usize {
+        let has = |spot: &&Spot| {
+            spot.usable && spot.copies.iter().any(|(held, phase)| held == model && phases.contains(phase))
+        };
+        self.spots.iter().filter(has).count()
+    }
+
+    fn busy(&self, model: &Name) -> f64 {
+        self.demand.get(model).map_or(0.0, |trend| trend.busy)
+    }
+
+    /// The change that helps most.
+    fn next(&self) -> Option<Move> {
+        let mut wanted: Vec<(&Name, f64)> = Vec::new();
+        for model in &self.pool.models {
+            let copies = self.copies(&model.name, &[Phase::Ready, Phase::Loading]);
+            let busy = self.busy(&model.name);
+            if copies == 0 {
+                wanted.push((&model.name, f64::from(u16::MAX) + busy));
+            } else if busy / copies as f64 > BUSY_PER_COPY {
+                wanted.push((&model.name, busy / copies as f64));
+            }
+        }
+        wanted.sort_by(|a, b| b.1.total_cmp(&a.1));
+        wanted.iter().find_map(|(model, pressure)| self.place(model, *pressure))
+    }
+
+    /// The best place for another copy of a model.
+    fn place(&self, model: &Name, pressure: f64) -> Option<Move> {
+        let memory_mb = self.pool.model(model)?.memory_mb;
+        let missing = pressure >= f64::from(u16::MAX);
+        let cold_left = if missing { self.cold_left } else { ledger::beyond_reserve(self.cold_left) };
+        let mut best: Option<(f64, Move)> = None;
+        for spot in self.spots.iter().filter(|spot| spot.usable && spot.idle) {
+            if spot.copies.iter().any(|(held, _)| held == model) {
+                continue;
+            }
+            let source = source(spot, model);
+            if source == Source::Store && cold_left == 0 {
+                continue;
+            }
+            let (drop, lost) = if memory_mb <= spot.free_mb {
+                (None, 0.0)
+            } else {
+                let Some((victim, lost)) = self.victim(spot, memory_mb) else {
+                    continue;
+                };
+                (Some(victim), lost)
+            };
+            if !missing && lost * GAIN > pressure {
+                continue;
+            }
+            let cost = lost + f64::from(spot.open) * 0.1 + source.cost();
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, Move { engine: spot.engine.clone(), drop, load: model.clone() }));
+            }
+        }
+        best.map(|(_, step)| step)
+    }
+
+    /// The model that can best be spared at an engine, and how busy its other copies would become.
+    fn victim(&self, spot: &Spot, memory_mb: f64) -> Option<(Name, f64)> {
+        let mut best: Option<(Name, f64)> = None;
+        for (model, phase) in &spot.copies {
+            let size = self.pool.model(model).map_or(self.pool.memory_mb, |model| model.memory_mb);
+            if *phase != Phase::Ready || spot.free_mb + size < memory_mb {
+                continue;
+            }
+            let declared = self.pool.model(model).is_some();
+            let ready = self.copies(model, &[Phase::Ready]);
+            if declared && ready < 2 {
+                continue;
+            }
+            let lost = self.busy(model) / (ready.max(2) - 1) as f64;
+            if best.as_ref().is_none_or(|(_, least)| lost < *least) {
+                best = Some((model.clone(), lost));
+            }
+        }
+        best
+    }
+
+    /// Takes a change as done.
+    fn carry(&mut self, step: &Move) {
+        let cold = self.spots.iter_mut().find(|spot| spot.engine == step.engine).is_some_and(|spot| {
+            spot.idle = false;
+            spot.copies.retain(|(model, _)| Some(model) != step.drop.as_ref());
+            spot.copies.push((step.load.clone(), Phase::Loading));
+            source(spot, &step.load) == Source::Store
+        });
+        if cold {
+            self.cold_left = self.cold_left.saturating_sub(1);
+        }
+    }
+}
+
+/// Where an engine gets a model's weights from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Memory,
+    Disk,
+    Store,
+}
+
+impl Source {
+    /// How much it speaks against a place, in requests under way.
+    const fn cost(self) -> f64 {
+        match self {
+            Self::Memory => 0.0,
+            Self::Disk => 0.5,
+            Self::Store => 4.0,
+        }
+    }
+}
+
+fn source(spot: &Spot, model: &Name) -> Source {
+    if spot.cached.memory.contains(model) {
+        Source::Memory
+    } else if spot.cached.disk.contains(model) {
+        Source::Disk
+    } else {
+        Source::Store
+    }
+}
+
+/// Brings adapters that requests wait for to engines that hold their models.
+pub(crate) fn wanted(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if state.lease.orders(now).is_none() {
+        return;
+    }
+    let own = state.demand.peek();
+    let all = state.hub.frames().flat_map(|frame| &frame.demand).chain(own);
+    let waiting = |demand: &&Demand| demand.waiting > 0 && demand.target.adapter.is_some();
+    let mut targets: Vec<Target> = all.filter(waiting).map(|demand| demand.target.clone()).collect();
+    targets.sort();
+    targets.dedup();
+    for target in targets {
+        adapter(state, now, &target, out);
+    }
+}
+
+/// Finds a place for an adapter that none is on its way to.
+fn adapter(state: &mut State, now: Time, target: &Target, out: &mut Vec<Effect>) {
+    let Some(name) = &target.adapter else {
+        return;
+    };
+    let Some(pool) = state.pool(&target.service) else {
+        return;
+    };
+    let mut best: Option<(f64, Name, Option<Order>)> = None;
+    for engine in state.engines_of(&target.service) {
+        if !engine.takes_work() || engine.health.suspected(now) {
+            continue;
+        }
+        let Some(book) = state.ledger.book(&engine.entry.id) else {
+            continue;
+        };
+        if !book.copies().any(|(model, phase)| *model == target.model && phase == Phase::Ready) {
+            continue;
+        }
+        if book.expects(&target.model, name) {
+            return;
+        }
+        let held = book.adapters().count() + book.adapters_queued();
+        let victim = if held < pool.adapters_max as usize {
+            None
+        } else {
+            let Some(victim) = idlest(state, now, &engine.entry.id, &target.service) else {
+                continue;
+            };
+            Some(victim)
+        };
+        if !book.has_room(1 + usize::from(victim.is_some())) {
+            continue;
+        }
+        let zone = if engine.entry.zone == state.me.zone { 0.0 } else { 0.5 };
+        let cost = f64::from(engine.load().open) + f64::from(u8::from(victim.is_some())) * 4.0 + zone;
+        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+            best = Some((cost, engine.entry.id.clone(), victim));
+        }
+    }
+    let Some((_, engine, victim)) = best else {
+        return;
+    };
+    let load = Order::LoadAdapter { model: target.model.clone(), adapter: name.clone() };
+    ledger::order(state, now, &engine, victim.into_iter().chain([load]), out);
+}
+
+/// The adapter at an engine that was asked for longest ago, if that is long enough.
+fn idlest(state: &State, now: Time, engine: &Name, service: &Name) -> Option<Order> {
+    let book = state.ledger.book(engine)?;
+    let mut best: Option<(Time, Order)> = None;
+    for (model, adapter) in book.adapters() {
+        if book.drops(model, adapter) {
+            continue;
+        }
+        let target =
+            Target { service: service.clone(), model: model.clone(), adapter: Some(adapter.clone()) };
+        let used = state.appetite.used(&target).unwrap_or_default();
+        if now.since(used) < state.settings.adapter_idle {
+            continue;
+        }
+        if best.as_ref().is_none_or(|(earliest, _)| used < *earliest) {
+            best = Some((used, Order::UnloadAdapter { model: model.clone(), adapter: adapter.clone() }));
+        }
+    }
+    best.map(|(_, order)| order)
+}
--- /dev/null
+++ b/fleet/src/record.rs
@@ -0,0 +1,144 @@
+//! What is logged of decisions: who decided what, by which inputs, how old they were.
+
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use serde::Serialize;
+
+use crate::ledger::Order;
+
+/// A decision, or a change of what this process believes.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "decision", rename_all = "snake_case")]
+pub enum Record {
+    /// A request was sent to an engine.
+    Sent {
+        /// The request's number.
+        request: u64,
+        /// The attempt's number within it.
+        attempt: u32,
+        /// The engine's id.
+        engine: Name,
+        /// The route it came by.
+        route: Name,
+        /// The configuration's version.
+        config: u64,
+        /// What the engine was expected to cost, in ms of waiting.
+        cost_ms: f64,
+        /// Engines that could have had it.
+        candidates: usize,
+        /// Requests under way at the engine.
+        open: u32,
+        /// Time since the hub last told of the other entry VMs' requests.
+        hub_age_ms: u64,
+        /// Time left for the answer.
+        left_ms: u64,
+    },
+    /// A request waits for a model or an adapter.
+    Waits {
+        /// The request's number.
+        request: u64,
+        /// The model.
+        model: Name,
+        /// The adapter.
+        adapter: Option<Name>,
+        /// How long it will wait at most.
+        at_most_ms: u64,
+    },
+    /// An attempt ended.
+    Ended {
+        /// The request's number.
+        request: u64,
+        /// The attempt's number within it.
+        attempt: u32,
+        /// The engine's id.
+        engine: Name,
+        /// How.
+        end: &'static str,
+        /// Whether that proves that nothing ran.
+        not_run: bool,
+        /// Time since it was sent.
+        after_ms: u64,
+    },
+    /// A request was answered without an engine, or its answer broken off.
+    Refused {
+        /// The request's number.
+        request: u64,
+        /// The result code's number.
+        code: u16,
+        /// The result code's name.
+        label: &'static str,
+        /// Whether it may have run.
+        outcome: &'static str,
+        /// When the caller may come back.
+        retry_after_ms: Option<u64>,
+        /// Time since it came.
+        after_ms: u64,
+    },
+    /// A configuration came into force.
+    Configured {
+        /// Its version.
+        version: u64,
+        /// The version before.
+        before: u64,
+        /// Routes in it.
+        routes: usize,
+        /// From whom it was learnt.
+        source: &'static str,
+    },
+    /// An engine appeared, changed its state, or went.
+    Engine {
+        /// Its id.
+        engine: Name,
+        /// Its service.
+        service: Name,
+        /// What is believed of it now.
+        state: &'static str,
+        /// The store's version of its row.
+        version: u64,
+    },
+    /// The lease changed hands, as far as this process knows.
+    Lease {
+        /// What happened.
+        state: &'static str,
+        /// Who holds it.
+        holder: Name,
+        /// Its fencing number.
+        term: u64,
+        /// When orders may be given.
+        orders_in_ms: u64,
+    },
+    /// The hub was lost or found.
+    Hub {
+        /// Whether it answers.
+        state: &'static str,
+        /// Entry VMs that it hears.
+        nodes: u32,
+    },
+    /// An order was sent or answered.
+    Order {
+        /// The engine's id.
+        engine: Name,
+        /// The order.
+        order: Order,
+        /// How far it is.
+        state: &'static str,
+        /// Orders that the engine had accepted before.
+        sequence: u64,
+    },
+    /// The store was lost or found.
+    Store {
+        /// Whether it answers.
+        state: &'static str,
+    },
+    /// The process is stopping, or has stopped.
+    Stopping {
+        /// Requests still under way.
+        open: usize,
+    },
+}
+
+/// Whole milliseconds, for records.
+pub(crate) fn ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
--- /dev/null
+++ b/fleet/src/reduce.rs
@@ -0,0 +1,100 @@
+//! The reducer: one function over all events. It only hands each to the module that decides.
+
+use boragecove_core::time::Time;
+
+use crate::effect::Effect;
+use crate::entries;
+use crate::event::Event;
+use crate::flow;
+use crate::frame::{self, Frame, Reply};
+use crate::lease;
+use crate::ledger;
+use crate::plan;
+use crate::record::Record;
+use crate::state::State;
+use crate::timer::Timer;
+
+/// Applies one event to the state and returns what is to be done.
+///
+/// The same state, times and events give the same effects. `now` must not run backwards.
+#[must_use]
+pub fn apply(state: &mut State, now: Time, event: Event) -> Vec<Effect> {
+    let mut out = Vec::new();
+    hand(state, now, event, &mut out);
+    while let Some(timer) = state.timers.pop(now) {
+        fire(state, now, timer, &mut out);
+    }
+    if state.stirred {
+        flow::stir(state, now, &mut out);
+    }
+    leave(state, &mut out);
+    if let Some(at) = state.timers.announce(now) {
+        out.push(Effect::WakeAt(at));
+    }
+    out
+}
+
+/// What the hub answers to a frame that it was given before.
+#[must_use]
+pub fn reply(state: &State, now: Time, asker: &Frame) -> Reply {
+    frame::reply(state, now, asker)
+}
+
+fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
+    match event {
+        Event::Configured(config) => entries::configured(state, config, "store", out),
+        Event::Listed(listing) => entries::listed(state, now, listing, out),
+        Event::StoreUp(up) => entries::store_up(state, now, up, out),
+        Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
+        Event::Gone(request) => flow::gone(state, request),
+        Event::Began(request) => flow::began(state, now, request),
+        Event::Heard(engine) => {
+            if let Some(engine) = state.engines.get_mut(&engine) {
+                engine.health.heard = now;
+            }
+        }
+        Event::Ended { request, attempt, end } => flow::ended(state, now, request, attempt, end, out),
+        Event::Framed(frame) => frame::heard(state, now, *frame, out),
+        Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
+        Event::Lease(answer) => lease::answered(state, now, answer, out),
+        Event::Ordered { engine, receipt } => ledger::ordered(state, now, &engine, receipt, out),
+        Event::Reported { engine, report } => ledger::reported(state, now, &engine, report, out),
+        Event::Probed { engine, well } => flow::probed(state, now, &engine, well, out),
+        Event::Stop => stop(state, now, out),
+        Event::Wake => {}
+    }
+}
+
+fn fire(state: &mut State, now: Time, timer: Timer, out: &mut Vec<Effect>) {
+    match timer {
+        Timer::Deadline(request) => flow::deadline(state, now, request, out),
+        Timer::Wait(request) => flow::waited(state, now, request, out),
+        Timer::Silence(request, attempt) => flow::silence(state, now, request, attempt, out),
+        Timer::Probe(engine) => flow::probe(state, now, &engine, out),
+        Timer::Lapse(engine) => entries::lapsed(state, now, &engine, out),
+        Timer::Frame => frame::due(state, now, out),
+        Timer::Lease => lease::due(state, now, out),
+        Timer::Plan => plan::due(state, now, out),
+        Timer::Check(engine) => ledger::check(state, now, &engine, out),
+        Timer::Grace => state.graced = true,
+    }
+}
+
+fn stop(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if state.stopping {
+        return;
+    }
+    state.stopping = true;
+    out.push(Effect::Record(Record::Stopping { open: state.flows.len() }));
+    entries::announce(state, out);
+    lease::release(state, now, out);
+    state.timers.set(now + state.settings.balancer_grace, Timer::Grace);
+}
+
+/// Ends the process once the balancer sends nobody any more and nothing is in flight.
+fn leave(state: &mut State, out: &mut Vec<Effect>) {
+    if state.graced && state.flows.is_empty() {
+        state.graced = false;
+        out.push(Effect::Exit);
+    }
+}
--- /dev/null
+++ b/fleet/src/request.rs
@@ -0,0 +1,130 @@
+//! Requests and the attempts made for them.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+/// A request's number within its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u64);
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// A request as it was read from a caller.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Arrival {
+    /// The host that it names.
+    pub host: Name,
+    /// Its path, without the query.
+    pub path: Name,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// What it wants a model for; none for calls of plain services.
+    pub prompt: Option<Prompt>,
+}
+
+/// What a request wants of a model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// The model.
+    pub model: Name,
+    /// The adapter of that model, if one is named.
+    pub adapter: Option<Name>,
+    /// Tokens of the prompt.
+    pub tokens: u32,
+    /// Tokens to be generated at most.
+    pub tokens_max: u32,
+}
+
+/// One sending of a request to one engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Its number within the request, from 1.
+    pub number: u32,
+    /// The engine's id.
+    pub engine: Name,
+    /// Where the engine listens.
+    pub address: SocketAddr,
+    /// When the engine is to stop at the latest.
+    pub deadline: Time,
+    /// The request's rank, for engines to order by; 0 goes first.
+    pub priority: u8,
+    /// Whether it is answered by a stream of events.
+    pub streams: bool,
+}
+
+/// What is to be done for a request next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send it, going on after the last event that was delivered, if any was.
+    Send(Attempt),
+    /// Pass on the answer that the engine gave.
+    Pass,
+    /// Answer it without an engine, or break its answer off if that has begun.
+    Refuse(Refusal),
+}
+
+/// Why a request is answered without an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The result code.
+    pub code: Code,
+    /// When the caller may come back; only for requests that have not run.
+    pub retry_after: Option<Duration>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer, a success, is there or was delivered.
+    Done,
+    /// The engine ran the request and answered with a failure, which is there whole.
+    Failed,
+    /// No connection could be had: nothing was sent.
+    Unsent,
+    /// The engine says that it did not run the request.
+    Refused(Cause),
+    /// The connection broke, or what came was no answer to this request.
+    Broken,
+}
+
+/// Why an engine did not run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// It is full, or the deadline passed while the request waited there.
+    Busy,
+    /// It does not hold the model or the adapter.
+    Absent,
+    /// Another engine has taken over its address.
+    Replaced,
+}
+
+impl End {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Unsent => "unsent",
+            Self::Refused(Cause::Busy) => "refused_busy",
+            Self::Refused(Cause::Absent) => "refused_absent",
+            Self::Refused(Cause::Replaced) => "refused_replaced",
+            Self::Broken => "broken",
+        }
+    }
+
+    /// Whether it proves that the engine did not run the request.
+    #[must_use]
+    pub const fn proves_not_run(self) -> bool {
+        matches!(self, Self::Unsent | Self::Refused(_))
+    }
+}
--- /dev/null
+++ b/fleet/src/settings.rs
@@ -0,0 +1,101 @@
+//! What the reducer goes by besides the configuration. Set once, at a process's start.
+
+use std::time::Duration;
+
+/// Limits, intervals and weights.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Repeats allowed in a window over all entry VMs, as a share of requests (the platform's bound).
+    pub repeat_ratio: f64,
+    /// Repeats allowed in a window beyond that share, over all entry VMs (the platform's bound).
+    pub repeat_slack: f64,
+    /// The window in which repeats are counted (the platform's bound).
+    pub repeat_window: Duration,
+    /// Entry VMs that are assumed while none can be counted.
+    pub nodes_assumed: u32,
+    /// Loads from the weight store are counted over this window (the platform's bound).
+    pub load_window: Duration,
+    /// Time between two machines' orders to one engine (the platform's bound).
+    pub order_gap: Duration,
+    /// How long a lease lasts without renewal.
+    pub lease_length: Duration,
+    /// How much longer others wait before they take it: clocks run at rates that differ a little.
+    pub lease_margin: Duration,
+    /// Time between renewals.
+    pub lease_renew: Duration,
+    /// Time between looks at a lease that nobody seems to hold.
+    pub lease_look: Duration,
+    /// Time between frames to the hub.
+    pub frame_every: Duration,
+    /// Time without an answer to a frame after which the hub is taken as gone.
+    pub hub_silence: Duration,
+    /// Time between placement plans.
+    pub plan_every: Duration,
+    /// Time for which a new entry of an outage's victims may be late (the platform's two seconds, less a margin).
+    pub lapse_grace: Duration,
+    /// First time without work for an engine that could not be reached.
+    pub suspicion_min: Duration,
+    /// Longest time without work for an engine that could not be reached.
+    pub suspicion_max: Duration,
+    /// Silence of an engine with requests under way after which it is suspected.
+    pub silence: Duration,
+    /// Time in which remembered failures of an engine halve.
+    pub fault_half_life: Duration,
+    /// What one remembered failure weighs against an engine, in ms of waiting.
+    pub fault_ms: f64,
+    /// What another availability zone weighs against an engine, in ms of waiting. From the price of bytes
+    /// between zones: about 1.5% of a streamed answer's worth.
+    pub zone_ms: f64,
+    /// What each request under way weighs against an engine, in ms of waiting: the others of its batch are
+    /// slowed by it.
+    pub crowd_ms: f64,
+    /// Prompt tokens that an engine reads in a ms; the users' engines read 38 to 41.
+    pub read_per_ms: f64,
+    /// How long a request waits for a model or adapter to be loaded, at most.
+    pub load_wait: Duration,
+    /// How long a refusal as absent is believed over the word of whoever orders the engine.
+    pub absence: Duration,
+    /// Time after which an adapter that an engine was told to load counts as loaded; the users' take 5 to 14 ms.
+    pub adapter_ready: Duration,
+    /// Time without a request after which an adapter may make way for another.
+    pub adapter_idle: Duration,
+    /// Time to leave for an answer after the last moment to send a request.
+    pub reserve: Duration,
+    /// The balancer looks at readiness every second and needs two misses: after this it sends nobody.
+    pub balancer_grace: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            repeat_ratio: 0.2,
+            repeat_slack: 50.0,
+            repeat_window: Duration::from_secs(10),
+            nodes_assumed: 9,
+            load_window: Duration::from_secs(5),
+            order_gap: Duration::from_secs(3),
+            lease_length: Duration::from_secs(3),
+            lease_margin: Duration::from_millis(500),
+            lease_renew: Duration::from_millis(800),
+            lease_look: Duration::from_millis(500),
+            frame_every: Duration::from_millis(150),
+            hub_silence: Duration::from_millis(700),
+            plan_every: Duration::from_millis(250),
+            lapse_grace: Duration::from_millis(1_500),
+            suspicion_min: Duration::from_millis(500),
+            suspicion_max: Duration::from_secs(4),
+            silence: Duration::from_millis(800),
+            fault_half_life: Duration::from_secs(2),
+            fault_ms: 40.0,
+            zone_ms: 20.0,
+            crowd_ms: 1.5,
+            read_per_ms: 40.0,
+            load_wait: Duration::from_secs(4),
+            absence: Duration::from_millis(150),
+            adapter_ready: Duration::from_millis(20),
+            adapter_idle: Duration::from_millis(400),
+            reserve: Duration::from_millis(50),
+            balancer_grace: Duration::from_millis(2_500),
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/state.rs
@@ -0,0 +1,212 @@
+//! Everything that one process knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_core::timer::Timers;
+use rustc_hash::FxHashMap;
+
+use crate::budget::Budget;
+use crate::config::{Config, Pool, Table};
+use crate::demand::{Appetite, Counts};
+use crate::engine::{Engine, Row};
+use crate::flow::Flow;
+use crate::frame::{Hub, View};
+use crate::ledger::Ledger;
+use crate::lease::Lease;
+use crate::request::{Id, Prompt};
+use crate::settings::Settings;
+use crate::timer::Timer;
+
+/// Weight of a new sample in the mean time of a service's runs.
+const PACE_GAIN: f64 = 0.05;
+/// Mean time of a run before any was seen, in ms.
+const PACE_MS: f64 = 200.0;
+
+/// Who this process is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The VM's name.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it listens for frames.
+    pub address: SocketAddr,
+}
+
+/// The state of one process.
+#[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a belief of its own, not a state of one machine")]
+pub struct State {
+    pub(crate) me: Identity,
+    pub(crate) settings: Settings,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) timers: Timers<Timer>,
+    pub(crate) config: Option<Arc<Config>>,
+    pub(crate) routes: Table,
+    pub(crate) engines: BTreeMap<Name, Engine>,
+    /// Engines that were removed, with the store's version of that.
+    pub(crate) removed: BTreeMap<Name, u64>,
+    /// The store's version up to which the engines' table is known.
+    pub(crate) listed: u64,
+    pub(crate) store_up: bool,
+    pub(crate) store_troubled: Option<Time>,
+    pub(crate) flows: FxHashMap<Id, Flow>,
+    pub(crate) waiting: BTreeSet<Id>,
+    /// Whether requests that wait are to be looked at again.
+    pub(crate) stirred: bool,
+    pub(crate) budget: Budget,
+    pub(crate) demand: Counts,
+    pub(crate) appetite: Appetite,
+    pub(crate) hub: Hub,
+    pub(crate) lease: Lease,
+    pub(crate) ledger: Ledger,
+    pub(crate) ready: bool,
+    pub(crate) stopping: bool,
+    /// Whether the balancer has seen that this entry VM stops.
+    pub(crate) graced: bool,
+    pub(crate) refusals: BTreeMap<Code, u64>,
+    pub(crate) retries: BTreeMap<&'static str, u64>,
+    paces: FxHashMap<Name, f64>,
+}
+
+impl State {
+    /// A process that knows nothing yet.
+    #[must_use]
+    pub fn new(me: Identity, settings: Settings, seed: u64, now: Time) -> Self {
+        let mut timers = Timers::default();
+        timers.set(now, Timer::Lease);
+        timers.set(now + settings.frame_every, Timer::Frame);
+        timers.set(now + settings.plan_every, Timer::Plan);
+        Self {
+            me,
+            settings,
+            rng: fastrand::Rng::with_seed(seed),
+            timers,
+            config: None,
+            routes: Table::default(),
+            engines: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            listed: 0,
+            store_up: true,
+            store_troubled: None,
+            flows: FxHashMap::default(),
+            waiting: BTreeSet::new(),
+            stirred: false,
+            budget: Budget::default(),
+            demand: Counts::default(),
+            appetite: Appetite::default(),
+            hub: Hub::default(),
+            lease: Lease::default(),
+            ledger: Ledger::default(),
+            ready: false,
+            stopping: false,
+            graced: false,
+            refusals: BTreeMap::new(),
+            retries: BTreeMap::new(),
+            paces: FxHashMap::default(),
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref()
+    }
+
+    /// The engines that are known.
+    pub fn engines(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.values()
+    }
+
+    /// Requests that have not ended.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Requests that wait for an engine.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether the platform's store answers.
+    #[must_use]
+    pub const fn store_up(&self) -> bool {
+        self.store_up
+    }
+
+    /// The lease on giving orders.
+    #[must_use]
+    pub const fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Requests that were refused, by result code.
+    #[must_use]
+    pub const fn refusals(&self) -> &BTreeMap<Code, u64> {
+        &self.refusals
+    }
+
+    /// Attempts that were followed by another, by how they ended.
+    #[must_use]
+    pub const fn retries(&self) -> &BTreeMap<&'static str, u64> {
+        &self.retries
+    }
+
+    /// The engines of a service.
+    pub(crate) fn engines_of<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Engine> {
+        self.engines.values().filter(move |engine| engine.entry.service == *service)
+    }
+
+    /// What the engines of a service hold, if they run models.
+    pub(crate) fn pool(&self, service: &Name) -> Option<&Pool> {
+        self.config.as_ref()?.service(service)?.pool.as_ref()
+    }
+
+    /// Whether the configuration names the model, so that a copy of it can be expected.
+    pub(crate) fn planned(&self, service: &Name, prompt: Option<&Prompt>) -> bool {
+        prompt.is_some_and(|prompt| self.pool(service).is_some_and(|pool| pool.model(&prompt.model).is_some()))
+    }
+
+    /// Entry VMs that share the allowance of repeats.
+    pub(crate) fn nodes(&self, now: Time) -> u32 {
+        let counted = self.hub.nodes > 0 && self.hub.alive(now, &self.settings);
+        if counted { self.hub.nodes } else { self.hub.nodes.max(self.settings.nodes_assumed) }
+    }
+
+    /// The version of what is known of what engines hold.
+    pub(crate) fn view(&self) -> View {
+        let term = self.lease.hub().map_or(0, |row| row.term);
+        View { term, version: self.ledger.version() }
+    }
+
+    /// Rows of the engines' table newer than a version.
+    pub(crate) fn rows_after(&self, version: u64) -> Vec<Row> {
+        let put = self.engines.values().filter(|engine| engine.version > version).map(|engine| Row {
+            id: engine.entry.id.clone(),
+            version: engine.version,
+            entry: Some(engine.entry.clone()),
+        });
+        let removed = self.removed.iter().filter(|(_, removed)| **removed > version);
+        put.chain(removed.map(|(id, version)| Row { id: id.clone(), version: *version, entry: None })).collect()
+    }
+
+    /// The mean time of a service's runs, in ms.
+    pub(crate) fn pace(&self, service: &Name) -> f64 {
+        self.paces.get(service).copied().unwrap_or(PACE_MS)
+    }
+
+    /// A run of a service took this long.
+    pub(crate) fn paced(&mut self, service: &Name, took: Duration) {
+        let ms = took.as_secs_f64() * 1_000.0;
+        let pace = self.paces.entry(service.clone()).or_insert(ms);
+        *pace += PACE_GAIN * (ms - *pace);
+    }
+}
--- /dev/null
+++ b/fleet/src/timer.rs
@@ -0,0 +1,30 @@
+//! What the reducer wants to be woken for.
+
+use boragecove_core::name::Name;
+
+use crate::request::Id;
+
+/// Something due at a time. A timer that has become pointless is ignored when it fires.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Timer {
+    /// A request's deadline.
+    Deadline(Id),
+    /// A request has waited for a model or an adapter as long as it may.
+    Wait(Id),
+    /// A look at whether a request's attempt of this number has gone silent.
+    Silence(Id, u32),
+    /// A suspected engine is to be asked whether it is well.
+    Probe(Name),
+    /// An entry that went missing around an outage is to be taken as gone.
+    Lapse(Name),
+    /// The hub is to be told.
+    Frame,
+    /// The lease is to be renewed or looked at.
+    Lease,
+    /// Placement is to be planned.
+    Plan,
+    /// An engine is to be asked what it holds.
+    Check(Name),
+    /// The balancer has had time to see that this entry VM is not ready.
+    Grace,
+}
