Count orders from zero, end the lease by the store's clock, refuse what a stopping VM cannot finish

Causes: the sequence in an engine's entry counts heartbeats, so the first orders met conflicts and a report 300 ms old; a new holder waited for a whole lease after its first look; a VM took streams until its last second; streams waited longer for a model than their callers do (2 s, 4 targets or 8 pauses). Ruled out: the log of orders shows that conflicts came from the count only.

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -33,7 +33,7 @@
 /// Time for an engine to answer an order or a report; both take a few ms.
 const ENGINE_CALL: Duration = Duration::from_millis(800);
 /// Time for the store to answer a call about the lease: it takes some ms, and a slow one is as good as none.
-const LEASE_CALL: Duration = Duration::from_millis(1_200);
+const LEASE_CALL: Duration = Duration::from_millis(700);
 /// Bytes of an answer of an engine or of the store about the lease, at most.
 const ANSWER_MAX: usize = 1 << 20;
 /// Time between looks for connections that will not be used again.
@@ -191,14 +191,15 @@
         later(ctx, async move {
             let request = store_request(store::lease(&call));
             let until = Instant::now() + LEASE_CALL;
+            let unknown = lease::Answer { store_ms: None, outcome: lease::Outcome::Unknown };
             let answer = match client.call(address, request, ANSWER_MAX, until).await {
                 Ok((status, body)) => store::leased(&call, status.as_u16(), &body).unwrap_or_else(|error| {
                     tracing::warn!(%error, "the store's answer about the lease");
-                    lease::Answer::Unknown
+                    unknown
                 }),
                 Err(error) => {
                     tracing::debug!(%error, "no answer about the lease");
-                    lease::Answer::Unknown
+                    unknown
                 }
             };
             Event::Lease(answer)
--- a/fleet/src/config.rs
+++ b/fleet/src/config.rs
@@ -35,6 +35,8 @@
     pub timeout: Duration,
     /// The time to an answer, or to the first event of a stream, that the operator aims at.
     pub target: Duration,
+    /// The pause between two events of a stream that the operator allows.
+    pub pause: Duration,
     /// Its rank; 0 goes first.
     pub priority: u8,
     /// Engines to which one request may be sent.
@@ -43,6 +45,25 @@
     pub split: Vec<Share>,
 }
 
+/// Callers leave a stream that pauses, or does not begin, for the longest of this,
+const ABANDON_MIN: Duration = Duration::from_secs(2);
+/// this many times the route's target,
+const ABANDON_TARGETS: u32 = 4;
+/// and this many times the pause that it allows.
+const ABANDON_PAUSES: u32 = 8;
+
+impl Route {
+    /// How long callers wait for an answer to begin.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        if !self.kind.streams() {
+            return self.timeout;
+        }
+        let longest = ABANDON_MIN.max(self.target * ABANDON_TARGETS).max(self.pause * ABANDON_PAUSES);
+        longest.min(self.timeout)
+    }
+}
+
 /// A service's part of a route.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -26,8 +26,6 @@
     pub leaving: bool,
     /// How long it stays at most, if it is leaving at short notice.
     pub remaining: Option<Duration>,
-    /// Orders that it had accepted.
-    pub sequence: u64,
     /// What it held.
     pub held: Vec<Held>,
     /// Models whose weights it keeps in its own memory or on its disk.
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -37,6 +37,8 @@
     prompt: Option<Prompt>,
     arrived: Time,
     deadline: Time,
+    /// When its answer must begin.
+    begin_by: Time,
     stage: Stage,
     /// Attempts made.
     number: u32,
@@ -78,6 +80,11 @@
         reject(id, Code::NotReady, Some(COME_BACK), out);
         return;
     }
+    if state.graced {
+        // Another entry VM has all the time for it.
+        reject(id, Code::Stopping, Some(Duration::ZERO), out);
+        return;
+    }
     let Some(route) = state.routes.find(&arrival.host, &arrival.path).cloned() else {
         reject(id, Code::UnknownPath, None, out);
         return;
@@ -89,12 +96,14 @@
     state.budget.request(now, &service, &state.settings);
     let patience = arrival.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = now + patience;
+    let begin_by = deadline.min(now + route.patience());
     let flow = Flow {
         route,
         service,
         prompt: arrival.prompt,
         arrived: now,
         deadline,
+        begin_by,
         stage: Stage::Waiting,
         number: 0,
         used: 0,
@@ -148,7 +157,7 @@
         return;
     };
     let (service, prompt, avoid) = (flow.service.clone(), flow.prompt.clone(), flow.avoid.clone());
-    let left = flow.deadline.since(now).saturating_sub(state.settings.reserve);
+    let left = flow.begin_by.since(now).saturating_sub(state.settings.reserve);
     match choose::choose(state, now, &service, prompt.as_ref(), &avoid, left) {
         Choice::Engine(pick) => send(state, now, id, pick, fresh, out),
         Choice::Absent if state.planned(&service, prompt.as_ref()) => {
@@ -226,7 +235,7 @@
     let Some(flow) = state.flows.get(&id) else {
         return;
     };
-    let until = (now + wait).min(flow.deadline - reserve);
+    let until = (now + wait).min(flow.begin_by - reserve);
     if until <= now {
         give_up(state, now, id, Code::DeadlineUnreachable, Some(COME_BACK), out);
         return;
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -1,10 +1,12 @@
 //! The lease on giving orders: one row in the platform's store. Its holder is also the hub to which the
 //! other entry VMs send their frames.
 //!
-//! A holder counts the lease from before its write was sent. Others take it over only after they have seen
-//! the same version of the row for longer than that, so no two clocks are compared.
+//! The row says until when its holder believes to hold it, in the store's steady clock: the latest that
+//! this can be, by the holder's last sight of that clock. Each answer of the store tells its clock, so others
+//! see at once when the lease is over. No two machines' clocks are compared.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
@@ -24,6 +26,8 @@
     pub address: SocketAddr,
     /// Grows with each change of hands; fences orders.
     pub term: u64,
+    /// When it is over at the latest, by the store's clock, in ms.
+    pub until_ms: u64,
     /// Whether the holder has given it back.
     pub released: bool,
 }
@@ -51,9 +55,18 @@
     },
 }
 
+/// The store's answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The store's clock when it answered, in ms; none if it did not.
+    pub store_ms: Option<u64>,
+    /// What came of the call.
+    pub outcome: Outcome,
+}
+
 /// What came of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
+pub enum Outcome {
     /// The row as it is; none if there is none.
     Read(Option<Seen>),
     /// The row was written and has this version now.
@@ -68,11 +81,28 @@
 #[derive(Debug, Default)]
 pub struct Lease {
     seen: Option<Seen>,
-    /// When the row was first seen with this version.
-    seen_at: Time,
     held: Option<Held>,
     /// The call under way, with the time at which it was sent.
     pending: Option<(Time, Call)>,
+    /// The last write that may have been done, with the time at which it was sent.
+    tried: Option<(Time, Row)>,
+    clock: Option<Sample>,
+}
+
+/// A sight of the store's clock.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    /// What it showed, in ms.
+    store_ms: u64,
+    /// When it was asked: it showed that no earlier.
+    asked: Time,
+}
+
+impl Sample {
+    /// The most that the store's clock can show at `time`.
+    fn at_most(self, time: Time) -> u64 {
+        self.store_ms + ms(time.since(self.asked))
+    }
 }
 
 /// The lease, held by this process.
@@ -102,13 +132,6 @@
     pub fn hub(&self) -> Option<&Row> {
         self.seen.as_ref().map(|seen| &seen.row)
     }
-
-    fn see(&mut self, now: Time, seen: Option<Seen>) {
-        if self.seen != seen {
-            self.seen = seen;
-            self.seen_at = now;
-        }
-    }
 }
 
 /// The lease is to be looked at, taken or renewed.
@@ -120,7 +143,7 @@
         return;
     }
     if let Some(held) = state.lease.held {
-        let row = own_row(state, held.term, state.stopping);
+        let row = own_row(state, now, held.term, state.stopping);
         call(state, now, Call::Write { expected: held.version, row }, out);
         return;
     }
@@ -133,16 +156,21 @@
 /// Gives the lease back at a planned stop.
 pub(crate) fn release(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     if let Some(held) = state.lease.held.take() {
-        let row = own_row(state, held.term, true);
+        let row = own_row(state, now, held.term, true);
         call(state, now, Call::Write { expected: held.version, row }, out);
     }
 }
 
-fn own_row(state: &State, term: u64, released: bool) -> Row {
-    Row { holder: state.me.vm.clone(), address: state.me.address, term, released }
+fn own_row(state: &State, now: Time, term: u64, released: bool) -> Row {
+    let over = now + state.settings.lease_length;
+    let until_ms = state.lease.clock.map_or(u64::MAX, |clock| clock.at_most(over));
+    Row { holder: state.me.vm.clone(), address: state.me.address, term, until_ms, released }
 }
 
 fn call(state: &mut State, now: Time, call: Call, out: &mut Vec<Effect>) {
+    if let Call::Write { row, .. } = &call {
+        state.lease.tried = Some((now, row.clone()));
+    }
     state.lease.pending = Some((now, call.clone()));
     out.push(Effect::Lease(call));
 }
@@ -152,71 +180,99 @@
     let Some((sent, asked)) = state.lease.pending.take() else {
         return;
     };
-    match (answer, asked) {
-        (Answer::Read(seen) | Answer::Conflict(seen), _) => read(state, now, seen, out),
-        (Answer::Written(version), Call::Write { row, .. }) => written(state, now, sent, version, row, out),
+    if let Some(store_ms) = answer.store_ms {
+        state.lease.clock = Some(Sample { store_ms, asked: sent });
+    }
+    match (answer.outcome, asked) {
+        (Outcome::Read(seen) | Outcome::Conflict(seen), _) => {
+            read(state, now, seen, answer.store_ms.unwrap_or_default(), out);
+        }
+        (Outcome::Written(version), Call::Write { row, .. }) => {
+            written(state, now, sent, Seen { version, row }, answer.store_ms.unwrap_or_default(), out);
+        }
         // An own write whose answer was lost is found by the next read.
-        (Answer::Unknown, Call::Write { .. }) => call(state, now, Call::Read, out),
-        (Answer::Unknown | Answer::Written(_), _) => {}
+        (Outcome::Unknown, Call::Write { .. }) => call(state, now, Call::Read, out),
+        (Outcome::Unknown | Outcome::Written(_), _) => {}
     }
 }
 
-fn read(state: &mut State, now: Time, seen: Option<Seen>, out: &mut Vec<Effect>) {
-    state.lease.see(now, seen);
-    let Some(Seen { version, row }) = state.lease.seen.clone() else {
-        let row = own_row(state, 1, false);
+fn read(state: &mut State, now: Time, seen: Option<Seen>, store_ms: u64, out: &mut Vec<Effect>) {
+    let Some(seen) = seen else {
+        let row = own_row(state, now, 1, false);
         call(state, now, Call::Write { expected: 0, row }, out);
         return;
     };
+    let mine = seen.row.holder == state.me.vm;
+    if let Some((sent, row)) = state.lease.tried.clone()
+        && seen.row == row
+    {
+        // The last write was done after all.
+        written(state, now, sent, seen, store_ms, out);
+        return;
+    }
+    let before = state.lease.seen.replace(seen.clone()).map(|seen| seen.row.holder);
     if let Some(held) = &mut state.lease.held {
-        if row.holder == state.me.vm && row.term == held.term {
-            held.version = version;
+        if mine && seen.row.term == held.term {
+            held.version = seen.version;
         } else {
-            lost(state, now, Some(Seen { version, row }), out);
+            lost(state, out);
         }
         return;
     }
+    if before.is_some_and(|before| before != seen.row.holder) {
+        note(state, "seen", 0, out);
+    }
     if state.stopping {
         return;
     }
-    let over = now.since(state.lease.seen_at) > state.settings.lease_length + state.settings.lease_margin;
-    if over || row.released || row.holder == state.me.vm {
-        let row = own_row(state, row.term + 1, false);
-        call(state, now, Call::Write { expected: version, row }, out);
+    let margin_ms = ms(state.settings.lease_margin);
+    if mine || seen.row.released || store_ms > seen.row.until_ms.saturating_add(margin_ms) {
+        let row = own_row(state, now, seen.row.term + 1, false);
+        call(state, now, Call::Write { expected: seen.version, row }, out);
     }
 }
 
-fn written(state: &mut State, now: Time, sent: Time, version: u64, row: Row, out: &mut Vec<Effect>) {
-    let before = state.lease.hub().map(|row| row.holder.clone());
-    let term = row.term;
-    state.lease.see(now, Some(Seen { version, row }));
+/// An own write was done.
+fn written(state: &mut State, now: Time, sent: Time, new: Seen, store_ms: u64, out: &mut Vec<Effect>) {
+    let term = new.row.term;
+    let version = new.version;
+    let before = state.lease.seen.replace(new);
     if state.stopping {
         state.lease.held = None;
         return;
     }
     let until = sent + state.settings.lease_length;
-    if let Some(held) = &mut state.lease.held {
+    if let Some(held) = &mut state.lease.held
+        && held.term == term
+    {
         held.version = version;
         held.until = until;
         return;
     }
-    // Another machine's orders may have been sent until now.
-    let same = before.is_none_or(|holder| holder == state.me.vm);
-    let orders_from = if same { now } else { now + state.settings.order_gap };
+    let orders_from = now + gap(state, before.as_ref(), store_ms);
     state.lease.held = Some(Held { version, term, until, orders_from });
-    out.push(Effect::Record(Record::Lease {
-        state: "taken",
-        holder: state.me.vm.clone(),
-        term,
-        orders_in_ms: ms(orders_from.since(now)),
-    }));
+    note(state, "taken", ms(orders_from.since(now)), out);
     state.ledger.begin(term == 1);
 }
 
-fn lost(state: &mut State, now: Time, seen: Option<Seen>, out: &mut Vec<Effect>) {
-    state.lease.see(now, seen);
+/// Time in which another machine's orders may still count against this one's.
+fn gap(state: &State, before: Option<&Seen>, store_ms: u64) -> Duration {
+    match before {
+        Some(before) if before.row.holder != state.me.vm => {
+            let over = Duration::from_millis(store_ms.saturating_sub(before.row.until_ms));
+            state.settings.order_gap.saturating_sub(over) + state.settings.lease_margin
+        }
+        _ => Duration::ZERO,
+    }
+}
+
+fn lost(state: &mut State, out: &mut Vec<Effect>) {
     if state.lease.held.take().is_some() {
-        let (holder, term) = state.lease.hub().map_or((Name::default(), 0), |row| (row.holder.clone(), row.term));
-        out.push(Effect::Record(Record::Lease { state: "lost", holder, term, orders_in_ms: 0 }));
+        note(state, "lost", 0, out);
     }
 }
+
+fn note(state: &State, label: &'static str, orders_in_ms: u64, out: &mut Vec<Effect>) {
+    let (holder, term) = state.lease.hub().map_or((Name::default(), 0), |row| (row.holder.clone(), row.term));
+    out.push(Effect::Record(Record::Lease { state: label, holder, term, orders_in_ms }));
+}
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -175,7 +175,7 @@
 
 impl Book {
     fn new(entry: &Entry, fresh: bool, now: Time) -> Self {
-        let sequence = fresh.then_some(entry.sequence);
+        let sequence = fresh.then_some(0);
         let check_at = sequence.is_none().then_some(now);
         let mut book = Self { sequence, check_at, ..Self::default() };
         book.adopt(&entry.held);
@@ -346,9 +346,7 @@
             continue;
         }
         let entry = &state.engines[&id].entry;
-        // A new engine has accepted nothing yet: nobody else orders it.
-        let fresh = state.ledger.fresh || entry.sequence == 0;
-        let book = Book::new(entry, fresh, now);
+        let book = Book::new(entry, state.ledger.fresh, now);
         state.timers.set(now, Timer::Check(id.clone()));
         state.ledger.books.insert(id, book);
     }
@@ -592,7 +590,7 @@
     let Some(book) = state.ledger.books.get_mut(id) else {
         return;
     };
-    if book.pending.is_some() || book.sequence.is_none_or(|known| entry.sequence < known) {
+    if book.pending.is_some() || book.sequence.is_none() {
         return;
     }
     let holds = |model: &Name| entry.held.iter().any(|held| held.model == *model);
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -94,7 +94,6 @@
 /// Ends the process once the balancer sends nobody any more and nothing is in flight.
 fn leave(state: &mut State, out: &mut Vec<Effect>) {
     if state.graced && state.flows.is_empty() {
-        state.graced = false;
         out.push(Effect::Exit);
     }
 }
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -19,7 +19,8 @@
     pub order_gap: Duration,
     /// How long a lease lasts without renewal.
     pub lease_length: Duration,
-    /// How much longer others wait before they take it: clocks run at rates that differ a little.
+    /// How much longer others wait before they take it, and before they give orders: clocks run at rates
+    /// that differ a little, and orders take time to arrive.
     pub lease_margin: Duration,
     /// Time between renewals.
     pub lease_renew: Duration,
@@ -74,10 +75,10 @@
             nodes_assumed: 9,
             load_window: Duration::from_secs(5),
             order_gap: Duration::from_secs(3),
-            lease_length: Duration::from_secs(3),
-            lease_margin: Duration::from_millis(500),
-            lease_renew: Duration::from_millis(800),
-            lease_look: Duration::from_millis(500),
+            lease_length: Duration::from_millis(2_400),
+            lease_margin: Duration::from_millis(200),
+            lease_renew: Duration::from_millis(600),
+            lease_look: Duration::from_millis(400),
             frame_every: Duration::from_millis(150),
             hub_silence: Duration::from_millis(700),
             plan_every: Duration::from_millis(250),
