--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -86,6 +86,19 @@
     input: BytesMut,
     output: BytesMut,
     written: bool,
+    /// Whether no request is under way on it.
+    settled: bool,
+}
+
+/// A request that is given up must not arrive later, as it would from the system's buffers once a partition
+/// heals: resetting its connection drops what is held up.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if !self.settled {
+            // Only a socket that is gone already refuses.
+            let _gone = self.stream.set_zero_linger();
+        }
+    }
 }
 
 /// An answer whose head has come.
@@ -177,6 +190,7 @@
             None => self.open(address, until).await?,
         };
         connection.written = false;
+        connection.settled = false;
         let codec = encode(&mut connection.output, address, request)?;
         match connection.flush_now() {
             Ok(()) => Ok((connection, codec)),
@@ -192,7 +206,7 @@
         let stream = opening.map_err(|_elapsed| Error::Unsent(late()))?.map_err(Error::Unsent)?;
         self.opened.set(self.opened.get() + 1);
         stream.set_nodelay(true).map_err(Error::Unsent)?;
-        Ok(Connection { stream, input: BytesMut::new(), output: BytesMut::new(), written: false })
+        Ok(Connection { stream, input: BytesMut::new(), output: BytesMut::new(), written: false, settled: true })
     }
 
     /// An idle connection that the other side has not closed or written to.
@@ -390,6 +404,7 @@
                 }
                 return match connection.fill().await {
                     Ok(0) => {
+                        connection.settled = true;
                         self.connection = None;
                         Ok(None)
                     }
@@ -441,12 +456,13 @@
     /// Keeps the connection for the next request, if nothing speaks against it.
     fn release(&mut self) {
         self.body = Body::Over;
-        let Some(keep) = self.keep else {
+        let Some(mut connection) = self.connection.take() else {
             return;
         };
-        if let Some(connection) = self.connection.take()
+        connection.settled = connection.output.is_empty();
+        if let Some(keep) = self.keep
+            && connection.settled
             && connection.input.is_empty()
-            && connection.output.is_empty()
         {
             self.client.keep(self.address, connection, keep);
         }
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -16,9 +16,9 @@
 use super::settings::Settings;
 
 /// How long the store is asked to wait for changes: short, since a connection may go silent for good.
-const WAIT: Duration = Duration::from_secs(3);
+const WAIT: Duration = Duration::from_millis(2_500);
 /// Time for an answer beyond that.
-const ANSWER: Duration = Duration::from_millis(900);
+const ANSWER: Duration = Duration::from_millis(700);
 /// Pause after a failed call, at first; it doubles up to the longest.
 const PAUSE_MIN: Duration = Duration::from_millis(50);
 /// Longest pause after a failed call: what changed meanwhile is to be in force within two seconds.
@@ -45,6 +45,9 @@
     node: Addr<Node>,
     /// The version up to which the table is known; none before it was read whole.
     version: Option<u64>,
+    /// Whether the last call was answered. Until one is, the store is not asked to wait: a call that is sent
+    /// during an outage may get no answer after it either.
+    answered: bool,
 }
 
 /// Follows all tables that the reducer goes by.
@@ -56,6 +59,7 @@
             client: Rc::clone(client),
             node: node.clone(),
             version: None,
+            answered: false,
         };
         actix_rt::spawn(follower.run());
     }
@@ -65,7 +69,9 @@
     async fn run(mut self) {
         let mut pause = PAUSE_MIN;
         while self.node.connected() {
-            match self.turn().await {
+            let turn = self.turn().await;
+            self.answered = matches!(turn, Ok(()) | Err(Failed::HistoryGone));
+            match turn {
                 Ok(()) => {
                     pause = PAUSE_MIN;
                     self.node.do_send(Feed(Event::StoreUp(true)));
@@ -86,7 +92,8 @@
         let Some(version) = self.version else {
             return self.read().await;
         };
-        let page = self.call(self.table.follow(version, WAIT), WAIT + ANSWER).await?;
+        let wait = if self.answered { WAIT } else { Duration::ZERO };
+        let page = self.call(self.table.follow(version, wait), wait + ANSWER).await?;
         let version = page.version.max(version);
         self.tell(&page, false)?;
         self.version = Some(version);
