Order adapters once, send unanswered orders again, log placement

At the start of traffic every model counted as unused, and copies were dropped that were about to be asked for: unused now means not asked for over two seconds.

--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -15,7 +15,7 @@
 
 /// Lines that wait to be written, at most.
 const BUFFERED: usize = 4_096;
-/// Lines in one second, at most: four for each of the 500 requests that a small VM serves in it.
+/// Lines in one second, at most: four and more for each of the 500 requests that a small VM serves in it.
 const LINES_PER_S: u32 = 2_000;
 
 /// Writes lines, and counts those that it leaves out.
@@ -81,6 +81,7 @@
         let request = match record {
             Record::Sent { request, .. }
             | Record::Waits { request, .. }
+            | Record::Began { request, .. }
             | Record::Ended { request, .. }
             | Record::Refused { request, .. } => Some(Id(*request)),
             _ => None,
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -30,8 +30,10 @@
 use super::{follow, peers};
 use crate::clock::Clock;
 
-/// Time for an engine to answer an order or a report; both take a few ms.
-const ENGINE_CALL: Duration = Duration::from_millis(800);
+/// Time for an engine to answer an order; it takes a few ms, and one without an answer is sent again.
+const ORDER_CALL: Duration = Duration::from_millis(200);
+/// Time for an engine to report.
+const REPORT_CALL: Duration = Duration::from_millis(500);
 /// Time for the store to answer a call about the lease: it takes some ms, and a slow one is as good as none.
 const LEASE_CALL: Duration = Duration::from_millis(700);
 /// Bytes of an answer of an engine or of the store about the lease, at most.
@@ -215,7 +217,7 @@
         let request =
             Request { method: Method::POST, target: Uri::from_static(engine::ORDER_PATH), headers, body };
         later(ctx, async move {
-            let until = Instant::now() + ENGINE_CALL;
+            let until = Instant::now() + ORDER_CALL;
             let receipt = match client.call(address, request, ANSWER_MAX, until).await {
                 Ok((status, _)) => engine::receipt(status.as_u16()),
                 Err(error) => {
@@ -236,7 +238,7 @@
             body: Bytes::new(),
         };
         later(ctx, async move {
-            let until = Instant::now() + ENGINE_CALL;
+            let until = Instant::now() + REPORT_CALL;
             let report = match client.call(address, request, ANSWER_MAX, until).await {
                 Ok((status, body)) if status.is_success() => engine::report(&body)
                     .inspect_err(|error| tracing::warn!(engine = %name, %error, "report not read"))
@@ -307,6 +309,7 @@
             begun: false,
             events: Events::default(),
             held: None,
+            pause: Duration::ZERO,
         };
         self.feed(Event::Arrive { request: id, arrival: Box::new(arrival) }, ctx);
         actix_rt::spawn(relay.run());
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -55,6 +55,8 @@
     pub(crate) events: Events,
     /// An answer that waits for the word to pass it on.
     pub(crate) held: Option<(Head, Bytes)>,
+    /// The longest pause between two events of the current attempt.
+    pub(crate) pause: Duration,
 }
 
 /// What ends an attempt from outside.
@@ -97,7 +99,7 @@
             Turn::Step(step) => Some(step),
             Turn::CallerGone => None,
             Turn::Ended(end) => {
-                self.node.do_send(Feed(Event::Ended { request: self.id, attempt: number, end }));
+                self.node.do_send(Feed(Event::Ended { request: self.id, attempt: number, end, pause: self.pause }));
                 tokio::select! {
                     step = self.steps.recv() => step,
                     () = outlet.closed() => None,
@@ -109,6 +111,7 @@
     /// Sends the request to an engine and reads its answer.
     async fn exchange(&mut self, attempt: Attempt) -> End {
         self.held = None;
+        self.pause = Duration::ZERO;
         self.events.restart();
         let left = attempt.deadline.since(self.clock.now());
         let mut request = self.content.request.clone();
@@ -163,6 +166,7 @@
     /// Passes a stream on, event by event.
     async fn stream(&mut self, attempt: &Attempt, mut response: Response) -> End {
         let head = Head { status: response.status(), headers: front::returned(response.headers()) };
+        let mut last: Option<Instant> = None;
         loop {
             match response.chunk().await {
                 Ok(Some(bytes)) => {
@@ -173,6 +177,9 @@
                     if whole.is_empty() {
                         continue;
                     }
+                    let now = Instant::now();
+                    let pause = last.replace(now).map_or(Duration::ZERO, |last| now.duration_since(last));
+                    self.pause = self.pause.max(pause);
                     self.node.do_send(Feed(Event::Began(self.id)));
                     self.begin(&head).await;
                     let _caller_gone = self.outlet.send(Part::Data(whole)).await;
--- a/fleet/src/demand.rs
+++ b/fleet/src/demand.rs
@@ -11,6 +11,9 @@
 /// load takes one to four.
 const HALF_LIFE: Duration = Duration::from_millis(1_200);
 
+/// Time between two lines of the log on placement.
+const LOG_EVERY: Duration = Duration::from_secs(1);
+
 /// A model, or one of its adapters, of a service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Target {
@@ -93,6 +96,10 @@
     adapters: BTreeMap<Target, Time>,
     arrived: BTreeMap<Target, u32>,
     at: Time,
+    /// When anything was asked for at first.
+    first: Option<Time>,
+    /// When placement was last logged.
+    logged: Time,
 }
 
 /// How much a model is asked for.
@@ -104,6 +111,8 @@
     pub waiting: u32,
     /// Requests a second, smoothed.
     pub rate: f64,
+    /// When it was last asked for; none if it never was.
+    pub asked: Option<Time>,
 }
 
 impl Appetite {
@@ -142,6 +151,10 @@
             let blend = |old: f64, new: f64| keep.mul_add(old - new, new);
             trend.busy = blend(trend.busy, f64::from(open + waiting));
             trend.waiting = waiting;
+            if open + waiting + arrived > 0 {
+                trend.asked = Some(now);
+                self.first.get_or_insert(now);
+            }
             trend.rate = blend(trend.rate, f64::from(arrived) / past.max(0.001));
         }
     }
@@ -153,6 +166,21 @@
         self.models.get(&target).copied().unwrap_or_default()
     }
 
+    /// Whether placement is to be logged again.
+    pub(crate) fn report_due(&mut self, now: Time) -> bool {
+        let due = now.since(self.logged) >= LOG_EVERY;
+        if due {
+            self.logged = now;
+        }
+        due
+    }
+
+    /// How long demand has been watched.
+    #[must_use]
+    pub fn watched(&self, now: Time) -> Duration {
+        self.first.map_or(Duration::ZERO, |first| now.since(first))
+    }
+
     /// When an adapter was last asked for.
     #[must_use]
     pub fn used(&self, target: &Target) -> Option<Time> {
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -1,6 +1,7 @@
 //! Every input of the reducer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use boragecove_core::name::Name;
 
@@ -41,6 +42,8 @@
         attempt: u32,
         /// How it ended.
         end: End,
+        /// The longest pause between two of its events.
+        pause: Duration,
     },
     /// A frame came from another entry VM. The answer is asked for with [`crate::reply`].
     Framed(Box<Frame>),
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -277,15 +277,24 @@
 }
 
 /// The first of an answer's events came.
-pub(crate) fn began(state: &mut State, now: Time, id: Id) {
+pub(crate) fn began(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
     let unread = flow.load(false).unread_tokens;
-    let Stage::Sent { engine, begun, .. } = &mut flow.stage else {
+    let arrived = flow.arrived;
+    let Stage::Sent { engine, begun, at } = &mut flow.stage else {
         return;
     };
     let first = !std::mem::replace(begun, true);
+    if first {
+        out.push(Effect::Record(Record::Began {
+            request: id.0,
+            engine: engine.clone(),
+            after_ms: ms(now.since(arrived)),
+            sent_ms: ms(now.since(*at)),
+        }));
+    }
     if let Some(engine) = state.engines.get_mut(engine) {
         engine.health.hear(now);
         if first {
@@ -294,8 +303,19 @@
     }
 }
 
+/// How a request's attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ended {
+    /// The attempt's number.
+    pub(crate) attempt: u32,
+    pub(crate) end: End,
+    /// The longest pause between two of its events.
+    pub(crate) pause: Duration,
+}
+
 /// A request's attempt ended.
-pub(crate) fn ended(state: &mut State, now: Time, id: Id, number: u32, end: End, out: &mut Vec<Effect>) {
+pub(crate) fn ended(state: &mut State, now: Time, id: Id, ended: Ended, out: &mut Vec<Effect>) {
+    let Ended { attempt: number, end, pause } = ended;
     let Some(flow) = state.flows.get(&id) else {
         return;
     };
@@ -315,6 +335,7 @@
         end: end.label(),
         not_run: end.proves_not_run(),
         after_ms: ms(now.since(at)),
+        pause_ms: ms(pause),
     }));
     if end.proves_not_run() {
         flow.used -= 1;
@@ -569,7 +590,7 @@
     };
     let spare = flow.used < flow.route.attempts;
     if (silent || hangs) && flow.route.kind.repeatable() && spare {
-        ended(state, now, id, number, End::Broken, out);
+        ended(state, now, id, Ended { attempt: number, end: End::Broken, pause: Duration::ZERO }, out);
         return;
     }
     state.timers.set(now + settings.silence / 2, Timer::Silence(id, number));
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -22,9 +22,12 @@
 use crate::timer::Timer;
 
 /// Reports are some hundred ms old: time after which one tells of what happened before it was asked for.
-const REPORT_LAG: Duration = Duration::from_millis(300);
+const REPORT_LAG: Duration = Duration::from_millis(250);
 /// Time between looks at an order that takes longer than expected.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
+/// Sendings of one order that is not answered, beyond the first. They name the same state of the engine, so
+/// that only one of them can take effect.
+const RESENDS: u32 = 2;
 /// Orders that wait for one engine, at most.
 const QUEUE_MAX: usize = 6;
 /// Adapters that an engine fetches at the same time.
@@ -106,13 +109,21 @@
     /// Orders accepted; none while that is not known.
     sequence: Option<u64>,
     copies: Vec<Kept>,
-    pending: Option<Order>,
+    pending: Option<Pending>,
     queue: VecDeque<Order>,
     check_at: Option<Time>,
     reporting: bool,
     changed: u64,
 }
 
+/// An order on its way.
+#[derive(Clone, Debug)]
+struct Pending {
+    order: Order,
+    /// Times it was sent before.
+    resent: u32,
+}
+
 #[derive(Clone, Debug)]
 struct Kept {
     model: Name,
@@ -158,7 +169,7 @@
         while self.cold.front().is_some_and(|at| now.since(*at) > settings.load_window) {
             self.cold.pop_front();
         }
-        let allowed = (rate * settings.load_window.as_secs_f64()) as usize;
+        let allowed = rate.mul_add(settings.load_window.as_secs_f64(), settings.load_extra) as usize;
         allowed.saturating_sub(self.cold.len())
     }
 
@@ -206,6 +217,7 @@
         let order = Order::LoadAdapter { model: model.clone(), adapter: adapter.clone() };
         self.kept(model).is_some_and(|copy| copy.adapters.iter().any(|held| held.name == *adapter))
             || self.queue.contains(&order)
+            || self.pending.as_ref().is_some_and(|pending| pending.order == order)
     }
 
     /// Adapters that are there or on their way, with their models.
@@ -213,18 +225,34 @@
         self.copies.iter().flat_map(|copy| copy.adapters.iter().map(move |held| (&copy.model, &held.name)))
     }
 
-    /// Adapters that are still to be ordered.
-    pub(crate) fn adapters_queued(&self) -> usize {
-        self.queue.iter().filter(|order| matches!(order, Order::LoadAdapter { .. })).count()
+    /// Places for adapters that will be taken once all that is decided on has been done.
+    pub(crate) fn adapters_expected(&self) -> usize {
+        let decided = self.queue.iter().chain(self.pending.iter().map(|pending| &pending.order));
+        let mut places = self.adapters().count();
+        for order in decided {
+            match order {
+                Order::LoadAdapter { .. } => places += 1,
+                Order::UnloadAdapter { .. } => places = places.saturating_sub(1),
+                Order::Load { .. } | Order::Unload { .. } => {}
+            }
+        }
+        places
     }
 
     /// Whether the adapter is to be dropped already.
     pub(crate) fn drops(&self, model: &Name, adapter: &Name) -> bool {
-        self.queue.contains(&Order::UnloadAdapter { model: model.clone(), adapter: adapter.clone() })
+        let order = Order::UnloadAdapter { model: model.clone(), adapter: adapter.clone() };
+        self.queue.contains(&order) || self.pending.as_ref().is_some_and(|pending| pending.order == order)
     }
 
-    pub(crate) fn has_room(&self, orders: usize) -> bool {
-        self.sequence.is_some() && self.queue.len() + orders <= QUEUE_MAX
+    /// Whether orders for adapters can be decided on: an engine refuses them while it loads or drops a model.
+    pub(crate) fn takes_adapters(&self, orders: usize) -> bool {
+        let models = |order: &Order| matches!(order, Order::Load { .. } | Order::Unload { .. });
+        self.sequence.is_some()
+            && !self.moving()
+            && self.queue.len() + orders <= QUEUE_MAX
+            && !self.queue.iter().any(models)
+            && !self.pending.as_ref().is_some_and(|pending| models(&pending.order))
     }
 
     fn kept(&self, model: &Name) -> Option<&Kept> {
@@ -292,16 +320,29 @@
                     .filter(|adapter| adapter.ready_at.is_some())
                     .count();
                 ready
+                    && !self.moving()
                     && held < pool.adapters_max as usize
                     && fetching < FETCHES_MAX
                     && pool.model(model).is_some_and(|model| model.adapter_mb <= free)
             }
             Order::UnloadAdapter { model, adapter } => {
-                self.kept(model).is_some_and(|copy| copy.adapters.iter().any(|held| held.name == *adapter))
+                !self.moving()
+                    && self
+                        .kept(model)
+                        .is_some_and(|copy| copy.adapters.iter().any(|held| held.name == *adapter))
             }
         }
     }
 
+    /// An adapter is there, whoever ordered it.
+    fn holds(&mut self, model: &Name, adapter: &Name) {
+        if let Some(copy) = self.kept_mut(model)
+            && !copy.adapters.iter().any(|held| held.name == *adapter)
+        {
+            copy.adapters.push(Fetched { name: adapter.clone(), ready_at: None });
+        }
+    }
+
     /// The engine accepted an order.
     fn accepted(&mut self, now: Time, order: &Order, expected: Duration, settings: &Settings) {
         self.sequence = self.sequence.map(|sequence| sequence + 1);
@@ -410,7 +451,7 @@
         return;
     };
     book.queue.pop_front();
-    book.pending = Some(next.clone());
+    book.pending = Some(Pending { order: next.clone(), resent: 0 });
     out.push(Effect::Record(Record::Order {
         engine: id.clone(),
         order: next.clone(),
@@ -451,7 +492,7 @@
     let Some(book) = state.ledger.books.get_mut(id) else {
         return;
     };
-    let Some(order) = book.pending.take() else {
+    let Some(Pending { order, resent }) = book.pending.take() else {
         return;
     };
     let label = match receipt {
@@ -471,8 +512,14 @@
         Some(Receipt::Holds) => match &order {
             // It takes effect at once, and counts.
             Order::UnloadAdapter { .. } => book.accepted(now, &order, Duration::ZERO, &settings),
-            _ => unsure(book, now),
+            Order::LoadAdapter { model, adapter } => book.holds(model, adapter),
+            Order::Load { .. } | Order::Unload { .. } => unsure(book, now),
         },
+        None if resent < RESENDS => {
+            book.pending = Some(Pending { order, resent: resent + 1 });
+            resend(state, now, id, out);
+            return;
+        }
         Some(Receipt::Conflict | Receipt::Refused) | None => unsure(book, now),
     }
     wake_for(state, id);
@@ -480,6 +527,25 @@
     drive(state, now, id, out);
 }
 
+/// Sends the order that was not answered once more.
+fn resend(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
+    let (Some(term), Some(engine)) = (state.lease.orders(now), state.engines.get(id)) else {
+        if let Some(book) = state.ledger.books.get_mut(id) {
+            book.pending = None;
+            unsure(book, now);
+        }
+        return;
+    };
+    let address = engine.entry.address;
+    let Some(book) = state.ledger.books.get(id) else {
+        return;
+    };
+    if let (Some(pending), Some(sequence)) = (&book.pending, book.sequence) {
+        let order = pending.order.clone();
+        out.push(Effect::Order(Box::new(Dispatch { engine: id.clone(), address, order, sequence, term })));
+    }
+}
+
 /// What the engine holds is not known until it has been asked.
 fn unsure(book: &mut Book, now: Time) {
     book.sequence = None;
@@ -527,7 +593,7 @@
         return;
     };
     let mut changed = book.changed == 0;
-    let pending = book.pending.clone();
+    let pending = book.pending.as_ref().map(|pending| pending.order.clone());
     for copy in &mut book.copies {
         for held in &mut copy.adapters {
             let dropped = matches!(&pending, Some(Order::UnloadAdapter { adapter, .. }) if *adapter == held.name);
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -10,15 +10,17 @@
 //!   store's rate.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
-use crate::config::Pool;
+use crate::config::{Model, Pool};
 use crate::demand::{Demand, Target, Trend};
 use crate::effect::Effect;
 use crate::engine::{Cached, Phase};
 use crate::ledger::{self, Order};
+use crate::record::{Placed, Record};
 use crate::state::State;
 use crate::timer::Timer;
 
@@ -29,10 +31,12 @@
 const GAIN: f64 = 1.5;
 /// Changes decided on in one plan.
 const MOVES_MAX: usize = 4;
-/// Requests under way, smoothed, below which a model counts as unused.
-const UNUSED: f64 = 0.3;
+/// Time without a request after which a model counts as unused, and for which demand must have been watched.
+const UNUSED: Duration = Duration::from_secs(2);
 /// One engine in this many may be loading a model ahead of demand: a load keeps it from other orders.
 const AHEAD_PART: usize = 4;
+/// Models in one line of the log.
+const MODELS_LOGGED: usize = 8;
 /// Loads from the weight store that must be left, beyond the reserve, for one ahead of demand.
 const COLD_FOR_AHEAD: usize = 3;
 /// Engines that a model's weights are brought to ahead of demand, as a part of all.
@@ -78,7 +82,11 @@
     let cold_left = state.ledger.cold_left(now, pool.loads_per_s, &state.settings);
     let spots: Vec<Spot> = state.engines_of(service).filter_map(|engine| spot(state, now, engine, pool)).collect();
     let demand = pool.models.iter().map(|model| (model.name.clone(), state.appetite.trend(service, &model.name)));
-    let view = View { pool, spots, demand: demand.collect(), cold_left };
+    let watched = state.appetite.watched(now);
+    let view = View { pool, spots, demand: demand.collect(), cold_left, watched, now };
+    if state.appetite.report_due(now) {
+        out.push(Effect::Record(view.record(service)));
+    }
     for step in moves(view) {
         let drop = step.drop.map(|model| Order::Unload { model });
         let load = step.load.map(|model| Order::Load { model });
@@ -110,6 +118,10 @@
     pub demand: BTreeMap<Name, Trend>,
     /// Loads from the weight store that may begin now.
     pub cold_left: usize,
+    /// How long demand has been watched.
+    pub watched: Duration,
+    /// Now.
+    pub now: Time,
 }
 
 /// An engine, as a plan sees it.
@@ -239,21 +251,19 @@
         best
     }
 
-    /// Whether anybody has asked for anything: before that, nothing is known to be unused.
-    fn in_use(&self) -> bool {
-        self.demand.values().any(|trend| trend.busy > UNUSED)
+    /// Whether nobody has asked for a model for a while, though others were asked for.
+    fn unused(&self, model: &Name) -> bool {
+        let asked = self.demand.get(model).and_then(|trend| trend.asked);
+        self.watched >= UNUSED && asked.is_none_or(|at| self.now.since(at) >= UNUSED)
     }
 
     /// A copy that nobody uses, at an engine without room for any other model.
     fn spare(&self) -> Option<Move> {
-        if !self.in_use() {
-            return None;
-        }
         let largest = self.pool.models.iter().map(|model| model.memory_mb).fold(0.0, f64::max);
         for spot in self.spots.iter().filter(|spot| spot.usable && spot.idle && spot.free_mb < largest) {
             let unused = spot.copies.iter().find(|(model, phase)| {
                 *phase == Phase::Ready
-                    && self.busy(model) < UNUSED
+                    && self.unused(model)
                     && self.copies(model, &[Phase::Ready]) >= 2
             });
             if let Some((model, _)) = unused {
@@ -269,7 +279,8 @@
             return None;
         }
         let loading = |spot: &&Spot| spot.copies.iter().any(|(_, phase)| *phase == Phase::Loading);
-        let limit = if self.in_use() { self.spots.len() / AHEAD_PART } else { self.spots.len() };
+        let in_use = !self.watched.is_zero();
+        let limit = if in_use { self.spots.len() / AHEAD_PART } else { self.spots.len() };
         if self.spots.iter().filter(loading).count() >= limit {
             return None;
         }
@@ -287,11 +298,32 @@
             let fits = |spot: &&Spot| {
                 spot.usable && spot.idle && spot.free_mb >= *memory_mb && !keeps(spot, model)
             };
-            let spot = self.spots.iter().filter(fits).min_by_key(|spot| spot.cached.disk.len())?;
+            let spot = self.spots.iter().filter(fits).min_by_key(|spot| (spot.open, spot.cached.disk.len()))?;
             Some(Move { engine: spot.engine.clone(), drop: None, load: Some((*model).clone()) })
         })
     }
 
+    /// What is logged of it.
+    fn record(&self, service: &Name) -> Record {
+        let placed = |model: &Model| Placed {
+            model: model.name.clone(),
+            busy: (self.busy(&model.name) * 10.0).round() / 10.0,
+            ready: self.copies(&model.name, &[Phase::Ready]),
+            loading: self.copies(&model.name, &[Phase::Loading]),
+            closing: self.copies(&model.name, &[Phase::Closing]),
+        };
+        let mut models: Vec<Placed> = self.pool.models.iter().map(placed).collect();
+        models.sort_by(|a, b| b.busy.total_cmp(&a.busy));
+        models.truncate(MODELS_LOGGED);
+        Record::Placement {
+            service: service.clone(),
+            models,
+            cold_left: self.cold_left,
+            idle: self.spots.iter().filter(|spot| spot.idle).count(),
+            usable: self.spots.iter().filter(|spot| spot.usable).count(),
+        }
+    }
+
     /// Takes a change as done.
     fn carry(&mut self, step: &Move) {
         let cold = self.spots.iter_mut().find(|spot| spot.engine == step.engine).is_some_and(|spot| {
@@ -380,8 +412,7 @@
         if book.expects(&target.model, name) {
             return;
         }
-        let held = book.adapters().count() + book.adapters_queued();
-        let victim = if held < pool.adapters_max as usize {
+        let victim = if book.adapters_expected() < pool.adapters_max as usize {
             None
         } else {
             let Some(victim) = idlest(state, now, &engine.entry.id, &target.service) else {
@@ -389,7 +420,7 @@
             };
             Some(victim)
         };
-        if !book.has_room(1 + usize::from(victim.is_some())) {
+        if !book.takes_adapters(1 + usize::from(victim.is_some())) {
             continue;
         }
         let zone = if engine.entry.zone == state.me.zone { 0.0 } else { 0.5 };
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -45,6 +45,17 @@
         /// How long it will wait at most.
         at_most_ms: u64,
     },
+    /// The first of an answer's events came.
+    Began {
+        /// The request's number.
+        request: u64,
+        /// The engine's id.
+        engine: Name,
+        /// Time since the request came.
+        after_ms: u64,
+        /// Time since it was sent.
+        sent_ms: u64,
+    },
     /// An attempt ended.
     Ended {
         /// The request's number.
@@ -59,6 +70,8 @@
         not_run: bool,
         /// Time since it was sent.
         after_ms: u64,
+        /// The longest pause between two of its events.
+        pause_ms: u64,
     },
     /// A request was answered without an engine, or its answer broken off.
     Refused {
@@ -126,6 +139,19 @@
         /// Orders that the engine had accepted before.
         sequence: u64,
     },
+    /// How the models that are asked for most are placed.
+    Placement {
+        /// The service.
+        service: Name,
+        /// The models.
+        models: Vec<Placed>,
+        /// Loads from the weight store that may begin now.
+        cold_left: usize,
+        /// Engines that can be given orders.
+        idle: usize,
+        /// Engines that serve.
+        usable: usize,
+    },
     /// The store was lost or found.
     Store {
         /// Whether it answers.
@@ -138,6 +164,21 @@
     },
 }
 
+/// How a model is placed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Placed {
+    /// The model.
+    pub model: Name,
+    /// Requests under way or waiting, smoothed.
+    pub busy: f64,
+    /// Copies that serve.
+    pub ready: usize,
+    /// Copies that are being loaded.
+    pub loading: usize,
+    /// Copies that are being dropped.
+    pub closing: usize,
+}
+
 /// Whole milliseconds, for records.
 pub(crate) fn ms(time: Duration) -> u64 {
     time.as_millis() as u64
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -47,13 +47,15 @@
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
         Event::Gone(request) => flow::gone(state, request),
-        Event::Began(request) => flow::began(state, now, request),
+        Event::Began(request) => flow::began(state, now, request, out),
         Event::Heard(engine) => {
             if let Some(engine) = state.engines.get_mut(&engine) {
                 engine.health.heard = now;
             }
         }
-        Event::Ended { request, attempt, end } => flow::ended(state, now, request, attempt, end, out),
+        Event::Ended { request, attempt, end, pause } => {
+            flow::ended(state, now, request, flow::Ended { attempt, end, pause }, out);
+        }
         Event::Framed(frame) => frame::heard(state, now, *frame, out),
         Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
         Event::Lease(answer) => lease::answered(state, now, answer, out),
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -15,6 +15,9 @@
     pub nodes_assumed: u32,
     /// Loads from the weight store are counted over this window (the platform's bound).
     pub load_window: Duration,
+    /// Loads allowed in a window beyond the rate. The platform bears a tenth more and three; two are left for
+    /// orders that are carried out late.
+    pub load_extra: f64,
     /// Time between two machines' orders to one engine (the platform's bound).
     pub order_gap: Duration,
     /// How long a lease lasts without renewal.
@@ -74,6 +77,7 @@
             repeat_window: Duration::from_secs(10),
             nodes_assumed: 9,
             load_window: Duration::from_secs(5),
+            load_extra: 1.5,
             order_gap: Duration::from_secs(3),
             lease_length: Duration::from_millis(2_400),
             lease_margin: Duration::from_millis(200),
