Let prompts take turns at engines; weigh models by the time their prompts take to be read

Entry VMs now take turns at each engine, by a common clock that the hub tells; and a model's need of copies is the time that reading its prompts takes, learnt from first events, since small-active models read nine times as fast. Ruled out: decoding (a slow model's event takes 37 ms alone, as a fast one's).

--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -113,6 +113,7 @@
         self.held = None;
         self.pause = Duration::ZERO;
         self.events.restart();
+        tokio::time::sleep_until(self.clock.instant(attempt.at)).await;
         let left = attempt.deadline.since(self.clock.now());
         let mut request = self.content.request.clone();
         let resume_after = self.events.last().or(self.content.resumes_after);
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -36,6 +36,8 @@
     pub engine: Name,
     /// What it is expected to cost, in ms of waiting.
     pub cost_ms: f64,
+    /// When the request is to be sent.
+    pub at: Time,
     /// Engines that could have had the request.
     pub candidates: usize,
 }
@@ -55,7 +57,8 @@
     let mut best: Option<Pick> = None;
     let (mut members, mut holders, mut candidates) = (0_usize, 0_usize, 0_usize);
     let mut soonest = f64::INFINITY;
-    for engine in state.engines_of(service) {
+    let work = prompt.map(|prompt| state.slowness.work(&prompt.model, prompt.tokens, settings));
+    for (number, engine) in state.engines_of(service).enumerate() {
         members += 1;
         if !engine.takes_work() || avoid.contains(&engine.entry.id) {
             continue;
@@ -76,12 +79,17 @@
             continue;
         }
         candidates += 1;
+        let at = match work {
+            Some(_) => engine.turn.at(state.round.as_ref(), number as u64, now, settings),
+            None => now,
+        };
         let cost_ms = queue_ms
-            + read_ms(engine, prompt, settings)
+            + at.since(now).as_secs_f64() * 1_000.0
+            + work.map_or(0.0, |work| read_ms(engine, work))
             + beside_ms(engine, now, &state.me.zone, settings)
             + rng.f64() * JITTER_MS;
         if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
-            best = Some(Pick { engine: engine.entry.id.clone(), cost_ms, candidates: 0 });
+            best = Some(Pick { engine: engine.entry.id.clone(), cost_ms, at, candidates: 0 });
         }
     }
     match best {
@@ -105,11 +113,8 @@
 }
 
 /// Time to read the prompts that are ahead, and this one.
-fn read_ms(engine: &Engine, prompt: Option<&Prompt>, settings: &Settings) -> f64 {
-    let Some(prompt) = prompt else {
-        return 0.0;
-    };
-    (engine.load().unread_tokens + u64::from(prompt.tokens)) as f64 / settings.read_per_ms
+fn read_ms(engine: &Engine, work: Duration) -> f64 {
+    engine.load().reading_us as f64 / 1_000.0 + work.as_secs_f64() * 1_000.0
 }
 
 /// What else speaks against an engine.
--- a/fleet/src/demand.rs
+++ b/fleet/src/demand.rs
@@ -32,6 +32,8 @@
     pub target: Target,
     /// Requests that came since the last frame.
     pub arrived: u32,
+    /// Time that engines take to read the prompts of those, in us.
+    pub work_us: u64,
     /// Requests under way at engines.
     pub open: u32,
     /// Requests that wait for it to be loaded.
@@ -50,8 +52,10 @@
         self.by_target.entry(target.clone()).or_insert_with(new)
     }
 
-    pub(crate) fn arrived(&mut self, target: &Target) {
-        self.entry(target).arrived += 1;
+    pub(crate) fn arrived(&mut self, target: &Target, work: Duration) {
+        let demand = self.entry(target);
+        demand.arrived += 1;
+        demand.work_us += work.as_micros() as u64;
     }
 
     pub(crate) fn waits(&mut self, target: &Target) {
@@ -83,6 +87,7 @@
         self.by_target.retain(|_, demand| demand.open + demand.waiting > 0);
         for demand in self.by_target.values_mut() {
             demand.arrived = 0;
+            demand.work_us = 0;
         }
         taken
     }
@@ -94,7 +99,7 @@
     models: BTreeMap<Target, Trend>,
     /// When an adapter was last asked for.
     adapters: BTreeMap<Target, Time>,
-    arrived: BTreeMap<Target, u32>,
+    arrived: BTreeMap<Target, Arrived>,
     at: Time,
     /// When anything was asked for at first.
     first: Option<Time>,
@@ -102,6 +107,21 @@
     logged: Time,
 }
 
+/// What came since the last update.
+#[derive(Clone, Copy, Debug, Default)]
+struct Arrived {
+    requests: u32,
+    work_us: u64,
+}
+
+/// What there is of a model now.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    open: u32,
+    waiting: u32,
+    arrived: Arrived,
+}
+
 /// How much a model is asked for.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Trend {
@@ -109,8 +129,8 @@
     pub busy: f64,
     /// Requests that wait now.
     pub waiting: u32,
-    /// Requests a second, smoothed.
-    pub rate: f64,
+    /// Engines that are kept busy by reading its prompts, smoothed.
+    pub reading: f64,
     /// When it was last asked for; none if it never was.
     pub asked: Option<Time>,
 }
@@ -119,7 +139,9 @@
     /// An entry VM's callers asked for something.
     pub(crate) fn arrived(&mut self, demand: &Demand) {
         if demand.arrived > 0 {
-            *self.arrived.entry(demand.target.clone()).or_default() += demand.arrived;
+            let arrived = self.arrived.entry(demand.target.clone()).or_default();
+            arrived.requests += demand.arrived;
+            arrived.work_us += demand.work_us;
         }
     }
 
@@ -128,17 +150,19 @@
         let past = now.since(self.at).as_secs_f64();
         self.at = now;
         let keep = (-past / HALF_LIFE.as_secs_f64()).exp2();
-        let mut sums: BTreeMap<Target, (u32, u32, u32)> = BTreeMap::new();
+        let mut sums: BTreeMap<Target, Sum> = BTreeMap::new();
         for demand in demands {
             if demand.target.adapter.is_some() && demand.open + demand.waiting > 0 {
                 self.adapters.insert(demand.target.clone(), now);
             }
             let sum = sums.entry(demand.target.of_model()).or_default();
-            sum.0 += demand.open;
-            sum.1 += demand.waiting;
+            sum.open += demand.open;
+            sum.waiting += demand.waiting;
         }
         for (target, arrived) in std::mem::take(&mut self.arrived) {
-            sums.entry(target.of_model()).or_default().2 += arrived;
+            let sum = &mut sums.entry(target.of_model()).or_default().arrived;
+            sum.requests += arrived.requests;
+            sum.work_us += arrived.work_us;
             if target.adapter.is_some() {
                 self.adapters.insert(target, now);
             }
@@ -147,15 +171,15 @@
             self.models.entry(target.clone()).or_default();
         }
         for (target, trend) in &mut self.models {
-            let (open, waiting, arrived) = sums.get(target).copied().unwrap_or_default();
+            let Sum { open, waiting, arrived } = sums.get(target).copied().unwrap_or_default();
             let blend = |old: f64, new: f64| keep.mul_add(old - new, new);
             trend.busy = blend(trend.busy, f64::from(open + waiting));
             trend.waiting = waiting;
-            if open + waiting + arrived > 0 {
+            if open + waiting + arrived.requests > 0 {
                 trend.asked = Some(now);
                 self.first.get_or_insert(now);
             }
-            trend.rate = blend(trend.rate, f64::from(arrived) / past.max(0.001));
+            trend.reading = blend(trend.reading, arrived.work_us as f64 / 1_000_000.0 / past.max(0.001));
         }
     }
 
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -7,6 +7,7 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::pace::Turn;
 use crate::settings::Settings;
 
 /// An engine as it registered itself.
@@ -123,15 +124,15 @@
 pub struct Load {
     /// Requests sent that have not ended.
     pub open: u32,
-    /// Prompt tokens of those that have not begun to answer.
-    pub unread_tokens: u64,
+    /// Time that it takes the engine to read the prompts of those that have not begun to answer, in us.
+    pub reading_us: u64,
 }
 
 impl Load {
     /// Both together.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
-        Self { open: self.open + other.open, unread_tokens: self.unread_tokens + other.unread_tokens }
+        Self { open: self.open + other.open, reading_us: self.reading_us + other.reading_us }
     }
 
     /// This without the other; nothing below zero.
@@ -139,7 +140,7 @@
     pub const fn minus(self, other: Self) -> Self {
         Self {
             open: self.open.saturating_sub(other.open),
-            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+            reading_us: self.reading_us.saturating_sub(other.reading_us),
         }
     }
 }
@@ -157,6 +158,8 @@
     pub own: Load,
     /// What the other entry VMs have sent there.
     pub others: Load,
+    /// When this process may send it the next prompt.
+    pub turn: Turn,
     /// How far it is trusted.
     pub health: Health,
     /// What it holds, as the process that orders it says; none until that is known.
@@ -175,6 +178,7 @@
             missing_until: None,
             own: Load::default(),
             others: Load::default(),
+            turn: Turn::default(),
             health: Health::default(),
             ordered: None,
             absent: Vec::new(),
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -39,6 +39,8 @@
     deadline: Time,
     /// When its answer must begin.
     begin_by: Time,
+    /// Time to read its prompt.
+    work: Duration,
     stage: Stage,
     /// Attempts made.
     number: u32,
@@ -69,8 +71,7 @@
     }
 
     fn load(&self, begun: bool) -> Load {
-        let tokens = self.prompt.as_ref().map_or(0, |prompt| u64::from(prompt.tokens));
-        Load { open: 1, unread_tokens: if begun { 0 } else { tokens } }
+        Load { open: 1, reading_us: if begun { 0 } else { self.work.as_micros() as u64 } }
     }
 }
 
@@ -97,6 +98,9 @@
     let patience = arrival.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = now + patience;
     let begin_by = deadline.min(now + route.patience());
+    let work = arrival.prompt.as_ref().map_or(Duration::ZERO, |prompt| {
+        state.slowness.work(&prompt.model, prompt.tokens, &state.settings)
+    });
     let flow = Flow {
         route,
         service,
@@ -104,6 +108,7 @@
         arrived: now,
         deadline,
         begin_by,
+        work,
         stage: Stage::Waiting,
         number: 0,
         used: 0,
@@ -112,7 +117,7 @@
         may_have_run: false,
     };
     if let Some(target) = flow.target() {
-        state.demand.arrived(&target);
+        state.demand.arrived(&target, work);
     }
     state.flows.insert(id, flow);
     state.timers.set(deadline, Timer::Deadline(id));
@@ -195,7 +200,7 @@
     };
     flow.number += 1;
     flow.used += 1;
-    flow.stage = Stage::Sent { engine: pick.engine.clone(), at: now, begun: false };
+    flow.stage = Stage::Sent { engine: pick.engine.clone(), at: pick.at, begun: false };
     if let Some(target) = flow.target() {
         if !fresh {
             state.demand.waited(&target);
@@ -212,18 +217,23 @@
         candidates: pick.candidates,
         open: engine.load().open,
         hub_age_ms: ms(hub_age.min(Duration::from_hours(1))),
+        turn_ms: ms(pick.at.since(now)),
         left_ms: ms(flow.deadline.since(now)),
     }));
+    if flow.prompt.is_some() {
+        engine.turn.take(state.round.as_ref(), pick.at, flow.work, &state.settings);
+    }
     engine.own = engine.own.plus(flow.load(false));
     let attempt = Attempt {
         number: flow.number,
         engine: pick.engine,
         address: engine.entry.address,
+        at: pick.at,
         deadline: flow.deadline,
         priority: flow.route.priority,
         streams: flow.route.kind.streams(),
     };
-    state.timers.set(now + silence, Timer::Silence(id, attempt.number));
+    state.timers.set(pick.at + silence, Timer::Silence(id, attempt.number));
     out.push(Effect::Step { request: id, step: Step::Send(attempt) });
 }
 
@@ -281,8 +291,9 @@
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
-    let unread = flow.load(false).unread_tokens;
+    let reading_us = flow.load(false).reading_us;
     let arrived = flow.arrived;
+    let prompt = flow.prompt.clone();
     let Stage::Sent { engine, begun, at } = &mut flow.stage else {
         return;
     };
@@ -294,11 +305,14 @@
             after_ms: ms(now.since(arrived)),
             sent_ms: ms(now.since(*at)),
         }));
+        if let Some(prompt) = prompt {
+            state.slowness.learn(&prompt.model, prompt.tokens, now.since(*at), &state.settings);
+        }
     }
     if let Some(engine) = state.engines.get_mut(engine) {
         engine.health.hear(now);
         if first {
-            engine.own = engine.own.minus(Load { open: 0, unread_tokens: unread });
+            engine.own = engine.own.minus(Load { open: 0, reading_us });
         }
     }
 }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -16,6 +16,7 @@
 use crate::entries;
 use crate::event::Listing;
 use crate::flow;
+use crate::pace::{Place, Round};
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::state::State;
@@ -24,6 +25,9 @@
 /// Time after which an entry VM that sends no frames no longer counts.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
 
+/// Answers that took longer say too little of the hub's clock.
+const PROMPT_REPLY: Duration = Duration::from_millis(30);
+
 /// What an entry VM tells the hub.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
@@ -77,6 +81,8 @@
 pub struct Reply {
     /// Whether it holds the lease; if not, another is to be found.
     pub leads: bool,
+    /// The asker's place among the entry VMs.
+    pub place: Option<Place>,
     /// Entry VMs that it hears, itself among them.
     pub nodes: u32,
     /// What all others have under way, by engine.
@@ -114,7 +120,7 @@
     /// When the hub last answered.
     answered: Option<Time>,
     /// Whether a frame is under way.
-    asking: bool,
+    asking: Option<Time>,
     /// Refusals to be told.
     pub(crate) absent: Vec<Absent>,
     /// The others' last frames, as the hub.
@@ -160,17 +166,19 @@
         state.hub.leads = true;
         state.hub.answered = Some(now);
         state.hub.nodes = state.hub.peers.len() as u32 + 1;
+        let place = Place { index: 0, nodes: state.hub.nodes, hub_time: now };
+        state.round = Some(Round::new(place, now, Duration::ZERO));
         return;
     }
     let Some(row) = state.lease.hub() else {
         return;
     };
-    if state.hub.asking || row.holder == state.me.vm {
+    if state.hub.asking.is_some() || row.holder == state.me.vm {
         return;
     }
     let address = row.address;
     let frame = Box::new(compose(state));
-    state.hub.asking = true;
+    state.hub.asking = Some(now);
     out.push(Effect::Frame { address, frame });
 }
 
@@ -256,6 +264,7 @@
     let holds = state.lease.holds(now).is_some();
     Reply {
         leads: holds,
+        place: place(state, now, &asker.vm),
         nodes: state.hub.peers.len() as u32 + 1,
         loads: loads.collect(),
         view,
@@ -266,9 +275,16 @@
     }
 }
 
+/// The place of an entry VM; the hub has the first.
+fn place(state: &State, now: Time, vm: &Name) -> Option<Place> {
+    let index = state.hub.peers.keys().position(|peer| peer == vm)?;
+    let nodes = state.hub.peers.len() as u32 + 1;
+    Some(Place { index: index as u32 + 1, nodes, hub_time: now })
+}
+
 /// The hub answered, or could not be reached.
 pub(crate) fn replied(state: &mut State, now: Time, reply: Option<Reply>, out: &mut Vec<Effect>) {
-    state.hub.asking = false;
+    let took = state.hub.asking.take().map_or(Duration::ZERO, |asked| now.since(asked));
     let Some(reply) = reply else {
         if state.hub.leads {
             state.hub.leads = false;
@@ -286,6 +302,11 @@
     state.hub.leads = reply.leads;
     state.hub.nodes = reply.nodes;
     state.hub.answered = Some(now);
+    if let Some(place) = reply.place
+        && took < PROMPT_REPLY
+    {
+        state.round = Some(Round::new(place, now, took));
+    }
     if let Some(config) = reply.config {
         entries::configured(state, config, "hub", out);
     }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! the seed it was given.
 //!
 //! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
-//! keeps what the store says; `choose`, `budget` and `flow` serve requests; `frame` joins the entry VMs;
+//! keeps what the store says; `choose`, `pace`, `budget` and `flow` serve requests; `frame` joins the entry VMs;
 //! `lease`, `ledger`, `demand` and `plan` decide what engines hold.
 
 pub mod budget;
@@ -20,6 +20,7 @@
 pub mod frame;
 pub mod lease;
 pub mod ledger;
+pub mod pace;
 pub mod plan;
 pub mod record;
 mod reduce;
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -24,11 +24,19 @@
 use crate::state::State;
 use crate::timer::Timer;
 
-/// Requests that a copy should have under way before the model gets another. An engine of 32 slots runs
-/// that many at hardly less than full speed each.
-const BUSY_PER_COPY: f64 = 2.0;
+/// Part of its time for which a copy's engine should read the model's prompts at most: streams stand still
+/// meanwhile.
+const READING_PER_COPY: f64 = 0.08;
+/// Part of its slots that a copy should take at most.
+const SLOTS_PER_COPY: f64 = 0.3;
+/// How much more a request counts that finds no copy at all than one that finds a busy one.
+const MISSING: f64 = 10.0;
+/// What a model without any copy counts for if nobody asks for it.
+const MISSING_MIN: f64 = 0.3;
 /// How much busier the receiving model's copies must be than the giving model's would become.
 const GAIN: f64 = 1.5;
+/// What a request under way speaks against an engine, in copies needed.
+const OPEN_COST: f64 = 0.03;
 /// Changes decided on in one plan.
 const MOVES_MAX: usize = 4;
 /// Time without a request after which a model counts as unused, and for which demand must have been watched.
@@ -181,16 +189,24 @@
         self.demand.get(model).map_or(0.0, |trend| trend.busy)
     }
 
+    /// Copies that a model should have, by what it is asked for.
+    fn need(&self, model: &Name) -> f64 {
+        let slots = f64::from(self.pool.slots.max(1)) * SLOTS_PER_COPY;
+        self.demand.get(model).map_or(0.0, |trend| {
+            (trend.reading / READING_PER_COPY).max(trend.busy / slots)
+        })
+    }
+
     /// The change that helps most.
     fn next(&self) -> Option<Move> {
         let mut wanted: Vec<(&Name, f64)> = Vec::new();
         for model in &self.pool.models {
             let copies = self.copies(&model.name, &[Phase::Ready, Phase::Loading]);
-            let busy = self.busy(&model.name);
+            let need = self.need(&model.name);
             if copies == 0 {
-                wanted.push((&model.name, f64::from(u16::MAX) + busy));
-            } else if busy / copies as f64 > BUSY_PER_COPY {
-                wanted.push((&model.name, busy / copies as f64));
+                wanted.push((&model.name, MISSING * need.max(MISSING_MIN)));
+            } else if need / copies as f64 > 1.0 {
+                wanted.push((&model.name, need / copies as f64));
             }
         }
         wanted.sort_by(|a, b| b.1.total_cmp(&a.1));
@@ -200,7 +216,7 @@
     /// The best place for another copy of a model.
     fn place(&self, model: &Name, pressure: f64) -> Option<Move> {
         let memory_mb = self.pool.model(model)?.memory_mb;
-        let missing = pressure >= f64::from(u16::MAX);
+        let missing = self.copies(model, &[Phase::Ready, Phase::Loading]) == 0;
         let cold_left = if missing { self.cold_left } else { ledger::beyond_reserve(self.cold_left) };
         let mut best: Option<(f64, Move)> = None;
         for spot in self.spots.iter().filter(|spot| spot.usable && spot.idle) {
@@ -219,10 +235,10 @@
                 };
                 (Some(victim), lost)
             };
-            if !missing && lost * GAIN > pressure {
+            if lost * GAIN > pressure {
                 continue;
             }
-            let cost = lost + f64::from(spot.open) * 0.1 + source.cost();
+            let cost = lost + f64::from(spot.open) * OPEN_COST + source.cost();
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Move { engine: spot.engine.clone(), drop, load: Some(model.clone()) }));
             }
@@ -243,7 +259,7 @@
             if declared && ready < 2 {
                 continue;
             }
-            let lost = self.busy(model) / (ready.max(2) - 1) as f64;
+            let lost = self.need(model) / (ready.max(2) - 1) as f64;
             if best.as_ref().is_none_or(|(_, least)| lost < *least) {
                 best = Some((model.clone(), lost));
             }
@@ -349,12 +365,12 @@
 }
 
 impl Source {
-    /// How much it speaks against a place, in requests under way.
+    /// How much it speaks against a place, in copies needed.
     const fn cost(self) -> f64 {
         match self {
             Self::Memory => 0.0,
-            Self::Disk => 0.5,
-            Self::Store => 4.0,
+            Self::Disk => 0.1,
+            Self::Store => 1.0,
         }
     }
 }
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -31,6 +31,8 @@
         open: u32,
         /// Time since the hub last told of the other entry VMs' requests.
         hub_age_ms: u64,
+        /// Time until this entry VM's turn at the engine.
+        turn_ms: u64,
         /// Time left for the answer.
         left_ms: u64,
     },
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -53,6 +53,8 @@
     pub engine: Name,
     /// Where the engine listens.
     pub address: SocketAddr,
+    /// When it is to be sent.
+    pub at: Time,
     /// When the engine is to stop at the latest.
     pub deadline: Time,
     /// The request's rank, for engines to order by; 0 goes first.
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -55,6 +55,10 @@
     pub crowd_ms: f64,
     /// Prompt tokens that an engine reads in a ms; the users' engines read 38 to 41.
     pub read_per_ms: f64,
+    /// The length of an entry VM's turn at an engine: as long as a prompt of the usual 700 tokens takes to be read.
+    pub turn: Duration,
+    /// How long a prompt waits for its turn at most: a good part of the usual 500 ms to the first event is left.
+    pub turn_wait: Duration,
     /// How long a request waits for a model or adapter to be loaded, at most.
     pub load_wait: Duration,
     /// How long a refusal as absent is believed over the word of whoever orders the engine.
@@ -95,6 +99,8 @@
             zone_ms: 20.0,
             crowd_ms: 1.5,
             read_per_ms: 40.0,
+            turn: Duration::from_millis(18),
+            turn_wait: Duration::from_millis(160),
             load_wait: Duration::from_secs(4),
             absence: Duration::from_millis(150),
             adapter_ready: Duration::from_millis(20),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -19,6 +19,7 @@
 use crate::frame::{Hub, View};
 use crate::ledger::Ledger;
 use crate::lease::Lease;
+use crate::pace::{Round, Slowness};
 use crate::request::{Id, Prompt};
 use crate::settings::Settings;
 use crate::timer::Timer;
@@ -68,6 +69,9 @@
     pub(crate) ledger: Ledger,
     pub(crate) ready: bool,
     pub(crate) stopping: bool,
+    /// The turns at engines, once the hub has told them.
+    pub(crate) round: Option<Round>,
+    pub(crate) slowness: Slowness,
     /// Whether the balancer has seen that this entry VM stops.
     pub(crate) graced: bool,
     pub(crate) refusals: BTreeMap<Code, u64>,
@@ -106,6 +110,8 @@
             ledger: Ledger::default(),
             ready: false,
             stopping: false,
+            round: None,
+            slowness: Slowness::default(),
             graced: false,
             refusals: BTreeMap::new(),
             retries: BTreeMap::new(),
