Spread copies over zones; look into engines that others suspect; refuse sooner what an engine's queue cannot serve in time

Copies in the same zone now speak against a place; suspicion goes to the hub and comes back with its answers, and is settled by a connection; silence counts from 0.5 s; an engine's queue holds 0.6 of its slots.

--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -14,7 +14,7 @@
 const JITTER_MS: f64 = 2.0;
 /// Requests waiting at an engine, as a multiple of its slots, beyond which it gets none: its own queue is
 /// not much longer.
-const QUEUE_DEPTH: f64 = 2.0;
+const QUEUE_DEPTH: f64 = 0.6;
 
 /// What was found for a request.
 #[derive(Clone, Debug, PartialEq)]
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -228,6 +228,8 @@
     faults_at: Time,
     /// When anything last came from it.
     pub heard: Time,
+    /// When it was last asked whether it is well.
+    pub asked: Time,
 }
 
 impl Health {
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -426,6 +426,21 @@
     state.timers.set(at, Timer::Probe(engine.clone()));
 }
 
+/// Another entry VM suspects an engine: it is asked, unless it was heard or asked just now.
+pub(crate) fn look(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
+    let recent = state.settings.silence;
+    let Some(known) = state.engines.get_mut(engine) else {
+        return;
+    };
+    let health = &mut known.health;
+    let fresh = now.since(health.heard) < recent / 2 || now.since(health.asked) < recent;
+    if fresh || health.suspected(now) {
+        return;
+    }
+    health.asked = now;
+    out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
+}
+
 /// A suspicion ends: the engine is asked, and stays without work until it answers.
 pub(crate) fn probe(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
     let Some(known) = state.engines.get_mut(engine) else {
@@ -597,7 +612,9 @@
         && now.since(at) >= flow.deadline.since(flow.arrived) / HANG_PART;
     if silent && !known.health.suspected(now) {
         known.health.suspect(now, &settings);
-        probe_later(state, now, &engine, out);
+        known.health.asked = now;
+        // It may just be slow: then it gets its work back at once.
+        out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
     }
     let Some(flow) = state.flows.get(&id) else {
         return;
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -45,6 +45,8 @@
     pub demand: Vec<Demand>,
     /// What engines refused as absent since the last frame.
     pub absent: Vec<Absent>,
+    /// Engines that it could not reach, or that have gone silent.
+    pub suspects: Vec<Name>,
 }
 
 /// A version of the hub's word on what engines hold.
@@ -97,6 +99,8 @@
     pub rows: Vec<Row>,
     /// The store's version up to which the hub knows that table.
     pub listed: u64,
+    /// Engines that the hub could not reach.
+    pub suspects: Vec<Name>,
 }
 
 /// What an engine holds.
@@ -177,12 +181,12 @@
         return;
     }
     let address = row.address;
-    let frame = Box::new(compose(state));
+    let frame = Box::new(compose(state, now));
     state.hub.asking = Some(now);
     out.push(Effect::Frame { address, frame });
 }
 
-fn compose(state: &mut State) -> Frame {
+fn compose(state: &mut State, now: Time) -> Frame {
     let loads = state.engines.iter().filter(|(_, engine)| engine.own != Load::default());
     let loads = loads.map(|(id, engine)| EngineLoad { engine: id.clone(), load: engine.own }).collect();
     Frame {
@@ -193,9 +197,16 @@
         loads,
         demand: state.demand.take(),
         absent: std::mem::take(&mut state.hub.absent),
+        suspects: suspects(state, now),
     }
 }
 
+/// Engines that this process does not trust.
+fn suspects(state: &State, now: Time) -> Vec<Name> {
+    let suspected = state.engines.values().filter(|engine| engine.health.suspected(now));
+    suspected.map(|engine| engine.entry.id.clone()).collect()
+}
+
 /// Another entry VM told what it has under way.
 pub(crate) fn heard(state: &mut State, now: Time, frame: Frame, out: &mut Vec<Effect>) {
     for refused in &frame.absent {
@@ -204,6 +215,9 @@
     for demand in &frame.demand {
         state.appetite.arrived(demand);
     }
+    for id in &frame.suspects {
+        flow::look(state, now, id, out);
+    }
     let wanted = frame.demand.iter().any(|demand| demand.waiting > 0);
     replace(state, now, frame);
     if wanted {
@@ -272,6 +286,7 @@
         config: config.cloned(),
         rows,
         listed: state.listed,
+        suspects: suspects(state, now),
     }
 }
 
@@ -322,6 +337,9 @@
             engine.others = load;
         }
     }
+    for id in &reply.suspects {
+        flow::look(state, now, id, out);
+    }
     if reply.leads {
         learn(state, reply.view, reply.residencies);
     }
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -37,6 +37,9 @@
 const GAIN: f64 = 1.5;
 /// What a request under way speaks against an engine, in copies needed.
 const OPEN_COST: f64 = 0.03;
+/// What a copy in the same availability zone speaks against a place, in copies needed: a zone that is cut off
+/// serves only what it holds.
+const ZONE_COST: f64 = 0.8;
 /// Changes decided on in one plan.
 const MOVES_MAX: usize = 4;
 /// Time without a request after which a model counts as unused, and for which demand must have been watched.
@@ -112,6 +115,7 @@
         free_mb: pool.memory_mb - book.memory_mb(pool),
         cached: engine.entry.cached.clone(),
         open: engine.load().open,
+        zone: engine.entry.zone.clone(),
     })
 }
 
@@ -149,6 +153,8 @@
     pub cached: Cached,
     /// Requests under way there.
     pub open: u32,
+    /// Its availability zone.
+    pub zone: Name,
 }
 
 /// A change at one engine.
@@ -185,6 +191,14 @@
         self.spots.iter().filter(has).count()
     }
 
+    /// Copies of a model in an availability zone.
+    fn copies_in(&self, model: &Name, zone: &Name) -> usize {
+        let has = |spot: &&Spot| {
+            spot.usable && spot.zone == *zone && spot.copies.iter().any(|(held, _)| held == model)
+        };
+        self.spots.iter().filter(has).count()
+    }
+
     fn busy(&self, model: &Name) -> f64 {
         self.demand.get(model).map_or(0.0, |trend| trend.busy)
     }
@@ -238,7 +252,8 @@
             if lost * GAIN > pressure {
                 continue;
             }
-            let cost = lost + f64::from(spot.open) * OPEN_COST + source.cost();
+            let beside = self.copies_in(model, &spot.zone) as f64 * ZONE_COST;
+            let cost = lost + f64::from(spot.open) * OPEN_COST + source.cost() + beside;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Move { engine: spot.engine.clone(), drop, load: Some(model.clone()) }));
             }
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -93,7 +93,7 @@
             lapse_grace: Duration::from_millis(1_500),
             suspicion_min: Duration::from_millis(500),
             suspicion_max: Duration::from_secs(4),
-            silence: Duration::from_millis(800),
+            silence: Duration::from_millis(500),
             fault_half_life: Duration::from_secs(2),
             fault_ms: 40.0,
             zone_ms: 20.0,
