--- a/daemon/src/cmd/mod.rs
+++ b/daemon/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod dev;
+mod explain;
 mod run;
 mod serve;
 
@@ -21,11 +22,14 @@
        boragecoved serve --settings FILE    serve on the users' platform
        boragecoved check --settings FILE    report every error in the settings of run
        boragecoved check --serve --settings FILE    the same for serve
+       boragecoved explain ID [FILE...]     tell a request's way from log lines, or from standard input
        boragecoved dev [...]                try it on one machine; see dev --help
        boragecoved --help | --version";
 
 /// Exit code for a call that is not understood.
 const EXIT_USAGE: u8 = 2;
+/// Exit code if what was asked for is not there.
+const EXIT_NOT_FOUND: u8 = 4;
 /// Exit code for settings that are refused.
 const EXIT_SETTINGS: u8 = 3;
 
@@ -49,6 +53,13 @@
         /// Whether they are for serving on the users' platform.
         serve: bool,
     },
+    /// Tell a request's way from log lines.
+    Explain {
+        /// The id that the caller gave it.
+        id: String,
+        /// Files with log lines; none for standard input.
+        files: Vec<PathBuf>,
+    },
     /// Try it on one machine.
     Dev(dev::Command),
     /// Say how to call it.
@@ -72,6 +83,9 @@
     /// The node did not start.
     #[error(transparent)]
     Start(#[from] node::Failed),
+    /// No line of the request was found.
+    #[error("no line is about request {0}: give the logs of all entry VMs, and the id that the caller sent")]
+    NotFound(String),
     /// A trial did not start.
     #[error(transparent)]
     Dev(#[from] crate::dev::Failed),
@@ -89,6 +103,7 @@
             Self::Settings(_) | Self::Serve(crate::entry::Failed::Settings(_)) => {
                 ExitCode::from(EXIT_SETTINGS)
             }
+            Self::NotFound(_) => ExitCode::from(EXIT_NOT_FOUND),
             Self::Serve(_) | Self::Start(_) | Self::Dev(_) | Self::System(_) => ExitCode::FAILURE,
         }
     }
@@ -109,6 +124,7 @@
                 let (settings, serve) = settings(&mut parser)?;
                 Ok(Self::Check { settings, serve })
             }
+            Some(Value(word)) if word == "explain" => explained(&mut parser),
             Some(Value(word)) if word == "dev" => Ok(Self::Dev(dev::Command::parse(&mut parser)?)),
             Some(Long("help") | Short('h')) => Ok(Self::Help),
             Some(Long("version") | Short('V')) => Ok(Self::Version),
@@ -127,6 +143,7 @@
             Self::Run { settings } => run::run(&settings),
             Self::Serve { settings } => serve::run(&settings),
             Self::Check { settings, serve } => check::run(&settings, serve),
+            Self::Explain { id, files } => explain::run(&id, &files),
             Self::Dev(command) => command.run(),
             Self::Help => {
                 println!("{USAGE}");
@@ -140,6 +157,20 @@
     }
 }
 
+/// The request to explain, and where its lines are.
+fn explained(parser: &mut lexopt::Parser) -> Result<Command, Error> {
+    let mut words = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Value(word) => words.push(word),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let mut words = words.into_iter();
+    let id = words.next().ok_or_else(|| lexopt::Error::from("expected the request's id"))?;
+    Ok(Command::Explain { id: id.string()?, files: words.map(PathBuf::from).collect() })
+}
+
 /// The settings file, and whether it is for serving on the users' platform.
 fn settings(parser: &mut lexopt::Parser) -> Result<(PathBuf, bool), lexopt::Error> {
     let mut file = None;
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -35,7 +35,7 @@
 /// Time for an engine to report.
 const REPORT_CALL: Duration = Duration::from_millis(500);
 /// Time for the store to answer a call about the lease: it takes some ms, and a slow one is as good as none.
-const LEASE_CALL: Duration = Duration::from_millis(700);
+const LEASE_CALL: Duration = Duration::from_millis(500);
 /// Bytes of an answer of an engine or of the store about the lease, at most.
 const ANSWER_MAX: usize = 1 << 20;
 /// Time between looks for connections that will not be used again.
--- /dev/null
+++ b/daemon/tests/explain_request.rs
@@ -0,0 +1,59 @@
+//! `boragecoved explain` tells a request's way from the log lines of all entry VMs.
+
+use std::fs;
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+const LINES: &str = r#"
+  0.9 entry-b {"at":900000,"vm":"entry-b","decision":"engine","engine":"i-1","service":"w","state":"suspected","version":3}
+  1.0 entry-a {"at":1000000,"vm":"entry-a","id":"r1","decision":"received","request":1,"host":"h","path":"/brief/1"}
+{"at":1001000,"vm":"entry-a","id":"r1","decision":"sent","request":1,"attempt":1,"engine":"i-1","cost_ms":12.5}
+{"at":1001500,"vm":"entry-a","id":"r2","decision":"sent","request":2,"attempt":1,"engine":"i-1","cost_ms":9.0}
+not a line of ours
+{"at":1400000,"vm":"entry-a","id":"r1","decision":"refused","request":1,"code":402,"label":"backend_failed","outcome":"unknown"}
+{"at":9000000,"vm":"entry-b","decision":"engine","engine":"i-1","service":"w","state":"well","version":3}
+"#;
+
+fn explain(id: &str, input: &str) -> (Option<i32>, String, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_boragecoved"))
+        .args(["explain", id])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("runs");
+    child.stdin.take().expect("piped").write_all(input.as_bytes()).expect("writes");
+    let output = child.wait_with_output().expect("ends");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (output.status.code(), text(&output.stdout), text(&output.stderr))
+}
+
+#[test]
+fn one_request() {
+    let (code, out, _) = explain("r1", LINES);
+    assert_eq!(code, Some(0));
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(lines.len(), 4, "{out}");
+    assert!(lines[0].contains("suspected"), "what was believed of its engine before: {out}");
+    assert!(lines[2].contains("cost_ms=12.5") && lines[2].contains("0.101 s"), "{out}");
+    assert!(lines[3].contains("label=backend_failed") && lines[3].contains("outcome=unknown"), "{out}");
+    assert!(!out.contains("9.0"), "another request's: {out}");
+}
+
+#[test]
+fn no_such_request() {
+    let (code, _, error) = explain("r9", LINES);
+    assert_eq!(code, Some(4));
+    assert!(error.contains("r9") && error.contains("logs of all entry VMs"), "{error}");
+}
+
+#[test]
+fn from_files() {
+    let file = std::env::temp_dir().join(format!("boragecove-explain-{}.jsonl", std::process::id()));
+    fs::write(&file, LINES).expect("writes");
+    let output = Command::new(env!("CARGO_BIN_EXE_boragecoved")).args(["explain", "r2"]).arg(&file).output();
+    let _left_behind = fs::remove_file(&file);
+    let output = output.expect("runs");
+    assert!(output.status.success());
+    assert!(String::from_utf8_lossy(&output.stdout).contains("cost_ms=9.0"));
+}
--- a/fleet/src/demand.rs
+++ b/fleet/src/demand.rs
@@ -190,6 +190,15 @@
         self.models.get(&target).copied().unwrap_or_default()
     }
 
+    /// Notes which adapters are in use.
+    pub(crate) fn touch<'a>(&mut self, now: Time, demands: impl Iterator<Item = &'a Demand>) {
+        for demand in demands {
+            if demand.target.adapter.is_some() && demand.open + demand.waiting + demand.arrived > 0 {
+                self.adapters.insert(demand.target.clone(), now);
+            }
+        }
+    }
+
     /// Whether placement is to be logged again.
     pub(crate) fn report_due(&mut self, now: Time) -> bool {
         let due = now.since(self.logged) >= LOG_EVERY;
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -197,6 +197,16 @@
         !self.entry.leaving
     }
 
+    /// Learns what it holds from whoever orders it. What it got since is no longer absent.
+    pub fn learn(&mut self, residency: Residency) {
+        let before = self.ordered.take().unwrap_or_default();
+        self.absent.retain(|(model, adapter, _)| {
+            let adapter = adapter.as_deref();
+            before.serves(model, adapter) || !residency.serves(model, adapter)
+        });
+        self.ordered = Some(residency);
+    }
+
     /// Whether it can run requests for a model, as far as is known.
     #[must_use]
     pub fn serves(&self, model: &str, adapter: Option<&str>, now: Time) -> bool {
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -487,7 +487,10 @@
     let within = flow.used < flow.route.attempts && flow.refusals <= REFUSALS_MAX;
     let in_time = now + state.settings.reserve < flow.deadline;
     let service = flow.service.clone();
-    flow.avoid.push(engine);
+    // An engine that lacks what was asked for may get it: that is kept with the engine, for a while.
+    if end != End::Refused(Cause::Absent) {
+        flow.avoid.push(engine);
+    }
     // Where nothing was sent, no engine has had work of it.
     let allowed = repeatable
         && within
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -374,7 +374,7 @@
     state.hub.view = view;
     for Resident { engine, residency } in residencies {
         if let Some(engine) = state.engines.get_mut(&engine) {
-            engine.ordered = Some(residency);
+            engine.learn(residency);
         }
     }
 }
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -511,6 +511,8 @@
         sequence,
     }));
     match receipt {
+        // The adapter is in use, and goes once its runs have ended.
+        Some(Receipt::Accepted) if matches!(order, Order::UnloadAdapter { .. }) => unsure(book, now),
         Some(Receipt::Accepted) => {
             let expected = duration(&order, pool.as_ref(), &cached);
             book.accepted(now, &order, expected, &settings);
@@ -692,7 +694,7 @@
     book.changed = version;
     let residency = book.residency();
     if let Some(engine) = state.engines.get_mut(id) {
-        engine.ordered = Some(residency);
+        engine.learn(residency);
     }
     out.push(Effect::Changed);
     flow::stir_later(state);
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -408,6 +408,8 @@
     if state.lease.orders(now).is_none() {
         return;
     }
+    let State { appetite, hub, demand, .. } = state;
+    appetite.touch(now, hub.frames().flat_map(|frame| &frame.demand).chain(demand.peek()));
     let own = state.demand.peek();
     let all = state.hub.frames().flat_map(|frame| &frame.demand).chain(own);
     let waiting = |demand: &&Demand| demand.waiting > 0 && demand.target.adapter.is_some();
--- a/fleet/tests/engine_choice.rs
+++ b/fleet/tests/engine_choice.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use boragecove_core::code::Code;
+use boragecove_fleet::engine::Held;
 use boragecove_fleet::event::Event;
+use boragecove_fleet::ledger::{Receipt, Report};
 use boragecove_fleet::request::{Cause, End, Step};
-use node::{GATEWAY, Node, WRITER, brief, entry, listing, millis, plain, row, streamed};
+use node::{GATEWAY, Node, WRITER, brief, entry, listing, millis, orders, plain, row, step_of, streamed};
 
 #[test]
 fn own_zone_first() {
@@ -80,6 +82,42 @@
     assert!(back, "whoever orders the engine knows better after a while");
 }
 
+/// An engine that lacked an adapter gets it: the request that it refused goes there.
+#[test]
+fn refused_engine_can_serve_later() {
+    let mut node = Node::bare("a");
+    node.feed(Event::Configured(std::sync::Arc::new(node::config(1))));
+    let rows = vec![
+        row(1, entry("w1", WRITER, "zone-a", &["m0", "m1"])),
+        row(2, entry("w2", WRITER, "zone-b", &["m2", "m3"])),
+    ];
+    node.feed(listing(rows, 2, true));
+    node.lead();
+    node.pass(millis(300));
+    let first = node.arrive(streamed("/brief/1", "m1", Some("a7")));
+    let engine = orders(&node.effects).remove(0).engine;
+    node.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Accepted) });
+    assert!(matches!(step_of(&node.pass(millis(60)), first), Some(Step::Send(_))));
+    assert_eq!(node.ended(first, 1, End::Refused(Cause::Absent)), None, "it had to make way meanwhile");
+    let report = Report {
+        sequence: 9,
+        busy: false,
+        held: vec![held("m0", &[]), held("m1", &[])],
+        fetching: Vec::new(),
+    };
+    node.pass(millis(20));
+    node.feed(Event::Reported { engine: engine.clone(), report: Some(report) });
+    let again = orders(&node.pass(millis(300)));
+    assert_eq!(again.len(), 1, "{again:?}");
+    node.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Accepted) });
+    let step = step_of(&node.pass(millis(60)), first);
+    assert!(matches!(&step, Some(Step::Send(attempt)) if attempt.engine == engine), "{step:?}");
+}
+
+fn held(model: &str, adapters: &[&str]) -> Held {
+    Held { model: model.into(), adapters: adapters.iter().map(|name| (*name).into()).collect() }
+}
+
 #[test]
 fn full_engines_refuse_at_once() {
     let mut node = Node::ready("a");
