End nothing for silence; let large machines be the hub; send frames in proportion

Frames now come in proportion to the number of entry VMs, one lost answer changes nothing, and machines below a quarter core or 50 Mbit/s take the lease only if no larger one does.

Tests silence_cuts_nothing, one_lost_frame_changes_nothing, fewer_frames_of_many and weak_machine_waits.

--- a/daemon/src/entry/settings.rs
+++ b/daemon/src/entry/settings.rs
@@ -13,6 +13,14 @@
 
 /// Ratios and slacks of repeats, at most.
 const REPEATS_MAX: f64 = 1_000_000.0;
+/// Cores of a machine, at most.
+const CORES_MAX: f64 = 1_024.0;
+/// Mbit/s of a machine's link, at most.
+const LINK_MAX: f64 = 1_000_000.0;
+/// Cores that a hub should have: with 90 entry VMs it answers 200 frames a second.
+const HUB_CORES: f64 = 0.25;
+/// Mbit/s that a hub's link should have: those answers are 3 KB each.
+const HUB_LINK_MBPS: f64 = 50.0;
 /// Time of the platform's grace that is left for the end itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 
@@ -103,6 +111,9 @@
     set(&mut settings.connect, object.optional("connect").and_then(|node| node.duration()));
     set(&mut settings.frame, object.optional("frame").and_then(|node| node.duration()));
     set(&mut settings.grace, object.optional("grace").and_then(|node| node.duration()));
+    if let Some(node) = object.optional("machine") {
+        machine(&node, &mut settings.fleet);
+    }
     if let Some(node) = object.optional("repeats") {
         repeats(&node, &mut settings.fleet);
     }
@@ -119,6 +130,15 @@
     set(&mut listen.peers, object.required("peers").and_then(|node| node.address()));
 }
 
+/// A machine that is too small for the duties of the hub beside its callers.
+fn machine(node: &Node<'_>, fleet: &mut fleet::Settings) {
+    let mut object = node.object();
+    let cores = object.required("cores").and_then(|node| node.number(0.0, CORES_MAX));
+    let link_mbps = object.required("link-mbps").and_then(|node| node.number(0.0, LINK_MAX));
+    let small = |value: Option<f64>, least: f64| value.is_some_and(|value| value < least);
+    fleet.weak = small(cores, HUB_CORES) || small(link_mbps, HUB_LINK_MBPS);
+}
+
 fn repeats(node: &Node<'_>, fleet: &mut fleet::Settings) {
     let mut object = node.object();
     let mut number = |key| object.optional(key).and_then(|node: Node<'_>| node.number(0.0, REPEATS_MAX));
--- a/daemon/tests/deploy_template.rs
+++ b/daemon/tests/deploy_template.rs
@@ -16,6 +16,8 @@
         ("{{ip}}", "10.1.0.38"),
         ("{{port_range.0}}", "7380"),
         ("{{platform.address|json}}", "\"10.200.1.7:8142\""),
+        ("{{limits.cpu_share}}", "0.12"),
+        ("{{limits.link_mbps}}", "10.0"),
         ("{{bounds.grace_s}}", "8"),
         ("{{bounds.retry_budget_ratio}}", "0.2"),
         ("{{bounds.retry_budget_slack}}", "52"),
@@ -38,6 +40,7 @@
     let settings = settings::read("entry.jsonc", &text).unwrap_or_else(|problems| panic!("{problems}"));
     assert_eq!(settings.listen.peers, ([10, 1, 0, 38], 7380).into());
     assert_eq!(settings.grace, Duration::from_secs(8));
+    assert!(settings.fleet.weak, "a machine of 0.12 cores is no hub if there is a larger one");
     assert!(settings.stop_within() < settings.grace);
     assert!((settings.fleet.repeat_slack - 52.0).abs() < f64::EPSILON);
     assert_eq!(settings.fleet.order_gap, Duration::from_secs(3));
--- a/fleet/src/budget.rs
+++ b/fleet/src/budget.rs
@@ -41,6 +41,15 @@
 
     /// Takes a repeat if this process's share allows one.
     pub(crate) fn repeat(&mut self, now: Time, service: &Name, nodes: u32, settings: &Settings) -> bool {
+        let allowed = self.allows(now, service, nodes, settings);
+        if allowed {
+            self.slice(now, service, settings).repeats += 1;
+        }
+        allowed
+    }
+
+    /// Whether this process's share allows a repeat.
+    pub(crate) fn allows(&mut self, now: Time, service: &Name, nodes: u32, settings: &Settings) -> bool {
         let window = settings.repeat_window;
         self.slice(now, service, settings);
         let slices = &self.services[service].slices;
@@ -49,11 +58,7 @@
             counted.fold((0, 0), |(all, again), slice| (all + slice.requests, again + slice.repeats));
         let slack = settings.repeat_slack / f64::from(nodes.max(1));
         let allowed = USED * settings.repeat_ratio.mul_add(f64::from(requests), slack);
-        if f64::from(repeats + 1) > allowed {
-            return false;
-        }
-        self.slice(now, service, settings).repeats += 1;
-        true
+        f64::from(repeats + 1) <= allowed
     }
 
     /// How long until a repeat may be allowed again, at most.
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -240,12 +240,15 @@
     pub heard: Time,
     /// When it was last asked whether it is well.
     pub asked: Time,
+    /// Whether it could not be reached when it was last tried.
+    pub unreached: bool,
 }
 
 impl Health {
     /// Something came from the engine.
     pub fn hear(&mut self, now: Time) {
         self.heard = now;
+        self.unreached = false;
         self.suspect_until = None;
         self.suspicion = Duration::ZERO;
     }
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -391,6 +391,7 @@
             known.health.fail(now, &settings);
         }
         End::Unsent => {
+            known.health.unreached = true;
             known.health.suspect(now, &settings);
             probe_later(state, now, engine, out);
         }
@@ -471,6 +472,7 @@
         stir_later(state);
         return;
     }
+    known.health.unreached = true;
     known.health.suspect(now, &settings);
     let at = known.health.suspect_until.unwrap_or(now);
     state.timers.set(at, Timer::Probe(engine.clone()));
@@ -594,7 +596,8 @@
     }
 }
 
-/// A look at whether an attempt's engine has gone silent.
+/// A look at whether an attempt's engine has gone silent. Silence alone ends nothing: the request is given to
+/// another engine only if it may be, if there is allowance for it, and if this one cannot be reached.
 pub(crate) fn silence(state: &mut State, now: Time, id: Id, number: u32, out: &mut Vec<Effect>) {
     let settings = state.settings.clone();
     let Some(flow) = state.flows.get(&id) else {
@@ -611,6 +614,7 @@
     };
     let last = known.health.heard.max(at);
     let silent = now.since(last) >= settings.silence;
+    let dead = silent && known.health.unreached;
     let hangs = !begun
         && flow.route.kind == Kind::Idempotent
         && now.since(at) >= flow.deadline.since(flow.arrived) / HANG_PART;
@@ -620,11 +624,12 @@
         // It may just be slow: then it gets its work back at once.
         out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
     }
+    let nodes = state.nodes(now);
     let Some(flow) = state.flows.get(&id) else {
         return;
     };
-    let spare = flow.used < flow.route.attempts;
-    if (silent || hangs) && flow.route.kind.repeatable() && spare {
+    let movable = flow.route.kind.repeatable() && flow.used < flow.route.attempts;
+    if (dead || hangs) && movable && state.budget.allows(now, &flow.service, nodes, &settings) {
         ended(state, now, id, Ended { attempt: number, end: End::Broken, pause: Duration::ZERO }, out);
         return;
     }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -25,6 +25,8 @@
 /// Time after which an entry VM that sends no frames no longer counts.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
 
+/// Times between frames without an answer after which the hub is taken as gone.
+const FRAMES_MISSED: f64 = 2.5;
 /// Answers that took longer say too little of the hub's clock.
 const PROMPT_REPLY: Duration = Duration::from_millis(30);
 
@@ -145,7 +147,9 @@
     /// Whether the hub has answered lately.
     #[must_use]
     pub fn alive(&self, now: Time, settings: &Settings) -> bool {
-        self.answered.is_some_and(|at| now.since(at) < settings.hub_silence)
+        let many = f64::from(self.nodes) / f64::from(settings.frame_nodes);
+        let silence = settings.hub_silence.max(settings.frame_every.mul_f64(many * FRAMES_MISSED));
+        self.answered.is_some_and(|at| now.since(at) < silence)
     }
 
     /// Time since the hub last answered.
@@ -162,7 +166,7 @@
 
 /// The next frame is due.
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    let wait = state.settings.frame_every;
+    let wait = every(state);
     state.timers.set(now + wait.mul_f64(0.9 + 0.2 * state.rng.f64()), Timer::Frame);
     expire(state, now);
     send(state, now, out);
@@ -180,6 +184,12 @@
     }
 }
 
+/// Time between frames: longer where there are many entry VMs, since the hub answers them all.
+fn every(state: &State) -> Duration {
+    let many = f64::from(state.hub.nodes) / f64::from(state.settings.frame_nodes);
+    state.settings.frame_every.mul_f64(many.max(1.0))
+}
+
 /// Sends a frame now, unless one is under way.
 pub(crate) fn send(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     if state.lease.holds(now).is_some() {
@@ -318,7 +328,7 @@
 pub(crate) fn replied(state: &mut State, now: Time, reply: Option<Reply>, out: &mut Vec<Effect>) {
     let took = state.hub.asking.take().map_or(Duration::ZERO, |asked| now.since(asked));
     let Some(reply) = reply else {
-        if state.hub.leads {
+        if state.hub.leads && !state.hub.alive(now, &state.settings) {
             state.hub.leads = false;
             out.push(Effect::Record(Record::Hub { state: "lost", nodes: state.hub.nodes }));
         }
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -200,6 +200,9 @@
 
 fn read(state: &mut State, now: Time, seen: Option<Seen>, store_ms: u64, out: &mut Vec<Effect>) {
     let Some(seen) = seen else {
+        if state.settings.weak && now.since(state.started) < state.settings.weak_wait {
+            return;
+        }
         let row = own_row(state, now, 1, false);
         call(state, now, Call::Write { expected: 0, row }, out);
         return;
@@ -227,7 +230,8 @@
     if state.stopping {
         return;
     }
-    let margin_ms = ms(state.settings.lease_margin);
+    let wait = if state.settings.weak { state.settings.weak_wait } else { Duration::ZERO };
+    let margin_ms = ms(state.settings.lease_margin + wait);
     if mine || seen.row.released || store_ms > seen.row.until_ms.saturating_add(margin_ms) {
         let row = own_row(state, now, seen.row.term + 1, false);
         call(state, now, Call::Write { expected: seen.version, row }, out);
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -31,6 +31,12 @@
     pub lease_look: Duration,
     /// Time between frames to the hub.
     pub frame_every: Duration,
+    /// Entry VMs up to which frames are sent that often; with more of them, less often in proportion.
+    pub frame_nodes: u32,
+    /// Whether this machine is to be the hub only if no stronger one takes that on.
+    pub weak: bool,
+    /// How much longer a weak machine waits before it takes a lease that is over.
+    pub weak_wait: Duration,
     /// Time without an answer to a frame after which the hub is taken as gone.
     pub hub_silence: Duration,
     /// Time without an answer of the store to the hub after which the others follow the store themselves; the
@@ -92,6 +98,9 @@
             lease_renew: Duration::from_millis(400),
             lease_look: Duration::from_millis(400),
             frame_every: Duration::from_millis(150),
+            frame_nodes: 30,
+            weak: false,
+            weak_wait: Duration::from_millis(1_200),
             hub_silence: Duration::from_millis(700),
             hub_store_age: Duration::from_secs(1),
             plan_every: Duration::from_millis(250),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -47,6 +47,8 @@
     pub(crate) me: Identity,
     pub(crate) settings: Settings,
     pub(crate) rng: fastrand::Rng,
+    /// When the process began.
+    pub(crate) started: Time,
     pub(crate) timers: Timers<Timer>,
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) routes: Table,
@@ -95,6 +97,7 @@
             me,
             settings,
             rng: fastrand::Rng::with_seed(seed),
+            started: now,
             timers,
             config: None,
             routes: Table::default(),
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -117,6 +117,38 @@
     assert_eq!(follows(&effects), Some(true));
 }
 
+#[test]
+fn one_lost_frame_changes_nothing() {
+    let mut node = follower();
+    node.pass(millis(200));
+    node.feed(Event::Replied(Some(Box::new(reply()))));
+    node.pass(millis(200));
+    node.feed(Event::Replied(None));
+    assert_eq!(follows(&node.effects), None, "the hub answered a moment ago");
+}
+
+/// Frames to the hub: their number a second does not grow with that of the entry VMs.
+#[test]
+fn fewer_frames_of_many() {
+    let frames = |nodes: u32| {
+        let mut node = follower();
+        node.pass(millis(200));
+        node.feed(Event::Replied(Some(Box::new(Reply { nodes, ..reply() }))));
+        let mut sent = 0;
+        for _ in 0..200 {
+            let effects = node.pass(millis(50));
+            if effects.iter().any(|effect| matches!(effect, Effect::Frame { .. })) {
+                sent += 1;
+                node.feed(Event::Replied(Some(Box::new(Reply { nodes, ..reply() }))));
+            }
+        }
+        sent
+    };
+    let (few, many) = (frames(9), frames(90));
+    assert!((50..=80).contains(&few), "{few} frames in 10 s");
+    assert!((15..=27).contains(&many), "{many} frames in 10 s, of 90 entry VMs");
+}
+
 #[test]
 fn suspicion_is_looked_into() {
     let mut hub = Node::ready("hub");
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -78,6 +78,18 @@
     assert!(node.state.lease().orders(node.now).is_some(), "the same machine has given the orders before");
 }
 
+#[test]
+fn weak_machine_waits() {
+    let settings = Settings { weak: true, ..Settings::default() };
+    let mut node = Node::with("a", settings);
+    node.pass(millis(10));
+    node.lease(0, Outcome::Read(None));
+    assert!(calls(&node.effects).is_empty(), "a stronger machine may take it");
+    node.pass(millis(1_500));
+    node.lease(1_500, Outcome::Read(None));
+    assert!(matches!(&*calls(&node.effects), [Call::Write { expected: 0, .. }]), "none did");
+}
+
 #[test]
 fn lost_answer_is_found() {
     let mut node = Node::bare("a");
--- a/fleet/tests/request_attempts.rs
+++ b/fleet/tests/request_attempts.rs
@@ -123,6 +123,31 @@
     assert_ne!(second.engine, first.engine);
 }
 
+/// A silent engine that still accepts connections is slow, not gone: its streams are left alone.
+#[test]
+fn silence_cuts_nothing() {
+    let mut node = Node::ready("a");
+    let (id, first) = node.sent(streamed("/digest/1", "m0", None));
+    node.feed(Event::Began(id));
+    for _ in 0..8 {
+        let effects = node.pass(millis(500));
+        assert_eq!(step_of(&effects, id), None);
+        node.feed(Event::Probed { engine: first.engine.clone(), well: true });
+    }
+    assert_eq!(node.ended(id, first.number, End::Done), Some(Step::Pass));
+}
+
+#[test]
+fn unreached_engine_is_left() {
+    let mut node = Node::ready("a");
+    let (id, first) = node.sent(streamed("/digest/1", "m0", None));
+    node.feed(Event::Began(id));
+    node.pass(millis(600));
+    node.feed(Event::Probed { engine: first.engine.clone(), well: false });
+    let second = again(step_of(&node.pass(millis(600)), id));
+    assert_ne!(second.engine, first.engine);
+}
+
 #[test]
 fn gone_frees_the_engine() {
     let mut node = Node::ready("a");
