Read changes of the store that come together together

Cause: on the largest deployment each of 90 entry VMs followed both tables until it knew a hub, and each of 118 engines that registered ended a call of each of them. The hub now waits 30 ms between calls, others 250 ms. Test hub_follows_closely.

--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix::Addr;
+use boragecove_fleet::effect::Follow;
 use boragecove_fleet::event::Event;
 use boragecove_platform::store::{self, Page, Table};
 use thiserror::Error;
@@ -46,8 +47,8 @@
     node: Addr<Node>,
     /// The version up to which the table is known; none before it was read whole.
     version: Option<u64>,
-    /// From which version of the engines' table on to follow; none while the hub tells of changes.
-    wanted: watch::Receiver<Option<u64>>,
+    /// How to follow; none while the hub tells of changes.
+    wanted: watch::Receiver<Option<Follow>>,
     /// Whether the last call was answered. Until one is, the store is not asked to wait: a call that is sent
     /// during an outage may get no answer after it either.
     answered: bool,
@@ -58,7 +59,7 @@
     settings: &Settings,
     client: &Rc<Client>,
     node: &Addr<Node>,
-    wanted: &watch::Receiver<Option<u64>>,
+    wanted: &watch::Receiver<Option<Follow>>,
 ) {
     for table in [Table::Operator, Table::Engines] {
         let follower = Follower {
@@ -87,6 +88,8 @@
                 Ok(()) => {
                     pause = PAUSE_MIN;
                     self.node.do_send(Feed(Event::StoreUp(true)));
+                    let wanted = *self.wanted.borrow();
+                    sleep(wanted.map_or(Duration::ZERO, |follow| follow.pause)).await;
                 }
                 Err(Failed::HistoryGone) => self.version = None,
                 Err(error) => {
@@ -108,7 +111,7 @@
             return false;
         };
         if let (Table::Engines, Some(version), Some(told)) = (self.table, &mut self.version, *wanted) {
-            *version = told.max(*version);
+            *version = told.listed.max(*version);
         }
         // What changed since is wanted at once.
         self.answered = false;
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -8,7 +8,7 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use actix_http::{Method, Uri};
 use boragecove_core::time::Time;
-use boragecove_fleet::effect::{Dispatch, Effect};
+use boragecove_fleet::effect::{Dispatch, Effect, Follow};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease;
@@ -54,7 +54,7 @@
     wake: Option<SpawnHandle>,
     ready: watch::Sender<bool>,
     changed: watch::Sender<u64>,
-    follow: watch::Sender<Option<u64>>,
+    follow: watch::Sender<Option<Follow>>,
     exited: watch::Sender<bool>,
     metrics: metrics::Metrics,
 }
@@ -124,7 +124,7 @@
             wake: None,
             ready: signals.ready,
             changed: signals.changed,
-            follow: watch::Sender::new(Some(0)),
+            follow: watch::Sender::new(Some(Follow::default())),
             exited: signals.exited,
             metrics: metrics::Metrics::default(),
             settings: Rc::new(settings),
@@ -161,8 +161,8 @@
                 self.log.readiness(now, ready);
                 self.ready.send_replace(ready);
             }
-            Effect::Follow(from) => {
-                self.follow.send_replace(from);
+            Effect::Follow(how) => {
+                self.follow.send_replace(how);
             }
             Effect::Changed => self.changed.send_modify(|version| *version += 1),
             Effect::WakeAt(at) => self.wake_at(at, ctx),
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -1,6 +1,7 @@
 //! Every action of the reducer, as data for a process to carry out.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
@@ -48,8 +49,8 @@
     },
     /// Keep a record of a decision.
     Record(Record),
-    /// Follow the store's tables from this version of the engines' on, or leave that to the hub.
-    Follow(Option<u64>),
+    /// Follow the store's tables like this, or leave that to the hub.
+    Follow(Option<Follow>),
     /// Take the entry VM in or out of the balancer's rotation.
     Ready(bool),
     /// What engines hold has changed; whoever waits for that may be answered.
@@ -60,6 +61,15 @@
     Exit,
 }
 
+/// How the store's tables are followed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Follow {
+    /// The version up to which the engines' table is known.
+    pub listed: u64,
+    /// Time from one answer to the next call: changes that come together are read together.
+    pub pause: Duration,
+}
+
 /// An order on its way to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Dispatch {
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -11,7 +11,7 @@
 
 use crate::config::Config;
 use crate::demand::Demand;
-use crate::effect::Effect;
+use crate::effect::{Effect, Follow};
 use crate::engine::{Load, Residency, Row};
 use crate::entries;
 use crate::event::Listing;
@@ -176,11 +176,17 @@
 /// Follows the store's tables only where the hub does not do it for all: calls of the store are rationed, and
 /// their number would grow with that of the entry VMs.
 fn follow(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    let told = state.lease.holds(now).is_none() && state.hub.fresh && state.hub.alive(now, &state.settings);
-    let follows = !told || state.listed == 0 || state.config.is_none();
+    let holds = state.lease.holds(now).is_some();
+    let told = state.hub.fresh && state.hub.alive(now, &state.settings);
+    let known = state.listed > 0 && state.config.is_some();
+    let follows = if holds {
+        Some(state.settings.follow_as_hub)
+    } else {
+        (!told || !known).then_some(state.settings.follow_alone)
+    };
     if follows != state.follows {
         state.follows = follows;
-        out.push(Effect::Follow(follows.then_some(state.listed)));
+        out.push(Effect::Follow(follows.map(|pause| Follow { listed: state.listed, pause })));
     }
 }
 
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -42,6 +42,11 @@
     /// Time without an answer of the store to the hub after which the others follow the store themselves; the
     /// hub writes its lease more often, and what the store says is to be in force within two seconds.
     pub hub_store_age: Duration,
+    /// Time between calls of the hub for the store's changes.
+    pub follow_as_hub: Duration,
+    /// Time between calls of others that have no hub: each engine that registers changes the table, and all of
+    /// them do so at the start.
+    pub follow_alone: Duration,
     /// Time between placement plans.
     pub plan_every: Duration,
     /// Time for which a new entry of an outage's victims may be late (the platform's two seconds, less a margin).
@@ -103,6 +108,8 @@
             weak_wait: Duration::from_millis(1_200),
             hub_silence: Duration::from_millis(700),
             hub_store_age: Duration::from_secs(1),
+            follow_as_hub: Duration::from_millis(30),
+            follow_alone: Duration::from_millis(250),
             plan_every: Duration::from_millis(250),
             lapse_grace: Duration::from_millis(1_500),
             suspicion_min: Duration::from_millis(500),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -60,8 +60,8 @@
     pub(crate) store_up: bool,
     /// When the store last answered anything.
     pub(crate) store_heard: Time,
-    /// Whether this process follows the store's tables itself.
-    pub(crate) follows: bool,
+    /// With which pause this process follows the store's tables, if it does so itself.
+    pub(crate) follows: Option<Duration>,
     pub(crate) store_troubled: Option<Time>,
     pub(crate) flows: FxHashMap<Id, Flow>,
     pub(crate) waiting: BTreeSet<Id>,
@@ -93,6 +93,7 @@
         timers.set(now, Timer::Lease);
         timers.set(now + settings.frame_every, Timer::Frame);
         timers.set(now + settings.plan_every, Timer::Plan);
+        let follows = Some(settings.follow_alone);
         Self {
             me,
             settings,
@@ -106,7 +107,7 @@
             listed: 0,
             store_up: true,
             store_heard: now,
-            follows: true,
+            follows,
             store_troubled: None,
             flows: FxHashMap::default(),
             waiting: BTreeSet::new(),
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -34,7 +34,7 @@
 
 fn follows(effects: &[Effect]) -> Option<bool> {
     effects.iter().rev().find_map(|effect| match effect {
-        Effect::Follow(from) => Some(from.is_some()),
+        Effect::Follow(how) => Some(how.is_some()),
         _ => None,
     })
 }
@@ -97,6 +97,18 @@
     assert_eq!(follows(&node.effects), Some(false));
 }
 
+#[test]
+fn hub_follows_closely() {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    let effects = hub.pass(millis(200));
+    let pause = effects.iter().find_map(|effect| match effect {
+        Effect::Follow(Some(how)) => Some(how.pause),
+        _ => None,
+    });
+    assert_eq!(pause, Some(millis(30)), "the others have what it says");
+}
+
 #[test]
 fn stale_hub_is_not_trusted() {
     let mut node = follower();
