--- /dev/null
+++ b/fleet/src/book.rs
@@ -0,0 +1,242 @@
+//! One engine's book: what it holds, what is on its way, and what may be ordered next.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use crate::config::Pool;
+use crate::engine::{Copy, Entry, Held, Phase, Residency};
+use crate::ledger::Order;
+use crate::settings::Settings;
+
+/// Reports are some hundred ms old: time after which one tells of what happened before it was asked for.
+pub(crate) const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Orders that wait for one engine, at most.
+const QUEUE_MAX: usize = 6;
+/// Adapters that an engine fetches at the same time.
+const FETCHES_MAX: usize = 4;
+
+/// One engine's book.
+#[derive(Debug, Default)]
+pub(crate) struct Book {
+    /// Orders accepted; none while that is not known.
+    pub(crate) sequence: Option<u64>,
+    pub(crate) copies: Vec<Kept>,
+    pub(crate) pending: Option<Pending>,
+    pub(crate) queue: VecDeque<Order>,
+    pub(crate) check_at: Option<Time>,
+    pub(crate) reporting: bool,
+    pub(crate) changed: u64,
+}
+
+/// An order on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub(crate) order: Order,
+    /// Times it was sent before.
+    pub(crate) resent: u32,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Kept {
+    pub(crate) model: Name,
+    pub(crate) phase: Phase,
+    pub(crate) adapters: Vec<Fetched>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Fetched {
+    pub(crate) name: Name,
+    /// When it counts as loaded, if that is not yet so.
+    pub(crate) ready_at: Option<Time>,
+}
+
+impl Book {
+    pub(crate) fn new(entry: &Entry, fresh: bool, now: Time) -> Self {
+        let sequence = fresh.then_some(0);
+        let check_at = sequence.is_none().then_some(now);
+        let mut book = Self { sequence, check_at, ..Self::default() };
+        book.adopt(&entry.held);
+        book
+    }
+
+    pub(crate) fn known(&self) -> bool {
+        self.sequence.is_some() || !self.copies.is_empty()
+    }
+
+    /// Whether another order may be decided on: the engine carries out nothing that takes long.
+    pub(crate) fn idle(&self) -> bool {
+        self.sequence.is_some() && self.pending.is_none() && self.queue.is_empty() && !self.moving()
+    }
+
+    /// Whether a model is being loaded or dropped.
+    pub(crate) fn moving(&self) -> bool {
+        self.copies.iter().any(|copy| copy.phase != Phase::Ready)
+    }
+
+    /// The models, with how far each is.
+    pub(crate) fn copies(&self) -> impl Iterator<Item = (&Name, Phase)> {
+        self.copies.iter().map(|copy| (&copy.model, copy.phase))
+    }
+
+    /// Whether an adapter is there or on its way, by the book and what is still to be ordered.
+    pub(crate) fn expects(&self, model: &Name, adapter: &Name) -> bool {
+        let order = Order::LoadAdapter { model: model.clone(), adapter: adapter.clone() };
+        self.kept(model).is_some_and(|copy| copy.adapters.iter().any(|held| held.name == *adapter))
+            || self.queue.contains(&order)
+            || self.pending.as_ref().is_some_and(|pending| pending.order == order)
+    }
+
+    /// Adapters that are there or on their way, with their models.
+    pub(crate) fn adapters(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        self.copies.iter().flat_map(|copy| copy.adapters.iter().map(move |held| (&copy.model, &held.name)))
+    }
+
+    /// Places for adapters that will be taken once all that is decided on has been done.
+    pub(crate) fn adapters_expected(&self) -> usize {
+        let decided = self.queue.iter().chain(self.pending.iter().map(|pending| &pending.order));
+        let mut places = self.adapters().count();
+        for order in decided {
+            match order {
+                Order::LoadAdapter { .. } => places += 1,
+                Order::UnloadAdapter { .. } => places = places.saturating_sub(1),
+                Order::Load { .. } | Order::Unload { .. } => {}
+            }
+        }
+        places
+    }
+
+    /// Whether the adapter is to be dropped already.
+    pub(crate) fn drops(&self, model: &Name, adapter: &Name) -> bool {
+        let order = Order::UnloadAdapter { model: model.clone(), adapter: adapter.clone() };
+        self.queue.contains(&order) || self.pending.as_ref().is_some_and(|pending| pending.order == order)
+    }
+
+    /// Whether orders for adapters can be decided on: an engine refuses them while it loads or drops a model.
+    pub(crate) fn takes_adapters(&self, orders: usize) -> bool {
+        let models = |order: &Order| matches!(order, Order::Load { .. } | Order::Unload { .. });
+        self.sequence.is_some()
+            && !self.moving()
+            && self.queue.len() + orders <= QUEUE_MAX
+            && !self.queue.iter().any(models)
+            && !self.pending.as_ref().is_some_and(|pending| models(&pending.order))
+    }
+
+    pub(crate) fn kept(&self, model: &Name) -> Option<&Kept> {
+        self.copies.iter().find(|copy| copy.model == *model)
+    }
+
+    pub(crate) fn kept_mut(&mut self, model: &Name) -> Option<&mut Kept> {
+        self.copies.iter_mut().find(|copy| copy.model == *model)
+    }
+
+    pub(crate) fn residency(&self) -> Residency {
+        let copy = |kept: &Kept| Copy {
+            model: kept.model.clone(),
+            phase: kept.phase,
+            adapters: kept
+                .adapters
+                .iter()
+                .filter(|held| held.ready_at.is_none())
+                .map(|held| held.name.clone())
+                .collect(),
+        };
+        Residency { copies: self.copies.iter().map(copy).collect() }
+    }
+
+    /// Takes over what the engine says that it holds.
+    pub(crate) fn adopt(&mut self, held: &[Held]) {
+        let fetched = |name: &Name| Fetched { name: name.clone(), ready_at: None };
+        let kept = |held: &Held| Kept {
+            model: held.model.clone(),
+            phase: Phase::Ready,
+            adapters: held.adapters.iter().map(fetched).collect(),
+        };
+        self.copies = held.iter().map(kept).collect();
+    }
+
+    /// Memory that all copies and adapters take, in MB.
+    pub(crate) fn memory_mb(&self, pool: &Pool) -> f64 {
+        let size = |copy: &Kept| {
+            let model = pool.model(&copy.model);
+            // What the configuration no longer names still takes memory: as much as anything may.
+            let weights = model.map_or(pool.memory_mb, |model| model.memory_mb);
+            let adapter = model.map_or(0.0, |model| model.adapter_mb);
+            adapter.mul_add(copy.adapters.len() as f64, weights)
+        };
+        self.copies.iter().map(size).sum()
+    }
+
+    /// Whether an order can be sent now without overfilling the engine.
+    pub(crate) fn permits(&self, order: &Order, pool: &Pool) -> bool {
+        let free = pool.memory_mb - self.memory_mb(pool);
+        match order {
+            Order::Load { model } => {
+                !self.moving()
+                    && self.kept(model).is_none()
+                    && pool.model(model).is_some_and(|model| model.memory_mb <= free)
+            }
+            Order::Unload { model } => !self.moving() && self.kept(model).is_some(),
+            Order::LoadAdapter { model, .. } => {
+                let ready = self.kept(model).is_some_and(|copy| copy.phase == Phase::Ready);
+                let held: usize = self.copies.iter().map(|copy| copy.adapters.len()).sum();
+                let fetching = self
+                    .copies
+                    .iter()
+                    .flat_map(|copy| &copy.adapters)
+                    .filter(|adapter| adapter.ready_at.is_some())
+                    .count();
+                ready
+                    && !self.moving()
+                    && held < pool.adapters_max as usize
+                    && fetching < FETCHES_MAX
+                    && pool.model(model).is_some_and(|model| model.adapter_mb <= free)
+            }
+            Order::UnloadAdapter { model, adapter } => {
+                !self.moving()
+                    && self
+                        .kept(model)
+                        .is_some_and(|copy| copy.adapters.iter().any(|held| held.name == *adapter))
+            }
+        }
+    }
+
+    /// An adapter is there, whoever ordered it.
+    pub(crate) fn holds(&mut self, model: &Name, adapter: &Name) {
+        if let Some(copy) = self.kept_mut(model)
+            && !copy.adapters.iter().any(|held| held.name == *adapter)
+        {
+            copy.adapters.push(Fetched { name: adapter.clone(), ready_at: None });
+        }
+    }
+
+    /// The engine accepted an order.
+    pub(crate) fn accepted(&mut self, now: Time, order: &Order, expected: Duration, settings: &Settings) {
+        self.sequence = self.sequence.map(|sequence| sequence + 1);
+        match order {
+            Order::Load { model } => {
+                self.copies.push(Kept { model: model.clone(), phase: Phase::Loading, adapters: Vec::new() });
+                self.check_at = Some(now + expected + REPORT_LAG);
+            }
+            Order::Unload { model } => {
+                if let Some(copy) = self.kept_mut(model) {
+                    copy.phase = Phase::Closing;
+                }
+                self.check_at = Some(now + REPORT_LAG);
+            }
+            Order::LoadAdapter { model, adapter } => {
+                let ready_at = Some(now + settings.adapter_ready);
+                if let Some(copy) = self.kept_mut(model) {
+                    copy.adapters.push(Fetched { name: adapter.clone(), ready_at });
+                }
+            }
+            Order::UnloadAdapter { model, adapter } => {
+                if let Some(copy) = self.kept_mut(model) {
+                    copy.adapters.retain(|held| held.name != *adapter);
+                }
+            }
+        }
+    }
+}
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -7,6 +7,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::adapter;
 use crate::budget::Budget;
 use crate::choose::{self, Choice, Pick};
 use crate::config::{Kind, Route};
@@ -18,6 +19,7 @@
 use crate::request::{Arrival, Attempt, Cause, End, Id, Prompt, Refusal, Step};
 use crate::state::State;
 use crate::timer::Timer;
+use crate::trust;
 
 /// Sendings of one request that engines may refuse beyond the route's attempts: a refusal proves that
 /// the request has not run, so it has not had an engine yet.
@@ -262,7 +264,7 @@
         }));
         state.demand.waits(&target);
         if state.lease.orders(now).is_some() {
-            crate::plan::wanted(state, now, out);
+            adapter::wanted(state, now, out);
         } else {
             frame::send(state, now, out);
         }
@@ -393,7 +395,7 @@
         End::Unsent => {
             known.health.unreached = true;
             known.health.suspect(now, &settings);
-            probe_later(state, now, engine, out);
+            trust::probe_later(state, now, engine, out);
         }
         End::Refused(Cause::Absent) => {
             known.health.heard = now;
@@ -413,71 +415,6 @@
     }
 }
 
-/// Asks an engine that is suspected whether it is well, once the suspicion is about to end.
-fn probe_later(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
-    let Some(known) = state.engines.get(engine) else {
-        return;
-    };
-    out.push(Effect::Record(Record::Engine {
-        engine: engine.clone(),
-        service: known.entry.service.clone(),
-        state: "suspected",
-        version: known.version,
-    }));
-    let at = known.health.suspect_until.unwrap_or(now);
-    state.timers.set(at, Timer::Probe(engine.clone()));
-}
-
-/// Another entry VM suspects an engine: it is asked, unless it was heard or asked just now.
-pub(crate) fn look(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
-    let recent = state.settings.silence;
-    let Some(known) = state.engines.get_mut(engine) else {
-        return;
-    };
-    let health = &mut known.health;
-    let fresh = now.since(health.heard) < recent / 2 || now.since(health.asked) < recent;
-    if fresh || health.suspected(now) {
-        return;
-    }
-    health.asked = now;
-    out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
-}
-
-/// A suspicion ends: the engine is asked, and stays without work until it answers.
-pub(crate) fn probe(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
-    let Some(known) = state.engines.get_mut(engine) else {
-        return;
-    };
-    if known.health.suspect_until.is_none_or(|until| until > now) {
-        return;
-    }
-    known.health.suspect_until = Some(now + state.settings.suspicion_max);
-    out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
-}
-
-/// A suspected engine answered, or did not.
-pub(crate) fn probed(state: &mut State, now: Time, engine: &Name, well: bool, out: &mut Vec<Effect>) {
-    let settings = state.settings.clone();
-    let Some(known) = state.engines.get_mut(engine) else {
-        return;
-    };
-    if well {
-        known.health.hear(now);
-        out.push(Effect::Record(Record::Engine {
-            engine: engine.clone(),
-            service: known.entry.service.clone(),
-            state: "well",
-            version: known.version,
-        }));
-        stir_later(state);
-        return;
-    }
-    known.health.unreached = true;
-    known.health.suspect(now, &settings);
-    let at = known.health.suspect_until.unwrap_or(now);
-    state.timers.set(at, Timer::Probe(engine.clone()));
-}
-
 /// Sends a request once more after a failed attempt, if it may run again or has not run, and if there is
 /// time and allowance for it.
 fn again(state: &mut State, now: Time, id: Id, engine: Name, end: End, out: &mut Vec<Effect>) {
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -9,6 +9,7 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::adapter;
 use crate::config::Config;
 use crate::demand::Demand;
 use crate::effect::{Effect, Follow};
@@ -21,6 +22,7 @@
 use crate::settings::Settings;
 use crate::state::State;
 use crate::timer::Timer;
+use crate::trust;
 
 /// Time after which an entry VM that sends no frames no longer counts.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
@@ -248,12 +250,12 @@
         state.appetite.arrived(demand);
     }
     for id in &frame.suspects {
-        flow::look(state, now, id, out);
+        trust::look(state, now, id, out);
     }
     let wanted = frame.demand.iter().any(|demand| demand.waiting > 0);
     replace(state, now, frame);
     if wanted {
-        crate::plan::wanted(state, now, out);
+        adapter::wanted(state, now, out);
     }
 }
 
@@ -372,7 +374,7 @@
         }
     }
     for id in &reply.suspects {
-        flow::look(state, now, id, out);
+        trust::look(state, now, id, out);
     }
     if reply.leads {
         learn(state, reply.view, reply.residencies);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,9 +5,11 @@
 //! the seed it was given.
 //!
 //! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
-//! keeps what the store says; `choose`, `pace`, `budget` and `flow` serve requests; `frame` joins the entry VMs;
-//! `lease`, `ledger`, `demand` and `plan` decide what engines hold.
+//! keeps what the store says; `choose`, `pace`, `budget`, `trust` and `flow` serve requests; `frame` joins the entry
+//! VMs; `lease`, `ledger` with `book`, `demand`, `plan` and `adapter` decide what engines hold.
 
+mod adapter;
+mod book;
 pub mod budget;
 pub mod choose;
 pub mod config;
@@ -28,6 +30,7 @@
 pub mod settings;
 pub mod state;
 pub mod timer;
+mod trust;
 
 pub use reduce::{apply, reply};
 pub use state::State;
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -13,6 +13,7 @@
 use crate::record::Record;
 use crate::state::State;
 use crate::timer::Timer;
+use crate::trust;
 
 /// Applies one event to the state and returns what is to be done.
 ///
@@ -61,7 +62,7 @@
         Event::Lease(answer) => lease::answered(state, now, answer, out),
         Event::Ordered { engine, receipt } => ledger::ordered(state, now, &engine, receipt, out),
         Event::Reported { engine, report } => ledger::reported(state, now, &engine, report, out),
-        Event::Probed { engine, well } => flow::probed(state, now, &engine, well, out),
+        Event::Probed { engine, well } => trust::probed(state, now, &engine, well, out),
         Event::Stop => stop(state, now, out),
         Event::Wake => {}
     }
@@ -72,7 +73,7 @@
         Timer::Deadline(request) => flow::deadline(state, now, request, out),
         Timer::Wait(request) => flow::waited(state, now, request, out),
         Timer::Silence(request, attempt) => flow::silence(state, now, request, attempt, out),
-        Timer::Probe(engine) => flow::probe(state, now, &engine, out),
+        Timer::Probe(engine) => trust::probe(state, now, &engine, out),
         Timer::Lapse(engine) => entries::lapsed(state, now, &engine, out),
         Timer::Frame => frame::due(state, now, out),
         Timer::Lease => lease::due(state, now, out),
