Hold callers to the operator's limits on headers and bodies

They were read and not enforced: a fixed 8 MB held for bodies and the library's own limit for headers. Test operators_limits_hold, written with the change; it was not run against the code before.

--- a/daemon/src/entry/doors.rs
+++ b/daemon/src/entry/doors.rs
@@ -1,10 +1,13 @@
 //! The listeners for callers and for the balancer.
 
 use actix::Addr;
-use actix_http::header::HOST;
-use actix_web::dev::Payload as RawPayload;
+use actix_http::StatusCode;
+use actix_http::header::{HOST, HeaderMap};
 use actix_web::web::{self, Data, Payload, ServiceConfig};
-use actix_web::{FromRequest, HttpRequest, HttpResponse};
+use actix_web::{HttpRequest, HttpResponse};
+use boragecove_core::code::Code;
+use boragecove_fleet::config::Limits;
+use boragecove_fleet::request::Refusal;
 use boragecove_platform::front;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -15,14 +18,13 @@
 use super::outlet::{self, Head, Part, Passing};
 use super::relay::Content;
 
-/// Bytes of a request's body, at most; the platform's clients stay within 4 MB.
-const BODY_MAX: usize = 8 << 20;
-
 /// What the handlers work with.
 #[derive(Clone, Debug)]
 pub(crate) struct Door {
     pub(crate) node: Addr<Node>,
     pub(crate) ready: watch::Receiver<bool>,
+    /// What callers may send, by the configuration in force.
+    pub(crate) limits: watch::Receiver<Limits>,
     /// Whether the process is to stop: connections are closed after their answers.
     pub(crate) stopping: watch::Receiver<bool>,
 }
@@ -56,15 +58,15 @@
 }
 
 async fn serve(request: HttpRequest, payload: Payload, door: Data<Door>) -> HttpResponse {
-    let mut raw: RawPayload = payload.into_inner();
-    let Ok(payload) = Payload::from_request(&request, &mut raw).await else {
-        return HttpResponse::BadRequest().force_close().finish();
-    };
-    let body = match read(payload).await {
+    let headers = request.headers();
+    let limits = *door.limits.borrow();
+    if size(headers) > limits.header_bytes {
+        return refuse(headers, Code::HeadersTooLarge);
+    }
+    let body = match read(payload, limits.body_bytes).await {
         Ok(body) => body,
-        Err(refused) => return refused,
+        Err(code) => return refuse(headers, code),
     };
-    let headers = request.headers();
     let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let arrival = front::arrival(host, request.path(), headers);
     let content = Content {
@@ -87,14 +89,27 @@
     }
 }
 
-async fn read(mut payload: Payload) -> Result<Bytes, HttpResponse> {
+/// Bytes of all headers.
+fn size(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
+}
+
+/// Answers a request that was not read whole; its connection cannot be used again.
+fn refuse(headers: &HeaderMap, code: Code) -> HttpResponse {
+    let refusal = Refusal { code, retry_after: None };
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let headers = front::refused(&refusal, front::caller_id(headers).as_deref());
+    answer(&Head { status, headers }, true).body(format!("{} {}\n", code.number(), code.meaning()))
+}
+
+async fn read(mut payload: Payload, limit: usize) -> Result<Bytes, Code> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let Ok(chunk) = chunk else {
-            return Err(HttpResponse::BadRequest().force_close().finish());
+            return Err(Code::Malformed);
         };
-        if body.len() + chunk.len() > BODY_MAX {
-            return Err(HttpResponse::PayloadTooLarge().force_close().finish());
+        if body.len() + chunk.len() > limit {
+            return Err(Code::BodyTooLarge);
         }
         body.extend_from_slice(&chunk);
     }
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -8,6 +8,7 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use actix_http::{Method, Uri};
 use boragecove_core::time::Time;
+use boragecove_fleet::config::Limits;
 use boragecove_fleet::effect::{Dispatch, Effect, Follow};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
@@ -54,6 +55,7 @@
     wake: Option<SpawnHandle>,
     ready: watch::Sender<bool>,
     changed: watch::Sender<u64>,
+    limits: watch::Sender<Limits>,
     follow: watch::Sender<Option<Follow>>,
     exited: watch::Sender<bool>,
     metrics: metrics::Metrics,
@@ -64,6 +66,8 @@
 pub(crate) struct Signals {
     /// Whether the balancer may send requests here.
     pub(crate) ready: watch::Sender<bool>,
+    /// What callers may send.
+    pub(crate) limits: watch::Sender<Limits>,
     /// Grows whenever what engines hold has changed.
     pub(crate) changed: watch::Sender<u64>,
     /// Whether nothing is left to do.
@@ -124,6 +128,7 @@
             wake: None,
             ready: signals.ready,
             changed: signals.changed,
+            limits: signals.limits,
             follow: watch::Sender::new(Some(Follow::default())),
             exited: signals.exited,
             metrics: metrics::Metrics::default(),
@@ -164,6 +169,9 @@
             Effect::Follow(how) => {
                 self.follow.send_replace(how);
             }
+            Effect::Limit(limits) => {
+                self.limits.send_replace(limits);
+            }
             Effect::Changed => self.changed.send_modify(|version| *version += 1),
             Effect::WakeAt(at) => self.wake_at(at, ctx),
             Effect::Exit => {
--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix::{Actor, Arbiter};
+use boragecove_fleet::config::Limits;
 use thiserror::Error;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -84,9 +85,10 @@
         let (changed, on_change) = watch::channel(0);
         let (exit, exited) = watch::channel(false);
         let (stopping, is_stopping) = watch::channel(false);
-        let signals = Signals { ready, changed, exited: exit };
+        let (limits, on_limits) = watch::channel(Limits::default());
+        let signals = Signals { ready, limits, changed, exited: exit };
         let node = Node::new(settings.clone(), clock, log, signals).start();
-        let door = Door { node: node.clone(), ready: is_ready, stopping: is_stopping };
+        let door = Door { node: node.clone(), ready: is_ready, limits: on_limits, stopping: is_stopping };
         let hub = Hub { node: node.clone(), changed: on_change };
         let watchers = door.clone();
         let listeners = vec![
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -231,6 +231,26 @@
     assert_eq!(writer.runs(), ["o1"]);
 }
 
+#[test]
+fn operators_limits_hold() {
+    let (store, _, gateway) = platform();
+    let mut small = config(3);
+    small["limits"]["max_body_bytes"] = 100.into();
+    small["limits"]["max_header_bytes"] = 400.into();
+    store.put("op", "config", &small);
+    let entry = Entry::start("limits", &store);
+    let body = "x".repeat(101);
+    let request = format!(
+        "POST /ack/1 HTTP/1.1\r\nHost: care.example\r\nAttempt-Id: t1\r\nContent-Length: 101\r\n\r\n{body}"
+    );
+    assert!(call(entry.callers, &request).starts_with("HTTP/1.1 413"));
+    let long = "y".repeat(400);
+    let request = format!("GET /ack/1 HTTP/1.1\r\nHost: care.example\r\nX-Long: {long}\r\n\r\n");
+    assert!(call(entry.callers, &request).starts_with("HTTP/1.1 431"));
+    assert!(call(entry.callers, &plain("/ack/1", "t2")).ends_with("answer to t2"));
+    assert_eq!(gateway.runs(), ["t2"]);
+}
+
 #[test]
 fn lines_explain_a_failure() {
     let (store, writer, _) = platform();
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -6,6 +6,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::config::Limits;
 use crate::frame::Frame;
 use crate::lease;
 use crate::ledger::Order;
@@ -51,6 +52,8 @@
     Record(Record),
     /// Follow the store's tables like this, or leave that to the hub.
     Follow(Option<Follow>),
+    /// Hold callers to these limits from now on.
+    Limit(Limits),
     /// Take the entry VM in or out of the balancer's rotation.
     Ready(bool),
     /// What engines hold has changed; whoever waits for that may be answered.
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -35,6 +35,9 @@
         routes: config.routes.len(),
         source,
     }));
+    if state.config.as_ref().is_none_or(|before| before.limits != config.limits) {
+        out.push(Effect::Limit(config.limits));
+    }
     state.routes = Table::new(&config);
     state.config = Some(config);
     announce(state, out);
