--- a/daemon/src/entry/settings.rs
+++ b/daemon/src/entry/settings.rs
@@ -1,6 +1,5 @@
 //! The settings of an entry VM on the users' platform, in JSON with comments.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -9,7 +8,7 @@
 use boragecove_fleet::settings as fleet;
 use boragecove_wire::jsonc::{self, Node, Problems};
 
-use crate::settings::{Unreadable, loopback};
+use crate::settings::{Unreadable, from_file, loopback, set};
 
 /// Ratios and slacks of repeats, at most.
 const REPEATS_MAX: f64 = 1_000_000.0;
@@ -85,9 +84,7 @@
 ///
 /// If it cannot be read, or for everything that is wrong in it.
 pub fn load(path: &Path) -> Result<Settings, Unreadable> {
-    let text =
-        fs::read_to_string(path).map_err(|source| Unreadable::File { path: path.to_owned(), source })?;
-    Ok(read(&path.display().to_string(), &text)?)
+    from_file(path, read)
 }
 
 /// Reads settings from a text; `file` names it in errors.
@@ -152,9 +149,3 @@
     set(&mut fleet.order_gap, object.optional("gap").and_then(|node| node.duration()));
     set(&mut fleet.load_window, object.optional("load-window").and_then(|node| node.duration()));
 }
-
-fn set<T>(place: &mut T, value: Option<T>) {
-    if let Some(value) = value {
-        *place = value;
-    }
-}
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -12,6 +12,7 @@
 use crate::platform;
 
 pub use file::{Unreadable, load, read};
+pub(crate) use file::{from_file, set};
 
 /// All settings of a process. [`load`] reads them from a file.
 #[derive(Clone, Debug, PartialEq)]
--- a/daemon/src/settings/file.rs
+++ b/daemon/src/settings/file.rs
@@ -52,6 +52,14 @@
 ///
 /// If it cannot be read, or for everything that is wrong in it.
 pub fn load(path: &Path) -> Result<Settings, Unreadable> {
+    from_file(path, read)
+}
+
+/// Reads a file with `read`, which gets its name and its text.
+pub(crate) fn from_file<T>(
+    path: &Path,
+    read: impl FnOnce(&str, &str) -> Result<T, Problems>,
+) -> Result<T, Unreadable> {
     let text =
         fs::read_to_string(path).map_err(|source| Unreadable::File { path: path.to_owned(), source })?;
     Ok(read(&path.display().to_string(), &text)?)
@@ -96,7 +104,8 @@
     settings
 }
 
-fn set<T>(setting: &mut T, found: Option<T>) {
+/// Replaces a setting if the file names it.
+pub(crate) fn set<T>(setting: &mut T, found: Option<T>) {
     if let Some(found) = found {
         *setting = found;
     }
