Refuse models and adapters that are not declared at once

Names that callers make up were counted as demand for good and ordered at engines, which refuse them. The configuration names the adapters of each model by their number. Test undeclared_adapter, written with the change.

--- a/fleet/src/config.rs
+++ b/fleet/src/config.rs
@@ -135,6 +135,8 @@
 pub struct Model {
     /// Its name.
     pub name: Name,
+    /// Its adapters.
+    pub adapters: Vec<Name>,
     /// Memory that its weights take, in MB.
     pub memory_mb: f64,
     /// Memory that one of its adapters takes, in MB.
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -96,6 +96,13 @@
         reject(id, Code::NoBackend, Some(COME_BACK), out);
         return;
     };
+    let runs_models = state.pool(&service).is_some();
+    if let Some(prompt) = arrival.prompt.as_ref().filter(|_| runs_models)
+        && !state.declared(&service, prompt)
+    {
+        reject(id, Code::UnknownModel, None, out);
+        return;
+    }
     state.budget.request(now, &service, &state.settings);
     let patience = arrival.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = now + patience;
@@ -168,11 +175,10 @@
     let left = flow.begin_by.since(now).saturating_sub(state.settings.reserve);
     match choose::choose(state, now, &service, prompt.as_ref(), &avoid, left) {
         Choice::Engine(pick) => send(state, now, id, pick, fresh, out),
-        Choice::Absent if state.planned(&service, prompt.as_ref()) => {
+        Choice::Absent => {
             let wait = if can_load(state, now) { state.settings.load_wait } else { DOUBT_WAIT };
             wait_for(state, now, id, wait, fresh, out);
         }
-        Choice::Absent => give_up(state, now, id, Code::UnknownModel, None, out),
         Choice::Nowhere => wait_for(state, now, id, DOUBT_WAIT, fresh, out),
         Choice::Full(wait) if fresh || flow_waited(state, now, id) => {
             give_up(state, now, id, Code::DeadlineUnreachable, Some(wait), out);
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -186,10 +186,10 @@
         self.config.as_ref()?.service(service)?.pool.as_ref()
     }
 
-    /// Whether the configuration names the model, so that a copy of it can be expected.
-    pub(crate) fn planned(&self, service: &Name, prompt: Option<&Prompt>) -> bool {
-        prompt
-            .is_some_and(|prompt| self.pool(service).is_some_and(|pool| pool.model(&prompt.model).is_some()))
+    /// Whether the configuration names the model and the adapter, so that a copy can be expected.
+    pub(crate) fn declared(&self, service: &Name, prompt: &Prompt) -> bool {
+        let model = self.pool(service).and_then(|pool| pool.model(&prompt.model));
+        model.is_some_and(|model| prompt.adapter.as_ref().is_none_or(|name| model.adapters.contains(name)))
     }
 
     /// Entry VMs that share the allowance of repeats.
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -61,6 +61,15 @@
     assert_eq!(node.refused(brief("m99")).code, Code::UnknownModel);
 }
 
+/// Names that callers make up are not counted, waited for or ordered.
+#[test]
+fn undeclared_adapter() {
+    let mut node = Node::ready("a");
+    node.lead();
+    assert_eq!(node.refused(streamed("/brief/1", "m0", Some("a77"))).code, Code::UnknownModel);
+    assert_eq!(orders(&node.effects), []);
+}
+
 #[test]
 fn waiting_is_told_at_once() {
     let mut node = Node::ready("a");
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -65,6 +65,7 @@
 pub fn model(name: &str, memory_mb: f64) -> Model {
     Model {
         name: name.into(),
+        adapters: (1..=9).map(|number| Name::from(format!("a{number}"))).collect(),
         memory_mb,
         adapter_mb: 10.0,
         cold: Duration::from_secs(2),
