Count refusals of requests that are not admitted; split admission from dispatch

Counters missed what was refused before a request was opened: unknown paths, undeclared models, a stopping or unready process. The test unknown_path fails without the change (left: None) and passes with it.

--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -79,45 +79,64 @@
 
 /// A caller's request was read.
 pub(crate) fn arrive(state: &mut State, now: Time, id: Id, arrival: Arrival, out: &mut Vec<Effect>) {
+    match admit(state, now, arrival) {
+        Ok(flow) => {
+            state.timers.set(flow.deadline, Timer::Deadline(id));
+            state.flows.insert(id, flow);
+            dispatch(state, now, id, true, out);
+        }
+        Err(Refusal { code, retry_after }) => reject(state, id, code, retry_after, out),
+    }
+}
+
+/// Finds a request's route and service, and counts it as demand.
+fn admit(state: &mut State, now: Time, arrival: Arrival) -> Result<Flow, Refusal> {
+    let refuse = |code, retry_after| Err(Refusal { code, retry_after });
     if state.config.is_none() {
-        reject(id, Code::NotReady, Some(COME_BACK), out);
-        return;
+        return refuse(Code::NotReady, Some(COME_BACK));
     }
     if state.graced {
         // Another entry VM has all the time for it.
-        reject(id, Code::Stopping, Some(Duration::ZERO), out);
-        return;
+        return refuse(Code::Stopping, Some(Duration::ZERO));
     }
     let Some(route) = state.routes.find(&arrival.host, &arrival.path).cloned() else {
-        reject(id, Code::UnknownPath, None, out);
-        return;
+        return refuse(Code::UnknownPath, None);
     };
     let Some(service) = pick_service(state, &route) else {
-        reject(id, Code::NoBackend, Some(COME_BACK), out);
-        return;
+        return refuse(Code::NoBackend, Some(COME_BACK));
     };
     let runs_models = state.pool(&service).is_some();
-    if let Some(prompt) = arrival.prompt.as_ref().filter(|_| runs_models)
-        && !state.declared(&service, prompt)
-    {
-        reject(id, Code::UnknownModel, None, out);
-        return;
+    let prompt = arrival.prompt;
+    if prompt.as_ref().is_some_and(|prompt| runs_models && !state.declared(&service, prompt)) {
+        return refuse(Code::UnknownModel, None);
     }
     state.budget.request(now, &service, &state.settings);
-    let patience = arrival.patience.unwrap_or(route.timeout).min(route.timeout);
-    let deadline = now + patience;
-    let begin_by = deadline.min(now + route.patience());
-    let work = arrival
-        .prompt
+    let flow = open(state, now, route, service, prompt, arrival.patience);
+    if let Some(target) = flow.target() {
+        state.demand.arrived(&target, flow.work);
+    }
+    Ok(flow)
+}
+
+fn open(
+    state: &State,
+    now: Time,
+    route: Arc<Route>,
+    service: Name,
+    prompt: Option<Prompt>,
+    patience: Option<Duration>,
+) -> Flow {
+    let deadline = now + patience.unwrap_or(route.timeout).min(route.timeout);
+    let work = prompt
         .as_ref()
         .map_or(Duration::ZERO, |prompt| state.slowness.work(&prompt.model, prompt.tokens, &state.settings));
-    let flow = Flow {
+    Flow {
+        begin_by: deadline.min(now + route.patience()),
         route,
         service,
-        prompt: arrival.prompt,
+        prompt,
         arrived: now,
         deadline,
-        begin_by,
         work,
         stage: Stage::Waiting,
         number: 0,
@@ -125,17 +144,12 @@
         refusals: 0,
         avoid: Vec::new(),
         may_have_run: false,
-    };
-    if let Some(target) = flow.target() {
-        state.demand.arrived(&target, work);
     }
-    state.flows.insert(id, flow);
-    state.timers.set(deadline, Timer::Deadline(id));
-    dispatch(state, now, id, true, out);
 }
 
 /// A request that is refused before it is one.
-fn reject(id: Id, code: Code, retry_after: Option<Duration>, out: &mut Vec<Effect>) {
+fn reject(state: &mut State, id: Id, code: Code, retry_after: Option<Duration>, out: &mut Vec<Effect>) {
+    *state.refusals.entry(code).or_default() += 1;
     out.push(Effect::Record(refused_record(id, code, retry_after, false, Duration::ZERO)));
     out.push(Effect::Step { request: id, step: Step::Refuse(Refusal { code, retry_after }) });
 }
--- a/fleet/tests/route_table.rs
+++ b/fleet/tests/route_table.rs
@@ -27,6 +27,7 @@
 fn unknown_path() {
     let mut node = Node::ready("a");
     assert_eq!(node.refused(plain("/nothing/here")).code, Code::UnknownPath);
+    assert_eq!(node.state.refusals().get(&Code::UnknownPath), Some(&1), "each refusal is counted");
 }
 
 #[test]
