--- /dev/null
+++ b/fleet/tests/frame_bytes.rs
@@ -0,0 +1,50 @@
+//! What a frame and its answer weigh at the size of the users' grown deployments.
+
+mod node;
+
+use boragecove_fleet::engine::Load;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::{EngineLoad, Frame};
+use node::{Node, WRITER, entry, listing, row};
+
+/// Engines of the largest deployment.
+const ENGINES: usize = 112;
+/// Entry VMs of the largest deployment.
+const NODES: usize = 90;
+/// Frames a second that the hub answers at that size: one for each entry VM in 0.45 s.
+const FRAMES_PER_S: usize = 200;
+/// Bytes a second of the smallest link that a hub may have.
+const LINK: usize = 50_000_000 / 8;
+
+fn id(number: usize) -> String {
+    format!("i-{number:010x}")
+}
+
+#[test]
+fn hub_fits_its_link() {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    let rows =
+        (0..ENGINES).map(|number| row(100 + number as u64, entry(&id(number), WRITER, "zone-a", &["m0"])));
+    hub.feed(listing(rows.collect(), 500, false));
+    for number in 0..NODES {
+        let load = Load { open: 3, reading_us: 18_000 };
+        let loads = (0..ENGINES).map(|engine| EngineLoad { engine: id(engine).as_str().into(), load });
+        let vm = format!("front-hall-a-{number}");
+        let frame = Frame {
+            vm: vm.as_str().into(),
+            listed: 500,
+            config: 1,
+            loads: loads.collect(),
+            ..Frame::default()
+        };
+        hub.feed(Event::Framed(Box::new(frame)));
+    }
+    let asker = Frame { vm: "front-hall-a-1".into(), listed: 500, config: 1, ..Frame::default() };
+    let mut known = boragecove_fleet::reply(&hub.state, hub.now, &asker);
+    known.residencies.clear();
+    let bytes = rmp_serde::to_vec(&known).expect("encodes").len();
+    println!("an answer of {bytes} bytes");
+    assert!(bytes < 4_000, "{bytes} bytes");
+    assert!(bytes * FRAMES_PER_S < LINK / 4, "a quarter of the link: {bytes} bytes, {FRAMES_PER_S} a second");
+}
