Bind all addresses before anything runs; let the system pick them in tests

Its process had ended: an address that the test had picked was taken by another test's process meanwhile, and the process, which had started its actor before it bound its addresses, panicked (no reactor running) in place of saying so. Ruled out by the trace: load. Now addresses are bound first, the log says at the start where the process listens, and the tests let the system pick. Test taken_address; entry_process passed three times in a row.

--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -3,8 +3,10 @@
 
 use std::cell::Cell;
 use std::io::{self, Write as _};
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::settings::Listen;
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use boragecove_fleet::record::Record;
@@ -63,6 +65,9 @@
     Started {
         version: &'static str,
         zone: &'a Name,
+        callers: SocketAddr,
+        watchers: SocketAddr,
+        peers: SocketAddr,
     },
     Reloaded {
         outcome: &'a str,
@@ -139,8 +144,10 @@
     }
 
     /// Logs the process's start.
-    pub(crate) fn started(&self, now: Time, zone: &Name) {
-        self.line(now, None, Note::Started { version: env!("CARGO_PKG_VERSION"), zone });
+    pub(crate) fn started(&self, now: Time, zone: &Name, listen: &Listen) {
+        let Listen { callers, watchers, peers } = *listen;
+        let version = env!("CARGO_PKG_VERSION");
+        self.line(now, None, Note::Started { version, zone, callers, watchers, peers });
     }
 
     /// Logs what came of reading the settings again.
--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -16,7 +16,7 @@
 use super::log;
 use super::node::{Feed, Node, Reloaded, Signals};
 use super::peers::{self, Hub};
-use super::settings::{self, Settings};
+use super::settings::{self, Listen, Settings};
 use crate::clock::Clock;
 use crate::listener::{Listener, Socket};
 use crate::settings::{Timeouts, Unreadable};
@@ -64,7 +64,6 @@
         .finish();
     let _logging_already = tracing::subscriber::set_global_default(subscriber);
     let clock = Clock::start();
-    log.started(clock.now(), &settings.zone);
     let running = Running::start(&settings, clock, log)?;
     running.run(file, settings).await?;
     drop(guard);
@@ -80,23 +79,29 @@
 
 impl Running {
     fn start(settings: &Settings, clock: Clock, log: log::Log) -> Result<Self, Failed> {
-        let arbiter = Arbiter::current();
+        // All addresses are bound before anything runs: one that is taken is an error and nothing else.
+        let peers = bind(settings.listen.peers)?;
+        let watchers = bind(settings.listen.watchers)?;
+        let callers = bind(settings.listen.callers)?;
+        let listen =
+            Listen { callers: callers.address(), watchers: watchers.address(), peers: peers.address() };
+        log.started(clock.now(), &settings.zone, &listen);
         let (ready, is_ready) = watch::channel(false);
         let (changed, on_change) = watch::channel(0);
         let (exit, exited) = watch::channel(false);
         let (stopping, is_stopping) = watch::channel(false);
         let (limits, on_limits) = watch::channel(Limits::default());
         let signals = Signals { ready, limits, changed, exited: exit };
-        let node = Node::new(settings.clone(), clock, log, signals).start();
+        let node = Node::new(Settings { listen, ..settings.clone() }, clock, log, signals).start();
         let door = Door { node: node.clone(), ready: is_ready, limits: on_limits, stopping: is_stopping };
         let hub = Hub { node: node.clone(), changed: on_change };
-        let watchers = door.clone();
+        let watching = door.clone();
         let listeners = vec![
-            listen(settings.listen.peers, &arbiter, move |config| peers::routes(config, hub.clone()))?,
-            listen(settings.listen.watchers, &arbiter, move |config| {
-                doors::watchers(config, watchers.clone());
+            serve_on(peers, move |config| peers::routes(config, hub.clone()))?,
+            serve_on(watchers, move |config| {
+                doors::watchers(config, watching.clone());
             })?,
-            listen(settings.listen.callers, &arbiter, move |config| doors::callers(config, door.clone()))?,
+            serve_on(callers, move |config| doors::callers(config, door.clone()))?,
         ];
         Ok(Self { node, listeners, stopping, exited })
     }
@@ -141,12 +146,17 @@
     }
 }
 
-fn listen<F>(address: SocketAddr, arbiter: &actix::ArbiterHandle, routes: F) -> Result<Listener, Failed>
+fn bind(address: SocketAddr) -> Result<Socket, Failed> {
+    let timeouts =
+        Timeouts { read: KEEP_ALIVE, keep_alive: KEEP_ALIVE, shutdown: CLOSE, ..Timeouts::default() };
+    Socket::bind(address, timeouts).map_err(|source| Failed::Listen { address, source })
+}
+
+fn serve_on<F>(socket: Socket, routes: F) -> Result<Listener, Failed>
 where
     F: Fn(&mut actix_web::web::ServiceConfig) + Send + 'static,
 {
-    let failed = |source| Failed::Listen { address, source };
-    let timeouts =
-        Timeouts { read: KEEP_ALIVE, keep_alive: KEEP_ALIVE, shutdown: CLOSE, ..Timeouts::default() };
-    Socket::bind(address, timeouts).map_err(failed)?.on_arbiter(arbiter, routes).map_err(failed)
+    let address = socket.address();
+    let served = socket.on_arbiter(&Arbiter::current(), routes);
+    served.map_err(|source| Failed::Listen { address, source })
 }
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -7,7 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -21,29 +21,33 @@
     callers: SocketAddr,
     watchers: SocketAddr,
     settings: PathBuf,
-}
-
-fn free() -> SocketAddr {
-    TcpListener::bind(("127.0.0.1", 0)).and_then(|listener| listener.local_addr()).expect("a free port")
+    /// Its log; nobody reads on unless a test does.
+    log: Option<BufReader<ChildStdout>>,
 }
 
 impl Entry {
     fn start(name: &str, store: &Store) -> Self {
-        let (callers, watchers, peers) = (free(), free(), free());
         let text = format!(
             r#"{{"vm": "{name}", "zone": "zone-a", "store": "{}", "grace": "6s",
-                "listen": {{"callers": "{callers}", "watchers": "{watchers}", "peers": "{peers}"}}}}"#,
+                "listen": {{"callers": "127.0.0.1:0", "watchers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}}}"#,
             store.address
         );
         let settings = std::env::temp_dir().join(format!("boragecove-{name}-{}.jsonc", std::process::id()));
         fs::write(&settings, text).expect("writes the settings");
-        let child = Command::new(env!("CARGO_BIN_EXE_boragecoved"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_boragecoved"))
             .args(["serve", "--settings"])
             .arg(&settings)
             .stdout(Stdio::piped())
             .spawn()
             .expect("starts");
-        let entry = Self { child, callers, watchers, settings };
+        let mut log = BufReader::new(child.stdout.take().expect("piped"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a first line");
+        let started: serde_json::Value = serde_json::from_str(&line).expect("it says where it listens");
+        let address =
+            |name: &str| started[name].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let (callers, watchers) = (address("callers"), address("watchers"));
+        let entry = Self { child, callers, watchers, settings, log: Some(log) };
         entry.wait_for(200);
         entry
     }
@@ -257,9 +261,9 @@
     let mut entry = Entry::start("lines", &store);
     writer.play(Script::Break(2));
     call(entry.callers, &streamed("/brief/1", "why1"));
-    let out = entry.child.stdout.take().expect("piped");
+    let log = entry.log.take().expect("not taken");
     entry.terminate();
-    let lines: Vec<serde_json::Value> = BufReader::new(out)
+    let lines: Vec<serde_json::Value> = log
         .lines()
         .map_while(Result::ok)
         .map(|line| serde_json::from_str(&line).unwrap_or_else(|error| panic!("{error}: {line}")))
@@ -270,7 +274,6 @@
         .filter_map(|line| line["decision"].as_str())
         .collect();
     assert_eq!(of_request, ["received", "sent", "began", "ended", "refused"]);
-    assert!(lines.iter().any(|line| line["decision"] == "started"));
     assert!(lines.iter().any(|line| line["decision"] == "stopping"));
 }
 
@@ -287,6 +290,26 @@
     assert!(metrics.contains("boragecove_log_lines_dropped"), "{metrics}");
 }
 
+#[test]
+fn taken_address() {
+    let taken = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = taken.local_addr().expect("bound");
+    let text = format!(
+        r#"{{"vm": "a", "zone": "a", "store": "127.0.0.1:1",
+            "listen": {{"callers": "{address}", "watchers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}}}"#
+    );
+    let file = std::env::temp_dir().join(format!("boragecove-taken-{}.jsonc", std::process::id()));
+    fs::write(&file, text).expect("writes");
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_boragecoved")).args(["serve", "--settings"]).arg(&file).output();
+    let _left_behind = fs::remove_file(&file);
+    let output = output.expect("runs");
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1), "{error}");
+    assert!(error.contains(&format!("cannot listen on {address}")), "{error}");
+    assert!(!error.contains("panicked"), "{error}");
+}
+
 #[test]
 fn settings_are_checked() {
     let file = std::env::temp_dir().join(format!("boragecove-bad-{}.jsonc", std::process::id()));
