--- a/fleet/src/pace.rs
+++ b/fleet/src/pace.rs
@@ -10,7 +10,7 @@
 //! turns at the engines are spread evenly over the round, so that the wait for one of several is a fraction of it,
 //! and none of them is the next one more often than the others.
 //!
-//! With nine entry VMs and five engines that read for two fifths of the time, in one simulation of 60 s: without
+//! With nine entry VMs and five engines that read for two fifths of the time, in one simulation of 60 s by a script: without
 //! turns 23% of prompts begin a span of 150 ms with over 100 ms of reading; turns as long as a prompt, one engine
 //! after another, 32%; spread evenly 15%; spread evenly and of 30 ms, 3%, for a mean wait of 53 ms.
 
