Ask engines that are doubted; log each suspicion; split what comes of attempts from a request's way

A refusal as absent marked the engine's book for a look and set no timer, so that the engine was asked only if something else happened there. Suspicions that began with silence or another entry VM's word had no line in the log. There is one way into suspicion and one out of it now.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -17,6 +17,7 @@
 use crate::entries;
 use crate::event::Listing;
 use crate::flow;
+use crate::ledger;
 use crate::pace::{Place, Round};
 use crate::record::Record;
 use crate::settings::Settings;
@@ -244,7 +245,7 @@
 /// Another entry VM told what it has under way.
 pub(crate) fn heard(state: &mut State, now: Time, frame: Frame, out: &mut Vec<Effect>) {
     for refused in &frame.absent {
-        state.ledger.doubt(now, refused);
+        ledger::doubt(state, now, refused);
     }
     for demand in &frame.demand {
         state.appetite.arrived(demand);
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -132,15 +132,16 @@
         let allowed = rate.mul_add(settings.load_window.as_secs_f64(), settings.load_extra) as usize;
         allowed.saturating_sub(self.cold.len())
     }
+}
 
-    /// An entry VM was refused by an engine that was thought to hold what it asked for.
-    pub(crate) fn doubt(&mut self, now: Time, refused: &Absent) {
-        let Some(book) = self.books.get_mut(&refused.engine) else {
-            return;
-        };
-        if book.residency().serves(&refused.model, refused.adapter.as_deref()) && book.check_at.is_none() {
-            book.check_at = Some(now);
-        }
+/// An entry VM was refused by an engine that was thought to hold what it asked for: the engine is asked.
+pub(crate) fn doubt(state: &mut State, now: Time, refused: &Absent) {
+    let Some(book) = state.ledger.books.get_mut(&refused.engine) else {
+        return;
+    };
+    if book.residency().serves(&refused.model, refused.adapter.as_deref()) && book.check_at.is_none() {
+        book.check_at = Some(now);
+        state.timers.set(now, Timer::Check(refused.engine.clone()));
     }
 }
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! the seed it was given.
 //!
 //! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
-//! keeps what the store says; `choose`, `pace`, `budget`, `trust` and `flow` serve requests; `frame` joins the entry
+//! keeps what the store says; `choose`, `pace`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame` joins the entry
 //! VMs; `lease`, `ledger` with `book`, `demand`, `plan` and `adapter` decide what engines hold.
 
 mod adapter;
@@ -22,6 +22,7 @@
 pub mod frame;
 pub mod lease;
 pub mod ledger;
+mod outcome;
 pub mod pace;
 pub mod plan;
 pub mod record;
--- /dev/null
+++ b/fleet/src/outcome.rs
@@ -0,0 +1,225 @@
+//! What comes of a request's attempts: what they say of engines, and whether another follows.
+
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use crate::budget::Budget;
+use crate::config::Kind;
+use crate::effect::Effect;
+use crate::engine::Load;
+use crate::flow::{self, Stage};
+use crate::frame::Absent;
+use crate::ledger;
+use crate::record::{Record, ms};
+use crate::request::{Cause, End, Id, Step};
+use crate::state::State;
+use crate::timer::Timer;
+use crate::trust;
+
+/// Sendings of one request that engines may refuse beyond the route's attempts: a refusal proves that
+/// the request has not run, so it has not had an engine yet.
+const REFUSALS_MAX: u32 = 2;
+/// A request that may run again is given to another engine after this part of its time.
+const HANG_PART: u32 = 3;
+
+/// The first of an answer's events came.
+pub(crate) fn began(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
+    let Some(flow) = state.flows.get_mut(&id) else {
+        return;
+    };
+    let reading_us = flow.load(false).reading_us;
+    let arrived = flow.arrived;
+    let prompt = flow.prompt.clone();
+    let Stage::Sent { engine, begun, at } = &mut flow.stage else {
+        return;
+    };
+    let first = !std::mem::replace(begun, true);
+    if first {
+        out.push(Effect::Record(Record::Began {
+            request: id.0,
+            engine: engine.clone(),
+            after_ms: ms(now.since(arrived)),
+            sent_ms: ms(now.since(*at)),
+        }));
+        if let Some(prompt) = prompt {
+            state.slowness.learn(&prompt.model, prompt.tokens, now.since(*at), &state.settings);
+        }
+    }
+    let engine = engine.clone();
+    trust::heard(state, now, &engine, out);
+    if let Some(known) = state.engines.get_mut(&engine).filter(|_| first) {
+        known.own = known.own.minus(Load { open: 0, reading_us });
+    }
+}
+
+/// How a request's attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ended {
+    /// The attempt's number.
+    pub(crate) attempt: u32,
+    pub(crate) end: End,
+    /// The longest pause between two of its events.
+    pub(crate) pause: Duration,
+}
+
+/// A request's attempt ended.
+pub(crate) fn ended(state: &mut State, now: Time, id: Id, ended: Ended, out: &mut Vec<Effect>) {
+    let Ended { attempt: number, end, pause } = ended;
+    let Some(flow) = state.flows.get(&id) else {
+        return;
+    };
+    if flow.number != number {
+        return;
+    }
+    let Some((engine, at)) = flow::leave(state, id) else {
+        return;
+    };
+    let Some(flow) = state.flows.get_mut(&id) else {
+        return;
+    };
+    out.push(Effect::Record(Record::Ended {
+        request: id.0,
+        attempt: number,
+        engine: engine.clone(),
+        end: end.label(),
+        not_run: end.proves_not_run(),
+        after_ms: ms(now.since(at)),
+        pause_ms: ms(pause),
+    }));
+    if end.proves_not_run() {
+        flow.used -= 1;
+    } else {
+        flow.may_have_run = true;
+    }
+    if matches!(end, End::Refused(_)) {
+        flow.refusals += 1;
+    }
+    let took = now.since(at);
+    let service = flow.service.clone();
+    judge(state, now, id, &engine, end, out);
+    match end {
+        End::Done => {
+            state.paced(&service, took);
+            flow::close(state, id);
+            out.push(Effect::Step { request: id, step: Step::Pass });
+        }
+        End::Failed | End::Unsent | End::Refused(_) | End::Broken => {
+            again(state, now, id, engine, end, out);
+        }
+    }
+}
+
+/// What an attempt's end says of its engine.
+fn judge(state: &mut State, now: Time, id: Id, engine: &Name, end: End, out: &mut Vec<Effect>) {
+    let settings = state.settings.clone();
+    let prompt = state.flows.get(&id).and_then(|flow| flow.prompt.clone());
+    let Some(known) = state.engines.get_mut(engine) else {
+        return;
+    };
+    match end {
+        End::Done => trust::heard(state, now, engine, out),
+        End::Failed => known.health.heard = now,
+        End::Broken => known.health.fail(now, &settings),
+        End::Refused(Cause::Busy) => {
+            known.health.heard = now;
+            known.health.fail(now, &settings);
+        }
+        End::Unsent => {
+            trust::unreached(state, now, engine, out);
+        }
+        End::Refused(Cause::Absent) => {
+            known.health.heard = now;
+            if let Some(prompt) = prompt {
+                let until = now + settings.absence;
+                known.absent.retain(|(_, _, until)| *until > now);
+                known.absent.push((prompt.model.clone(), prompt.adapter.clone(), until));
+                let refused = Absent { engine: engine.clone(), model: prompt.model, adapter: prompt.adapter };
+                if state.lease.holds(now).is_some() {
+                    ledger::doubt(state, now, &refused);
+                } else {
+                    state.hub.absent.push(refused);
+                }
+            }
+        }
+        End::Refused(Cause::Replaced) => known.entry.leaving = true,
+    }
+}
+
+/// Sends a request once more after a failed attempt, if it may run again or has not run, and if there is
+/// time and allowance for it.
+fn again(state: &mut State, now: Time, id: Id, engine: Name, end: End, out: &mut Vec<Effect>) {
+    let nodes = state.nodes(now);
+    let Some(flow) = state.flows.get_mut(&id) else {
+        return;
+    };
+    let repeatable = flow.route.kind.repeatable() || !flow.may_have_run;
+    let within = flow.used < flow.route.attempts && flow.refusals <= REFUSALS_MAX;
+    let in_time = now + state.settings.reserve < flow.deadline;
+    let service = flow.service.clone();
+    // An engine that lacks what was asked for may get it: that is kept with the engine, for a while.
+    if end != End::Refused(Cause::Absent) {
+        flow.avoid.push(engine);
+    }
+    // Where nothing was sent, no engine has had work of it.
+    let allowed = repeatable
+        && within
+        && in_time
+        && (end == End::Unsent || state.budget.repeat(now, &service, nodes, &state.settings));
+    if allowed {
+        *state.retries.entry(end.label()).or_default() += 1;
+        flow.stage = Stage::Waiting;
+        flow::dispatch(state, now, id, true, out);
+        return;
+    }
+    if end == End::Failed {
+        flow::close(state, id);
+        out.push(Effect::Step { request: id, step: Step::Pass });
+        return;
+    }
+    let code = match end {
+        End::Refused(_) => Code::BackendRefused,
+        End::Unsent => Code::RetriesSpent,
+        End::Done | End::Failed | End::Broken => Code::BackendFailed,
+    };
+    flow::give_up(state, now, id, code, Some(Budget::pause(&state.settings)), out);
+}
+
+/// A look at whether an attempt's engine has gone silent. Silence alone ends nothing: the request is given to
+/// another engine only if it may be, if there is allowance for it, and if this one cannot be reached.
+pub(crate) fn silence(state: &mut State, now: Time, id: Id, number: u32, out: &mut Vec<Effect>) {
+    let settings = state.settings.clone();
+    let Some(flow) = state.flows.get(&id) else {
+        return;
+    };
+    let Stage::Sent { engine, at, begun } = flow.stage.clone() else {
+        return;
+    };
+    if flow.number != number {
+        return;
+    }
+    let Some(known) = state.engines.get_mut(&engine) else {
+        return;
+    };
+    let last = known.health.heard.max(at);
+    let silent = now.since(last) >= settings.silence;
+    let dead = silent && known.health.unreached;
+    let hangs = !begun
+        && flow.route.kind == Kind::Idempotent
+        && now.since(at) >= flow.deadline.since(flow.arrived) / HANG_PART;
+    if silent && !known.health.suspected(now) {
+        trust::silent(state, now, &engine, out);
+    }
+    let nodes = state.nodes(now);
+    let Some(flow) = state.flows.get(&id) else {
+        return;
+    };
+    let movable = flow.route.kind.repeatable() && flow.used < flow.route.attempts;
+    if (dead || hangs) && movable && state.budget.allows(now, &flow.service, nodes, &settings) {
+        ended(state, now, id, Ended { attempt: number, end: End::Broken, pause: Duration::ZERO }, out);
+        return;
+    }
+    state.timers.set(now + settings.silence / 2, Timer::Silence(id, number));
+}
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -9,6 +9,7 @@
 use crate::frame::{self, Frame, Reply};
 use crate::lease;
 use crate::ledger;
+use crate::outcome;
 use crate::plan;
 use crate::record::Record;
 use crate::state::State;
@@ -48,14 +49,14 @@
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
         Event::Gone(request) => flow::gone(state, request),
-        Event::Began(request) => flow::began(state, now, request, out),
+        Event::Began(request) => outcome::began(state, now, request, out),
         Event::Heard(engine) => {
             if let Some(engine) = state.engines.get_mut(&engine) {
                 engine.health.heard = now;
             }
         }
         Event::Ended { request, attempt, end, pause } => {
-            flow::ended(state, now, request, flow::Ended { attempt, end, pause }, out);
+            outcome::ended(state, now, request, outcome::Ended { attempt, end, pause }, out);
         }
         Event::Framed(frame) => frame::heard(state, now, *frame, out),
         Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
@@ -72,7 +73,7 @@
     match timer {
         Timer::Deadline(request) => flow::deadline(state, now, request, out),
         Timer::Wait(request) => flow::waited(state, now, request, out),
-        Timer::Silence(request, attempt) => flow::silence(state, now, request, attempt, out),
+        Timer::Silence(request, attempt) => outcome::silence(state, now, request, attempt, out),
         Timer::Probe(engine) => trust::probe(state, now, &engine, out),
         Timer::Lapse(engine) => entries::lapsed(state, now, &engine, out),
         Timer::Frame => frame::due(state, now, out),
--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -9,21 +9,41 @@
 use crate::state::State;
 use crate::timer::Timer;
 
-/// Asks an engine that is suspected whether it is well, once the suspicion is about to end.
-pub(crate) fn probe_later(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
-    let Some(known) = state.engines.get(engine) else {
+/// An engine could not be reached: it gets no work, and is asked whether it is well once that has lasted.
+pub(crate) fn unreached(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
+    suspect(state, now, engine, out);
+    let Some(known) = state.engines.get_mut(engine) else {
         return;
     };
-    out.push(Effect::Record(Record::Engine {
-        engine: engine.clone(),
-        service: known.entry.service.clone(),
-        state: "suspected",
-        version: known.version,
-    }));
+    known.health.unreached = true;
     let at = known.health.suspect_until.unwrap_or(now);
     state.timers.set(at, Timer::Probe(engine.clone()));
 }
 
+/// An engine is silent: it gets no work until it has been asked, which is done at once, since it may just be slow.
+pub(crate) fn silent(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
+    suspect(state, now, engine, out);
+    if let Some(known) = state.engines.get_mut(engine) {
+        known.health.asked = now;
+        out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
+    }
+}
+
+fn suspect(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
+    let Some(known) = state.engines.get_mut(engine) else {
+        return;
+    };
+    if known.health.suspect_until.is_none() {
+        out.push(Effect::Record(Record::Engine {
+            engine: engine.clone(),
+            service: known.entry.service.clone(),
+            state: "suspected",
+            version: known.version,
+        }));
+    }
+    known.health.suspect(now, &state.settings);
+}
+
 /// Another entry VM suspects an engine: it is asked, unless it was heard or asked just now.
 pub(crate) fn look(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
     let recent = state.settings.silence;
@@ -53,23 +73,26 @@
 
 /// A suspected engine answered, or did not.
 pub(crate) fn probed(state: &mut State, now: Time, engine: &Name, well: bool, out: &mut Vec<Effect>) {
-    let settings = state.settings.clone();
+    if !well {
+        unreached(state, now, engine, out);
+        return;
+    }
+    heard(state, now, engine, out);
+    flow::stir_later(state);
+}
+
+/// An engine answered: whatever was held against it is over.
+pub(crate) fn heard(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
     let Some(known) = state.engines.get_mut(engine) else {
         return;
     };
-    if well {
-        known.health.hear(now);
+    if known.health.suspect_until.is_some() {
         out.push(Effect::Record(Record::Engine {
             engine: engine.clone(),
             service: known.entry.service.clone(),
             state: "well",
             version: known.version,
         }));
-        flow::stir_later(state);
-        return;
     }
-    known.health.unreached = true;
-    known.health.suspect(now, &settings);
-    let at = known.health.suspect_until.unwrap_or(now);
-    state.timers.set(at, Timer::Probe(engine.clone()));
+    known.health.hear(now);
 }
--- a/fleet/tests/engine_choice.rs
+++ b/fleet/tests/engine_choice.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use boragecove_core::code::Code;
+use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::Held;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::ledger::{Receipt, Report};
+use boragecove_fleet::record::Record;
 use boragecove_fleet::request::{Cause, End, Step};
 use node::{GATEWAY, Node, WRITER, brief, entry, listing, millis, orders, plain, row, step_of, streamed};
 
@@ -66,6 +68,27 @@
     assert!(back, "it answered and has its work back");
 }
 
+/// Whatever begins a suspicion, the log says so once.
+#[test]
+fn suspicion_is_logged() {
+    let suspected = |effects: &[Effect]| {
+        let is =
+            |effect: &&Effect| matches!(effect, Effect::Record(Record::Engine { state: "suspected", .. }));
+        effects.iter().filter(is).count()
+    };
+    let mut silent = Node::ready("a");
+    silent.sent(brief("m0"));
+    assert_eq!(suspected(&silent.pass(millis(600))), 1, "it was silent");
+    let mut told = Node::ready("a");
+    told.pass(millis(600));
+    told.feed(Event::Probed { engine: "w1".into(), well: false });
+    assert_eq!(suspected(&told.effects), 1, "it could not be reached");
+    let mut unreached = Node::ready("a");
+    let (id, attempt) = unreached.sent(plain("/ack/1"));
+    unreached.ended(id, attempt.number, End::Unsent);
+    assert_eq!(suspected(&unreached.effects), 1);
+}
+
 #[test]
 fn refusal_as_absent_is_believed() {
     let mut node = Node::ready("a");
--- a/fleet/tests/engine_orders.rs
+++ b/fleet/tests/engine_orders.rs
@@ -8,6 +8,7 @@
 use boragecove_fleet::effect::{Dispatch, Effect};
 use boragecove_fleet::engine::Held;
 use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::{Absent, Frame};
 use boragecove_fleet::ledger::{Order, Receipt, Report};
 use boragecove_fleet::request::Step;
 use node::{Node, WRITER, brief, entry, listing, millis, model, orders, pool, row, step_of, streamed};
@@ -65,6 +66,73 @@
     assert!(matches!(node.step(id), Some(Step::Send(attempt)) if attempt.engine == engine));
 }
 
+/// An engine that lacks what the book says that it holds is asked, also if nothing else happens there.
+#[test]
+fn doubt_asks_the_engine() {
+    let mut hub = settled();
+    let absent = vec![Absent { engine: "w1".into(), model: "m0".into(), adapter: None }];
+    let mut effects =
+        hub.feed(Event::Framed(Box::new(Frame { vm: "b".into(), absent, ..Frame::default() }))).to_vec();
+    effects.extend(hub.pass(millis(300)));
+    let asked =
+        effects.iter().any(|effect| matches!(effect, Effect::Report { engine, .. } if **engine == *"w1"));
+    assert!(asked);
+}
+
+/// The lease holder of engines that hold every model, so that nothing is to be moved.
+fn settled() -> Node {
+    let mut hub = Node::bare("hub");
+    hub.feed(Event::Configured(std::sync::Arc::new(node::config(1))));
+    let rows = vec![
+        row(1, entry("w1", WRITER, "zone-a", &["m0", "m1"])),
+        row(2, entry("w2", WRITER, "zone-b", &["m2", "m3"])),
+    ];
+    hub.feed(listing(rows, 2, true));
+    hub.lead();
+    hub.pass(millis(300));
+    hub
+}
+
+/// Loads from the weight store, in any window, whatever demand does.
+#[test]
+fn cold_loads_are_rationed() {
+    let settings = boragecove_fleet::settings::Settings::default();
+    let mut hub = Node::bare("hub");
+    let mut config = node::config(1);
+    let pool = boragecove_fleet::config::Pool {
+        models: (0..40).map(|number| model(&format!("m{number}"), 70.0)).collect(),
+        ..pool()
+    };
+    config.services = vec![std::sync::Arc::new(boragecove_fleet::config::Service {
+        name: WRITER.into(),
+        pool: Some(pool),
+        ..Default::default()
+    })];
+    hub.feed(Event::Configured(std::sync::Arc::new(config)));
+    let rows = (0..30).map(|number| row(number + 1, entry(&format!("w{number}"), WRITER, "zone-a", &[])));
+    hub.feed(listing(rows.collect(), 30, true));
+    hub.lead();
+    let mut loads: Vec<Time> = Vec::new();
+    for at in 0..400 {
+        let effects = hub.pass(millis(50));
+        if at % 8 == 0 {
+            hub.lease(5 + at * 50, boragecove_fleet::lease::Outcome::Written(200 + at));
+        }
+        for dispatch in orders(&effects) {
+            loads.push(hub.now);
+            hub.feed(Event::Ordered { engine: dispatch.engine, receipt: Some(Receipt::Accepted) });
+            loads.extend(orders(&hub.effects).iter().map(|_| hub.now));
+        }
+    }
+    assert!(loads.len() > 20, "{} loads in 20 s", loads.len());
+    // The platform bears 2.0 x 5 x 1.1 + 3 = 14 in any five seconds.
+    for at in &loads {
+        let near =
+            loads.iter().filter(|other| **other >= *at && other.since(*at) < settings.load_window).count();
+        assert!(near <= 12, "{near} loads within {:?}", settings.load_window);
+    }
+}
+
 #[test]
 fn no_adapter_while_moving() {
     let mut node = Node::bare("a");
