Name the engine's incarnation in orders; let old versions make way for new ones

A new lease holder counted the loads that its predecessor had ordered and seen end for as long as it held the lease, since a copy of such an order could have reached a restarted engine: engines with 11,000 MB free had 2,000 MB in its books, and a new version was loaded nowhere. And the home zone of a new version had no memory for it while the old version and another model stood in both zones.

Change: an order names the incarnation that it is meant for and a restarted engine refuses it, so that ended orders need not be kept and counted. At a version's home the old one makes way if zones that come after it have held it for some time; that is looked at again when the copy is dropped. Engines that have been silent for 3 s are not offered to other zones.

--- a/core/src/engine.rs
+++ b/core/src/engine.rs
@@ -20,6 +20,8 @@
     pub id: id::Order,
     /// The fencing number it was made under.
     pub fence: Fence,
+    /// The engine's incarnation that it is meant for; another refuses it.
+    pub meant_for: id::Incarnation,
     /// What to do.
     pub action: Action,
 }
@@ -83,6 +85,8 @@
         /// The highest fencing number seen.
         seen: Fence,
     },
+    /// Refused: the engine has restarted since.
+    Restarted,
     /// Refused: it would not fit.
     Full {
         /// Memory that is free, in MB.
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -63,6 +63,11 @@
     pub(crate) fn takes_work(&self) -> bool {
         !self.is_leaving() && !self.report.as_ref().is_some_and(|report| report.draining)
     }
+
+    /// Whether it reported within `limit`.
+    pub(crate) fn is_heard(&self, now: Time, limit: Duration) -> bool {
+        self.reported_at.is_some_and(|at| now.since(at) < limit)
+    }
 }
 
 /// All backend servers, and the other entry VMs by the VM list.
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -25,14 +25,10 @@
 pub(crate) use book::{Step, answered, intend, intend_unrecorded};
 pub(crate) use sync::tick;
 
-/// Orders that may be open at one engine. Together with those kept from before they stay well below
-/// the number of ended orders that a report lists, so that no end passes unseen.
+/// Orders that may be open at one engine. They stay well below the number of ended orders that a report lists, so
+/// that no end passes unseen.
 const OPEN_MAX: usize = 16;
 
-/// Ended orders kept in a row. An engine that restarted does not know their ids any more, so that a
-/// late copy of one could take effect there: they are cancelled again before anything is planned.
-const PAST_MAX: usize = 16;
-
 /// Orders sent to an engine between two of its reports.
 const UNREPORTED_MAX: u32 = 24;
 
@@ -41,13 +37,10 @@
 pub struct Row {
     /// The fence of the holder that wrote it last; a holder with a lower one may not write.
     pub fence: Fence,
-    /// The life of the engine that the orders were weighed against.
+    /// The life of the engine that the orders were weighed against, and which they name.
     pub incarnation: id::Incarnation,
     /// Orders that may still take effect, oldest first.
     pub intents: Vec<Intent>,
-    /// The latest orders that ended in this life, oldest first.
-    #[serde(default)]
-    pub past: Vec<Intent>,
 }
 
 /// An order recorded before it is sent.
@@ -67,19 +60,14 @@
         let Some(at) = self.intents.iter().position(|intent| intent.order == order) else {
             return false;
         };
-        let intent = self.intents.remove(at);
-        self.past.push(intent);
-        let excess = self.past.len().saturating_sub(PAST_MAX);
-        self.past.drain(..excess);
+        self.intents.remove(at);
         true
     }
 
-    /// Turns to another life of the engine: every order known may arrive there once more.
-    fn reopen(&mut self, incarnation: id::Incarnation) {
+    /// Turns to another life of the engine, which refuses every order that was made for an earlier one.
+    fn restart(&mut self, incarnation: id::Incarnation) {
         self.incarnation = incarnation;
-        let mut open = std::mem::take(&mut self.past);
-        open.append(&mut self.intents);
-        self.intents = open;
+        self.intents.clear();
     }
 }
 
@@ -111,8 +99,6 @@
     struck: BTreeSet<id::Order>,
     /// Orders sent since the last report.
     unreported: u32,
-    /// Copies of each order sent by this process whose exchange is not over.
-    flying: BTreeMap<id::Order, u32>,
 }
 
 /// A write of a row, and what to send once it took effect.
@@ -177,29 +163,18 @@
     }
 
     /// Memory at a reporting engine that is free for an artifact, in MB: neither held, nor to be taken
-    /// by an open order, nor by copies of orders that are on their way and would find the engine
-    /// restarted. What the artifact itself already takes counts as free for it.
-    pub(crate) fn free_for(&self, report: &Report, artifact: &Artifact, me: id::Incarnation) -> u64 {
-        let engine = &report.engine;
-        let flying = |intent: &&Intent| {
-            let known = self.desks.get(engine).is_some_and(|desk| desk.flying.contains_key(&intent.order));
-            known || intent.order.by != me
-        };
-        let past = self.rows.get(engine).into_iter().flat_map(|(_, row)| &row.past).filter(flying);
-        let at_large = total_but(coming(self.open(engine).chain(past)), artifact);
-        let mut present = coming(self.open(engine));
+    /// by an open order. What the artifact itself already takes counts as free for it.
+    pub(crate) fn free_for(&self, report: &Report, artifact: &Artifact) -> u64 {
+        let mut taken = coming(self.open(&report.engine));
         for copy in &report.copies {
-            let most = present.entry(&copy.artifact).or_default();
+            let most = taken.entry(&copy.artifact).or_default();
             *most = (*most).max(copy.memory_mb);
         }
-        report.memory_mb.saturating_sub(at_large.max(total_but(present, artifact)))
+        let others = taken.into_iter().filter(|(other, _)| *other != artifact);
+        report.memory_mb.saturating_sub(others.map(|(_, memory_mb)| memory_mb).sum())
     }
 }
 
-fn total_but(loads: BTreeMap<&Artifact, u64>, but: &Artifact) -> u64 {
-    loads.into_iter().filter(|(artifact, _)| *artifact != but).map(|(_, memory_mb)| memory_mb).sum()
-}
-
 /// Memory that is taken or may still be taken at an engine, in MB.
 pub(crate) fn reserved(report: &Report, row: &Row) -> u64 {
     reserved_by(report, row.intents.iter())
@@ -231,10 +206,6 @@
     let Some(desk) = state.ledger.desks.get_mut(engine) else {
         return;
     };
-    if let Some(copies) = desk.flying.get_mut(&order) {
-        *copies -= 1;
-    }
-    desk.flying.retain(|_, copies| *copies > 0);
     let cancelled = desk.doubtful.get(&order).copied();
     match receipt {
         None => {
@@ -243,8 +214,8 @@
                 desk.doubtful.entry(order).or_insert(false);
             }
         }
-        // An engine that refuses the number refuses every copy of the order.
-        Some(Receipt::Stale { .. }) => strike(state, engine, &[order]),
+        // An engine that refuses the number, or has restarted, refuses every copy of the order.
+        Some(Receipt::Stale { .. } | Receipt::Restarted) => strike(state, engine, &[order]),
         // After a cancelling order it is not known which of the two was refused.
         Some(Receipt::Full { .. } | Receipt::Busy | Receipt::Invalid) if cancelled != Some(true) => {
             strike(state, engine, &[order]);
--- a/core/src/ledger/book.rs
+++ b/core/src/ledger/book.rs
@@ -51,13 +51,14 @@
     }
     let mut due = Vec::new();
     for (engine, wanted) in orders {
-        let made: Vec<(Order, Cause)> = wanted
-            .into_iter()
-            .map(|(action, cause)| (Order { id: state.next_order(), fence, action }, cause))
-            .collect();
         let Some((over, mut row)) = state.ledger.rows.get(&engine).cloned() else {
             continue;
         };
+        let meant_for = row.incarnation;
+        let made: Vec<(Order, Cause)> = wanted
+            .into_iter()
+            .map(|(action, cause)| (Order { id: state.next_order(), fence, meant_for, action }, cause))
+            .collect();
         let Some(desk) = state.ledger.desks.get_mut(&engine).filter(|desk| desk.writing.is_none()) else {
             continue;
         };
@@ -85,10 +86,11 @@
     cause: Cause,
     out: &mut Vec<Effect>,
 ) {
-    let order = Order { id: state.next_order(), fence, action };
+    let id = state.next_order();
     let Some((_, row)) = state.ledger.rows.get_mut(engine) else {
         return;
     };
+    let order = Order { id, fence, meant_for: row.incarnation, action };
     row.intents.push(intent(&order));
     if let Some(desk) = state.ledger.desks.get_mut(engine) {
         desk.dirty = true;
@@ -191,8 +193,7 @@
 fn adopt_all(state: &mut State, fence: Fence, rows: Vec<table::Row>) {
     state.ledger.rows.clear();
     for desk in state.ledger.desks.values_mut() {
-        let flying = std::mem::take(&mut desk.flying);
-        *desk = Desk { flying, ..Desk::default() };
+        *desk = Desk::default();
     }
     state.ledger.read_under = Some(fence);
     for row in rows {
@@ -205,9 +206,8 @@
 /// Takes a row over as another holder left it: none of its orders is known to have ended.
 fn adopt(state: &mut State, engine: &Name, version: table::Version, row: Row) {
     let doubtful = row.intents.iter().map(|intent| (intent.order, false)).collect();
-    let known = state.ledger.desks.remove(engine);
-    let (sync, flying) = known.map(|desk| (desk.sync, desk.flying)).unwrap_or_default();
-    let desk = Desk { sync, doubtful, flying, ..Desk::default() };
+    let sync = state.ledger.desks.remove(engine).and_then(|desk| desk.sync);
+    let desk = Desk { sync, doubtful, ..Desk::default() };
     state.ledger.desks.insert(engine.clone(), desk);
     state.ledger.rows.insert(engine.clone(), (version, row));
 }
@@ -223,7 +223,7 @@
     let planned_for = row.incarnation;
     let present = state.ledger.rows.get(engine).map_or(planned_for, |(_, known)| known.incarnation);
     if present != planned_for {
-        row.reopen(present);
+        row.restart(present);
         desk.dirty = true;
     }
     for order in std::mem::take(&mut desk.struck) {
@@ -236,7 +236,7 @@
         let fresh = state.lease.fence(now) == Some(order.fence);
         if fresh && same_life {
             send(state, now, engine, order, cause, out);
-        } else if let Some(desk) = state.ledger.desks.get_mut(engine) {
+        } else if same_life && let Some(desk) = state.ledger.desks.get_mut(engine) {
             desk.doubtful.insert(order.id, false);
         }
     }
@@ -309,7 +309,6 @@
         return;
     };
     desk.unreported += 1;
-    *desk.flying.entry(order.id).or_default() += 1;
     state.counters.orders += 1;
     out.push(Effect::Order { engine: engine.clone(), address: backend.address, order: Box::new(order) });
 }
--- a/core/src/ledger/sync.rs
+++ b/core/src/ledger/sync.rs
@@ -72,19 +72,20 @@
     let Some(desk) = state.ledger.desks.get_mut(&report.engine) else {
         return;
     };
+    let Some((_, row)) = state.ledger.rows.get_mut(&report.engine) else {
+        return;
+    };
+    let same_life = row.incarnation == report.incarnation;
     let known =
         desk.sync.as_ref().is_some_and(|sync| sync.incarnation == report.incarnation && sync.fence == fence);
-    if known {
+    if known && same_life {
         return;
     }
     desk.sync = Some(Sync { incarnation: report.incarnation, fence, barrier, done: false });
-    let Some((_, row)) = state.ledger.rows.get_mut(&report.engine) else {
-        return;
-    };
-    if row.incarnation != report.incarnation {
-        row.reopen(report.incarnation);
+    if !same_life {
+        row.restart(report.incarnation);
         desk.dirty = true;
-        desk.doubtful = row.intents.iter().map(|intent| (intent.order, false)).collect();
+        desk.doubtful.clear();
     }
 }
 
@@ -100,6 +101,7 @@
     let Some((_, row)) = state.ledger.rows.get(engine) else {
         return;
     };
+    let meant_for = row.incarnation;
     let mut due = Vec::new();
     if !sync.done {
         due.push(sync.barrier);
@@ -124,7 +126,7 @@
         audit::record(state, now, act, Cause::Lost, out);
     }
     for id in due {
-        book::dispatch(state, engine, Order { id, fence, action: Action::Raise }, out);
+        book::dispatch(state, engine, Order { id, fence, meant_for, action: Action::Raise }, out);
     }
 }
 
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -140,7 +140,7 @@
         collect::assign(state, now);
     }
     tell_zone(state, out);
-    tell_links(state, out);
+    tell_links(state, now, out);
 }
 
 fn tell_zone(state: &mut State, out: &mut Vec<Effect>) {
@@ -163,9 +163,9 @@
     }
 }
 
-fn tell_links(state: &mut State, out: &mut Vec<Effect>) {
+fn tell_links(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     for name in links(state) {
-        let item = summary::next(state, &name);
+        let item = summary::next(state, now, &name);
         tell(state, &name, vec![item], out);
     }
 }
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -19,6 +19,7 @@
 use crate::ledger;
 use crate::name::Name;
 use crate::state::State;
+use crate::summary;
 use crate::time::Time;
 use crate::timer::Timer;
 
@@ -31,8 +32,9 @@
 /// How long this zone waits before it loads what another zone held a moment ago.
 const GRACE: Duration = Duration::from_secs(15);
 /// How long other zones must have held an artifact before a copy here goes for their sake: a copy that
-/// was lost there shows late.
-const STEADY: Duration = Duration::from_secs(30);
+/// was lost there shows late, but within 9 s: an engine counts for 6 s after its last report, and zones tell each
+/// other what they hold every second or two. Each change of the lease begins the wait anew.
+const STEADY: Duration = Duration::from_secs(15);
 /// How long what becomes free at an engine is kept for one artifact.
 const KEPT: Duration = Duration::from_mins(1);
 /// How long a copy is not dropped for the sake of demand after it was loaded.
@@ -77,7 +79,7 @@
     let mut view = View::new(state, now, fence);
     let mut orders: BTreeMap<Name, Vec<(Action, Cause)>> = BTreeMap::new();
     for (engine, artifact, cause) in closed {
-        if view.may_drop(state, &engine, &artifact) {
+        if view.may_drop(state, now, &engine, &artifact) {
             orders.entry(engine).or_default().push((Action::Unload { artifact }, cause));
         }
     }
@@ -162,13 +164,10 @@
             let since = state.place.absent.get(&entries[item].artifact).copied().unwrap_or(now);
             since <= now && now.since(since) >= TURN * ranks[item]
         },
-        desperate: &|item| {
-            let since = state.place.absent.get(&entries[item].artifact).copied().unwrap_or(now);
-            known == 1 || (since <= now && now.since(since) >= TURN * known)
-        },
+        desperate: &|item| desperate(state, now, known, &entries[item].artifact),
         free: &|host, item| {
             let artifact = &entries[item].artifact;
-            report(host).map_or(0, |report| state.ledger.free_for(report, artifact, state.me.incarnation))
+            report(host).map_or(0, |report| state.ledger.free_for(report, artifact))
         },
     };
     let mut plan = Plan { view, bounds, steps: Vec::new() };
@@ -176,9 +175,16 @@
     plan.steps
 }
 
+/// Whether an artifact has been nowhere for so long that none of so many zones seems to have memory for it.
+fn desperate(state: &State, now: Time, known_zones: u32, artifact: &Artifact) -> bool {
+    let since = state.place.absent.get(artifact).copied().unwrap_or(now);
+    known_zones == 1 || (since <= now && now.since(since) >= TURN * known_zones)
+}
+
 /// Notes since when artifacts have had too few copies. One that another zone held until now is given
 /// time: that zone may only be out of touch for a moment.
 fn note_absent(state: &mut State, now: Time, view: &View) {
+    note_old_versions(state, now, view);
     let part = &mut state.place;
     for item in &view.items {
         if item.elsewhere > 0 {
@@ -194,6 +200,18 @@
     }
 }
 
+/// Notes since when other zones hold versions too that are not declared any more.
+fn note_old_versions(state: &mut State, now: Time, view: &View) {
+    let held = view.hosts.iter().flat_map(|host| &host.held);
+    for old in held.filter(|held| held.item.is_none()) {
+        if summary::elsewhere(state, now, &old.artifact).is_empty() {
+            state.place.elsewhere.remove(&old.artifact);
+        } else {
+            state.place.elsewhere.entry(old.artifact.clone()).or_insert(now);
+        }
+    }
+}
+
 /// Loads that may begin now: this zone's part of what the weight store allows.
 fn allowance(state: &mut State, now: Time, view: &View) -> usize {
     let zones = view.zones as f64;
--- a/core/src/place/plan.rs
+++ b/core/src/place/plan.rs
@@ -140,13 +140,10 @@
     /// Why a copy that is not declared may go now. While a version that takes its place is nowhere, it
     /// stays unless its memory is needed.
     fn undeclared(&self, artifact: &Artifact) -> Option<Cause> {
-        let name = (artifact.model.clone(), artifact.adapter.clone());
-        let Some(kin) = self.view.kin.get(&name) else {
+        if !self.view.kin.contains_key(&(artifact.model.clone(), artifact.adapter.clone())) {
             return Some(Cause::Undeclared);
-        };
-        let there =
-            |item: &usize| self.view.items[*item].certain > 0 || self.view.items[*item].steady_elsewhere;
-        kin.iter().all(there).then_some(Cause::Version)
+        }
+        self.view.is_replaced(artifact).then_some(Cause::Version)
     }
 
     /// Whether an adapter on the engine needs this copy of a model: no other version of it is there.
@@ -223,6 +220,7 @@
             going: false,
             certain: false,
             share: 0.0,
+            spare_version: false,
         });
         self.view.items[item].holders.push(host);
         self.view.balance(item);
@@ -262,7 +260,7 @@
             }
             match held.item {
                 None if self.undeclared(&held.artifact).is_some() => found.push((0.0, at)),
-                None if !spares_young && (self.bounds.desperate)(item) => found.push((OLD_VERSION, at)),
+                None if !spares_young && self.may_replace(item, held) => found.push((OLD_VERSION, at)),
                 Some(other) if other != item && self.may_go(other, held.certain) => {
                     found.push((self.view.loss(other, host), at));
                 }
@@ -283,6 +281,14 @@
         (missing == 0).then_some((chosen, cost))
     }
 
+    /// Whether a version that is not declared any more may make way for an artifact that is nowhere, though its
+    /// own successor is not there yet. The artifact's home relies on the copy of a zone that comes after it, so
+    /// that no two zones rely on each other's.
+    fn may_replace(&self, item: usize, held: &super::view::Held) -> bool {
+        let home = self.view.items[item].rank == 0;
+        (home && held.spare_version) || (self.bounds.desperate)(item)
+    }
+
     /// Whether a copy of an artifact can be spared: another is certain.
     fn may_go(&self, item: usize, certain: bool) -> bool {
         let item = &self.view.items[item];
--- a/core/src/place/view.rs
+++ b/core/src/place/view.rs
@@ -4,7 +4,6 @@
 
 use crate::artifact::Artifact;
 use crate::engine::{Action, Fence, Stage};
-use crate::fleet::Backend;
 use crate::inventory::Kind;
 use crate::name::Name;
 use crate::rendezvous;
@@ -13,7 +12,8 @@
 use crate::summary;
 use crate::time::Time;
 
-/// How many times as long as an entry VM an engine may be silent before placement does without it.
+/// How many times as long as an entry VM an engine may be silent before placement does without it. What it
+/// holds counts for no reachability then; its memory stays taken.
 const SILENCES: u32 = 2;
 
 /// A model engine of the zone.
@@ -35,6 +35,7 @@
 
 /// An artifact at an engine.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a belief of its own, not a state of one machine")]
 pub(super) struct Held {
     /// Its place among the declared; none if it is not declared.
     pub item: Option<usize>,
@@ -48,6 +49,8 @@
     pub certain: bool,
     /// The part of its artifact's demand that falls to it.
     pub share: f64,
+    /// Whether it is a version that is not declared any more, and other zones have held it for some time too.
+    pub spare_version: bool,
 }
 
 /// A declared artifact.
@@ -127,7 +130,7 @@
                 group: backend.group.clone(),
                 slots: f64::from(group.slots.max(1)),
                 free_mb: 0,
-                live: backend.takes_work() && is_heard(state, now, backend),
+                live: backend.takes_work() && backend.is_heard(now, state.settings.suspect_after * SILENCES),
                 room: if ready { state.ledger.room(&backend.name) } else { 0 },
                 held: Vec::new(),
                 load: 0.0,
@@ -136,14 +139,16 @@
                 let doubtful = state.ledger.may_drop(&backend.name, &copy.artifact);
                 let closing = state.close.is_closing(&backend.name, &copy.artifact);
                 let going = copy.stage == Stage::Dropping || doubtful || closing;
+                let item = state.config.catalog.position(&copy.artifact);
                 host.held.push(Held {
-                    item: state.config.catalog.position(&copy.artifact),
+                    item,
                     artifact: copy.artifact.clone(),
                     memory_mb: copy.memory_mb,
                     coming: copy.stage == Stage::Loading,
                     going,
                     certain: ready && host.live && !going && copy.stage == Stage::Ready,
                     share: 0.0,
+                    spare_version: item.is_none() && is_steady_elsewhere(state, now, &copy.artifact),
                 });
             }
             for intent in state.ledger.open(&backend.name) {
@@ -161,6 +166,7 @@
                     going: false,
                     certain: false,
                     share: 0.0,
+                    spare_version: false,
                 });
             }
             let taken: u64 = host.held.iter().map(|held| held.memory_mb).sum();
@@ -171,12 +177,35 @@
     }
 
     /// Whether a closed copy may be dropped: another is certain, and the engine can take an order.
-    pub(super) fn may_drop(&self, state: &State, engine: &Name, artifact: &Artifact) -> bool {
+    pub(super) fn may_drop(&self, state: &State, now: Time, engine: &Name, artifact: &Artifact) -> bool {
         if !self.hosts.iter().any(|host| host.name == *engine && host.room > 0) {
             return false;
         }
         let item = state.config.catalog.position(artifact).and_then(|at| self.items.get(at));
-        item.is_none_or(|item| item.certain > 0 || item.kept_elsewhere)
+        match item {
+            Some(item) => item.certain > 0 || item.kept_elsewhere,
+            // What closed it may have changed meanwhile: another zone's copy that was relied on may be gone.
+            None => {
+                self.is_replaced(artifact)
+                    || is_steady_elsewhere(state, now, artifact)
+                    || self.is_needed(state, now, artifact)
+            }
+        }
+    }
+
+    /// Whether a version that takes an undeclared one's place has been nowhere for so long that no zone seems to
+    /// have memory for it beside the undeclared one.
+    fn is_needed(&self, state: &State, now: Time, artifact: &Artifact) -> bool {
+        let kin = self.kin.get(&(artifact.model.clone(), artifact.adapter.clone())).into_iter().flatten();
+        kin.into_iter()
+            .any(|item| super::desperate(state, now, self.known_zones, &self.items[*item].artifact))
+    }
+
+    /// Whether all versions that take an undeclared one's place are there.
+    pub(super) fn is_replaced(&self, artifact: &Artifact) -> bool {
+        let kin = self.kin.get(&(artifact.model.clone(), artifact.adapter.clone()));
+        let there = |item: &usize| self.items[*item].certain > 0 || self.items[*item].steady_elsewhere;
+        kin.is_none_or(|kin| kin.iter().all(there))
     }
 
     fn add(&mut self, host: Host) {
@@ -195,10 +224,11 @@
     }
 }
 
-/// Whether an engine reported lately. What a silent one holds counts for no reachability; its memory stays taken.
-fn is_heard(state: &State, now: Time, backend: &Backend) -> bool {
-    let limit = state.settings.suspect_after * SILENCES;
-    backend.reported_at.is_some_and(|at| now.since(at) < limit)
+/// Whether other zones hold an artifact, and have done so for some time.
+fn is_steady_elsewhere(state: &State, now: Time, artifact: &Artifact) -> bool {
+    let since = state.place.elsewhere.get(artifact);
+    since.is_some_and(|since| now.since(*since) >= super::STEADY)
+        && !summary::elsewhere(state, now, artifact).is_empty()
 }
 
 fn known_zones(state: &State) -> u32 {
@@ -226,8 +256,7 @@
         let before = |zone: &Name| (rendezvous::score(zone, &key), zone) > (mine, me);
         let there = summary::elsewhere(state, now, &entry.artifact);
         let allowed = entry.allows(me);
-        let since = state.place.elsewhere.get(&entry.artifact);
-        let steady = !there.is_empty() && since.is_some_and(|since| now.since(*since) >= super::STEADY);
+        let steady = is_steady_elsewhere(state, now, &entry.artifact);
         // Zones give way to each other in one order that no change of configuration turns round, so that
         // no two of them drop their copies for each other's sake.
         let kept = |zone: &Name| {
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -8,6 +8,7 @@
 
 use crate::artifact::Artifact;
 use crate::engine::Stage;
+use crate::fleet::Backend;
 use crate::id::Incarnation;
 use crate::member;
 use crate::name::Name;
@@ -142,8 +143,8 @@
     found
 }
 
-/// What this zone offers now.
-fn offers(state: &State) -> BTreeMap<u32, Offer> {
+/// What this zone offers now. Others may drop copies for the sake of these, so silent engines offer nothing.
+fn offers(state: &State, now: Time) -> BTreeMap<u32, Offer> {
     #[derive(Default)]
     struct Sum {
         copies: u32,
@@ -152,7 +153,8 @@
     }
     let mut sums: BTreeMap<u32, Sum> = BTreeMap::new();
     let own = state.fleet.backends.values().filter(|backend| backend.zone == state.me.zone);
-    for backend in own.filter(|backend| backend.takes_work()) {
+    let heard = |backend: &&Backend| backend.is_heard(now, state.settings.suspect_after);
+    for backend in own.filter(|backend| backend.takes_work()).filter(heard) {
         let slots = state.config.catalog.groups.get(&backend.group).map_or(1, |group| group.slots);
         let Some(report) = &backend.report else {
             continue;
@@ -173,10 +175,10 @@
 }
 
 /// The next summary for an entry VM of another zone.
-pub(crate) fn next(state: &mut State, peer: &Name) -> Item {
+pub(crate) fn next(state: &mut State, now: Time, peer: &Name) -> Item {
     let synced = state.member.peers.get(peer).is_some_and(|peer| peer.synced);
     let mut told = state.summary.told.remove(peer).filter(|_| synced).unwrap_or_default();
-    let (offers, extent) = told.next(&offers(state));
+    let (offers, extent) = told.next(&offers(state, now));
     if let Some(peer) = state.member.peers.get_mut(peer) {
         peer.synced = peer.heard.is_some();
     }
--- a/core/tests/control/world.rs
+++ b/core/tests/control/world.rs
@@ -64,6 +64,9 @@
     }
 
     fn take(&mut self, now: Time, order: &Order) -> Receipt {
+        if order.meant_for != self.incarnation {
+            return Receipt::Restarted;
+        }
         if self.checks && order.fence < self.fence {
             return Receipt::Stale { seen: self.fence };
         }
--- a/core/tests/matrix/fakes.rs
+++ b/core/tests/matrix/fakes.rs
@@ -96,6 +96,9 @@
     }
 
     fn take(&mut self, order: &Order) -> Receipt {
+        if order.meant_for != self.incarnation {
+            return Receipt::Restarted;
+        }
         if self.checks && order.fence < self.fence {
             return Receipt::Stale { seen: self.fence };
         }
--- a/standin/src/engine/http.rs
+++ b/standin/src/engine/http.rs
@@ -5,7 +5,7 @@
 use actix_web::web::{self, Bytes, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use boragecove_core::artifact::{Artifact, Target};
-use boragecove_core::engine::Order;
+use boragecove_core::engine::{Order, Receipt};
 use boragecove_core::id;
 use boragecove_core::request::prefix_hashes;
 use boragecove_wire::completion::Body;
@@ -15,6 +15,7 @@
 use super::answer::{self, Answer};
 use super::attempt::Run;
 use super::live::Live;
+use super::memory::Work;
 use super::seat::Seat;
 use super::stream::{self, Shape};
 use super::{Engine, load};
@@ -50,7 +51,12 @@
     for _ in 0..times {
         let (incarnation, (taken, work)) = {
             let mut state = engine.lock();
-            (state.incarnation, state.memory.order(&order, checks))
+            let incarnation = state.incarnation;
+            if order.meant_for == incarnation {
+                (incarnation, state.memory.order(&order, checks))
+            } else {
+                (incarnation, (Receipt::Restarted, Work::None))
+            }
         };
         load::start(&engine, incarnation, work);
         receipt.get_or_insert(taken);
