Count a load that waits for its room as on its way

A plan looked at what engines hold, and a load that is decided on and waits until the copy before it is gone was not among that: each plan, four a second, chose another engine for the same model. Those engines then waited 2 to 5 s for the streams of the hot copies.

Ruled out: the rate of the weight store (6 to 9 loads were left all the while); too few engines that could be given orders.

Change: the plan sees decided loads as loading. Test queued_load_counts was red before (three engines made room for one model).

--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -89,6 +89,17 @@
             || self.pending.as_ref().is_some_and(|pending| pending.order == order)
     }
 
+    /// The models that will be there or are on their way out, with how far each is. A load that is decided on and
+    /// waits for its room counts as begun.
+    pub(crate) fn copies_expected(&self) -> impl Iterator<Item = (&Name, Phase)> {
+        let decided = self.queue.iter().chain(self.pending.iter().map(|pending| &pending.order));
+        let loads = decided.filter_map(|order| match order {
+            Order::Load { model } => Some((model, Phase::Loading)),
+            Order::Unload { .. } | Order::LoadAdapter { .. } | Order::UnloadAdapter { .. } => None,
+        });
+        self.copies().chain(loads)
+    }
+
     /// Adapters that are there or on their way, with their models.
     pub(crate) fn adapters(&self) -> impl Iterator<Item = (&Name, &Name)> {
         self.copies.iter().flat_map(|copy| copy.adapters.iter().map(move |held| (&copy.model, &held.name)))
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -114,7 +114,7 @@
         engine: engine.entry.id.clone(),
         usable: engine.takes_work() && engine.missing_until.is_none() && !engine.health.suspected(now),
         idle: book.idle(),
-        copies: book.copies().map(|(model, phase)| (model.clone(), phase)).collect(),
+        copies: book.copies_expected().map(|(model, phase)| (model.clone(), phase)).collect(),
         free_mb: pool.memory_mb - book.memory_mb(pool),
         cached: engine.entry.cached.clone(),
         open: engine.load().open,
--- a/fleet/tests/engine_orders.rs
+++ b/fleet/tests/engine_orders.rs
@@ -336,3 +336,24 @@
     assert_eq!(node.step(id), None, "an adapter takes some ms to be fetched");
     assert!(matches!(step_of(&node.pass(millis(50)), id), Some(Step::Send(_))));
 }
+
+/// A load that waits for its room counts as on its way: no second engine makes room for the same model.
+#[test]
+fn queued_load_counts() {
+    let mut hub = Node::bare("hub");
+    hub.feed(Event::Configured(std::sync::Arc::new(node::config(1))));
+    let rows = vec![
+        row(1, entry("w1", WRITER, "zone-a", &["m0", "m1"])),
+        row(2, entry("w2", WRITER, "zone-b", &["m0", "m2"])),
+        row(3, entry("w3", WRITER, "zone-a", &["m0", "m1"])),
+    ];
+    hub.feed(listing(rows, 3, true));
+    hub.lead();
+    let first = orders(&hub.pass(millis(300)));
+    let [Dispatch { engine, order: Order::Unload { .. }, .. }] = &first[..] else {
+        panic!("one engine makes room for m3: {first:?}");
+    };
+    hub.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Accepted) });
+    let more = orders(&hub.pass(millis(1_500)));
+    assert_eq!(more, [], "the dropped copy still has streams, and m3 is decided on");
+}
