Take turns at engines only where a round of them is short

Cause: entry VMs take turns of 30 ms at each engine, one after another. With 90 of them a round takes 2.7 s, so nearly every prompt waited as long as it may, 300 ms of the 500 that its caller gives.

Ruled out: the queues at engines (the median request was sent with engines free).

Change: no turns where a round would take over 500 ms, 16 entry VMs. Test many_do_without was red before (a wait of 199 ms).

--- a/fleet/src/pace.rs
+++ b/fleet/src/pace.rs
@@ -10,6 +10,9 @@
 //! turns at the engines are spread evenly over the round, so that the wait for one of several is a fraction of it,
 //! and none of them is the next one more often than the others.
 //!
+//! Where there are so many entry VMs that a round would take long, there are no turns: each sends a small part of
+//! what an engine reads.
+//!
 //! With nine entry VMs and five engines that read for two fifths of the time, in one simulation of 60 s by a script: without
 //! turns 23% of prompts begin a span of 150 ms with over 100 ms of reading; turns as long as a prompt, one engine
 //! after another, 32%; spread evenly 15%; spread evenly and of 30 ms, 3%, for a mean wait of 53 ms.
@@ -81,6 +84,11 @@
     pub fn length(&self, turn: Duration) -> Duration {
         turn.mul_f64(self.nodes as f64)
     }
+
+    /// Whether a turn comes soon enough to be waited for.
+    fn is_short(&self, settings: &Settings) -> bool {
+        self.length(settings.turn) <= settings.round_max
+    }
 }
 
 /// An engine's number among those of its service.
@@ -104,7 +112,7 @@
     #[must_use]
     pub fn at(&self, round: Option<&Round>, engine: Seat, now: Time, settings: &Settings) -> Time {
         let latest = now + settings.turn_wait;
-        let Some(round) = round else {
+        let Some(round) = round.filter(|round| round.is_short(settings)) else {
             return now;
         };
         let free = self.free_at.max(now);
@@ -116,7 +124,7 @@
 
     /// Takes what a prompt needs that is sent at `at` and takes `work` to be read.
     pub fn take(&mut self, round: Option<&Round>, at: Time, work: Duration, settings: &Settings) {
-        if let Some(round) = round {
+        if let Some(round) = round.filter(|round| round.is_short(settings)) {
             let rounds = work.as_secs_f64() / settings.turn.as_secs_f64();
             self.free_at = self.free_at.max(at) + round.length(settings.turn).mul_f64(rounds);
         }
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -74,6 +74,9 @@
     pub turn: Duration,
     /// How long a prompt waits for its turn at most: a good part of the usual 500 ms to the first event is left.
     pub turn_wait: Duration,
+    /// The longest round of turns of all entry VMs, 16 of them by the length of a turn; if it took longer, most
+    /// prompts would wait as long as they may.
+    pub round_max: Duration,
     /// How long a request waits for a model or adapter to be loaded, at most.
     pub load_wait: Duration,
     /// How long a refusal as absent is believed over the word of whoever orders the engine.
@@ -122,6 +125,7 @@
             read_per_ms: 40.0,
             turn: Duration::from_millis(30),
             turn_wait: Duration::from_millis(300),
+            round_max: Duration::from_millis(500),
             load_wait: Duration::from_secs(4),
             absence: Duration::from_millis(150),
             adapter_ready: Duration::from_millis(20),
--- a/fleet/tests/engine_orders.rs
+++ b/fleet/tests/engine_orders.rs
@@ -350,7 +350,7 @@
     hub.feed(listing(rows, 3, true));
     hub.lead();
     let first = orders(&hub.pass(millis(300)));
-    let [Dispatch { engine, order: Order::Unload { .. }, .. }] = &first[..] else {
+    let [Dispatch { engine, order: Order::Unload { .. }, .. }] = &*first else {
         panic!("one engine makes room for m3: {first:?}");
     };
     hub.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Accepted) });
--- a/fleet/tests/prompt_turns.rs
+++ b/fleet/tests/prompt_turns.rs
@@ -120,6 +120,19 @@
     }
 }
 
+/// With as many entry VMs as the users' grown sites have, a round of turns would take seconds.
+#[test]
+fn many_do_without() {
+    let now = Time::from_millis(1_000_000);
+    let settings = Settings::default();
+    let own = Round::new(Place { index: 40, nodes: 90, hub_time: now }, now, millis(2));
+    let mut turn = Turn::default();
+    for _ in 0..3 {
+        assert_eq!(turn.at(Some(&own), seat(0), now, &settings), now);
+        turn.take(Some(&own), now, READ, &settings);
+    }
+}
+
 #[test]
 fn without_a_hub() {
     let now = Time::from_millis(1_000_000);
