Draw engines by what other entry VMs send before it is known

Ruled out: too little room (the engines ran 54% of what they can); the turns at engines, which plain calls do not take.

Change: fleet/src/spread.rs pours the requests that others will have sent meanwhile (open ones by the time of a run) over the engines in thought, and draws one by its part of them. Engines of other availability zones count with what their own zone sends them. choose.rs is split into looking and drawing. Test load_spread holds the busiest engine to less than half of what it is without, on that load.

--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -1,14 +1,17 @@
 //! Which engine a request goes to: the one where it is expected to wait least.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
 use crate::engine::Engine;
+use crate::frame;
 use crate::pace::Seat;
 use crate::request::Prompt;
 use crate::settings::Settings;
+use crate::spread::{self, Pour};
 use crate::state::State;
 
 /// Random part of a cost, in ms: entry VMs that know the same do not all pick the same engine.
@@ -43,6 +46,26 @@
     pub candidates: usize,
 }
 
+/// An engine that can have the request.
+#[derive(Debug)]
+struct Candidate<'a> {
+    engine: &'a Engine,
+    cost_ms: f64,
+    at: Time,
+}
+
+/// What a look at all engines of a service gives.
+#[derive(Debug, Default)]
+struct Found<'a> {
+    candidates: Vec<Candidate<'a>>,
+    /// Engines of the service.
+    members: usize,
+    /// Those of them that hold what is asked for.
+    holders: usize,
+    /// The shortest time until one that is full has room, in ms.
+    soonest_ms: Option<f64>,
+}
+
 /// Picks an engine of `service`, leaving out those in `avoid`.
 pub(crate) fn choose(
     state: &mut State,
@@ -54,55 +77,99 @@
 ) -> Choice {
     let mut rng = state.rng.fork();
     let state = &*state;
+    let work = prompt.map(|prompt| state.slowness.work(&prompt.model, prompt.tokens, &state.settings));
+    let mut found = look(state, now, service, prompt, avoid, left);
+    for candidate in &mut found.candidates {
+        candidate.cost_ms += work.map_or(0.0, |work| read_ms(candidate.engine, work)) + rng.f64() * JITTER_MS;
+    }
+    if let Some(pick) = draw(state, now, service, &found.candidates, work, rng.f64()) {
+        return Choice::Engine(pick);
+    }
+    match found.soonest_ms {
+        Some(soonest) => Choice::Full(Duration::from_secs_f64(soonest / 1_000.0)),
+        None if found.holders == 0 && found.members > 0 && prompt.is_some() => Choice::Absent,
+        None => Choice::Nowhere,
+    }
+}
+
+/// Looks at all engines of a service.
+fn look<'a>(
+    state: &'a State,
+    now: Time,
+    service: &'a Name,
+    prompt: Option<&Prompt>,
+    avoid: &[Name],
+    left: Duration,
+) -> Found<'a> {
     let settings = &state.settings;
-    let mut best: Option<Pick> = None;
-    let (mut members, mut holders, mut candidates) = (0_usize, 0_usize, 0_usize);
-    let mut soonest = f64::INFINITY;
-    let work = prompt.map(|prompt| state.slowness.work(&prompt.model, prompt.tokens, settings));
-    let of = state.engines_of(service).count() as u64;
+    let run_ms = state.pace(service);
+    let of = state.engines_of(service).count();
+    let mut found = Found { members: of, ..Found::default() };
     for (number, engine) in state.engines_of(service).enumerate() {
-        members += 1;
         if !engine.takes_work() || avoid.contains(&engine.entry.id) {
             continue;
         }
-        if let Some(prompt) = prompt
-            && !engine.serves(&prompt.model, prompt.adapter.as_deref(), now)
-        {
+        let serves = |prompt: &Prompt| engine.serves(&prompt.model, prompt.adapter.as_deref(), now);
+        if !prompt.is_none_or(serves) {
             continue;
         }
-        holders += 1;
+        found.holders += 1;
         if engine.health.suspected(now) {
             continue;
         }
-        let run_ms = state.pace(service);
         let queue_ms = queue_ms(engine, run_ms);
         if queue_ms > left.as_secs_f64() * 1_000.0 || too_deep(engine) {
-            soonest = soonest.min(queue_ms.max(run_ms / f64::from(engine.entry.slots.max(1))));
+            let room_ms = queue_ms.max(run_ms / f64::from(engine.entry.slots.max(1)));
+            found.soonest_ms = Some(found.soonest_ms.map_or(room_ms, |soonest| soonest.min(room_ms)));
             continue;
         }
-        candidates += 1;
-        let at = match work {
-            Some(_) => {
-                let seat = Seat { number: number as u64, of };
-                engine.turn.at(state.round.as_ref(), seat, now, settings)
-            }
+        let seat = Seat { number: number as u64, of: of as u64 };
+        let at = match prompt {
+            Some(_) => engine.turn.at(state.round.as_ref(), seat, now, settings),
             None => now,
         };
-        let cost_ms = queue_ms
-            + at.since(now).as_secs_f64() * 1_000.0
-            + work.map_or(0.0, |work| read_ms(engine, work))
-            + beside_ms(engine, now, &state.me.zone, settings)
-            + rng.f64() * JITTER_MS;
-        if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
-            best = Some(Pick { engine: engine.entry.id.clone(), cost_ms, at, candidates: 0 });
-        }
-    }
-    match best {
-        Some(pick) => Choice::Engine(Pick { candidates, ..pick }),
-        None if soonest.is_finite() => Choice::Full(Duration::from_secs_f64(soonest / 1_000.0)),
-        None if holders == 0 && members > 0 && prompt.is_some() => Choice::Absent,
-        None => Choice::Nowhere,
+        let turn_ms = at.since(now).as_secs_f64() * 1_000.0;
+        let cost_ms = queue_ms + turn_ms + beside_ms(engine, now, &state.me.zone, settings);
+        found.candidates.push(Candidate { engine, cost_ms, at });
     }
+    found
+}
+
+/// Draws one of the candidates, by what other entry VMs send there before it is known here.
+fn draw(
+    state: &State,
+    now: Time,
+    service: &Name,
+    candidates: &[Candidate<'_>],
+    work: Option<Duration>,
+    drawn: f64,
+) -> Option<Pick> {
+    let run_ms = state.pace(service);
+    let others: u32 = candidates.iter().map(|candidate| candidate.engine.others.open).sum();
+    let slots = candidates.iter().map(|candidate| candidate.engine.entry.slots).max().unwrap_or(1);
+    let step_ms = match work {
+        Some(work) => work.as_secs_f64() * 1_000.0 + state.settings.crowd_ms,
+        None => run_ms / f64::from(slots.max(1)),
+    };
+    let zones: BTreeSet<&Name> = candidates.iter().map(|candidate| &candidate.engine.entry.zone).collect();
+    let late_ms = frame::lateness(state, now).as_secs_f64() * 1_000.0;
+    // Each availability zone's requests go to its own engines first, and raise their costs.
+    let requests = f64::from(others) * late_ms / run_ms.max(1.0) / zones.len().max(1) as f64;
+    let pour = Pour { requests, step_ms };
+    let cost = |candidate: &Candidate<'_>| {
+        let zone = &candidate.engine.entry.zone;
+        let beside = candidates.iter().filter(|other| other.engine.entry.zone == *zone).count();
+        let raised = if *zone == state.me.zone { 0.0 } else { pour.each_ms(beside) };
+        candidate.cost_ms + raised
+    };
+    let costs: Vec<f64> = candidates.iter().map(cost).collect();
+    let chosen = &candidates[spread::draw(&costs, pour, drawn)?];
+    Some(Pick {
+        engine: chosen.engine.entry.id.clone(),
+        cost_ms: chosen.cost_ms,
+        at: chosen.at,
+        candidates: candidates.len(),
+    })
 }
 
 /// Time until a slot is free for one more request.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -30,6 +30,8 @@
 
 /// Times between frames without an answer after which the hub is taken as gone.
 const FRAMES_MISSED: f64 = 2.5;
+/// Loads that are known later than this say nothing any more.
+const LATENESS_MAX: Duration = Duration::from_secs(2);
 /// Answers that took longer say too little of the hub's clock.
 const PROMPT_REPLY: Duration = Duration::from_millis(30);
 
@@ -199,6 +201,13 @@
     state.settings.frame_every.mul_f64(many.max(1.0))
 }
 
+/// For how long, on average, requests that other entry VMs send are not known here: since the hub's last answer, and
+/// for the time between their frames to it.
+pub(crate) fn lateness(state: &State, now: Time) -> Duration {
+    let told = if state.lease.holds(now).is_some() { Duration::ZERO } else { state.hub.age(now) };
+    told.saturating_add(every(state) / 2).min(LATENESS_MAX)
+}
+
 /// Sends a frame now, unless one is under way.
 pub(crate) fn send(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     if state.lease.holds(now).is_some() {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! the seed it was given.
 //!
 //! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
-//! keeps what the store says; `choose`, `pace`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame` joins the entry
+//! keeps what the store says; `choose`, `spread`, `pace`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame` joins the entry
 //! VMs; `lease`, `ledger` with `book`, `demand`, `plan` and `adapter` decide what engines hold.
 
 mod adapter;
@@ -29,6 +29,7 @@
 mod reduce;
 pub mod request;
 pub mod settings;
+pub mod spread;
 pub mod state;
 pub mod timer;
 mod trust;
--- /dev/null
+++ b/fleet/tests/load_spread.rs
@@ -0,0 +1,80 @@
+//! Entry VMs that all know the same, and late, do not all pick the same engine.
+
+use boragecove_fleet::spread::{Pour, draw};
+use fastrand::Rng;
+
+/// Entry VMs of the users' grown first site.
+const NODES: usize = 90;
+/// Engines of its plain service.
+const ENGINES: usize = 6;
+/// Requests that an engine runs at once.
+const SLOTS: f64 = 6.0;
+/// Time of a run, in ms.
+const RUN_MS: f64 = 60.0;
+/// Requests in a ms, from all entry VMs: half of what the engines can do.
+const RATE: f64 = 0.3;
+/// Time between two words on loads, in ms.
+const EPOCH_MS: f64 = 450.0;
+
+/// The most requests at one engine, beside the mean of all, over a simulated minute.
+fn busiest(spread: bool) -> f64 {
+    let mut rng = Rng::with_seed(5);
+    let mut open = vec![Vec::<f64>::new(); ENGINES];
+    let mut known = vec![vec![0.0; ENGINES]; NODES];
+    let (mut now, mut told, mut most, mut sum, mut samples) = (0.0, 0.0, 0_usize, 0.0, 0.0);
+    while now < 60_000.0 {
+        now += -rng.f64().max(1e-9).ln() / RATE;
+        for ends in &mut open {
+            ends.retain(|end| *end > now);
+        }
+        if now - told > EPOCH_MS {
+            told = now;
+            let loads: Vec<f64> = open.iter().map(|ends| ends.len() as f64).collect();
+            known.fill(loads);
+        }
+        let node = rng.usize(0..NODES);
+        let step_ms = RUN_MS / SLOTS;
+        let costs: Vec<f64> = known[node].iter().map(|load| load * step_ms + rng.f64()).collect();
+        let requests = if spread { RATE * (now - told + EPOCH_MS / 2.0) } else { 0.0 };
+        let engine = draw(&costs, Pour { requests, step_ms }, rng.f64()).expect("engines");
+        known[node][engine] += 1.0;
+        let wait = (open[engine].len() as f64 - SLOTS).max(0.0) * step_ms;
+        open[engine].push(now + wait + RUN_MS);
+        let loads: Vec<usize> = open.iter().map(Vec::len).collect();
+        most = most.max(*loads.iter().max().expect("engines"));
+        sum += loads.iter().sum::<usize>() as f64 / ENGINES as f64;
+        samples += 1.0;
+    }
+    most as f64 / (sum / samples)
+}
+
+/// The load of plain calls on the grown site, with and without, in one run.
+#[test]
+fn no_herd() {
+    let (with, without) = (busiest(true), busiest(false));
+    assert!(without > 8.0, "the load should be one that matters: {without:.1}");
+    assert!(with < without / 2.0, "with {with:.1}, without {without:.1}");
+}
+
+#[test]
+fn fresh_word() {
+    let costs = [30.0, 10.0, 20.0];
+    for drawn in [0.0, 0.5, 0.999] {
+        assert_eq!(draw(&costs, Pour::default(), drawn), Some(1), "nothing is under way: the cheapest");
+    }
+}
+
+#[test]
+fn cheapest_first() {
+    let costs = [30.0, 10.0, 20.0];
+    let pour = Pour { requests: 2.0, step_ms: 10.0 };
+    // Raised to 25: two thirds of that at 10, the rest at 20, nothing at 30.
+    assert_eq!(draw(&costs, pour, 0.7), Some(1));
+    assert_eq!(draw(&costs, pour, 0.8), Some(2));
+    assert_eq!(draw(&costs, pour, 0.999), Some(2));
+}
+
+#[test]
+fn no_engine() {
+    assert_eq!(draw(&[], Pour { requests: 5.0, step_ms: 1.0 }, 0.5), None);
+}
