Bring adapters to more engines where those that hold them are crowded

Each adapter had one copy, since none was brought where another engine had it already, so all requests for an adapter went to one engine.

Ruled out: the choice among engines (those beside it did not hold the adapter); copies of models (29 of the hottest).

Change: each plan looks for adapters in use whose engines all have half of their slots taken or more, and loads them at an engine that has a quarter less.

An adapter costs an order and 5 to 14 ms.

--- a/fleet/src/adapter.rs
+++ b/fleet/src/adapter.rs
@@ -1,15 +1,32 @@
 //! Adapters: brought to engines that hold their models as soon as a request waits for one, in the place of
 //! those that were asked for longest ago.
+//!
+//! The load that this answers beside that: many requests for one adapter, while its model has copies at several
+//! engines. With the adapter at one of them, that one had 48 requests under way for 12 slots, and others with the same
+//! model 17. An adapter takes 5 to 14 ms to be loaded and none of the weight store's rate, so it is brought to another
+//! engine as soon as those that hold it are crowded.
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
 use crate::demand::{Demand, Target};
 use crate::effect::Effect;
-use crate::engine::Phase;
+use crate::engine::{Engine, Phase};
 use crate::ledger::{self, Order};
 use crate::state::State;
 
+/// Part of its slots that is taken at an engine that counts as crowded: beyond half of them, events come later.
+const CROWDED: f64 = 0.5;
+/// How much less of its slots must be taken at an engine that is to relieve another: with less, it would soon be
+/// crowded itself.
+const RELIEF: f64 = 0.25;
+/// What it speaks against an engine that another adapter has to make way there, in requests under way: it may be asked
+/// for again.
+const VICTIM_COST: f64 = 4.0;
+/// What speaks against an engine of another availability zone, in requests under way: of two that are alike, the near
+/// one answers the order sooner.
+const ZONE_COST: f64 = 0.5;
+
 /// Brings adapters that requests wait for to engines that hold their models.
 pub(crate) fn wanted(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     if state.lease.orders(now).is_none() {
@@ -28,8 +45,68 @@
     }
 }
 
-/// Finds a place for an adapter that none is on its way to.
+/// Finds a place for an adapter that is nowhere and that none is on its way to.
 fn place(state: &mut State, now: Time, target: &Target, out: &mut Vec<Effect>) {
+    let Some(name) = &target.adapter else {
+        return;
+    };
+    let expected = |engine: &Engine| {
+        let book = state.ledger.book(&engine.entry.id);
+        book.is_some_and(|book| book.expects(&target.model, name))
+    };
+    if state.engines_of(&target.service).filter(|engine| is_usable(engine, now)).any(expected) {
+        return;
+    }
+    bring(state, now, target, f64::INFINITY, out);
+}
+
+/// Brings adapters that are in use to more engines where those that hold them are crowded.
+pub(crate) fn relieve(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if state.lease.orders(now).is_none() {
+        return;
+    }
+    let all = state.hub.frames().flat_map(|frame| &frame.demand).chain(state.demand.peek());
+    let used = |demand: &&Demand| demand.open > 0 && demand.target.adapter.is_some();
+    let mut targets: Vec<Target> = all.filter(used).map(|demand| demand.target.clone()).collect();
+    targets.sort();
+    targets.dedup();
+    for target in targets {
+        if let Some(least) = crowding(state, now, &target) {
+            bring(state, now, &target, least - RELIEF, out);
+        }
+    }
+}
+
+/// The part of its slots that is taken at the least crowded engine that holds an adapter, if all that do are crowded
+/// and none is about to get it.
+fn crowding(state: &State, now: Time, target: &Target) -> Option<f64> {
+    let name = target.adapter.as_ref()?;
+    let mut least: Option<f64> = None;
+    for engine in state.engines_of(&target.service).filter(|engine| is_usable(engine, now)) {
+        let book = state.ledger.book(&engine.entry.id);
+        if !book.is_some_and(|book| book.expects(&target.model, name)) {
+            continue;
+        }
+        if !engine.serves(&target.model, Some(name), now) {
+            return None;
+        }
+        least = Some(least.map_or(taken(engine), |least| least.min(taken(engine))));
+    }
+    least.filter(|least| *least >= CROWDED)
+}
+
+/// The part of its slots that is taken at an engine; more than one if requests wait there.
+fn taken(engine: &Engine) -> f64 {
+    f64::from(engine.load().open) / f64::from(engine.entry.slots.max(1))
+}
+
+fn is_usable(engine: &Engine, now: Time) -> bool {
+    engine.takes_work() && !engine.health.suspected(now)
+}
+
+/// Loads an adapter at the best engine that holds its model and not the adapter, and of whose slots at most the given
+/// part is taken.
+fn bring(state: &mut State, now: Time, target: &Target, taken_max: f64, out: &mut Vec<Effect>) {
     let Some(name) = &target.adapter else {
         return;
     };
@@ -37,19 +114,14 @@
         return;
     };
     let mut best: Option<(f64, Name, Option<Order>)> = None;
-    for engine in state.engines_of(&target.service) {
-        if !engine.takes_work() || engine.health.suspected(now) {
-            continue;
-        }
+    for engine in state.engines_of(&target.service).filter(|engine| is_usable(engine, now)) {
         let Some(book) = state.ledger.book(&engine.entry.id) else {
             continue;
         };
-        if !book.copies().any(|(model, phase)| *model == target.model && phase == Phase::Ready) {
+        let ready = book.copies().any(|(model, phase)| *model == target.model && phase == Phase::Ready);
+        if !ready || taken(engine) > taken_max || book.expects(&target.model, name) {
             continue;
         }
-        if book.expects(&target.model, name) {
-            return;
-        }
         let victim = if book.adapters_expected() < pool.adapters_max as usize {
             None
         } else {
@@ -61,8 +133,8 @@
         if !book.takes_adapters(1 + usize::from(victim.is_some())) {
             continue;
         }
-        let zone = if engine.entry.zone == state.me.zone { 0.0 } else { 0.5 };
-        let cost = f64::from(engine.load().open) + f64::from(u8::from(victim.is_some())) * 4.0 + zone;
+        let zone = if engine.entry.zone == state.me.zone { 0.0 } else { ZONE_COST };
+        let cost = f64::from(engine.load().open) + f64::from(u8::from(victim.is_some())) * VICTIM_COST + zone;
         if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
             best = Some((cost, engine.entry.id.clone(), victim));
         }
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -78,6 +78,7 @@
         }
     }
     adapter::wanted(state, now, out);
+    adapter::relieve(state, now, out);
 }
 
 /// Takes in what all entry VMs have under way.
