Count copies once for a plan; split placement from the plan's timing

Change: place.rs decides on one view, tally.rs counts the copies in it, plan.rs says when and for what. A bench for the plan at four sizes.

--- /dev/null
+++ b/fleet/benches/plan.rs
@@ -0,0 +1,59 @@
+//! Time of one placement plan under demand that has moved, at the sizes of the users' sites and at the two-year size.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::config::{Model, Pool};
+use boragecove_fleet::demand::Trend;
+use boragecove_fleet::engine::{Cached, Phase};
+use boragecove_fleet::place::{Spot, View, moves};
+use divan::Bencher;
+
+const NOW: Time = Time::from_millis(100_000);
+/// Models that fit into one engine.
+const EACH: usize = 3;
+
+/// Engines and models.
+const SIZES: [(usize, usize); 4] = [(9, 13), (18, 34), (112, 135), (6_700, 780)];
+
+fn main() {
+    divan::main();
+}
+
+fn name(number: usize) -> Name {
+    format!("m{number}").into()
+}
+
+fn pool(models: usize) -> Pool {
+    let model = |number| Model { name: name(number), memory_mb: 66.0, ..Model::default() };
+    Pool { slots: 12, memory_mb: 200.0, models: (0..models).map(model).collect(), ..Pool::default() }
+}
+
+/// Every model has copies, and all that is asked for is a tenth of them.
+fn view(pool: &Pool, (engines, models): (usize, usize)) -> View<'_> {
+    let spot = |number: usize| Spot {
+        engine: format!("e{number}").into(),
+        usable: true,
+        idle: true,
+        copies: (0..EACH).map(|place| (name((number * EACH + place) % models), Phase::Ready)).collect(),
+        free_mb: 2.0,
+        cached: Cached::default(),
+        open: (number % 12) as u32,
+        zone: ["a", "b", "c"][number % 3].into(),
+    };
+    let trend = |number: usize| {
+        let busy = if number.is_multiple_of(10) { 10.0 * engines as f64 / models as f64 * 12.0 } else { 0.0 };
+        Trend { busy, waiting: 0, reading: busy / 100.0, asked: Some(NOW) }
+    };
+    let demand: BTreeMap<Name, Trend> = (0..models).map(|number| (name(number), trend(number))).collect();
+    let spots = (0..engines).map(spot).collect();
+    View { pool, spots, demand, cold_left: 1_000, watched: Duration::from_secs(20), now: NOW }
+}
+
+#[divan::bench(args = SIZES, sample_count = 10, sample_size = 1)]
+fn plan(bencher: Bencher<'_, '_>, size: (usize, usize)) {
+    let pool = pool(size.1);
+    bencher.with_inputs(|| view(&pool, size)).bench_values(moves);
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
 //! keeps what the store says; `choose`, `spread`, `pace`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame` joins the entry
-//! VMs; `lease`, `ledger` with `book`, `demand`, `plan` and `adapter` decide what engines hold.
+//! VMs; `lease`, `ledger` with `book`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
 mod adapter;
 mod book;
@@ -24,13 +24,15 @@
 pub mod ledger;
 mod outcome;
 pub mod pace;
-pub mod plan;
+pub mod place;
+mod plan;
 pub mod record;
 mod reduce;
 pub mod request;
 pub mod settings;
 pub mod spread;
 pub mod state;
+mod tally;
 pub mod timer;
 mod trust;
 
--- a/fleet/tests/model_placement.rs
+++ b/fleet/tests/model_placement.rs
@@ -10,7 +10,7 @@
 use boragecove_fleet::config::Pool;
 use boragecove_fleet::demand::Trend;
 use boragecove_fleet::engine::{Cached, Phase};
-use boragecove_fleet::plan::{Move, Spot, View, moves};
+use boragecove_fleet::place::{Move, Spot, View, moves};
 use node::{model, pool};
 
 const NOW: Time = Time::from_millis(100_000);
