Hold callers to the operator's times for heads and idle connections

Cause: both times were read from the configuration and not used: connections of callers were closed after two minutes without a request, and a head that never ended held its descriptor as long.

Ruled out: settings of our own for them (the operator's change with the configuration).

Change: the listener asks for the times in force at each connection, and builds its HTTP service anew when they have changed. Inner listeners keep generous times of their own.

--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -18,13 +18,14 @@
 use super::peers::{self, Hub};
 use super::settings::{self, Listen, Settings};
 use crate::clock::Clock;
-use crate::listener::{Listener, Socket};
+use crate::listener::{Listener, Socket, Times};
 use crate::settings::{Timeouts, Unreadable};
 
 /// Time for connections to end once nothing is under way.
 const CLOSE: Duration = Duration::from_millis(300);
-/// Callers reuse connections that were idle for most of the operator's limit; longer than any such limit.
-const KEEP_ALIVE: Duration = Duration::from_mins(2);
+/// Other entry VMs, the balancer and collectors of metrics come every second or oftener, and may be suspended for
+/// seconds.
+const INNER: Times = Times { head: Duration::from_secs(30), idle: Duration::from_mins(2) };
 
 /// Why an entry VM did not start.
 #[derive(Debug, Error)]
@@ -97,11 +98,17 @@
         let hub = Hub { node: node.clone(), changed: on_change };
         let watching = door.clone();
         let listeners = vec![
-            serve_on(peers, move |config| peers::routes(config, hub.clone()))?,
-            serve_on(watchers, move |config| {
-                doors::watchers(config, watching.clone());
+            serve_on(peers, || INNER, move |config| peers::routes(config, hub.clone()))?,
+            serve_on(
+                watchers,
+                || INNER,
+                move |config| {
+                    doors::watchers(config, watching.clone());
+                },
+            )?,
+            serve_on(callers, allowed(door.limits.clone()), move |config| {
+                doors::callers(config, door.clone());
             })?,
-            serve_on(callers, move |config| doors::callers(config, door.clone()))?,
         ];
         Ok(Self { node, listeners, stopping, exited })
     }
@@ -146,17 +153,25 @@
     }
 }
 
+/// What the operator allows callers to take, by the configuration in force.
+fn allowed(limits: watch::Receiver<Limits>) -> impl Fn() -> Times {
+    move || {
+        let limits = limits.borrow();
+        Times { head: limits.header_time, idle: limits.idle_time }
+    }
+}
+
 fn bind(address: SocketAddr) -> Result<Socket, Failed> {
-    let timeouts =
-        Timeouts { read: KEEP_ALIVE, keep_alive: KEEP_ALIVE, shutdown: CLOSE, ..Timeouts::default() };
+    let timeouts = Timeouts { shutdown: CLOSE, ..Timeouts::default() };
     Socket::bind(address, timeouts).map_err(|source| Failed::Listen { address, source })
 }
 
-fn serve_on<F>(socket: Socket, routes: F) -> Result<Listener, Failed>
+fn serve_on<F, T>(socket: Socket, times: T, routes: F) -> Result<Listener, Failed>
 where
     F: Fn(&mut actix_web::web::ServiceConfig) + Send + 'static,
+    T: Fn() -> Times + Send + 'static,
 {
     let address = socket.address();
-    let served = socket.on_arbiter(&Arbiter::current(), routes);
+    let served = socket.on_arbiter(&Arbiter::current(), times, routes);
     served.map_err(|source| Failed::Listen { address, source })
 }
--- a/daemon/src/listener.rs
+++ b/daemon/src/listener.rs
@@ -21,6 +21,22 @@
 /// Pause after a connection could not be accepted, as when there are no file descriptors left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// How long callers may take. Connections that are open keep what held when they were accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Times {
+    /// To send the head of a connection's first request.
+    pub(crate) head: Duration,
+    /// Between an answer and the next request.
+    pub(crate) idle: Duration,
+}
+
+impl Timeouts {
+    /// What callers may take by these settings.
+    pub(crate) const fn callers(&self) -> Times {
+        Times { head: self.read, idle: self.keep_alive }
+    }
+}
+
 /// A listener that runs.
 #[derive(Debug)]
 pub(crate) struct Listener {
@@ -88,17 +104,18 @@
         Ok(Listener { address, stop: Stop::Threads(handle) })
     }
 
-    /// Serves `routes` on the thread of `arbiter`.
-    pub(crate) fn on_arbiter<F>(self, arbiter: &ArbiterHandle, routes: F) -> io::Result<Listener>
+    /// Serves `routes` on the thread of `arbiter`. `times` is asked for each connection.
+    pub(crate) fn on_arbiter<F, T>(self, arbiter: &ArbiterHandle, times: T, routes: F) -> io::Result<Listener>
     where
         F: Fn(&mut ServiceConfig) + Send + 'static,
+        T: Fn() -> Times + Send + 'static,
     {
         let Self { listener, address, timeouts } = self;
         let (sender, _) = watch::channel(Phase::Open);
         let phase = sender.clone();
         let sent = arbiter.spawn_fn(move || {
             actix_rt::spawn(async move {
-                if let Err(error) = serve(listener, timeouts, routes, &phase).await {
+                if let Err(error) = serve(listener, timeouts.shutdown, times, routes, &phase).await {
                     tracing::error!(%address, %error, "cannot listen");
                 }
                 phase.send_replace(Phase::Closed);
@@ -111,35 +128,45 @@
     }
 }
 
-async fn serve<F>(
+async fn serve<F, T>(
     listener: TcpListener,
-    timeouts: Timeouts,
+    shutdown: Duration,
+    times: T,
     routes: F,
     phase: &watch::Sender<Phase>,
 ) -> io::Result<()>
 where
     F: Fn(&mut ServiceConfig) + 'static,
+    T: Fn() -> Times,
 {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let address = listener.local_addr()?;
-    let closing = phase.clone();
-    let app = App::new().configure(routes).into_factory();
-    let service = HttpService::build()
-        .graceful_shutdown_signal(move || closed(closing.subscribe()))
-        .tcp_nodelay(true)
-        .keep_alive(timeouts.keep_alive)
-        .client_request_timeout(timeouts.read)
-        .client_disconnect_timeout(DISCONNECT)
-        .h1_allow_half_closed(false)
-        .local_addr(address)
-        .finish(map_config(app, |()| AppConfig::default()))
-        .tcp();
-    let service = service.new_service(()).await.map_err(|()| io::Error::other("no service"))?;
     let mut connections = JoinSet::new();
-    accept(&listener, &service, &mut connections, phase.subscribe()).await;
+    let mut first = None;
+    while *phase.borrow() == Phase::Open {
+        let now = times();
+        let closing = phase.clone();
+        let app = App::new().configure(&routes).into_factory();
+        let service = HttpService::build()
+            .graceful_shutdown_signal(move || closed(closing.subscribe()))
+            .tcp_nodelay(true)
+            .keep_alive(now.idle)
+            .client_request_timeout(now.head)
+            .client_disconnect_timeout(DISCONNECT)
+            .h1_allow_half_closed(false)
+            .local_addr(address)
+            .finish(map_config(app, |()| AppConfig::default()))
+            .tcp();
+        let service = service.new_service(()).await.map_err(|()| io::Error::other("no service"))?;
+        if let Some(stream) = first.take() {
+            connections.spawn_local(carry(service.call(stream)));
+        }
+        let changed = || times() != now;
+        first = accept(&listener, &service, &mut connections, changed, phase.subscribe()).await;
+    }
     drop(listener);
     let rest = async { while connections.join_next().await.is_some() {} };
-    let _cut_off = tokio::time::timeout(timeouts.shutdown, rest).await;
+    let _cut_off = tokio::time::timeout(shutdown, rest).await;
     Ok(())
 }
 
@@ -147,27 +174,35 @@
     let _node_is_gone = phase.wait_for(|phase| *phase != Phase::Open).await;
 }
 
-/// Accepts connections until the listener is to close.
+/// Serves a connection to its end.
+async fn carry(connection: impl Future) {
+    // Callers leave as they like.
+    let _broke_off = connection.await;
+}
+
+/// Accepts connections until the listener is to close, or until one comes that another service is to take.
 async fn accept<S>(
     listener: &tokio::net::TcpListener,
     service: &S,
     connections: &mut JoinSet<()>,
+    changed: impl Fn() -> bool,
     phase: watch::Receiver<Phase>,
-) where
+) -> Option<TcpStream>
+where
     S: Service<TcpStream>,
     S::Future: 'static,
+    S::Response: 'static,
+    S::Error: 'static,
 {
     let closed = closed(phase);
     tokio::pin!(closed);
     loop {
         tokio::select! {
-            () = &mut closed => return,
+            () = &mut closed => return None,
             accepted = listener.accept() => match accepted {
+                Ok((stream, _)) if changed() => return Some(stream),
                 Ok((stream, _)) => {
-                    let connection = service.call(stream);
-                    connections.spawn_local(async move {
-                        let _broke_off = connection.await;
-                    });
+                    connections.spawn_local(carry(service.call(stream)));
                 }
                 Err(error) => {
                     tracing::warn!(%error, "a connection could not be accepted");
--- a/daemon/src/node/running.rs
+++ b/daemon/src/node/running.rs
@@ -15,7 +15,7 @@
 use super::{Ask, Node, Stop};
 use crate::callers::{self, Edge, Entrance, Shared};
 use crate::clock::Clock;
-use crate::listener::{Listener, Socket};
+use crate::listener::{Listener, Socket, Times};
 use crate::platform::Source;
 use crate::settings::{Settings, Timeouts};
 use crate::{operators, peers};
@@ -75,11 +75,12 @@
         let edge = edge.clone();
         move |config: &mut ServiceConfig| callers::routes(config, edge.clone(), Entrance::Callers)
     };
+    let times = settings.timeouts.callers();
     let callers = match settings.workers {
-        0 => callers.on_arbiter(&arbiter, routes)?,
+        0 => callers.on_arbiter(&arbiter, times, routes)?,
         workers => callers.on_threads(workers, routes)?,
     };
-    let peers = peers.on_arbiter(&arbiter, {
+    let peers = peers.on_arbiter(&arbiter, times, {
         let (edge, secret) = (edge.clone(), settings.peer_secret.clone());
         move |config: &mut ServiceConfig| peers::routes(config, edge.clone(), secret.clone())
     })?;
@@ -119,13 +120,17 @@
         Ok(Self { whom, socket })
     }
 
-    fn on_arbiter<F>(self, arbiter: &Arbiter, routes: F) -> Result<Listener, Failed>
+    fn on_arbiter<F>(self, arbiter: &Arbiter, times: Times, routes: F) -> Result<Listener, Failed>
     where
         F: Fn(&mut ServiceConfig) + Send + 'static,
     {
         let Self { whom, socket } = self;
         let address = socket.address();
-        socket.on_arbiter(&arbiter.handle(), routes).map_err(|source| Failed { whom, address, source })
+        socket.on_arbiter(&arbiter.handle(), move || times, routes).map_err(|source| Failed {
+            whom,
+            address,
+            source,
+        })
     }
 
     fn on_threads<F>(self, workers: usize, routes: F) -> Result<Listener, Failed>
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -325,3 +325,59 @@
         assert!(text.contains(wrong), "{wrong}: {text}");
     }
 }
+
+/// A platform whose operator allows 700 ms for a request's head and keeps idle connections for 900 ms.
+fn hasty_platform() -> (Store, Engine, Engine) {
+    let (store, writer, gateway) = platform();
+    let mut hasty = config(2);
+    hasty["limits"]["header_timeout_ms"] = 700.into();
+    hasty["limits"]["idle_timeout_ms"] = 900.into();
+    store.put("op", "config", &hasty);
+    (store, writer, gateway)
+}
+
+/// Reads from a connection until it is closed. Returns what came, and how long that took.
+fn until_closed(stream: &mut TcpStream) -> (String, Duration) {
+    let begun = Instant::now();
+    let mut text = String::new();
+    stream.set_read_timeout(Some(LIMIT)).expect("sets");
+    let _reset = stream.read_to_string(&mut text);
+    (text, begun.elapsed())
+}
+
+/// Opens connections until one is held to the limits of the second configuration, which comes a moment later.
+fn eventually(check: impl Fn() -> bool) -> bool {
+    (0..5).any(|_| check())
+}
+
+#[test]
+fn half_head_is_refused() {
+    let (store, _writer, _gateway) = hasty_platform();
+    let entry = Entry::start("hasty-head", &store);
+    let refused = || {
+        let mut stream = TcpStream::connect(entry.callers).expect("connects");
+        stream.write_all(b"POST /ack/1 HTTP/1.1\r\nHost: care").expect("sends");
+        let (text, took) = until_closed(&mut stream);
+        text.starts_with("HTTP/1.1 408") && took < Duration::from_secs(2)
+    };
+    assert!(eventually(refused), "a head that does not end is refused in the operator's time");
+}
+
+#[test]
+fn idle_is_closed() {
+    let (store, _writer, _gateway) = hasty_platform();
+    let entry = Entry::start("hasty-idle", &store);
+    let closed = || {
+        let mut stream = TcpStream::connect(entry.callers).expect("connects");
+        let request = plain("/ack/1", "a1").replace("Connection: close\r\n", "");
+        stream.write_all(request.as_bytes()).expect("sends");
+        let (text, took) = until_closed(&mut stream);
+        assert!(text.ends_with("answer to a1"), "{text}");
+        assert!(
+            took > Duration::from_millis(720),
+            "callers use connections again for four fifths of the limit"
+        );
+        took < Duration::from_millis(2_500)
+    };
+    assert!(eventually(closed), "an idle connection is closed in the operator's time");
+}
