Start by the hub's word; let calls of the store not grow with the entry VMs

Each of 90 entry VMs read both tables at its start, looked at the lease every 400 ms while there was no hub, and followed the tables every 250 ms meanwhile; the hub asked every 30 ms for the changes of 118 engines.

Change: a process that starts asks the hub first and the store after 700 ms without an answer; a new holder follows the tables at once. Pauses between looks and between calls grow with the number of entry VMs beyond 30 and of engines beyond 30. Tests starts_by_the_hub, starts_without_a_hub and fewer_looks_of_many were red before; store_is_left_to_the_hub now also asserts that the store is followed while the hub says nothing.

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -129,7 +129,7 @@
             ready: signals.ready,
             changed: signals.changed,
             limits: signals.limits,
-            follow: watch::Sender::new(Some(Follow::default())),
+            follow: watch::Sender::new(None),
             exited: signals.exited,
             metrics: metrics::Metrics::default(),
             settings: Rc::new(settings),
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -10,6 +10,7 @@
 use crate::engine::{Engine, Entry, Row};
 use crate::event::Listing;
 use crate::flow;
+use crate::frame;
 use crate::ledger;
 use crate::record::Record;
 use crate::state::State;
@@ -45,7 +46,7 @@
 
 /// Says whether this entry VM can serve.
 pub(crate) fn announce(state: &mut State, out: &mut Vec<Effect>) {
-    let ready = state.config.is_some() && state.listed > 0 && !state.stopping;
+    let ready = frame::knows(state) && !state.stopping;
     if ready != state.ready {
         state.ready = ready;
         out.push(Effect::Ready(ready));
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -180,25 +180,41 @@
 
 /// Follows the store's tables only where the hub does not do it for all: calls of the store are rationed, and
 /// their number would grow with that of the entry VMs.
-fn follow(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    let holds = state.lease.holds(now).is_some();
-    let told = state.hub.fresh && state.hub.alive(now, &state.settings);
-    let known = state.listed > 0 && state.config.is_some();
-    let follows = if holds {
-        Some(state.settings.follow_as_hub)
-    } else {
-        (!told || !known).then_some(state.settings.follow_alone)
-    };
+pub(crate) fn follow(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let follows = pause(state, now);
     if follows != state.follows {
         state.follows = follows;
         out.push(Effect::Follow(follows.map(|pause| Follow { listed: state.listed, pause })));
     }
 }
 
+/// The pause between calls for the store's changes, if this process is to make any. More engines change more often
+/// and more entry VMs ask, so that both pauses grow with their number.
+fn pause(state: &State, now: Time) -> Option<Duration> {
+    let settings = &state.settings;
+    if state.lease.holds(now).is_some() {
+        let engines = state.engines.len() as f64 / f64::from(settings.follow_engines);
+        return Some(settings.follow_as_hub.mul_f64(engines.max(1.0)));
+    }
+    let known = knows(state);
+    let told = known && state.hub.fresh && state.hub.alive(now, settings);
+    let asking = !known && now.since(state.started) < settings.hub_wait;
+    (!told && !asking).then(|| settings.follow_alone.mul_f64(many(state)))
+}
+
+/// Whether this process has what it needs to serve.
+pub(crate) fn knows(state: &State) -> bool {
+    state.listed > 0 && state.config.is_some()
+}
+
+/// By how much longer each waits, since there are so many entry VMs.
+pub(crate) fn many(state: &State) -> f64 {
+    (f64::from(state.hub.nodes) / f64::from(state.settings.frame_nodes)).max(1.0)
+}
+
 /// Time between frames: longer where there are many entry VMs, since the hub answers them all.
 fn every(state: &State) -> Duration {
-    let many = f64::from(state.hub.nodes) / f64::from(state.settings.frame_nodes);
-    state.settings.frame_every.mul_f64(many.max(1.0))
+    state.settings.frame_every.mul_f64(many(state))
 }
 
 /// For how long, on average, requests that other entry VMs send are not known here: since the hub's last answer, and
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::effect::Effect;
+use crate::frame;
 use crate::record::{Record, ms};
 use crate::state::State;
 use crate::timer::Timer;
@@ -136,8 +137,11 @@
 
 /// The lease is to be looked at, taken or renewed.
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    let wait =
-        if state.lease.held.is_some() { state.settings.lease_renew } else { state.settings.lease_look };
+    let wait = if state.lease.held.is_some() {
+        state.settings.lease_renew
+    } else {
+        state.settings.lease_look.mul_f64(frame::many(state))
+    };
     let jitter = wait.mul_f64(0.2 * state.rng.f64());
     state.timers.set(now + wait - jitter, Timer::Lease);
     if state.lease.pending.is_some() {
@@ -230,6 +234,9 @@
     if state.stopping {
         return;
     }
+    if !mine && !frame::knows(state) {
+        frame::send(state, now, out);
+    }
     let wait = if state.settings.weak { state.settings.weak_wait } else { Duration::ZERO };
     let margin_ms = ms(state.settings.lease_margin + wait);
     if mine || seen.row.released || store_ms > seen.row.until_ms.saturating_add(margin_ms) {
@@ -259,6 +266,7 @@
     state.lease.held = Some(Held { version, term, until, orders_from });
     note(state, "taken", ms(orders_from.since(now)), out);
     state.ledger.begin(term == 1);
+    frame::follow(state, now, out);
 }
 
 /// Time in which another machine's orders may still count against this one's.
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -44,6 +44,10 @@
     pub hub_store_age: Duration,
     /// Time between calls of the hub for the store's changes.
     pub follow_as_hub: Duration,
+    /// Engines up to which it calls that often; with more of them, less often in proportion.
+    pub follow_engines: u32,
+    /// How long a process that starts waits for the hub's word before it asks the store for everything: some frames.
+    pub hub_wait: Duration,
     /// Time between calls of others that have no hub: each engine that registers changes the table, and all of
     /// them do so at the start.
     pub follow_alone: Duration,
@@ -112,6 +116,8 @@
             hub_silence: Duration::from_millis(700),
             hub_store_age: Duration::from_secs(1),
             follow_as_hub: Duration::from_millis(30),
+            follow_engines: 30,
+            hub_wait: Duration::from_millis(700),
             follow_alone: Duration::from_millis(250),
             plan_every: Duration::from_millis(250),
             lapse_grace: Duration::from_millis(1_500),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -93,7 +93,6 @@
         timers.set(now, Timer::Lease);
         timers.set(now + settings.frame_every, Timer::Frame);
         timers.set(now + settings.plan_every, Timer::Plan);
-        let follows = Some(settings.follow_alone);
         Self {
             me,
             settings,
@@ -107,7 +106,7 @@
             listed: 0,
             store_up: true,
             store_heard: now,
-            follows,
+            follows: None,
             store_troubled: None,
             flows: FxHashMap::default(),
             waiting: BTreeSet::new(),
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -92,17 +92,66 @@
 #[test]
 fn store_is_left_to_the_hub() {
     let mut node = follower();
-    node.pass(millis(200));
+    assert_eq!(follows(&node.pass(Duration::from_secs(1))), Some(true), "no word of the hub");
     node.feed(Event::Replied(Some(Box::new(reply()))));
     assert_eq!(follows(&node.effects), Some(false));
 }
 
+/// A process that starts has the configuration and the engines from the hub, without a call for either.
+#[test]
+fn starts_by_the_hub() {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    let mut node = Node::bare("a");
+    node.pass(millis(10));
+    let row =
+        Row { holder: "hub".into(), address: address(7_001), term: 3, until_ms: 60_000, released: false };
+    let effects = node.lease(0, Outcome::Read(Some(Seen { version: 9, row }))).to_vec();
+    let asked = effects.into_iter().find_map(|effect| match effect {
+        Effect::Frame { frame, .. } => Some(frame),
+        _ => None,
+    });
+    let told = boragecove_fleet::reply(&hub.state, hub.now, &asked.expect("it asks at once"));
+    node.feed(Event::Replied(Some(Box::new(told))));
+    assert!(node.effects.iter().any(|effect| matches!(effect, Effect::Ready(true))));
+    assert_eq!(follows(&node.effects), None, "it never followed the store");
+    assert_eq!(node.state.engines().count(), 4);
+}
+
+#[test]
+fn starts_without_a_hub() {
+    let mut node = Node::bare("a");
+    assert_eq!(follows(&node.pass(millis(300))), None, "the hub may answer");
+    assert_eq!(follows(&node.pass(millis(600))), Some(true));
+}
+
+/// Many entry VMs that have lost their hub: their calls for the lease do not grow with their number.
+#[test]
+fn fewer_looks_of_many() {
+    let looks = |nodes: u32| {
+        let mut node = follower();
+        node.pass(millis(200));
+        node.feed(Event::Replied(Some(Box::new(Reply { nodes, ..reply() }))));
+        let mut looks = 0;
+        for _ in 0..200 {
+            let effects = node.pass(millis(50));
+            if effects.iter().any(|effect| matches!(effect, Effect::Lease(_))) {
+                looks += 1;
+                node.lease(0, Outcome::Unknown);
+            }
+        }
+        looks
+    };
+    let (few, many) = (looks(9), looks(90));
+    assert!(few >= 20, "{few} looks in 10 s: the next hub is found soon");
+    assert!((5..=10).contains(&many), "{many} looks in 10 s, of 90 entry VMs");
+}
+
 #[test]
 fn hub_follows_closely() {
     let mut hub = Node::ready("hub");
     hub.lead();
-    let effects = hub.pass(millis(200));
-    let pause = effects.iter().find_map(|effect| match effect {
+    let pause = hub.effects.iter().find_map(|effect| match effect {
         Effect::Follow(Some(how)) => Some(how.pause),
         _ => None,
     });
