Leave a lease that was given back to entry VMs that were restarted

And a holder that gave the lease back left the full length of it in the row, so that its successor counted three seconds from the end of that.

Change: the row says when its holder's process started, by the store's clock. A lease that was given back is left for half a second to processes that started over a second later than its holder. It is given back as of now. Tests restarted_takes_it_first and given_back_at_once were red before; one_holder (random worlds) holds.

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -29,10 +29,20 @@
     pub term: u64,
     /// When it is over at the latest, by the store's clock, in ms.
     pub until_ms: u64,
+    /// When the holder's process started, by the store's clock, in ms.
+    #[serde(default)]
+    pub started_ms: u64,
     /// Whether the holder has given it back.
     pub released: bool,
 }
 
+/// By how much later than another a process must have started to count as restarted since, in ms: all entry VMs of a
+/// deployment may start within a second.
+const RESTARTED_MS: u64 = 1_000;
+/// How long a lease that was given back is left to processes that were restarted after its holder, in ms: others may be
+/// the next to stop in a rolling restart. Just over one look at the lease.
+const YIELD_MS: u64 = 500;
+
 /// A row with the store's version of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
@@ -104,6 +114,11 @@
     fn at_most(self, time: Time) -> u64 {
         self.store_ms + ms(time.since(self.asked))
     }
+
+    /// What the store's clock showed at a time before it was asked, within the time of a call.
+    fn at_least(self, time: Time) -> u64 {
+        self.store_ms.saturating_sub(ms(self.asked.since(time)))
+    }
 }
 
 /// The lease, held by this process.
@@ -167,9 +182,11 @@
 }
 
 fn own_row(state: &State, now: Time, term: u64, released: bool) -> Row {
-    let over = now + state.settings.lease_length;
+    // Whoever gives it back sends no more orders.
+    let over = if released { now } else { now + state.settings.lease_length };
     let until_ms = state.lease.clock.map_or(u64::MAX, |clock| clock.at_most(over));
-    Row { holder: state.me.vm.clone(), address: state.me.address, term, until_ms, released }
+    let started_ms = state.lease.clock.map_or(0, |clock| clock.at_least(state.started));
+    Row { holder: state.me.vm.clone(), address: state.me.address, term, until_ms, started_ms, released }
 }
 
 fn call(state: &mut State, now: Time, call: Call, out: &mut Vec<Effect>) {
@@ -239,12 +256,20 @@
     }
     let wait = if state.settings.weak { state.settings.weak_wait } else { Duration::ZERO };
     let margin_ms = ms(state.settings.lease_margin + wait);
-    if mine || seen.row.released || store_ms > seen.row.until_ms.saturating_add(margin_ms) {
+    let free = seen.row.released && !yields(state, &seen.row, store_ms);
+    if mine || free || store_ms > seen.row.until_ms.saturating_add(margin_ms) {
         let row = own_row(state, now, seen.row.term + 1, false);
         call(state, now, Call::Write { expected: seen.version, row }, out);
     }
 }
 
+/// Whether a lease that was given back is left to others for now.
+fn yields(state: &State, row: &Row, store_ms: u64) -> bool {
+    let started_ms = state.lease.clock.map_or(0, |clock| clock.at_least(state.started));
+    let restarted = started_ms > row.started_ms + RESTARTED_MS;
+    !restarted && store_ms < row.until_ms.saturating_add(YIELD_MS)
+}
+
 /// An own write was done.
 fn written(state: &mut State, now: Time, sent: Time, new: Seen, store_ms: u64, out: &mut Vec<Effect>) {
     let term = new.row.term;
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -79,6 +79,7 @@
         address: node::address(7_001),
         term: 3,
         until_ms: 10_000,
+        started_ms: 0,
         released: false,
     };
     let seen = boragecove_fleet::lease::Seen { version: 9, row };
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -22,8 +22,14 @@
 fn follower() -> Node {
     let mut node = Node::ready("a");
     node.pass(millis(10));
-    let row =
-        Row { holder: "hub".into(), address: address(7_001), term: 3, until_ms: 60_000, released: false };
+    let row = Row {
+        holder: "hub".into(),
+        address: address(7_001),
+        term: 3,
+        until_ms: 60_000,
+        started_ms: 0,
+        released: false,
+    };
     node.lease(0, Outcome::Read(Some(Seen { version: 9, row })));
     node
 }
@@ -104,8 +110,14 @@
     hub.lead();
     let mut node = Node::bare("a");
     node.pass(millis(10));
-    let row =
-        Row { holder: "hub".into(), address: address(7_001), term: 3, until_ms: 60_000, released: false };
+    let row = Row {
+        holder: "hub".into(),
+        address: address(7_001),
+        term: 3,
+        until_ms: 60_000,
+        started_ms: 0,
+        released: false,
+    };
     let effects = node.lease(0, Outcome::Read(Some(Seen { version: 9, row }))).to_vec();
     let asked = effects.into_iter().find_map(|effect| match effect {
         Effect::Frame { frame, .. } => Some(frame),
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -11,7 +11,9 @@
 use node::{Node, address, millis};
 
 fn other(version: u64, until_ms: u64, released: bool) -> Seen {
-    Seen { version, row: Row { holder: "b".into(), address: address(7_001), term: 3, until_ms, released } }
+    let row =
+        Row { holder: "b".into(), address: address(7_001), term: 3, until_ms, started_ms: 5_000, released };
+    Seen { version, row }
 }
 
 fn calls(effects: &[Effect]) -> Vec<Call> {
@@ -78,6 +80,37 @@
     assert!(node.state.lease().orders(node.now).is_some(), "the same machine has given the orders before");
 }
 
+/// In a rolling restart, the lease goes to an entry VM that has been restarted already: the others are next.
+#[test]
+fn restarted_takes_it_first() {
+    let takes = |started_ms: u64, released_for: u64| {
+        let mut node = Node::bare("a");
+        node.pass(millis(10));
+        node.lease(started_ms, Outcome::Unknown);
+        let store_ms = 30_000 + released_for;
+        node.now = node.now + millis(store_ms - started_ms);
+        node.pass(millis(10));
+        node.lease(store_ms, Outcome::Read(Some(other(9, 30_000, true))));
+        calls(&node.effects).iter().any(|call| matches!(call, Call::Write { .. }))
+    };
+    assert!(takes(28_000, 50), "it started long after the holder did");
+    assert!(!takes(5_200, 50), "it started with the holder, and may be the next to stop");
+    assert!(takes(5_200, 600), "nobody else took it");
+}
+
+/// A holder that gives the lease back sends no more orders: the next one's three seconds begin then.
+#[test]
+fn given_back_at_once() {
+    let mut node = Node::bare("a");
+    node.lead();
+    node.pass(millis(395));
+    node.lease(400, Outcome::Written(101));
+    node.feed(Event::Stop);
+    let given = calls(&node.effects);
+    let [Call::Write { row, .. }] = &*given else { panic!("{given:?}") };
+    assert!(row.released && row.until_ms < 500, "{row:?}");
+}
+
 #[test]
 fn weak_machine_waits() {
     let settings = Settings { weak: true, ..Settings::default() };
