Take over changed settings while running, with or without a signal

Cause: a settings file that changed was reported at SIGHUP and held from the next start on; without a signal nobody looked.

Change: the file is read every two seconds and at SIGHUP. Bounds on repeats, orders and loads, and the grace, hold at once; names and addresses need a restart, and the log says so. A file that is refused changes nothing.

--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -1,5 +1,6 @@
 //! Starts an entry VM and stops it.
 
+use std::fs;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -7,9 +8,11 @@
 
 use actix::{Actor, Arbiter};
 use boragecove_fleet::config::Limits;
+use boragecove_fleet::event::Event;
 use thiserror::Error;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
 use tracing_subscriber::filter::LevelFilter;
 
 use super::doors::{self, Door};
@@ -23,6 +26,8 @@
 
 /// Time for connections to end once nothing is under way.
 const CLOSE: Duration = Duration::from_millis(300);
+/// Time between looks for a change of the settings file: it may come without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
 /// Other entry VMs, the balancer and collectors of metrics come every second or oftener, and may be suspended for
 /// seconds.
 const INNER: Times = Times { head: Duration::from_secs(30), idle: Duration::from_mins(2) };
@@ -113,7 +118,10 @@
         Ok(Self { node, listeners, stopping, exited })
     }
 
-    async fn run(mut self, file: &Path, settings: Settings) -> Result<(), Failed> {
+    async fn run(mut self, file: &Path, mut settings: Settings) -> Result<(), Failed> {
+        let mut look = tokio::time::interval(LOOK_EVERY);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut text = fs::read(file)?;
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hangup = signal(SignalKind::hangup())?;
@@ -121,17 +129,38 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hangup.recv() => self.node.do_send(Reloaded(reload(file, &settings))),
+                _ = hangup.recv() => {
+                    text = fs::read(file).unwrap_or(text);
+                    self.reload(file, &mut settings);
+                }
+                _ = look.tick() => match fs::read(file) {
+                    Ok(now) if now == text => {}
+                    Ok(now) => {
+                        text = now;
+                        self.reload(file, &mut settings);
+                    }
+                    Err(error) => tracing::debug!(%error, "the settings file cannot be read"),
+                },
             }
         }
         self.stop(&settings, &mut terminate).await;
         Ok(())
     }
 
+    /// Reads the settings again.
+    fn reload(&self, file: &Path, settings: &mut Settings) {
+        let before = settings.fleet.clone();
+        let outcome = adopt(settings::load(file), settings);
+        if settings.fleet != before {
+            self.node.do_send(Feed(Event::Tuned(Box::new(settings.fleet.clone()))));
+        }
+        self.node.do_send(Reloaded(outcome));
+    }
+
     /// Stops without cutting anything off that ends within the grace.
     async fn stop(&mut self, settings: &Settings, again: &mut Signal) {
         self.stopping.send_replace(true);
-        self.node.do_send(Feed(boragecove_fleet::event::Event::Stop));
+        self.node.do_send(Feed(Event::Stop));
         tokio::select! {
             _ = self.exited.wait_for(|exited| *exited) => {}
             () = tokio::time::sleep(settings.stop_within()) => {}
@@ -143,12 +172,17 @@
     }
 }
 
-/// Looks at the settings again. What can change while a process runs is told by the store; the rest needs
-/// a restart, and is said so.
-fn reload(file: &Path, settings: &Settings) -> String {
-    match settings::load(file) {
+/// Takes over from settings that were read anew what can change while a process runs, and says what came of it. Names
+/// and addresses need a restart.
+fn adopt(read: Result<Settings, Unreadable>, settings: &mut Settings) -> String {
+    match read {
         Ok(read) if read == *settings => "unchanged".to_owned(),
-        Ok(_) => "changed, in force at the next start".to_owned(),
+        Ok(read) => {
+            settings.fleet = read.fleet.clone();
+            settings.grace = read.grace;
+            let rest = if read == *settings { "" } else { ", but for what needs a restart" };
+            format!("in force{rest}")
+        }
         Err(error) => format!("refused: {error}"),
     }
 }
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -326,6 +326,33 @@
     }
 }
 
+/// Settings that change hold without a restart, whether a signal says so or not; what cannot is said.
+#[test]
+fn changed_settings_hold() {
+    let (store, _, _) = platform();
+    let mut entry = Entry::start("changed", &store);
+    let mut log = entry.log.take().expect("not taken");
+    let text = fs::read_to_string(&entry.settings).expect("reads");
+    let mut reloaded = |text: &str| {
+        // A reader never sees half a file.
+        let beside = entry.settings.with_extension("new");
+        fs::write(&beside, text).expect("writes");
+        fs::rename(&beside, &entry.settings).expect("takes its place");
+        loop {
+            let mut line = String::new();
+            log.read_line(&mut line).expect("a line");
+            let line: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+            if line["decision"] == "reloaded" {
+                return line["outcome"].as_str().expect("an outcome").to_owned();
+            }
+        }
+    };
+    let tuned = text.replacen('{', r#"{"repeats": {"ratio": 0.1}, "#, 1);
+    assert_eq!(reloaded(&tuned), "in force");
+    assert!(reloaded("{").starts_with("refused"), "a broken file changes nothing");
+    assert_eq!(reloaded(&tuned.replace("zone-a", "zone-b")), "in force, but for what needs a restart");
+}
+
 /// A platform whose operator allows 700 ms for a request's head and keeps idle connections for 900 ms.
 fn hasty_platform() -> (Store, Engine, Engine) {
     let (store, writer, gateway) = platform();
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -11,6 +11,7 @@
 use crate::lease;
 use crate::ledger::{Receipt, Report};
 use crate::request::{Arrival, End, Id};
+use crate::settings::Settings;
 
 /// Something that happened. The time at which it did is handed in beside it.
 #[derive(Clone, Debug)]
@@ -72,6 +73,8 @@
         /// Whether it answered.
         well: bool,
     },
+    /// The settings have changed.
+    Tuned(Box<Settings>),
     /// The process was asked to stop.
     Stop,
     /// The time that an effect asked to be woken at has come.
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -18,10 +18,8 @@
     Frame { vm: vm.into(), config: 1, listed: 4, loads, ..Frame::default() }
 }
 
-/// A process that knows another as the hub.
-fn follower() -> Node {
-    let mut node = Node::ready("a");
-    node.pass(millis(10));
+/// The lease, held by another.
+fn hub_row() -> Seen {
     let row = Row {
         holder: "hub".into(),
         address: address(7_001),
@@ -30,7 +28,14 @@
         started_ms: 0,
         released: false,
     };
-    node.lease(0, Outcome::Read(Some(Seen { version: 9, row })));
+    Seen { version: 9, row }
+}
+
+/// A process that knows another as the hub.
+fn follower() -> Node {
+    let mut node = Node::ready("a");
+    node.pass(millis(10));
+    node.lease(0, Outcome::Read(Some(hub_row())));
     node
 }
 
@@ -110,15 +115,7 @@
     hub.lead();
     let mut node = Node::bare("a");
     node.pass(millis(10));
-    let row = Row {
-        holder: "hub".into(),
-        address: address(7_001),
-        term: 3,
-        until_ms: 60_000,
-        started_ms: 0,
-        released: false,
-    };
-    let effects = node.lease(0, Outcome::Read(Some(Seen { version: 9, row }))).to_vec();
+    let effects = node.lease(0, Outcome::Read(Some(hub_row()))).to_vec();
     let asked = effects.into_iter().find_map(|effect| match effect {
         Effect::Frame { frame, .. } => Some(frame),
         _ => None,
