Count the candidates of a zone once for each choice

Cause: to raise the costs of other zones' engines, each candidate counted those of its zone: the square of their number for each request, found when the change was read again.

Change: the zones are counted once. What is chosen is the same.

Measured: all tests of the package pass; no figure was taken.

--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -1,6 +1,6 @@
 //! Which engine a request goes to: the one where it is expected to wait least.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use boragecove_core::name::Name;
@@ -154,15 +154,17 @@
         Some(work) => ms(work) + state.settings.crowd_ms,
         None => run_ms / f64::from(slots.max(1)),
     };
-    let zones: BTreeSet<&Name> = candidates.iter().map(|candidate| &candidate.engine.entry.zone).collect();
+    let mut zones: BTreeMap<&Name, usize> = BTreeMap::new();
+    for candidate in candidates {
+        *zones.entry(&candidate.engine.entry.zone).or_default() += 1;
+    }
     let late_ms = ms(frame::lateness(state, now));
     // Each availability zone's requests go to its own engines first, and raise their costs.
     let requests = f64::from(others) * late_ms / run_ms.max(1.0) / zones.len().max(1) as f64;
     let pour = Pour { requests, step_ms };
     let cost = |candidate: &Candidate<'_>| {
         let zone = &candidate.engine.entry.zone;
-        let beside = candidates.iter().filter(|other| other.engine.entry.zone == *zone).count();
-        let raised = if *zone == state.me.zone { 0.0 } else { pour.each_ms(beside) };
+        let raised = if *zone == state.me.zone { 0.0 } else { pour.each_ms(zones[zone]) };
         candidate.cost_ms + raised
     };
     let costs: Vec<f64> = candidates.iter().map(cost).collect();
