Bound the pauses between calls for the store's changes

Change: the hub pauses 150 ms at most, others 800 ms. Test hub_follows_thousands was red before (3 s).

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -30,6 +30,11 @@
 
 /// Times between frames without an answer after which the hub is taken as gone.
 const FRAMES_MISSED: f64 = 2.5;
+/// The longest pause of the hub between calls for changes: what the operator says is to be in force everywhere within
+/// two seconds, and goes from the hub to all others.
+const HUB_PAUSE_MAX: Duration = Duration::from_millis(150);
+/// The longest pause of others, who need no word of the hub: well under those two seconds.
+const ALONE_PAUSE_MAX: Duration = Duration::from_millis(800);
 /// Loads that are known later than this say nothing any more.
 const LATENESS_MAX: Duration = Duration::from_secs(2);
 /// Answers that took longer say too little of the hub's clock.
@@ -194,12 +199,12 @@
     let settings = &state.settings;
     if state.lease.holds(now).is_some() {
         let engines = state.engines.len() as f64 / f64::from(settings.follow_engines);
-        return Some(settings.follow_as_hub.mul_f64(engines.max(1.0)));
+        return Some(settings.follow_as_hub.mul_f64(engines.max(1.0)).min(HUB_PAUSE_MAX));
     }
     let known = knows(state);
     let told = known && state.hub.fresh && state.hub.alive(now, settings);
     let asking = !known && now.since(state.started) < settings.hub_wait;
-    (!told && !asking).then(|| settings.follow_alone.mul_f64(many(state)))
+    (!told && !asking).then(|| settings.follow_alone.mul_f64(many(state)).min(ALONE_PAUSE_MAX))
 }
 
 /// Whether this process has what it needs to serve.
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -167,6 +167,21 @@
     assert_eq!(pause, Some(millis(30)), "the others have what it says");
 }
 
+/// However many engines there are, the hub hears of a new configuration soon.
+#[test]
+fn hub_follows_thousands() {
+    let mut hub = Node::ready("hub");
+    let rows =
+        (0..3_000).map(|number| row(10 + number, entry(&format!("e{number}"), WRITER, "zone-a", &["m0"])));
+    hub.feed(listing(rows.collect(), 4_000, false));
+    hub.lead();
+    let pause = hub.effects.iter().find_map(|effect| match effect {
+        Effect::Follow(Some(how)) => Some(how.pause),
+        _ => None,
+    });
+    assert!(pause.is_some_and(|pause| pause <= millis(200)), "{pause:?}");
+}
+
 #[test]
 fn stale_hub_is_not_trusted() {
     let mut node = follower();
