--- a/core/src/explain.rs
+++ b/core/src/explain.rs
@@ -98,8 +98,7 @@
         return format!("{name}: a copy {progress}, with {} requests{leaving}", copy.requests);
     }
     let ordered = row
-        .intents
-        .iter()
+        .open()
         .any(|intent| matches!(&intent.action, Action::Load { artifact, .. } if *artifact == entry.artifact));
     if ordered {
         return format!("{name}: an order to load it is on its way{leaving}");
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -83,7 +83,7 @@
     }
 
     /// Orders that may still take effect in the life that was reported last.
-    fn open(&self) -> impl Iterator<Item = &Intent> {
+    pub(crate) fn open(&self) -> impl Iterator<Item = &Intent> {
         self.intents.iter().filter(|intent| intent.meant_for == self.incarnation)
     }
 }
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -32,8 +32,8 @@
 /// How long this zone waits before it loads what another zone held a moment ago.
 const GRACE: Duration = Duration::from_secs(15);
 /// How long other zones must have held an artifact before a copy here goes for their sake: a copy that
-/// was lost there shows late, but within 9 s: an engine counts for 6 s after its last report, and zones tell each
-/// other what they hold every second or two. Each change of the lease begins the wait anew.
+/// was lost there shows late, by the settings' defaults within some 5 s: an engine is offered for 3 s after its last
+/// report, and zones tell each other what they hold every second or two. Each change of the lease begins the wait anew.
 const STEADY: Duration = Duration::from_secs(15);
 /// How long what becomes free at an engine is kept for one artifact.
 const KEPT: Duration = Duration::from_mins(1);
--- a/core/src/status.rs
+++ b/core/src/status.rs
@@ -62,7 +62,7 @@
         artifacts: entries.len() as u32,
         reachable: reachable.count() as u32,
         engines: state.fleet.backends.values().filter(|backend| is_engine(state, backend)).count() as u32,
-        moves_under_way: state.ledger.rows.values().map(|(_, row)| row.intents.len() as u32).sum(),
+        moves_under_way: state.ledger.rows.values().map(|(_, row)| row.open().count() as u32).sum(),
     }
 }
 
--- a/core/tests/control/lease_takeover.rs
+++ b/core/tests/control/lease_takeover.rs
@@ -6,9 +6,10 @@
 use boragecove_core::engine::Fence;
 use boragecove_core::event::Event;
 use boragecove_core::name::Name;
+use boragecove_core::operator::{Answer, Query};
 use boragecove_core::settings::Settings;
 
-use super::world::{Mode, World, document};
+use super::world::{Mode, World, document, model};
 
 const LENGTH: Duration = Duration::from_secs(10);
 
@@ -104,3 +105,25 @@
     world.run(LENGTH * 3);
     assert!(world.holder().is_some());
 }
+
+/// Orders that a restarted engine will refuse are kept, but they are no moves under way.
+#[test]
+fn dead_orders_are_no_moves() {
+    let mut world = World::new(1, 1, document(true, 24_000, vec![model("a", 6_000)]));
+    world.holds = Some(0);
+    world.until("a load on its way", |world| !world.held.is_empty());
+    assert_eq!(moves_under_way(&mut world), 1);
+    for engine in world.engines.values_mut() {
+        engine.restart();
+    }
+    let sent = world.sent.len();
+    world.until("a load for the restarted engine", |world| world.sent.len() > sent && world.held.len() > 1);
+    assert_eq!(moves_under_way(&mut world), 1, "the load for the engine that is gone counts no more");
+}
+
+fn moves_under_way(world: &mut World) -> u32 {
+    match world.ask(0, Query::Status) {
+        Some(Answer::Status(status)) => status.moves_under_way,
+        other => panic!("no status: {other:?}"),
+    }
+}
--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -152,7 +152,7 @@
         let before = settings.fleet.clone();
         let outcome = adopt(settings::load(file), settings);
         if settings.fleet != before {
-            self.node.do_send(Feed(Event::Tuned(Box::new(settings.fleet.clone()))));
+            self.node.do_send(Feed(Event::Settings(Box::new(settings.fleet.clone()))));
         }
         self.node.do_send(Reloaded(outcome));
     }
--- a/fleet/src/adapter.rs
+++ b/fleet/src/adapter.rs
@@ -47,14 +47,9 @@
 
 /// Finds a place for an adapter that is nowhere and that none is on its way to.
 fn place(state: &mut State, now: Time, target: &Target, out: &mut Vec<Effect>) {
-    let Some(name) = &target.adapter else {
-        return;
-    };
-    let expected = |engine: &Engine| {
-        let book = state.ledger.book(&engine.entry.id);
-        book.is_some_and(|book| book.expects(&target.model, name))
-    };
-    if state.engines_of(&target.service).filter(|engine| is_usable(engine, now)).any(expected) {
+    let usable = |engine: &&Engine| is_usable(engine, now);
+    let expected = |engine: &Engine| is_expected(state, engine, target);
+    if state.engines_of(&target.service).filter(usable).any(expected) {
         return;
     }
     bring(state, now, target, f64::INFINITY, out);
@@ -83,8 +78,7 @@
     let name = target.adapter.as_ref()?;
     let mut least: Option<f64> = None;
     for engine in state.engines_of(&target.service).filter(|engine| is_usable(engine, now)) {
-        let book = state.ledger.book(&engine.entry.id);
-        if !book.is_some_and(|book| book.expects(&target.model, name)) {
+        if !is_expected(state, engine, target) {
             continue;
         }
         if !engine.serves(&target.model, Some(name), now) {
@@ -100,6 +94,12 @@
     f64::from(engine.load().open) / f64::from(engine.entry.slots.max(1))
 }
 
+/// Whether an adapter is at an engine or on its way there.
+fn is_expected(state: &State, engine: &Engine, target: &Target) -> bool {
+    let book = state.ledger.book(&engine.entry.id);
+    book.zip(target.adapter.as_ref()).is_some_and(|(book, name)| book.expects(&target.model, name))
+}
+
 fn is_usable(engine: &Engine, now: Time) -> bool {
     engine.takes_work() && !engine.health.suspected(now)
 }
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -11,7 +11,7 @@
 use crate::pace::Seat;
 use crate::request::Prompt;
 use crate::settings::Settings;
-use crate::spread::{self, Pour};
+use crate::spread::{self, Unseen};
 use crate::state::State;
 
 /// Random part of a cost, in ms: entry VMs that know the same do not all pick the same engine.
@@ -161,14 +161,14 @@
     let late_ms = ms(frame::lateness(state, now));
     // Each availability zone's requests go to its own engines first, and raise their costs.
     let requests = f64::from(others) * late_ms / run_ms.max(1.0) / zones.len().max(1) as f64;
-    let pour = Pour { requests, step_ms };
+    let unseen = Unseen { requests, step_ms };
     let cost = |candidate: &Candidate<'_>| {
         let zone = &candidate.engine.entry.zone;
-        let raised = if *zone == state.me.zone { 0.0 } else { pour.each_ms(zones[zone]) };
+        let raised = if *zone == state.me.zone { 0.0 } else { unseen.each_ms(zones[zone]) };
         candidate.cost_ms + raised
     };
     let costs: Vec<f64> = candidates.iter().map(cost).collect();
-    let chosen = &candidates[spread::draw(&costs, pour, drawn)?];
+    let chosen = &candidates[spread::draw(&costs, unseen, drawn)?];
     Some(Pick {
         engine: chosen.engine.entry.id.clone(),
         cost_ms: chosen.cost_ms,
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -74,7 +74,7 @@
         well: bool,
     },
     /// The settings have changed.
-    Tuned(Box<Settings>),
+    Settings(Box<Settings>),
     /// The process was asked to stop.
     Stop,
     /// The time that an effect asked to be woken at has come.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -157,11 +157,16 @@
     /// Whether the hub has answered lately.
     #[must_use]
     pub fn alive(&self, now: Time, settings: &Settings) -> bool {
-        let many = f64::from(self.nodes) / f64::from(settings.frame_nodes);
-        let silence = settings.hub_silence.max(settings.frame_every.mul_f64(many * FRAMES_MISSED));
+        let silence =
+            settings.hub_silence.max(settings.frame_every.mul_f64(self.many(settings) * FRAMES_MISSED));
         self.answered.is_some_and(|at| now.since(at) < silence)
     }
 
+    /// By how much longer each entry VM waits, since there are so many; one for few.
+    fn many(&self, settings: &Settings) -> f64 {
+        (f64::from(self.nodes) / f64::from(settings.frame_nodes)).max(1.0)
+    }
+
     /// Time since the hub last answered.
     #[must_use]
     pub fn age(&self, now: Time) -> Duration {
@@ -212,9 +217,9 @@
     state.listed > 0 && state.config.is_some()
 }
 
-/// By how much longer each waits, since there are so many entry VMs.
+/// By how much longer this entry VM waits, since there are so many.
 pub(crate) fn many(state: &State) -> f64 {
-    (f64::from(state.hub.nodes) / f64::from(state.settings.frame_nodes)).max(1.0)
+    state.hub.many(&state.settings)
 }
 
 /// Time between frames: longer where there are many entry VMs, since the hub answers them all.
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -115,8 +115,8 @@
         self.store_ms + ms(time.since(self.asked))
     }
 
-    /// What the store's clock showed at a time before it was asked, within the time of a call.
-    fn at_least(self, time: Time) -> u64 {
+    /// The most that the store's clock can have shown at `time`, before it was asked; less by a call's time at most.
+    fn before(self, time: Time) -> u64 {
         self.store_ms.saturating_sub(ms(self.asked.since(time)))
     }
 }
@@ -185,7 +185,7 @@
     // Whoever gives it back sends no more orders.
     let over = if released { now } else { now + state.settings.lease_length };
     let until_ms = state.lease.clock.map_or(u64::MAX, |clock| clock.at_most(over));
-    let started_ms = state.lease.clock.map_or(0, |clock| clock.at_least(state.started));
+    let started_ms = started_ms(state);
     Row { holder: state.me.vm.clone(), address: state.me.address, term, until_ms, started_ms, released }
 }
 
@@ -263,10 +263,14 @@
     }
 }
 
+/// When this process started, by the store's clock, in ms; 0 before that was seen.
+fn started_ms(state: &State) -> u64 {
+    state.lease.clock.map_or(0, |clock| clock.before(state.started))
+}
+
 /// Whether a lease that was given back is left to others for now.
 fn yields(state: &State, row: &Row, store_ms: u64) -> bool {
-    let started_ms = state.lease.clock.map_or(0, |clock| clock.at_least(state.started));
-    let restarted = started_ms > row.started_ms + RESTARTED_MS;
+    let restarted = started_ms(state) > row.started_ms + RESTARTED_MS;
     !restarted && store_ms < row.until_ms.saturating_add(YIELD_MS)
 }
 
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -64,7 +64,7 @@
         Event::Ordered { engine, receipt } => ledger::ordered(state, now, &engine, receipt, out),
         Event::Reported { engine, report } => ledger::reported(state, now, &engine, report, out),
         Event::Probed { engine, well } => trust::probed(state, now, &engine, well, out),
-        Event::Tuned(settings) => state.settings = *settings,
+        Event::Settings(settings) => state.settings = *settings,
         Event::Stop => stop(state, now, out),
         Event::Wake => {}
     }
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -44,7 +44,7 @@
     pub hub_store_age: Duration,
     /// Time between calls of the hub for the store's changes.
     pub follow_as_hub: Duration,
-    /// Engines up to which it calls that often; with more of them, less often in proportion.
+    /// Engines up to which it calls that often; with more of them, less often in proportion, within a bound.
     pub follow_engines: u32,
     /// How long a process that starts waits for the hub's word before it asks the store for everything: some frames.
     pub hub_wait: Duration,
--- a/fleet/tests/load_spread.rs
+++ b/fleet/tests/load_spread.rs
@@ -1,6 +1,6 @@
 //! Entry VMs that all know the same, and late, do not all pick the same engine.
 
-use boragecove_fleet::spread::{Pour, draw};
+use boragecove_fleet::spread::{Unseen, draw};
 use fastrand::Rng;
 
 /// Entry VMs of the users' grown first site.
@@ -36,7 +36,7 @@
         let step_ms = RUN_MS / SLOTS;
         let costs: Vec<f64> = known[node].iter().map(|load| load * step_ms + rng.f64()).collect();
         let requests = if spread { RATE * (now - told + EPOCH_MS / 2.0) } else { 0.0 };
-        let engine = draw(&costs, Pour { requests, step_ms }, rng.f64()).expect("engines");
+        let engine = draw(&costs, Unseen { requests, step_ms }, rng.f64()).expect("engines");
         known[node][engine] += 1.0;
         let wait = (open[engine].len() as f64 - SLOTS).max(0.0) * step_ms;
         open[engine].push(now + wait + RUN_MS);
@@ -60,21 +60,21 @@
 fn fresh_word() {
     let costs = [30.0, 10.0, 20.0];
     for drawn in [0.0, 0.5, 0.999] {
-        assert_eq!(draw(&costs, Pour::default(), drawn), Some(1), "nothing is under way: the cheapest");
+        assert_eq!(draw(&costs, Unseen::default(), drawn), Some(1), "nothing is under way: the cheapest");
     }
 }
 
 #[test]
 fn cheapest_first() {
     let costs = [30.0, 10.0, 20.0];
-    let pour = Pour { requests: 2.0, step_ms: 10.0 };
+    let unseen = Unseen { requests: 2.0, step_ms: 10.0 };
     // Raised to 25: two thirds of that at 10, the rest at 20, nothing at 30.
-    assert_eq!(draw(&costs, pour, 0.7), Some(1));
-    assert_eq!(draw(&costs, pour, 0.8), Some(2));
-    assert_eq!(draw(&costs, pour, 0.999), Some(2));
+    assert_eq!(draw(&costs, unseen, 0.7), Some(1));
+    assert_eq!(draw(&costs, unseen, 0.8), Some(2));
+    assert_eq!(draw(&costs, unseen, 0.999), Some(2));
 }
 
 #[test]
 fn no_engine() {
-    assert_eq!(draw(&[], Pour { requests: 5.0, step_ms: 1.0 }, 0.5), None);
+    assert_eq!(draw(&[], Unseen { requests: 5.0, step_ms: 1.0 }, 0.5), None);
 }
--- a/fleet/tests/request_attempts.rs
+++ b/fleet/tests/request_attempts.rs
@@ -165,7 +165,7 @@
 fn changed_settings_hold() {
     let mut node = Node::ready("a");
     let strict = Settings { repeat_ratio: 0.0, repeat_slack: 0.0, ..Settings::default() };
-    node.feed(Event::Tuned(Box::new(strict)));
+    node.feed(Event::Settings(Box::new(strict)));
     let (id, first) = node.sent(plain("/list/1"));
     let refused = refusal(node.ended(id, first.number, End::Broken));
     assert_eq!(refused.code, Code::BackendFailed, "no repeat is allowed any more");
