Tell an engine's starts apart; leave rows by other writers unused

Cause: engines may start again under the id that they had, and say when they started. Books, beliefs and answers were kept by id alone: an engine that came back empty kept its former copies in the book until a refusal, an order's answer counted for whichever start was known, and a load that was not answered could reach the new start once that had accepted as many orders. Rows that could not be read left the entry before them in use, and an unknown state counted as leaving.

Ruled out: to void an engine's requests in flight at its restart: they end by their broken connections, and would be subtracted twice.

Change: Incarnation in entries, reports, orders, answers and the hub's word. A new start voids book, health and holdings; an entry of an earlier start is ignored. Loads that were not answered are kept for 15 s and keep their room at the next start. A row that cannot be read names no engine. The stand-in's engines say when they started, can restart, and refuse orders that name another count.

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -229,6 +229,7 @@
     fn order(&self, dispatch: &Dispatch, ctx: &Context<Self>) {
         let client = Rc::clone(&self.client);
         let (name, address) = (dispatch.engine.clone(), dispatch.address);
+        let incarnation = dispatch.incarnation;
         let mut headers = front::meant_for(&dispatch.engine);
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let body = engine::order(dispatch, &self.settings.vm);
@@ -243,7 +244,7 @@
                     None
                 }
             };
-            Event::Ordered { engine: name, receipt }
+            Event::Ordered { engine: name, incarnation, receipt }
         });
     }
 
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -214,6 +214,39 @@
     assert_eq!((writer.runs().len(), other.runs().len()), (0, 4));
 }
 
+/// An engine that starts again under its id holds nothing: its model is ordered anew, counted from zero.
+#[test]
+fn restarted_engine_is_filled() {
+    let (store, writer, _) = platform();
+    let _entry = Entry::start("restarted", &store);
+    thread::sleep(Duration::from_millis(500));
+    assert!(writer.orders().is_empty(), "it holds all there is: {:?}", writer.orders());
+    writer.restart(&store, "writer");
+    let end = Instant::now() + LIMIT;
+    while writer.orders().is_empty() {
+        assert!(Instant::now() < end, "nobody orders what it has lost");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let order = writer.orders().remove(0);
+    assert_eq!((&order["operation"], &order["expected_rev"]), (&"load".into(), &0.into()), "{order}");
+}
+
+/// A row that another writer puts in an engine's place names no engine; the others hold.
+#[test]
+fn foreign_row_names_no_engine() {
+    let (store, writer, _) = platform();
+    let entry = Entry::start("foreign", &store);
+    let other = Engine::start(&store, "i-writer-2", "writer", &["m1"]);
+    store.put("servers", "i-writer-1", &serde_json::json!({"service": "writer", "state": 4}));
+    store.put("servers", "i-nobody", &serde_json::json!([]));
+    thread::sleep(Duration::from_millis(500));
+    for number in 0..4 {
+        let answer = call(entry.callers, &streamed("/brief/1", &format!("f{number}")));
+        assert_eq!(events(&answer), EVENTS, "{answer}");
+    }
+    assert_eq!((writer.runs().len(), other.runs().len()), (0, 4));
+}
+
 #[test]
 fn store_outage_stops_nothing() {
     let (store, writer, _) = platform();
--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -7,7 +7,7 @@
 use boragecove_core::time::Time;
 
 use crate::config::Pool;
-use crate::engine::{Copy, Entry, Held, Phase, Residency};
+use crate::engine::{Copy, Entry, Held, Incarnation, Phase, Residency};
 use crate::ledger::Order;
 use crate::settings::Settings;
 
@@ -21,6 +21,8 @@
 /// One engine's book.
 #[derive(Debug, Default)]
 pub(crate) struct Book {
+    /// The start of the engine that it is about.
+    pub(crate) incarnation: Incarnation,
     /// Orders accepted; none while that is not known.
     pub(crate) sequence: Option<u64>,
     pub(crate) copies: Vec<Kept>,
@@ -39,6 +41,42 @@
     pub(crate) resent: u32,
 }
 
+/// How long after it was sent an order that was not answered may be carried out; the platform names some seconds, up
+/// to 12 were seen.
+const LATE_MAX: Duration = Duration::from_secs(15);
+
+/// A load that was not answered. An engine that starts again under its id begins to count its orders anew, and may
+/// take a load that was meant for its earlier start once it has accepted as many.
+#[derive(Clone, Debug)]
+pub(crate) struct Late {
+    pub(crate) order: Order,
+    /// Orders that the engine had to have accepted before.
+    sequence: u64,
+    /// The start of the engine that it was meant for.
+    incarnation: Incarnation,
+    /// When it is dead for certain.
+    pub(crate) until: Time,
+}
+
+impl Late {
+    pub(crate) fn new(now: Time, order: Order, sequence: u64, incarnation: Incarnation) -> Self {
+        Self { order, sequence, incarnation, until: now + LATE_MAX }
+    }
+
+    /// Whether the engine could take this load as well after `order`, and would then hold more than it can.
+    pub(crate) fn overfills(&self, book: &Book, order: &Order, pool: &Pool) -> bool {
+        let follows = book.sequence.is_some_and(|sequence| sequence + 1 == self.sequence);
+        if self.incarnation == book.incarnation || !follows {
+            return false;
+        }
+        let both = [order, &self.order];
+        let memory_mb: f64 = both.into_iter().map(|order| order.memory_mb(pool)).sum();
+        let adapters = both.into_iter().filter(|order| matches!(order, Order::LoadAdapter { .. })).count();
+        book.memory_mb(pool) + memory_mb > pool.memory_mb
+            || book.adapters().count() + adapters > pool.adapters_max as usize
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Kept {
     pub(crate) model: Name,
@@ -57,11 +95,16 @@
     pub(crate) fn new(entry: &Entry, fresh: bool, now: Time) -> Self {
         let sequence = fresh.then_some(0);
         let check_at = sequence.is_none().then_some(now);
-        let mut book = Self { sequence, check_at, ..Self::default() };
+        let mut book = Self { incarnation: entry.incarnation, sequence, check_at, ..Self::default() };
         book.adopt(&entry.held);
         book
     }
 
+    /// The book of an engine that has just started again: what it has accepted since is to be asked.
+    pub(crate) fn restarted(incarnation: Incarnation, now: Time) -> Self {
+        Self { incarnation, check_at: Some(now), ..Self::default() }
+    }
+
     pub(crate) fn known(&self) -> bool {
         self.sequence.is_some() || !self.copies.is_empty()
     }
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -7,6 +7,7 @@
 use boragecove_core::time::Time;
 
 use crate::config::Limits;
+use crate::engine::Incarnation;
 use crate::frame::Frame;
 use crate::lease;
 use crate::ledger::Order;
@@ -82,6 +83,8 @@
     pub address: SocketAddr,
     /// The order.
     pub order: Order,
+    /// The start of the engine that the order is for.
+    pub incarnation: Incarnation,
     /// Orders that the engine has accepted before; it refuses if there were others.
     pub sequence: u64,
     /// The fencing number of the lease under which it is sent.
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -13,8 +13,10 @@
 /// An engine as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// The id of this life of the engine; a restarted engine has another.
+    /// The engine's id. It may start again under the one that it had.
     pub id: Name,
+    /// Which start of the engine this is.
+    pub incarnation: Incarnation,
     /// The service it belongs to.
     pub service: Name,
     /// Where it listens.
@@ -33,6 +35,13 @@
     pub cached: Cached,
 }
 
+/// A start of an engine: when it was, in ms since the Unix epoch by the engine's clock; none if the engine does not
+/// say. A later one of the same id has a larger number, holds nothing of before and counts its orders anew.
+#[derive(
+    Clone, std::marker::Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub Option<u64>);
+
 /// A model that an engine held when it said so.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
@@ -197,8 +206,20 @@
         !self.entry.leaving
     }
 
-    /// Learns what it holds from whoever orders it. What it got since is no longer absent.
-    pub fn learn(&mut self, residency: Residency) {
+    /// The engine started anew: nothing that was believed of what it holds, or held against it, is true any more.
+    /// Requests that were sent to its earlier start end by their broken connections.
+    pub(crate) fn restart(&mut self) {
+        self.health = Health::default();
+        self.ordered = None;
+        self.absent.clear();
+    }
+
+    /// Learns what it holds from whoever orders it, unless that is another start's. What it got since is no longer
+    /// absent.
+    pub fn learn(&mut self, incarnation: Incarnation, residency: Residency) {
+        if incarnation != self.entry.incarnation {
+            return;
+        }
         let before = self.ordered.take().unwrap_or_default();
         self.absent.retain(|(model, adapter, _)| {
             let adapter = adapter.as_deref();
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -109,6 +109,21 @@
     let (service, leaving) = (entry.service.clone(), entry.leaving);
     let mut changed = true;
     if let Some(engine) = state.engines.get_mut(&id) {
+        if entry.incarnation < engine.entry.incarnation {
+            // Written late by an earlier start of the engine.
+            engine.version = version;
+            return;
+        }
+        if entry.incarnation > engine.entry.incarnation {
+            engine.restart();
+            let state = "restarted";
+            out.push(Effect::Record(Record::Engine {
+                engine: id.clone(),
+                service: service.clone(),
+                state,
+                version,
+            }));
+        }
         changed = engine.entry.leaving != leaving || engine.missing_until.is_some();
         engine.entry = entry;
         engine.version = version;
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -6,7 +6,7 @@
 use boragecove_core::name::Name;
 
 use crate::config::Config;
-use crate::engine::Row;
+use crate::engine::{Incarnation, Row};
 use crate::frame::{Frame, Reply};
 use crate::lease;
 use crate::ledger::{Receipt, Report};
@@ -56,6 +56,8 @@
     Ordered {
         /// The engine's id.
         engine: Name,
+        /// The start of the engine that the order was for.
+        incarnation: Incarnation,
         /// Its answer.
         receipt: Option<Receipt>,
     },
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -13,7 +13,7 @@
 use crate::config::Config;
 use crate::demand::Demand;
 use crate::effect::{Effect, Follow};
-use crate::engine::{Load, Residency, Row};
+use crate::engine::{Incarnation, Load, Residency, Row};
 use crate::entries;
 use crate::event::Listing;
 use crate::flow;
@@ -122,6 +122,8 @@
 pub struct Resident {
     /// The engine's id.
     pub engine: Name,
+    /// The start of the engine for which that is so.
+    pub incarnation: Incarnation,
     /// What it holds.
     pub residency: Residency,
 }
@@ -426,9 +428,9 @@
         }
     }
     state.hub.view = view;
-    for Resident { engine, residency } in residencies {
+    for Resident { engine, incarnation, residency } in residencies {
         if let Some(engine) = state.engines.get_mut(&engine) {
-            engine.learn(residency);
+            engine.learn(incarnation, residency);
         }
     }
 }
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -11,10 +11,10 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
-use crate::book::{Book, Fetched, Pending, REPORT_LAG};
+use crate::book::{Book, Fetched, Late, Pending, REPORT_LAG};
 use crate::config::Pool;
 use crate::effect::{Dispatch, Effect};
-use crate::engine::{Held, Phase};
+use crate::engine::{Held, Incarnation, Phase};
 use crate::flow;
 use crate::frame::{Absent, Resident};
 use crate::record::Record;
@@ -60,6 +60,19 @@
     },
 }
 
+impl Order {
+    /// Memory that the engine needs in addition for it, in MB; as much as it has for a model that is not declared.
+    pub(crate) fn memory_mb(&self, pool: &Pool) -> f64 {
+        match self {
+            Self::Load { model } => pool.model(model).map_or(pool.memory_mb, |model| model.memory_mb),
+            Self::LoadAdapter { model, .. } => {
+                pool.model(model).map_or(pool.memory_mb, |model| model.adapter_mb)
+            }
+            Self::Unload { .. } | Self::UnloadAdapter { .. } => 0.0,
+        }
+    }
+}
+
 /// An engine's answer to an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Receipt {
@@ -76,6 +89,8 @@
 /// What an engine says of itself. It is some hundred ms old.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
+    /// Which start of the engine says so.
+    pub incarnation: Incarnation,
     /// Orders that it has accepted.
     pub sequence: u64,
     /// Whether one is under way.
@@ -90,6 +105,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     books: BTreeMap<Name, Book>,
+    /// Loads that were not answered, by engine.
+    late: BTreeMap<Name, Vec<Late>>,
     /// Grows with each change of what an engine holds.
     version: u64,
     /// When loads from the weight store were ordered lately.
@@ -112,6 +129,22 @@
         self.version
     }
 
+    /// Notes a load that was not answered.
+    fn note_late(&mut self, engine: &Name, late: Late) {
+        if matches!(late.order, Order::Load { .. } | Order::LoadAdapter { .. }) {
+            self.late.entry(engine.clone()).or_default().push(late);
+        }
+    }
+
+    /// Loads that an engine may still carry out though they were not answered.
+    fn late_at(&mut self, now: Time, engine: &Name) -> &[Late] {
+        let Some(late) = self.late.get_mut(engine) else {
+            return &[];
+        };
+        late.retain(|late| late.until > now);
+        late
+    }
+
     pub(crate) fn book(&self, engine: &str) -> Option<&Book> {
         self.books.get(engine)
     }
@@ -120,7 +153,11 @@
     pub(crate) fn changed_after(&self, version: u64) -> Vec<Resident> {
         let changed = self.books.iter().filter(|(_, book)| book.changed > version && book.known());
         changed
-            .map(|(engine, book)| Resident { engine: engine.clone(), residency: book.residency() })
+            .map(|(engine, book)| Resident {
+                engine: engine.clone(),
+                incarnation: book.incarnation,
+                residency: book.residency(),
+            })
             .collect()
     }
 
@@ -195,6 +232,7 @@
     };
     let cold_left = state.ledger.cold_left(now, pool.loads_per_s, &state.settings);
     let cached = &state.engines[id].entry.cached;
+    let late = state.ledger.late_at(now, id).to_vec();
     let Some(book) = state.ledger.books.get_mut(id) else {
         return;
     };
@@ -205,7 +243,8 @@
     else {
         return;
     };
-    if !book.permits(&next, &pool) {
+    let incarnation = book.incarnation;
+    if !book.permits(&next, &pool) || late.iter().any(|late| late.overfills(book, &next, &pool)) {
         // A model that is still on its way out holds the rest up; anything else makes no sense any more.
         if !book.moving() {
             book.queue.pop_front();
@@ -246,7 +285,14 @@
         }
     }
     publish(state, id, out);
-    out.push(Effect::Order(Box::new(Dispatch { engine: id.clone(), address, order: next, sequence, term })));
+    out.push(Effect::Order(Box::new(Dispatch {
+        engine: id.clone(),
+        incarnation,
+        address,
+        order: next,
+        sequence,
+        term,
+    })));
 }
 
 /// An engine answered an order, or may have got it.
@@ -254,6 +300,7 @@
     state: &mut State,
     now: Time,
     id: &Name,
+    incarnation: Incarnation,
     receipt: Option<Receipt>,
     out: &mut Vec<Effect>,
 ) {
@@ -263,7 +310,7 @@
     let pool = state.pool(&engine.entry.service).cloned();
     let cached = engine.entry.cached.clone();
     let settings = state.settings.clone();
-    let Some(book) = state.ledger.books.get_mut(id) else {
+    let Some(book) = state.ledger.books.get_mut(id).filter(|book| book.incarnation == incarnation) else {
         return;
     };
     let Some(Pending { order, resent }) = book.pending.take() else {
@@ -283,6 +330,13 @@
         state: label,
         sequence,
     }));
+    if receipt.is_none() {
+        // It may be carried out long after one that is sent in its place.
+        state.ledger.note_late(id, Late::new(now, order.clone(), sequence, incarnation));
+    }
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
     match receipt {
         // The adapter is in use, and goes once its runs have ended.
         Some(Receipt::Accepted) if matches!(order, Order::UnloadAdapter { .. }) => unsure(book, now),
@@ -323,7 +377,15 @@
     };
     if let (Some(pending), Some(sequence)) = (&book.pending, book.sequence) {
         let order = pending.order.clone();
-        out.push(Effect::Order(Box::new(Dispatch { engine: id.clone(), address, order, sequence, term })));
+        let incarnation = book.incarnation;
+        out.push(Effect::Order(Box::new(Dispatch {
+            engine: id.clone(),
+            incarnation,
+            address,
+            order,
+            sequence,
+            term,
+        })));
     }
 }
 
@@ -409,8 +471,19 @@
         return;
     };
     book.reporting = false;
+    if let Some(report) = &report
+        && report.incarnation > book.incarnation
+    {
+        restart(state, now, id, report.incarnation);
+    }
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
     let known = book.sequence;
     match report {
+        Some(report) if report.incarnation < book.incarnation && report.incarnation.0.is_some() => {
+            book.check_at = Some(now + REPORT_LAG);
+        }
         // What it says may be from before the order that is under way.
         _ if book.pending.is_some() => book.check_at = Some(now + REPORT_LAG),
         Some(report) if !report.busy && known.is_none_or(|known| report.sequence >= known) => {
@@ -435,6 +508,12 @@
     let Some(entry) = state.engines.get(id).map(|engine| engine.entry.clone()) else {
         return;
     };
+    if state.ledger.books.get(id).is_some_and(|book| book.incarnation < entry.incarnation) {
+        restart(state, now, id, entry.incarnation);
+        wake_for(state, id);
+        publish(state, id, out);
+        return;
+    }
     let Some(book) = state.ledger.books.get_mut(id) else {
         return;
     };
@@ -457,6 +536,19 @@
     }
 }
 
+/// An engine started again under its id: it holds nothing, has accepted nothing, and is asked what there is. An order
+/// that is under way may still reach it.
+fn restart(state: &mut State, now: Time, id: &Name, incarnation: Incarnation) {
+    let Some(book) = state.ledger.books.get_mut(id) else {
+        return;
+    };
+    let before = std::mem::replace(book, Book::restarted(incarnation, now));
+    if let (Some(pending), Some(sequence)) = (before.pending, before.sequence) {
+        let late = Late::new(now, pending.order, sequence, before.incarnation);
+        state.ledger.note_late(id, late);
+    }
+}
+
 /// Tells everyone what an engine holds now.
 fn publish(state: &mut State, id: &Name, out: &mut Vec<Effect>) {
     state.ledger.version += 1;
@@ -465,9 +557,9 @@
         return;
     };
     book.changed = version;
-    let residency = book.residency();
+    let (incarnation, residency) = (book.incarnation, book.residency());
     if let Some(engine) = state.engines.get_mut(id) {
-        engine.learn(residency);
+        engine.learn(incarnation, residency);
     }
     out.push(Effect::Changed);
     flow::stir_later(state);
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -61,7 +61,9 @@
         Event::Framed(frame) => frame::heard(state, now, *frame, out),
         Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
         Event::Lease(answer) => lease::answered(state, now, answer, out),
-        Event::Ordered { engine, receipt } => ledger::ordered(state, now, &engine, receipt, out),
+        Event::Ordered { engine, incarnation, receipt } => {
+            ledger::ordered(state, now, &engine, incarnation, receipt, out);
+        }
         Event::Reported { engine, report } => ledger::reported(state, now, &engine, report, out),
         Event::Probed { engine, well } => trust::probed(state, now, &engine, well, out),
         Event::Settings(settings) => state.settings = *settings,
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -4,6 +4,7 @@
 
 use boragecove_core::code::Code;
 use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::Incarnation;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::ledger::Receipt;
 use boragecove_fleet::request::Step;
@@ -19,7 +20,11 @@
     let sent = orders(&node.effects);
     assert_eq!(sent.len(), 1, "ordered at once: {sent:?}");
     let engine = sent[0].engine.clone();
-    node.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Accepted) });
+    node.feed(Event::Ordered {
+        engine: engine.clone(),
+        incarnation: Incarnation::default(),
+        receipt: Some(Receipt::Accepted),
+    });
     let effects = node.pass(millis(40));
     match step_of(&effects, id) {
         Some(Step::Send(attempt)) => assert_eq!(attempt.engine, engine),
--- /dev/null
+++ b/fleet/tests/engine/mod.rs
@@ -0,0 +1,128 @@
+//! An engine in a test, which loses answers, runs orders late and may start again under its id.
+
+#![allow(dead_code, reason = "each test uses what it needs")]
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::effect::Dispatch;
+use boragecove_fleet::engine::{Entry, Held, Incarnation};
+use boragecove_fleet::ledger::{Order, Receipt, Report};
+
+use crate::node::{WRITER, entry, millis, model, pool};
+
+/// An engine as the platform describes it, which loses answers and runs orders late.
+#[derive(Debug, Default)]
+pub struct Engine {
+    pub id: Name,
+    /// When it started; a later start has a larger number.
+    pub incarnation: Incarnation,
+    pub sequence: u64,
+    pub models: Vec<(Name, Vec<Name>)>,
+    pub busy_until: Option<(Time, Order)>,
+    /// Orders that it has not answered, with the times at which it takes them.
+    pub late: Vec<(Time, Dispatch)>,
+}
+
+impl Engine {
+    fn memory_mb(&self) -> f64 {
+        let size =
+            |(name, adapters): &(Name, Vec<Name>)| model(name, 70.0).memory_mb + 10.0 * adapters.len() as f64;
+        let loading = match &self.busy_until {
+            Some((_, Order::Load { .. })) => 70.0,
+            _ => 0.0,
+        };
+        self.models.iter().map(size).sum::<f64>() + loading
+    }
+
+    fn adapters(&self) -> usize {
+        self.models.iter().map(|(_, adapters)| adapters.len()).sum()
+    }
+
+    /// Starts again under the id that it had: it holds nothing and counts from zero. Orders that are on their way reach
+    /// it all the same.
+    pub fn restart(&mut self, now: Time) {
+        self.incarnation = Incarnation(Some(now.as_millis()));
+        self.sequence = 0;
+        self.models.clear();
+        self.busy_until = None;
+    }
+
+    /// What it registers of itself.
+    pub fn entry(&self) -> Entry {
+        let models: Vec<&str> = self.models.iter().map(|(name, _)| &**name).collect();
+        Entry { incarnation: self.incarnation, ..entry(&self.id, WRITER, "zone-a", &models) }
+    }
+
+    pub fn tick(&mut self, now: Time) {
+        if let Some((at, order)) = self.busy_until.clone()
+            && at <= now
+        {
+            self.busy_until = None;
+            match order {
+                Order::Load { model } => self.models.push((model, Vec::new())),
+                Order::Unload { model } => self.models.retain(|(name, _)| *name != model),
+                Order::LoadAdapter { .. } | Order::UnloadAdapter { .. } => {}
+            }
+        }
+        while let Some(at) = self.late.iter().position(|(due, _)| *due <= now) {
+            let (_, dispatch) = self.late.remove(at);
+            self.take(now, &dispatch);
+        }
+    }
+
+    pub fn take(&mut self, now: Time, dispatch: &Dispatch) -> Receipt {
+        if self.busy_until.is_some() || dispatch.sequence != self.sequence {
+            return Receipt::Conflict;
+        }
+        let receipt = match &dispatch.order {
+            Order::Load { model } => {
+                self.busy_until = Some((now + millis(400), dispatch.order.clone()));
+                assert!(!self.models.iter().any(|(name, _)| name == model), "{model} is there");
+                Receipt::Accepted
+            }
+            Order::Unload { .. } => {
+                self.busy_until = Some((now + millis(200), dispatch.order.clone()));
+                Receipt::Accepted
+            }
+            Order::LoadAdapter { model, adapter } => {
+                let Some((_, adapters)) = self.models.iter_mut().find(|(name, _)| name == model) else {
+                    return Receipt::Refused;
+                };
+                if adapters.contains(adapter) {
+                    return Receipt::Holds;
+                }
+                adapters.push(adapter.clone());
+                Receipt::Accepted
+            }
+            Order::UnloadAdapter { model, adapter } => {
+                for (name, adapters) in &mut self.models {
+                    if name == model {
+                        adapters.retain(|held| held != adapter);
+                    }
+                }
+                Receipt::Holds
+            }
+        };
+        self.sequence += 1;
+        assert!(
+            self.memory_mb() <= pool().memory_mb,
+            "overfilled by {:?}: {:?}",
+            dispatch.order,
+            self.models
+        );
+        assert!(self.adapters() <= pool().adapters_max as usize, "too many adapters: {:?}", self.models);
+        receipt
+    }
+
+    pub fn report(&self) -> Report {
+        let held =
+            |(name, adapters): &(Name, Vec<Name>)| Held { model: name.clone(), adapters: adapters.clone() };
+        Report {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            busy: self.busy_until.is_some(),
+            held: self.models.iter().map(held).collect(),
+            fetching: Vec::new(),
+        }
+    }
+}
--- a/fleet/tests/engine_choice.rs
+++ b/fleet/tests/engine_choice.rs
@@ -6,7 +6,7 @@
 
 use boragecove_core::code::Code;
 use boragecove_fleet::effect::Effect;
-use boragecove_fleet::engine::Held;
+use boragecove_fleet::engine::{Held, Incarnation};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::ledger::{Receipt, Report};
 use boragecove_fleet::record::Record;
@@ -119,10 +119,15 @@
     node.pass(millis(300));
     let first = node.arrive(streamed("/brief/1", "m1", Some("a7")));
     let engine = orders(&node.effects).remove(0).engine;
-    node.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Accepted) });
+    node.feed(Event::Ordered {
+        engine: engine.clone(),
+        incarnation: Incarnation::default(),
+        receipt: Some(Receipt::Accepted),
+    });
     assert!(matches!(step_of(&node.pass(millis(60)), first), Some(Step::Send(_))));
     assert_eq!(node.ended(first, 1, End::Refused(Cause::Absent)), None, "it had to make way meanwhile");
     let report = Report {
+        incarnation: Incarnation::default(),
         sequence: 9,
         busy: false,
         held: vec![held("m0", &[]), held("m1", &[])],
@@ -132,7 +137,11 @@
     node.feed(Event::Reported { engine: engine.clone(), report: Some(report) });
     let again = orders(&node.pass(millis(300)));
     assert_eq!(again.len(), 1, "{again:?}");
-    node.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Accepted) });
+    node.feed(Event::Ordered {
+        engine: engine.clone(),
+        incarnation: Incarnation::default(),
+        receipt: Some(Receipt::Accepted),
+    });
     let step = step_of(&node.pass(millis(60)), first);
     assert!(matches!(&step, Some(Step::Send(attempt)) if attempt.engine == engine), "{step:?}");
 }
--- a/fleet/tests/engine_orders.rs
+++ b/fleet/tests/engine_orders.rs
@@ -1,16 +1,18 @@
 //! Orders change what engines hold without ever overfilling one, though answers are lost and orders run late.
 
+mod engine;
 mod node;
 
 use arbtest::arbtest;
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use boragecove_fleet::effect::{Dispatch, Effect};
-use boragecove_fleet::engine::Held;
+use boragecove_fleet::engine::{Held, Incarnation};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Absent, Frame};
 use boragecove_fleet::ledger::{Order, Receipt, Report};
 use boragecove_fleet::request::Step;
+use engine::Engine;
 use node::{Node, WRITER, brief, entry, listing, millis, model, orders, pool, row, step_of, streamed};
 
 #[test]
@@ -42,7 +44,7 @@
     node.arrive(streamed("/brief/1", "m0", Some("a7")));
     let first = orders(&node.effects).remove(0);
     let engine = first.engine.clone();
-    node.feed(Event::Ordered { engine, receipt: None });
+    node.feed(Event::Ordered { engine, incarnation: Incarnation::default(), receipt: None });
     assert_eq!(orders(&node.effects), [first], "the same order, for the same state of the engine");
 }
 
@@ -53,14 +55,19 @@
     node.pass(millis(300));
     node.arrive(streamed("/brief/1", "m0", Some("a7")));
     let engine = orders(&node.effects).remove(0).engine;
-    node.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Conflict) });
+    node.feed(Event::Ordered {
+        engine: engine.clone(),
+        incarnation: Incarnation::default(),
+        receipt: Some(Receipt::Conflict),
+    });
     let asked = node
         .pass(millis(300))
         .iter()
         .any(|effect| matches!(effect, Effect::Report { engine: asked, .. } if *asked == engine));
     assert!(asked);
     let held = vec![Held { model: "m0".into(), adapters: vec!["a7".into()] }];
-    let report = Report { sequence: 4, busy: false, held, fetching: Vec::new() };
+    let report =
+        Report { incarnation: Incarnation::default(), sequence: 4, busy: false, held, fetching: Vec::new() };
     node.feed(Event::Reported { engine: engine.clone(), report: Some(report) });
     let id = node.arrive(streamed("/brief/1", "m0", Some("a7")));
     assert!(matches!(node.step(id), Some(Step::Send(attempt)) if attempt.engine == engine));
@@ -120,7 +127,11 @@
         }
         for dispatch in orders(&effects) {
             loads.push(hub.now);
-            hub.feed(Event::Ordered { engine: dispatch.engine, receipt: Some(Receipt::Accepted) });
+            hub.feed(Event::Ordered {
+                engine: dispatch.engine,
+                incarnation: dispatch.incarnation,
+                receipt: Some(Receipt::Accepted),
+            });
             loads.extend(orders(&hub.effects).iter().map(|_| hub.now));
         }
     }
@@ -141,7 +152,11 @@
     node.lead();
     let moving = orders(&node.pass(millis(300)));
     assert!(matches!(moving[..], [Dispatch { order: Order::Load { .. }, .. }]), "{moving:?}");
-    node.feed(Event::Ordered { engine: "w1".into(), receipt: Some(Receipt::Accepted) });
+    node.feed(Event::Ordered {
+        engine: "w1".into(),
+        incarnation: Incarnation::default(),
+        receipt: Some(Receipt::Accepted),
+    });
     node.arrive(streamed("/brief/1", "m0", Some("a7")));
     assert_eq!(orders(&node.effects), [], "an engine that loads a model refuses all other orders");
 }
@@ -159,103 +174,6 @@
     assert!(!matches!(node.step(id), Some(Step::Send(attempt)) if attempt.engine == dispatch.engine));
 }
 
-/// An engine as the platform describes it, which loses answers and runs orders late.
-struct Engine {
-    id: Name,
-    sequence: u64,
-    models: Vec<(Name, Vec<Name>)>,
-    busy_until: Option<(Time, Order)>,
-    late: Vec<(Time, Dispatch)>,
-}
-
-impl Engine {
-    fn memory_mb(&self) -> f64 {
-        let size =
-            |(name, adapters): &(Name, Vec<Name>)| model(name, 70.0).memory_mb + 10.0 * adapters.len() as f64;
-        let loading = match &self.busy_until {
-            Some((_, Order::Load { .. })) => 70.0,
-            _ => 0.0,
-        };
-        self.models.iter().map(size).sum::<f64>() + loading
-    }
-
-    fn adapters(&self) -> usize {
-        self.models.iter().map(|(_, adapters)| adapters.len()).sum()
-    }
-
-    fn tick(&mut self, now: Time) {
-        if let Some((at, order)) = self.busy_until.clone()
-            && at <= now
-        {
-            self.busy_until = None;
-            match order {
-                Order::Load { model } => self.models.push((model, Vec::new())),
-                Order::Unload { model } => self.models.retain(|(name, _)| *name != model),
-                Order::LoadAdapter { .. } | Order::UnloadAdapter { .. } => {}
-            }
-        }
-        while let Some(at) = self.late.iter().position(|(due, _)| *due <= now) {
-            let (_, dispatch) = self.late.remove(at);
-            self.take(now, &dispatch);
-        }
-    }
-
-    fn take(&mut self, now: Time, dispatch: &Dispatch) -> Receipt {
-        if self.busy_until.is_some() || dispatch.sequence != self.sequence {
-            return Receipt::Conflict;
-        }
-        let receipt = match &dispatch.order {
-            Order::Load { model } => {
-                self.busy_until = Some((now + millis(400), dispatch.order.clone()));
-                assert!(!self.models.iter().any(|(name, _)| name == model), "{model} is there");
-                Receipt::Accepted
-            }
-            Order::Unload { .. } => {
-                self.busy_until = Some((now + millis(200), dispatch.order.clone()));
-                Receipt::Accepted
-            }
-            Order::LoadAdapter { model, adapter } => {
-                let Some((_, adapters)) = self.models.iter_mut().find(|(name, _)| name == model) else {
-                    return Receipt::Refused;
-                };
-                if adapters.contains(adapter) {
-                    return Receipt::Holds;
-                }
-                adapters.push(adapter.clone());
-                Receipt::Accepted
-            }
-            Order::UnloadAdapter { model, adapter } => {
-                for (name, adapters) in &mut self.models {
-                    if name == model {
-                        adapters.retain(|held| held != adapter);
-                    }
-                }
-                Receipt::Holds
-            }
-        };
-        self.sequence += 1;
-        assert!(
-            self.memory_mb() <= pool().memory_mb,
-            "overfilled by {:?}: {:?}",
-            dispatch.order,
-            self.models
-        );
-        assert!(self.adapters() <= pool().adapters_max as usize, "too many adapters: {:?}", self.models);
-        receipt
-    }
-
-    fn report(&self) -> Report {
-        let held =
-            |(name, adapters): &(Name, Vec<Name>)| Held { model: name.clone(), adapters: adapters.clone() };
-        Report {
-            sequence: self.sequence,
-            busy: self.busy_until.is_some(),
-            held: self.models.iter().map(held).collect(),
-            fetching: Vec::new(),
-        }
-    }
-}
-
 #[test]
 fn never_overfilled() {
     arbtest(|u| {
@@ -264,10 +182,8 @@
         let held = [("w1", ["m0", "m1"]), ("w2", ["m0", "m2"])];
         let mut engines = held.map(|(id, models)| Engine {
             id: id.into(),
-            sequence: 0,
             models: models.map(|name| (Name::from(name), Vec::new())).to_vec(),
-            busy_until: None,
-            late: Vec::new(),
+            ..Engine::default()
         });
         let mut reports: Vec<(Time, Name, Report)> = Vec::new();
         for _ in 0..300 {
@@ -314,7 +230,14 @@
                             _ => Some(engine.take(node.now, &dispatch)),
                         };
                         let engine = dispatch.engine.clone();
-                        effects.extend(node.feed(Event::Ordered { engine, receipt }).to_vec());
+                        effects.extend(
+                            node.feed(Event::Ordered {
+                                engine,
+                                incarnation: Incarnation::default(),
+                                receipt,
+                            })
+                            .to_vec(),
+                        );
                     }
                     _ => {}
                 }
@@ -332,7 +255,11 @@
     node.pass(millis(300));
     let id = node.arrive(streamed("/brief/1", "m0", Some("a7")));
     let engine = orders(&node.effects).remove(0).engine;
-    node.feed(Event::Ordered { engine, receipt: Some(Receipt::Accepted) });
+    node.feed(Event::Ordered {
+        engine,
+        incarnation: Incarnation::default(),
+        receipt: Some(Receipt::Accepted),
+    });
     assert_eq!(node.step(id), None, "an adapter takes some ms to be fetched");
     assert!(matches!(step_of(&node.pass(millis(50)), id), Some(Step::Send(_))));
 }
@@ -353,7 +280,11 @@
     let [Dispatch { engine, order: Order::Unload { .. }, .. }] = &*first else {
         panic!("one engine makes room for m3: {first:?}");
     };
-    hub.feed(Event::Ordered { engine: engine.clone(), receipt: Some(Receipt::Accepted) });
+    hub.feed(Event::Ordered {
+        engine: engine.clone(),
+        incarnation: Incarnation::default(),
+        receipt: Some(Receipt::Accepted),
+    });
     let more = orders(&hub.pass(millis(1_500)));
     assert_eq!(more, [], "the dropped copy still has streams, and m3 is decided on");
 }
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -11,7 +11,7 @@
 use boragecove_fleet::State;
 use boragecove_fleet::config::{Config, Kind, Limits, Model, Pool, Route, Service, Share};
 use boragecove_fleet::effect::{Dispatch, Effect};
-use boragecove_fleet::engine::{Cached, Entry, Held, Row};
+use boragecove_fleet::engine::{Cached, Entry, Held, Incarnation, Row};
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::lease;
 use boragecove_fleet::request::{Arrival, Attempt, End, Id, Prompt, Refusal, Step};
@@ -108,6 +108,7 @@
     let port = 8_000 + id.bytes().fold(0_u16, |sum, byte| (sum * 7 + u16::from(byte)) % 900);
     Entry {
         id: id.into(),
+        incarnation: Incarnation::default(),
         service: service.into(),
         address: address(port),
         zone: zone.into(),
