--- a/daemon/src/entry/events.rs
+++ b/daemon/src/entry/events.rs
@@ -49,6 +49,11 @@
     }
 }
 
+/// How many whole events there are in such bytes.
+pub(crate) fn count(whole: &Bytes) -> u32 {
+    memmem::find_iter(whole, b"\n\n").count() as u32
+}
+
 fn last_id(events: &[u8]) -> Option<u64> {
     let lines = events.split(|byte| *byte == b'\n').rev();
     let id = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"))?;
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -14,6 +14,7 @@
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease;
 use boragecove_fleet::request::{Arrival, Id, Step};
+use boragecove_fleet::schedule::{Ask, Grant};
 use boragecove_fleet::state::{Identity, State};
 use boragecove_platform::{engine, front, store};
 use bytes::Bytes;
@@ -26,7 +27,7 @@
 use super::log::Log;
 use super::metrics;
 use super::outlet::Outlet;
-use super::relay::{Content, Relay};
+use super::relay::{Content, Relay, Timing};
 use super::settings::Settings;
 use super::{follow, peers};
 use crate::clock::Clock;
@@ -96,7 +97,12 @@
 /// What the hub would answer to a frame.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "Reply")]
-pub(crate) struct Ask(pub(crate) Frame);
+pub(crate) struct Tell(pub(crate) Frame);
+
+/// Another entry VM asks for a place in the schedule of an engine.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "Grant")]
+pub(crate) struct Place(pub(crate) Ask);
 
 /// All metrics in their text format.
 #[derive(Debug, actix::Message)]
@@ -148,6 +154,10 @@
         match effect {
             Effect::Step { request, step } => self.step(request, step),
             Effect::Frame { address, frame } => self.frame(address, &frame, ctx),
+            Effect::Ask { address, request, ask } => {
+                let asking = peers::ask(Rc::clone(&self.client), address, &ask);
+                later(ctx, async move { Event::Granted { request, grant: asking.await } });
+            }
             Effect::Lease(call) => self.lease(call, ctx),
             Effect::Order(dispatch) => self.order(&dispatch, ctx),
             Effect::Report { engine, address } => self.report(engine, address, ctx),
@@ -327,7 +337,7 @@
             begun: false,
             events: Events::default(),
             held: None,
-            pause: Duration::ZERO,
+            timing: Timing::default(),
         };
         self.feed(Event::Arrive { request: id, arrival: Box::new(arrival) }, ctx);
         actix_rt::spawn(relay.run());
@@ -342,10 +352,18 @@
     }
 }
 
-impl Handler<Ask> for Node {
-    type Result = MessageResult<Ask>;
+impl Handler<Place> for Node {
+    type Result = MessageResult<Place>;
+
+    fn handle(&mut self, Place(ask): Place, _ctx: &mut Self::Context) -> Self::Result {
+        MessageResult(boragecove_fleet::grant(&mut self.state, self.clock.now(), &ask))
+    }
+}
+
+impl Handler<Tell> for Node {
+    type Result = MessageResult<Tell>;
 
-    fn handle(&mut self, Ask(frame): Ask, _ctx: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, Tell(frame): Tell, _ctx: &mut Self::Context) -> Self::Result {
         MessageResult(boragecove_fleet::reply(&self.state, self.clock.now(), &frame))
     }
 }
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -1,4 +1,5 @@
-//! Frames between entry VMs, as `MessagePack` over HTTP.
+//! What entry VMs say to each other, as `MessagePack` over HTTP: frames to the hub, and questions for places in the
+//! schedules of engines.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,15 +12,25 @@
 use actix_web::web::{self, Data, PayloadConfig, ServiceConfig};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
+use boragecove_fleet::schedule::{Ask, Grant};
 use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
 use super::client::{Client, Request};
-use super::node::{Ask, Feed, Node};
+use super::node::{Feed, Node, Place, Tell};
 
 /// Where frames are posted.
 const PATH: &str = "/frame";
+/// Where places in schedules are asked for.
+const SCHEDULE: &str = "/schedule";
+/// Bytes of a question for a place, or of its answer, at most.
+const ASK_MAX: usize = 4 << 10;
+/// How long the owner of a schedule may take to answer: the way is 1 to 4 ms, and a machine that has spent its share of
+/// processor time stands still for most of a tenth of a second.
+const ASK_LIMIT: Duration = Duration::from_millis(60);
 /// Largest frame or answer that is read.
 const FRAME_MAX: usize = 4 << 20;
 /// How long the hub waits for what a frame says that requests wait for: an adapter is there in some 20 ms.
@@ -32,24 +43,46 @@
     frame: &Frame,
     limit: Duration,
 ) -> impl Future<Output = Option<Reply>> + use<> {
-    let body = rmp_serde::to_vec(frame).unwrap_or_default();
-    let request = Request {
+    let request = post(PATH, frame);
+    async move { answer(&client, address, request, FRAME_MAX, limit).await }
+}
+
+/// Asks the owner of an engine's schedule for a place. Returns its answer, or none if none came in time.
+pub(crate) fn ask(
+    client: Rc<Client>,
+    address: SocketAddr,
+    ask: &Ask,
+) -> impl Future<Output = Option<Grant>> + use<> {
+    let request = post(SCHEDULE, ask);
+    async move { answer(&client, address, request, ASK_MAX, ASK_LIMIT).await }
+}
+
+fn post(path: &'static str, message: &impl Serialize) -> Request {
+    Request {
         method: Method::POST,
-        target: Uri::from_static(PATH),
+        target: Uri::from_static(path),
         headers: HeaderMap::new(),
-        body: body.into(),
-    };
-    async move {
-        let answer = client.call(address, request, FRAME_MAX, Instant::now() + limit).await;
-        let (status, body) =
-            answer.inspect_err(|error| tracing::debug!(%error, "no answer of the hub")).ok()?;
-        if !status.is_success() {
-            return None;
-        }
-        rmp_serde::from_slice(&body).inspect_err(|error| tracing::warn!(%error, "answer of the hub")).ok()
+        body: rmp_serde::to_vec(message).unwrap_or_default().into(),
     }
 }
 
+async fn answer<T: DeserializeOwned>(
+    client: &Rc<Client>,
+    address: SocketAddr,
+    request: Request,
+    bytes_max: usize,
+    limit: Duration,
+) -> Option<T> {
+    let called = client.call(address, request, bytes_max, Instant::now() + limit).await;
+    let (status, body) =
+        called.inspect_err(|error| tracing::debug!(%error, "no answer of another entry VM")).ok()?;
+    if !status.is_success() {
+        return None;
+    }
+    let read = rmp_serde::from_slice(&body);
+    read.inspect_err(|error| tracing::warn!(%error, "answer of another entry VM")).ok()
+}
+
 /// What the listener for frames works with.
 #[derive(Clone, Debug)]
 pub(crate) struct Hub {
@@ -62,7 +95,22 @@
     config
         .app_data(Data::new(hub))
         .app_data(PayloadConfig::new(FRAME_MAX))
-        .route(PATH, web::post().to(heard));
+        .route(PATH, web::post().to(heard))
+        .route(SCHEDULE, web::post().to(asked));
+}
+
+async fn asked(body: Bytes, hub: Data<Hub>) -> HttpResponse {
+    let ask: Ask = match rmp_serde::from_slice(&body) {
+        Ok(ask) => ask,
+        Err(error) => {
+            tracing::warn!(%error, "question for a place refused");
+            return HttpResponse::BadRequest().finish();
+        }
+    };
+    match hub.node.send(Place(ask)).await {
+        Ok(grant) => HttpResponse::Ok().body(rmp_serde::to_vec(&grant).unwrap_or_default()),
+        Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
+    }
 }
 
 async fn heard(body: Bytes, hub: Data<Hub>) -> HttpResponse {
@@ -79,7 +127,7 @@
     if frame.demand.iter().any(|demand| demand.waiting > 0) {
         let _elapsed = timeout(HOLD, changed.changed()).await;
     }
-    match hub.node.send(Ask(frame)).await {
+    match hub.node.send(Tell(frame)).await {
         Ok(reply) => HttpResponse::Ok().body(rmp_serde::to_vec(&reply).unwrap_or_default()),
         Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
     }
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -8,14 +8,14 @@
 use actix_http::StatusCode;
 use boragecove_core::name::Name;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::request::{Attempt, End, Id, Refusal, Step};
+use boragecove_fleet::request::{Attempt, End, Events as Timed, Id, Refusal, Step};
 use boragecove_platform::front::{self, Verdict};
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::client::{Client, Error, Request, Response};
-use super::events::Events;
+use super::events::{self, Events};
 use super::node::{Feed, Node};
 use super::outlet::{Head, Outlet, Part};
 use crate::clock::Clock;
@@ -54,8 +54,34 @@
     pub(crate) events: Events,
     /// An answer that waits for the word to pass it on.
     pub(crate) held: Option<(Head, Bytes)>,
-    /// The longest pause between two events of the current attempt.
-    pub(crate) pause: Duration,
+    /// How the events of the current attempt come.
+    pub(crate) timing: Timing,
+}
+
+/// How the events of an attempt come.
+#[derive(Debug, Default)]
+pub(crate) struct Timing {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    /// Events after the first.
+    count: u32,
+    pause: Duration,
+}
+
+impl Timing {
+    /// So many events came together.
+    fn take(&mut self, now: Instant, count: u32) {
+        let pause = self.last.replace(now).map(|last| now.duration_since(last));
+        self.count += if pause.is_some() { count } else { count.saturating_sub(1) };
+        self.first.get_or_insert(now);
+        self.pause = self.pause.max(pause.unwrap_or_default());
+    }
+
+    fn events(&self) -> Timed {
+        let span = self.first.zip(self.last).map(|(first, last)| last.duration_since(first));
+        let gap = span.filter(|_| self.count > 0).map(|span| span / self.count);
+        Timed { pause: self.pause, gap }
+    }
 }
 
 /// What ends an attempt from outside.
@@ -103,7 +129,7 @@
                     request: self.id,
                     attempt: number,
                     end,
-                    pause: self.pause,
+                    events: self.timing.events(),
                 }));
                 tokio::select! {
                     step = self.steps.recv() => step,
@@ -116,7 +142,7 @@
     /// Sends the request to an engine and reads its answer.
     async fn exchange(&mut self, attempt: Attempt) -> End {
         self.held = None;
-        self.pause = Duration::ZERO;
+        self.timing = Timing::default();
         self.events.restart();
         tokio::time::sleep_until(self.clock.instant(attempt.at)).await;
         let left = attempt.deadline.since(self.clock.now());
@@ -172,7 +198,6 @@
     /// Passes a stream on, event by event.
     async fn stream(&mut self, attempt: &Attempt, mut response: Response) -> End {
         let head = Head { status: response.status(), headers: front::returned(response.headers()) };
-        let mut last: Option<Instant> = None;
         loop {
             match response.chunk().await {
                 Ok(Some(bytes)) => {
@@ -183,9 +208,7 @@
                     if whole.is_empty() {
                         continue;
                     }
-                    let now = Instant::now();
-                    let pause = last.replace(now).map_or(Duration::ZERO, |last| now.duration_since(last));
-                    self.pause = self.pause.max(pause);
+                    self.timing.take(Instant::now(), events::count(&whole));
                     self.node.do_send(Feed(Event::Began(self.id)));
                     self.begin(&head).await;
                     let _caller_gone = self.outlet.send(Part::Data(whole)).await;
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -8,7 +8,6 @@
 
 use crate::engine::Engine;
 use crate::frame;
-use crate::pace::Seat;
 use crate::request::Prompt;
 use crate::settings::Settings;
 use crate::spread::{self, Unseen};
@@ -40,8 +39,8 @@
     pub engine: Name,
     /// What it is expected to cost, in ms of waiting.
     pub cost_ms: f64,
-    /// When the request is to be sent.
-    pub at: Time,
+    /// How much longer the request may have to wait there than is expected, before another engine is better.
+    pub slack: Duration,
     /// Engines that could have had the request.
     pub candidates: usize,
 }
@@ -66,7 +65,6 @@
 struct Candidate<'a> {
     engine: &'a Engine,
     cost_ms: f64,
-    at: Time,
 }
 
 /// What a look at all engines of a service gives.
@@ -86,10 +84,11 @@
     let Query { service, prompt, .. } = query;
     let mut rng = state.rng.fork();
     let state = &*state;
-    let work = prompt.map(|prompt| state.slowness.work(&prompt.model, prompt.tokens, &state.settings));
+    let work = prompt.map(|prompt| state.speed.work(service, &prompt.model, prompt.tokens));
     let mut found = look(state, now, query);
     for candidate in &mut found.candidates {
-        candidate.cost_ms += work.map_or(0.0, |work| read_ms(candidate.engine, work)) + rng.f64() * JITTER_MS;
+        candidate.cost_ms +=
+            work.map_or(0.0, |work| read_ms(candidate.engine, work, now)) + rng.f64() * JITTER_MS;
     }
     if let Some(pick) = draw(state, now, service, &found.candidates, work, rng.f64()) {
         return Choice::Engine(pick);
@@ -106,9 +105,9 @@
     let Query { service, prompt, avoid, .. } = query;
     let settings = &state.settings;
     let run_ms = state.pace(service);
-    let of = state.engines_of(service).count();
-    let mut found = Found { members: of, ..Found::default() };
-    for (number, engine) in state.engines_of(service).enumerate() {
+    let mut found = Found::default();
+    for engine in state.engines_of(service) {
+        found.members += 1;
         if !engine.takes_work() || avoid.contains(&engine.entry.id) {
             continue;
         }
@@ -126,14 +125,8 @@
             found.soonest_ms = Some(found.soonest_ms.map_or(room_ms, |soonest| soonest.min(room_ms)));
             continue;
         }
-        let seat = Seat { number: number as u64, of: of as u64 };
-        let at = match prompt {
-            Some(_) => engine.turn.at(state.round.as_ref(), seat, now, settings),
-            None => now,
-        };
-        let turn_ms = ms(at.since(now));
-        let cost_ms = queue_ms + turn_ms + beside_ms(engine, now, &state.me.zone, settings);
-        found.candidates.push(Candidate { engine, cost_ms, at });
+        let cost_ms = queue_ms + beside_ms(engine, now, &state.me.zone, settings);
+        found.candidates.push(Candidate { engine, cost_ms });
     }
     found
 }
@@ -168,11 +161,15 @@
         candidate.cost_ms + raised
     };
     let costs: Vec<f64> = candidates.iter().map(cost).collect();
-    let chosen = &candidates[spread::draw(&costs, unseen, drawn)?];
+    let index = spread::draw(&costs, unseen, drawn)?;
+    let chosen = &candidates[index];
+    let others = costs.iter().enumerate().filter(|(other, _)| *other != index);
+    let next_ms = others.map(|(_, cost)| *cost).fold(f64::INFINITY, f64::min);
+    let slack = Duration::try_from_secs_f64((next_ms - costs[index]).max(0.0) / 1_000.0);
     Some(Pick {
         engine: chosen.engine.entry.id.clone(),
         cost_ms: chosen.cost_ms,
-        at: chosen.at,
+        slack: slack.unwrap_or(Duration::MAX),
         candidates: candidates.len(),
     })
 }
@@ -196,9 +193,10 @@
     time.as_secs_f64() * 1_000.0
 }
 
-/// Time to read the prompts that are ahead, and this one.
-fn read_ms(engine: &Engine, work: Duration) -> f64 {
-    engine.load().reading_us as f64 / 1_000.0 + ms(work)
+/// Time until a prompt has been read: it waits for its place in the schedule, or for the prompts that are ahead.
+fn read_ms(engine: &Engine, work: Duration, now: Time) -> f64 {
+    let ahead_ms = engine.load().reading_us as f64 / 1_000.0;
+    ahead_ms.max(ms(engine.schedule.wait(now))) + ms(work)
 }
 
 /// What else speaks against an engine.
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -13,6 +13,7 @@
 use crate::ledger::Order;
 use crate::record::Record;
 use crate::request::{Id, Step};
+use crate::schedule::Ask;
 
 /// Something to do.
 #[derive(Clone, Debug)]
@@ -31,6 +32,15 @@
         /// The frame.
         frame: Box<Frame>,
     },
+    /// Ask the owner of an engine's schedule for a place; its answer comes back as [`crate::event::Event::Granted`].
+    Ask {
+        /// Where the owner listens.
+        address: SocketAddr,
+        /// The request that the place is for.
+        request: Id,
+        /// The question.
+        ask: Ask,
+    },
     /// Read or write the lease.
     Lease(lease::Call),
     /// Send an order to an engine.
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -7,9 +7,12 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
-use crate::pace::Turn;
+use crate::schedule::Schedule;
 use crate::settings::Settings;
 
+/// Part of its slots that is taken at an engine where a new request may wait for one: loads are known late.
+const CROWDED: f64 = 0.7;
+
 /// An engine as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -167,8 +170,8 @@
     pub own: Load,
     /// What the other entry VMs have sent there.
     pub others: Load,
-    /// When this process may send it the next prompt.
-    pub turn: Turn,
+    /// When prompts can be sent there, as far as is known here; exact at the owner of the schedule.
+    pub schedule: Schedule,
     /// How far it is trusted.
     pub health: Health,
     /// What it holds, as the process that orders it says; none until that is known.
@@ -187,7 +190,7 @@
             missing_until: None,
             own: Load::default(),
             others: Load::default(),
-            turn: Turn::default(),
+            schedule: Schedule::default(),
             health: Health::default(),
             ordered: None,
             absent: Vec::new(),
@@ -200,6 +203,12 @@
         self.own.plus(self.others)
     }
 
+    /// Whether so many requests are under way there that a new one may wait for a slot.
+    #[must_use]
+    pub fn is_crowded(&self) -> bool {
+        f64::from(self.load().open) > CROWDED * f64::from(self.entry.slots)
+    }
+
     /// Whether it may be sent work at all.
     #[must_use]
     pub const fn takes_work(&self) -> bool {
@@ -210,6 +219,7 @@
     /// Requests that were sent to its earlier start end by their broken connections.
     pub(crate) fn restart(&mut self) {
         self.health = Health::default();
+        self.schedule = Schedule::default();
         self.ordered = None;
         self.absent.clear();
     }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -1,7 +1,6 @@
 //! Every input of the reducer.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use boragecove_core::name::Name;
 
@@ -10,7 +9,8 @@
 use crate::frame::{Frame, Reply};
 use crate::lease;
 use crate::ledger::{Receipt, Report};
-use crate::request::{Arrival, End, Id};
+use crate::request::{Arrival, End, Events, Id};
+use crate::schedule::Grant;
 use crate::settings::Settings;
 
 /// Something that happened. The time at which it did is handed in beside it.
@@ -43,13 +43,20 @@
         attempt: u32,
         /// How it ended.
         end: End,
-        /// The longest pause between two of its events.
-        pause: Duration,
+        /// How its events came.
+        events: Events,
     },
     /// A frame came from another entry VM. The answer is asked for with [`crate::reply`].
     Framed(Box<Frame>),
     /// The hub answered a frame; none if it could not be reached.
     Replied(Option<Box<Reply>>),
+    /// The owner of an engine's schedule answered; none if it could not be reached.
+    Granted {
+        /// The request that the place is for.
+        request: Id,
+        /// The answer.
+        grant: Option<Grant>,
+    },
     /// The lease was read or written.
     Lease(lease::Answer),
     /// An engine answered an order; none if it is not known whether the order arrived.
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -12,10 +12,11 @@
 use crate::config::Route;
 use crate::demand::Target;
 use crate::effect::Effect;
-use crate::engine::Load;
+use crate::engine::{Engine, Load};
 use crate::frame;
 use crate::record::{Record, ms};
 use crate::request::{Arrival, Attempt, Id, Prompt, Refusal, Step};
+use crate::schedule::{self, Ask, Grant, Need};
 use crate::state::State;
 use crate::timer::Timer;
 
@@ -43,6 +44,8 @@
     pub(crate) used: u32,
     /// Engines that refused it.
     pub(crate) refusals: u32,
+    /// Places in schedules that it asked for in vain since it was last sent.
+    pub(crate) asked: u32,
     /// Engines that are not to get it again.
     pub(crate) avoid: Vec<Name>,
     pub(crate) may_have_run: bool,
@@ -52,6 +55,8 @@
 pub(crate) enum Stage {
     /// It waits for an engine.
     Waiting,
+    /// A place in an engine's schedule was asked for.
+    Scheduling { pick: Pick, ask: Ask, owner: Name },
     /// It is at an engine.
     Sent { engine: Name, at: Time, begun: bool },
 }
@@ -122,7 +127,7 @@
     let deadline = now + patience.unwrap_or(route.timeout).min(route.timeout);
     let work = prompt
         .as_ref()
-        .map_or(Duration::ZERO, |prompt| state.slowness.work(&prompt.model, prompt.tokens, &state.settings));
+        .map_or(Duration::ZERO, |prompt| state.speed.work(&service, &prompt.model, prompt.tokens));
     Flow {
         begin_by: deadline.min(now + route.patience()),
         route,
@@ -135,6 +140,7 @@
         number: 0,
         used: 0,
         refusals: 0,
+        asked: 0,
         avoid: Vec::new(),
         may_have_run: false,
     }
@@ -187,7 +193,7 @@
         target: flow.route.target,
     };
     match choose::choose(state, now, query) {
-        Choice::Engine(pick) => send(state, now, id, pick, fresh, out),
+        Choice::Engine(pick) => engage(state, now, id, pick, fresh, out),
         Choice::Absent => {
             let wait = if can_load(state, now) { state.settings.load_wait } else { DOUBT_WAIT };
             wait_for(state, now, id, wait, fresh, out);
@@ -210,25 +216,116 @@
     state.flows.get(&id).is_some_and(|flow| now.since(flow.arrived) > DOUBT_WAIT)
 }
 
-fn send(state: &mut State, now: Time, id: Id, pick: Pick, fresh: bool, out: &mut Vec<Effect>) {
-    let hub_age = state.hub.age(now);
-    let config = state.config.as_ref().map_or(0, |config| config.version);
-    let silence = state.settings.silence;
+/// Counts a request at the engine that was picked, and sends it: at once, or once it has its place in the schedule.
+fn engage(state: &mut State, now: Time, id: Id, pick: Pick, fresh: bool, out: &mut Vec<Effect>) {
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
     let Some(engine) = state.engines.get_mut(&pick.engine) else {
         return;
     };
-    flow.number += 1;
-    flow.used += 1;
-    flow.stage = Stage::Sent { engine: pick.engine.clone(), at: pick.at, begun: false };
+    engine.own = engine.own.plus(flow.load(false));
     if let Some(target) = flow.target() {
         if !fresh {
             state.demand.waited(&target);
         }
         state.demand.sent(&target);
     }
+    if flow.prompt.is_none() {
+        send(state, now, id, &pick, Duration::ZERO, out);
+        return;
+    }
+    // One that found the schedule of its first choice full takes what the next one offers.
+    let slack = pick.slack.max(state.settings.schedule_slack);
+    let left = flow.begin_by.since(now).saturating_sub(state.settings.reserve);
+    let expected = engine.schedule.wait(now);
+    let wait_max = if flow.asked == 0 { expected.saturating_add(slack).min(left) } else { left };
+    let need = Need::new(flow.work, state.speed.event(&flow.service), &flow.route);
+    let ask = Ask { engine: pick.engine.clone(), need, wait_max };
+    let owner = state.members.owner(&pick.engine, &engine.entry.zone, now).cloned();
+    let owner = owner.filter(|owner| owner.vm != state.me.vm);
+    flow.stage = Stage::Scheduling {
+        pick,
+        ask: ask.clone(),
+        owner: owner.as_ref().map_or_else(|| state.me.vm.clone(), |owner| owner.vm.clone()),
+    };
+    if let Some(owner) = owner {
+        out.push(Effect::Ask { address: owner.address, request: id, ask });
+        return;
+    }
+    let grant = schedule::grant(state, now, &ask);
+    scheduled(state, now, id, grant, out);
+}
+
+/// The owner of a schedule answered, or did not.
+pub(crate) fn granted(state: &mut State, now: Time, id: Id, grant: Option<Grant>, out: &mut Vec<Effect>) {
+    let Some(Stage::Scheduling { ask, owner, .. }) = state.flows.get(&id).map(|flow| flow.stage.clone())
+    else {
+        return;
+    };
+    if let Some(grant) = grant {
+        schedule::learn(state, now, &ask, grant);
+        scheduled(state, now, id, grant, out);
+        return;
+    }
+    schedule::unanswered(state, now, &owner, out);
+    let grant = schedule::grant(state, now, &ask);
+    scheduled(state, now, id, grant, out);
+}
+
+/// A request has its place in the schedule of the engine that was picked, or is to find another.
+fn scheduled(state: &mut State, now: Time, id: Id, grant: Grant, out: &mut Vec<Effect>) {
+    let Some(Flow { stage: Stage::Scheduling { pick, .. }, asked, .. }) = state.flows.get(&id) else {
+        return;
+    };
+    let (pick, asked) = (pick.clone(), *asked);
+    match grant {
+        Grant::After(wait) if is_open(state, now, id, &pick.engine) => {
+            send(state, now, id, &pick, wait, out);
+        }
+        // It went, or was suspected, meanwhile.
+        Grant::After(_) => {
+            leave(state, id);
+            dispatch(state, now, id, true, out);
+        }
+        Grant::Busy(_) if asked == 0 => {
+            leave(state, id);
+            if let Some(flow) = state.flows.get_mut(&id) {
+                flow.asked += 1;
+            }
+            dispatch(state, now, id, true, out);
+        }
+        Grant::Busy(wait) => {
+            give_up(state, now, id, Code::DeadlineUnreachable, Some(wait), out);
+        }
+    }
+}
+
+/// Whether an engine can still be sent a request that was meant for it.
+fn is_open(state: &State, now: Time, id: Id, engine: &Name) -> bool {
+    let prompt = state.flows.get(&id).and_then(|flow| flow.prompt.as_ref());
+    let serves = |engine: &Engine| {
+        prompt.is_none_or(|prompt| engine.serves(&prompt.model, prompt.adapter.as_deref(), now))
+    };
+    let engine = state.engines.get(engine);
+    engine.is_some_and(|engine| engine.takes_work() && !engine.health.suspected(now) && serves(engine))
+}
+
+fn send(state: &mut State, now: Time, id: Id, pick: &Pick, wait: Duration, out: &mut Vec<Effect>) {
+    let hub_age = state.hub.age(now);
+    let config = state.config.as_ref().map_or(0, |config| config.version);
+    let silence = state.settings.silence;
+    let Some(flow) = state.flows.get_mut(&id) else {
+        return;
+    };
+    let Some(engine) = state.engines.get(&pick.engine) else {
+        return;
+    };
+    let at = now + wait;
+    flow.number += 1;
+    flow.used += 1;
+    flow.asked = 0;
+    flow.stage = Stage::Sent { engine: pick.engine.clone(), at, begun: false };
     out.push(Effect::Record(Record::Sent {
         request: id.0,
         attempt: flow.number,
@@ -237,25 +334,21 @@
         config,
         cost_ms: (pick.cost_ms * 10.0).round() / 10.0,
         candidates: pick.candidates,
-        open: engine.load().open,
+        open: engine.load().open.saturating_sub(1),
         hub_age_ms: ms(hub_age.min(Duration::from_hours(1))),
-        turn_ms: ms(pick.at.since(now)),
+        wait_ms: ms(wait),
         left_ms: ms(flow.deadline.since(now)),
     }));
-    if flow.prompt.is_some() {
-        engine.turn.take(state.round.as_ref(), pick.at, flow.work, &state.settings);
-    }
-    engine.own = engine.own.plus(flow.load(false));
     let attempt = Attempt {
         number: flow.number,
-        engine: pick.engine,
+        engine: pick.engine.clone(),
         address: engine.entry.address,
-        at: pick.at,
+        at,
         deadline: flow.deadline,
         priority: flow.route.priority,
         streams: flow.route.kind.streams(),
     };
-    state.timers.set(pick.at + silence, Timer::Silence(id, attempt.number));
+    state.timers.set(at + silence, Timer::Silence(id, attempt.number));
     out.push(Effect::Step { request: id, step: Step::Send(attempt) });
 }
 
@@ -339,17 +432,19 @@
 /// Takes a request off its engine. Returns the engine and when it was sent there.
 pub(crate) fn leave(state: &mut State, id: Id) -> Option<(Name, Time)> {
     let flow = state.flows.get_mut(&id)?;
-    let Stage::Sent { engine, at, begun } = std::mem::replace(&mut flow.stage, Stage::Waiting) else {
-        return None;
+    let (engine, at, begun) = match std::mem::replace(&mut flow.stage, Stage::Waiting) {
+        Stage::Waiting => return None,
+        Stage::Scheduling { pick, .. } => (pick.engine, None, false),
+        Stage::Sent { engine, at, begun } => (engine, Some(at), begun),
     };
     let load = flow.load(begun);
     if let Some(target) = flow.target() {
         state.demand.ended(&target);
     }
-    if let Some(engine) = state.engines.get_mut(&engine) {
-        engine.own = engine.own.minus(load);
+    if let Some(known) = state.engines.get_mut(&engine) {
+        known.own = known.own.minus(load);
     }
-    Some((engine, at))
+    at.map(|at| (engine, at))
 }
 
 /// Forgets a request.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -2,6 +2,7 @@
 //! grows with the number of entry VMs, not with its square.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,10 +19,10 @@
 use crate::event::Listing;
 use crate::flow;
 use crate::ledger;
-use crate::pace::{Place, Round};
+use crate::members::Member;
 use crate::record::Record;
 use crate::settings::Settings;
-use crate::state::State;
+use crate::state::{Identity, State};
 use crate::timer::Timer;
 use crate::trust;
 
@@ -37,14 +38,17 @@
 const ALONE_PAUSE_MAX: Duration = Duration::from_millis(800);
 /// Loads that are known later than this say nothing any more.
 const LATENESS_MAX: Duration = Duration::from_secs(2);
-/// Answers that took longer say too little of the hub's clock.
-const PROMPT_REPLY: Duration = Duration::from_millis(30);
-
 /// What an entry VM tells the hub.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
     /// The entry VM's name.
     pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it listens; none if it is not to be asked anything.
+    pub address: Option<SocketAddr>,
+    /// Which entry VMs it knows, by the number of their list.
+    pub members: u64,
     /// The configuration that it goes by; 0 for none.
     pub config: u64,
     /// The store's version up to which it knows the engines' table.
@@ -97,8 +101,8 @@
     pub leads: bool,
     /// Time since the store last answered the hub.
     pub store_age: Duration,
-    /// The asker's place among the entry VMs.
-    pub place: Option<Place>,
+    /// All entry VMs, if the asker knows others.
+    pub members: Option<Vec<Member>>,
     /// Entry VMs that it hears, itself among them.
     pub nodes: u32,
     /// What all others have under way, by engine.
@@ -242,8 +246,7 @@
         state.hub.leads = true;
         state.hub.answered = Some(now);
         state.hub.nodes = state.hub.peers.len() as u32 + 1;
-        let place = Place { index: 0, nodes: state.hub.nodes, hub_time: now };
-        state.round = Some(Round::new(place, now, Duration::ZERO));
+        state.members.replace(counted(state));
         return;
     }
     let Some(row) = state.lease.hub() else {
@@ -263,6 +266,10 @@
     let loads = loads.map(|(id, engine)| EngineLoad { engine: id.clone(), load: engine.own }).collect();
     Frame {
         vm: state.me.vm.clone(),
+        zone: state.me.zone.clone(),
+        // One that stops is not to be asked.
+        address: (!state.stopping).then_some(state.me.address),
+        members: state.members.version(),
         config: state.config.as_ref().map_or(0, |config| config.version),
         listed: state.listed,
         view: state.hub.view,
@@ -351,7 +358,7 @@
     Reply {
         leads: holds,
         store_age: now.since(state.store_heard),
-        place: place(state, now, &asker.vm),
+        members: (asker.members != state.members.version()).then(|| state.members.list().to_vec()),
         nodes: state.hub.peers.len() as u32 + 1,
         loads: loads.collect(),
         view,
@@ -363,16 +370,25 @@
     }
 }
 
-/// The place of an entry VM; the hub has the first.
-fn place(state: &State, now: Time, vm: &Name) -> Option<Place> {
-    let index = state.hub.peers.keys().position(|peer| peer == vm)?;
-    let nodes = state.hub.peers.len() as u32 + 1;
-    Some(Place { index: index as u32 + 1, nodes, hub_time: now })
+/// The entry VMs that the hub hears, itself among them, in the order of their names.
+fn counted(state: &State) -> Vec<Member> {
+    let Identity { vm, zone, address } = state.me.clone();
+    let mut list = Vec::with_capacity(state.hub.peers.len() + 1);
+    if !state.stopping {
+        list.push(Member { vm, zone, address });
+    }
+    for Peer { frame, .. } in state.hub.peers.values() {
+        if let Some(address) = frame.address {
+            list.push(Member { vm: frame.vm.clone(), zone: frame.zone.clone(), address });
+        }
+    }
+    list.sort_by(|a, b| a.vm.cmp(&b.vm));
+    list
 }
 
 /// The hub answered, or could not be reached.
 pub(crate) fn replied(state: &mut State, now: Time, reply: Option<Reply>, out: &mut Vec<Effect>) {
-    let took = state.hub.asking.take().map_or(Duration::ZERO, |asked| now.since(asked));
+    state.hub.asking = None;
     let Some(reply) = reply else {
         if state.hub.leads && !state.hub.alive(now, &state.settings) {
             state.hub.leads = false;
@@ -390,10 +406,8 @@
     state.hub.leads = reply.leads;
     state.hub.nodes = reply.nodes;
     state.hub.answered = Some(now);
-    if let Some(place) = reply.place
-        && took < PROMPT_REPLY
-    {
-        state.round = Some(Round::new(place, now, took));
+    if let Some(members) = reply.members {
+        state.members.replace(members);
     }
     if let Some(config) = reply.config {
         entries::configured(state, config, "hub", out);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,8 +5,8 @@
 //! the seed it was given.
 //!
 //! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
-//! keeps what the store says; `choose`, `spread`, `pace`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame` joins the entry
-//! VMs; `lease`, `ledger` with `book`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
+//! keeps what the store says; `choose`, `spread`, `schedule`, `speed`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame` and
+//! `members` join the entry VMs; `lease`, `ledger` with `book`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
 mod adapter;
 mod book;
@@ -22,19 +22,21 @@
 pub mod frame;
 pub mod lease;
 pub mod ledger;
+pub mod members;
 mod outcome;
-pub mod pace;
 pub mod place;
 mod plan;
 pub mod record;
 mod reduce;
 pub mod request;
+pub mod schedule;
 pub mod settings;
+pub mod speed;
 pub mod spread;
 pub mod state;
 mod tally;
 pub mod timer;
 mod trust;
 
-pub use reduce::{apply, reply};
+pub use reduce::{apply, grant, reply};
 pub use state::State;
--- /dev/null
+++ b/fleet/src/members.rs
@@ -0,0 +1,77 @@
+//! The entry VMs that there are, as the hub counts them, and which of them owns what (rendezvous hashing).
+
+use std::net::SocketAddr;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// An entry VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it listens for other entry VMs.
+    pub address: SocketAddr,
+}
+
+/// All entry VMs.
+#[derive(Debug, Default)]
+pub struct Members {
+    list: Vec<Member>,
+    version: u64,
+    /// Those that did not answer, and until when they are not asked.
+    silent: Vec<(Name, Time)>,
+}
+
+impl Members {
+    /// A number that differs if they do; 0 for none.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// All of them.
+    #[must_use]
+    pub fn list(&self) -> &[Member] {
+        &self.list
+    }
+
+    /// Takes over who there is.
+    pub fn replace(&mut self, list: Vec<Member>) {
+        self.version = version(&list);
+        self.list = list;
+    }
+
+    /// An entry VM is not to be asked until then.
+    pub fn suspect(&mut self, vm: &Name, until: Time) {
+        self.silent.retain(|(name, _)| name != vm);
+        self.silent.push((vm.clone(), until));
+    }
+
+    /// Who owns something of an availability zone: one of the entry VMs there; of all, if there is none.
+    #[must_use]
+    pub fn owner(&self, what: &Name, zone: &Name, now: Time) -> Option<&Member> {
+        let answers =
+            |member: &&Member| !self.silent.iter().any(|(vm, until)| *vm == member.vm && *until > now);
+        let near = self.list.iter().filter(answers).filter(|member| member.zone == *zone);
+        let owner = near.max_by_key(|member| weight(what, &member.vm));
+        owner.or_else(|| self.list.iter().filter(answers).max_by_key(|member| weight(what, &member.vm)))
+    }
+}
+
+/// A number that differs for different lists, whoever computes it; 0 for none.
+#[must_use]
+pub fn version(list: &[Member]) -> u64 {
+    list.iter().fold(0, |seed, member| {
+        let at = xxh3_64_with_seed(member.address.to_string().as_bytes(), seed);
+        xxh3_64_with_seed(member.vm.as_bytes(), at)
+    })
+}
+
+fn weight(what: &Name, vm: &Name) -> u64 {
+    xxh3_64_with_seed(what.as_bytes(), xxh3_64_with_seed(vm.as_bytes(), 0))
+}
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -1,7 +1,5 @@
 //! What comes of a request's attempts: what they say of engines, and whether another follows.
 
-use std::time::Duration;
-
 use boragecove_core::code::Code;
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
@@ -9,12 +7,12 @@
 use crate::budget::Budget;
 use crate::config::Kind;
 use crate::effect::Effect;
-use crate::engine::Load;
+use crate::engine::{Engine, Load};
 use crate::flow::{self, Stage};
 use crate::frame::Absent;
 use crate::ledger;
 use crate::record::{Record, ms};
-use crate::request::{Cause, End, Id, Step};
+use crate::request::{Cause, End, Events, Id, Step};
 use crate::state::State;
 use crate::timer::Timer;
 use crate::trust;
@@ -45,7 +43,10 @@
             sent_ms: ms(now.since(*at)),
         }));
         if let Some(prompt) = prompt {
-            state.slowness.learn(&prompt.model, prompt.tokens, now.since(*at), &state.settings);
+            let crowded = state.engines.get(engine).is_some_and(Engine::is_crowded);
+            if !crowded {
+                state.speed.learn(&flow.service, &prompt.model, prompt.tokens, now.since(*at));
+            }
         }
     }
     let engine = engine.clone();
@@ -61,13 +62,12 @@
     /// The attempt's number.
     pub(crate) attempt: u32,
     pub(crate) end: End,
-    /// The longest pause between two of its events.
-    pub(crate) pause: Duration,
+    pub(crate) events: Events,
 }
 
 /// A request's attempt ended.
 pub(crate) fn ended(state: &mut State, now: Time, id: Id, ended: Ended, out: &mut Vec<Effect>) {
-    let Ended { attempt: number, end, pause } = ended;
+    let Ended { attempt: number, end, events } = ended;
     let Some(flow) = state.flows.get(&id) else {
         return;
     };
@@ -87,7 +87,7 @@
         end: end.label(),
         not_run: end.proves_not_run(),
         after_ms: ms(now.since(at)),
-        pause_ms: ms(pause),
+        pause_ms: ms(events.pause),
     }));
     if end.proves_not_run() {
         flow.used -= 1;
@@ -103,6 +103,9 @@
     match end {
         End::Done => {
             state.paced(&service, took);
+            if let Some(gap) = events.gap {
+                state.speed.learn_event(&service, gap);
+            }
             flow::close(state, id);
             out.push(Effect::Step { request: id, step: Step::Pass });
         }
@@ -218,7 +221,7 @@
     };
     let movable = flow.route.kind.repeatable() && flow.used < flow.route.attempts;
     if (dead || hangs) && movable && state.budget.allows(now, &flow.service, nodes, &settings) {
-        ended(state, now, id, Ended { attempt: number, end: End::Broken, pause: Duration::ZERO }, out);
+        ended(state, now, id, Ended { attempt: number, end: End::Broken, events: Events::default() }, out);
         return;
     }
     state.timers.set(now + settings.silence / 2, Timer::Silence(id, number));
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -31,8 +31,8 @@
         open: u32,
         /// Time since the hub last told of the other entry VMs' requests.
         hub_age_ms: u64,
-        /// Time until this entry VM's turn at the engine.
-        turn_ms: u64,
+        /// Time until its place in the engine's schedule.
+        wait_ms: u64,
         /// Time left for the answer.
         left_ms: u64,
     },
@@ -58,6 +58,13 @@
         /// Time since it was sent.
         sent_ms: u64,
     },
+    /// The owner of an engine's schedule did not answer.
+    OwnerSilent {
+        /// The entry VM.
+        owner: Name,
+        /// How long it is not asked again.
+        for_ms: u64,
+    },
     /// An attempt ended.
     Ended {
         /// The request's number.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -12,6 +12,7 @@
 use crate::outcome;
 use crate::plan;
 use crate::record::Record;
+use crate::schedule::{self, Ask, Grant};
 use crate::state::State;
 use crate::timer::Timer;
 use crate::trust;
@@ -42,6 +43,11 @@
     frame::reply(state, now, asker)
 }
 
+/// Answers a question of another entry VM for a place in the schedule of an engine that this one owns.
+pub fn grant(state: &mut State, now: Time, ask: &Ask) -> Grant {
+    schedule::grant(state, now, ask)
+}
+
 fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Configured(config) => entries::configured(state, config, "store", out),
@@ -55,11 +61,12 @@
                 engine.health.heard = now;
             }
         }
-        Event::Ended { request, attempt, end, pause } => {
-            outcome::ended(state, now, request, outcome::Ended { attempt, end, pause }, out);
+        Event::Ended { request, attempt, end, events } => {
+            outcome::ended(state, now, request, outcome::Ended { attempt, end, events }, out);
         }
         Event::Framed(frame) => frame::heard(state, now, *frame, out),
         Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
+        Event::Granted { request, grant } => flow::granted(state, now, request, grant, out),
         Event::Lease(answer) => lease::answered(state, now, answer, out),
         Event::Ordered { engine, incarnation, receipt } => {
             ledger::ordered(state, now, &engine, incarnation, receipt, out);
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -83,6 +83,15 @@
     pub retry_after: Option<Duration>,
 }
 
+/// How the events of an attempt's answer came.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Events {
+    /// The longest pause between two of them.
+    pub pause: Duration,
+    /// The mean time between two of them; none for less than two.
+    pub gap: Option<Duration>,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -71,16 +71,9 @@
     /// What each request under way weighs against an engine, in ms of waiting: the others of its batch are
     /// slowed by it.
     pub crowd_ms: f64,
-    /// Prompt tokens that an engine reads in a ms; the users' engines read 38 to 41.
-    pub read_per_ms: f64,
-    /// The length of an entry VM's turn at an engine: a prompt of the usual 700 tokens takes 18 ms to be read, so
-    /// that an engine reads for three fifths of the time at most while all keep to their turns.
-    pub turn: Duration,
-    /// How long a prompt waits for its turn at most: a good part of the usual 500 ms to the first event is left.
-    pub turn_wait: Duration,
-    /// The longest round of turns of all entry VMs, 16 of them by the length of a turn; if it took longer, most
-    /// prompts would wait as long as they may.
-    pub round_max: Duration,
+    /// How much longer than at the next best engine a prompt may have to wait at the one that was chosen, before the
+    /// next best is asked: a question takes some ms.
+    pub schedule_slack: Duration,
     /// How long a request waits for a model or adapter to be loaded, at most.
     pub load_wait: Duration,
     /// How long a refusal as absent is believed over the word of whoever orders the engine.
@@ -128,10 +121,7 @@
             fault_ms: 40.0,
             zone_ms: 20.0,
             crowd_ms: 1.5,
-            read_per_ms: 40.0,
-            turn: Duration::from_millis(30),
-            turn_wait: Duration::from_millis(300),
-            round_max: Duration::from_millis(500),
+            schedule_slack: Duration::from_millis(20),
             load_wait: Duration::from_secs(4),
             absence: Duration::from_millis(150),
             adapter_ready: Duration::from_millis(20),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -19,9 +19,10 @@
 use crate::frame::{Hub, View};
 use crate::lease::Lease;
 use crate::ledger::Ledger;
-use crate::pace::{Round, Slowness};
+use crate::members::Members;
 use crate::request::{Id, Prompt};
 use crate::settings::Settings;
+use crate::speed::Speed;
 use crate::timer::Timer;
 
 /// Weight of a new sample in the mean time of a service's runs.
@@ -75,9 +76,8 @@
     pub(crate) ledger: Ledger,
     pub(crate) ready: bool,
     pub(crate) stopping: bool,
-    /// The turns at engines, once the hub has told them.
-    pub(crate) round: Option<Round>,
-    pub(crate) slowness: Slowness,
+    pub(crate) members: Members,
+    pub(crate) speed: Speed,
     /// Whether the balancer has seen that this entry VM stops.
     pub(crate) graced: bool,
     pub(crate) refusals: BTreeMap<Code, u64>,
@@ -119,8 +119,8 @@
             ledger: Ledger::default(),
             ready: false,
             stopping: false,
-            round: None,
-            slowness: Slowness::default(),
+            members: Members::default(),
+            speed: Speed::default(),
             graced: false,
             refusals: BTreeMap::new(),
             retries: BTreeMap::new(),
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -14,7 +14,7 @@
 use boragecove_fleet::engine::{Cached, Entry, Held, Incarnation, Row};
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::lease;
-use boragecove_fleet::request::{Arrival, Attempt, End, Id, Prompt, Refusal, Step};
+use boragecove_fleet::request::{Arrival, Attempt, End, Events, Id, Prompt, Refusal, Step};
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::state::Identity;
 
@@ -229,7 +229,7 @@
 
     /// An attempt ends. Returns what is wanted for its request.
     pub fn ended(&mut self, request: Id, attempt: u32, end: End) -> Option<Step> {
-        self.feed(Event::Ended { request, attempt, end, pause: Duration::ZERO });
+        self.feed(Event::Ended { request, attempt, end, events: Events::default() });
         self.step(request)
     }
 
--- /dev/null
+++ b/fleet/tests/prompt_spacing.rs
@@ -0,0 +1,277 @@
+//! Prompts are spaced at engines, by schedules that entry VMs own, so that no engine reads many at once.
+
+mod node;
+
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::time::Time;
+use boragecove_fleet::config::Route;
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::Reply;
+use boragecove_fleet::lease::{Outcome, Row, Seen};
+use boragecove_fleet::members::Member;
+use boragecove_fleet::request::{Attempt, Id, Step};
+use boragecove_fleet::schedule::{Ask, Grant, Need, Schedule};
+use node::{Node, WRITER, address, brief, entry, listing, millis, removed, row};
+
+/// A load of prompts at the engines of a model that many ask for.
+#[derive(Clone, Copy)]
+struct Load {
+    engines: usize,
+    /// Prompts a second at one engine.
+    rate: f64,
+    /// Time to read a prompt.
+    read: Duration,
+    /// The pause that operators allow.
+    window: Duration,
+    /// Time to make an event.
+    event: Duration,
+}
+
+impl Load {
+    fn need(self) -> Need {
+        let route = Route { pause: self.window, target: millis(500), ..Route::default() };
+        Need::new(self.read, self.event, &route)
+    }
+}
+
+/// Engines that read 40 tokens a ms, busy with that for two fifths of the time; events of six tokens.
+const FAST: Load = Load {
+    engines: 5,
+    rate: 22.0,
+    read: Duration::from_millis(18),
+    window: Duration::from_millis(150),
+    event: Duration::from_millis(32),
+};
+/// Engines that read 22 tokens a ms, for three fifths of the time; events of three tokens.
+const SLOW: Load = Load {
+    engines: 4,
+    rate: 12.0,
+    read: Duration::from_millis(50),
+    window: Duration::from_millis(300),
+    event: Duration::from_millis(28),
+};
+
+/// What a minute of a load came to.
+struct Outcomes {
+    /// Share of prompts in whose window an engine reads for longer than it may.
+    crowded: f64,
+    /// Mean time that a prompt waits.
+    wait: Duration,
+}
+
+fn minute(load: Load, spaced: bool) -> Outcomes {
+    let mut rng = fastrand::Rng::with_seed(11);
+    let start = Time::from_millis(1_000_000);
+    let mut schedules = vec![Schedule::default(); load.engines];
+    let mut at_engines = vec![Vec::new(); load.engines];
+    let (mut now, mut waited, mut count) = (start, Duration::ZERO, 0);
+    while now.since(start) < Duration::from_mins(1) {
+        now = now + Duration::from_secs_f64(-rng.f64().max(1e-9).ln() / (load.rate * load.engines as f64));
+        let engine = if spaced {
+            (0..load.engines).min_by_key(|engine| schedules[*engine].wait(now)).expect("engines")
+        } else {
+            rng.usize(0..load.engines)
+        };
+        let wait = if spaced { schedules[engine].take(now, load.need()) } else { Duration::ZERO };
+        at_engines[engine].push(now + wait);
+        waited += wait;
+        count += 1;
+    }
+    let mut crowded = 0;
+    for times in &at_engines {
+        for at in times {
+            let beside =
+                times.iter().filter(|other| **other >= *at && other.since(*at) < load.window).count();
+            crowded += usize::from(load.read * beside as u32 + load.event > load.window);
+        }
+    }
+    Outcomes { crowded: f64::from(crowded as u32) / f64::from(count), wait: waited / count }
+}
+
+/// The load of the heaviest days, with and without schedules.
+#[test]
+fn fewer_crowds() {
+    for load in [FAST, SLOW] {
+        let (without, with) = (minute(load, false), minute(load, true));
+        assert!(without.crowded > 0.10, "the load should be one that matters: {:.3}", without.crowded);
+        assert!(with.crowded < without.crowded / 10.0, "{:.3} of {:.3}", with.crowded, without.crowded);
+        assert!(with.wait < millis(40), "{:?} on average", with.wait);
+    }
+}
+
+/// Where more is asked for than engines can read, prompts follow each other as fast as they are read.
+#[test]
+fn pressed_reads_on() {
+    let now = Time::from_millis(1_000_000);
+    let mut schedule = Schedule::default();
+    for _ in 0..40 {
+        schedule.take(now, SLOW.need());
+    }
+    let before = schedule.wait(now);
+    schedule.take(now, SLOW.need());
+    assert_eq!(schedule.wait(now).saturating_sub(before), SLOW.read);
+}
+
+/// The members of a deployment whose first zone has nobody but `a` and, if so, another.
+fn member(vm: &str, zone: &str, port: u16) -> Member {
+    Member { vm: vm.into(), zone: zone.into(), address: address(port) }
+}
+
+/// A process that knows who else there is from the hub.
+fn among(members: Vec<Member>) -> Node {
+    let mut node = Node::ready("a");
+    node.pass(millis(10));
+    let hub = Row {
+        holder: "hub".into(),
+        address: address(7_001),
+        term: 3,
+        until_ms: 60_000,
+        started_ms: 0,
+        released: false,
+    };
+    node.lease(0, Outcome::Read(Some(Seen { version: 9, row: hub })));
+    let reply = Reply { leads: true, nodes: 3, listed: 4, members: Some(members), ..Reply::default() };
+    node.feed(Event::Replied(Some(Box::new(reply))));
+    node
+}
+
+fn asked(node: &Node) -> Option<(u16, Id, Ask)> {
+    node.effects.iter().find_map(|effect| match effect {
+        Effect::Ask { address, request, ask } => Some((address.port(), *request, ask.clone())),
+        _ => None,
+    })
+}
+
+fn sent(node: &Node, id: Id) -> Attempt {
+    match node.step(id) {
+        Some(Step::Send(attempt)) => attempt,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+#[test]
+fn owner_is_asked() {
+    let mut node = among(vec![member("b", "zone-a", 7_002), member("c", "zone-b", 7_003)]);
+    let id = node.arrive(brief("m1"));
+    assert_eq!(node.step(id), None, "it has no place yet");
+    let (port, request, ask) = asked(&node).expect("w1 is in zone-a, where b is the only one");
+    assert_eq!((port, request, &*ask.engine), (7_002, id, "w1"));
+    node.feed(Event::Granted { request: id, grant: Some(Grant::After(millis(40))) });
+    let attempt = sent(&node, id);
+    assert_eq!((&*attempt.engine, attempt.at), ("w1", node.now + millis(40)));
+}
+
+#[test]
+fn silent_owner_stops_nothing() {
+    let mut node = among(vec![member("b", "zone-a", 7_002)]);
+    let id = node.arrive(brief("m1"));
+    node.feed(Event::Granted { request: id, grant: None });
+    assert_eq!(sent(&node, id).at, node.now, "nothing else is known of the schedule");
+    let next = node.arrive(brief("m1"));
+    assert!(sent(&node, next).at > node.now, "it goes by the schedule that it knows");
+    node.pass(millis(450));
+    node.feed(Event::Heard("w1".into()));
+    node.pass(millis(450));
+    node.feed(Event::Heard("w1".into()));
+    node.pass(millis(200));
+    node.arrive(brief("m1"));
+    assert!(asked(&node).is_some(), "after a while the owner is asked again");
+}
+
+/// A schedule that is full sends the request to the next best engine.
+#[test]
+fn full_schedule_is_left() {
+    let mut node = among(vec![member("b", "zone-a", 7_002), member("c", "zone-b", 7_003)]);
+    let id = node.arrive(brief("m0"));
+    assert_eq!(asked(&node).expect("asks").0, 7_002);
+    node.feed(Event::Granted { request: id, grant: Some(Grant::Busy(millis(400))) });
+    let (port, _, ask) = asked(&node).expect("asks the next");
+    assert_eq!((port, &*ask.engine), (7_003, "w2"));
+    node.feed(Event::Granted { request: id, grant: Some(Grant::After(Duration::ZERO)) });
+    assert_eq!(*sent(&node, id).engine, *"w2");
+}
+
+/// One that no schedule has a place for in time is refused at once, as not run, with the time that it would wait.
+#[test]
+fn no_place_in_time() {
+    let mut node = among(vec![member("b", "zone-a", 7_002)]);
+    let id = node.arrive(brief("m1"));
+    node.feed(Event::Granted { request: id, grant: Some(Grant::Busy(Duration::from_secs(5))) });
+    node.feed(Event::Granted { request: id, grant: Some(Grant::Busy(Duration::from_secs(5))) });
+    let Some(Step::Refuse(refusal)) = node.step(id) else { panic!("not refused: {:?}", node.effects) };
+    assert_eq!(refusal.code, Code::DeadlineUnreachable);
+    assert_eq!(refusal.retry_after, Some(Duration::from_secs(5)));
+}
+
+/// An engine that went while its place was asked for gets nothing.
+#[test]
+fn place_at_a_lost_engine() {
+    let mut node = among(vec![member("b", "zone-a", 7_002), member("c", "zone-b", 7_003)]);
+    let id = node.arrive(brief("m0"));
+    assert_eq!(&*asked(&node).expect("asks").2.engine, "w1");
+    node.feed(listing(vec![removed(9, "w1")], 9, false));
+    node.feed(Event::Granted { request: id, grant: Some(Grant::After(Duration::ZERO)) });
+    assert_eq!(&*asked(&node).expect("asks for another").2.engine, "w2");
+}
+
+/// A caller that leaves while a place is asked for leaves nothing behind.
+#[test]
+fn caller_leaves_while_asking() {
+    let mut node = among(vec![member("b", "zone-a", 7_002)]);
+    let id = node.arrive(brief("m1"));
+    node.feed(Event::Gone(id));
+    node.feed(Event::Granted { request: id, grant: Some(Grant::After(Duration::ZERO)) });
+    assert_eq!(node.step(id), None);
+    assert_eq!(node.state.open(), 0);
+    assert!(node.state.engines().all(|engine| engine.load().open == 0));
+}
+
+#[test]
+fn places_are_given() {
+    let mut owner = Node::ready("a");
+    let need = Need { work: millis(35), space: millis(50), target: millis(500) };
+    let ask = Ask { engine: "w1".into(), need, wait_max: millis(60) };
+    let mut grant = || boragecove_fleet::grant(&mut owner.state, owner.now, &ask);
+    assert_eq!(grant(), Grant::After(Duration::ZERO));
+    assert_eq!(grant(), Grant::After(millis(50)));
+    assert_eq!(grant(), Grant::Busy(millis(100)), "it would wait too long");
+    assert_eq!(grant(), Grant::Busy(millis(100)), "and has taken no place");
+    let unknown = Ask { engine: "new".into(), ..ask.clone() };
+    assert_eq!(boragecove_fleet::grant(&mut owner.state, owner.now, &unknown), Grant::After(Duration::ZERO));
+}
+
+/// Entry VMs agree on who owns what, and one that goes leaves all else where it is.
+#[test]
+fn owners_agree() {
+    use boragecove_fleet::members::Members;
+    let list: Vec<Member> = (0..9).map(|number| member(&format!("vm-{number}"), "zone-a", 7_000)).collect();
+    let (mut whole, mut rest) = (Members::default(), Members::default());
+    whole.replace(list.clone());
+    rest.replace(list[1..].to_vec());
+    assert_ne!(whole.version(), rest.version());
+    let mut shares = [0_u32; 9];
+    for number in 0..900 {
+        let engine = format!("i-{number:04}").as_str().into();
+        let zone = "zone-a".into();
+        let owner = whole.owner(&engine, &zone, Time::default()).expect("there are some").vm.clone();
+        let number: usize = owner[3..].parse().expect("a number");
+        shares[number] += 1;
+        if number > 0 {
+            assert_eq!(rest.owner(&engine, &zone, Time::default()).expect("there are some").vm, owner);
+        }
+    }
+    assert!(shares.iter().all(|count| (60..140).contains(count)), "{shares:?}");
+}
+
+/// An engine that has just been registered is known to nobody, and is used at once.
+#[test]
+fn new_engine_is_used() {
+    let mut node = among(vec![member("b", "zone-a", 7_002)]);
+    node.feed(listing(vec![row(9, entry("w9", WRITER, "zone-a", &["m3"]))], 9, false));
+    let id = node.arrive(brief("m3"));
+    node.feed(Event::Granted { request: id, grant: Some(Grant::After(Duration::ZERO)) });
+    assert_eq!(*sent(&node, id).engine, *"w9");
+}
--- /dev/null
+++ b/fleet/tests/reading_speed.rs
@@ -0,0 +1,66 @@
+//! How fast engines read is observed, whatever it is.
+
+mod node;
+
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_fleet::speed::Speed;
+use node::millis;
+
+const SERVICE: &str = "writer";
+
+/// The time to the first event of a prompt at an engine that reads so many tokens a ms; three in ten prompts wait behind
+/// others, and one in twenty finds half of it kept.
+fn first_event(rng: &mut fastrand::Rng, tokens: u32, per_ms: f64) -> Duration {
+    let mut ms = 8.0 + f64::from(tokens) / per_ms;
+    match rng.u32(0..20) {
+        0 => ms -= f64::from(tokens) / per_ms / 2.0,
+        1..=6 => ms += rng.f64() * 150.0,
+        _ => {}
+    }
+    Duration::from_secs_f64(ms / 1_000.0)
+}
+
+/// After 80 prompts the estimate is within a quarter, for engines that read 10 to 160 tokens a ms.
+#[test]
+fn any_speed_is_found() {
+    for per_ms in [10.0, 22.0, 40.0, 160.0] {
+        let mut rng = fastrand::Rng::with_seed(5);
+        let mut speed = Speed::default();
+        let model = Name::from("m0");
+        for _ in 0..80 {
+            let tokens = rng.u32(300..4_000);
+            speed.learn(&SERVICE.into(), &model, tokens, first_event(&mut rng, tokens, per_ms));
+        }
+        let found = speed.work(SERVICE, "m0", 2_000).as_secs_f64() * 1_000.0;
+        let truth = 2_000.0 / per_ms;
+        assert!((found / truth - 1.0).abs() < 0.25, "{found:.1} ms, not {truth:.1} ms, at {per_ms} a ms");
+    }
+}
+
+/// A model that was not seen yet is taken for one like the others of its service.
+#[test]
+fn new_models_are_like_others() {
+    let mut speed = Speed::default();
+    for _ in 0..40 {
+        speed.learn(&SERVICE.into(), &"m0".into(), 1_000, millis(18));
+    }
+    let (known, other) = (speed.work(SERVICE, "m0", 1_000), speed.work(SERVICE, "m1", 1_000));
+    assert!(other < known * 2, "{other:?} and {known:?}");
+}
+
+/// A burst in which every prompt waits for others makes no engine look slow for long.
+#[test]
+fn bursts_are_not_believed() {
+    let mut speed = Speed::default();
+    for _ in 0..40 {
+        speed.learn(&SERVICE.into(), &"m0".into(), 1_000, millis(48));
+    }
+    let before = speed.work(SERVICE, "m0", 1_000);
+    for _ in 0..20 {
+        speed.learn(&SERVICE.into(), &"m0".into(), 1_000, millis(900));
+    }
+    let after = speed.work(SERVICE, "m0", 1_000);
+    assert!(after < before.mul_f64(1.5), "{after:?} after {before:?}");
+}
