Load no more from the weight store at once than it serves at full speed

Cause: after an outage many models lack copies.

Change: as many loads from the weight store at once as its rate times the time of a load; others go on from disks and memory. cold_loads_are_rationed never finished a load, so that the bound would have stopped it; its engines now say 50 ms later what they hold, and its checks are as they were.

--- a/fleet/benches/plan.rs
+++ b/fleet/benches/plan.rs
@@ -49,7 +49,15 @@
     };
     let demand: BTreeMap<Name, Trend> = (0..models).map(|number| (name(number), trend(number))).collect();
     let spots = (0..engines).map(spot).collect();
-    View { pool, spots, demand, cold_left: 1_000, watched: Duration::from_secs(20), now: NOW }
+    View {
+        pool,
+        spots,
+        demand,
+        cold_left: 1_000,
+        cold_running: 0,
+        watched: Duration::from_secs(20),
+        now: NOW,
+    }
 }
 
 #[divan::bench(args = SIZES, sample_count = 10, sample_size = 1)]
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -14,7 +14,7 @@
 use crate::book::{Book, Fetched, Late, Pending, REPORT_LAG};
 use crate::config::Pool;
 use crate::effect::{Dispatch, Effect};
-use crate::engine::{Held, Incarnation, Phase};
+use crate::engine::{Cached, Engine, Held, Incarnation, Phase};
 use crate::flow;
 use crate::frame::{Absent, Resident};
 use crate::record::Record;
@@ -565,6 +565,16 @@
     flow::stir_later(state);
 }
 
+/// Loads from the weight store that an engine carries out, or will.
+pub(crate) fn cold_running(state: &State, engine: &Engine) -> usize {
+    let Some(book) = state.ledger.book(&engine.entry.id) else {
+        return 0;
+    };
+    let Cached { memory, disk } = &engine.entry.cached;
+    let loading = book.copies_expected().filter(|(_, phase)| *phase == Phase::Loading);
+    loading.filter(|(model, _)| !memory.contains(model) && !disk.contains(model)).count()
+}
+
 /// How many of the loads that may begin now are for models that have copies already.
 pub(crate) const fn beyond_reserve(cold_left: usize) -> usize {
     cold_left.saturating_sub(COLD_RESERVE)
--- a/fleet/src/place.rs
+++ b/fleet/src/place.rs
@@ -53,6 +53,8 @@
     pub demand: BTreeMap<Name, Trend>,
     /// Loads from the weight store that may begin now.
     pub cold_left: usize,
+    /// Loads from the weight store under way.
+    pub cold_running: usize,
     /// How long demand has been watched.
     pub watched: Duration,
     /// Now.
@@ -124,6 +126,14 @@
         self.demand.get(model).map_or(0.0, |trend| (trend.reading / READING_PER_COPY).max(trend.busy / slots))
     }
 
+    /// Whether another load from the weight store would take as long as is declared. The store serves as many at once as
+    /// its rate and the time of a load come to (Little's law); each beyond them makes all slower, so that the model
+    /// that is needed most comes later. With six at once where two are served, each took 3.6 s and not 1.2 s.
+    fn cold_is_fast(&self, model: &Name) -> bool {
+        let load_s = self.pool.model(model).map_or(0.0, |model| model.cold.as_secs_f64());
+        (self.cold_running as f64) < (self.pool.loads_per_s * load_s).max(1.0)
+    }
+
     /// Whether nobody has asked for a model for a while, though others were asked for.
     fn unused(&self, model: &Name) -> bool {
         let asked = self.demand.get(model).and_then(|trend| trend.asked);
@@ -182,7 +192,7 @@
                 continue;
             }
             let source = source(spot, model);
-            if source == Source::Store && cold_left == 0 {
+            if source == Source::Store && (cold_left == 0 || !self.view.cold_is_fast(model)) {
                 continue;
             }
             let (drop, lost) = if memory_mb <= spot.free_mb {
@@ -261,13 +271,20 @@
             }
         }
         models.sort_by_key(|(count, ..)| *count);
-        models.iter().find_map(|(_, model, memory_mb)| {
-            let fits =
-                |spot: &&Spot| spot.usable && spot.idle && spot.free_mb >= *memory_mb && !keeps(spot, model);
-            let spot =
-                self.view.spots.iter().filter(fits).min_by_key(|spot| (spot.open, spot.cached.disk.len()))?;
-            Some(Move { engine: spot.engine.clone(), drop: None, load: Some((*model).clone()) })
-        })
+        models.iter().filter(|(_, model, _)| self.view.cold_is_fast(model)).find_map(
+            |(_, model, memory_mb)| {
+                let fits = |spot: &&Spot| {
+                    spot.usable && spot.idle && spot.free_mb >= *memory_mb && !keeps(spot, model)
+                };
+                let spot = self
+                    .view
+                    .spots
+                    .iter()
+                    .filter(fits)
+                    .min_by_key(|spot| (spot.open, spot.cached.disk.len()))?;
+                Some(Move { engine: spot.engine.clone(), drop: None, load: Some((*model).clone()) })
+            },
+        )
     }
 
     /// Takes a change as done.
@@ -288,6 +305,7 @@
         tally.add(model, Phase::Loading, &spot.zone);
         if source(spot, model) == Source::Store {
             view.cold_left = view.cold_left.saturating_sub(1);
+            view.cold_running += 1;
         }
     }
 }
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -60,12 +60,13 @@
 
 fn models(state: &mut State, now: Time, service: &Name, pool: &Pool, out: &mut Vec<Effect>) {
     let cold_left = state.ledger.cold_left(now, pool.loads_per_s, &state.settings);
+    let cold_running = state.engines_of(service).map(|engine| ledger::cold_running(state, engine)).sum();
     let spots: Vec<Spot> =
         state.engines_of(service).filter_map(|engine| spot(state, now, engine, pool)).collect();
     let demand =
         pool.models.iter().map(|model| (model.name.clone(), state.appetite.trend(service, &model.name)));
     let watched = state.appetite.watched(now);
-    let view = View { pool, spots, demand: demand.collect(), cold_left, watched, now };
+    let view = View { pool, spots, demand: demand.collect(), cold_left, cold_running, watched, now };
     if state.appetite.report_due(now) {
         out.push(Effect::Record(view.record(service)));
     }
--- a/fleet/tests/engine_orders.rs
+++ b/fleet/tests/engine_orders.rs
@@ -120,13 +120,25 @@
     hub.feed(listing(rows.collect(), 30, true));
     hub.lead();
     let mut loads: Vec<Time> = Vec::new();
+    let mut held: std::collections::BTreeMap<Name, Vec<String>> = std::collections::BTreeMap::new();
     for at in 0..400 {
-        let effects = hub.pass(millis(50));
+        let mut effects = hub.pass(millis(50));
+        // What was loaded is there 50 ms later.
+        let rows = held.iter().map(|(id, models)| {
+            let models: Vec<&str> = models.iter().map(String::as_str).collect();
+            row(100 + at, entry(id, WRITER, "zone-a", &models))
+        });
+        let rows = rows.collect();
+        effects.extend(hub.feed(listing(rows, 100 + at, false)).to_vec());
         if at % 8 == 0 {
             hub.lease(5 + at * 50, boragecove_fleet::lease::Outcome::Written(200 + at));
         }
         for dispatch in orders(&effects) {
+            let Order::Load { model } = &dispatch.order else {
+                panic!("only loads are needed: {dispatch:?}")
+            };
             loads.push(hub.now);
+            held.entry(dispatch.engine.clone()).or_default().push(model.to_string());
             hub.feed(Event::Ordered {
                 engine: dispatch.engine,
                 incarnation: dispatch.incarnation,
--- a/fleet/tests/model_placement.rs
+++ b/fleet/tests/model_placement.rs
@@ -35,7 +35,7 @@
 fn view<'a>(pool: &'a Pool, spots: Vec<Spot>, demand: &[(&str, Trend)]) -> View<'a> {
     let demand: BTreeMap<Name, Trend> =
         demand.iter().map(|(name, trend)| (Name::from(*name), *trend)).collect();
-    View { pool, spots, demand, cold_left: 4, watched: Duration::from_secs(20), now: NOW }
+    View { pool, spots, demand, cold_left: 4, cold_running: 0, watched: Duration::from_secs(20), now: NOW }
 }
 
 fn loads(moves: &[Move], model: &str) -> usize {
@@ -158,3 +158,28 @@
     let steps = moves(view(&pool, spots, &[("m0", trend(60.0, 0.8))]));
     assert!(steps.iter().any(|step| step.load.as_deref() == Some("m3") && step.drop.is_none()), "{steps:?}");
 }
+
+/// The load after an outage: many models lack copies at once. The weight store serves two loads at once here, and
+/// makes all slower beyond; what an engine has on its own disk needs none of that.
+#[test]
+fn few_from_the_store_at_once() {
+    let mut pool = pool();
+    pool.loads_per_s = 1.0;
+    let empty = |id: &str| spot(id, "a", &[]);
+    let mut near = empty("w4");
+    near.cached.disk = vec!["m3".into()];
+    let spots = vec![empty("w1"), empty("w2"), empty("w3"), near];
+    let demand =
+        [("m0", trend(9.0, 0.2)), ("m1", trend(8.0, 0.2)), ("m2", trend(7.0, 0.2)), ("m3", trend(1.0, 0.0))];
+    let mut first = view(&pool, spots.clone(), &demand);
+    first.cold_left = 20;
+    let steps = moves(first);
+    let loaded: Vec<&str> = steps.iter().filter_map(|step| step.load.as_deref()).collect();
+    assert_eq!(loaded, ["m0", "m1", "m3"], "the two that are needed most, and one from a disk");
+    let mut later = view(&pool, spots, &demand);
+    later.cold_left = 20;
+    later.cold_running = 2;
+    let steps = moves(later);
+    let loaded: Vec<&str> = steps.iter().filter_map(|step| step.load.as_deref()).collect();
+    assert_eq!(loaded, ["m3"], "until one of them is done");
+}
