Drop no copies for unwanted models before demand was watched; switch mechanisms off

Cause: a new planner has seen nothing of the busiest models.

Change: in the first two seconds of demand copies make way only for models that somebody waits for. Beside that, experiments can switch mechanisms off by the settings' member without, off the operators' path.

--- a/fleet/benches/plan.rs
+++ b/fleet/benches/plan.rs
@@ -57,6 +57,7 @@
         cold_running: 0,
         watched: Duration::from_secs(20),
         now: NOW,
+        without: &[],
     }
 }
 
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -9,7 +9,7 @@
 use crate::engine::Engine;
 use crate::frame;
 use crate::request::Prompt;
-use crate::settings::Settings;
+use crate::settings::{Mechanism, Settings};
 use crate::spread::{self, Unseen};
 use crate::state::State;
 
@@ -154,6 +154,7 @@
     let late_ms = ms(frame::lateness(state, now));
     // Each availability zone's requests go to its own engines first, and raise their costs.
     let requests = f64::from(others) * late_ms / run_ms.max(1.0) / zones.len().max(1) as f64;
+    let requests = if state.settings.uses(Mechanism::Draw) { requests } else { 0.0 };
     let unseen = Unseen { requests, step_ms };
     let cost = |candidate: &Candidate<'_>| {
         let zone = &candidate.engine.entry.zone;
@@ -201,9 +202,15 @@
 
 /// What else speaks against an engine.
 fn beside_ms(engine: &Engine, now: Time, zone: &Name, settings: &Settings) -> f64 {
-    let mut cost = f64::from(engine.load().open) * settings.crowd_ms;
-    if engine.entry.zone != *zone {
+    let mut cost = 0.0;
+    if settings.uses(Mechanism::CrowdCost) {
+        cost += f64::from(engine.load().open) * settings.crowd_ms;
+    }
+    if engine.entry.zone != *zone && settings.uses(Mechanism::ZoneCost) {
         cost += settings.zone_ms;
     }
-    cost + engine.health.faults(now, settings) * settings.fault_ms
+    if settings.uses(Mechanism::Faults) {
+        cost += engine.health.faults(now, settings) * settings.fault_ms;
+    }
+    cost
 }
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -13,6 +13,7 @@
 use crate::ledger;
 use crate::record::{Record, ms};
 use crate::request::{Cause, End, Events, Id, Step};
+use crate::settings::Mechanism;
 use crate::state::State;
 use crate::timer::Timer;
 use crate::trust;
@@ -44,7 +45,7 @@
         }));
         if let Some(prompt) = prompt {
             let crowded = state.engines.get(engine).is_some_and(Engine::is_crowded);
-            if !crowded {
+            if !crowded && state.settings.uses(Mechanism::LearntSpeed) {
                 state.speed.learn(&flow.service, &prompt.model, prompt.tokens, now.since(*at));
             }
         }
--- a/fleet/src/place.rs
+++ b/fleet/src/place.rs
@@ -11,6 +11,7 @@
 use crate::engine::{Cached, Phase};
 use crate::ledger;
 use crate::record::{Placed, Record};
+use crate::settings::Mechanism;
 use crate::tally::Tally;
 
 /// Part of its time for which a copy's engine should read the model's prompts at most: streams stand still
@@ -59,6 +60,8 @@
     pub watched: Duration,
     /// Now.
     pub now: Time,
+    /// Mechanisms that are switched off.
+    pub without: &'a [Mechanism],
 }
 
 /// An engine, as a plan sees it.
@@ -126,10 +129,20 @@
         self.demand.get(model).map_or(0.0, |trend| (trend.reading / READING_PER_COPY).max(trend.busy / slots))
     }
 
+    /// Whether so little is known of demand that no copy should make way for a model that nobody waits for: one that has
+    /// just begun to plan takes the busiest models for quiet ones. Before there is any demand, nothing else matters.
+    fn is_new_to_demand(&self) -> bool {
+        let watched = !self.watched.is_zero() && self.watched < UNUSED;
+        watched && !self.without.contains(&Mechanism::WatchedDrops)
+    }
+
     /// Whether another load from the weight store would take as long as is declared. The store serves as many at once as
     /// its rate and the time of a load come to (Little's law); each beyond them makes all slower, so that the model
     /// that is needed most comes later. With six at once where two are served, each took 3.6 s and not 1.2 s.
     fn cold_is_fast(&self, model: &Name) -> bool {
+        if self.without.contains(&Mechanism::BoundedLoads) {
+            return true;
+        }
         let load_s = self.pool.model(model).map_or(0.0, |model| model.cold.as_secs_f64());
         (self.cold_running as f64) < (self.pool.loads_per_s * load_s).max(1.0)
     }
@@ -186,6 +199,8 @@
         let missing = self.tally.expected(model) == 0;
         let cold_left =
             if missing { self.view.cold_left } else { ledger::beyond_reserve(self.view.cold_left) };
+        let waited_for = self.view.demand.get(model).is_some_and(|trend| trend.waiting > 0);
+        let spared = missing && !waited_for && self.view.is_new_to_demand();
         let mut best: Option<(f64, Move)> = None;
         for spot in self.view.spots.iter().filter(|spot| spot.usable && spot.idle) {
             if spot.copies.iter().any(|(held, _)| held == model) {
@@ -197,6 +212,8 @@
             }
             let (drop, lost) = if memory_mb <= spot.free_mb {
                 (None, 0.0)
+            } else if spared {
+                continue;
             } else {
                 let Some((victim, lost)) = self.victim(spot, memory_mb) else {
                     continue;
@@ -238,6 +255,9 @@
 
     /// A copy that nobody uses, at an engine without room for any other model.
     fn spare(&self) -> Option<Move> {
+        if self.view.without.contains(&Mechanism::EarlyDrop) {
+            return None;
+        }
         let largest = self.view.pool.models.iter().map(|model| model.memory_mb).fold(0.0, f64::max);
         for spot in self.view.spots.iter().filter(|spot| spot.usable && spot.idle && spot.free_mb < largest) {
             let unused = spot.copies.iter().find(|(model, phase)| {
@@ -252,6 +272,9 @@
 
     /// A model to load where it never was, into a room that is free.
     fn ahead(&self) -> Option<Move> {
+        if self.view.without.contains(&Mechanism::LoadsAhead) {
+            return None;
+        }
         if ledger::beyond_reserve(self.view.cold_left) < COLD_FOR_AHEAD {
             return None;
         }
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -18,6 +18,7 @@
 use crate::engine::Engine;
 use crate::ledger::{self, Order};
 use crate::place::{Spot, View, moves};
+use crate::settings::Mechanism;
 use crate::state::State;
 use crate::timer::Timer;
 
@@ -45,7 +46,9 @@
         }
     }
     adapter::wanted(state, now, out);
-    adapter::relieve(state, now, out);
+    if state.settings.uses(Mechanism::AdapterRelief) {
+        adapter::relieve(state, now, out);
+    }
 }
 
 /// Takes in what all entry VMs have under way.
@@ -66,7 +69,16 @@
     let demand =
         pool.models.iter().map(|model| (model.name.clone(), state.appetite.trend(service, &model.name)));
     let watched = state.appetite.watched(now);
-    let view = View { pool, spots, demand: demand.collect(), cold_left, cold_running, watched, now };
+    let view = View {
+        pool,
+        spots,
+        demand: demand.collect(),
+        cold_left,
+        cold_running,
+        watched,
+        now,
+        without: &state.settings.without,
+    };
     if state.appetite.report_due(now) {
         out.push(Effect::Record(view.record(service)));
     }
--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -6,6 +6,7 @@
 use crate::effect::Effect;
 use crate::flow;
 use crate::record::Record;
+use crate::settings::Mechanism;
 use crate::state::State;
 use crate::timer::Timer;
 
@@ -46,6 +47,9 @@
 
 /// Another entry VM suspects an engine: it is asked, unless it was heard or asked just now.
 pub(crate) fn look(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
+    if !state.settings.uses(Mechanism::SharedSuspicion) {
+        return;
+    }
     let recent = state.settings.silence;
     let Some(known) = state.engines.get_mut(engine) else {
         return;
--- a/fleet/tests/model_placement.rs
+++ b/fleet/tests/model_placement.rs
@@ -11,7 +11,7 @@
 use boragecove_fleet::demand::Trend;
 use boragecove_fleet::engine::{Cached, Phase};
 use boragecove_fleet::place::{Move, Spot, View, moves};
-use node::{model, pool};
+use node::{millis, model, pool};
 
 const NOW: Time = Time::from_millis(100_000);
 
@@ -35,7 +35,16 @@
 fn view<'a>(pool: &'a Pool, spots: Vec<Spot>, demand: &[(&str, Trend)]) -> View<'a> {
     let demand: BTreeMap<Name, Trend> =
         demand.iter().map(|(name, trend)| (Name::from(*name), *trend)).collect();
-    View { pool, spots, demand, cold_left: 4, cold_running: 0, watched: Duration::from_secs(20), now: NOW }
+    View {
+        pool,
+        spots,
+        demand,
+        cold_left: 4,
+        cold_running: 0,
+        watched: Duration::from_secs(20),
+        now: NOW,
+        without: &[],
+    }
 }
 
 fn loads(moves: &[Move], model: &str) -> usize {
@@ -183,3 +192,28 @@
     let loaded: Vec<&str> = steps.iter().filter_map(|step| step.load.as_deref()).collect();
     assert_eq!(loaded, ["m3"], "until one of them is done");
 }
+
+/// The load after a restart of all entry VMs: one that has just begun to plan has seen next to nothing of the busiest
+/// model. Its copies do not make way for models that nobody waits for until more is known.
+#[test]
+fn new_planner_drops_nothing() {
+    let pool = pool();
+    let spots = vec![
+        spot("w1", "a", &["m0", "m1"]),
+        spot("w2", "b", &["m0", "m2"]),
+        spot("w3", "c", &["m0", "m1"]),
+        spot("w4", "c", &["m0", "m2"]),
+    ];
+    let demand = [("m0", trend(2.0, 0.05)), ("m1", trend(0.2, 0.0)), ("m2", trend(0.2, 0.0))];
+    let mut new = view(&pool, spots.clone(), &demand);
+    new.watched = millis(400);
+    assert!(moves(new).iter().all(|step| step.drop.is_none()));
+    let mut waited_for = view(&pool, spots.clone(), &demand);
+    waited_for.watched = millis(400);
+    let asked = Trend { waiting: 1, ..trend(1.0, 0.0) };
+    waited_for.demand.insert("m3".into(), asked);
+    let steps = moves(waited_for);
+    assert_eq!(loads(&steps, "m3"), 1, "somebody waits for it: {steps:?}");
+    let steps = moves(view(&pool, spots, &demand));
+    assert_eq!(loads(&steps, "m3"), 1, "it has been watched for long: {steps:?}");
+}
