Say of answers of the hub and the store how large they were and how they ended

Cause sought: which calls carry a large configuration, and how they end, was in no log line and no metric, so that three hypotheses on the late configuration could not be told apart. Each call for a frame's answer, the configuration or the engines' table now counts its bytes and outcome, and tells large or failed ones in a line.

Ruled out: the hub's processor and a store that does not answer. No decision is changed.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -64,6 +64,12 @@
     /// No answer came in time.
     #[error("no answer in time")]
     Late,
+    /// An answer began and had not come whole in time.
+    #[error("no whole answer in time: {bytes} bytes came")]
+    Cut {
+        /// Bytes of the body that came.
+        bytes: usize,
+    },
 }
 
 /// Keeps connections for the next request to the same address.
@@ -169,9 +175,10 @@
         until: Instant,
     ) -> Result<(StatusCode, Bytes), Error> {
         let mut response = self.send(address, request, until).await?;
-        let whole = timeout_at(until, response.whole(limit)).await;
-        let bytes = whole.map_err(|_elapsed| Error::Late)??;
-        Ok((response.status(), bytes))
+        let mut body = BytesMut::new();
+        let whole = timeout_at(until, response.rest(&mut body, limit)).await;
+        whole.map_err(|_elapsed| Error::Cut { bytes: body.len() })??;
+        Ok((response.status(), body.freeze()))
     }
 
     /// Opens a connection and closes it again, to see whether anything listens.
@@ -438,19 +445,20 @@
     ///
     /// If it broke off, or is longer.
     pub async fn whole(&mut self, limit: usize) -> Result<Bytes, Error> {
-        let Some(first) = self.chunk().await? else {
-            return Ok(Bytes::new());
-        };
         let mut all = BytesMut::new();
-        let mut more = Some(first);
-        while let Some(bytes) = more {
+        self.rest(&mut all, limit).await?;
+        Ok(all.freeze())
+    }
+
+    /// Appends the rest of the body to `all`, up to `limit` bytes.
+    async fn rest(&mut self, all: &mut BytesMut, limit: usize) -> Result<(), Error> {
+        while let Some(bytes) = self.chunk().await? {
             if all.len() + bytes.len() > limit {
                 return Err(Error::Garbled(format!("more than {limit} bytes")));
             }
             all.extend_from_slice(&bytes);
-            more = self.chunk().await?;
         }
-        Ok(all.freeze())
+        Ok(())
     }
 
     /// Leaves this answer out and waits for the next one on its connection.
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -14,8 +14,9 @@
 use tokio::time::{Instant, sleep};
 
 use super::client::{self, Client};
-use super::node::{Feed, Node, store_request};
+use super::node::{Feed, Node, Transferred, store_request};
 use super::settings::Settings;
+use super::transfer::{Kind, Transfer};
 
 /// How long the store is asked to wait for changes: short, since a connection may go silent for good.
 const WAIT: Duration = Duration::from_millis(2_100);
@@ -160,9 +161,18 @@
         Ok(())
     }
 
+    const fn kind(&self) -> Kind {
+        match self.table {
+            Table::Operator => Kind::Config,
+            Table::Engines => Kind::Engines,
+        }
+    }
+
     async fn call(&self, call: store::Call, limit: Duration) -> Result<Page, Failed> {
-        let until = Instant::now() + limit;
-        let (status, body) = self.client.call(self.address, store_request(call), PAGE_MAX, until).await?;
+        let since = Instant::now();
+        let called = self.client.call(self.address, store_request(call), PAGE_MAX, since + limit).await;
+        self.node.do_send(Transferred(Transfer::of(self.kind(), since, &called)));
+        let (status, body) = called?;
         match status.as_u16() {
             200 => Ok(store::page(&body)?),
             status if store::history_gone(status) => Err(Failed::HistoryGone),
--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::settings::Listen;
+use super::transfer::Transfer;
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use boragecove_fleet::record::Record;
@@ -75,6 +76,7 @@
     LeftOut {
         lines: u64,
     },
+    Transfer(Transfer),
 }
 
 /// Starts writing to standard output.
@@ -155,6 +157,11 @@
         self.line(now, None, Note::Reloaded { outcome });
     }
 
+    /// Logs a large answer of the hub or the store, or one that did not come whole.
+    pub(crate) fn transferred(&self, now: Time, transfer: Transfer) {
+        self.line(now, None, Note::Transfer(transfer));
+    }
+
     /// Lines that were left out, over the bound or for want of a reader.
     pub(crate) fn dropped(&self) -> u64 {
         self.left_out.get() + self.lost.dropped_lines() as u64
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::transfer::{self, Transfer};
+
 /// Upper bounds of times, in seconds: the operators' targets are 0.1 to 3 s.
 const TIMES: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0];
 
@@ -21,6 +23,8 @@
     longest_pause: Histogram,
     attempts: Family<Attempt, Histogram>,
     orders: Family<Ordered, Counter>,
+    answers: Family<transfer::Labels, Counter>,
+    answer_bytes: Family<transfer::Labels, Counter>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -60,6 +64,8 @@
             longest_pause: Histogram::new(TIMES),
             attempts: Family::new_with_constructor(|| Histogram::new(TIMES)),
             orders: Family::default(),
+            answers: Family::default(),
+            answer_bytes: Family::default(),
         }
     }
 }
@@ -82,6 +88,13 @@
         }
     }
 
+    /// Takes in an answer of the hub or the store.
+    pub(crate) fn transferred(&self, transfer: &Transfer) {
+        let labels = transfer.labels();
+        self.answers.get_or_create(&labels).inc();
+        self.answer_bytes.get_or_create(&labels).inc_by(transfer.bytes);
+    }
+
     /// All metrics.
     pub(crate) fn encode(&self, state: &State, now: Time, counts: Counts) -> String {
         let mut registry = Registry::with_prefix("boragecove");
@@ -92,6 +105,9 @@
         let help = "From an attempt's sending to its end, by how it ended";
         registry.register("attempt_seconds", help, self.attempts.clone());
         registry.register("orders", "Orders to engines, by how far they came", self.orders.clone());
+        let help = "Answers of the hub and the store, by what was asked for and how they ended";
+        registry.register("answers", help, self.answers.clone());
+        registry.register("answer_bytes", "Bytes of those answers", self.answer_bytes.clone());
         ends(&mut registry, state);
         counter(&mut registry, "connections_opened", "Connections opened", counts.connections);
         counter(&mut registry, "log_lines_dropped", "Log lines left out", counts.lines_dropped);
--- a/daemon/src/entry/mod.rs
+++ b/daemon/src/entry/mod.rs
@@ -15,5 +15,6 @@
 mod relay;
 mod run;
 pub mod settings;
+mod transfer;
 
 pub use run::{Failed, serve};
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -29,6 +29,7 @@
 use super::outlet::Outlet;
 use super::relay::{Content, Relay, Timing};
 use super::settings::Settings;
+use super::transfer::Transfer;
 use super::{follow, peers};
 use crate::clock::Clock;
 
@@ -94,6 +95,11 @@
 #[rtype(result = "()")]
 pub(crate) struct Reloaded(pub(crate) String);
 
+/// The hub or the store answered, or did not.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+pub(crate) struct Transferred(pub(crate) Transfer);
+
 /// What the hub would answer to a frame.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "Reply")]
@@ -212,7 +218,7 @@
 
     fn frame(&self, address: SocketAddr, frame: &Frame, ctx: &Context<Self>) {
         let client = Rc::clone(&self.client);
-        let sending = peers::send(client, address, frame, self.settings.frame);
+        let sending = peers::send(client, ctx.address(), address, frame, self.settings.frame);
         later(ctx, async move { Event::Replied(sending.await.map(Box::new)) });
     }
 
@@ -352,6 +358,17 @@
     }
 }
 
+impl Handler<Transferred> for Node {
+    type Result = ();
+
+    fn handle(&mut self, Transferred(transfer): Transferred, _ctx: &mut Self::Context) {
+        self.metrics.transferred(&transfer);
+        if transfer.is_notable() {
+            self.log.transferred(self.clock.now(), transfer);
+        }
+    }
+}
+
 impl Handler<Place> for Node {
     type Result = MessageResult<Place>;
 
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -7,7 +7,7 @@
 
 use actix::Addr;
 use actix_http::header::HeaderMap;
-use actix_http::{Method, Uri};
+use actix_http::{Method, StatusCode, Uri};
 use actix_web::HttpResponse;
 use actix_web::web::{self, Data, PayloadConfig, ServiceConfig};
 use boragecove_fleet::event::Event;
@@ -19,8 +19,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
-use super::client::{Client, Request};
-use super::node::{Feed, Node, Place, Tell};
+use super::client::{self, Client, Request};
+use super::node::{Feed, Node, Place, Tell, Transferred};
+use super::transfer::{Kind, Transfer};
 
 /// Where frames are posted.
 const PATH: &str = "/frame";
@@ -36,15 +37,21 @@
 /// How long the hub waits for what a frame says that requests wait for: an adapter is there in some 20 ms.
 const HOLD: Duration = Duration::from_millis(80);
 
-/// Sends a frame to the hub. Returns its answer, or none if none came within `limit`.
+/// Sends a frame to the hub. Returns its answer, or none if none came within `limit`; `node` is told what came.
 pub(crate) fn send(
     client: Rc<Client>,
+    node: Addr<Node>,
     address: SocketAddr,
     frame: &Frame,
     limit: Duration,
 ) -> impl Future<Output = Option<Reply>> + use<> {
     let request = post(PATH, frame);
-    async move { answer(&client, address, request, FRAME_MAX, limit).await }
+    async move {
+        let since = Instant::now();
+        let called = client.call(address, request, FRAME_MAX, since + limit).await;
+        node.do_send(Transferred(Transfer::of(Kind::Frame, since, &called)));
+        read(called)
+    }
 }
 
 /// Asks the owner of an engine's schedule for a place. Returns its answer, or none if none came in time.
@@ -54,7 +61,7 @@
     ask: &Ask,
 ) -> impl Future<Output = Option<Grant>> + use<> {
     let request = post(SCHEDULE, ask);
-    async move { answer(&client, address, request, ASK_MAX, ASK_LIMIT).await }
+    async move { read(client.call(address, request, ASK_MAX, Instant::now() + ASK_LIMIT).await) }
 }
 
 fn post(path: &'static str, message: &impl Serialize) -> Request {
@@ -66,14 +73,8 @@
     }
 }
 
-async fn answer<T: DeserializeOwned>(
-    client: &Rc<Client>,
-    address: SocketAddr,
-    request: Request,
-    bytes_max: usize,
-    limit: Duration,
-) -> Option<T> {
-    let called = client.call(address, request, bytes_max, Instant::now() + limit).await;
+/// The message in another entry VM's answer.
+fn read<T: DeserializeOwned>(called: Result<(StatusCode, Bytes), client::Error>) -> Option<T> {
     let (status, body) =
         called.inspect_err(|error| tracing::debug!(%error, "no answer of another entry VM")).ok()?;
     if !status.is_success() {
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -179,7 +179,7 @@
         tracing::debug!(request = %self.id, engine = %attempt.engine, %error, "no answer");
         match error {
             Error::Unsent(_) => End::Unsent,
-            Error::Lost(_) | Error::Garbled(_) | Error::Late => End::Broken,
+            Error::Lost(_) | Error::Garbled(_) | Error::Late | Error::Cut { .. } => End::Broken,
         }
     }
 
--- /dev/null
+++ b/daemon/src/entry/transfer.rs
@@ -0,0 +1,95 @@
+//! Answers of the hub and of the store as transfers: how many bytes came in which time, and how that ended.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use bytes::Bytes;
+use prometheus_client::encoding::EncodeLabelSet;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use super::client::Error;
+
+/// Bytes from which on an answer is logged although it came whole: a tenth of what a link of 10 Mbit/s carries in a second.
+const LARGE: u64 = 128 << 10;
+
+/// What was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Kind {
+    /// The hub's answer to a frame.
+    Frame,
+    /// The configuration, of the store.
+    Config,
+    /// The engines' table, of the store.
+    Engines,
+}
+
+/// How it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Outcome {
+    /// All of it came.
+    Whole,
+    /// Its time was over before all of it had come.
+    Late,
+    /// The connection could not be opened, or broke.
+    Broken,
+    /// The other side refused.
+    Refused,
+}
+
+/// One answer.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Transfer {
+    pub(crate) kind: Kind,
+    pub(crate) outcome: Outcome,
+    /// Bytes of the body that came.
+    pub(crate) bytes: u64,
+    pub(crate) took_ms: u64,
+}
+
+/// What transfers are counted by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Labels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+impl Transfer {
+    /// What became of a call that was made at `since`.
+    pub(crate) fn of(kind: Kind, since: Instant, called: &Result<(StatusCode, Bytes), Error>) -> Self {
+        let (outcome, bytes) = match called {
+            Ok((status, body)) if status.is_success() => (Outcome::Whole, body.len()),
+            Ok((_, body)) => (Outcome::Refused, body.len()),
+            Err(Error::Late) => (Outcome::Late, 0),
+            Err(Error::Cut { bytes }) => (Outcome::Late, *bytes),
+            Err(Error::Unsent(_) | Error::Lost(_) | Error::Garbled(_)) => (Outcome::Broken, 0),
+        };
+        Self { kind, outcome, bytes: bytes as u64, took_ms: millis(since.elapsed()) }
+    }
+
+    /// Whether it is worth a line.
+    pub(crate) fn is_notable(&self) -> bool {
+        self.outcome != Outcome::Whole || self.bytes >= LARGE
+    }
+
+    pub(crate) fn labels(&self) -> Labels {
+        let kind = match self.kind {
+            Kind::Frame => "frame",
+            Kind::Config => "config",
+            Kind::Engines => "engines",
+        };
+        let outcome = match self.outcome {
+            Outcome::Whole => "whole",
+            Outcome::Late => "late",
+            Outcome::Broken => "broken",
+            Outcome::Refused => "refused",
+        };
+        Labels { kind, outcome }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
