--- /dev/null
+++ b/fleet/tests/links/mod.rs
@@ -0,0 +1,228 @@
+//! The reducers of a whole deployment in a test, joined by links that carry a bounded number of bytes a second.
+//!
+//! Every message is as large as its encoding. Transfers at one end of a link share it evenly, and an answer that has not
+//! come whole within its call's limit is lost, as in the process. Nothing here knows what messages hold.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::time::Time;
+use boragecove_fleet::State;
+use boragecove_fleet::config::Config;
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::event::{Event, Listing};
+use boragecove_fleet::frame::{Frame, Reply};
+use boragecove_fleet::lease::{Answer, Call, Outcome, Row, Seen};
+use boragecove_fleet::settings::Settings;
+use boragecove_fleet::state::Identity;
+use serde::Serialize;
+
+/// Bytes a second of the link of a small entry VM: 10 Mbit/s.
+pub const SMALL: f64 = 1_250_000.0;
+/// Bytes a second of the link of a large one: 200 Mbit/s.
+pub const LARGE: f64 = 25_000_000.0;
+
+const TICK: Duration = Duration::from_millis(2);
+/// One way between two entry VMs.
+const LATENCY: Duration = Duration::from_millis(2);
+/// HTTP's head, and the packets' own bytes.
+const OVERHEAD: usize = 300;
+/// Time for the hub's answer to a frame, as in the process's settings.
+const FRAME_LIMIT: Duration = Duration::from_millis(500);
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const START_MS: u64 = 1_000_000;
+
+/// Entry VMs and what is on its way between them. The first is the hub.
+pub struct Links {
+    pub now: Time,
+    vms: Vec<Vm>,
+    transfers: Vec<Transfer>,
+}
+
+struct Vm {
+    state: State,
+    /// Bytes a second of its link, either way.
+    rate: f64,
+    wake: Option<Time>,
+}
+
+struct Transfer {
+    from: usize,
+    to: usize,
+    bytes: f64,
+    begins: Time,
+    /// When its call is given up.
+    limit: Option<Time>,
+    load: Load,
+}
+
+enum Load {
+    Frame(Box<Frame>),
+    Reply(Box<Reply>),
+}
+
+fn address(vm: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (vm / 250) as u8, (vm % 250) as u8], 7_000))
+}
+
+fn size(message: &impl Serialize) -> f64 {
+    (rmp_serde::to_vec(message).expect("encodes").len() + OVERHEAD) as f64
+}
+
+impl Links {
+    /// Entry VMs with links of these rates, in three zones in turn, that all go by `config`.
+    pub fn new(rates: &[f64], config: &Arc<Config>) -> Self {
+        let now = Time::from_millis(START_MS);
+        let vm = |(at, rate): (usize, &f64)| {
+            let zone = ZONES[at % ZONES.len()].into();
+            let me = Identity { vm: format!("vm-{at}").into(), zone, address: address(at) };
+            let state = State::new(me, Settings::default(), at as u64, now);
+            Vm { state, rate: *rate, wake: Some(now) }
+        };
+        let vms = rates.iter().enumerate().map(vm).collect();
+        let mut links = Self { now, vms, transfers: Vec::new() };
+        for at in 0..rates.len() {
+            links.feed(at, Event::Configured(Arc::clone(config)));
+            links.feed(at, Event::Listed(Listing { rows: Vec::new(), version: 1, whole: true }));
+        }
+        links
+    }
+
+    /// An event at an entry VM.
+    pub fn feed(&mut self, at: usize, event: Event) {
+        for effect in boragecove_fleet::apply(&mut self.vms[at].state, self.now, event) {
+            self.carry(at, effect);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    /// Lets time pass until all entry VMs go by this version, for at most `limit`. Returns how long that took.
+    pub fn in_force(&mut self, version: u64, limit: Duration) -> Option<Duration> {
+        let begin = self.now;
+        while self.behind(version) > 0 {
+            if self.now.since(begin) >= limit {
+                return None;
+            }
+            self.tick();
+        }
+        Some(self.now.since(begin))
+    }
+
+    /// Entry VMs that go by an older version.
+    pub fn behind(&self, version: u64) -> usize {
+        let has = |vm: &&Vm| vm.state.config().is_some_and(|config| config.version >= version);
+        self.vms.len() - self.vms.iter().filter(has).count()
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now + TICK;
+        for at in 0..self.vms.len() {
+            if self.vms[at].wake.is_some_and(|wake| wake <= self.now) {
+                self.vms[at].wake = None;
+                self.feed(at, Event::Wake);
+            }
+        }
+        self.move_bytes();
+        let now = self.now;
+        let mut kept = Vec::new();
+        let mut over = Vec::new();
+        for transfer in std::mem::take(&mut self.transfers) {
+            let late = transfer.limit.is_some_and(|limit| limit <= now);
+            let ended = late || transfer.bytes <= 0.0;
+            if ended { over.push((late, transfer)) } else { kept.push(transfer) }
+        }
+        self.transfers = kept;
+        for (late, transfer) in over {
+            if late { self.given_up(&transfer) } else { self.arrived(transfer) }
+        }
+    }
+
+    fn move_bytes(&mut self) {
+        let now = self.now;
+        let mut sending = vec![0_u32; self.vms.len()];
+        let mut receiving = vec![0_u32; self.vms.len()];
+        for transfer in self.transfers.iter().filter(|transfer| transfer.begins <= now) {
+            sending[transfer.from] += 1;
+            receiving[transfer.to] += 1;
+        }
+        for transfer in self.transfers.iter_mut().filter(|transfer| transfer.begins <= now) {
+            let up = self.vms[transfer.from].rate / f64::from(sending[transfer.from]);
+            let down = self.vms[transfer.to].rate / f64::from(receiving[transfer.to]);
+            transfer.bytes -= up.min(down) * TICK.as_secs_f64();
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, bytes: f64, limit: Option<Time>, load: Load) {
+        self.transfers.push(Transfer { from, to, bytes, begins: self.now + LATENCY, limit, load });
+    }
+
+    fn at(&self, address: SocketAddr) -> usize {
+        let of = |vm: usize| self::address(vm) == address;
+        (0..self.vms.len()).find(|vm| of(*vm)).expect("an entry VM listens there")
+    }
+
+    fn arrived(&mut self, transfer: Transfer) {
+        let Transfer { from, to, limit, load, .. } = transfer;
+        match load {
+            Load::Frame(frame) => {
+                self.feed(to, Event::Framed(frame.clone()));
+                let reply = boragecove_fleet::reply(&self.vms[to].state, self.now, &frame);
+                self.send(to, from, size(&reply), limit, Load::Reply(Box::new(reply)));
+            }
+            Load::Reply(reply) => self.feed(to, Event::Replied(Some(reply))),
+        }
+    }
+
+    fn given_up(&mut self, transfer: &Transfer) {
+        let asker = match &transfer.load {
+            Load::Frame(_) => transfer.from,
+            Load::Reply(_) => transfer.to,
+        };
+        self.feed(asker, Event::Replied(None));
+    }
+
+    fn carry(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::Frame { address, frame } => {
+                let to = self.at(address);
+                let limit = Some(self.now + FRAME_LIMIT);
+                self.send(at, to, size(&frame), limit, Load::Frame(frame));
+            }
+            Effect::Lease(call) => {
+                let answer = self.lease(call);
+                self.feed(at, Event::Lease(answer));
+            }
+            Effect::WakeAt(wake) => self.vms[at].wake = Some(wake),
+            // The store is read by the hub alone here; the rest concerns requests and engines.
+            _ => {}
+        }
+    }
+
+    /// The first entry VM holds the lease for good.
+    fn lease(&self, call: Call) -> Answer {
+        let now_ms = self.now.since(Time::from_millis(START_MS)).as_millis() as u64;
+        let row = |until_ms| Row {
+            holder: "vm-0".into(),
+            address: address(0),
+            term: 1,
+            until_ms,
+            started_ms: 0,
+            released: false,
+        };
+        let outcome = match call {
+            Call::Write { row, .. } if row.holder == *"vm-0" => Outcome::Written(1),
+            Call::Write { .. } => Outcome::Conflict(Some(Seen { version: 1, row: row(u64::MAX) })),
+            Call::Read if self.now == Time::from_millis(START_MS) => Outcome::Read(None),
+            Call::Read => Outcome::Read(Some(Seen { version: 1, row: row(u64::MAX) })),
+        };
+        Answer { store_ms: Some(now_ms), outcome }
+    }
+}
