--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -4,7 +4,7 @@
 //! connection's: an answer without a length is whole only if the other side closed in good order, bytes
 //! after an answer belong to nobody, and an answer to another request may come where the next is due.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -21,7 +21,7 @@
 use thiserror::Error;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// Idle connections kept to one address.
 const IDLE_MAX: usize = 32;
@@ -77,7 +77,7 @@
 pub struct Client {
     connect: Duration,
     idle: RefCell<FxHashMap<SocketAddr, Vec<Idle>>>,
-    opened: std::cell::Cell<u64>,
+    opened: Cell<u64>,
 }
 
 #[derive(Debug)]
@@ -92,6 +92,8 @@
     input: BytesMut,
     output: BytesMut,
     written: bool,
+    /// When bytes were last written or read.
+    moved: Rc<Cell<Instant>>,
     /// Whether no request is under way on it.
     settled: bool,
 }
@@ -137,7 +139,7 @@
     /// Gives up opening a connection after `connect`.
     #[must_use]
     pub fn new(connect: Duration) -> Rc<Self> {
-        Rc::new(Self { connect, idle: RefCell::default(), opened: std::cell::Cell::new(0) })
+        Rc::new(Self { connect, idle: RefCell::default(), opened: Cell::new(0) })
     }
 
     /// Connections opened so far.
@@ -181,6 +183,42 @@
         Ok((response.status(), body.freeze()))
     }
 
+    /// Sends a request and reads its whole answer, of at most `limit` bytes, however long that takes while bytes move.
+    /// A time limit on the whole would be too short for what is large enough, and each retry of it a waste.
+    ///
+    /// # Errors
+    ///
+    /// If no byte has come after `first`, or none has moved for `stall`.
+    pub async fn transfer(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        request: Request,
+        limit: usize,
+        first: Duration,
+        stall: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let until = Instant::now() + first;
+        let (mut connection, codec) = self.begin(address, request, until).await?;
+        let moved = Rc::clone(&connection.moved);
+        let client = Rc::clone(self);
+        let mut body = BytesMut::new();
+        let whole = async {
+            let (head, framing, keep) = read_head(&mut connection, codec).await?;
+            let connection = Some(connection);
+            let mut response = Response { client, address, head, connection, body: framing, keep };
+            response.rest(&mut body, limit).await?;
+            Ok(response.status())
+        };
+        let status = tokio::select! {
+            status = whole => Some(status),
+            () = stalled(&moved, until, stall) => None,
+        };
+        match status {
+            Some(status) => Ok((status?, body.freeze())),
+            None => Err(Error::Cut { bytes: body.len() }),
+        }
+    }
+
     /// Opens a connection and closes it again, to see whether anything listens.
     pub(crate) async fn reaches(&self, address: SocketAddr) -> bool {
         matches!(timeout(self.connect, TcpStream::connect(address)).await, Ok(Ok(_)))
@@ -218,6 +256,7 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             written: false,
+            moved: Rc::new(Cell::new(Instant::now())),
             settled: true,
         })
     }
@@ -256,6 +295,17 @@
     }
 }
 
+/// Ends once no byte has moved for `stall`, but not before `until`.
+async fn stalled(moved: &Cell<Instant>, until: Instant, stall: Duration) {
+    loop {
+        let end = until.max(moved.get() + stall);
+        if end <= Instant::now() {
+            return;
+        }
+        sleep_until(end).await;
+    }
+}
+
 fn encode(output: &mut BytesMut, address: SocketAddr, request: Request) -> Result<ClientCodec, Error> {
     let mut head = RequestHead::default();
     head.method = request.method;
@@ -343,6 +393,7 @@
             match self.stream.try_write(&self.output) {
                 Ok(count) => {
                     self.written = true;
+                    self.moved.set(Instant::now());
                     self.output.advance(count);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
@@ -368,7 +419,10 @@
                 self.input.reserve(READ_SIZE);
                 match self.stream.try_read_buf(&mut self.input) {
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    read => return read,
+                    read => {
+                        self.moved.set(Instant::now());
+                        return read;
+                    }
                 }
             }
         }
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -13,6 +13,7 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease;
+use boragecove_fleet::push;
 use boragecove_fleet::request::{Arrival, Id, Step};
 use boragecove_fleet::schedule::{Ask, Grant};
 use boragecove_fleet::state::{Identity, State};
@@ -160,6 +161,7 @@
         match effect {
             Effect::Step { request, step } => self.step(request, step),
             Effect::Frame { address, frame } => self.frame(address, &frame, ctx),
+            Effect::Push { address, message } => self.push(address, message, ctx),
             Effect::Ask { address, request, ask } => {
                 let asking = peers::ask(Rc::clone(&self.client), address, &ask);
                 later(ctx, async move { Event::Granted { request, grant: asking.await } });
@@ -222,6 +224,15 @@
         later(ctx, async move { Event::Replied(sending.await.map(Box::new)) });
     }
 
+    fn push(&self, address: SocketAddr, message: Box<push::Message>, ctx: &Context<Self>) {
+        let (client, node) = (Rc::clone(&self.client), ctx.address());
+        actix_rt::spawn(async move {
+            if !peers::push(&client, address, &message).await {
+                node.do_send(Feed(Event::Missed(message)));
+            }
+        });
+    }
+
     fn lease(&self, call: lease::Call, ctx: &Context<Self>) {
         let (client, address) = (Rc::clone(&self.client), self.settings.store);
         later(ctx, async move {
@@ -381,7 +392,7 @@
     type Result = MessageResult<Tell>;
 
     fn handle(&mut self, Tell(frame): Tell, _ctx: &mut Self::Context) -> Self::Result {
-        MessageResult(boragecove_fleet::reply(&self.state, self.clock.now(), &frame))
+        MessageResult(boragecove_fleet::reply(&mut self.state, self.clock.now(), &frame))
     }
 }
 
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -12,6 +12,7 @@
 use actix_web::web::{self, Data, PayloadConfig, ServiceConfig};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
+use boragecove_fleet::push::Message;
 use boragecove_fleet::schedule::{Ask, Grant};
 use bytes::Bytes;
 use serde::Serialize;
@@ -25,6 +26,8 @@
 
 /// Where frames are posted.
 const PATH: &str = "/frame";
+/// Where updates of the configuration are pushed.
+const PUSH: &str = "/push";
 /// Where places in schedules are asked for.
 const SCHEDULE: &str = "/schedule";
 /// Bytes of a question for a place, or of its answer, at most.
@@ -34,10 +37,14 @@
 const ASK_LIMIT: Duration = Duration::from_millis(60);
 /// Largest frame or answer that is read.
 const FRAME_MAX: usize = 4 << 20;
+/// How long a push may stand still: some ways there and back, and a machine that has spent its share of processor time
+/// stands still for most of a tenth of a second. Beyond that it is suspended or gone.
+const PUSH_STALL: Duration = Duration::from_millis(400);
 /// How long the hub waits for what a frame says that requests wait for: an adapter is there in some 20 ms.
 const HOLD: Duration = Duration::from_millis(80);
 
-/// Sends a frame to the hub. Returns its answer, or none if none came within `limit`; `node` is told what came.
+/// Sends a frame to the hub. Returns its answer, or none if none began within `limit` or it stood still for
+/// as long; `node` is told what came.
 pub(crate) fn send(
     client: Rc<Client>,
     node: Addr<Node>,
@@ -48,7 +55,7 @@
     let request = post(PATH, frame);
     async move {
         let since = Instant::now();
-        let called = client.call(address, request, FRAME_MAX, since + limit).await;
+        let called = client.transfer(address, request, FRAME_MAX, limit, limit).await;
         node.do_send(Transferred(Transfer::of(Kind::Frame, since, &called)));
         read(called)
     }
@@ -64,6 +71,13 @@
     async move { read(client.call(address, request, ASK_MAX, Instant::now() + ASK_LIMIT).await) }
 }
 
+/// Pushes an update to another entry VM. Returns whether it was taken.
+pub(crate) async fn push(client: &Rc<Client>, address: SocketAddr, message: &Message) -> bool {
+    let request = post(PUSH, message);
+    let answer = client.transfer(address, request, ASK_MAX, PUSH_STALL, PUSH_STALL).await;
+    answer.is_ok_and(|(status, _)| status.is_success())
+}
+
 fn post(path: &'static str, message: &impl Serialize) -> Request {
     Request {
         method: Method::POST,
@@ -97,9 +111,22 @@
         .app_data(Data::new(hub))
         .app_data(PayloadConfig::new(FRAME_MAX))
         .route(PATH, web::post().to(heard))
+        .route(PUSH, web::post().to(pushed))
         .route(SCHEDULE, web::post().to(asked));
 }
 
+async fn pushed(body: Bytes, hub: Data<Hub>) -> HttpResponse {
+    let message: Message = match rmp_serde::from_slice(&body) {
+        Ok(message) => message,
+        Err(error) => {
+            tracing::warn!(%error, "update refused");
+            return HttpResponse::BadRequest().finish();
+        }
+    };
+    hub.node.do_send(Feed(Event::Pushed(Box::new(message))));
+    HttpResponse::Ok().finish()
+}
+
 async fn asked(body: Bytes, hub: Data<Hub>) -> HttpResponse {
     let ask: Ask = match rmp_serde::from_slice(&body) {
         Ok(ask) => ask,
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -12,6 +12,7 @@
 use crate::flow;
 use crate::frame;
 use crate::ledger;
+use crate::push;
 use crate::record::Record;
 use crate::state::State;
 use crate::timer::Timer;
@@ -22,6 +23,7 @@
 /// A version of the configuration was learnt. A lower one than that in force is ignored.
 pub(crate) fn configured(
     state: &mut State,
+    now: Time,
     config: Arc<Config>,
     source: &'static str,
     out: &mut Vec<Effect>,
@@ -40,8 +42,11 @@
         out.push(Effect::Limit(config.limits));
     }
     state.routes = Table::new(&config);
-    state.config = Some(config);
+    if let Some(before) = state.config.replace(config) {
+        state.updates.replaced(before);
+    }
     announce(state, out);
+    push::changed(state, now, out);
 }
 
 /// Says whether this entry VM can serve.
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -9,6 +9,7 @@
 use crate::frame::{Frame, Reply};
 use crate::lease;
 use crate::ledger::{Receipt, Report};
+use crate::push;
 use crate::request::{Arrival, End, Events, Id};
 use crate::schedule::Grant;
 use crate::settings::Settings;
@@ -50,6 +51,10 @@
     Framed(Box<Frame>),
     /// The hub answered a frame; none if it could not be reached.
     Replied(Option<Box<Reply>>),
+    /// Another entry VM pushed an update of the configuration.
+    Pushed(Box<push::Message>),
+    /// An entry VM did not take what was pushed to it.
+    Missed(Box<push::Message>),
     /// The owner of an engine's schedule answered; none if it could not be reached.
     Granted {
         /// The request that the place is for.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use boragecove_core::name::Name;
@@ -11,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::adapter;
-use crate::config::Config;
 use crate::demand::Demand;
 use crate::effect::{Effect, Follow};
 use crate::engine::{Incarnation, Load, Residency, Row};
@@ -20,11 +18,13 @@
 use crate::flow;
 use crate::ledger;
 use crate::members::Member;
+use crate::push;
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::state::{Identity, State};
 use crate::timer::Timer;
 use crate::trust;
+use crate::update::Packed;
 
 /// Time after which an entry VM that sends no frames no longer counts.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
@@ -45,8 +45,10 @@
     pub vm: Name,
     /// Its availability zone.
     pub zone: Name,
-    /// Where it listens; none if it is not to be asked anything.
+    /// Where it listens.
     pub address: Option<SocketAddr>,
+    /// Whether it stops, and is not to be asked anything.
+    pub stopping: bool,
     /// Which entry VMs it knows, by the number of their list.
     pub members: u64,
     /// The configuration that it goes by; 0 for none.
@@ -111,8 +113,8 @@
     pub view: View,
     /// What those engines hold for which that has changed.
     pub residencies: Vec<Resident>,
-    /// A newer configuration than the asker's.
-    pub config: Option<Arc<Config>>,
+    /// What leads from the asker's configuration to a newer one, if it is to come this way.
+    pub config: Option<Packed>,
     /// Rows of the engines' table that are newer than the asker's.
     pub rows: Vec<Row>,
     /// The store's version up to which the hub knows that table.
@@ -267,8 +269,8 @@
     Frame {
         vm: state.me.vm.clone(),
         zone: state.me.zone.clone(),
-        // One that stops is not to be asked.
-        address: (!state.stopping).then_some(state.me.address),
+        address: Some(state.me.address),
+        stopping: state.stopping,
         members: state.members.version(),
         config: state.config.as_ref().map_or(0, |config| config.version),
         listed: state.listed,
@@ -298,6 +300,7 @@
         trust::look(state, now, id, out);
     }
     let wanted = frame.demand.iter().any(|demand| demand.waiting > 0);
+    push::heard(state, now, &frame, out);
     replace(state, now, frame);
     if wanted {
         adapter::wanted(state, now, out);
@@ -324,7 +327,8 @@
 fn expire(state: &mut State, now: Time) {
     let silent = |peer: &Peer| now.since(peer.heard) > PEER_SILENCE;
     if state.hub.peers.values().any(silent) {
-        state.hub.peers.retain(|_, peer| !silent(peer));
+        let gone = state.hub.peers.extract_if(.., |_, peer| silent(peer));
+        gone.for_each(|(vm, _)| state.pushes.forget(&vm));
         recount(state);
     }
 }
@@ -344,13 +348,13 @@
 }
 
 /// What the hub answers to an entry VM's last frame.
-pub(crate) fn reply(state: &State, now: Time, asker: &Frame) -> Reply {
+pub(crate) fn reply(state: &mut State, now: Time, asker: &Frame) -> Reply {
+    let config = push::inline(state, asker);
     let mine = |engine: &Name| asker.loads.iter().find(|entry| entry.engine == *engine);
     let loads = state.engines.iter().filter_map(|(id, engine)| {
         let load = engine.load().minus(mine(id).map_or_else(Load::default, |entry| entry.load));
         (load != Load::default()).then(|| EngineLoad { engine: id.clone(), load })
     });
-    let config = state.config.as_ref().filter(|config| config.version > asker.config);
     let rows = if state.listed > asker.listed { state.rows_after(asker.listed) } else { Vec::new() };
     let view = state.view();
     let since = if asker.view.term == view.term { asker.view.version } else { 0 };
@@ -363,7 +367,7 @@
         loads: loads.collect(),
         view,
         residencies: if holds { state.ledger.changed_after(since) } else { Vec::new() },
-        config: config.cloned(),
+        config,
         rows,
         listed: state.listed,
         suspects: suspects(state, now),
@@ -378,7 +382,8 @@
         list.push(Member { vm, zone, address });
     }
     for Peer { frame, .. } in state.hub.peers.values() {
-        if let Some(address) = frame.address {
+        // One that stops is not to be asked.
+        if let Some(address) = frame.address.filter(|_| !frame.stopping) {
             list.push(Member { vm: frame.vm.clone(), zone: frame.zone.clone(), address });
         }
     }
@@ -413,8 +418,8 @@
     if let Some(members) = reply.members {
         state.members.replace(members);
     }
-    if let Some(config) = reply.config {
-        entries::configured(state, config, "hub", out);
+    if let Some(update) = reply.config {
+        push::take(state, now, update, "hub", out);
     }
     state.hub.fresh = reply.leads && reply.store_age < state.settings.hub_store_age;
     if reply.listed > state.listed {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,8 +5,8 @@
 //! the seed it was given.
 //!
 //! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
-//! keeps what the store says; `choose`, `spread`, `schedule`, `speed`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame` and
-//! `members` join the entry VMs; `lease`, `ledger` with `book`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
+//! keeps what the store says; `choose`, `spread`, `schedule`, `speed`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame`,
+//! `members`, `push` and `update` join the entry VMs; `lease`, `ledger` with `book`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
 mod adapter;
 mod book;
@@ -26,6 +26,7 @@
 mod outcome;
 pub mod place;
 mod plan;
+pub mod push;
 pub mod record;
 mod reduce;
 pub mod request;
@@ -37,6 +38,7 @@
 mod tally;
 pub mod timer;
 mod trust;
+pub mod update;
 
 pub use reduce::{apply, grant, reply};
 pub use state::State;
--- /dev/null
+++ b/fleet/src/push.rs
@@ -0,0 +1,253 @@
+//! How a version of the configuration reaches all entry VMs: pushed by the hub as soon as it has it, down a tree of
+//! them, and once more to those that a push has missed.
+//!
+//! A link of 10 Mbit/s carries one copy of a large update in about a tenth of a second, and no link carries one for each
+//! of hundreds. So each entry VM passes an update on to a few, and those to what is left of their part: with 300 of them
+//! 5,000 routes more are in force everywhere after 0.5 s of the links' time (test `five_thousand_routes_at_once`).
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::effect::Effect;
+use crate::entries;
+use crate::frame::Frame;
+use crate::record::Record;
+use crate::state::State;
+use crate::timer::Timer;
+use crate::update::{Error, Packed};
+
+/// Entry VMs that one with a small link pushes to at once: two copies of a large update take it two tenths of a second.
+const FAN_OUT_SMALL: usize = 2;
+/// Entry VMs of each availability zone that one with a larger link pushes to at once.
+const FAN_OUT: usize = 6;
+/// Time between two pushes of the hub: versions that come in quick succession go together.
+const PUSH_EVERY: Duration = Duration::from_millis(200);
+/// Time after which an entry VM that a push should have reached is pushed to again: a tree of hundreds takes less.
+const PUSH_AGAIN: Duration = Duration::from_millis(1_200);
+/// How long the hub gathers entry VMs that lack the version in force, so that one tree serves them.
+const GATHER: Duration = Duration::from_millis(60);
+/// Bytes of an update that the hub's answer to a frame holds at most: well under a tenth of a second on a small link.
+const INLINE_MAX: usize = 24 << 10;
+/// Pushes that may miss an entry VM, before the hub's answers hold the update whatever its size: there is a way from that
+/// entry VM to the hub, and perhaps none from the others to it.
+const MISSES_MAX: u32 = 2;
+/// Updates that are kept since the version before them has not come yet.
+const EARLY_MAX: usize = 4;
+
+/// An update on its way down a tree.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// The update.
+    pub update: Packed,
+    /// Entry VMs that the receiver is to pass it on to.
+    pub onward: Vec<SocketAddr>,
+}
+
+/// What the hub knows of an entry VM's configuration.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Standing {
+    /// The version that it goes by, as it said last.
+    said: u64,
+    /// The last push to it that it has not confirmed, with its version.
+    pushed: Option<(Time, u64)>,
+    /// Pushes since its version was the one in force.
+    pushes: u32,
+}
+
+impl Standing {
+    /// The version that it goes by, or will in a moment.
+    fn version(self, now: Time) -> u64 {
+        let under_way = self.pushed.filter(|(at, _)| now.since(*at) < PUSH_AGAIN);
+        under_way.map_or(self.said, |(_, version)| version.max(self.said))
+    }
+
+    /// It said which version it goes by, where `newest` is in force.
+    fn hear(&mut self, said: u64, newest: u64) {
+        self.said = said;
+        if said >= newest {
+            self.pushed = None;
+            self.pushes = 0;
+        }
+    }
+
+    fn push(&mut self, now: Time, version: u64) {
+        self.pushed = Some((now, version));
+        self.pushes += 1;
+    }
+}
+
+/// What a process keeps for pushes.
+#[derive(Debug, Default)]
+pub(crate) struct Pushes {
+    /// As the hub: what the others go by.
+    standings: BTreeMap<Name, Standing>,
+    /// When the next push is due.
+    due: Option<Time>,
+    /// When the last one was.
+    last: Option<Time>,
+    /// Updates whose base has not come yet, by it.
+    early: BTreeMap<u64, Packed>,
+}
+
+impl Pushes {
+    /// An entry VM has fallen silent.
+    pub(crate) fn forget(&mut self, vm: &Name) {
+        self.standings.remove(vm);
+    }
+}
+
+/// Another version is in force here: where this is the hub, the others are to have it at once.
+pub(crate) fn changed(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    if state.lease.holds(now).is_some() {
+        schedule(state, now, now, out);
+    }
+}
+
+/// An entry VM told the hub which version it goes by.
+pub(crate) fn heard(state: &mut State, now: Time, frame: &Frame, out: &mut Vec<Effect>) {
+    let Some(config) = state.config.clone() else {
+        return;
+    };
+    let standing = state.pushes.standings.entry(frame.vm.clone()).or_default();
+    standing.hear(frame.config, config.version);
+    if frame.config >= config.version {
+        return;
+    }
+    let lacking = standing.version(now) < config.version;
+    if lacking && state.lease.holds(now).is_some() && inline(state, frame).is_none() {
+        schedule(state, now, now + GATHER, out);
+    }
+}
+
+/// The update that the hub's answer to a frame holds: one that is small, or one that pushes could not bring.
+pub(crate) fn inline(state: &mut State, frame: &Frame) -> Option<Packed> {
+    let config = state.config.as_ref().filter(|config| config.version > frame.config)?;
+    let missed = state.pushes.standings.get(&frame.vm).is_some_and(|standing| standing.pushes >= MISSES_MAX);
+    // What cannot be packed is told of where it is pushed.
+    let update = state.updates.prepare(frame.config, config).ok()?;
+    (missed || update.bytes.len() <= INLINE_MAX).then(|| update.clone())
+}
+
+fn schedule(state: &mut State, now: Time, at: Time, out: &mut Vec<Effect>) {
+    let at = state.pushes.last.map_or(at, |last| at.max(last + PUSH_EVERY));
+    if at <= now {
+        due(state, now, out);
+    } else if state.pushes.due.is_none_or(|due| due > at || due < now) {
+        state.pushes.due = Some(at);
+        state.timers.set(at, Timer::Push);
+    }
+}
+
+/// Pushes the version in force to all entry VMs that lack it.
+pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    state.pushes.due = None;
+    if state.lease.holds(now).is_none() {
+        return;
+    }
+    let Some(config) = state.config.clone() else {
+        return;
+    };
+    state.pushes.last = Some(now);
+    for ((_zone, base), addresses) in lacking(state, now, config.version) {
+        let update = match state.updates.prepare(base, &config) {
+            Ok(update) => update.clone(),
+            Err(error) => return unpacked(&error, out),
+        };
+        out.push(Effect::Record(Record::Pushed {
+            version: update.version,
+            base: update.base,
+            bytes: update.bytes.len(),
+            vms: addresses.len(),
+        }));
+        forward(state, &update, &addresses, out);
+    }
+}
+
+/// The entry VMs that lack a version, by availability zone and by the version that they go by. They count as pushed to.
+fn lacking(state: &mut State, now: Time, version: u64) -> BTreeMap<(Name, u64), Vec<SocketAddr>> {
+    let mut lacking: BTreeMap<(Name, u64), Vec<SocketAddr>> = BTreeMap::new();
+    for frame in state.hub.frames() {
+        let Some(address) = frame.address else {
+            continue;
+        };
+        let standing = state.pushes.standings.entry(frame.vm.clone()).or_default();
+        let has = standing.version(now);
+        if has < version {
+            standing.push(now, version);
+            lacking.entry((frame.zone.clone(), has)).or_default().push(address);
+        }
+    }
+    lacking
+}
+
+/// Pushes to the first of as many parts as this process serves at once, each with the rest of its part.
+fn forward(state: &State, update: &Packed, onward: &[SocketAddr], out: &mut Vec<Effect>) {
+    let fan_out = if state.settings.weak { FAN_OUT_SMALL } else { FAN_OUT };
+    let mut left = onward;
+    for parts in (1..=fan_out).rev() {
+        let (part, rest) = left.split_at(left.len().div_ceil(parts));
+        left = rest;
+        if let Some((first, onward)) = part.split_first() {
+            let message = Box::new(Message { update: update.clone(), onward: onward.to_vec() });
+            out.push(Effect::Push { address: *first, message });
+        }
+    }
+}
+
+/// An update was pushed here.
+pub(crate) fn received(state: &mut State, now: Time, message: Message, out: &mut Vec<Effect>) {
+    forward(state, &message.update, &message.onward, out);
+    take(state, now, message.update, "push", out);
+}
+
+/// An entry VM did not take an update: the rest of its part is pushed to without it. It is pushed to again once it says
+/// that it lacks the version.
+pub(crate) fn missed(state: &State, message: &Message, out: &mut Vec<Effect>) {
+    forward(state, &message.update, &message.onward, out);
+}
+
+/// Takes over an update, now or once the version that it begins at has come.
+pub(crate) fn take(
+    state: &mut State,
+    now: Time,
+    update: Packed,
+    source: &'static str,
+    out: &mut Vec<Effect>,
+) {
+    let mut next = Some(update);
+    while let Some(update) = next {
+        apply(state, now, update, source, out);
+        let have = have(state);
+        next = state.pushes.early.remove(&have);
+        state.pushes.early.retain(|base, _| *base > have);
+    }
+}
+
+fn apply(state: &mut State, now: Time, update: Packed, source: &'static str, out: &mut Vec<Effect>) {
+    let have = have(state);
+    if update.version <= have {
+        return;
+    }
+    if update.base > have && state.pushes.early.len() < EARLY_MAX {
+        state.pushes.early.insert(update.base, update);
+        return;
+    }
+    match update.unpack().and_then(|update| update.apply(state.config.as_deref())) {
+        Ok(config) => entries::configured(state, now, config.into(), source, out),
+        Err(error) => unpacked(&error, out),
+    }
+}
+
+/// The version in force; 0 for none.
+fn have(state: &State) -> u64 {
+    state.config.as_ref().map_or(0, |config| config.version)
+}
+
+fn unpacked(error: &Error, out: &mut Vec<Effect>) {
+    out.push(Effect::Record(Record::Unusable { what: "update", error: error.to_string() }));
+}
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -114,6 +114,24 @@
         /// From whom it was learnt.
         source: &'static str,
     },
+    /// An update of the configuration was pushed to the entry VMs of an availability zone that lack it.
+    Pushed {
+        /// The version that it leads to.
+        version: u64,
+        /// The version that it begins at; 0 for nothing.
+        base: u64,
+        /// Its bytes, packed.
+        bytes: usize,
+        /// The entry VMs.
+        vms: usize,
+    },
+    /// What came, or was to be sent, cannot be read or written.
+    Unusable {
+        /// What it is.
+        what: &'static str,
+        /// Why.
+        error: String,
+    },
     /// An engine appeared, changed its state, or went.
     Engine {
         /// Its id.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -11,6 +11,7 @@
 use crate::ledger;
 use crate::outcome;
 use crate::plan;
+use crate::push;
 use crate::record::Record;
 use crate::schedule::{self, Ask, Grant};
 use crate::state::State;
@@ -39,7 +40,7 @@
 
 /// What the hub answers to a frame that it was given before.
 #[must_use]
-pub fn reply(state: &State, now: Time, asker: &Frame) -> Reply {
+pub fn reply(state: &mut State, now: Time, asker: &Frame) -> Reply {
     frame::reply(state, now, asker)
 }
 
@@ -50,7 +51,7 @@
 
 fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
     match event {
-        Event::Configured(config) => entries::configured(state, config, "store", out),
+        Event::Configured(config) => entries::configured(state, now, config, "store", out),
         Event::Listed(listing) => entries::listed(state, now, listing, out),
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
@@ -66,6 +67,8 @@
         }
         Event::Framed(frame) => frame::heard(state, now, *frame, out),
         Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
+        Event::Pushed(message) => push::received(state, now, *message, out),
+        Event::Missed(message) => push::missed(state, &message, out),
         Event::Granted { request, grant } => flow::granted(state, now, request, grant, out),
         Event::Lease(answer) => lease::answered(state, now, answer, out),
         Event::Ordered { engine, incarnation, receipt } => {
@@ -91,6 +94,7 @@
         Timer::Look => lease::look(state, now, out),
         Timer::Plan => plan::due(state, now, out),
         Timer::Check(engine) => ledger::check(state, now, &engine, out),
+        Timer::Push => push::due(state, now, out),
         Timer::Grace => state.graced = true,
     }
 }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -20,10 +20,12 @@
 use crate::lease::Lease;
 use crate::ledger::Ledger;
 use crate::members::Members;
+use crate::push::Pushes;
 use crate::request::{Id, Prompt};
 use crate::settings::Settings;
 use crate::speed::Speed;
 use crate::timer::Timer;
+use crate::update::Updates;
 
 /// Weight of a new sample in the mean time of a service's runs.
 const PACE_GAIN: f64 = 0.05;
@@ -84,6 +86,8 @@
     pub(crate) graced: bool,
     pub(crate) refusals: BTreeMap<Code, u64>,
     pub(crate) retries: BTreeMap<&'static str, u64>,
+    pub(crate) updates: Updates,
+    pub(crate) pushes: Pushes,
     paces: FxHashMap<Name, f64>,
 }
 
@@ -127,6 +131,8 @@
             graced: false,
             refusals: BTreeMap::new(),
             retries: BTreeMap::new(),
+            updates: Updates::default(),
+            pushes: Pushes::default(),
             paces: FxHashMap::default(),
         }
     }
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -27,6 +27,8 @@
     Plan,
     /// An engine is to be asked what it holds.
     Check(Name),
+    /// Entry VMs that lack the version in force are to be pushed to.
+    Push,
     /// The balancer has had time to see that this entry VM is not ready.
     Grace,
 }
--- /dev/null
+++ b/fleet/tests/config_push.rs
@@ -0,0 +1,202 @@
+//! Updates of the configuration between entry VMs: who pushes to whom, and what makes up for a push that was missed.
+
+mod node;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use boragecove_fleet::config::{Config, Kind};
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::Frame;
+use boragecove_fleet::push::Message;
+use boragecove_fleet::record::Record;
+use boragecove_fleet::settings::Settings;
+use boragecove_fleet::update::{Packed, Update};
+use node::{GATEWAY, Node, address, config, millis};
+
+/// Routes whose update is too large for the answer to a frame.
+const MANY: u32 = 4_000;
+
+fn large(version: u64) -> Arc<Config> {
+    let route = |number: u32| {
+        let drawn = u64::from(number).wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ version;
+        let (name, prefix) = (format!("r-{drawn:x}"), format!("/{:x}/", drawn.rotate_left(24)));
+        Arc::new(node::route(&name, &prefix, Kind::Idempotent, GATEWAY, 2))
+    };
+    Arc::new(Config { routes: (0..MANY).map(route).collect(), ..config(version) })
+}
+
+fn frame(vm: u16, config: u64) -> Frame {
+    let address = Some(address(7_100 + vm));
+    Frame { vm: format!("vm-{vm}").into(), zone: "zone-a".into(), address, config, ..Frame::default() }
+}
+
+/// A hub that hears this many others, which go by its configuration.
+fn hub(others: u16) -> Node {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    for vm in 0..others {
+        hub.feed(Event::Framed(Box::new(frame(vm, 1))));
+    }
+    hub
+}
+
+fn pushes(effects: &[Effect]) -> Vec<(SocketAddr, Message)> {
+    let push = |effect: &Effect| match effect {
+        Effect::Push { address, message } => Some((*address, (**message).clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(push).collect()
+}
+
+/// Everyone whom pushes reach, if all take them.
+fn reached(pushes: &[(SocketAddr, Message)]) -> usize {
+    pushes.iter().map(|(_, message)| 1 + message.onward.len()).sum()
+}
+
+fn packed(before: &Config, after: &Config) -> Packed {
+    Update::between(Some(before), after).pack().expect("packs")
+}
+
+fn with_route(version: u64, attempts: u32) -> Config {
+    let route = node::route("late", "/late/", Kind::Once, GATEWAY, attempts);
+    let mut config = config(version);
+    config.routes.push(Arc::new(route));
+    config
+}
+
+fn version(node: &Node) -> Option<u64> {
+    node.state.config().map(|config| config.version)
+}
+
+fn push(node: &mut Node, update: Packed, onward: Vec<SocketAddr>) -> Vec<(SocketAddr, Message)> {
+    let message = Box::new(Message { update, onward });
+    pushes(node.feed(Event::Pushed(message)))
+}
+
+#[test]
+fn hub_pushes_at_once() {
+    let mut hub = hub(30);
+    let pushes = pushes(hub.feed(Event::Configured(Arc::new(with_route(2, 2)))));
+    assert!((2..=8).contains(&pushes.len()), "{} copies", pushes.len());
+    assert_eq!(reached(&pushes), 30);
+    assert_eq!(pushes[0].1.update.base, 1, "what has changed, and not all");
+}
+
+#[test]
+fn others_push_nothing_of_their_own() {
+    let mut node = Node::ready("a");
+    node.feed(Event::Framed(Box::new(frame(1, 1))));
+    assert_eq!(pushes(node.feed(Event::Configured(Arc::new(with_route(2, 2))))), []);
+}
+
+#[test]
+fn part_is_passed_on() {
+    let mut node = Node::with("a", Settings { weak: true, ..Settings::default() });
+    node.feed(Event::Configured(Arc::new(config(1))));
+    let onward: Vec<SocketAddr> = (0..9).map(|vm| address(7_100 + vm)).collect();
+    let pushes = push(&mut node, packed(&config(1), &with_route(2, 2)), onward);
+    assert_eq!(version(&node), Some(2));
+    assert_eq!(pushes.len(), 2, "a small link bears two copies at once");
+    assert_eq!(reached(&pushes), 9);
+}
+
+/// An entry VM that is gone costs the others of its part one attempt.
+#[test]
+fn part_goes_on_without_its_head() {
+    let mut node = Node::ready("a");
+    let onward: Vec<SocketAddr> = (0..9).map(|vm| address(7_100 + vm)).collect();
+    let message = Message { update: packed(&config(1), &with_route(2, 2)), onward };
+    let pushes = pushes(node.feed(Event::Missed(Box::new(message))));
+    assert_eq!(reached(&pushes), 9);
+}
+
+#[test]
+fn early_update_waits() {
+    let mut node = Node::ready("a");
+    let (second, third) = (with_route(2, 2), with_route(3, 4));
+    push(&mut node, packed(&second, &third), Vec::new());
+    assert_eq!(version(&node), Some(1));
+    push(&mut node, packed(&config(1), &second), Vec::new());
+    assert_eq!(version(&node), Some(3));
+}
+
+#[test]
+fn never_back() {
+    let mut node = Node::ready("a");
+    push(&mut node, packed(&config(1), &with_route(3, 2)), Vec::new());
+    push(&mut node, packed(&config(1), &with_route(2, 4)), Vec::new());
+    push(&mut node, Update::between(None, &with_route(2, 4)).pack().expect("packs"), Vec::new());
+    assert_eq!(version(&node), Some(3));
+}
+
+#[test]
+fn unreadable_update_is_told() {
+    let mut node = Node::ready("a");
+    let update = Packed { base: 1, version: 2, bytes: vec![1, 2, 3].into() };
+    push(&mut node, update, Vec::new());
+    assert_eq!(version(&node), Some(1));
+    let told = |effect: &Effect| matches!(effect, Effect::Record(Record::Unusable { .. }));
+    assert!(node.effects.iter().any(told));
+}
+
+/// One that a push has missed is pushed to again, and then told in the answer to its frame: there is a way from it to the
+/// hub.
+#[test]
+fn missed_ones_are_made_up_for() {
+    let mut hub = hub(3);
+    hub.feed(Event::Configured(large(2)));
+    let mut again = Vec::new();
+    for _ in 0..20 {
+        let lacking = frame(1, 1);
+        hub.feed(Event::Framed(Box::new(lacking.clone())));
+        again.extend(pushes(&hub.effects));
+        again.extend(pushes(&hub.pass(millis(100))));
+        for vm in [0, 2] {
+            hub.feed(Event::Framed(Box::new(frame(vm, 2))));
+        }
+        let told = boragecove_fleet::reply(&mut hub.state, hub.now, &lacking);
+        if told.config.is_some() {
+            assert_eq!(again.len(), 1, "pushed to once more, and alone");
+            return;
+        }
+    }
+    panic!("never told; pushed to {} times more", again.len());
+}
+
+/// The answer to a frame stays small whatever the size of the configuration: engines that leave are told of in it too.
+#[test]
+fn answers_stay_small() {
+    let mut hub = hub(1);
+    hub.feed(Event::Configured(large(2)));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(0, 1));
+    assert_eq!(told.config, None);
+}
+
+/// One that starts knows nothing, and gets all.
+#[test]
+fn starting_one_gets_all() {
+    let mut hub = hub(1);
+    hub.feed(Event::Configured(large(2)));
+    hub.pass(millis(300));
+    hub.feed(Event::Framed(Box::new(frame(9, 0))));
+    let pushes = pushes(&hub.pass(millis(300)));
+    let to = pushes.iter().find(|(to, _)| *to == address(7_109)).expect("it is pushed to");
+    let mut node = Node::bare("vm-9");
+    push(&mut node, to.1.update.clone(), Vec::new());
+    assert_eq!(version(&node), Some(2));
+}
+
+/// Versions in quick succession go together: the links bear a few pushes, not one for each.
+#[test]
+fn storms_go_together() {
+    let mut hub = hub(9);
+    let mut rounds = 0;
+    for version in 2..42 {
+        hub.feed(Event::Configured(Arc::new(with_route(version, version as u32))));
+        rounds += u32::from(!pushes(&hub.effects).is_empty());
+        rounds += u32::from(!pushes(&hub.pass(millis(20))).is_empty());
+    }
+    assert!((3..=6).contains(&rounds), "{rounds} pushes in 0.8 s");
+}
--- a/fleet/tests/frame_bytes.rs
+++ b/fleet/tests/frame_bytes.rs
@@ -41,7 +41,7 @@
         hub.feed(Event::Framed(Box::new(frame)));
     }
     let asker = Frame { vm: "front-hall-a-1".into(), listed: 500, config: 1, ..Frame::default() };
-    let mut known = boragecove_fleet::reply(&hub.state, hub.now, &asker);
+    let mut known = boragecove_fleet::reply(&mut hub.state, hub.now, &asker);
     known.residencies.clear();
     let bytes = rmp_serde::to_vec(&known).expect("encodes").len();
     println!("an answer of {bytes} bytes");
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -44,7 +44,7 @@
     hub.feed(Event::Framed(Box::new(frame("b", 3))));
     hub.feed(Event::Framed(Box::new(frame("c", 5))));
     hub.feed(Event::Framed(Box::new(frame("b", 2))));
-    let told = boragecove_fleet::reply(&hub.state, hub.now, &frame("b", 2));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("b", 2));
     assert_eq!(told.loads, [EngineLoad { engine: "w1".into(), load: Load { open: 5, reading_us: 0 } }]);
     assert_eq!(told.nodes, 3);
     assert!(told.leads);
@@ -56,7 +56,7 @@
     hub.lead();
     hub.feed(Event::Framed(Box::new(frame("b", 7))));
     hub.pass(Duration::from_secs(3));
-    let told = boragecove_fleet::reply(&hub.state, hub.now, &frame("c", 0));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("c", 0));
     assert_eq!(told.loads, []);
 }
 
@@ -66,7 +66,7 @@
     hub.lead();
     hub.feed(Event::Configured(Arc::new(config(8))));
     hub.feed(listing(vec![row(12, entry("w9", WRITER, "zone-c", &["m3"]))], 12, false));
-    let told = boragecove_fleet::reply(&hub.state, hub.now, &frame("b", 0));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("b", 0));
     assert_eq!(told.config.as_ref().map(|config| config.version), Some(8));
     assert_eq!(told.rows.len(), 1);
     let mut asker = follower();
@@ -81,7 +81,8 @@
     let mut hub = Node::ready("hub");
     hub.lead();
     hub.feed(Event::Configured(Arc::new(config(8))));
-    let told = boragecove_fleet::reply(&hub.state, hub.now, &Frame { vm: "b".into(), ..Frame::default() });
+    let told =
+        boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { vm: "b".into(), ..Frame::default() });
     let bytes = rmp_serde::to_vec(&told).expect("encodes");
     let read: Reply = rmp_serde::from_slice(&bytes).expect("decodes");
     assert_eq!(read, told);
@@ -107,7 +108,7 @@
         Effect::Frame { frame, .. } => Some(frame),
         _ => None,
     });
-    let told = boragecove_fleet::reply(&hub.state, hub.now, &asked.expect("it asks at once"));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &asked.expect("it asks at once"));
     node.feed(Event::Replied(Some(Box::new(told))));
     assert!(node.effects.iter().any(|effect| matches!(effect, Effect::Ready(true))));
     assert_eq!(follows(&node.effects), None, "it never followed the store");
@@ -250,6 +251,6 @@
     let (_, attempt) = hub.sent(brief("m2"));
     assert_eq!(*attempt.engine, *"w2", "it has its work until it fails to answer");
     hub.feed(Event::Probed { engine: "w2".into(), well: false });
-    let told = boragecove_fleet::reply(&hub.state, hub.now, &frame("c", 0));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("c", 0));
     assert_eq!(told.suspects, [boragecove_core::name::Name::from("w2")]);
 }
--- a/fleet/tests/large_changes.rs
+++ b/fleet/tests/large_changes.rs
@@ -22,7 +22,7 @@
 use boragecove_fleet::config::{Config, Kind, Route};
 use boragecove_fleet::event::Event;
 use links::{LARGE, Links, SMALL};
-use node::GATEWAY;
+use node::{GATEWAY, millis};
 
 /// A confirmed change is to be in force everywhere within two seconds of its confirmation on the strictest deployment.
 const BOUND: Duration = Duration::from_secs(2);
@@ -55,6 +55,7 @@
 }
 
 fn assert_soon(took: Option<Duration>) {
+    println!("in force everywhere after {took:?}");
     assert!(took.is_some_and(|took| took <= BOUND), "in force everywhere after {took:?}");
 }
 
@@ -79,3 +80,40 @@
 fn few_routes() {
     assert_soon(change(&deployment(84), 49, 60));
 }
+
+/// Small changes in quick succession while thousands of routes are declared: each is whole in the store's row, and none
+/// may cost the links as much as the first.
+#[test]
+fn quick_succession() {
+    let mut links = Links::new(&deployment(84), &config(4, 3_850));
+    links.pass(Duration::from_secs(3));
+    for version in 5..25 {
+        links.feed(0, Event::Configured(config(version, 3_850 + version as u32)));
+        links.pass(millis(200));
+    }
+    assert_soon(links.in_force(24, PATIENCE));
+}
+
+/// A ninth of the entry VMs is suspended: the parts of the tree below them go on without them, and they have the version
+/// soon after they wake.
+#[test]
+fn some_are_suspended() {
+    let mut links = Links::new(&deployment(84), &config(4, 1_450));
+    links.pass(Duration::from_secs(3));
+    let suspended = || (8..90).step_by(9);
+    suspended().for_each(|at| links.suspend(at, true));
+    links.feed(0, Event::Configured(config(7, 3_850)));
+    assert_soon(links.in_force(7, PATIENCE));
+    links.pass(Duration::from_secs(10));
+    suspended().for_each(|at| links.suspend(at, false));
+    assert_soon(links.in_force(7, PATIENCE));
+}
+
+/// A third of the entry VMs starts anew at once, with nothing: each gets all of a long configuration.
+#[test]
+fn many_start_anew() {
+    let mut links = Links::new(&deployment(84), &config(4, 7_800));
+    links.pass(Duration::from_secs(3));
+    (10..40).for_each(|at| links.restart(at));
+    assert_soon(links.in_force(4, PATIENCE));
+}
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -14,6 +14,7 @@
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::{Answer, Call, Outcome, Row, Seen};
+use boragecove_fleet::push::Message;
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::state::Identity;
 use serde::Serialize;
@@ -30,6 +31,8 @@
 const OVERHEAD: usize = 300;
 /// Time for the hub's answer to a frame, as in the process's settings.
 const FRAME_LIMIT: Duration = Duration::from_millis(500);
+/// How long a push may stand still, as in the process.
+const PUSH_STALL: Duration = Duration::from_millis(400);
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const START_MS: u64 = 1_000_000;
 
@@ -45,6 +48,8 @@
     /// Bytes a second of its link, either way.
     rate: f64,
     wake: Option<Time>,
+    /// It runs nothing, and its link carries nothing.
+    suspended: bool,
 }
 
 struct Transfer {
@@ -54,12 +59,29 @@
     begins: Time,
     /// When its call is given up.
     limit: Option<Time>,
+    /// When a byte of it last moved.
+    moved: Time,
     load: Load,
 }
 
 enum Load {
     Frame(Box<Frame>),
     Reply(Box<Reply>),
+    Push(Box<Message>),
+}
+
+impl Vm {
+    /// Bytes a second that its link carries now.
+    fn carries(&self) -> f64 {
+        if self.suspended { 0.0 } else { self.rate }
+    }
+}
+
+fn start(at: usize, rate: f64, now: Time) -> State {
+    let zone = ZONES[at % ZONES.len()].into();
+    let me = Identity { vm: format!("vm-{at}").into(), zone, address: address(at) };
+    let settings = Settings { weak: rate < LARGE, ..Settings::default() };
+    State::new(me, settings, at as u64, now)
 }
 
 fn address(vm: usize) -> SocketAddr {
@@ -74,11 +96,11 @@
     /// Entry VMs with links of these rates, in three zones in turn, that all go by `config`.
     pub fn new(rates: &[f64], config: &Arc<Config>) -> Self {
         let now = Time::from_millis(START_MS);
-        let vm = |(at, rate): (usize, &f64)| {
-            let zone = ZONES[at % ZONES.len()].into();
-            let me = Identity { vm: format!("vm-{at}").into(), zone, address: address(at) };
-            let state = State::new(me, Settings::default(), at as u64, now);
-            Vm { state, rate: *rate, wake: Some(now) }
+        let vm = |(at, rate): (usize, &f64)| Vm {
+            state: start(at, *rate, now),
+            rate: *rate,
+            wake: Some(now),
+            suspended: false,
         };
         let vms = rates.iter().enumerate().map(vm).collect();
         let mut links = Self { now, vms, transfers: Vec::new() };
@@ -116,16 +138,29 @@
         Some(self.now.since(begin))
     }
 
-    /// Entry VMs that go by an older version.
+    /// Starts an entry VM's process anew; whatever was on its way to or from it is lost.
+    pub fn restart(&mut self, at: usize) {
+        self.transfers.retain(|transfer| transfer.from != at && transfer.to != at);
+        self.vms[at].state = start(at, self.vms[at].rate, self.now);
+        self.vms[at].wake = Some(self.now);
+    }
+
+    /// Suspends an entry VM, or lets it run on.
+    pub fn suspend(&mut self, at: usize, suspended: bool) {
+        self.vms[at].suspended = suspended;
+    }
+
+    /// Entry VMs that run and go by an older version.
     pub fn behind(&self, version: u64) -> usize {
-        let has = |vm: &&Vm| vm.state.config().is_some_and(|config| config.version >= version);
-        self.vms.len() - self.vms.iter().filter(has).count()
+        let lacks = |vm: &&Vm| vm.state.config().is_none_or(|config| config.version < version);
+        self.vms.iter().filter(|vm| !vm.suspended).filter(lacks).count()
     }
 
     fn tick(&mut self) {
         self.now = self.now + TICK;
         for at in 0..self.vms.len() {
-            if self.vms[at].wake.is_some_and(|wake| wake <= self.now) {
+            let due = self.vms[at].wake.is_some_and(|wake| wake <= self.now);
+            if due && !self.vms[at].suspended {
                 self.vms[at].wake = None;
                 self.feed(at, Event::Wake);
             }
@@ -135,7 +170,8 @@
         let mut kept = Vec::new();
         let mut over = Vec::new();
         for transfer in std::mem::take(&mut self.transfers) {
-            let late = transfer.limit.is_some_and(|limit| limit <= now);
+            let stalled = matches!(transfer.load, Load::Push(_)) && now.since(transfer.moved) >= PUSH_STALL;
+            let late = stalled || transfer.limit.is_some_and(|limit| limit <= now);
             let ended = late || transfer.bytes <= 0.0;
             if ended { over.push((late, transfer)) } else { kept.push(transfer) }
         }
@@ -154,14 +190,18 @@
             receiving[transfer.to] += 1;
         }
         for transfer in self.transfers.iter_mut().filter(|transfer| transfer.begins <= now) {
-            let up = self.vms[transfer.from].rate / f64::from(sending[transfer.from]);
-            let down = self.vms[transfer.to].rate / f64::from(receiving[transfer.to]);
-            transfer.bytes -= up.min(down) * TICK.as_secs_f64();
+            let up = self.vms[transfer.from].carries() / f64::from(sending[transfer.from]);
+            let down = self.vms[transfer.to].carries() / f64::from(receiving[transfer.to]);
+            if up.min(down) > 0.0 {
+                transfer.bytes -= up.min(down) * TICK.as_secs_f64();
+                transfer.moved = now;
+            }
         }
     }
 
     fn send(&mut self, from: usize, to: usize, bytes: f64, limit: Option<Time>, load: Load) {
-        self.transfers.push(Transfer { from, to, bytes, begins: self.now + LATENCY, limit, load });
+        let (begins, moved) = (self.now + LATENCY, self.now);
+        self.transfers.push(Transfer { from, to, bytes, begins, limit, moved, load });
     }
 
     fn at(&self, address: SocketAddr) -> usize {
@@ -174,19 +214,20 @@
         match load {
             Load::Frame(frame) => {
                 self.feed(to, Event::Framed(frame.clone()));
-                let reply = boragecove_fleet::reply(&self.vms[to].state, self.now, &frame);
+                let reply = boragecove_fleet::reply(&mut self.vms[to].state, self.now, &frame);
                 self.send(to, from, size(&reply), limit, Load::Reply(Box::new(reply)));
             }
             Load::Reply(reply) => self.feed(to, Event::Replied(Some(reply))),
+            Load::Push(message) => self.feed(to, Event::Pushed(message)),
         }
     }
 
     fn given_up(&mut self, transfer: &Transfer) {
-        let asker = match &transfer.load {
-            Load::Frame(_) => transfer.from,
-            Load::Reply(_) => transfer.to,
-        };
-        self.feed(asker, Event::Replied(None));
+        match &transfer.load {
+            Load::Frame(_) => self.feed(transfer.from, Event::Replied(None)),
+            Load::Reply(_) => self.feed(transfer.to, Event::Replied(None)),
+            Load::Push(message) => self.feed(transfer.from, Event::Missed(message.clone())),
+        }
     }
 
     fn carry(&mut self, at: usize, effect: Effect) {
@@ -196,6 +237,10 @@
                 let limit = Some(self.now + FRAME_LIMIT);
                 self.send(at, to, size(&frame), limit, Load::Frame(frame));
             }
+            Effect::Push { address, message } => {
+                let to = self.at(address);
+                self.send(at, to, size(&message), None, Load::Push(message));
+            }
             Effect::Lease(call) => {
                 let answer = self.lease(call);
                 self.feed(at, Event::Lease(answer));
--- /dev/null
+++ b/fleet/tests/update_bytes.rs
@@ -0,0 +1,100 @@
+//! Updates of the configuration: what they lead to, and how large they are on their way.
+
+mod node;
+
+use std::sync::Arc;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use boragecove_fleet::config::{Config, Kind, Route};
+use boragecove_fleet::update::{Error, Packed, Update};
+use node::GATEWAY;
+
+fn route(number: u32, attempts: u32) -> Arc<Route> {
+    let drawn = u64::from(number).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let name = format!("r-{:07x}", drawn >> 36);
+    let prefix = format!("/{:08x}/", (drawn >> 8) as u32);
+    Arc::new(node::route(&name, &prefix, Kind::Idempotent, GATEWAY, attempts))
+}
+
+fn config(version: u64, routes: impl IntoIterator<Item = Arc<Route>>) -> Config {
+    Config { routes: routes.into_iter().collect(), ..node::config(version) }
+}
+
+/// Routes that were drawn: some of sixty, each in one of two forms.
+fn drawn(version: u64, data: &mut Unstructured<'_>) -> Result<Config> {
+    let mut routes = Vec::new();
+    for number in 0..60 {
+        if data.arbitrary()? {
+            routes.push(route(number, u32::from(data.arbitrary::<bool>()?)));
+        }
+    }
+    Ok(config(version, routes))
+}
+
+fn sorted(mut config: Config) -> Config {
+    config.routes.sort_by(|a, b| a.name.cmp(&b.name));
+    config
+}
+
+fn through(update: &Update) -> Update {
+    update.pack().and_then(|packed| packed.unpack()).expect("packs and unpacks")
+}
+
+#[test]
+fn any_two_versions() {
+    arbtest::arbtest(|data| {
+        let (before, after) = (drawn(3, data)?, drawn(5, data)?);
+        let update = through(&Update::between(Some(&before), &after));
+        assert_eq!((update.base, update.version), (3, 5));
+        assert_eq!(sorted(update.apply(Some(&before)).expect("its base")), sorted(after));
+        Ok(())
+    });
+}
+
+#[test]
+fn from_nothing() {
+    let after = config(5, (0..20).map(|number| route(number, 1)));
+    let update = through(&Update::between(None, &after));
+    assert_eq!(update.base, 0);
+    let old = config(3, (0..7).map(|number| route(number, 2)));
+    assert_eq!(update.clone().apply(Some(&old)).expect("any base"), after, "whatever was there before");
+    assert_eq!(update.apply(None).expect("no base"), after);
+}
+
+/// Names that stand twice cannot tell what has changed: all is told.
+#[test]
+fn names_that_repeat() {
+    let twice = config(3, [route(1, 1), route(1, 2)]);
+    let after = config(5, [route(1, 2), route(1, 1), route(2, 1)]);
+    let update = Update::between(Some(&twice), &after);
+    assert_eq!(update.base, 0);
+    assert_eq!(update.apply(Some(&twice)).expect("any base"), after);
+}
+
+#[test]
+fn another_base() {
+    let (before, after) = (config(3, [route(1, 1)]), config(5, [route(1, 2)]));
+    let update = Update::between(Some(&before), &after);
+    let other = config(4, [route(1, 1)]);
+    assert!(matches!(update.apply(Some(&other)), Err(Error::Base { base: 3, have: 4 })));
+}
+
+#[test]
+fn garbled_bytes() {
+    let packed = Packed { base: 0, version: 5, bytes: vec![7; 100].into() };
+    assert!(matches!(packed.unpack(), Err(Error::Compress(_) | Error::Decode(_))));
+}
+
+/// The load of thousands of routes at once: the update is a small part of the document, and as small for a long
+/// configuration as for a short one.
+#[test]
+fn bytes_of_a_change() {
+    let before = config(3, (0..4_000).map(|number| route(number, 1)));
+    let after = config(5, (0..6_400).map(|number| route(number, 1)));
+    let bytes = |before: Option<&Config>| Update::between(before, &after).pack().expect("packs").bytes.len();
+    let (change, whole) = (bytes(Some(&before)), bytes(None));
+    let document = rmp_serde::to_vec(&after).expect("encodes").len();
+    println!("2,400 routes more: {change} bytes; all 6,400: {whole}; encoded but not packed: {document}");
+    assert!(change < 2_400 * 24, "{change} bytes");
+    assert!(whole < 6_400 * 24, "{whole} bytes");
+}
