Follow the store on from the hub's word, and read no document that is known

Change: the hub's answers say up to which version of the store no newer configuration was written. Whoever goes by that configuration follows the table's changes from there; the engines' table likewise. A history that is gone is answered by reading all, as before. Tests: goes_on_from_the_hubs_word, older_one_is_not_declared.

--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -112,8 +112,13 @@
         let Ok(wanted) = self.wanted.wait_for(Option::is_some).await else {
             return false;
         };
-        if let (Table::Engines, Some(version), Some(told)) = (self.table, &mut self.version, *wanted) {
-            *version = told.listed.max(*version);
+        if let Some(told) = *wanted {
+            let known = match self.table {
+                Table::Operator => told.declared,
+                Table::Engines => told.listed,
+            };
+            // Changes are followed from what the hub told: a whole document may be 1 MB, and all would read it at once.
+            self.version = self.version.max((known > 0).then_some(known));
         }
         // What changed since is wanted at once.
         self.answered = false;
@@ -150,6 +155,7 @@
                 if let Some(config) = page.config()? {
                     self.node.do_send(Feed(Event::Configured(Arc::new(config))));
                 }
+                self.node.do_send(Feed(Event::Declared(page.version)));
             }
             Table::Engines => {
                 let (listing, errors) = page.engines(whole);
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -86,8 +86,10 @@
 /// How the store's tables are followed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Follow {
-    /// The version up to which the engines' table is known.
+    /// The store's version up to which the engines' table is known; 0 if it is not.
     pub listed: u64,
+    /// The store's version up to which the operator's table is known; 0 if it is not.
+    pub declared: u64,
     /// Time from one answer to the next call: changes that come together are read together.
     pub pause: Duration,
 }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -19,6 +19,8 @@
 pub enum Event {
     /// A version of the configuration was read.
     Configured(Arc<Config>),
+    /// The operator's table was read up to this version of the store, and what it holds was told.
+    Declared(u64),
     /// The engines' table, or what changed in it, was read.
     Listed(Listing),
     /// The store could not be reached, or can be again.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -115,6 +115,8 @@
     pub residencies: Vec<Resident>,
     /// What leads from the asker's configuration to a newer one, if it is to come this way.
     pub config: Option<Packed>,
+    /// The hub's configuration, and how new it is.
+    pub declared: Declared,
     /// Rows of the engines' table that are newer than the asker's.
     pub rows: Vec<Row>,
     /// The store's version up to which the hub knows that table.
@@ -123,6 +125,15 @@
     pub suspects: Vec<Name>,
 }
 
+/// A version of the configuration, and up to when it is the newest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Declared {
+    /// The configuration's version; 0 for none.
+    pub config: u64,
+    /// The store's version up to which no newer one was written; 0 if that is not known.
+    pub store: u64,
+}
+
 /// What an engine holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resident {
@@ -202,7 +213,8 @@
     let follows = pause(state, now);
     if follows != state.follows {
         state.follows = follows;
-        out.push(Effect::Follow(follows.map(|pause| Follow { listed: state.listed, pause })));
+        let how = |pause| Follow { listed: state.listed, declared: state.declared, pause };
+        out.push(Effect::Follow(follows.map(how)));
     }
 }
 
@@ -272,7 +284,7 @@
         address: Some(state.me.address),
         stopping: state.stopping,
         members: state.members.version(),
-        config: state.config.as_ref().map_or(0, |config| config.version),
+        config: version(state),
         listed: state.listed,
         view: state.hub.view,
         loads,
@@ -282,6 +294,11 @@
     }
 }
 
+/// The configuration's version in force; 0 for none.
+pub(crate) fn version(state: &State) -> u64 {
+    state.config.as_ref().map_or(0, |config| config.version)
+}
+
 /// Engines that this process does not trust.
 fn suspects(state: &State, now: Time) -> Vec<Name> {
     let suspected = state.engines.values().filter(|engine| engine.health.suspected(now));
@@ -368,6 +385,7 @@
         view,
         residencies: if holds { state.ledger.changed_after(since) } else { Vec::new() },
         config,
+        declared: Declared { config: version(state), store: state.declared },
         rows,
         listed: state.listed,
         suspects: suspects(state, now),
@@ -421,6 +439,9 @@
     if let Some(update) = reply.config {
         push::take(state, now, update, "hub", out);
     }
+    if reply.declared.config == version(state) {
+        state.declared = state.declared.max(reply.declared.store);
+    }
     state.hub.fresh = reply.leads && reply.store_age < state.settings.hub_store_age;
     if reply.listed > state.listed {
         let listing = Listing { rows: reply.rows, version: reply.listed, whole: false };
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -15,7 +15,7 @@
 
 use crate::effect::Effect;
 use crate::entries;
-use crate::frame::Frame;
+use crate::frame::{self, Frame};
 use crate::record::Record;
 use crate::state::State;
 use crate::timer::Timer;
@@ -222,14 +222,14 @@
     let mut next = Some(update);
     while let Some(update) = next {
         apply(state, now, update, source, out);
-        let have = have(state);
+        let have = frame::version(state);
         next = state.pushes.early.remove(&have);
         state.pushes.early.retain(|base, _| *base > have);
     }
 }
 
 fn apply(state: &mut State, now: Time, update: Packed, source: &'static str, out: &mut Vec<Effect>) {
-    let have = have(state);
+    let have = frame::version(state);
     if update.version <= have {
         return;
     }
@@ -243,11 +243,6 @@
     }
 }
 
-/// The version in force; 0 for none.
-fn have(state: &State) -> u64 {
-    state.config.as_ref().map_or(0, |config| config.version)
-}
-
 fn unpacked(error: &Error, out: &mut Vec<Effect>) {
     out.push(Effect::Record(Record::Unusable { what: "update", error: error.to_string() }));
 }
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -52,6 +52,7 @@
 fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Configured(config) => entries::configured(state, now, config, "store", out),
+        Event::Declared(version) => state.declared = state.declared.max(version),
         Event::Listed(listing) => entries::listed(state, now, listing, out),
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -60,6 +60,8 @@
     pub(crate) removed: BTreeMap<Name, u64>,
     /// The store's version up to which the engines' table is known.
     pub(crate) listed: u64,
+    /// The store's version up to which no newer configuration than the one in force was written; 0 if not known.
+    pub(crate) declared: u64,
     pub(crate) store_up: bool,
     /// When the store last answered anything.
     pub(crate) store_heard: Time,
@@ -110,6 +112,7 @@
             engines: BTreeMap::new(),
             removed: BTreeMap::new(),
             listed: 0,
+            declared: 0,
             store_up: true,
             store_heard: now,
             follows: None,
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -254,3 +254,40 @@
     let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("c", 0));
     assert_eq!(told.suspects, [boragecove_core::name::Name::from("w2")]);
 }
+
+/// The load when a hub is lost: all entry VMs turn to the store at once, each for what has changed since the hub's last
+/// word, and none for all of a document that takes a small link most of a second.
+#[test]
+fn goes_on_from_the_hubs_word() {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    hub.feed(Event::Declared(40));
+    let mut node = follower();
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("a", 0));
+    node.feed(Event::Replied(Some(Box::new(told))));
+    let effects = node.pass(Duration::from_secs(2));
+    let followed = effects.iter().find_map(|effect| match effect {
+        Effect::Follow(Some(how)) => Some((how.listed, how.declared)),
+        _ => None,
+    });
+    assert_eq!(followed, Some((4, 40)));
+}
+
+/// A hub that has a newer configuration says nothing of how new the older one is.
+#[test]
+fn older_one_is_not_declared() {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    hub.feed(Event::Configured(Arc::new(config(8))));
+    hub.feed(Event::Declared(40));
+    let mut node = follower();
+    let mut told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("a", 0));
+    told.config = None;
+    node.feed(Event::Replied(Some(Box::new(told))));
+    let effects = node.pass(Duration::from_secs(2));
+    let declared = effects.iter().find_map(|effect| match effect {
+        Effect::Follow(Some(how)) => Some(how.declared),
+        _ => None,
+    });
+    assert_eq!(declared, Some(0));
+}
