Find a request's route by hash, whatever the number of routes

Cause: each request tried the routes of its host one after the other, so that its time grew with the routes that large changes bring; on an entry VM with an eighth of a core eight times that. Test any_routes_and_path compares with trying each.

--- a/fleet/src/config.rs
+++ b/fleet/src/config.rs
@@ -192,20 +192,27 @@
 /// The routes of one version, by host.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    /// The routes of each host, longest prefix first.
-    by_host: FxHashMap<Name, Vec<Arc<Route>>>,
+    by_host: FxHashMap<Name, Host>,
+}
+
+/// The routes of one host. Prefixes end with a slash, so that those that begin a path end at one of its slashes: the time to
+/// find a route does not grow with the number of routes (18.6 µs with 7,800 when each was tried, bench `route`).
+#[derive(Clone, Debug, Default)]
+struct Host {
+    by_prefix: FxHashMap<Name, Arc<Route>>,
+    /// Slashes in the prefix that has most.
+    slashes_max: usize,
 }
 
 impl Table {
-    /// Sorts the routes of `config`.
+    /// Sorts the routes of `config`. Of two with the same host and prefix the first one holds.
     #[must_use]
     pub fn new(config: &Config) -> Self {
-        let mut by_host: FxHashMap<Name, Vec<Arc<Route>>> = FxHashMap::default();
+        let mut by_host: FxHashMap<Name, Host> = FxHashMap::default();
         for route in &config.routes {
-            by_host.entry(route.host.clone()).or_default().push(Arc::clone(route));
-        }
-        for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            let host = by_host.entry(route.host.clone()).or_default();
+            host.slashes_max = host.slashes_max.max(slashes(&route.prefix).count());
+            host.by_prefix.entry(route.prefix.clone()).or_insert_with(|| Arc::clone(route));
         }
         Self { by_host }
     }
@@ -213,6 +220,13 @@
     /// The route of `host` with the longest prefix that begins `path`.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        self.by_host.get(host)?.iter().find(|route| path.starts_with(route.prefix.as_str()))
+        let host = self.by_host.get(host)?;
+        let ends = slashes(path).take(host.slashes_max);
+        ends.filter_map(|end| host.by_prefix.get(&path[..=end])).last()
     }
 }
+
+/// Where a path has slashes.
+fn slashes(path: &str) -> impl Iterator<Item = usize> {
+    path.match_indices('/').map(|(at, _)| at)
+}
--- a/fleet/tests/route_table.rs
+++ b/fleet/tests/route_table.rs
@@ -23,6 +23,33 @@
     assert_eq!(table.find("other.example", "/ack/1").map(|route| &route.name), None);
 }
 
+/// Whatever routes there are: the one found is the longest of those whose prefix begins the path.
+#[test]
+fn any_routes_and_path() {
+    arbtest::arbtest(|data| {
+        let mut drawn = |slashes: usize| -> arbtest::arbitrary::Result<String> {
+            let mut path = String::from("/");
+            for _ in 0..data.int_in_range(0..=slashes)? {
+                path.push_str(data.choose(&["a", "b", "", "aa"])?);
+                path.push('/');
+            }
+            Ok(path)
+        };
+        let mut config = config(1);
+        config.routes.clear();
+        for number in 0..8 {
+            let prefix = drawn(3)?;
+            config.routes.push(Arc::new(route(&format!("r{number}"), &prefix, Kind::Once, GATEWAY, 1)));
+        }
+        let path = drawn(5)? + "rest";
+        let fits = config.routes.iter().filter(|route| path.starts_with(route.prefix.as_str()));
+        let longest = fits.map(|route| route.prefix.len()).max();
+        let found = Table::new(&config).find(HOST, &path).map(|route| route.prefix.len());
+        assert_eq!(found, longest, "{path}");
+        Ok(())
+    });
+}
+
 #[test]
 fn unknown_path() {
     let mut node = Node::ready("a");
