Read the newest configuration where versions come faster than their documents

The store's feed brings each version in between, a document of 1 MB each. On a link of 10 Mbit/s, in quick succession, each answer held more of them than the last, until it was over 8 MB and refused, again and again.

Change: after a page of the operator's table that took 0.3 s or longer, the table is read, which brings the newest version only, and followed on once that has not changed. Before: storm_on_a_slow_way fails, the last of 16 versions not in force 4 s after it was written; after: it passes.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -109,6 +109,17 @@
     }
 }
 
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+    /// Time from its head to its end.
+    pub took: Duration,
+}
+
 /// An answer whose head has come.
 pub struct Response {
     client: Rc<Client>,
@@ -196,7 +207,7 @@
         limit: usize,
         first: Duration,
         stall: Duration,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    ) -> Result<Received, Error> {
         let until = Instant::now() + first;
         let (mut connection, codec) = self.begin(address, request, until).await?;
         let moved = Rc::clone(&connection.moved);
@@ -204,17 +215,18 @@
         let mut body = BytesMut::new();
         let whole = async {
             let (head, framing, keep) = read_head(&mut connection, codec).await?;
+            let begun = Instant::now();
             let connection = Some(connection);
             let mut response = Response { client, address, head, connection, body: framing, keep };
             response.rest(&mut body, limit).await?;
-            Ok(response.status())
+            Ok((response.status(), begun.elapsed()))
         };
-        let status = tokio::select! {
-            status = whole => Some(status),
+        let ended = tokio::select! {
+            ended = whole => Some(ended),
             () = stalled(&moved, until, stall) => None,
         };
-        match status {
-            Some(status) => Ok((status?, body.freeze())),
+        match ended {
+            Some(ended) => ended.map(|(status, took)| Received { status, body: body.freeze(), took }),
             None => Err(Error::Cut { bytes: body.len() }),
         }
     }
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-use super::client::{self, Client};
+use super::client::{self, Client, Received};
 use super::node::{Feed, Node, Transferred, store_request};
 use super::settings::Settings;
 use super::transfer::{Kind, Transfer};
@@ -27,6 +27,10 @@
 const PAUSE_MIN: Duration = Duration::from_millis(50);
 /// Longest pause after a failed call: what changed meanwhile is to be in force within two seconds.
 const PAUSE_MAX: Duration = Duration::from_millis(400);
+/// Time that a page of the operator's table may take from its first byte to its last for that table to be followed on. While
+/// a longer one comes, other versions are written, and to follow on would bring each of them: with documents of 1 MB in quick
+/// succession an entry VM on a link of 10 Mbit/s would fall behind for as long as they come. The newest is read instead.
+const PAGE_SLOW: Duration = Duration::from_millis(300);
 /// Bytes of a page, at most.
 const PAGE_MAX: usize = 8 << 20;
 
@@ -42,6 +46,12 @@
     HistoryGone,
 }
 
+/// A page, and how long it took from its first byte to its last.
+struct Answer {
+    page: Page,
+    took: Duration,
+}
+
 struct Follower {
     table: Table,
     address: SocketAddr,
@@ -49,6 +59,8 @@
     node: Addr<Node>,
     /// The version up to which the table is known; none before it was read whole.
     version: Option<u64>,
+    /// The configuration that was told last.
+    told: Option<u64>,
     /// How to follow; none while the hub tells of changes.
     wanted: watch::Receiver<Option<Follow>>,
     /// Whether the last call was answered. Until one is, the store is not asked to wait: a call that is sent
@@ -70,6 +82,7 @@
             client: Rc::clone(client),
             node: node.clone(),
             version: None,
+            told: None,
             wanted: wanted.clone(),
             answered: false,
         };
@@ -131,28 +144,32 @@
             return self.read().await;
         };
         let wait = if self.answered { WAIT } else { Duration::ZERO };
-        let page = self.call(self.table.follow(version, wait), wait + ANSWER).await?;
-        let version = page.version.max(version);
+        let Answer { page, took } = self.call(self.table.follow(version, wait), wait + ANSWER).await?;
         self.tell(&page, false)?;
-        self.version = Some(version);
+        self.version = (!self.is_outrun(took)).then_some(page.version.max(version));
         Ok(())
     }
 
     async fn read(&mut self) -> Result<(), Failed> {
-        let mut page = self.call(self.table.read(None), ANSWER).await?;
+        let Answer { mut page, mut took } = self.call(self.table.read(None), ANSWER).await?;
         // Later pages may be newer; changes are followed from the first on.
         while let Some(after) = page.next.take() {
-            page.append(self.call(self.table.read(Some(&after)), ANSWER).await?);
+            let more = self.call(self.table.read(Some(&after)), ANSWER).await?;
+            page.append(more.page);
+            took += more.took;
         }
-        self.tell(&page, true)?;
-        self.version = Some(page.version);
+        let new = self.tell(&page, true)?;
+        self.version = (!new || !self.is_outrun(took)).then_some(page.version);
         Ok(())
     }
 
-    fn tell(&self, page: &Page, whole: bool) -> Result<(), Failed> {
+    /// Tells the node what a page holds. Returns whether a configuration came that had not come before.
+    fn tell(&mut self, page: &Page, whole: bool) -> Result<bool, Failed> {
+        let mut new = false;
         match self.table {
             Table::Operator => {
                 if let Some(config) = page.config()? {
+                    new = self.told.replace(config.version) != Some(config.version);
                     self.node.do_send(Feed(Event::Configured(Arc::new(config))));
                 }
                 self.node.do_send(Feed(Event::Declared(page.version)));
@@ -165,7 +182,12 @@
                 self.node.do_send(Feed(Event::Listed(listing)));
             }
         }
-        Ok(())
+        Ok(new)
+    }
+
+    /// Whether a page took so long that the operator may have written another version meanwhile.
+    fn is_outrun(&self, took: Duration) -> bool {
+        self.table == Table::Operator && took >= PAGE_SLOW
     }
 
     const fn kind(&self) -> Kind {
@@ -176,14 +198,14 @@
     }
 
     /// Makes a call whose answer has to begin within `first`.
-    async fn call(&self, call: store::Call, first: Duration) -> Result<Page, Failed> {
+    async fn call(&self, call: store::Call, first: Duration) -> Result<Answer, Failed> {
         let since = Instant::now();
         let request = store_request(call);
         let called = self.client.transfer(self.address, request, PAGE_MAX, first, ANSWER).await;
         self.node.do_send(Transferred(Transfer::of(self.kind(), since, &called)));
-        let (status, body) = called?;
+        let Received { status, body, took } = called?;
         match status.as_u16() {
-            200 => Ok(store::page(&body)?),
+            200 => Ok(Answer { page: store::page(&body)?, took }),
             status if store::history_gone(status) => Err(Failed::HistoryGone),
             status => Err(Failed::Status(status)),
         }
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -57,7 +57,7 @@
         let since = Instant::now();
         let called = client.transfer(address, request, FRAME_MAX, limit, limit).await;
         node.do_send(Transferred(Transfer::of(Kind::Frame, since, &called)));
-        read(called)
+        read(called.map(|received| (received.status, received.body)))
     }
 }
 
@@ -75,7 +75,7 @@
 pub(crate) async fn push(client: &Rc<Client>, address: SocketAddr, message: &Message) -> bool {
     let request = post(PUSH, message);
     let answer = client.transfer(address, request, ASK_MAX, PUSH_STALL, PUSH_STALL).await;
-    answer.is_ok_and(|(status, _)| status.is_success())
+    answer.is_ok_and(|received| received.status.is_success())
 }
 
 fn post(path: &'static str, message: &impl Serialize) -> Request {
--- a/daemon/src/entry/transfer.rs
+++ b/daemon/src/entry/transfer.rs
@@ -2,13 +2,11 @@
 
 use std::time::Duration;
 
-use actix_http::StatusCode;
-use bytes::Bytes;
 use prometheus_client::encoding::EncodeLabelSet;
 use serde::Serialize;
 use tokio::time::Instant;
 
-use super::client::Error;
+use super::client::{Error, Received};
 
 /// Bytes from which on an answer is logged although it came whole: a tenth of what a link of 10 Mbit/s carries in a second.
 const LARGE: u64 = 128 << 10;
@@ -31,7 +29,7 @@
 pub(crate) enum Outcome {
     /// All of it came.
     Whole,
-    /// Its time was over before all of it had come.
+    /// It did not begin in time, or stood still before all of it had come.
     Late,
     /// The connection could not be opened, or broke.
     Broken,
@@ -58,10 +56,10 @@
 
 impl Transfer {
     /// What became of a call that was made at `since`.
-    pub(crate) fn of(kind: Kind, since: Instant, called: &Result<(StatusCode, Bytes), Error>) -> Self {
+    pub(crate) fn of(kind: Kind, since: Instant, called: &Result<Received, Error>) -> Self {
         let (outcome, bytes) = match called {
-            Ok((status, body)) if status.is_success() => (Outcome::Whole, body.len()),
-            Ok((_, body)) => (Outcome::Refused, body.len()),
+            Ok(received) if received.status.is_success() => (Outcome::Whole, received.body.len()),
+            Ok(received) => (Outcome::Refused, received.body.len()),
             Err(Error::Late) => (Outcome::Late, 0),
             Err(Error::Cut { bytes }) => (Outcome::Late, *bytes),
             Err(Error::Unsent(_) | Error::Lost(_) | Error::Garbled(_)) => (Outcome::Broken, 0),
--- a/daemon/tests/entry_client.rs
+++ b/daemon/tests/entry_client.rs
@@ -230,7 +230,7 @@
 async fn slow_answer_is_whole() {
     let address = trickle(30, Duration::from_millis(20));
     let answer = client().transfer(address, request(), 100, STALL, STALL).await;
-    assert_eq!(answer.expect("bytes moved all the while").1.len(), 30, "in 0.6 s");
+    assert_eq!(answer.expect("bytes moved all the while").body.len(), 30, "in 0.6 s");
 }
 
 #[actix_web::test]
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -158,6 +158,25 @@
     }
 }
 
+/// Versions of a long document in quick succession, on a link that carries one a second: the store's feed brings each,
+/// and is not to be read to its end for the last.
+#[test]
+fn storm_on_a_slow_way() {
+    let (store, _, _) = platform();
+    store.put("op", "config", &with_routes(2, 3_000));
+    store.narrow(1_000_000);
+    let entry = Entry::start("storm", &store);
+    for version in 3..19 {
+        store.put("op", "config", &with_routes(version, 3_000 + version as u32));
+        thread::sleep(Duration::from_millis(250));
+    }
+    let begin = Instant::now();
+    while !call(entry.callers, &plain("/many-3017/1", "w1")).ends_with("answer to w1") {
+        assert!(begin.elapsed() < Duration::from_secs(4), "the last version is not in force in time");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// A configuration with this many routes more.
 fn with_routes(version: u64, more: u32) -> serde_json::Value {
     let mut document = config(version);
