Tell of all engines where the hub does not know of each removal

Cause: a hub tells each entry VM the rows of the engines' table that have changed since its last word, and the removals that it has seen. One whose process started after an engine had gone had seen none, said that its word was up to date, and the others went on sending to the engine.

Change: each process knows from which version of the store on it has seen all removals; askers from before that get all rows. The same holds after the history was dropped and when the memory of removals was full. Tests failed before: gone_before_the_hub_started, gone_while_the_hub_read_anew. The search for names in a whole listing was quadratic; it is not.

--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -4,6 +4,7 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use rustc_hash::FxHashSet;
 
 use crate::config::{Config, Table};
 use crate::effect::Effect;
@@ -73,6 +74,7 @@
 pub(crate) fn listed(state: &mut State, now: Time, listing: Listing, out: &mut Vec<Effect>) {
     if listing.whole {
         missing(state, now, &listing, out);
+        state.removals_from = state.removals_from.max(listing.version);
     }
     for row in listing.rows {
         take(state, now, row, out);
@@ -84,9 +86,10 @@
 
 /// Engines that a whole listing does not name.
 fn missing(state: &mut State, now: Time, listing: &Listing, out: &mut Vec<Effect>) {
-    let named = |id: &Name| listing.rows.iter().any(|row| row.id == *id);
+    let named: FxHashSet<&Name> = listing.rows.iter().map(|row| &row.id).collect();
     let known = state.engines.values().filter(|engine| engine.version <= listing.version);
-    let gone: Vec<Name> = known.map(|engine| engine.entry.id.clone()).filter(|id| !named(id)).collect();
+    let gone: Vec<Name> =
+        known.map(|engine| engine.entry.id.clone()).filter(|id| !named.contains(id)).collect();
     for id in gone {
         let row = Row { id, version: listing.version, entry: None };
         take(state, now, row, out);
@@ -180,9 +183,10 @@
 fn forget(state: &mut State, id: &Name, version: u64) {
     state.engines.remove(id);
     if state.removed.len() >= REMOVED_MAX {
-        let oldest = state.removed.iter().min_by_key(|(_, version)| **version).map(|(id, _)| id.clone());
-        if let Some(oldest) = oldest {
+        let oldest = state.removed.iter().min_by_key(|(_, version)| **version);
+        if let Some((oldest, version)) = oldest.map(|(id, version)| (id.clone(), *version)) {
             state.removed.remove(&oldest);
+            state.removals_from = state.removals_from.max(version);
         }
     }
     state.removed.insert(id.clone(), version);
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -121,6 +121,8 @@
     pub rows: Vec<Row>,
     /// The store's version up to which the hub knows that table.
     pub listed: u64,
+    /// Whether the rows are all there are: the hub does not know of each removal since the asker's.
+    pub whole: bool,
     /// Engines that the hub could not reach.
     pub suspects: Vec<Name>,
 }
@@ -372,7 +374,7 @@
         let load = engine.load().minus(mine(id).map_or_else(Load::default, |entry| entry.load));
         (load != Load::default()).then(|| EngineLoad { engine: id.clone(), load })
     });
-    let rows = if state.listed > asker.listed { state.rows_after(asker.listed) } else { Vec::new() };
+    let Listing { rows, version: listed, whole } = state.listing_after(asker.listed);
     let view = state.view();
     let since = if asker.view.term == view.term { asker.view.version } else { 0 };
     let holds = state.lease.holds(now).is_some();
@@ -387,7 +389,8 @@
         config,
         declared: Declared { config: version(state), store: state.declared },
         rows,
-        listed: state.listed,
+        listed,
+        whole,
         suspects: suspects(state, now),
     }
 }
@@ -444,7 +447,7 @@
     }
     state.hub.fresh = reply.leads && reply.store_age < state.settings.hub_store_age;
     if reply.listed > state.listed {
-        let listing = Listing { rows: reply.rows, version: reply.listed, whole: false };
+        let listing = Listing { rows: reply.rows, version: reply.listed, whole: reply.whole };
         entries::listed(state, now, listing, out);
     }
     for engine in state.engines.values_mut() {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -15,6 +15,7 @@
 use crate::config::{Config, Pool, Table};
 use crate::demand::{Appetite, Counts};
 use crate::engine::{Engine, Row};
+use crate::event::Listing;
 use crate::flow::Flow;
 use crate::frame::{Hub, View};
 use crate::lease::Lease;
@@ -60,6 +61,9 @@
     pub(crate) removed: BTreeMap<Name, u64>,
     /// The store's version up to which the engines' table is known.
     pub(crate) listed: u64,
+    /// The store's version from which on `removed` names all engines that were removed: none are known from before a whole
+    /// reading of the table.
+    pub(crate) removals_from: u64,
     /// The store's version up to which no newer configuration than the one in force was written; 0 if not known.
     pub(crate) declared: u64,
     pub(crate) store_up: bool,
@@ -112,6 +116,7 @@
             engines: BTreeMap::new(),
             removed: BTreeMap::new(),
             listed: 0,
+            removals_from: 0,
             declared: 0,
             store_up: true,
             store_heard: now,
@@ -215,8 +220,19 @@
         View { term, version: self.ledger.version() }
     }
 
-    /// Rows of the engines' table newer than a version.
-    pub(crate) fn rows_after(&self, version: u64) -> Vec<Row> {
+    /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it where not all
+    /// removals since are known here.
+    pub(crate) fn listing_after(&self, version: u64) -> Listing {
+        let whole = version < self.removals_from;
+        let rows = match (whole, self.listed > version) {
+            (true, _) => self.rows_after(0),
+            (false, true) => self.rows_after(version),
+            (false, false) => Vec::new(),
+        };
+        Listing { rows, version: self.listed, whole }
+    }
+
+    fn rows_after(&self, version: u64) -> Vec<Row> {
         let put = self.engines.values().filter(|engine| engine.version > version).map(|engine| Row {
             id: engine.entry.id.clone(),
             version: engine.version,
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -291,3 +291,44 @@
     });
     assert_eq!(declared, Some(0));
 }
+
+/// An engine is gone by the time that a process starts, which then becomes the hub: it never heard of the engine, and the
+/// others are to hear from it that the engine is gone. Seen: engines got requests 3.5 s after they had left the table,
+/// since the hub was killed as they left, and was back within half a second.
+#[test]
+fn gone_before_the_hub_started() {
+    let mut node = follower();
+    let mut hub = Node::bare("hub");
+    hub.feed(Event::Configured(Arc::new(config(1))));
+    hub.feed(listing(vec![row(1, entry("w1", WRITER, "zone-a", &["m0", "m1"]))], 12, true));
+    hub.lead();
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 4, ..frame("a", 0) });
+    node.feed(Event::Replied(Some(Box::new(told))));
+    let left: Vec<String> = node.state.engines().map(|engine| engine.entry.id.to_string()).collect();
+    assert_eq!(left, ["w1"]);
+}
+
+/// The hub has read the table anew since its history was dropped: what came and went in between it never heard of.
+#[test]
+fn gone_while_the_hub_read_anew() {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    let rows = vec![row(1, entry("w1", WRITER, "zone-a", &["m0", "m1"]))];
+    hub.feed(listing(rows, 20, true));
+    let mut node = follower();
+    node.feed(listing(vec![row(9, entry("w9", WRITER, "zone-a", &["m0"]))], 9, false));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 9, ..frame("a", 0) });
+    node.feed(Event::Replied(Some(Box::new(told))));
+    let left: Vec<String> = node.state.engines().map(|engine| engine.entry.id.to_string()).collect();
+    assert_eq!(left, ["w1"]);
+}
+
+/// Where the hub has followed the table all along, its answers hold what has changed and nothing else.
+#[test]
+fn changes_alone() {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    hub.feed(listing(vec![row(6, entry("w1", WRITER, "zone-a", &["m2"]))], 6, false));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 5, ..frame("a", 0) });
+    assert_eq!(told.rows.len(), 1);
+}
