--- a/fleet/src/adapter.rs
+++ b/fleet/src/adapter.rs
@@ -12,7 +12,8 @@
 use crate::demand::{Demand, Target};
 use crate::effect::Effect;
 use crate::engine::{Engine, Phase};
-use crate::ledger::{self, Order};
+use crate::ledger;
+use crate::order::Order;
 use crate::state::State;
 
 /// Part of its slots that is taken at an engine that counts as crowded: beyond half of them, events come later.
--- /dev/null
+++ b/fleet/src/admit.rs
@@ -0,0 +1,99 @@
+//! Which requests are taken in: those that have a route and a service, and whose model is declared.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use crate::config::Route;
+use crate::flow::{COME_BACK, Flow, Stage};
+use crate::request::{Arrival, Prompt, Refusal};
+use crate::state::State;
+
+/// When a caller may come back to a process that has just started: by its log, it knows what it needs after 30 to 150 ms.
+const STARTED_COME_BACK: Duration = Duration::from_millis(200);
+
+/// Finds a request's route and service, and counts it as demand.
+pub(crate) fn admit(state: &mut State, now: Time, arrival: Arrival) -> Result<Flow, Refusal> {
+    let refuse = |code, retry_after| Err(Refusal { code, retry_after });
+    if state.config.is_none() {
+        return refuse(Code::NotReady, Some(STARTED_COME_BACK));
+    }
+    let Some(route) = state.routes.find(&arrival.host, &arrival.path).cloned() else {
+        return refuse(Code::UnknownPath, None);
+    };
+    if state.graced && !fits_before_stop(state, now, &route, arrival.patience) {
+        // Another entry VM has all the time for it.
+        return refuse(Code::Stopping, Some(Duration::ZERO));
+    }
+    let Some(service) = pick_service(state, &route) else {
+        return refuse(Code::NoBackend, Some(COME_BACK));
+    };
+    let runs_models = state.pool(&service).is_some();
+    let prompt = arrival.prompt;
+    if prompt.as_ref().is_some_and(|prompt| runs_models && !state.declared(&service, prompt)) {
+        return refuse(Code::UnknownModel, None);
+    }
+    state.budget.request(now, &service, &state.settings);
+    let flow = open(state, now, route, service, prompt, arrival.patience);
+    if let Some(target) = flow.target() {
+        state.demand.arrived(&target, flow.work);
+    }
+    Ok(flow)
+}
+
+/// Whether a request will have been answered before a process that stops ends. Where entry VMs are restarted one after
+/// the other, most of a zone's may be stopping at once, and the balancer sends requests to all of them: of 402
+/// that they refused on such a day, 123 were calls that take 30 ms and 1.5 s at most.
+fn fits_before_stop(state: &State, now: Time, route: &Route, patience: Option<Duration>) -> bool {
+    let longest = patience.unwrap_or(route.timeout).min(route.timeout);
+    let until = now + longest + state.settings.reserve;
+    !route.kind.streams() && state.stops_at.is_some_and(|stops_at| until < stops_at)
+}
+
+fn open(
+    state: &State,
+    now: Time,
+    route: Arc<Route>,
+    service: Name,
+    prompt: Option<Prompt>,
+    patience: Option<Duration>,
+) -> Flow {
+    let deadline = now + patience.unwrap_or(route.timeout).min(route.timeout);
+    let work = prompt
+        .as_ref()
+        .map_or(Duration::ZERO, |prompt| state.speed.work(&service, &prompt.model, prompt.tokens));
+    Flow {
+        begin_by: deadline.min(now + route.patience()),
+        route,
+        service,
+        prompt,
+        arrived: now,
+        deadline,
+        work,
+        stage: Stage::Waiting,
+        number: 0,
+        used: 0,
+        refusals: 0,
+        asked: 0,
+        avoid: Vec::new(),
+        may_have_run: false,
+    }
+}
+
+fn pick_service(state: &mut State, route: &Route) -> Option<Name> {
+    if let [only] = &*route.split {
+        return Some(only.service.clone());
+    }
+    let total: u32 = route.split.iter().map(|share| share.weight).sum();
+    let mut drawn = state.rng.u32(0..total.max(1));
+    for share in &route.split {
+        if drawn < share.weight {
+            return Some(share.service.clone());
+        }
+        drawn -= share.weight;
+    }
+    None
+}
--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -8,7 +8,7 @@
 
 use crate::config::Pool;
 use crate::engine::{Copy, Entry, Held, Incarnation, Phase, Residency};
-use crate::ledger::Order;
+use crate::order::Order;
 use crate::settings::Settings;
 
 /// Reports are some hundred ms old: time after which one tells of what happened before it was asked for.
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -10,7 +10,7 @@
 use crate::engine::Incarnation;
 use crate::frame::Frame;
 use crate::lease;
-use crate::ledger::Order;
+use crate::order::Order;
 use crate::push;
 use crate::record::Record;
 use crate::request::{Id, Step};
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -8,7 +8,7 @@
 use crate::engine::{Incarnation, Row};
 use crate::frame::{Frame, Reply};
 use crate::lease;
-use crate::ledger::{Receipt, Report};
+use crate::order::{Receipt, Report};
 use crate::push;
 use crate::request::{Arrival, End, Events, Id};
 use crate::schedule::Grant;
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -8,6 +8,7 @@
 use boragecove_core::time::Time;
 
 use crate::adapter;
+use crate::admit;
 use crate::choose::{self, Choice, Pick, Query};
 use crate::config::Route;
 use crate::demand::Target;
@@ -23,10 +24,8 @@
 
 /// How long a request waits for engines in doubt, and for a hub that does not answer.
 const DOUBT_WAIT: Duration = Duration::from_millis(400);
-/// When a caller may come back to a process that has just started: by its log, it knows what it needs after 30 to 150 ms.
-const STARTED_COME_BACK: Duration = Duration::from_millis(200);
 /// When a caller may come back if no better time is known.
-const COME_BACK: Duration = Duration::from_millis(500);
+pub(crate) const COME_BACK: Duration = Duration::from_millis(500);
 
 /// A request that has not ended.
 #[derive(Debug)]
@@ -65,7 +64,7 @@
 }
 
 impl Flow {
-    fn target(&self) -> Option<Target> {
+    pub(crate) fn target(&self) -> Option<Target> {
         self.prompt.as_ref().map(|prompt| Target {
             service: self.service.clone(),
             model: prompt.model.clone(),
@@ -80,7 +79,7 @@
 
 /// A caller's request was read.
 pub(crate) fn arrive(state: &mut State, now: Time, id: Id, arrival: Arrival, out: &mut Vec<Effect>) {
-    match admit(state, now, arrival) {
+    match admit::admit(state, now, arrival) {
         Ok(flow) => {
             state.timers.set(flow.deadline, Timer::Deadline(id));
             state.flows.insert(id, flow);
@@ -90,74 +89,6 @@
     }
 }
 
-/// Finds a request's route and service, and counts it as demand.
-fn admit(state: &mut State, now: Time, arrival: Arrival) -> Result<Flow, Refusal> {
-    let refuse = |code, retry_after| Err(Refusal { code, retry_after });
-    if state.config.is_none() {
-        return refuse(Code::NotReady, Some(STARTED_COME_BACK));
-    }
-    let Some(route) = state.routes.find(&arrival.host, &arrival.path).cloned() else {
-        return refuse(Code::UnknownPath, None);
-    };
-    if state.graced && !fits_before_stop(state, now, &route, arrival.patience) {
-        // Another entry VM has all the time for it.
-        return refuse(Code::Stopping, Some(Duration::ZERO));
-    }
-    let Some(service) = pick_service(state, &route) else {
-        return refuse(Code::NoBackend, Some(COME_BACK));
-    };
-    let runs_models = state.pool(&service).is_some();
-    let prompt = arrival.prompt;
-    if prompt.as_ref().is_some_and(|prompt| runs_models && !state.declared(&service, prompt)) {
-        return refuse(Code::UnknownModel, None);
-    }
-    state.budget.request(now, &service, &state.settings);
-    let flow = open(state, now, route, service, prompt, arrival.patience);
-    if let Some(target) = flow.target() {
-        state.demand.arrived(&target, flow.work);
-    }
-    Ok(flow)
-}
-
-/// Whether a request will have been answered before a process that stops ends. Where entry VMs are restarted one after
-/// the other, most of a zone's may be stopping at once, and the balancer sends requests to all of them: of 402
-/// that they refused on such a day, 123 were calls that take 30 ms and 1.5 s at most.
-fn fits_before_stop(state: &State, now: Time, route: &Route, patience: Option<Duration>) -> bool {
-    let longest = patience.unwrap_or(route.timeout).min(route.timeout);
-    let until = now + longest + state.settings.reserve;
-    !route.kind.streams() && state.stops_at.is_some_and(|stops_at| until < stops_at)
-}
-
-fn open(
-    state: &State,
-    now: Time,
-    route: Arc<Route>,
-    service: Name,
-    prompt: Option<Prompt>,
-    patience: Option<Duration>,
-) -> Flow {
-    let deadline = now + patience.unwrap_or(route.timeout).min(route.timeout);
-    let work = prompt
-        .as_ref()
-        .map_or(Duration::ZERO, |prompt| state.speed.work(&service, &prompt.model, prompt.tokens));
-    Flow {
-        begin_by: deadline.min(now + route.patience()),
-        route,
-        service,
-        prompt,
-        arrived: now,
-        deadline,
-        work,
-        stage: Stage::Waiting,
-        number: 0,
-        used: 0,
-        refusals: 0,
-        asked: 0,
-        avoid: Vec::new(),
-        may_have_run: false,
-    }
-}
-
 /// A request that is refused before it is one.
 fn reject(state: &mut State, id: Id, code: Code, retry_after: Option<Duration>, out: &mut Vec<Effect>) {
     *state.refusals.entry(code).or_default() += 1;
@@ -178,21 +109,6 @@
     }
 }
 
-fn pick_service(state: &mut State, route: &Route) -> Option<Name> {
-    if let [only] = &*route.split {
-        return Some(only.service.clone());
-    }
-    let total: u32 = route.split.iter().map(|share| share.weight).sum();
-    let mut drawn = state.rng.u32(0..total.max(1));
-    for share in &route.split {
-        if drawn < share.weight {
-            return Some(share.service.clone());
-        }
-        drawn -= share.weight;
-    }
-    None
-}
-
 /// Sends a request to an engine, or lets it wait for one, or refuses it. `fresh`: it does not wait yet.
 pub(crate) fn dispatch(state: &mut State, now: Time, id: Id, fresh: bool, out: &mut Vec<Effect>) {
     let Some(flow) = state.flows.get(&id) else {
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -9,14 +9,13 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
-use serde::{Deserialize, Serialize};
 
 use crate::book::{Book, Fetched, Late, Pending, REPORT_LAG};
-use crate::config::Pool;
 use crate::effect::{Dispatch, Effect};
-use crate::engine::{Cached, Engine, Held, Incarnation, Phase};
+use crate::engine::{Cached, Engine, Incarnation, Phase};
 use crate::flow;
 use crate::frame::{Absent, Resident};
+use crate::order::{Order, Receipt, Report};
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::state::State;
@@ -30,77 +29,6 @@
 /// Loads from the weight store that are left for models without any copy.
 const COLD_RESERVE: usize = 2;
 
-/// A change of what an engine holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Order {
-    /// Load a model.
-    Load {
-        /// The model.
-        model: Name,
-    },
-    /// Drop a model with its adapters once its runs have ended.
-    Unload {
-        /// The model.
-        model: Name,
-    },
-    /// Load an adapter of a model that is there.
-    LoadAdapter {
-        /// The model.
-        model: Name,
-        /// The adapter.
-        adapter: Name,
-    },
-    /// Drop an adapter.
-    UnloadAdapter {
-        /// The model.
-        model: Name,
-        /// The adapter.
-        adapter: Name,
-    },
-}
-
-impl Order {
-    /// Memory that the engine needs in addition for it, in MB; as much as it has for a model that is not declared.
-    pub(crate) fn memory_mb(&self, pool: &Pool) -> f64 {
-        match self {
-            Self::Load { model } => pool.model(model).map_or(pool.memory_mb, |model| model.memory_mb),
-            Self::LoadAdapter { model, .. } => {
-                pool.model(model).map_or(pool.memory_mb, |model| model.adapter_mb)
-            }
-            Self::Unload { .. } | Self::UnloadAdapter { .. } => 0.0,
-        }
-    }
-}
-
-/// An engine's answer to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Receipt {
-    /// It is being carried out.
-    Accepted,
-    /// It holds already, or was carried out at once.
-    Holds,
-    /// Another order is under way, or the engine has accepted others.
-    Conflict,
-    /// It will never be carried out: another engine is there, or the order makes no sense.
-    Refused,
-}
-
-/// What an engine says of itself. It is some hundred ms old.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Which start of the engine says so.
-    pub incarnation: Incarnation,
-    /// Orders that it has accepted.
-    pub sequence: u64,
-    /// Whether one is under way.
-    pub busy: bool,
-    /// What it holds.
-    pub held: Vec<Held>,
-    /// Adapters on their way to it.
-    pub fetching: Vec<(Name, Name)>,
-}
-
 /// All engines' books.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -341,7 +269,7 @@
         // The adapter is in use, and goes once its runs have ended.
         Some(Receipt::Accepted) if matches!(order, Order::UnloadAdapter { .. }) => unsure(book, now),
         Some(Receipt::Accepted) => {
-            let expected = duration(&order, pool.as_ref(), &cached);
+            let expected = order.duration(pool.as_ref(), &cached);
             book.accepted(now, &order, expected, &settings);
         }
         Some(Receipt::Holds) => match &order {
@@ -396,22 +324,6 @@
     book.check_at = Some(now + REPORT_LAG);
 }
 
-fn duration(order: &Order, pool: Option<&Pool>, cached: &crate::engine::Cached) -> Duration {
-    let Order::Load { model } = order else {
-        return Duration::ZERO;
-    };
-    let Some(known) = pool.and_then(|pool| pool.model(model)) else {
-        return Duration::ZERO;
-    };
-    if cached.memory.contains(model) {
-        known.warm
-    } else if cached.disk.contains(model) {
-        known.disk
-    } else {
-        known.cold
-    }
-}
-
 /// Sets the timer for the next thing that is due at an engine's book.
 fn wake_for(state: &mut State, id: &Name) {
     let Some(book) = state.ledger.books.get(id) else {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,10 +5,11 @@
 //! the seed it was given.
 //!
 //! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
-//! keeps what the store says; `choose`, `spread`, `schedule`, `speed`, `budget`, `trust`, `flow` and `outcome` serve requests; `frame`,
-//! `members`, `push` and `update` join the entry VMs; `lease`, `ledger` with `book`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
+//! keeps what the store says; `choose`, `spread`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow` and `outcome` serve requests; `frame`,
+//! `members`, `push` and `update` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
 mod adapter;
+mod admit;
 mod book;
 pub mod budget;
 pub mod choose;
@@ -23,6 +24,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod members;
+pub mod order;
 mod outcome;
 pub mod place;
 mod plan;
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -5,7 +5,7 @@
 use boragecove_core::name::Name;
 use serde::Serialize;
 
-use crate::ledger::Order;
+use crate::order::Order;
 
 /// A decision, or a change of what this process believes.
 #[derive(Clone, Debug, Serialize)]
--- a/fleet/tests/adapter_copies.rs
+++ b/fleet/tests/adapter_copies.rs
@@ -6,7 +6,7 @@
 use boragecove_fleet::engine::{Held, Load};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{EngineLoad, Frame};
-use boragecove_fleet::ledger::Order;
+use boragecove_fleet::order::Order;
 use node::{Node, WRITER, config, entry, listing, millis, orders, row};
 
 /// The holder of the lease. Of two engines that hold a model, one holds its adapter `a7` too, and other models need
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -6,7 +6,7 @@
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::Incarnation;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::ledger::Receipt;
+use boragecove_fleet::order::Receipt;
 use boragecove_fleet::request::Step;
 use node::{Node, brief, millis, orders, step_of, streamed};
 
--- a/fleet/tests/engine/mod.rs
+++ b/fleet/tests/engine/mod.rs
@@ -6,7 +6,7 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::effect::Dispatch;
 use boragecove_fleet::engine::{Entry, Held, Incarnation};
-use boragecove_fleet::ledger::{Order, Receipt, Report};
+use boragecove_fleet::order::{Order, Receipt, Report};
 
 use crate::node::{WRITER, entry, millis, model, pool};
 
--- a/fleet/tests/engine_choice.rs
+++ b/fleet/tests/engine_choice.rs
@@ -8,7 +8,7 @@
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::{Held, Incarnation};
 use boragecove_fleet::event::Event;
-use boragecove_fleet::ledger::{Receipt, Report};
+use boragecove_fleet::order::{Receipt, Report};
 use boragecove_fleet::record::Record;
 use boragecove_fleet::request::{Cause, End, Step};
 use node::{GATEWAY, Node, WRITER, brief, entry, listing, millis, orders, plain, row, step_of, streamed};
--- a/fleet/tests/engine_orders.rs
+++ b/fleet/tests/engine_orders.rs
@@ -10,7 +10,7 @@
 use boragecove_fleet::engine::{Held, Incarnation};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Absent, Frame};
-use boragecove_fleet::ledger::{Order, Receipt, Report};
+use boragecove_fleet::order::{Order, Receipt, Report};
 use boragecove_fleet::request::Step;
 use engine::Engine;
 use node::{Node, WRITER, brief, entry, listing, millis, model, orders, pool, row, step_of, streamed};
--- a/fleet/tests/engine_restarts.rs
+++ b/fleet/tests/engine_restarts.rs
@@ -14,7 +14,7 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Reply, Resident, View};
 use boragecove_fleet::lease::Outcome;
-use boragecove_fleet::ledger::{Order, Receipt, Report};
+use boragecove_fleet::order::{Order, Receipt, Report};
 use boragecove_fleet::record::Record;
 use boragecove_fleet::request::Step;
 use engine::Engine;
