Have a new hub say that it is one, and count those whom the last one named

Cause: the same class at size, limits that do not know it. With 293 entry VMs frames are 1.5 s apart; a hub forgot whoever it had not heard for 2 s, so that one late frame left its sender out of pushes; a lost hub was found by 3.7 s of silence and a look at the store every 4 s; and a new hub knew nobody, told all that there were two or three entry VMs, and got their frames ten times as often.

Change: silence that counts grows with the time between frames. A new hub counts those whom the one before named until they were due to send frames, tells them down the trees who it is, and pushes configurations to them. Tests new_hub_says_so, new_hub_pushes_to_all, new_hub_counts_all, hub_that_says_so_is_asked, earlier_term_is_ignored, and rare_frames_are_waited_for, which fails with the 2 s.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -26,7 +26,7 @@
 use crate::trust;
 use crate::update::Packed;
 
-/// Time after which an entry VM that sends no frames no longer counts.
+/// Time after which an entry VM that sends no frames no longer counts; longer where frames are further apart.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
 
 /// Times between frames without an answer after which the hub is taken as gone.
@@ -166,6 +166,9 @@
     pub(crate) absent: Vec<Absent>,
     /// The others' last frames, as the hub.
     peers: BTreeMap<Name, Peer>,
+    /// As a new hub, entry VMs that the one before named and that have not sent a frame yet, and until when they count.
+    inherited: BTreeMap<Name, Member>,
+    inherited_until: Time,
 }
 
 #[derive(Debug)]
@@ -194,6 +197,11 @@
         self.answered.map_or(Duration::MAX, |at| now.since(at))
     }
 
+    /// Entry VMs that this one knows of as the hub, itself among them.
+    fn known(&self) -> u32 {
+        (self.peers.len() + self.inherited.len()) as u32 + 1
+    }
+
     /// The frames of the other entry VMs.
     pub(crate) fn frames(&self) -> impl Iterator<Item = &Frame> {
         self.peers.values().map(|peer| &peer.frame)
@@ -245,7 +253,7 @@
 }
 
 /// Time between frames: longer where there are many entry VMs, since the hub answers them all.
-fn every(state: &State) -> Duration {
+pub(crate) fn every(state: &State) -> Duration {
     state.settings.frame_every.mul_f64(many(state))
 }
 
@@ -261,7 +269,7 @@
     if state.lease.holds(now).is_some() {
         state.hub.leads = true;
         state.hub.answered = Some(now);
-        state.hub.nodes = state.hub.peers.len() as u32 + 1;
+        state.hub.nodes = state.hub.known();
         state.members.replace(counted(state));
         return;
     }
@@ -277,6 +285,11 @@
     out.push(Effect::Frame { address, frame });
 }
 
+/// The frame that is under way goes to a hub that is none any more: it does not keep the next one back.
+pub(crate) fn forget_asking(state: &mut State) {
+    state.hub.asking = None;
+}
+
 fn compose(state: &mut State, now: Time) -> Frame {
     let loads = state.engines.iter().filter(|(_, engine)| engine.own != Load::default());
     let loads = loads.map(|(id, engine)| EngineLoad { engine: id.clone(), load: engine.own }).collect();
@@ -339,12 +352,30 @@
             engine.others = engine.others.plus(*load);
         }
     }
+    state.hub.inherited.remove(&frame.vm);
     state.hub.peers.insert(frame.vm.clone(), Peer { heard: now, frame });
 }
 
+/// For how long an entry VM counts that sends no frames.
+fn silence_max(state: &State) -> Duration {
+    PEER_SILENCE.max(every(state).mul_f64(FRAMES_MISSED))
+}
+
+/// This process has become the hub. Until they send frames of their own the entry VMs that the one before named count: their
+/// number says how often frames come and how many repeats each may make, and the owners of schedules stay the same.
+pub(crate) fn inherit(state: &mut State, now: Time) {
+    let others = state.members.list().iter().filter(|member| member.vm != state.me.vm);
+    state.hub.inherited = others.map(|member| (member.vm.clone(), member.clone())).collect();
+    state.hub.inherited_until = now + silence_max(state);
+}
+
 /// Forgets entry VMs that have fallen silent.
 fn expire(state: &mut State, now: Time) {
-    let silent = |peer: &Peer| now.since(peer.heard) > PEER_SILENCE;
+    let longest = silence_max(state);
+    if now >= state.hub.inherited_until {
+        state.hub.inherited.clear();
+    }
+    let silent = |peer: &Peer| now.since(peer.heard) > longest;
     if state.hub.peers.values().any(silent) {
         let gone = state.hub.peers.extract_if(.., |_, peer| silent(peer));
         gone.for_each(|(vm, _)| state.pushes.forget(&vm));
@@ -382,7 +413,7 @@
         leads: holds,
         store_age: now.since(state.store_heard),
         members: (asker.members != state.members.version()).then(|| state.members.list().to_vec()),
-        nodes: state.hub.peers.len() as u32 + 1,
+        nodes: state.hub.known(),
         loads: loads.collect(),
         view,
         residencies: if holds { state.ledger.changed_after(since) } else { Vec::new() },
@@ -395,19 +426,27 @@
     }
 }
 
-/// The entry VMs that the hub hears, itself among them, in the order of their names.
+/// The entry VMs that the hub can reach: those that it hears, and where it is a new hub also those that the one before named.
+pub(crate) fn reached(state: &State) -> Vec<Member> {
+    let heard = state.hub.peers.values().filter_map(|peer| member(&peer.frame));
+    heard.chain(state.hub.inherited.values().cloned()).collect()
+}
+
+fn member(frame: &Frame) -> Option<Member> {
+    frame.address.map(|address| Member { vm: frame.vm.clone(), zone: frame.zone.clone(), address })
+}
+
+/// The entry VMs that there are by the hub's word, itself among them, in the order of their names.
 fn counted(state: &State) -> Vec<Member> {
     let Identity { vm, zone, address } = state.me.clone();
     let mut list = Vec::with_capacity(state.hub.peers.len() + 1);
     if !state.stopping {
         list.push(Member { vm, zone, address });
     }
-    for Peer { frame, .. } in state.hub.peers.values() {
-        // One that stops is not to be asked.
-        if let Some(address) = frame.address.filter(|_| !frame.stopping) {
-            list.push(Member { vm: frame.vm.clone(), zone: frame.zone.clone(), address });
-        }
-    }
+    // One that stops is not to be asked.
+    let serving = state.hub.peers.values().filter(|peer| !peer.frame.stopping);
+    list.extend(serving.filter_map(|peer| member(&peer.frame)));
+    list.extend(state.hub.inherited.values().cloned());
     list.sort_by(|a, b| a.vm.cmp(&b.vm));
     list
 }
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -14,6 +14,7 @@
 
 use crate::effect::Effect;
 use crate::frame;
+use crate::push;
 use crate::record::{Record, ms};
 use crate::state::State;
 use crate::timer::Timer;
@@ -309,6 +310,8 @@
     state.lease.held = Some(Held { version, term, until, orders_from });
     note(state, "taken", ms(orders_from.since(now)), out);
     state.ledger.begin(term == 1);
+    frame::inherit(state, now);
+    push::announce(state, out);
     frame::follow(state, now, out);
 }
 
@@ -323,6 +326,19 @@
     }
 }
 
+/// Another entry VM says who the hub is: one that has the lease since is told soon, and not all at once.
+pub(crate) fn told(state: &mut State, now: Time, hub: Row, out: &mut Vec<Effect>) {
+    let known = state.lease.hub().map_or(0, |row| row.term);
+    if hub.term <= known || state.lease.held.is_some() {
+        return;
+    }
+    state.lease.seen = Some(Seen { version: 0, row: hub });
+    note(state, "told", 0, out);
+    frame::forget_asking(state);
+    let wait = frame::every(state).mul_f64(0.5 * state.rng.f64());
+    state.timers.set(now + wait, Timer::Greet);
+}
+
 fn lost(state: &mut State, out: &mut Vec<Effect>) {
     if state.lease.held.take().is_some() {
         note(state, "lost", 0, out);
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -16,6 +16,8 @@
 use crate::effect::Effect;
 use crate::entries;
 use crate::frame::{self, Frame};
+use crate::lease;
+use crate::members::Member;
 use crate::record::Record;
 use crate::state::State;
 use crate::timer::Timer;
@@ -39,11 +41,13 @@
 /// Updates that are kept since the version before them has not come yet.
 const EARLY_MAX: usize = 4;
 
-/// An update on its way down a tree.
+/// An update on its way down a tree, and the word of who the hub is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
-    /// The update.
-    pub update: Packed,
+    /// The hub that sent it; none if it was not known there.
+    pub hub: Option<lease::Row>,
+    /// The update; none from one that has just become the hub.
+    pub update: Option<Packed>,
     /// Entry VMs that the receiver is to pass it on to.
     pub onward: Vec<SocketAddr>,
 }
@@ -164,51 +168,70 @@
             bytes: update.bytes.len(),
             vms: addresses.len(),
         }));
-        forward(state, &update, &addresses, out);
+        let message = Message { hub: state.lease.hub().cloned(), update: Some(update), onward: addresses };
+        forward(state, message, out);
     }
 }
 
 /// The entry VMs that lack a version, by availability zone and by the version that they go by. They count as pushed to.
 fn lacking(state: &mut State, now: Time, version: u64) -> BTreeMap<(Name, u64), Vec<SocketAddr>> {
     let mut lacking: BTreeMap<(Name, u64), Vec<SocketAddr>> = BTreeMap::new();
-    for frame in state.hub.frames() {
-        let Some(address) = frame.address else {
-            continue;
-        };
-        let standing = state.pushes.standings.entry(frame.vm.clone()).or_default();
+    let before = state.updates.before();
+    for Member { vm, zone, address } in frame::reached(state) {
+        // One that has not said anything yet, since the hub is a new one, goes by what was in force until now.
+        let unheard = Standing { said: before, ..Standing::default() };
+        let standing = state.pushes.standings.entry(vm).or_insert(unheard);
         let has = standing.version(now);
         if has < version {
             standing.push(now, version);
-            lacking.entry((frame.zone.clone(), has)).or_default().push(address);
+            lacking.entry((zone, has)).or_default().push(address);
         }
     }
     lacking
 }
 
+/// This process has become the hub: the entry VMs that the one before has named are told, since they would find out by the
+/// silence of that one and a look at the store, which takes seconds where there are hundreds.
+pub(crate) fn announce(state: &State, out: &mut Vec<Effect>) {
+    let mut by_zone: BTreeMap<Name, Vec<SocketAddr>> = BTreeMap::new();
+    for member in frame::reached(state) {
+        by_zone.entry(member.zone).or_default().push(member.address);
+    }
+    for onward in by_zone.into_values() {
+        forward(state, Message { hub: state.lease.hub().cloned(), update: None, onward }, out);
+    }
+}
+
 /// Pushes to the first of as many parts as this process serves at once, each with the rest of its part.
-fn forward(state: &State, update: &Packed, onward: &[SocketAddr], out: &mut Vec<Effect>) {
+fn forward(state: &State, message: Message, out: &mut Vec<Effect>) {
     let fan_out = if state.settings.weak { FAN_OUT_SMALL } else { FAN_OUT };
-    let mut left = onward;
+    let Message { hub, update, onward } = message;
+    let mut left = &*onward;
     for parts in (1..=fan_out).rev() {
         let (part, rest) = left.split_at(left.len().div_ceil(parts));
         left = rest;
         if let Some((first, onward)) = part.split_first() {
-            let message = Box::new(Message { update: update.clone(), onward: onward.to_vec() });
-            out.push(Effect::Push { address: *first, message });
+            let message = Message { hub: hub.clone(), update: update.clone(), onward: onward.to_vec() };
+            out.push(Effect::Push { address: *first, message: Box::new(message) });
         }
     }
 }
 
 /// An update was pushed here.
 pub(crate) fn received(state: &mut State, now: Time, message: Message, out: &mut Vec<Effect>) {
-    forward(state, &message.update, &message.onward, out);
-    take(state, now, message.update, "push", out);
+    forward(state, message.clone(), out);
+    if let Some(hub) = message.hub {
+        lease::told(state, now, hub, out);
+    }
+    if let Some(update) = message.update {
+        take(state, now, update, "push", out);
+    }
 }
 
 /// An entry VM did not take an update: the rest of its part is pushed to without it. It is pushed to again once it says
 /// that it lacks the version.
-pub(crate) fn missed(state: &State, message: &Message, out: &mut Vec<Effect>) {
-    forward(state, &message.update, &message.onward, out);
+pub(crate) fn missed(state: &State, message: Message, out: &mut Vec<Effect>) {
+    forward(state, message, out);
 }
 
 /// Takes over an update, now or once the version that it begins at has come.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -69,7 +69,7 @@
         Event::Framed(frame) => frame::heard(state, now, *frame, out),
         Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
         Event::Pushed(message) => push::received(state, now, *message, out),
-        Event::Missed(message) => push::missed(state, &message, out),
+        Event::Missed(message) => push::missed(state, *message, out),
         Event::Granted { request, grant } => flow::granted(state, now, request, grant, out),
         Event::Lease(answer) => lease::answered(state, now, answer, out),
         Event::Ordered { engine, incarnation, receipt } => {
@@ -95,6 +95,7 @@
         Timer::Look => lease::look(state, now, out),
         Timer::Plan => plan::due(state, now, out),
         Timer::Check(engine) => ledger::check(state, now, &engine, out),
+        Timer::Greet => frame::send(state, now, out),
         Timer::Push => push::due(state, now, out),
         Timer::Grace => state.graced = true,
     }
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -21,6 +21,8 @@
     Frame,
     /// The lease is to be renewed or looked at.
     Lease,
+    /// A hub that has just said that it is one is to be told.
+    Greet,
     /// A process that knows nothing yet is to look who holds the lease.
     Look,
     /// Placement is to be planned.
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -184,6 +184,11 @@
 }
 
 impl Updates {
+    /// The version that was in force before; 0 if there was none.
+    pub(crate) fn before(&self) -> u64 {
+        self.past.back().map_or(0, |config| config.version)
+    }
+
     /// `before` is no longer in force.
     pub(crate) fn replaced(&mut self, before: Arc<Config>) {
         self.packed.clear();
--- a/fleet/tests/config_push.rs
+++ b/fleet/tests/config_push.rs
@@ -4,16 +4,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use boragecove_fleet::config::{Config, Kind};
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::frame::Frame;
+use boragecove_fleet::frame::{Frame, Reply};
+use boragecove_fleet::lease::{Call, Outcome, Row};
+use boragecove_fleet::members::Member;
 use boragecove_fleet::push::Message;
 use boragecove_fleet::record::Record;
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::update::{Packed, Update};
-use node::{GATEWAY, Node, address, config, millis};
+use node::{GATEWAY, Node, address, config, hub_row, millis};
 
 /// Routes whose update is too large for the answer to a frame.
 const MANY: u32 = 4_000;
@@ -44,7 +47,9 @@
 
 fn pushes(effects: &[Effect]) -> Vec<(SocketAddr, Message)> {
     let push = |effect: &Effect| match effect {
-        Effect::Push { address, message } => Some((*address, (**message).clone())),
+        Effect::Push { address, message } if message.update.is_some() => {
+            Some((*address, (**message).clone()))
+        }
         _ => None,
     };
     effects.iter().filter_map(push).collect()
@@ -71,7 +76,7 @@
 }
 
 fn push(node: &mut Node, update: Packed, onward: Vec<SocketAddr>) -> Vec<(SocketAddr, Message)> {
-    let message = Box::new(Message { update, onward });
+    let message = Box::new(Message { hub: None, update: Some(update), onward });
     pushes(node.feed(Event::Pushed(message)))
 }
 
@@ -81,7 +86,8 @@
     let pushes = pushes(hub.feed(Event::Configured(Arc::new(with_route(2, 2)))));
     assert!((2..=8).contains(&pushes.len()), "{} copies", pushes.len());
     assert_eq!(reached(&pushes), 30);
-    assert_eq!(pushes[0].1.update.base, 1, "what has changed, and not all");
+    let base = pushes[0].1.update.as_ref().map(|update| update.base);
+    assert_eq!(base, Some(1), "what has changed, and not all");
 }
 
 #[test]
@@ -107,7 +113,7 @@
 fn part_goes_on_without_its_head() {
     let mut node = Node::ready("a");
     let onward: Vec<SocketAddr> = (0..9).map(|vm| address(7_100 + vm)).collect();
-    let message = Message { update: packed(&config(1), &with_route(2, 2)), onward };
+    let message = Message { hub: None, update: Some(packed(&config(1), &with_route(2, 2))), onward };
     let pushes = pushes(node.feed(Event::Missed(Box::new(message))));
     assert_eq!(reached(&pushes), 9);
 }
@@ -184,7 +190,7 @@
     let pushes = pushes(&hub.pass(millis(300)));
     let to = pushes.iter().find(|(to, _)| *to == address(7_109)).expect("it is pushed to");
     let mut node = Node::bare("vm-9");
-    push(&mut node, to.1.update.clone(), Vec::new());
+    push(&mut node, to.1.update.clone().expect("an update"), Vec::new());
     assert_eq!(version(&node), Some(2));
 }
 
@@ -200,3 +206,118 @@
     }
     assert!((3..=6).contains(&rounds), "{rounds} pushes in 0.8 s");
 }
+
+/// A process that knew another hub, with these others, and takes the lease once that is over.
+fn new_hub(others: u16) -> Node {
+    let member = |vm: u16| {
+        let frame = frame(vm, 1);
+        Member { vm: frame.vm, zone: frame.zone, address: address(7_100 + vm) }
+    };
+    let mut node = Node::ready("a");
+    node.pass(millis(10));
+    node.lease(0, Outcome::Read(Some(hub_row())));
+    let members = Some((0..others).map(member).collect());
+    node.feed(Event::Replied(Some(Box::new(Reply {
+        leads: true,
+        nodes: 1 + u32::from(others),
+        members,
+        ..Reply::default()
+    }))));
+    let looks = |effect: &Effect| matches!(effect, Effect::Lease(Call::Read));
+    while !node.pass(millis(50)).iter().any(looks) {}
+    node.lease(70_000, Outcome::Read(Some(hub_row())));
+    node.lease(70_005, Outcome::Written(10));
+    assert!(node.state.lease().holds(node.now).is_some());
+    node
+}
+
+fn told(effects: &[Effect]) -> Vec<(Option<Row>, usize)> {
+    let told = |effect: &Effect| match effect {
+        Effect::Push { message, .. } if message.update.is_none() => {
+            Some((message.hub.clone(), 1 + message.onward.len()))
+        }
+        _ => None,
+    };
+    effects.iter().filter_map(told).collect()
+}
+
+/// The load when a hub is lost while the configuration changes, with hundreds of entry VMs: they learn of the new one from it,
+/// and not by the silence of the old one, which takes seconds.
+#[test]
+fn new_hub_says_so() {
+    let hub = new_hub(40);
+    let told = told(&hub.effects);
+    assert_eq!(told.iter().map(|(_, reached)| reached).sum::<usize>(), 40);
+    assert!(told.iter().all(|(row, _)| row.as_ref().is_some_and(|row| *row.holder == *"a" && row.term == 4)));
+}
+
+/// Nobody has sent it a frame yet: it pushes to those that the hub before named.
+#[test]
+fn new_hub_pushes_to_all() {
+    let mut hub = new_hub(40);
+    let pushes = pushes(hub.feed(Event::Configured(Arc::new(with_route(2, 2)))));
+    assert_eq!(reached(&pushes), 40);
+    assert!(pushes.iter().all(|(_, message)| message.update.as_ref().is_some_and(|update| update.base == 1)));
+}
+
+/// Their number stays what it was, so that frames do not come all at once.
+#[test]
+fn new_hub_counts_all() {
+    let mut hub = new_hub(40);
+    hub.pass(millis(500));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(3, 1));
+    assert_eq!(told.nodes, 41);
+    assert_eq!(told.members.map(|members| members.len()), Some(41));
+    hub.pass(millis(4_000));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(3, 1));
+    assert_eq!(told.nodes, 1, "those that stay silent are gone");
+}
+
+#[test]
+fn hub_that_says_so_is_asked() {
+    let mut node = Node::ready("b");
+    node.pass(millis(10));
+    node.lease(0, Outcome::Read(Some(hub_row())));
+    let row = Row { holder: "c".into(), address: address(7_300), term: 9, ..hub_row().row };
+    let message = Message { hub: Some(row), update: None, onward: vec![address(7_400)] };
+    let effects = node.feed(Event::Pushed(Box::new(message)));
+    assert_eq!(told(effects).len(), 1, "it is passed on");
+    let asked = |effects: &[Effect]| {
+        let to = |effect: &Effect| matches!(effect, Effect::Frame { address, .. } if address.port() == 7_300);
+        effects.iter().any(to)
+    };
+    assert!(asked(&node.pass(millis(200))));
+}
+
+/// Late word of a hub that is none any more.
+#[test]
+fn earlier_term_is_ignored() {
+    let mut node = Node::ready("b");
+    node.pass(millis(10));
+    node.lease(0, Outcome::Read(Some(hub_row())));
+    let row = Row { holder: "c".into(), address: address(7_300), term: 2, ..hub_row().row };
+    node.feed(Event::Pushed(Box::new(Message { hub: Some(row), update: None, onward: Vec::new() })));
+    assert_eq!(node.state.lease().hub().map(|row| row.holder.to_string()).as_deref(), Some("hub"));
+}
+
+/// Lets time pass while the store renews the lease.
+fn hold(hub: &mut Node, time: Duration) {
+    let end = hub.now + time;
+    let mut version = 1_000;
+    while hub.now < end {
+        let renews = |effect: &Effect| matches!(effect, Effect::Lease(Call::Write { .. }));
+        if hub.pass(millis(50)).iter().any(renews) {
+            version += 1;
+            hub.lease(version, Outcome::Written(version));
+        }
+    }
+}
+
+/// With hundreds of entry VMs frames are seconds apart: one that comes late does not make its sender unknown.
+#[test]
+fn rare_frames_are_waited_for() {
+    let mut hub = hub(299);
+    hold(&mut hub, millis(3_600));
+    let pushes = pushes(hub.feed(Event::Configured(Arc::new(with_route(2, 2)))));
+    assert_eq!(reached(&pushes), 299);
+}
