Know a hub that cannot be reached within the time of a restart

Cause: with 293 entry VMs a lost hub counted as alive for 3.7 s, since the limit grew with the time between frames; nobody looked at the lease or the store before.

Change: no way to the hub (refused, reset, unreachable) is told from a late answer. It is tried again within 0.15 s, and counts as lost after 0.7 s, at whatever number of entry VMs; a late answer is not hurried. Tests lost_hub_is_known_soon, lost_hub_is_tried_again, late_answer_is_not_hurried.

--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -332,3 +332,59 @@
     let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 5, ..frame("a", 0) });
     assert_eq!(told.rows.len(), 1);
 }
+
+/// Frames of an entry VM that knows hundreds of others, within this time.
+fn frames_in(node: &mut Node, time: Duration) -> usize {
+    let mut frames = 0;
+    let end = node.now + time;
+    while node.now < end {
+        let sent =
+            node.pass(millis(10)).iter().filter(|effect| matches!(effect, Effect::Frame { .. })).count();
+        if sent > 0 {
+            node.feed(Event::Unreached);
+        }
+        frames += sent;
+    }
+    frames
+}
+
+/// The load when a hub is lost that hundreds of entry VMs send frames to, seconds apart: it is known to be lost within the time
+/// that a process takes to come back, and nothing but its word goes to the store before.
+#[test]
+fn lost_hub_is_known_soon() {
+    let mut node = follower();
+    node.pass(millis(200));
+    node.feed(Event::Replied(Some(Box::new(Reply { nodes: 300, ..reply() }))));
+    node.pass(millis(1_500));
+    node.feed(Event::Unreached);
+    assert_eq!(follows(&node.pass(millis(500))), None, "it may be back");
+    node.feed(Event::Unreached);
+    node.pass(millis(250));
+    node.feed(Event::Unreached);
+    assert_eq!(follows(&node.effects), Some(true));
+}
+
+#[test]
+fn lost_hub_is_tried_again() {
+    let mut node = follower();
+    node.feed(Event::Replied(Some(Box::new(Reply { nodes: 300, ..reply() }))));
+    node.feed(Event::Unreached);
+    let tries = frames_in(&mut node, millis(600));
+    assert!((2..=8).contains(&tries), "{tries} tries in 0.6 s");
+}
+
+/// An answer that is late is no reason to ask sooner: the hub may have too much to do.
+#[test]
+fn late_answer_is_not_hurried() {
+    let mut node = follower();
+    node.feed(Event::Replied(Some(Box::new(Reply { nodes: 300, ..reply() }))));
+    let mut frames = 0;
+    for _ in 0..30 {
+        let sent = node.pass(millis(100)).iter().any(|effect| matches!(effect, Effect::Frame { .. }));
+        if sent {
+            frames += 1;
+            node.feed(Event::Replied(None));
+        }
+    }
+    assert!(frames <= 3, "{frames} frames in 3 s");
+}
