--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -221,7 +221,7 @@
     fn frame(&self, address: SocketAddr, frame: &Frame, ctx: &Context<Self>) {
         let client = Rc::clone(&self.client);
         let sending = peers::send(client, ctx.address(), address, frame, self.settings.frame);
-        later(ctx, sending);
+        later(ctx, async move { Event::Replied(sending.await.map(Box::new)) });
     }
 
     fn push(&self, address: SocketAddr, message: Box<push::Message>, ctx: &Context<Self>) {
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -43,25 +43,21 @@
 /// How long the hub waits for what a frame says that requests wait for: an adapter is there in some 20 ms.
 const HOLD: Duration = Duration::from_millis(80);
 
-/// Sends a frame to the hub, whose answer has to begin within `limit` and may stand still for as long. Returns what came of
-/// it; `node` is told how many bytes came.
+/// Sends a frame to the hub. Returns its answer, or none if none began within `limit` or it stood still for
+/// as long; `node` is told what came.
 pub(crate) fn send(
     client: Rc<Client>,
     node: Addr<Node>,
     address: SocketAddr,
     frame: &Frame,
     limit: Duration,
-) -> impl Future<Output = Event> + use<> {
+) -> impl Future<Output = Option<Reply>> + use<> {
     let request = post(PATH, frame);
     async move {
         let since = Instant::now();
         let called = client.transfer(address, request, FRAME_MAX, limit, limit).await;
         node.do_send(Transferred(Transfer::of(Kind::Frame, since, &called)));
-        if let Err(client::Error::Unsent(_) | client::Error::Lost(_)) = &called {
-            return Event::Unreached;
-        }
-        let reply: Option<Reply> = read(called.map(|received| (received.status, received.body)));
-        Event::Replied(reply.map(Box::new))
+        read(called.map(|received| (received.status, received.body)))
     }
 }
 
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -51,14 +51,12 @@
     },
     /// A frame came from another entry VM. The answer is asked for with [`crate::reply`].
     Framed(Box<Frame>),
-    /// The hub answered a frame; none if it said nothing that can be read.
+    /// The hub answered a frame; none if it could not be reached.
     Replied(Option<Box<Reply>>),
     /// Another entry VM pushed an update of the configuration.
     Pushed(Box<push::Message>),
     /// An entry VM did not take what was pushed to it.
     Missed(Box<push::Message>),
-    /// There was no way to the hub: its process or its machine is gone, or cut off.
-    Unreached,
     /// The owner of an engine's schedule answered; none if it could not be reached.
     Granted {
         /// The request that the place is for.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -160,8 +160,6 @@
     pub(crate) view: View,
     /// When the hub last answered.
     answered: Option<Time>,
-    /// Since when there has been no way to it.
-    unreached: Option<Time>,
     /// Whether a frame is under way.
     asking: Option<Time>,
     /// Refusals to be told.
@@ -185,8 +183,7 @@
     pub fn alive(&self, now: Time, settings: &Settings) -> bool {
         let silence =
             settings.hub_silence.max(settings.frame_every.mul_f64(self.many(settings) * FRAMES_MISSED));
-        let reached = self.unreached.is_none_or(|since| now.since(since) < settings.hub_silence);
-        reached && self.answered.is_some_and(|at| now.since(at) < silence)
+        self.answered.is_some_and(|at| now.since(at) < silence)
     }
 
     /// By how much longer each entry VM waits, since there are so many; one for few.
@@ -288,10 +285,9 @@
     out.push(Effect::Frame { address, frame });
 }
 
-/// The hub is another: what was under way to the one before keeps nothing back, and says nothing of the new one.
-pub(crate) fn ask_anew(state: &mut State) {
+/// The frame that is under way goes to a hub that is none any more: it does not keep the next one back.
+pub(crate) fn forget_asking(state: &mut State) {
     state.hub.asking = None;
-    state.hub.unreached = None;
 }
 
 fn compose(state: &mut State, now: Time) -> Frame {
@@ -479,7 +475,6 @@
     state.hub.leads = reply.leads;
     state.hub.nodes = reply.nodes;
     state.hub.answered = Some(now);
-    state.hub.unreached = None;
     if let Some(members) = reply.members {
         state.members.replace(members);
     }
@@ -512,20 +507,6 @@
     flow::stir(state, now, out);
 }
 
-/// There was no way to the hub. It is tried again soon, whatever the time between frames: a process is back within half a
-/// second, and with hundreds of entry VMs frames are seconds apart. An answer that is merely late has no such retry, since a
-/// hub with too much to do would get more.
-pub(crate) fn unreached(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    let since = *state.hub.unreached.get_or_insert(now);
-    replied(state, now, None, out);
-    if now.since(since) < state.settings.hub_silence {
-        let wait = state.settings.frame_every.mul_f64(0.5 + state.rng.f64());
-        state.timers.set(now + wait, Timer::Greet);
-    } else {
-        follow(state, now, out);
-    }
-}
-
 fn learn(state: &mut State, view: View, residencies: Vec<Resident>) {
     if state.hub.view.term != view.term {
         for engine in state.engines.values_mut() {
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -334,7 +334,7 @@
     }
     state.lease.seen = Some(Seen { version: 0, row: hub });
     note(state, "told", 0, out);
-    frame::ask_anew(state);
+    frame::forget_asking(state);
     let wait = frame::every(state).mul_f64(0.5 * state.rng.f64());
     state.timers.set(now + wait, Timer::Greet);
 }
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -68,7 +68,6 @@
         }
         Event::Framed(frame) => frame::heard(state, now, *frame, out),
         Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
-        Event::Unreached => frame::unreached(state, now, out),
         Event::Pushed(message) => push::received(state, now, *message, out),
         Event::Missed(message) => push::missed(state, *message, out),
         Event::Granted { request, grant } => flow::granted(state, now, request, grant, out),
