Spread what a new hub is told, and wait with a second push for the frames that confirm the first

Cause: all entry VMs told a new hub of themselves within half of the time between frames.

Change: 100 entry VMs a second tell a new hub; a push is repeated after 1.5 times between frames, 1.2 s at least.

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -40,6 +40,9 @@
 /// By how much later than another a process must have started to count as restarted since, in ms: all entry VMs of a
 /// deployment may start within a second.
 const RESTARTED_MS: u64 = 1_000;
+/// Entry VMs that tell a new hub of themselves in a second: half of the frames that a hub answers in one, since its first answer to
+/// each names what all engines hold.
+const GREETINGS_PER_S: f64 = 100.0;
 /// How long a lease that was given back is left to processes that were restarted after its holder, in ms: others may be
 /// the next to stop in a rolling restart. Just over one look at the lease.
 const YIELD_MS: u64 = 500;
@@ -335,7 +338,7 @@
     state.lease.seen = Some(Seen { version: 0, row: hub });
     note(state, "told", 0, out);
     frame::forget_asking(state);
-    let wait = frame::every(state).mul_f64(0.5 * state.rng.f64());
+    let wait = Duration::from_secs_f64(f64::from(state.hub.nodes) / GREETINGS_PER_S * state.rng.f64());
     state.timers.set(now + wait, Timer::Greet);
 }
 
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -31,6 +31,8 @@
 const PUSH_EVERY: Duration = Duration::from_millis(200);
 /// Time after which an entry VM that a push should have reached is pushed to again: a tree of hundreds takes less.
 const PUSH_AGAIN: Duration = Duration::from_millis(1_200);
+/// Times between frames that it has at least to say that it has the version.
+const PUSH_AGAIN_FRAMES: f64 = 1.5;
 /// How long the hub gathers entry VMs that lack the version in force, so that one tree serves them.
 const GATHER: Duration = Duration::from_millis(60);
 /// Bytes of an update that the hub's answer to a frame holds at most: well under a tenth of a second on a small link.
@@ -64,9 +66,9 @@
 }
 
 impl Standing {
-    /// The version that it goes by, or will in a moment.
-    fn version(self, now: Time) -> u64 {
-        let under_way = self.pushed.filter(|(at, _)| now.since(*at) < PUSH_AGAIN);
+    /// The version that it goes by, or will in a moment: pushes arrive within `again`.
+    fn version(self, now: Time, again: Duration) -> u64 {
+        let under_way = self.pushed.filter(|(at, _)| now.since(*at) < again);
         under_way.map_or(self.said, |(_, version)| version.max(self.said))
     }
 
@@ -117,12 +119,13 @@
     let Some(config) = state.config.clone() else {
         return;
     };
+    let again = again(state);
     let standing = state.pushes.standings.entry(frame.vm.clone()).or_default();
     standing.hear(frame.config, config.version);
     if frame.config >= config.version {
         return;
     }
-    let lacking = standing.version(now) < config.version;
+    let lacking = standing.version(now, again) < config.version;
     if lacking && state.lease.holds(now).is_some() && inline(state, frame).is_none() {
         schedule(state, now, now + GATHER, out);
     }
@@ -137,6 +140,11 @@
     (missed || update.bytes.len() <= INLINE_MAX).then(|| update.clone())
 }
 
+/// Time after which an entry VM is pushed to again, unless it has said that it has the version.
+fn again(state: &State) -> Duration {
+    PUSH_AGAIN.max(frame::every(state).mul_f64(PUSH_AGAIN_FRAMES))
+}
+
 fn schedule(state: &mut State, now: Time, at: Time, out: &mut Vec<Effect>) {
     let at = state.pushes.last.map_or(at, |last| at.max(last + PUSH_EVERY));
     if at <= now {
@@ -177,11 +185,12 @@
 fn lacking(state: &mut State, now: Time, version: u64) -> BTreeMap<(Name, u64), Vec<SocketAddr>> {
     let mut lacking: BTreeMap<(Name, u64), Vec<SocketAddr>> = BTreeMap::new();
     let before = state.updates.before();
+    let again = again(state);
     for Member { vm, zone, address } in frame::reached(state) {
         // One that has not said anything yet, since the hub is a new one, goes by what was in force until now.
         let unheard = Standing { said: before, ..Standing::default() };
         let standing = state.pushes.standings.entry(vm).or_insert(unheard);
-        let has = standing.version(now);
+        let has = standing.version(now, again);
         if has < version {
             standing.push(now, version);
             lacking.entry((zone, has)).or_default().push(address);
--- a/fleet/tests/config_push.rs
+++ b/fleet/tests/config_push.rs
@@ -280,13 +280,14 @@
     node.lease(0, Outcome::Read(Some(hub_row())));
     let row = Row { holder: "c".into(), address: address(7_300), term: 9, ..hub_row().row };
     let message = Message { hub: Some(row), update: None, onward: vec![address(7_400)] };
-    let effects = node.feed(Event::Pushed(Box::new(message)));
-    assert_eq!(told(effects).len(), 1, "it is passed on");
+    let mut effects = node.feed(Event::Pushed(Box::new(message))).to_vec();
+    assert_eq!(told(&effects).len(), 1, "it is passed on");
+    effects.extend(node.pass(millis(200)));
     let asked = |effects: &[Effect]| {
         let to = |effect: &Effect| matches!(effect, Effect::Frame { address, .. } if address.port() == 7_300);
         effects.iter().any(to)
     };
-    assert!(asked(&node.pass(millis(200))));
+    assert!(asked(&effects));
 }
 
 /// Late word of a hub that is none any more.
