Renew a lease at its own times from the moment it is taken

Up to 120 entry VMs a look comes in time. It was hidden by a new hub that knew nobody and so counted itself among few.

Ruled out: the load of the first answers (spread, no change) and processor time (few lines, no stall). Test lease_is_renewed_at_once fails before.

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -10,6 +10,7 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use boragecove_core::timer::Handle;
 use serde::{Deserialize, Serialize};
 
 use crate::effect::Effect;
@@ -102,6 +103,8 @@
     /// The last write that may have been done, with the time at which it was sent.
     tried: Option<(Time, Row)>,
     clock: Option<Sample>,
+    /// The timer of the next look or renewal.
+    next: Option<Handle>,
 }
 
 /// A sight of the store's clock.
@@ -168,7 +171,7 @@
         state.settings.lease_look.mul_f64(frame::many(state))
     };
     let jitter = wait.mul_f64(0.2 * state.rng.f64());
-    state.timers.set(now + wait - jitter, Timer::Lease);
+    schedule(state, now + wait - jitter);
     if state.lease.pending.is_some() {
         return;
     }
@@ -183,6 +186,14 @@
     call(state, now, Call::Read, out);
 }
 
+/// The next look at the lease, or its next renewal, in place of the one that was to come.
+fn schedule(state: &mut State, at: Time) {
+    if let Some(before) = state.lease.next.take() {
+        state.timers.cancel(before);
+    }
+    state.lease.next = Some(state.timers.set(at, Timer::Lease));
+}
+
 /// A process that knows nothing yet looks who holds the lease, to ask that one.
 pub(crate) fn look(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     let held = state.lease.held.is_some() || state.lease.pending.is_some();
@@ -313,6 +324,8 @@
     state.lease.held = Some(Held { version, term, until, orders_from });
     note(state, "taken", ms(orders_from.since(now)), out);
     state.ledger.begin(term == 1);
+    // Looks are seconds apart where there are hundreds of entry VMs, and the lease is over before the next one.
+    schedule(state, now + state.settings.lease_renew);
     frame::inherit(state, now);
     push::announce(state, out);
     frame::follow(state, now, out);
--- a/fleet/tests/config_push.rs
+++ b/fleet/tests/config_push.rs
@@ -231,6 +231,15 @@
     node
 }
 
+/// With hundreds of entry VMs looks at the lease are seconds apart. Whoever takes it renews it at its own times from then on:
+/// it would be over before the next look.
+#[test]
+fn lease_is_renewed_at_once() {
+    let mut hub = new_hub(299);
+    let renews = |effect: &Effect| matches!(effect, Effect::Lease(Call::Write { .. }));
+    assert!(hub.pass(millis(500)).iter().any(renews));
+}
+
 fn told(effects: &[Effect]) -> Vec<(Option<Row>, usize)> {
     let told = |effect: &Effect| match effect {
         Effect::Push { message, .. } if message.update.is_none() => {
