--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -94,8 +94,7 @@
     if !status.is_success() {
         return None;
     }
-    let read = rmp_serde::from_slice(&body);
-    read.inspect_err(|error| tracing::warn!(%error, "answer of another entry VM")).ok()
+    decode(&body)
 }
 
 /// What the listener for frames works with.
@@ -115,25 +114,23 @@
         .route(SCHEDULE, web::post().to(asked));
 }
 
+/// What another entry VM sent; none, and a line, if that cannot be read.
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    let read = rmp_serde::from_slice(body);
+    read.inspect_err(|error| tracing::warn!(%error, "message of another entry VM")).ok()
+}
+
 async fn pushed(body: Bytes, hub: Data<Hub>) -> HttpResponse {
-    let message: Message = match rmp_serde::from_slice(&body) {
-        Ok(message) => message,
-        Err(error) => {
-            tracing::warn!(%error, "update refused");
-            return HttpResponse::BadRequest().finish();
-        }
+    let Some(message) = decode::<Message>(&body) else {
+        return HttpResponse::BadRequest().finish();
     };
     hub.node.do_send(Feed(Event::Pushed(Box::new(message))));
     HttpResponse::Ok().finish()
 }
 
 async fn asked(body: Bytes, hub: Data<Hub>) -> HttpResponse {
-    let ask: Ask = match rmp_serde::from_slice(&body) {
-        Ok(ask) => ask,
-        Err(error) => {
-            tracing::warn!(%error, "question for a place refused");
-            return HttpResponse::BadRequest().finish();
-        }
+    let Some(ask) = decode::<Ask>(&body) else {
+        return HttpResponse::BadRequest().finish();
     };
     match hub.node.send(Place(ask)).await {
         Ok(grant) => HttpResponse::Ok().body(rmp_serde::to_vec(&grant).unwrap_or_default()),
@@ -142,12 +139,8 @@
 }
 
 async fn heard(body: Bytes, hub: Data<Hub>) -> HttpResponse {
-    let frame: Frame = match rmp_serde::from_slice(&body) {
-        Ok(frame) => frame,
-        Err(error) => {
-            tracing::warn!(%error, "frame refused");
-            return HttpResponse::BadRequest().finish();
-        }
+    let Some(frame) = decode::<Frame>(&body) else {
+        return HttpResponse::BadRequest().finish();
     };
     let mut changed = hub.changed.clone();
     changed.mark_unchanged();
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -1,6 +1,8 @@
 //! Frames: what each entry VM tells the hub several times a second, and what the hub answers. The cost
 //! grows with the number of entry VMs, not with its square.
 
+mod peers;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +11,8 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+pub(crate) use peers::{inherit, reached};
+
 use crate::adapter;
 use crate::demand::Demand;
 use crate::effect::{Effect, Follow};
@@ -21,14 +25,11 @@
 use crate::push;
 use crate::record::Record;
 use crate::settings::Settings;
-use crate::state::{Identity, State};
+use crate::state::State;
 use crate::timer::Timer;
 use crate::trust;
 use crate::update::Packed;
 
-/// Time after which an entry VM that sends no frames no longer counts; longer where frames are further apart.
-const PEER_SILENCE: Duration = Duration::from_secs(2);
-
 /// Times between frames without an answer after which the hub is taken as gone.
 const FRAMES_MISSED: f64 = 2.5;
 /// The longest pause of the hub between calls for changes: what the operator says is to be in force everywhere within
@@ -212,7 +213,7 @@
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     let wait = every(state);
     state.timers.set(now + wait.mul_f64(0.9 + 0.2 * state.rng.f64()), Timer::Frame);
-    expire(state, now);
+    peers::expire(state, now);
     send(state, now, out);
     follow(state, now, out);
 }
@@ -270,7 +271,7 @@
         state.hub.leads = true;
         state.hub.answered = Some(now);
         state.hub.nodes = state.hub.known();
-        state.members.replace(counted(state));
+        state.members.replace(peers::counted(state));
         return;
     }
     let Some(row) = state.lease.hub() else {
@@ -333,70 +334,12 @@
     }
     let wanted = frame.demand.iter().any(|demand| demand.waiting > 0);
     push::heard(state, now, &frame, out);
-    replace(state, now, frame);
+    peers::replace(state, now, frame);
     if wanted {
         adapter::wanted(state, now, out);
     }
 }
 
-/// Puts a frame in the place of the one before, in all sums.
-fn replace(state: &mut State, now: Time, frame: Frame) {
-    let before = state.hub.peers.get(&frame.vm).map(|peer| peer.frame.loads.clone()).unwrap_or_default();
-    for EngineLoad { engine, load } in before {
-        if let Some(engine) = state.engines.get_mut(&engine) {
-            engine.others = engine.others.minus(load);
-        }
-    }
-    for EngineLoad { engine, load } in &frame.loads {
-        if let Some(engine) = state.engines.get_mut(engine) {
-            engine.others = engine.others.plus(*load);
-        }
-    }
-    state.hub.inherited.remove(&frame.vm);
-    state.hub.peers.insert(frame.vm.clone(), Peer { heard: now, frame });
-}
-
-/// For how long an entry VM counts that sends no frames.
-fn silence_max(state: &State) -> Duration {
-    PEER_SILENCE.max(every(state).mul_f64(FRAMES_MISSED))
-}
-
-/// This process has become the hub. Until they send frames of their own the entry VMs that the one before named count: their
-/// number says how often frames come and how many repeats each may make, and the owners of schedules stay the same.
-pub(crate) fn inherit(state: &mut State, now: Time) {
-    let others = state.members.list().iter().filter(|member| member.vm != state.me.vm);
-    state.hub.inherited = others.map(|member| (member.vm.clone(), member.clone())).collect();
-    state.hub.inherited_until = now + silence_max(state);
-}
-
-/// Forgets entry VMs that have fallen silent.
-fn expire(state: &mut State, now: Time) {
-    let longest = silence_max(state);
-    if now >= state.hub.inherited_until {
-        state.hub.inherited.clear();
-    }
-    let silent = |peer: &Peer| now.since(peer.heard) > longest;
-    if state.hub.peers.values().any(silent) {
-        let gone = state.hub.peers.extract_if(.., |_, peer| silent(peer));
-        gone.for_each(|(vm, _)| state.pushes.forget(&vm));
-        recount(state);
-    }
-}
-
-/// Counts anew what the others have under way.
-fn recount(state: &mut State) {
-    for engine in state.engines.values_mut() {
-        engine.others = Load::default();
-    }
-    for peer in state.hub.peers.values() {
-        for EngineLoad { engine, load } in &peer.frame.loads {
-            if let Some(engine) = state.engines.get_mut(engine) {
-                engine.others = engine.others.plus(*load);
-            }
-        }
-    }
-}
-
 /// What the hub answers to an entry VM's last frame.
 pub(crate) fn reply(state: &mut State, now: Time, asker: &Frame) -> Reply {
     let config = push::inline(state, asker);
@@ -426,31 +369,6 @@
     }
 }
 
-/// The entry VMs that the hub can reach: those that it hears, and where it is a new hub also those that the one before named.
-pub(crate) fn reached(state: &State) -> Vec<Member> {
-    let heard = state.hub.peers.values().filter_map(|peer| member(&peer.frame));
-    heard.chain(state.hub.inherited.values().cloned()).collect()
-}
-
-fn member(frame: &Frame) -> Option<Member> {
-    frame.address.map(|address| Member { vm: frame.vm.clone(), zone: frame.zone.clone(), address })
-}
-
-/// The entry VMs that there are by the hub's word, itself among them, in the order of their names.
-fn counted(state: &State) -> Vec<Member> {
-    let Identity { vm, zone, address } = state.me.clone();
-    let mut list = Vec::with_capacity(state.hub.peers.len() + 1);
-    if !state.stopping {
-        list.push(Member { vm, zone, address });
-    }
-    // One that stops is not to be asked.
-    let serving = state.hub.peers.values().filter(|peer| !peer.frame.stopping);
-    list.extend(serving.filter_map(|peer| member(&peer.frame)));
-    list.extend(state.hub.inherited.values().cloned());
-    list.sort_by(|a, b| a.vm.cmp(&b.vm));
-    list
-}
-
 /// The hub answered, or could not be reached.
 pub(crate) fn replied(state: &mut State, now: Time, reply: Option<Reply>, out: &mut Vec<Effect>) {
     state.hub.asking = None;
--- /dev/null
+++ b/fleet/src/frame/peers.rs
@@ -0,0 +1,96 @@
+//! What the hub knows of the other entry VMs: which there are, and what they have under way.
+
+use std::time::Duration;
+
+use boragecove_core::time::Time;
+
+use super::{EngineLoad, FRAMES_MISSED, Frame, Peer, every};
+use crate::engine::Load;
+use crate::members::Member;
+use crate::state::{Identity, State};
+
+/// Time after which an entry VM that sends no frames no longer counts; longer where frames are further apart.
+const PEER_SILENCE: Duration = Duration::from_secs(2);
+
+/// Puts a frame in the place of the one before, in all sums.
+pub(super) fn replace(state: &mut State, now: Time, frame: Frame) {
+    let before = state.hub.peers.get(&frame.vm).map(|peer| peer.frame.loads.clone()).unwrap_or_default();
+    for EngineLoad { engine, load } in before {
+        if let Some(engine) = state.engines.get_mut(&engine) {
+            engine.others = engine.others.minus(load);
+        }
+    }
+    for EngineLoad { engine, load } in &frame.loads {
+        if let Some(engine) = state.engines.get_mut(engine) {
+            engine.others = engine.others.plus(*load);
+        }
+    }
+    state.hub.inherited.remove(&frame.vm);
+    state.hub.peers.insert(frame.vm.clone(), Peer { heard: now, frame });
+}
+
+/// For how long an entry VM counts that sends no frames.
+fn silence_max(state: &State) -> Duration {
+    PEER_SILENCE.max(every(state).mul_f64(FRAMES_MISSED))
+}
+
+/// This process has become the hub. Until they send frames of their own the entry VMs that the one before named count: their
+/// number says how often frames come and how many repeats each may make, and the owners of schedules stay the same.
+pub(crate) fn inherit(state: &mut State, now: Time) {
+    let others = state.members.list().iter().filter(|member| member.vm != state.me.vm);
+    state.hub.inherited = others.map(|member| (member.vm.clone(), member.clone())).collect();
+    state.hub.inherited_until = now + silence_max(state);
+}
+
+/// Forgets entry VMs that have fallen silent.
+pub(super) fn expire(state: &mut State, now: Time) {
+    let longest = silence_max(state);
+    if now >= state.hub.inherited_until {
+        state.hub.inherited.clear();
+    }
+    let silent = |peer: &Peer| now.since(peer.heard) > longest;
+    if state.hub.peers.values().any(silent) {
+        let gone = state.hub.peers.extract_if(.., |_, peer| silent(peer));
+        gone.for_each(|(vm, _)| state.pushes.forget(&vm));
+        recount(state);
+    }
+}
+
+/// Counts anew what the others have under way.
+fn recount(state: &mut State) {
+    for engine in state.engines.values_mut() {
+        engine.others = Load::default();
+    }
+    for peer in state.hub.peers.values() {
+        for EngineLoad { engine, load } in &peer.frame.loads {
+            if let Some(engine) = state.engines.get_mut(engine) {
+                engine.others = engine.others.plus(*load);
+            }
+        }
+    }
+}
+
+/// The entry VMs that the hub can reach: those that it hears, and where it is a new hub also those that the one before named.
+pub(crate) fn reached(state: &State) -> Vec<Member> {
+    let heard = state.hub.peers.values().filter_map(|peer| member(&peer.frame));
+    heard.chain(state.hub.inherited.values().cloned()).collect()
+}
+
+fn member(frame: &Frame) -> Option<Member> {
+    frame.address.map(|address| Member { vm: frame.vm.clone(), zone: frame.zone.clone(), address })
+}
+
+/// The entry VMs that there are by the hub's word, itself among them, in the order of their names.
+pub(super) fn counted(state: &State) -> Vec<Member> {
+    let Identity { vm, zone, address } = state.me.clone();
+    let mut list = Vec::with_capacity(state.hub.peers.len() + 1);
+    if !state.stopping {
+        list.push(Member { vm, zone, address });
+    }
+    // One that stops is not to be asked.
+    let serving = state.hub.peers.values().filter(|peer| !peer.frame.stopping);
+    list.extend(serving.filter_map(|peer| member(&peer.frame)));
+    list.extend(state.hub.inherited.values().cloned());
+    list.sort_by(|a, b| a.vm.cmp(&b.vm));
+    list
+}
