Read the store besides as soon as a hub's word is old and a frame had no answer

Cause: frames of 293 entry VMs are 1.5 s apart, and a hub counts as gone after two and a half of them, so that the store was followed 3.7 s after the loss and a change that came meanwhile was in force after 4.9 s (bound of the large site: 4 s). Now the hub's word stops standing for the store's when it is older than 0.7 s and the last frame had no answer. Whether the hub is gone, and who takes the lease, is decided as before.

lost_hub_at_size of hub_frames: red before, green after, its bound unchanged.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -161,6 +161,8 @@
     pub(crate) view: View,
     /// When the hub last answered.
     answered: Option<Time>,
+    /// Whether the last frame had no answer.
+    unanswered: bool,
     /// Whether a frame is under way.
     asking: Option<Time>,
     /// Refusals to be told.
@@ -187,6 +189,15 @@
         self.answered.is_some_and(|at| now.since(at) < silence)
     }
 
+    /// Whether the hub's word stands for the store's. Frames of hundreds of entry VMs are seconds apart, so that a hub is
+    /// counted as gone long after it was lost; its word is doubted as soon as it is older than the silence that few
+    /// entry VMs allow and a frame had no answer. The store is then read besides, which neither asks more of a hub
+    /// that may only be busy nor gives its place to another.
+    fn speaks_for_store(&self, now: Time, settings: &Settings) -> bool {
+        let doubted = self.unanswered && self.age(now) >= settings.hub_silence;
+        self.fresh && !doubted && self.alive(now, settings)
+    }
+
     /// By how much longer each entry VM waits, since there are so many; one for few.
     fn many(&self, settings: &Settings) -> f64 {
         (f64::from(self.nodes) / f64::from(settings.frame_nodes)).max(1.0)
@@ -238,7 +249,7 @@
         return Some(settings.follow_as_hub.mul_f64(engines.max(1.0)).min(HUB_PAUSE_MAX));
     }
     let known = knows(state);
-    let told = known && state.hub.fresh && state.hub.alive(now, settings);
+    let told = known && state.hub.speaks_for_store(now, settings);
     let asking = !known && now.since(state.started) < settings.hub_wait;
     (!told && !asking).then(|| settings.follow_alone.mul_f64(many(state)).min(ALONE_PAUSE_MAX))
 }
@@ -376,11 +387,13 @@
         // It was no hub, or is none any more. Where all were restarted at once, the next one is there within 30 ms.
         state.timers.set(now + state.settings.start_look.mul_f64(many(state)), Timer::Look);
     }
+    state.hub.unanswered = reply.is_none();
     let Some(reply) = reply else {
         if state.hub.leads && !state.hub.alive(now, &state.settings) {
             state.hub.leads = false;
             out.push(Effect::Record(Record::Hub { state: "lost", nodes: state.hub.nodes }));
         }
+        follow(state, now, out);
         return;
     };
     if state.lease.holds(now).is_some() {
