Offer engines of plain services a share of the calls, moved by how long answers wait there

Each entry VM now offers a share that it moves by the wait of its own answers, against the time of a run without a queue, which it learns. Own calls are still counted exactly.

--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -6,7 +6,8 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
-use crate::engine::Engine;
+use crate::engine::{Engine, Load};
+use crate::flow::COME_BACK;
 use crate::frame;
 use crate::request::Prompt;
 use crate::settings::{Mechanism, Settings};
@@ -85,7 +86,7 @@
     let mut rng = state.rng.fork();
     let state = &*state;
     let work = prompt.map(|prompt| state.speed.work(service, &prompt.model, prompt.tokens));
-    let mut found = look(state, now, query);
+    let mut found = look(state, now, query, &mut rng);
     for candidate in &mut found.candidates {
         candidate.cost_ms +=
             work.map_or(0.0, |work| read_ms(candidate.engine, work, now)) + rng.f64() * JITTER_MS;
@@ -101,7 +102,7 @@
 }
 
 /// Looks at all engines of a service.
-fn look<'a>(state: &'a State, now: Time, query: Query<'a>) -> Found<'a> {
+fn look<'a>(state: &'a State, now: Time, query: Query<'a>, rng: &mut fastrand::Rng) -> Found<'a> {
     let Query { service, prompt, avoid, .. } = query;
     let settings = &state.settings;
     let run_ms = state.pace(service);
@@ -119,9 +120,13 @@
         if engine.health.suspected(now) {
             continue;
         }
-        let queue_ms = queue_ms(engine, run_ms);
-        if queue_ms > ms(query.left) || is_full(engine, query, queue_ms + run_ms) {
-            let room_ms = queue_ms.max(run_ms / f64::from(engine.entry.slots.max(1)));
+        let queue_ms = queue_ms(engine, engine.load(), run_ms);
+        let (offered, come_back_ms) = match prompt {
+            Some(_) => (!is_full(engine, engine.load()), run_ms / f64::from(engine.entry.slots.max(1))),
+            None => (takes_call(engine, now, query, run_ms, rng.f64()), ms(COME_BACK)),
+        };
+        if queue_ms > ms(query.left) || !offered {
+            let room_ms = queue_ms.max(come_back_ms);
             found.soonest_ms = Some(found.soonest_ms.map_or(room_ms, |soonest| soonest.min(room_ms)));
             continue;
         }
@@ -176,18 +181,24 @@
 }
 
 /// Time until a slot is free for one more request.
-fn queue_ms(engine: &Engine, run_ms: f64) -> f64 {
+fn queue_ms(engine: &Engine, load: Load, run_ms: f64) -> f64 {
     let slots = engine.entry.slots.max(1);
-    let over = (engine.load().open + 1).saturating_sub(slots);
+    let over = (load.open + 1).saturating_sub(slots);
     f64::from(over) * run_ms / f64::from(slots)
 }
 
-/// Whether an engine has too much to do for one more. Calls of plain services wait as long as they can still be
-/// answered in time: their runs are short, and loads that are heard of late say little of one engine.
-fn is_full(engine: &Engine, query: Query<'_>, answer_ms: f64) -> bool {
+/// Whether an engine has too much to do for one more prompt.
+fn is_full(engine: &Engine, load: Load) -> bool {
     let slots = f64::from(engine.entry.slots.max(1));
-    let deep = f64::from(engine.load().open) >= slots * (1.0 + QUEUE_DEPTH);
-    deep && (query.prompt.is_some() || answer_ms > ms(query.target))
+    f64::from(load.open) >= slots * (1.0 + QUEUE_DEPTH)
+}
+
+/// Whether an engine is offered one more call of a plain service. Calls wait as long as they can still be answered in time:
+/// their runs are short. What other entry VMs have sent there is known too late for that, and tells by the answers.
+fn takes_call(engine: &Engine, now: Time, query: Query<'_>, run_ms: f64, drawn: f64) -> bool {
+    let answer_ms = queue_ms(engine, engine.own, run_ms) + run_ms;
+    let late = is_full(engine, engine.own) && answer_ms > ms(query.target);
+    !late && engine.share.takes(now, drawn)
 }
 
 fn ms(time: Duration) -> f64 {
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -9,6 +9,7 @@
 
 use crate::schedule::Schedule;
 use crate::settings::Settings;
+use crate::share::Share;
 
 /// Part of its slots that is taken at an engine where a new request may wait for one: loads are known late.
 const CROWDED: f64 = 0.7;
@@ -172,6 +173,8 @@
     pub others: Load,
     /// When prompts can be sent there, as far as is known here; exact at the owner of the schedule.
     pub schedule: Schedule,
+    /// The share of calls of a plain service that it is offered.
+    pub share: Share,
     /// How far it is trusted.
     pub health: Health,
     /// What it holds, as the process that orders it says; none until that is known.
@@ -190,6 +193,7 @@
             missing_until: None,
             own: Load::default(),
             others: Load::default(),
+            share: Share::default(),
             schedule: Schedule::default(),
             health: Health::default(),
             ordered: None,
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod request;
 pub mod schedule;
 pub mod settings;
+pub mod share;
 pub mod speed;
 pub mod spread;
 pub mod state;
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -1,5 +1,7 @@
 //! What comes of a request's attempts: what they say of engines, and whether another follows.
 
+use std::time::Duration;
+
 use boragecove_core::code::Code;
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
@@ -100,7 +102,11 @@
     }
     let took = now.since(at);
     let service = flow.service.clone();
+    let call_target = flow.prompt.is_none().then_some(flow.route.target);
     judge(state, now, id, &engine, end, out);
+    if let Some(target) = call_target {
+        learn_call(state, now, &service, &engine, end, took, target);
+    }
     match end {
         End::Done => {
             state.paced(&service, took);
@@ -116,6 +122,30 @@
     }
 }
 
+/// What the end of a call of a plain service says of the queue at its engine.
+fn learn_call(
+    state: &mut State,
+    now: Time,
+    service: &Name,
+    engine: &Name,
+    end: End,
+    took: Duration,
+    target: Duration,
+) {
+    if end == End::Done {
+        state.speed.learn_run(service, took);
+    }
+    let run = state.speed.run(service);
+    let Some(engine) = state.engines.get_mut(engine) else {
+        return;
+    };
+    match end {
+        End::Done => engine.share.answered(now, took.saturating_sub(run), target.saturating_sub(run)),
+        End::Refused(Cause::Busy) => engine.share.rejected(now),
+        End::Failed | End::Unsent | End::Broken | End::Refused(_) => {}
+    }
+}
+
 /// What an attempt's end says of its engine.
 fn judge(state: &mut State, now: Time, id: Id, engine: &Name, end: End, out: &mut Vec<Effect>) {
     let settings = state.settings.clone();
--- a/fleet/src/speed.rs
+++ b/fleet/src/speed.rs
@@ -34,9 +34,14 @@
 /// Time to make an event before any was seen, in ms: three to six steps of 5 to 8 ms on the users' sites.
 const EVENT_PRIOR_MS: f64 = 30.0;
 
+/// Weight of a run that is shorter than what is known, and of one that is longer: most of those have queued.
+const RUN_GAINS: (f64, f64) = (0.2, 0.005);
+
 /// Time to read a token, by service and by model, and to make an event.
 #[derive(Debug, Default)]
 pub struct Speed {
+    /// Time to answer a call that does not queue, by service, in ms.
+    runs: FxHashMap<Name, f64>,
     /// Time to make an event, by service, in ms.
     events: FxHashMap<Name, f64>,
     by_model: FxHashMap<Name, f64>,
@@ -64,6 +69,20 @@
         Duration::from_secs_f64(ms / 1e3)
     }
 
+    /// The time to answer a call of a plain service that does not queue, the way there and back included.
+    #[must_use]
+    pub fn run(&self, service: &str) -> Duration {
+        Duration::from_secs_f64(self.runs.get(service).copied().unwrap_or_default() / 1e3)
+    }
+
+    /// A call of a plain service was answered after this time.
+    pub fn learn_run(&mut self, service: &Name, took: Duration) {
+        let ms = took.as_secs_f64() * 1e3;
+        let known = self.runs.entry(service.clone()).or_insert(ms);
+        let gain = if ms < *known { RUN_GAINS.0 } else { RUN_GAINS.1 };
+        *known += gain * (ms - *known);
+    }
+
     /// The events of a stream came this far apart, on average.
     pub fn learn_event(&mut self, service: &Name, gap: Duration) {
         let ms = gap.as_secs_f64() * 1e3;
