Count the gap between two machines' orders from the last that may have given any

Cause: each change of the lease's hands began three seconds without orders anew, also where the holder between had gone before it could give one. The row now names who may have given orders before its holder, and until when.

It also closes a hole: a holder that restarted within its gap took its own earlier row for a proof that it had been giving orders, and went on at once.

Ruled out: a shorter gap (the platform's bound).

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -36,6 +36,33 @@
     pub started_ms: u64,
     /// Whether the holder has given it back.
     pub released: bool,
+    /// Who else may have given orders last; none if nobody did.
+    #[serde(default)]
+    pub former: Option<Former>,
+}
+
+/// A machine that may have given orders, before the holder of the lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Former {
+    /// The machine.
+    pub holder: Name,
+    /// Until when it may have given any, by the store's clock, in ms.
+    pub until_ms: u64,
+}
+
+impl Row {
+    /// Who may have given the last orders: the holder, unless its lease was over before it was to give any. Several may
+    /// follow each other within seconds, and the gap between two machines' orders does not begin anew with each.
+    fn orderer(&self, gap: Duration) -> Option<Former> {
+        let began_ms = match &self.former {
+            Some(former) if former.holder != self.holder => former.until_ms + ms(gap),
+            Some(_) | None => 0,
+        };
+        if self.until_ms < began_ms {
+            return self.former.clone();
+        }
+        Some(Former { holder: self.holder.clone(), until_ms: self.until_ms })
+    }
 }
 
 /// By how much later than another a process must have started to count as restarted since, in ms: all entry VMs of a
@@ -131,31 +158,34 @@
 }
 
 /// The lease, held by this process.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Held {
     version: u64,
     term: u64,
     until: Time,
     orders_from: Time,
+    /// Who else may have given the last orders.
+    former: Option<Former>,
 }
 
 impl Lease {
     /// The fencing number, while this process holds the lease.
     #[must_use]
     pub fn holds(&self, now: Time) -> Option<u64> {
-        self.held.filter(|held| now < held.until).map(|held| held.term)
+        self.held.as_ref().filter(|held| now < held.until).map(|held| held.term)
     }
 
     /// The fencing number, while this process may send orders.
     #[must_use]
     pub fn orders(&self, now: Time) -> Option<u64> {
-        self.held.filter(|held| now < held.until && now >= held.orders_from).map(|held| held.term)
+        let held = self.held.as_ref().filter(|held| now < held.until && now >= held.orders_from);
+        held.map(|held| held.term)
     }
 
     /// How long until this process may send orders, if it holds the lease.
     #[must_use]
     pub fn orders_in(&self, now: Time) -> Option<Duration> {
-        self.held.filter(|held| now < held.until).map(|held| held.orders_from.since(now))
+        self.held.as_ref().filter(|held| now < held.until).map(|held| held.orders_from.since(now))
     }
 
     /// Who was last seen to hold it.
@@ -177,8 +207,8 @@
     if state.lease.pending.is_some() {
         return;
     }
-    if let Some(held) = state.lease.held {
-        let row = own_row(state, now, held.term, state.stopping);
+    if let Some(held) = state.lease.held.clone() {
+        let row = own_row(state, now, held.term, held.former, state.stopping);
         call(state, now, Call::Write { expected: held.version, row }, out);
         return;
     }
@@ -207,17 +237,18 @@
 /// Gives the lease back at a planned stop.
 pub(crate) fn release(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     if let Some(held) = state.lease.held.take() {
-        let row = own_row(state, now, held.term, true);
+        let row = own_row(state, now, held.term, held.former, true);
         call(state, now, Call::Write { expected: held.version, row }, out);
     }
 }
 
-fn own_row(state: &State, now: Time, term: u64, released: bool) -> Row {
+fn own_row(state: &State, now: Time, term: u64, former: Option<Former>, released: bool) -> Row {
     // Whoever gives it back sends no more orders.
     let over = if released { now } else { now + state.settings.lease_length };
     let until_ms = state.lease.clock.map_or(u64::MAX, |clock| clock.at_most(over));
     let started_ms = started_ms(state);
-    Row { holder: state.me.vm.clone(), address: state.me.address, term, until_ms, started_ms, released }
+    let (holder, address) = (state.me.vm.clone(), state.me.address);
+    Row { holder, address, term, until_ms, started_ms, released, former }
 }
 
 fn call(state: &mut State, now: Time, call: Call, out: &mut Vec<Effect>) {
@@ -255,7 +286,7 @@
         if state.settings.weak && now.since(state.started) < state.settings.weak_wait {
             return;
         }
-        let row = own_row(state, now, 1, false);
+        let row = own_row(state, now, 1, None, false);
         call(state, now, Call::Write { expected: 0, row }, out);
         return;
     };
@@ -288,7 +319,8 @@
     let over = store_ms > seen.row.until_ms.saturating_add(ms(state.settings.lease_margin));
     let free = over || (seen.row.released && !yields(state, &seen.row, store_ms));
     if mine || (free && !defers(state, now, seen.version)) {
-        let row = own_row(state, now, seen.row.term + 1, false);
+        let former = seen.row.orderer(state.settings.order_gap);
+        let row = own_row(state, now, seen.row.term + 1, former, false);
         call(state, now, Call::Write { expected: seen.version, row }, out);
     }
 }
@@ -322,7 +354,8 @@
 fn written(state: &mut State, now: Time, sent: Time, new: Seen, store_ms: u64, out: &mut Vec<Effect>) {
     let term = new.row.term;
     let version = new.version;
-    let before = state.lease.seen.replace(new);
+    let former = new.row.former.clone();
+    state.lease.seen = Some(new);
     if state.stopping {
         state.lease.held = None;
         return;
@@ -335,8 +368,8 @@
         held.until = until;
         return;
     }
-    let orders_from = now + gap(state, before.as_ref(), store_ms);
-    state.lease.held = Some(Held { version, term, until, orders_from });
+    let orders_from = now + gap(state, former.as_ref(), store_ms);
+    state.lease.held = Some(Held { version, term, until, orders_from, former });
     note(state, "taken", ms(orders_from.since(now)), out);
     state.ledger.begin(term == 1);
     // Looks are seconds apart where there are hundreds of entry VMs, and the lease is over before the next one.
@@ -347,13 +380,13 @@
 }
 
 /// Time in which another machine's orders may still count against this one's.
-fn gap(state: &State, before: Option<&Seen>, store_ms: u64) -> Duration {
-    match before {
-        Some(before) if before.row.holder != state.me.vm => {
-            let over = Duration::from_millis(store_ms.saturating_sub(before.row.until_ms));
+fn gap(state: &State, former: Option<&Former>, store_ms: u64) -> Duration {
+    match former {
+        Some(former) if former.holder != state.me.vm => {
+            let over = Duration::from_millis(store_ms.saturating_sub(former.until_ms));
             state.settings.order_gap.saturating_sub(over) + state.settings.lease_margin
         }
-        _ => Duration::ZERO,
+        Some(_) | None => Duration::ZERO,
     }
 }
 
--- a/fleet/tests/call_shares.rs
+++ b/fleet/tests/call_shares.rs
@@ -48,11 +48,8 @@
                 ms(took.saturating_sub(RUN_MS)),
                 ms(TARGET_MS - RUN_MS),
             );
-            if took <= TARGET_MS {
-                second.in_time += 1
-            } else {
-                second.late += 1
-            }
+            let count = if took <= TARGET_MS { &mut second.in_time } else { &mut second.late };
+            *count += 1;
             false
         });
         while running.len() < SLOTS
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -87,6 +87,7 @@
         term: 3,
         until_ms: 10_000,
         started_ms: 0,
+        former: None,
         released: false,
     };
     let seen = boragecove_fleet::lease::Seen { version: 9, row };
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -6,13 +6,20 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::lease::{Answer, Call, Outcome, Row, Seen};
+use boragecove_fleet::lease::{Answer, Call, Former, Outcome, Row, Seen};
 use boragecove_fleet::settings::Settings;
 use node::{Node, address, millis};
 
 fn other(version: u64, until_ms: u64, released: bool) -> Seen {
-    let row =
-        Row { holder: "b".into(), address: address(7_001), term: 3, until_ms, started_ms: 5_000, released };
+    let row = Row {
+        holder: "b".into(),
+        address: address(7_001),
+        term: 3,
+        until_ms,
+        started_ms: 5_000,
+        released,
+        former: None,
+    };
     Seen { version, row }
 }
 
@@ -71,6 +78,45 @@
     assert!(node.state.lease().orders(node.now).is_some());
 }
 
+/// The load of entry VMs that are killed or restarted one after the other: the holder goes within three seconds of taking
+/// the lease, before it may give orders. The next waits for the last orders that there were, and not for that one's.
+/// Seen: no orders for 7 s while demand moved.
+#[test]
+fn silent_holder_costs_nothing() {
+    let former = |holder: &str| Some(Former { holder: holder.into(), until_ms: 1_000 });
+    let take = |seen: Seen| {
+        let mut node = Node::bare("a");
+        node.pass(millis(10));
+        node.lease(3_900, Outcome::Read(Some(seen)));
+        let taken = calls(&node.effects);
+        let [Call::Write { row, .. }] = &*taken else { panic!("{taken:?}") };
+        let row = row.clone();
+        node.lease(3_905, Outcome::Written(10));
+        (row.former, node.state.lease().orders_in(node.now))
+    };
+    let mut silent = other(9, 3_500, false);
+    silent.row.former = former("c");
+    assert_eq!(take(silent.clone()), (former("c"), Some(millis(295))), "c's orders count, b has given none");
+    silent.row.former = former("a");
+    assert_eq!(take(silent), (former("a"), Some(millis(0))), "its own orders were the last");
+    let mut ordering = other(9, 3_500, false);
+    ordering.row.former = Some(Former { holder: "c".into(), until_ms: 400 });
+    let last = Some(Former { holder: "b".into(), until_ms: 3_500 });
+    assert_eq!(take(ordering), (last, Some(millis(2_795))), "b may have begun to give orders");
+}
+
+/// A holder that restarts before it may give orders still has to wait for those of the one before it.
+#[test]
+fn restarted_in_the_gap() {
+    let mut node = Node::bare("b");
+    node.pass(millis(10));
+    let mut seen = other(9, 5_000, false);
+    seen.row.former = Some(Former { holder: "c".into(), until_ms: 3_000 });
+    node.lease(4_000, Outcome::Read(Some(seen)));
+    node.lease(4_005, Outcome::Written(10));
+    assert_eq!(node.state.lease().orders_in(node.now), Some(millis(2_195)));
+}
+
 #[test]
 fn restarted_holder_goes_on() {
     let mut node = Node::bare("b");
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -260,6 +260,7 @@
             term: 1,
             until_ms,
             started_ms: 0,
+            former: None,
             released: false,
         };
         let outcome = match call {
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -162,6 +162,7 @@
         term: 3,
         until_ms: 60_000,
         started_ms: 0,
+        former: None,
         released: false,
     };
     lease::Seen { version: 9, row }
