Weigh first, further and last copies by one worth, and let last ones yield where models have no room

Cause: a copy came only where another one of a model with two made way, and a last copy never did.

Now a copy is worth the requests that find no slot without it, and how busy the others are; what is missing grows with the time for which callers wait in vain; a last copy yields only where there are more models than places, and after twice the time of its load. What nobody asks for takes no place there.

--- a/fleet/benches/plan.rs
+++ b/fleet/benches/plan.rs
@@ -16,7 +16,7 @@
 const EACH: usize = 3;
 
 /// Engines and models.
-const SIZES: [(usize, usize); 4] = [(9, 13), (18, 34), (112, 135), (6_700, 780)];
+const SIZES: [(usize, usize); 5] = [(9, 13), (18, 34), (112, 135), (204, 248), (6_700, 780)];
 
 fn main() {
     divan::main();
@@ -39,13 +39,14 @@
         idle: true,
         copies: (0..EACH).map(|place| (name((number * EACH + place) % models), Phase::Ready)).collect(),
         free_mb: 2.0,
+        young: Vec::new(),
         cached: Cached::default(),
         open: (number % 12) as u32,
         zone: ["a", "b", "c"][number % 3].into(),
     };
     let trend = |number: usize| {
         let busy = if number.is_multiple_of(10) { 10.0 * engines as f64 / models as f64 * 12.0 } else { 0.0 };
-        Trend { busy, waiting: 0, reading: busy / 100.0, asked: Some(NOW) }
+        Trend { busy, reading: busy / 100.0, asked: Some(NOW), ..Trend::default() }
     };
     let demand: BTreeMap<Name, Trend> = (0..models).map(|number| (name(number), trend(number))).collect();
     let spots = (0..engines).map(spot).collect();
--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -81,6 +81,8 @@
 pub(crate) struct Kept {
     pub(crate) model: Name,
     pub(crate) phase: Phase,
+    /// When it was seen to become ready; long ago where that was not seen.
+    pub(crate) since: Time,
     pub(crate) adapters: Vec<Fetched>,
 }
 
@@ -132,6 +134,12 @@
             || self.pending.as_ref().is_some_and(|pending| pending.order == order)
     }
 
+    /// Models that have been ready for less than a time.
+    pub(crate) fn younger(&self, now: Time, age: impl Fn(&Name) -> Duration) -> impl Iterator<Item = &Name> {
+        let young = move |copy: &&Kept| now.since(copy.since) < age(&copy.model);
+        self.copies.iter().filter(young).map(|copy| &copy.model)
+    }
+
     /// The models that will be there or are on their way out, with how far each is. A load that is decided on and
     /// waits for its room counts as begun.
     pub(crate) fn copies_expected(&self) -> impl Iterator<Item = (&Name, Phase)> {
@@ -203,9 +211,11 @@
     /// Takes over what the engine says that it holds.
     pub(crate) fn adopt(&mut self, held: &[Held]) {
         let fetched = |name: &Name| Fetched { name: name.clone(), ready_at: None };
+        let since = |model: &Name| self.kept(model).map_or(Time::default(), |copy| copy.since);
         let kept = |held: &Held| Kept {
             model: held.model.clone(),
             phase: Phase::Ready,
+            since: since(&held.model),
             adapters: held.adapters.iter().map(fetched).collect(),
         };
         self.copies = held.iter().map(kept).collect();
@@ -271,7 +281,12 @@
         self.sequence = self.sequence.map(|sequence| sequence + 1);
         match order {
             Order::Load { model } => {
-                self.copies.push(Kept { model: model.clone(), phase: Phase::Loading, adapters: Vec::new() });
+                self.copies.push(Kept {
+                    model: model.clone(),
+                    phase: Phase::Loading,
+                    since: Time::default(),
+                    adapters: Vec::new(),
+                });
                 self.check_at = Some(now + expected + REPORT_LAG);
             }
             Order::Unload { model } => {
--- a/fleet/src/demand.rs
+++ b/fleet/src/demand.rs
@@ -129,6 +129,8 @@
     pub busy: f64,
     /// Requests that wait now.
     pub waiting: u32,
+    /// For how long requests have waited without any being served.
+    pub starved: Duration,
     /// Engines that are kept busy by reading its prompts, smoothed.
     pub reading: f64,
     /// When it was last asked for; none if it never was.
@@ -147,8 +149,8 @@
 
     /// Takes in what is under way now at all entry VMs.
     pub(crate) fn update<'a>(&mut self, now: Time, demands: impl Iterator<Item = &'a Demand>) {
-        let past = now.since(self.at).as_secs_f64();
-        self.at = now;
+        let before = std::mem::replace(&mut self.at, now);
+        let past = now.since(before).as_secs_f64();
         let keep = (-past / HALF_LIFE.as_secs_f64()).exp2();
         let mut sums: BTreeMap<Target, Sum> = BTreeMap::new();
         for demand in demands {
@@ -175,6 +177,11 @@
             let blend = |old: f64, new: f64| keep.mul_add(old - new, new);
             trend.busy = blend(trend.busy, f64::from(open + waiting));
             trend.waiting = waiting;
+            trend.starved = match (waiting, open) {
+                (_, 1..) => Duration::ZERO,
+                (1.., 0) => trend.starved + now.since(before),
+                (0, 0) => trend.starved,
+            };
             if open + waiting + arrived.requests > 0 {
                 trend.asked = Some(now);
                 self.first.get_or_insert(now);
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -439,6 +439,7 @@
     for copy in &mut book.copies {
         if copy.phase == Phase::Loading && holds(&copy.model) {
             copy.phase = Phase::Ready;
+            copy.since = now;
             changed = true;
         }
     }
--- a/fleet/src/place.rs
+++ b/fleet/src/place.rs
@@ -1,5 +1,8 @@
 //! Which models are to be moved where, for a given demand. It decides on one view and knows nothing else.
 
+mod prepare;
+mod worth;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -14,16 +17,9 @@
 use crate::settings::Mechanism;
 use crate::tally::Tally;
 
-/// Part of its time for which a copy's engine should read the model's prompts at most: streams stand still
-/// meanwhile.
-const READING_PER_COPY: f64 = 0.08;
-/// Part of its slots that a copy should take at most.
-const SLOTS_PER_COPY: f64 = 0.3;
-/// How much more a request counts that finds no copy at all than one that finds a busy one.
-const MISSING: f64 = 10.0;
-/// What a model without any copy counts for if nobody asks for it.
-const MISSING_MIN: f64 = 0.3;
-/// How much busier the receiving model's copies must be than the giving model's would become.
+use worth::Worths;
+
+/// How many times what a copy that makes way is worth the one that comes must be worth.
 const GAIN: f64 = 1.5;
 /// What a request under way speaks against an engine, in copies needed.
 const OPEN_COST: f64 = 0.03;
@@ -34,14 +30,8 @@
 const MOVES_MAX: usize = 4;
 /// Time without a request after which a model counts as unused, and for which demand must have been watched.
 const UNUSED: Duration = Duration::from_secs(2);
-/// One engine in this many may be loading a model ahead of demand: a load keeps it from other orders.
-const AHEAD_PART: usize = 4;
 /// Models in one line of the log.
 const MODELS_LOGGED: usize = 8;
-/// Loads from the weight store that must be left, beyond the reserve, for one ahead of demand.
-const COLD_FOR_AHEAD: usize = 3;
-/// Engines that a model's weights are brought to ahead of demand, as a part of all.
-const AHEAD_SPREAD: f64 = 0.7;
 
 /// What a plan is made from.
 #[derive(Clone, Debug)]
@@ -75,6 +65,8 @@
     pub idle: bool,
     /// What it holds.
     pub copies: Vec<(Name, Phase)>,
+    /// Models whose copies have not been ready for long enough to have earned their loads.
+    pub young: Vec<Name>,
     /// Memory that nothing takes, in MB.
     pub free_mb: f64,
     /// Copies of weights that it can load without the weight store.
@@ -85,6 +77,13 @@
     pub zone: Name,
 }
 
+impl Spot {
+    /// Whether it holds a model, or will.
+    fn holds(&self, model: &Name) -> bool {
+        self.copies.iter().any(|(held, _)| held == model)
+    }
+}
+
 /// A change at one engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Move {
@@ -99,7 +98,7 @@
 /// What is to be changed now.
 #[must_use]
 pub fn moves(view: View<'_>) -> Vec<Move> {
-    let mut placer = Placer { tally: Tally::of(&view.spots), view };
+    let mut placer = Placer::new(view);
     let mut out = Vec::new();
     while out.len() < MOVES_MAX {
         let Some(step) = placer.next().or_else(|| placer.spare()).or_else(|| placer.ahead()) else {
@@ -116,6 +115,34 @@
 struct Placer<'a> {
     view: View<'a>,
     tally: Tally,
+    worths: Worths,
+    /// Whether there are more models than the engines have places for.
+    short: bool,
+}
+
+/// An engine that can take an order.
+#[derive(Debug)]
+struct Offer<'a> {
+    spot: &'a Spot,
+    /// Copies that may make way there, the one that is worth least first.
+    victims: Vec<Victim<'a>>,
+}
+
+/// A copy that may make way.
+#[derive(Debug)]
+struct Victim<'a> {
+    model: &'a Name,
+    memory_mb: f64,
+    /// What it is worth.
+    lost: f64,
+}
+
+impl Offer<'_> {
+    /// The copy that is worth least of those that make enough room, and what it is worth.
+    fn victim(&self, memory_mb: f64) -> Option<(Option<&Name>, f64)> {
+        let enough = |victim: &&Victim<'_>| self.spot.free_mb + victim.memory_mb >= memory_mb;
+        self.victims.iter().find(enough).map(|victim| (Some(victim.model), victim.lost))
+    }
 }
 
 impl View<'_> {
@@ -123,12 +150,6 @@
         self.demand.get(model).map_or(0.0, |trend| trend.busy)
     }
 
-    /// Copies that a model should have, by what it is asked for.
-    fn need(&self, model: &Name) -> f64 {
-        let slots = f64::from(self.pool.slots.max(1)) * SLOTS_PER_COPY;
-        self.demand.get(model).map_or(0.0, |trend| (trend.reading / READING_PER_COPY).max(trend.busy / slots))
-    }
-
     /// Whether so little is known of demand that no copy should make way for a model that nobody waits for: one that has
     /// just begun to plan takes the busiest models for quiet ones. Before there is any demand, nothing else matters.
     fn is_new_to_demand(&self) -> bool {
@@ -177,143 +198,95 @@
     }
 }
 
-impl Placer<'_> {
+impl<'a> Placer<'a> {
+    fn new(view: View<'a>) -> Self {
+        let worths = Worths::of(&view);
+        let mean_mb = worths.mean_mb().max(1.0);
+        let places = |spot: &Spot| spot.copies.len() + (spot.free_mb / mean_mb).max(0.0) as usize;
+        let room: usize = view.spots.iter().filter(|spot| spot.usable).map(places).sum();
+        let short = view.pool.models.len() > room;
+        Self { tally: Tally::of(&view.spots), worths, short, view }
+    }
+
     /// The change that helps most.
     fn next(&self) -> Option<Move> {
         let mut wanted: Vec<(&Name, f64)> = Vec::new();
         for model in &self.view.pool.models {
-            let copies = self.tally.expected(&model.name);
-            let need = self.view.need(&model.name);
-            if copies == 0 {
-                wanted.push((&model.name, MISSING * need.max(MISSING_MIN)));
-            } else if need / copies as f64 > 1.0 {
-                wanted.push((&model.name, need / copies as f64));
+            match self.tally.expected(&model.name) {
+                0 => wanted.push((&model.name, self.worths.first(&model.name))),
+                copies => wanted.push((&model.name, self.worths.further(&model.name, copies))),
             }
         }
+        wanted.retain(|(_, worth)| *worth > 1.0);
         wanted.sort_by(|a, b| b.1.total_cmp(&a.1));
-        wanted.iter().find_map(|(model, pressure)| self.place(model, *pressure))
+        let offers = self.offers();
+        wanted.iter().find_map(|(model, worth)| self.place(&offers, model, *worth))
+    }
+
+    /// Engines that can take an order, each with what makes way there most easily.
+    fn offers(&self) -> Vec<Offer<'_>> {
+        let spots = self.view.spots.iter().filter(|spot| spot.usable && spot.idle);
+        spots.map(|spot| Offer { spot, victims: self.victims(spot) }).collect()
     }
 
     /// The best place for another copy of a model.
-    fn place(&self, model: &Name, pressure: f64) -> Option<Move> {
-        let memory_mb = self.view.pool.model(model)?.memory_mb;
+    fn place(&self, offers: &[Offer<'_>], model: &Name, worth: f64) -> Option<Move> {
+        let memory_mb = self.worths.memory_mb(model);
         let missing = self.tally.expected(model) == 0;
         let cold_left =
             if missing { self.view.cold_left } else { ledger::beyond_reserve(self.view.cold_left) };
+        let from_store = cold_left > 0 && self.view.cold_is_fast(model);
         let waited_for = self.view.demand.get(model).is_some_and(|trend| trend.waiting > 0);
-        let spared = missing && !waited_for && self.view.is_new_to_demand();
-        let mut best: Option<(f64, Move)> = None;
-        for spot in self.view.spots.iter().filter(|spot| spot.usable && spot.idle) {
-            if spot.copies.iter().any(|(held, _)| held == model) {
-                continue;
-            }
-            let source = source(spot, model);
-            if source == Source::Store && (cold_left == 0 || !self.view.cold_is_fast(model)) {
+        // Where not all models have room, one that nobody asks for takes none from others.
+        let spared = missing && !waited_for && (self.short || self.view.is_new_to_demand());
+        let mut best: Option<(f64, &Offer<'_>, Option<&Name>)> = None;
+        for offer in offers {
+            let spot = offer.spot;
+            let victim = if memory_mb <= spot.free_mb { Some((None, 0.0)) } else { offer.victim(memory_mb) };
+            let Some((drop, lost)) = victim.filter(|(drop, lost)| {
+                lost * GAIN <= worth && !(spared && drop.is_some()) && !spot.holds(model)
+            }) else {
                 continue;
-            }
-            let (drop, lost) = if memory_mb <= spot.free_mb {
-                (None, 0.0)
-            } else if spared {
-                continue;
-            } else {
-                let Some((victim, lost)) = self.victim(spot, memory_mb) else {
-                    continue;
-                };
-                (Some(victim), lost)
             };
-            if lost * GAIN > pressure {
+            let source = source(spot, model);
+            if source == Source::Store && !from_store {
                 continue;
             }
             let beside = self.tally.in_zone(model, &spot.zone) as f64 * ZONE_COST;
             let cost = lost + f64::from(spot.open) * OPEN_COST + source.cost() + beside;
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, Move { engine: spot.engine.clone(), drop, load: Some(model.clone()) }));
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, offer, drop));
             }
         }
-        best.map(|(_, step)| step)
+        best.map(|(_, offer, drop)| Move {
+            engine: offer.spot.engine.clone(),
+            drop: drop.cloned(),
+            load: Some(model.clone()),
+        })
     }
 
-    /// The model that can best be spared at an engine, and how busy its other copies would become.
-    fn victim(&self, spot: &Spot, memory_mb: f64) -> Option<(Name, f64)> {
-        let mut best: Option<(Name, f64)> = None;
+    /// The copies at an engine that may make way, with what they are worth, the least first.
+    fn victims<'b>(&self, spot: &'b Spot) -> Vec<Victim<'b>> {
+        let mut victims = Vec::with_capacity(spot.copies.len());
         for (model, phase) in &spot.copies {
-            let size = self.view.pool.model(model).map_or(self.view.pool.memory_mb, |model| model.memory_mb);
-            if *phase != Phase::Ready || spot.free_mb + size < memory_mb {
+            if *phase != Phase::Ready {
                 continue;
             }
-            let declared = self.view.pool.model(model).is_some();
-            let ready = self.tally.ready(model);
-            if declared && ready < 2 {
-                continue;
-            }
-            let lost = self.view.need(model) / (ready.max(2) - 1) as f64;
-            if best.as_ref().is_none_or(|(_, least)| lost < *least) {
-                best = Some((model.clone(), lost));
-            }
-        }
-        best
-    }
-
-    /// A copy that nobody uses, at an engine without room for any other model.
-    fn spare(&self) -> Option<Move> {
-        if self.view.without.contains(&Mechanism::EarlyDrop) {
-            return None;
-        }
-        let largest = self.view.pool.models.iter().map(|model| model.memory_mb).fold(0.0, f64::max);
-        for spot in self.view.spots.iter().filter(|spot| spot.usable && spot.idle && spot.free_mb < largest) {
-            let unused = spot.copies.iter().find(|(model, phase)| {
-                *phase == Phase::Ready && self.view.unused(model) && self.tally.ready(model) >= 2
-            });
-            if let Some((model, _)) = unused {
-                return Some(Move { engine: spot.engine.clone(), drop: Some(model.clone()), load: None });
-            }
-        }
-        None
-    }
-
-    /// A model to load where it never was, into a room that is free.
-    fn ahead(&self) -> Option<Move> {
-        if self.view.without.contains(&Mechanism::LoadsAhead) {
-            return None;
-        }
-        if ledger::beyond_reserve(self.view.cold_left) < COLD_FOR_AHEAD {
-            return None;
-        }
-        let loading = |spot: &&Spot| spot.copies.iter().any(|(_, phase)| *phase == Phase::Loading);
-        let in_use = !self.view.watched.is_zero();
-        let limit = if in_use { self.view.spots.len() / AHEAD_PART } else { self.view.spots.len() };
-        if self.view.spots.iter().filter(loading).count() >= limit {
-            return None;
-        }
-        let enough = self.view.spots.len() as f64 * AHEAD_SPREAD;
-        let near = |model: &Name| self.view.spots.iter().filter(|spot| keeps(spot, model)).count();
-        let mut models: Vec<(usize, &Name, f64)> = Vec::new();
-        for model in &self.view.pool.models {
-            let count = near(&model.name);
-            if (count as f64) < enough {
-                models.push((count, &model.name, model.memory_mb));
-            }
+            let lost = match self.tally.ready(model) {
+                ready @ 2.. => self.worths.further(model, ready - 1),
+                _ if !self.worths.names(model) => 0.0,
+                _ if self.short && !spot.young.contains(model) => self.worths.last(model),
+                _ => continue,
+            };
+            victims.push(Victim { model, memory_mb: self.worths.memory_mb(model), lost });
         }
-        models.sort_by_key(|(count, ..)| *count);
-        models.iter().filter(|(_, model, _)| self.view.cold_is_fast(model)).find_map(
-            |(_, model, memory_mb)| {
-                let fits = |spot: &&Spot| {
-                    spot.usable && spot.idle && spot.free_mb >= *memory_mb && !keeps(spot, model)
-                };
-                let spot = self
-                    .view
-                    .spots
-                    .iter()
-                    .filter(fits)
-                    .min_by_key(|spot| (spot.open, spot.cached.disk.len()))?;
-                Some(Move { engine: spot.engine.clone(), drop: None, load: Some((*model).clone()) })
-            },
-        )
+        victims.sort_by(|a, b| a.lost.total_cmp(&b.lost));
+        victims
     }
 
     /// Takes a change as done.
     fn carry(&mut self, step: &Move) {
-        let Self { view, tally } = self;
+        let Self { view, tally, .. } = self;
         let Some(spot) = view.spots.iter_mut().find(|spot| spot.engine == step.engine) else {
             return;
         };
@@ -353,11 +326,6 @@
     }
 }
 
-/// Whether an engine holds a model or keeps its weights.
-fn keeps(spot: &Spot, model: &Name) -> bool {
-    source(spot, model) != Source::Store || spot.copies.iter().any(|(held, _)| held == model)
-}
-
 fn source(spot: &Spot, model: &Name) -> Source {
     if spot.cached.memory.contains(model) {
         Source::Memory
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -9,6 +9,8 @@
 //!   weights on its own disk, from where a later load takes a fraction of the time and none of the weight
 //!   store's rate.
 
+use std::time::Duration;
+
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
@@ -23,6 +25,10 @@
 use crate::state::State;
 use crate::timer::Timer;
 
+/// Times of its load for which a copy stays at least where models have no room beside each other: an engine then spends no
+/// more than a third of its time on loads.
+const EARNED: u32 = 2;
+
 /// A plan is due.
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     state.timers.set(now + state.settings.plan_every, Timer::Plan);
@@ -92,11 +98,13 @@
 
 fn spot(state: &State, now: Time, engine: &Engine, pool: &Pool) -> Option<Spot> {
     let book = state.ledger.book(&engine.entry.id)?;
+    let age = |model: &Name| pool.model(model).map_or(Duration::ZERO, |model| model.cold * EARNED);
     Some(Spot {
         engine: engine.entry.id.clone(),
         usable: engine.takes_work() && engine.missing_until.is_none() && !engine.health.suspected(now),
         idle: book.idle(),
         copies: book.copies_expected().map(|(model, phase)| (model.clone(), phase)).collect(),
+        young: book.younger(now, age).cloned().collect(),
         free_mb: pool.memory_mb - book.memory_mb(pool),
         cached: engine.entry.cached.clone(),
         open: engine.load().open,
--- a/fleet/tests/model_placement.rs
+++ b/fleet/tests/model_placement.rs
@@ -21,6 +21,7 @@
         usable: true,
         idle: true,
         copies: models.iter().map(|name| (Name::from(*name), Phase::Ready)).collect(),
+        young: Vec::new(),
         free_mb: 200.0 - 70.0 * models.len() as f64,
         cached: Cached::default(),
         open: 0,
@@ -29,7 +30,7 @@
 }
 
 fn trend(busy: f64, reading: f64) -> Trend {
-    Trend { busy, waiting: 0, reading, asked: Some(NOW) }
+    Trend { busy, reading, asked: Some(NOW), ..Trend::default() }
 }
 
 fn view<'a>(pool: &'a Pool, spots: Vec<Spot>, demand: &[(&str, Trend)]) -> View<'a> {
