--- a/fleet/src/place.rs
+++ b/fleet/src/place.rs
@@ -1,6 +1,5 @@
 //! Which models are to be moved where, for a given demand. It decides on one view and knows nothing else.
 
-mod prepare;
 mod worth;
 
 use std::collections::BTreeMap;
@@ -101,7 +100,7 @@
     let mut placer = Placer::new(view);
     let mut out = Vec::new();
     while out.len() < MOVES_MAX {
-        let Some(step) = placer.next().or_else(|| placer.spare()).or_else(|| placer.ahead()) else {
+        let Some(step) = placer.next().or_else(|| placer.spare()) else {
             break;
         };
         placer.carry(&step);
@@ -284,6 +283,25 @@
         victims
     }
 
+    /// A copy that nobody uses, at an engine without room for any other model.
+    fn spare(&self) -> Option<Move> {
+        if self.view.without.contains(&Mechanism::EarlyDrop) {
+            return None;
+        }
+        let largest_mb = self.worths.largest_mb;
+        for spot in
+            self.view.spots.iter().filter(|spot| spot.usable && spot.idle && spot.free_mb < largest_mb)
+        {
+            let unused = spot.copies.iter().find(|(model, phase)| {
+                *phase == Phase::Ready && self.worths.unused(model) && self.tally.ready(model) >= 2
+            });
+            if let Some((model, _)) = unused {
+                return Some(Move { engine: spot.engine.clone(), drop: Some(model.clone()), load: None });
+            }
+        }
+        None
+    }
+
     /// Takes a change as done.
     fn carry(&mut self, step: &Move) {
         let Self { view, tally, .. } = self;
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -1,13 +1,8 @@
 //! Placement: which models and adapters are to be where, decided by the holder of the lease.
 //!
-//! It answers demand that moves to other models within seconds. Each model keeps a copy at all times; beyond
-//! that, copies go from the models whose copies have least to do to those whose copies have most. To be fast
-//! when demand moves, it prepares for it:
-//!
-//! - A copy that nobody uses and that is not the last is dropped, so that the next load need not wait for it.
-//! - Rooms that are free meanwhile are used to load models once that the engine has not held: it keeps their
-//!   weights on its own disk, from where a later load takes a fraction of the time and none of the weight
-//!   store's rate.
+//! It answers demand that moves to other models within seconds. Where there is room, each model keeps a copy at all times;
+//! beyond that, copies go from where they are worth least to where they are worth most. A copy that nobody uses and that is
+//! not the last is dropped ahead of need, so that the next load need not wait for it.
 
 use std::time::Duration;
 
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -117,8 +117,6 @@
     Faults,
     /// Other entry VMs' suspicions are looked into.
     SharedSuspicion,
-    /// Models are loaded ahead of demand.
-    LoadsAhead,
     /// Copies that nobody uses are dropped ahead of need.
     EarlyDrop,
     /// Copies make way for models that nobody waits for only once demand has been watched.
@@ -131,7 +129,7 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 12] = [
         Self::Spacing,
         Self::Pressing,
         Self::LearntSpeed,
@@ -140,7 +138,6 @@
         Self::CrowdCost,
         Self::Faults,
         Self::SharedSuspicion,
-        Self::LoadsAhead,
         Self::EarlyDrop,
         Self::WatchedDrops,
         Self::AdapterRelief,
@@ -159,7 +156,6 @@
             Self::CrowdCost => "crowd-cost",
             Self::Faults => "faults",
             Self::SharedSuspicion => "shared-suspicion",
-            Self::LoadsAhead => "loads-ahead",
             Self::EarlyDrop => "early-drop",
             Self::WatchedDrops => "watched-drops",
             Self::AdapterRelief => "adapter-relief",
