Count callers as waiting only since the planner's last update, and a second at most

Cause: the first update after a lease is taken counted the whole time since the process started, 60 s in the test, so that any missing model then came before the busiest. Found by reading; tests in demand_trend, two red before.

--- a/fleet/src/demand.rs
+++ b/fleet/src/demand.rs
@@ -11,6 +11,9 @@
 /// load takes one to four.
 const HALF_LIFE: Duration = Duration::from_millis(1_200);
 
+/// The longest time between two updates for which callers count as waiting: the one who plans anew has not counted before.
+const UPDATE_MAX: Duration = Duration::from_secs(1);
+
 /// Time between two lines of the log on placement.
 const LOG_EVERY: Duration = Duration::from_secs(1);
 
@@ -148,7 +151,7 @@
     }
 
     /// Takes in what is under way now at all entry VMs.
-    pub(crate) fn update<'a>(&mut self, now: Time, demands: impl Iterator<Item = &'a Demand>) {
+    pub fn update<'a>(&mut self, now: Time, demands: impl Iterator<Item = &'a Demand>) {
         let before = std::mem::replace(&mut self.at, now);
         let past = now.since(before).as_secs_f64();
         let keep = (-past / HALF_LIFE.as_secs_f64()).exp2();
@@ -179,7 +182,7 @@
             trend.waiting = waiting;
             trend.starved = match (waiting, open) {
                 (_, 1..) => Duration::ZERO,
-                (1.., 0) => trend.starved + now.since(before),
+                (1.., 0) => trend.starved + now.since(before).min(UPDATE_MAX),
                 (0, 0) => trend.starved,
             };
             if open + waiting + arrived.requests > 0 {
--- /dev/null
+++ b/fleet/tests/demand_trend.rs
@@ -0,0 +1,46 @@
+//! Demand as the one that plans sees it: for how long callers have waited in vain.
+
+use std::time::Duration;
+
+use boragecove_core::time::Time;
+use boragecove_fleet::demand::{Appetite, Demand, Target, Trend};
+
+fn target() -> Target {
+    Target { service: "writer".into(), model: "m1".into(), adapter: None }
+}
+
+fn trend(appetite: &Appetite) -> Trend {
+    appetite.trend(&"writer".into(), &"m1".into())
+}
+
+/// Updates a quarter of a second apart, from a time on, with so many requests that wait and that are under way.
+fn updates(appetite: &mut Appetite, from_ms: u64, count: u64, waiting: u32, open: u32) {
+    for number in 0..count {
+        let demand = Demand { target: target(), waiting, open, ..Demand::default() };
+        appetite.update(Time::from_millis(from_ms + number * 250), [&demand].into_iter());
+    }
+}
+
+/// One that begins to plan long after its process started has not seen anybody wait for all that time.
+#[test]
+fn first_look_counts_little() {
+    let mut appetite = Appetite::default();
+    updates(&mut appetite, 60_000, 1, 1, 0);
+    assert!(trend(&appetite).starved <= Duration::from_secs(1), "{:?}", trend(&appetite).starved);
+}
+
+#[test]
+fn waiting_adds_up() {
+    let mut appetite = Appetite::default();
+    updates(&mut appetite, 60_000, 13, 1, 0);
+    let starved = trend(&appetite).starved;
+    assert!((Duration::from_secs(3)..=Duration::from_secs(4)).contains(&starved), "{starved:?} after 3 s");
+}
+
+#[test]
+fn one_served_begins_anew() {
+    let mut appetite = Appetite::default();
+    updates(&mut appetite, 60_000, 13, 1, 0);
+    updates(&mut appetite, 63_250, 1, 1, 1);
+    assert_eq!(trend(&appetite).starved, Duration::ZERO);
+}
