--- a/fleet/src/share.rs
+++ b/fleet/src/share.rs
@@ -10,8 +10,9 @@
 //! time; nobody has to be asked, and how many others there are need not be known. Callers beyond it learn at once that they
 //! have to come back, in place of a late answer to everyone.
 //!
-//! The gains were found by playing that load (`call_shares`): nine tenths of what the engine can do is answered in time
-//! and a fortieth late, a shortage is met within three seconds, and within ten after it all is offered again.
+//! The gains were found by playing that load (`call_shares`, eight plays): of what the engine can do 84 in 100 are answered
+//! in time and 5 late, a shortage is met within three seconds, and ten seconds after it all is offered again. Larger steps
+//! up or smaller ones down make 10 in 100 late.
 
 use std::time::Duration;
 
@@ -29,7 +30,6 @@
 const LEFT: f64 = 0.4;
 /// The least share: what becomes of it tells when there is room again.
 const LEAST: f64 = 0.1;
-
 /// What it grows by in a second without an answer or a rejection: one that offers next to nothing learns next to nothing.
 const RECOVERY: f64 = 0.02;
 
