--- a/fleet/tests/scarce_places.rs
+++ b/fleet/tests/scarce_places.rs
@@ -291,3 +291,19 @@
         }
     }
 }
+
+/// As many places as models, of which the busiest takes two: a model without a copy is asked for, and each other copy is the
+/// last of a model that nobody asks for. Seen: 21 models at seven engines of three places, and callers of one of them
+/// refused for 12 s and more.
+#[test]
+fn asked_for_without_slack() {
+    let mut world = World::new(21, 7, 3);
+    let spot = world.spots.iter_mut().find(|spot| spot.copies.iter().any(|(model, _)| **model == *"m20"));
+    let spot = spot.expect("an engine holds it");
+    spot.copies.retain(|(model, _)| **model != *"m20");
+    spot.copies.push((name(0), Phase::Ready));
+    world.run(Duration::from_secs(5), &demand(&[(0, 30.0)]));
+    let absent = world.run(Duration::from_secs(15), &demand(&[(0, 30.0), (20, 1.0)]));
+    let time = absent[&name(20)];
+    assert!(time <= Duration::from_secs(12), "m20 was absent for {time:?}");
+}
