--- a/fleet/src/share.rs
+++ b/fleet/src/share.rs
@@ -11,14 +11,14 @@
 //! have to come back, in place of a late answer to everyone.
 //!
 //! The gains were found by playing that load (`call_shares`, eight plays): of what the engine can do 84 in 100 are answered
-//! in time and 5 late, a shortage is met within three seconds, and ten seconds after it all is offered again. Larger steps
-//! up or smaller ones down make 10 in 100 late.
+//! in time and 5 late, a shortage is met within three seconds, and ten seconds after it all is offered again. Twice the
+//! recovery together with two thirds of the shrinkage makes 10 in 100 late.
 
 use std::time::Duration;
 
 use boragecove_core::time::Time;
 
-/// Part of the time that calls may wait for which they are to wait. With half of it, calls that come in bursts were late.
+/// Part of the time that calls may wait for which they are to wait: the rest is for calls that come in bursts.
 const AIM: f64 = 0.25;
 /// By which part the share grows for each unit that calls wait less.
 const GROWTH: f64 = 0.9;
