--- a/daemon/tests/crashing_requests.rs
+++ b/daemon/tests/crashing_requests.rs
@@ -16,7 +16,7 @@
 use std::thread;
 use std::time::Duration;
 
-use serving::{Entry, call};
+use serving::{Entry, call, streamed_with};
 use standin::{CRASHING, Engine, Store, config};
 
 /// Time within which entry VMs that reach each other and the store know what one of them has seen.
@@ -24,14 +24,6 @@
 /// Engines that a request may reach after that, if three have ended under it.
 const LATER_MAX: usize = 3;
 
-fn streamed(path: &str, id: &str, body: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: care.example\r\nAttempt-Id: {id}\r\nModel: m1\r\nToken-Usage: 100,50\r\n\
-         Deadline-Ms: 4000\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 fn crashes(engines: &[Engine]) -> usize {
     engines.iter().map(|engine| engine.crashes().len()).sum()
 }
@@ -46,7 +38,7 @@
     let mut send = || {
         let entry = &entries[number % entries.len()];
         number += 1;
-        call(entry.callers, &streamed("/brief/7", &format!("c{number}"), CRASHING))
+        call(entry.callers, &streamed_with("/brief/7", &format!("c{number}"), CRASHING))
     };
     for _ in 0..20 {
         send();
@@ -61,7 +53,7 @@
     let later = crashes(&engines) - before;
     assert!(later <= LATER_MAX, "{later} engines ended under a request that had ended {before} before");
     for (at, entry) in entries.iter().enumerate() {
-        let answer = call(entry.callers, &streamed("/brief/8", &format!("i{at}"), "hi"));
+        let answer = call(entry.callers, &streamed_with("/brief/8", &format!("i{at}"), "hi"));
         assert!(answer.starts_with("HTTP/1.1 200"), "another request is served: {answer}");
     }
 }
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -12,23 +12,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use serving::{Entry, LIMIT, call};
+use serving::{Entry, LIMIT, call, plain, streamed};
 use standin::{EVENTS, Engine, Script, Store, config};
 
-fn streamed(path: &str, id: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: care.example\r\nAttempt-Id: {id}\r\nModel: m1\r\nToken-Usage: 100,50\r\n\
-         Deadline-Ms: 4000\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi"
-    )
-}
-
-fn plain(path: &str, id: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: care.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\
-         Connection: close\r\n\r\n"
-    )
-}
-
 fn events(answer: &str) -> u64 {
     (1..=EVENTS).filter(|number| answer.contains(&format!("data: word{number}\n"))).count() as u64
 }
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -96,3 +96,25 @@
     }
     text
 }
+
+/// A stream's request, with this body.
+pub fn streamed_with(path: &str, id: &str, body: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: care.example\r\nAttempt-Id: {id}\r\nModel: m1\r\nToken-Usage: 100,50\r\n\
+         Deadline-Ms: 4000\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A stream's request.
+pub fn streamed(path: &str, id: &str) -> String {
+    streamed_with(path, id, "hi")
+}
+
+/// A plain service's request.
+pub fn plain(path: &str, id: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: care.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\
+         Connection: close\r\n\r\n"
+    )
+}
