Count an engine as crashed only if an entry VM on its side sees its port closed

Cause: a closed port was taken for the engine's end. Such a partition refuses in the place of what is behind it: one engine counted twice within 0.5 s, and served its own zone all the while.

Why the repair holds: whoever sees a closed port asks an entry VM of the engine's availability zone to try it. Only one on the engine's side can tell; if none there answers, nothing is held against anybody. Of an engine in its own zone an entry VM may ask any other, since it may be cut off itself. An entry VM that knows no other takes its own word.

Tests: refusing_partition_convicts_nobody and witness_is_on_the_other_side; the first fails if the own word is enough (tried). They name a new event, and were not run on the code before.

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult, SpawnHandle};
+use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult, ResponseFuture, SpawnHandle};
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use actix_http::{Method, Uri};
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use boragecove_fleet::config::Limits;
+use boragecove_fleet::crash::Reach;
 use boragecove_fleet::effect::{Dispatch, Effect, Follow};
 use boragecove_fleet::engine::Incarnation;
 use boragecove_fleet::event::Event;
@@ -114,6 +115,11 @@
 #[rtype(result = "Grant")]
 pub(crate) struct Place(pub(crate) Ask);
 
+/// Another entry VM asks how the port of an engine answers here.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "Option<Reach>")]
+pub(crate) struct Try(pub(crate) Name);
+
 /// All metrics in their text format.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "String")]
@@ -181,6 +187,10 @@
                     Event::Probed { engine, reach }
                 });
             }
+            Effect::Witness { address, engine } => {
+                let asking = peers::witness(Rc::clone(&self.client), address, &engine);
+                later(ctx, async move { Event::Witnessed { engine, reach: asking.await } });
+            }
             Effect::Record(record) => {
                 self.metrics.take(&record);
                 self.log.record(now, &record);
@@ -411,6 +421,21 @@
     }
 }
 
+impl Handler<Try> for Node {
+    type Result = ResponseFuture<Option<Reach>>;
+
+    fn handle(&mut self, Try(engine): Try, _ctx: &mut Self::Context) -> Self::Result {
+        let address = self.state.address_of(&engine);
+        let client = Rc::clone(&self.client);
+        Box::pin(async move {
+            match address {
+                Some(address) => Some(client.reach(address).await),
+                None => None,
+            }
+        })
+    }
+}
+
 impl Handler<Tell> for Node {
     type Result = MessageResult<Tell>;
 
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -10,6 +10,8 @@
 use actix_http::{Method, StatusCode, Uri};
 use actix_web::HttpResponse;
 use actix_web::web::{self, Data, PayloadConfig, ServiceConfig};
+use boragecove_core::name::Name;
+use boragecove_fleet::crash::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::push::Message;
@@ -21,7 +23,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::client::{self, Client, Request};
-use super::node::{Feed, Node, Place, Tell, Transferred};
+use super::node::{Feed, Node, Place, Tell, Transferred, Try};
 use super::transfer::{Kind, Transfer};
 
 /// Where frames are posted.
@@ -30,11 +32,16 @@
 const PUSH: &str = "/push";
 /// Where places in schedules are asked for.
 const SCHEDULE: &str = "/schedule";
+/// Where the port of an engine is asked about.
+const REACH: &str = "/reach";
 /// Bytes of a question for a place, or of its answer, at most.
 const ASK_MAX: usize = 4 << 10;
 /// How long the owner of a schedule may take to answer: the way is 1 to 4 ms, and a machine that has spent its share of
 /// processor time stands still for most of a tenth of a second.
 const ASK_LIMIT: Duration = Duration::from_millis(60);
+/// How long an entry VM may take to try the port of an engine and answer: two ways there and back, and a machine that has spent
+/// its share of processor time.
+const REACH_LIMIT: Duration = Duration::from_millis(300);
 /// Largest frame or answer that is read.
 const FRAME_MAX: usize = 4 << 20;
 /// How long a push may stand still: some ways there and back, and a machine that has spent its share of processor time
@@ -74,6 +81,20 @@
     }
 }
 
+/// Asks another entry VM how the port of an engine answers there. Returns none if it did not answer, or does not know the
+/// engine.
+pub(crate) fn witness(
+    client: Rc<Client>,
+    address: SocketAddr,
+    engine: &Name,
+) -> impl Future<Output = Option<Reach>> + use<> {
+    let request = post(REACH, engine);
+    async move {
+        let called = client.call(address, request, ASK_MAX, Instant::now() + REACH_LIMIT).await;
+        read(called.map(|answer| (answer.status, answer.body)))
+    }
+}
+
 /// Pushes an update to another entry VM. Returns whether it was taken.
 pub(crate) async fn push(client: &Rc<Client>, address: SocketAddr, message: &Message) -> bool {
     let request = post(PUSH, message);
@@ -114,7 +135,8 @@
         .app_data(PayloadConfig::new(FRAME_MAX))
         .route(PATH, web::post().to(heard))
         .route(PUSH, web::post().to(pushed))
-        .route(SCHEDULE, web::post().to(asked));
+        .route(SCHEDULE, web::post().to(asked))
+        .route(REACH, web::post().to(tried));
 }
 
 /// What another entry VM sent; none, and a line, if that cannot be read.
@@ -141,6 +163,17 @@
     }
 }
 
+async fn tried(body: Bytes, hub: Data<Hub>) -> HttpResponse {
+    let Some(engine) = decode::<Name>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    match hub.node.send(Try(engine)).await {
+        Ok(Some(reach)) => HttpResponse::Ok().body(rmp_serde::to_vec(&reach).unwrap_or_default()),
+        Ok(None) => HttpResponse::NotFound().finish(),
+        Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 async fn heard(body: Bytes, hub: Data<Hub>) -> HttpResponse {
     let Some(frame) = decode::<Frame>(&body) else {
         return HttpResponse::BadRequest().finish();
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -6,6 +6,7 @@
 //! are told at once, down the trees of [`crate::push`]; who misses that learns of convictions from the hub's frames, or from
 //! the lease's row in the store.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use boragecove_core::code::Code;
@@ -32,6 +33,8 @@
 const CONVICTION_GROWTH: u32 = 6;
 /// The longest conviction.
 const CONVICTION_MAX: Duration = Duration::from_hours(24);
+/// Other entry VMs that are asked whether an engine has crashed, at most: some may have gone, or be cut off.
+const WITNESSES_MAX: usize = 3;
 /// Requests that something is known of, at most: an attacker needs a crash for each.
 const CASES_MAX: usize = 256;
 /// Runs that wait for the word whether their engine has crashed, at most; and those told of in one message.
@@ -99,11 +102,11 @@
 }
 
 /// How the port of an engine answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reach {
     /// A connection can be opened.
     Open,
-    /// Its machine says that nothing listens there: the engine's process has ended.
+    /// The connection is refused: the engine's process has ended, or something on the way refuses in its place.
     Closed,
     /// Nothing comes back, as across a partition.
     Silent,
@@ -147,11 +150,17 @@
     }
 }
 
-/// A run that broke, while it is not known whether its engine has crashed.
-#[derive(Clone, Debug)]
+/// Runs that broke at an engine, while it is not known whether it has crashed.
+#[derive(Clone, Debug, Default)]
 struct Loss {
+    runs: Vec<Run>,
+    /// This entry VM, and others that were asked.
+    asked: Vec<Name>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
     request: Fingerprint,
-    engine: Name,
     sent: Time,
     broke: Time,
 }
@@ -160,7 +169,7 @@
 #[derive(Debug, Default)]
 pub struct Register {
     cases: FxHashMap<Fingerprint, Case>,
-    losses: Vec<Loss>,
+    losses: BTreeMap<Name, Loss>,
     /// The hub's digest of what is certain, as it said last.
     hub_digest: u64,
 }
@@ -283,29 +292,73 @@
     let Some(known) = state.engines.get(engine).filter(|engine| !engine.entry.leaving) else {
         return;
     };
-    let losses = &mut state.crashes.losses;
-    if losses.len() >= LOSSES_MAX {
+    let runs: usize = state.crashes.losses.values().map(|loss| loss.runs.len()).sum();
+    if runs >= LOSSES_MAX {
         return;
     }
-    let asked = losses.iter().any(|loss| loss.engine == *engine);
-    losses.push(Loss { request, engine: engine.clone(), sent, broke: now });
-    if !asked {
+    let loss = state.crashes.losses.entry(engine.clone()).or_insert_with(|| {
         out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
-    }
+        Loss { runs: Vec::new(), asked: vec![state.me.vm.clone()] }
+    });
+    loss.runs.push(Run { request, sent, broke: now });
 }
 
-/// An engine's port was tried: where it is closed, the engine has crashed under the runs that broke there.
+/// An engine's port was tried from here. A refused connection may be the work of a partition, so that another entry VM is
+/// asked for what it sees, on the engine's side of such a partition.
 pub(crate) fn probed(state: &mut State, now: Time, engine: &Name, reach: Reach, out: &mut Vec<Effect>) {
-    let losses: Vec<Loss> = state.crashes.losses.extract_if(.., |loss| loss.engine == *engine).collect();
-    if reach != Reach::Closed || losses.is_empty() {
+    let alone = state.members.list().iter().all(|member| member.vm == state.me.vm);
+    match reach {
+        Reach::Closed if alone => confirm(state, now, engine, out),
+        Reach::Closed => ask(state, engine, out),
+        Reach::Open | Reach::Silent => dismiss(state, engine),
+    }
+}
+
+/// Another entry VM said how an engine's port answers there; none if it did not answer, or does not know the engine.
+pub(crate) fn witnessed(
+    state: &mut State,
+    now: Time,
+    engine: &Name,
+    reach: Option<Reach>,
+    out: &mut Vec<Effect>,
+) {
+    match reach {
+        Some(Reach::Closed) => confirm(state, now, engine, out),
+        Some(Reach::Open | Reach::Silent) => dismiss(state, engine),
+        None => ask(state, engine, out),
+    }
+}
+
+/// Asks the next entry VM; where none is left that answers, nothing is held against the requests.
+fn ask(state: &mut State, engine: &Name, out: &mut Vec<Effect>) {
+    let Some(loss) = state.crashes.losses.get_mut(engine) else {
         return;
+    };
+    let zone = state.engines.get(engine).map(|known| &known.entry.zone);
+    let witness =
+        zone.and_then(|zone| state.members.witness(engine, zone, *zone == state.me.zone, &loss.asked));
+    match witness.filter(|_| loss.asked.len() <= WITNESSES_MAX) {
+        Some(witness) => {
+            loss.asked.push(witness.vm.clone());
+            out.push(Effect::Witness { address: witness.address, engine: engine.clone() });
+        }
+        None => dismiss(state, engine),
     }
-    let suspect = |loss: &Loss| Suspect {
-        request: loss.request,
-        sent: now.since(loss.sent),
-        broke: now.since(loss.broke),
+}
+
+/// The engine has not crashed, as far as can be seen.
+fn dismiss(state: &mut State, engine: &Name) {
+    state.crashes.losses.remove(engine);
+}
+
+/// The engine has crashed under the runs that broke there.
+fn confirm(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
+    let Some(loss) = state.crashes.losses.remove(engine) else {
+        return;
     };
-    let suspects: Vec<Suspect> = losses.iter().map(suspect).collect();
+    let suspect =
+        |run: &Run| Suspect { request: run.request, sent: now.since(run.sent), broke: now.since(run.broke) };
+    let suspects: Vec<Suspect> = loss.runs.iter().map(suspect).collect();
     for suspect in &suspects {
         take_suspect(state, now, *suspect, Some(engine), out);
     }
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -69,6 +69,13 @@
         /// Where it listens.
         address: SocketAddr,
     },
+    /// Ask another entry VM how the port of an engine answers there; that comes back as [`crate::event::Event::Witnessed`].
+    Witness {
+        /// Where the entry VM listens.
+        address: SocketAddr,
+        /// The engine's id.
+        engine: Name,
+    },
     /// Keep a record of a decision.
     Record(Record),
     /// Follow the store's tables like this, or leave that to the hub.
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -98,6 +98,13 @@
         /// How it answers.
         reach: Reach,
     },
+    /// Another entry VM was asked how the port of an engine answers there.
+    Witnessed {
+        /// The engine's id.
+        engine: Name,
+        /// How; none if the entry VM did not answer, or does not know the engine.
+        reach: Option<Reach>,
+    },
     /// The settings have changed.
     Settings(Box<Settings>),
     /// The process was asked to stop.
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -56,10 +56,22 @@
     #[must_use]
     pub fn owner(&self, what: &Name, zone: &Name, now: Time) -> Option<&Member> {
         let answers =
-            |member: &&Member| !self.silent.iter().any(|(vm, until)| *vm == member.vm && *until > now);
-        let near = self.list.iter().filter(answers).filter(|member| member.zone == *zone);
-        let owner = near.max_by_key(|member| weight(what, &member.vm));
-        owner.or_else(|| self.list.iter().filter(answers).max_by_key(|member| weight(what, &member.vm)))
+            |member: &Member| !self.silent.iter().any(|(vm, until)| *vm == member.vm && *until > now);
+        self.first(what, zone, answers)
+    }
+
+    /// An entry VM that has not been asked yet for what it sees of something in an availability zone: one of that zone; of any,
+    /// if `near` says that whoever asks is in that zone too. Across a partition, others see no more than whoever asks.
+    #[must_use]
+    pub fn witness(&self, what: &Name, zone: &Name, near: bool, asked: &[Name]) -> Option<&Member> {
+        self.first(what, zone, |member| (near || member.zone == *zone) && !asked.contains(&member.vm))
+    }
+
+    fn first(&self, what: &Name, zone: &Name, fits: impl Fn(&Member) -> bool) -> Option<&Member> {
+        let fitting = || self.list.iter().filter(|member| fits(member));
+        let near = fitting().filter(|member| member.zone == *zone);
+        let first = near.max_by_key(|member| weight(what, &member.vm));
+        first.or_else(|| fitting().max_by_key(|member| weight(what, &member.vm)))
     }
 }
 
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -2,6 +2,7 @@
 
 use boragecove_core::time::Time;
 
+use crate::crash;
 use crate::effect::Effect;
 use crate::entries;
 use crate::event::Event;
@@ -79,6 +80,7 @@
         }
         Event::Reported { engine, report } => ledger::reported(state, now, &engine, report, out),
         Event::Probed { engine, reach } => trust::probed(state, now, &engine, reach, out),
+        Event::Witnessed { engine, reach } => crash::witnessed(state, now, &engine, reach, out),
         Event::Settings(settings) => state.settings = *settings,
         Event::Stop => stop(state, now, out),
         Event::Wake => {}
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -163,6 +163,12 @@
         self.engines.values()
     }
 
+    /// Where an engine listens, if it is known.
+    #[must_use]
+    pub fn address_of(&self, engine: &Name) -> Option<SocketAddr> {
+        self.engines.get(engine).map(|engine| engine.entry.address)
+    }
+
     /// Requests that have not ended.
     #[must_use]
     pub fn open(&self) -> usize {
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -22,8 +22,8 @@
 use boragecove_fleet::request::{Arrival, Attempt, End, Fingerprint, Id, Refusal, Step};
 use links::{LARGE, Links, SMALL};
 use node::{
-    HOST, Node, WRITER, address, brief, config, entry, hub_row, listing, millis, plain, row, step_of,
-    streamed,
+    HOST, Node, WRITER, address, brief, config, entry, hub_row, listing, millis, plain, removed, row,
+    step_of, streamed,
 };
 
 /// A request for m0, which two engines hold, with this body.
@@ -48,9 +48,18 @@
     let mut effects = node.effects.clone();
     node.feed(Event::Probed { engine: attempt.engine.clone(), reach });
     effects.extend(node.effects.clone());
+    if asks(&node.effects) == 1 {
+        node.feed(Event::Witnessed { engine: attempt.engine.clone(), reach: Some(reach) });
+        effects.extend(node.effects.clone());
+    }
     effects
 }
 
+/// Other entry VMs that are asked for what they see.
+fn asks(effects: &[Effect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, Effect::Witness { .. })).count()
+}
+
 /// All engines are well again.
 fn mend(node: &mut Node) {
     for engine in ["w1", "w2", "g1", "g2"] {
@@ -84,8 +93,13 @@
     let mut node = Node::ready(vm);
     node.pass(millis(10));
     node.lease(0, Outcome::Read(Some(hub_row())));
-    let member = |vm: &str, port| Member { vm: vm.into(), zone: "zone-a".into(), address: address(port) };
-    let members = Some(vec![member("a", 7_000), member("b", 7_002), member("hub", 7_001)]);
+    let member =
+        |vm: &str, zone: &str, port| Member { vm: vm.into(), zone: zone.into(), address: address(port) };
+    let members = Some(vec![
+        member("a", "zone-a", 7_000),
+        member("b", "zone-b", 7_002),
+        member("hub", "zone-a", 7_001),
+    ]);
     let reply = Reply { leads: true, nodes: 3, listed: 4, members, ..Reply::default() };
     node.feed(Event::Replied(Some(Box::new(reply))));
     node
@@ -154,6 +168,51 @@
     }
 }
 
+/// A partition may refuse connections in the place of engines that are well. Seen in a play of a day with such a cut: one
+/// engine, which went on serving its own zone, counted as crashed twice within half a second, and a sound request was
+/// refused everywhere. Who is on the engine's side of the cut says that its port is open; from here nobody else can be asked.
+#[test]
+fn refusing_partition_convicts_nobody() {
+    let open = Some(Reach::Open);
+    for answers in [&[open][..], &[None, open], &[None, None]] {
+        let mut node = follower("a");
+        for _ in 0..4 {
+            let (id, attempt) = node.sent(call("x"));
+            node.pass(millis(50));
+            node.ended(id, attempt.number, End::Lost);
+            node.feed(Event::Probed { engine: attempt.engine.clone(), reach: Reach::Closed });
+            let mut answers = answers.iter().copied();
+            while asks(&node.effects) == 1 {
+                let reach = answers.next().flatten();
+                node.feed(Event::Witnessed { engine: attempt.engine.clone(), reach });
+            }
+            mend(&mut node);
+        }
+        node.sent(call("x"));
+    }
+}
+
+/// Of an engine in another availability zone only an entry VM of that zone can tell: the others see what this one sees.
+#[test]
+fn witness_is_on_the_other_side() {
+    let mut node = follower("a");
+    node.feed(listing(vec![removed(10, "g1")], 10, false));
+    let (id, attempt) = node.sent(call("x"));
+    node.ended(id, attempt.number, End::Lost);
+    node.feed(Event::Probed { engine: "g2".into(), reach: Reach::Closed });
+    let asked: Vec<_> = node
+        .effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Witness { address, .. } => Some(*address),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(asked, [address(7_002)]);
+    node.feed(Event::Witnessed { engine: "g2".into(), reach: None });
+    assert_eq!(asks(&node.effects), 0);
+}
+
 /// Engines that are taken away break what runs there: that was announced.
 #[test]
 fn leaving_engines_convict_nobody() {
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -185,7 +185,8 @@
         });
         let Attempt { number, engine, .. } = attempt.expect("it is sent");
         self.feed(at, Event::Ended { request, attempt: number, end: End::Lost, events: Events::default() });
-        self.feed(at, Event::Probed { engine, reach: Reach::Closed });
+        self.feed(at, Event::Probed { engine: engine.clone(), reach: Reach::Closed });
+        self.feed(at, Event::Witnessed { engine, reach: Some(Reach::Closed) });
     }
 
     fn tick(&mut self) {
