Send an engine nothing for as long as it asks for when it turns a request away

What callers saw: where the only engine that could run a request turned it away and asked for a pause, they were held 0.4 s for another engine that is not there, were then told to come back in 0.5 s, and the engine was asked again and again.

Cause: the time that goes with such an answer was not read, found beside the word of engines that leave: both are said in the head of an answer. Ruled out: nothing else tells it; the list does not.

Why the repair holds: the head of a 503 or 429 is read in the same place, for requests, orders and reports. Until the time is over the engine is no candidate; requests that wait for their place in its schedule go elsewhere; orders and questions wait. The longer of two pauses counts, a start of the engine ends it, an hour is the most.

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -6,7 +6,7 @@
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult, ResponseFuture, SpawnHandle};
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
-use actix_http::{Method, Uri};
+use actix_http::{Method, StatusCode, Uri};
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use boragecove_fleet::config::Limits;
@@ -16,7 +16,7 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease;
-use boragecove_fleet::notice::{Departure, Notice};
+use boragecove_fleet::notice::{Notice, Start};
 use boragecove_fleet::push;
 use boragecove_fleet::request::{Arrival, Id, Step};
 use boragecove_fleet::schedule::{Ask, Grant};
@@ -283,7 +283,8 @@
             let until = Instant::now() + ORDER_CALL;
             let receipt = match client.call(address, request, ANSWER_MAX, until).await {
                 Ok(answer) => {
-                    tell_notice(&node, &name, incarnation, &answer.headers);
+                    let from = Start { engine: name.clone(), incarnation };
+                    tell_notice(&node, from, answer.status, &answer.headers);
                     engine::receipt(answer.status.as_u16())
                 }
                 Err(error) => {
@@ -307,7 +308,8 @@
             let until = Instant::now() + REPORT_CALL;
             let called = client.call(address, request, ANSWER_MAX, until).await;
             if let Ok(answer) = &called {
-                tell_notice(&node, &name, incarnation, &answer.headers);
+                let from = Start { engine: name.clone(), incarnation };
+                tell_notice(&node, from, answer.status, &answer.headers);
             }
             let report = match called {
                 Ok(Answer { status, body, .. }) if status.is_success() => engine::report(&body)
@@ -341,10 +343,9 @@
 }
 
 /// Tells the node what an engine's answer says of the engine, if it says anything.
-pub(crate) fn tell_notice(node: &Addr<Node>, engine: &Name, incarnation: Incarnation, headers: &HeaderMap) {
-    let notice = front::notice(headers);
+pub(crate) fn tell_notice(node: &Addr<Node>, from: Start, status: StatusCode, headers: &HeaderMap) {
+    let notice = front::notice(status, headers);
     if notice != Notice::default() {
-        let from = Departure { engine: engine.clone(), incarnation };
         node.do_send(Feed(Event::Noticed { from, notice }));
     }
 }
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -8,6 +8,7 @@
 use actix_http::StatusCode;
 use boragecove_core::name::Name;
 use boragecove_fleet::event::Event;
+use boragecove_fleet::notice::Start;
 use boragecove_fleet::request::{Attempt, Cause, End, Events as Timed, Id, Refusal, Step};
 use boragecove_platform::front::{self, Verdict};
 use bytes::Bytes;
@@ -160,7 +161,8 @@
             let verdict = front::verdict(response.status(), response.headers(), &attempt.engine, caller_id);
             // At once, since an answer may take long to end. One that names another engine says nothing of this one.
             if verdict != Verdict::Refused(Cause::Replaced) {
-                tell_notice(&self.node, &attempt.engine, attempt.incarnation, response.headers());
+                let from = Start { engine: attempt.engine.clone(), incarnation: attempt.incarnation };
+                tell_notice(&self.node, from, response.status(), response.headers());
             }
             match verdict {
                 Verdict::Foreign => answer = response.skip().await,
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -31,6 +31,8 @@
     Nowhere,
     /// All that could run it have too much to do; they will have room after this time.
     Full(Duration),
+    /// All that could run it want nothing from this process for this time.
+    Paused(Duration),
 }
 
 /// The engine that was chosen, and what spoke for it.
@@ -78,6 +80,8 @@
     holders: usize,
     /// The shortest time until one that is full has room, in ms.
     soonest_ms: Option<f64>,
+    /// The shortest pause of those that want one.
+    pause: Option<Duration>,
 }
 
 /// Picks an engine.
@@ -96,6 +100,7 @@
     }
     match found.soonest_ms {
         Some(soonest) => Choice::Full(Duration::from_secs_f64(soonest / 1_000.0)),
+        None if let Some(pause) = found.pause => Choice::Paused(pause),
         None if found.holders == 0 && found.members > 0 && prompt.is_some() => Choice::Absent,
         None => Choice::Nowhere,
     }
@@ -109,11 +114,15 @@
     let mut found = Found::default();
     for engine in state.engines_of(service) {
         found.members += 1;
-        if !engine.takes_work() || avoid.contains(&engine.entry.id) {
+        let serves = |prompt: &Prompt| engine.serves(&prompt.model, prompt.adapter.as_deref(), now);
+        if !engine.takes_work() || !prompt.is_none_or(serves) {
             continue;
         }
-        let serves = |prompt: &Prompt| engine.serves(&prompt.model, prompt.adapter.as_deref(), now);
-        if !prompt.is_none_or(serves) {
+        if let Some(pause) = engine.health.pause(now) {
+            found.pause = Some(found.pause.map_or(pause, |shortest| shortest.min(pause)));
+            continue;
+        }
+        if avoid.contains(&engine.entry.id) {
             continue;
         }
         found.holders += 1;
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -266,6 +266,8 @@
 pub struct Health {
     /// Until when it gets no work, since it could not be reached or went silent.
     pub suspect_until: Option<Time>,
+    /// Until when it wants nothing from this process, as it said when it turned a request away.
+    pub paused_until: Option<Time>,
     /// How long the last suspicion was; the next is twice as long.
     pub suspicion: Duration,
     /// Failures lately: each adds one, and they halve with time.
@@ -301,6 +303,12 @@
         self.suspect_until.is_some_and(|until| now < until)
     }
 
+    /// How much longer it wants nothing from this process; none if it takes requests.
+    #[must_use]
+    pub fn pause(&self, now: Time) -> Option<Duration> {
+        self.paused_until.filter(|until| now < *until).map(|until| until.since(now))
+    }
+
     /// A request failed there after it had been sent.
     pub fn fail(&mut self, now: Time, settings: &Settings) {
         self.faults = self.faults(now, settings) + 1.0;
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -9,7 +9,7 @@
 use crate::engine::{Incarnation, Row};
 use crate::frame::{Frame, Reply};
 use crate::lease;
-use crate::notice::{Departure, Notice};
+use crate::notice::{Notice, Start};
 use crate::order::{Receipt, Report};
 use crate::push;
 use crate::request::{Arrival, End, Events, Id};
@@ -43,7 +43,7 @@
     /// An answer of an engine, to whatever it was asked, said something of the engine.
     Noticed {
         /// Which engine, and which start of it.
-        from: Departure,
+        from: Start,
         /// What it said.
         notice: Notice,
     },
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -134,6 +134,7 @@
             give_up(state, now, id, Code::DeadlineUnreachable, Some(wait), out);
         }
         Choice::Full(_) => {}
+        Choice::Paused(wait) => give_up(state, now, id, Code::BackendRefused, Some(wait), out),
     }
 }
 
@@ -243,7 +244,12 @@
         prompt.is_none_or(|prompt| engine.serves(&prompt.model, prompt.adapter.as_deref(), now))
     };
     let engine = state.engines.get(engine);
-    engine.is_some_and(|engine| engine.takes_work() && !engine.health.suspected(now) && serves(engine))
+    engine.is_some_and(|engine| {
+        engine.takes_work()
+            && !engine.health.suspected(now)
+            && engine.health.pause(now).is_none()
+            && serves(engine)
+    })
 }
 
 fn send(state: &mut State, now: Time, id: Id, pick: &Pick, wait: Duration, out: &mut Vec<Effect>) {
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -23,7 +23,7 @@
 use crate::flow;
 use crate::ledger;
 use crate::members::Member;
-use crate::notice::{self, Departure, Notice};
+use crate::notice::{self, Notice, Start};
 use crate::push;
 use crate::record::Record;
 use crate::settings::Settings;
@@ -69,7 +69,7 @@
     /// Engines that it could not reach, or that have gone silent.
     pub suspects: Vec<Name>,
     /// Engines in its list that have said in answers that they leave.
-    pub departures: Vec<Departure>,
+    pub departures: Vec<Start>,
     /// A digest of what it is certain of, as to requests that crash engines.
     pub digest: u64,
     /// All of that, if the hub's digest was another.
@@ -360,7 +360,7 @@
     }
     for departure in &frame.departures {
         // The hub places models, and is to count no copy that the others do not use any more.
-        notice::noticed(state, now, departure, Notice { leaving: true }, out);
+        notice::noticed(state, now, departure, Notice { leaving: true, pause: None }, out);
     }
     crash::told(state, now, News::of(frame.verdicts.clone()), out);
     let wanted = frame.demand.iter().any(|demand| demand.waiting > 0);
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -155,6 +155,9 @@
     };
     let (service, address) = (engine.entry.service.clone(), engine.entry.address);
     let leaving = engine.entry.leaving;
+    if engine.health.pause(now).is_some() {
+        return;
+    }
     let Some(pool) = state.pool(&service).cloned() else {
         return;
     };
@@ -292,7 +295,8 @@
 
 /// Sends the order that was not answered once more.
 fn resend(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
-    let (Some(term), Some(engine)) = (state.lease.orders(now), state.engines.get(id)) else {
+    let engine = state.engines.get(id).filter(|engine| engine.health.pause(now).is_none());
+    let (Some(term), Some(engine)) = (state.lease.orders(now), engine) else {
         if let Some(book) = state.ledger.books.get_mut(id) {
             book.pending = None;
             unsure(book, now);
@@ -344,6 +348,7 @@
         return;
     };
     let (address, incarnation) = (engine.entry.address, engine.entry.incarnation);
+    let pause = engine.health.pause(now);
     let Some(book) = state.ledger.books.get_mut(id) else {
         return;
     };
@@ -359,7 +364,7 @@
             }
         }
     }
-    if book.check_at.is_some_and(|at| at <= now) && !book.reporting {
+    if book.check_at.is_some_and(|at| at <= now) && !book.reporting && pause.is_none() {
         book.check_at = None;
         book.reporting = true;
         out.push(Effect::Report { engine: id.clone(), incarnation, address });
--- a/fleet/src/notice.rs
+++ b/fleet/src/notice.rs
@@ -2,6 +2,7 @@
 //! comes at once, also while the store is away.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
@@ -12,7 +13,10 @@
 use crate::flow;
 use crate::record::Record;
 use crate::state::State;
+use crate::timer::Timer;
 
+/// The longest pause that is kept; an engine that wants a longer one is asked anew after it.
+const PAUSE_MAX: Duration = Duration::from_hours(1);
 /// Engines that are remembered to leave, at most; the earliest make way.
 const DEPARTURES_MAX: usize = 1_000;
 
@@ -21,14 +25,16 @@
 pub struct Notice {
     /// Whether it leaves, and is to get no more work.
     pub leaving: bool,
+    /// How long it wants nothing from this process, if it turned the request away.
+    pub pause: Option<Duration>,
 }
 
-/// An engine that has said that it leaves.
+/// A start of an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Departure {
+pub struct Start {
     /// The engine's id.
     pub engine: Name,
-    /// The start of the engine that leaves; a later one does not.
+    /// Which start: what one says does not hold for a later one.
     pub incarnation: Incarnation,
 }
 
@@ -64,16 +70,16 @@
 }
 
 /// The engines in the list that have said that they leave.
-pub(crate) fn departures(state: &State) -> Vec<Departure> {
+pub(crate) fn departures(state: &State) -> Vec<Start> {
     let listed = |engine: &Name| state.engines.contains_key(engine);
     let departures = state.departures.by_engine.iter().filter(|(engine, _)| listed(engine));
     departures
-        .map(|(engine, (incarnation, _))| Departure { engine: engine.clone(), incarnation: *incarnation })
+        .map(|(engine, (incarnation, _))| Start { engine: engine.clone(), incarnation: *incarnation })
         .collect()
 }
 
 /// An answer of an engine said something of it.
-pub(crate) fn noticed(state: &mut State, now: Time, from: &Departure, notice: Notice, out: &mut Vec<Effect>) {
+pub(crate) fn noticed(state: &mut State, now: Time, from: &Start, notice: Notice, out: &mut Vec<Effect>) {
     let Some(known) = state.engines.get_mut(&from.engine) else {
         return;
     };
@@ -91,4 +97,21 @@
         }
         flow::withdraw(state, now, &from.engine, out);
     }
+    if let Some(pause) = notice.pause {
+        keep_pause(state, now, &from.engine, pause.min(PAUSE_MAX), out);
+    }
+}
+
+/// Sends an engine nothing for as long as it wants.
+fn keep_pause(state: &mut State, now: Time, engine: &Name, pause: Duration, out: &mut Vec<Effect>) {
+    let Some(known) = state.engines.get_mut(engine) else {
+        return;
+    };
+    let until = known.health.paused_until.max(Some(now + pause));
+    known.health.paused_until = until;
+    let (service, version) = (known.entry.service.clone(), known.version);
+    out.push(Effect::Record(Record::Engine { engine: engine.clone(), service, state: "paused", version }));
+    // Orders and questions that are due meanwhile follow then.
+    state.timers.set(until.unwrap_or(now), Timer::Check(engine.clone()));
+    flow::withdraw(state, now, engine, out);
 }
--- a/fleet/tests/engine_notices.rs
+++ b/fleet/tests/engine_notices.rs
@@ -4,21 +4,22 @@
 
 use std::time::Duration;
 
+use boragecove_core::code::Code;
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::{Entry, Incarnation};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::Outcome;
-use boragecove_fleet::notice::{Departure, Notice};
-use boragecove_fleet::request::{End, Step};
-use node::{GATEWAY, Node, WRITER, brief, entry, hub_row, listing, millis, plain, removed, row};
+use boragecove_fleet::notice::{Notice, Start};
+use boragecove_fleet::request::{Cause, End, Step};
+use node::{GATEWAY, Node, WRITER, brief, entry, hub_row, listing, millis, orders, plain, removed, row};
 
-fn departure(engine: &str, born: Option<u64>) -> Departure {
-    Departure { engine: engine.into(), incarnation: Incarnation(born) }
+fn start(engine: &str, born: Option<u64>) -> Start {
+    Start { engine: engine.into(), incarnation: Incarnation(born) }
 }
 
 fn leaves(node: &mut Node, engine: &str, born: Option<u64>) {
-    node.feed(Event::Noticed { from: departure(engine, born), notice: Notice { leaving: true } });
+    node.feed(Event::Noticed { from: start(engine, born), notice: Notice { leaving: true, pause: None } });
 }
 
 fn born(id: &str, at: u64) -> Entry {
@@ -116,7 +117,7 @@
         _ => None,
     });
     let frame: Box<Frame> = frame.expect("a frame");
-    assert_eq!(frame.departures, [departure("w1", None)]);
+    assert_eq!(frame.departures, [start("w1", None)]);
     let mut hub = Node::ready("hub");
     hub.lead();
     hub.feed(Event::Framed(frame));
@@ -124,3 +125,76 @@
         |id: &str| hub.state.engines().any(|engine| *engine.entry.id == *id && engine.entry.leaving);
     assert!(leaving("w1") && !leaving("w2"), "engines of {WRITER}");
 }
+
+fn pauses(node: &mut Node, engine: &str, pause: Duration) {
+    let notice = Notice { leaving: false, pause: Some(pause) };
+    node.feed(Event::Noticed { from: start(engine, None), notice });
+}
+
+#[test]
+fn nothing_goes_there_in_a_pause() {
+    let mut node = Node::ready("a");
+    pauses(&mut node, "g1", Duration::from_secs(2));
+    pauses(&mut node, "g1", millis(100));
+    assert_eq!(reached(&mut node, "g1"), 0);
+    node.pass(millis(1_900));
+    assert_eq!(reached(&mut node, "g1"), 0, "the longer of two pauses counts");
+    node.pass(millis(200));
+    assert!(reached(&mut node, "g1") > 0);
+}
+
+/// All engines that could run it pause: the caller is told at once, and truly, when to come back.
+#[test]
+fn caller_is_told_the_pause() {
+    let mut node = Node::ready("a");
+    pauses(&mut node, "g1", Duration::from_secs(3));
+    pauses(&mut node, "g2", Duration::from_secs(2));
+    node.pass(millis(500));
+    let refusal = node.refused(plain("/ack/1"));
+    assert_eq!((refusal.code, refusal.retry_after), (Code::BackendRefused, Some(millis(1_500))));
+    let refusal = node.refused(plain("/list/1"));
+    assert_eq!(refusal.code.status(), 503);
+    pauses(&mut node, "w1", Duration::from_secs(3));
+    assert!(node.refused(brief("m1")).retry_after.is_some(), "the only engine with its model");
+}
+
+/// The engine that turned the request away is the only one: its caller is not held until another is there.
+#[test]
+fn refused_by_the_only_engine() {
+    let mut node = Node::ready("a");
+    node.feed(listing(vec![removed(10, "g2")], 10, false));
+    let (id, attempt) = node.sent(plain("/ack/1"));
+    pauses(&mut node, "g1", Duration::from_secs(2));
+    let Some(Step::Refuse(refusal)) = node.ended(id, attempt.number, End::Refused(Cause::Busy)) else {
+        panic!("not refused at once");
+    };
+    assert_eq!((refusal.code.status(), refusal.retry_after), (503, Some(Duration::from_secs(2))));
+}
+
+/// A pause ends with the engine's start, and one of no sensible length in an hour.
+#[test]
+fn pause_has_an_end() {
+    let mut node = Node::ready("a");
+    pauses(&mut node, "g1", Duration::MAX);
+    node.feed(listing(vec![row(10, born("g1", 1_000))], 10, false));
+    assert!(reached(&mut node, "g1") > 0);
+    pauses(&mut node, "g2", Duration::MAX);
+    node.feed(listing(vec![removed(11, "g1")], 11, false));
+    node.refused(plain("/ack/1"));
+    node.pass(Duration::from_mins(61));
+    node.sent(plain("/ack/1"));
+}
+
+/// The giver of orders leaves the engine alone too, and goes on after the pause.
+#[test]
+fn orders_wait() {
+    let mut node = Node::ready("hub");
+    node.lead();
+    pauses(&mut node, "w1", millis(800));
+    pauses(&mut node, "w2", millis(800));
+    let id = node.arrive(brief("m3"));
+    let effects = node.pass(millis(700));
+    assert!(orders(&effects).is_empty(), "{effects:?}");
+    assert_eq!(node.step(id), None, "it waits for its model");
+    assert!(!orders(&node.pass(millis(500))).is_empty());
+}
