Test crashing requests at random beside restarts, suspensions, resets and others

Nine entry VMs joined by links with a bounded rate, twelve engines that end and come back under other ids, one to three requests that end them and 1,500 others a seed, with entry VMs that restart and are suspended (the hub now and then) and connections that break. Three seconds after the third end three more are allowed. more_seeds runs others by hand.

--- /dev/null
+++ b/fleet/tests/crash_storm.rs
@@ -0,0 +1,295 @@
+//! Crashing requests among others, in a deployment where entry VMs restart and are suspended, connections break and engines
+//! come and go: drawn at random, on many seeds.
+//!
+//! What must hold: three seconds after a request has ended its third engine, it ends three more at most. Others are served
+//! but for a few that were beside it twice.
+
+mod links;
+mod node;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::crash::Reach;
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::request::{Arrival, End, Events, Fingerprint, Id, Step};
+use boragecove_fleet::schedule::Grant;
+use links::{LARGE, Links, SMALL};
+use node::{HOST, WRITER, brief, config, entry, listing, millis, removed, row};
+
+const VMS: usize = 9;
+const ENGINES: usize = 12;
+/// Time within which those that are in touch know what one of them has seen.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Engines that a request may end after that, once three have ended under it.
+const LATER_MAX: usize = 3;
+/// How long an engine that crashed is gone.
+const DOWN: Duration = Duration::from_secs(2);
+/// From a run's beginning to its first event, and to its end.
+const FIRST: Duration = Duration::from_millis(60);
+const WHOLE: Duration = Duration::from_millis(600);
+/// From the beginning of a crashing request's run to its engine's end.
+const FUSE: Duration = Duration::from_millis(80);
+
+#[derive(Clone, Debug)]
+struct Run {
+    vm: usize,
+    request: Id,
+    attempt: u32,
+    engine: Name,
+    begins: Time,
+    begun: bool,
+    culprit: Option<usize>,
+    text: String,
+}
+
+struct World {
+    links: Links,
+    rng: fastrand::Rng,
+    /// The store's version of the engines' table.
+    version: u64,
+    /// Engines that run, and when those that crashed are back under another id.
+    engines: BTreeSet<Name>,
+    back: Vec<Time>,
+    named: usize,
+    runs: Vec<Run>,
+    drawn: u64,
+    /// Times of the engines' ends under each culprit.
+    ends: Vec<Vec<Time>>,
+    /// Requests that are at fault for nothing, and those of them that were refused for crashes.
+    sound: usize,
+    wronged: usize,
+}
+
+impl World {
+    fn new(seed: u64, culprits: usize) -> Self {
+        let rates: Vec<f64> = (0..VMS).map(|at| if at % 3 == 0 { LARGE } else { SMALL }).collect();
+        let links = Links::new(&rates, &Arc::new(config(1)));
+        let mut world = Self {
+            links,
+            rng: fastrand::Rng::with_seed(seed),
+            version: 1,
+            engines: BTreeSet::new(),
+            back: Vec::new(),
+            named: 0,
+            runs: Vec::new(),
+            drawn: 0,
+            ends: vec![Vec::new(); culprits],
+            sound: 0,
+            wronged: 0,
+        };
+        for _ in 0..ENGINES {
+            world.start();
+        }
+        world.links.pass(Duration::from_secs(3));
+        world
+    }
+
+    fn start(&mut self) {
+        self.named += 1;
+        self.version += 1;
+        let id: Name = format!("w{}", self.named).into();
+        let zone = ["zone-a", "zone-b", "zone-c"][self.named % 3];
+        let row = row(self.version, entry(&id, WRITER, zone, &["m0"]));
+        self.engines.insert(id);
+        let version = self.version;
+        (0..VMS).for_each(|vm| self.links.feed(vm, listing(vec![row.clone()], version, false)));
+    }
+
+    fn arrive(&mut self, vm: usize, text: &str, culprit: Option<usize>) {
+        self.drawn += 1;
+        let request = Id(self.drawn);
+        let fingerprint = Fingerprint::of(HOST, "/brief/1", text.as_bytes());
+        let arrival = Box::new(Arrival { fingerprint, ..brief("m0") });
+        let effects = self.links.apply(vm, Event::Arrive { request, arrival });
+        self.follow(vm, request, text, culprit, &effects);
+        self.sound += usize::from(culprit.is_none());
+    }
+
+    /// Does what an entry VM wants for requests.
+    fn follow(&mut self, vm: usize, request: Id, text: &str, culprit: Option<usize>, effects: &[Effect]) {
+        for effect in effects {
+            match effect {
+                Effect::Ask { request, .. } => {
+                    let grant = Some(Grant::After(Duration::ZERO));
+                    let more = self.links.apply(vm, Event::Granted { request: *request, grant });
+                    self.follow(vm, *request, text, culprit, &more);
+                }
+                Effect::Step { request: of, step: Step::Send(attempt) } if *of == request => {
+                    self.runs.push(Run {
+                        vm,
+                        request,
+                        attempt: attempt.number,
+                        engine: attempt.engine.clone(),
+                        begins: attempt.at + millis(10),
+                        begun: false,
+                        culprit,
+                        text: text.to_owned(),
+                    });
+                }
+                Effect::Step { request: of, step: Step::Refuse(refusal) } => {
+                    let run = self.runs.iter().position(|run| run.vm == vm && run.request == *of);
+                    let of_run = run.map(|run| self.runs.swap_remove(run).culprit);
+                    let sound = of_run.unwrap_or(culprit).is_none();
+                    self.wronged += usize::from(sound && refusal.code == Code::CrashesBackends);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn end(&mut self, run: &Run, end: End) {
+        let (request, attempt) = (run.request, run.attempt);
+        let ended = Event::Ended { request, attempt, end, events: Events::default() };
+        let effects = self.links.apply(run.vm, ended);
+        self.follow(run.vm, request, &run.text, run.culprit, &effects);
+    }
+
+    /// An engine's process ends: what runs there breaks, and its row goes later.
+    fn crash(&mut self, engine: &Name, culprit: Option<usize>) {
+        self.engines.remove(engine);
+        self.back.push(self.links.now + DOWN);
+        if let Some(culprit) = culprit {
+            self.ends[culprit].push(self.links.now);
+        }
+        let broken: Vec<Run> = self.runs.extract_if(.., |run| run.engine == *engine).collect();
+        for run in &broken {
+            self.end(run, End::Lost);
+        }
+        let vms: BTreeSet<usize> = broken.iter().map(|run| run.vm).collect();
+        for vm in vms {
+            for event in [
+                Event::Probed { engine: engine.clone(), reach: Reach::Closed },
+                Event::Witnessed { engine: engine.clone(), reach: Some(Reach::Closed) },
+            ] {
+                let effects = self.links.apply(vm, event);
+                self.follow(vm, Id(0), "", None, &effects);
+            }
+        }
+    }
+
+    /// Ten milliseconds.
+    fn tick(&mut self) {
+        self.links.pass(millis(10));
+        let now = self.links.now;
+        let due: Vec<usize> = (0..self.back.len()).filter(|at| self.back[*at] <= now).collect();
+        self.back.retain(|at| *at > now);
+        for _ in due {
+            self.start();
+        }
+        let fuse = |run: &Run| run.culprit.is_some() && now.since(run.begins) >= FUSE && run.begins <= now;
+        while let Some(run) = self.runs.iter().find(|run| fuse(run)).cloned() {
+            self.crash(&run.engine, run.culprit);
+        }
+        let first = |run: &Run| run.culprit.is_none() && !run.begun && now.since(run.begins) >= FIRST;
+        for at in 0..self.runs.len() {
+            if first(&self.runs[at]) {
+                self.runs[at].begun = true;
+                let (vm, request) = (self.runs[at].vm, self.runs[at].request);
+                self.links.feed(vm, Event::Began(request));
+            }
+        }
+        let over = |run: &mut Run| run.culprit.is_none() && now.since(run.begins) >= WHOLE;
+        let over: Vec<Run> = self.runs.extract_if(.., over).collect();
+        for run in &over {
+            self.end(run, End::Done);
+        }
+    }
+
+    /// A connection breaks, and its engine's port is open.
+    fn reset(&mut self) {
+        if self.runs.is_empty() {
+            return;
+        }
+        let at = self.rng.usize(..self.runs.len());
+        if self.runs[at].culprit.is_some() {
+            return;
+        }
+        let run = self.runs.swap_remove(at);
+        self.end(&run, End::Lost);
+        let probed = Event::Probed { engine: run.engine.clone(), reach: Reach::Open };
+        self.links.feed(run.vm, probed);
+    }
+
+    /// The store learns that engines are gone: that takes some seconds.
+    fn expire(&mut self) {
+        for number in 1..=self.named {
+            let id: Name = format!("w{number}").into();
+            let known = self.links.state(1).engines().any(|engine| engine.entry.id == id);
+            if known && !self.engines.contains(&id) {
+                self.version += 1;
+                let version = self.version;
+                (0..VMS)
+                    .for_each(|vm| self.links.feed(vm, listing(vec![removed(version, &id)], version, false)));
+            }
+        }
+    }
+}
+
+fn storm(seed: u64) {
+    let culprits = 1 + (seed % 3) as usize;
+    let mut world = World::new(seed, culprits);
+    let mut suspended: Option<(usize, Time)> = None;
+    for tick in 0..3_000_u32 {
+        let vm = world.rng.usize(..VMS);
+        let runs = suspended.is_none_or(|(at, _)| at != vm);
+        if runs && world.rng.f64() < 0.5 {
+            let text = format!("sound {tick}");
+            world.arrive(vm, &text, None);
+        }
+        if runs && tick > 200 && world.rng.f64() < 0.04 {
+            let culprit = world.rng.usize(..culprits);
+            world.arrive(vm, &format!("culprit {culprit}"), Some(culprit));
+        }
+        if world.rng.f64() < 0.02 {
+            world.reset();
+        }
+        if runs && vm != 0 && world.rng.f64() < 0.001 {
+            world.runs.retain(|run| run.vm != vm);
+            world.links.restart(vm);
+        }
+        match suspended {
+            None if world.rng.f64() < 0.002 => {
+                // The hub now and then.
+                let at = if world.rng.bool() { 0 } else { world.rng.usize(..VMS) };
+                world.links.suspend(at, true);
+                suspended = Some((at, world.links.now + Duration::from_secs(1)));
+            }
+            Some((at, until)) if world.links.now >= until => {
+                world.links.suspend(at, false);
+                suspended = None;
+            }
+            _ => {}
+        }
+        if tick % 300 == 0 {
+            world.expire();
+        }
+        world.tick();
+    }
+    for (culprit, ends) in world.ends.iter().enumerate() {
+        assert!(!ends.is_empty(), "seed {seed}: culprit {culprit} never came");
+        let Some(third) = ends.get(2) else { continue };
+        let later = ends.iter().filter(|end| **end > *third + CONTACT).count();
+        assert!(later <= LATER_MAX, "seed {seed}: {later} ends later, {} in all", ends.len());
+    }
+    let allowed = 5 + world.sound / 500;
+    assert!(world.wronged <= allowed, "seed {seed}: {} of {} refused", world.wronged, world.sound);
+}
+
+#[test]
+fn twenty_seeds() {
+    (0..20).for_each(storm);
+}
+
+/// By hand: `STORM_SEEDS=500 cargo test --release -p boragecove-fleet --test crash_storm more -- --ignored`.
+#[test]
+#[ignore = "takes minutes"]
+fn more_seeds() {
+    let seeds = std::env::var("STORM_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(200);
+    (20..20 + seeds).for_each(storm);
+}
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -122,7 +122,7 @@
     }
 
     /// An event at an entry VM, and what came of it.
-    fn apply(&mut self, at: usize, event: Event) -> Vec<Effect> {
+    pub fn apply(&mut self, at: usize, event: Event) -> Vec<Effect> {
         let effects = boragecove_fleet::apply(&mut self.vms[at].state, self.now, event);
         for effect in &effects {
             self.carry(at, effect.clone());
