Let a last copy that nobody asks for yield to a model whose callers wait in vain

Cause: last copies were kept wherever there is room for all models, also when further copies of others have taken that room: then one model is missing in any case, and it was the one that was asked for.

Change: callers that have waited in vain for 2 s get their model in place of a last copy that nobody has asked for lately, and that is the only case.

asked_for_without_slack passes as it was written; last_copy_stays and all_stay_where_there_is_room hold.

--- a/fleet/src/place.rs
+++ b/fleet/src/place.rs
@@ -29,6 +29,9 @@
 const MOVES_MAX: usize = 4;
 /// Time without a request after which a model counts as unused, and for which demand must have been watched.
 const UNUSED: Duration = Duration::from_secs(2);
+/// Time in vain after which callers of a model without any copy get one in place of the last copy of a model that nobody asks
+/// for, where further copies of others have taken the room that all models have: those callers are being refused.
+const OVERDUE: Duration = Duration::from_secs(2);
 /// Models in one line of the log.
 const MODELS_LOGGED: usize = 8;
 
@@ -134,12 +137,16 @@
     memory_mb: f64,
     /// What it is worth.
     lost: f64,
+    /// Whether it makes way only for a model whose callers have waited in vain for long.
+    only_overdue: bool,
 }
 
 impl Offer<'_> {
     /// The copy that is worth least of those that make enough room, and what it is worth.
-    fn victim(&self, memory_mb: f64) -> Option<(Option<&Name>, f64)> {
-        let enough = |victim: &&Victim<'_>| self.spot.free_mb + victim.memory_mb >= memory_mb;
+    fn victim(&self, memory_mb: f64, overdue: bool) -> Option<(Option<&Name>, f64)> {
+        let enough = |victim: &&Victim<'_>| {
+            (overdue || !victim.only_overdue) && self.spot.free_mb + victim.memory_mb >= memory_mb
+        };
         self.victims.iter().find(enough).map(|victim| (Some(victim.model), victim.lost))
     }
 }
@@ -238,10 +245,12 @@
         let waited_for = self.view.demand.get(model).is_some_and(|trend| trend.waiting > 0);
         // Where not all models have room, one that nobody asks for takes none from others.
         let spared = missing && !waited_for && (self.short || self.view.is_new_to_demand());
+        let overdue = missing && waited_for && self.worths.starved(model) >= OVERDUE;
         let mut best: Option<(f64, &Offer<'_>, Option<&Name>)> = None;
         for offer in offers {
             let spot = offer.spot;
-            let victim = if memory_mb <= spot.free_mb { Some((None, 0.0)) } else { offer.victim(memory_mb) };
+            let victim =
+                if memory_mb <= spot.free_mb { Some((None, 0.0)) } else { offer.victim(memory_mb, overdue) };
             let Some((drop, lost)) = victim.filter(|(drop, lost)| {
                 lost * GAIN <= worth && !(spared && drop.is_some()) && !spot.holds(model)
             }) else {
@@ -271,13 +280,15 @@
             if *phase != Phase::Ready {
                 continue;
             }
-            let lost = match self.tally.ready(model) {
-                ready @ 2.. => self.worths.further(model, ready - 1),
-                _ if !self.worths.names(model) => 0.0,
-                _ if self.short && !spot.young.contains(model) => self.worths.last(model),
+            let (lost, only_overdue) = match self.tally.ready(model) {
+                ready @ 2.. => (self.worths.further(model, ready - 1), false),
+                _ if !self.worths.names(model) => (0.0, false),
+                _ if spot.young.contains(model) => continue,
+                _ if self.short => (self.worths.last(model), false),
+                _ if self.worths.unused(model) => (self.worths.last(model), true),
                 _ => continue,
             };
-            victims.push(Victim { model, memory_mb: self.worths.memory_mb(model), lost });
+            victims.push(Victim { model, memory_mb: self.worths.memory_mb(model), lost, only_overdue });
         }
         victims.sort_by(|a, b| a.lost.total_cmp(&b.lost));
         victims
--- a/fleet/src/place/worth.rs
+++ b/fleet/src/place/worth.rs
@@ -113,6 +113,11 @@
         (UNSERVED * model.need).max(least)
     }
 
+    /// For how long callers of a model without any copy have waited in vain.
+    pub(crate) fn starved(&self, model: &Name) -> Duration {
+        self.model(model).starved
+    }
+
     /// Whether nobody has asked for a model for a while, though others were asked for.
     pub(crate) fn unused(&self, model: &Name) -> bool {
         self.model(model).unused
