Read a request's fingerprint with what else routing needs of it

The adapter has the target and the body, so that nobody has to fill the field in later. No change of behaviour.

--- a/daemon/src/entry/doors.rs
+++ b/daemon/src/entry/doors.rs
@@ -3,12 +3,11 @@
 use actix::Addr;
 use actix_http::StatusCode;
 use actix_http::header::{HOST, HeaderMap};
-use actix_http::uri::PathAndQuery;
 use actix_web::web::{self, Data, Payload, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use boragecove_core::code::Code;
 use boragecove_fleet::config::Limits;
-use boragecove_fleet::request::{Arrival, Fingerprint, Refusal};
+use boragecove_fleet::request::Refusal;
 use boragecove_platform::front;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -69,9 +68,7 @@
         Err(code) => return refuse(headers, code),
     };
     let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let target = request.uri().path_and_query().map_or("/", PathAndQuery::as_str);
-    let fingerprint = Fingerprint::of(host, target, &body);
-    let arrival = Arrival { fingerprint, ..front::arrival(host, request.path(), headers) };
+    let arrival = front::arrival(host, request.uri(), headers, &body);
     let content = Content {
         caller_id: front::caller_id(headers),
         resumes_after: front::resumes_after(headers),
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -9,7 +9,7 @@
 
 use crate::config::Route;
 use crate::flow::{COME_BACK, Flow, Stage};
-use crate::request::{Arrival, Fingerprint, Prompt, Refusal};
+use crate::request::{Arrival, Refusal};
 use crate::state::State;
 
 /// When a caller may come back to a process that has just started: by its log, it knows what it needs after 30 to 150 ms.
@@ -35,15 +35,11 @@
         return refuse(Code::NoBackend, Some(COME_BACK));
     };
     let runs_models = state.pool(&service).is_some();
-    let prompt = arrival.prompt;
-    if prompt.as_ref().is_some_and(|prompt| runs_models && !state.declared(&service, prompt)) {
+    if arrival.prompt.as_ref().is_some_and(|prompt| runs_models && !state.declared(&service, prompt)) {
         return refuse(Code::UnknownModel, None);
     }
     state.budget.request(now, &service, &state.settings);
-    let flow = Flow {
-        fingerprint: arrival.fingerprint,
-        ..open(state, now, route, service, prompt, arrival.patience)
-    };
+    let flow = open(state, now, route, service, arrival);
     if let Some(target) = flow.target() {
         state.demand.arrived(&target, flow.work);
     }
@@ -59,14 +55,8 @@
     !route.kind.streams() && state.stops_at.is_some_and(|stops_at| until < stops_at)
 }
 
-fn open(
-    state: &State,
-    now: Time,
-    route: Arc<Route>,
-    service: Name,
-    prompt: Option<Prompt>,
-    patience: Option<Duration>,
-) -> Flow {
+fn open(state: &State, now: Time, route: Arc<Route>, service: Name, arrival: Arrival) -> Flow {
+    let Arrival { patience, prompt, fingerprint, .. } = arrival;
     let deadline = now + patience.unwrap_or(route.timeout).min(route.timeout);
     let work = prompt
         .as_ref()
@@ -76,7 +66,7 @@
         route,
         service,
         prompt,
-        fingerprint: Fingerprint::default(),
+        fingerprint,
         arrived: now,
         deadline,
         work,
