Convict a prompt that ends three engines at once; end for all at once what clears a request

Burst: a crash counted only if the request was sent anew since the last that counted, so that a burst of the same prompt counted as one crash however many engines it ended, and the next burst, seconds later, ended as many again. Three model engines that end under it now convict as well. Calls of plain services are left out: a popular one runs at all engines of a service, which may fail together (crashes_at_once_are_one).

Cleared: what cleared a request was remembered for ten minutes from when each entry VM was told, and told anew to each that had forgotten it, without an end. It now carries the time that is left. A run that was sent before an answer cleared its request says nothing afterwards (older_runs_are_cleared_too).

The cases moved to crash/register.rs, how a port answers to engine.rs.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -18,7 +18,7 @@
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
-use boragecove_fleet::crash::Reach;
+use boragecove_fleet::engine::Reach;
 use bytes::{Bytes, BytesMut};
 use rustc_hash::FxHashMap;
 use thiserror::Error;
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -11,7 +11,7 @@
 use actix_web::HttpResponse;
 use actix_web::web::{self, Data, PayloadConfig, ServiceConfig};
 use boragecove_core::name::Name;
-use boragecove_fleet::crash::Reach;
+use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::push::Message;
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -6,37 +6,29 @@
 //! are told at once, down the trees of [`crate::push`]; who misses that learns of convictions from the hub's frames, or from
 //! the lease's row in the store.
 
-use std::collections::BTreeMap;
+mod register;
+
 use std::time::Duration;
 
 use boragecove_core::code::Code;
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
-use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 use crate::effect::Effect;
+use crate::engine::Reach;
 use crate::flow::{self, Stage};
 use crate::push;
-use crate::record::{Record, ms};
+use crate::record::Record;
 use crate::request::{Fingerprint, Id};
 use crate::state::State;
 
-/// Crashes, one after the other, that convict a request. A run that merely was beside the cause is sent anew to one of many
-/// engines, and is rarely beside it a second time before it answers.
-const CRASHES_MAX: u32 = 2;
-/// How long what speaks for or against a request is remembered if nothing more comes.
-const REMEMBERED: Duration = Duration::from_mins(10);
-/// How long a first conviction lasts: engines may be mended meanwhile. After it, one crash convicts.
-const CONVICTION: Duration = Duration::from_mins(10);
-/// By how much longer each further conviction lasts.
-const CONVICTION_GROWTH: u32 = 6;
-/// The longest conviction.
-const CONVICTION_MAX: Duration = Duration::from_hours(24);
+pub use register::Register;
+
+use register::{Loss, REMEMBERED, Run};
+
 /// Other entry VMs that are asked whether an engine has crashed, at most: some may have gone, or be cut off.
 const WITNESSES_MAX: usize = 3;
-/// Requests that something is known of, at most: an attacker needs a crash for each.
-const CASES_MAX: usize = 256;
 /// Runs that wait for the word whether their engine has crashed, at most; and those told of in one message.
 const LOSSES_MAX: usize = 64;
 
@@ -57,10 +49,12 @@
 }
 
 /// A run that an engine's crash broke before its answer began.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
     /// What was run.
     pub request: Fingerprint,
+    /// The engine, if it runs models.
+    pub engine: Option<Name>,
     /// Time since it was sent there.
     pub sent: Duration,
     /// Time since it broke.
@@ -87,7 +81,10 @@
         times: u32,
     },
     /// An engine has answered it.
-    Cleared,
+    Cleared {
+        /// For how much longer older verdicts are not believed.
+        left: Duration,
+    },
 }
 
 /// A conviction, as it is kept in the store.
@@ -101,187 +98,6 @@
     pub times: u32,
 }
 
-/// How the port of an engine answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Reach {
-    /// A connection can be opened.
-    Open,
-    /// The connection is refused: the engine's process has ended, or something on the way refuses in its place.
-    Closed,
-    /// Nothing comes back, as across a partition.
-    Silent,
-}
-
-/// What is known of a request.
-#[derive(Clone, Copy, Debug, Default)]
-struct Case {
-    /// Crashes that count.
-    crashes: u32,
-    /// Only runs that were sent after that count.
-    since: Time,
-    /// How often it was convicted.
-    times: u32,
-    /// Until when it is not sent to engines.
-    convicted_until: Option<Time>,
-    /// Whether an engine has answered it, and no crash has counted since.
-    cleared: bool,
-    /// When all this is forgotten.
-    forget_at: Time,
-}
-
-impl Case {
-    fn is_convicted(&self, now: Time) -> bool {
-        self.convicted_until.is_some_and(|until| now < until)
-    }
-
-    fn convict(&mut self, now: Time, left: Duration, times: u32) {
-        self.times = self.times.max(times);
-        self.cleared = false;
-        self.convicted_until = Some(now + left);
-        self.forget_at = now + left + left.max(REMEMBERED);
-    }
-
-    /// What is certain of it; none if nothing is.
-    fn ruling(&self, now: Time) -> Option<Ruling> {
-        match self.convicted_until.filter(|until| now < *until) {
-            Some(until) => Some(Ruling::Convicted { left: until.since(now), times: self.times }),
-            None => self.cleared.then_some(Ruling::Cleared),
-        }
-    }
-}
-
-/// Runs that broke at an engine, while it is not known whether it has crashed.
-#[derive(Clone, Debug, Default)]
-struct Loss {
-    runs: Vec<Run>,
-    /// This entry VM, and others that were asked.
-    asked: Vec<Name>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Run {
-    request: Fingerprint,
-    sent: Time,
-    broke: Time,
-}
-
-/// What a process knows of requests that crash engines.
-#[derive(Debug, Default)]
-pub struct Register {
-    cases: FxHashMap<Fingerprint, Case>,
-    losses: BTreeMap<Name, Loss>,
-    /// The hub's digest of what is certain, as it said last.
-    hub_digest: u64,
-}
-
-impl Register {
-    /// Whether a request is not to be sent to engines.
-    pub(crate) fn is_convicted(&self, request: Fingerprint, now: Time) -> bool {
-        self.cases.get(&request).is_some_and(|case| case.is_convicted(now))
-    }
-
-    /// Whether an engine has crashed under a request that none has answered since.
-    pub(crate) fn is_suspected(&self, request: Fingerprint) -> bool {
-        self.cases.get(&request).is_some_and(|case| case.crashes > 0)
-    }
-
-    /// Requests that are not sent to engines.
-    #[must_use]
-    pub fn convicted(&self, now: Time) -> usize {
-        self.cases.values().filter(|case| case.is_convicted(now)).count()
-    }
-
-    /// The convictions as they are kept in the store, whose clock shows at most `store_ms` now.
-    pub(crate) fn kept(&self, now: Time, store_ms: u64) -> Vec<Conviction> {
-        let convicted = self.cases.iter().filter(|(_, case)| case.is_convicted(now));
-        let kept = convicted.map(|(request, case)| Conviction {
-            request: *request,
-            until_ms: store_ms + case.convicted_until.map_or(0, |until| ms(until.since(now))),
-            times: case.times,
-        });
-        kept.collect()
-    }
-
-    /// All that is certain.
-    fn verdicts(&self, now: Time) -> Vec<Verdict> {
-        let ruled = |(request, case): (&Fingerprint, &Case)| {
-            case.ruling(now).map(|ruling| Verdict { request: *request, ruling })
-        };
-        self.cases.iter().filter_map(ruled).collect()
-    }
-
-    /// A number that is the same for all who are certain of the same; 0 for nothing.
-    pub(crate) fn digest(&self, now: Time) -> u64 {
-        let ruled = self.cases.iter().filter_map(|(request, case)| Some((request, case.ruling(now)?)));
-        ruled.fold(0, |sum, (request, ruling)| sum ^ request.digest(ruling == Ruling::Cleared))
-    }
-
-    /// What another is to be told whose digest this is.
-    pub(crate) fn verdicts_beyond(&self, digest: u64, now: Time) -> Vec<Verdict> {
-        if digest == self.digest(now) { Vec::new() } else { self.verdicts(now) }
-    }
-
-    /// What the hub is to be told.
-    pub(crate) fn verdicts_for_hub(&self, now: Time) -> Vec<Verdict> {
-        self.verdicts_beyond(self.hub_digest, now)
-    }
-
-    /// The hub's digest.
-    pub(crate) const fn hear_digest(&mut self, digest: u64) {
-        self.hub_digest = digest;
-    }
-
-    /// The case of a request; where there are too many, the one that would be forgotten first makes way.
-    fn case(&mut self, request: Fingerprint, now: Time) -> &mut Case {
-        self.cases.retain(|_, case| now < case.forget_at);
-        if self.cases.len() >= CASES_MAX && !self.cases.contains_key(&request) {
-            let first = self.cases.iter().min_by_key(|(request, case)| (case.forget_at, **request));
-            if let Some(first) = first.map(|(request, _)| *request) {
-                self.cases.remove(&first);
-            }
-        }
-        let case = self.cases.entry(request).or_default();
-        case.forget_at = case.forget_at.max(now + REMEMBERED);
-        case
-    }
-
-    /// A crash broke a run that was sent at `sent`. Returns whether that convicts its request.
-    fn count(&mut self, request: Fingerprint, sent: Time, broke: Time, now: Time) -> bool {
-        let case = self.case(request, now);
-        if case.is_convicted(now) || sent < case.since {
-            return false;
-        }
-        case.crashes += 1;
-        case.since = broke;
-        case.cleared = false;
-        if case.crashes < CRASHES_MAX && case.times == 0 {
-            return false;
-        }
-        let left = CONVICTION.saturating_mul(CONVICTION_GROWTH.saturating_pow(case.times));
-        let times = case.times + 1;
-        case.convict(now, left.min(CONVICTION_MAX), times);
-        true
-    }
-
-    /// Takes over a verdict. Returns whether it convicts a request that was not convicted.
-    fn rule(&mut self, Verdict { request, ruling }: Verdict, now: Time) -> bool {
-        let case = self.case(request, now);
-        match ruling {
-            Ruling::Convicted { left, times } => {
-                let new = !case.cleared && !case.is_convicted(now);
-                if new {
-                    case.convict(now, left.min(CONVICTION_MAX), times);
-                }
-                new
-            }
-            Ruling::Cleared => {
-                *case = Case { since: now, cleared: true, forget_at: now + REMEMBERED, ..Case::default() };
-                false
-            }
-        }
-    }
-}
-
 /// A request's connection broke before its answer began. Whether the engine has crashed is seen by its port: a
 /// connection may break for other reasons.
 pub(crate) fn lost(state: &mut State, now: Time, id: Id, engine: &Name, sent: Time, out: &mut Vec<Effect>) {
@@ -356,11 +172,17 @@
     let Some(loss) = state.crashes.losses.remove(engine) else {
         return;
     };
-    let suspect =
-        |run: &Run| Suspect { request: run.request, sent: now.since(run.sent), broke: now.since(run.broke) };
+    let service = state.engines.get(engine).map(|known| &known.entry.service);
+    let runs_models = service.is_some_and(|service| state.pool(service).is_some());
+    let suspect = |run: &Run| Suspect {
+        request: run.request,
+        engine: runs_models.then(|| engine.clone()),
+        sent: now.since(run.sent),
+        broke: now.since(run.broke),
+    };
     let suspects: Vec<Suspect> = loss.runs.iter().map(suspect).collect();
     for suspect in &suspects {
-        take_suspect(state, now, *suspect, Some(engine), out);
+        take_suspect(state, now, suspect, Some(engine), out);
     }
     push::tell(state, News { suspects, verdicts: Vec::new() }, out);
 }
@@ -371,14 +193,14 @@
     if !against {
         return;
     }
-    let verdict = Verdict { request, ruling: Ruling::Cleared };
+    let verdict = Verdict { request, ruling: Ruling::Cleared { left: REMEMBERED } };
     take_verdict(state, now, verdict, out);
     push::tell(state, News::of(vec![verdict]), out);
 }
 
 /// Another entry VM told what it knows.
 pub(crate) fn told(state: &mut State, now: Time, news: News, out: &mut Vec<Effect>) {
-    for suspect in news.suspects {
+    for suspect in &news.suspects {
         take_suspect(state, now, suspect, None, out);
     }
     for verdict in news.verdicts {
@@ -404,12 +226,12 @@
 fn take_suspect(
     state: &mut State,
     now: Time,
-    suspect: Suspect,
+    suspect: &Suspect,
     engine: Option<&Name>,
     out: &mut Vec<Effect>,
 ) {
-    let Suspect { request, sent, broke } = suspect;
-    let convicts = state.crashes.count(request, now - sent, now - broke, now);
+    let request = suspect.request;
+    let convicts = state.crashes.count(suspect, now);
     note(state, request, if convicts { "convicted" } else { "suspected" }, engine, out);
     if convicts {
         enforce(state, now, request, out);
@@ -419,7 +241,7 @@
 fn take_verdict(state: &mut State, now: Time, verdict: Verdict, out: &mut Vec<Effect>) {
     let convicts = state.crashes.rule(verdict, now);
     match verdict.ruling {
-        Ruling::Cleared => note(state, verdict.request, "cleared", None, out),
+        Ruling::Cleared { .. } => note(state, verdict.request, "cleared", None, out),
         Ruling::Convicted { .. } if convicts => {
             note(state, verdict.request, "told", None, out);
             enforce(state, now, verdict.request, out);
@@ -447,7 +269,7 @@
     engine: Option<&Name>,
     out: &mut Vec<Effect>,
 ) {
-    let crashes = state.crashes.cases.get(&request).map_or(0, |case| case.crashes);
+    let crashes = state.crashes.crashes(request);
     let fingerprint = request.to_string();
     out.push(Effect::Record(Record::Crash { fingerprint, state: label, engine: engine.cloned(), crashes }));
 }
--- /dev/null
+++ b/fleet/src/crash/register.rs
@@ -0,0 +1,219 @@
+//! What is known of each request under which engines have crashed, and when that convicts it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use rustc_hash::FxHashMap;
+
+use super::{Conviction, Ruling, Suspect, Verdict};
+use crate::record::ms;
+use crate::request::Fingerprint;
+
+/// Crashes, one after the other, that convict a request. A run that merely was beside the cause is sent anew to one of many
+/// engines, and is rarely beside it a second time before it answers.
+const CRASHES_MAX: u32 = 2;
+/// Engines that a request of theirs must have ended at once to be convicted, none of them after another's end was known.
+/// Calls of plain services are left out: a popular one runs at many engines, and all may fail together.
+const BURST_MAX: usize = 3;
+/// How long what speaks for or against a request is remembered if nothing more comes.
+pub(super) const REMEMBERED: Duration = Duration::from_mins(10);
+/// How long a first conviction lasts: engines may be mended meanwhile. After it, one crash convicts.
+const CONVICTION: Duration = Duration::from_mins(10);
+/// By how much longer each further conviction lasts.
+const CONVICTION_GROWTH: u32 = 6;
+/// The longest conviction.
+const CONVICTION_MAX: Duration = Duration::from_hours(24);
+/// Requests that something is known of, at most: an attacker needs a crash for each.
+const CASES_MAX: usize = 256;
+
+/// What is known of a request.
+#[derive(Clone, Debug, Default)]
+struct Case {
+    /// Crashes that count.
+    crashes: u32,
+    /// Model engines that have crashed under it.
+    engines: Vec<Name>,
+    /// Only runs that were sent after that count.
+    since: Time,
+    /// How often it was convicted.
+    times: u32,
+    /// Until when it is not sent to engines.
+    convicted_until: Option<Time>,
+    /// Whether an engine has answered it, and no crash has counted since.
+    cleared: bool,
+    /// When all this is forgotten.
+    forget_at: Time,
+}
+
+impl Case {
+    fn is_convicted(&self, now: Time) -> bool {
+        self.convicted_until.is_some_and(|until| now < until)
+    }
+
+    fn convict(&mut self, now: Time, left: Duration, times: u32) {
+        self.times = self.times.max(times);
+        self.cleared = false;
+        self.convicted_until = Some(now + left);
+        self.forget_at = now + left + left.max(REMEMBERED);
+    }
+
+    /// What is certain of it; none if nothing is.
+    fn ruling(&self, now: Time) -> Option<Ruling> {
+        match self.convicted_until.filter(|until| now < *until) {
+            Some(until) => Some(Ruling::Convicted { left: until.since(now), times: self.times }),
+            None if self.cleared && now < self.forget_at => {
+                Some(Ruling::Cleared { left: self.forget_at.since(now) })
+            }
+            None => None,
+        }
+    }
+}
+
+/// Runs that broke at an engine, while it is not known whether it has crashed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Loss {
+    pub(super) runs: Vec<Run>,
+    /// This entry VM, and others that were asked.
+    pub(super) asked: Vec<Name>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run {
+    pub(super) request: Fingerprint,
+    pub(super) sent: Time,
+    pub(super) broke: Time,
+}
+
+/// What a process knows of requests that crash engines.
+#[derive(Debug, Default)]
+pub struct Register {
+    cases: FxHashMap<Fingerprint, Case>,
+    pub(super) losses: BTreeMap<Name, Loss>,
+    /// The hub's digest of what is certain, as it said last.
+    hub_digest: u64,
+}
+
+impl Register {
+    /// Whether a request is not to be sent to engines.
+    pub(crate) fn is_convicted(&self, request: Fingerprint, now: Time) -> bool {
+        self.cases.get(&request).is_some_and(|case| case.is_convicted(now))
+    }
+
+    /// Whether an engine has crashed under a request that none has answered since.
+    pub(crate) fn is_suspected(&self, request: Fingerprint) -> bool {
+        self.cases.get(&request).is_some_and(|case| case.crashes > 0)
+    }
+
+    /// Requests that are not sent to engines.
+    #[must_use]
+    pub fn convicted(&self, now: Time) -> usize {
+        self.cases.values().filter(|case| case.is_convicted(now)).count()
+    }
+
+    /// The convictions as they are kept in the store, whose clock shows at most `store_ms` now.
+    pub(crate) fn kept(&self, now: Time, store_ms: u64) -> Vec<Conviction> {
+        let convicted = self.cases.iter().filter(|(_, case)| case.is_convicted(now));
+        let kept = convicted.map(|(request, case)| Conviction {
+            request: *request,
+            until_ms: store_ms + case.convicted_until.map_or(0, |until| ms(until.since(now))),
+            times: case.times,
+        });
+        kept.collect()
+    }
+
+    /// All that is certain.
+    fn verdicts(&self, now: Time) -> Vec<Verdict> {
+        let ruled = |(request, case): (&Fingerprint, &Case)| {
+            case.ruling(now).map(|ruling| Verdict { request: *request, ruling })
+        };
+        self.cases.iter().filter_map(ruled).collect()
+    }
+
+    /// A number that is the same for all who are certain of the same; 0 for nothing.
+    pub(crate) fn digest(&self, now: Time) -> u64 {
+        let ruled = self.cases.iter().filter_map(|(request, case)| Some((request, case.ruling(now)?)));
+        let cleared = |ruling| matches!(ruling, Ruling::Cleared { .. });
+        ruled.fold(0, |sum, (request, ruling)| sum ^ request.digest(cleared(ruling)))
+    }
+
+    /// What another is to be told whose digest this is.
+    pub(crate) fn verdicts_beyond(&self, digest: u64, now: Time) -> Vec<Verdict> {
+        if digest == self.digest(now) { Vec::new() } else { self.verdicts(now) }
+    }
+
+    /// What the hub is to be told.
+    pub(crate) fn verdicts_for_hub(&self, now: Time) -> Vec<Verdict> {
+        self.verdicts_beyond(self.hub_digest, now)
+    }
+
+    /// The hub's digest.
+    pub(crate) const fn hear_digest(&mut self, digest: u64) {
+        self.hub_digest = digest;
+    }
+
+    /// The case of a request; where there are too many, the one that would be forgotten first makes way.
+    fn case(&mut self, request: Fingerprint, now: Time) -> &mut Case {
+        self.cases.retain(|_, case| now < case.forget_at);
+        if self.cases.len() >= CASES_MAX && !self.cases.contains_key(&request) {
+            let first = self.cases.iter().min_by_key(|(request, case)| (case.forget_at, **request));
+            if let Some(first) = first.map(|(request, _)| *request) {
+                self.cases.remove(&first);
+            }
+        }
+        self.cases.entry(request).or_default()
+    }
+
+    /// A crash broke a run. Returns whether that convicts its request.
+    pub(super) fn count(&mut self, suspect: &Suspect, now: Time) -> bool {
+        let case = self.case(suspect.request, now);
+        let again = now - suspect.sent >= case.since;
+        if case.is_convicted(now) || (case.cleared && !again) {
+            return false;
+        }
+        case.forget_at = case.forget_at.max(now + REMEMBERED);
+        if let Some(engine) = suspect.engine.as_ref().filter(|engine| !case.engines.contains(engine)) {
+            case.engines.push(engine.clone());
+        }
+        case.cleared = false;
+        if again {
+            case.crashes += 1;
+            case.since = now - suspect.broke;
+        }
+        let relapse = again && case.times > 0;
+        if case.crashes < CRASHES_MAX && case.engines.len() < BURST_MAX && !relapse {
+            return false;
+        }
+        let left = CONVICTION.saturating_mul(CONVICTION_GROWTH.saturating_pow(case.times));
+        let times = case.times + 1;
+        case.convict(now, left.min(CONVICTION_MAX), times);
+        true
+    }
+
+    /// Takes over a verdict. Returns whether it convicts a request that was not convicted.
+    pub(super) fn rule(&mut self, Verdict { request, ruling }: Verdict, now: Time) -> bool {
+        let case = self.case(request, now);
+        match ruling {
+            Ruling::Convicted { left, times } => {
+                let new = !case.cleared && !case.is_convicted(now);
+                if new {
+                    case.convict(now, left.min(CONVICTION_MAX), times);
+                }
+                new
+            }
+            // It ends for all at the same time: to be told of it again does not prolong it.
+            Ruling::Cleared { left } if !case.cleared => {
+                let forget_at = now + left.min(REMEMBERED);
+                *case = Case { since: now, cleared: true, forget_at, ..Case::default() };
+                false
+            }
+            Ruling::Cleared { .. } => false,
+        }
+    }
+
+    /// Crashes that count against a request.
+    pub(super) fn crashes(&self, request: Fingerprint) -> u32 {
+        self.cases.get(&request).map_or(0, |case| case.crashes)
+    }
+}
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -261,6 +261,17 @@
     }
 }
 
+/// How the port of an engine answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reach {
+    /// A connection can be opened.
+    Open,
+    /// The connection is refused: the engine's process has ended, or something on the way refuses in its place.
+    Closed,
+    /// Nothing comes back, as across a partition.
+    Silent,
+}
+
 /// How far an engine is trusted.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -5,7 +5,7 @@
 use boragecove_core::name::Name;
 
 use crate::config::Config;
-use crate::crash::Reach;
+use crate::engine::Reach;
 use crate::engine::{Incarnation, Row};
 use crate::frame::{Frame, Reply};
 use crate::lease;
--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -3,8 +3,9 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
-use crate::crash::{self, Reach};
+use crate::crash;
 use crate::effect::Effect;
+use crate::engine::Reach;
 use crate::flow;
 use crate::record::Record;
 use crate::settings::Mechanism;
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -12,8 +12,9 @@
 use std::time::Duration;
 
 use boragecove_core::code::Code;
-use boragecove_fleet::crash::{Conviction, Reach, Ruling, Verdict};
+use boragecove_fleet::crash::{Conviction, Ruling, Verdict};
 use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::{self, Outcome};
@@ -139,6 +140,21 @@
     node.sent(body("beside"));
 }
 
+/// What was sent before an answer cleared it says nothing afterwards, whatever becomes of its engine.
+#[test]
+fn older_runs_are_cleared_too() {
+    let mut node = Node::ready("a");
+    crash_under(&mut node, body("x"));
+    let (older, at_older) = node.sent(body("x"));
+    let (id, attempt) = node.sent(body("x"));
+    node.pass(millis(20));
+    node.ended(id, attempt.number, End::Done);
+    crash(&mut node, older, &at_older);
+    mend(&mut node);
+    crash_under(&mut node, body("x"));
+    assert_eq!(convicted(&node), 0);
+}
+
 /// A request that crashes engines never begins to answer: a stream that has begun is another's victim.
 #[test]
 fn begun_streams_are_victims() {
@@ -246,6 +262,29 @@
     node.sent(plain("/ack/1"));
 }
 
+/// The same prompt comes several times at once, and each ends an engine: three of them convict it, though none was sent after
+/// another's end. Else the next such burst would end as many again, however much later it comes.
+#[test]
+fn burst_convicts() {
+    let mut node = Node::ready("a");
+    let more = (5..8).map(|at| row(at, entry(&format!("w{at}"), WRITER, "zone-a", &["m0"])));
+    node.feed(listing(more.collect(), 8, false));
+    let mut burst: Vec<(Id, Attempt)> = Vec::new();
+    for _ in 0..60 {
+        let (id, attempt) = node.sent(body("x"));
+        if burst.iter().all(|(_, other)| other.engine != attempt.engine) {
+            burst.push((id, attempt));
+        }
+    }
+    assert!(burst.len() >= 3, "they are spread");
+    for (id, attempt) in &burst[..2] {
+        crash(&mut node, *id, attempt);
+    }
+    assert_eq!(convicted(&node), 0);
+    crash(&mut node, burst[2].0, &burst[2].1);
+    assert_eq!(convicted(&node), 1);
+}
+
 /// Under a request that may be repeated a second engine breaks: before that is known for a crash, no third one gets it.
 #[test]
 fn no_repeat_in_doubt() {
@@ -413,11 +452,17 @@
         |ruling| Frame { vm: "b".into(), verdicts: vec![Verdict { request, ruling }], ..Frame::default() };
     hub.feed(Event::Framed(Box::new(frame(convicted))));
     hub.refused(body("x"));
-    hub.feed(Event::Framed(Box::new(frame(Ruling::Cleared))));
+    let cleared = Ruling::Cleared { left: Duration::from_mins(4) };
+    hub.feed(Event::Framed(Box::new(frame(cleared))));
     hub.feed(Event::Framed(Box::new(frame(convicted))));
     hub.sent(body("x"));
     let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(convicted));
-    assert_eq!(told.verdicts, [Verdict { request, ruling: Ruling::Cleared }]);
+    assert_eq!(told.verdicts, [Verdict { request, ruling: cleared }]);
+    hub.pass(Duration::from_mins(3));
+    hub.feed(Event::Framed(Box::new(frame(cleared))));
+    hub.pass(Duration::from_mins(2));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(convicted));
+    assert_eq!(told.digest, 0, "to be told again does not prolong it");
 }
 
 /// 295 entry VMs, nine in ten of them with small links, and their hub suspended: two of them see a crash each.
--- a/fleet/tests/engine_choice.rs
+++ b/fleet/tests/engine_choice.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use boragecove_core::code::Code;
-use boragecove_fleet::crash::Reach;
 use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::Reach;
 use boragecove_fleet::engine::{Held, Incarnation};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::order::{Receipt, Report};
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use boragecove_fleet::crash::Reach;
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::Load;
+use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{EngineLoad, Frame, Reply};
 use boragecove_fleet::lease::{Call, Outcome};
--- a/fleet/tests/request_attempts.rs
+++ b/fleet/tests/request_attempts.rs
@@ -3,7 +3,7 @@
 mod node;
 
 use boragecove_core::code::Code;
-use boragecove_fleet::crash::Reach;
+use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::request::{Attempt, Cause, End, Id, Refusal, Step};
 use boragecove_fleet::settings::Settings;
