Lead from a refused request to the crashes that convicted it

A caller whose request ends with code 109 has its id, and the log had the crashes by fingerprint only. The crash lines now bear the request that they are about (its own run, its refusal, or its withdrawal), and `boragecoved explain` also shows the lines of others that ask the same, until the request's end. Test crashes_before.

--- a/daemon/src/cmd/explain.rs
+++ b/daemon/src/cmd/explain.rs
@@ -27,12 +27,14 @@
     Ok(())
 }
 
-/// The lines of a request, and those on its engines from shortly before it until its end.
+/// The lines of a request, those on its engines from shortly before it until its end, and those on requests under which
+/// engines crashed that ask the same.
 fn story(id: &str, lines: Vec<Line>) -> Vec<Line> {
     let of_request = |line: &&Line| line.text("id") == Some(id);
     let own: Vec<&Line> = lines.iter().filter(of_request).collect();
     let engine = |line: &Line| line.text("engine").map(str::to_owned);
     let engines: BTreeSet<String> = own.iter().filter_map(|line| engine(line)).collect();
+    let asked = own.iter().find_map(|line| line.text("fingerprint")).map(str::to_owned);
     let first = own.iter().map(|line| line.at).min().unwrap_or_default();
     let last = own.iter().map(|line| line.at).max().unwrap_or_default();
     let mut story: Vec<Line> = lines
@@ -41,7 +43,9 @@
             let named = line.text("id");
             let on_engine = engine(line).is_some_and(|engine| engines.contains(&engine));
             let close = line.at + BEFORE_US >= first && line.at <= last;
+            let alike = asked.is_some() && line.text("fingerprint") == asked.as_deref();
             named == Some(id)
+                || (alike && line.at <= last)
                 || (named.is_none() && on_engine && close && !line.content.contains_key("request"))
         })
         .collect();
--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -109,6 +109,7 @@
             | Record::Began { request, .. }
             | Record::Ended { request, .. }
             | Record::Refused { request, .. } => Some(Id(*request)),
+            Record::Crash { request, .. } => request.map(Id),
             _ => None,
         };
         self.line(now, request, record);
--- a/daemon/tests/explain_request.rs
+++ b/daemon/tests/explain_request.rs
@@ -15,6 +15,14 @@
 {"at":9000000,"vm":"entry-b","decision":"engine","engine":"i-1","service":"w","state":"well","version":3}
 "#;
 
+const CRASHES: &str = r#"
+{"at":1000000,"vm":"entry-a","id":"r3","decision":"crash","request":1,"fingerprint":"ab","state":"suspected","engine":"i-1","crashes":1}
+{"at":1500000,"vm":"entry-a","id":"r8","decision":"crash","request":9,"fingerprint":"cd","state":"suspected","engine":"i-9","crashes":1}
+{"at":2000000,"vm":"entry-b","id":"r4","decision":"crash","request":2,"fingerprint":"ab","state":"convicted","engine":"i-2","crashes":2}
+{"at":9000000,"vm":"entry-c","id":"r5","decision":"crash","request":7,"fingerprint":"ab","state":"refused","engine":null,"crashes":2}
+{"at":9000001,"vm":"entry-c","id":"r5","decision":"refused","request":7,"code":109,"label":"crashes_backends","outcome":"not-run"}
+"#;
+
 fn explain(id: &str, input: &str) -> (Option<i32>, String, String) {
     command::run(&["explain", id], input)
 }
@@ -31,6 +39,18 @@
     assert!(!out.contains("9.0"), "another request's: {out}");
 }
 
+/// Of a request that was refused since it crashes engines, also the crashes under others that ask the same are shown.
+#[test]
+fn crashes_before() {
+    let (code, out, _) = explain("r5", CRASHES);
+    assert_eq!(code, Some(0));
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(lines.len(), 4, "{out}");
+    assert!(lines[0].contains("suspected") && lines[0].contains("i-1"), "{out}");
+    assert!(lines[1].contains("convicted") && lines[1].contains("i-2"), "{out}");
+    assert!(!out.contains("i-9"), "another request's: {out}");
+}
+
 #[test]
 fn no_such_request() {
     let (code, _, error) = explain("r9", LINES);
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -116,7 +116,7 @@
         out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
         Loss { runs: Vec::new(), asked: vec![state.me.vm.clone()] }
     });
-    loss.runs.push(Run { request, sent, broke: now });
+    loss.runs.push(Run { id, request, sent, broke: now });
 }
 
 /// An engine's port was tried from here. A refused connection may be the work of a partition, so that another entry VM is
@@ -181,12 +181,17 @@
         broke: now.since(run.broke),
     };
     let suspects: Vec<Suspect> = loss.runs.iter().map(suspect).collect();
-    for suspect in &suspects {
-        take_suspect(state, now, suspect, Some(engine), out);
+    for (run, suspect) in loss.runs.iter().zip(&suspects) {
+        take_suspect(state, now, suspect, Some((run.id, engine)), out);
     }
     push::tell(state, News { suspects, verdicts: Vec::new() }, out);
 }
 
+/// A request is refused since it is like one that was convicted.
+pub(crate) fn refused(state: &State, id: Id, request: Fingerprint, out: &mut Vec<Effect>) {
+    note(state, request, "refused", Some(id), None, out);
+}
+
 /// An engine answered a request: it did not crash under it.
 pub(crate) fn answered(state: &mut State, now: Time, request: Fingerprint, out: &mut Vec<Effect>) {
     let against = state.crashes.is_suspected(request) || state.crashes.is_convicted(request, now);
@@ -223,16 +228,19 @@
     }
 }
 
+/// `own`: the run here and its engine; none if another entry VM tells.
 fn take_suspect(
     state: &mut State,
     now: Time,
     suspect: &Suspect,
-    engine: Option<&Name>,
+    own: Option<(Id, &Name)>,
     out: &mut Vec<Effect>,
 ) {
     let request = suspect.request;
     let convicts = state.crashes.count(suspect, now);
-    note(state, request, if convicts { "convicted" } else { "suspected" }, engine, out);
+    let label = if convicts { "convicted" } else { "suspected" };
+    let (id, engine) = own.unzip();
+    note(state, request, label, id, engine, out);
     if convicts {
         enforce(state, now, request, out);
     }
@@ -241,9 +249,9 @@
 fn take_verdict(state: &mut State, now: Time, verdict: Verdict, out: &mut Vec<Effect>) {
     let convicts = state.crashes.rule(verdict, now);
     match verdict.ruling {
-        Ruling::Cleared { .. } => note(state, verdict.request, "cleared", None, out),
+        Ruling::Cleared { .. } => note(state, verdict.request, "cleared", None, None, out),
         Ruling::Convicted { .. } if convicts => {
-            note(state, verdict.request, "told", None, out);
+            note(state, verdict.request, "told", None, None, out);
             enforce(state, now, verdict.request, out);
         }
         Ruling::Convicted { .. } => {}
@@ -258,6 +266,7 @@
     let mut like: Vec<Id> = like.map(|(id, _)| *id).collect();
     like.sort_unstable();
     for id in like {
+        refused(state, id, request, out);
         flow::give_up(state, now, id, Code::CrashesBackends, None, out);
     }
 }
@@ -266,10 +275,12 @@
     state: &State,
     request: Fingerprint,
     label: &'static str,
+    id: Option<Id>,
     engine: Option<&Name>,
     out: &mut Vec<Effect>,
 ) {
     let crashes = state.crashes.crashes(request);
-    let fingerprint = request.to_string();
-    out.push(Effect::Record(Record::Crash { fingerprint, state: label, engine: engine.cloned(), crashes }));
+    let (fingerprint, engine) = (request.to_string(), engine.cloned());
+    let request = id.map(|id| id.0);
+    out.push(Effect::Record(Record::Crash { request, fingerprint, state: label, engine, crashes }));
 }
--- a/fleet/src/crash/register.rs
+++ b/fleet/src/crash/register.rs
@@ -9,7 +9,7 @@
 
 use super::{Conviction, Ruling, Suspect, Verdict};
 use crate::record::ms;
-use crate::request::Fingerprint;
+use crate::request::{Fingerprint, Id};
 
 /// Crashes, one after the other, that convict a request. A run that merely was beside the cause is sent anew to one of many
 /// engines, and is rarely beside it a second time before it answers.
@@ -81,6 +81,7 @@
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Run {
+    pub(super) id: Id,
     pub(super) request: Fingerprint,
     pub(super) sent: Time,
     pub(super) broke: Time,
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -11,6 +11,7 @@
 use crate::admit;
 use crate::choose::{self, Choice, Pick, Query};
 use crate::config::Route;
+use crate::crash;
 use crate::demand::Target;
 use crate::effect::Effect;
 use crate::engine::{Engine, Load};
@@ -80,13 +81,19 @@
 
 /// A caller's request was read.
 pub(crate) fn arrive(state: &mut State, now: Time, id: Id, arrival: Arrival, out: &mut Vec<Effect>) {
+    let fingerprint = arrival.fingerprint;
     match admit::admit(state, now, arrival) {
         Ok(flow) => {
             state.timers.set(flow.deadline, Timer::Deadline(id));
             state.flows.insert(id, flow);
             dispatch(state, now, id, true, out);
         }
-        Err(Refusal { code, retry_after }) => reject(state, id, code, retry_after, out),
+        Err(Refusal { code, retry_after }) => {
+            if code == Code::CrashesBackends {
+                crash::refused(state, id, fingerprint, out);
+            }
+            reject(state, id, code, retry_after, out);
+        }
     }
 }
 
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -187,6 +187,8 @@
     },
     /// Something was learnt of a request under which engines crash.
     Crash {
+        /// The number of a request that is like it, here; none if another entry VM told of it.
+        request: Option<u64>,
         /// What the request asks, as a hash.
         fingerprint: String,
         /// What is believed of it now.
