Keep the word of an engine that is not listed when it says that it leaves

An engine whose entry lapsed around an outage goes on answering, and its word was dropped since there was no engine to note it at; back in the list with the entry from before, it was sent 20 of 20 calls (word_of_an_unlisted_engine, red before). The word is kept by id and start, whether the engine is listed or not; one without a start is not kept, as it could not be told from the next.

--- a/fleet/src/notice.rs
+++ b/fleet/src/notice.rs
@@ -80,28 +80,38 @@
 
 /// An answer of an engine said something of it.
 pub(crate) fn noticed(state: &mut State, now: Time, from: &Start, notice: Notice, out: &mut Vec<Effect>) {
-    let Some(known) = state.engines.get_mut(&from.engine) else {
-        return;
-    };
+    let listed = state.engines.get(&from.engine);
     // What an earlier start said is over.
-    if known.entry.incarnation != from.incarnation {
+    if listed.is_some_and(|known| known.entry.incarnation != from.incarnation) {
         return;
     }
     if notice.leaving && !state.departures.has(&from.engine, from.incarnation) {
-        let before = std::mem::replace(&mut known.entry.leaving, true);
-        let (service, version) = (known.entry.service.clone(), known.version);
-        state.departures.insert(from.engine.clone(), from.incarnation, now);
-        if !before {
-            let engine = from.engine.clone();
-            out.push(Effect::Record(Record::Engine { engine, service, state: "says_leaving", version }));
-        }
-        flow::withdraw(state, now, &from.engine, out);
+        keep_departure(state, now, from, out);
     }
     if let Some(pause) = notice.pause {
         keep_pause(state, now, &from.engine, pause.min(PAUSE_MAX), out);
     }
 }
 
+/// Sends an engine no more work. One that is not listed now may be back under the same start.
+fn keep_departure(state: &mut State, now: Time, from: &Start, out: &mut Vec<Effect>) {
+    let known = state.engines.get_mut(&from.engine);
+    if known.is_none() && from.incarnation.0.is_none() {
+        return;
+    }
+    state.departures.insert(from.engine.clone(), from.incarnation, now);
+    let Some(known) = known else {
+        return;
+    };
+    let before = std::mem::replace(&mut known.entry.leaving, true);
+    if !before {
+        let (service, version) = (known.entry.service.clone(), known.version);
+        let engine = from.engine.clone();
+        out.push(Effect::Record(Record::Engine { engine, service, state: "says_leaving", version }));
+    }
+    flow::withdraw(state, now, &from.engine, out);
+}
+
 /// Sends an engine nothing for as long as it wants.
 fn keep_pause(state: &mut State, now: Time, engine: &Name, pause: Duration, out: &mut Vec<Effect>) {
     let Some(known) = state.engines.get_mut(engine) else {
--- a/fleet/tests/engine_notices.rs
+++ b/fleet/tests/engine_notices.rs
@@ -58,6 +58,17 @@
     assert_eq!(reached(&mut node, "g1"), 0);
 }
 
+/// The word comes while the engine is not listed, as around an outage of the store.
+#[test]
+fn word_of_an_unlisted_engine() {
+    let mut node = Node::ready("a");
+    node.feed(listing(vec![row(10, born("g1", 1_000))], 10, false));
+    node.feed(listing(vec![removed(11, "g1")], 11, false));
+    leaves(&mut node, "g1", Some(1_000));
+    node.feed(listing(vec![row(12, born("g1", 1_000))], 12, false));
+    assert_eq!(reached(&mut node, "g1"), 0);
+}
+
 #[test]
 fn later_start_serves() {
     let mut node = Node::ready("a");
