Resume no stream of a request that was convicted

Found by reading: with the conviction, requests under way end but for those that an engine has begun to answer. When such a stream broke, it was taken up at another engine (nothing_is_resumed, red before). The check now stands where each way to an engine passes, besides at admission: retries, resumed streams, those that waited, and those that lost their place in a schedule.

--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -2,9 +2,9 @@
 //!
 //! An engine's end breaks every run there, and one of them may have caused it. A request is known by what it asks, not by
 //! its id, since it comes again with another, at any entry VM. One crash convicts nobody: it counts against each run that had
-//! not begun to answer, and counts again only if the request was sent anew since. An answer clears it. All entry VMs
-//! are told at once, down the trees of [`crate::push`]; who misses that learns of convictions from the hub's frames, or from
-//! the lease's row in the store.
+//! not begun to answer, and counts again only if the request was sent anew since; only a prompt that ends three engines at
+//! once is convicted without that. An answer clears it. All entry VMs are told at once, down the trees of [`crate::push`];
+//! who misses that learns of convictions from the hub's frames, or from the lease's row in the store.
 
 mod register;
 
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -122,6 +122,11 @@
     let Some(flow) = state.flows.get(&id) else {
         return;
     };
+    // Each way to an engine passes here: retries, resumed streams, and those that waited or lost their place in a schedule.
+    if state.crashes.is_convicted(flow.fingerprint, now) {
+        give_up(state, now, id, Code::CrashesBackends, None, out);
+        return;
+    }
     let (service, prompt, avoid) = (flow.service.clone(), flow.prompt.clone(), flow.avoid.clone());
     let query = Query {
         service: &service,
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -319,6 +319,22 @@
     node.sent(body("x"));
 }
 
+/// A stream that had begun breaks after the conviction: it is not taken up at another engine.
+#[test]
+fn nothing_is_resumed() {
+    let mut node = Node::ready("a");
+    let stream = || Arrival { fingerprint: body("x").fingerprint, ..streamed("/digest/1", "m0", None) };
+    let (begun, attempt) = node.sent(stream());
+    node.feed(Event::Began(begun));
+    crash_under(&mut node, body("x"));
+    crash_under(&mut node, body("x"));
+    assert_eq!(convicted(&node), 1);
+    let Some(Step::Refuse(refusal)) = node.ended(begun, attempt.number, End::Lost) else {
+        panic!("sent to another engine");
+    };
+    assert_eq!(refusal.code, Code::BackendFailed);
+}
+
 #[test]
 fn conviction_ends() {
     let mut node = Node::ready("a");
