Name what is kept of crashing requests as the field does

Quarantine for what stood as conviction, verdict and ruling, and indirect probe (SWIM) for the other entry VM that was called a witness; poison for a culprit in tests. The metric is boragecove_requests_quarantined.

--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -147,8 +147,13 @@
     gauge(registry, "engines_leaving", "Engines that take no more work", leaving);
     gauge(registry, "engines_suspected", "Engines that could not be reached or are silent", suspected);
     gauge(registry, "store_up", "Whether the platform's store answers", state.store_up().into());
-    let convicted = state.crashes().convicted(now);
-    gauge(registry, "requests_convicted", "Requests that crash engines, and are not sent to any", convicted);
+    let quarantined = state.crashes().quarantined(now);
+    gauge(
+        registry,
+        "requests_quarantined",
+        "Requests that crash engines, and are not sent to any",
+        quarantined,
+    );
     let held = state.lease().holds(now).is_some();
     gauge(registry, "lease_held", "Whether this process gives orders", held.into());
 }
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -187,9 +187,9 @@
                     Event::Probed { engine, reach }
                 });
             }
-            Effect::Witness { address, engine } => {
-                let asking = peers::witness(Rc::clone(&self.client), address, &engine);
-                later(ctx, async move { Event::Witnessed { engine, reach: asking.await } });
+            Effect::IndirectProbe { address, engine } => {
+                let asking = peers::probe(Rc::clone(&self.client), address, &engine);
+                later(ctx, async move { Event::ProbedIndirectly { engine, reach: asking.await } });
             }
             Effect::Record(record) => {
                 self.metrics.take(&record);
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -83,7 +83,7 @@
 
 /// Asks another entry VM how the port of an engine answers there. Returns none if it did not answer, or does not know the
 /// engine.
-pub(crate) fn witness(
+pub(crate) fn probe(
     client: Rc<Client>,
     address: SocketAddr,
     engine: &Name,
--- a/daemon/tests/explain_request.rs
+++ b/daemon/tests/explain_request.rs
@@ -18,7 +18,7 @@
 const CRASHES: &str = r#"
 {"at":1000000,"vm":"entry-a","id":"r3","decision":"crash","request":1,"fingerprint":"ab","state":"suspected","engine":"i-1","crashes":1}
 {"at":1500000,"vm":"entry-a","id":"r8","decision":"crash","request":9,"fingerprint":"cd","state":"suspected","engine":"i-9","crashes":1}
-{"at":2000000,"vm":"entry-b","id":"r4","decision":"crash","request":2,"fingerprint":"ab","state":"convicted","engine":"i-2","crashes":2}
+{"at":2000000,"vm":"entry-b","id":"r4","decision":"crash","request":2,"fingerprint":"ab","state":"quarantined","engine":"i-2","crashes":2}
 {"at":9000000,"vm":"entry-c","id":"r5","decision":"crash","request":7,"fingerprint":"ab","state":"refused","engine":null,"crashes":2}
 {"at":9000001,"vm":"entry-c","id":"r5","decision":"refused","request":7,"code":109,"label":"crashes_backends","outcome":"not-run"}
 "#;
@@ -47,7 +47,7 @@
     let lines: Vec<&str> = out.lines().collect();
     assert_eq!(lines.len(), 4, "{out}");
     assert!(lines[0].contains("suspected") && lines[0].contains("i-1"), "{out}");
-    assert!(lines[1].contains("convicted") && lines[1].contains("i-2"), "{out}");
+    assert!(lines[1].contains("quarantined") && lines[1].contains("i-2"), "{out}");
     assert!(!out.contains("i-9"), "another request's: {out}");
 }
 
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -24,7 +24,7 @@
     let Some(route) = state.routes.find(&arrival.host, &arrival.path).cloned() else {
         return refuse(Code::UnknownPath, None);
     };
-    if state.crashes.is_convicted(arrival.fingerprint, now) {
+    if state.crashes.is_quarantined(arrival.fingerprint, now) {
         return refuse(Code::CrashesBackends, None);
     }
     if state.graced && !fits_before_stop(state, now, &route, arrival.patience) {
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -1,10 +1,10 @@
 //! Requests that crash engines: what is known against each, and which are not sent to engines any more.
 //!
 //! An engine's end breaks every run there, and one of them may have caused it. A request is known by what it asks, not by
-//! its id, since it comes again with another, at any entry VM. One crash convicts nobody: it counts against each run that had
+//! its id, since it comes again with another, at any entry VM. One crash puts nothing in quarantine: it counts against each run that had
 //! not begun to answer, and counts again only if the request was sent anew since; only a prompt that ends three engines at
-//! once is convicted without that. An answer clears it. All entry VMs are told at once, down the trees of [`crate::push`];
-//! who misses that learns of convictions from the hub's frames, or from the lease's row in the store.
+//! once is quarantined without that. An answer clears it. All entry VMs are told at once, down the trees of [`crate::push`];
+//! who misses that learns what is quarantined from the hub's frames, or from the lease's row in the store.
 
 mod register;
 
@@ -28,7 +28,7 @@
 use register::{Loss, REMEMBERED, Run};
 
 /// Other entry VMs that are asked whether an engine has crashed, at most: some may have gone, or be cut off.
-const WITNESSES_MAX: usize = 3;
+const PROBERS_MAX: usize = 3;
 /// Runs that wait for the word whether their engine has crashed, at most; and those told of in one message.
 const LOSSES_MAX: usize = 64;
 
@@ -38,13 +38,13 @@
     /// Runs that an engine's crash broke.
     pub suspects: Vec<Suspect>,
     /// What is certain.
-    pub verdicts: Vec<Verdict>,
+    pub entries: Vec<Entry>,
 }
 
 impl News {
-    /// Verdicts alone.
-    pub(crate) const fn of(verdicts: Vec<Verdict>) -> Self {
-        Self { suspects: Vec::new(), verdicts }
+    /// What is certain alone.
+    pub(crate) const fn of(entries: Vec<Entry>) -> Self {
+        Self { suspects: Vec::new(), entries }
     }
 }
 
@@ -63,38 +63,38 @@
 
 /// What is certain of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Verdict {
+pub struct Entry {
     /// The request.
     pub request: Fingerprint,
-    /// The verdict.
-    pub ruling: Ruling,
+    /// Whether it crashes engines.
+    pub status: Status,
 }
 
 /// Whether a request crashes engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Ruling {
+pub enum Status {
     /// It does, and is not sent to any.
-    Convicted {
+    Quarantined {
         /// For how much longer.
         left: Duration,
-        /// How often it was convicted.
+        /// How often it was quarantined.
         times: u32,
     },
     /// An engine has answered it.
     Cleared {
-        /// For how much longer older verdicts are not believed.
+        /// For how much longer older news of a quarantine is not believed.
         left: Duration,
     },
 }
 
-/// A conviction, as it is kept in the store.
+/// A quarantined request, as it is kept in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Conviction {
+pub struct Kept {
     /// The request.
     pub request: Fingerprint,
     /// Until when it holds, by the store's clock, in ms.
     pub until_ms: u64,
-    /// How often it was convicted.
+    /// How often it was quarantined.
     pub times: u32,
 }
 
@@ -131,7 +131,7 @@
 }
 
 /// Another entry VM said how an engine's port answers there; none if it did not answer, or does not know the engine.
-pub(crate) fn witnessed(
+pub(crate) fn probed_indirectly(
     state: &mut State,
     now: Time,
     engine: &Name,
@@ -151,12 +151,12 @@
         return;
     };
     let zone = state.engines.get(engine).map(|known| &known.entry.zone);
-    let witness =
-        zone.and_then(|zone| state.members.witness(engine, zone, *zone == state.me.zone, &loss.asked));
-    match witness.filter(|_| loss.asked.len() <= WITNESSES_MAX) {
-        Some(witness) => {
-            loss.asked.push(witness.vm.clone());
-            out.push(Effect::Witness { address: witness.address, engine: engine.clone() });
+    let prober =
+        zone.and_then(|zone| state.members.prober(engine, zone, *zone == state.me.zone, &loss.asked));
+    match prober.filter(|_| loss.asked.len() <= PROBERS_MAX) {
+        Some(prober) => {
+            loss.asked.push(prober.vm.clone());
+            out.push(Effect::IndirectProbe { address: prober.address, engine: engine.clone() });
         }
         None => dismiss(state, engine),
     }
@@ -184,23 +184,23 @@
     for (run, suspect) in loss.runs.iter().zip(&suspects) {
         take_suspect(state, now, suspect, Some((run.id, engine)), out);
     }
-    push::tell(state, News { suspects, verdicts: Vec::new() }, out);
+    push::tell(state, News { suspects, entries: Vec::new() }, out);
 }
 
-/// A request is refused since it is like one that was convicted.
+/// A request is refused since it is like one that was quarantined.
 pub(crate) fn refused(state: &State, id: Id, request: Fingerprint, out: &mut Vec<Effect>) {
     note(state, request, "refused", Some(id), None, out);
 }
 
 /// An engine answered a request: it did not crash under it.
 pub(crate) fn answered(state: &mut State, now: Time, request: Fingerprint, out: &mut Vec<Effect>) {
-    let against = state.crashes.is_suspected(request) || state.crashes.is_convicted(request, now);
+    let against = state.crashes.is_suspected(request) || state.crashes.is_quarantined(request, now);
     if !against {
         return;
     }
-    let verdict = Verdict { request, ruling: Ruling::Cleared { left: REMEMBERED } };
-    take_verdict(state, now, verdict, out);
-    push::tell(state, News::of(vec![verdict]), out);
+    let entry = Entry { request, status: Status::Cleared { left: REMEMBERED } };
+    take_entry(state, now, entry, out);
+    push::tell(state, News::of(vec![entry]), out);
 }
 
 /// Another entry VM told what it knows.
@@ -208,23 +208,17 @@
     for suspect in &news.suspects {
         take_suspect(state, now, suspect, None, out);
     }
-    for verdict in news.verdicts {
-        take_verdict(state, now, verdict, out);
+    for entry in news.entries {
+        take_entry(state, now, entry, out);
     }
 }
 
-/// The store keeps these convictions; its clock shows `store_ms`.
-pub(crate) fn recall(
-    state: &mut State,
-    now: Time,
-    kept: &[Conviction],
-    store_ms: u64,
-    out: &mut Vec<Effect>,
-) {
-    for Conviction { request, until_ms, times } in kept.iter().filter(|kept| kept.until_ms > store_ms) {
+/// The store keeps these quarantined requests; its clock shows `store_ms`.
+pub(crate) fn recall(state: &mut State, now: Time, kept: &[Kept], store_ms: u64, out: &mut Vec<Effect>) {
+    for Kept { request, until_ms, times } in kept.iter().filter(|kept| kept.until_ms > store_ms) {
         let left = Duration::from_millis(until_ms - store_ms);
-        let ruling = Ruling::Convicted { left, times: *times };
-        take_verdict(state, now, Verdict { request: *request, ruling }, out);
+        let status = Status::Quarantined { left, times: *times };
+        take_entry(state, now, Entry { request: *request, status }, out);
     }
 }
 
@@ -237,28 +231,28 @@
     out: &mut Vec<Effect>,
 ) {
     let request = suspect.request;
-    let convicts = state.crashes.count(suspect, now);
-    let label = if convicts { "convicted" } else { "suspected" };
+    let quarantines = state.crashes.count(suspect, now);
+    let label = if quarantines { "quarantined" } else { "suspected" };
     let (id, engine) = own.unzip();
     note(state, request, label, id, engine, out);
-    if convicts {
+    if quarantines {
         enforce(state, now, request, out);
     }
 }
 
-fn take_verdict(state: &mut State, now: Time, verdict: Verdict, out: &mut Vec<Effect>) {
-    let convicts = state.crashes.rule(verdict, now);
-    match verdict.ruling {
-        Ruling::Cleared { .. } => note(state, verdict.request, "cleared", None, None, out),
-        Ruling::Convicted { .. } if convicts => {
-            note(state, verdict.request, "told", None, None, out);
-            enforce(state, now, verdict.request, out);
+fn take_entry(state: &mut State, now: Time, entry: Entry, out: &mut Vec<Effect>) {
+    let quarantines = state.crashes.learn(entry, now);
+    match entry.status {
+        Status::Cleared { .. } => note(state, entry.request, "cleared", None, None, out),
+        Status::Quarantined { .. } if quarantines => {
+            note(state, entry.request, "told", None, None, out);
+            enforce(state, now, entry.request, out);
         }
-        Ruling::Convicted { .. } => {}
+        Status::Quarantined { .. } => {}
     }
 }
 
-/// Ends the requests under way that are like one which was just convicted, but for those that an engine has begun to
+/// Ends the requests under way that are like one which was just quarantined, but for those that an engine has begun to
 /// answer.
 fn enforce(state: &mut State, now: Time, request: Fingerprint, out: &mut Vec<Effect>) {
     let begun = |stage: &Stage| matches!(stage, Stage::Sent { begun: true, .. });
--- a/fleet/src/crash/register.rs
+++ b/fleet/src/crash/register.rs
@@ -1,4 +1,4 @@
-//! What is known of each request under which engines have crashed, and when that convicts it.
+//! What is known of each request under which engines have crashed, and when it is quarantined.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,24 +7,25 @@
 use boragecove_core::time::Time;
 use rustc_hash::FxHashMap;
 
-use super::{Conviction, Ruling, Suspect, Verdict};
+use super::{Entry, Kept, Status, Suspect};
 use crate::record::ms;
 use crate::request::{Fingerprint, Id};
 
-/// Crashes, one after the other, that convict a request. A run that merely was beside the cause is sent anew to one of many
+/// Crashes, one after the other, after which a request is quarantined. A run that merely was beside the cause is sent anew to one of many
 /// engines, and is rarely beside it a second time before it answers.
 const CRASHES_MAX: u32 = 2;
-/// Engines that a request of theirs must have ended at once to be convicted, none of them after another's end was known.
+/// Model engines that crash under a request at once after which it is quarantined, although it was sent to none of them since the
+/// first crash.
 /// Calls of plain services are left out: a popular one runs at many engines, and all may fail together.
 const BURST_MAX: usize = 3;
 /// How long what speaks for or against a request is remembered if nothing more comes.
 pub(super) const REMEMBERED: Duration = Duration::from_mins(10);
-/// How long a first conviction lasts: engines may be mended meanwhile. After it, one crash convicts.
-const CONVICTION: Duration = Duration::from_mins(10);
-/// By how much longer each further conviction lasts.
-const CONVICTION_GROWTH: u32 = 6;
-/// The longest conviction.
-const CONVICTION_MAX: Duration = Duration::from_hours(24);
+/// How long a first quarantine lasts: engines may be mended meanwhile. After it, one crash is enough.
+const QUARANTINE: Duration = Duration::from_mins(10);
+/// By how much longer each further quarantine lasts.
+const QUARANTINE_GROWTH: u32 = 6;
+/// The longest quarantine.
+const QUARANTINE_MAX: Duration = Duration::from_hours(24);
 /// Requests that something is known of, at most: an attacker needs a crash for each.
 const CASES_MAX: usize = 256;
 
@@ -37,10 +38,10 @@
     engines: Vec<Name>,
     /// Only runs that were sent after that count.
     since: Time,
-    /// How often it was convicted.
+    /// How often it was quarantined.
     times: u32,
     /// Until when it is not sent to engines.
-    convicted_until: Option<Time>,
+    quarantined_until: Option<Time>,
     /// Whether an engine has answered it, and no crash has counted since.
     cleared: bool,
     /// When all this is forgotten.
@@ -48,23 +49,23 @@
 }
 
 impl Case {
-    fn is_convicted(&self, now: Time) -> bool {
-        self.convicted_until.is_some_and(|until| now < until)
+    fn is_quarantined(&self, now: Time) -> bool {
+        self.quarantined_until.is_some_and(|until| now < until)
     }
 
-    fn convict(&mut self, now: Time, left: Duration, times: u32) {
+    fn quarantine(&mut self, now: Time, left: Duration, times: u32) {
         self.times = self.times.max(times);
         self.cleared = false;
-        self.convicted_until = Some(now + left);
+        self.quarantined_until = Some(now + left);
         self.forget_at = now + left + left.max(REMEMBERED);
     }
 
     /// What is certain of it; none if nothing is.
-    fn ruling(&self, now: Time) -> Option<Ruling> {
-        match self.convicted_until.filter(|until| now < *until) {
-            Some(until) => Some(Ruling::Convicted { left: until.since(now), times: self.times }),
+    fn status(&self, now: Time) -> Option<Status> {
+        match self.quarantined_until.filter(|until| now < *until) {
+            Some(until) => Some(Status::Quarantined { left: until.since(now), times: self.times }),
             None if self.cleared && now < self.forget_at => {
-                Some(Ruling::Cleared { left: self.forget_at.since(now) })
+                Some(Status::Cleared { left: self.forget_at.since(now) })
             }
             None => None,
         }
@@ -98,8 +99,8 @@
 
 impl Register {
     /// Whether a request is not to be sent to engines.
-    pub(crate) fn is_convicted(&self, request: Fingerprint, now: Time) -> bool {
-        self.cases.get(&request).is_some_and(|case| case.is_convicted(now))
+    pub(crate) fn is_quarantined(&self, request: Fingerprint, now: Time) -> bool {
+        self.cases.get(&request).is_some_and(|case| case.is_quarantined(now))
     }
 
     /// Whether an engine has crashed under a request that none has answered since.
@@ -109,44 +110,44 @@
 
     /// Requests that are not sent to engines.
     #[must_use]
-    pub fn convicted(&self, now: Time) -> usize {
-        self.cases.values().filter(|case| case.is_convicted(now)).count()
+    pub fn quarantined(&self, now: Time) -> usize {
+        self.cases.values().filter(|case| case.is_quarantined(now)).count()
     }
 
-    /// The convictions as they are kept in the store, whose clock shows at most `store_ms` now.
-    pub(crate) fn kept(&self, now: Time, store_ms: u64) -> Vec<Conviction> {
-        let convicted = self.cases.iter().filter(|(_, case)| case.is_convicted(now));
-        let kept = convicted.map(|(request, case)| Conviction {
+    /// What is quarantined, as it is kept in the store, whose clock shows at most `store_ms` now.
+    pub(crate) fn kept(&self, now: Time, store_ms: u64) -> Vec<Kept> {
+        let quarantined = self.cases.iter().filter(|(_, case)| case.is_quarantined(now));
+        let kept = quarantined.map(|(request, case)| Kept {
             request: *request,
-            until_ms: store_ms + case.convicted_until.map_or(0, |until| ms(until.since(now))),
+            until_ms: store_ms + case.quarantined_until.map_or(0, |until| ms(until.since(now))),
             times: case.times,
         });
         kept.collect()
     }
 
     /// All that is certain.
-    fn verdicts(&self, now: Time) -> Vec<Verdict> {
-        let ruled = |(request, case): (&Fingerprint, &Case)| {
-            case.ruling(now).map(|ruling| Verdict { request: *request, ruling })
+    fn entries(&self, now: Time) -> Vec<Entry> {
+        let known = |(request, case): (&Fingerprint, &Case)| {
+            case.status(now).map(|status| Entry { request: *request, status })
         };
-        self.cases.iter().filter_map(ruled).collect()
+        self.cases.iter().filter_map(known).collect()
     }
 
     /// A number that is the same for all who are certain of the same; 0 for nothing.
     pub(crate) fn digest(&self, now: Time) -> u64 {
-        let ruled = self.cases.iter().filter_map(|(request, case)| Some((request, case.ruling(now)?)));
-        let cleared = |ruling| matches!(ruling, Ruling::Cleared { .. });
-        ruled.fold(0, |sum, (request, ruling)| sum ^ request.digest(cleared(ruling)))
+        let known = self.cases.iter().filter_map(|(request, case)| Some((request, case.status(now)?)));
+        let cleared = |status| matches!(status, Status::Cleared { .. });
+        known.fold(0, |sum, (request, status)| sum ^ request.digest(cleared(status)))
     }
 
     /// What another is to be told whose digest this is.
-    pub(crate) fn verdicts_beyond(&self, digest: u64, now: Time) -> Vec<Verdict> {
-        if digest == self.digest(now) { Vec::new() } else { self.verdicts(now) }
+    pub(crate) fn entries_beyond(&self, digest: u64, now: Time) -> Vec<Entry> {
+        if digest == self.digest(now) { Vec::new() } else { self.entries(now) }
     }
 
     /// What the hub is to be told.
-    pub(crate) fn verdicts_for_hub(&self, now: Time) -> Vec<Verdict> {
-        self.verdicts_beyond(self.hub_digest, now)
+    pub(crate) fn entries_for_hub(&self, now: Time) -> Vec<Entry> {
+        self.entries_beyond(self.hub_digest, now)
     }
 
     /// The hub's digest.
@@ -166,11 +167,11 @@
         self.cases.entry(request).or_default()
     }
 
-    /// A crash broke a run. Returns whether that convicts its request.
+    /// A crash broke a run. Returns whether its request is quarantined by that.
     pub(super) fn count(&mut self, suspect: &Suspect, now: Time) -> bool {
         let case = self.case(suspect.request, now);
         let again = now - suspect.sent >= case.since;
-        if case.is_convicted(now) || (case.cleared && !again) {
+        if case.is_quarantined(now) || (case.cleared && !again) {
             return false;
         }
         case.forget_at = case.forget_at.max(now + REMEMBERED);
@@ -186,30 +187,30 @@
         if case.crashes < CRASHES_MAX && case.engines.len() < BURST_MAX && !relapse {
             return false;
         }
-        let left = CONVICTION.saturating_mul(CONVICTION_GROWTH.saturating_pow(case.times));
+        let left = QUARANTINE.saturating_mul(QUARANTINE_GROWTH.saturating_pow(case.times));
         let times = case.times + 1;
-        case.convict(now, left.min(CONVICTION_MAX), times);
+        case.quarantine(now, left.min(QUARANTINE_MAX), times);
         true
     }
 
-    /// Takes over a verdict. Returns whether it convicts a request that was not convicted.
-    pub(super) fn rule(&mut self, Verdict { request, ruling }: Verdict, now: Time) -> bool {
+    /// Takes over what another knows. Returns whether that quarantines a request that was not.
+    pub(super) fn learn(&mut self, Entry { request, status }: Entry, now: Time) -> bool {
         let case = self.case(request, now);
-        match ruling {
-            Ruling::Convicted { left, times } => {
-                let new = !case.cleared && !case.is_convicted(now);
+        match status {
+            Status::Quarantined { left, times } => {
+                let new = !case.cleared && !case.is_quarantined(now);
                 if new {
-                    case.convict(now, left.min(CONVICTION_MAX), times);
+                    case.quarantine(now, left.min(QUARANTINE_MAX), times);
                 }
                 new
             }
             // It ends for all at the same time: to be told of it again does not prolong it.
-            Ruling::Cleared { left } if !case.cleared => {
+            Status::Cleared { left } if !case.cleared => {
                 let forget_at = now + left.min(REMEMBERED);
                 *case = Case { since: now, cleared: true, forget_at, ..Case::default() };
                 false
             }
-            Ruling::Cleared { .. } => false,
+            Status::Cleared { .. } => false,
         }
     }
 
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -69,8 +69,8 @@
         /// Where it listens.
         address: SocketAddr,
     },
-    /// Ask another entry VM how the port of an engine answers there; that comes back as [`crate::event::Event::Witnessed`].
-    Witness {
+    /// Ask another entry VM how the port of an engine answers there; that comes back as [`crate::event::Event::ProbedIndirectly`].
+    IndirectProbe {
         /// Where the entry VM listens.
         address: SocketAddr,
         /// The engine's id.
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -99,7 +99,7 @@
         reach: Reach,
     },
     /// Another entry VM was asked how the port of an engine answers there.
-    Witnessed {
+    ProbedIndirectly {
         /// The engine's id.
         engine: Name,
         /// How; none if the entry VM did not answer, or does not know the engine.
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -123,7 +123,7 @@
         return;
     };
     // Each way to an engine passes here: retries, resumed streams, and those that waited or lost their place in a schedule.
-    if state.crashes.is_convicted(flow.fingerprint, now) {
+    if state.crashes.is_quarantined(flow.fingerprint, now) {
         give_up(state, now, id, Code::CrashesBackends, None, out);
         return;
     }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -14,7 +14,7 @@
 pub(crate) use peers::{inherit, reached};
 
 use crate::adapter;
-use crate::crash::{self, News, Verdict};
+use crate::crash::{self, News};
 use crate::demand::Demand;
 use crate::effect::{Effect, Follow};
 use crate::engine::{Incarnation, Load, Residency, Row};
@@ -73,7 +73,7 @@
     /// A digest of what it is certain of, as to requests that crash engines.
     pub digest: u64,
     /// All of that, if the hub's digest was another.
-    pub verdicts: Vec<Verdict>,
+    pub crashing: Vec<crash::Entry>,
 }
 
 /// A version of the hub's word on what engines hold.
@@ -137,7 +137,7 @@
     /// A digest of what it is certain of, as to requests that crash engines.
     pub digest: u64,
     /// All of that, if the asker's digest is another.
-    pub verdicts: Vec<Verdict>,
+    pub crashing: Vec<crash::Entry>,
 }
 
 /// A version of the configuration, and up to when it is the newest.
@@ -332,7 +332,7 @@
         suspects: suspects(state, now),
         departures: notice::departures(state),
         digest: state.crashes.digest(now),
-        verdicts: state.crashes.verdicts_for_hub(now),
+        crashing: state.crashes.entries_for_hub(now),
     }
 }
 
@@ -362,7 +362,7 @@
         // The hub places models, and is to count no copy that the others do not use any more.
         notice::noticed(state, now, departure, Notice { leaving: true, pause: None }, out);
     }
-    crash::told(state, now, News::of(frame.verdicts.clone()), out);
+    crash::told(state, now, News::of(frame.crashing.clone()), out);
     let wanted = frame.demand.iter().any(|demand| demand.waiting > 0);
     push::heard(state, now, &frame, out);
     peers::replace(state, now, frame);
@@ -398,7 +398,7 @@
         whole,
         suspects: suspects(state, now),
         digest: state.crashes.digest(now),
-        verdicts: state.crashes.verdicts_beyond(asker.digest, now),
+        crashing: state.crashes.entries_beyond(asker.digest, now),
     }
 }
 
@@ -454,7 +454,7 @@
         trust::look(state, now, id, out);
     }
     state.crashes.hear_digest(reply.digest);
-    crash::told(state, now, News::of(reply.verdicts), out);
+    crash::told(state, now, News::of(reply.crashing), out);
     if reply.leads {
         learn(state, reply.view, reply.residencies);
     }
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -13,7 +13,7 @@
 use boragecove_core::timer::Handle;
 use serde::{Deserialize, Serialize};
 
-use crate::crash::{self, Conviction};
+use crate::crash::{self, Kept};
 use crate::effect::Effect;
 use crate::frame;
 use crate::push;
@@ -42,7 +42,7 @@
     pub former: Option<Former>,
     /// Requests that crash engines: processes that start with nothing know them from here.
     #[serde(default)]
-    pub convictions: Vec<Conviction>,
+    pub quarantine: Vec<Kept>,
 }
 
 /// A machine that may have given orders, before the holder of the lease.
@@ -252,9 +252,9 @@
     let until_ms = state.lease.clock.map_or(u64::MAX, |clock| clock.at_most(over));
     let started_ms = started_ms(state);
     let (holder, address) = (state.me.vm.clone(), state.me.address);
-    let convictions = state.lease.clock.map(|clock| state.crashes.kept(now, clock.at_most(now)));
-    let convictions = convictions.unwrap_or_default();
-    Row { holder, address, term, until_ms, started_ms, released, former, convictions }
+    let kept = state.lease.clock.map(|clock| state.crashes.kept(now, clock.at_most(now)));
+    let quarantine = kept.unwrap_or_default();
+    Row { holder, address, term, until_ms, started_ms, released, former, quarantine }
 }
 
 fn call(state: &mut State, now: Time, call: Call, out: &mut Vec<Effect>) {
@@ -296,7 +296,7 @@
         call(state, now, Call::Write { expected: 0, row }, out);
         return;
     };
-    crash::recall(state, now, &seen.row.convictions, store_ms, out);
+    crash::recall(state, now, &seen.row.quarantine, store_ms, out);
     let mine = seen.row.holder == state.me.vm;
     if let Some((sent, row)) = state.lease.tried.clone()
         && seen.row == row
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -63,7 +63,7 @@
     /// An entry VM that has not been asked yet for what it sees of something in an availability zone: one of that zone; of any,
     /// if `near` says that whoever asks is in that zone too. Across a partition, others see no more than whoever asks.
     #[must_use]
-    pub fn witness(&self, what: &Name, zone: &Name, near: bool, asked: &[Name]) -> Option<&Member> {
+    pub fn prober(&self, what: &Name, zone: &Name, near: bool, asked: &[Name]) -> Option<&Member> {
         self.first(what, zone, |member| (near || member.zone == *zone) && !asked.contains(&member.vm))
     }
 
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -80,7 +80,9 @@
         }
         Event::Reported { engine, report } => ledger::reported(state, now, &engine, report, out),
         Event::Probed { engine, reach } => trust::probed(state, now, &engine, reach, out),
-        Event::Witnessed { engine, reach } => crash::witnessed(state, now, &engine, reach, out),
+        Event::ProbedIndirectly { engine, reach } => {
+            crash::probed_indirectly(state, now, &engine, reach, out);
+        }
         Event::Settings(settings) => state.settings = *settings,
         Event::Stop => stop(state, now, out),
         Event::Wake => {}
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -89,7 +89,7 @@
         started_ms: 0,
         former: None,
         released: false,
-        convictions: Vec::new(),
+        quarantine: Vec::new(),
     };
     let seen = boragecove_fleet::lease::Seen { version: 9, row };
     node.lease(0, boragecove_fleet::lease::Outcome::Read(Some(seen)));
--- a/fleet/tests/crash_storm.rs
+++ b/fleet/tests/crash_storm.rs
@@ -44,7 +44,7 @@
     engine: Name,
     begins: Time,
     begun: bool,
-    culprit: Option<usize>,
+    poison: Option<usize>,
     text: String,
 }
 
@@ -59,7 +59,7 @@
     named: usize,
     runs: Vec<Run>,
     drawn: u64,
-    /// Times of the engines' ends under each culprit.
+    /// Times of the engines' ends under each poison.
     ends: Vec<Vec<Time>>,
     /// Requests that are at fault for nothing, and those of them that were refused for crashes.
     sound: usize,
@@ -67,7 +67,7 @@
 }
 
 impl World {
-    fn new(seed: u64, culprits: usize) -> Self {
+    fn new(seed: u64, poisons: usize) -> Self {
         let rates: Vec<f64> = (0..VMS).map(|at| if at % 3 == 0 { LARGE } else { SMALL }).collect();
         let links = Links::new(&rates, &Arc::new(config(1)));
         let mut world = Self {
@@ -79,7 +79,7 @@
             named: 0,
             runs: Vec::new(),
             drawn: 0,
-            ends: vec![Vec::new(); culprits],
+            ends: vec![Vec::new(); poisons],
             sound: 0,
             wronged: 0,
         };
@@ -101,24 +101,24 @@
         (0..VMS).for_each(|vm| self.links.feed(vm, listing(vec![row.clone()], version, false)));
     }
 
-    fn arrive(&mut self, vm: usize, text: &str, culprit: Option<usize>) {
+    fn arrive(&mut self, vm: usize, text: &str, poison: Option<usize>) {
         self.drawn += 1;
         let request = Id(self.drawn);
         let fingerprint = Fingerprint::of(HOST, "/brief/1", text.as_bytes());
         let arrival = Box::new(Arrival { fingerprint, ..brief("m0") });
         let effects = self.links.apply(vm, Event::Arrive { request, arrival });
-        self.follow(vm, request, text, culprit, &effects);
-        self.sound += usize::from(culprit.is_none());
+        self.follow(vm, request, text, poison, &effects);
+        self.sound += usize::from(poison.is_none());
     }
 
     /// Does what an entry VM wants for requests.
-    fn follow(&mut self, vm: usize, request: Id, text: &str, culprit: Option<usize>, effects: &[Effect]) {
+    fn follow(&mut self, vm: usize, request: Id, text: &str, poison: Option<usize>, effects: &[Effect]) {
         for effect in effects {
             match effect {
                 Effect::Ask { request, .. } => {
                     let grant = Some(Grant::After(Duration::ZERO));
                     let more = self.links.apply(vm, Event::Granted { request: *request, grant });
-                    self.follow(vm, *request, text, culprit, &more);
+                    self.follow(vm, *request, text, poison, &more);
                 }
                 Effect::Step { request: of, step: Step::Send(attempt) } if *of == request => {
                     self.runs.push(Run {
@@ -128,14 +128,14 @@
                         engine: attempt.engine.clone(),
                         begins: attempt.at + millis(10),
                         begun: false,
-                        culprit,
+                        poison,
                         text: text.to_owned(),
                     });
                 }
                 Effect::Step { request: of, step: Step::Refuse(refusal) } => {
                     let run = self.runs.iter().position(|run| run.vm == vm && run.request == *of);
-                    let of_run = run.map(|run| self.runs.swap_remove(run).culprit);
-                    let sound = of_run.unwrap_or(culprit).is_none();
+                    let of_run = run.map(|run| self.runs.swap_remove(run).poison);
+                    let sound = of_run.unwrap_or(poison).is_none();
                     self.wronged += usize::from(sound && refusal.code == Code::CrashesBackends);
                 }
                 _ => {}
@@ -147,15 +147,15 @@
         let (request, attempt) = (run.request, run.attempt);
         let ended = Event::Ended { request, attempt, end, events: Events::default() };
         let effects = self.links.apply(run.vm, ended);
-        self.follow(run.vm, request, &run.text, run.culprit, &effects);
+        self.follow(run.vm, request, &run.text, run.poison, &effects);
     }
 
     /// An engine's process ends: what runs there breaks, and its row goes later.
-    fn crash(&mut self, engine: &Name, culprit: Option<usize>) {
+    fn crash(&mut self, engine: &Name, poison: Option<usize>) {
         self.engines.remove(engine);
         self.back.push(self.links.now + DOWN);
-        if let Some(culprit) = culprit {
-            self.ends[culprit].push(self.links.now);
+        if let Some(poison) = poison {
+            self.ends[poison].push(self.links.now);
         }
         let broken: Vec<Run> = self.runs.extract_if(.., |run| run.engine == *engine).collect();
         for run in &broken {
@@ -165,7 +165,7 @@
         for vm in vms {
             for event in [
                 Event::Probed { engine: engine.clone(), reach: Reach::Closed },
-                Event::Witnessed { engine: engine.clone(), reach: Some(Reach::Closed) },
+                Event::ProbedIndirectly { engine: engine.clone(), reach: Some(Reach::Closed) },
             ] {
                 let effects = self.links.apply(vm, event);
                 self.follow(vm, Id(0), "", None, &effects);
@@ -182,11 +182,11 @@
         for _ in due {
             self.start();
         }
-        let fuse = |run: &Run| run.culprit.is_some() && now.since(run.begins) >= FUSE && run.begins <= now;
+        let fuse = |run: &Run| run.poison.is_some() && now.since(run.begins) >= FUSE && run.begins <= now;
         while let Some(run) = self.runs.iter().find(|run| fuse(run)).cloned() {
-            self.crash(&run.engine, run.culprit);
+            self.crash(&run.engine, run.poison);
         }
-        let first = |run: &Run| run.culprit.is_none() && !run.begun && now.since(run.begins) >= FIRST;
+        let first = |run: &Run| run.poison.is_none() && !run.begun && now.since(run.begins) >= FIRST;
         for at in 0..self.runs.len() {
             if first(&self.runs[at]) {
                 self.runs[at].begun = true;
@@ -194,7 +194,7 @@
                 self.links.feed(vm, Event::Began(request));
             }
         }
-        let over = |run: &mut Run| run.culprit.is_none() && now.since(run.begins) >= WHOLE;
+        let over = |run: &mut Run| run.poison.is_none() && now.since(run.begins) >= WHOLE;
         let over: Vec<Run> = self.runs.extract_if(.., over).collect();
         for run in &over {
             self.end(run, End::Done);
@@ -207,7 +207,7 @@
             return;
         }
         let at = self.rng.usize(..self.runs.len());
-        if self.runs[at].culprit.is_some() {
+        if self.runs[at].poison.is_some() {
             return;
         }
         let run = self.runs.swap_remove(at);
@@ -232,8 +232,8 @@
 }
 
 fn storm(seed: u64) {
-    let culprits = 1 + (seed % 3) as usize;
-    let mut world = World::new(seed, culprits);
+    let poisons = 1 + (seed % 3) as usize;
+    let mut world = World::new(seed, poisons);
     let mut suspended: Option<(usize, Time)> = None;
     for tick in 0..3_000_u32 {
         let vm = world.rng.usize(..VMS);
@@ -243,8 +243,8 @@
             world.arrive(vm, &text, None);
         }
         if runs && tick > 200 && world.rng.f64() < 0.04 {
-            let culprit = world.rng.usize(..culprits);
-            world.arrive(vm, &format!("culprit {culprit}"), Some(culprit));
+            let poison = world.rng.usize(..poisons);
+            world.arrive(vm, &format!("poison {poison}"), Some(poison));
         }
         if world.rng.f64() < 0.02 {
             world.reset();
@@ -271,8 +271,8 @@
         }
         world.tick();
     }
-    for (culprit, ends) in world.ends.iter().enumerate() {
-        assert!(!ends.is_empty(), "seed {seed}: culprit {culprit} never came");
+    for (poison, ends) in world.ends.iter().enumerate() {
+        assert!(!ends.is_empty(), "seed {seed}: poison {poison} never came");
         let Some(third) = ends.get(2) else { continue };
         let later = ends.iter().filter(|end| **end > *third + CONTACT).count();
         assert!(later <= LATER_MAX, "seed {seed}: {later} ends later, {} in all", ends.len());
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -1,4 +1,4 @@
-//! Requests under which engines crash: which evidence convicts one, which clears it, and who knows of it.
+//! Requests under which engines crash: what gets one quarantined, what clears it, and who knows of it.
 //!
 //! Seen: 18 engines of one service stopped answering, one after the other, each with up to 30 runs of all entry VMs. One
 //! path and body was part of seven of the nine ends whose log lines were left, and had not begun to answer in any; each
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use boragecove_core::code::Code;
-use boragecove_fleet::crash::{Conviction, Ruling, Verdict};
+use boragecove_fleet::crash::{Entry, Kept, Status};
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
@@ -50,7 +50,7 @@
     node.feed(Event::Probed { engine: attempt.engine.clone(), reach });
     effects.extend(node.effects.clone());
     if asks(&node.effects) == 1 {
-        node.feed(Event::Witnessed { engine: attempt.engine.clone(), reach: Some(reach) });
+        node.feed(Event::ProbedIndirectly { engine: attempt.engine.clone(), reach: Some(reach) });
         effects.extend(node.effects.clone());
     }
     effects
@@ -58,7 +58,7 @@
 
 /// Other entry VMs that are asked for what they see.
 fn asks(effects: &[Effect]) -> usize {
-    effects.iter().filter(|effect| matches!(effect, Effect::Witness { .. })).count()
+    effects.iter().filter(|effect| matches!(effect, Effect::IndirectProbe { .. })).count()
 }
 
 /// All engines are well again.
@@ -77,8 +77,8 @@
     effects
 }
 
-fn convicted(node: &Node) -> usize {
-    node.state.crashes().convicted(node.now)
+fn quarantined(node: &Node) -> usize {
+    node.state.crashes().quarantined(node.now)
 }
 
 fn pushed(effects: &[Effect]) -> Vec<Message> {
@@ -107,10 +107,10 @@
 }
 
 #[test]
-fn second_crash_convicts() {
+fn second_crash_quarantines() {
     let mut node = Node::ready("a");
     crash_under(&mut node, body("x"));
-    assert_eq!(convicted(&node), 0, "one crash may be another's fault");
+    assert_eq!(quarantined(&node), 0, "one crash may be another's fault");
     crash_under(&mut node, body("x"));
     let refusal = node.refused(body("x"));
     assert_eq!((refusal.code, refusal.code.status()), (Code::CrashesBackends, 400));
@@ -136,7 +136,7 @@
     let (id, attempt) = node.sent(body("beside"));
     node.ended(id, attempt.number, End::Done);
     crash_under(&mut node, body("beside"));
-    assert_eq!(convicted(&node), 0);
+    assert_eq!(quarantined(&node), 0);
     node.sent(body("beside"));
 }
 
@@ -152,7 +152,7 @@
     crash(&mut node, older, &at_older);
     mend(&mut node);
     crash_under(&mut node, body("x"));
-    assert_eq!(convicted(&node), 0);
+    assert_eq!(quarantined(&node), 0);
 }
 
 /// A request that crashes engines never begins to answer: a stream that has begun is another's victim.
@@ -170,7 +170,7 @@
 
 /// Connections that are reset or cut, and answers that are spoilt, are no crash: the port is open, or silent.
 #[test]
-fn broken_connections_convict_nobody() {
+fn broken_connections_count_for_nothing() {
     for (end, reach) in [(End::Lost, Reach::Open), (End::Lost, Reach::Silent), (End::Broken, Reach::Closed)] {
         let mut node = Node::ready("a");
         for _ in 0..6 {
@@ -188,7 +188,7 @@
 /// engine, which went on serving its own zone, counted as crashed twice within half a second, and a sound request was
 /// refused everywhere. Who is on the engine's side of the cut says that its port is open; from here nobody else can be asked.
 #[test]
-fn refusing_partition_convicts_nobody() {
+fn refusing_partition_counts_for_nothing() {
     let open = Some(Reach::Open);
     for answers in [&[open][..], &[None, open], &[None, None]] {
         let mut node = follower("a");
@@ -200,7 +200,7 @@
             let mut answers = answers.iter().copied();
             while asks(&node.effects) == 1 {
                 let reach = answers.next().flatten();
-                node.feed(Event::Witnessed { engine: attempt.engine.clone(), reach });
+                node.feed(Event::ProbedIndirectly { engine: attempt.engine.clone(), reach });
             }
             mend(&mut node);
         }
@@ -210,7 +210,7 @@
 
 /// Of an engine in another availability zone only an entry VM of that zone can tell: the others see what this one sees.
 #[test]
-fn witness_is_on_the_other_side() {
+fn prober_is_on_the_other_side() {
     let mut node = follower("a");
     node.feed(listing(vec![removed(10, "g1")], 10, false));
     let (id, attempt) = node.sent(call("x"));
@@ -220,18 +220,18 @@
         .effects
         .iter()
         .filter_map(|effect| match effect {
-            Effect::Witness { address, .. } => Some(*address),
+            Effect::IndirectProbe { address, .. } => Some(*address),
             _ => None,
         })
         .collect();
     assert_eq!(asked, [address(7_002)]);
-    node.feed(Event::Witnessed { engine: "g2".into(), reach: None });
+    node.feed(Event::ProbedIndirectly { engine: "g2".into(), reach: None });
     assert_eq!(asks(&node.effects), 0);
 }
 
 /// Engines that are taken away break what runs there: that was announced.
 #[test]
-fn leaving_engines_convict_nobody() {
+fn leaving_engines_count_for_nothing() {
     let mut node = Node::ready("a");
     for version in (10..).step_by(10).take(4) {
         let (id, attempt) = node.sent(body("x"));
@@ -257,15 +257,15 @@
         .expect("they are spread over both engines");
     crash(&mut node, first, &at_first);
     crash(&mut node, second, &at_second);
-    assert_eq!(convicted(&node), 0);
+    assert_eq!(quarantined(&node), 0);
     mend(&mut node);
     node.sent(plain("/ack/1"));
 }
 
-/// The same prompt comes several times at once, and each ends an engine: three of them convict it, though none was sent after
+/// The same prompt comes several times at once, and each ends an engine: after three of them it is quarantined, though none was sent after
 /// another's end. Else the next such burst would end as many again, however much later it comes.
 #[test]
-fn burst_convicts() {
+fn burst_quarantines() {
     let mut node = Node::ready("a");
     let more = (5..8).map(|at| row(at, entry(&format!("w{at}"), WRITER, "zone-a", &["m0"])));
     node.feed(listing(more.collect(), 8, false));
@@ -280,9 +280,9 @@
     for (id, attempt) in &burst[..2] {
         crash(&mut node, *id, attempt);
     }
-    assert_eq!(convicted(&node), 0);
+    assert_eq!(quarantined(&node), 0);
     crash(&mut node, burst[2].0, &burst[2].1);
-    assert_eq!(convicted(&node), 1);
+    assert_eq!(quarantined(&node), 1);
 }
 
 /// Under a request that may be repeated a second engine breaks: before that is known for a crash, no third one gets it.
@@ -301,7 +301,7 @@
     assert_eq!(refusal.code, Code::BackendFailed);
 }
 
-/// Those under way end with the conviction; one that an engine has begun to answer goes on, and clears.
+/// Those under way end with the quarantine; one that an engine has begun to answer goes on, and clears.
 #[test]
 fn ends_what_is_under_way() {
     let mut node = Node::ready("a");
@@ -319,7 +319,7 @@
     node.sent(body("x"));
 }
 
-/// A stream that had begun breaks after the conviction: it is not taken up at another engine.
+/// A stream that had begun breaks after the quarantine: it is not taken up at another engine.
 #[test]
 fn nothing_is_resumed() {
     let mut node = Node::ready("a");
@@ -328,7 +328,7 @@
     node.feed(Event::Began(begun));
     crash_under(&mut node, body("x"));
     crash_under(&mut node, body("x"));
-    assert_eq!(convicted(&node), 1);
+    assert_eq!(quarantined(&node), 1);
     let Some(Step::Refuse(refusal)) = node.ended(begun, attempt.number, End::Lost) else {
         panic!("sent to another engine");
     };
@@ -336,7 +336,7 @@
 }
 
 #[test]
-fn conviction_ends() {
+fn quarantine_ends() {
     let mut node = Node::ready("a");
     crash_under(&mut node, body("x"));
     crash_under(&mut node, body("x"));
@@ -357,7 +357,7 @@
         crash_under(&mut node, body(&text));
         crash_under(&mut node, body(&text));
     }
-    assert!((1..=256).contains(&convicted(&node)));
+    assert!((1..=256).contains(&quarantined(&node)));
     node.refused(body("x599"));
 }
 
@@ -387,7 +387,7 @@
     for message in pushed(&told) {
         b.feed(Event::Pushed(Box::new(message)));
     }
-    assert_eq!(convicted(&b), 0);
+    assert_eq!(quarantined(&b), 0);
 }
 
 /// After a restart of all entry VMs, and while nobody can be asked: the lease's row tells.
@@ -414,14 +414,14 @@
 }
 
 #[test]
-fn old_convictions_of_the_row() {
+fn old_quarantine_of_the_row() {
     let mut node = Node::bare("a");
     node.pass(millis(10));
     let request = Fingerprint::of(HOST, "/brief/1", b"x");
     let mut seen = hub_row();
-    seen.row.convictions = vec![Conviction { request, until_ms: 5_000, times: 1 }];
+    seen.row.quarantine = vec![Kept { request, until_ms: 5_000, times: 1 }];
     node.lease(6_000, Outcome::Read(Some(seen)));
-    assert_eq!(convicted(&node), 0);
+    assert_eq!(quarantined(&node), 0);
 }
 
 /// Across a cut that has healed, frames and answers bring either side what the other is certain of.
@@ -451,33 +451,33 @@
     }
     let frame = Frame { vm: "c".into(), ..Frame::default() };
     let reply = boragecove_fleet::reply(&mut hub.state, hub.now, &frame);
-    assert_eq!(reply.verdicts.len(), 2);
+    assert_eq!(reply.crashing.len(), 2);
     let same = Frame { digest: reply.digest, ..frame };
     let reply = boragecove_fleet::reply(&mut hub.state, hub.now, &same);
-    assert_eq!(reply.verdicts, [], "what both know is not told again");
+    assert_eq!(reply.crashing, [], "what both know is not told again");
 }
 
-/// An entry VM that missed that a request was cleared does not bring the conviction back.
+/// An entry VM that missed that a request was cleared does not bring the quarantine back.
 #[test]
 fn cleared_stays_cleared() {
     let request = Fingerprint::of(HOST, "/brief/1", b"x");
-    let convicted = Ruling::Convicted { left: Duration::from_mins(5), times: 1 };
+    let quarantined = Status::Quarantined { left: Duration::from_mins(5), times: 1 };
     let mut hub = Node::ready("hub");
     hub.lead();
     let frame =
-        |ruling| Frame { vm: "b".into(), verdicts: vec![Verdict { request, ruling }], ..Frame::default() };
-    hub.feed(Event::Framed(Box::new(frame(convicted))));
+        |status| Frame { vm: "b".into(), crashing: vec![Entry { request, status }], ..Frame::default() };
+    hub.feed(Event::Framed(Box::new(frame(quarantined))));
     hub.refused(body("x"));
-    let cleared = Ruling::Cleared { left: Duration::from_mins(4) };
+    let cleared = Status::Cleared { left: Duration::from_mins(4) };
     hub.feed(Event::Framed(Box::new(frame(cleared))));
-    hub.feed(Event::Framed(Box::new(frame(convicted))));
+    hub.feed(Event::Framed(Box::new(frame(quarantined))));
     hub.sent(body("x"));
-    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(convicted));
-    assert_eq!(told.verdicts, [Verdict { request, ruling: cleared }]);
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(quarantined));
+    assert_eq!(told.crashing, [Entry { request, status: cleared }]);
     hub.pass(Duration::from_mins(3));
     hub.feed(Event::Framed(Box::new(frame(cleared))));
     hub.pass(Duration::from_mins(2));
-    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(convicted));
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(quarantined));
     assert_eq!(told.digest, 0, "to be told again does not prolong it");
 }
 
@@ -497,6 +497,6 @@
         links.crash_under(at, Id(number), streamed("/brief/1", "m0", None));
         links.pass(millis(600));
     }
-    let knows = (1..295).filter(|at| links.state(*at).crashes().convicted(links.now) == 1).count();
+    let knows = (1..295).filter(|at| links.state(*at).crashes().quarantined(links.now) == 1).count();
     assert!(knows >= 293, "{knows} of 294 know after 0.6 s");
 }
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -19,7 +19,7 @@
         started_ms: 5_000,
         released,
         former: None,
-        convictions: Vec::new(),
+        quarantine: Vec::new(),
     };
     Seen { version, row }
 }
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -186,7 +186,7 @@
         let Attempt { number, engine, .. } = attempt.expect("it is sent");
         self.feed(at, Event::Ended { request, attempt: number, end: End::Lost, events: Events::default() });
         self.feed(at, Event::Probed { engine: engine.clone(), reach: Reach::Closed });
-        self.feed(at, Event::Witnessed { engine, reach: Some(Reach::Closed) });
+        self.feed(at, Event::ProbedIndirectly { engine, reach: Some(Reach::Closed) });
     }
 
     fn tick(&mut self) {
@@ -295,7 +295,7 @@
             started_ms: 0,
             former: None,
             released: false,
-            convictions: Vec::new(),
+            quarantine: Vec::new(),
         };
         let outcome = match call {
             Call::Write { row, .. } if row.holder == *"vm-0" => Outcome::Written(1),
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -171,7 +171,7 @@
         started_ms: 0,
         former: None,
         released: false,
-        convictions: Vec::new(),
+        quarantine: Vec::new(),
     };
     lease::Seen { version: 9, row }
 }
