Clear a request by a success only, not by a failure of its engine

What callers would have seen: a request that crashes engines is sent to more of them than two, where engines beside it fail part of what they get.

Cause: any whole answer of an engine cleared a suspected request, and an engine may fail a request before it runs it; the crashes before no longer counted, everywhere. Ruled out for refusals that prove that nothing ran: they never cleared.

Why the repair holds: only a run that ended in a success says that the request does not crash engines. One that is sound and was failed stays a suspect of one crash for ten minutes, which refuses nothing.

--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -3,7 +3,7 @@
 //! An engine's end breaks every run there, and one of them may have caused it. A request is known by what it asks, not by
 //! its id, since it comes again with another, at any entry VM. One crash puts nothing in quarantine: it counts against each run that had
 //! not begun to answer, and counts again only if the request was sent anew since; only a prompt that ends three engines at
-//! once is quarantined without that. An answer clears it. All entry VMs are told at once, down the trees of [`crate::push`];
+//! once is quarantined without that. A success clears it. All entry VMs are told at once, down the trees of [`crate::push`];
 //! who misses that learns what is quarantined from the hub's frames, or from the lease's row in the store.
 
 mod register;
@@ -80,7 +80,7 @@
         /// How often it was quarantined.
         times: u32,
     },
-    /// An engine has answered it.
+    /// An engine has run it to a success.
     Cleared {
         /// For how much longer older news of a quarantine is not believed.
         left: Duration,
@@ -192,7 +192,8 @@
     note(state, request, "refused", Some(id), None, out);
 }
 
-/// An engine answered a request: it did not crash under it.
+/// An engine ran a request to a success: it does not crash engines. A failure says nothing, since an engine may fail a request
+/// before it runs it.
 pub(crate) fn answered(state: &mut State, now: Time, request: Fingerprint, out: &mut Vec<Effect>) {
     let against = state.crashes.is_suspected(request) || state.crashes.is_quarantined(request, now);
     if !against {
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -136,9 +136,6 @@
             out.push(Effect::Step { request: id, step: Step::Pass });
         }
         End::Failed | End::Unsent | End::Refused(_) | End::Lost | End::Broken => {
-            if end == End::Failed {
-                crash::answered(state, now, request, out);
-            }
             again(state, now, id, engine, Failure { end, doubted }, out);
         }
     }
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -140,6 +140,17 @@
     node.sent(body("beside"));
 }
 
+/// An engine that fails requests, perhaps before it runs them, says nothing for one: the next crash is its second.
+#[test]
+fn failure_clears_nothing() {
+    let mut node = Node::ready("a");
+    crash_under(&mut node, body("x"));
+    let (id, attempt) = node.sent(body("x"));
+    node.ended(id, attempt.number, End::Failed);
+    crash_under(&mut node, body("x"));
+    node.refused(body("x"));
+}
+
 /// What was sent before an answer cleared it says nothing afterwards, whatever becomes of its engine.
 #[test]
 fn older_runs_are_cleared_too() {
