Log which adapter a request names, when one is ready, and how busy the loop that decides is

What was missing to tell the hypotheses of the incident apart: the line of a request named its model and no adapter; nothing said when the holder of the lease took an adapter as loaded, nor how long its loop was busy and with what.

Change: the line received names the adapter; a line adapter_ready for each load that took effect, with how late that was noticed; a line busy at most once a second, where the loop was busy for a fifth of it, with the longest event; a histogram of steps by event. boragecoved losses lists the models and adapters that were asked for and that nobody got. No decision is changed. Test never_served; entry_process asks for the histogram.

--- a/daemon/src/cmd/losses.rs
+++ b/daemon/src/cmd/losses.rs
@@ -1,5 +1,7 @@
 //! `boragecoved losses`: where service is lost, by cause, from the log lines of all entry VMs.
 
+mod unserved;
+
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::io::{self, Write};
@@ -59,6 +61,8 @@
     received: u64,
     route: Option<String>,
     streams: bool,
+    /// The model, with the adapter after a slash; none for calls of plain services.
+    target: Option<String>,
     waited: bool,
     target_ms: Option<u64>,
     pause_max_ms: Option<u64>,
@@ -75,6 +79,10 @@
             "received" => {
                 self.received = line.at;
                 self.streams = line.text("model").is_some();
+                self.target = line.text("model").map(|model| match line.text("adapter") {
+                    Some(adapter) => format!("{model}/{adapter}"),
+                    None => model.to_owned(),
+                });
             }
             "waits" => self.waited = true,
             "sent" => {
@@ -96,6 +104,11 @@
         }
     }
 
+    /// Whether an engine has begun to answer it.
+    fn is_served(&self) -> bool {
+        self.first_ms.is_some() || self.ended.as_ref().is_some_and(|(_, end)| end == "done")
+    }
+
     fn cause(&self) -> Cause {
         if let Some(label) = &self.refused {
             return Cause::Refused(label.clone());
@@ -145,7 +158,9 @@
 }
 
 pub(super) fn run(json: bool, files: &[PathBuf]) -> Result<(), Error> {
-    let groups = groups(&lines::read(files)?);
+    let lines = lines::read(files)?;
+    let requests = requests(&lines);
+    let groups = groups(&requests, &zones(&lines));
     if groups.is_empty() {
         return Err(Error::NoRequests);
     }
@@ -162,26 +177,33 @@
     table(&mut out, "lost, by class", &lost, |group| format!("{}: {}", group.class, group.cause))?;
     table(&mut out, "lost, by zone", &lost, |group| group.zone.clone())?;
     table(&mut out, "lost, by second", &lost, |group| format!("{:>6}", group.second))?;
+    unserved::table(&mut out, &requests)?;
     Ok(())
 }
 
 /// What the class of a stream begins with.
 const STREAMS: &str = "stream ";
 
-fn groups(lines: &[Line]) -> BTreeMap<Group, u64> {
-    let mut zones: HashMap<&str, &str> = HashMap::new();
+/// The availability zone of each entry VM.
+fn zones(lines: &[Line]) -> HashMap<&str, &str> {
+    let started = lines.iter().filter(|line| line.text("decision") == Some("started"));
+    started.filter_map(|line| Some((line.vm.as_str(), line.text("zone")?))).collect()
+}
+
+/// The requests that were read, in no order.
+fn requests(lines: &[Line]) -> Vec<Request> {
     let mut requests: HashMap<(&str, &str), Request> = HashMap::new();
     for line in lines {
-        if let (Some("started"), Some(zone)) = (line.text("decision"), line.text("zone")) {
-            zones.insert(&line.vm, zone);
-        }
         if let Some(id) = line.text("id") {
             let request = requests.entry((&line.vm, id)).or_default();
             request.vm.clone_from(&line.vm);
             request.take(line);
         }
     }
-    let requests: Vec<Request> = requests.into_values().filter(|request| request.received > 0).collect();
+    requests.into_values().filter(|request| request.received > 0).collect()
+}
+
+fn groups(requests: &[Request], zones: &HashMap<&str, &str>) -> BTreeMap<Group, u64> {
     let first = requests.iter().map(|request| request.received).min().unwrap_or_default();
     let mut groups = BTreeMap::new();
     for request in requests {
--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::busy;
 use super::settings::Listen;
 use super::transfer::Transfer;
 use boragecove_core::name::Name;
@@ -55,6 +56,7 @@
         host: &'a Name,
         path: &'a Name,
         model: Option<&'a Name>,
+        adapter: Option<&'a Name>,
         patience_ms: Option<u64>,
     },
     CallerGone {
@@ -77,6 +79,7 @@
         lines: u64,
     },
     Transfer(Transfer),
+    Busy(busy::Stretch),
 }
 
 /// Starts writing to standard output.
@@ -125,6 +128,7 @@
             host: &arrival.host,
             path: &arrival.path,
             model: arrival.prompt.as_ref().map(|prompt| &prompt.model),
+            adapter: arrival.prompt.as_ref().and_then(|prompt| prompt.adapter.as_ref()),
             patience_ms: arrival.patience.map(|patience| patience.as_millis() as u64),
         };
         self.line(now, Some(request), note);
@@ -163,6 +167,11 @@
         self.line(now, None, Note::Transfer(transfer));
     }
 
+    /// Logs a second or so in which the loop that decides was busy for long.
+    pub(crate) fn busy(&self, now: Time, stretch: busy::Stretch) {
+        self.line(now, None, Note::Busy(stretch));
+    }
+
     /// Lines that were left out, over the bound or for want of a reader.
     pub(crate) fn dropped(&self) -> u64 {
         self.left_out.get() + self.lost.dropped_lines() as u64
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of an entry VM in the text format that collectors read.
 
+use std::time::Duration;
+
 use boragecove_core::time::Time;
 use boragecove_fleet::State;
 use boragecove_fleet::record::Record;
@@ -16,6 +18,9 @@
 /// Upper bounds of times, in seconds: the operators' targets are 0.1 to 3 s.
 const TIMES: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0];
 
+/// Upper bounds of the times of one step, in seconds.
+const STEP_TIMES: [f64; 6] = [0.000_1, 0.001, 0.005, 0.02, 0.1, 0.5];
+
 /// What is measured beside the reducer's counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -25,6 +30,7 @@
     orders: Family<Ordered, Counter>,
     answers: Family<transfer::Labels, Counter>,
     answer_bytes: Family<transfer::Labels, Counter>,
+    steps: Family<Step, Histogram>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -37,6 +43,11 @@
     state: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Step {
+    event: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Refused {
     code: &'static str,
@@ -66,6 +77,7 @@
             orders: Family::default(),
             answers: Family::default(),
             answer_bytes: Family::default(),
+            steps: Family::new_with_constructor(|| Histogram::new(STEP_TIMES)),
         }
     }
 }
@@ -95,6 +107,11 @@
         self.answer_bytes.get_or_create(&labels).inc_by(transfer.bytes);
     }
 
+    /// Takes in how long the loop that decides was busy with an event.
+    pub(crate) fn stepped(&self, event: &'static str, took: Duration) {
+        self.steps.get_or_create(&Step { event }).observe(took.as_secs_f64());
+    }
+
     /// All metrics.
     pub(crate) fn encode(&self, state: &State, now: Time, counts: Counts) -> String {
         let mut registry = Registry::with_prefix("boragecove");
@@ -108,6 +125,8 @@
         let help = "Answers of the hub and the store, by what was asked for and how they ended";
         registry.register("answers", help, self.answers.clone());
         registry.register("answer_bytes", "Bytes of those answers", self.answer_bytes.clone());
+        let help = "Time for which the loop that decides was busy, by what with";
+        registry.register("step_seconds", help, self.steps.clone());
         ends(&mut registry, state);
         counter(&mut registry, "connections_opened", "Connections opened", counts.connections);
         counter(&mut registry, "log_lines_dropped", "Log lines left out", counts.lines_dropped);
--- a/daemon/src/entry/mod.rs
+++ b/daemon/src/entry/mod.rs
@@ -3,6 +3,7 @@
 //! `node` owns the reducer's state. `doors` reads callers' requests, `relay` carries each to its end with
 //! `client`, `follow` keeps up with the store, and `peers` joins the entry VMs.
 
+pub(crate) mod busy;
 pub mod client;
 mod doors;
 mod events;
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -27,6 +27,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use super::busy;
 use super::client::{Answer, Client, Request};
 use super::events::Events;
 use super::log::Log;
@@ -66,6 +67,7 @@
     follow: watch::Sender<Option<Follow>>,
     exited: watch::Sender<bool>,
     metrics: metrics::Metrics,
+    busy: busy::Load,
 }
 
 /// What the node tells the rest of its process.
@@ -154,6 +156,7 @@
             follow: watch::Sender::new(None),
             exited: signals.exited,
             metrics: metrics::Metrics::default(),
+            busy: busy::Load::default(),
             settings: Rc::new(settings),
         }
     }
@@ -161,9 +164,20 @@
     /// Gives an event to the reducer and carries out what it wants.
     fn feed(&mut self, event: Event, ctx: &mut Context<Self>) {
         let now = self.clock.now();
+        let (what, began) = (event.label(), Instant::now());
         for effect in boragecove_fleet::apply(&mut self.state, now, event) {
             self.carry(now, effect, ctx);
         }
+        self.was_busy(now, what, began);
+    }
+
+    /// Counts the time that a step took since it began.
+    fn was_busy(&mut self, now: Time, what: &'static str, began: Instant) {
+        let took = began.elapsed();
+        self.metrics.stepped(what, took);
+        if let Some(stretch) = self.busy.took(now, what, took) {
+            self.log.busy(now, stretch);
+        }
     }
 
     fn carry(&mut self, now: Time, effect: Effect, ctx: &mut Context<Self>) {
@@ -441,7 +455,10 @@
     type Result = MessageResult<Tell>;
 
     fn handle(&mut self, Tell(frame): Tell, _ctx: &mut Self::Context) -> Self::Result {
-        MessageResult(boragecove_fleet::reply(&mut self.state, self.clock.now(), &frame))
+        let (now, began) = (self.clock.now(), Instant::now());
+        let reply = boragecove_fleet::reply(&mut self.state, now, &frame);
+        self.was_busy(now, "reply", began);
+        MessageResult(reply)
     }
 }
 
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -42,6 +42,7 @@
     assert_eq!((writer.runs(), gateway.runs()), (vec!["a1".to_owned()], vec!["a2".to_owned()]));
     let metrics = call(entry.watchers, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     assert!(metrics.contains("boragecove_config_version 1"), "{metrics}");
+    assert!(metrics.contains("boragecove_step_seconds_count{event=\"configured\"}"), "{metrics}");
 }
 
 /// The load of thousands of routes on a link of 10 Mbit/s: the document takes longer than any one answer of the store
--- a/daemon/tests/lost_service.rs
+++ b/daemon/tests/lost_service.rs
@@ -67,6 +67,25 @@
     assert!(out.contains("streams: waited, late by both"), "{out}");
 }
 
+#[test]
+fn never_served() {
+    let lines = r#"
+{"at":1000000,"vm":"a","id":"r1","decision":"received","request":1,"model":"m0","adapter":"a7"}
+{"at":1000500,"vm":"a","id":"r1","decision":"waits","request":1,"model":"m0","adapter":"a7"}
+{"at":3000000,"vm":"a","id":"r1","decision":"refused","request":1,"route":null,"label":"no_backend"}
+{"at":2500000,"vm":"b","id":"r2","decision":"received","request":1,"model":"m0","adapter":"a7"}
+{"at":2600000,"vm":"b","id":"r2","decision":"refused","request":1,"route":null,"label":"no_backend"}
+{"at":1000000,"vm":"a","id":"r3","decision":"received","request":2,"model":"m0","adapter":"a1"}
+{"at":1100000,"vm":"a","id":"r3","decision":"began","request":2,"after_ms":100}
+{"at":1000000,"vm":"a","id":"r4","decision":"received","request":3,"model":"m0"}
+{"at":1100000,"vm":"a","id":"r4","decision":"ended","request":3,"end":"done","pause_ms":0}
+"#;
+    let (code, out, _) = losses(&[], lines);
+    assert_eq!(code, Some(0));
+    assert!(out.contains("never served (1 of 3 models and adapters)"), "{out}");
+    assert!(out.contains("2 in   1.5 s  m0/a7"), "{out}");
+}
+
 #[test]
 fn nothing_to_tell() {
     let (code, _, error) = losses(&[], "{\"at\":1,\"vm\":\"a\",\"decision\":\"ready\"}\n");
--- a/fleet/benches/hub.rs
+++ b/fleet/benches/hub.rs
@@ -196,5 +196,7 @@
 #[divan::bench(args = SIZES, sample_count = 20, sample_size = 1)]
 fn planned(bencher: Bencher<'_, '_>, vms: usize) {
     let hub = RefCell::new(Hub::new(vms));
-    bencher.with_inputs(|| hub.borrow_mut().hear_all(vms)).bench_local_values(|()| hub.borrow_mut().pass(250));
+    bencher
+        .with_inputs(|| hub.borrow_mut().hear_all(vms))
+        .bench_local_values(|()| hub.borrow_mut().pass(250));
 }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -113,6 +113,38 @@
     Wake,
 }
 
+impl Event {
+    /// What it is called where its cost is counted.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Configured(_) => "configured",
+            Self::Declared(_) => "declared",
+            Self::Listed(_) => "listed",
+            Self::StoreUp(_) => "store_up",
+            Self::Arrive { .. } => "arrive",
+            Self::Gone(_) => "gone",
+            Self::Began(_) => "began",
+            Self::Heard(_) => "heard",
+            Self::Noticed { .. } => "noticed",
+            Self::Ended { .. } => "ended",
+            Self::Framed(_) => "frame",
+            Self::Replied(_) => "replied",
+            Self::Pushed(_) => "pushed",
+            Self::Missed(_) => "missed",
+            Self::Granted { .. } => "granted",
+            Self::Lease(_) => "lease",
+            Self::Ordered { .. } => "ordered",
+            Self::Reported { .. } => "reported",
+            Self::Probed { .. } => "probed",
+            Self::ProbedIndirectly { .. } => "probed_indirectly",
+            Self::Settings(_) => "settings",
+            Self::Stop => "stop",
+            Self::Wake => "wake",
+        }
+    }
+}
+
 /// What was read of the engines' table.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listing {
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -16,7 +16,7 @@
 use crate::flow;
 use crate::frame::{Absent, Resident};
 use crate::order::{Order, Receipt, Report};
-use crate::record::Record;
+use crate::record::{Record, ms};
 use crate::settings::Settings;
 use crate::state::State;
 use crate::timer::Timer;
@@ -358,9 +358,15 @@
         for held in &mut copy.adapters {
             let dropped =
                 matches!(&pending, Some(Order::UnloadAdapter { adapter, .. }) if *adapter == held.name);
-            if !dropped && held.ready_at.is_some_and(|at| at <= now) {
+            if let Some(due) = held.ready_at.filter(|at| !dropped && *at <= now) {
                 held.ready_at = None;
                 changed = true;
+                out.push(Effect::Record(Record::AdapterReady {
+                    engine: id.clone(),
+                    model: copy.model.clone(),
+                    adapter: held.name.clone(),
+                    late_ms: ms(now.since(due)),
+                }));
             }
         }
     }
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -172,6 +172,17 @@
         /// Orders that the engine had accepted before.
         sequence: u64,
     },
+    /// An adapter that an engine was told to load counts as loaded from now on, and whoever asks is told so.
+    AdapterReady {
+        /// The engine's id.
+        engine: Name,
+        /// The model.
+        model: Name,
+        /// The adapter.
+        adapter: Name,
+        /// By how much later than it was expected.
+        late_ms: u64,
+    },
     /// How the models that are asked for most are placed.
     Placement {
         /// The service.
