Look for places only for the adapters that a frame itself waits for

Cause: each frame with a waiting request, and each request that began to wait at the leader, made the leader look for places for everything that callers of all entry VMs waited for, and mark everything that they used.

Why the repair holds: what a frame costs is bounded by what it says itself. What found no place is tried again by each plan. A plan is not changed.

Test frame_seeks_its_own: 36 places sought for one adapter before, one now. A counter of such looks is in the metrics.

--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -129,6 +129,8 @@
         registry.register("step_seconds", help, self.steps.clone());
         ends(&mut registry, state);
         counter(&mut registry, "connections_opened", "Connections opened", counts.connections);
+        let help = "Looks for an engine that an adapter is to be brought to";
+        counter(&mut registry, "adapter_places_sought", help, state.places_sought());
         counter(&mut registry, "log_lines_dropped", "Log lines left out", counts.lines_dropped);
         gauges(&mut registry, state, now);
         let mut text = String::new();
--- a/fleet/src/adapter.rs
+++ b/fleet/src/adapter.rs
@@ -28,26 +28,34 @@
 /// one answers the order sooner.
 const ZONE_COST: f64 = 0.5;
 
-/// Brings adapters that requests wait for to engines that hold their models.
-pub(crate) fn wanted(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+/// Brings all adapters that requests wait for anywhere to engines that hold their models.
+pub(crate) fn all_wanted(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let all = state.hub.frames().flat_map(|frame| &frame.demand).chain(state.demand.peek());
+    let mut targets = waited_for(all);
+    targets.sort();
+    targets.dedup();
+    wanted(state, now, &targets, out);
+}
+
+/// Brings these adapters to engines that hold their models.
+pub(crate) fn wanted(state: &mut State, now: Time, targets: &[Target], out: &mut Vec<Effect>) {
     if state.lease.orders(now).is_none() {
         return;
     }
-    let State { appetite, hub, demand, .. } = state;
-    appetite.touch(now, hub.frames().flat_map(|frame| &frame.demand).chain(demand.peek()));
-    let own = state.demand.peek();
-    let all = state.hub.frames().flat_map(|frame| &frame.demand).chain(own);
-    let waiting = |demand: &&Demand| demand.waiting > 0 && demand.target.adapter.is_some();
-    let mut targets: Vec<Target> = all.filter(waiting).map(|demand| demand.target.clone()).collect();
-    targets.sort();
-    targets.dedup();
-    for target in targets {
-        place(state, now, &target, out);
+    for target in targets.iter().filter(|target| target.adapter.is_some()) {
+        place(state, now, target, out);
     }
 }
 
+/// What requests wait for.
+pub(crate) fn waited_for<'a>(demands: impl IntoIterator<Item = &'a Demand>) -> Vec<Target> {
+    let waiting = demands.into_iter().filter(|demand| demand.waiting > 0);
+    waiting.map(|demand| demand.target.clone()).collect()
+}
+
 /// Finds a place for an adapter that is nowhere and that none is on its way to.
 fn place(state: &mut State, now: Time, target: &Target, out: &mut Vec<Effect>) {
+    state.places_sought += 1;
     let usable = |engine: &&Engine| is_usable(engine, now);
     let expected = |engine: &Engine| is_expected(state, engine, target);
     if state.engines_of(&target.service).filter(usable).any(expected) {
--- a/fleet/src/demand.rs
+++ b/fleet/src/demand.rs
@@ -79,6 +79,11 @@
         demand.open = demand.open.saturating_sub(1);
     }
 
+    /// What there is of one target.
+    pub(crate) fn of(&self, target: &Target) -> Option<&Demand> {
+        self.by_target.get(target)
+    }
+
     /// All there is, without counting anew.
     pub(crate) fn peek(&self) -> impl Iterator<Item = &Demand> {
         self.by_target.values()
@@ -201,7 +206,7 @@
     }
 
     /// Notes which adapters are in use.
-    pub(crate) fn touch<'a>(&mut self, now: Time, demands: impl Iterator<Item = &'a Demand>) {
+    pub(crate) fn touch<'a>(&mut self, now: Time, demands: impl IntoIterator<Item = &'a Demand>) {
         for demand in demands {
             if demand.target.adapter.is_some() && demand.open + demand.waiting + demand.arrived > 0 {
                 self.adapters.insert(demand.target.clone(), now);
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -332,7 +332,8 @@
         }));
         state.demand.waits(&target);
         if state.lease.orders(now).is_some() {
-            adapter::wanted(state, now, out);
+            state.appetite.touch(now, state.demand.of(&target));
+            adapter::wanted(state, now, &[target], out);
         } else {
             frame::send(state, now, out);
         }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -363,12 +363,12 @@
         notice::noticed(state, now, departure, Notice { leaving: true, pause: None }, out);
     }
     crash::told(state, now, News::of(frame.crashing.clone()), out);
-    let wanted = frame.demand.iter().any(|demand| demand.waiting > 0);
     push::heard(state, now, &frame, out);
+    state.appetite.touch(now, &frame.demand);
+    // Only what this frame says: with all that others wait for, the time for a frame would grow with the square of them.
+    let wanted = adapter::waited_for(&frame.demand);
     peers::replace(state, now, frame);
-    if wanted {
-        adapter::wanted(state, now, out);
-    }
+    adapter::wanted(state, now, &wanted, out);
 }
 
 /// What the hub answers to an entry VM's last frame.
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -47,7 +47,7 @@
             models(state, now, &service.name, pool, out);
         }
     }
-    adapter::wanted(state, now, out);
+    adapter::all_wanted(state, now, out);
     if state.settings.uses(Mechanism::AdapterRelief) {
         adapter::relieve(state, now, out);
     }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -99,6 +99,8 @@
     pub(crate) updates: Updates,
     pub(crate) pushes: Pushes,
     pub(crate) crashes: Register,
+    /// How often a place for an adapter was looked for.
+    pub(crate) places_sought: u64,
     paces: FxHashMap<Name, f64>,
 }
 
@@ -148,6 +150,7 @@
             updates: Updates::default(),
             pushes: Pushes::default(),
             crashes: Register::default(),
+            places_sought: 0,
             paces: FxHashMap::default(),
         }
     }
@@ -211,6 +214,12 @@
         &self.retries
     }
 
+    /// How often a place for an adapter was looked for: what the holder of the lease has to do grows with it.
+    #[must_use]
+    pub const fn places_sought(&self) -> u64 {
+        self.places_sought
+    }
+
     /// The engines of a service.
     pub(crate) fn engines_of<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Engine> {
         self.engines.values().filter(move |engine| engine.entry.service == *service)
