Tell of each adapter that is there, not only of the first on its way to an engine

What callers saw: requests wait for an adapter that is at an engine, are refused, and so are the next ones at other entry VMs, for up to 15.8 s, with a leader that everyone hears.

Cause: the timer of an engine's book was set for the earliest adapter on its way, and when it fired none was set for the rest. A later one stayed on its way until something else happened at that engine; the plan counted it as expected and ordered nothing, and four such ones let the engine fetch no more. Small deployments, with one load at a time, do not show it.

Why the repair holds: whenever the timer of a book fires, the next one is set for what is still due there. One timer a book is set at a time, so that their number does not grow with loads.

Test each_is_told: red before (the third of three adapters is never told), passes now.

--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -29,6 +29,8 @@
     pub(crate) pending: Option<Pending>,
     pub(crate) queue: VecDeque<Order>,
     pub(crate) check_at: Option<Time>,
+    /// When the timer fires that is set for what is due.
+    pub(crate) wakes_at: Option<Time>,
     pub(crate) reporting: bool,
     pub(crate) changed: u64,
 }
@@ -121,6 +123,12 @@
         self.copies.iter().any(|copy| copy.phase != Phase::Ready)
     }
 
+    /// When adapters on their way are there, and when the engine is to be asked, in no order.
+    pub(crate) fn due(&self) -> impl Iterator<Item = Time> {
+        let ready = self.copies.iter().flat_map(|copy| &copy.adapters).filter_map(|held| held.ready_at);
+        ready.chain(self.check_at)
+    }
+
     /// The models, with how far each is.
     pub(crate) fn copies(&self) -> impl Iterator<Item = (&Name, Phase)> {
         self.copies.iter().map(|copy| (&copy.model, copy.phase))
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -9,6 +9,7 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use boragecove_core::timer::Timers;
 
 use crate::book::{Book, Fetched, Late, Pending, REPORT_LAG};
 use crate::effect::{Dispatch, Effect};
@@ -288,7 +289,7 @@
         }
         Some(Receipt::Conflict | Receipt::Refused) | None => unsure(book, now),
     }
-    wake_for(state, id);
+    wake_for(state, now, id);
     publish(state, id, out);
     drive(state, now, id, out);
 }
@@ -329,13 +330,22 @@
 }
 
 /// Sets the timer for the next thing that is due at an engine's book.
-fn wake_for(state: &mut State, id: &Name) {
-    let Some(book) = state.ledger.books.get(id) else {
+fn wake_for(state: &mut State, now: Time, id: &Name) {
+    let State { ledger, timers, .. } = state;
+    let Some(book) = ledger.books.get_mut(id) else {
         return;
     };
-    let ready = book.copies.iter().flat_map(|copy| &copy.adapters).filter_map(|held| held.ready_at).min();
-    for at in [ready, book.check_at].into_iter().flatten() {
-        state.timers.set(at, Timer::Check(id.clone()));
+    if let Some(next) = book.due().min() {
+        wake_at(timers, now, id, book, next.max(now));
+    }
+}
+
+/// Sets the timer for an engine's book, unless one is to fire that is no later.
+fn wake_at(timers: &mut Timers<Timer>, now: Time, id: &Name, book: &mut Book, at: Time) {
+    let set = book.wakes_at.filter(|set| *set > now);
+    if set.is_none_or(|set| at < set) {
+        book.wakes_at = Some(at);
+        timers.set(at, Timer::Check(id.clone()));
     }
 }
 
@@ -375,6 +385,11 @@
         book.reporting = true;
         out.push(Effect::Report { engine: id.clone(), incarnation, address });
     }
+    // What is due and could not be done is taken up when the answer that it waits for comes, or the engine's pause ends.
+    let next = book.due().filter(|at| *at > now).min();
+    if let Some(next) = next {
+        wake_at(&mut state.timers, now, id, book, next);
+    }
     if changed {
         publish(state, id, out);
     }
@@ -421,7 +436,7 @@
         }
         _ => book.check_at = Some(now + LOOK_AGAIN),
     }
-    wake_for(state, id);
+    wake_for(state, now, id);
     publish(state, id, out);
     drive(state, now, id, out);
 }
@@ -433,7 +448,7 @@
     };
     if state.ledger.books.get(id).is_some_and(|book| book.incarnation < entry.incarnation) {
         restart(state, now, id, entry.incarnation);
-        wake_for(state, id);
+        wake_for(state, now, id);
         publish(state, id, out);
         return;
     }
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -2,27 +2,76 @@
 
 mod node;
 
+use std::sync::Arc;
+
+use boragecove_fleet::config::{Pool, Service};
 use boragecove_fleet::demand::{Demand, Target};
+use boragecove_fleet::effect::{Dispatch, Effect};
+use boragecove_fleet::engine::Row;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::Frame;
-use node::{Node, WRITER, config, entry, listing, millis, row, streamed};
+use boragecove_fleet::order::Receipt;
+use boragecove_fleet::request::{Id, Step};
+use node::{Node, WRITER, config, entry, listing, millis, orders, pool, row, step_of, streamed};
 
 /// The holder of the lease. Two engines hold `m0` and `m1`, two others `m2` and `m3`, and nothing is to be moved.
 fn hub() -> Node {
-    let mut hub = Node::bare("hub");
-    hub.feed(Event::Configured(std::sync::Arc::new(config(1))));
-    let rows = vec![
+    leader(vec![
         row(1, entry("w1", WRITER, "zone-a", &["m0", "m1"])),
         row(2, entry("w2", WRITER, "zone-b", &["m0", "m1"])),
         row(3, entry("w3", WRITER, "zone-a", &["m2", "m3"])),
         row(4, entry("w4", WRITER, "zone-b", &["m2", "m3"])),
-    ];
-    hub.feed(listing(rows, 4, true));
+    ])
+}
+
+/// The holder of the lease, where each model is at one engine.
+fn single() -> Node {
+    leader(vec![
+        row(1, entry("w1", WRITER, "zone-a", &["m0", "m1"])),
+        row(2, entry("w2", WRITER, "zone-a", &["m2", "m3"])),
+    ])
+}
+
+/// The holder of the lease of these engines, which have room for eight adapters each.
+fn leader(rows: Vec<Row>) -> Node {
+    let mut hub = Node::bare("hub");
+    let mut config = config(1);
+    let pool = Pool { adapters_max: 8, ..pool() };
+    config.services[0] = Arc::new(Service { name: WRITER.into(), connections_max: 100, pool: Some(pool) });
+    hub.feed(Event::Configured(Arc::new(config)));
+    let version = rows.len() as u64;
+    hub.feed(listing(rows, version, true));
     hub.lead();
     hub.pass(millis(300));
     hub
 }
 
+/// Requests for these adapters of `m0` arrive and wait.
+fn ask(hub: &mut Node, adapters: &[&str]) -> (Vec<Id>, Vec<Dispatch>) {
+    let mut sent = Vec::new();
+    let requests = adapters.iter().map(|adapter| {
+        let request = hub.arrive(streamed("/brief/1", "m0", Some(adapter)));
+        sent.extend(orders(&hub.effects));
+        request
+    });
+    let requests = requests.collect();
+    (requests, sent)
+}
+
+/// An engine accepts an order. Returns the orders that follow.
+fn accept(hub: &mut Node, dispatch: &Dispatch) -> Vec<Dispatch> {
+    hub.feed(Event::Ordered {
+        engine: dispatch.engine.clone(),
+        incarnation: dispatch.incarnation,
+        receipt: Some(Receipt::Accepted),
+    });
+    orders(&hub.effects)
+}
+
+fn is_sent(effects: &[Effect], request: Id) -> bool {
+    matches!(step_of(effects, request), Some(Step::Send(_)))
+}
+
 fn target(model: &str, adapter: &str) -> Target {
     Target { service: WRITER.into(), model: model.into(), adapter: Some(adapter.into()) }
 }
@@ -55,3 +104,24 @@
     hub.arrive(streamed("/brief/1", "m1", Some("a8")));
     assert_eq!(hub.state.places_sought() - before, 1, "and one by a request that comes to the leader");
 }
+
+/// Adapters that come to one engine one after the other: only the first was told of, and the others stayed on their way for all
+/// until something else happened there.
+#[test]
+fn each_is_told() {
+    let mut hub = single();
+    let (requests, mut sent) = ask(&mut hub, &["a1", "a2", "a3"]);
+    let mut effects = Vec::new();
+    for _ in 0..3 {
+        effects.extend(hub.pass(millis(10)));
+        let dispatch = sent.remove(0);
+        sent.extend(accept(&mut hub, &dispatch));
+    }
+    effects.extend(hub.pass(millis(60)));
+    for request in requests {
+        assert!(
+            is_sent(&effects, request),
+            "{request:?}: its adapter was there 20 ms after the order was accepted"
+        );
+    }
+}
