Look with each plan at what is due at every engine, whatever became of its timer

What callers would see: an adapter that is there is told to nobody, or an engine gets no order any more, after the lease was over for a moment, the engine was off the list for a moment, or an order went unanswered while its engine wanted nothing.

Cause: a timer of an engine's book that fires in such a state is spent, and what it was set for stays due with no timer. The same class as the timer that was set for the earliest of several: one chance, which a passing state can take.

Whatever path lost a timer, what is due is done with the next plan.

--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -32,12 +32,13 @@
     }
     ledger::sync(state, now);
     take_in(state, now);
-    if state.lease.orders(now).is_none() {
-        return;
-    }
+    // A timer that fired while the lease was not held, or the engine not listed, did nothing.
     let managed: Vec<Name> = state.engines.keys().cloned().collect();
     for id in &managed {
-        ledger::drive(state, now, id, out);
+        ledger::check(state, now, id, out);
+    }
+    if state.lease.orders(now).is_none() {
+        return;
     }
     let Some(config) = state.config.clone() else {
         return;
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -10,9 +10,12 @@
 use boragecove_fleet::engine::Row;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::Frame;
+use boragecove_fleet::lease::Outcome;
+use boragecove_fleet::notice::{Notice, Start};
 use boragecove_fleet::order::Receipt;
 use boragecove_fleet::request::{Id, Step};
-use node::{Node, WRITER, config, entry, listing, millis, orders, pool, row, step_of, streamed};
+use boragecove_fleet::settings::Settings;
+use node::{Node, WRITER, config, entry, listing, millis, orders, pool, removed, row, step_of, streamed};
 
 /// The holder of the lease. Two engines hold `m0` and `m1`, two others `m2` and `m3`, and nothing is to be moved.
 fn hub() -> Node {
@@ -125,3 +128,46 @@
         );
     }
 }
+
+/// The lease is over for a moment, and renewed: an adapter that came meanwhile stayed on its way for all.
+#[test]
+fn told_after_a_lapse() {
+    let mut hub = single();
+    let (requests, sent) = ask(&mut hub, &["a1"]);
+    hub.now = hub.now + Settings::default().lease_length;
+    accept(&mut hub, &sent[0]);
+    hub.pass(millis(50));
+    assert_eq!(hub.state.lease().holds(hub.now), None, "the store has not taken the renewal");
+    hub.lease(3_000, Outcome::Written(101));
+    let effects = hub.pass(millis(300));
+    assert!(is_sent(&effects, requests[0]), "it is told with the next plan");
+}
+
+/// An order is not answered while its engine wants nothing: what the engine holds was never asked, and it got no order any more.
+#[test]
+fn paused_engine_is_asked() {
+    let mut hub = single();
+    let (_, mut sent) = ask(&mut hub, &["a1"]);
+    let from = Start { engine: sent[0].engine.clone(), incarnation: sent[0].incarnation };
+    let notice = Notice { leaving: false, pause: Some(millis(100)) };
+    hub.feed(Event::Noticed { from, notice });
+    let Dispatch { engine, incarnation, .. } = sent.remove(0);
+    hub.feed(Event::Ordered { engine: engine.clone(), incarnation, receipt: None });
+    let effects = hub.pass(millis(800));
+    let asked = |effect: &Effect| matches!(effect, Effect::Report { engine: of, .. } if *of == engine);
+    assert!(effects.iter().any(asked), "an order that was not answered may have been carried out");
+}
+
+/// An engine is gone from the list, and back before the next plan: what came meanwhile stayed on its way for all.
+#[test]
+fn told_of_one_that_is_back() {
+    let mut hub = single();
+    let (_, sent) = ask(&mut hub, &["a1"]);
+    accept(&mut hub, &sent[0]);
+    hub.feed(listing(vec![removed(3, "w1")], 3, false));
+    hub.pass(millis(30));
+    hub.feed(listing(vec![row(4, entry("w1", WRITER, "zone-a", &["m0", "m1"]))], 4, false));
+    hub.pass(millis(300));
+    let later = hub.arrive(streamed("/brief/1", "m0", Some("a1")));
+    assert!(hub.step(later).is_some_and(|step| matches!(step, Step::Send(_))), "it is there");
+}
