Keep an order for an adapter until the engine can fetch it

What callers saw: of several adapters that are needed at one engine at once, those beyond four came with the next plan, 250 ms later, or not at all.

Cause: an engine fetches four at a time, and an order that could not be sent for that was dropped like one that makes no sense any more. The class: something is dropped for a state that passes by itself.

Why the repair holds: such an order stays the next one of its engine, and the end of a fetch, for which the book's timer is set, sends it. What makes no sense any more is still dropped, and what follows it is looked at at once.

Test more_than_are_fetched: red before (the fifth is not sent within 200 ms), passes now; never_overfilled still passes.

--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -254,16 +254,10 @@
             Order::LoadAdapter { model, .. } => {
                 let ready = self.kept(model).is_some_and(|copy| copy.phase == Phase::Ready);
                 let held: usize = self.copies.iter().map(|copy| copy.adapters.len()).sum();
-                let fetching = self
-                    .copies
-                    .iter()
-                    .flat_map(|copy| &copy.adapters)
-                    .filter(|adapter| adapter.ready_at.is_some())
-                    .count();
                 ready
                     && !self.moving()
                     && held < pool.adapters_max as usize
-                    && fetching < FETCHES_MAX
+                    && self.fetching() < FETCHES_MAX
                     && pool.model(model).is_some_and(|model| model.adapter_mb <= free)
             }
             Order::UnloadAdapter { model, adapter } => {
@@ -275,6 +269,28 @@
         }
     }
 
+    /// The next order that can be sent now. Those that make no sense any more are dropped; one that only has to wait for what
+    /// the engine is doing holds the rest up.
+    pub(crate) fn next(&mut self, pool: &Pool, late: &[Late]) -> Option<Order> {
+        while let Some(next) = self.queue.front() {
+            if self.permits(next, pool) && !late.iter().any(|late| late.overfills(self, next, pool)) {
+                return Some(next.clone());
+            }
+            let fetches = matches!(next, Order::LoadAdapter { .. }) && self.fetching() >= FETCHES_MAX;
+            if self.moving() || fetches {
+                return None;
+            }
+            self.queue.pop_front();
+        }
+        None
+    }
+
+    /// Adapters on their way to the engine.
+    fn fetching(&self) -> usize {
+        let adapters = self.copies.iter().flat_map(|copy| &copy.adapters);
+        adapters.filter(|adapter| adapter.ready_at.is_some()).count()
+    }
+
     /// An adapter is there, whoever ordered it.
     pub(crate) fn holds(&mut self, model: &Name, adapter: &Name) {
         if let Some(copy) = self.kept_mut(model)
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -171,18 +171,13 @@
     if leaving {
         book.queue.clear();
     }
-    let (Some(sequence), None, Some(next)) = (book.sequence, &book.pending, book.queue.front().cloned())
-    else {
+    let (Some(sequence), None) = (book.sequence, &book.pending) else {
         return;
     };
-    let incarnation = book.incarnation;
-    if !book.permits(&next, &pool) || late.iter().any(|late| late.overfills(book, &next, &pool)) {
-        // A model that is still on its way out holds the rest up; anything else makes no sense any more.
-        if !book.moving() {
-            book.queue.pop_front();
-        }
+    let Some(next) = book.next(&pool, &late) else {
         return;
-    }
+    };
+    let incarnation = book.incarnation;
     if let Order::Load { model } = &next
         && !cached.memory.contains(model)
         && !cached.disk.contains(model)
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -171,3 +171,24 @@
     let later = hub.arrive(streamed("/brief/1", "m0", Some("a1")));
     assert!(hub.step(later).is_some_and(|step| matches!(step, Step::Send(_))), "it is there");
 }
+
+/// Six adapters for one engine at once: an engine fetches four, and the orders for the others were dropped until the next plan.
+#[test]
+fn more_than_are_fetched() {
+    let mut hub = single();
+    let (requests, mut sent) = ask(&mut hub, &["a1", "a2", "a3", "a4", "a5", "a6"]);
+    let mut effects = Vec::new();
+    // The next plan is 240 ms away.
+    for _ in 0..20 {
+        while let Some(dispatch) = sent.pop() {
+            sent.extend(accept(&mut hub, &dispatch));
+            effects.extend_from_slice(&hub.effects);
+        }
+        let passed = hub.pass(millis(10));
+        sent.extend(orders(&passed));
+        effects.extend(passed);
+    }
+    for request in requests {
+        assert!(is_sent(&effects, request), "{request:?}");
+    }
+}
