Tell the hub of a wait as soon as it has answered the frame that is under way

Cause: a request that begins to wait sends a frame, unless one is under way; then nothing told the hub until the next interval, 1.5 s with 295 entry VMs. A state that passes took the one chance to tell, as with the timers.

Why the repair holds: what a frame under way does not say is remembered, and said with a frame of its own once the hub has answered. A hub that does not answer gets no more frames than before.

Test wish_behind_a_frame: red before (no frame follows the answer), passes now.

--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -335,7 +335,7 @@
             state.appetite.touch(now, state.demand.of(&target));
             adapter::wanted(state, now, &[target], out);
         } else {
-            frame::send(state, now, out);
+            frame::wish(state, now, out);
         }
     }
 }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -175,8 +175,8 @@
     answered: Option<Time>,
     /// Whether the last frame had no answer.
     unanswered: bool,
-    /// Whether a frame is under way.
-    asking: Option<Time>,
+    /// The frame under way.
+    asking: Option<Asking>,
     /// Refusals to be told.
     pub(crate) absent: Vec<Absent>,
     /// The others' last frames, as the hub.
@@ -186,6 +186,13 @@
     inherited_until: Time,
 }
 
+/// A frame that was not answered yet.
+#[derive(Debug, Default)]
+struct Asking {
+    /// Whether requests have begun to wait since it was sent.
+    unsaid: bool,
+}
+
 #[derive(Debug)]
 struct Peer {
     heard: Time,
@@ -305,10 +312,18 @@
     }
     let address = row.address;
     let frame = Box::new(compose(state, now));
-    state.hub.asking = Some(now);
+    state.hub.asking = Some(Asking::default());
     out.push(Effect::Frame { address, frame });
 }
 
+/// A request has begun to wait: the hub is told at once, or as soon as it has answered the frame that is under way.
+pub(crate) fn wish(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    match &mut state.hub.asking {
+        Some(asking) => asking.unsaid = true,
+        None => send(state, now, out),
+    }
+}
+
 /// The frame that is under way goes to a process that is no hub any more, and is not waited for.
 pub(crate) fn forget_asking(state: &mut State) {
     state.hub.asking = None;
@@ -404,7 +419,7 @@
 
 /// The hub answered, or could not be reached.
 pub(crate) fn replied(state: &mut State, now: Time, reply: Option<Reply>, out: &mut Vec<Effect>) {
-    state.hub.asking = None;
+    let asked = state.hub.asking.take();
     if !knows(state) {
         // It was no hub, or is none any more. Where all were restarted at once, the next one is there within 30 ms.
         state.timers.set(now + state.settings.start_look.mul_f64(many(state)), Timer::Look);
@@ -460,6 +475,9 @@
     }
     follow(state, now, out);
     flow::stir(state, now, out);
+    if asked.is_some_and(|asked| asked.unsaid) && !state.waiting.is_empty() {
+        send(state, now, out);
+    }
 }
 
 fn learn(state: &mut State, view: View, residencies: Vec<Resident>) {
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -9,13 +9,15 @@
 use boragecove_fleet::effect::{Dispatch, Effect};
 use boragecove_fleet::engine::Row;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::frame::Frame;
+use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::Outcome;
 use boragecove_fleet::notice::{Notice, Start};
 use boragecove_fleet::order::Receipt;
 use boragecove_fleet::request::{Id, Step};
 use boragecove_fleet::settings::Settings;
-use node::{Node, WRITER, config, entry, listing, millis, orders, pool, removed, row, step_of, streamed};
+use node::{
+    Node, WRITER, config, entry, hub_row, listing, millis, orders, pool, removed, row, step_of, streamed,
+};
 
 /// The holder of the lease. Two engines hold `m0` and `m1`, two others `m2` and `m3`, and nothing is to be moved.
 fn hub() -> Node {
@@ -192,3 +194,47 @@
         assert!(is_sent(&effects, request), "{request:?}");
     }
 }
+
+/// What an entry VM that is not the hub has told it last.
+fn told(effects: &[Effect]) -> Option<&Frame> {
+    effects.iter().rev().find_map(|effect| match effect {
+        Effect::Frame { frame, .. } => Some(&**frame),
+        _ => None,
+    })
+}
+
+/// The adapters that a frame says are waited for.
+fn wishes(frame: &Frame) -> Vec<&str> {
+    let waiting = frame.demand.iter().filter(|demand| demand.waiting > 0);
+    waiting.filter_map(|demand| demand.target.adapter.as_deref()).collect()
+}
+
+/// An entry VM of so many, which knows its hub.
+fn follower(nodes: u32) -> Node {
+    let mut node = Node::ready("a");
+    node.pass(millis(10));
+    node.lease(0, Outcome::Read(Some(hub_row())));
+    node.pass(millis(1_000));
+    node.feed(replied(nodes));
+    node
+}
+
+fn replied(nodes: u32) -> Event {
+    let reply = Reply { leads: true, nodes, listed: 4, ..Reply::default() };
+    Event::Replied(Some(Box::new(reply)))
+}
+
+/// A request begins to wait while a frame is under way: the hub was told 1.5 s later, with the next one, where there are hundreds of
+/// entry VMs.
+#[test]
+fn wish_behind_a_frame() {
+    let mut node = follower(295);
+    node.arrive(streamed("/brief/1", "m0", Some("a1")));
+    assert_eq!(told(&node.effects).map(wishes), Some(vec!["a1"]), "no frame is under way");
+    node.arrive(streamed("/brief/1", "m0", Some("a2")));
+    assert_eq!(told(&node.effects), None, "one is under way");
+    node.feed(replied(295));
+    assert_eq!(told(&node.effects).map(wishes), Some(vec!["a1", "a2"]), "the hub knows nothing of a2");
+    node.feed(replied(295));
+    assert_eq!(told(&node.effects), None, "the hub knows of both");
+}
