Tell refusals as absent again if the frame that told them was lost

What callers would see: an engine that lost an adapter turns requests away, while the hub, whose frames are lost, goes on to count the adapter as there and orders nothing.

Cause: refusals were told once, with one frame, whether it reached the hub or not. Found by going through all that a frame takes along: demand is told as a state with each frame, engines that leave and suspicions too; what came since the last frame (arrivals) only shapes a mean, and is left, since a frame whose answer is lost has mostly been heard.

Why the repair holds: a frame that was not answered, or whose hub is none any more, gives its refusals back to the next one, 64 at most. The hub asks an engine once for several of them.

Test refusal_in_a_lost_frame: red before, passes now.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -41,6 +41,9 @@
 const ALONE_PAUSE_MAX: Duration = Duration::from_millis(800);
 /// Loads that are known later than this say nothing any more.
 const LATENESS_MAX: Duration = Duration::from_secs(2);
+/// Refusals that are told once more, at most: an engine that is asked about one says all that it holds.
+const ABSENT_MAX: usize = 64;
+
 /// What an entry VM tells the hub.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
@@ -191,6 +194,8 @@
 struct Asking {
     /// Whether requests have begun to wait since it was sent.
     unsaid: bool,
+    /// The refusals that it tells.
+    absent: Vec<Absent>,
 }
 
 #[derive(Debug)]
@@ -312,7 +317,7 @@
     }
     let address = row.address;
     let frame = Box::new(compose(state, now));
-    state.hub.asking = Some(Asking::default());
+    state.hub.asking = Some(Asking { unsaid: false, absent: frame.absent.clone() });
     out.push(Effect::Frame { address, frame });
 }
 
@@ -326,7 +331,15 @@
 
 /// The frame that is under way goes to a process that is no hub any more, and is not waited for.
 pub(crate) fn forget_asking(state: &mut State) {
-    state.hub.asking = None;
+    let asked = state.hub.asking.take();
+    tell_again(state, asked);
+}
+
+/// A frame may not have reached the hub: what it told once is told with the next.
+fn tell_again(state: &mut State, asked: Option<Asking>) {
+    let absent = asked.map(|asked| asked.absent).unwrap_or_default();
+    let room = ABSENT_MAX.saturating_sub(state.hub.absent.len());
+    state.hub.absent.extend(absent.into_iter().take(room));
 }
 
 fn compose(state: &mut State, now: Time) -> Frame {
@@ -426,6 +439,7 @@
     }
     state.hub.unanswered = reply.is_none();
     let Some(reply) = reply else {
+        tell_again(state, asked);
         if state.hub.leads && !state.hub.alive(now, &state.settings) {
             state.hub.leads = false;
             out.push(Effect::Record(Record::Hub { state: "lost", nodes: state.hub.nodes }));
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -3,6 +3,7 @@
 mod node;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use boragecove_fleet::config::{Pool, Service};
 use boragecove_fleet::demand::{Demand, Target};
@@ -13,7 +14,7 @@
 use boragecove_fleet::lease::Outcome;
 use boragecove_fleet::notice::{Notice, Start};
 use boragecove_fleet::order::Receipt;
-use boragecove_fleet::request::{Id, Step};
+use boragecove_fleet::request::{Cause, End, Id, Step};
 use boragecove_fleet::settings::Settings;
 use node::{
     Node, WRITER, config, entry, hub_row, listing, millis, orders, pool, removed, row, step_of, streamed,
@@ -238,3 +239,17 @@
     node.feed(replied(295));
     assert_eq!(told(&node.effects), None, "the hub knows of both");
 }
+
+/// A refusal as absent is told once: with a frame that was lost, the hub never asked the engine.
+#[test]
+fn refusal_in_a_lost_frame() {
+    let mut node = follower(3);
+    let (request, attempt) = node.sent(streamed("/brief/1", "m1", None));
+    node.ended(request, attempt.number, End::Refused(Cause::Absent));
+    let frame = told(&node.effects).expect("it waits, and says so");
+    assert_eq!(frame.absent.len(), 1);
+    node.feed(Event::Replied(None));
+    let next = node.pass(Duration::from_secs(2));
+    let next = told(&next).expect("the next frame is due");
+    assert_eq!(next.absent.len(), 1, "the hub may not have heard of it");
+}
