Hold the hub's answer to a frame for what that frame waits for

What callers saw: with many waits at once, a wait lasts until the next interval between frames, 1.5 s with 295 entry VMs, although the adapter is at an engine 30 ms after it was asked for.

Cause: the answer to a frame with a wait was held for up to 80 ms and went out with whatever changed first, mostly for somebody else. The class: a word that is told once, and too soon.

Why the repair holds: the reducer says whether an adapter that a frame waits for is on its way (awaits), and whether an engine that has changed has it (meets); the process answers the frame then, or after 80 ms. Where no orders may be given, or nothing is on its way, the answer goes out at once. An entry VM whose answer brought some of what it waits for asks again at once for the rest. What a change costs is one look at one engine for each held frame.

Tests: rest_of_the_wishes, red before; held_for_its_own and nothing_to_hold_for state what is held, and could not be written for the code before, where the listener decided by any change.

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -24,12 +24,13 @@
 use boragecove_platform::{engine, front, store};
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use super::busy;
 use super::client::{Answer, Client, Request};
 use super::events::Events;
+use super::held::{HOLD, Held};
 use super::log::Log;
 use super::metrics;
 use super::outlet::Outlet;
@@ -62,12 +63,12 @@
     drawn: u64,
     wake: Option<SpawnHandle>,
     ready: watch::Sender<bool>,
-    changed: watch::Sender<u64>,
     limits: watch::Sender<Limits>,
     follow: watch::Sender<Option<Follow>>,
     exited: watch::Sender<bool>,
     metrics: metrics::Metrics,
     busy: busy::Load,
+    held: Vec<Held>,
 }
 
 /// What the node tells the rest of its process.
@@ -77,8 +78,6 @@
     pub(crate) ready: watch::Sender<bool>,
     /// What callers may send.
     pub(crate) limits: watch::Sender<Limits>,
-    /// Grows whenever what engines hold has changed.
-    pub(crate) changed: watch::Sender<u64>,
     /// Whether nothing is left to do.
     pub(crate) exited: watch::Sender<bool>,
 }
@@ -107,10 +106,10 @@
 #[rtype(result = "()")]
 pub(crate) struct Transferred(pub(crate) Transfer);
 
-/// What the hub would answer to a frame.
+/// Another entry VM sent a frame. The answer may be held for a moment.
 #[derive(Debug, actix::Message)]
-#[rtype(result = "Reply")]
-pub(crate) struct Tell(pub(crate) Frame);
+#[rtype(result = "Option<Reply>")]
+pub(crate) struct Hear(pub(crate) Frame);
 
 /// Another entry VM asks for a place in the schedule of an engine.
 #[derive(Debug, actix::Message)]
@@ -151,12 +150,12 @@
             drawn: 0,
             wake: None,
             ready: signals.ready,
-            changed: signals.changed,
             limits: signals.limits,
             follow: watch::Sender::new(None),
             exited: signals.exited,
             metrics: metrics::Metrics::default(),
             busy: busy::Load::default(),
+            held: Vec::new(),
             settings: Rc::new(settings),
         }
     }
@@ -219,7 +218,7 @@
             Effect::Limit(limits) => {
                 self.limits.send_replace(limits);
             }
-            Effect::Changed => self.changed.send_modify(|version| *version += 1),
+            Effect::Changed(engine) => self.answer_met(now, &engine),
             Effect::WakeAt(at) => self.wake_at(at, ctx),
             Effect::Exit => {
                 self.exited.send_replace(true);
@@ -227,6 +226,32 @@
         }
     }
 
+    /// Answers the frames whose senders' callers wait for what an engine has now.
+    fn answer_met(&mut self, now: Time, engine: &Name) {
+        let Self { held, state, .. } = self;
+        let meets = |held: &mut Held| boragecove_fleet::meets(state, now, engine, &held.frame);
+        let met: Vec<Held> = held.extract_if(.., meets).collect();
+        for held in met {
+            self.answer(now, held);
+        }
+    }
+
+    /// Answers the frames that were held for long enough.
+    fn answer_due(&mut self) {
+        let now = self.clock.now();
+        let due: Vec<Held> = self.held.extract_if(.., |held| held.is_due(now)).collect();
+        for held in due {
+            self.answer(now, held);
+        }
+    }
+
+    fn answer(&mut self, now: Time, held: Held) {
+        let began = Instant::now();
+        let reply = boragecove_fleet::reply(&mut self.state, now, &held.frame);
+        self.was_busy(now, "reply", began);
+        held.answer(reply);
+    }
+
     fn step(&mut self, request: Id, step: Step) {
         let last = !matches!(step, Step::Send(_));
         if let Some(steps) = self.steps.get(&request) {
@@ -451,14 +476,22 @@
     }
 }
 
-impl Handler<Tell> for Node {
-    type Result = MessageResult<Tell>;
+impl Handler<Hear> for Node {
+    type Result = ResponseFuture<Option<Reply>>;
 
-    fn handle(&mut self, Tell(frame): Tell, _ctx: &mut Self::Context) -> Self::Result {
-        let (now, began) = (self.clock.now(), Instant::now());
-        let reply = boragecove_fleet::reply(&mut self.state, now, &frame);
-        self.was_busy(now, "reply", began);
-        MessageResult(reply)
+    fn handle(&mut self, Hear(frame): Hear, ctx: &mut Self::Context) -> Self::Result {
+        let now = self.clock.now();
+        self.feed(Event::Framed(Box::new(frame.clone())), ctx);
+        let (sender, answer) = oneshot::channel();
+        let awaits = boragecove_fleet::awaits(&self.state, now, &frame);
+        let held = Held::new(now, frame, sender);
+        if awaits {
+            self.held.push(held);
+            ctx.run_later(HOLD, |node, _ctx| node.answer_due());
+        } else {
+            self.answer(now, held);
+        }
+        Box::pin(async move { answer.await.ok() })
     }
 }
 
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -19,11 +19,10 @@
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::sync::watch;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use super::client::{self, Client, Request};
-use super::node::{Feed, Node, Place, Tell, Transferred, Try};
+use super::node::{Feed, Hear, Node, Place, Transferred, Try};
 use super::transfer::{Kind, Transfer};
 
 /// Where frames are posted.
@@ -47,8 +46,6 @@
 /// How long a push may stand still: some ways there and back, and a machine that has spent its share of processor time
 /// stands still for most of a tenth of a second. Beyond that it is suspended or gone.
 const PUSH_STALL: Duration = Duration::from_millis(400);
-/// How long the hub waits for what a frame says that requests wait for: an adapter is there in some 20 ms.
-const HOLD: Duration = Duration::from_millis(80);
 
 /// Sends a frame to the hub. Returns its answer, or none if none began within `limit` or it stood still for
 /// as long; `node` is told what came.
@@ -121,17 +118,10 @@
     decode(&body)
 }
 
-/// What the listener for frames works with.
-#[derive(Clone, Debug)]
-pub(crate) struct Hub {
-    pub(crate) node: Addr<Node>,
-    pub(crate) changed: watch::Receiver<u64>,
-}
-
 /// Serves frames.
-pub(crate) fn routes(config: &mut ServiceConfig, hub: Hub) {
+pub(crate) fn routes(config: &mut ServiceConfig, node: Addr<Node>) {
     config
-        .app_data(Data::new(hub))
+        .app_data(Data::new(node))
         .app_data(PayloadConfig::new(FRAME_MAX))
         .route(PATH, web::post().to(heard))
         .route(PUSH, web::post().to(pushed))
@@ -145,47 +135,41 @@
     read.inspect_err(|error| tracing::warn!(%error, "message of another entry VM")).ok()
 }
 
-async fn pushed(body: Bytes, hub: Data<Hub>) -> HttpResponse {
+async fn pushed(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
     let Some(message) = decode::<Message>(&body) else {
         return HttpResponse::BadRequest().finish();
     };
-    hub.node.do_send(Feed(Event::Pushed(Box::new(message))));
+    node.do_send(Feed(Event::Pushed(Box::new(message))));
     HttpResponse::Ok().finish()
 }
 
-async fn asked(body: Bytes, hub: Data<Hub>) -> HttpResponse {
+async fn asked(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
     let Some(ask) = decode::<Ask>(&body) else {
         return HttpResponse::BadRequest().finish();
     };
-    match hub.node.send(Place(ask)).await {
+    match node.send(Place(ask)).await {
         Ok(grant) => HttpResponse::Ok().body(rmp_serde::to_vec(&grant).unwrap_or_default()),
         Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
     }
 }
 
-async fn tried(body: Bytes, hub: Data<Hub>) -> HttpResponse {
+async fn tried(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
     let Some(engine) = decode::<Name>(&body) else {
         return HttpResponse::BadRequest().finish();
     };
-    match hub.node.send(Try(engine)).await {
+    match node.send(Try(engine)).await {
         Ok(Some(reach)) => HttpResponse::Ok().body(rmp_serde::to_vec(&reach).unwrap_or_default()),
         Ok(None) => HttpResponse::NotFound().finish(),
         Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
     }
 }
 
-async fn heard(body: Bytes, hub: Data<Hub>) -> HttpResponse {
+async fn heard(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
     let Some(frame) = decode::<Frame>(&body) else {
         return HttpResponse::BadRequest().finish();
     };
-    let mut changed = hub.changed.clone();
-    changed.mark_unchanged();
-    hub.node.do_send(Feed(Event::Framed(Box::new(frame.clone()))));
-    if frame.demand.iter().any(|demand| demand.waiting > 0) {
-        let _elapsed = timeout(HOLD, changed.changed()).await;
-    }
-    match hub.node.send(Tell(frame)).await {
-        Ok(reply) => HttpResponse::Ok().body(rmp_serde::to_vec(&reply).unwrap_or_default()),
-        Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
+    match node.send(Hear(frame)).await {
+        Ok(Some(reply)) => HttpResponse::Ok().body(rmp_serde::to_vec(&reply).unwrap_or_default()),
+        Ok(None) | Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
 }
--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -18,7 +18,7 @@
 use super::doors::{self, Door};
 use super::log;
 use super::node::{Feed, Node, Reloaded, Signals};
-use super::peers::{self, Hub};
+use super::peers;
 use super::settings::{self, Listen, Settings};
 use crate::clock::Clock;
 use crate::listener::{Listener, Socket, Times};
@@ -93,17 +93,16 @@
             Listen { callers: callers.address(), watchers: watchers.address(), peers: peers.address() };
         log.started(clock.now(), &settings.zone, &listen);
         let (ready, is_ready) = watch::channel(false);
-        let (changed, on_change) = watch::channel(0);
         let (exit, exited) = watch::channel(false);
         let (stopping, is_stopping) = watch::channel(false);
         let (limits, on_limits) = watch::channel(Limits::default());
-        let signals = Signals { ready, limits, changed, exited: exit };
+        let signals = Signals { ready, limits, exited: exit };
         let node = Node::new(Settings { listen, ..settings.clone() }, clock, log, signals).start();
         let door = Door { node: node.clone(), ready: is_ready, limits: on_limits, stopping: is_stopping };
-        let hub = Hub { node: node.clone(), changed: on_change };
+        let hearing = node.clone();
         let watching = door.clone();
         let listeners = vec![
-            serve_on(peers, || INNER, move |config| peers::routes(config, hub.clone()))?,
+            serve_on(peers, || INNER, move |config| peers::routes(config, hearing.clone()))?,
             serve_on(
                 watchers,
                 || INNER,
--- a/fleet/src/adapter.rs
+++ b/fleet/src/adapter.rs
@@ -56,12 +56,16 @@
 /// Finds a place for an adapter that is nowhere and that none is on its way to.
 fn place(state: &mut State, now: Time, target: &Target, out: &mut Vec<Effect>) {
     state.places_sought += 1;
+    if !is_on_its_way(state, now, target) {
+        bring(state, now, target, f64::INFINITY, out);
+    }
+}
+
+/// Whether an adapter is at an engine that takes requests, or on its way to one.
+pub(crate) fn is_on_its_way(state: &State, now: Time, target: &Target) -> bool {
     let usable = |engine: &&Engine| is_usable(engine, now);
     let expected = |engine: &Engine| is_expected(state, engine, target);
-    if state.engines_of(&target.service).filter(usable).any(expected) {
-        return;
-    }
-    bring(state, now, target, f64::INFINITY, out);
+    state.engines_of(&target.service).filter(usable).any(expected)
 }
 
 /// Brings adapters that are in use to more engines where those that hold them are crowded.
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -84,8 +84,8 @@
     Limit(Limits),
     /// Take the entry VM in or out of the balancer's rotation.
     Ready(bool),
-    /// What engines hold has changed; whoever waits for that may be answered.
-    Changed,
+    /// What this engine holds has changed; whoever waits for that may be answered.
+    Changed(Name),
     /// Send [`crate::event::Event::Wake`] at this time. A later effect of this kind replaces an earlier one.
     WakeAt(Time),
     /// End the process: nothing is in flight any more.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -1,6 +1,7 @@
 //! Frames: what each entry VM tells the hub several times a second, and what the hub answers. The cost
 //! grows with the number of entry VMs, not with its square.
 
+mod hold;
 mod peers;
 
 use std::collections::BTreeMap;
@@ -11,6 +12,7 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+pub(crate) use hold::{awaits, meets};
 pub(crate) use peers::{inherit, reached};
 
 use crate::adapter;
@@ -488,8 +490,11 @@
         learn(state, reply.view, reply.residencies);
     }
     follow(state, now, out);
+    let waited = state.waiting.len();
     flow::stir(state, now, out);
-    if asked.is_some_and(|asked| asked.unsaid) && !state.waiting.is_empty() {
+    // An answer that brought something was not held for the rest.
+    let more = asked.is_some_and(|asked| asked.unsaid) || state.waiting.len() < waited;
+    if more && !state.waiting.is_empty() {
         send(state, now, out);
     }
 }
--- /dev/null
+++ b/fleet/src/frame/hold.rs
@@ -0,0 +1,36 @@
+//! Which answers of the hub are worth holding for a moment: those to frames whose callers wait for an adapter that is on its way.
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use super::Frame;
+use crate::adapter;
+use crate::demand::Target;
+use crate::state::State;
+
+/// Whether an adapter that the frame's callers wait for is on its way, and at no engine yet.
+pub(crate) fn awaits(state: &State, now: Time, frame: &Frame) -> bool {
+    if state.lease.orders(now).is_none() {
+        return false;
+    }
+    wanted(frame).any(|target| {
+        let serves = |engine| serves(state, now, engine, target);
+        adapter::is_on_its_way(state, now, target) && !state.engines.keys().any(serves)
+    })
+}
+
+/// Whether an engine can run now what the frame's callers wait for.
+pub(crate) fn meets(state: &State, now: Time, engine: &Name, frame: &Frame) -> bool {
+    wanted(frame).any(|target| serves(state, now, engine, target))
+}
+
+/// The adapters that a frame's callers wait for.
+fn wanted(frame: &Frame) -> impl Iterator<Item = &Target> {
+    let waiting = frame.demand.iter().filter(|demand| demand.waiting > 0);
+    waiting.map(|demand| &demand.target).filter(|target| target.adapter.is_some())
+}
+
+fn serves(state: &State, now: Time, engine: &Name, target: &Target) -> bool {
+    let engine = state.engines.get(engine).filter(|engine| engine.entry.service == target.service);
+    engine.is_some_and(|engine| engine.serves(&target.model, target.adapter.as_deref(), now))
+}
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -495,7 +495,7 @@
     if let Some(engine) = state.engines.get_mut(id) {
         engine.learn(incarnation, residency);
     }
-    out.push(Effect::Changed);
+    out.push(Effect::Changed(id.clone()));
     flow::stir_later(state);
 }
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -45,5 +45,5 @@
 mod trust;
 pub mod update;
 
-pub use reduce::{apply, grant, reply};
+pub use reduce::{apply, awaits, grant, meets, reply};
 pub use state::State;
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -1,5 +1,6 @@
 //! The reducer: one function over all events. It only hands each to the module that decides.
 
+use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
 use crate::crash;
@@ -46,6 +47,19 @@
     frame::reply(state, now, asker)
 }
 
+/// Whether the answer to a frame, which was given before, is worth holding for a moment: an adapter that its callers wait for
+/// is on its way.
+#[must_use]
+pub fn awaits(state: &State, now: Time, asker: &Frame) -> bool {
+    frame::awaits(state, now, asker)
+}
+
+/// Whether an engine whose holding has changed can run now what the callers of a frame wait for.
+#[must_use]
+pub fn meets(state: &State, now: Time, engine: &Name, asker: &Frame) -> bool {
+    frame::meets(state, now, engine, asker)
+}
+
 /// Answers a question of another entry VM for a place in the schedule of an engine that this one owns.
 pub fn grant(state: &mut State, now: Time, ask: &Ask) -> Grant {
     schedule::grant(state, now, ask)
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -8,9 +8,9 @@
 use boragecove_fleet::config::{Pool, Service};
 use boragecove_fleet::demand::{Demand, Target};
 use boragecove_fleet::effect::{Dispatch, Effect};
-use boragecove_fleet::engine::Row;
+use boragecove_fleet::engine::{Copy, Incarnation, Phase, Residency, Row};
 use boragecove_fleet::event::Event;
-use boragecove_fleet::frame::{Frame, Reply};
+use boragecove_fleet::frame::{Frame, Reply, Resident};
 use boragecove_fleet::lease::Outcome;
 use boragecove_fleet::notice::{Notice, Start};
 use boragecove_fleet::order::Receipt;
@@ -253,3 +253,70 @@
     let next = told(&next).expect("the next frame is due");
     assert_eq!(next.absent.len(), 1, "the hub may not have heard of it");
 }
+
+/// Two adapters are waited for, and the hub's answer brings one: the other was told of with the next interval, 1.5 s later where there
+/// are hundreds of entry VMs.
+#[test]
+fn rest_of_the_wishes() {
+    let mut node = follower(295);
+    node.arrive(streamed("/brief/1", "m0", Some("a1")));
+    node.arrive(streamed("/brief/1", "m0", Some("a2")));
+    node.feed(replied(295));
+    assert_eq!(told(&node.effects).map(wishes), Some(vec!["a1", "a2"]));
+    node.feed(brought("a1"));
+    assert_eq!(told(&node.effects).map(wishes), Some(vec!["a2"]), "the hub is to hold its answer for a2");
+    node.feed(replied(295));
+    assert_eq!(told(&node.effects), None, "that brought nothing");
+}
+
+/// The hub's answer when an adapter of `m0` is at `w1`.
+fn brought(adapter: &str) -> Event {
+    let copy = Copy { model: "m0".into(), phase: Phase::Ready, adapters: vec![adapter.into()] };
+    let resident = Resident {
+        engine: "w1".into(),
+        incarnation: Incarnation::default(),
+        residency: Residency { copies: vec![copy] },
+    };
+    let reply = Reply { leads: true, nodes: 295, listed: 4, residencies: vec![resident], ..Reply::default() };
+    Event::Replied(Some(Box::new(reply)))
+}
+
+/// The answer to a frame waits for what the frame waits for: it went out with whatever changed first, and the next frame was an
+/// interval away.
+#[test]
+fn held_for_its_own() {
+    let mut hub = single();
+    let Event::Framed(frame) = waiting("vm-1", &[("m0", "a1")]) else { unreachable!() };
+    let sent = orders(hub.feed(Event::Framed(frame.clone())));
+    assert!(boragecove_fleet::awaits(&hub.state, hub.now, &frame), "a1 is on its way");
+    let others = orders(hub.feed(waiting("vm-2", &[("m2", "a2")])));
+    accept(&mut hub, &others[0]);
+    let met = |hub: &Node, effects: &[Effect]| {
+        effects.iter().any(|effect| match effect {
+            Effect::Changed(engine) => boragecove_fleet::meets(&hub.state, hub.now, engine, &frame),
+            _ => false,
+        })
+    };
+    let effects = hub.pass(millis(30));
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Changed(_))), "a2 is there");
+    assert!(!met(&hub, &effects), "that is not what it waits for");
+    accept(&mut hub, &sent[0]);
+    let effects = hub.pass(millis(30));
+    assert!(met(&hub, &effects), "a1 is there");
+    assert!(!boragecove_fleet::awaits(&hub.state, hub.now, &frame), "nothing is on its way any more");
+}
+
+/// Nothing is held for what the hub cannot bring soon.
+#[test]
+fn nothing_to_hold_for() {
+    let mut hub = single();
+    let awaits = |hub: &mut Node, model: &str, adapter: &str| {
+        let Event::Framed(frame) = waiting("vm-1", &[(model, adapter)]) else { unreachable!() };
+        hub.feed(Event::Framed(frame.clone()));
+        boragecove_fleet::awaits(&hub.state, hub.now, &frame)
+    };
+    assert!(awaits(&mut hub, "m0", "a1"), "it is on its way");
+    assert!(!awaits(&mut hub, "m9", "a1"), "no engine holds that model");
+    hub.now = hub.now + Settings::default().lease_length;
+    assert!(!awaits(&mut hub, "m0", "a2"), "it may give no orders");
+}
