Log each change of the engines' table at the holder of the lease alone

No log's volume may grow with the fleet.

Change: who holds the lease names each engine; the others write one line for what they read at once, with the version up to which they know the table. That and the holder's lines, which have versions too, tell what any of them believed.

Test one_names_each_engine: 50 lines for 50 engines at any entry VM before; now at the holder alone.

--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -72,45 +72,58 @@
 
 /// The engines' table, or a part of it, was read.
 pub(crate) fn listed(state: &mut State, now: Time, listing: Listing, out: &mut Vec<Effect>) {
+    let mut changed = 0;
     if listing.whole {
-        missing(state, now, &listing, out);
+        changed += missing(state, now, &listing, out);
         state.removals_from = state.removals_from.max(listing.version);
     }
     for row in listing.rows {
-        take(state, now, row, out);
+        changed += usize::from(take(state, now, row, out));
     }
     state.listed = state.listed.max(listing.version);
+    if changed > 0 {
+        out.push(Effect::Record(Record::Listed {
+            version: state.listed,
+            whole: listing.whole,
+            changed,
+            engines: state.engines.len(),
+            leaving: state.engines.values().filter(|engine| engine.entry.leaving).count(),
+        }));
+    }
     announce(state, out);
     flow::stir_later(state);
 }
 
-/// Engines that a whole listing does not name.
-fn missing(state: &mut State, now: Time, listing: &Listing, out: &mut Vec<Effect>) {
+/// Takes off engines that a whole listing does not name. Returns how many.
+fn missing(state: &mut State, now: Time, listing: &Listing, out: &mut Vec<Effect>) -> usize {
     let named: FxHashSet<&Name> = listing.rows.iter().map(|row| &row.id).collect();
     let known = state.engines.values().filter(|engine| engine.version <= listing.version);
     let gone: Vec<Name> =
         known.map(|engine| engine.entry.id.clone()).filter(|id| !named.contains(id)).collect();
+    let mut changed = 0;
     for id in gone {
         let row = Row { id, version: listing.version, entry: None };
-        take(state, now, row, out);
+        changed += usize::from(take(state, now, row, out));
     }
+    changed
 }
 
-fn take(state: &mut State, now: Time, row: Row, out: &mut Vec<Effect>) {
+/// Takes over a row. Returns whether it changes what is believed of its engine.
+fn take(state: &mut State, now: Time, row: Row, out: &mut Vec<Effect>) -> bool {
     let Row { id, version, entry } = row;
     if state.removed.get(&id).is_some_and(|removed| *removed >= version) {
-        return;
+        return false;
     }
     if state.engines.get(&id).is_some_and(|engine| engine.version > version) {
-        return;
+        return false;
     }
     match entry {
         Some(entry) => put(state, now, entry, version, out),
-        None => remove(state, now, id, version, out),
+        None => remove(state, now, &id, version, out),
     }
 }
 
-fn put(state: &mut State, now: Time, mut entry: Entry, version: u64, out: &mut Vec<Effect>) {
+fn put(state: &mut State, now: Time, mut entry: Entry, version: u64, out: &mut Vec<Effect>) -> bool {
     let id = entry.id.clone();
     // Its entry may be from before its own word, which the store may not have taken yet.
     entry.leaving |= state.departures.has(&id, entry.incarnation);
@@ -122,7 +135,7 @@
         if entry.incarnation < engine.entry.incarnation {
             // Written late by an earlier start of the engine.
             engine.version = version;
-            return;
+            return false;
         }
         if entry.incarnation > engine.entry.incarnation {
             engine.restart();
@@ -142,31 +155,49 @@
         state.engines.insert(id.clone(), Engine::new(entry, version));
     }
     if changed {
-        out.push(Effect::Record(Record::Engine { engine: id.clone(), service, state: label, version }));
+        note(state, now, &id, service, label, version, out);
     }
     ledger::registered(state, now, &id, out);
+    changed
+}
+
+/// Logs what is believed of an engine by the table, which is the same for all entry VMs: the holder of the lease does.
+fn note(
+    state: &State,
+    now: Time,
+    engine: &Name,
+    service: Name,
+    label: &'static str,
+    version: u64,
+    out: &mut Vec<Effect>,
+) {
+    if state.lease.holds(now).is_some() {
+        out.push(Effect::Record(Record::Engine { engine: engine.clone(), service, state: label, version }));
+    }
 }
 
 /// An entry was removed. Around an outage of the store entries of sound engines lapse too, and are back
 /// soon after: those are kept for a while.
-fn remove(state: &mut State, now: Time, id: Name, version: u64, out: &mut Vec<Effect>) {
+fn remove(state: &mut State, now: Time, id: &Name, version: u64, out: &mut Vec<Effect>) -> bool {
     let grace = state.settings.lapse_grace;
     let troubled = state.store_troubled.is_some_and(|at| now.since(at) < grace);
-    let Some(engine) = state.engines.get_mut(&id) else {
-        return;
+    let Some(engine) = state.engines.get_mut(id) else {
+        return false;
     };
     engine.version = version;
     let service = engine.entry.service.clone();
     if troubled && !engine.entry.leaving {
-        if engine.missing_until.is_none() {
+        let lapses = engine.missing_until.is_none();
+        if lapses {
             engine.missing_until = Some(now + grace);
             state.timers.set(now + grace, Timer::Lapse(id.clone()));
-            out.push(Effect::Record(Record::Engine { engine: id, service, state: "lapsed", version }));
+            note(state, now, id, service, "lapsed", version, out);
         }
-        return;
+        return lapses;
     }
-    forget(state, &id, version);
-    out.push(Effect::Record(Record::Engine { engine: id, service, state: "gone", version }));
+    forget(state, id, version);
+    note(state, now, id, service, "gone", version, out);
+    true
 }
 
 /// An entry that lapsed around an outage has not come back.
@@ -179,7 +210,7 @@
     }
     let (service, version) = (engine.entry.service.clone(), engine.version);
     forget(state, id, version);
-    out.push(Effect::Record(Record::Engine { engine: id.clone(), service, state: "gone", version }));
+    note(state, now, id, service, "gone", version, out);
 }
 
 fn forget(state: &mut State, id: &Name, version: u64) {
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -132,6 +132,19 @@
         /// Why.
         error: String,
     },
+    /// Changes of the engines' table were read. The holder of the lease names each engine in a line of its own, with the version.
+    Listed {
+        /// The store's version up to which the table is known now.
+        version: u64,
+        /// Whether all of it was read.
+        whole: bool,
+        /// Engines that appeared, changed their state, or went.
+        changed: usize,
+        /// Engines known now.
+        engines: usize,
+        /// Those of them that take no more work.
+        leaving: usize,
+    },
     /// An engine appeared, changed its state, or went.
     Engine {
         /// Its id.
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -541,7 +541,7 @@
     assert_eq!(told(&mut other, &["first"]), 1, "it sends that one to no engine any more");
     let cleared = |text: &str| Entry {
         request: call(text).fingerprint,
-        status: Status::Cleared { left: Duration::from_secs(600) },
+        status: Status::Cleared { left: Duration::from_mins(10) },
     };
     let crashes = News { suspects: Vec::new(), entries: vec![cleared("second"), cleared("first")] };
     let message = Message { crashes, ..Message::default() };
--- a/fleet/tests/lapsed_entries.rs
+++ b/fleet/tests/lapsed_entries.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
+use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
+use boragecove_fleet::record::Record;
 use node::{Node, WRITER, entry, listing, millis, removed, row};
 
 fn known(node: &Node, id: &str) -> bool {
@@ -61,3 +63,22 @@
     node.feed(listing(vec![row(12, entry("w1", WRITER, "zone-a", &["m0"]))], 12, false));
     assert!(known(&node, "w1"), "it registered anew");
 }
+
+/// Each change of an engine's entry was logged by every entry VM: 200,000 lines on a day with 295 of them and 204 engines. The
+/// holder of the lease names each engine; the others say how far they have read.
+#[test]
+fn one_names_each_engine() {
+    let lines = |effects: &[Effect]| {
+        let named = |effect: &&Effect| matches!(effect, Effect::Record(Record::Engine { .. }));
+        let read = |effect: &&Effect| matches!(effect, Effect::Record(Record::Listed { .. }));
+        (effects.iter().filter(named).count(), effects.iter().filter(read).count())
+    };
+    let rows = || (10..60).map(|number| row(number, entry(&format!("w{number}"), WRITER, "zone-a", &[])));
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    assert_eq!(lines(hub.feed(listing(rows().collect(), 60, false))), (50, 1));
+    let mut other = Node::ready("a");
+    assert_eq!(lines(other.feed(listing(rows().collect(), 60, false))), (0, 1));
+    assert_eq!(lines(other.feed(listing(Vec::new(), 61, false))), (0, 0), "nothing has changed");
+    assert_eq!(lines(other.feed(listing(vec![removed(62, "w10")], 62, false))), (0, 1));
+}
