Look for an adapter at the engines that hold its model, not at all of them

Cause: each look for an adapter's place went over all engines of its service, with a look-up of each one's book, and built the order to compare it with. The leader does that for each adapter that is waited for or in use, with each plan.

What is chosen is not changed.

--- a/fleet/src/adapter.rs
+++ b/fleet/src/adapter.rs
@@ -9,6 +9,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::book::Book;
 use crate::demand::{Demand, Target};
 use crate::effect::Effect;
 use crate::engine::{Engine, Phase};
@@ -63,9 +64,18 @@
 
 /// Whether an adapter is at an engine that takes requests, or on its way to one.
 pub(crate) fn is_on_its_way(state: &State, now: Time, target: &Target) -> bool {
-    let usable = |engine: &&Engine| is_usable(engine, now);
-    let expected = |engine: &Engine| is_expected(state, engine, target);
-    state.engines_of(&target.service).filter(usable).any(expected)
+    holders(state, now, target).any(|(_, book)| is_expected(book, target))
+}
+
+/// The engines that take requests and hold a target's model, ready or not, with their books.
+fn holders<'a>(
+    state: &'a State,
+    now: Time,
+    target: &'a Target,
+) -> impl Iterator<Item = (&'a Engine, &'a Book)> {
+    let holding = state.ledger.holding(&target.model);
+    let engines = holding.filter_map(|(id, book)| Some((state.engines.get(id)?, book)));
+    engines.filter(move |(engine, _)| engine.entry.service == target.service && is_usable(engine, now))
 }
 
 /// Brings adapters that are in use to more engines where those that hold them are crowded.
@@ -90,10 +100,7 @@
 fn crowding(state: &State, now: Time, target: &Target) -> Option<f64> {
     let name = target.adapter.as_ref()?;
     let mut least: Option<f64> = None;
-    for engine in state.engines_of(&target.service).filter(|engine| is_usable(engine, now)) {
-        if !is_expected(state, engine, target) {
-            continue;
-        }
+    for (engine, _) in holders(state, now, target).filter(|(_, book)| is_expected(book, target)) {
         if !engine.serves(&target.model, Some(name), now) {
             return None;
         }
@@ -108,9 +115,8 @@
 }
 
 /// Whether an adapter is at an engine or on its way there.
-fn is_expected(state: &State, engine: &Engine, target: &Target) -> bool {
-    let book = state.ledger.book(&engine.entry.id);
-    book.zip(target.adapter.as_ref()).is_some_and(|(book, name)| book.expects(&target.model, name))
+fn is_expected(book: &Book, target: &Target) -> bool {
+    target.adapter.as_ref().is_some_and(|name| book.expects(&target.model, name))
 }
 
 fn is_usable(engine: &Engine, now: Time) -> bool {
@@ -127,11 +133,8 @@
         return;
     };
     let mut best: Option<(f64, Name, Option<Order>)> = None;
-    for engine in state.engines_of(&target.service).filter(|engine| is_usable(engine, now)) {
-        let Some(book) = state.ledger.book(&engine.entry.id) else {
-            continue;
-        };
-        let ready = book.copies().any(|(model, phase)| *model == target.model && phase == Phase::Ready);
+    for (engine, book) in holders(state, now, target) {
+        let ready = book.kept(&target.model).is_some_and(|copy| copy.phase == Phase::Ready);
         if !ready || taken(engine) > taken_max || book.expects(&target.model, name) {
             continue;
         }
--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -136,10 +136,14 @@
 
     /// Whether an adapter is there or on its way, by the book and what is still to be ordered.
     pub(crate) fn expects(&self, model: &Name, adapter: &Name) -> bool {
-        let order = Order::LoadAdapter { model: model.clone(), adapter: adapter.clone() };
+        let loads = |order: &Order| matches!(order, Order::LoadAdapter { model: of, adapter: name } if of == model && name == adapter);
         self.kept(model).is_some_and(|copy| copy.adapters.iter().any(|held| held.name == *adapter))
-            || self.queue.contains(&order)
-            || self.pending.as_ref().is_some_and(|pending| pending.order == order)
+            || self.decided().any(loads)
+    }
+
+    /// Orders that are to be sent, and the one on its way.
+    fn decided(&self) -> impl Iterator<Item = &Order> {
+        self.queue.iter().chain(self.pending.iter().map(|pending| &pending.order))
     }
 
     /// Models that have been ready for less than a time.
@@ -151,8 +155,7 @@
     /// The models that will be there or are on their way out, with how far each is. A load that is decided on and
     /// waits for its room counts as begun.
     pub(crate) fn copies_expected(&self) -> impl Iterator<Item = (&Name, Phase)> {
-        let decided = self.queue.iter().chain(self.pending.iter().map(|pending| &pending.order));
-        let loads = decided.filter_map(|order| match order {
+        let loads = self.decided().filter_map(|order| match order {
             Order::Load { model } => Some((model, Phase::Loading)),
             Order::Unload { .. } | Order::LoadAdapter { .. } | Order::UnloadAdapter { .. } => None,
         });
@@ -166,9 +169,8 @@
 
     /// Places for adapters that will be taken once all that is decided on has been done.
     pub(crate) fn adapters_expected(&self) -> usize {
-        let decided = self.queue.iter().chain(self.pending.iter().map(|pending| &pending.order));
         let mut places = self.adapters().count();
-        for order in decided {
+        for order in self.decided() {
             match order {
                 Order::LoadAdapter { .. } => places += 1,
                 Order::UnloadAdapter { .. } => places = places.saturating_sub(1),
@@ -180,8 +182,9 @@
 
     /// Whether the adapter is to be dropped already.
     pub(crate) fn drops(&self, model: &Name, adapter: &Name) -> bool {
-        let order = Order::UnloadAdapter { model: model.clone(), adapter: adapter.clone() };
-        self.queue.contains(&order) || self.pending.as_ref().is_some_and(|pending| pending.order == order)
+        self.decided().any(|order| {
+            matches!(order, Order::UnloadAdapter { model: of, adapter: name } if of == model && name == adapter)
+        })
     }
 
     /// Whether orders for adapters can be decided on: an engine refuses them while it loads or drops a model.
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -78,6 +78,11 @@
         self.books.get(engine)
     }
 
+    /// The books of the engines that hold a model, ready or not.
+    pub(crate) fn holding(&self, model: &Name) -> impl Iterator<Item = (&Name, &Book)> {
+        self.books.iter().filter(move |(_, book)| book.kept(model).is_some())
+    }
+
     /// What those engines hold that have changed since a version.
     pub(crate) fn changed_after(&self, version: u64) -> Vec<Resident> {
         let changed = self.books.iter().filter(|(_, book)| book.changed > version && book.known());
