Copy no pool of models for each order and each engine of a plan

Change: the configuration is shared instead. The class of the incident: what the leader does anew grows with what is declared. Nothing that is decided is changed.

--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -9,7 +9,6 @@
 use crate::config::Pool;
 use crate::engine::{Copy, Entry, Held, Incarnation, Phase, Residency};
 use crate::order::Order;
-use crate::settings::Settings;
 
 /// Reports are some hundred ms old: time after which one tells of what happened before it was asked for.
 pub(crate) const REPORT_LAG: Duration = Duration::from_millis(250);
@@ -303,8 +302,8 @@
         }
     }
 
-    /// The engine accepted an order.
-    pub(crate) fn accepted(&mut self, now: Time, order: &Order, expected: Duration, settings: &Settings) {
+    /// The engine accepted an order: a model is expected to be loaded in this time, an adapter in that.
+    pub(crate) fn accepted(&mut self, now: Time, order: &Order, expected: Duration, adapter_ready: Duration) {
         self.sequence = self.sequence.map(|sequence| sequence + 1);
         match order {
             Order::Load { model } => {
@@ -323,7 +322,7 @@
                 self.check_at = Some(now + REPORT_LAG);
             }
             Order::LoadAdapter { model, adapter } => {
-                let ready_at = Some(now + settings.adapter_ready);
+                let ready_at = Some(now + adapter_ready);
                 if let Some(copy) = self.kept_mut(model) {
                     copy.adapters.push(Fetched { name: adapter.clone(), ready_at });
                 }
--- a/fleet/src/config.rs
+++ b/fleet/src/config.rs
@@ -179,6 +179,12 @@
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name).map(AsRef::as_ref)
     }
+
+    /// What the engines of a service hold, if they run models.
+    #[must_use]
+    pub fn pool(&self, service: &str) -> Option<&Pool> {
+        self.service(service)?.pool.as_ref()
+    }
 }
 
 impl Pool {
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -164,7 +164,9 @@
     if engine.health.pause(now).is_some() {
         return;
     }
-    let Some(pool) = state.pool(&service).cloned() else {
+    // Shared and not copied: a pool names each model and adapter, and this runs for each engine with each plan.
+    let config = state.config.clone();
+    let Some(pool) = config.as_ref().and_then(|config| config.pool(&service)) else {
         return;
     };
     let cold_left = state.ledger.cold_left(now, pool.loads_per_s, &state.settings);
@@ -179,7 +181,7 @@
     let (Some(sequence), None) = (book.sequence, &book.pending) else {
         return;
     };
-    let Some(next) = book.next(&pool, &late) else {
+    let Some(next) = book.next(pool, &late) else {
         return;
     };
     let incarnation = book.incarnation;
@@ -239,9 +241,10 @@
     let Some(engine) = state.engines.get(id) else {
         return;
     };
-    let pool = state.pool(&engine.entry.service).cloned();
+    let config = state.config.clone();
+    let pool = config.as_ref().and_then(|config| config.pool(&engine.entry.service));
     let cached = engine.entry.cached.clone();
-    let settings = state.settings.clone();
+    let adapter_ready = state.settings.adapter_ready;
     let Some(book) = state.ledger.books.get_mut(id).filter(|book| book.incarnation == incarnation) else {
         return;
     };
@@ -273,12 +276,12 @@
         // The adapter is in use, and goes once its runs have ended.
         Some(Receipt::Accepted) if matches!(order, Order::UnloadAdapter { .. }) => unsure(book, now),
         Some(Receipt::Accepted) => {
-            let expected = order.duration(pool.as_ref(), &cached);
-            book.accepted(now, &order, expected, &settings);
+            let expected = order.duration(pool, &cached);
+            book.accepted(now, &order, expected, adapter_ready);
         }
         Some(Receipt::Holds) => match &order {
             // It takes effect at once, and counts.
-            Order::UnloadAdapter { .. } => book.accepted(now, &order, Duration::ZERO, &settings),
+            Order::UnloadAdapter { .. } => book.accepted(now, &order, Duration::ZERO, adapter_ready),
             Order::LoadAdapter { model, adapter } => book.holds(model, adapter),
             Order::Load { .. } | Order::Unload { .. } => unsure(book, now),
         },
@@ -404,7 +407,7 @@
     report: Option<Report>,
     out: &mut Vec<Effect>,
 ) {
-    let settings = state.settings.clone();
+    let adapter_ready = state.settings.adapter_ready;
     let Some(book) = state.ledger.books.get_mut(id) else {
         return;
     };
@@ -428,7 +431,7 @@
             book.adopt(&report.held);
             book.sequence = Some(report.sequence);
             for (model, adapter) in report.fetching {
-                let ready_at = Some(now + settings.adapter_ready);
+                let ready_at = Some(now + adapter_ready);
                 if let Some(copy) = book.kept_mut(&model) {
                     copy.adapters.push(Fetched { name: adapter, ready_at });
                 }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -227,7 +227,7 @@
 
     /// What the engines of a service hold, if they run models.
     pub(crate) fn pool(&self, service: &Name) -> Option<&Pool> {
-        self.config.as_ref()?.service(service)?.pool.as_ref()
+        self.config.as_ref()?.pool(service)
     }
 
     /// Whether the configuration names the model and the adapter, so that a copy can be expected.
