Name each target once in a plan, by hash

Cause: a plan copied and sorted the targets of all entry VMs' demand, 10,000 of them with 295, to name the 200 distinct ones, and summed demand in ordered trees by three names each.

Change: targets are made distinct by hash before they are copied and sorted; sums and times of use are kept by hash, since nothing depends on their order. Nothing that is decided is changed.

--- a/fleet/src/adapter.rs
+++ b/fleet/src/adapter.rs
@@ -8,6 +8,7 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use rustc_hash::FxHashSet;
 
 use crate::book::Book;
 use crate::demand::{Demand, Target};
@@ -31,11 +32,18 @@
 
 /// Brings all adapters that requests wait for anywhere to engines that hold their models.
 pub(crate) fn all_wanted(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let targets = targets(state, |demand| demand.waiting > 0);
+    wanted(state, now, &targets, out);
+}
+
+/// The targets for which any entry VM has such demand, each once, in order.
+fn targets(state: &State, of_interest: impl Fn(&Demand) -> bool) -> Vec<Target> {
     let all = state.hub.frames().flat_map(|frame| &frame.demand).chain(state.demand.peek());
-    let mut targets = waited_for(all);
+    let interesting = all.filter(|demand| demand.target.adapter.is_some() && of_interest(demand));
+    let distinct: FxHashSet<&Target> = interesting.map(|demand| &demand.target).collect();
+    let mut targets: Vec<Target> = distinct.into_iter().cloned().collect();
     targets.sort();
-    targets.dedup();
-    wanted(state, now, &targets, out);
+    targets
 }
 
 /// Brings these adapters to engines that hold their models.
@@ -83,12 +91,7 @@
     if state.lease.orders(now).is_none() {
         return;
     }
-    let all = state.hub.frames().flat_map(|frame| &frame.demand).chain(state.demand.peek());
-    let used = |demand: &&Demand| demand.open > 0 && demand.target.adapter.is_some();
-    let mut targets: Vec<Target> = all.filter(used).map(|demand| demand.target.clone()).collect();
-    targets.sort();
-    targets.dedup();
-    for target in targets {
+    for target in targets(state, |demand| demand.open > 0) {
         if let Some(least) = crowding(state, now, &target) {
             bring(state, now, &target, least - RELIEF, out);
         }
--- a/fleet/src/demand.rs
+++ b/fleet/src/demand.rs
@@ -5,6 +5,7 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 /// Time in which the memory of past demand halves: demand moves to other models within seconds, and a
@@ -106,8 +107,8 @@
 pub struct Appetite {
     models: BTreeMap<Target, Trend>,
     /// When an adapter was last asked for.
-    adapters: BTreeMap<Target, Time>,
-    arrived: BTreeMap<Target, Arrived>,
+    adapters: FxHashMap<Target, Time>,
+    arrived: FxHashMap<Target, Arrived>,
     at: Time,
     /// When anything was asked for at first.
     first: Option<Time>,
@@ -160,7 +161,7 @@
         let before = std::mem::replace(&mut self.at, now);
         let past = now.since(before).as_secs_f64();
         let keep = (-past / HALF_LIFE.as_secs_f64()).exp2();
-        let mut sums: BTreeMap<Target, Sum> = BTreeMap::new();
+        let mut sums: FxHashMap<Target, Sum> = FxHashMap::default();
         for demand in demands {
             if demand.target.adapter.is_some() && demand.open + demand.waiting > 0 {
                 self.adapters.insert(demand.target.clone(), now);
