Bound the lines on suspicions that an entry VM writes

The volume grew with engines, at every entry VM.

What is believed is not changed; the first suspicion of an engine is logged as before.

Tests repeated_suspicion_is_logged_once (12 lines before, 2 now) and many_suspicions_are_counted (50 before, 8 at most now).

--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -290,6 +290,10 @@
     pub asked: Time,
     /// Whether it could not be reached when it was last tried.
     pub unreached: bool,
+    /// When a suspicion was last logged.
+    pub(crate) logged_at: Option<Time>,
+    /// Whether the suspicion that there is was logged, so that its end is to be.
+    pub(crate) is_logged: bool,
 }
 
 impl Health {
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -156,6 +156,13 @@
         /// The store's version of its row.
         version: u64,
     },
+    /// Lines that were not written in the last second, since there were too many.
+    LeftOut {
+        /// On what.
+        what: &'static str,
+        /// How many.
+        lines: u32,
+    },
     /// The lease changed hands, as far as this process knows.
     Lease {
         /// What happened.
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -28,6 +28,7 @@
 use crate::settings::Settings;
 use crate::speed::Speed;
 use crate::timer::Timer;
+use crate::trust;
 use crate::update::Updates;
 
 /// Weight of a new sample in the mean time of a service's runs.
@@ -99,6 +100,7 @@
     pub(crate) updates: Updates,
     pub(crate) pushes: Pushes,
     pub(crate) crashes: Register,
+    pub(crate) suspicions: trust::Lines,
     /// How often a place for an adapter was looked for.
     pub(crate) places_sought: u64,
     paces: FxHashMap<Name, f64>,
@@ -150,6 +152,7 @@
             updates: Updates::default(),
             pushes: Pushes::default(),
             crashes: Register::default(),
+            suspicions: trust::Lines::default(),
             places_sought: 0,
             paces: FxHashMap::default(),
         }
--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -1,5 +1,7 @@
 //! Trust in engines: suspicion, its end, and what other entry VMs say.
 
+use std::time::Duration;
+
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
@@ -12,6 +14,34 @@
 use crate::state::State;
 use crate::timer::Timer;
 
+/// Time in which further suspicions of an engine are not logged: one that hangs is suspected and found to be well twice a second.
+const LOGGED_AGAIN: Duration = Duration::from_secs(10);
+/// Suspicions that are logged in one second, at most: many engines may crash at once, and each entry VM suspects each.
+const LOGGED_PER_S: u32 = 8;
+
+/// How many suspicions were logged in this second.
+#[derive(Debug, Default)]
+pub(crate) struct Lines {
+    since: Time,
+    written: u32,
+    left_out: u32,
+}
+
+impl Lines {
+    /// Whether another suspicion is to be logged. What was left out in the second before is counted in a line.
+    fn take(&mut self, now: Time, out: &mut Vec<Effect>) -> bool {
+        if now.since(self.since) >= Duration::from_secs(1) {
+            if self.left_out > 0 {
+                out.push(Effect::Record(Record::LeftOut { what: "suspicions", lines: self.left_out }));
+            }
+            *self = Self { since: now, ..Self::default() };
+        }
+        let room = self.written < LOGGED_PER_S;
+        *(if room { &mut self.written } else { &mut self.left_out }) += 1;
+        room
+    }
+}
+
 /// An engine could not be reached: it gets no work, and is asked whether it is well once that has lasted.
 pub(crate) fn unreached(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
     suspect(state, now, engine, out);
@@ -36,7 +66,12 @@
     let Some(known) = state.engines.get_mut(engine) else {
         return;
     };
-    if known.health.suspect_until.is_none() {
+    let health = &mut known.health;
+    let begins = health.suspect_until.is_none();
+    let again = health.logged_at.is_some_and(|at| now.since(at) < LOGGED_AGAIN);
+    if begins && !again && state.suspicions.take(now, out) {
+        health.logged_at = Some(now);
+        health.is_logged = true;
         out.push(Effect::Record(Record::Engine {
             engine: engine.clone(),
             service: known.entry.service.clone(),
@@ -44,7 +79,7 @@
             version: known.version,
         }));
     }
-    known.health.suspect(now, &state.settings);
+    health.suspect(now, &state.settings);
 }
 
 /// Another entry VM suspects an engine: it is asked, unless it was heard or asked just now.
@@ -93,7 +128,7 @@
     let Some(known) = state.engines.get_mut(engine) else {
         return;
     };
-    if known.health.suspect_until.is_some() {
+    if std::mem::take(&mut known.health.is_logged) {
         out.push(Effect::Record(Record::Engine {
             engine: engine.clone(),
             service: known.entry.service.clone(),
--- a/fleet/tests/engine_choice.rs
+++ b/fleet/tests/engine_choice.rs
@@ -216,3 +216,46 @@
         node.ended(id, attempt.number, End::Done);
     }
 }
+
+/// An engine that goes silent again and again was logged each time, by each entry VM, with its end 3 ms later.
+#[test]
+fn repeated_suspicion_is_logged_once() {
+    let mut node = Node::ready("a");
+    let mut lines = 0;
+    for _ in 0..6 {
+        for reach in [Reach::Silent, Reach::Open] {
+            node.feed(Event::Probed { engine: "w1".into(), reach });
+            lines += engine_lines(&node.effects);
+            node.pass(millis(100));
+        }
+    }
+    assert_eq!(lines, 2, "suspected, and well");
+    node.pass(Duration::from_secs(11));
+    node.feed(Event::Probed { engine: "w1".into(), reach: Reach::Silent });
+    assert_eq!(engine_lines(&node.effects), 1, "that is another time");
+}
+
+/// Many engines that crash at once were logged one by one, by each of the entry VMs.
+#[test]
+fn many_suspicions_are_counted() {
+    let mut node = Node::ready("a");
+    let rows = (0..50).map(|number| row(10 + number, entry(&format!("x{number}"), WRITER, "zone-a", &[])));
+    node.feed(listing(rows.collect(), 60, false));
+    let mut lines = 0;
+    for number in 0..50 {
+        node.feed(Event::Probed { engine: format!("x{number}").into(), reach: Reach::Silent });
+        lines += engine_lines(&node.effects);
+    }
+    assert!(lines <= 8, "{lines} lines");
+    node.pass(Duration::from_secs(1));
+    node.feed(Event::Probed { engine: "w1".into(), reach: Reach::Silent });
+    let counted = node.effects.iter().find_map(|effect| match effect {
+        Effect::Record(Record::LeftOut { lines, .. }) => Some(*lines as usize),
+        _ => None,
+    });
+    assert_eq!(counted, Some(50 - lines), "what was left out is counted");
+}
+
+fn engine_lines(effects: &[Effect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, Effect::Record(Record::Engine { .. }))).count()
+}
