Decide on as many moves in a plan as the weight store serves until the next

Change: a plan has as many moves as the store's declared rate comes to between two plans, and four at least; the rate and the loads at once stay the bounds that they were. Deployments with less than 16 loads a second are not affected.

Test store_is_made_use_of: four moves before, eight now at 30 loads a second; four at two a second.

--- a/fleet/benches/plan.rs
+++ b/fleet/benches/plan.rs
@@ -57,6 +57,7 @@
         cold_left: 1_000,
         cold_running: 0,
         watched: Duration::from_secs(20),
+        every: Duration::from_millis(250),
         now: NOW,
         without: &[],
     }
--- a/fleet/src/place.rs
+++ b/fleet/src/place.rs
@@ -25,8 +25,8 @@
 /// What a copy in the same availability zone speaks against a place, in copies needed: a zone that is cut off
 /// serves only what it holds.
 const ZONE_COST: f64 = 0.8;
-/// Changes decided on in one plan.
-const MOVES_MAX: usize = 4;
+/// Changes decided on in one plan, at least.
+const MOVES: usize = 4;
 /// Time without a request after which a model counts as unused, and for which demand must have been watched.
 const UNUSED: Duration = Duration::from_secs(2);
 /// Time in vain after which callers of a model without any copy get one in place of the last copy of a model that nobody asks
@@ -50,6 +50,8 @@
     pub cold_running: usize,
     /// How long demand has been watched.
     pub watched: Duration,
+    /// Time from one plan to the next.
+    pub every: Duration,
     /// Now.
     pub now: Time,
     /// Mechanisms that are switched off.
@@ -100,9 +102,10 @@
 /// What is to be changed now.
 #[must_use]
 pub fn moves(view: View<'_>) -> Vec<Move> {
+    let most = view.moves_max();
     let mut placer = Placer::new(view);
     let mut out = Vec::new();
-    while out.len() < MOVES_MAX {
+    while out.len() < most {
         let Some(step) = placer.next().or_else(|| placer.spare()) else {
             break;
         };
@@ -156,6 +159,12 @@
         self.demand.get(model).map_or(0.0, |trend| trend.busy)
     }
 
+    /// Changes decided on in this plan, at most: those that the weight store serves until the next one.
+    fn moves_max(&self) -> usize {
+        let served = self.pool.loads_per_s * self.every.as_secs_f64();
+        (served.ceil() as usize).max(MOVES)
+    }
+
     /// Whether so little is known of demand that no copy should make way for a model that nobody waits for: one that has
     /// just begun to plan takes the busiest models for quiet ones. Before there is any demand, nothing else matters.
     fn is_new_to_demand(&self) -> bool {
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -79,6 +79,7 @@
         cold_left,
         cold_running,
         watched,
+        every: state.settings.plan_every,
         now,
         without: &state.settings.without,
     };
--- a/fleet/tests/model_placement.rs
+++ b/fleet/tests/model_placement.rs
@@ -43,6 +43,7 @@
         cold_left: 4,
         cold_running: 0,
         watched: Duration::from_secs(20),
+        every: millis(250),
         now: NOW,
         without: &[],
     }
@@ -201,3 +202,17 @@
     let steps = moves(view(&pool, spots, &demand));
     assert_eq!(loads(&steps, "m3"), 1, "it has been watched for long: {steps:?}");
 }
+
+/// The load after a quarter of the engines have crashed: tens of models are at none, and their callers wait. Four moves in a
+/// plan are 16 loads a second, where the weight store serves 30.
+#[test]
+fn store_is_made_use_of() {
+    let models = (0..60).map(|number| model(&format!("m{number}"), 70.0)).collect();
+    let pool = Pool { loads_per_s: 30.0, models, ..pool() };
+    let spots = || (0..40).map(|number| spot(&format!("w{number}"), "a", &[])).collect();
+    let missing = View { cold_left: 150, ..view(&pool, spots(), &[]) };
+    assert_eq!(moves(missing).len(), 8, "30 a second, four plans a second");
+    let pool = Pool { loads_per_s: 2.0, ..pool };
+    let missing = View { cold_left: 10, ..view(&pool, spots(), &[]) };
+    assert_eq!(moves(missing).len(), 4, "a slow one has its rate and its loads at once as bounds");
+}
--- a/fleet/tests/scarce_places.rs
+++ b/fleet/tests/scarce_places.rs
@@ -113,6 +113,7 @@
             cold_left: 100,
             cold_running: self.loading.len(),
             watched: self.now.since(self.began),
+            every: Duration::from_millis(250),
             now: self.now,
             without: &[],
         });
