Take an engine's answer to an order also while the engine is off the list

What callers would see: an engine whose entry lapsed for a moment gets no order any more until the lease changes hands, so that no adapter comes to it and none of its models makes way.

Cause: the answer to an order was dropped if its engine was not listed when it came; the order stayed under way in the engine's book, which is only given up by the next plan if the engine is still gone then.

Test answered_while_gone: red before (no order follows), passes now.

--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -238,12 +238,11 @@
     receipt: Option<Receipt>,
     out: &mut Vec<Effect>,
 ) {
-    let Some(engine) = state.engines.get(id) else {
-        return;
-    };
+    // The answer counts also while the engine is off the list: it may be back before its book is given up.
+    let entry = state.engines.get(id).map(|engine| &engine.entry);
     let config = state.config.clone();
-    let pool = config.as_ref().and_then(|config| config.pool(&engine.entry.service));
-    let cached = engine.entry.cached.clone();
+    let pool = config.as_ref().zip(entry).and_then(|(config, entry)| config.pool(&entry.service));
+    let cached = entry.map(|entry| entry.cached.clone()).unwrap_or_default();
     let adapter_ready = state.settings.adapter_ready;
     let Some(book) = state.ledger.books.get_mut(id).filter(|book| book.incarnation == incarnation) else {
         return;
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -320,3 +320,17 @@
     hub.now = hub.now + Settings::default().lease_length;
     assert!(!awaits(&mut hub, "m0", "a2"), "it may give no orders");
 }
+
+/// An engine answers an order while it is off the list for a moment: the order stayed under way for good, and the engine got no
+/// other one until the lease changed hands.
+#[test]
+fn answered_while_gone() {
+    let mut hub = single();
+    let (_, sent) = ask(&mut hub, &["a1"]);
+    hub.feed(listing(vec![removed(3, "w1")], 3, false));
+    accept(&mut hub, &sent[0]);
+    hub.feed(listing(vec![row(4, entry("w1", WRITER, "zone-a", &["m0", "m1"]))], 4, false));
+    hub.pass(millis(300));
+    let (_, next) = ask(&mut hub, &["a2"]);
+    assert_eq!(next.len(), 1, "it can have the next order");
+}
