Look again at what waits whenever a suspected engine is heard

What callers would see: a request that waits for engines in doubt is refused after 0.4 s, although one of them has answered another request meanwhile.

Cause: only the answer to a probe woke those that wait; an engine that was heard by what it answers was trusted again, and nobody was told.

Test heard_again: red before, passes now.

--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -120,7 +120,6 @@
         return;
     }
     heard(state, now, engine, out);
-    flow::stir_later(state);
 }
 
 /// An engine answered: whatever was held against it is over.
@@ -128,6 +127,7 @@
     let Some(known) = state.engines.get_mut(engine) else {
         return;
     };
+    let was_suspected = known.health.suspect_until.is_some();
     if std::mem::take(&mut known.health.is_logged) {
         out.push(Effect::Record(Record::Engine {
             engine: engine.clone(),
@@ -137,4 +137,7 @@
         }));
     }
     known.health.hear(now);
+    if was_suspected {
+        flow::stir_later(state);
+    }
 }
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -334,3 +334,15 @@
     let (_, next) = ask(&mut hub, &["a2"]);
     assert_eq!(next.len(), 1, "it can have the next order");
 }
+
+/// All engines with a model are suspected, and one of them goes on to answer another request: those that waited for it were refused.
+#[test]
+fn heard_again() {
+    let mut node = Node::ready("a");
+    let (running, _) = node.sent(streamed("/brief/1", "m1", None));
+    node.pass(millis(600));
+    let waiting = node.arrive(streamed("/brief/1", "m1", None));
+    assert_eq!(node.step(waiting), None, "its only engine is silent");
+    let effects = node.feed(Event::Began(running)).to_vec();
+    assert!(is_sent(&effects, waiting), "the engine has answered");
+}
