--- /dev/null
+++ b/fleet/src/frame/message.rs
@@ -0,0 +1,133 @@
+//! What an entry VM tells the hub, and what the hub answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::crash;
+use crate::demand::Demand;
+use crate::engine::{Incarnation, Load, Residency, Row};
+use crate::members::Member;
+use crate::notice::Start;
+use crate::update::Packed;
+
+/// What an entry VM tells the hub.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    /// The entry VM's name.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it listens.
+    pub address: Option<SocketAddr>,
+    /// Whether it stops, and is not to be asked anything.
+    pub stopping: bool,
+    /// Which entry VMs it knows, by the number of their list.
+    pub members: u64,
+    /// The configuration that it goes by; 0 for none.
+    pub config: u64,
+    /// The store's version up to which it knows the engines' table.
+    pub listed: u64,
+    /// The term and the version of the hub's word on what engines hold that it knows.
+    pub view: View,
+    /// What it has under way, by engine.
+    pub loads: Vec<EngineLoad>,
+    /// What its callers asked for.
+    pub demand: Vec<Demand>,
+    /// What engines refused as absent since the last frame.
+    pub absent: Vec<Absent>,
+    /// Engines that it could not reach, or that have gone silent.
+    pub suspects: Vec<Name>,
+    /// Engines in its list that have said in answers that they leave.
+    pub departures: Vec<Start>,
+    /// A digest of what it is certain of, as to requests that crash engines.
+    pub digest: u64,
+    /// All of that, if the hub's digest was another.
+    pub crashing: Vec<crash::Entry>,
+}
+
+/// A version of the hub's word on what engines hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// The term of the lease under which it holds.
+    pub term: u64,
+    /// Grows with each change.
+    pub version: u64,
+}
+
+/// What is under way at an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// The engine's id.
+    pub engine: Name,
+    /// What is under way.
+    pub load: Load,
+}
+
+/// A model or an adapter that an engine was thought to hold, and did not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Absent {
+    /// The engine's id.
+    pub engine: Name,
+    /// The model.
+    pub model: Name,
+    /// The adapter.
+    pub adapter: Option<Name>,
+}
+
+/// What the hub answers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// Whether it holds the lease; if not, another is to be found.
+    pub leads: bool,
+    /// Time since the store last answered the hub.
+    pub store_age: Duration,
+    /// All entry VMs, if the asker knows others.
+    pub members: Option<Vec<Member>>,
+    /// Entry VMs that it hears, itself among them.
+    pub nodes: u32,
+    /// What all others have under way, by engine.
+    pub loads: Vec<EngineLoad>,
+    /// The version of its word on what engines hold.
+    pub view: View,
+    /// What those engines hold for which that has changed.
+    pub residencies: Vec<Resident>,
+    /// What leads from the asker's configuration to a newer one, if it is to come this way.
+    pub config: Option<Packed>,
+    /// The hub's configuration, and how new it is.
+    pub declared: Declared,
+    /// Rows of the engines' table that are newer than the asker's.
+    pub rows: Vec<Row>,
+    /// The store's version up to which the hub knows that table.
+    pub listed: u64,
+    /// Whether the rows are all there are: the hub does not know of each removal since the asker's.
+    pub whole: bool,
+    /// Engines that the hub could not reach.
+    pub suspects: Vec<Name>,
+    /// A digest of what it is certain of, as to requests that crash engines.
+    pub digest: u64,
+    /// All of that, if the asker's digest is another.
+    pub crashing: Vec<crash::Entry>,
+}
+
+/// A version of the configuration, and up to when it is the newest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Declared {
+    /// The configuration's version; 0 for none.
+    pub config: u64,
+    /// The store's version up to which no newer one was written; 0 if that is not known.
+    pub store: u64,
+}
+
+/// What an engine holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resident {
+    /// The engine's id.
+    pub engine: Name,
+    /// The start of the engine for which that is so.
+    pub incarnation: Incarnation,
+    /// What it holds.
+    pub residency: Residency,
+}
