--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -4,6 +4,8 @@
 //! orders that the engine has accepted before: one that is still on its way is dead as soon as
 //! another was accepted, and no two that were decided on the same state can both take effect.
 
+mod orders;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -11,12 +13,14 @@
 use boragecove_core::time::Time;
 use boragecove_core::timer::Timers;
 
-use crate::book::{Book, Fetched, Late, Pending, REPORT_LAG};
-use crate::effect::{Dispatch, Effect};
+pub(crate) use orders::{drive, order, ordered};
+
+use crate::book::{Book, Fetched, Late, REPORT_LAG};
+use crate::effect::Effect;
 use crate::engine::{Cached, Engine, Incarnation, Phase};
 use crate::flow;
 use crate::frame::{Absent, Resident};
-use crate::order::{Order, Receipt, Report};
+use crate::order::{Order, Report};
 use crate::record::{Record, ms};
 use crate::settings::Settings;
 use crate::state::State;
@@ -24,9 +28,6 @@
 
 /// Time between looks at an order that takes longer than expected.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
-/// Sendings of one order that is not answered, beyond the first. They name the same state of the engine, so
-/// that only one of them can take effect.
-const RESENDS: u32 = 2;
 /// Loads from the weight store that are left for models without any copy.
 const COLD_RESERVE: usize = 2;
 
@@ -137,193 +138,6 @@
     }
 }
 
-/// Decides on orders for an engine, to be sent in turn.
-pub(crate) fn order(
-    state: &mut State,
-    now: Time,
-    engine: &Name,
-    orders: impl IntoIterator<Item = Order>,
-    out: &mut Vec<Effect>,
-) {
-    if let Some(book) = state.ledger.books.get_mut(engine) {
-        book.queue.extend(orders);
-    }
-    drive(state, now, engine, out);
-}
-
-/// Sends the next order to an engine if it can be sent.
-pub(crate) fn drive(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
-    let Some(term) = state.lease.orders(now) else {
-        return;
-    };
-    let Some(engine) = state.engines.get(id) else {
-        return;
-    };
-    let (service, address) = (engine.entry.service.clone(), engine.entry.address);
-    let leaving = engine.entry.leaving;
-    if engine.health.pause(now).is_some() {
-        return;
-    }
-    // Shared and not copied: a pool names each model and adapter, and this runs for each engine with each plan.
-    let config = state.config.clone();
-    let Some(pool) = config.as_ref().and_then(|config| config.pool(&service)) else {
-        return;
-    };
-    let cold_left = state.ledger.cold_left(now, pool.loads_per_s, &state.settings);
-    let cached = &state.engines[id].entry.cached;
-    let late = state.ledger.late_at(now, id).to_vec();
-    let Some(book) = state.ledger.books.get_mut(id) else {
-        return;
-    };
-    if leaving {
-        book.queue.clear();
-    }
-    let (Some(sequence), None) = (book.sequence, &book.pending) else {
-        return;
-    };
-    let Some(next) = book.next(pool, &late) else {
-        return;
-    };
-    let incarnation = book.incarnation;
-    if let Order::Load { model } = &next
-        && !cached.memory.contains(model)
-        && !cached.disk.contains(model)
-    {
-        if cold_left == 0 {
-            return;
-        }
-        state.ledger.cold.push_back(now);
-    }
-    let Some(book) = state.ledger.books.get_mut(id) else {
-        return;
-    };
-    book.queue.pop_front();
-    book.pending = Some(Pending { order: next.clone(), resent: 0 });
-    out.push(Effect::Record(Record::Order {
-        engine: id.clone(),
-        order: next.clone(),
-        state: "sent",
-        sequence,
-    }));
-    if let Order::Unload { model } = &next
-        && let Some(copy) = book.kept_mut(model)
-    {
-        copy.phase = Phase::Closing;
-    }
-    if let Order::UnloadAdapter { model, adapter } = &next
-        && let Some(copy) = book.kept_mut(model)
-    {
-        // Nobody is to use it any more; it takes its place until the engine says otherwise.
-        for held in copy.adapters.iter_mut().filter(|held| held.name == *adapter) {
-            held.ready_at = Some(now + REPORT_LAG);
-        }
-    }
-    publish(state, id, out);
-    out.push(Effect::Order(Box::new(Dispatch {
-        engine: id.clone(),
-        incarnation,
-        address,
-        order: next,
-        sequence,
-        term,
-    })));
-}
-
-/// An engine answered an order, or may have got it.
-pub(crate) fn ordered(
-    state: &mut State,
-    now: Time,
-    id: &Name,
-    incarnation: Incarnation,
-    receipt: Option<Receipt>,
-    out: &mut Vec<Effect>,
-) {
-    // The answer counts also while the engine is off the list: it may be back before its book is given up.
-    let entry = state.engines.get(id).map(|engine| &engine.entry);
-    let config = state.config.clone();
-    let pool = config.as_ref().zip(entry).and_then(|(config, entry)| config.pool(&entry.service));
-    let cached = entry.map(|entry| entry.cached.clone()).unwrap_or_default();
-    let adapter_ready = state.settings.adapter_ready;
-    let Some(book) = state.ledger.books.get_mut(id).filter(|book| book.incarnation == incarnation) else {
-        return;
-    };
-    let Some(Pending { order, resent }) = book.pending.take() else {
-        return;
-    };
-    let label = match receipt {
-        Some(Receipt::Accepted) => "accepted",
-        Some(Receipt::Holds) => "holds",
-        Some(Receipt::Conflict) => "conflict",
-        Some(Receipt::Refused) => "refused",
-        None => "unanswered",
-    };
-    let sequence = book.sequence.unwrap_or_default();
-    out.push(Effect::Record(Record::Order {
-        engine: id.clone(),
-        order: order.clone(),
-        state: label,
-        sequence,
-    }));
-    if receipt.is_none() {
-        // It may be carried out long after one that is sent in its place.
-        state.ledger.note_late(id, Late::new(now, order.clone(), sequence, incarnation));
-    }
-    let Some(book) = state.ledger.books.get_mut(id) else {
-        return;
-    };
-    match receipt {
-        // The adapter is in use, and goes once its runs have ended.
-        Some(Receipt::Accepted) if matches!(order, Order::UnloadAdapter { .. }) => unsure(book, now),
-        Some(Receipt::Accepted) => {
-            let expected = order.duration(pool, &cached);
-            book.accepted(now, &order, expected, adapter_ready);
-        }
-        Some(Receipt::Holds) => match &order {
-            // It takes effect at once, and counts.
-            Order::UnloadAdapter { .. } => book.accepted(now, &order, Duration::ZERO, adapter_ready),
-            Order::LoadAdapter { model, adapter } => book.holds(model, adapter),
-            Order::Load { .. } | Order::Unload { .. } => unsure(book, now),
-        },
-        None if resent < RESENDS => {
-            book.pending = Some(Pending { order, resent: resent + 1 });
-            resend(state, now, id, out);
-            return;
-        }
-        Some(Receipt::Conflict | Receipt::Refused) | None => unsure(book, now),
-    }
-    wake_for(state, now, id);
-    publish(state, id, out);
-    drive(state, now, id, out);
-}
-
-/// Sends the order that was not answered once more.
-fn resend(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
-    let engine = state.engines.get(id).filter(|engine| engine.health.pause(now).is_none());
-    let (Some(term), Some(engine)) = (state.lease.orders(now), engine) else {
-        if let Some(book) = state.ledger.books.get_mut(id) {
-            book.pending = None;
-            unsure(book, now);
-        }
-        return;
-    };
-    let address = engine.entry.address;
-    let Some(book) = state.ledger.books.get(id) else {
-        return;
-    };
-    if let (Some(pending), Some(sequence)) = (&book.pending, book.sequence) {
-        let order = pending.order.clone();
-        let incarnation = book.incarnation;
-        out.push(Effect::Order(Box::new(Dispatch {
-            engine: id.clone(),
-            incarnation,
-            address,
-            order,
-            sequence,
-            term,
-        })));
-    }
-}
-
 /// What the engine holds is not known until it has been asked.
 fn unsure(book: &mut Book, now: Time) {
     book.sequence = None;
