--- a/daemon/src/entry/busy.rs
+++ b/daemon/src/entry/busy.rs
@@ -12,7 +12,7 @@
 
 /// A second or so in which the loop was busy for long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-pub(crate) struct Stretch {
+pub(crate) struct Interval {
     /// How long it was.
     within_ms: u64,
     /// How much of it the loop was busy.
@@ -35,8 +35,8 @@
 }
 
 impl Load {
-    /// A step about `what` was done. Returns the stretch before it, if that has ended and the loop was busy for long.
-    pub(crate) fn took(&mut self, now: Time, what: &'static str, took: Duration) -> Option<Stretch> {
+    /// A step about `what` was done. Returns the interval before it, if that has ended and the loop was busy for long.
+    pub(crate) fn took(&mut self, now: Time, what: &'static str, took: Duration) -> Option<Interval> {
         let ended = (now.since(self.since) >= WITHIN).then(|| self.end(now)).flatten();
         self.spent += took;
         self.steps += 1;
@@ -46,18 +46,18 @@
         ended
     }
 
-    fn end(&mut self, now: Time) -> Option<Stretch> {
+    fn end(&mut self, now: Time) -> Option<Interval> {
         let Self { since, spent, steps, longest } =
             std::mem::replace(self, Self { since: now, ..Self::default() });
         let within = now.since(since);
-        let stretch = Stretch {
+        let interval = Interval {
             within_ms: millis(within),
             busy_ms: millis(spent),
             steps,
             longest: longest.0,
             longest_ms: millis(longest.1),
         };
-        (spent >= within.mul_f64(NOTABLE)).then_some(stretch)
+        (spent >= within.mul_f64(NOTABLE)).then_some(interval)
     }
 }
 
--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -79,7 +79,7 @@
         lines: u64,
     },
     Transfer(Transfer),
-    Busy(busy::Stretch),
+    Busy(busy::Interval),
 }
 
 /// Starts writing to standard output.
@@ -168,8 +168,8 @@
     }
 
     /// Logs a second or so in which the loop that decides was busy for long.
-    pub(crate) fn busy(&self, now: Time, stretch: busy::Stretch) {
-        self.line(now, None, Note::Busy(stretch));
+    pub(crate) fn busy(&self, now: Time, interval: busy::Interval) {
+        self.line(now, None, Note::Busy(interval));
     }
 
     /// Lines that were left out, over the bound or for want of a reader.
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -174,8 +174,8 @@
     fn was_busy(&mut self, now: Time, what: &'static str, began: Instant) {
         let took = began.elapsed();
         self.metrics.stepped(what, took);
-        if let Some(stretch) = self.busy.took(now, what, took) {
-            self.log.busy(now, stretch);
+        if let Some(interval) = self.busy.took(now, what, took) {
+            self.log.busy(now, interval);
         }
     }
 
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -335,7 +335,7 @@
             state.appetite.touch(now, state.demand.of(&target));
             adapter::wanted(state, now, &[target], out);
         } else {
-            frame::wish(state, now, out);
+            frame::tell_wait(state, now, out);
         }
     }
 }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -208,7 +208,7 @@
 }
 
 /// A request has begun to wait: the hub is told at once, or as soon as it has answered the frame that is under way.
-pub(crate) fn wish(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+pub(crate) fn tell_wait(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     match &mut state.hub.asking {
         Some(asking) => asking.unsaid = true,
         None => send(state, now, out),
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -205,7 +205,7 @@
 }
 
 /// The adapters that a frame says are waited for.
-fn wishes(frame: &Frame) -> Vec<&str> {
+fn waited_for(frame: &Frame) -> Vec<&str> {
     let waiting = frame.demand.iter().filter(|demand| demand.waiting > 0);
     waiting.filter_map(|demand| demand.target.adapter.as_deref()).collect()
 }
@@ -228,14 +228,14 @@
 /// A request begins to wait while a frame is under way: the hub was told 1.5 s later, with the next one, where there are hundreds of
 /// entry VMs.
 #[test]
-fn wish_behind_a_frame() {
+fn wait_behind_a_frame() {
     let mut node = follower(295);
     node.arrive(streamed("/brief/1", "m0", Some("a1")));
-    assert_eq!(told(&node.effects).map(wishes), Some(vec!["a1"]), "no frame is under way");
+    assert_eq!(told(&node.effects).map(waited_for), Some(vec!["a1"]), "no frame is under way");
     node.arrive(streamed("/brief/1", "m0", Some("a2")));
     assert_eq!(told(&node.effects), None, "one is under way");
     node.feed(replied(295));
-    assert_eq!(told(&node.effects).map(wishes), Some(vec!["a1", "a2"]), "the hub knows nothing of a2");
+    assert_eq!(told(&node.effects).map(waited_for), Some(vec!["a1", "a2"]), "the hub knows nothing of a2");
     node.feed(replied(295));
     assert_eq!(told(&node.effects), None, "the hub knows of both");
 }
@@ -257,14 +257,14 @@
 /// Two adapters are waited for, and the hub's answer brings one: the other was told of with the next interval, 1.5 s later where there
 /// are hundreds of entry VMs.
 #[test]
-fn rest_of_the_wishes() {
+fn rest_of_the_waits() {
     let mut node = follower(295);
     node.arrive(streamed("/brief/1", "m0", Some("a1")));
     node.arrive(streamed("/brief/1", "m0", Some("a2")));
     node.feed(replied(295));
-    assert_eq!(told(&node.effects).map(wishes), Some(vec!["a1", "a2"]));
+    assert_eq!(told(&node.effects).map(waited_for), Some(vec!["a1", "a2"]));
     node.feed(brought("a1"));
-    assert_eq!(told(&node.effects).map(wishes), Some(vec!["a2"]), "the hub is to hold its answer for a2");
+    assert_eq!(told(&node.effects).map(waited_for), Some(vec!["a2"]), "the hub is to hold its answer for a2");
     node.feed(replied(295));
     assert_eq!(told(&node.effects), None, "that brought nothing");
 }
