--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -152,7 +152,7 @@
 
 /// Whether whoever gives orders can be told what is missing.
 fn can_load(state: &State, now: Time) -> bool {
-    state.lease.orders(now).is_some() || (state.hub.leads && state.hub.hears(now, &state.settings))
+    state.lease.orders(now).is_some() || (state.hub.leads && state.hub.alive(now, &state.settings))
 }
 
 /// Whether a request has waited as long as is reasonable for engines that are full.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -94,18 +94,13 @@
         self.answered.is_some_and(|at| now.since(at) < silence)
     }
 
-    /// Whether the hub's word stands for the store's. The store is otherwise read besides, which neither asks more of a hub
+    /// Whether the hub's word stands for the store's. Frames of hundreds of entry VMs are seconds apart, so that a hub is
+    /// counted as gone long after it was lost; its word is doubted as soon as it is older than the silence that few
+    /// entry VMs allow and a frame had no answer. The store is then read besides, which neither asks more of a hub
     /// that may only be busy nor gives its place to another.
     fn speaks_for_store(&self, now: Time, settings: &Settings) -> bool {
-        self.fresh && self.hears(now, settings)
-    }
-
-    /// Whether the hub can be told something. Frames of hundreds of entry VMs are seconds apart, so that a hub is counted
-    /// as gone long after it was lost; it is doubted as soon as its word is older than the silence that few entry VMs
-    /// allow and a frame had no answer.
-    pub(crate) fn hears(&self, now: Time, settings: &Settings) -> bool {
         let doubted = self.unanswered && self.age(now) >= settings.hub_silence;
-        !doubted && self.alive(now, settings)
+        self.fresh && !doubted && self.alive(now, settings)
     }
 
     /// By how much longer each entry VM waits, since there are so many; one for few.
