Keep what is known of engines over a change of the hub

Cause: the first answer of another hub made an entry VM forget what every engine holds, as the hub before had told it. The new one names only what it knows, which is nothing yet; what is left is the engine's entry in the table, which names no adapter that came since. Found while looking for what waits over a change of the leader.

Why the repair holds: what an engine holds changes only by orders, and nobody gives any for seconds; what the new hub says of an engine takes the place of what the one before said, for the same start of the engine.

Test known_over_a_change: red before (the request is not sent), passes now.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -378,12 +378,9 @@
     }
 }
 
+/// Takes over what the hub says of what engines hold. What another hub said before stays true of the others: nobody gives them
+/// orders until the new one has asked them.
 fn learn(state: &mut State, view: View, residencies: Vec<Resident>) {
-    if state.hub.view.term != view.term {
-        for engine in state.engines.values_mut() {
-            engine.ordered = None;
-        }
-    }
     state.hub.view = view;
     for Resident { engine, incarnation, residency } in residencies {
         if let Some(engine) = state.engines.get_mut(&engine) {
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -10,7 +10,7 @@
 use boragecove_fleet::effect::{Dispatch, Effect};
 use boragecove_fleet::engine::{Copy, Incarnation, Phase, Residency, Row};
 use boragecove_fleet::event::Event;
-use boragecove_fleet::frame::{Frame, Reply, Resident};
+use boragecove_fleet::frame::{Frame, Reply, Resident, View};
 use boragecove_fleet::lease::Outcome;
 use boragecove_fleet::notice::{Notice, Start};
 use boragecove_fleet::order::Receipt;
@@ -346,3 +346,18 @@
     let effects = node.feed(Event::Began(running)).to_vec();
     assert!(is_sent(&effects, waiting), "the engine has answered");
 }
+
+/// The leader changes: what is known of each engine was forgotten with the first word of the new one, which knows nothing yet, and
+/// requests for adapters that are there waited until it had asked all engines and been asked again.
+#[test]
+fn known_over_a_change() {
+    let mut node = follower(295);
+    node.feed(brought("a1"));
+    let (request, attempt) = node.sent(streamed("/brief/1", "m0", Some("a1")));
+    node.ended(request, attempt.number, End::Done);
+    let view = View { term: 4, version: 1 };
+    let reply = Reply { leads: true, nodes: 295, listed: 4, view, ..Reply::default() };
+    node.feed(Event::Replied(Some(Box::new(reply))));
+    let (_, attempt) = node.sent(streamed("/brief/1", "m0", Some("a1")));
+    assert_eq!(*attempt.engine, *"w1", "nobody gives orders for seconds, so that it is still there");
+}
