Say nothing of an engine as the next leader before it has been asked

Cause: a new leader's books begin with the engines' entries, which name no adapters that came since, and were told to all as what engines hold, until each engine had been asked: adapters that were there were lost to everyone for that time.

Why the repair holds: a book counts as known once its engine has answered, or once it was told before; until then the leader itself and all others go by what the leader before said. An engine that started again is told as empty, as before.

Test known_to_the_next_leader: red before (two engines told without adapters), passes now.

--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -108,8 +108,10 @@
         Self { incarnation, check_at: Some(now), ..Self::default() }
     }
 
+    /// Whether it says what the engine holds. A new leader's book begins with the engine's entry, which names no adapters
+    /// that came since, and is nobody's last word until the engine has been asked.
     pub(crate) fn known(&self) -> bool {
-        self.sequence.is_some() || !self.copies.is_empty()
+        self.sequence.is_some() || self.changed > 0
     }
 
     /// Whether another order may be decided on: the engine carries out nothing that takes long.
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -178,7 +178,7 @@
     let Some(book) = state.ledger.books.get_mut(id) else {
         return;
     };
-    let mut changed = book.changed == 0;
+    let mut changed = book.changed == 0 && book.known();
     let pending = book.pending.as_ref().map(|pending| pending.order.clone());
     for copy in &mut book.copies {
         for held in &mut copy.adapters {
@@ -252,8 +252,11 @@
         }
         _ => book.check_at = Some(now + LOOK_AGAIN),
     }
+    let is_known = book.known();
     wake_for(state, now, id);
-    publish(state, id, out);
+    if is_known {
+        publish(state, id, out);
+    }
     drive(state, now, id, out);
 }
 
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -8,12 +8,12 @@
 use boragecove_fleet::config::{Pool, Service};
 use boragecove_fleet::demand::{Demand, Target};
 use boragecove_fleet::effect::{Dispatch, Effect};
-use boragecove_fleet::engine::{Copy, Incarnation, Phase, Residency, Row};
+use boragecove_fleet::engine::{Copy, Held, Incarnation, Phase, Residency, Row};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply, Resident, View};
 use boragecove_fleet::lease::Outcome;
 use boragecove_fleet::notice::{Notice, Start};
-use boragecove_fleet::order::Receipt;
+use boragecove_fleet::order::{Receipt, Report};
 use boragecove_fleet::request::{Cause, End, Id, Step};
 use boragecove_fleet::settings::Settings;
 use node::{
@@ -361,3 +361,28 @@
     let (_, attempt) = node.sent(streamed("/brief/1", "m0", Some("a1")));
     assert_eq!(*attempt.engine, *"w1", "nobody gives orders for seconds, so that it is still there");
 }
+
+/// A new leader knows what engines hold from the one before and from their entries, which name no adapters. It took the entries for
+/// the last word, and told everyone so, until each engine had been asked.
+#[test]
+fn known_to_the_next_leader() {
+    let mut node = follower(3);
+    node.feed(brought("a1"));
+    node.pass(Duration::from_secs(4));
+    node.lease(61_000, Outcome::Read(Some(hub_row())));
+    node.lease(61_005, Outcome::Written(100));
+    assert!(node.state.lease().holds(node.now).is_some(), "it has the lease");
+    let effects = node.pass(millis(300));
+    let asks = |effect: &Effect| matches!(effect, Effect::Report { engine, .. } if **engine == *"w1");
+    assert!(effects.iter().any(asks), "it asks the engine");
+    let asker = Frame { vm: "b".into(), config: 1, listed: 4, ..Frame::default() };
+    let told = boragecove_fleet::reply(&mut node.state, node.now, &asker);
+    assert_eq!(told.residencies, [], "it has no answer yet");
+    let (_, attempt) = node.sent(streamed("/brief/1", "m0", Some("a1")));
+    assert_eq!(*attempt.engine, *"w1");
+    let held = vec![Held { model: "m0".into(), adapters: vec!["a2".into()] }];
+    let report = Report { sequence: 7, held, ..Report::default() };
+    node.feed(Event::Reported { engine: "w1".into(), report: Some(report) });
+    let told = boragecove_fleet::reply(&mut node.state, node.now, &asker);
+    assert_eq!(told.residencies.len(), 1, "what the engine says is told");
+}
