Know callers by their keys, and serve no key without a proof that it still holds

Cause: the path on the users' platform knew no keys.

The engine gets the workspace's name, never the key. Where keys that were taken away have to be refused everywhere within a bound, a key is served only while the configuration in force was certainly the newest less than that bound ago: counted from before the store was asked, passed on in the hub's answers as an age that counts from before the frame was sent. Updates carry workspaces and keys, a key by itself.

Ruled out: a time of day (clocks step), proofs in pushes (nothing bounds how long a push is on its way), errors that repeat what they could not read.

--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -123,6 +123,9 @@
     Unauthenticated = 200, 401, Changed, "unauthenticated", "The bearer token is missing or not known.";
     Forbidden = 201, 403, Changed, "forbidden", "The caller may not reach this model or service.";
     CallerLimit = 202, 429, Later, "caller_limit", "The caller has too many requests open.";
+    OverQuota = 203, 429, Later, "over_quota", "The caller's workspace has asked for more than its limit.";
+    KeyUnproven = 204, 503, Later, "key_unproven", "Whether the key still holds cannot be told for now.";
+    QuotaUnknown = 205, 503, Later, "quota_unknown", "What is left of the workspace's limit cannot be told for now.";
     QueueFull = 300, 503, Later, "queue_full", "The queue for this model or service is full.";
     EntryFull = 301, 503, Later, "entry_full", "The entry VM has too many requests open.";
     DeadlineUnreachable = 302, 503, Later, "deadline_unreachable", "It could not be answered before its deadline.";
--- a/daemon/src/entry/doors.rs
+++ b/daemon/src/entry/doors.rs
@@ -69,13 +69,15 @@
     };
     let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let arrival = front::arrival(host, request.uri(), headers, &body);
+    let mut forwarded = front::forwarded(headers);
     let content = Content {
         caller_id: front::caller_id(headers),
         resumes_after: front::resumes_after(headers),
+        credentials: front::take_credentials(&mut forwarded),
         request: Request {
             method: request.method().clone(),
             target: request.uri().clone(),
-            headers: front::forwarded(headers),
+            headers: forwarded,
             body,
         },
     };
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -1,13 +1,16 @@
 //! Follows the store's tables: reads each whole once, then waits for its changes.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix::Addr;
+use boragecove_core::time::Time;
 use boragecove_fleet::effect::Follow;
 use boragecove_fleet::event::Event;
+use boragecove_platform::error::Unreadable;
 use boragecove_platform::store::{self, Page, Table};
 use thiserror::Error;
 use tokio::sync::watch;
@@ -17,8 +20,9 @@
 use super::node::{Feed, Node, Transferred, store_request};
 use super::settings::Settings;
 use super::transfer::{Kind, Transfer};
+use crate::clock::Clock;
 
-/// How long the store is asked to wait for changes: short, since a connection may go silent for good.
+/// How long the store is asked to wait for changes of the engines' table: short, since a connection may go silent for good.
 const WAIT: Duration = Duration::from_millis(2_100);
 /// Time for an answer to begin beyond that, and then from some bytes of it to the next. The whole may take longer: the
 /// store's form of 4,000 routes has 1 MB, for which a link of 10 Mbit/s takes 0.8 s.
@@ -39,7 +43,7 @@
     #[error(transparent)]
     Call(#[from] client::Error),
     #[error(transparent)]
-    Body(#[from] boragecove_platform::error::Unreadable),
+    Body(#[from] Unreadable),
     #[error("the store answered {0}")]
     Status(u16),
     #[error("the history is gone")]
@@ -55,6 +59,7 @@
 struct Follower {
     table: Table,
     address: SocketAddr,
+    clock: Clock,
     client: Rc<Client>,
     node: Addr<Node>,
     /// The version up to which the table is known; none before it was read whole.
@@ -66,11 +71,14 @@
     /// Whether the last call was answered. Until one is, the store is not asked to wait: a call that is sent
     /// during an outage may get no answer after it either.
     answered: bool,
+    /// The store's version with which a document came that could not be read.
+    unreadable: Cell<u64>,
 }
 
 /// Follows all tables that the reducer goes by.
 pub(crate) fn start(
     settings: &Settings,
+    clock: Clock,
     client: &Rc<Client>,
     node: &Addr<Node>,
     wanted: &watch::Receiver<Option<Follow>>,
@@ -79,12 +87,14 @@
         let follower = Follower {
             table,
             address: settings.store,
+            clock,
             client: Rc::clone(client),
             node: node.clone(),
             version: None,
             told: None,
             wanted: wanted.clone(),
             answered: false,
+            unreadable: Cell::new(0),
         };
         actix_rt::spawn(follower.run());
     }
@@ -143,14 +153,16 @@
         let Some(version) = self.version else {
             return self.read().await;
         };
-        let wait = if self.answered { WAIT } else { Duration::ZERO };
+        let wait = if self.answered { self.patience() } else { Duration::ZERO };
+        let asked = self.clock.now();
         let Answer { page, took } = self.call(self.table.follow(version, wait), wait + ANSWER).await?;
-        self.tell(&page, false)?;
+        self.tell(&page, asked, false)?;
         self.version = (!self.is_outrun(took)).then_some(page.version.max(version));
         Ok(())
     }
 
     async fn read(&mut self) -> Result<(), Failed> {
+        let asked = self.clock.now();
         let Answer { mut page, mut took } = self.call(self.table.read(None), ANSWER).await?;
         // Later pages may be newer; changes are followed from the first on.
         while let Some(after) = page.next.take() {
@@ -158,21 +170,31 @@
             page.append(more.page);
             took += more.took;
         }
-        let new = self.tell(&page, true)?;
+        let new = self.tell(&page, asked, true)?;
         self.version = (!new || !self.is_outrun(took)).then_some(page.version);
         Ok(())
     }
 
-    /// Tells the node what a page holds. Returns whether a configuration came that had not come before.
-    fn tell(&mut self, page: &Page, whole: bool) -> Result<bool, Failed> {
+    /// How long the store may wait with its answer for changes.
+    fn patience(&self) -> Duration {
+        match self.table {
+            Table::Operator => self.wanted.borrow().map_or(Duration::ZERO, |follow| follow.patience),
+            Table::Engines => WAIT,
+        }
+    }
+
+    /// Tells the node what a page holds that the store was asked for then. Returns whether a configuration came that had
+    /// not come before.
+    fn tell(&mut self, page: &Page, asked: Time, whole: bool) -> Result<bool, Failed> {
         let mut new = false;
         match self.table {
             Table::Operator => {
-                if let Some(config) = page.config()? {
+                let read = page.config().inspect_err(|error| self.log_unreadable(page, error));
+                if let Some(config) = read? {
                     new = self.told.replace(config.version) != Some(config.version);
                     self.node.do_send(Feed(Event::Configured(Arc::new(config))));
                 }
-                self.node.do_send(Feed(Event::Declared(page.version)));
+                self.node.do_send(Feed(Event::Declared { version: page.version, asked }));
             }
             Table::Engines => {
                 let (listing, errors) = page.engines(whole);
@@ -185,6 +207,13 @@
         Ok(new)
     }
 
+    /// Logs a document that cannot be read, once: the version before stays in force, and the document is read again.
+    fn log_unreadable(&self, page: &Page, error: &Unreadable) {
+        if self.unreadable.replace(page.version) != page.version {
+            tracing::error!(store = page.version, %error, "the configuration stays as it is");
+        }
+    }
+
     /// Whether a page took so long that the operator may have written another version meanwhile.
     fn is_outrun(&self, took: Duration) -> bool {
         self.table == Table::Operator && took >= PAGE_SLOW
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -130,7 +130,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        follow::start(&self.settings, &self.client, &ctx.address(), &self.follow.subscribe());
+        follow::start(&self.settings, self.clock, &self.client, &ctx.address(), &self.follow.subscribe());
         ctx.run_interval(TIDY_EVERY, |node, _ctx| node.client.tidy());
         self.feed(Event::Wake, ctx);
     }
@@ -410,7 +410,11 @@
 impl Handler<Open> for Node {
     type Result = ();
 
-    fn handle(&mut self, Open { arrival, content, outlet }: Open, ctx: &mut Self::Context) {
+    fn handle(&mut self, Open { arrival, mut content, outlet }: Open, ctx: &mut Self::Context) {
+        let credentials = std::mem::take(&mut content.credentials);
+        if !self.state.needs_keys() {
+            front::restore_credentials(&mut content.request.headers, credentials);
+        }
         self.drawn += 1;
         let id = Id(self.drawn);
         self.log.received(self.clock.now(), id, &arrival, content.caller_id.as_ref());
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -6,6 +6,7 @@
 
 use actix::Addr;
 use actix_http::StatusCode;
+use actix_http::header::HeaderValue;
 use boragecove_core::name::Name;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::notice::Start;
@@ -35,6 +36,8 @@
     pub(crate) caller_id: Option<Name>,
     /// The event after which the caller wants a stream to go on.
     pub(crate) resumes_after: Option<u64>,
+    /// The caller's key; dropped as soon as it is known that this system, and no engine, is to read it.
+    pub(crate) credentials: Vec<HeaderValue>,
     /// What is sent, but for what each attempt adds.
     pub(crate) request: Request,
 }
--- a/daemon/src/entry/settings.rs
+++ b/daemon/src/entry/settings.rs
@@ -118,12 +118,21 @@
     if let Some(node) = object.optional("orders") {
         orders(&node, &mut settings.fleet);
     }
+    if let Some(node) = object.optional("keys") {
+        keys(&node, &mut settings.fleet);
+    }
     if let Some(node) = object.optional("without") {
         settings.fleet.without = without(&node);
     }
     settings
 }
 
+/// Keys of callers.
+fn keys(node: &Node<'_>, fleet: &mut fleet::Settings) {
+    let mut object = node.object();
+    fleet.revocation = object.required("revoked-within").and_then(|node| node.duration());
+}
+
 /// Mechanisms that are switched off, in experiments only.
 fn without(node: &Node<'_>) -> Vec<fleet::Mechanism> {
     let words = fleet::Mechanism::ALL.map(|mechanism| (mechanism.label(), mechanism));
--- a/daemon/tests/deploy_template.rs
+++ b/daemon/tests/deploy_template.rs
@@ -6,31 +6,61 @@
 
 const TEMPLATE: &str = include_str!("../../deploy/entry.jsonc");
 
-/// Fills the template in, as the platform does for the placeholders that it uses.
+/// What the platform knows of a machine, by the placeholders that the template uses.
+const VALUES: [(&str, &str); 16] = [
+    ("{{node_name|json}}", "\"front-a-1\""),
+    ("{{zone|json}}", "\"zone-a\""),
+    ("{{listen.front_addr|json}}", "\"10.1.0.38:8149\""),
+    ("{{listen.ready_addr|json}}", "\"10.1.0.38:8141\""),
+    ("{{ip}}", "10.1.0.38"),
+    ("{{port_range.0}}", "7380"),
+    ("{{platform.address|json}}", "\"10.200.1.7:8142\""),
+    ("{{limits.cpu_share}}", "0.12"),
+    ("{{limits.link_mbps}}", "10.0"),
+    ("{{bounds.grace_s}}", "8"),
+    ("{{bounds.retry_budget_ratio}}", "0.2"),
+    ("{{bounds.retry_budget_slack}}", "52"),
+    ("{{bounds.budget_window_s}}", "10"),
+    ("{{bounds.lease_ttl_ms}}", "3000"),
+    ("{{bounds.origin_window_s}}", "5"),
+    ("{{bounds.revoke_ms}}", "5000"),
+];
+/// Bounds that only some deployments have, each a section of the template.
+const SECTIONS: [&str; 1] = ["bounds.strict_revoke"];
+
+/// Fills the template in, as the platform does for the placeholders that it uses, on a deployment that has all bounds.
 fn filled() -> String {
-    let values = [
-        ("{{node_name|json}}", "\"front-a-1\""),
-        ("{{zone|json}}", "\"zone-a\""),
-        ("{{listen.front_addr|json}}", "\"10.1.0.38:8149\""),
-        ("{{listen.ready_addr|json}}", "\"10.1.0.38:8141\""),
-        ("{{ip}}", "10.1.0.38"),
-        ("{{port_range.0}}", "7380"),
-        ("{{platform.address|json}}", "\"10.200.1.7:8142\""),
-        ("{{limits.cpu_share}}", "0.12"),
-        ("{{limits.link_mbps}}", "10.0"),
-        ("{{bounds.grace_s}}", "8"),
-        ("{{bounds.retry_budget_ratio}}", "0.2"),
-        ("{{bounds.retry_budget_slack}}", "52"),
-        ("{{bounds.budget_window_s}}", "10"),
-        ("{{bounds.lease_ttl_ms}}", "3000"),
-        ("{{bounds.origin_window_s}}", "5"),
-    ];
     let mut text = TEMPLATE.to_owned();
-    for (placeholder, value) in values {
+    for name in SECTIONS {
+        let (begin, end) = marks(name);
+        assert!(text.contains(&begin) && text.contains(&end), "{name} is no section");
+        text = text.replace(&begin, "").replace(&end, "");
+    }
+    for (placeholder, _) in VALUES {
         assert!(text.contains(placeholder), "{placeholder} is not used");
-        text = text.replace(placeholder, value);
     }
-    text
+    filled_in(&text)
+}
+
+/// The same on a deployment that lacks the bounds of the sections.
+fn without_sections() -> String {
+    let mut text = TEMPLATE.to_owned();
+    for name in SECTIONS {
+        let (begin, end) = marks(name);
+        let (before, rest) = text.split_once(&begin).expect("it begins");
+        let (_left_out, after) = rest.split_once(&end).expect("it ends");
+        text = format!("{before}{after}");
+    }
+    filled_in(&text)
+}
+
+fn marks(section: &str) -> (String, String) {
+    (format!("{{{{#{section}}}}}"), format!("{{{{/{section}}}}}"))
+}
+
+fn filled_in(template: &str) -> String {
+    let replace = |text: String, (placeholder, value): &(&str, &str)| text.replace(placeholder, value);
+    VALUES.iter().fold(template.to_owned(), replace)
 }
 
 #[test]
@@ -46,6 +76,15 @@
     assert_eq!(settings.fleet.order_gap, Duration::from_secs(3));
 }
 
+#[test]
+fn bounds_of_some() {
+    let read = |text: &str| {
+        settings::read("entry.jsonc", text).unwrap_or_else(|problems| panic!("{problems}")).fleet.revocation
+    };
+    assert_eq!(read(&filled()), Some(Duration::from_secs(5)));
+    assert_eq!(read(&without_sections()), None, "nothing is to be proved");
+}
+
 #[test]
 fn every_error_at_once() {
     let text =
--- a/fleet/benches/hub.rs
+++ b/fleet/benches/hub.rs
@@ -65,7 +65,13 @@
         ..Pool::default()
     };
     let service = Service { name: SERVICE.into(), connections_max: 100, pool: Some(pool) };
-    Config { version: 1, routes: Vec::new(), services: vec![Arc::new(service)], limits: Limits::default() }
+    Config {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![Arc::new(service)],
+        limits: Limits::default(),
+        access: None,
+    }
 }
 
 fn engine(number: usize) -> Name {
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -7,7 +7,8 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
-use crate::config::Route;
+use crate::access;
+use crate::config::{Route, Workspace};
 use crate::flow::{COME_BACK, Flow, Stage};
 use crate::request::{Arrival, Refusal};
 use crate::state::State;
@@ -24,6 +25,7 @@
     let Some(route) = state.routes.find(&arrival.host, &arrival.path).cloned() else {
         return refuse(Code::UnknownPath, None);
     };
+    let workspace = access::identify(state, now, &route, &arrival)?;
     if state.crashes.is_quarantined(arrival.fingerprint, now) {
         return refuse(Code::CrashesBackends, None);
     }
@@ -39,7 +41,7 @@
         return refuse(Code::UnknownModel, None);
     }
     state.budget.request(now, &service, &state.settings);
-    let flow = open(state, now, route, service, arrival);
+    let flow = open(state, now, route, service, workspace, arrival);
     if let Some(target) = flow.target() {
         state.demand.arrived(&target, flow.work);
     }
@@ -55,8 +57,15 @@
     !route.kind.streams() && state.stops_at.is_some_and(|stops_at| until < stops_at)
 }
 
-fn open(state: &State, now: Time, route: Arc<Route>, service: Name, arrival: Arrival) -> Flow {
-    let Arrival { patience, prompt, fingerprint, .. } = arrival;
+fn open(
+    state: &State,
+    now: Time,
+    route: Arc<Route>,
+    service: Name,
+    workspace: Option<Arc<Workspace>>,
+    arrival: Arrival,
+) -> Flow {
+    let Arrival { patience, prompt, fingerprint, key, .. } = arrival;
     let deadline = now + patience.unwrap_or(route.timeout).min(route.timeout);
     let work = prompt
         .as_ref()
@@ -65,6 +74,8 @@
         begin_by: deadline.min(now + route.patience()),
         route,
         service,
+        workspace,
+        key,
         prompt,
         fingerprint,
         arrived: now,
--- a/fleet/src/config.rs
+++ b/fleet/src/config.rs
@@ -7,6 +7,9 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use crate::key::Digest;
+use crate::request::Arrival;
+
 /// One version of the configuration, whole.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
@@ -18,6 +21,71 @@
     pub services: Vec<Arc<Service>>,
     /// What callers may send.
     pub limits: Limits,
+    /// Who may call; none where requests need no key.
+    pub access: Option<Access>,
+}
+
+/// The workspaces that callers belong to, and the keys that tell which.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Access {
+    /// The workspaces.
+    pub workspaces: Vec<Arc<Workspace>>,
+    /// The keys of all of them; each stands there once.
+    pub keys: Vec<Arc<Key>>,
+}
+
+/// Callers that share keys, a priority and a limit.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Workspace {
+    /// Its name.
+    pub name: Name,
+    /// The rank of its requests, in place of the route's; 0 goes first.
+    pub priority: Option<u8>,
+    /// What it may ask for over all entry VMs; none if there is no limit.
+    pub limit: Option<Limit>,
+}
+
+/// A key, and the workspace whose callers have it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Key {
+    /// The key's digest.
+    pub digest: Digest,
+    /// The workspace's name.
+    pub workspace: Name,
+}
+
+/// What a workspace may ask for, over all entry VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Limit {
+    /// Units a second.
+    pub per_s: f64,
+    /// Units that may be asked for at once beyond that.
+    pub burst: f64,
+    /// What is counted.
+    pub unit: Unit,
+}
+
+/// What a limit counts.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Unit {
+    /// Requests.
+    Requests,
+    /// Tokens that are read and generated.
+    Tokens {
+        /// What a request counts that says nothing of its tokens.
+        unsaid: f64,
+    },
+}
+
+impl Limit {
+    /// What a request counts.
+    #[must_use]
+    pub fn cost(&self, arrival: &Arrival) -> f64 {
+        match self.unit {
+            Unit::Requests => 1.0,
+            Unit::Tokens { unsaid } => arrival.tokens.map_or(unsaid, |tokens| tokens as f64),
+        }
+    }
 }
 
 /// A path prefix of a host, and the services that its requests go to.
@@ -43,6 +111,8 @@
     pub attempts: u32,
     /// The services, with their weights.
     pub split: Vec<Share>,
+    /// Whether its requests need no key.
+    pub public: bool,
 }
 
 /// Callers leave a stream that pauses, or does not begin, for the longest of this,
@@ -195,10 +265,12 @@
     }
 }
 
-/// The routes of one version, by host.
+/// The routes of one version by host, and its workspaces by the keys of their callers.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    by_host: FxHashMap<Name, Host>,
+    hosts: FxHashMap<Name, Host>,
+    keys: FxHashMap<Digest, Arc<Workspace>>,
+    workspaces: FxHashMap<Name, Arc<Workspace>>,
 }
 
 /// The routes of one host. Prefixes end with a slash, so that those that begin a path end at one of its slashes: the time to
@@ -214,19 +286,43 @@
     /// Sorts the routes of `config`. Of two with the same host and prefix the first one holds.
     #[must_use]
     pub fn new(config: &Config) -> Self {
-        let mut by_host: FxHashMap<Name, Host> = FxHashMap::default();
+        let mut hosts: FxHashMap<Name, Host> = FxHashMap::default();
         for route in &config.routes {
-            let host = by_host.entry(route.host.clone()).or_default();
+            let host = hosts.entry(route.host.clone()).or_default();
             host.slashes_max = host.slashes_max.max(slashes(&route.prefix).count());
             host.by_prefix.entry(route.prefix.clone()).or_insert_with(|| Arc::clone(route));
         }
-        Self { by_host }
+        let access = config.access.as_ref();
+        let workspaces = access.into_iter().flat_map(|access| &access.workspaces);
+        let workspaces: FxHashMap<Name, Arc<Workspace>> =
+            workspaces.map(|workspace| (workspace.name.clone(), Arc::clone(workspace))).collect();
+        let keys = access.into_iter().flat_map(|access| &access.keys);
+        let keys =
+            keys.filter_map(|key| Some((key.digest, Arc::clone(workspaces.get(&key.workspace)?)))).collect();
+        Self { hosts, keys, workspaces }
+    }
+
+    /// The workspace whose callers have this key.
+    #[must_use]
+    pub fn workspace_of(&self, key: Digest) -> Option<&Arc<Workspace>> {
+        self.keys.get(&key)
+    }
+
+    /// The workspace of that name.
+    #[must_use]
+    pub fn workspace(&self, name: &str) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(name)
+    }
+
+    /// The workspaces that have limits.
+    pub fn limited(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.workspaces.values().filter(|workspace| workspace.limit.is_some())
     }
 
     /// The route of `host` with the longest prefix that begins `path`.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = self.by_host.get(host)?;
+        let host = self.hosts.get(host)?;
         let ends = slashes(path).take(host.slashes_max);
         ends.filter_map(|end| host.by_prefix.get(&path[..=end])).last()
     }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use boragecove_core::name::Name;
+use boragecove_core::time::Time;
 
 use crate::config::Config;
 use crate::engine::Reach;
@@ -21,8 +22,13 @@
 pub enum Event {
     /// A version of the configuration was read.
     Configured(Arc<Config>),
-    /// The operator's table was read up to this version of the store, and what it holds was told.
-    Declared(u64),
+    /// The operator's table was read, and what it holds was told.
+    Declared {
+        /// The store's version up to which it was read.
+        version: u64,
+        /// When the store was asked.
+        asked: Time,
+    },
     /// The engines' table, or what changed in it, was read.
     Listed(Listing),
     /// The store could not be reached, or can be again.
@@ -119,7 +125,7 @@
     pub const fn label(&self) -> &'static str {
         match self {
             Self::Configured(_) => "configured",
-            Self::Declared(_) => "declared",
+            Self::Declared { .. } => "declared",
             Self::Listed(_) => "listed",
             Self::StoreUp(_) => "store_up",
             Self::Arrive { .. } => "arrive",
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -7,15 +7,17 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::access;
 use crate::adapter;
 use crate::admit;
 use crate::choose::{self, Choice, Pick, Query};
-use crate::config::Route;
+use crate::config::{Route, Workspace};
 use crate::crash;
 use crate::demand::Target;
 use crate::effect::Effect;
 use crate::engine::{Engine, Load};
 use crate::frame;
+use crate::key::Digest;
 use crate::record::{Record, ms};
 use crate::request::{Arrival, Attempt, Fingerprint, Id, Prompt, Refusal, Step};
 use crate::schedule::{self, Ask, Grant, Need};
@@ -33,6 +35,10 @@
 pub(crate) struct Flow {
     pub(crate) route: Arc<Route>,
     pub(crate) service: Name,
+    /// The workspace that its caller belongs to, if it needs a key.
+    pub(crate) workspace: Option<Arc<Workspace>>,
+    /// The key that it came with.
+    pub(crate) key: Option<Digest>,
     pub(crate) prompt: Option<Prompt>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Time,
@@ -74,6 +80,12 @@
         })
     }
 
+    /// Its rank; 0 goes first.
+    pub(crate) fn priority(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     pub(crate) fn load(&self, begun: bool) -> Load {
         Load { open: 1, reading_us: if begun { 0 } else { self.work.as_micros() as u64 } }
     }
@@ -127,6 +139,13 @@
         give_up(state, now, id, Code::CrashesBackends, None, out);
         return;
     }
+    // Its key may have been taken away while it waited, or nobody may have said for too long that it was not.
+    if flow.workspace.is_some()
+        && let Err(Refusal { code, retry_after }) = access::recheck(state, now, flow.key)
+    {
+        give_up(state, now, id, code, retry_after, out);
+        return;
+    }
     let (service, prompt, avoid) = (flow.service.clone(), flow.prompt.clone(), flow.avoid.clone());
     let query = Query {
         service: &service,
@@ -301,8 +320,9 @@
         address: engine.entry.address,
         at,
         deadline: flow.deadline,
-        priority: flow.route.priority,
+        priority: flow.priority(),
         streams: flow.route.kind.streams(),
+        workspace: flow.workspace.as_ref().map(|workspace| workspace.name.clone()),
     };
     state.timers.set(at + silence, Timer::Silence(id, attempt.number));
     out.push(Effect::Step { request: id, step: Step::Send(attempt) });
@@ -378,6 +398,8 @@
         | Code::RetriesSpent
         | Code::BackendRefused
         | Code::CrashesBackends
+        | Code::KeyUnproven
+        | Code::Unauthenticated
             if ran =>
         {
             Code::BackendFailed
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -25,6 +25,7 @@
 use crate::ledger;
 use crate::members::Member;
 use crate::notice::{self, Notice};
+use crate::proof;
 use crate::push;
 use crate::record::Record;
 use crate::settings::Settings;
@@ -34,6 +35,8 @@
 
 /// Times between frames without an answer after which the hub is taken as gone.
 const FRAMES_MISSED: f64 = 2.5;
+/// How long the store may wait with its answer for changes: short, since a connection may go silent for good.
+const CHANGES_WAIT: Duration = Duration::from_millis(2_100);
 /// The longest pause of the hub between calls for changes: what the operator says is to be in force everywhere within
 /// two seconds, and goes from the hub to all others.
 const HUB_PAUSE_MAX: Duration = Duration::from_millis(150);
@@ -61,6 +64,8 @@
     unanswered: bool,
     /// The frame under way.
     asking: Option<Asking>,
+    /// The number of the last frame.
+    number: u64,
     /// Refusals to be told.
     pub(crate) absent: Vec<Absent>,
     /// The others' last frames, as the hub.
@@ -71,8 +76,12 @@
 }
 
 /// A frame that was not answered yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Asking {
+    /// Its number.
+    number: u64,
+    /// When it was sent.
+    at: Time,
     /// Whether requests have begun to wait since it was sent.
     unsaid: bool,
     /// The refusals that it tells.
@@ -130,6 +139,9 @@
     let wait = every(state);
     state.timers.set(now + wait.mul_f64(0.9 + 0.2 * state.rng.f64()), Timer::Frame);
     peers::expire(state, now);
+    if state.needs_keys() {
+        proof::check(state, now, out);
+    }
     send(state, now, out);
     follow(state, now, out);
 }
@@ -140,7 +152,8 @@
     let follows = pause(state, now);
     if follows != state.follows {
         state.follows = follows;
-        let how = |pause| Follow { listed: state.listed, declared: state.declared, pause };
+        let patience = proof::patience(&state.settings, CHANGES_WAIT);
+        let how = |pause| Follow { listed: state.listed, declared: state.declared, patience, pause };
         out.push(Effect::Follow(follows.map(how)));
     }
 }
@@ -154,7 +167,9 @@
         return Some(settings.follow_as_hub.mul_f64(engines.max(1.0)).min(HUB_PAUSE_MAX));
     }
     let known = knows(state);
-    let told = known && state.hub.speaks_for_store(now, settings);
+    let told = known
+        && state.hub.speaks_for_store(now, settings)
+        && !(state.needs_keys() && proof::is_doubtful(state, now));
     let asking = !known && now.since(state.started) < settings.hub_wait;
     (!told && !asking).then(|| settings.follow_alone.mul_f64(many(state)).min(ALONE_PAUSE_MAX))
 }
@@ -198,7 +213,8 @@
     }
     let address = row.address;
     let frame = Box::new(compose(state, now));
-    state.hub.asking = Some(Asking { unsaid: false, absent: frame.absent.clone() });
+    state.hub.asking =
+        Some(Asking { number: frame.number, at: now, unsaid: false, absent: frame.absent.clone() });
     out.push(Effect::Frame { address, frame });
 }
 
@@ -226,7 +242,9 @@
 fn compose(state: &mut State, now: Time) -> Frame {
     let loads = state.engines.iter().filter(|(_, engine)| engine.own != Load::default());
     let loads = loads.map(|(id, engine)| EngineLoad { engine: id.clone(), load: engine.own }).collect();
+    state.hub.number += 1;
     Frame {
+        number: state.hub.number,
         vm: state.me.vm.clone(),
         zone: state.me.zone.clone(),
         address: Some(state.me.address),
@@ -293,6 +311,7 @@
     let since = if asker.view.term == view.term { asker.view.version } else { 0 };
     let holds = state.lease.holds(now).is_some();
     Reply {
+        number: asker.number,
         leads: holds,
         store_age: now.since(state.store_heard),
         members: (asker.members != state.members.version()).then(|| state.members.list().to_vec()),
@@ -301,7 +320,7 @@
         view,
         residencies: if holds { state.ledger.changed_after(since) } else { Vec::new() },
         config,
-        declared: Declared { config: version(state), store: state.declared },
+        declared: Declared { config: version(state), store: state.declared, age: state.proof.age(now) },
         rows,
         listed,
         whole,
@@ -347,6 +366,13 @@
     if reply.declared.config == version(state) {
         state.declared = state.declared.max(reply.declared.store);
     }
+    // An answer to an earlier frame would count from too late a moment.
+    let sent = asked.as_ref().filter(|asked| asked.number == reply.number).map(|asked| asked.at);
+    if let Some((sent, age)) = sent.zip(reply.declared.age)
+        && reply.declared.config <= version(state)
+    {
+        proof::renew(state, now, sent - age, out);
+    }
     state.hub.fresh = reply.leads && reply.store_age < state.settings.hub_store_age;
     if reply.listed > state.listed {
         let listing = Listing { rows: reply.rows, version: reply.listed, whole: reply.whole };
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -16,6 +16,8 @@
 /// What an entry VM tells the hub.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
+    /// Its number among those of this process.
+    pub number: u64,
     /// The entry VM's name.
     pub vm: Name,
     /// Its availability zone.
@@ -80,6 +82,8 @@
 /// What the hub answers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
+    /// The number of the frame that it answers.
+    pub number: u64,
     /// Whether it holds the lease; if not, another is to be found.
     pub leads: bool,
     /// Time since the store last answered the hub.
@@ -119,6 +123,8 @@
     pub config: u64,
     /// The store's version up to which no newer one was written; 0 if that is not known.
     pub store: u64,
+    /// Time since it was certainly the newest; none if that is not known.
+    pub age: Option<Duration>,
 }
 
 /// What an engine holds.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! keeps what the store says, `notice` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow`, `outcome` and `crash` serve requests; `frame`,
 //! `members`, `push` and `update` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
+mod access;
 mod adapter;
 mod admit;
 mod book;
@@ -22,6 +23,7 @@
 pub mod event;
 mod flow;
 pub mod frame;
+pub mod key;
 pub mod lease;
 pub mod ledger;
 pub mod members;
@@ -30,6 +32,7 @@
 mod outcome;
 pub mod place;
 mod plan;
+pub mod proof;
 pub mod push;
 pub mod record;
 mod reduce;
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -125,6 +125,15 @@
         /// The entry VMs.
         vms: usize,
     },
+    /// Keys are not served any more, for want of a proof that the configuration in force is the newest, or are again.
+    Proof {
+        /// Whether there is a proof.
+        state: &'static str,
+        /// The configuration's version in force.
+        version: u64,
+        /// Age of the last proof; none if there was none.
+        age_ms: Option<u64>,
+    },
     /// What came, or was to be sent, cannot be read or written.
     Unusable {
         /// What it is.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -14,6 +14,7 @@
 use crate::notice;
 use crate::outcome;
 use crate::plan;
+use crate::proof;
 use crate::push;
 use crate::record::Record;
 use crate::schedule::{self, Ask, Grant};
@@ -68,7 +69,10 @@
 fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Configured(config) => entries::configured(state, now, config, "store", out),
-        Event::Declared(version) => state.declared = state.declared.max(version),
+        Event::Declared { version, asked } => {
+            state.declared = state.declared.max(version);
+            proof::renew(state, now, asked, out);
+        }
         Event::Listed(listing) => entries::listed(state, now, listing, out),
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::engine::Incarnation;
+use crate::key::Digest;
 
 /// A request's number within its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -64,6 +65,10 @@
     pub prompt: Option<Prompt>,
     /// What it asks, to tell when it comes again.
     pub fingerprint: Fingerprint,
+    /// The key that its caller has, if it names one.
+    pub key: Option<Digest>,
+    /// Tokens that it says it reads and generates.
+    pub tokens: Option<u64>,
 }
 
 /// What a request wants of a model.
@@ -98,6 +103,8 @@
     pub priority: u8,
     /// Whether it is answered by a stream of events.
     pub streams: bool,
+    /// The workspace that its caller belongs to, for the engine to know; none for callers without a key.
+    pub workspace: Option<Name>,
 }
 
 /// What is to be done for a request next.
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -89,6 +89,9 @@
     pub adapter_idle: Duration,
     /// Time to leave for an answer after the last moment to send a request.
     pub reserve: Duration,
+    /// Time after which a key that was taken away may not be served anywhere, if that holds for entry VMs that hear
+    /// nobody as well (the platform's bound).
+    pub revocation: Option<Duration>,
     /// Mechanisms that are switched off, in experiments only.
     pub without: Vec<Mechanism>,
     /// The balancer looks at readiness every second and needs two misses: after this it sends nobody, unless most of the
@@ -213,6 +216,7 @@
             adapter_ready: Duration::from_millis(20),
             adapter_idle: Duration::from_millis(400),
             reserve: Duration::from_millis(50),
+            revocation: None,
             without: Vec::new(),
             balancer_grace: Duration::from_millis(2_500),
             stop_within: Duration::from_millis(7_650),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -23,6 +23,7 @@
 use crate::ledger::Ledger;
 use crate::members::Members;
 use crate::notice::Departures;
+use crate::proof::Proof;
 use crate::push::Pushes;
 use crate::request::{Id, Prompt};
 use crate::settings::Settings;
@@ -71,6 +72,8 @@
     pub(crate) removals_from: u64,
     /// The store's version up to which no newer configuration than the one in force was written; 0 if not known.
     pub(crate) declared: u64,
+    /// When the configuration in force was last known to be the newest.
+    pub(crate) proof: Proof,
     pub(crate) store_up: bool,
     /// When the store last answered anything.
     pub(crate) store_heard: Time,
@@ -128,6 +131,7 @@
             listed: 0,
             removals_from: 0,
             declared: 0,
+            proof: Proof::default(),
             store_up: true,
             store_heard: now,
             follows: None,
@@ -164,6 +168,18 @@
         self.config.as_ref()
     }
 
+    /// Whether requests need keys.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        self.config.as_ref().is_some_and(|config| config.access.is_some())
+    }
+
+    /// When the configuration in force was last known to be the newest.
+    #[must_use]
+    pub const fn proof(&self) -> &Proof {
+        &self.proof
+    }
+
     /// The engines that are known.
     pub fn engines(&self) -> impl Iterator<Item = &Engine> {
         self.engines.values()
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::collections::hash_map::Entry;
+use std::hash::Hash;
 use std::io::{self, Read as _, Write as _};
 use std::sync::Arc;
 
@@ -17,7 +18,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::config::{Config, Limits, Route, Service};
+use crate::config::{Access, Config, Key, Limits, Route, Service, Workspace};
+use crate::key::Digest;
 
 /// Bytes of an update in memory at most, whatever a packed one claims: a hundred thousand routes.
 const UNPACKED_MAX: u64 = 32 << 20;
@@ -31,16 +33,25 @@
     pub base: u64,
     /// The version that it leads to.
     pub version: u64,
-    routes: Changes<Route>,
-    services: Changes<Service>,
+    routes: Changes<Name, Route>,
+    services: Changes<Name, Service>,
     limits: Limits,
+    /// None where requests need no key.
+    access: Option<AccessChanges>,
 }
 
-/// What has changed of things that have names.
+/// What has changed of workspaces and keys: a key that comes or goes costs its own bytes, however many there are.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Changes<T> {
+struct AccessChanges {
+    workspaces: Changes<Name, Workspace>,
+    keys: Changes<Digest, Key>,
+}
+
+/// What has changed of things that are told apart by a `K`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Changes<K, T> {
     put: Vec<Arc<T>>,
-    removed: Vec<Name>,
+    removed: Vec<K>,
 }
 
 /// An update in its compact form.
@@ -90,6 +101,10 @@
             routes: changes(routes, &after.routes, |route| &route.name),
             services: changes(services, &after.services, |service| &service.name),
             limits: after.limits,
+            access: after
+                .access
+                .as_ref()
+                .map(|after| AccessChanges::between(before.and_then(|config| config.access.as_ref()), after)),
         }
     }
 
@@ -111,6 +126,9 @@
             routes: merge(routes, self.routes, |route| &route.name),
             services: merge(services, self.services, |service| &service.name),
             limits: self.limits,
+            access: self
+                .access
+                .map(|changes| changes.apply(before.and_then(|config| config.access.as_ref()))),
         })
     }
 
@@ -139,16 +157,47 @@
     }
 }
 
+impl AccessChanges {
+    fn between(before: Option<&Access>, after: &Access) -> Self {
+        let (workspaces, keys) =
+            before.map_or((&[][..], &[][..]), |access| (&access.workspaces, &access.keys));
+        Self {
+            workspaces: changes(workspaces, &after.workspaces, |workspace| &workspace.name),
+            keys: changes(keys, &after.keys, |key| &key.digest),
+        }
+    }
+
+    fn apply(self, before: Option<&Access>) -> Access {
+        let (workspaces, keys) =
+            before.map_or((&[][..], &[][..]), |access| (&access.workspaces, &access.keys));
+        Access {
+            workspaces: merge(workspaces, self.workspaces, |workspace| &workspace.name),
+            keys: merge(keys, self.keys, |key| &key.digest),
+        }
+    }
+}
+
 fn named_once(config: &Config) -> bool {
     let mut routes = FxHashSet::default();
     let mut services = FxHashSet::default();
+    let mut workspaces = FxHashSet::default();
+    let mut keys = FxHashSet::default();
+    let mut access = config.access.iter();
     config.routes.iter().all(|route| routes.insert(&route.name))
         && config.services.iter().all(|service| services.insert(&service.name))
+        && access.all(|access| {
+            access.workspaces.iter().all(|workspace| workspaces.insert(&workspace.name))
+                && access.keys.iter().all(|key| keys.insert(key.digest))
+        })
 }
 
-fn changes<T: PartialEq>(before: &[Arc<T>], after: &[Arc<T>], name: fn(&T) -> &Name) -> Changes<T> {
-    let known: FxHashMap<&Name, &Arc<T>> = before.iter().map(|thing| (name(thing), thing)).collect();
-    let left: FxHashSet<&Name> = after.iter().map(|thing| name(thing)).collect();
+fn changes<K: Clone + Eq + Hash, T: PartialEq>(
+    before: &[Arc<T>],
+    after: &[Arc<T>],
+    name: fn(&T) -> &K,
+) -> Changes<K, T> {
+    let known: FxHashMap<&K, &Arc<T>> = before.iter().map(|thing| (name(thing), thing)).collect();
+    let left: FxHashSet<&K> = after.iter().map(|thing| name(thing)).collect();
     let same = |thing: &&Arc<T>| known.get(name(thing)).is_some_and(|known| *known == *thing);
     Changes {
         put: after.iter().filter(|thing| !same(thing)).cloned().collect(),
@@ -161,12 +210,12 @@
     }
 }
 
-fn merge<T>(before: &[Arc<T>], changes: Changes<T>, name: fn(&T) -> &Name) -> Vec<Arc<T>> {
+fn merge<K: Eq + Hash, T>(before: &[Arc<T>], changes: Changes<K, T>, name: fn(&T) -> &K) -> Vec<Arc<T>> {
     if before.is_empty() {
         return changes.put;
     }
-    let removed: FxHashSet<&Name> = changes.removed.iter().collect();
-    let mut put: FxHashMap<&Name, &Arc<T>> = changes.put.iter().map(|thing| (name(thing), thing)).collect();
+    let removed: FxHashSet<&K> = changes.removed.iter().collect();
+    let mut put: FxHashMap<&K, &Arc<T>> = changes.put.iter().map(|thing| (name(thing), thing)).collect();
     let kept = before.iter().filter(|thing| !removed.contains(name(thing)));
     let mut merged: Vec<Arc<T>> =
         kept.map(|thing| Arc::clone(put.remove(name(thing)).unwrap_or(thing))).collect();
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -287,7 +287,8 @@
 fn goes_on_from_the_hubs_word() {
     let mut hub = Node::ready("hub");
     hub.lead();
-    hub.feed(Event::Declared(40));
+    let asked = hub.now;
+    hub.feed(Event::Declared { version: 40, asked });
     let mut node = follower();
     let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("a", 0));
     node.feed(Event::Replied(Some(Box::new(told))));
@@ -305,7 +306,8 @@
     let mut hub = Node::ready("hub");
     hub.lead();
     hub.feed(Event::Configured(Arc::new(config(8))));
-    hub.feed(Event::Declared(40));
+    let asked = hub.now;
+    hub.feed(Event::Declared { version: 40, asked });
     let mut node = follower();
     let mut told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("a", 0));
     told.config = None;
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -59,6 +59,7 @@
         priority: 1,
         attempts,
         split: vec![Share { service: service.into(), weight: 1 }],
+        public: false,
     }
 }
 
@@ -101,6 +102,7 @@
         routes: routes.map(Arc::new).to_vec(),
         services: services.map(Arc::new).to_vec(),
         limits: Limits::default(),
+        access: None,
     }
 }
 
@@ -148,6 +150,8 @@
             tokens_max: 100,
         }),
         fingerprint: Fingerprint::of(HOST, path, model.as_bytes()),
+        key: None,
+        tokens: Some(500),
     }
 }
 
@@ -158,6 +162,8 @@
         patience: Some(Duration::from_secs(3)),
         prompt: None,
         fingerprint: Fingerprint::of(HOST, path, b""),
+        key: None,
+        tokens: None,
     }
 }
 
