--- a/daemon/src/cmd/losses.rs
+++ b/daemon/src/cmd/losses.rs
@@ -7,6 +7,7 @@
 use std::io::{self, Write};
 use std::path::PathBuf;
 
+use boragecove_core::code::Code;
 use serde::Serialize;
 
 use super::Error;
@@ -70,6 +71,8 @@
     pause_ms: u64,
     ended: Option<(u64, String)>,
     refused: Option<String>,
+    /// The workspace whose limit it was refused for.
+    over_limit: Option<String>,
     gone: bool,
 }
 
@@ -97,6 +100,7 @@
             }
             "refused" => {
                 self.refused = line.text("label").map(str::to_owned);
+                self.over_limit = over_limit(line);
                 self.route = self.route.take().or_else(|| line.text("route").map(str::to_owned));
             }
             "caller_gone" => self.gone = true,
@@ -134,6 +138,12 @@
     }
 }
 
+/// The workspace whose limit a line says that a request was refused for.
+fn over_limit(line: &Line) -> Option<String> {
+    let workspace = line.content.get("charge")?.get("workspace")?.as_str()?;
+    (line.text("label") == Some(Code::OverQuota.label())).then(|| workspace.to_owned())
+}
+
 /// Requests that are alike.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct Group {
@@ -177,10 +187,29 @@
     table(&mut out, "lost, by class", &lost, |group| format!("{}: {}", group.class, group.cause))?;
     table(&mut out, "lost, by zone", &lost, |group| group.zone.clone())?;
     table(&mut out, "lost, by second", &lost, |group| format!("{:>6}", group.second))?;
+    over_limits(&mut out, &requests)?;
     unserved::table(&mut out, &requests)?;
     Ok(())
 }
 
+/// Writes how many requests were refused for which workspace's limit, most first.
+fn over_limits(out: &mut impl Write, requests: &[Request]) -> io::Result<()> {
+    let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
+    for workspace in requests.iter().filter_map(|request| request.over_limit.as_deref()) {
+        *counts.entry(workspace).or_default() += 1;
+    }
+    if counts.is_empty() {
+        return Ok(());
+    }
+    let mut rows: Vec<(&str, u64)> = counts.into_iter().collect();
+    rows.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    writeln!(out, "over their limits, by workspace")?;
+    for (workspace, count) in rows.into_iter().take(ROWS_MAX) {
+        writeln!(out, "         {count:>7}  {workspace}")?;
+    }
+    writeln!(out)
+}
+
 /// What the class of a stream begins with.
 const STREAMS: &str = "stream ";
 
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -71,7 +71,7 @@
     /// Whether the last call was answered. Until one is, the store is not asked to wait: a call that is sent
     /// during an outage may get no answer after it either.
     answered: bool,
-    /// The store's version with which a document came that could not be read.
+    /// The store's version of the last document that could not be read.
     unreadable: Cell<u64>,
 }
 
@@ -209,8 +209,9 @@
 
     /// Logs a document that cannot be read, once: the version before stays in force, and the document is read again.
     fn log_unreadable(&self, page: &Page, error: &Unreadable) {
-        if self.unreadable.replace(page.version) != page.version {
-            tracing::error!(store = page.version, %error, "the configuration stays as it is");
+        let version = page.config_version();
+        if self.unreadable.replace(version) != version {
+            tracing::error!(store = version, %error, "the configuration stays as it is");
         }
     }
 
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -54,6 +54,11 @@
     number: u64,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Drawn {
+    answer: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Retried {
     reason: &'static str,
@@ -128,6 +133,7 @@
         let help = "Time for which the loop that decides was busy, by what with";
         registry.register("step_seconds", help, self.steps.clone());
         ends(&mut registry, state);
+        draws(&mut registry, state);
         counter(&mut registry, "connections_opened", "Connections opened", counts.connections);
         let help = "Looks for an engine that an adapter is to be brought to";
         counter(&mut registry, "adapter_places_sought", help, state.places_sought());
@@ -157,6 +163,16 @@
     registry.register("retries", "Attempts that were followed by another, by how they ended", retried);
 }
 
+/// Questions for credit of workspaces' limits.
+fn draws(registry: &mut Registry, state: &State) {
+    let draws = Family::<Drawn, Counter>::default();
+    for (answer, count) in state.quota_draws() {
+        draws.get_or_create(&Drawn { answer }).inc_by(*count);
+    }
+    let help = "Questions for credit of workspaces' limits, by how they were answered";
+    registry.register("quota_draws", help, draws);
+}
+
 fn gauges(registry: &mut Registry, state: &State, now: Time) {
     let version = state.config().map_or(0, |config| config.version);
     let leaving = state.engines().filter(|engine| engine.entry.leaving).count();
@@ -175,8 +191,16 @@
         "Requests that crash engines, and are not sent to any",
         quarantined,
     );
-    let held = state.lease().holds(now).is_some();
-    gauge(registry, "lease_held", "Whether this process gives orders", held.into());
+    let age_ms = state.proof().age(now).map_or(-1, |age| age.as_millis() as i64);
+    let help =
+        "Time since the configuration in force was certainly the newest, in ms; -1 before the first proof";
+    let proof = Gauge::<i64>::default();
+    proof.set(age_ms);
+    registry.register("proof_age_ms", help, proof);
+    let help = "Workspaces of whose limits a share is held here";
+    gauge(registry, "quota_shares_held", help, state.quota_held(now));
+    let leads = state.lease().holds(now).is_some();
+    gauge(registry, "lease_held", "Whether this process gives orders", leads.into());
 }
 
 fn counter(registry: &mut Registry, name: &str, help: &str, value: u64) {
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -18,6 +18,7 @@
 use boragecove_fleet::lease;
 use boragecove_fleet::notice::{Notice, Start};
 use boragecove_fleet::push;
+use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::request::{Arrival, Id, Step};
 use boragecove_fleet::schedule::{Ask, Grant};
 use boragecove_fleet::state::{Identity, State};
@@ -36,7 +37,7 @@
 use super::outlet::Outlet;
 use super::relay::{Content, Relay, Timing};
 use super::settings::Settings;
-use super::transfer::Transfer;
+use super::transfer::{self, Transfer};
 use super::{follow, peers};
 use crate::clock::Clock;
 
@@ -116,6 +117,11 @@
 #[rtype(result = "Grant")]
 pub(crate) struct Place(pub(crate) Ask);
 
+/// Another entry VM asks for credit of a workspace's limit.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "Credit")]
+pub(crate) struct Spend(pub(crate) Draw);
+
 /// Another entry VM asks how the port of an engine answers here.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "Option<Reach>")]
@@ -188,6 +194,11 @@
                 let asking = peers::ask(Rc::clone(&self.client), address, &ask);
                 later(ctx, async move { Event::Granted { request, grant: asking.await } });
             }
+            Effect::Draw { address, request, draw } => {
+                let asking = peers::draw(Rc::clone(&self.client), address, &draw);
+                let workspace = draw.workspace;
+                later(ctx, async move { Event::Drawn { request, workspace, credit: asking.await } });
+            }
             Effect::Lease(call) => self.lease(call, ctx),
             Effect::Order(dispatch) => self.order(&dispatch, ctx),
             Effect::Report { engine, incarnation, address } => {
@@ -288,12 +299,14 @@
     }
 
     fn lease(&self, call: lease::Call, ctx: &Context<Self>) {
-        let (client, address) = (Rc::clone(&self.client), self.settings.store);
+        let (client, address, node) = (Rc::clone(&self.client), self.settings.store, ctx.address());
         later(ctx, async move {
             let request = store_request(store::lease(&call));
-            let until = Instant::now() + LEASE_CALL;
+            let since = Instant::now();
             let unknown = lease::Answer { store_ms: None, outcome: lease::Outcome::Unknown };
-            let answer = match client.call(address, request, ANSWER_MAX, until).await {
+            let called = client.call(address, request, ANSWER_MAX, since + LEASE_CALL).await;
+            node.do_send(Transferred(Transfer::of_short(transfer::Kind::Lease, since, &called)));
+            let answer = match called {
                 Ok(Answer { status, body, .. }) => store::leased(&call, status.as_u16(), &body)
                     .unwrap_or_else(|error| {
                         tracing::warn!(%error, "the store's answer about the lease");
@@ -465,6 +478,14 @@
     }
 }
 
+impl Handler<Spend> for Node {
+    type Result = MessageResult<Spend>;
+
+    fn handle(&mut self, Spend(draw): Spend, _ctx: &mut Self::Context) -> Self::Result {
+        MessageResult(boragecove_fleet::credit(&mut self.state, self.clock.now(), &draw))
+    }
+}
+
 impl Handler<Try> for Node {
     type Result = ResponseFuture<Option<Reach>>;
 
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -15,6 +15,7 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::push::Message;
+use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::schedule::{Ask, Grant};
 use bytes::Bytes;
 use serde::Serialize;
@@ -22,7 +23,7 @@
 use tokio::time::Instant;
 
 use super::client::{self, Client, Request};
-use super::node::{Feed, Hear, Node, Place, Transferred, Try};
+use super::node::{Feed, Hear, Node, Place, Spend, Transferred, Try};
 use super::transfer::{Kind, Transfer};
 
 /// Where frames are posted.
@@ -31,6 +32,8 @@
 const PUSH: &str = "/push";
 /// Where places in schedules are asked for.
 const SCHEDULE: &str = "/schedule";
+/// Where credit of workspaces' limits is asked for.
+const QUOTA: &str = "/quota";
 /// Where the port of an engine is asked about.
 const REACH: &str = "/reach";
 /// Bytes of a question for a place, or of its answer, at most.
@@ -78,6 +81,19 @@
     }
 }
 
+/// Asks a holder of a share of a workspace's limit for credit. Returns its answer, or none if none came in time.
+pub(crate) fn draw(
+    client: Rc<Client>,
+    address: SocketAddr,
+    draw: &Draw,
+) -> impl Future<Output = Option<Credit>> + use<> {
+    let request = post(QUOTA, draw);
+    async move {
+        let called = client.call(address, request, ASK_MAX, Instant::now() + ASK_LIMIT).await;
+        read(called.map(|answer| (answer.status, answer.body)))
+    }
+}
+
 /// Asks another entry VM how the port of an engine answers there. Returns none if it did not answer, or does not know the
 /// engine.
 pub(crate) fn probe(
@@ -126,6 +142,7 @@
         .route(PATH, web::post().to(heard))
         .route(PUSH, web::post().to(pushed))
         .route(SCHEDULE, web::post().to(asked))
+        .route(QUOTA, web::post().to(drawn))
         .route(REACH, web::post().to(tried));
 }
 
@@ -153,6 +170,16 @@
     }
 }
 
+async fn drawn(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
+    let Some(draw) = decode::<Draw>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    match node.send(Spend(draw)).await {
+        Ok(credit) => HttpResponse::Ok().body(rmp_serde::to_vec(&credit).unwrap_or_default()),
+        Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 async fn tried(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
     let Some(engine) = decode::<Name>(&body) else {
         return HttpResponse::BadRequest().finish();
--- a/daemon/src/entry/settings.rs
+++ b/daemon/src/entry/settings.rs
@@ -12,6 +12,8 @@
 
 /// Ratios and slacks of repeats, at most.
 const REPEATS_MAX: f64 = 1_000_000.0;
+/// Units of a workspace's limit, at most.
+const UNITS_MAX: f64 = 1e12;
 /// Cores of a machine, at most.
 const CORES_MAX: f64 = 1_024.0;
 /// Mbit/s of a machine's link, at most.
@@ -121,6 +123,9 @@
     if let Some(node) = object.optional("keys") {
         keys(&node, &mut settings.fleet);
     }
+    if let Some(node) = object.optional("limits") {
+        limits(&node, &mut settings.fleet);
+    }
     if let Some(node) = object.optional("without") {
         settings.fleet.without = without(&node);
     }
@@ -133,6 +138,12 @@
     fleet.revocation = object.required("revoked-within").and_then(|node| node.duration());
 }
 
+/// Limits of workspaces.
+fn limits(node: &Node<'_>, fleet: &mut fleet::Settings) {
+    let mut object = node.object();
+    set(&mut fleet.quota_slack, object.required("slack").and_then(|node| node.number(0.0, UNITS_MAX)));
+}
+
 /// Mechanisms that are switched off, in experiments only.
 fn without(node: &Node<'_>) -> Vec<fleet::Mechanism> {
     let words = fleet::Mechanism::ALL.map(|mechanism| (mechanism.label(), mechanism));
--- a/daemon/src/entry/transfer.rs
+++ b/daemon/src/entry/transfer.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use actix_http::StatusCode;
 use prometheus_client::encoding::EncodeLabelSet;
 use serde::Serialize;
 use tokio::time::Instant;
 
-use super::client::{Error, Received};
+use super::client::{Answer, Error, Received};
 
 /// Bytes from which on an answer is logged although it came whole: a tenth of what a link of 10 Mbit/s carries in a second.
 const LARGE: u64 = 128 << 10;
@@ -21,6 +22,8 @@
     Config,
     /// The engines' table, of the store.
     Engines,
+    /// The lease's row, read or written, of the store.
+    Lease,
 }
 
 /// How it ended.
@@ -57,9 +60,18 @@
 impl Transfer {
     /// What became of a call that was made at `since`.
     pub(crate) fn of(kind: Kind, since: Instant, called: &Result<Received, Error>) -> Self {
+        Self::new(kind, since, called.as_ref().map(|received| (received.status, received.body.len())))
+    }
+
+    /// What became of a short call that was made at `since`.
+    pub(crate) fn of_short(kind: Kind, since: Instant, called: &Result<Answer, Error>) -> Self {
+        Self::new(kind, since, called.as_ref().map(|answer| (answer.status, answer.body.len())))
+    }
+
+    fn new(kind: Kind, since: Instant, called: Result<(StatusCode, usize), &Error>) -> Self {
         let (outcome, bytes) = match called {
-            Ok(received) if received.status.is_success() => (Outcome::Whole, received.body.len()),
-            Ok(received) => (Outcome::Refused, received.body.len()),
+            Ok((status, bytes)) if status.is_success() => (Outcome::Whole, bytes),
+            Ok((_, bytes)) => (Outcome::Refused, bytes),
             Err(Error::Late) => (Outcome::Late, 0),
             Err(Error::Cut { bytes }) => (Outcome::Late, *bytes),
             Err(Error::Unsent(_) | Error::Lost(_) | Error::Garbled(_)) => (Outcome::Broken, 0),
@@ -77,6 +89,7 @@
             Kind::Frame => "frame",
             Kind::Config => "config",
             Kind::Engines => "engines",
+            Kind::Lease => "lease",
         };
         let outcome = match self.outcome {
             Outcome::Whole => "whole",
--- a/daemon/tests/deploy_template.rs
+++ b/daemon/tests/deploy_template.rs
@@ -7,7 +7,7 @@
 const TEMPLATE: &str = include_str!("../../deploy/entry.jsonc");
 
 /// What the platform knows of a machine, by the placeholders that the template uses.
-const VALUES: [(&str, &str); 16] = [
+const VALUES: [(&str, &str); 17] = [
     ("{{node_name|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"zone-a\""),
     ("{{listen.front_addr|json}}", "\"10.1.0.38:8149\""),
@@ -24,9 +24,10 @@
     ("{{bounds.lease_ttl_ms}}", "3000"),
     ("{{bounds.origin_window_s}}", "5"),
     ("{{bounds.revoke_ms}}", "5000"),
+    ("{{bounds.quota_slack}}", "7400"),
 ];
 /// Bounds that only some deployments have, each a section of the template.
-const SECTIONS: [&str; 1] = ["bounds.strict_revoke"];
+const SECTIONS: [&str; 2] = ["bounds.strict_revoke", "bounds.quota_slack"];
 
 /// Fills the template in, as the platform does for the placeholders that it uses, on a deployment that has all bounds.
 fn filled() -> String {
--- a/daemon/tests/lost_service.rs
+++ b/daemon/tests/lost_service.rs
@@ -94,3 +94,19 @@
     let (code, _, error) = losses(&["--wrong"], "");
     assert_eq!(code, Some(2), "{error}");
 }
+
+/// Refusals for a limit are counted by the workspace whose limit it is.
+#[test]
+fn over_their_limits() {
+    const REFUSED: &str = r#"
+{"at":1000000,"vm":"a","id":"r1","decision":"received","request":1,"model":null}
+{"at":1000100,"vm":"a","id":"r1","decision":"refused","request":1,"route":"ack","label":"over_quota","charge":{"workspace":"wards","cost":200.0,"limit_per_s":1900.0,"credit":0.0}}
+{"at":1000000,"vm":"a","id":"r2","decision":"received","request":2,"model":null}
+{"at":1000100,"vm":"a","id":"r2","decision":"refused","request":2,"route":"ack","label":"no_backend","charge":{"workspace":"homes","cost":200.0,"credit":0.0}}
+"#;
+    let (code, out, _) = losses(&[], REFUSED);
+    assert_eq!(code, Some(0));
+    let (_, table) = out.split_once("over their limits, by workspace\n").expect("a table of its own");
+    let rows: Vec<&str> = table.lines().take_while(|line| !line.is_empty()).map(str::trim).collect();
+    assert_eq!(rows, ["1  wards"]);
+}
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -26,9 +26,14 @@
 
 impl Entry {
     pub fn start(name: &str, store: &Store) -> Self {
+        Self::start_with(name, store, "")
+    }
+
+    /// With further members of its settings, each with a comma before it.
+    pub fn start_with(name: &str, store: &Store, more: &str) -> Self {
         let text = format!(
             r#"{{"vm": "{name}", "zone": "zone-a", "store": "{}", "grace": "6s",
-                "listen": {{"callers": "127.0.0.1:0", "watchers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}}}"#,
+                "listen": {{"callers": "127.0.0.1:0", "watchers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}{more}}}"#,
             store.address
         );
         let settings = std::env::temp_dir().join(format!("boragecove-{name}-{}.jsonc", std::process::id()));
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -65,6 +65,8 @@
     workspace: Option<Arc<Workspace>>,
     arrival: Arrival,
 ) -> Flow {
+    let limit = workspace.as_ref().and_then(|workspace| workspace.limit);
+    let cost = limit.map_or(0.0, |limit| limit.cost(&arrival));
     let Arrival { patience, prompt, fingerprint, key, .. } = arrival;
     let deadline = now + patience.unwrap_or(route.timeout).min(route.timeout);
     let work = prompt
@@ -75,6 +77,8 @@
         route,
         service,
         workspace,
+        cost,
+        charged: false,
         key,
         prompt,
         fingerprint,
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -12,6 +12,7 @@
 use crate::lease;
 use crate::order::Order;
 use crate::push;
+use crate::quota::Draw;
 use crate::record::Record;
 use crate::request::{Id, Step};
 use crate::schedule::Ask;
@@ -49,6 +50,15 @@
         /// The question.
         ask: Ask,
     },
+    /// Ask a holder of a share of a workspace's limit for credit; its answer comes back as [`crate::event::Event::Drawn`].
+    Draw {
+        /// Where the holder listens.
+        address: SocketAddr,
+        /// The request that the credit is for.
+        request: Id,
+        /// The question.
+        draw: Draw,
+    },
     /// Read or write the lease.
     Lease(lease::Call),
     /// Send an order to an engine.
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -14,6 +14,7 @@
 use crate::frame;
 use crate::ledger;
 use crate::push;
+use crate::quota;
 use crate::record::Record;
 use crate::state::State;
 use crate::timer::Timer;
@@ -43,6 +44,7 @@
         out.push(Effect::Limit(config.limits));
     }
     state.routes = Table::new(&config);
+    quota::configured(state);
     if let Some(before) = state.config.replace(config) {
         state.updates.replaced(before);
     }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -13,6 +13,7 @@
 use crate::notice::{Notice, Start};
 use crate::order::{Receipt, Report};
 use crate::push;
+use crate::quota::Credit;
 use crate::request::{Arrival, End, Events, Id};
 use crate::schedule::Grant;
 use crate::settings::Settings;
@@ -79,6 +80,15 @@
         /// The answer.
         grant: Option<Grant>,
     },
+    /// A holder of a share of a workspace's limit answered; none if it could not be reached.
+    Drawn {
+        /// The request that the credit is for.
+        request: Id,
+        /// The workspace.
+        workspace: Name,
+        /// The answer.
+        credit: Option<Credit>,
+    },
     /// The lease was read or written.
     Lease(lease::Answer),
     /// An engine answered an order; none if it is not known whether the order arrived.
@@ -139,6 +149,7 @@
             Self::Pushed(_) => "pushed",
             Self::Missed(_) => "missed",
             Self::Granted { .. } => "granted",
+            Self::Drawn { .. } => "drawn",
             Self::Lease(_) => "lease",
             Self::Ordered { .. } => "ordered",
             Self::Reported { .. } => "reported",
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -18,6 +18,7 @@
 use crate::engine::{Engine, Load};
 use crate::frame;
 use crate::key::Digest;
+use crate::quota;
 use crate::record::{Record, ms};
 use crate::request::{Arrival, Attempt, Fingerprint, Id, Prompt, Refusal, Step};
 use crate::schedule::{self, Ask, Grant, Need};
@@ -37,6 +38,10 @@
     pub(crate) service: Name,
     /// The workspace that its caller belongs to, if it needs a key.
     pub(crate) workspace: Option<Arc<Workspace>>,
+    /// What it counts for its workspace's limit; 0 where there is none.
+    pub(crate) cost: f64,
+    /// Whether that was taken from the workspace's credit.
+    pub(crate) charged: bool,
     /// The key that it came with.
     pub(crate) key: Option<Digest>,
     pub(crate) prompt: Option<Prompt>,
@@ -63,6 +68,8 @@
 
 #[derive(Clone, Debug)]
 pub(crate) enum Stage {
+    /// Credit of its workspace's limit was asked for.
+    Charging(quota::Asking),
     /// It waits for an engine.
     Waiting,
     /// A place in an engine's schedule was asked for.
@@ -98,34 +105,47 @@
         Ok(flow) => {
             state.timers.set(flow.deadline, Timer::Deadline(id));
             state.flows.insert(id, flow);
-            dispatch(state, now, id, true, out);
+            if quota::charge(state, now, id, out) {
+                dispatch(state, now, id, true, out);
+            }
         }
         Err(Refusal { code, retry_after }) => {
             if code == Code::CrashesBackends {
                 crash::refused(state, id, fingerprint, out);
             }
-            reject(state, id, code, retry_after, out);
+            reject(state, now, id, code, retry_after, out);
         }
     }
 }
 
 /// A request that is refused before it is one.
-fn reject(state: &mut State, id: Id, code: Code, retry_after: Option<Duration>, out: &mut Vec<Effect>) {
+fn reject(
+    state: &mut State,
+    now: Time,
+    id: Id,
+    code: Code,
+    retry_after: Option<Duration>,
+    out: &mut Vec<Effect>,
+) {
     *state.refusals.entry(code).or_default() += 1;
     let refusal = Refusal { code, retry_after };
-    out.push(Effect::Record(refused_record(id, None, refusal, false, Duration::ZERO)));
+    out.push(Effect::Record(refused_record(state, now, id, refusal, false)));
     out.push(Effect::Step { request: id, step: Step::Refuse(refusal) });
 }
 
-fn refused_record(id: Id, route: Option<Name>, refusal: Refusal, ran: bool, after: Duration) -> Record {
+fn refused_record(state: &State, now: Time, id: Id, refusal: Refusal, ran: bool) -> Record {
+    let flow = state.flows.get(&id);
+    let proof = state.proof.age(now).filter(|_| state.needs_keys());
     Record::Refused {
         request: id.0,
-        route,
+        route: flow.map(|flow| flow.route.name.clone()),
         code: refusal.code.number(),
         label: refusal.code.label(),
         outcome: if ran { "unknown" } else { "not-run" },
         retry_after_ms: refusal.retry_after.map(ms),
-        after_ms: ms(after),
+        after_ms: flow.map_or(0, |flow| ms(now.since(flow.arrived))),
+        charge: quota::account(state, now, id),
+        proof_age_ms: proof.map(ms),
     }
 }
 
@@ -287,6 +307,7 @@
     let hub_age = state.hub.age(now);
     let config = state.config.as_ref().map_or(0, |config| config.version);
     let silence = state.settings.silence;
+    let charge = quota::account(state, now, id);
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
@@ -312,6 +333,7 @@
         target_ms: ms(flow.route.target),
         pause_max_ms: flow.route.kind.streams().then_some(ms(flow.route.pause)),
         left_ms: ms(flow.deadline.since(now)),
+        charge,
     }));
     let attempt = Attempt {
         number: flow.number,
@@ -407,10 +429,12 @@
         code => code,
     };
     let retry_after = if ran { None } else { retry_after };
-    let route = Some(flow.route.name.clone());
     let refusal = Refusal { code, retry_after };
-    out.push(Effect::Record(refused_record(id, route, refusal, ran, now.since(flow.arrived))));
+    out.push(Effect::Record(refused_record(state, now, id, refusal, ran)));
     *state.refusals.entry(code).or_default() += 1;
+    if !ran {
+        quota::refund(state, now, id);
+    }
     leave(state, id);
     close(state, id);
     out.push(Effect::Step { request: id, step: Step::Refuse(refusal) });
@@ -420,7 +444,7 @@
 pub(crate) fn leave(state: &mut State, id: Id) -> Option<(Name, Time)> {
     let flow = state.flows.get_mut(&id)?;
     let (engine, at, begun) = match std::mem::replace(&mut flow.stage, Stage::Waiting) {
-        Stage::Waiting => return None,
+        Stage::Waiting | Stage::Charging(_) => return None,
         Stage::Scheduling { pick, .. } => (pick.engine, None, false),
         Stage::Sent { engine, at, begun } => (engine, Some(at), begun),
     };
@@ -464,7 +488,11 @@
 }
 
 /// A request's caller is gone.
-pub(crate) fn gone(state: &mut State, id: Id) {
+pub(crate) fn gone(state: &mut State, now: Time, id: Id) {
+    let ran = |flow: &Flow| flow.may_have_run || matches!(flow.stage, Stage::Sent { .. });
+    if !state.flows.get(&id).is_none_or(ran) {
+        quota::refund(state, now, id);
+    }
     leave(state, id);
     close(state, id);
 }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -27,6 +27,7 @@
 use crate::notice::{self, Notice};
 use crate::proof;
 use crate::push;
+use crate::quota;
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::state::State;
@@ -128,6 +129,12 @@
         (self.peers.len() + self.inherited.len()) as u32 + 1
     }
 
+    /// A number that no frame of this process has had.
+    pub(crate) const fn next_number(&mut self) -> u64 {
+        self.number += 1;
+        self.number
+    }
+
     /// The frames of the other entry VMs.
     pub(crate) fn frames(&self) -> impl Iterator<Item = &Frame> {
         self.peers.values().map(|peer| &peer.frame)
@@ -203,6 +210,7 @@
         state.hub.answered = Some(now);
         state.hub.nodes = state.hub.known();
         state.members.replace(peers::counted(state));
+        quota::renew_own(state, now);
         return;
     }
     let Some(row) = state.lease.hub() else {
@@ -242,9 +250,8 @@
 fn compose(state: &mut State, now: Time) -> Frame {
     let loads = state.engines.iter().filter(|(_, engine)| engine.own != Load::default());
     let loads = loads.map(|(id, engine)| EngineLoad { engine: id.clone(), load: engine.own }).collect();
-    state.hub.number += 1;
     Frame {
-        number: state.hub.number,
+        number: state.hub.next_number(),
         vm: state.me.vm.clone(),
         zone: state.me.zone.clone(),
         address: Some(state.me.address),
@@ -260,6 +267,7 @@
         departures: notice::departures(state),
         digest: state.crashes.digest(now),
         crashing: state.crashes.entries_for_hub(now),
+        quota: state.quota.report(now),
     }
 }
 
@@ -301,6 +309,7 @@
 /// What the hub answers to an entry VM's last frame.
 pub(crate) fn reply(state: &mut State, now: Time, asker: &Frame) -> Reply {
     let config = push::inline(state, asker);
+    let quota = quota::allot(state, now, &asker.vm, asker.number, &asker.quota);
     let mine = |engine: &Name| asker.loads.iter().find(|entry| entry.engine == *engine);
     let loads = state.engines.iter().filter_map(|(id, engine)| {
         let load = engine.load().minus(mine(id).map_or_else(Load::default, |entry| entry.load));
@@ -327,6 +336,7 @@
         suspects: suspects(state, now),
         digest: state.crashes.digest(now),
         crashing: state.crashes.entries_beyond(asker.digest, now),
+        quota,
     }
 }
 
@@ -368,6 +378,9 @@
     }
     // An answer to an earlier frame would count from too late a moment.
     let sent = asked.as_ref().filter(|asked| asked.number == reply.number).map(|asked| asked.at);
+    if let Some((sent, allotments)) = sent.zip(reply.quota) {
+        quota::hold(state, now, sent, allotments);
+    }
     if let Some((sent, age)) = sent.zip(reply.declared.age)
         && reply.declared.config <= version(state)
     {
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -11,6 +11,7 @@
 use crate::engine::{Incarnation, Load, Residency, Row};
 use crate::members::Member;
 use crate::notice::Start;
+use crate::quota;
 use crate::update::Packed;
 
 /// What an entry VM tells the hub.
@@ -48,6 +49,8 @@
     pub digest: u64,
     /// All of that, if the hub's digest was another.
     pub crashing: Vec<crash::Entry>,
+    /// The shares of workspaces' limits that it holds.
+    pub quota: quota::Report,
 }
 
 /// A version of the hub's word on what engines hold.
@@ -114,6 +117,8 @@
     pub digest: u64,
     /// All of that, if the asker's digest is another.
     pub crashing: Vec<crash::Entry>,
+    /// The shares of workspaces' limits that the asker may hold from now on; none if nothing can be said of them.
+    pub quota: Option<Vec<quota::Allotment>>,
 }
 
 /// A version of the configuration, and up to when it is the newest.
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -17,6 +17,7 @@
 use crate::effect::Effect;
 use crate::frame;
 use crate::push;
+use crate::quota;
 use crate::record::{Record, ms};
 use crate::state::State;
 use crate::timer::Timer;
@@ -43,6 +44,10 @@
     /// Requests that crash engines: processes that start with nothing know them from here.
     #[serde(default)]
     pub quarantine: Vec<Kept>,
+    /// Entry VMs that may hold shares of workspaces' limits, as hashes of their names: the next holder of the lease gives nothing out
+    /// that they may hold.
+    #[serde(default)]
+    pub holders: Vec<u32>,
 }
 
 /// A machine that may have given orders, before the holder of the lease.
@@ -254,7 +259,8 @@
     let (holder, address) = (state.me.vm.clone(), state.me.address);
     let kept = state.lease.clock.map(|clock| state.crashes.kept(now, clock.at_most(now)));
     let quarantine = kept.unwrap_or_default();
-    Row { holder, address, term, until_ms, started_ms, released, former, quarantine }
+    let holders = quota::named(state, now);
+    Row { holder, address, term, until_ms, started_ms, released, former, quarantine, holders }
 }
 
 fn call(state: &mut State, now: Time, call: Call, out: &mut Vec<Effect>) {
@@ -327,6 +333,7 @@
     let free = over || (seen.row.released && !yields(state, &seen.row, store_ms));
     if mine || (free && !defers(state, now, seen.version)) {
         let former = seen.row.orderer(state.settings.order_gap);
+        quota::inherit(state, &seen.row.holders);
         let row = own_row(state, now, seen.row.term + 1, former, false);
         call(state, now, Call::Write { expected: seen.version, row }, out);
     }
@@ -362,6 +369,7 @@
     let term = new.row.term;
     let version = new.version;
     let former = new.row.former.clone();
+    let named = new.row.holders.clone();
     state.lease.seen = Some(new);
     if state.stopping {
         state.lease.held = None;
@@ -373,6 +381,7 @@
     {
         held.version = version;
         held.until = until;
+        quota::renewed(state, &named);
         return;
     }
     let orders_from = now + gap(state, former.as_ref(), store_ms);
@@ -382,6 +391,7 @@
     // Looks are seconds apart where there are hundreds of entry VMs, and the lease is over before the next one.
     schedule(state, now + state.settings.lease_renew);
     frame::inherit(state, now);
+    quota::begin(state, now, &named);
     push::announce(state, out);
     frame::follow(state, now, out);
 }
@@ -412,6 +422,7 @@
 
 fn lost(state: &mut State, out: &mut Vec<Effect>) {
     if state.lease.held.take().is_some() {
+        quota::end(state);
         note(state, "lost", 0, out);
     }
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -34,6 +34,7 @@
 mod plan;
 pub mod proof;
 pub mod push;
+pub mod quota;
 pub mod record;
 mod reduce;
 pub mod request;
@@ -48,5 +49,5 @@
 mod trust;
 pub mod update;
 
-pub use reduce::{apply, awaits, grant, meets, reply};
+pub use reduce::{apply, awaits, credit, grant, meets, reply};
 pub use state::State;
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -1,5 +1,6 @@
 //! The entry VMs that there are, as the hub counts them, and which of them owns what (rendezvous hashing).
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use boragecove_core::name::Name;
@@ -55,11 +56,30 @@
     /// Who owns something of an availability zone: one of the entry VMs there; of all, if there is none.
     #[must_use]
     pub fn owner(&self, what: &Name, zone: &Name, now: Time) -> Option<&Member> {
-        let answers =
-            |member: &Member| !self.silent.iter().any(|(vm, until)| *vm == member.vm && *until > now);
+        let answers = |member: &Member| !self.is_silent(&member.vm, now);
         self.first(what, zone, answers)
     }
 
+    /// One entry VM of each availability zone that owns a part of something, by the zones' names; also those that do not answer.
+    #[must_use]
+    pub fn owners(&self, what: &Name) -> Vec<&Member> {
+        let mut by_zone: BTreeMap<&Name, (u64, &Member)> = BTreeMap::new();
+        for member in &self.list {
+            let weight = weight(what, &member.vm);
+            let first = by_zone.entry(&member.zone).or_insert((weight, member));
+            if weight > first.0 {
+                *first = (weight, member);
+            }
+        }
+        by_zone.into_values().map(|(_, member)| member).collect()
+    }
+
+    /// Whether an entry VM is not to be asked now.
+    #[must_use]
+    pub fn is_silent(&self, vm: &Name, now: Time) -> bool {
+        self.silent.iter().any(|(name, until)| name == vm && *until > now)
+    }
+
     /// An entry VM that has not been asked yet for what it sees of something in an availability zone: one of that zone; of any,
     /// if `near` says that whoever asks is in that zone too. Across a partition, others see no more than whoever asks.
     #[must_use]
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -7,6 +7,20 @@
 
 use crate::order::Order;
 
+/// What a request counts, and for whose limit.
+#[derive(Clone, Debug, Serialize)]
+pub struct Charge {
+    /// The workspace.
+    pub workspace: Name,
+    /// What the request counts; 0 where there is no limit.
+    pub cost: f64,
+    /// The limit, in the same units a second.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit_per_s: Option<f64>,
+    /// Credit that is left to be spent here.
+    pub credit: f64,
+}
+
 /// A decision, or a change of what this process believes.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
@@ -39,6 +53,9 @@
         pause_max_ms: Option<u64>,
         /// Time left for the answer.
         left_ms: u64,
+        /// Whose caller it is; none where no key was needed.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        charge: Option<Charge>,
     },
     /// A request waits for a model or an adapter.
     Waits {
@@ -102,6 +119,12 @@
         retry_after_ms: Option<u64>,
         /// Time since it came.
         after_ms: u64,
+        /// Whose caller it is; none where no key was needed, or none was known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        charge: Option<Charge>,
+        /// Age of the proof that the configuration in force is the newest; none where none is needed, or before the first.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        proof_age_ms: Option<u64>,
     },
     /// A configuration came into force.
     Configured {
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -16,6 +16,7 @@
 use crate::plan;
 use crate::proof;
 use crate::push;
+use crate::quota::{self, Credit, Draw};
 use crate::record::Record;
 use crate::schedule::{self, Ask, Grant};
 use crate::state::State;
@@ -66,6 +67,11 @@
     schedule::grant(state, now, ask)
 }
 
+/// Answers a question of another entry VM for credit of a workspace of whose limit this one holds a share.
+pub fn credit(state: &mut State, now: Time, draw: &Draw) -> Credit {
+    quota::draw(state, now, draw)
+}
+
 fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Configured(config) => entries::configured(state, now, config, "store", out),
@@ -76,7 +82,7 @@
         Event::Listed(listing) => entries::listed(state, now, listing, out),
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
-        Event::Gone(request) => flow::gone(state, request),
+        Event::Gone(request) => flow::gone(state, now, request),
         Event::Began(request) => outcome::began(state, now, request, out),
         Event::Heard(engine) => {
             if let Some(engine) = state.engines.get_mut(&engine) {
@@ -92,6 +98,9 @@
         Event::Pushed(message) => push::received(state, now, *message, out),
         Event::Missed(message) => push::missed(state, &message, out),
         Event::Granted { request, grant } => flow::granted(state, now, request, grant, out),
+        Event::Drawn { request, workspace, credit } => {
+            quota::answered(state, now, request, &workspace, credit, out);
+        }
         Event::Lease(answer) => lease::answered(state, now, answer, out),
         Event::Ordered { engine, incarnation, receipt } => {
             ledger::ordered(state, now, &engine, incarnation, receipt, out);
@@ -114,6 +123,7 @@
         Timer::Silence(request, attempt) => outcome::silence(state, now, request, attempt, out),
         Timer::Probe(engine) => trust::probe(state, now, &engine, out),
         Timer::Lapse(engine) => entries::lapsed(state, now, &engine, out),
+        Timer::Charge(request) => quota::again(state, now, request, out),
         Timer::Frame => frame::due(state, now, out),
         Timer::Lease => lease::due(state, now, out),
         Timer::Look => lease::look(state, now, out),
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -92,6 +92,8 @@
     /// Time after which a key that was taken away may not be served anywhere, if that holds for entry VMs that hear
     /// nobody as well (the platform's bound).
     pub revocation: Option<Duration>,
+    /// Units of a workspace's limit that may be spent over it in a window, beyond a part of it (the platform's bound).
+    pub quota_slack: f64,
     /// Mechanisms that are switched off, in experiments only.
     pub without: Vec<Mechanism>,
     /// The balancer looks at readiness every second and needs two misses: after this it sends nobody, unless most of the
@@ -217,6 +219,7 @@
             adapter_idle: Duration::from_millis(400),
             reserve: Duration::from_millis(50),
             revocation: None,
+            quota_slack: 0.0,
             without: Vec::new(),
             balancer_grace: Duration::from_millis(2_500),
             stop_within: Duration::from_millis(7_650),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -25,6 +25,7 @@
 use crate::notice::Departures;
 use crate::proof::Proof;
 use crate::push::Pushes;
+use crate::quota::Quota;
 use crate::request::{Id, Prompt};
 use crate::settings::Settings;
 use crate::speed::Speed;
@@ -74,6 +75,8 @@
     pub(crate) declared: u64,
     /// When the configuration in force was last known to be the newest.
     pub(crate) proof: Proof,
+    /// Limits of workspaces.
+    pub(crate) quota: Quota,
     pub(crate) store_up: bool,
     /// When the store last answered anything.
     pub(crate) store_heard: Time,
@@ -113,6 +116,8 @@
     /// A process that knows nothing yet.
     #[must_use]
     pub fn new(me: Identity, settings: Settings, seed: u64, now: Time) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let quota = Quota::new(rng.u64(..));
         let mut timers = Timers::default();
         timers.set(now, Timer::Lease);
         timers.set(now + settings.frame_every, Timer::Frame);
@@ -120,7 +125,7 @@
         Self {
             me,
             settings,
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             started: now,
             timers,
             config: None,
@@ -132,6 +137,7 @@
             removals_from: 0,
             declared: 0,
             proof: Proof::default(),
+            quota,
             store_up: true,
             store_heard: now,
             follows: None,
@@ -180,6 +186,24 @@
         &self.proof
     }
 
+    /// Questions for credit of workspaces' limits, by how they were answered.
+    #[must_use]
+    pub const fn quota_draws(&self) -> &BTreeMap<&'static str, u64> {
+        self.quota.draws()
+    }
+
+    /// Workspaces of whose limits shares are held here.
+    #[must_use]
+    pub fn quota_held(&self, now: Time) -> usize {
+        self.quota.held(now)
+    }
+
+    /// Parts of a workspace's limit that are held here, of [`crate::quota::WHOLE`].
+    #[must_use]
+    pub fn quota_parts(&self, now: Time, workspace: &str) -> u32 {
+        self.quota.parts(now, workspace)
+    }
+
     /// The engines that are known.
     pub fn engines(&self) -> impl Iterator<Item = &Engine> {
         self.engines.values()
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -25,6 +25,8 @@
     Greet,
     /// A process that knows nothing yet is to look who holds the lease.
     Look,
+    /// Holders of shares of a limit are to be asked once more for a request.
+    Charge(Id),
     /// Placement is to be planned.
     Plan,
     /// An engine is to be asked what it holds.
--- /dev/null
+++ b/fleet/tests/key_withdrawal.rs
@@ -0,0 +1,172 @@
+//! Keys that are taken away: served nowhere after the bound, whatever is lost, cut off, suspended or restarted meanwhile.
+
+mod node;
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbtest::arbitrary::{self, Unstructured};
+use arbtest::arbtest;
+use boragecove_core::code::Code;
+use boragecove_fleet::config::{Access, Config, Key, Workspace};
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::key::Digest;
+use boragecove_fleet::request::Arrival;
+use boragecove_fleet::settings::Settings;
+use node::{GATEWAY, entry, plain, row};
+use world::{World, ZONES};
+
+/// The users' bound.
+const BOUND: Duration = Duration::from_secs(5);
+const VMS: usize = 13;
+
+fn digest(number: u8) -> Digest {
+    Digest::from_hash([number; 32])
+}
+
+/// One workspace with a key that stays, and one with a key that is taken away.
+fn config(version: u64, withdrawn: bool) -> Config {
+    let workspace = |name: &str| Arc::new(Workspace { name: name.into(), priority: None, limit: None });
+    let key = |number: u8, name: &str| Arc::new(Key { digest: digest(number), workspace: name.into() });
+    let mut keys = vec![key(1, "stays")];
+    if !withdrawn {
+        keys.push(key(2, "goes"));
+    }
+    let access = Access { workspaces: vec![workspace("stays"), workspace("goes")], keys };
+    Config { access: Some(access), ..node::config(version) }
+}
+
+fn engines() -> Vec<Row> {
+    let wide = |id: &str, zone: &str| Entry { slots: 100_000, ..entry(id, GATEWAY, zone, &[]) };
+    vec![row(3, wide("g1", ZONES[0])), row(4, wide("g2", ZONES[1])), row(5, wide("g3", ZONES[2]))]
+}
+
+fn world(seed: u64, revocation: Option<Duration>) -> World {
+    let settings = Settings { revocation, ..Settings::default() };
+    let mut world = World::new(VMS, config(1, false), &engines(), settings, seed);
+    world.pass(Duration::from_secs(3));
+    world
+}
+
+/// Lets time pass, in which each entry VM gets a request with either key several times a second.
+fn run(world: &mut World, time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        world.pass(Duration::from_millis(200));
+        for at in 0..VMS {
+            for (number, name) in [(1, "stays"), (2, "goes")] {
+                let arrival = Arrival { key: Some(digest(number)), ..plain("/ack/1") };
+                world.arrive(at, &name.into(), 0.0, arrival);
+            }
+        }
+    }
+}
+
+/// How long after the key was taken away the last request was sent that an engine got with it, beyond the bound.
+fn excess(world: &World, withdrawn: boragecove_core::time::Time) -> Duration {
+    let sent = world.outcomes.iter().filter(|done| done.refused.is_none() && *done.workspace == *"goes");
+    let latest = sent.map(|done| done.asked.since(withdrawn)).max().unwrap_or_default();
+    latest.saturating_sub(BOUND)
+}
+
+fn disturb(u: &mut Unstructured<'_>, world: &mut World) -> arbitrary::Result<()> {
+    let at = u.int_in_range(0..=VMS - 1)?;
+    let leader = world.leader().unwrap_or(at);
+    match u.int_in_range(0..=8)? {
+        0 => world.kill(at),
+        1 => world.kill(leader),
+        2 => world.suspend(at, true),
+        3 => world.suspend(leader, true),
+        4 => world.serve(at, false),
+        5 => world.serve(leader, false),
+        6 => world.restart(at, &engines()),
+        7 => (0..VMS).filter(|vm| vm % 3 != 0).for_each(|vm| world.serve(vm, false)),
+        _ => world.cut(at % ZONES.len(), true),
+    }
+    Ok(())
+}
+
+/// Plays one day, and returns by how much the bound was broken.
+fn play(u: &mut Unstructured<'_>, revocation: Option<Duration>) -> arbitrary::Result<Duration> {
+    let mut world = world(u.arbitrary()?, revocation);
+    for _ in 0..u.int_in_range(0..=2)? {
+        disturb(u, &mut world)?;
+        run(&mut world, Duration::from_millis(u.int_in_range(0..=3_000)?));
+    }
+    let withdrawn = world.now;
+    world.declare(config(2, true));
+    for _ in 0..u.int_in_range(1..=4)? {
+        disturb(u, &mut world)?;
+        run(&mut world, Duration::from_millis(u.int_in_range(0..=4_000)?));
+    }
+    for at in 0..VMS {
+        world.suspend(at, false);
+    }
+    run(&mut world, Duration::from_secs(2));
+    Ok(excess(&world, withdrawn))
+}
+
+#[test]
+fn bound_holds() {
+    arbtest(|u| {
+        let excess = play(u, Some(BOUND))?;
+        assert!(excess.is_zero(), "a key is served {excess:?} beyond the bound");
+        Ok(())
+    })
+    .budget_ms(5_000);
+}
+
+/// The same days without the proof: the check has to find it.
+#[test]
+fn check_bites() {
+    let found = std::cell::Cell::new(false);
+    arbtest(|u| {
+        found.set(found.get() || !play(u, None)?.is_zero());
+        Ok(())
+    })
+    .budget_ms(2_000);
+    assert!(found.get(), "no day breaks the bound without a proof");
+}
+
+/// While all are in touch, nobody is refused; one that the store turns away keeps its proof through the leader.
+#[test]
+fn nobody_in_touch_is_refused() {
+    let mut world = world(5, Some(BOUND));
+    for at in (0..VMS).filter(|at| Some(*at) != world.leader()).take(6).collect::<Vec<_>>() {
+        world.serve(at, false);
+    }
+    run(&mut world, Duration::from_secs(12));
+    let refused: Vec<_> = world.outcomes.iter().filter(|done| done.refused.is_some()).collect();
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
+/// The leader is lost: the proof lasts until there is another.
+#[test]
+fn leader_lost() {
+    let mut world = world(6, Some(BOUND));
+    world.kill(world.leader().expect("there is one"));
+    run(&mut world, Duration::from_secs(9));
+    let refused = world.outcomes.iter().filter(|done| done.refused == Some(Code::KeyUnproven)).count();
+    assert_eq!(refused, 0, "of {}", world.outcomes.len());
+}
+
+/// A zone that is cut off serves keys until its proof is too old, and then says that it has not run what it refuses.
+#[test]
+fn cut_zone_ages_out() {
+    let mut world = world(7, Some(BOUND));
+    world.cut(1, true);
+    let cut = world.now;
+    run(&mut world, Duration::from_secs(8));
+    let there = world.outcomes.iter().filter(|done| done.vm % ZONES.len() == 1);
+    for done in there {
+        let after = done.at.since(cut);
+        match done.refused {
+            None => assert!(after < BOUND, "served after {after:?}"),
+            Some(code) => {
+                assert_eq!(code, Code::KeyUnproven);
+                assert!(after > BOUND / 2, "refused after {after:?}");
+            }
+        }
+    }
+}
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -20,6 +20,7 @@
         released,
         former: None,
         quarantine: Vec::new(),
+        holders: Vec::new(),
     };
     Seen { version, row }
 }
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -296,6 +296,7 @@
             former: None,
             released: false,
             quarantine: Vec::new(),
+            holders: Vec::new(),
         };
         let outcome = match call {
             Call::Write { row, .. } if row.holder == *"vm-0" => Outcome::Written(1),
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -178,6 +178,7 @@
         former: None,
         released: false,
         quarantine: Vec::new(),
+        holders: Vec::new(),
     };
     lease::Seen { version: 9, row }
 }
--- /dev/null
+++ b/fleet/tests/workspace_limits.rs
@@ -0,0 +1,341 @@
+//! Limits of workspaces as sums over all entry VMs, with 20 workspaces of very different sizes.
+
+mod node;
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbtest::arbtest;
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::config::{Access, Config, Key, Limit, Unit, Workspace};
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::key::Digest;
+use boragecove_fleet::request::Arrival;
+use boragecove_fleet::settings::Settings;
+use node::{GATEWAY, entry, plain, row};
+use world::{Done, World, ZONES};
+
+/// The users' bounds: over any such window,
+const WINDOW: Duration = Duration::from_secs(8);
+/// this part of the limit over it,
+const OVERAGE: f64 = 0.1;
+/// and so many tokens beyond that.
+const SLACK: f64 = 7_400.0;
+const WORKSPACES: usize = 20;
+/// Tokens that a request counts.
+const COSTS: std::ops::Range<f64> = 100.0..1_500.0;
+const COST_MEAN: f64 = 800.0;
+/// What a workspace asks for as a rule, as a part of its limit.
+const USUAL: f64 = 0.55;
+
+fn digest(at: usize) -> Digest {
+    Digest::from_hash([at as u8; 32])
+}
+
+fn name(at: usize) -> Name {
+    format!("w{at}").into()
+}
+
+/// Limits from 1,900 tokens a second to 200 times that.
+fn per_s(at: usize) -> f64 {
+    1_900.0 * 200_f64.powf(at as f64 / (WORKSPACES - 1) as f64)
+}
+
+fn config(version: u64, factor: impl Fn(usize) -> f64) -> Config {
+    let workspace = |at: usize| {
+        let per_s = per_s(at) * factor(at);
+        let limit = Limit { per_s, burst: per_s, unit: Unit::Tokens { unsaid: 200.0 } };
+        Arc::new(Workspace { name: name(at), priority: None, limit: Some(limit) })
+    };
+    let key = |at: usize| Arc::new(Key { digest: digest(at), workspace: name(at) });
+    let access = Access {
+        workspaces: (0..WORKSPACES).map(workspace).collect(),
+        keys: (0..WORKSPACES).map(key).collect(),
+    };
+    Config { access: Some(access), ..node::config(version) }
+}
+
+/// Plain engines that never are the bottleneck.
+fn engines() -> Vec<Row> {
+    let wide = |id: &str, zone: &str| Entry { slots: 100_000, ..entry(id, GATEWAY, zone, &[]) };
+    vec![row(3, wide("g1", ZONES[0])), row(4, wide("g2", ZONES[1])), row(5, wide("g3", ZONES[2]))]
+}
+
+fn world(vms: usize, seed: u64) -> World {
+    let settings = Settings { quota_slack: SLACK, ..Settings::default() };
+    World::new(vms, config(1, |_| 1.0), &engines(), settings, seed)
+}
+
+/// Lets time pass, in which each workspace asks for this part of its limit, at entry VMs that are drawn.
+fn run(world: &mut World, time: Duration, asked: impl Fn(usize) -> f64) {
+    let end = world.now + time;
+    let mut due: Vec<f64> = vec![0.0; WORKSPACES];
+    while world.now < end {
+        let before = world.now;
+        world.tick();
+        for (at, due) in due.iter_mut().enumerate() {
+            *due += per_s(at) * asked(at) * world.now.since(before).as_secs_f64();
+            while *due > 0.0 {
+                let cost = COSTS.start + world.rng.f64() * (COSTS.end - COSTS.start);
+                // Requests come when they like, and not evenly.
+                *due -= -COST_MEAN * world.rng.f64().max(1e-9).ln() * cost / COST_MEAN;
+                let vm = world.rng.usize(..world.len());
+                let arrival = Arrival { key: Some(digest(at)), tokens: Some(cost as u64), ..plain("/ack/1") };
+                world.arrive(vm, &name(at), cost.floor(), arrival);
+            }
+        }
+    }
+}
+
+/// The most that a workspace was let in over any window, beyond what the platform bears; negative if it bears it.
+fn worst_excess(outcomes: &[Done], limits: &[(Time, Config)]) -> (f64, Name) {
+    let mut worst = (f64::MIN, Name::default());
+    for at in 0..WORKSPACES {
+        let workspace = name(at);
+        let sent: Vec<&Done> =
+            outcomes.iter().filter(|done| done.refused.is_none() && done.workspace == workspace).collect();
+        let mut first = 0;
+        let mut sum = 0.0;
+        for done in &sent {
+            sum += done.cost;
+            while done.at.since(sent[first].at) > WINDOW {
+                sum -= sent[first].cost;
+                first += 1;
+            }
+            // The largest limit of the window, and of the one before a lower one binds.
+            let begin = sent[first].at - WINDOW - Duration::from_secs(3);
+            let most = limits
+                .iter()
+                .enumerate()
+                .filter(|(next, (from, _))| {
+                    let until = limits.get(next + 1).map_or(Time(u64::MAX), |(until, _)| *until);
+                    *from <= done.at && until >= begin
+                })
+                .filter_map(|(_, (_, config))| config.access.as_ref()?.workspaces[at].limit)
+                .map(|limit| limit.per_s * WINDOW.as_secs_f64() + limit.burst)
+                .fold(0.0, f64::max);
+            let excess = sum - (most * (1.0 + OVERAGE) + SLACK);
+            if excess > worst.0 {
+                worst = (excess, workspace.clone());
+            }
+        }
+    }
+    worst
+}
+
+/// Units that were let in, as a part of what one bucket for all entry VMs would have let in, for all and by workspace. Requests
+/// are not compared one by one: one that was let in on credit takes the place of another.
+fn below_limit(outcomes: &[Done]) -> (f64, Vec<f64>) {
+    let mut owed = [0.0; WORKSPACES];
+    let mut sent = [0.0; WORKSPACES];
+    for at in 0..WORKSPACES {
+        let (mut level, mut last) = (per_s(at), None);
+        for done in outcomes.iter().filter(|done| done.workspace == name(at)) {
+            let passed = last.replace(done.at).map_or(Duration::ZERO, |last| done.at.since(last));
+            level = (level + per_s(at) * passed.as_secs_f64()).min(per_s(at));
+            if done.cost <= level {
+                level -= done.cost;
+                owed[at] += done.cost;
+            }
+            if done.refused.is_none() {
+                sent[at] += done.cost;
+            }
+        }
+    }
+    let shares: Vec<f64> = sent.iter().zip(&owed).map(|(sent, owed)| (sent / owed).min(1.0)).collect();
+    let met: f64 = shares.iter().zip(&owed).map(|(share, owed)| share * owed).sum();
+    (met / owed.iter().sum::<f64>(), shares)
+}
+
+/// The share of what was asked that was let in, counted by requests.
+fn let_in<'a>(outcomes: impl Iterator<Item = &'a Done>) -> f64 {
+    let (mut all, mut sent) = (0_u32, 0_u32);
+    for done in outcomes {
+        all += 1;
+        sent += u32::from(done.refused.is_none());
+    }
+    f64::from(sent) / f64::from(all.max(1))
+}
+
+fn started(vms: usize, seed: u64) -> World {
+    let mut world = world(vms, seed);
+    world.pass(Duration::from_secs(6));
+    world
+}
+
+/// The users' usual load: each workspace well below its limit, the smallest with two requests a second over 62 entry VMs.
+#[test]
+fn below_the_limit() {
+    let mut world = started(62, 1);
+    run(&mut world, Duration::from_secs(12), |_| USUAL);
+    let (share, by_workspace) = below_limit(&world.outcomes);
+    assert!(share >= 0.99, "{share}");
+    for (at, share) in by_workspace.into_iter().enumerate() {
+        assert!(share >= 0.95, "workspace {at}: {share}");
+    }
+}
+
+/// One workspace sends eight times its usual; it gets its limit, and the others lose nothing.
+#[test]
+fn hot_workspace() {
+    let mut world = started(62, 2);
+    run(&mut world, Duration::from_secs(3), |_| USUAL);
+    let (begin, from) = (world.outcomes.len(), world.now);
+    let hot = WORKSPACES - 2;
+    run(&mut world, Duration::from_secs(10), |at| if at == hot { 8.0 * USUAL } else { USUAL });
+    let during = &world.outcomes[begin..];
+    let others = let_in(during.iter().filter(|done| done.workspace != name(hot)));
+    assert!(others >= 0.99, "{others}");
+    let sent = during.iter().filter(|done| done.workspace == name(hot) && done.refused.is_none());
+    let per_second = sent.map(|done| done.cost).sum::<f64>() / world.now.since(from).as_secs_f64();
+    assert!(per_second >= 0.95 * per_s(hot), "{per_second} of {}", per_s(hot));
+    let (excess, workspace) = worst_excess(&world.outcomes, &[(Time(0), config(1, |_| 1.0))]);
+    assert!(excess <= 0.0, "{workspace}: {excess}");
+    let unlimited: Vec<Done> =
+        world.outcomes.iter().map(|done| Done { refused: None, ..done.clone() }).collect();
+    let (excess, found) = worst_excess(&unlimited, &[(Time(0), config(1, |_| 1.0))]);
+    assert!(excess > 0.0 && found == name(hot), "the check finds it if nobody is refused");
+    let refused = during.iter().filter_map(|done| done.refused);
+    assert!(refused.into_iter().all(|code| code == Code::OverQuota));
+}
+
+/// The leader is lost: shares outlast it.
+#[test]
+fn leader_lost() {
+    let mut world = started(62, 3);
+    run(&mut world, Duration::from_secs(3), |_| USUAL);
+    let leader = world.leader().expect("there is one");
+    let begin = world.outcomes.len();
+    world.kill(leader);
+    run(&mut world, Duration::from_secs(8), |_| USUAL);
+    let share = let_in(world.outcomes[begin..].iter());
+    assert!(share >= 0.99, "{share}");
+}
+
+/// A zone that is cut off goes on with what it holds.
+#[test]
+fn zone_cut_off() {
+    let mut world = started(62, 4);
+    run(&mut world, Duration::from_secs(3), |_| USUAL);
+    let begin = world.outcomes.len();
+    world.cut(1, true);
+    run(&mut world, Duration::from_secs(5), |_| USUAL);
+    let during = &world.outcomes[begin..];
+    let cut = let_in(during.iter().filter(|done| done.vm % ZONES.len() == 1));
+    let others = let_in(during.iter().filter(|done| done.vm % ZONES.len() != 1));
+    assert!(cut >= 0.95, "{cut}");
+    assert!(others >= 0.99, "{others}");
+}
+
+/// All are killed at once and back after a second: nobody waits for shares of processes that are gone.
+#[test]
+fn all_restarted() {
+    let mut world = started(62, 5);
+    run(&mut world, Duration::from_secs(3), |_| USUAL);
+    for at in 0..world.len() {
+        world.kill(at);
+    }
+    world.pass(Duration::from_secs(1));
+    for at in 0..world.len() {
+        world.restart(at, &engines());
+    }
+    world.pass(Duration::from_secs(4));
+    let begin = world.outcomes.len();
+    run(&mut world, Duration::from_secs(4), |_| USUAL);
+    let share = let_in(world.outcomes[begin..].iter());
+    assert!(share >= 0.95, "{share}");
+}
+
+/// A limit that is raised reaches callers within a second; a lowered one binds after a window.
+#[test]
+fn limits_changed() {
+    let mut world = started(62, 6);
+    run(&mut world, Duration::from_secs(3), |_| USUAL);
+    world.configure(config(2, |_| 4.0));
+    run(&mut world, Duration::from_secs(1), |_| 4.0 * USUAL);
+    let begin = world.outcomes.len();
+    run(&mut world, Duration::from_secs(4), |_| 4.0 * USUAL);
+    let share = let_in(world.outcomes[begin..].iter());
+    assert!(share >= 0.99, "{share}");
+    let lowered = world.now;
+    world.configure(config(3, |_| 0.5));
+    run(&mut world, Duration::from_secs(20), |_| USUAL);
+    let limits = [
+        (Time(0), config(1, |_| 1.0)),
+        (world.now - Duration::from_hours(1), config(2, |_| 4.0)),
+        (lowered, config(3, |_| 0.5)),
+    ];
+    let (excess, workspace) = worst_excess(&world.outcomes, &limits);
+    assert!(excess <= 0.0, "{workspace}: {excess}");
+}
+
+/// A disturbance of some seconds.
+fn disturb(world: &mut World, kind: u8, at: usize) {
+    match kind % 8 {
+        0 => world.kill(at),
+        1 => world.suspend(at, true),
+        2 => world.cut(at % ZONES.len(), true),
+        3 => world.serve(at, false),
+        4 => {
+            if let Some(leader) = world.leader() {
+                world.kill(leader);
+            }
+        }
+        5 => {
+            if let Some(leader) = world.leader() {
+                world.suspend(leader, true);
+            }
+        }
+        6 => {
+            if let Some(leader) = world.leader() {
+                world.serve(leader, false);
+            }
+        }
+        _ => world.restart(at, &engines()),
+    }
+}
+
+fn heal(world: &mut World) {
+    for at in 0..world.len() {
+        world.suspend(at, false);
+        world.serve(at, true);
+    }
+    for zone in 0..ZONES.len() {
+        world.cut(zone, false);
+    }
+    for at in 0..world.len() {
+        if !world.is_running(at) {
+            world.restart(at, &engines());
+        }
+    }
+}
+
+/// Whatever is lost, cut off, suspended or restarted, in any window nobody gets more than the platform bears, while some ask for eight
+/// times their usual.
+#[test]
+fn sum_holds() {
+    arbtest(|u| {
+        let mut world = started(13, u.arbitrary()?);
+        let hot: u32 = u.arbitrary()?;
+        let asked = |at: usize| if hot >> at & 1 == 1 { 8.0 * USUAL } else { USUAL };
+        run(&mut world, Duration::from_secs(2), asked);
+        for _ in 0..u.int_in_range(1..=5)? {
+            let (kind, at) = (u.arbitrary()?, u.int_in_range(0..=12)?);
+            disturb(&mut world, kind, at);
+            let ms = u.int_in_range(200..=4_000)?;
+            run(&mut world, Duration::from_millis(ms), asked);
+            if u.ratio(1, 3)? {
+                heal(&mut world);
+            }
+        }
+        heal(&mut world);
+        run(&mut world, Duration::from_secs(3), asked);
+        let (excess, workspace) = worst_excess(&world.outcomes, &[(Time(0), config(1, |_| 1.0))]);
+        assert!(excess <= 0.0, "{workspace}: {excess} over the bound");
+        Ok(())
+    })
+    .budget_ms(6_000);
+}
--- /dev/null
+++ b/fleet/tests/world/mod.rs
@@ -0,0 +1,414 @@
+//! The reducers of a whole deployment in a test, joined by calls that take some ms, and by a store that holds the lease: with zones
+//! that are cut off, entry VMs that are killed, restarted or suspended, and a store that turns some away.
+
+#![allow(dead_code, reason = "each test uses what it needs")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::State;
+use boragecove_fleet::config::Config;
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::event::{Event, Listing};
+use boragecove_fleet::frame::{Frame, Reply};
+use boragecove_fleet::lease::{Answer, Call, Outcome, Seen};
+use boragecove_fleet::push::Message;
+use boragecove_fleet::quota::{Credit, Draw};
+use boragecove_fleet::request::{Arrival, End, Events, Id, Step};
+use boragecove_fleet::settings::Settings;
+use boragecove_fleet::state::Identity;
+
+pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const TICK: Duration = Duration::from_millis(5);
+const START_MS: u64 = 1_000_000;
+/// Time for the hub's answer to a frame, for an answer of another entry VM, and of the store, as in the process.
+const FRAME_LIMIT: Duration = Duration::from_millis(500);
+const ASK_LIMIT: Duration = Duration::from_millis(60);
+const LEASE_LIMIT: Duration = Duration::from_millis(500);
+/// Time between two questions of whoever follows the store whether there is a newer configuration.
+const FOLLOW_EVERY: Duration = Duration::from_millis(400);
+
+/// What became of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Done {
+    /// When its caller sent it.
+    pub asked: Time,
+    /// When that became of it.
+    pub at: Time,
+    pub vm: usize,
+    pub workspace: Name,
+    pub cost: f64,
+    /// None for one that was sent to an engine.
+    pub refused: Option<Code>,
+}
+
+pub struct World {
+    pub now: Time,
+    pub rng: fastrand::Rng,
+    pub config: Arc<Config>,
+    pub outcomes: Vec<Done>,
+    vms: Vec<Vm>,
+    /// The lease's row, by the store.
+    row: Option<Seen>,
+    versions: u64,
+    on_way: Vec<OnWay>,
+    open: BTreeMap<(usize, Id), (Time, Name, f64)>,
+    drawn: u64,
+    settings: Settings,
+}
+
+#[expect(clippy::struct_excessive_bools, reason = "each is a disturbance of its own")]
+struct Vm {
+    state: State,
+    wake: Option<Time>,
+    /// Which start: what is on its way to an earlier one is lost.
+    start: u64,
+    running: bool,
+    suspended: bool,
+    /// Whether the store serves it.
+    served: bool,
+    /// Its side of a cut.
+    side: u8,
+    follows: bool,
+    asks_at: Time,
+}
+
+struct OnWay {
+    at: Time,
+    from: usize,
+    from_start: u64,
+    to: usize,
+    to_start: u64,
+    load: Load,
+}
+
+#[derive(Clone)]
+enum Load {
+    Frame(Box<Frame>),
+    Reply(Option<Box<Reply>>, u64),
+    Push(Box<Message>),
+    Draw(Id, Draw),
+    Credit(Id, Name, Option<Credit>),
+    Lease(Answer),
+    /// The configuration as it was when the store was asked, and when that was.
+    Declared(Arc<Config>, Time),
+    /// A request that lies in the socket of a machine that is suspended.
+    Arrive(Id, Box<Arrival>),
+}
+
+fn address(vm: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (vm / 250) as u8, (vm % 250) as u8], 7_000))
+}
+
+impl World {
+    /// So many entry VMs, in three zones in turn.
+    pub fn new(
+        vms: usize,
+        config: Config,
+        rows: &[boragecove_fleet::engine::Row],
+        settings: Settings,
+        seed: u64,
+    ) -> Self {
+        let now = Time::from_millis(START_MS);
+        let mut world = Self {
+            now,
+            rng: fastrand::Rng::with_seed(seed),
+            config: Arc::new(config),
+            outcomes: Vec::new(),
+            vms: Vec::new(),
+            row: None,
+            versions: 100,
+            on_way: Vec::new(),
+            open: BTreeMap::new(),
+            drawn: 0,
+            settings,
+        };
+        for at in 0..vms {
+            let state = world.state_of(at);
+            world.vms.push(Vm {
+                state,
+                wake: Some(now),
+                start: 1,
+                running: true,
+                suspended: false,
+                served: true,
+                side: 0,
+                follows: true,
+                asks_at: now,
+            });
+        }
+        for at in 0..vms {
+            world.inform(at, rows);
+        }
+        world
+    }
+
+    fn state_of(&mut self, at: usize) -> State {
+        let zone = ZONES[at % ZONES.len()].into();
+        let me = Identity { vm: format!("vm-{at}").into(), zone, address: address(at) };
+        State::new(me, self.settings.clone(), self.rng.u64(..), self.now)
+    }
+
+    fn inform(&mut self, at: usize, rows: &[boragecove_fleet::engine::Row]) {
+        let config = Arc::clone(&self.config);
+        self.feed(at, Event::Configured(config));
+        self.feed(at, Event::Listed(Listing { rows: rows.to_vec(), version: 9, whole: true }));
+    }
+
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    pub fn state(&self, at: usize) -> &State {
+        &self.vms[at].state
+    }
+
+    /// The entry VM that holds the lease.
+    pub fn leader(&self) -> Option<usize> {
+        self.vms
+            .iter()
+            .position(|vm| vm.running && !vm.suspended && vm.state.lease().holds(self.now).is_some())
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        self.vms[at].running = false;
+        self.vms[at].start += 1;
+        self.open.retain(|(vm, _), _| *vm != at);
+    }
+
+    pub fn restart(&mut self, at: usize, rows: &[boragecove_fleet::engine::Row]) {
+        self.kill(at);
+        self.vms[at].state = self.state_of(at);
+        self.vms[at].running = true;
+        self.vms[at].suspended = false;
+        self.vms[at].wake = Some(self.now);
+        self.inform(at, rows);
+    }
+
+    pub fn is_running(&self, at: usize) -> bool {
+        self.vms[at].running
+    }
+
+    pub fn suspend(&mut self, at: usize, suspended: bool) {
+        self.vms[at].suspended = suspended;
+    }
+
+    pub fn serve(&mut self, at: usize, served: bool) {
+        self.vms[at].served = served;
+    }
+
+    /// Cuts a zone off from the others and from the store, or joins it again.
+    pub fn cut(&mut self, zone: usize, cut: bool) {
+        for at in (0..self.vms.len()).filter(|at| at % ZONES.len() == zone) {
+            self.vms[at].side = if cut { zone as u8 + 1 } else { 0 };
+        }
+    }
+
+    /// A version of the configuration is written to the store.
+    pub fn declare(&mut self, config: Config) {
+        self.config = Arc::new(config);
+    }
+
+    /// A version of the configuration is written to the store, and reaches all entry VMs that are not cut off at once.
+    pub fn configure(&mut self, config: Config) {
+        self.declare(config);
+        for at in 0..self.vms.len() {
+            if self.vms[at].running && !self.vms[at].suspended && self.vms[at].side == 0 {
+                let config = Arc::clone(&self.config);
+                self.feed(at, Event::Configured(config));
+            }
+        }
+    }
+
+    /// A request arrives at an entry VM that runs.
+    pub fn arrive(&mut self, at: usize, workspace: &Name, cost: f64, arrival: Arrival) {
+        if !self.vms[at].running {
+            return;
+        }
+        self.drawn += 1;
+        let request = Id(self.drawn);
+        self.open.insert((at, request), (self.now, workspace.clone(), cost));
+        self.post(at, at, 0, Load::Arrive(request, Box::new(arrival)));
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    pub fn tick(&mut self) {
+        self.now = self.now + TICK;
+        for at in 0..self.vms.len() {
+            let vm = &self.vms[at];
+            if !vm.running || vm.suspended {
+                continue;
+            }
+            if vm.wake.is_some_and(|wake| wake <= self.now) {
+                self.vms[at].wake = None;
+                self.feed(at, Event::Wake);
+            }
+            if self.vms[at].follows && self.vms[at].asks_at <= self.now {
+                self.vms[at].asks_at = self.now + FOLLOW_EVERY;
+                if self.vms[at].served && self.vms[at].side == 0 {
+                    let config = Arc::clone(&self.config);
+                    self.post(at, at, 5, Load::Declared(config, self.now));
+                }
+            }
+        }
+        let now = self.now;
+        let due: Vec<OnWay> = self.on_way.extract_if(.., |way| way.at <= now).collect();
+        for way in due {
+            self.deliver(way);
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, ms: u64, load: Load) {
+        let at = self.now + Duration::from_millis(ms);
+        let (from_start, to_start) = (self.vms[from].start, self.vms[to].start);
+        self.on_way.push(OnWay { at, from, from_start, to, to_start, load });
+    }
+
+    /// Whether something that is sent now arrives.
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        self.vms[to].running && self.vms[from].side == self.vms[to].side
+    }
+
+    fn deliver(&mut self, way: OnWay) {
+        let OnWay { from, from_start, to, to_start, load, .. } = way;
+        if !self.vms[to].running || self.vms[to].start != to_start {
+            return;
+        }
+        if self.vms[to].suspended {
+            // It lies in the socket until the machine goes on.
+            self.on_way.push(OnWay { at: self.now + TICK, from, from_start, to, to_start, load });
+            return;
+        }
+        let back = self.vms[from].running && self.vms[from].start == from_start;
+        match load {
+            Load::Frame(frame) => {
+                self.feed(to, Event::Framed(frame.clone()));
+                let reply = boragecove_fleet::reply(&mut self.vms[to].state, self.now, &frame);
+                if back && self.reaches(to, from) {
+                    let ms = self.rng.u64(1..20);
+                    self.post(to, from, ms, Load::Reply(Some(Box::new(reply)), frame.number));
+                }
+            }
+            Load::Reply(reply, number) => {
+                // Whichever comes first, the answer or the end of the wait, ends the call.
+                self.on_way.retain(|other| {
+                    !(other.to == to && matches!(&other.load, Load::Reply(_, of) if *of == number))
+                });
+                self.feed(to, Event::Replied(reply));
+            }
+            Load::Push(message) => self.feed(to, Event::Pushed(message)),
+            Load::Draw(request, draw) => {
+                let credit = boragecove_fleet::credit(&mut self.vms[to].state, self.now, &draw);
+                if back && self.reaches(to, from) {
+                    let ms = self.rng.u64(1..5);
+                    self.post(to, from, ms, Load::Credit(request, draw.workspace, Some(credit)));
+                }
+            }
+            Load::Credit(request, workspace, credit) => {
+                self.on_way.retain(|other| {
+                    !(other.to == to && matches!(&other.load, Load::Credit(of, _, _) if *of == request))
+                });
+                self.feed(to, Event::Drawn { request, workspace, credit });
+            }
+            Load::Lease(answer) => self.feed(to, Event::Lease(answer)),
+            Load::Declared(config, asked) => {
+                self.feed(to, Event::Configured(config));
+                self.feed(to, Event::Declared { version: 40, asked });
+            }
+            Load::Arrive(request, arrival) => self.feed(to, Event::Arrive { request, arrival }),
+        }
+    }
+
+    pub fn feed(&mut self, at: usize, event: Event) {
+        let effects = boragecove_fleet::apply(&mut self.vms[at].state, self.now, event);
+        for effect in effects {
+            self.carry(at, effect);
+        }
+    }
+
+    fn carry(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::Frame { address, frame } => {
+                let to = self.at(address);
+                self.post(at, at, FRAME_LIMIT.as_millis() as u64, Load::Reply(None, frame.number));
+                if self.reaches(at, to) {
+                    let ms = self.rng.u64(1..20);
+                    self.post(at, to, ms, Load::Frame(frame));
+                }
+            }
+            Effect::Push { address, message } => {
+                let to = self.at(address);
+                if self.reaches(at, to) {
+                    self.post(at, to, 5, Load::Push(message));
+                }
+            }
+            Effect::Draw { address, request, draw } => {
+                let to = self.at(address);
+                let late = Load::Credit(request, draw.workspace.clone(), None);
+                self.post(at, at, ASK_LIMIT.as_millis() as u64, late);
+                if self.reaches(at, to) {
+                    let ms = self.rng.u64(1..5);
+                    self.post(at, to, ms, Load::Draw(request, draw));
+                }
+            }
+            Effect::Lease(call) => self.lease(at, call),
+            Effect::WakeAt(wake) => self.vms[at].wake = Some(wake),
+            Effect::Follow(follow) => self.vms[at].follows = follow.is_some(),
+            Effect::Step { request, step } => self.step(at, request, step),
+            _ => {}
+        }
+    }
+
+    fn step(&mut self, vm: usize, request: Id, step: Step) {
+        let Some((asked, workspace, cost)) = self.open.get(&(vm, request)).cloned() else {
+            return;
+        };
+        let refused = match &step {
+            Step::Send(_) => None,
+            Step::Pass => return,
+            Step::Refuse(refusal) => Some(refusal.code),
+        };
+        self.outcomes.push(Done { asked, at: self.now, vm, workspace, cost, refused });
+        self.open.remove(&(vm, request));
+        if let Step::Send(attempt) = step {
+            let ended =
+                Event::Ended { request, attempt: attempt.number, end: End::Done, events: Events::default() };
+            self.feed(vm, ended);
+        }
+    }
+
+    fn lease(&mut self, at: usize, call: Call) {
+        let store_ms = self.now.since(Time::from_millis(START_MS)).as_millis() as u64;
+        if !self.vms[at].served || self.vms[at].side != 0 {
+            let unknown = Answer { store_ms: None, outcome: Outcome::Unknown };
+            self.post(at, at, LEASE_LIMIT.as_millis() as u64, Load::Lease(unknown));
+            return;
+        }
+        let outcome = match call {
+            Call::Read => Outcome::Read(self.row.clone()),
+            Call::Write { expected, row } if expected == self.row.as_ref().map_or(0, |seen| seen.version) => {
+                self.versions += 1;
+                self.row = Some(Seen { version: self.versions, row });
+                Outcome::Written(self.versions)
+            }
+            Call::Write { .. } => Outcome::Conflict(self.row.clone()),
+        };
+        let answer = Answer { store_ms: Some(store_ms), outcome };
+        self.post(at, at, 5, Load::Lease(answer));
+    }
+
+    fn at(&self, address: SocketAddr) -> usize {
+        (0..self.vms.len()).find(|vm| self::address(*vm) == address).expect("an entry VM listens there")
+    }
+}
