Count a workspace's limit as the platform does: in windows, each of which holds the burst once more

Buckets now fill with both, and hold half of the overage.

With it: the lease's row says of shares that no leader hears any more which parts of which limits they are. Shares change only by a sixteenth and more.

--- a/daemon/src/entry/settings.rs
+++ b/daemon/src/entry/settings.rs
@@ -141,6 +141,8 @@
 /// Limits of workspaces.
 fn limits(node: &Node<'_>, fleet: &mut fleet::Settings) {
     let mut object = node.object();
+    set(&mut fleet.quota_window, object.required("window").and_then(|node| node.duration()));
+    set(&mut fleet.quota_overage, object.required("overage").and_then(|node| node.number(0.0, 1.0)));
     set(&mut fleet.quota_slack, object.required("slack").and_then(|node| node.number(0.0, UNITS_MAX)));
 }
 
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -17,7 +17,7 @@
 use crate::effect::Effect;
 use crate::frame;
 use crate::push;
-use crate::quota;
+use crate::quota::{self, LEASE, Outstanding};
 use crate::record::{Record, ms};
 use crate::state::State;
 use crate::timer::Timer;
@@ -44,10 +44,9 @@
     /// Requests that crash engines: processes that start with nothing know them from here.
     #[serde(default)]
     pub quarantine: Vec<Kept>,
-    /// Entry VMs that may hold shares of workspaces' limits, as hashes of their names: the next holder of the lease gives nothing out
-    /// that they may hold.
+    /// Shares of workspaces' limits that may be held: the next holder of the lease gives out none of them.
     #[serde(default)]
-    pub holders: Vec<u32>,
+    pub outstanding: Outstanding,
 }
 
 /// A machine that may have given orders, before the holder of the lease.
@@ -152,6 +151,8 @@
     store_ms: u64,
     /// When it was asked: it showed that no earlier.
     asked: Time,
+    /// When the answer came: it showed that no later.
+    answered: Time,
 }
 
 impl Sample {
@@ -160,6 +161,11 @@
         self.store_ms + ms(time.since(self.asked))
     }
 
+    /// The process's time at which the store's clock shows this, or a later one.
+    fn no_earlier(self, store_ms: u64) -> Time {
+        self.answered + Duration::from_millis(store_ms.saturating_sub(self.store_ms))
+    }
+
     /// The most that the store's clock can have shown at `time`, before it was asked; less by a call's time at most.
     fn before(self, time: Time) -> u64 {
         self.store_ms.saturating_sub(ms(self.asked.since(time)))
@@ -259,8 +265,10 @@
     let (holder, address) = (state.me.vm.clone(), state.me.address);
     let kept = state.lease.clock.map(|clock| state.crashes.kept(now, clock.at_most(now)));
     let quarantine = kept.unwrap_or_default();
-    let holders = quota::named(state, now);
-    Row { holder, address, term, until_ms, started_ms, released, former, quarantine, holders }
+    let clock = state.lease.clock;
+    let outstanding =
+        quota::outstanding(state, now, |time| clock.map_or(u64::MAX, |clock| clock.at_most(time)));
+    Row { holder, address, term, until_ms, started_ms, released, former, quarantine, outstanding }
 }
 
 fn call(state: &mut State, now: Time, call: Call, out: &mut Vec<Effect>) {
@@ -278,7 +286,7 @@
     };
     if let Some(store_ms) = answer.store_ms {
         state.store_heard = now;
-        state.lease.clock = Some(Sample { store_ms, asked: sent });
+        state.lease.clock = Some(Sample { store_ms, asked: sent, answered: now });
     }
     match (answer.outcome, asked) {
         (Outcome::Read(seen) | Outcome::Conflict(seen), _) => {
@@ -333,7 +341,7 @@
     let free = over || (seen.row.released && !yields(state, &seen.row, store_ms));
     if mine || (free && !defers(state, now, seen.version)) {
         let former = seen.row.orderer(state.settings.order_gap);
-        quota::inherit(state, &seen.row.holders);
+        quota::inherit(state, &seen.row.outstanding);
         let row = own_row(state, now, seen.row.term + 1, former, false);
         call(state, now, Call::Write { expected: seen.version, row }, out);
     }
@@ -369,7 +377,7 @@
     let term = new.row.term;
     let version = new.version;
     let former = new.row.former.clone();
-    let named = new.row.holders.clone();
+    let named = new.row.outstanding.holders.clone();
     state.lease.seen = Some(new);
     if state.stopping {
         state.lease.held = None;
@@ -391,7 +399,9 @@
     // Looks are seconds apart where there are hundreds of entry VMs, and the lease is over before the next one.
     schedule(state, now + state.settings.lease_renew);
     frame::inherit(state, now);
-    quota::begin(state, now, &named);
+    // Its lease was over before this one could be taken.
+    let clock = state.lease.clock;
+    quota::begin(state, now, &named, sent, |ms| clock.map_or(now + LEASE, |clock| clock.no_earlier(ms)));
     push::announce(state, out);
     frame::follow(state, now, out);
 }
--- a/fleet/src/quota.rs
+++ b/fleet/src/quota.rs
@@ -28,6 +28,7 @@
 use crate::state::State;
 use crate::timer::Timer;
 use allocator::Allocator;
+pub use allocator::{Lapsed, Outstanding};
 use bucket::{Bucket, Rate, Size};
 pub use message::{Allotment, Credit, Draw, Held, Report, WHOLE};
 
@@ -42,8 +43,10 @@
 const SHORT_MAX: Duration = Duration::from_millis(150);
 /// Holders that are asked for one request before it is refused for want of credit,
 const SHORT_ASKS: usize = 2;
-/// and all of them where the limit's burst is less than so many requests: what is left lies with one of them, and callers are few.
+/// and all of them where less than so many requests may come at once: what is left lies with one of them, and callers are few.
 const SMALL_BURST: f64 = 10.0;
+/// Part of the overage that may come at once; the rest is for what is drawn ahead, and for repeats.
+const BURST_PART: f64 = 0.5;
 /// Part of the bound's slack that large requests may use.
 const DEBT_PART: f64 = 0.5;
 /// Time until holders are asked once more, where none could be.
@@ -60,8 +63,8 @@
     process: u64,
     /// As the leader: who holds what.
     allocator: Option<Allocator>,
-    /// Entry VMs to which leaders before may have given shares, by the row of the lease that is taken over.
-    inherited: Vec<u32>,
+    /// What the row of the lease that is taken over says.
+    inherited: Outstanding,
     /// Shares held here.
     holdings: BTreeMap<Name, Holding>,
     /// Credit to be spent here.
@@ -124,7 +127,7 @@
             // 0 stands for none.
             process: process.max(1),
             allocator: None,
-            inherited: Vec::new(),
+            inherited: Outstanding::default(),
             holdings: BTreeMap::new(),
             purses: FxHashMap::default(),
             owners: Owners::default(),
@@ -180,13 +183,21 @@
 impl Holding {
     /// How fast its bucket fills.
     fn size(&self, limit: &Limit, settings: &Settings) -> Size {
-        let part = f64::from(self.parts) / f64::from(WHOLE);
-        Size {
-            per_s: limit.per_s * part,
-            burst: limit.burst * part,
-            debt: settings.quota_slack * DEBT_PART * part,
-        }
+        size(limit, settings).part(f64::from(self.parts) / f64::from(WHOLE))
+    }
+}
+
+/// The bucket of a whole limit. Where the platform counts in windows, a burst is there anew in each of them: it is spread over the
+/// window, so that whoever asks steadily gets all that a window may hold, and what may come at once is a part of the
+/// overage.
+fn size(limit: &Limit, settings: &Settings) -> Size {
+    let debt = settings.quota_slack * DEBT_PART;
+    let window_s = settings.quota_window.as_secs_f64();
+    if window_s <= 0.0 {
+        return Size { per_s: limit.per_s, burst: limit.burst, debt };
     }
+    let in_window = limit.per_s * window_s + limit.burst;
+    Size { per_s: in_window / window_s, burst: in_window * settings.quota_overage * BURST_PART, debt }
 }
 
 fn limit_of(state: &State, workspace: &str) -> Option<Limit> {
@@ -217,28 +228,32 @@
 }
 
 /// This process is about to take over the lease: its row has to name whom the leaders before may have given shares.
-pub(crate) fn inherit(state: &mut State, named: &[u32]) {
-    state.quota.inherited = named.to_vec();
+pub(crate) fn inherit(state: &mut State, outstanding: &Outstanding) {
+    state.quota.inherited = outstanding.clone();
 }
 
-/// Entry VMs that the lease's row is to name: whoever is not named there gets no share.
-pub(crate) fn named(state: &State, now: Time) -> Vec<u32> {
-    let mut named: Vec<u32> = match &state.quota.allocator {
-        Some(allocator) => allocator.holders(now).collect(),
-        None => state.quota.inherited.clone(),
-    };
+/// What the lease's row is to say of shares: whoever is not named there gets none.
+pub(crate) fn outstanding(state: &State, now: Time, ms: impl Fn(Time) -> u64) -> Outstanding {
+    let mut heard = Vec::new();
     if state.routes.limited().next().is_some() {
-        named.extend(state.members.list().iter().map(|member| allocator::hash(&member.vm)));
+        heard.extend(state.members.list().iter().map(|member| member.vm.clone()));
+        heard.push(state.me.vm.clone());
     }
-    named.sort_unstable();
-    named.dedup();
-    named
-}
-
-/// The lease was taken with a row that names these.
-pub(crate) fn begin(state: &mut State, now: Time, named: &[u32]) {
-    let unheard = std::mem::take(&mut state.quota.inherited);
-    let mut allocator = Allocator::new(now, unheard);
+    if let Some(allocator) = &state.quota.allocator {
+        return allocator.outstanding(now, &heard, ms);
+    }
+    let mut outstanding = state.quota.inherited.clone();
+    outstanding.holders.extend(heard.iter().map(allocator::hash));
+    outstanding.holders.sort_unstable();
+    outstanding.holders.dedup();
+    outstanding
+}
+
+/// The lease was taken with a row that names these. The one before was over at `over`; `at` turns the store's times into the
+/// process's own.
+pub(crate) fn begin(state: &mut State, now: Time, named: &[u32], over: Time, at: impl Fn(u64) -> Time) {
+    let before = std::mem::take(&mut state.quota.inherited);
+    let mut allocator = Allocator::new(&before, over, at);
     allocator.name(named);
     state.quota.allocator = Some(allocator);
     renew_own(state, now);
@@ -453,7 +468,7 @@
 /// Whether a request is a large part of its workspace's limit.
 fn is_small(state: &State, id: Id) -> bool {
     let limit = cost(state, id).and_then(|(workspace, cost)| Some((limit_of(state, &workspace)?, cost)));
-    limit.is_some_and(|(limit, cost)| limit.burst < cost * SMALL_BURST)
+    limit.is_some_and(|(limit, cost)| size(&limit, &state.settings).burst < cost * SMALL_BURST)
 }
 
 /// Takes over what a holder said. True if the request may go on.
--- a/fleet/src/quota/allocator.rs
+++ b/fleet/src/quota/allocator.rs
@@ -8,6 +8,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::LEASE;
@@ -18,10 +19,33 @@
 /// The least share that is given out: a smaller one lets in nobody, and whoever asks there goes to another holder instead.
 const PARTS_MIN: u32 = WHOLE / 100;
 
-/// A number for an entry VM, short enough for the lease's row.
+/// The least change of a share that is made.
+const CHANGE_MIN: u32 = WHOLE / 16;
+
+/// A number for an entry VM or a workspace, short enough for the lease's row.
 #[must_use]
-pub(crate) fn hash(vm: &Name) -> u32 {
-    xxh3_64(vm.as_bytes()) as u32
+pub(crate) fn hash(name: &Name) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
+/// What the lease's row says of shares, for the next leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outstanding {
+    /// Entry VMs that the leader may give shares to while it holds the lease, as hashes of their names.
+    pub holders: Vec<u32>,
+    /// Shares of entry VMs that the leader hears no more, by workspace.
+    pub lapsed: Vec<Lapsed>,
+}
+
+/// A part of a workspace's limit that may be held by entry VMs that no leader hears.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lapsed {
+    /// A hash of the workspace's name.
+    pub workspace: u32,
+    /// The part, of [`WHOLE`].
+    pub parts: u32,
+    /// Until when, by the store's clock, in ms.
+    pub until_ms: u64,
 }
 
 /// A share that may be held.
@@ -50,21 +74,27 @@
     accounts: BTreeMap<Name, Account>,
     /// By workspace, by entry VM.
     out: FxHashMap<Name, BTreeMap<Name, Out>>,
-    /// Entry VMs that may hold shares by the word of leaders before, and have not said so or otherwise.
+    /// Entry VMs that may hold shares by the word of the leader before, and have not said so or otherwise.
     unheard: BTreeSet<u32>,
     unheard_until: Time,
+    /// Parts that entry VMs may hold that the leader before did not hear any more, and until when, by the hash of the workspace.
+    lapsed: BTreeMap<u32, (u32, Time)>,
     /// Entry VMs that the lease's row names, so that the next leader knows whom to hear first.
     named: BTreeSet<u32>,
 }
 
 impl Allocator {
-    /// Begins a term, where the leaders before may have given shares to `unheard`.
-    pub(crate) fn new(now: Time, unheard: impl IntoIterator<Item = u32>) -> Self {
+    /// Begins a term after another whose row said this, where the lease was over at `over`. `at` turns the store's times into
+    /// the process's own, and never into earlier ones.
+    pub(crate) fn new(before: &Outstanding, over: Time, at: impl Fn(u64) -> Time) -> Self {
+        let lapsed =
+            before.lapsed.iter().map(|lapsed| (lapsed.workspace, (lapsed.parts, at(lapsed.until_ms))));
         Self {
             accounts: BTreeMap::new(),
             out: FxHashMap::default(),
-            unheard: unheard.into_iter().collect(),
-            unheard_until: now + LEASE,
+            unheard: before.holders.iter().copied().collect(),
+            unheard_until: over + LEASE,
+            lapsed: lapsed.collect(),
             named: BTreeSet::new(),
         }
     }
@@ -74,10 +104,27 @@
         self.named = vms.iter().copied().collect();
     }
 
-    /// Entry VMs that may hold shares.
-    pub(crate) fn holders(&self, now: Time) -> impl Iterator<Item = u32> {
-        let unheard = self.unheard.iter().copied().filter(move |_| now < self.unheard_until);
-        unheard.chain(self.accounts.keys().map(hash))
+    /// What the lease's row is to say, where `heard` are given shares from now on. `ms` turns the process's times into the store's,
+    /// and never into earlier ones.
+    pub(crate) fn outstanding(&self, now: Time, heard: &[Name], ms: impl Fn(Time) -> u64) -> Outstanding {
+        let mut holders: BTreeSet<u32> = heard.iter().map(hash).collect();
+        if now < self.unheard_until {
+            // The next leader counts their time from the end of this one's lease, which is later than theirs.
+            holders.extend(&self.unheard);
+        }
+        let mut lapsed: BTreeMap<u32, (u32, Time)> =
+            self.lapsed.iter().map(|(workspace, lapsed)| (*workspace, *lapsed)).collect();
+        for (workspace, out) in &self.out {
+            for (_, held) in out.iter().filter(|(vm, _)| !holders.contains(&hash(vm))) {
+                let (parts, until) = lapsed.entry(hash(workspace)).or_default();
+                *parts = parts.saturating_add(held.parts).min(WHOLE);
+                *until = held.until.max(*until);
+            }
+        }
+        let lapsed = lapsed.into_iter().filter(|(_, (_, until))| *until > now);
+        let lapsed =
+            lapsed.map(|(workspace, (parts, until))| Lapsed { workspace, parts, until_ms: ms(until) });
+        Outstanding { holders: holders.into_iter().collect(), lapsed: lapsed.collect() }
     }
 
     /// An entry VM says what it holds, in the frame of that number, and is told what it may hold from now on: of `owned`, each with
@@ -137,13 +184,18 @@
         out.retain(|_, held| held.until > now);
         let mine = out.get(vm).copied();
         let held = mine.map_or(0, |held| held.parts);
+        let lapsed = self.lapsed.get(&hash(workspace)).filter(|(_, until)| *until > now);
+        let lapsed = lapsed.map_or(0, |(parts, _)| *parts);
         let others: u32 = out.iter().filter(|(of, _)| *of != vm).map(|(_, held)| held.parts).sum();
-        let room = WHOLE.saturating_sub(others);
+        let room = WHOLE.saturating_sub(others).saturating_sub(lapsed);
         // Whoever has not been heard may hold what seems to be free.
         let room = if doubtful { room.min(held) } else { room };
         let asked: f64 = out.values().map(|held| held.asked_per_s).sum();
         let asked_here = mine.map_or(0.0, |held| held.asked_per_s);
-        let parts = target(asked_here, asked, owners).min(room);
+        let wanted = target(asked_here, asked, owners);
+        // What one gives up comes to another a frame later: small changes would cost more than they bring.
+        let steady = wanted.abs_diff(held) < CHANGE_MIN && held > 0;
+        let parts = if steady { held } else { wanted }.min(room);
         let parts = if parts < PARTS_MIN { 0 } else { parts };
         // Until it says that it holds less, it may hold what it held.
         let kept = parts.max(held);
--- a/fleet/src/quota/bucket.rs
+++ b/fleet/src/quota/bucket.rs
@@ -5,7 +5,7 @@
 use boragecove_core::time::Time;
 
 /// Time in which a remembered rate halves.
-const HALF_LIFE_S: f64 = 1.0;
+const HALF_LIFE_S: f64 = 2.0;
 /// The longest time that a caller is told to come back after: demand is another by then.
 const WAIT_MAX: Duration = Duration::from_secs(10);
 
@@ -40,6 +40,13 @@
     pub(crate) debt: f64,
 }
 
+impl Size {
+    /// Of a part of it.
+    pub(crate) fn part(self, part: f64) -> Self {
+        Self { per_s: self.per_s * part, burst: self.burst * part, debt: self.debt * part }
+    }
+}
+
 /// Units that may be spent.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Bucket {
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -92,6 +92,10 @@
     /// Time after which a key that was taken away may not be served anywhere, if that holds for entry VMs that hear
     /// nobody as well (the platform's bound).
     pub revocation: Option<Duration>,
+    /// The window in which what is spent of a workspace's limit is counted (the platform's bound); none if that is not known.
+    pub quota_window: Duration,
+    /// Part of a workspace's limit that may be spent over it in a window (the platform's bound).
+    pub quota_overage: f64,
     /// Units of a workspace's limit that may be spent over it in a window, beyond a part of it (the platform's bound).
     pub quota_slack: f64,
     /// Mechanisms that are switched off, in experiments only.
@@ -219,6 +223,8 @@
             adapter_idle: Duration::from_millis(400),
             reserve: Duration::from_millis(50),
             revocation: None,
+            quota_window: Duration::ZERO,
+            quota_overage: 0.0,
             quota_slack: 0.0,
             without: Vec::new(),
             balancer_grace: Duration::from_millis(2_500),
