--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -46,7 +46,7 @@
     pub quarantine: Vec<Kept>,
     /// Shares of workspaces' limits that may be held: the next holder of the lease gives out none of them.
     #[serde(default)]
-    pub outstanding: Outstanding,
+    pub outstanding: Box<Outstanding>,
 }
 
 /// A machine that may have given orders, before the holder of the lease.
@@ -266,8 +266,8 @@
     let kept = state.lease.clock.map(|clock| state.crashes.kept(now, clock.at_most(now)));
     let quarantine = kept.unwrap_or_default();
     let clock = state.lease.clock;
-    let outstanding =
-        quota::outstanding(state, now, |time| clock.map_or(u64::MAX, |clock| clock.at_most(time)));
+    let ms_of = |time| clock.map_or(u64::MAX, |clock| clock.at_most(time));
+    let outstanding = Box::new(quota::outstanding(state, now, ms_of));
     Row { holder, address, term, until_ms, started_ms, released, former, quarantine, outstanding }
 }
 
--- /dev/null
+++ b/fleet/src/quota/charge.rs
@@ -0,0 +1,304 @@
+//! What requests count is taken from credit, which an entry VM draws from the holders of shares.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use super::bucket::Rate;
+use super::message::{Credit, Draw};
+use super::{draw, limit_of, size};
+use crate::effect::Effect;
+use crate::flow::{self, COME_BACK, Stage};
+use crate::record::Charge;
+use crate::request::Id;
+use crate::state::State;
+use crate::timer::Timer;
+
+/// Credit is drawn ahead for this time of a workspace's requests.
+const AHEAD: Duration = Duration::from_millis(250);
+/// Time after which credit that was not spent is void.
+const KEEP: Duration = Duration::from_secs(1);
+/// How long an entry VM asks no more for a workspace that has none left, at most.
+const SHORT_MAX: Duration = Duration::from_millis(150);
+/// Holders that are asked for one request before it is refused for want of credit,
+const SHORT_ASKS: usize = 2;
+/// and all of them where less than so many requests may come at once: what is left lies with one of them, and callers are few.
+const SMALL_BURST: f64 = 10.0;
+/// Time until holders are asked once more, where none could be.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+/// How long a request waits for a holder that can be asked.
+const HOLDER_WAIT: Duration = Duration::from_millis(400);
+/// How long a holder that did not answer is not asked.
+const SILENT: Duration = Duration::from_secs(1);
+
+/// Credit of a workspace that is to be spent here, and who is asked for more.
+#[derive(Debug, Default)]
+pub(super) struct Purse {
+    credit: f64,
+    until: Time,
+    asked: Rate,
+    /// Units asked for since the last question.
+    unsaid: f64,
+    /// Until when nobody is asked, and what callers are told.
+    short: Option<(Time, Time)>,
+    /// Who owns a part, the own availability zone's first.
+    holders: Vec<(Name, SocketAddr)>,
+    /// For which list of entry VMs that is so.
+    members: u64,
+}
+
+/// A question on its way for a request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Asking {
+    /// Who is asked; none while nobody can be.
+    holder: Option<Name>,
+    /// How many holders were asked before.
+    tried: usize,
+    /// The shortest time that any of them told, and how many told one.
+    short: Option<Duration>,
+    shorts: usize,
+}
+
+impl Purse {
+    /// Takes credit for a request, if there is enough.
+    fn spend(&mut self, now: Time, cost: f64) -> bool {
+        let enough = self.until > now && self.credit >= cost;
+        if enough {
+            self.credit -= cost;
+        }
+        enough
+    }
+
+    /// Takes in credit that was given, and no more than `most` altogether.
+    fn put(&mut self, now: Time, units: f64, most: f64) {
+        let left = if self.until > now { self.credit } else { 0.0 };
+        self.credit = (left + units).min(most);
+        self.until = now + KEEP;
+    }
+}
+
+/// Takes what a request counts from its workspace's credit, or asks for some. True if it may go on now; else what becomes of
+/// it follows.
+pub(crate) fn charge(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) -> bool {
+    let Some((workspace, cost)) = cost(state, id) else {
+        return true;
+    };
+    let purse = state.quota.purses.entry(workspace).or_default();
+    purse.asked.add(now, cost);
+    purse.unsaid += cost;
+    let short = purse.short.filter(|(until, _)| *until > now);
+    if purse.spend(now, cost) {
+        charged(state, id);
+        return true;
+    }
+    if let Some((_, back)) = short {
+        flow::give_up(state, now, id, Code::OverQuota, Some(back.since(now)), out);
+        return false;
+    }
+    ask(state, now, id, &Asking::default(), out)
+}
+
+/// The workspace whose limit a request counts for, and what it counts.
+fn cost(state: &State, id: Id) -> Option<(Name, f64)> {
+    let flow = state.flows.get(&id)?;
+    let workspace = flow.workspace.as_ref().filter(|_| flow.cost > 0.0)?;
+    Some((workspace.name.clone(), flow.cost))
+}
+
+/// What a request counts, and for whose limit, to be logged.
+pub(crate) fn account(state: &State, now: Time, id: Id) -> Option<Charge> {
+    let flow = state.flows.get(&id)?;
+    let workspace = flow.workspace.as_ref()?;
+    let purse = state.quota.purses.get(&workspace.name).filter(|purse| purse.until > now);
+    Some(Charge {
+        workspace: workspace.name.clone(),
+        cost: flow.cost,
+        limit_per_s: workspace.limit.map(|limit| limit.per_s),
+        credit: purse.map_or(0.0, |purse| purse.credit.round()),
+    })
+}
+
+/// Asks the next holder for credit. True if this process is one, and had it.
+fn ask(state: &mut State, now: Time, id: Id, asking: &Asking, out: &mut Vec<Effect>) -> bool {
+    let Some((workspace, cost)) = cost(state, id) else {
+        return true;
+    };
+    let Some((holder, address)) = next_holder(state, now, &workspace, asking.tried) else {
+        nobody(state, now, id, asking, out);
+        return false;
+    };
+    let Some(purse) = state.quota.purses.get_mut(&workspace) else {
+        return true;
+    };
+    let ahead = purse.asked.per_s(now) * AHEAD.as_secs_f64();
+    let ahead = if ahead < cost { 0.0 } else { ahead };
+    let asked = std::mem::take(&mut purse.unsaid);
+    let question = Draw { workspace, cost, ahead, asked };
+    let mine = holder == state.me.vm;
+    if let Some(flow) = state.flows.get_mut(&id) {
+        flow.stage = Stage::Charging(Asking { holder: Some(holder), ..asking.clone() });
+    }
+    if mine {
+        let credit = draw(state, now, &question);
+        return drawn(state, now, id, &question.workspace, Some(credit), out);
+    }
+    out.push(Effect::Draw { address, request: id, draw: question });
+    false
+}
+
+/// The holder of a part to be asked after `tried` others.
+fn next_holder(state: &mut State, now: Time, workspace: &Name, tried: usize) -> Option<(Name, SocketAddr)> {
+    let version = state.members.version();
+    let purse = state.quota.purses.entry(workspace.clone()).or_default();
+    if purse.members != version {
+        let owners = state.members.owners(workspace);
+        let rotated = owners.iter().position(|owner| owner.zone == state.me.zone).unwrap_or_default();
+        let (others, first) = (owners.iter().take(rotated), owners.iter().skip(rotated));
+        purse.holders = first.chain(others).map(|owner| (owner.vm.clone(), owner.address)).collect();
+        purse.members = version;
+    }
+    let members = &state.members;
+    let mut answering = purse.holders.iter().filter(|(vm, _)| !members.is_silent(vm, now));
+    answering.nth(tried).cloned()
+}
+
+/// Nobody else can be asked for a request's credit.
+fn nobody(state: &mut State, now: Time, id: Id, asking: &Asking, out: &mut Vec<Effect>) {
+    if let Some(wait) = asking.short {
+        refuse(state, now, id, wait, out);
+        return;
+    }
+    let waited = state.flows.get(&id).map_or(Duration::MAX, |flow| now.since(flow.arrived));
+    if waited >= HOLDER_WAIT {
+        flow::give_up(state, now, id, Code::QuotaUnknown, Some(COME_BACK), out);
+        return;
+    }
+    if let Some(flow) = state.flows.get_mut(&id) {
+        flow.stage = Stage::Charging(Asking { holder: None, tried: 0, ..asking.clone() });
+        state.timers.set(now + ASK_AGAIN, Timer::Charge(id));
+    }
+}
+
+/// A workspace has no credit left for a request.
+fn refuse(state: &mut State, now: Time, id: Id, wait: Duration, out: &mut Vec<Effect>) {
+    if let Some((workspace, _)) = cost(state, id)
+        && let Some(purse) = state.quota.purses.get_mut(&workspace)
+    {
+        purse.short = Some((now + wait.min(SHORT_MAX), now + wait));
+    }
+    flow::give_up(state, now, id, Code::OverQuota, Some(wait), out);
+}
+
+/// Holders are to be asked once more.
+pub(crate) fn again(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
+    let Some(Stage::Charging(asking)) = state.flows.get(&id).map(|flow| flow.stage.clone()) else {
+        return;
+    };
+    if asking.holder.is_none() && ask(state, now, id, &asking, out) {
+        flow::dispatch(state, now, id, true, out);
+    }
+}
+
+/// A holder answered, or did not.
+pub(crate) fn answered(
+    state: &mut State,
+    now: Time,
+    id: Id,
+    workspace: &Name,
+    credit: Option<Credit>,
+    out: &mut Vec<Effect>,
+) {
+    if drawn(state, now, id, workspace, credit, out) {
+        flow::dispatch(state, now, id, true, out);
+    }
+}
+
+/// Whether a request is a large part of its workspace's limit.
+fn is_small(state: &State, id: Id) -> bool {
+    let limit = cost(state, id).and_then(|(workspace, cost)| Some((limit_of(state, &workspace)?, cost)));
+    limit.is_some_and(|(limit, cost)| size(&limit, &state.settings).burst < cost * SMALL_BURST)
+}
+
+/// Takes over what a holder said. True if the request may go on.
+fn drawn(
+    state: &mut State,
+    now: Time,
+    id: Id,
+    workspace: &Name,
+    credit: Option<Credit>,
+    out: &mut Vec<Effect>,
+) -> bool {
+    *state.quota.draws.entry(credit.map_or("silent", Credit::label)).or_default() += 1;
+    if let Some(Credit::Given(units)) = credit {
+        keep(state, now, workspace, units);
+    }
+    let Some(Stage::Charging(mut asking)) = state.flows.get(&id).map(|flow| flow.stage.clone()) else {
+        return false;
+    };
+    match credit {
+        Some(Credit::Given(_)) => return spend(state, now, id, &asking, out),
+        Some(Credit::Short(wait)) => {
+            asking.short = Some(asking.short.map_or(wait, |short| short.min(wait)));
+            asking.shorts += 1;
+            if asking.shorts >= SHORT_ASKS && !is_small(state, id) {
+                refuse(state, now, id, wait.min(asking.short.unwrap_or(wait)), out);
+                return false;
+            }
+            asking.tried += 1;
+        }
+        Some(Credit::NotHere) => asking.tried += 1,
+        // It is left out from now on, so that the next one stands in its place.
+        None => {
+            if let Some(holder) = &asking.holder {
+                state.members.suspect(holder, now + SILENT);
+            }
+        }
+    }
+    ask(state, now, id, &asking, out)
+}
+
+/// Credit is there to be spent.
+fn keep(state: &mut State, now: Time, workspace: &Name, units: f64) {
+    let purse = state.quota.purses.entry(workspace.clone()).or_default();
+    purse.put(now, units, f64::INFINITY);
+    purse.short = None;
+}
+
+/// Spends a request's credit; others may have spent what was given for it.
+fn spend(state: &mut State, now: Time, id: Id, asking: &Asking, out: &mut Vec<Effect>) -> bool {
+    let Some((workspace, cost)) = cost(state, id) else {
+        return true;
+    };
+    if state.quota.purses.get_mut(&workspace).is_some_and(|purse| purse.spend(now, cost)) {
+        charged(state, id);
+        return true;
+    }
+    ask(state, now, id, asking, out)
+}
+
+/// A request's credit was spent.
+fn charged(state: &mut State, id: Id) {
+    if let Some(flow) = state.flows.get_mut(&id) {
+        flow.stage = Stage::Waiting;
+        flow.charged = true;
+    }
+}
+
+/// A request ends that no engine has had: its credit is there for the next one.
+pub(crate) fn refund(state: &mut State, now: Time, id: Id) {
+    let Some((workspace, cost)) = cost(state, id) else {
+        return;
+    };
+    if !state.flows.get_mut(&id).is_some_and(|flow| std::mem::take(&mut flow.charged)) {
+        return;
+    }
+    let Some(purse) = state.quota.purses.get_mut(&workspace) else {
+        return;
+    };
+    // No more than what is drawn ahead: what is given back later than that would be spent beside what has come in since.
+    let most = purse.asked.per_s(now) * AHEAD.as_secs_f64() + cost;
+    purse.put(now, cost, most);
+}
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -90,7 +90,7 @@
         former: None,
         released: false,
         quarantine: Vec::new(),
-        outstanding: boragecove_fleet::quota::Outstanding::default(),
+        outstanding: Box::default(),
     };
     let seen = boragecove_fleet::lease::Seen { version: 9, row };
     node.lease(0, boragecove_fleet::lease::Outcome::Read(Some(seen)));
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -20,7 +20,7 @@
         released,
         former: None,
         quarantine: Vec::new(),
-        outstanding: boragecove_fleet::quota::Outstanding::default(),
+        outstanding: Box::default(),
     };
     Seen { version, row }
 }
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -296,7 +296,7 @@
             former: None,
             released: false,
             quarantine: Vec::new(),
-            outstanding: boragecove_fleet::quota::Outstanding::default(),
+            outstanding: Box::default(),
         };
         let outcome = match call {
             Call::Write { row, .. } if row.holder == *"vm-0" => Outcome::Written(1),
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -178,7 +178,7 @@
         former: None,
         released: false,
         quarantine: Vec::new(),
-        outstanding: boragecove_fleet::quota::Outstanding::default(),
+        outstanding: Box::default(),
     };
     lease::Seen { version: 9, row }
 }
