--- a/fleet/src/proof.rs
+++ b/fleet/src/proof.rs
@@ -40,6 +40,9 @@
     }
 }
 
+/// Answers of the store that a proof outlives: some may be lost or late, and frames pass the proof on.
+const ANSWERS: u32 = 12;
+
 /// Whether keys may be served.
 pub(crate) fn holds(state: &State, now: Time) -> bool {
     let bound = state.settings.revocation.map(|bound| bound.saturating_sub(MARGIN));
@@ -55,7 +58,7 @@
 /// How long the store may wait with its answer for changes of the configuration: an answer proves nothing of the time
 /// after it was asked for.
 pub(crate) fn patience(settings: &Settings, longest: Duration) -> Duration {
-    settings.revocation.map_or(longest, |bound| longest.min(bound / 12))
+    settings.revocation.map_or(longest, |bound| longest.min(bound / ANSWERS))
 }
 
 /// The configuration in force was the newest at that moment.
