Read the store for a proof only shortly before keys would be refused

Frames are 1.5 s apart there, so that proofs are 3.0 to 3.6 s old as a rule, beyond the six tenths of the bound from which on each entry VM reads both tables itself. Eight tenths are beyond that, and leave 0.7 s. Nothing changes where no key has to be proved.

--- a/fleet/src/proof.rs
+++ b/fleet/src/proof.rs
@@ -18,7 +18,7 @@
 const MARGIN: Duration = Duration::from_millis(300);
 /// The part of the bound from which on this process reads the store itself, whatever the hub says: there is time for several
 /// calls until keys are refused.
-const DOUBTFUL: f64 = 0.6;
+const DOUBTFUL: f64 = 0.8;
 
 /// The latest moment at which the configuration in force was the newest.
 #[derive(Clone, Copy, Debug, Default)]
