Log the loss of a proof with the first refusal for want of it

The loss was looked for with frames only, so that no line said why three requests were refused. Ruled out: a line that was left out (the log is whole, and says the refusals). Test short_loss_is_logged, red without the change. Nothing else is decided by it.

--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -18,6 +18,7 @@
 use crate::engine::{Engine, Load};
 use crate::frame;
 use crate::key::Digest;
+use crate::proof;
 use crate::quota;
 use crate::record::{Record, ms};
 use crate::request::{Arrival, Attempt, Fingerprint, Id, Prompt, Refusal, Step};
@@ -128,6 +129,9 @@
     out: &mut Vec<Effect>,
 ) {
     *state.refusals.entry(code).or_default() += 1;
+    if code == Code::KeyUnproven {
+        proof::check(state, now, out);
+    }
     let refusal = Refusal { code, retry_after };
     out.push(Effect::Record(refused_record(state, now, id, refusal, false)));
     out.push(Effect::Step { request: id, step: Step::Refuse(refusal) });
--- a/fleet/tests/caller_keys.rs
+++ b/fleet/tests/caller_keys.rs
@@ -59,7 +59,11 @@
 
 /// An entry VM that has read the configuration from the store just now.
 fn proven() -> Node {
-    let mut node = Node::with("a", settings());
+    proven_with(settings())
+}
+
+fn proven_with(settings: Settings) -> Node {
+    let mut node = Node::with("a", settings);
     node.feed(Event::Configured(Arc::new(guarded(1, access()))));
     let rows = vec![
         row(3, entry("g1", node::GATEWAY, "zone-a", &[])),
@@ -268,6 +272,18 @@
     assert_eq!(proofs(&node.effects), ["found"]);
 }
 
+/// A proof is found again before the next frame: whoever was refused meanwhile has a line that says why.
+#[test]
+fn short_loss_is_logged() {
+    let mut node = proven_with(Settings { frame_every: Duration::from_mins(1), ..settings() });
+    node.now = node.now + millis(4_750);
+    node.refused(keyed("/ack/1", 1));
+    assert_eq!(proofs(&node.effects), ["lost"]);
+    let now = node.now;
+    node.feed(Event::Declared { version: 41, asked: now });
+    assert_eq!(proofs(&node.effects), ["found"]);
+}
+
 /// Where keys have to be proved, the store is asked for changes oftener than it is told of them.
 #[test]
 fn store_answers_in_time() {
