Look at the proof again after a prompt's place in a schedule, and at the last moment before an engine gets anything

Cause, by reading: the proof was looked at when a request came and before an engine was chosen, and not after the up to two seconds that a prompt may wait for its place; a machine that was suspended in between sent what it had decided. A key that went to another workspace while its request waited reached the engine under the first one's name, and a request that came before keys were needed could take its key along to an engine. On a public route a known key that was not proven any more refused what needs none.

Now there is one look-up for both (access::identify), after the schedule too, and each attempt says until when it may be sent: the relay withholds it then, which speaks against no engine, and it is sent anew once there is a proof.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -8,6 +8,7 @@
 mod response;
 
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -83,7 +84,7 @@
 }
 
 /// A whole answer.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Answer {
     /// Its status.
     pub status: StatusCode,
@@ -94,7 +95,7 @@
 }
 
 /// A whole answer, and how long it took.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Received {
     /// Its status.
     pub status: StatusCode,
@@ -104,6 +105,25 @@
     pub took: Duration,
 }
 
+impl fmt::Debug for Answer {
+    /// Leaves the body out: the store's holds keys.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let bytes = self.body.len();
+        f.debug_struct("Answer").field("status", &self.status).field("bytes", &bytes).finish_non_exhaustive()
+    }
+}
+
+impl fmt::Debug for Received {
+    /// Leaves the body out: the store's holds keys.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let bytes = self.body.len();
+        f.debug_struct("Received")
+            .field("status", &self.status)
+            .field("bytes", &bytes)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Client {
     /// Gives up opening a connection after `connect`.
     #[must_use]
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -149,7 +149,12 @@
         self.timing = Timing::default();
         self.events.restart();
         tokio::time::sleep_until(self.clock.instant(attempt.at)).await;
-        let left = attempt.deadline.since(self.clock.now());
+        let now = self.clock.now();
+        // The machine may have been suspended since it was decided.
+        if attempt.send_by.is_some_and(|by| now >= by) {
+            return End::Withheld;
+        }
+        let left = attempt.deadline.since(now);
         let mut request = self.content.request.clone();
         let resume_after = self.events.last().or(self.content.resumes_after);
         front::address(&mut request.headers, &attempt, left, resume_after);
--- a/daemon/tests/caller_keys.rs
+++ b/daemon/tests/caller_keys.rs
@@ -121,6 +121,28 @@
     assert!(proofs("lost") >= 1 && proofs("found") >= 1, "{log}");
 }
 
+/// A machine stands still while a key is taken away, and requests with that key lie in its sockets: no engine gets any of them.
+#[test]
+fn suspended_with_requests() {
+    let (store, gateway) = platform(&wards(&[KEY, OTHER]));
+    let entry = Entry::start_with("suspended", &store, BOUNDS);
+    becomes(&entry, |number| keyed(&format!("a{number}"), OTHER), "200", LIMIT);
+    entry.signal("-STOP");
+    store.put("op", "config", &guarded(2, &wards(&[KEY])));
+    thread::sleep(Duration::from_millis(2_200));
+    let callers = entry.callers;
+    let calls: Vec<_> = (0..8)
+        .map(|number| thread::spawn(move || call(callers, &keyed(&format!("late{number}"), OTHER))))
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    entry.signal("-CONT");
+    for answer in calls.into_iter().map(|call| call.join().expect("answered")) {
+        assert!(answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 401"), "{answer}");
+    }
+    assert!(gateway.runs().iter().all(|id| !id.starts_with("late")), "{:?}", gateway.runs());
+    becomes(&entry, |number| keyed(&format!("b{number}"), KEY), "200", LIMIT);
+}
+
 /// What cannot be read of the workspaces leaves the version before in force, with a line that gives no key away.
 #[test]
 fn unreadable_workspaces() {
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -67,8 +67,12 @@
     }
 
     pub fn terminate(&self) {
-        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
-        assert!(killed.is_ok_and(|status| status.success()));
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        assert!(sent.is_ok_and(|status| status.success()));
     }
 
     pub fn exit(&mut self) -> bool {
--- a/fleet/src/access.rs
+++ b/fleet/src/access.rs
@@ -9,12 +9,12 @@
 use crate::config::{Route, Workspace};
 use crate::key::Digest;
 use crate::proof;
-use crate::request::{Arrival, Refusal};
+use crate::request::{Id, Refusal};
 use crate::state::State;
 
 /// When a caller may come back whose key cannot be looked up: another entry VM may have a proof, and this one may have one
 /// after some calls of the store.
-pub(crate) const UNPROVEN_COME_BACK: Duration = Duration::from_millis(500);
+const UNPROVEN_COME_BACK: Duration = Duration::from_millis(500);
 
 /// The workspace that a request belongs to; none where nobody needs a key, or this route needs none and none is known.
 ///
@@ -25,7 +25,7 @@
     state: &State,
     now: Time,
     route: &Route,
-    arrival: &Arrival,
+    key: Option<Digest>,
 ) -> Result<Option<Arc<Workspace>>, Refusal> {
     if !state.needs_keys() {
         return Ok(None);
@@ -36,32 +36,39 @@
         }
         return Err(unproven());
     }
-    let workspace = arrival.key.and_then(|key| state.routes.workspace_of(key)).cloned();
+    let workspace = key.and_then(|key| state.routes.workspace_of(key)).cloned();
     if workspace.is_none() && !route.public {
         return Err(Refusal { code: Code::Unauthenticated, retry_after: None });
     }
     Ok(workspace)
 }
 
-/// Whether the key of a request that was let in may still be served.
+/// Whether a request that was let in may still be sent: its key may have been taken away while it waited, or given to another
+/// workspace, or nobody may have said for too long that it was not. On a route that needs no key it goes on without one.
 ///
 /// # Errors
 ///
-/// If it was taken away meanwhile, or there is no proof that it was not.
-pub(crate) fn recheck(state: &State, now: Time, key: Option<Digest>) -> Result<(), Refusal> {
-    if !state.needs_keys() {
+/// If it may not.
+pub(crate) fn recheck(state: &mut State, now: Time, id: Id) -> Result<(), Refusal> {
+    let Some(flow) = state.flows.get(&id) else {
+        return Ok(());
+    };
+    let workspace = identify(state, now, &flow.route, flow.key)?;
+    let name = |workspace: &Option<Arc<Workspace>>| workspace.as_ref().map(|known| known.name.clone());
+    if name(&workspace) == name(&flow.workspace) {
         return Ok(());
     }
-    if !proof::holds(state, now) {
+    if !flow.route.public {
+        // It was let in as another's, and counts for that one's limit: it is to come anew.
         return Err(unproven());
     }
-    if key.and_then(|key| state.routes.workspace_of(key)).is_none() {
-        return Err(Refusal { code: Code::Unauthenticated, retry_after: None });
+    if let Some(flow) = state.flows.get_mut(&id) {
+        flow.workspace = workspace;
     }
     Ok(())
 }
 
 /// Why a key is not served without a proof.
-pub(crate) const fn unproven() -> Refusal {
+const fn unproven() -> Refusal {
     Refusal { code: Code::KeyUnproven, retry_after: Some(UNPROVEN_COME_BACK) }
 }
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -25,7 +25,7 @@
     let Some(route) = state.routes.find(&arrival.host, &arrival.path).cloned() else {
         return refuse(Code::UnknownPath, None);
     };
-    let workspace = access::identify(state, now, &route, &arrival)?;
+    let workspace = access::identify(state, now, &route, arrival.key)?;
     if state.crashes.is_quarantined(arrival.fingerprint, now) {
         return refuse(Code::CrashesBackends, None);
     }
@@ -78,7 +78,7 @@
         service,
         workspace,
         cost,
-        charged: false,
+        charged: None,
         key,
         prompt,
         fingerprint,
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -1,5 +1,7 @@
 //! The way of a request: its route, the engines that it is sent to, and its end.
 
+mod end;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +28,7 @@
 use crate::settings::Mechanism;
 use crate::state::State;
 use crate::timer::Timer;
+pub(crate) use end::{close, deadline, give_up, gone, leave, waited};
 
 /// How long a request waits for engines in doubt, and for a hub that does not answer.
 const DOUBT_WAIT: Duration = Duration::from_millis(400);
@@ -41,8 +44,8 @@
     pub(crate) workspace: Option<Arc<Workspace>>,
     /// What it counts for its workspace's limit; 0 where there is none.
     pub(crate) cost: f64,
-    /// Whether that was taken from the workspace's credit.
-    pub(crate) charged: bool,
+    /// The workspace from whose credit that was taken, until it is given back.
+    pub(crate) charged: Option<Name>,
     /// The key that it came with.
     pub(crate) key: Option<Digest>,
     pub(crate) prompt: Option<Prompt>,
@@ -114,45 +117,11 @@
             if code == Code::CrashesBackends {
                 crash::refused(state, id, fingerprint, out);
             }
-            reject(state, now, id, code, retry_after, out);
+            end::refuse(state, now, id, Refusal { code, retry_after }, false, out);
         }
     }
 }
 
-/// A request that is refused before it is one.
-fn reject(
-    state: &mut State,
-    now: Time,
-    id: Id,
-    code: Code,
-    retry_after: Option<Duration>,
-    out: &mut Vec<Effect>,
-) {
-    *state.refusals.entry(code).or_default() += 1;
-    if code == Code::KeyUnproven {
-        proof::check(state, now, out);
-    }
-    let refusal = Refusal { code, retry_after };
-    out.push(Effect::Record(refused_record(state, now, id, refusal, false)));
-    out.push(Effect::Step { request: id, step: Step::Refuse(refusal) });
-}
-
-fn refused_record(state: &State, now: Time, id: Id, refusal: Refusal, ran: bool) -> Record {
-    let flow = state.flows.get(&id);
-    let proof = state.proof.age(now).filter(|_| state.needs_keys());
-    Record::Refused {
-        request: id.0,
-        route: flow.map(|flow| flow.route.name.clone()),
-        code: refusal.code.number(),
-        label: refusal.code.label(),
-        outcome: if ran { "unknown" } else { "not-run" },
-        retry_after_ms: refusal.retry_after.map(ms),
-        after_ms: flow.map_or(0, |flow| ms(now.since(flow.arrived))),
-        charge: quota::account(state, now, id),
-        proof_age_ms: proof.map(ms),
-    }
-}
-
 /// Sends a request to an engine, or lets it wait for one, or refuses it. `fresh`: it does not wait yet.
 pub(crate) fn dispatch(state: &mut State, now: Time, id: Id, fresh: bool, out: &mut Vec<Effect>) {
     let Some(flow) = state.flows.get(&id) else {
@@ -163,13 +132,13 @@
         give_up(state, now, id, Code::CrashesBackends, None, out);
         return;
     }
-    // Its key may have been taken away while it waited, or nobody may have said for too long that it was not.
-    if flow.workspace.is_some()
-        && let Err(Refusal { code, retry_after }) = access::recheck(state, now, flow.key)
-    {
+    if let Err(Refusal { code, retry_after }) = access::recheck(state, now, id) {
         give_up(state, now, id, code, retry_after, out);
         return;
     }
+    let Some(flow) = state.flows.get(&id) else {
+        return;
+    };
     let (service, prompt, avoid) = (flow.service.clone(), flow.prompt.clone(), flow.avoid.clone());
     let query = Query {
         service: &service,
@@ -270,6 +239,10 @@
         return;
     };
     let (pick, asked) = (pick.clone(), *asked);
+    if let Err(Refusal { code, retry_after }) = access::recheck(state, now, id) {
+        give_up(state, now, id, code, retry_after, out);
+        return;
+    }
     match grant {
         Grant::After(wait) if is_open(state, now, id, &pick.engine) => {
             send(state, now, id, &pick, wait, out);
@@ -312,6 +285,7 @@
     let config = state.config.as_ref().map_or(0, |config| config.version);
     let silence = state.settings.silence;
     let charge = quota::account(state, now, id);
+    let send_by = proof::until(state);
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
@@ -349,6 +323,7 @@
         priority: flow.priority(),
         streams: flow.route.kind.streams(),
         workspace: flow.workspace.as_ref().map(|workspace| workspace.name.clone()),
+        send_by: send_by.filter(|_| flow.workspace.is_some()),
     };
     state.timers.set(at + silence, Timer::Silence(id, attempt.number));
     out.push(Effect::Step { request: id, step: Step::Send(attempt) });
@@ -404,64 +379,6 @@
     }
 }
 
-/// A request ends without an answer of an engine.
-pub(crate) fn give_up(
-    state: &mut State,
-    now: Time,
-    id: Id,
-    code: Code,
-    retry_after: Option<Duration>,
-    out: &mut Vec<Effect>,
-) {
-    let Some(flow) = state.flows.get(&id) else {
-        return;
-    };
-    let ran = flow.may_have_run || matches!(flow.stage, Stage::Sent { .. });
-    // A code that promises that nothing has run is only for requests that have not.
-    let code = match code {
-        Code::DeadlineUnreachable
-        | Code::NoBackend
-        | Code::RetriesSpent
-        | Code::BackendRefused
-        | Code::CrashesBackends
-        | Code::KeyUnproven
-        | Code::Unauthenticated
-            if ran =>
-        {
-            Code::BackendFailed
-        }
-        code => code,
-    };
-    let retry_after = if ran { None } else { retry_after };
-    let refusal = Refusal { code, retry_after };
-    out.push(Effect::Record(refused_record(state, now, id, refusal, ran)));
-    *state.refusals.entry(code).or_default() += 1;
-    if !ran {
-        quota::refund(state, now, id);
-    }
-    leave(state, id);
-    close(state, id);
-    out.push(Effect::Step { request: id, step: Step::Refuse(refusal) });
-}
-
-/// Takes a request off its engine. Returns the engine and when it was sent there.
-pub(crate) fn leave(state: &mut State, id: Id) -> Option<(Name, Time)> {
-    let flow = state.flows.get_mut(&id)?;
-    let (engine, at, begun) = match std::mem::replace(&mut flow.stage, Stage::Waiting) {
-        Stage::Waiting | Stage::Charging(_) => return None,
-        Stage::Scheduling { pick, .. } => (pick.engine, None, false),
-        Stage::Sent { engine, at, begun } => (engine, Some(at), begun),
-    };
-    let load = flow.load(begun);
-    if let Some(target) = flow.target() {
-        state.demand.ended(&target);
-    }
-    if let Some(known) = state.engines.get_mut(&engine) {
-        known.own = known.own.minus(load);
-    }
-    at.map(|at| (engine, at))
-}
-
 /// Finds other engines for the requests that have a place in an engine's schedule and have not gone out yet: the engine is
 /// to get nothing more.
 pub(crate) fn withdraw(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
@@ -478,54 +395,3 @@
         dispatch(state, now, id, true, out);
     }
 }
-
-/// Forgets a request.
-pub(crate) fn close(state: &mut State, id: Id) {
-    let Some(flow) = state.flows.remove(&id) else {
-        return;
-    };
-    if state.waiting.remove(&id)
-        && let Some(target) = flow.target()
-    {
-        state.demand.waited(&target);
-    }
-}
-
-/// A request's caller is gone.
-pub(crate) fn gone(state: &mut State, now: Time, id: Id) {
-    let ran = |flow: &Flow| flow.may_have_run || matches!(flow.stage, Stage::Sent { .. });
-    if !state.flows.get(&id).is_none_or(ran) {
-        quota::refund(state, now, id);
-    }
-    leave(state, id);
-    close(state, id);
-}
-
-/// A request's deadline has come.
-pub(crate) fn deadline(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
-    let Some(flow) = state.flows.get(&id) else {
-        return;
-    };
-    let ran = flow.may_have_run || matches!(flow.stage, Stage::Sent { .. });
-    let code = if ran { Code::DeadlinePassed } else { Code::DeadlineUnreachable };
-    give_up(state, now, id, code, Some(COME_BACK), out);
-}
-
-/// When a caller may come back that waited in vain. While nobody may give orders, nothing is loaded: callers have one or
-/// two more attempts, and would spend them before anything can have changed. That holds for 57 to 82 in 100 of those that
-/// wait in vain on days with trouble.
-fn come_back(state: &State, now: Time, id: Id) -> Duration {
-    let waits_for_model = state.flows.get(&id).is_some_and(|flow| flow.prompt.is_some());
-    if waits_for_model && !can_load(state, now) {
-        return state.lease.orders_in(now).unwrap_or(state.settings.order_gap) + COME_BACK;
-    }
-    COME_BACK
-}
-
-/// A request has waited for a model or an engine as long as it may.
-pub(crate) fn waited(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
-    if state.waiting.contains(&id) {
-        let come_back = come_back(state, now, id);
-        give_up(state, now, id, Code::NoBackend, Some(come_back), out);
-    }
-}
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -135,7 +135,7 @@
             flow::close(state, id);
             out.push(Effect::Step { request: id, step: Step::Pass });
         }
-        End::Failed | End::Unsent | End::Refused(_) | End::Lost | End::Broken => {
+        End::Failed | End::Unsent | End::Withheld | End::Refused(_) | End::Lost | End::Broken => {
             again(state, now, id, engine, Failure { end, doubted }, out);
         }
     }
@@ -164,7 +164,7 @@
     match end {
         End::Done => engine.share.answered(now, waited, target.saturating_sub(run)),
         End::Refused(Cause::Busy) => engine.share.rejected(now),
-        End::Failed | End::Unsent | End::Lost | End::Broken | End::Refused(_) => {}
+        End::Failed | End::Unsent | End::Withheld | End::Lost | End::Broken | End::Refused(_) => {}
     }
 }
 
@@ -183,6 +183,7 @@
             known.health.heard = now;
             known.health.fail(now, &settings);
         }
+        End::Withheld => {}
         End::Unsent => {
             trust::unreached(state, now, engine, out);
         }
@@ -217,7 +218,7 @@
     let in_time = now + state.settings.reserve < flow.deadline;
     let service = flow.service.clone();
     // An engine that lacks what was asked for may get it: that is kept with the engine, for a while.
-    if end != End::Refused(Cause::Absent) {
+    if !matches!(end, End::Refused(Cause::Absent) | End::Withheld) {
         flow.avoid.push(engine);
     }
     // Where nothing was sent, no engine has had work of it.
@@ -225,7 +226,8 @@
         && !doubted
         && within
         && in_time
-        && (end == End::Unsent || state.budget.repeat(now, &service, nodes, &state.settings));
+        && (matches!(end, End::Unsent | End::Withheld)
+            || state.budget.repeat(now, &service, nodes, &state.settings));
     if allowed {
         *state.retries.entry(end.label()).or_default() += 1;
         flow.stage = Stage::Waiting;
@@ -240,6 +242,7 @@
     let code = match end {
         End::Refused(_) => Code::BackendRefused,
         End::Unsent => Code::RetriesSpent,
+        End::Withheld => Code::KeyUnproven,
         End::Done | End::Failed | End::Lost | End::Broken => Code::BackendFailed,
     };
     flow::give_up(state, now, id, code, Some(Budget::pause(&state.settings)), out);
--- a/fleet/src/proof.rs
+++ b/fleet/src/proof.rs
@@ -34,25 +34,26 @@
     pub fn age(&self, now: Time) -> Option<Duration> {
         self.at.map(|at| now.since(at))
     }
-
-    fn within(&self, now: Time, bound: Duration) -> bool {
-        self.age(now).is_some_and(|age| age < bound)
-    }
 }
 
 /// Answers of the store that a proof outlives: some may be lost or late, and frames pass the proof on.
 const ANSWERS: u32 = 12;
 
+/// Until when keys may be served; none where nothing has to be proved.
+pub(crate) fn until(state: &State) -> Option<Time> {
+    let bound = state.settings.revocation?.saturating_sub(MARGIN);
+    Some(state.proof.at.map_or(Time::default(), |at| at + bound))
+}
+
 /// Whether keys may be served.
 pub(crate) fn holds(state: &State, now: Time) -> bool {
-    let bound = state.settings.revocation.map(|bound| bound.saturating_sub(MARGIN));
-    bound.is_none_or(|bound| state.proof.within(now, bound))
+    until(state).is_none_or(|until| now < until)
 }
 
 /// Whether the proof is so old that the store is to be read here.
 pub(crate) fn is_doubtful(state: &State, now: Time) -> bool {
     let bound = state.settings.revocation.map(|bound| bound.mul_f64(DOUBTFUL));
-    bound.is_some_and(|bound| !state.proof.within(now, bound))
+    bound.is_some_and(|bound| state.proof.age(now).is_none_or(|age| age >= bound))
 }
 
 /// How long the store may wait with its answer for changes of the configuration: an answer proves nothing of the time
--- a/fleet/src/quota/charge.rs
+++ b/fleet/src/quota/charge.rs
@@ -315,18 +315,19 @@
 fn charged(state: &mut State, id: Id) {
     if let Some(flow) = state.flows.get_mut(&id) {
         flow.stage = Stage::Waiting;
-        flow.charged = true;
+        flow.charged = flow.workspace.as_ref().map(|workspace| workspace.name.clone());
     }
 }
 
 /// A request ends that no engine has had: its credit is there for the next one.
 pub(crate) fn refund(state: &mut State, now: Time, id: Id) {
-    let Some((workspace, cost)) = cost(state, id) else {
+    let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
-    if !state.flows.get_mut(&id).is_some_and(|flow| std::mem::take(&mut flow.charged)) {
+    let cost = flow.cost;
+    let Some(workspace) = flow.charged.take() else {
         return;
-    }
+    };
     let Some(purse) = state.quota.purses.get_mut(&workspace) else {
         return;
     };
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -105,6 +105,9 @@
     pub streams: bool,
     /// The workspace that its caller belongs to, for the engine to know; none for callers without a key.
     pub workspace: Option<Name>,
+    /// When it may not be sent any more, since nobody says so long that its caller's key still holds; none where that has not
+    /// to be proved.
+    pub send_by: Option<Time>,
 }
 
 /// What is to be done for a request next.
@@ -145,6 +148,8 @@
     Failed,
     /// No connection could be had: nothing was sent.
     Unsent,
+    /// It was not sent in time ([`Attempt::send_by`]), which says nothing of the engine.
+    Withheld,
     /// The engine says that it did not run the request.
     Refused(Cause),
     /// The connection broke.
@@ -172,6 +177,7 @@
             Self::Done => "done",
             Self::Failed => "failed",
             Self::Unsent => "unsent",
+            Self::Withheld => "withheld",
             Self::Refused(Cause::Busy) => "refused_busy",
             Self::Refused(Cause::Absent) => "refused_absent",
             Self::Refused(Cause::Replaced) => "refused_replaced",
@@ -183,6 +189,6 @@
     /// Whether it proves that the engine did not run the request.
     #[must_use]
     pub const fn proves_not_run(self) -> bool {
-        matches!(self, Self::Unsent | Self::Refused(_))
+        matches!(self, Self::Unsent | Self::Withheld | Self::Refused(_))
     }
 }
--- a/fleet/tests/caller_keys.rs
+++ b/fleet/tests/caller_keys.rs
@@ -7,13 +7,16 @@
 
 use boragecove_core::code::Code;
 use boragecove_core::time::Time;
-use boragecove_fleet::config::{Access, Config, Key, Workspace};
+use boragecove_fleet::config::{Access, Config, Key, Kind, Workspace};
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::frame::Frame;
+use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::key::Digest;
+use boragecove_fleet::lease::Outcome;
+use boragecove_fleet::members::Member;
 use boragecove_fleet::record::Record;
 use boragecove_fleet::request::{Arrival, End, Step};
+use boragecove_fleet::schedule::Grant;
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::update::Update;
 use node::{Node, address, config, entry, hub_row, listing, millis, plain, row};
@@ -49,6 +52,11 @@
     Arrival { key: Some(key(number)), ..plain(path) }
 }
 
+/// A request whose caller waits for as long as its route allows.
+fn patient(path: &str, number: u8) -> Arrival {
+    Arrival { patience: None, ..keyed(path, number) }
+}
+
 fn settings() -> Settings {
     Settings { revocation: Some(BOUND), ..Settings::default() }
 }
@@ -110,7 +118,7 @@
 fn public_routes() {
     let mut node = proven();
     let mut config = guarded(2, access());
-    let mut open = node::route("open", "/open/", boragecove_fleet::config::Kind::Once, node::GATEWAY, 1);
+    let mut open = node::route("open", "/open/", Kind::Once, node::GATEWAY, 1);
     open.public = true;
     config.routes.push(Arc::new(open));
     node.feed(Event::Configured(Arc::new(config)));
@@ -177,7 +185,7 @@
 fn repeats_are_proven() {
     let mut node = proven();
     node.now = node.now + millis(4_600);
-    let (id, attempt) = node.sent(Arrival { patience: Some(Duration::from_secs(9)), ..keyed("/list/1", 1) });
+    let (id, attempt) = node.sent(patient("/list/1", 1));
     node.now = node.now + millis(200);
     let Some(Step::Refuse(refusal)) = node.ended(id, attempt.number, End::Unsent) else {
         panic!("it is sent again without a proof");
@@ -186,7 +194,7 @@
     let (id, attempt) = {
         let now = node.now;
         declared(&mut node, now);
-        node.sent(Arrival { patience: Some(Duration::from_secs(9)), ..keyed("/list/1", 1) })
+        node.sent(patient("/list/1", 1))
     };
     node.now = node.now + millis(4_800);
     let Some(Step::Refuse(refusal)) = node.ended(id, attempt.number, End::Lost) else {
@@ -218,16 +226,28 @@
     assert_eq!(node.state.proof().age(node.now), Some(Duration::ZERO), "an earlier one takes nothing back");
 }
 
-/// The hub's proof is as old as it says, and as the frame that asked for it.
-#[test]
-fn told_by_the_hub() {
-    let mut hub = proven();
+/// An entry VM that knows the configuration and has no proof, and the frame that it sends to the hub.
+fn follower() -> (Node, Frame) {
     let mut node = Node::with("b", settings());
     node.feed(Event::Configured(Arc::new(guarded(1, access()))));
     node.feed(listing(vec![row(3, entry("g1", node::GATEWAY, "zone-a", &[]))], 4, true));
     node.pass(millis(10));
-    node.lease(0, boragecove_fleet::lease::Outcome::Read(Some(hub_row())));
+    node.lease(0, Outcome::Read(Some(hub_row())));
     let frame = frame_of(&node.pass(millis(400))).expect("the hub is asked");
+    (node, frame)
+}
+
+/// The hub's word of another entry VM in this zone, which owns every schedule here.
+fn owned_by_another() -> Reply {
+    let other = Member { vm: "b".into(), zone: "zone-a".into(), address: address(7_002) };
+    Reply { members: Some(vec![other]), nodes: 2, ..Reply::default() }
+}
+
+/// The hub's proof is as old as it says, and as the frame that asked for it.
+#[test]
+fn told_by_the_hub() {
+    let mut hub = proven();
+    let (mut node, frame) = follower();
     assert_eq!(node.refused(keyed("/ack/1", 1)).code, Code::KeyUnproven);
     let sent = node.now;
     hub.now = hub.now + millis(700);
@@ -249,18 +269,99 @@
 fn older_is_not_proved() {
     let mut hub = proven();
     hub.feed(Event::Configured(Arc::new(guarded(7, access()))));
-    let mut node = Node::with("b", settings());
-    node.feed(Event::Configured(Arc::new(guarded(1, access()))));
-    node.feed(listing(vec![row(3, entry("g1", node::GATEWAY, "zone-a", &[]))], 4, true));
-    node.pass(millis(10));
-    node.lease(0, boragecove_fleet::lease::Outcome::Read(Some(hub_row())));
-    let frame = frame_of(&node.pass(millis(400))).expect("the hub is asked");
+    let (mut node, frame) = follower();
     let mut reply = boragecove_fleet::reply(&mut hub.state, hub.now, &frame);
     reply.config = None;
     node.feed(Event::Replied(Some(Box::new(reply))));
     assert_eq!(node.state.proof().age(node.now), None);
 }
 
+/// A prompt waits for its place in the schedule of its engine, and its key is taken away, or nobody says any more that it is not.
+#[test]
+fn proven_after_the_schedule() {
+    for (withdrawn, code) in [(true, Code::Unauthenticated), (false, Code::KeyUnproven)] {
+        let mut node = proven();
+        let rows = vec![row(5, entry("w1", node::WRITER, "zone-a", &["m0"]))];
+        node.feed(listing(rows, 5, false));
+        node.feed(Event::Replied(Some(Box::new(owned_by_another()))));
+        node.now = node.now + millis(4_650);
+        let now = node.now;
+        declared(&mut node, now - millis(4_650));
+        let id = node.arrive(Arrival { key: Some(key(1)), ..node::brief("m0") });
+        assert!(node.effects.iter().any(|effect| matches!(effect, Effect::Ask { .. })), "{:?}", node.effects);
+        node.now = node.now + millis(60);
+        if withdrawn {
+            declared(&mut node, now);
+            node.feed(Event::Configured(Arc::new(guarded(2, Access::default()))));
+        }
+        node.feed(Event::Granted { request: id, grant: Some(Grant::After(Duration::ZERO)) });
+        let Some(Step::Refuse(refusal)) = node.step(id) else {
+            panic!("sent: {:?}", node.effects);
+        };
+        assert_eq!(refusal.code, code);
+    }
+}
+
+/// What is decided says until when it may be carried out: a machine may be suspended between the two. The engine is not at
+/// fault, and the request is sent again once there is a proof.
+#[test]
+fn withheld_is_sent_again() {
+    let mut node = proven();
+    let (id, attempt) = node.sent(patient("/ack/1", 1));
+    let send_by = attempt.send_by.expect("it has to be proved");
+    assert!(send_by.since(node.now) < BOUND && send_by.since(node.now) > BOUND / 2);
+    node.now = send_by;
+    let asked = node.now;
+    declared(&mut node, asked);
+    let Some(Step::Send(again)) = node.ended(id, attempt.number, End::Withheld) else {
+        panic!("{:?}", node.effects);
+    };
+    let suspected = |effect: &Effect| matches!(effect, Effect::Record(Record::Engine { .. }));
+    assert!(!node.effects.iter().any(suspected), "nothing speaks against it: {:?}", node.effects);
+    assert!(again.send_by > Some(send_by));
+    node.now = again.send_by.expect("it has to be proved");
+    let Some(Step::Refuse(refusal)) = node.ended(id, again.number, End::Withheld) else {
+        panic!("{:?}", node.effects);
+    };
+    assert_eq!(refusal.code, Code::KeyUnproven);
+}
+
+/// A key goes to another workspace, or keys come to be needed, while a request waits: it was let in as another's.
+#[test]
+fn let_in_as_anothers() {
+    let mut moved = access();
+    moved.keys = vec![held(1, "homes")];
+    for before in [Some(access()), None] {
+        let mut node = proven();
+        node.feed(Event::Configured(Arc::new(Config { access: before, ..config(2) })));
+        let (id, attempt) = node.sent(keyed("/list/1", 1));
+        node.feed(Event::Configured(Arc::new(guarded(3, moved.clone()))));
+        let Some(Step::Refuse(refusal)) = node.ended(id, attempt.number, End::Unsent) else {
+            panic!("{:?}", node.effects);
+        };
+        assert_eq!(refusal.code, Code::KeyUnproven);
+        assert!(refusal.retry_after.is_some());
+    }
+}
+
+/// On a route that needs no key a request goes on without the key that it had.
+#[test]
+fn public_goes_on() {
+    let mut node = proven();
+    let mut config = guarded(2, access());
+    let mut open = node::route("open", "/open/", Kind::Idempotent, node::GATEWAY, 2);
+    open.public = true;
+    config.routes.push(Arc::new(open));
+    node.feed(Event::Configured(Arc::new(config)));
+    let (id, attempt) = node.sent(patient("/open/1", 1));
+    assert_eq!(attempt.workspace.as_deref(), Some("wards"));
+    node.now = node.now + BOUND;
+    let Some(Step::Send(again)) = node.ended(id, attempt.number, End::Unsent) else {
+        panic!("{:?}", node.effects);
+    };
+    assert_eq!((again.workspace, again.send_by), (None, None));
+}
+
 /// An outage is told once when keys are refused, and once when they are served again.
 #[test]
 fn loss_is_logged_once() {
