--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -22,9 +22,7 @@
 use super::transfer::{Kind, Transfer};
 use crate::clock::Clock;
 
-/// How long the store is asked to wait for changes of the engines' table: short, since a connection may go silent for good.
-const WAIT: Duration = Duration::from_millis(2_100);
-/// Time for an answer to begin beyond that, and then from some bytes of it to the next. The whole may take longer: the
+/// Time for an answer to begin beyond what the store is asked to wait, and then from some bytes of it to the next. The whole may take longer: the
 /// store's form of 4,000 routes has 1 MB, for which a link of 10 Mbit/s takes 0.8 s.
 const ANSWER: Duration = Duration::from_millis(700);
 /// Pause after a failed call, at first; it doubles up to the longest.
@@ -153,7 +151,7 @@
         let Some(version) = self.version else {
             return self.read().await;
         };
-        let wait = if self.answered { self.patience() } else { Duration::ZERO };
+        let wait = if self.answered { self.wait() } else { Duration::ZERO };
         let asked = self.clock.now();
         let Answer { page, took } = self.call(self.table.follow(version, wait), wait + ANSWER).await?;
         self.tell(&page, asked, false)?;
@@ -176,11 +174,12 @@
     }
 
     /// How long the store may wait with its answer for changes.
-    fn patience(&self) -> Duration {
-        match self.table {
-            Table::Operator => self.wanted.borrow().map_or(Duration::ZERO, |follow| follow.patience),
-            Table::Engines => WAIT,
-        }
+    fn wait(&self) -> Duration {
+        let wait = |follow: Follow| match self.table {
+            Table::Operator => follow.wait_config,
+            Table::Engines => follow.wait,
+        };
+        self.wanted.borrow().map_or(Duration::ZERO, wait)
     }
 
     /// Tells the node what a page holds that the store was asked for then. Returns whether a configuration came that had
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -1,35 +1,29 @@
 //! The actor that owns the reducer's state: turns what happens into events and carries effects out.
 
-use std::net::SocketAddr;
+mod calls;
+
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult, ResponseFuture, SpawnHandle};
-use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
-use actix_http::{Method, StatusCode, Uri};
+use actix::{Actor, AsyncContext, Context, Handler, MessageResult, ResponseFuture, SpawnHandle};
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use boragecove_fleet::config::Limits;
-use boragecove_fleet::effect::{Dispatch, Effect, Follow};
-use boragecove_fleet::engine::Incarnation;
+use boragecove_fleet::effect::{Effect, Follow};
 use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
-use boragecove_fleet::lease;
-use boragecove_fleet::notice::{Notice, Start};
-use boragecove_fleet::push;
 use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::request::{Arrival, Id, Step};
 use boragecove_fleet::schedule::{Ask, Grant};
 use boragecove_fleet::state::{Identity, State};
-use boragecove_platform::{engine, front, store};
-use bytes::Bytes;
+use boragecove_platform::front;
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use super::busy;
-use super::client::{Answer, Client, Request};
+use super::client::Client;
 use super::events::Events;
 use super::held::{HOLD, Held};
 use super::log::Log;
@@ -37,18 +31,12 @@
 use super::outlet::Outlet;
 use super::relay::{Content, Relay, Timing};
 use super::settings::Settings;
-use super::transfer::{self, Transfer};
+use super::transfer::Transfer;
 use super::{follow, peers};
 use crate::clock::Clock;
+use calls::later;
+pub(crate) use calls::{store_request, tell_notice};
 
-/// Time for an engine to answer an order; it takes a few ms, and one without an answer is sent again.
-const ORDER_CALL: Duration = Duration::from_millis(200);
-/// Time for an engine to report.
-const REPORT_CALL: Duration = Duration::from_millis(500);
-/// Time for the store to answer a call about the lease: it takes some ms, and a slow one is as good as none.
-const LEASE_CALL: Duration = Duration::from_millis(500);
-/// Bytes of an answer of an engine or of the store about the lease, at most.
-const ANSWER_MAX: usize = 1 << 20;
 /// Time between looks for connections that will not be used again.
 const TIDY_EVERY: Duration = Duration::from_secs(1);
 
@@ -282,130 +270,6 @@
         let wait = at.since(self.clock.now());
         self.wake = Some(ctx.run_later(wait, |node, ctx| node.feed(Event::Wake, ctx)));
     }
-
-    fn frame(&self, address: SocketAddr, frame: &Frame, ctx: &Context<Self>) {
-        let client = Rc::clone(&self.client);
-        let sending = peers::send(client, ctx.address(), address, frame, self.settings.frame);
-        later(ctx, async move { Event::Replied(sending.await.map(Box::new)) });
-    }
-
-    fn push(&self, address: SocketAddr, message: Box<push::Message>, ctx: &Context<Self>) {
-        let (client, node) = (Rc::clone(&self.client), ctx.address());
-        actix_rt::spawn(async move {
-            if !peers::push(&client, address, &message).await {
-                node.do_send(Feed(Event::Missed(message)));
-            }
-        });
-    }
-
-    fn lease(&self, call: lease::Call, ctx: &Context<Self>) {
-        let (client, address, node) = (Rc::clone(&self.client), self.settings.store, ctx.address());
-        later(ctx, async move {
-            let request = store_request(store::lease(&call));
-            let since = Instant::now();
-            let unknown = lease::Answer { store_ms: None, outcome: lease::Outcome::Unknown };
-            let called = client.call(address, request, ANSWER_MAX, since + LEASE_CALL).await;
-            node.do_send(Transferred(Transfer::of_short(transfer::Kind::Lease, since, &called)));
-            let answer = match called {
-                Ok(Answer { status, body, .. }) => store::leased(&call, status.as_u16(), &body)
-                    .unwrap_or_else(|error| {
-                        tracing::warn!(%error, "the store's answer about the lease");
-                        unknown
-                    }),
-                Err(error) => {
-                    tracing::debug!(%error, "no answer about the lease");
-                    unknown
-                }
-            };
-            Event::Lease(answer)
-        });
-    }
-
-    fn order(&self, dispatch: &Dispatch, ctx: &Context<Self>) {
-        let client = Rc::clone(&self.client);
-        let (name, address) = (dispatch.engine.clone(), dispatch.address);
-        let incarnation = dispatch.incarnation;
-        let mut headers = front::meant_for(&dispatch.engine);
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let body = engine::order(dispatch, &self.settings.vm);
-        let request =
-            Request { method: Method::POST, target: Uri::from_static(engine::ORDER_PATH), headers, body };
-        let node = ctx.address();
-        later(ctx, async move {
-            let until = Instant::now() + ORDER_CALL;
-            let receipt = match client.call(address, request, ANSWER_MAX, until).await {
-                Ok(answer) => {
-                    let from = Start { engine: name.clone(), incarnation };
-                    tell_notice(&node, from, answer.status, &answer.headers);
-                    engine::receipt(answer.status.as_u16())
-                }
-                Err(error) => {
-                    tracing::debug!(engine = %name, %error, "order not answered");
-                    None
-                }
-            };
-            Event::Ordered { engine: name, incarnation, receipt }
-        });
-    }
-
-    fn report(&self, name: Name, incarnation: Incarnation, address: SocketAddr, ctx: &Context<Self>) {
-        let (client, node) = (Rc::clone(&self.client), ctx.address());
-        let request = Request {
-            method: Method::GET,
-            target: Uri::from_static(engine::REPORT_PATH),
-            headers: front::meant_for(&name),
-            body: Bytes::new(),
-        };
-        later(ctx, async move {
-            let until = Instant::now() + REPORT_CALL;
-            let called = client.call(address, request, ANSWER_MAX, until).await;
-            if let Ok(answer) = &called {
-                let from = Start { engine: name.clone(), incarnation };
-                tell_notice(&node, from, answer.status, &answer.headers);
-            }
-            let report = match called {
-                Ok(Answer { status, body, .. }) if status.is_success() => engine::report(&body)
-                    .inspect_err(|error| tracing::warn!(engine = %name, %error, "report not read"))
-                    .ok(),
-                Ok(Answer { status, .. }) => {
-                    tracing::debug!(engine = %name, %status, "report refused");
-                    None
-                }
-                Err(error) => {
-                    tracing::debug!(engine = %name, %error, "no report");
-                    None
-                }
-            };
-            Event::Reported { engine: name, report }
-        });
-    }
-}
-
-/// A call of the store as a request.
-pub(crate) fn store_request(call: store::Call) -> Request {
-    let mut headers = HeaderMap::new();
-    let method = if call.body.is_some() {
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        Method::POST
-    } else {
-        Method::GET
-    };
-    let target = call.target.parse().unwrap_or_else(|_invalid| Uri::from_static("/"));
-    Request { method, target, headers, body: call.body.unwrap_or_default() }
-}
-
-/// Tells the node what an engine's answer says of the engine, if it says anything.
-pub(crate) fn tell_notice(node: &Addr<Node>, from: Start, status: StatusCode, headers: &HeaderMap) {
-    let notice = front::notice(status, headers);
-    if notice != Notice::default() {
-        node.do_send(Feed(Event::Noticed { from, notice }));
-    }
-}
-
-/// Runs `work` beside the node and feeds the event that comes of it.
-fn later(ctx: &Context<Node>, work: impl Future<Output = Event> + 'static) {
-    let node: Addr<Node> = ctx.address();
-    actix_rt::spawn(async move { node.do_send(Feed(work.await)) });
 }
 
 impl Handler<Feed> for Node {
--- /dev/null
+++ b/daemon/src/entry/node/calls.rs
@@ -0,0 +1,167 @@
+//! The node's calls: the hub, other entry VMs, engines and the store. Each runs beside the node, and what comes of it is fed as an
+//! event.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Addr, AsyncContext, Context};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use actix_http::{Method, StatusCode, Uri};
+use boragecove_core::name::Name;
+use boragecove_fleet::effect::Dispatch;
+use boragecove_fleet::engine::Incarnation;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::Frame;
+use boragecove_fleet::lease;
+use boragecove_fleet::notice::{Notice, Start};
+use boragecove_fleet::push;
+use boragecove_platform::{engine, front, store};
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::{Feed, Node, Transferred};
+use crate::entry::client::{Answer, Request};
+use crate::entry::peers;
+use crate::entry::transfer::{self, Transfer};
+
+/// Time for an engine to answer an order; it takes a few ms, and one without an answer is sent again.
+const ORDER_CALL: Duration = Duration::from_millis(200);
+/// Time for an engine to report.
+const REPORT_CALL: Duration = Duration::from_millis(500);
+/// Time for the store to answer a call about the lease: it takes some ms, and a slow one is as good as none.
+const LEASE_CALL: Duration = Duration::from_millis(500);
+/// Bytes of an answer of an engine or of the store about the lease, at most.
+const ANSWER_MAX: usize = 1 << 20;
+
+impl Node {
+    pub(super) fn frame(&self, address: SocketAddr, frame: &Frame, ctx: &Context<Self>) {
+        let client = Rc::clone(&self.client);
+        let sending = peers::send(client, ctx.address(), address, frame, self.settings.frame);
+        later(ctx, async move { Event::Replied(sending.await.map(Box::new)) });
+    }
+
+    pub(super) fn push(&self, address: SocketAddr, message: Box<push::Message>, ctx: &Context<Self>) {
+        let (client, node) = (Rc::clone(&self.client), ctx.address());
+        actix_rt::spawn(async move {
+            if !peers::push(&client, address, &message).await {
+                node.do_send(Feed(Event::Missed(message)));
+            }
+        });
+    }
+
+    pub(super) fn lease(&self, call: lease::Call, ctx: &Context<Self>) {
+        let (client, address, node) = (Rc::clone(&self.client), self.settings.store, ctx.address());
+        later(ctx, async move {
+            let request = store_request(store::lease(&call));
+            let since = Instant::now();
+            let unknown = lease::Answer { store_ms: None, outcome: lease::Outcome::Unknown };
+            let called = client.call(address, request, ANSWER_MAX, since + LEASE_CALL).await;
+            node.do_send(Transferred(Transfer::of_short(transfer::Kind::Lease, since, &called)));
+            let answer = match called {
+                Ok(Answer { status, body, .. }) => store::leased(&call, status.as_u16(), &body)
+                    .unwrap_or_else(|error| {
+                        tracing::warn!(%error, "the store's answer about the lease");
+                        unknown
+                    }),
+                Err(error) => {
+                    tracing::debug!(%error, "no answer about the lease");
+                    unknown
+                }
+            };
+            Event::Lease(answer)
+        });
+    }
+
+    pub(super) fn order(&self, dispatch: &Dispatch, ctx: &Context<Self>) {
+        let client = Rc::clone(&self.client);
+        let (name, address) = (dispatch.engine.clone(), dispatch.address);
+        let incarnation = dispatch.incarnation;
+        let mut headers = front::meant_for(&dispatch.engine);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let body = engine::order(dispatch, &self.settings.vm);
+        let request =
+            Request { method: Method::POST, target: Uri::from_static(engine::ORDER_PATH), headers, body };
+        let node = ctx.address();
+        later(ctx, async move {
+            let until = Instant::now() + ORDER_CALL;
+            let receipt = match client.call(address, request, ANSWER_MAX, until).await {
+                Ok(answer) => {
+                    let from = Start { engine: name.clone(), incarnation };
+                    tell_notice(&node, from, answer.status, &answer.headers);
+                    engine::receipt(answer.status.as_u16())
+                }
+                Err(error) => {
+                    tracing::debug!(engine = %name, %error, "order not answered");
+                    None
+                }
+            };
+            Event::Ordered { engine: name, incarnation, receipt }
+        });
+    }
+
+    pub(super) fn report(
+        &self,
+        name: Name,
+        incarnation: Incarnation,
+        address: SocketAddr,
+        ctx: &Context<Self>,
+    ) {
+        let (client, node) = (Rc::clone(&self.client), ctx.address());
+        let request = Request {
+            method: Method::GET,
+            target: Uri::from_static(engine::REPORT_PATH),
+            headers: front::meant_for(&name),
+            body: Bytes::new(),
+        };
+        later(ctx, async move {
+            let until = Instant::now() + REPORT_CALL;
+            let called = client.call(address, request, ANSWER_MAX, until).await;
+            if let Ok(answer) = &called {
+                let from = Start { engine: name.clone(), incarnation };
+                tell_notice(&node, from, answer.status, &answer.headers);
+            }
+            let report = match called {
+                Ok(Answer { status, body, .. }) if status.is_success() => engine::report(&body)
+                    .inspect_err(|error| tracing::warn!(engine = %name, %error, "report not read"))
+                    .ok(),
+                Ok(Answer { status, .. }) => {
+                    tracing::debug!(engine = %name, %status, "report refused");
+                    None
+                }
+                Err(error) => {
+                    tracing::debug!(engine = %name, %error, "no report");
+                    None
+                }
+            };
+            Event::Reported { engine: name, report }
+        });
+    }
+}
+
+/// A call of the store as a request.
+pub(crate) fn store_request(call: store::Call) -> Request {
+    let mut headers = HeaderMap::new();
+    let method = if call.body.is_some() {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Method::POST
+    } else {
+        Method::GET
+    };
+    let target = call.target.parse().unwrap_or_else(|_invalid| Uri::from_static("/"));
+    Request { method, target, headers, body: call.body.unwrap_or_default() }
+}
+
+/// Tells the node what an engine's answer says of the engine, if it says anything.
+pub(crate) fn tell_notice(node: &Addr<Node>, from: Start, status: StatusCode, headers: &HeaderMap) {
+    let notice = front::notice(status, headers);
+    if notice != Notice::default() {
+        node.do_send(Feed(Event::Noticed { from, notice }));
+    }
+}
+
+/// Runs `work` beside the node and feeds the event that comes of it.
+pub(super) fn later(ctx: &Context<Node>, work: impl Future<Output = Event> + 'static) {
+    let node: Addr<Node> = ctx.address();
+    actix_rt::spawn(async move { node.do_send(Feed(work.await)) });
+}
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix::Addr;
+use actix::{Addr, MailboxError};
 use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode, Uri};
 use actix_web::HttpResponse;
@@ -74,11 +74,7 @@
     address: SocketAddr,
     ask: &Ask,
 ) -> impl Future<Output = Option<Grant>> + use<> {
-    let request = post(SCHEDULE, ask);
-    async move {
-        let called = client.call(address, request, ASK_MAX, Instant::now() + ASK_LIMIT).await;
-        read(called.map(|answer| (answer.status, answer.body)))
-    }
+    question(client, address, SCHEDULE, ask, ASK_LIMIT)
 }
 
 /// Asks a holder of a share of a workspace's limit for credit. Returns its answer, or none if none came in time.
@@ -87,11 +83,7 @@
     address: SocketAddr,
     draw: &Draw,
 ) -> impl Future<Output = Option<Credit>> + use<> {
-    let request = post(QUOTA, draw);
-    async move {
-        let called = client.call(address, request, ASK_MAX, Instant::now() + ASK_LIMIT).await;
-        read(called.map(|answer| (answer.status, answer.body)))
-    }
+    question(client, address, QUOTA, draw, ASK_LIMIT)
 }
 
 /// Asks another entry VM how the port of an engine answers there. Returns none if it did not answer, or does not know the
@@ -101,9 +93,20 @@
     address: SocketAddr,
     engine: &Name,
 ) -> impl Future<Output = Option<Reach>> + use<> {
-    let request = post(REACH, engine);
+    question(client, address, REACH, engine, REACH_LIMIT)
+}
+
+/// Asks another entry VM something small. Returns its answer, or none if none came within `limit`.
+fn question<Q: Serialize, A: DeserializeOwned>(
+    client: Rc<Client>,
+    address: SocketAddr,
+    path: &'static str,
+    question: &Q,
+    limit: Duration,
+) -> impl Future<Output = Option<A>> + use<Q, A> {
+    let request = post(path, question);
     async move {
-        let called = client.call(address, request, ASK_MAX, Instant::now() + REACH_LIMIT).await;
+        let called = client.call(address, request, ASK_MAX, Instant::now() + limit).await;
         read(called.map(|answer| (answer.status, answer.body)))
     }
 }
@@ -161,21 +164,23 @@
 }
 
 async fn asked(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
-    let Some(ask) = decode::<Ask>(&body) else {
-        return HttpResponse::BadRequest().finish();
-    };
-    match node.send(Place(ask)).await {
-        Ok(grant) => HttpResponse::Ok().body(rmp_serde::to_vec(&grant).unwrap_or_default()),
-        Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
+    match decode::<Ask>(&body) {
+        Some(ask) => answer(node.send(Place(ask)).await),
+        None => HttpResponse::BadRequest().finish(),
     }
 }
 
 async fn drawn(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
-    let Some(draw) = decode::<Draw>(&body) else {
-        return HttpResponse::BadRequest().finish();
-    };
-    match node.send(Spend(draw)).await {
-        Ok(credit) => HttpResponse::Ok().body(rmp_serde::to_vec(&credit).unwrap_or_default()),
+    match decode::<Draw>(&body) {
+        Some(draw) => answer(node.send(Spend(draw)).await),
+        None => HttpResponse::BadRequest().finish(),
+    }
+}
+
+/// The node's answer to another entry VM.
+fn answer(answer: Result<impl Serialize, MailboxError>) -> HttpResponse {
+    match answer {
+        Ok(answer) => HttpResponse::Ok().body(rmp_serde::to_vec(&answer).unwrap_or_default()),
         Err(_node_is_gone) => HttpResponse::ServiceUnavailable().finish(),
     }
 }
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -109,8 +109,10 @@
     pub listed: u64,
     /// The store's version up to which the operator's table is known; 0 if it is not.
     pub declared: u64,
-    /// How long the store may wait with its answer for changes of the operator's table.
-    pub patience: Duration,
+    /// How long the store may wait with its answer for changes of the engines' table,
+    pub wait: Duration,
+    /// and for changes of the operator's.
+    pub wait_config: Duration,
     /// Time from one answer to the next call: changes that come together are read together.
     pub pause: Duration,
 }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -163,8 +163,8 @@
     let follows = pause(state, now);
     if follows != state.follows {
         state.follows = follows;
-        let patience = proof::patience(&state.settings, CHANGES_WAIT);
-        let how = |pause| Follow { listed: state.listed, declared: state.declared, patience, pause };
+        let (wait, wait_config) = (CHANGES_WAIT, proof::patience(&state.settings, CHANGES_WAIT));
+        let how = |pause| Follow { listed: state.listed, declared: state.declared, wait, wait_config, pause };
         out.push(Effect::Follow(follows.map(how)));
     }
 }
--- a/fleet/src/quota.rs
+++ b/fleet/src/quota.rs
@@ -26,7 +26,7 @@
 pub use allocator::{Holder, Lapsed, Outstanding, Unheard};
 use bucket::{Bucket, Rate, Size};
 use charge::Purse;
-pub(crate) use charge::{Asking, account, again, answered, charge, refund};
+pub(crate) use charge::{Answer, Asking, account, again, answered, charge, refund};
 use lead::Owners;
 pub(crate) use lead::{allot, begin, end, inherit, named, outstanding, propose, renew_own};
 pub use message::{Allotment, Credit, Draw, Held, Report, WHOLE};
--- a/fleet/src/quota/charge.rs
+++ b/fleet/src/quota/charge.rs
@@ -63,6 +63,13 @@
     shorts: usize,
 }
 
+/// What came of a question.
+pub(crate) struct Answer {
+    pub(crate) workspace: Name,
+    /// None if the holder could not be reached.
+    pub(crate) credit: Option<Credit>,
+}
+
 impl Purse {
     /// Credit that is there.
     fn left(&self, now: Time) -> f64 {
@@ -165,7 +172,8 @@
     }
     if mine {
         let credit = draw(state, now, &question);
-        return drawn(state, now, id, &question.workspace, Some(credit), out);
+        let answer = Answer { workspace: question.workspace, credit: Some(credit) };
+        return drawn(state, now, id, answer, out);
     }
     out.push(Effect::Draw { address, request: id, draw: question });
     false
@@ -227,15 +235,8 @@
 }
 
 /// A holder answered, or did not.
-pub(crate) fn answered(
-    state: &mut State,
-    now: Time,
-    id: Id,
-    workspace: &Name,
-    credit: Option<Credit>,
-    out: &mut Vec<Effect>,
-) {
-    if drawn(state, now, id, workspace, credit, out) {
+pub(crate) fn answered(state: &mut State, now: Time, id: Id, answer: Answer, out: &mut Vec<Effect>) {
+    if drawn(state, now, id, answer, out) {
         flow::dispatch(state, now, id, true, out);
     }
 }
@@ -252,23 +253,17 @@
 }
 
 /// Takes over what a holder said. True if the request may go on.
-fn drawn(
-    state: &mut State,
-    now: Time,
-    id: Id,
-    workspace: &Name,
-    credit: Option<Credit>,
-    out: &mut Vec<Effect>,
-) -> bool {
+fn drawn(state: &mut State, now: Time, id: Id, answer: Answer, out: &mut Vec<Effect>) -> bool {
+    let Answer { workspace, credit } = answer;
     *state.quota.draws.entry(credit.map_or("silent", Credit::label)).or_default() += 1;
     if let Some(Credit::Given(units)) = credit {
-        keep(state, now, workspace, units);
+        keep(state, now, &workspace, units);
     }
     let Some(Stage::Charging(mut asking)) = state.flows.get(&id).map(|flow| flow.stage.clone()) else {
         return false;
     };
     match credit {
-        Some(Credit::Given(_)) if spend(state, now, id, workspace) => return true,
+        Some(Credit::Given(_)) if spend(state, now, id, &workspace) => return true,
         // It counts more than one holder ever has, or others have spent some meanwhile.
         Some(Credit::Given(_)) => {
             asking.short.get_or_insert(SHORT_MAX);
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -99,7 +99,7 @@
         Event::Missed(message) => push::missed(state, &message, out),
         Event::Granted { request, grant } => flow::granted(state, now, request, grant, out),
         Event::Drawn { request, workspace, credit } => {
-            quota::answered(state, now, request, &workspace, credit, out);
+            quota::answered(state, now, request, quota::Answer { workspace, credit }, out);
         }
         Event::Lease(answer) => lease::answered(state, now, answer, out),
         Event::Ordered { engine, incarnation, receipt } => {
--- a/fleet/tests/caller_keys.rs
+++ b/fleet/tests/caller_keys.rs
@@ -390,11 +390,11 @@
 fn store_answers_in_time() {
     let mut node = proven();
     let effects = node.pass(Duration::from_secs(2));
-    let patience = effects.iter().find_map(|effect| match effect {
-        Effect::Follow(Some(follow)) => Some(follow.patience),
+    let wait = effects.iter().find_map(|effect| match effect {
+        Effect::Follow(Some(follow)) => Some(follow.wait_config),
         _ => None,
     });
-    assert!(patience.is_some_and(|patience| patience * 4 < BOUND), "{patience:?}");
+    assert!(wait.is_some_and(|wait| wait * 4 < BOUND), "{wait:?}");
 }
 
 /// One key of 5,000 workspaces changes: what is sent is that key, and not all of them.
