Give nothing for questions that ask for less than nothing, and keep nothing for requests that are gone

Questions are cleaned, a request looks at the credit here first, and what is kept is trimmed in each case.

--- a/fleet/src/quota.rs
+++ b/fleet/src/quota.rs
@@ -188,8 +188,10 @@
     if holding.until <= now {
         return Credit::NotHere;
     }
-    holding.asked.add(now, draw.asked);
-    match holding.bucket.take(draw.cost, draw.ahead, size) {
+    // Nothing that is asked for fills a bucket, whatever it says.
+    let wanted = |units: f64| units.max(0.0);
+    holding.asked.add(now, wanted(draw.asked));
+    match holding.bucket.take(wanted(draw.cost), wanted(draw.ahead), size) {
         Ok(given) => Credit::Given(given),
         Err(wait) => Credit::Short(wait),
     }
--- a/fleet/src/quota/charge.rs
+++ b/fleet/src/quota/charge.rs
@@ -154,6 +154,10 @@
     let Some((workspace, cost)) = cost(state, id) else {
         return true;
     };
+    // Something may have come in for another request meanwhile.
+    if spend(state, now, id, &workspace) {
+        return true;
+    }
     let Some((holder, address)) = next_holder(state, now, &workspace, asking.tried) else {
         nobody(state, now, id, asking, out);
         return false;
@@ -260,13 +264,14 @@
         keep(state, now, &workspace, units);
     }
     let Some(Stage::Charging(mut asking)) = state.flows.get(&id).map(|flow| flow.stage.clone()) else {
+        trim(state, now, &workspace);
         return false;
     };
     match credit {
         Some(Credit::Given(_)) if spend(state, now, id, &workspace) => return true,
-        // It counts more than one holder ever has, or others have spent some meanwhile.
+        // It counts more than one holder ever has.
         Some(Credit::Given(_)) => {
-            asking.short.get_or_insert(SHORT_MAX);
+            asking.short.get_or_insert_with(|| time_for_the_rest(state, now, id));
             asking.tried += 1;
         }
         Some(Credit::Short(wait)) => {
@@ -289,6 +294,23 @@
     ask(state, now, id, &asking, out)
 }
 
+/// Time in which all holders together get what a request lacks.
+fn time_for_the_rest(state: &State, now: Time, id: Id) -> Duration {
+    let Some((workspace, cost)) = cost(state, id) else {
+        return SHORT_MAX;
+    };
+    let left = state.quota.purses.get(&workspace).map_or(0.0, |purse| purse.left(now));
+    let limit = limit_of(state, &workspace);
+    limit.map_or(SHORT_MAX, |limit| size(&limit, &state.settings).time_for(cost - left))
+}
+
+/// A request that credit was asked for is no more: what came of that is kept for others, within bounds.
+fn trim(state: &mut State, now: Time, workspace: &Name) {
+    if let Some(purse) = state.quota.purses.get_mut(workspace) {
+        purse.trim(now);
+    }
+}
+
 /// Credit is there to be spent.
 fn keep(state: &mut State, now: Time, workspace: &Name, units: f64) {
     let purse = state.quota.purses.entry(workspace.clone()).or_default();
@@ -321,6 +343,9 @@
     };
     let cost = flow.cost;
     let Some(workspace) = flow.charged.take() else {
+        if let Some(workspace) = flow.workspace.as_ref().map(|workspace| workspace.name.clone()) {
+            trim(state, now, &workspace);
+        }
         return;
     };
     let Some(purse) = state.quota.purses.get_mut(&workspace) else {
--- a/fleet/tests/workspace_limits.rs
+++ b/fleet/tests/workspace_limits.rs
@@ -14,6 +14,7 @@
 use boragecove_fleet::config::{Access, Config, Key, Limit, Unit, Workspace};
 use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::key::Digest;
+use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::request::Arrival;
 use boragecove_fleet::settings::Settings;
 use node::{GATEWAY, entry, plain, row};
@@ -188,6 +189,42 @@
     }
 }
 
+/// A request that counts more than any one holder ever has draws from several; one that counts more than may come at once at all is
+/// refused at once, and its caller is not told to come back.
+#[test]
+fn large_requests() {
+    let mut world = started(62, 10);
+    for (cost, refused) in [(4_000, None), (4_500, Some(Code::OverQuota))] {
+        world.pass(Duration::from_secs(6));
+        let arrival = Arrival { key: Some(digest(0)), tokens: Some(cost), ..plain("/ack/1") };
+        let begin = world.now;
+        world.arrive(7, &name(0), cost as f64, arrival);
+        world.pass(Duration::from_millis(400));
+        let done = world.outcomes.last().expect("it ended");
+        assert_eq!(done.refused, refused, "{cost}");
+        assert!(refused.is_none() || done.at.since(begin) < Duration::from_millis(20));
+    }
+}
+
+/// Whatever a question says, nothing comes of it that was not there.
+#[test]
+fn hostile_questions() {
+    let mut world = started(3, 11);
+    world.pass(Duration::from_secs(6));
+    let mut given = 0.0;
+    for at in 0..world.len() {
+        for cost in [f64::NAN, -1e9, 0.0, f64::INFINITY, 1e12, 1e12] {
+            let draw = Draw { workspace: name(0), cost, ahead: f64::INFINITY, asked: f64::NAN };
+            if let Credit::Given(units) = world.draw(at, &draw) {
+                assert!(units >= 0.0, "{units}");
+                given += units;
+            }
+        }
+    }
+    let limit = per_s(0) * (WINDOW.as_secs_f64() + 1.0);
+    assert!(given <= limit * OVERAGE + SLACK, "{given}");
+}
+
 /// One workspace sends eight times its usual; it gets its limit, and the others lose nothing.
 #[test]
 fn hot_workspace() {
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -243,6 +243,11 @@
         }
     }
 
+    /// An entry VM is asked for credit.
+    pub fn draw(&mut self, at: usize, draw: &Draw) -> Credit {
+        boragecove_fleet::credit(&mut self.vms[at].state, self.now, draw)
+    }
+
     /// A request arrives at an entry VM that runs.
     pub fn arrive(&mut self, at: usize, workspace: &Name, cost: f64, arrival: Arrival) {
         if !self.vms[at].running {
