--- a/fleet/src/quota.rs
+++ b/fleet/src/quota.rs
@@ -25,7 +25,7 @@
 use allocator::Allocator;
 pub use allocator::{Holder, Lapsed, Outstanding, Unheard};
 use bucket::{Bucket, Rate, Size};
-use charge::Purse;
+use charge::Balance;
 pub(crate) use charge::{Answer, Asking, account, again, answered, charge, refund};
 use lead::Owners;
 pub(crate) use lead::{allot, begin, end, inherit, named, outstanding, propose, renew_own};
@@ -53,7 +53,7 @@
     /// Shares held here.
     holdings: BTreeMap<Name, Holding>,
     /// Credit to be spent here.
-    purses: FxHashMap<Name, Purse>,
+    balances: FxHashMap<Name, Balance>,
     /// As the leader: who owns what, by the lease's row as it was written last.
     written: Owners,
     /// The same by the row that is written next.
@@ -80,7 +80,7 @@
             allocator: None,
             inherited: Outstanding::default(),
             holdings: BTreeMap::new(),
-            purses: FxHashMap::default(),
+            balances: FxHashMap::default(),
             written: Owners::default(),
             proposed: Owners::default(),
             draws: BTreeMap::new(),
@@ -153,7 +153,7 @@
 /// Other routes and workspaces are in force: what is kept of workspaces that are gone goes too.
 pub(crate) fn configured(state: &mut State) {
     let State { quota, routes, .. } = state;
-    quota.purses.retain(|workspace, _| routes.workspace(workspace).is_some());
+    quota.balances.retain(|workspace, _| routes.workspace(workspace).is_some());
 }
 
 /// The leader has answered a frame that was sent then: these shares are held, and no others.
--- a/fleet/src/quota/allocator.rs
+++ b/fleet/src/quota/allocator.rs
@@ -72,7 +72,7 @@
 
 /// A share that may be held.
 #[derive(Clone, Copy, Debug)]
-struct Out {
+struct Share {
     parts: u32,
     until: Time,
     asked_per_s: f64,
@@ -95,7 +95,7 @@
 pub(crate) struct Allocator {
     accounts: BTreeMap<Name, Account>,
     /// By workspace, by entry VM.
-    out: FxHashMap<Name, BTreeMap<Name, Out>>,
+    shares: FxHashMap<Name, BTreeMap<Name, Share>>,
     /// Entry VMs that may hold shares of any limit by the word of leaders before, and have not said so or otherwise; until when.
     unheard: BTreeMap<Name, Time>,
     /// Entry VMs to which the leader before may have given shares of which they were the owners among all of these.
@@ -117,7 +117,7 @@
             before.lapsed.iter().map(|lapsed| (lapsed.workspace, (lapsed.parts, at(lapsed.until_ms))));
         Self {
             accounts: BTreeMap::new(),
-            out: FxHashMap::default(),
+            shares: FxHashMap::default(),
             unheard: before.unheard.iter().map(|vm| (vm.vm.clone(), at(vm.until_ms))).collect(),
             before: before.holders.clone(),
             silent: before.holders.iter().map(|holder| holder.vm.clone()).collect(),
@@ -142,19 +142,19 @@
 
     /// Forgets shares whose time is over, and entry VMs that hold none and are not among `known`.
     pub(crate) fn tidy(&mut self, now: Time, known: &FxHashSet<Name>) {
-        let Self { accounts, out, .. } = self;
-        out.retain(|_, held| {
+        let Self { accounts, shares, .. } = self;
+        shares.retain(|_, held| {
             held.retain(|_, held| held.until > now);
             !held.is_empty()
         });
-        let holds = |vm: &Name| out.values().any(|held| held.contains_key(vm));
+        let holds = |vm: &Name| shares.values().any(|held| held.contains_key(vm));
         accounts.retain(|vm, _| known.contains(vm) || holds(vm));
     }
 
     /// Parts that may be held by others than those that are to own them, and until when, by the hash of the workspace.
     fn lapsed(&self, now: Time, proposed: &Owners) -> BTreeMap<u32, (u32, Time)> {
         let mut lapsed = self.lapsed.clone();
-        for (workspace, out) in &self.out {
+        for (workspace, out) in &self.shares {
             for (_, held) in out.iter().filter(|(vm, _)| !proposed.owns(vm, workspace)) {
                 let (parts, until) = lapsed.entry(hash(workspace)).or_default();
                 *parts = parts.saturating_add(held.parts).min(WHOLE);
@@ -218,13 +218,13 @@
         let held = report.shares.iter().map(|held| held.workspace.clone()).collect();
         let before = std::mem::replace(&mut account.workspaces, held);
         for workspace in before {
-            if let Some(out) = self.out.get_mut(&workspace) {
+            if let Some(out) = self.shares.get_mut(&workspace) {
                 out.remove(vm);
             }
         }
         for Held { workspace, parts, asked_per_s } in &report.shares {
-            let held = Out { parts: *parts, until: now + LEASE, asked_per_s: *asked_per_s };
-            self.out.entry(workspace.clone()).or_default().insert(vm.clone(), held);
+            let held = Share { parts: *parts, until: now + LEASE, asked_per_s: *asked_per_s };
+            self.shares.entry(workspace.clone()).or_default().insert(vm.clone(), held);
         }
         self.unheard.remove(vm);
         self.silent.remove(vm);
@@ -234,7 +234,7 @@
     /// Parts of a workspace's limit that an entry VM may hold from now on.
     fn allot(&mut self, now: Time, vm: &Name, workspace: &Name, owners: usize) -> u32 {
         let doubtful = self.is_doubtful(now, workspace);
-        let out = self.out.entry(workspace.clone()).or_default();
+        let out = self.shares.entry(workspace.clone()).or_default();
         out.retain(|_, held| held.until > now);
         let mine = out.get(vm).copied();
         let held = mine.map_or(0, |held| held.parts);
@@ -255,7 +255,7 @@
         let kept = parts.max(held);
         if kept > 0 {
             let until = now + LEASE;
-            out.insert(vm.clone(), Out { parts: kept, until, asked_per_s: asked_here });
+            out.insert(vm.clone(), Share { parts: kept, until, asked_per_s: asked_here });
             if let Some(account) = self.accounts.get_mut(vm) {
                 account.workspaces.insert(workspace.clone());
             }
--- a/fleet/src/quota/charge.rs
+++ b/fleet/src/quota/charge.rs
@@ -36,7 +36,7 @@
 
 /// Credit of a workspace that is to be spent here, and who is asked for more.
 #[derive(Debug, Default)]
-pub(super) struct Purse {
+pub(super) struct Balance {
     credit: f64,
     until: Time,
     /// What requests are let in here: as much is drawn ahead for.
@@ -58,9 +58,9 @@
     holder: Option<Name>,
     /// How many holders were asked before.
     tried: usize,
-    /// The shortest time that any of them told, and how many told one.
-    short: Option<Duration>,
-    shorts: usize,
+    /// The shortest wait that any of them told, and how many told one.
+    wait: Option<Duration>,
+    waits: usize,
 }
 
 /// What came of a question.
@@ -70,7 +70,7 @@
     pub(crate) credit: Option<Credit>,
 }
 
-impl Purse {
+impl Balance {
     /// Credit that is there.
     fn left(&self, now: Time) -> f64 {
         if self.until > now { self.credit } else { 0.0 }
@@ -115,10 +115,10 @@
         flow::give_up(state, now, id, Code::OverQuota, None, out);
         return false;
     }
-    let purse = state.quota.purses.entry(workspace).or_default();
-    purse.unsaid += cost;
-    let short = purse.short.filter(|(until, _)| *until > now);
-    if purse.spend(now, cost) {
+    let balance = state.quota.balances.entry(workspace).or_default();
+    balance.unsaid += cost;
+    let short = balance.short.filter(|(until, _)| *until > now);
+    if balance.spend(now, cost) {
         charged(state, id);
         return true;
     }
@@ -140,12 +140,12 @@
 pub(crate) fn account(state: &State, now: Time, id: Id) -> Option<Charge> {
     let flow = state.flows.get(&id)?;
     let workspace = flow.workspace.as_ref()?;
-    let purse = state.quota.purses.get(&workspace.name).filter(|purse| purse.until > now);
+    let balance = state.quota.balances.get(&workspace.name).filter(|balance| balance.until > now);
     Some(Charge {
         workspace: workspace.name.clone(),
         cost: flow.cost,
         limit_per_s: workspace.limit.map(|limit| limit.per_s),
-        credit: purse.map_or(0.0, |purse| purse.credit.round()),
+        credit: balance.map_or(0.0, |balance| balance.credit.round()),
     })
 }
 
@@ -162,13 +162,13 @@
         nobody(state, now, id, asking, out);
         return false;
     };
-    let Some(purse) = state.quota.purses.get_mut(&workspace) else {
+    let Some(balance) = state.quota.balances.get_mut(&workspace) else {
         return true;
     };
-    let ahead = purse.ahead(now);
+    let ahead = balance.ahead(now);
     let ahead = if ahead < cost { 0.0 } else { ahead };
-    let asked = std::mem::take(&mut purse.unsaid);
-    let missing = cost - purse.left(now);
+    let asked = std::mem::take(&mut balance.unsaid);
+    let missing = cost - balance.left(now);
     let question = Draw { workspace, cost: missing, ahead, asked };
     let mine = holder == state.me.vm;
     if let Some(flow) = state.flows.get_mut(&id) {
@@ -186,22 +186,22 @@
 /// The holder of a part to be asked after `tried` others.
 fn next_holder(state: &mut State, now: Time, workspace: &Name, tried: usize) -> Option<(Name, SocketAddr)> {
     let version = state.members.version();
-    let purse = state.quota.purses.entry(workspace.clone()).or_default();
-    if purse.members != version {
+    let balance = state.quota.balances.entry(workspace.clone()).or_default();
+    if balance.members != version {
         let owners = state.members.owners(workspace);
         let rotated = owners.iter().position(|owner| owner.zone == state.me.zone).unwrap_or_default();
         let (others, first) = (owners.iter().take(rotated), owners.iter().skip(rotated));
-        purse.holders = first.chain(others).map(|owner| (owner.vm.clone(), owner.address)).collect();
-        purse.members = version;
+        balance.holders = first.chain(others).map(|owner| (owner.vm.clone(), owner.address)).collect();
+        balance.members = version;
     }
     let members = &state.members;
-    let mut answering = purse.holders.iter().filter(|(vm, _)| !members.is_silent(vm, now));
+    let mut answering = balance.holders.iter().filter(|(vm, _)| !members.is_silent(vm, now));
     answering.nth(tried).cloned()
 }
 
 /// Nobody else can be asked for a request's credit.
 fn nobody(state: &mut State, now: Time, id: Id, asking: &Asking, out: &mut Vec<Effect>) {
-    if let Some(wait) = asking.short {
+    if let Some(wait) = asking.wait {
         refuse(state, now, id, wait, out);
         return;
     }
@@ -219,11 +219,11 @@
 /// A workspace has no credit left for a request.
 fn refuse(state: &mut State, now: Time, id: Id, wait: Duration, out: &mut Vec<Effect>) {
     if let Some((workspace, _)) = cost(state, id)
-        && let Some(purse) = state.quota.purses.get_mut(&workspace)
+        && let Some(balance) = state.quota.balances.get_mut(&workspace)
     {
         // What others gave for it is no more than they had left for now, and others may want it there.
-        purse.trim(now);
-        purse.short = Some((now + wait.min(SHORT_MAX), now + wait));
+        balance.trim(now);
+        balance.short = Some((now + wait.min(SHORT_MAX), now + wait));
     }
     flow::give_up(state, now, id, Code::OverQuota, Some(wait), out);
 }
@@ -271,14 +271,14 @@
         Some(Credit::Given(_)) if spend(state, now, id, &workspace) => return true,
         // It counts more than one holder ever has.
         Some(Credit::Given(_)) => {
-            asking.short.get_or_insert_with(|| time_for_the_rest(state, now, id));
+            asking.wait.get_or_insert_with(|| time_for_the_rest(state, now, id));
             asking.tried += 1;
         }
         Some(Credit::Short(wait)) => {
-            asking.short = Some(asking.short.map_or(wait, |short| short.min(wait)));
-            asking.shorts += 1;
-            if asking.shorts >= SHORT_ASKS && !is_large_part(state, id) {
-                refuse(state, now, id, wait.min(asking.short.unwrap_or(wait)), out);
+            asking.wait = Some(asking.wait.map_or(wait, |least| least.min(wait)));
+            asking.waits += 1;
+            if asking.waits >= SHORT_ASKS && !is_large_part(state, id) {
+                refuse(state, now, id, wait.min(asking.wait.unwrap_or(wait)), out);
                 return false;
             }
             asking.tried += 1;
@@ -299,29 +299,29 @@
     let Some((workspace, cost)) = cost(state, id) else {
         return SHORT_MAX;
     };
-    let left = state.quota.purses.get(&workspace).map_or(0.0, |purse| purse.left(now));
+    let left = state.quota.balances.get(&workspace).map_or(0.0, |balance| balance.left(now));
     let limit = limit_of(state, &workspace);
     limit.map_or(SHORT_MAX, |limit| size(&limit, &state.settings).time_for(cost - left))
 }
 
 /// A request that credit was asked for is no more: what came of that is kept for others, within bounds.
 fn trim(state: &mut State, now: Time, workspace: &Name) {
-    if let Some(purse) = state.quota.purses.get_mut(workspace) {
-        purse.trim(now);
+    if let Some(balance) = state.quota.balances.get_mut(workspace) {
+        balance.trim(now);
     }
 }
 
 /// Credit is there to be spent.
 fn keep(state: &mut State, now: Time, workspace: &Name, units: f64) {
-    let purse = state.quota.purses.entry(workspace.clone()).or_default();
-    purse.put(now, units);
-    purse.short = None;
+    let balance = state.quota.balances.entry(workspace.clone()).or_default();
+    balance.put(now, units);
+    balance.short = None;
 }
 
 /// Spends a request's credit, if there is enough.
 fn spend(state: &mut State, now: Time, id: Id, workspace: &Name) -> bool {
     let cost = state.flows.get(&id).map_or(0.0, |flow| flow.cost);
-    let spent = state.quota.purses.get_mut(workspace).is_some_and(|purse| purse.spend(now, cost));
+    let spent = state.quota.balances.get_mut(workspace).is_some_and(|balance| balance.spend(now, cost));
     if spent {
         charged(state, id);
     }
@@ -348,9 +348,9 @@
         }
         return;
     };
-    let Some(purse) = state.quota.purses.get_mut(&workspace) else {
+    let Some(balance) = state.quota.balances.get_mut(&workspace) else {
         return;
     };
-    purse.put(now, cost);
-    purse.trim(now);
+    balance.put(now, cost);
+    balance.trim(now);
 }
