Log rows that are passed over, the status of refused calls and the store's era

A passed_over line names the first row that was not taken and both versions; transfer lines have status and era, and one stands for the first answer of another era. A counter besides.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -99,6 +99,8 @@
 pub struct Received {
     /// Its status.
     pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
     /// Time from its head to its end.
@@ -198,14 +200,17 @@
             let connection = Some(connection);
             let mut response = Response { client, address, head, connection, body: framing, keep };
             response.rest(&mut body, limit).await?;
-            Ok((response.status(), begun.elapsed()))
+            let ResponseHead { status, headers, .. } = response.head;
+            Ok((status, headers, begun.elapsed()))
         };
         let ended = tokio::select! {
             ended = whole => Some(ended),
             () = stalled(&moved, until, stall) => None,
         };
         match ended {
-            Some(ended) => ended.map(|(status, took)| Received { status, body: body.freeze(), took }),
+            Some(ended) => {
+                ended.map(|(status, headers, took)| Received { status, headers, body: body.freeze(), took })
+            }
             None => Err(Error::Cut { bytes: body.len() }),
         }
     }
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -232,7 +232,7 @@
         let request = store_request(call);
         let called = self.client.transfer(self.address, request, PAGE_MAX, first, ANSWER).await;
         self.node.do_send(Transferred(Transfer::of(self.kind(), since, &called)));
-        let Received { status, body, took } = called?;
+        let Received { status, body, took, .. } = called?;
         match status.as_u16() {
             200 => Ok(Answer { page: store::page(&body)?, took }),
             status if store::history_gone(status) => Err(Failed::HistoryGone),
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -137,6 +137,8 @@
         counter(&mut registry, "connections_opened", "Connections opened", counts.connections);
         let help = "Looks for an engine that an adapter is to be brought to";
         counter(&mut registry, "adapter_places_sought", help, state.places_sought());
+        let help = "Rows of the engines' table that were passed over as older than what was known";
+        counter(&mut registry, "rows_passed_over", help, state.rows_passed_over());
         let help = "Requests sent to engines that had named a limit";
         counter(&mut registry, "sent_to_limited", help, state.sent_to_limited());
         counter(&mut registry, "log_lines_dropped", "Log lines left out", counts.lines_dropped);
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -56,6 +56,8 @@
     follow: watch::Sender<Option<Follow>>,
     exited: watch::Sender<bool>,
     metrics: metrics::Metrics,
+    /// The era that the store named last.
+    era: Option<u64>,
     busy: busy::Load,
     held: Vec<Held>,
 }
@@ -148,6 +150,7 @@
             follow: watch::Sender::new(None),
             exited: signals.exited,
             metrics: metrics::Metrics::default(),
+            era: None,
             busy: busy::Load::default(),
             held: Vec::new(),
             settings: Rc::new(settings),
@@ -328,7 +331,9 @@
 
     fn handle(&mut self, Transferred(transfer): Transferred, _ctx: &mut Self::Context) {
         self.metrics.transferred(&transfer);
-        if transfer.is_notable() {
+        let other_era = transfer.era.is_some() && transfer.era != self.era;
+        self.era = transfer.era.or(self.era);
+        if transfer.is_notable() || other_era {
             self.log.transferred(self.clock.now(), transfer);
         }
     }
--- a/daemon/src/entry/transfer.rs
+++ b/daemon/src/entry/transfer.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
+use boragecove_platform::store;
 use prometheus_client::encoding::EncodeLabelSet;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -48,6 +50,31 @@
     /// Bytes of the body that came.
     pub(crate) bytes: u64,
     pub(crate) took_ms: u64,
+    /// The status of the answer; none if its head did not come.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) status: Option<u16>,
+    /// The era of the store that answered; none if it named none, and for the hub.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) era: Option<u64>,
+}
+
+/// What is known of an answer whose head came.
+struct Head<'a> {
+    status: StatusCode,
+    headers: &'a HeaderMap,
+    bytes: usize,
+}
+
+impl<'a> From<&'a Received> for Head<'a> {
+    fn from(Received { status, headers, body, .. }: &'a Received) -> Self {
+        Self { status: *status, headers, bytes: body.len() }
+    }
+}
+
+impl<'a> From<&'a Answer> for Head<'a> {
+    fn from(Answer { status, headers, body }: &'a Answer) -> Self {
+        Self { status: *status, headers, bytes: body.len() }
+    }
 }
 
 /// What transfers are counted by.
@@ -60,23 +87,25 @@
 impl Transfer {
     /// What became of a call that was made at `since`.
     pub(crate) fn of(kind: Kind, since: Instant, called: &Result<Received, Error>) -> Self {
-        Self::new(kind, since, called.as_ref().map(|received| (received.status, received.body.len())))
+        Self::new(kind, since, called.as_ref().map(Head::from))
     }
 
     /// What became of a short call that was made at `since`.
     pub(crate) fn of_short(kind: Kind, since: Instant, called: &Result<Answer, Error>) -> Self {
-        Self::new(kind, since, called.as_ref().map(|answer| (answer.status, answer.body.len())))
+        Self::new(kind, since, called.as_ref().map(Head::from))
     }
 
-    fn new(kind: Kind, since: Instant, called: Result<(StatusCode, usize), &Error>) -> Self {
+    fn new(kind: Kind, since: Instant, called: Result<Head<'_>, &Error>) -> Self {
+        let status = called.as_ref().ok().map(|head| head.status.as_u16());
+        let era = called.as_ref().ok().and_then(|head| store::era(head.headers));
         let (outcome, bytes) = match called {
-            Ok((status, bytes)) if status.is_success() => (Outcome::Whole, bytes),
-            Ok((_, bytes)) => (Outcome::Refused, bytes),
+            Ok(head) if head.status.is_success() => (Outcome::Whole, head.bytes),
+            Ok(head) => (Outcome::Refused, head.bytes),
             Err(Error::Late) => (Outcome::Late, 0),
             Err(Error::Cut { bytes }) => (Outcome::Late, *bytes),
             Err(Error::Unsent(_) | Error::Lost(_) | Error::Garbled(_)) => (Outcome::Broken, 0),
         };
-        Self { kind, outcome, bytes: bytes as u64, took_ms: millis(since.elapsed()) }
+        Self { kind, outcome, bytes: bytes as u64, took_ms: millis(since.elapsed()), status, era }
     }
 
     /// Whether it is worth a line.
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -79,9 +79,13 @@
         changed += missing(state, now, &listing, out);
         state.removals_from = state.removals_from.max(listing.version);
     }
+    let passed_over = passed_over(state, &listing);
     for row in listing.rows {
         changed += usize::from(take(state, now, row, out));
     }
+    if let Some(record) = passed_over {
+        out.push(Effect::Record(record));
+    }
     state.listed = state.listed.max(listing.version);
     if changed > 0 {
         out.push(Effect::Record(Record::Listed {
@@ -110,6 +114,29 @@
     changed
 }
 
+/// The rows that are older than what is known of their engines, if there are any.
+fn passed_over(state: &mut State, listing: &Listing) -> Option<Record> {
+    let older = |row: &Row| known(state, &row.id).filter(|known| *known > row.version);
+    let mut passed = listing.rows.iter().filter_map(|row| older(row).map(|known| (row, known)));
+    let (row, known) = passed.next()?;
+    let rows = 1 + passed.count();
+    state.rows_passed_over += rows as u64;
+    Some(Record::PassedOver {
+        rows,
+        engine: row.id.clone(),
+        version: row.version,
+        known,
+        read: listing.version,
+        whole: listing.whole,
+    })
+}
+
+/// The store's version of the newest row of an engine.
+fn known(state: &State, id: &Name) -> Option<u64> {
+    let listed = state.engines.get(id).map(|engine| engine.version);
+    listed.max(state.removed.get(id).copied())
+}
+
 /// Takes over a row. Returns whether it changes what is believed of its engine.
 fn take(state: &mut State, now: Time, row: Row, out: &mut Vec<Effect>) -> bool {
     let Row { id, version, entry } = row;
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -183,6 +183,21 @@
         /// Those of them that take no more work.
         leaving: usize,
     },
+    /// Rows of the engines' table were passed over, since newer ones are known.
+    PassedOver {
+        /// How many.
+        rows: usize,
+        /// The engine of the first.
+        engine: Name,
+        /// The store's version of its row.
+        version: u64,
+        /// The version that is known.
+        known: u64,
+        /// The store's version up to which the table was read.
+        read: u64,
+        /// Whether all of it was read.
+        whole: bool,
+    },
     /// An engine appeared, changed its state, or went.
     Engine {
         /// Its id.
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -112,6 +112,8 @@
     pub(crate) suspicions: trust::Lines,
     /// How often a place for an adapter was looked for.
     pub(crate) places_sought: u64,
+    /// Rows of the engines' table that were passed over as older than what was known.
+    pub(crate) rows_passed_over: u64,
     paces: FxHashMap<Name, f64>,
 }
 
@@ -168,6 +170,7 @@
             crashes: Register::default(),
             suspicions: trust::Lines::default(),
             places_sought: 0,
+            rows_passed_over: 0,
             paces: FxHashMap::default(),
         }
     }
@@ -291,6 +294,12 @@
         self.places_sought
     }
 
+    /// Rows of the engines' table that were passed over as older than what was known.
+    #[must_use]
+    pub const fn rows_passed_over(&self) -> u64 {
+        self.rows_passed_over
+    }
+
     /// The engines of a service.
     pub(crate) fn engines_of<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Engine> {
         self.engines.values().filter(move |engine| engine.entry.service == *service)
--- a/fleet/tests/lapsed_entries.rs
+++ b/fleet/tests/lapsed_entries.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::Entry;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::record::Record;
 use node::{Node, WRITER, entry, listing, millis, removed, row};
@@ -64,6 +65,21 @@
     assert!(known(&node, "w1"), "it registered anew");
 }
 
+/// Whoever looks for an engine that is sent to although it leaves has to see that its row came, and why it was not taken.
+#[test]
+fn passed_over_is_told() {
+    let mut node = Node::ready("a");
+    node.feed(listing(vec![row(9, entry("w1", WRITER, "zone-a", &["m0"]))], 9, false));
+    let leaving = Entry { leaving: true, ..entry("w1", WRITER, "zone-a", &["m0"]) };
+    let told = node.feed(listing(vec![row(7, leaving)], 9, false)).iter().any(|effect| {
+        matches!(effect, Effect::Record(Record::PassedOver { rows: 1, version: 7, known: 9, .. }))
+    });
+    assert!(told);
+    assert_eq!(node.state.rows_passed_over(), 1);
+    node.feed(listing(vec![row(9, entry("w1", WRITER, "zone-a", &["m0"]))], 9, true));
+    assert_eq!(node.state.rows_passed_over(), 1, "what is read once more is not older");
+}
+
 /// Each change of an engine's entry was logged by every entry VM: 200,000 lines on a day with 295 of them and 204 engines. The
 /// holder of the lease names each engine; the others say how far they have read.
 #[test]
