--- /dev/null
+++ b/daemon/tests/restored_store.rs
@@ -0,0 +1,74 @@
+//! An entry VM as a process of its own, before a store that comes back from an older copy of its data.
+
+#[path = "../../platform/tests/standin/mod.rs"]
+mod standin;
+
+mod serving;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serving::{Entry, LIMIT, call, streamed};
+use standin::{Engine, Store, config};
+
+/// Time for what an engine says to be in force, as the operators allow.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// A store, and two engines that hold the same model.
+fn platform() -> (Store, Engine, Engine) {
+    let store = Store::start();
+    store.put("op", "config", &config(1));
+    let stays = Engine::start(&store, "i-stays", "writer", &["m1"]);
+    let other = Engine::start(&store, "i-other", "writer", &["m1"]);
+    (store, stays, other)
+}
+
+/// Sends so many requests, one after the other.
+fn send(entry: &Entry, name: &str, requests: u32) {
+    for number in 0..requests {
+        let answer = call(entry.callers, &streamed("/brief/1", &format!("{name}{number}")));
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
+
+/// Sends requests until an engine has run one.
+fn send_until_run(entry: &Entry, engine: &Engine) {
+    let end = Instant::now() + LIMIT;
+    while engine.runs().is_empty() {
+        assert!(Instant::now() < end, "it never ran anything");
+        send(entry, "u", 4);
+    }
+}
+
+/// An engine's entry is written again and again, and the store comes back from a copy of before that.
+fn restored(store: &Store, engine: &Engine, entry: &Entry) {
+    let copy = store.copy();
+    for _ in 0..60 {
+        engine.register(store, "writer", &["m1"], "ready");
+    }
+    thread::sleep(Duration::from_millis(400));
+    send(entry, "k", 4);
+    store.down(true);
+    thread::sleep(Duration::from_millis(300));
+    store.restore(copy);
+    store.down(false);
+    thread::sleep(Duration::from_millis(700));
+}
+
+/// Guards against the incident: an engine that said it leaves after the store had come back older got requests as before, since its row
+/// had a lower version than the one known.
+#[test]
+fn leaving_after_restore() {
+    let (store, stays, leaves) = platform();
+    let entry = Entry::start("restored-leaving", &store);
+    send_until_run(&entry, &leaves);
+    restored(&store, &leaves, &entry);
+    let known = store.version();
+    leaves.register(&store, "writer", &["m1"], "draining");
+    assert!(store.version() < known + 40, "the version has to be one that was given out before");
+    thread::sleep(IN_FORCE);
+    let (before, stayed) = (leaves.runs().len(), stays.runs().len());
+    send(&entry, "l", 24);
+    assert_eq!(leaves.runs().len() - before, 0, "requests that reached the engine that leaves");
+    assert_eq!(stays.runs().len() - stayed, 24);
+}
