End a lapse at all entry VMs, not only at the one that reads the engines' table

What callers saw: an engine whose entry was removed within 1.5 s of an outage of the store was sent requests for good by all entry VMs that hear of the table by the hub. Cause: the hub waits for such an entry to come back, told the others of it as of one that serves, under the version of its removal, and at the end of the wait recorded the removal under that same version, which the others had already. Now such a row is told as removed, with how much longer the hub waits, and each waits that long.

--- a/fleet/benches/hub.rs
+++ b/fleet/benches/hub.rs
@@ -100,7 +100,7 @@
         held: held(number),
         cached: Cached::default(),
     };
-    Row { id: engine(number), version: number as u64 + 1, entry: Some(entry) }
+    Row { id: engine(number), version: number as u64 + 1, entry: Some(entry), ..Row::default() }
 }
 
 fn target(model: Name, adapter: Option<Name>) -> Target {
--- a/fleet/benches/quota.rs
+++ b/fleet/benches/quota.rs
@@ -80,7 +80,7 @@
         held: Vec::new(),
         cached: Cached::default(),
     };
-    Row { id: entry.id.clone(), version: u64::from(number) + 1, entry: Some(entry) }
+    Row { id: entry.id.clone(), version: u64::from(number) + 1, entry: Some(entry), ..Row::default() }
 }
 
 struct Leader {
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -65,7 +65,7 @@
 }
 
 /// One row of the engines' table: an entry, or the word that it was removed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// The engine's id.
     pub id: Name,
@@ -73,6 +73,8 @@
     pub version: u64,
     /// The entry; none if it was removed.
     pub entry: Option<Entry>,
+    /// How much longer whoever tells of a removed one waits for it to come back; none if that is to be judged by whoever is told.
+    pub lapses: Option<Duration>,
 }
 
 /// What an engine holds, as far as orders sent by this deployment tell.
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -1,6 +1,7 @@
 //! What the platform's store says: the configuration in force, and the engines that there are.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
@@ -108,7 +109,7 @@
         known.map(|engine| engine.entry.id.clone()).filter(|id| !named.contains(id)).collect();
     let mut changed = 0;
     for id in gone {
-        let row = Row { id, version: listing.version, entry: None };
+        let row = Row { id, version: listing.version, ..Row::default() };
         changed += usize::from(take(state, now, row, out));
     }
     changed
@@ -139,7 +140,7 @@
 
 /// Takes over a row. Returns whether it changes what is believed of its engine.
 fn take(state: &mut State, now: Time, row: Row, out: &mut Vec<Effect>) -> bool {
-    let Row { id, version, entry } = row;
+    let Row { id, version, entry, lapses } = row;
     if state.removed.get(&id).is_some_and(|removed| *removed >= version) {
         return false;
     }
@@ -148,7 +149,7 @@
     }
     match entry {
         Some(entry) => put(state, now, entry, version, out),
-        None => remove(state, now, &id, version, out),
+        None => remove(state, now, &id, version, lapses, out),
     }
 }
 
@@ -207,19 +208,28 @@
 
 /// An entry was removed. Around an outage of the store entries of sound engines lapse too, and are back
 /// soon after: those are kept for a while.
-fn remove(state: &mut State, now: Time, id: &Name, version: u64, out: &mut Vec<Effect>) -> bool {
+fn remove(
+    state: &mut State,
+    now: Time,
+    id: &Name,
+    version: u64,
+    lapses: Option<Duration>,
+    out: &mut Vec<Effect>,
+) -> bool {
     let grace = state.settings.lapse_grace;
     let troubled = state.store_troubled.is_some_and(|at| now.since(at) < grace);
+    // Whoever follows the table for all knows when its grace is over.
+    let wait = lapses.or(troubled.then_some(grace));
     let Some(engine) = state.engines.get_mut(id) else {
         return false;
     };
     engine.version = version;
     let service = engine.entry.service.clone();
-    if troubled && !engine.entry.leaving {
+    if let Some(wait) = wait.filter(|_| !engine.entry.leaving) {
         let lapses = engine.missing_until.is_none();
         if lapses {
-            engine.missing_until = Some(now + grace);
-            state.timers.set(now + grace, Timer::Lapse(id.clone()));
+            engine.missing_until = Some(now + wait);
+            state.timers.set(now + wait, Timer::Lapse(id.clone()));
             note(state, now, id, service, "lapsed", version, out);
         }
         return lapses;
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -330,25 +330,28 @@
 
     /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it where not all
     /// removals since are known here.
-    pub(crate) fn listing_after(&self, version: u64) -> Listing {
+    pub(crate) fn listing_after(&self, now: Time, version: u64) -> Listing {
         let whole = version < self.removals_from;
         let rows = match (whole, self.listed > version) {
-            (true, _) => self.rows_after(0),
-            (false, true) => self.rows_after(version),
+            (true, _) => self.rows_after(now, 0),
+            (false, true) => self.rows_after(now, version),
             (false, false) => Vec::new(),
         };
         Listing { rows, version: self.listed, whole }
     }
 
-    fn rows_after(&self, version: u64) -> Vec<Row> {
-        let put = self.engines.values().filter(|engine| engine.version > version).map(|engine| Row {
+    fn rows_after(&self, now: Time, version: u64) -> Vec<Row> {
+        let put = self.engines.values().filter(|engine| engine.version > version);
+        let put = put.map(|engine| Row {
             id: engine.entry.id.clone(),
             version: engine.version,
-            entry: Some(engine.entry.clone()),
+            entry: engine.missing_until.is_none().then(|| engine.entry.clone()),
+            lapses: engine.missing_until.map(|until| until.since(now)),
         });
         let removed = self.removed.iter().filter(|(_, removed)| **removed > version);
-        put.chain(removed.map(|(id, version)| Row { id: id.clone(), version: *version, entry: None }))
-            .collect()
+        let removed =
+            removed.map(|(id, version)| Row { id: id.clone(), version: *version, ..Row::default() });
+        put.chain(removed).collect()
     }
 
     /// The mean time of a service's runs, in ms.
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -123,11 +123,11 @@
 }
 
 pub fn row(version: u64, entry: Entry) -> Row {
-    Row { id: entry.id.clone(), version, entry: Some(entry) }
+    Row { id: entry.id.clone(), version, entry: Some(entry), ..Row::default() }
 }
 
 pub fn removed(version: u64, id: &str) -> Row {
-    Row { id: id.into(), version, entry: None }
+    Row { id: id.into(), version, ..Row::default() }
 }
 
 pub fn listing(rows: Vec<Row>, version: u64, whole: bool) -> Event {
--- a/fleet/tests/request_attempts.rs
+++ b/fleet/tests/request_attempts.rs
@@ -184,6 +184,7 @@
                 id: engine.entry.id.clone(),
                 version: engine.version,
                 entry: Some(engine.entry.clone()),
+                ..boragecove_fleet::engine::Row::default()
             };
             let _effects = boragecove_fleet::apply(&mut state, node.now, node::listing(vec![row], 4, false));
         }
