--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -10,6 +10,7 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::effect::Follow;
 use boragecove_fleet::event::Event;
+use boragecove_fleet::revision::Revision;
 use boragecove_platform::error::Unreadable;
 use boragecove_platform::store::{self, Page, Table};
 use thiserror::Error;
@@ -46,6 +47,8 @@
     Status(u16),
     #[error("the history is gone")]
     HistoryGone,
+    #[error("the store came back from an older copy")]
+    EraRisen,
 }
 
 /// A page, and how long it took from its first byte to its last.
@@ -61,9 +64,13 @@
     client: Rc<Client>,
     node: Addr<Node>,
     /// The version up to which the table is known; none before it was read whole.
-    version: Option<u64>,
+    version: Option<Revision>,
     /// The configuration that was told last.
     told: Option<u64>,
+    /// The version of the configuration that stands in the store; 0 for none.
+    config: u64,
+    /// The era that the store named last.
+    era: u64,
     /// How to follow; none while the hub tells of changes.
     wanted: watch::Receiver<Option<Follow>>,
     /// Whether the last call was answered. Until one is, the store is not asked to wait: a call that is sent
@@ -90,6 +97,8 @@
             node: node.clone(),
             version: None,
             told: None,
+            config: 0,
+            era: 0,
             wanted: wanted.clone(),
             answered: false,
             unreadable: Cell::new(0),
@@ -106,7 +115,7 @@
                 return;
             }
             let turn = self.turn().await;
-            self.answered = matches!(turn, Ok(()) | Err(Failed::HistoryGone));
+            self.answered = matches!(turn, Ok(()) | Err(Failed::HistoryGone | Failed::EraRisen));
             match turn {
                 Ok(()) => {
                     pause = PAUSE_MIN;
@@ -115,6 +124,12 @@
                     sleep(wanted.map_or(Duration::ZERO, |follow| follow.pause)).await;
                 }
                 Err(Failed::HistoryGone) => self.version = None,
+                Err(Failed::EraRisen) => {
+                    // All that follow the store read it whole now.
+                    let spread = self.wanted.borrow().map_or(Duration::ZERO, |follow| follow.spread);
+                    sleep(spread.mul_f64(fastrand::f64())).await;
+                    self.version = None;
+                }
                 Err(error) => {
                     tracing::debug!(table = ?self.table, %error, "cannot follow the store");
                     self.node.do_send(Feed(Event::StoreUp(false)));
@@ -139,7 +154,10 @@
                 Table::Engines => told.listed,
             };
             // Changes are followed from what the hub told: a whole document may be 1 MB, and all would read it at once.
-            self.version = self.version.max((known > 0).then_some(known));
+            if self.version < Some(known) && known.is_known() {
+                self.version = Some(known);
+                self.config = told.config;
+            }
         }
         // What changed since is wanted at once.
         self.answered = false;
@@ -153,7 +171,11 @@
         };
         let wait = if self.answered { self.wait() } else { Duration::ZERO };
         let asked = self.clock.now();
-        let Answer { page, took } = self.call(self.table.follow(version, wait), wait + ANSWER).await?;
+        let follow = self.table.follow(version.version, wait);
+        let Answer { page, took } = self.call(follow, wait + ANSWER).await?;
+        if page.version.era != version.era {
+            return Err(Failed::EraRisen);
+        }
         self.tell(&page, asked, false)?;
         self.version = (!self.is_outrun(took)).then_some(page.version.max(version));
         Ok(())
@@ -165,6 +187,9 @@
         // Later pages may be newer; changes are followed from the first on.
         while let Some(after) = page.next.take() {
             let more = self.call(self.table.read(Some(&after)), ANSWER).await?;
+            if more.page.version.era != page.version.era {
+                return Err(Failed::EraRisen);
+            }
             page.append(more.page);
             took += more.took;
         }
@@ -190,10 +215,14 @@
             Table::Operator => {
                 let read = page.config().inspect_err(|error| self.log_unreadable(page, error));
                 if let Some(config) = read? {
+                    self.config = config.version;
                     new = self.told.replace(config.version) != Some(config.version);
                     self.node.do_send(Feed(Event::Configured(Arc::new(config))));
+                } else if whole {
+                    self.config = 0;
                 }
-                self.node.do_send(Feed(Event::Declared { version: page.version, asked }));
+                let (version, config) = (page.version, self.config);
+                self.node.do_send(Feed(Event::Declared { version, config, asked }));
             }
             Table::Engines => {
                 let (listing, errors) = page.engines(whole);
@@ -227,14 +256,19 @@
     }
 
     /// Makes a call whose answer has to begin within `first`.
-    async fn call(&self, call: store::Call, first: Duration) -> Result<Answer, Failed> {
+    async fn call(&mut self, call: store::Call, first: Duration) -> Result<Answer, Failed> {
         let since = Instant::now();
         let request = store_request(call);
         let called = self.client.transfer(self.address, request, PAGE_MAX, first, ANSWER).await;
         self.node.do_send(Transferred(Transfer::of(self.kind(), since, &called)));
-        let Received { status, body, took, .. } = called?;
+        let Received { status, headers, body, took } = called?;
+        let era = store::era(&headers);
+        if era.is_some_and(|era| era > self.era) {
+            self.era = era.unwrap_or_default();
+            self.node.do_send(Feed(Event::Era(self.era)));
+        }
         match status.as_u16() {
-            200 => Ok(Answer { page: store::page(&body)?, took }),
+            200 => Ok(Answer { page: store::page(era.unwrap_or_default(), &body)?, took }),
             status if store::history_gone(status) => Err(Failed::HistoryGone),
             status => Err(Failed::Status(status)),
         }
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -137,6 +137,8 @@
         counter(&mut registry, "connections_opened", "Connections opened", counts.connections);
         let help = "Looks for an engine that an adapter is to be brought to";
         counter(&mut registry, "adapter_places_sought", help, state.places_sought());
+        let help = "Answers of the store from before it came back from an older copy, which came after that was known";
+        counter(&mut registry, "store_answers_outdated", help, state.answers_outdated());
         let help = "Rows of the engines' table that were passed over as older than what was known";
         counter(&mut registry, "rows_passed_over", help, state.rows_passed_over());
         let help = "Requests sent to engines that had named a limit";
@@ -195,6 +197,9 @@
     gauge(registry, "engines_suspected", "Engines that could not be reached or are silent", suspected);
     let help = "Engines in need that have named a limit of requests a second";
     gauge(registry, "engines_limited", help, state.engines_limited());
+    let help =
+        "Which copy of its data the store answers from; rises each time that it comes back from an older one";
+    gauge(registry, "store_era", help, state.era().number() as usize);
     gauge(registry, "store_up", "Whether the platform's store answers", state.store_up().into());
     let quarantined = state.crashes().quarantined(now);
     gauge(
--- a/daemon/src/entry/node/calls.rs
+++ b/daemon/src/entry/node/calls.rs
@@ -55,15 +55,17 @@
         later(ctx, async move {
             let request = store_request(store::lease(&call));
             let since = Instant::now();
-            let unknown = lease::Answer { store_ms: None, outcome: lease::Outcome::Unknown };
+            let unknown = lease::Answer { store_ms: None, era: None, outcome: lease::Outcome::Unknown };
             let called = client.call(address, request, ANSWER_MAX, since + LEASE_CALL).await;
             node.do_send(Transferred(Transfer::of_short(transfer::Kind::Lease, since, &called)));
             let answer = match called {
-                Ok(Answer { status, body, .. }) => store::leased(&call, status.as_u16(), &body)
-                    .unwrap_or_else(|error| {
+                Ok(Answer { status, headers, body }) => {
+                    let era = store::era(&headers);
+                    store::leased(&call, era, status.as_u16(), &body).unwrap_or_else(|error| {
                         tracing::warn!(%error, "the store's answer about the lease");
-                        unknown
-                    }),
+                        lease::Answer { era, ..unknown }
+                    })
+                }
                 Err(error) => {
                     tracing::debug!(%error, "no answer about the lease");
                     unknown
--- a/fleet/benches/hub.rs
+++ b/fleet/benches/hub.rs
@@ -100,7 +100,7 @@
         held: held(number),
         cached: Cached::default(),
     };
-    Row { id: engine(number), version: number as u64 + 1, entry: Some(entry), ..Row::default() }
+    Row { id: engine(number), version: (number as u64 + 1).into(), entry: Some(entry), ..Row::default() }
 }
 
 fn target(model: Name, adapter: Option<Name>) -> Target {
@@ -129,7 +129,7 @@
         vm: format!("front-{vm}").into(),
         zone: "a".into(),
         config: 1,
-        listed: ENGINES as u64,
+        listed: (ENGINES as u64).into(),
         loads: (0..OPEN_AT_EACH).map(load).collect(),
         demand: (0..OPEN_AT_EACH).map(open).chain((0..WAITED_FOR_AT_EACH).map(waited_for)).collect(),
         ..Frame::default()
@@ -152,10 +152,10 @@
         let mut hub = Self { state: State::new(me, Settings::default(), 7, START), now: START };
         hub.feed(Event::Configured(Arc::new(config())));
         let rows = (0..ENGINES).map(row).collect();
-        hub.feed(Event::Listed(Listing { rows, version: ENGINES as u64, whole: true }));
+        hub.feed(Event::Listed(Listing { rows, version: (ENGINES as u64).into(), whole: true }));
         hub.pass(10);
-        hub.feed(Event::Lease(Answer { store_ms: Some(0), outcome: Outcome::Read(None) }));
-        hub.feed(Event::Lease(Answer { store_ms: Some(5), outcome: Outcome::Written(1) }));
+        hub.feed(Event::Lease(Answer { store_ms: Some(0), era: Some(0), outcome: Outcome::Read(None) }));
+        hub.feed(Event::Lease(Answer { store_ms: Some(5), era: Some(0), outcome: Outcome::Written(1) }));
         hub.pass(300);
         for number in 0..ENGINES {
             let report = Report { held: held(number), ..Report::default() };
@@ -175,7 +175,7 @@
         let effects = self.feed(Event::Wake);
         let renewals = effects.iter().filter(|effect| matches!(effect, Effect::Lease(Call::Write { .. })));
         for _renewal in renewals {
-            self.feed(Event::Lease(Answer { store_ms: Some(5), outcome: Outcome::Written(1) }));
+            self.feed(Event::Lease(Answer { store_ms: Some(5), era: Some(0), outcome: Outcome::Written(1) }));
         }
     }
 
--- a/fleet/benches/quota.rs
+++ b/fleet/benches/quota.rs
@@ -80,7 +80,12 @@
         held: Vec::new(),
         cached: Cached::default(),
     };
-    Row { id: entry.id.clone(), version: u64::from(number) + 1, entry: Some(entry), ..Row::default() }
+    Row {
+        id: entry.id.clone(),
+        version: (u64::from(number) + 1).into(),
+        entry: Some(entry),
+        ..Row::default()
+    }
 }
 
 struct Leader {
@@ -95,10 +100,14 @@
         let me = Identity { vm: "front-leader".into(), zone: "zone-0".into(), address };
         let mut leader = Self { state: State::new(me, Settings::default(), 7, START), now: START };
         leader.feed(Event::Configured(Arc::new(config(access))));
-        leader.feed(Event::Listed(Listing { rows: (0..3).map(engine).collect(), version: 9, whole: true }));
+        leader.feed(Event::Listed(Listing {
+            rows: (0..3).map(engine).collect(),
+            version: 9.into(),
+            whole: true,
+        }));
         leader.pass(10);
-        leader.feed(Event::Lease(Answer { store_ms: Some(0), outcome: Outcome::Read(None) }));
-        leader.feed(Event::Lease(Answer { store_ms: Some(5), outcome: Outcome::Written(1) }));
+        leader.feed(Event::Lease(Answer { store_ms: Some(0), era: Some(0), outcome: Outcome::Read(None) }));
+        leader.feed(Event::Lease(Answer { store_ms: Some(5), era: Some(0), outcome: Outcome::Written(1) }));
         leader.pass(400);
         leader.renewed();
         leader
@@ -115,7 +124,7 @@
 
     /// The store takes a renewal of the lease, and all that follows from it is done.
     fn renewed(&mut self) {
-        self.feed(Event::Lease(Answer { store_ms: Some(400), outcome: Outcome::Written(2) }));
+        self.feed(Event::Lease(Answer { store_ms: Some(400), era: Some(0), outcome: Outcome::Written(2) }));
         self.pass(200);
     }
 
@@ -165,7 +174,7 @@
         zone: format!("zone-{}", vm % zones).into(),
         address: Some(SocketAddr::from(([10, 2, (vm / 250) as u8, (vm % 250) as u8], 7_000))),
         config: 1,
-        listed: 9,
+        listed: 9.into(),
         quota: Report { process: 7, shares: Vec::new() },
         ..Frame::default()
     };
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -25,7 +25,7 @@
 
 pub use register::Register;
 
-use register::{Loss, REMEMBERED, Run};
+use register::{Loss, QUARANTINE_MAX, REMEMBERED, Run};
 
 /// Other entry VMs that are asked whether an engine has crashed, at most: some may have gone, or be cut off.
 const PROBERS_MAX: usize = 3;
@@ -218,7 +218,8 @@
 /// The store keeps these quarantined requests; its clock shows `store_ms`.
 pub(crate) fn recall(state: &mut State, now: Time, kept: &[Kept], store_ms: u64, out: &mut Vec<Effect>) {
     for Kept { request, until_ms, times } in kept.iter().filter(|kept| kept.until_ms > store_ms) {
-        let left = Duration::from_millis(until_ms - store_ms);
+        // The store's clock may be another's since it came back from a copy.
+        let left = Duration::from_millis(until_ms - store_ms).min(QUARANTINE_MAX);
         let status = Status::Quarantined { left, times: *times };
         take_entry(state, now, Entry { request: *request, status }, out);
     }
--- a/fleet/src/crash/register.rs
+++ b/fleet/src/crash/register.rs
@@ -25,7 +25,7 @@
 /// By how much longer each further quarantine lasts.
 const QUARANTINE_GROWTH: u32 = 6;
 /// The longest quarantine.
-const QUARANTINE_MAX: Duration = Duration::from_hours(24);
+pub(super) const QUARANTINE_MAX: Duration = Duration::from_hours(24);
 /// Requests that something is known of, at most: an attacker needs a crash for each.
 const CASES_MAX: usize = 256;
 
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -15,6 +15,7 @@
 use crate::quota::Draw;
 use crate::record::Record;
 use crate::request::{Id, Step};
+use crate::revision::Revision;
 use crate::schedule::Ask;
 
 /// Something to do.
@@ -106,9 +107,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Follow {
     /// The store's version up to which the engines' table is known; 0 if it is not.
-    pub listed: u64,
+    pub listed: Revision,
     /// The store's version up to which the operator's table is known; 0 if it is not.
-    pub declared: u64,
+    pub declared: Revision,
+    /// The configuration's version that stands there then.
+    pub config: u64,
+    /// A table that is known from before the store came back from an older copy is read whole after a part of this time: others may do so too.
+    pub spread: Duration,
     /// How long the store may wait with its answer for changes of the engines' table,
     pub wait: Duration,
     /// and for changes of the operator's.
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -7,6 +7,7 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::revision::Revision;
 use crate::schedule::Schedule;
 use crate::settings::Settings;
 use crate::share::Share;
@@ -70,7 +71,7 @@
     /// The engine's id.
     pub id: Name,
     /// The store's version of the row.
-    pub version: u64,
+    pub version: Revision,
     /// The entry; none if it was removed.
     pub entry: Option<Entry>,
     /// How much longer whoever tells of a removed one waits for it to come back; none if that is to be judged by whoever is told.
@@ -166,7 +167,9 @@
     /// As it registered itself.
     pub entry: Entry,
     /// The store's version of its row.
-    pub version: u64,
+    pub version: Revision,
+    /// The store's version in which its row last said something else than before.
+    pub changed: Revision,
     /// When its entry is to be taken as gone, if it went missing around an outage of the store.
     pub missing_until: Option<Time>,
     /// What this process has sent there.
@@ -188,10 +191,11 @@
 impl Engine {
     /// An engine that was just registered.
     #[must_use]
-    pub fn new(entry: Entry, version: u64) -> Self {
+    pub fn new(entry: Entry, version: Revision) -> Self {
         Self {
             entry,
             version,
+            changed: version,
             missing_until: None,
             own: Load::default(),
             others: Load::default(),
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -9,15 +9,18 @@
 
 use crate::config::{Config, Table};
 use crate::effect::Effect;
-use crate::engine::{Engine, Entry, Row};
+use crate::engine::{Engine, Entry, Incarnation, Row};
+use crate::era;
 use crate::event::Listing;
 use crate::flow;
 use crate::frame;
 use crate::ledger;
+use crate::proof;
 use crate::push;
 use crate::quota;
-use crate::record::Record;
-use crate::state::State;
+use crate::record::{Record, ms};
+use crate::revision::Revision;
+use crate::state::{Gap, Removed, State};
 use crate::timer::Timer;
 
 /// Removed engines that are remembered, so that older news of them does not bring them back.
@@ -73,12 +76,54 @@
     }
 }
 
+/// The operator's table was read.
+pub(crate) struct Declared {
+    /// The store's version up to which it was.
+    pub(crate) version: Revision,
+    /// The configuration's version that stands there.
+    pub(crate) config: u64,
+    /// When the store was asked.
+    pub(crate) asked: Time,
+}
+
+/// The operator's table was read, and what it holds was told.
+pub(crate) fn declared(state: &mut State, now: Time, read: &Declared, out: &mut Vec<Effect>) {
+    let Declared { version, config, asked } = *read;
+    era::heard(state, now, version.era, out);
+    if outdated(state, "config", version.era, out) {
+        return;
+    }
+    // A copy of the store may have an older configuration than the one in force, until the operator has written that again.
+    if config < frame::version(state) {
+        return;
+    }
+    state.declared = state.declared.max(version);
+    if state.era.is_settled(asked, &state.settings) {
+        proof::renew(state, now, asked, out);
+    }
+}
+
+/// Whether an answer of the store is from before it came back from an older copy.
+fn outdated(state: &mut State, what: &'static str, era: u64, out: &mut Vec<Effect>) -> bool {
+    if !era::is_past(state, era) {
+        return false;
+    }
+    state.answers_outdated += 1;
+    out.push(Effect::Record(Record::Outdated { what, era, now: state.era.number() }));
+    true
+}
+
 /// The engines' table, or a part of it, was read.
 pub(crate) fn listed(state: &mut State, now: Time, listing: Listing, out: &mut Vec<Effect>) {
+    era::heard(state, now, listing.version.era, out);
+    if outdated(state, "engines", listing.version.era, out) {
+        return;
+    }
+    let before = state.listed;
     let mut changed = 0;
     if listing.whole {
         changed += missing(state, now, &listing, out);
-        state.removals_from = state.removals_from.max(listing.version);
+        note_whole(state, listing.version);
     }
     let passed_over = passed_over(state, &listing);
     for row in listing.rows {
@@ -88,9 +133,14 @@
         out.push(Effect::Record(record));
     }
     state.listed = state.listed.max(listing.version);
+    state.era.listed(listing.version.version);
+    if before.is_known() && before.era < listing.version.era {
+        reread(state, now, out);
+    }
     if changed > 0 {
         out.push(Effect::Record(Record::Listed {
-            version: state.listed,
+            era: state.listed.era,
+            version: state.listed.version,
             whole: listing.whole,
             changed,
             engines: state.engines.len(),
@@ -101,15 +151,41 @@
     flow::stir_later(state);
 }
 
+/// The table was read whole as of a version. What changed between that and the version known before may be unknown here.
+fn note_whole(state: &mut State, version: Revision) {
+    if !state.listed.is_known() {
+        state.removals_from = version;
+        return;
+    }
+    let gap = Gap { after: state.listed, until: version };
+    if let Some(before) = state.gap.replace(gap) {
+        state.removals_from = state.removals_from.max(before.until);
+    }
+}
+
+/// The first word on the engines' table in a new era.
+fn reread(state: &State, now: Time, out: &mut Vec<Effect>) {
+    out.push(Effect::Record(Record::Reread {
+        era: state.listed.era,
+        version: state.listed.version,
+        after_ms: ms(now.since(state.era.since())),
+        lacking: state.engines.values().filter(|engine| engine.missing_until.is_some()).count(),
+        returned: state.returned.len(),
+    }));
+}
+
 /// Takes off engines that a whole listing does not name. Returns how many.
 fn missing(state: &mut State, now: Time, listing: &Listing, out: &mut Vec<Effect>) -> usize {
     let named: FxHashSet<&Name> = listing.rows.iter().map(|row| &row.id).collect();
     let known = state.engines.values().filter(|engine| engine.version <= listing.version);
     let gone: Vec<Name> =
         known.map(|engine| engine.entry.id.clone()).filter(|id| !named.contains(id)).collect();
+    state.returned.retain(|id, _| named.contains(id));
+    // A copy of the store lacks whoever registered since.
+    let lapses = state.era.rewrites(now, &state.settings);
     let mut changed = 0;
     for id in gone {
-        let row = Row { id, version: listing.version, ..Row::default() };
+        let row = Row { id, version: listing.version, entry: None, lapses };
         changed += usize::from(take(state, now, row, out));
     }
     changed
@@ -125,37 +201,69 @@
     Some(Record::PassedOver {
         rows,
         engine: row.id.clone(),
-        version: row.version,
-        known,
-        read: listing.version,
+        version: row.version.version,
+        known: known.version,
+        era: listing.version.era,
+        read: listing.version.version,
         whole: listing.whole,
     })
 }
 
 /// The store's version of the newest row of an engine.
-fn known(state: &State, id: &Name) -> Option<u64> {
+fn known(state: &State, id: &Name) -> Option<Revision> {
     let listed = state.engines.get(id).map(|engine| engine.version);
-    listed.max(state.removed.get(id).copied())
+    listed.max(state.removed.get(id).map(|removed| removed.version))
 }
 
 /// Takes over a row. Returns whether it changes what is believed of its engine.
 fn take(state: &mut State, now: Time, row: Row, out: &mut Vec<Effect>) -> bool {
-    let Row { id, version, entry, lapses } = row;
-    if state.removed.get(&id).is_some_and(|removed| *removed >= version) {
+    if state.removed.get(&row.id).is_some_and(|removed| removed.version >= row.version) {
+        return false;
+    }
+    if state.engines.get(&row.id).is_some_and(|engine| engine.version > row.version) {
+        return false;
+    }
+    if state.returned.get(&row.id).is_some_and(|returned| returned.version > row.version) {
         return false;
     }
-    if state.engines.get(&id).is_some_and(|engine| engine.version > version) {
+    state.returned.remove(&row.id);
+    if let Some(wait) = doubt(state, now, &row) {
+        state.timers.set(now + wait, Timer::Return(row.id.clone()));
+        state.returned.insert(row.id.clone(), row);
         return false;
     }
+    let Row { id, version, entry, lapses } = row;
     match entry {
         Some(entry) => put(state, now, entry, version, out),
         None => remove(state, now, &id, version, lapses, out),
     }
 }
 
-fn put(state: &mut State, now: Time, mut entry: Entry, version: u64, out: &mut Vec<Effect>) -> bool {
+/// How much longer an entry is not believed, if it is not: a copy of the store names an engine that had been removed before, and that has
+/// neither started nor registered since. The store removes the entry once its heartbeats are missed.
+fn doubt(state: &State, now: Time, row: &Row) -> Option<Duration> {
+    let entry = row.entry.as_ref()?;
+    let removed = state.removed.get(&row.id)?;
+    let same_start = entry.incarnation <= removed.incarnation;
+    let from_copy =
+        removed.version.era < row.version.era && !state.era.is_after_first_listing(row.version.version);
+    state.era.doubts_removed(now, &state.settings).filter(|_| same_start && from_copy)
+}
+
+/// The store has had time to remove the entry of an engine that had been removed before, and has not.
+pub(crate) fn returned(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
+    if state.era.doubts_removed(now, &state.settings).is_some() {
+        return;
+    }
+    if let Some(row) = state.returned.remove(id) {
+        take(state, now, row, out);
+        flow::stir_later(state);
+    }
+}
+
+fn put(state: &mut State, now: Time, mut entry: Entry, version: Revision, out: &mut Vec<Effect>) -> bool {
     let id = entry.id.clone();
-    // Its entry may be from before its own word, which the store may not have taken yet.
+    // Its entry may be from before its own word, which the store may not have taken yet, or has lost.
     entry.leaving |= state.departures.has(&id, entry.incarnation);
     state.removed.remove(&id);
     let label = if entry.leaving { "leaving" } else { "serving" };
@@ -163,21 +271,23 @@
     let mut changed = true;
     if let Some(engine) = state.engines.get_mut(&id) {
         if entry.incarnation < engine.entry.incarnation {
-            // Written late by an earlier start of the engine.
+            // Written late by an earlier start of the engine, or in a copy of the store.
             engine.version = version;
             return false;
         }
         if entry.incarnation > engine.entry.incarnation {
             engine.restart();
-            let state = "restarted";
             out.push(Effect::Record(Record::Engine {
                 engine: id.clone(),
                 service: service.clone(),
-                state,
-                version,
+                state: "restarted",
+                version: version.version,
             }));
         }
         changed = engine.entry.leaving != leaving || engine.missing_until.is_some();
+        if changed || engine.entry != entry {
+            engine.changed = version;
+        }
         engine.entry = entry;
         engine.version = version;
         engine.missing_until = None;
@@ -198,11 +308,12 @@
     engine: &Name,
     service: Name,
     label: &'static str,
-    version: u64,
+    version: Revision,
     out: &mut Vec<Effect>,
 ) {
     if state.lease.holds(now).is_some() {
-        out.push(Effect::Record(Record::Engine { engine: engine.clone(), service, state: label, version }));
+        let (engine, version) = (engine.clone(), version.version);
+        out.push(Effect::Record(Record::Engine { engine, service, state: label, version }));
     }
 }
 
@@ -212,7 +323,7 @@
     state: &mut State,
     now: Time,
     id: &Name,
-    version: u64,
+    version: Revision,
     lapses: Option<Duration>,
     out: &mut Vec<Effect>,
 ) -> bool {
@@ -228,6 +339,7 @@
     if let Some(wait) = wait.filter(|_| !engine.entry.leaving) {
         let lapses = engine.missing_until.is_none();
         if lapses {
+            engine.changed = version;
             engine.missing_until = Some(now + wait);
             state.timers.set(now + wait, Timer::Lapse(id.clone()));
             note(state, now, id, service, "lapsed", version, out);
@@ -252,16 +364,17 @@
     note(state, now, id, service, "gone", version, out);
 }
 
-fn forget(state: &mut State, id: &Name, version: u64) {
-    state.engines.remove(id);
+fn forget(state: &mut State, id: &Name, version: Revision) {
+    let engine = state.engines.remove(id);
+    let incarnation = engine.map_or_else(Incarnation::default, |engine| engine.entry.incarnation);
     state.departures.gone(id);
     state.intakes.gone(id);
     if state.removed.len() >= REMOVED_MAX {
-        let oldest = state.removed.iter().min_by_key(|(_, version)| **version);
-        if let Some((oldest, version)) = oldest.map(|(id, version)| (id.clone(), *version)) {
+        let oldest = state.removed.iter().min_by_key(|(_, removed)| removed.version);
+        if let Some((oldest, version)) = oldest.map(|(id, removed)| (id.clone(), removed.version)) {
             state.removed.remove(&oldest);
             state.removals_from = state.removals_from.max(version);
         }
     }
-    state.removed.insert(id.clone(), version);
+    state.removed.insert(id.clone(), Removed { version, incarnation });
 }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -15,6 +15,7 @@
 use crate::push;
 use crate::quota::Credit;
 use crate::request::{Arrival, End, Events, Id};
+use crate::revision::Revision;
 use crate::schedule::Grant;
 use crate::settings::Settings;
 
@@ -26,12 +27,16 @@
     /// The operator's table was read, and what it holds was told.
     Declared {
         /// The store's version up to which it was read.
-        version: u64,
+        version: Revision,
+        /// The configuration's version that stands there; 0 for none.
+        config: u64,
         /// When the store was asked.
         asked: Time,
     },
     /// The engines' table, or what changed in it, was read.
     Listed(Listing),
+    /// An answer of the store, whatever it was to, named this era.
+    Era(u64),
     /// The store could not be reached, or can be again.
     StoreUp(bool),
     /// A caller's request was read.
@@ -139,6 +144,7 @@
             Self::Configured(_) => "configured",
             Self::Declared { .. } => "declared",
             Self::Listed(_) => "listed",
+            Self::Era(_) => "era",
             Self::StoreUp(_) => "store_up",
             Self::Arrive { .. } => "arrive",
             Self::Gone(_) => "gone",
@@ -170,7 +176,7 @@
     /// The rows that were read.
     pub rows: Vec<Row>,
     /// The store's version up to which they hold.
-    pub version: u64,
+    pub version: Revision,
     /// Whether they are all rows there are.
     pub whole: bool,
 }
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -21,6 +21,7 @@
 use crate::crash::{self, News};
 use crate::effect::{Effect, Follow};
 use crate::engine::Load;
+use crate::era;
 use crate::event::Listing;
 use crate::intake;
 use crate::ledger;
@@ -45,6 +46,8 @@
 const HUB_PAUSE_MAX: Duration = Duration::from_millis(150);
 /// The longest pause of others, who need no word of the hub: well under those two seconds.
 const ALONE_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Entry VMs a second that read whole tables where the hub does not read them for all: a tenth of what the store answers in a second.
+const WHOLE_READS_PER_S: f64 = 100.0;
 /// Loads that are known later than this say nothing any more.
 const LATENESS_MAX: Duration = Duration::from_secs(2);
 /// Refusals that are told once more, at most: an engine that is asked about one says all that it holds.
@@ -166,7 +169,17 @@
     if follows != state.follows {
         state.follows = follows;
         let (wait, wait_config) = (CHANGES_WAIT, proof::patience(&state.settings, CHANGES_WAIT));
-        let how = |pause| Follow { listed: state.listed, declared: state.declared, wait, wait_config, pause };
+        let leads = state.lease.holds(now).is_some();
+        let readers = if leads { 0 } else { state.hub.nodes };
+        let how = |pause| Follow {
+            listed: state.listed,
+            declared: state.declared,
+            config: version(state),
+            spread: Duration::from_secs_f64(f64::from(readers) / WHOLE_READS_PER_S),
+            wait,
+            wait_config,
+            pause,
+        };
         out.push(Effect::Follow(follows.map(how)));
     }
 }
@@ -189,7 +202,7 @@
 
 /// Whether this process has what it needs to serve.
 pub(crate) fn knows(state: &State) -> bool {
-    state.listed > 0 && state.config.is_some()
+    state.listed.is_known() && state.config.is_some()
 }
 
 /// By how much longer this entry VM waits, since there are so many.
@@ -272,6 +285,7 @@
         stopping: state.stopping,
         members: state.members.version(),
         config: version(state),
+        era: state.era.number(),
         listed: state.listed,
         view: state.hub.view,
         loads,
@@ -300,6 +314,7 @@
 
 /// Another entry VM told what it has under way.
 pub(crate) fn heard(state: &mut State, now: Time, frame: Frame, out: &mut Vec<Effect>) {
+    era::heard(state, now, frame.era, out);
     for refused in &frame.absent {
         ledger::doubt(state, now, refused);
     }
@@ -344,6 +359,7 @@
     Reply {
         number: asker.number,
         leads: holds,
+        era: state.era.number(),
         store_age: now.since(state.store_heard),
         members: outdated.then(|| state.members.list().to_vec()),
         membership: holds.then(|| state.members.membership(now, &asker.vm, outdated)),
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -8,6 +8,7 @@
 use crate::effect::Effect;
 use crate::engine::Load;
 use crate::entries;
+use crate::era;
 use crate::event::Listing;
 use crate::flow;
 use crate::intake;
@@ -35,6 +36,7 @@
         follow(state, now, out);
         return;
     };
+    era::heard(state, now, reply.era, out);
     if state.lease.holds(now).is_some() {
         return;
     }
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -14,6 +14,7 @@
 use crate::notice::Start;
 use crate::ownership::Membership;
 use crate::quota;
+use crate::revision::Revision;
 use crate::update::Packed;
 
 /// What an entry VM tells the hub.
@@ -33,8 +34,10 @@
     pub members: u64,
     /// The configuration that it goes by; 0 for none.
     pub config: u64,
+    /// The store's era, as it knows it.
+    pub era: u64,
     /// The store's version up to which it knows the engines' table.
-    pub listed: u64,
+    pub listed: Revision,
     /// The term and the version of the hub's word on what engines hold that it knows.
     pub view: View,
     /// What it has under way, by engine.
@@ -95,6 +98,8 @@
     pub number: u64,
     /// Whether it holds the lease; if not, another is to be found.
     pub leads: bool,
+    /// The store's era, as the hub knows it.
+    pub era: u64,
     /// Time since the store last answered the hub.
     pub store_age: Duration,
     /// All entry VMs, if the asker knows others.
@@ -116,7 +121,7 @@
     /// Rows of the engines' table that are newer than the asker's.
     pub rows: Vec<Row>,
     /// The store's version up to which the hub knows that table.
-    pub listed: u64,
+    pub listed: Revision,
     /// Whether the rows are all there are: the hub does not know of each removal since the asker's.
     pub whole: bool,
     /// Engines that the hub could not reach.
@@ -139,7 +144,7 @@
     /// The configuration's version; 0 for none.
     pub config: u64,
     /// The store's version up to which no newer one was written; 0 if that is not known.
-    pub store: u64,
+    pub store: Revision,
     /// Time since it was certainly the newest; none if that is not known.
     pub age: Option<Duration>,
 }
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -4,6 +4,10 @@
 //! The row says until when its holder believes to hold it, in the store's steady clock: the latest that
 //! this can be, by the holder's last sight of that clock. Each answer of the store tells its clock, so others
 //! see at once when the lease is over. No two machines' clocks are compared.
+//!
+//! Each era of the store has a row of its own. A copy of the store has the row of an era before at most, as it was some moments
+//! earlier, and a write that was meant for that finds another row than the one in force. Whoever held the lease as the store was lost may
+//! believe so until its own clock ends that: it takes the new era's row at once, and others wait for as long as a lease lasts.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,10 +19,12 @@
 
 use crate::crash::{self, Kept};
 use crate::effect::Effect;
+use crate::era;
 use crate::frame;
 use crate::push;
 use crate::quota::{self, LEASE, Outstanding};
 use crate::record::{Record, ms};
+use crate::revision::Revision;
 use crate::state::State;
 use crate::timer::Timer;
 
@@ -29,13 +35,16 @@
     pub holder: Name,
     /// Where the holder listens for frames.
     pub address: SocketAddr,
-    /// Grows with each change of hands; fences orders.
+    /// Grows with each change of hands, over all eras; fences orders.
     pub term: u64,
     /// When it is over at the latest, by the store's clock, in ms.
     pub until_ms: u64,
     /// When the holder's process started, by the store's clock, in ms.
     #[serde(default)]
     pub started_ms: u64,
+    /// Whether the holder knows that all the store had lost before this era has been written again.
+    #[serde(default)]
+    pub settled: bool,
     /// Whether the holder has given it back.
     pub released: bool,
     /// Who else may have given orders last; none if nobody did.
@@ -52,7 +61,7 @@
 /// A machine that may have given orders, before the holder of the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Former {
-    /// The machine.
+    /// The machine; empty where any may have been it.
     pub holder: Name,
     /// Until when it may have given any, by the store's clock, in ms.
     pub until_ms: u64,
@@ -73,6 +82,22 @@
     }
 }
 
+/// Bits of a term that count changes of hands within an era. The era is above them; together they stay below 2^53 for two million eras,
+/// which all readers of JSON take.
+const TERM_BITS: u32 = 32;
+
+/// The first term of an era: larger than all of the eras before.
+#[must_use]
+pub const fn first_term(era: u64) -> u64 {
+    (era << TERM_BITS) + 1
+}
+
+/// The era in which a term was given.
+#[must_use]
+pub const fn era_of(term: u64) -> u64 {
+    term >> TERM_BITS
+}
+
 /// By how much later than another a process must have started to count as restarted since, in ms: all entry VMs of a
 /// deployment may start within a second.
 const RESTARTED_MS: u64 = 1_000;
@@ -86,8 +111,8 @@
 /// A row with the store's version of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
-    /// The store's version of the row.
-    pub version: u64,
+    /// The era that the row is of, and the store's version of it.
+    pub version: Revision,
     /// Its content.
     pub row: Row,
 }
@@ -95,12 +120,12 @@
 /// A call of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
-    /// Read the row.
+    /// Read the row of the newest era that has one.
     Read,
-    /// Write the row if it still has this version; 0 for a row that does not exist.
+    /// Write the row of an era if it still has this version; 0 for a row that does not exist.
     Write {
-        /// The version it must have.
-        expected: u64,
+        /// The era, and the version that the row must have.
+        expected: Revision,
         /// The new content.
         row: Row,
     },
@@ -111,6 +136,8 @@
 pub struct Answer {
     /// The store's clock when it answered, in ms; none if it did not.
     pub store_ms: Option<u64>,
+    /// The era that the answer names; none if there was no answer.
+    pub era: Option<u64>,
     /// What came of the call.
     pub outcome: Outcome,
 }
@@ -139,7 +166,9 @@
     tried: Option<(Time, Row)>,
     clock: Option<Sample>,
     /// The version of a row that was seen to be free, and when that was first seen.
-    free: Option<(u64, Time)>,
+    free: Option<(Revision, Time)>,
+    /// The store's era.
+    era: u64,
     /// The timer of the next look or renewal.
     next: Option<Handle>,
 }
@@ -175,7 +204,7 @@
 /// The lease, held by this process.
 #[derive(Debug, Clone)]
 struct Held {
-    version: u64,
+    version: Revision,
     term: u64,
     until: Time,
     orders_from: Time,
@@ -194,7 +223,8 @@
     #[must_use]
     pub fn orders(&self, now: Time) -> Option<u64> {
         let held = self.held.as_ref().filter(|held| now < held.until && now >= held.orders_from);
-        held.map(|held| held.term)
+        // Until the new era's row is there, the fencing number may not be this one's own.
+        held.filter(|held| held.version.era == self.era).map(|held| held.term)
     }
 
     /// How long until this process may send orders, if it holds the lease.
@@ -222,16 +252,28 @@
     if state.lease.pending.is_some() {
         return;
     }
-    if let Some(held) = state.lease.held.clone() {
+    let held = state.lease.held.clone();
+    if let Some(held) = held.filter(|held| held.version.era == state.lease.era) {
         quota::propose(state, now);
         let row = own_row(state, now, held.term, held.former, state.stopping);
         call(state, now, Call::Write { expected: held.version, row }, out);
         return;
     }
-    if state.stopping || (state.hub.alive(now, &state.settings) && state.hub.leads) {
-        return;
+    let led = state.lease.held.is_none() && state.hub.alive(now, &state.settings) && state.hub.leads;
+    if !state.stopping && !led {
+        call(state, now, Call::Read, out);
+    }
+}
+
+/// The store has come back from an older copy: it has no row of this era yet, and knows no own write. Whoever holds the lease takes that
+/// row at once.
+pub(crate) fn era_risen(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    state.lease.era = state.era.number();
+    state.lease.tried = None;
+    state.lease.clock = None;
+    if state.lease.held.is_some() {
+        due(state, now, out);
     }
-    call(state, now, Call::Read, out);
 }
 
 /// The next look at the lease, or its next renewal, in place of the one that was to come.
@@ -252,7 +294,8 @@
 
 /// Gives the lease back at a planned stop.
 pub(crate) fn release(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    if let Some(held) = state.lease.held.take() {
+    let held = state.lease.held.take();
+    if let Some(held) = held.filter(|held| held.version.era == state.lease.era) {
         quota::propose(state, now);
         let row = own_row(state, now, held.term, held.former, true);
         call(state, now, Call::Write { expected: held.version, row }, out);
@@ -270,7 +313,8 @@
     let clock = state.lease.clock;
     let ms_of = |time| clock.map_or(u64::MAX, |clock| clock.at_most(time));
     let outstanding = Box::new(quota::outstanding(state, now, ms_of));
-    Row { holder, address, term, until_ms, started_ms, released, former, quarantine, outstanding }
+    let settled = state.era.is_settled(now, &state.settings);
+    Row { holder, address, term, until_ms, started_ms, settled, released, former, quarantine, outstanding }
 }
 
 fn call(state: &mut State, now: Time, call: Call, out: &mut Vec<Effect>) {
@@ -286,6 +330,11 @@
     let Some((sent, asked)) = state.lease.pending.take() else {
         return;
     };
+    let answer = of_this_era(state, now, answer, &asked, out);
+    if state.lease.pending.is_some() {
+        // The new era's row is looked for already.
+        return;
+    }
     if let Some(store_ms) = answer.store_ms {
         state.store_heard = now;
         state.lease.clock = Some(Sample { store_ms, asked: sent, answered: now });
@@ -295,6 +344,7 @@
             read(state, now, seen, answer.store_ms.unwrap_or_default(), out);
         }
         (Outcome::Written(version), Call::Write { row, .. }) => {
+            let version = Revision::new(state.lease.era, version);
             written(state, now, sent, Seen { version, row }, answer.store_ms.unwrap_or_default(), out);
         }
         // An own write whose answer was lost is found by the next read.
@@ -303,16 +353,26 @@
     }
 }
 
+/// What an answer says of the era that it names, if that is the newest known. A late answer of an era before says nothing, and what was
+/// written meanwhile into the row of an era before is no lease.
+fn of_this_era(state: &mut State, now: Time, answer: Answer, asked: &Call, out: &mut Vec<Effect>) -> Answer {
+    let unknown = Answer { store_ms: None, era: answer.era, outcome: Outcome::Unknown };
+    let Some(era) = answer.era else {
+        return unknown;
+    };
+    era::heard(state, now, era, out);
+    let written_before = matches!(asked, Call::Write { expected, .. } if expected.era != state.lease.era);
+    if era::is_past(state, era) || written_before { unknown } else { answer }
+}
+
 fn read(state: &mut State, now: Time, seen: Option<Seen>, store_ms: u64, out: &mut Vec<Effect>) {
-    let Some(seen) = seen else {
-        if state.settings.weak && now.since(state.started) < state.settings.weak_wait {
-            return;
-        }
-        quota::propose(state, now);
-        let row = own_row(state, now, 1, None, false);
-        call(state, now, Call::Write { expected: 0, row }, out);
-        return;
+    let seen = match seen {
+        Some(seen) if seen.version.era == state.lease.era => seen,
+        past => return vacant(state, now, past.as_ref(), store_ms, out),
     };
+    if seen.row.settled {
+        state.era.settle();
+    }
     crash::recall(state, now, &seen.row.quarantine, store_ms, out);
     let mine = seen.row.holder == state.me.vm;
     if let Some((sent, row)) = state.lease.tried.clone()
@@ -352,10 +412,50 @@
     }
 }
 
+/// There is no row in this era of the store; in the copy that it came back from may be one of an era before.
+fn vacant(state: &mut State, now: Time, past: Option<&Seen>, store_ms: u64, out: &mut Vec<Effect>) {
+    if let Some(past) = past {
+        crash::recall(state, now, &past.row.quarantine, store_ms, out);
+    }
+    let expected = Revision::new(state.lease.era, 0);
+    let term = first_term(expected.era);
+    if let Some(held) = state.lease.held.clone() {
+        if now < held.until {
+            quota::propose(state, now);
+            let row = own_row(state, now, term, held.former, false);
+            call(state, now, Call::Write { expected, row }, out);
+            return;
+        }
+        lost(state, out);
+    }
+    if state.stopping || (state.settings.weak && now.since(state.started) < state.settings.weak_wait) {
+        return;
+    }
+    if expected.era == 0 {
+        quota::propose(state, now);
+        let row = own_row(state, now, term, None, false);
+        call(state, now, Call::Write { expected, row }, out);
+        return;
+    }
+    // Whoever led before the store was lost may believe that it still does.
+    let over = state.era.since() + state.settings.lease_length;
+    let free = over + state.settings.lease_margin;
+    if now < free {
+        schedule(state, free);
+        return;
+    }
+    let until_ms = state.lease.clock.map_or(store_ms, |clock| clock.before(over));
+    let former = Former { holder: Name::default(), until_ms };
+    quota::inherit_unknown(state, store_ms);
+    quota::propose(state, now);
+    let row = own_row(state, now, term, Some(former), false);
+    call(state, now, Call::Write { expected, row }, out);
+}
+
 /// Whether a lease that is free is left to stronger machines for now: a weak one waits from its own first sight of that.
 /// After an outage of the store every lease has been over for long, and whoever looks first would take it: nine in ten are
 /// weak, and one with 10 Mbit/s and 64 others to answer had no order answered for five seconds.
-fn defers(state: &mut State, now: Time, version: u64) -> bool {
+fn defers(state: &mut State, now: Time, version: Revision) -> bool {
     if !state.settings.weak {
         return false;
     }
@@ -397,6 +497,14 @@
         quota::named(state, &named);
         return;
     }
+    if let Some(held) = state.lease.held.as_mut().filter(|held| held.version.era < version.era) {
+        // The same process led when the store was lost, and nobody else has since.
+        *held = Held { version, term, until, ..held.clone() };
+        quota::named(state, &named);
+        state.members.keep_roster(term);
+        note(state, "kept", state.lease.orders_in(now).map_or(0, ms), out);
+        return;
+    }
     let orders_from = now + gap(state, former.as_ref(), store_ms);
     state.lease.held = Some(Held { version, term, until, orders_from, former });
     note(state, "taken", ms(orders_from.since(now)), out);
@@ -424,11 +532,13 @@
 
 /// Another entry VM says who has the lease. That one is to have a frame soon, but not from all entry VMs at once.
 pub(crate) fn told(state: &mut State, now: Time, hub: Row, out: &mut Vec<Effect>) {
+    era::heard(state, now, era_of(hub.term), out);
     let known = state.lease.hub().map_or(0, |row| row.term);
     if hub.term <= known || state.lease.held.is_some() {
         return;
     }
-    state.lease.seen = Some(Seen { version: 0, row: hub });
+    let version = Revision::new(era_of(hub.term), 0);
+    state.lease.seen = Some(Seen { version, row: hub });
     note(state, "told", 0, out);
     frame::forget_asking(state);
     let wait = Duration::from_secs_f64(f64::from(state.hub.nodes) / GREETINGS_PER_S * state.rng.f64());
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`effect::Effect`]s to carry out. It does no I/O, reads no clock and draws no random numbers but from
 //! the seed it was given.
 //!
-//! The modules, from the ground up: `config`, `engine`, `request` and `settings` are the words; `entries`
-//! keeps what the store says, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow`, `outcome` and `crash` serve requests;
+//! The modules, from the ground up: `config`, `engine`, `request`, `revision` and `settings` are the words; `entries`
+//! keeps what the store says, `era` what of that outlasts an older copy of it, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow`, `outcome` and `crash` serve requests;
 //! `access` with `key` and `proof` says whose they are, `quota` how many a workspace's may be; `frame`,
 //! `members` with `ownership`, `push` and `update` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
@@ -21,6 +21,7 @@
 pub mod effect;
 pub mod engine;
 mod entries;
+pub mod era;
 pub mod event;
 mod flow;
 pub mod frame;
@@ -41,6 +42,7 @@
 pub mod record;
 mod reduce;
 pub mod request;
+pub mod revision;
 pub mod schedule;
 pub mod settings;
 pub mod share;
--- a/fleet/src/notice.rs
+++ b/fleet/src/notice.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::effect::Effect;
-use crate::engine::Incarnation;
+use crate::engine::{Entry, Incarnation};
 use crate::flow;
 use crate::intake::{self, Intake};
 use crate::record::Record;
@@ -82,6 +82,18 @@
     }
 }
 
+/// The store has come back from an older copy, in which engines that leave may not have said so yet: they leave all the same.
+pub(crate) fn keep_departures(state: &mut State, now: Time) {
+    let State { engines, departures, .. } = state;
+    for Entry { id, incarnation, .. } in
+        engines.values().map(|engine| &engine.entry).filter(|entry| entry.leaving)
+    {
+        if !departures.has(id, *incarnation) {
+            departures.insert(id.clone(), *incarnation, now);
+        }
+    }
+}
+
 /// The engines in the list that have said that they leave.
 pub(crate) fn departures(state: &State) -> Vec<Start> {
     let listed = |engine: &Name| state.engines.contains_key(engine);
@@ -126,7 +138,7 @@
     };
     let before = std::mem::replace(&mut known.entry.leaving, true);
     if !before {
-        let (service, version) = (known.entry.service.clone(), known.version);
+        let (service, version) = (known.entry.service.clone(), known.version.version);
         let engine = from.engine.clone();
         out.push(Effect::Record(Record::Engine { engine, service, state: "says_leaving", version }));
     }
@@ -140,7 +152,7 @@
     };
     let until = known.health.paused_until.max(Some(now + pause));
     known.health.paused_until = until;
-    let (service, version) = (known.entry.service.clone(), known.version);
+    let (service, version) = (known.entry.service.clone(), known.version.version);
     out.push(Effect::Record(Record::Engine { engine: engine.clone(), service, state: "paused", version }));
     // Orders and questions that are due meanwhile follow then.
     state.timers.set(until.unwrap_or(now), Timer::Check(engine.clone()));
--- a/fleet/src/quota.rs
+++ b/fleet/src/quota.rs
@@ -28,7 +28,7 @@
 use charge::Balance;
 pub(crate) use charge::{Answer, Asking, account, again, answered, charge, refund};
 use lead::Owners;
-pub(crate) use lead::{allot, begin, end, inherit, named, outstanding, propose, renew_own};
+pub(crate) use lead::{allot, begin, end, inherit, inherit_unknown, named, outstanding, propose, renew_own};
 pub use message::{Allotment, Credit, Draw, Held, Report, WHOLE};
 
 /// How long a share is held without word of a leader: longer than it takes to find another leader, and no longer, since the share of
--- a/fleet/src/quota/allocator.rs
+++ b/fleet/src/quota/allocator.rs
@@ -53,7 +53,7 @@
 /// An entry VM that may hold shares of any limit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unheard {
-    /// Its name.
+    /// Its name; empty where any may.
     pub vm: Name,
     /// Until when, by the store's clock, in ms.
     pub until_ms: u64,
--- a/fleet/src/quota/lead.rs
+++ b/fleet/src/quota/lead.rs
@@ -7,6 +7,7 @@
 use super::allocator::{self, Allocator, Holder, Outstanding, Unheard};
 use super::message::{Allotment, Report};
 use super::{LEASE, Quota, hold};
+use crate::record::ms;
 use crate::state::{Identity, State};
 
 /// Who owns parts of which limits: of each limit one entry VM in each availability zone.
@@ -88,6 +89,12 @@
     state.quota.inherited = outstanding.clone();
 }
 
+/// The same after the store came back from an older copy: no row names all that the leaders before may have given shares.
+pub(crate) fn inherit_unknown(state: &mut State, store_ms: u64) {
+    let anyone = Unheard { vm: Name::default(), until_ms: store_ms + ms(LEASE) };
+    state.quota.inherited = Outstanding { unheard: vec![anyone], ..Outstanding::default() };
+}
+
 /// What the lease's row is to say of shares, after [`propose`].
 pub(crate) fn outstanding(state: &State, now: Time, ms: impl Fn(Time) -> u64) -> Outstanding {
     let Quota { allocator, proposed, inherited, .. } = &state.quota;
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -170,8 +170,51 @@
         /// Why.
         error: String,
     },
+    /// The store has come back from an older copy of its data: what was written since is gone, and versions are given out again.
+    Era {
+        /// Its era now.
+        era: u64,
+        /// Its era before, as far as it was known here.
+        before: u64,
+        /// The version up to which the engines' table was known in that,
+        listed: u64,
+        /// and that up to which the configuration was.
+        declared: u64,
+        /// Engines known.
+        engines: usize,
+        /// Those of them that leave: they leave whatever the copy says.
+        leaving: usize,
+        /// Engines known as removed: the copy's word does not bring them back at once.
+        removed: usize,
+        /// Whether this process held the lease.
+        led: bool,
+    },
+    /// The engines' table was read whole for the first time since the store came back from an older copy.
+    Reread {
+        /// The store's era.
+        era: u64,
+        /// The version up to which the table is known.
+        version: u64,
+        /// Time since this process knew of the era.
+        after_ms: u64,
+        /// Engines whose entry the copy lacks: they are waited for.
+        lacking: usize,
+        /// Engines in the copy that had been removed before: they are not believed yet.
+        returned: usize,
+    },
+    /// An answer of the store from before it came back from an older copy came after that was known, and changed nothing.
+    Outdated {
+        /// What it was to.
+        what: &'static str,
+        /// Its era.
+        era: u64,
+        /// The store's era.
+        now: u64,
+    },
     /// Changes of the engines' table were read. The holder of the lease names each engine in a line of its own, with the version.
     Listed {
+        /// The store's era.
+        era: u64,
         /// The store's version up to which the table is known now.
         version: u64,
         /// Whether all of it was read.
@@ -193,6 +236,8 @@
         version: u64,
         /// The version that is known.
         known: u64,
+        /// The store's era.
+        era: u64,
         /// The store's version up to which the table was read.
         read: u64,
         /// Whether all of it was read.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -6,6 +6,7 @@
 use crate::crash;
 use crate::effect::Effect;
 use crate::entries;
+use crate::era;
 use crate::event::Event;
 use crate::flow;
 use crate::frame::{self, Frame, Reply};
@@ -15,7 +16,6 @@
 use crate::notice;
 use crate::outcome;
 use crate::plan;
-use crate::proof;
 use crate::push;
 use crate::quota::{self, Credit, Draw};
 use crate::record::Record;
@@ -76,10 +76,11 @@
 fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Configured(config) => entries::configured(state, now, config, "store", out),
-        Event::Declared { version, asked } => {
-            state.declared = state.declared.max(version);
-            proof::renew(state, now, asked, out);
+        Event::Declared { version, config, asked } => {
+            let read = entries::Declared { version, config, asked };
+            entries::declared(state, now, &read, out);
         }
+        Event::Era(era) => era::heard(state, now, era, out),
         Event::Listed(listing) => entries::listed(state, now, listing, out),
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
@@ -126,6 +127,7 @@
         Timer::Silence(request, attempt) => outcome::silence(state, now, request, attempt, out),
         Timer::Probe(engine) => trust::probe(state, now, &engine, out),
         Timer::Lapse(engine) => entries::lapsed(state, now, &engine, out),
+        Timer::Return(engine) => entries::returned(state, now, &engine, out),
         Timer::Charge(request) => quota::again(state, now, request, out),
         Timer::Recall(engine) => intake::recall(state, now, &engine, out),
         Timer::Frame => frame::due(state, now, out),
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -57,6 +57,11 @@
     pub plan_every: Duration,
     /// Time for which a new entry of an outage's victims may be late (the platform's two seconds, less a margin).
     pub lapse_grace: Duration,
+    /// Time in which the operator and the engines have written again what the store lost by coming back from an older copy, counted from
+    /// its return.
+    pub rewritten_within: Duration,
+    /// Time between an engine's heartbeats (the platform's bound); the store removes the entry of one that misses three.
+    pub engine_heartbeat: Duration,
     /// First time without work for an engine that could not be reached.
     pub suspicion_min: Duration,
     /// Longest time without work for an engine that could not be reached.
@@ -208,6 +213,8 @@
             follow_alone: Duration::from_millis(250),
             plan_every: Duration::from_millis(250),
             lapse_grace: Duration::from_millis(1_500),
+            rewritten_within: Duration::from_secs(2),
+            engine_heartbeat: Duration::from_millis(1_200),
             suspicion_min: Duration::from_millis(500),
             suspicion_max: Duration::from_secs(4),
             silence: Duration::from_millis(500),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -15,7 +15,8 @@
 use crate::config::{Config, Pool, Table};
 use crate::crash::Register;
 use crate::demand::{Appetite, Counts};
-use crate::engine::{Engine, Row};
+use crate::engine::{Engine, Incarnation, Row};
+use crate::era::Era;
 use crate::event::Listing;
 use crate::flow::Flow;
 use crate::frame::{Hub, View};
@@ -28,6 +29,7 @@
 use crate::push::Pushes;
 use crate::quota::Quota;
 use crate::request::{Id, Prompt};
+use crate::revision::Revision;
 use crate::settings::Settings;
 use crate::speed::Speed;
 use crate::timer::Timer;
@@ -50,6 +52,24 @@
     pub address: SocketAddr,
 }
 
+/// An engine's entry was removed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Removed {
+    /// The store's version of that.
+    pub(crate) version: Revision,
+    /// The start of the engine that the entry was of.
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Versions of the engines' table between which engines may have come and gone unseen.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Gap {
+    /// Up to here the table was known.
+    pub(crate) after: Revision,
+    /// As of here it was read whole.
+    pub(crate) until: Revision,
+}
+
 /// The state of one process.
 #[derive(Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "each is a belief of its own, not a state of one machine")]
@@ -63,23 +83,31 @@
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) routes: Table,
     pub(crate) engines: BTreeMap<Name, Engine>,
-    /// Engines that were removed, with the store's version of that.
-    pub(crate) removed: BTreeMap<Name, u64>,
+    /// Engines that were removed.
+    pub(crate) removed: BTreeMap<Name, Removed>,
+    /// Entries in a copy of the store, of engines that had been removed before: their engines may be gone.
+    pub(crate) returned: BTreeMap<Name, Row>,
     /// Engines that have said in answers that they leave.
     pub(crate) departures: Departures,
     /// How many requests engines in need have said that they take.
     pub(crate) intakes: intake::Table,
     /// The store's version up to which the engines' table is known.
-    pub(crate) listed: u64,
+    pub(crate) listed: Revision,
     /// The store's version from which on `removed` names all engines that were removed: none are known from before a whole
     /// reading of the table.
-    pub(crate) removals_from: u64,
+    pub(crate) removals_from: Revision,
+    /// Where the table was read whole last, although it had been known before: changes in between may not be known.
+    pub(crate) gap: Option<Gap>,
     /// The store's version up to which no newer configuration than the one in force was written; 0 if not known.
-    pub(crate) declared: u64,
+    pub(crate) declared: Revision,
     /// When the configuration in force was last known to be the newest.
     pub(crate) proof: Proof,
     /// Limits of workspaces.
     pub(crate) quota: Quota,
+    /// Which copy of its data the store answers from.
+    pub(crate) era: Era,
+    /// Answers of the store from before it came back from an older copy, which came after that was known.
+    pub(crate) answers_outdated: u64,
     pub(crate) store_up: bool,
     /// When the store last answered anything.
     pub(crate) store_heard: Time,
@@ -137,13 +165,17 @@
             routes: Table::default(),
             engines: BTreeMap::new(),
             removed: BTreeMap::new(),
+            returned: BTreeMap::new(),
             departures: Departures::default(),
             intakes: intake::Table::default(),
-            listed: 0,
-            removals_from: 0,
-            declared: 0,
+            listed: Revision::default(),
+            removals_from: Revision::default(),
+            gap: None,
+            declared: Revision::default(),
             proof: Proof::default(),
             quota,
+            era: Era::default(),
+            answers_outdated: 0,
             store_up: true,
             store_heard: now,
             follows: None,
@@ -300,6 +332,18 @@
         self.rows_passed_over
     }
 
+    /// Which copy of its data the store answers from.
+    #[must_use]
+    pub const fn era(&self) -> &Era {
+        &self.era
+    }
+
+    /// Answers of the store from before it came back from an older copy, which came after that was known.
+    #[must_use]
+    pub const fn answers_outdated(&self) -> u64 {
+        self.answers_outdated
+    }
+
     /// The engines of a service.
     pub(crate) fn engines_of<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Engine> {
         self.engines.values().filter(move |engine| engine.entry.service == *service)
@@ -330,28 +374,30 @@
 
     /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it where not all
     /// removals since are known here.
-    pub(crate) fn listing_after(&self, now: Time, version: u64) -> Listing {
-        let whole = version < self.removals_from;
+    pub(crate) fn listing_after(&self, now: Time, version: Revision) -> Listing {
+        let missed = self.gap.is_some_and(|gap| gap.after < version && version < gap.until);
+        let whole = version < self.removals_from || missed;
         let rows = match (whole, self.listed > version) {
-            (true, _) => self.rows_after(now, 0),
+            (true, _) => self.rows_after(now, Revision::default()),
             (false, true) => self.rows_after(now, version),
             (false, false) => Vec::new(),
         };
         Listing { rows, version: self.listed, whole }
     }
 
-    fn rows_after(&self, now: Time, version: u64) -> Vec<Row> {
-        let put = self.engines.values().filter(|engine| engine.version > version);
+    fn rows_after(&self, now: Time, version: Revision) -> Vec<Row> {
+        let put = self.engines.values().filter(|engine| engine.changed > version);
         let put = put.map(|engine| Row {
             id: engine.entry.id.clone(),
             version: engine.version,
             entry: engine.missing_until.is_none().then(|| engine.entry.clone()),
             lapses: engine.missing_until.map(|until| until.since(now)),
         });
-        let removed = self.removed.iter().filter(|(_, removed)| **removed > version);
+        let returned = self.returned.values().filter(|row| row.version > version);
+        let removed = self.removed.iter().filter(|(_, removed)| removed.version > version);
         let removed =
-            removed.map(|(id, version)| Row { id: id.clone(), version: *version, ..Row::default() });
-        put.chain(removed).collect()
+            removed.map(|(id, removed)| Row { id: id.clone(), version: removed.version, ..Row::default() });
+        put.chain(returned.cloned()).chain(removed).collect()
     }
 
     /// The mean time of a service's runs, in ms.
--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -76,7 +76,7 @@
             engine: engine.clone(),
             service: known.entry.service.clone(),
             state: "suspected",
-            version: known.version,
+            version: known.version.version,
         }));
     }
     health.suspect(now, &state.settings);
@@ -133,7 +133,7 @@
             engine: engine.clone(),
             service: known.entry.service.clone(),
             state: "well",
-            version: known.version,
+            version: known.version.version,
         }));
     }
     known.health.hear(now);
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -221,7 +221,7 @@
 }
 
 fn replied(nodes: u32) -> Event {
-    let reply = Reply { leads: true, nodes, listed: 4, ..Reply::default() };
+    let reply = Reply { leads: true, nodes, listed: 4.into(), ..Reply::default() };
     Event::Replied(Some(Box::new(reply)))
 }
 
@@ -277,7 +277,8 @@
         incarnation: Incarnation::default(),
         residency: Residency { copies: vec![copy] },
     };
-    let reply = Reply { leads: true, nodes: 295, listed: 4, residencies: vec![resident], ..Reply::default() };
+    let reply =
+        Reply { leads: true, nodes: 295, listed: 4.into(), residencies: vec![resident], ..Reply::default() };
     Event::Replied(Some(Box::new(reply)))
 }
 
@@ -356,7 +357,7 @@
     let (request, attempt) = node.sent(streamed("/brief/1", "m0", Some("a1")));
     node.ended(request, attempt.number, End::Done);
     let view = View { term: 4, version: 1 };
-    let reply = Reply { leads: true, nodes: 295, listed: 4, view, ..Reply::default() };
+    let reply = Reply { leads: true, nodes: 295, listed: 4.into(), view, ..Reply::default() };
     node.feed(Event::Replied(Some(Box::new(reply))));
     let (_, attempt) = node.sent(streamed("/brief/1", "m0", Some("a1")));
     assert_eq!(*attempt.engine, *"w1", "nobody gives orders for seconds, so that it is still there");
@@ -375,7 +376,7 @@
     let effects = node.pass(millis(300));
     let asks = |effect: &Effect| matches!(effect, Effect::Report { engine, .. } if **engine == *"w1");
     assert!(effects.iter().any(asks), "it asks the engine");
-    let asker = Frame { vm: "b".into(), config: 1, listed: 4, ..Frame::default() };
+    let asker = Frame { vm: "b".into(), config: 1, listed: 4.into(), ..Frame::default() };
     let told = boragecove_fleet::reply(&mut node.state, node.now, &asker);
     assert_eq!(told.residencies, [], "it has no answer yet");
     let (_, attempt) = node.sent(streamed("/brief/1", "m0", Some("a1")));
--- a/fleet/tests/caller_keys.rs
+++ b/fleet/tests/caller_keys.rs
@@ -62,7 +62,7 @@
 }
 
 fn declared(node: &mut Node, asked: Time) {
-    node.feed(Event::Declared { version: 40, asked });
+    node.feed(Event::Declared { version: 40.into(), config: 1, asked });
 }
 
 /// An entry VM that has read the configuration from the store just now.
@@ -369,7 +369,7 @@
     let effects = node.pass(Duration::from_secs(9));
     assert_eq!(proofs(&effects), ["lost"]);
     let now = node.now;
-    node.feed(Event::Declared { version: 41, asked: now });
+    node.feed(Event::Declared { version: 41.into(), config: 1, asked: now });
     assert_eq!(proofs(&node.effects), ["found"]);
 }
 
@@ -381,7 +381,7 @@
     node.refused(keyed("/ack/1", 1));
     assert_eq!(proofs(&node.effects), ["lost"]);
     let now = node.now;
-    node.feed(Event::Declared { version: 41, asked: now });
+    node.feed(Event::Declared { version: 41.into(), config: 1, asked: now });
     assert_eq!(proofs(&node.effects), ["found"]);
 }
 
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -87,12 +87,13 @@
         term: 3,
         until_ms: 10_000,
         started_ms: 0,
+        settled: false,
         former: None,
         released: false,
         quarantine: Vec::new(),
         outstanding: Box::default(),
     };
-    let seen = boragecove_fleet::lease::Seen { version: 9, row };
+    let seen = boragecove_fleet::lease::Seen { version: 9.into(), row };
     node.lease(0, boragecove_fleet::lease::Outcome::Read(Some(seen)));
     node.arrive(streamed("/brief/1", "m0", Some("a7")));
     let told = node.effects.iter().find_map(|effect| match effect {
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -102,7 +102,7 @@
         member("b", "zone-b", 7_002),
         member("hub", "zone-a", 7_001),
     ]);
-    let reply = Reply { leads: true, nodes: 3, listed: 4, members, ..Reply::default() };
+    let reply = Reply { leads: true, nodes: 3, listed: 4.into(), members, ..Reply::default() };
     node.feed(Event::Replied(Some(Box::new(reply))));
     node
 }
@@ -419,7 +419,7 @@
     let mut node = Node::bare("a");
     node.pass(millis(10));
     let row = rmp_serde::from_slice(&bytes).expect("decodes");
-    node.lease(1_500, Outcome::Read(Some(lease::Seen { version: 9, row })));
+    node.lease(1_500, Outcome::Read(Some(lease::Seen { version: 9.into(), row })));
     node.feed(Event::Configured(Arc::new(config(1))));
     node.feed(listing(vec![node::row(1, entry("w1", WRITER, "zone-a", &["m0"]))], 4, true));
     assert_eq!(node.refused(body("x")).code, Code::CrashesBackends);
--- a/fleet/tests/engine_notices.rs
+++ b/fleet/tests/engine_notices.rs
@@ -124,7 +124,7 @@
     let mut node = Node::ready("a");
     node.pass(millis(10));
     node.lease(0, Outcome::Read(Some(hub_row())));
-    let reply = Reply { leads: true, nodes: 2, listed: 4, ..Reply::default() };
+    let reply = Reply { leads: true, nodes: 2, listed: 4.into(), ..Reply::default() };
     node.feed(Event::Replied(Some(Box::new(reply))));
     leaves(&mut node, "w1", None);
     let frame = node.pass(millis(400)).into_iter().find_map(|effect| match effect {
--- a/fleet/tests/frame_bytes.rs
+++ b/fleet/tests/frame_bytes.rs
@@ -37,14 +37,14 @@
         let vm = format!("front-hall-a-{number}");
         let frame = Frame {
             vm: vm.as_str().into(),
-            listed: 500,
+            listed: 500.into(),
             config: 1,
             loads: loads.collect(),
             ..Frame::default()
         };
         hub.feed(Event::Framed(Box::new(frame)));
     }
-    let asker = Frame { vm: "front-hall-a-1".into(), listed: 500, config: 1, ..Frame::default() };
+    let asker = Frame { vm: "front-hall-a-1".into(), listed: 500.into(), config: 1, ..Frame::default() };
     let mut known = boragecove_fleet::reply(&mut hub.state, hub.now, &asker);
     known.residencies.clear();
     let bytes = rmp_serde::to_vec(&known).expect("encodes").len();
@@ -67,7 +67,7 @@
         let known = View { term: reply.view.term, version: reply.limits_version };
         (rmp_serde::to_vec(&reply).expect("encodes").len(), known)
     };
-    let asker = Frame { vm: "front-hall-a-1".into(), listed: 500, config: 1, ..Frame::default() };
+    let asker = Frame { vm: "front-hall-a-1".into(), listed: 500.into(), config: 1, ..Frame::default() };
     let (without, _) = bytes_of(&mut hub, &asker);
     let advert = |number: usize| Advert {
         from: Start { engine: id(number).as_str().into(), incarnation: Incarnation(Some(1_767_465_654_898)) },
@@ -79,7 +79,7 @@
         row(600 + number as u64, Entry { incarnation, ..entry(&id(number), WRITER, "zone-a", &["m0"]) })
     });
     hub.feed(listing(rows.collect(), 800, false));
-    let asker = Frame { listed: 800, ..asker };
+    let asker = Frame { listed: 800.into(), ..asker };
     let limits = (0..ENGINES).map(advert).collect();
     let told = Frame { vm: "front-hall-a-2".into(), limits, ..Frame::default() };
     hub.feed(Event::Framed(Box::new(told)));
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -16,7 +16,7 @@
 fn frame(vm: &str, open: u32) -> Frame {
     let load = Load { open, reading_us: 0 };
     let loads = vec![EngineLoad { engine: "w1".into(), load }];
-    Frame { vm: vm.into(), config: 1, listed: 4, loads, ..Frame::default() }
+    Frame { vm: vm.into(), config: 1, listed: 4.into(), loads, ..Frame::default() }
 }
 
 /// A process that knows another as the hub.
@@ -28,7 +28,7 @@
 }
 
 fn reply() -> Reply {
-    Reply { leads: true, nodes: 3, listed: 4, ..Reply::default() }
+    Reply { leads: true, nodes: 3, listed: 4.into(), ..Reply::default() }
 }
 
 fn follows(effects: &[Effect]) -> Option<bool> {
@@ -288,7 +288,7 @@
     let mut hub = Node::ready("hub");
     hub.lead();
     let asked = hub.now;
-    hub.feed(Event::Declared { version: 40, asked });
+    hub.feed(Event::Declared { version: 40.into(), config: 1, asked });
     let mut node = follower();
     let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("a", 0));
     node.feed(Event::Replied(Some(Box::new(told))));
@@ -297,7 +297,7 @@
         Effect::Follow(Some(how)) => Some((how.listed, how.declared)),
         _ => None,
     });
-    assert_eq!(followed, Some((4, 40)));
+    assert_eq!(followed, Some((4.into(), 40.into())));
 }
 
 /// A hub that has a newer configuration says nothing of how new the older one is.
@@ -307,7 +307,7 @@
     hub.lead();
     hub.feed(Event::Configured(Arc::new(config(8))));
     let asked = hub.now;
-    hub.feed(Event::Declared { version: 40, asked });
+    hub.feed(Event::Declared { version: 40.into(), config: 1, asked });
     let mut node = follower();
     let mut told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame("a", 0));
     told.config = None;
@@ -317,7 +317,7 @@
         Effect::Follow(Some(how)) => Some(how.declared),
         _ => None,
     });
-    assert_eq!(declared, Some(0));
+    assert_eq!(declared, Some(0.into()));
 }
 
 /// An engine is gone by the time that a process starts, which then becomes the hub: it never heard of the engine, and the
@@ -330,7 +330,7 @@
     hub.feed(Event::Configured(Arc::new(config(1))));
     hub.feed(listing(vec![row(1, entry("w1", WRITER, "zone-a", &["m0", "m1"]))], 12, true));
     hub.lead();
-    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 4, ..frame("a", 0) });
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 4.into(), ..frame("a", 0) });
     node.feed(Event::Replied(Some(Box::new(told))));
     let left: Vec<String> = node.state.engines().map(|engine| engine.entry.id.to_string()).collect();
     assert_eq!(left, ["w1"]);
@@ -345,7 +345,7 @@
     hub.feed(listing(rows, 20, true));
     let mut node = follower();
     node.feed(listing(vec![row(9, entry("w9", WRITER, "zone-a", &["m0"]))], 9, false));
-    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 9, ..frame("a", 0) });
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 9.into(), ..frame("a", 0) });
     node.feed(Event::Replied(Some(Box::new(told))));
     let left: Vec<String> = node.state.engines().map(|engine| engine.entry.id.to_string()).collect();
     assert_eq!(left, ["w1"]);
@@ -357,7 +357,7 @@
     let mut hub = Node::ready("hub");
     hub.lead();
     hub.feed(listing(vec![row(6, entry("w1", WRITER, "zone-a", &["m2"]))], 6, false));
-    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 5, ..frame("a", 0) });
+    let told = boragecove_fleet::reply(&mut hub.state, hub.now, &Frame { listed: 5.into(), ..frame("a", 0) });
     assert_eq!(told.rows.len(), 1);
 }
 
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -1,14 +1,17 @@
 //! The lease: one holder at a time, whatever is lost, late or suspended, and no two machines' orders too close.
 
 mod node;
+mod store;
 
 use arbtest::arbtest;
 use boragecove_core::time::Time;
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::lease::{Answer, Call, Former, Outcome, Row, Seen};
+use boragecove_fleet::revision::Revision;
 use boragecove_fleet::settings::Settings;
 use node::{Node, address, millis};
+use store::Store;
 
 fn other(version: u64, until_ms: u64, released: bool) -> Seen {
     let row = Row {
@@ -17,12 +20,13 @@
         term: 3,
         until_ms,
         started_ms: 5_000,
+        settled: false,
         released,
         former: None,
         quarantine: Vec::new(),
         outstanding: Box::default(),
     };
-    Seen { version, row }
+    Seen { version: version.into(), row }
 }
 
 fn calls(effects: &[Effect]) -> Vec<Call> {
@@ -54,7 +58,10 @@
     node.pass(millis(10));
     node.lease(2_300, Outcome::Read(Some(other(9, 2_000, false))));
     let taken = calls(&node.effects);
-    assert!(matches!(&*taken, [Call::Write { expected: 9, row }] if row.term == 4), "{taken:?}");
+    assert!(
+        matches!(&*taken, [Call::Write { expected: Revision { version: 9, .. }, row }] if row.term == 4),
+        "{taken:?}"
+    );
     node.lease(2_305, Outcome::Written(10));
     assert!(node.state.lease().holds(node.now).is_some());
     assert!(node.state.lease().orders(node.now).is_none(), "the other's last orders are less than 3 s old");
@@ -168,7 +175,10 @@
     assert!(calls(&node.effects).is_empty(), "a stronger machine may take it");
     node.pass(millis(1_500));
     node.lease(1_500, Outcome::Read(None));
-    assert!(matches!(&*calls(&node.effects), [Call::Write { expected: 0, .. }]), "none did");
+    assert!(
+        matches!(&*calls(&node.effects), [Call::Write { expected: Revision { version: 0, .. }, .. }]),
+        "none did"
+    );
 }
 
 /// The load after an outage of the store: all look at a lease that has been over for long. Of 65 entry VMs, 59 are weak, and
@@ -202,9 +212,9 @@
         [Call::Write { row, .. }] => row.clone(),
         other => panic!("{other:?}"),
     };
-    node.feed(Event::Lease(Answer { store_ms: None, outcome: Outcome::Unknown }));
+    node.feed(Event::Lease(Answer { store_ms: None, era: None, outcome: Outcome::Unknown }));
     assert_eq!(calls(&node.effects), [Call::Read]);
-    node.lease(40, Outcome::Read(Some(Seen { version: 77, row: written })));
+    node.lease(40, Outcome::Read(Some(Seen { version: 77.into(), row: written })));
     assert!(node.state.lease().holds(node.now).is_some(), "the write was done after all");
 }
 
@@ -216,29 +226,6 @@
     assert!(node.state.lease().holds(node.now).is_none(), "it slept through the end of its lease");
 }
 
-/// A store with one row, whose answers may be lost and whose writes may be done late.
-#[derive(Default)]
-struct Store {
-    seen: Option<Seen>,
-    versions: u64,
-}
-
-impl Store {
-    fn call(&mut self, call: &Call) -> Outcome {
-        match call {
-            Call::Read => Outcome::Read(self.seen.clone()),
-            Call::Write { expected, row } => {
-                if self.seen.as_ref().map_or(0, |seen| seen.version) != *expected {
-                    return Outcome::Conflict(self.seen.clone());
-                }
-                self.versions += 1;
-                self.seen = Some(Seen { version: self.versions, row: row.clone() });
-                Outcome::Written(self.versions)
-            }
-        }
-    }
-}
-
 #[test]
 fn one_holder() {
     arbtest(|u| {
@@ -257,7 +244,7 @@
             let now = nodes.iter().map(|node| node.now).max().unwrap_or_default() + millis(10);
             while let Some(at) = late.iter().position(|(due, _)| *due <= now) {
                 let (_, call) = late.remove(at);
-                store.call(&call);
+                store.lease(&call);
             }
             for node in &mut nodes {
                 node.now = now;
@@ -268,17 +255,20 @@
                     let outcome = match fate {
                         0 => Outcome::Unknown,
                         1 => {
-                            store.call(&call);
+                            store.lease(&call);
                             Outcome::Unknown
                         }
                         2 => {
                             late.push((now + millis(1_500), call.clone()));
                             Outcome::Unknown
                         }
-                        _ => store.call(&call),
+                        _ => store.lease(&call),
+                    };
+                    let (store_ms, era) = match outcome {
+                        Outcome::Unknown => (None, None),
+                        _ => (Some(store_ms), Some(store.era())),
                     };
-                    let store_ms = (outcome != Outcome::Unknown).then_some(store_ms);
-                    wanted.extend(calls(node.feed(Event::Lease(Answer { store_ms, outcome }))));
+                    wanted.extend(calls(node.feed(Event::Lease(Answer { store_ms, era, outcome }))));
                 }
             }
             for (index, node) in nodes.iter().enumerate() {
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -111,7 +111,7 @@
         let mut links = Self { now, vms, transfers: Vec::new() };
         for at in 0..rates.len() {
             links.feed(at, Event::Configured(Arc::clone(config)));
-            links.feed(at, Event::Listed(Listing { rows: Vec::new(), version: 1, whole: true }));
+            links.feed(at, Event::Listed(Listing { rows: Vec::new(), version: 1.into(), whole: true }));
         }
         links
     }
@@ -293,6 +293,7 @@
             term: 1,
             until_ms,
             started_ms: 0,
+            settled: false,
             former: None,
             released: false,
             quarantine: Vec::new(),
@@ -300,10 +301,10 @@
         };
         let outcome = match call {
             Call::Write { row, .. } if row.holder == *"vm-0" => Outcome::Written(1),
-            Call::Write { .. } => Outcome::Conflict(Some(Seen { version: 1, row: row(u64::MAX) })),
+            Call::Write { .. } => Outcome::Conflict(Some(Seen { version: 1.into(), row: row(u64::MAX) })),
             Call::Read if self.now == Time::from_millis(START_MS) => Outcome::Read(None),
-            Call::Read => Outcome::Read(Some(Seen { version: 1, row: row(u64::MAX) })),
+            Call::Read => Outcome::Read(Some(Seen { version: 1.into(), row: row(u64::MAX) })),
         };
-        Answer { store_ms: Some(now_ms), outcome }
+        Answer { store_ms: Some(now_ms), era: Some(0), outcome }
     }
 }
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -15,6 +15,7 @@
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::lease;
 use boragecove_fleet::request::{Arrival, Attempt, End, Events, Fingerprint, Id, Prompt, Refusal, Step};
+use boragecove_fleet::revision::Revision;
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::state::Identity;
 
@@ -122,16 +123,18 @@
     }
 }
 
-pub fn row(version: u64, entry: Entry) -> Row {
+pub fn row(version: impl Into<Revision>, entry: Entry) -> Row {
+    let version = version.into();
     Row { id: entry.id.clone(), version, entry: Some(entry), ..Row::default() }
 }
 
-pub fn removed(version: u64, id: &str) -> Row {
+pub fn removed(version: impl Into<Revision>, id: &str) -> Row {
+    let version = version.into();
     Row { id: id.into(), version, ..Row::default() }
 }
 
-pub fn listing(rows: Vec<Row>, version: u64, whole: bool) -> Event {
-    Event::Listed(Listing { rows, version, whole })
+pub fn listing(rows: Vec<Row>, version: impl Into<Revision>, whole: bool) -> Event {
+    Event::Listed(Listing { rows, version: version.into(), whole })
 }
 
 pub fn brief(model: &str) -> Arrival {
@@ -176,11 +179,12 @@
         until_ms: 60_000,
         started_ms: 0,
         former: None,
+        settled: false,
         released: false,
         quarantine: Vec::new(),
         outstanding: Box::default(),
     };
-    lease::Seen { version: 9, row }
+    lease::Seen { version: 9.into(), row }
 }
 
 impl Node {
@@ -273,7 +277,8 @@
     /// The store answers a call about the lease.
     pub fn lease(&mut self, store_ms: u64, outcome: lease::Outcome) -> &[Effect] {
         let store_ms = Some(store_ms);
-        self.feed(Event::Lease(lease::Answer { store_ms, outcome }))
+        let era = Some(self.state.era().number());
+        self.feed(Event::Lease(lease::Answer { store_ms, era, outcome }))
     }
 }
 
--- a/fleet/tests/prompt_spacing.rs
+++ b/fleet/tests/prompt_spacing.rs
@@ -133,7 +133,7 @@
     let mut node = Node::ready("a");
     node.pass(millis(10));
     node.lease(0, Outcome::Read(Some(hub_row())));
-    let reply = Reply { leads: true, nodes: 3, listed: 4, members: Some(members), ..Reply::default() };
+    let reply = Reply { leads: true, nodes: 3, listed: 4.into(), members: Some(members), ..Reply::default() };
     node.feed(Event::Replied(Some(Box::new(reply))));
     node
 }
--- /dev/null
+++ b/fleet/tests/store/mod.rs
@@ -0,0 +1,150 @@
+//! The platform's store in a test: the lease's rows, the engines' table and the configuration, each write with a version of its own. It
+//! can come back from an older copy: what was written since is gone, versions are given out again, and its era has risen.
+
+#![allow(dead_code, reason = "each test uses what it needs")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::config::Config;
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::event::Listing;
+use boragecove_fleet::lease::{self, Call, Outcome, Seen};
+use boragecove_fleet::revision::Revision;
+
+/// How long copies are kept.
+const KEPT: Duration = Duration::from_secs(8);
+/// Time between two copies.
+const COPY_EVERY: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Debug, Default)]
+struct Content {
+    version: u64,
+    /// By the era that each row is of.
+    leases: BTreeMap<u64, (u64, lease::Row)>,
+    /// An entry; none if it was removed.
+    engines: BTreeMap<Name, (u64, Option<Entry>)>,
+    config: Option<(u64, Arc<Config>)>,
+}
+
+#[derive(Debug, Default)]
+pub struct Store {
+    content: Content,
+    era: u64,
+    copies: Vec<(Time, Content)>,
+}
+
+impl Store {
+    /// A store that names an era from the beginning.
+    pub fn in_era(era: u64) -> Self {
+        Self { era, ..Self::default() }
+    }
+
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// The version of the last write.
+    pub fn version(&self) -> u64 {
+        self.content.version
+    }
+
+    fn write(&mut self) -> u64 {
+        self.content.version += 1;
+        self.content.version
+    }
+
+    fn revision(&self) -> Revision {
+        Revision::new(self.era, self.content.version)
+    }
+
+    /// A call about the lease.
+    pub fn lease(&mut self, call: &Call) -> Outcome {
+        let seen = |era: u64, (version, row): &(u64, lease::Row)| Seen {
+            version: Revision::new(era, *version),
+            row: row.clone(),
+        };
+        match call {
+            Call::Read => {
+                let newest = self.content.leases.last_key_value();
+                Outcome::Read(newest.map(|(era, row)| seen(*era, row)))
+            }
+            Call::Write { expected, row } => {
+                let found = self.content.leases.get(&expected.era);
+                if found.map_or(0, |(version, _)| *version) != expected.version {
+                    return Outcome::Conflict(found.map(|row| seen(expected.era, row)));
+                }
+                let version = self.write();
+                self.content.leases.insert(expected.era, (version, row.clone()));
+                Outcome::Written(version)
+            }
+        }
+    }
+
+    /// An engine writes its entry.
+    pub fn put(&mut self, entry: Entry) {
+        let version = self.write();
+        self.content.engines.insert(entry.id.clone(), (version, Some(entry)));
+    }
+
+    /// An engine's entry is removed.
+    pub fn remove(&mut self, engine: &Name) {
+        let version = self.write();
+        self.content.engines.insert(engine.clone(), (version, None));
+    }
+
+    /// What stands there of an engine.
+    pub fn entry(&self, engine: &Name) -> Option<&Entry> {
+        self.content.engines.get(engine).and_then(|(_, entry)| entry.as_ref())
+    }
+
+    /// The operator writes a configuration.
+    pub fn declare(&mut self, config: Arc<Config>) {
+        let version = self.write();
+        self.content.config = Some((version, config));
+    }
+
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.content.config.as_ref().map(|(_, config)| config)
+    }
+
+    /// The version up to which the store can be read, with its era.
+    pub fn read_up_to(&self) -> Revision {
+        self.revision()
+    }
+
+    /// The engines' table, or what has changed in it; all of it for who knows it from another era.
+    pub fn engines(&self, known: Option<Revision>) -> Listing {
+        let after = known.filter(|known| known.era == self.era && known.version <= self.content.version);
+        let rows = self.content.engines.iter().filter_map(|(id, (version, entry))| {
+            let wanted = match after {
+                Some(after) => *version > after.version,
+                None => entry.is_some(),
+            };
+            let version = Revision::new(self.era, *version);
+            wanted.then(|| Row { id: id.clone(), version, entry: entry.clone(), ..Row::default() })
+        });
+        Listing { rows: rows.collect(), version: self.revision(), whole: after.is_none() }
+    }
+
+    /// Keeps a copy of now, if the last one is old.
+    pub fn keep(&mut self, now: Time) {
+        if self.copies.last().is_none_or(|(at, _)| now.since(*at) >= COPY_EVERY) {
+            self.copies.push((now, self.content.clone()));
+            self.copies.retain(|(at, _)| now.since(*at) <= KEPT);
+        }
+    }
+
+    /// Comes back from a copy of so long ago, or the oldest there is.
+    pub fn restore(&mut self, now: Time, back: Duration) {
+        let at = self.copies.iter().rposition(|(at, _)| now.since(*at) >= back).unwrap_or_default();
+        if let Some((_, copy)) = self.copies.get(at) {
+            self.content = copy.clone();
+            self.copies.truncate(at + 1);
+        }
+        self.era += 1;
+    }
+}
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -4,6 +4,8 @@
 #![allow(dead_code, reason = "each test uses what it needs")]
 
 mod backends;
+#[path = "../store/mod.rs"]
+mod store;
 mod ways;
 
 use std::collections::BTreeMap;
@@ -16,17 +18,20 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::State;
 use boragecove_fleet::config::Config;
+use boragecove_fleet::engine::Entry;
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::frame::{Frame, Reply};
-use boragecove_fleet::lease::{Answer, Seen};
+use boragecove_fleet::lease::Answer;
 use boragecove_fleet::push::Message;
 use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::request::{Arrival, Attempt, Id};
+use boragecove_fleet::revision::Revision;
 use boragecove_fleet::schedule::{Ask, Grant};
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::state::Identity;
 
 pub use backends::Backends;
+pub use store::Store;
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const TICK: Duration = Duration::from_millis(5);
@@ -37,6 +42,8 @@
 const LEASE_LIMIT: Duration = Duration::from_millis(500);
 /// Time between two questions of whoever follows the store whether there is a newer configuration.
 const FOLLOW_EVERY: Duration = Duration::from_millis(400);
+/// The longest time after a return of the store until what it lost is written again, by the users' terms.
+pub const REWRITTEN: Duration = Duration::from_millis(1_900);
 
 /// What became of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,9 +65,11 @@
     pub config: Arc<Config>,
     pub outcomes: Vec<Done>,
     vms: Vec<Vm>,
-    /// The lease's row, by the store.
-    row: Option<Seen>,
-    versions: u64,
+    pub store: Store,
+    /// What engines say of themselves, whatever the store has lost: an entry, or none for one that is gone.
+    truth: BTreeMap<Name, Option<Entry>>,
+    /// When what the store has lost is written again, and what.
+    rewrites: Vec<(Time, Rewrite)>,
     on_way: Vec<OnWay>,
     open: BTreeMap<(usize, Id), (Time, Name, f64)>,
     drawn: u64,
@@ -73,6 +82,10 @@
     pub forgetful: bool,
     /// A broken copy: whoever is asked for a place gives one at once.
     pub lax: bool,
+    /// A broken copy: nobody sees the store's era.
+    pub blind: bool,
+    /// Who might give orders, and under which fencing number, since when and until when.
+    pub orderers: Vec<Orderer>,
     /// Engines that answer; none where a request is done as soon as it is sent.
     pub backends: Option<Backends>,
     zones_cut: [bool; ZONES.len()],
@@ -92,6 +105,24 @@
     side: u8,
     follows: bool,
     asks_at: Time,
+    /// Up to where it knows the engines' table by reading.
+    table: Option<Revision>,
+}
+
+/// An entry VM that might give orders for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Orderer {
+    pub vm: usize,
+    pub term: u64,
+    pub from: Time,
+    pub until: Time,
+}
+
+/// What the store has lost and somebody writes again.
+#[derive(Clone, Debug)]
+enum Rewrite {
+    Config,
+    Engine(Name),
 }
 
 struct OnWay {
@@ -117,8 +148,10 @@
     Head(Id, Attempt, Time),
     Ended(Id, u32),
     Lease(Answer),
-    /// The configuration as it was when the store was asked, and when that was.
-    Declared(Arc<Config>, Time),
+    /// The configuration as it was when the store was asked, up to which version that holds, and when it was.
+    Declared(Arc<Config>, Revision, Time),
+    /// What was read of the engines' table.
+    Listed(Listing),
     /// A request that lies in the socket of a machine that is suspended.
     Arrive(Id, Box<Arrival>),
 }
@@ -140,6 +173,18 @@
         rows: &[boragecove_fleet::engine::Row],
         settings: Settings,
         seed: u64,
+    ) -> Self {
+        Self::before(Store::default(), vms, config, rows, settings, seed)
+    }
+
+    /// The same before a store that may have come back from copies already.
+    pub fn before(
+        store: Store,
+        vms: usize,
+        config: Config,
+        rows: &[boragecove_fleet::engine::Row],
+        settings: Settings,
+        seed: u64,
     ) -> Self {
         let now = Time::from_millis(START_MS);
         let mut world = Self {
@@ -148,8 +193,9 @@
             config: Arc::new(config),
             outcomes: Vec::new(),
             vms: Vec::new(),
-            row: None,
-            versions: 100,
+            store,
+            truth: BTreeMap::new(),
+            rewrites: Vec::new(),
             on_way: Vec::new(),
             open: BTreeMap::new(),
             drawn: 0,
@@ -158,15 +204,86 @@
             answers_lost: 0.0,
             forgetful: false,
             lax: false,
+            blind: false,
+            orderers: Vec::new(),
             backends: None,
             zones_cut: [false; ZONES.len()],
         };
+        for entry in rows.iter().filter_map(|row| row.entry.clone()) {
+            world.register(entry);
+        }
+        world.store.declare(Arc::clone(&world.config));
         for _vm in 0..vms {
             world.add(rows);
         }
         world
     }
 
+    /// An engine writes its entry.
+    pub fn register(&mut self, entry: Entry) {
+        self.truth.insert(entry.id.clone(), Some(entry.clone()));
+        self.store.put(entry);
+    }
+
+    /// An engine's entry is removed.
+    pub fn deregister(&mut self, engine: &str) {
+        self.truth.insert(engine.into(), None);
+        self.store.remove(&engine.into());
+    }
+
+    /// The store comes back from a copy of so long ago. What it lost is written again within the users' time.
+    pub fn drill(&mut self, back: Duration) {
+        self.store.restore(self.now, back);
+        self.rewrites.clear();
+        let within = REWRITTEN.as_millis() as u64;
+        let mut lost = vec![Rewrite::Config];
+        lost.extend(self.truth.keys().cloned().map(Rewrite::Engine));
+        for rewrite in lost {
+            let at = self.now + Duration::from_millis(self.rng.u64(0..within));
+            self.rewrites.push((at, rewrite));
+        }
+        for vm in &mut self.vms {
+            vm.asks_at = vm.asks_at.min(self.now);
+        }
+    }
+
+    /// Writes again what the store has lost and is due.
+    fn rewrite(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.rewrites.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, rewrite) in due {
+            match rewrite {
+                Rewrite::Config
+                    if self.store.config().is_none_or(|config| config.version != self.config.version) =>
+                {
+                    self.store.declare(Arc::clone(&self.config));
+                }
+                Rewrite::Engine(id) if self.store.entry(&id) != self.truth[&id].as_ref() => {
+                    match self.truth[&id].clone() {
+                        Some(entry) => self.store.put(entry),
+                        None => self.store.remove(&id),
+                    }
+                }
+                Rewrite::Config | Rewrite::Engine(_) => {}
+            }
+        }
+    }
+
+    /// Notes who might give orders now.
+    fn note_orderers(&mut self) {
+        let now = self.now;
+        for (vm, state) in self.vms.iter().enumerate().filter(|(_, vm)| vm.running && !vm.suspended) {
+            let Some(term) = state.state.lease().orders(now) else {
+                continue;
+            };
+            let last = self.orderers.iter_mut().rev().find(|last| last.vm == vm && last.term == term);
+            match last {
+                Some(last) => last.until = now,
+                None => self.orderers.push(Orderer { vm, term, from: now, until: now }),
+            }
+        }
+    }
+
     /// An entry VM is added.
     pub fn add(&mut self, rows: &[boragecove_fleet::engine::Row]) {
         let at = self.vms.len();
@@ -181,6 +298,7 @@
             side: 0,
             follows: true,
             asks_at: self.now,
+            table: None,
         });
         self.inform(at, rows);
     }
@@ -191,10 +309,28 @@
         State::new(me, self.settings.clone(), self.rng.u64(..), self.now)
     }
 
-    fn inform(&mut self, at: usize, rows: &[boragecove_fleet::engine::Row]) {
-        let config = Arc::clone(&self.config);
-        self.feed(at, Event::Configured(config));
-        self.feed(at, Event::Listed(Listing { rows: rows.to_vec(), version: 9, whole: true }));
+    /// What a process that starts has of the store at once.
+    fn inform(&mut self, at: usize, _rows: &[boragecove_fleet::engine::Row]) {
+        self.vms[at].table = None;
+        if let Some(config) = self.store.config().cloned() {
+            self.feed(at, Event::Configured(config));
+        }
+        let listing = self.seen(self.store.engines(None));
+        self.feed(at, Event::Listed(listing));
+    }
+
+    /// The era that whoever asks the store sees.
+    fn seen_era(&self) -> u64 {
+        if self.blind { 0 } else { self.store.era() }
+    }
+
+    /// What whoever reads the engines' table sees.
+    fn seen(&self, mut listing: Listing) -> Listing {
+        if self.blind {
+            listing.version.era = 0;
+            listing.rows.iter_mut().for_each(|row| row.version.era = 0);
+        }
+        listing
     }
 
     pub fn len(&self) -> usize {
@@ -264,6 +400,7 @@
     /// A version of the configuration is written to the store.
     pub fn declare(&mut self, config: Config) {
         self.config = Arc::new(config);
+        self.store.declare(Arc::clone(&self.config));
     }
 
     /// A version of the configuration is written to the store, and reaches all entry VMs that are not cut off at once.
@@ -302,6 +439,8 @@
 
     pub fn tick(&mut self) {
         self.now = self.now + TICK;
+        self.store.keep(self.now);
+        self.rewrite();
         for at in 0..self.vms.len() {
             let vm = &self.vms[at];
             if !vm.running || vm.suspended {
@@ -314,8 +453,7 @@
             if self.vms[at].follows && self.vms[at].asks_at <= self.now {
                 self.vms[at].asks_at = self.now + FOLLOW_EVERY;
                 if self.vms[at].served && self.vms[at].side == 0 {
-                    let config = Arc::clone(&self.config);
-                    self.post(at, at, 5, Load::Declared(config, self.now));
+                    self.follow(at);
                 }
             }
         }
@@ -324,6 +462,7 @@
         for way in due {
             self.deliver(way);
         }
+        self.note_orderers();
     }
 
     pub fn feed(&mut self, at: usize, event: Event) {
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -6,8 +6,9 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::lease::{Answer, Call, Outcome, Row, Seen};
+use boragecove_fleet::lease::{Answer, Call, Outcome, Row};
 use boragecove_fleet::request::{Cause, End, Events, Id, Step};
+use boragecove_fleet::revision::Revision;
 use boragecove_fleet::schedule::Grant;
 
 use super::{ASK_LIMIT, Done, FRAME_LIMIT, LEASE_LIMIT, Load, OnWay, START_MS, TICK, World, address};
@@ -83,10 +84,12 @@
             Load::Head(request, attempt, at) => self.head(to, request, &attempt, at),
             Load::Ended(request, attempt) => self.ended(to, request, attempt, End::Done),
             Load::Lease(answer) => self.feed(to, Event::Lease(answer)),
-            Load::Declared(config, asked) => {
+            Load::Declared(config, version, asked) => {
+                let stands = config.version;
                 self.feed(to, Event::Configured(config));
-                self.feed(to, Event::Declared { version: 40, asked });
+                self.feed(to, Event::Declared { version, config: stands, asked });
             }
+            Load::Listed(listing) => self.feed(to, Event::Listed(listing)),
             Load::Arrive(request, arrival) => self.feed(to, Event::Arrive { request, arrival }),
         }
     }
@@ -165,29 +168,38 @@
         }
     }
 
+    /// An entry VM that follows the store's tables reads what has changed.
+    pub(super) fn follow(&mut self, at: usize) {
+        let listing = self.store.engines(self.vms[at].table);
+        self.vms[at].table = Some(listing.version);
+        let listing = self.seen(listing);
+        self.post(at, at, 5, Load::Listed(listing));
+        if let Some(config) = self.store.config().cloned() {
+            let version = Revision::new(self.seen_era(), self.store.version());
+            self.post(at, at, 5, Load::Declared(config, version, self.now));
+        }
+    }
+
     pub(super) fn lease(&mut self, at: usize, call: Call) {
         let store_ms = self.now.since(Time::from_millis(START_MS)).as_millis() as u64;
         if !self.vms[at].served || self.vms[at].side != 0 {
-            let unknown = Answer { store_ms: None, outcome: Outcome::Unknown };
+            let unknown = Answer { store_ms: None, era: None, outcome: Outcome::Unknown };
             self.post(at, at, LEASE_LIMIT.as_millis() as u64, Load::Lease(unknown));
             return;
         }
-        let outcome = match call {
-            Call::Read => Outcome::Read(self.row.clone()),
-            Call::Write { expected, row } if expected == self.row.as_ref().map_or(0, |seen| seen.version) => {
-                self.versions += 1;
-                let forgotten = if self.forgetful { Box::default() } else { row.outstanding.clone() };
-                self.row = Some(Seen { version: self.versions, row: Row { outstanding: forgotten, ..row } });
-                if self.rng.f64() < self.answers_lost {
-                    let unknown = Answer { store_ms: None, outcome: Outcome::Unknown };
-                    self.post(at, at, LEASE_LIMIT.as_millis() as u64, Load::Lease(unknown));
-                    return;
-                }
-                Outcome::Written(self.versions)
+        let call = match call {
+            Call::Write { expected, row } if self.forgetful => {
+                Call::Write { expected, row: Row { outstanding: Box::default(), ..row } }
             }
-            Call::Write { .. } => Outcome::Conflict(self.row.clone()),
+            call => call,
         };
-        let answer = Answer { store_ms: Some(store_ms), outcome };
+        let outcome = self.store.lease(&call);
+        if matches!(outcome, Outcome::Written(_)) && self.rng.f64() < self.answers_lost {
+            let unknown = Answer { store_ms: None, era: None, outcome: Outcome::Unknown };
+            self.post(at, at, LEASE_LIMIT.as_millis() as u64, Load::Lease(unknown));
+            return;
+        }
+        let answer = Answer { store_ms: Some(store_ms), era: Some(self.seen_era()), outcome };
         self.post(at, at, 5, Load::Lease(answer));
     }
 
