Wait out the gap to another machine's orders also after a restart late in it

What operators would see: a holder of the lease that was restarted in the last 1.6 s of the gap to the orders of another machine gave orders at once (rule ONE; two machines' orders less than 3 s apart). Cause: its row's lease outlasts the gap, which was taken as proof that it may have given orders of its own already. Now the store's time counts too: before the gap is over by it, the one before is still the last that gave orders.

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -68,14 +68,15 @@
 }
 
 impl Row {
-    /// Who may have given the last orders: the holder, unless its lease was over before it was to give any. Several may
-    /// follow each other within seconds, and the gap between two machines' orders does not begin anew with each.
-    fn orderer(&self, gap: Duration) -> Option<Former> {
+    /// Who may have given the last orders by the store's time `store_ms`: the holder, unless its lease was over before it was to give
+    /// any, or that time has not come. Several may follow each other within seconds, and the gap between two machines' orders does not
+    /// begin anew with each.
+    fn orderer(&self, gap: Duration, store_ms: u64) -> Option<Former> {
         let began_ms = match &self.former {
             Some(former) if former.holder != self.holder => former.until_ms + ms(gap),
             Some(_) | None => 0,
         };
-        if self.until_ms < began_ms {
+        if self.until_ms.min(store_ms) < began_ms {
             return self.former.clone();
         }
         Some(Former { holder: self.holder.clone(), until_ms: self.until_ms })
@@ -404,7 +405,7 @@
     let over = store_ms > seen.row.until_ms.saturating_add(ms(state.settings.lease_margin));
     let free = over || (seen.row.released && !yields(state, &seen.row, store_ms));
     if mine || (free && !defers(state, now, seen.version)) {
-        let former = seen.row.orderer(state.settings.order_gap);
+        let former = seen.row.orderer(state.settings.order_gap, store_ms);
         quota::inherit(state, &seen.row.outstanding);
         quota::propose(state, now);
         let row = own_row(state, now, seen.row.term + 1, former, false);
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -126,6 +126,18 @@
     assert_eq!(node.state.lease().orders_in(node.now), Some(millis(2_195)));
 }
 
+/// The same where its lease would have lasted beyond that gap: it has given no order of its own yet, and the other's are too young.
+#[test]
+fn restarted_late_in_the_gap() {
+    let mut node = Node::bare("b");
+    node.pass(millis(10));
+    let mut seen = other(9, 6_500, false);
+    seen.row.former = Some(Former { holder: "c".into(), until_ms: 3_000 });
+    node.lease(5_000, Outcome::Read(Some(seen)));
+    node.lease(5_005, Outcome::Written(10));
+    assert_eq!(node.state.lease().orders_in(node.now), Some(millis(1_195)));
+}
+
 #[test]
 fn restarted_holder_goes_on() {
     let mut node = Node::bare("b");
