Name returns of the store in explain and losses, and test them with processes

Lease lines name the era; losses has a table of returns (who saw each, when the engines were known again, when orders went on, late answers); explain shows what a request's entry VMs made of one in the ten seconds before it. With an entry VM as a process: an engine whose removal was lost gets nothing and is used again once it registers, a route that was taken away stays away, a key that was taken away is not served by a process that starts on the copy.

--- a/daemon/src/cmd/losses.rs
+++ b/daemon/src/cmd/losses.rs
@@ -1,5 +1,6 @@
 //! `boragecoved losses`: where service is lost, by cause, from the log lines of all entry VMs.
 
+mod eras;
 mod in_need;
 mod stages;
 mod unserved;
@@ -208,6 +209,7 @@
     over_limits(&mut out, &requests)?;
     stages::table(&mut out, &requests)?;
     in_need::table(&mut out, &lines)?;
+    eras::table(&mut out, &lines)?;
     unserved::table(&mut out, &requests)?;
     Ok(())
 }
--- a/daemon/tests/caller_keys.rs
+++ b/daemon/tests/caller_keys.rs
@@ -171,3 +171,26 @@
     assert!(refused.iter().all(|answer| answer.contains("retry-after: ")), "{refused:?}");
     assert!(gateway.runs().len() <= 20);
 }
+
+/// The store comes back from a copy of before a key was taken away. An entry VM that starts then reads that copy, and serves nobody by it
+/// until the operator has had time to write again.
+#[test]
+fn copy_brings_no_key_back() {
+    let (store, gateway) = platform(&wards(&[KEY]));
+    let copy = store.copy();
+    store.put("op", "config", &guarded(2, &wards(&[OTHER])));
+    store.restore(copy);
+    let entry = Entry::start_with("keys-copy", &store, BOUNDS);
+    let begin = Instant::now();
+    let mut number = 0;
+    while begin.elapsed() < Duration::from_millis(1_400) {
+        number += 1;
+        let answer = call(entry.callers, &keyed(&format!("a{number}"), KEY));
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        thread::sleep(Duration::from_millis(50));
+    }
+    store.put("op", "config", &guarded(2, &wards(&[OTHER])));
+    becomes(&entry, |number| keyed(&format!("b{number}"), KEY), "401", LIMIT);
+    becomes(&entry, |number| keyed(&format!("c{number}"), OTHER), "200", LIMIT);
+    assert!(gateway.runs().iter().all(|id| id.starts_with('c')), "{:?}", gateway.runs());
+}
--- a/daemon/tests/explain_request.rs
+++ b/daemon/tests/explain_request.rs
@@ -51,6 +51,22 @@
     assert!(!out.contains("i-9"), "another request's: {out}");
 }
 
+/// Of a request that was sent after the store had come back from an older copy, what its entry VM made of that is shown too.
+#[test]
+fn era_before() {
+    let lines = r#"
+{"at":1000000,"vm":"entry-a","decision":"era","era":3,"before":2,"listed":118,"leaving":1,"removed":2,"led":true}
+{"at":1001000,"vm":"entry-b","decision":"era","era":3,"before":2,"listed":118,"leaving":1,"removed":2,"led":false}
+{"at":1100000,"vm":"entry-a","decision":"reread","era":3,"version":101,"after_ms":100,"lacking":0,"returned":1}
+{"at":3000000,"vm":"entry-a","id":"r1","decision":"sent","request":1,"attempt":1,"engine":"i-1"}
+"#;
+    let (code, out, _) = explain("r1", lines);
+    assert_eq!(code, Some(0));
+    let shown: Vec<&str> = out.lines().collect();
+    assert_eq!(shown.len(), 3, "{out}");
+    assert!(shown[0].contains("listed=118") && shown[1].contains("returned=1"), "{out}");
+}
+
 #[test]
 fn no_such_request() {
     let (code, _, error) = explain("r9", LINES);
--- a/daemon/tests/lost_service.rs
+++ b/daemon/tests/lost_service.rs
@@ -158,3 +158,22 @@
         ]
     );
 }
+
+/// Returns of the store from an older copy stand in a table of their own: who saw each, and when all went on.
+#[test]
+fn returns_of_the_store() {
+    let lines = r#"
+{"at":1000000,"vm":"entry-a","id":"r1","decision":"received","request":1,"host":"h","path":"/brief/1"}
+{"at":2000000,"vm":"entry-a","decision":"era","era":3,"before":2,"listed":118,"leaving":0,"removed":0,"led":true}
+{"at":2010000,"vm":"entry-a","decision":"lease","state":"kept","holder":"entry-a","era":3,"term":12884901889,"orders_in_ms":0}
+{"at":2100000,"vm":"entry-b","decision":"era","era":3,"before":2,"listed":118,"leaving":0,"removed":0,"led":false}
+{"at":2120000,"vm":"entry-a","decision":"reread","era":3,"version":90,"after_ms":120,"lacking":0,"returned":0}
+{"at":2200000,"vm":"entry-b","decision":"reread","era":3,"version":90,"after_ms":100,"lacking":0,"returned":0}
+{"at":2300000,"vm":"entry-b","decision":"outdated","what":"engines","era":2,"now":3}
+"#;
+    let (code, out, _) = losses(&[], lines);
+    assert_eq!(code, Some(0));
+    let told = out.lines().find(|line| line.contains("era 3")).unwrap_or_default();
+    let row = "era 3: seen by 2 entry VMs from 1.000 s to 1.100 s, engines known again 1.200 s, orders 1.010 s, 1 late answers";
+    assert!(told.contains(row), "{out}");
+}
--- a/daemon/tests/restored_store.rs
+++ b/daemon/tests/restored_store.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use serving::{Entry, LIMIT, call, streamed};
 use standin::{Engine, Store, config};
 
@@ -72,3 +73,59 @@
     assert_eq!(leaves.runs().len() - before, 0, "requests that reached the engine that leaves");
     assert_eq!(stays.runs().len() - stayed, 24);
 }
+
+/// Its removal is lost with the rest, and the copy lists it: it is sent nothing, though it still runs.
+#[test]
+fn removed_before_restore() {
+    let (store, stays, gone) = platform();
+    let entry = Entry::start("restored-removed", &store);
+    send_until_run(&entry, &gone);
+    let copy = store.copy();
+    store.remove("servers", "i-other");
+    thread::sleep(Duration::from_millis(600));
+    store.restore(copy);
+    thread::sleep(Duration::from_millis(300));
+    let (before, stayed) = (gone.runs().len(), stays.runs().len());
+    send(&entry, "g", 16);
+    assert_eq!((gone.runs().len() - before, stays.runs().len() - stayed), (0, 16));
+    gone.register(&store, "writer", &["m1"], "ready");
+    thread::sleep(IN_FORCE);
+    send_until_run_again(&entry, &gone);
+}
+
+/// Sends requests until an engine runs another one.
+fn send_until_run_again(entry: &Entry, engine: &Engine) {
+    let (before, end) = (engine.runs().len(), Instant::now() + LIMIT);
+    while engine.runs().len() == before {
+        assert!(Instant::now() < end, "it is never used again");
+        send(entry, "v", 4);
+    }
+}
+
+/// A configuration that takes a route away.
+fn without_drafts(version: u64) -> Value {
+    let mut document = config(version);
+    document["routes"].as_array_mut().expect("routes").retain(|route| route["name"] != "draft");
+    document
+}
+
+/// What the operator had taken away stays away, also in an entry VM that starts once it is written again.
+#[test]
+fn configuration_stays() {
+    let (store, _, _) = platform();
+    let entry = Entry::start("restored-config", &store);
+    assert!(call(entry.callers, &streamed("/draft/1", "d1")).starts_with("HTTP/1.1 200"));
+    let copy = store.copy();
+    store.put("op", "config", &without_drafts(2));
+    thread::sleep(Duration::from_millis(600));
+    assert!(call(entry.callers, &streamed("/draft/1", "d2")).starts_with("HTTP/1.1 404"));
+    store.restore(copy);
+    for number in 3..20 {
+        let answer = call(entry.callers, &streamed("/draft/1", &format!("d{number}")));
+        assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+        thread::sleep(Duration::from_millis(50));
+    }
+    store.put("op", "config", &without_drafts(2));
+    let other = Entry::start("restored-config-2", &store);
+    assert!(call(other.callers, &streamed("/draft/1", "e1")).starts_with("HTTP/1.1 404"));
+}
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -555,5 +555,11 @@
 
 fn note(state: &State, label: &'static str, orders_in_ms: u64, out: &mut Vec<Effect>) {
     let (holder, term) = state.lease.hub().map_or((Name::default(), 0), |row| (row.holder.clone(), row.term));
-    out.push(Effect::Record(Record::Lease { state: label, holder, term, orders_in_ms }));
+    out.push(Effect::Record(Record::Lease {
+        state: label,
+        holder,
+        era: state.lease.era,
+        term,
+        orders_in_ms,
+    }));
 }
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -278,6 +278,8 @@
         state: &'static str,
         /// Who holds it.
         holder: Name,
+        /// The store's era.
+        era: u64,
         /// Its fencing number.
         term: u64,
         /// When orders may be given.
--- a/fleet/tests/restored_store.rs
+++ b/fleet/tests/restored_store.rs
@@ -198,7 +198,7 @@
     };
     assert_eq!(told.iter().filter(|effect| reread(effect)).count(), 1);
     let again = node.feed(Event::Era(2)).to_vec();
-    assert!(!again.iter().any(|effect| era(effect)), "it is known");
+    assert!(!again.iter().any(era), "it is known");
 }
 
 /// What an entry VM that starts hears first is no return.
