Test shares, quarantine and whole readings over a return of the store

copy_gives_no_share_twice: holders that nobody hears, a leader that starts anew and a copy that names none of them; nobody is let in beyond the bound, and the check finds it where nobody sees the era. copy_keeps_quarantine and whole_reads_are_spread (300 entry VMs without a leader read whole tables within three seconds, each at its own moment).

--- a/fleet/tests/restored_store.rs
+++ b/fleet/tests/restored_store.rs
@@ -8,6 +8,7 @@
 use boragecove_core::code::Code;
 use boragecove_core::time::Time;
 use boragecove_fleet::config::{Access, Config, Key, Workspace};
+use boragecove_fleet::crash::Kept;
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::{Entry, Incarnation, Row};
 use boragecove_fleet::event::Event;
@@ -474,3 +475,39 @@
     assert_eq!(start(Some(false)), Some(Code::KeyUnproven));
     assert_eq!(start(Some(true)), None);
 }
+
+/// The load of 300 entry VMs that lose their leader as the store comes back: each reads whole tables at a moment of its own, within a time
+/// that grows with their number. The leader reads at once.
+#[test]
+fn whole_reads_are_spread() {
+    let follow = |effects: &[Effect]| {
+        effects.iter().rev().find_map(|effect| match effect {
+            Effect::Follow(how) => Some(how.expect("it follows the store")),
+            _ => None,
+        })
+    };
+    let mut node = asker();
+    node.pass(millis(200));
+    let word = Reply { leads: true, nodes: 300, era: 1, listed: at(1, 100), ..Reply::default() };
+    node.feed(Event::Replied(Some(Box::new(word))));
+    let alone = follow(&node.pass(Duration::from_secs(9))).expect("the leader is lost");
+    assert_eq!(alone.spread, Duration::from_secs(3));
+    let mut hub = ready("hub");
+    hub.pass(Duration::from_secs(3));
+    hub.lease(2_000, Outcome::Read(None));
+    let leads = follow(&hub.lease(2_005, Outcome::Written(101)).to_vec()).expect("it reads for all");
+    assert_eq!(leads.spread, Duration::ZERO);
+}
+
+/// Requests that crash engines are known from the row of the era before, too: a process that starts with nothing has no other source.
+#[test]
+fn copy_keeps_quarantine() {
+    let mut node = Node::bare("b");
+    node.pass(millis(10));
+    let mut old = hub_row();
+    old.version = at(1, 9);
+    old.row.quarantine = vec![Kept { request: plain("/ack/1").fingerprint, until_ms: 90_000, times: 1 }];
+    let answer = Answer { store_ms: Some(10_000), era: Some(2), outcome: Outcome::Read(Some(old)) };
+    node.feed(Event::Lease(answer));
+    assert_eq!(node.state.crashes().quarantined(node.now), 1);
+}
--- a/fleet/tests/workspace_limits.rs
+++ b/fleet/tests/workspace_limits.rs
@@ -474,3 +474,28 @@
     let excess = cut_with_the_leader(true);
     assert!(excess > 0.0, "{excess}");
 }
+
+/// Entry VMs are added and come to hold shares; then nobody hears those any more, the leader starts anew, and the store comes back from a
+/// copy that names none of them as holders. Returns the most that anybody was let in over the bound.
+fn holders_lost_by_the_store(blind: bool) -> f64 {
+    let mut world = world(3, 9);
+    world.blind = blind;
+    run(&mut world, Duration::from_secs(6), |_| USUAL);
+    (0..10).for_each(|_| world.add(&engines()));
+    run(&mut world, Duration::from_secs(7), |_| 8.0 * USUAL);
+    let leader = world.leader().expect("there is one");
+    (3..world.len()).for_each(|at| world.isolate(at, true));
+    world.drill(Duration::from_secs(8));
+    world.restart(leader, &engines());
+    run(&mut world, Duration::from_secs(12), |_| 8.0 * USUAL);
+    worst_excess(&world.outcomes, &[(Time(0), config(1, |_| 1.0))]).0
+}
+
+/// Guards against shares that are given out twice, since the row that named their holders is gone.
+#[test]
+fn copy_gives_no_share_twice() {
+    let excess = holders_lost_by_the_store(false);
+    assert!(excess <= 0.0, "{excess} over the bound");
+    let excess = holders_lost_by_the_store(true);
+    assert!(excess > 0.0, "the check has to find it where nobody sees the era: {excess}");
+}
