Move the lease's row and what is known of it into modules of their own

Twins in the tests go to the deployment of the tests (heal) and to the node (lease_calls, exchange), and rows that nothing used are not handed to entry VMs that start.

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -9,95 +9,27 @@
 //! earlier, and a write that was meant for that finds another row than the one in force. Whoever held the lease as the store was lost may
 //! believe so until its own clock ends that: it takes the new era's row at once, and others wait for as long as a lease lasts.
 
-use std::net::SocketAddr;
+mod holding;
+mod row;
+
 use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
-use boragecove_core::timer::Handle;
-use serde::{Deserialize, Serialize};
 
-use crate::crash::{self, Kept};
+use crate::crash;
 use crate::effect::Effect;
 use crate::era;
 use crate::frame;
 use crate::push;
-use crate::quota::{self, LEASE, Outstanding};
+use crate::quota::{self, LEASE};
 use crate::record::{Record, ms};
 use crate::revision::Revision;
 use crate::state::State;
 use crate::timer::Timer;
-
-/// The content of the row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
-    /// The machine that holds it.
-    pub holder: Name,
-    /// Where the holder listens for frames.
-    pub address: SocketAddr,
-    /// Grows with each change of hands, over all eras; fences orders.
-    pub term: u64,
-    /// When it is over at the latest, by the store's clock, in ms.
-    pub until_ms: u64,
-    /// When the holder's process started, by the store's clock, in ms.
-    #[serde(default)]
-    pub started_ms: u64,
-    /// Whether the holder knows that all the store had lost before this era has been written again.
-    #[serde(default)]
-    pub settled: bool,
-    /// Whether the holder has given it back.
-    pub released: bool,
-    /// Who else may have given orders last; none if nobody did.
-    #[serde(default)]
-    pub former: Option<Former>,
-    /// Requests that crash engines: processes that start with nothing know them from here.
-    #[serde(default)]
-    pub quarantine: Vec<Kept>,
-    /// Shares of workspaces' limits that may be held: the next holder of the lease gives out none of them.
-    #[serde(default)]
-    pub outstanding: Box<Outstanding>,
-}
-
-/// A machine that may have given orders, before the holder of the lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Former {
-    /// The machine; empty where any may have been it.
-    pub holder: Name,
-    /// Until when it may have given any, by the store's clock, in ms.
-    pub until_ms: u64,
-}
-
-impl Row {
-    /// Who may have given the last orders by the store's time `store_ms`: the holder, unless its lease was over before it was to give
-    /// any, or that time has not come. Several may follow each other within seconds, and the gap between two machines' orders does not
-    /// begin anew with each.
-    fn orderer(&self, gap: Duration, store_ms: u64) -> Option<Former> {
-        let began_ms = match &self.former {
-            Some(former) if former.holder != self.holder => former.until_ms + ms(gap),
-            Some(_) | None => 0,
-        };
-        if self.until_ms.min(store_ms) < began_ms {
-            return self.former.clone();
-        }
-        Some(Former { holder: self.holder.clone(), until_ms: self.until_ms })
-    }
-}
-
-/// Bits of a term that count changes of hands within an era. The era is above them; together they stay below 2^53 for two million eras,
-/// which all readers of JSON take.
-const TERM_BITS: u32 = 32;
-
-/// The first term of an era: larger than all of the eras before.
-#[must_use]
-pub const fn first_term(era: u64) -> u64 {
-    (era << TERM_BITS) + 1
-}
-
-/// The era in which a term was given.
-#[must_use]
-pub const fn era_of(term: u64) -> u64 {
-    term >> TERM_BITS
-}
+pub use holding::Lease;
+use holding::{Held, Sample};
+pub use row::{Answer, Call, Former, Outcome, Row, Seen, era_of, first_term};
 
 /// By how much later than another a process must have started to count as restarted since, in ms: all entry VMs of a
 /// deployment may start within a second.
@@ -109,138 +41,6 @@
 /// the next to stop in a rolling restart. Just over one look at the lease.
 const YIELD_MS: u64 = 500;
 
-/// A row with the store's version of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Seen {
-    /// The era that the row is of, and the store's version of it.
-    pub version: Revision,
-    /// Its content.
-    pub row: Row,
-}
-
-/// A call of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Call {
-    /// Read the row of the newest era that has one.
-    Read,
-    /// Write the row of an era if it still has this version; 0 for a row that does not exist.
-    Write {
-        /// The era, and the version that the row must have.
-        expected: Revision,
-        /// The new content.
-        row: Row,
-    },
-}
-
-/// The store's answer to a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answer {
-    /// The store's clock when it answered, in ms; none if it did not.
-    pub store_ms: Option<u64>,
-    /// The era that the answer names; none if there was no answer.
-    pub era: Option<u64>,
-    /// What came of the call.
-    pub outcome: Outcome,
-}
-
-/// What came of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The row as it is; none if there is none.
-    Read(Option<Seen>),
-    /// The row was written and has this version now.
-    Written(u64),
-    /// The row was not written, since it is another; none if there is none.
-    Conflict(Option<Seen>),
-    /// It is not known whether anything was done.
-    Unknown,
-}
-
-/// What this process knows of the lease.
-#[derive(Debug, Default)]
-pub struct Lease {
-    seen: Option<Seen>,
-    held: Option<Held>,
-    /// The call under way, with the time at which it was sent.
-    pending: Option<(Time, Call)>,
-    /// The last write that may have been done, with the time at which it was sent.
-    tried: Option<(Time, Row)>,
-    clock: Option<Sample>,
-    /// The version of a row that was seen to be free, and when that was first seen.
-    free: Option<(Revision, Time)>,
-    /// The store's era.
-    era: u64,
-    /// The timer of the next look or renewal.
-    next: Option<Handle>,
-}
-
-/// A sight of the store's clock.
-#[derive(Debug, Clone, Copy)]
-struct Sample {
-    /// What it showed, in ms.
-    store_ms: u64,
-    /// When it was asked: it showed that no earlier.
-    asked: Time,
-    /// When the answer came: it showed that no later.
-    answered: Time,
-}
-
-impl Sample {
-    /// The most that the store's clock can show at `time`.
-    fn at_most(self, time: Time) -> u64 {
-        self.store_ms + ms(time.since(self.asked))
-    }
-
-    /// The process's time at which the store's clock shows this, or a later one.
-    fn no_earlier(self, store_ms: u64) -> Time {
-        self.answered + Duration::from_millis(store_ms.saturating_sub(self.store_ms))
-    }
-
-    /// The most that the store's clock can have shown at `time`, before it was asked; less by a call's time at most.
-    fn before(self, time: Time) -> u64 {
-        self.store_ms.saturating_sub(ms(self.asked.since(time)))
-    }
-}
-
-/// The lease, held by this process.
-#[derive(Debug, Clone)]
-struct Held {
-    version: Revision,
-    term: u64,
-    until: Time,
-    orders_from: Time,
-    /// Who else may have given the last orders.
-    former: Option<Former>,
-}
-
-impl Lease {
-    /// The fencing number, while this process holds the lease.
-    #[must_use]
-    pub fn holds(&self, now: Time) -> Option<u64> {
-        self.held.as_ref().filter(|held| now < held.until).map(|held| held.term)
-    }
-
-    /// The fencing number, while this process may send orders.
-    #[must_use]
-    pub fn orders(&self, now: Time) -> Option<u64> {
-        let held = self.held.as_ref().filter(|held| now < held.until && now >= held.orders_from);
-        // Until the new era's row is there, the fencing number may not be this one's own.
-        held.filter(|held| held.version.era == self.era).map(|held| held.term)
-    }
-
-    /// How long until this process may send orders, if it holds the lease.
-    #[must_use]
-    pub fn orders_in(&self, now: Time) -> Option<Duration> {
-        self.held.as_ref().filter(|held| now < held.until).map(|held| held.orders_from.since(now))
-    }
-
-    /// Who was last seen to hold it.
-    #[must_use]
-    pub fn hub(&self) -> Option<&Row> {
-        self.seen.as_ref().map(|seen| &seen.row)
-    }
-}
-
 /// The lease is to be looked at, taken or renewed.
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     let wait = if state.lease.held.is_some() {
--- a/fleet/tests/engine_limits.rs
+++ b/fleet/tests/engine_limits.rs
@@ -206,8 +206,7 @@
     }
     run(&mut world, Duration::from_secs(4), 40.0, 40.0);
     run(&mut world, Duration::from_secs(4), 400.0, 400.0);
-    let rows = self::engines();
-    (1..9).for_each(|at| world.restart(at, &rows));
+    (1..9).for_each(|at| world.restart(at));
     run(&mut world, Duration::from_secs(8), 400.0, 400.0);
     assert!(worst_excess(&world, &engines, CONTACT) <= 0.0);
 }
@@ -267,7 +266,7 @@
         world.kill(owner);
     }
     for _ in 0..10 {
-        world.add(&self::engines());
+        world.add();
     }
     run(&mut world, Duration::from_secs(4), 150.0, 150.0);
     world.cut(0, true);
@@ -318,27 +317,15 @@
 fn disturb(world: &mut World, kind: u8, at: usize) {
     match kind {
         0 => world.kill(at),
-        1 => world.restart(at, &engines()),
+        1 => world.restart(at),
         2 => world.suspend(at, true),
         3 => world.cut(at % ZONES.len(), true),
         4 => world.serve(at, false),
         5 => world.isolate(at, true),
         6 => (0..world.len()).for_each(|at| world.serve(at, false)),
-        7 => (0..world.len()).for_each(|at| world.restart(at, &engines())),
+        7 => (0..world.len()).for_each(|at| world.restart(at)),
         8 => world.drill(Duration::from_millis(500 * (at as u64 + 1))),
-        _ => world.add(&engines()),
-    }
-}
-
-fn heal(world: &mut World) {
-    (0..ZONES.len()).for_each(|zone| world.cut(zone, false));
-    for at in 0..world.len() {
-        world.isolate(at, false);
-        world.serve(at, true);
-        world.suspend(at, false);
-        if !world.is_running(at) {
-            world.restart(at, &engines());
-        }
+        _ => world.add(),
     }
 }
 
@@ -357,7 +344,7 @@
                 let limit = *u.choose(&[None, Some(0.0), Some(0.4), Some(1.4), Some(2.9), Some(12.0)])?;
                 world.need(engine, limit);
             }
-            1 if u.ratio(1, 2)? => heal(&mut world),
+            1 if u.ratio(1, 2)? => world.heal(),
             _ => {
                 let at = u.int_in_range(0..=world.len() - 1)?;
                 disturb(&mut world, u.int_in_range(0..=9)?, at);
@@ -366,7 +353,7 @@
         let ms = u.int_in_range(200..=5_000)?;
         run(&mut world, Duration::from_millis(ms), load, load);
     }
-    heal(&mut world);
+    world.heal();
     run(&mut world, Duration::from_secs(3), load, load);
     for engine in NAMES {
         let excess = world.limit_excess(engine, CONTACT);
--- a/fleet/tests/key_withdrawal.rs
+++ b/fleet/tests/key_withdrawal.rs
@@ -80,10 +80,10 @@
         3 => world.suspend(leader, true),
         4 => world.serve(at, false),
         5 => world.serve(leader, false),
-        6 => world.restart(at, &engines()),
+        6 => world.restart(at),
         7 => (0..VMS).filter(|vm| vm % 3 != 0).for_each(|vm| world.serve(vm, false)),
         8 => world.cut(at % ZONES.len(), true),
-        9 => (0..VMS).for_each(|vm| world.restart(vm, &engines())),
+        9 => (0..VMS).for_each(|vm| world.restart(vm)),
         _ => world.drill(Duration::from_millis(u.int_in_range(0..=5_000)?)),
     }
     Ok(())
@@ -141,7 +141,7 @@
     world.declare(config(2, true));
     run(&mut world, millis(4_400));
     world.drill(Duration::from_secs(6));
-    (0..VMS).for_each(|vm| world.restart(vm, &engines()));
+    (0..VMS).for_each(|vm| world.restart(vm));
     run(&mut world, Duration::from_secs(4));
     let served = world.outcomes.iter().rev().find(|done| *done.workspace == *"stays").expect("some");
     assert_eq!(served.refused, None, "the other key is served again");
--- a/fleet/tests/lapsed_entries.rs
+++ b/fleet/tests/lapsed_entries.rs
@@ -9,7 +9,7 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::lease::Outcome;
 use boragecove_fleet::record::Record;
-use node::{Node, WRITER, entry, hub_row, listing, millis, removed, row};
+use node::{Node, WRITER, entry, exchange, hub_row, listing, millis, removed, row};
 
 fn known(node: &Node, id: &str) -> bool {
     node.state.engines().any(|engine| *engine.entry.id == *id)
@@ -100,20 +100,6 @@
     assert_eq!(lines(other.feed(listing(vec![removed(62, "w10")], 62, false))), (0, 1));
 }
 
-/// The hub answers a frame of an entry VM, which takes the answer over.
-fn frame(hub: &mut Node, asker: &mut Node) {
-    let wanted = asker.pass(millis(200));
-    let sent = wanted.into_iter().rev().find_map(|effect| match effect {
-        Effect::Frame { frame, .. } => Some(frame),
-        _ => None,
-    });
-    let sent = sent.expect("a frame");
-    hub.pass(millis(200));
-    hub.feed(Event::Framed(sent.clone()));
-    let reply = boragecove_fleet::reply(&mut hub.state, hub.now, &sent);
-    asker.feed(Event::Replied(Some(Box::new(reply))));
-}
-
 /// An entry is removed just after an outage: the hub, which reads the table, waits for it to come back. An entry VM that hears of it by
 /// the hub alone sent to that engine for good.
 #[test]
@@ -127,11 +113,11 @@
     hub.pass(millis(300));
     hub.feed(Event::StoreUp(true));
     hub.feed(listing(vec![removed(9, "w1"), removed(10, "w2")], 10, false));
-    frame(&mut hub, &mut asker);
+    exchange(&mut hub, &mut asker);
     assert!(known(&asker, "w1"), "a sound engine is back within two seconds");
     hub.feed(listing(vec![row(11, entry("w1", WRITER, "zone-a", &["m0"]))], 11, false));
     for _ in 0..8 {
-        frame(&mut hub, &mut asker);
+        exchange(&mut hub, &mut asker);
     }
     assert!(known(&hub, "w1") && known(&asker, "w1"), "it came back");
     assert!(!known(&hub, "w2"), "it did not");
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -5,12 +5,11 @@
 
 use arbtest::arbtest;
 use boragecove_core::time::Time;
-use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::lease::{Answer, Call, Former, Outcome, Row, Seen};
 use boragecove_fleet::revision::Revision;
 use boragecove_fleet::settings::Settings;
-use node::{Node, address, millis};
+use node::{Node, address, lease_calls, millis};
 use store::Store;
 
 fn other(version: u64, until_ms: u64, released: bool) -> Seen {
@@ -29,14 +28,6 @@
     Seen { version: version.into(), row }
 }
 
-fn calls(effects: &[Effect]) -> Vec<Call> {
-    let call = |effect: &Effect| match effect {
-        Effect::Lease(call) => Some(call.clone()),
-        _ => None,
-    };
-    effects.iter().filter_map(call).collect()
-}
-
 #[test]
 fn first_takes_it() {
     let mut node = Node::bare("a");
@@ -49,7 +40,7 @@
     let mut node = Node::bare("a");
     node.pass(millis(10));
     node.lease(1_000, Outcome::Read(Some(other(9, 2_000, false))));
-    assert!(calls(&node.effects).is_empty(), "it is not over by the store's clock");
+    assert!(lease_calls(&node.effects).is_empty(), "it is not over by the store's clock");
 }
 
 #[test]
@@ -57,7 +48,7 @@
     let mut node = Node::bare("a");
     node.pass(millis(10));
     node.lease(2_300, Outcome::Read(Some(other(9, 2_000, false))));
-    let taken = calls(&node.effects);
+    let taken = lease_calls(&node.effects);
     assert!(
         matches!(&*taken, [Call::Write { expected: Revision { version: 9, .. }, row }] if row.term == 4),
         "{taken:?}"
@@ -78,7 +69,7 @@
     for at in (2_400..5_200).step_by(100) {
         assert!(node.state.lease().orders(node.now).is_none(), "at {at}");
         let wanted = node.pass(millis(100));
-        if !calls(&wanted).is_empty() {
+        if !lease_calls(&wanted).is_empty() {
             version += 1;
             node.lease(at + 100, Outcome::Written(version));
         }
@@ -97,7 +88,7 @@
         let mut node = Node::bare("a");
         node.pass(millis(10));
         node.lease(3_900, Outcome::Read(Some(seen)));
-        let taken = calls(&node.effects);
+        let taken = lease_calls(&node.effects);
         let [Call::Write { row, .. }] = &*taken else { panic!("{taken:?}") };
         let row = row.clone();
         node.lease(3_905, Outcome::Written(10));
@@ -158,7 +149,7 @@
         node.now = node.now + millis(store_ms - started_ms);
         node.pass(millis(10));
         node.lease(store_ms, Outcome::Read(Some(other(9, 30_000, true))));
-        calls(&node.effects).iter().any(|call| matches!(call, Call::Write { .. }))
+        lease_calls(&node.effects).iter().any(|call| matches!(call, Call::Write { .. }))
     };
     assert!(takes(28_000, 50), "it started long after the holder did");
     assert!(!takes(5_200, 50), "it started with the holder, and may be the next to stop");
@@ -173,7 +164,7 @@
     node.pass(millis(395));
     node.lease(400, Outcome::Written(101));
     node.feed(Event::Stop);
-    let given = calls(&node.effects);
+    let given = lease_calls(&node.effects);
     let [Call::Write { row, .. }] = &*given else { panic!("{given:?}") };
     assert!(row.released && row.until_ms < 500, "{row:?}");
 }
@@ -184,11 +175,11 @@
     let mut node = Node::with("a", settings);
     node.pass(millis(10));
     node.lease(0, Outcome::Read(None));
-    assert!(calls(&node.effects).is_empty(), "a stronger machine may take it");
+    assert!(lease_calls(&node.effects).is_empty(), "a stronger machine may take it");
     node.pass(millis(1_500));
     node.lease(1_500, Outcome::Read(None));
     assert!(
-        matches!(&*calls(&node.effects), [Call::Write { expected: Revision { version: 0, .. }, .. }]),
+        matches!(&*lease_calls(&node.effects), [Call::Write { expected: Revision { version: 0, .. }, .. }]),
         "none did"
     );
 }
@@ -201,13 +192,13 @@
         let mut node = Node::with("a", Settings { weak: true, ..Settings::default() });
         node.pass(millis(10));
         node.lease(10_000, Outcome::Read(Some(row.clone())));
-        assert!(calls(&node.effects).is_empty(), "a stronger machine may take it");
+        assert!(lease_calls(&node.effects).is_empty(), "a stronger machine may take it");
         let mut waited = millis(0);
         while waited < millis(2_500) {
-            let looked = calls(&node.pass(millis(100))) == [Call::Read];
+            let looked = lease_calls(&node.pass(millis(100))) == [Call::Read];
             waited += millis(100);
             let store_ms = 10_000 + waited.as_millis() as u64;
-            if looked && !calls(node.lease(store_ms, Outcome::Read(Some(row.clone())))).is_empty() {
+            if looked && !lease_calls(node.lease(store_ms, Outcome::Read(Some(row.clone())))).is_empty() {
                 break;
             }
         }
@@ -220,12 +211,12 @@
     let mut node = Node::bare("a");
     node.pass(millis(10));
     node.lease(0, Outcome::Read(None));
-    let written = match &*calls(&node.effects) {
+    let written = match &*lease_calls(&node.effects) {
         [Call::Write { row, .. }] => row.clone(),
         other => panic!("{other:?}"),
     };
     node.feed(Event::Lease(Answer { store_ms: None, era: None, outcome: Outcome::Unknown }));
-    assert_eq!(calls(&node.effects), [Call::Read]);
+    assert_eq!(lease_calls(&node.effects), [Call::Read]);
     node.lease(40, Outcome::Read(Some(Seen { version: 77.into(), row: written })));
     assert!(node.state.lease().holds(node.now).is_some(), "the write was done after all");
 }
@@ -260,7 +251,7 @@
             }
             for node in &mut nodes {
                 node.now = now;
-                let mut wanted = calls(node.feed(Event::Wake));
+                let mut wanted = lease_calls(node.feed(Event::Wake));
                 while let Some(call) = wanted.pop() {
                     let store_ms = now.as_millis() - node::START_MS;
                     let fate = u.int_in_range(0..=19)?;
@@ -280,7 +271,7 @@
                         Outcome::Unknown => (None, None),
                         _ => (Some(store_ms), Some(store.era())),
                     };
-                    wanted.extend(calls(node.feed(Event::Lease(Answer { store_ms, era, outcome }))));
+                    wanted.extend(lease_calls(node.feed(Event::Lease(Answer { store_ms, era, outcome }))));
                 }
             }
             for (index, node) in nodes.iter().enumerate() {
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -13,6 +13,7 @@
 use boragecove_fleet::effect::{Dispatch, Effect};
 use boragecove_fleet::engine::{Cached, Entry, Held, Incarnation, Row};
 use boragecove_fleet::event::{Event, Listing};
+use boragecove_fleet::frame::Reply;
 use boragecove_fleet::lease;
 use boragecove_fleet::request::{Arrival, Attempt, End, Events, Fingerprint, Id, Prompt, Refusal, Step};
 use boragecove_fleet::revision::Revision;
@@ -297,3 +298,27 @@
     };
     effects.iter().filter_map(order).collect()
 }
+
+/// The calls about the lease among what is wanted.
+pub fn lease_calls(effects: &[Effect]) -> Vec<lease::Call> {
+    let call = |effect: &Effect| match effect {
+        Effect::Lease(call) => Some(call.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(call).collect()
+}
+
+/// The hub answers the next frame of an entry VM, which takes the answer over. Returns the answer.
+pub fn exchange(hub: &mut Node, asker: &mut Node) -> Reply {
+    let wanted = asker.pass(millis(200));
+    let sent = wanted.into_iter().rev().find_map(|effect| match effect {
+        Effect::Frame { frame, .. } => Some(frame),
+        _ => None,
+    });
+    let sent = sent.expect("a frame");
+    hub.pass(millis(200));
+    hub.feed(Event::Framed(sent.clone()));
+    let reply = boragecove_fleet::reply(&mut hub.state, hub.now, &sent);
+    asker.feed(Event::Replied(Some(Box::new(reply.clone()))));
+    reply
+}
--- a/fleet/tests/restored_store.rs
+++ b/fleet/tests/restored_store.rs
@@ -19,7 +19,10 @@
 use boragecove_fleet::request::{Arrival, Step};
 use boragecove_fleet::revision::Revision;
 use boragecove_fleet::settings::Settings;
-use node::{GATEWAY, Node, WRITER, config, entry, hub_row, listing, millis, plain, removed, row};
+use node::{
+    GATEWAY, Node, WRITER, config, entry, exchange, hub_row, lease_calls, listing, millis, plain, removed,
+    row,
+};
 
 const fn at(era: u64, version: u64) -> Revision {
     Revision::new(era, version)
@@ -65,14 +68,6 @@
     node.state.engines().any(|engine| *engine.entry.id == *id)
 }
 
-fn calls(effects: &[Effect]) -> Vec<Call> {
-    let call = |effect: &Effect| match effect {
-        Effect::Lease(call) => Some(call.clone()),
-        _ => None,
-    };
-    effects.iter().filter_map(call).collect()
-}
-
 /// Guards against the incident: the row that said an engine leaves had a lower version than the one known from before the store came
 /// back, and was passed over.
 #[test]
@@ -212,30 +207,15 @@
     assert_eq!(node.state.era().number(), 7);
 }
 
-/// The hub answers a frame of an entry VM, which takes the answer over. Returns the answer.
-fn frame(hub: &mut Node, asker: &mut Node) -> Reply {
-    let wanted = asker.pass(millis(200));
-    let sent = wanted.into_iter().rev().find_map(|effect| match effect {
-        Effect::Frame { frame, .. } => Some(frame),
-        _ => None,
-    });
-    let sent = sent.expect("a frame");
-    hub.pass(millis(200));
-    hub.feed(Event::Framed(sent.clone()));
-    let reply = boragecove_fleet::reply(&mut hub.state, hub.now, &sent);
-    asker.feed(Event::Replied(Some(Box::new(reply.clone()))));
-    reply
-}
-
 /// A process that holds the lease of the first era, and knows four engines.
 fn leader() -> Node {
     let mut hub = ready("hub");
     hub.pass(Duration::from_secs(3));
     hub.lease(2_000, Outcome::Read(None));
-    assert!(matches!(&*calls(&hub.effects), [Call::Write { .. }]), "{:?}", hub.effects);
+    assert!(matches!(&*lease_calls(&hub.effects), [Call::Write { .. }]), "{:?}", hub.effects);
     hub.lease(2_005, Outcome::Written(101));
     for step in 0..100 {
-        if !calls(&hub.pass(millis(50))).is_empty() {
+        if !lease_calls(&hub.pass(millis(50))).is_empty() {
             hub.lease(2_050 + 50 * step, Outcome::Written(102 + step));
         }
     }
@@ -257,14 +237,14 @@
 #[test]
 fn hub_tells_what_differs() {
     let (mut hub, mut asker) = (leader(), asker());
-    frame(&mut hub, &mut asker);
+    exchange(&mut hub, &mut asker);
     hub.feed(copy(at(2, 90), Some(writer("w1"))));
-    let told = frame(&mut hub, &mut asker);
+    let told = exchange(&mut hub, &mut asker);
     assert!(told.rows.is_empty() && !told.whole, "{told:?}");
     assert_eq!((told.era, told.listed), (2, at(2, 90)));
     assert_eq!(asker.state.era().number(), 2);
     hub.feed(listing(vec![row(at(2, 93), leaves("w1"))], at(2, 93), false));
-    let told = frame(&mut hub, &mut asker);
+    let told = exchange(&mut hub, &mut asker);
     assert_eq!(told.rows.len(), 1, "{told:?}");
     assert!(!serves(&asker, "w1"));
 }
@@ -275,7 +255,7 @@
     let (mut hub, mut asker) = (leader(), asker());
     asker.feed(listing(vec![removed(at(1, 105), "w1")], at(1, 105), false));
     hub.feed(copy(at(2, 90), Some(writer("w1"))));
-    let told = frame(&mut hub, &mut asker);
+    let told = exchange(&mut hub, &mut asker);
     assert!(told.whole);
     assert_eq!(told.rows.len(), 4);
     assert!(!serves(&asker, "w1"), "it knows that w1 was removed after the copy was made");
@@ -289,7 +269,7 @@
     let before = hub.state.lease().holds(hub.now);
     let told = Frame { vm: "b".into(), era: 2, ..Frame::default() };
     hub.feed(Event::Framed(Box::new(told)));
-    assert_eq!(calls(&hub.effects), [Call::Read], "it looks for the new era's row at once");
+    assert_eq!(lease_calls(&hub.effects), [Call::Read], "it looks for the new era's row at once");
     assert_eq!(hub.state.lease().orders(hub.now), None);
     assert_eq!(hub.state.lease().holds(hub.now), before, "nobody else can have taken it yet");
 }
@@ -306,7 +286,7 @@
         era: Some(2),
         outcome: Outcome::Read(Some(copied)),
     }));
-    let taken = calls(&hub.effects);
+    let taken = lease_calls(&hub.effects);
     let [Call::Write { expected, row }] = &*taken else { panic!("{taken:?}") };
     assert_eq!(*expected, at(2, 0), "the copy's row is none of this era");
     assert_eq!((row.term, era_of(row.term)), (first_term(2), 2));
@@ -334,11 +314,11 @@
     let first = node.now;
     let mut store_ms = 10_000;
     loop {
-        let wanted = calls(&node.pass(millis(10)));
+        let wanted = lease_calls(&node.pass(millis(10)));
         store_ms += 10;
         if wanted.contains(&Call::Read) {
             node.feed(answer(store_ms, Outcome::Read(Some(old.clone()))));
-            if !calls(&node.effects).is_empty() {
+            if !lease_calls(&node.effects).is_empty() {
                 break;
             }
         }
@@ -357,7 +337,7 @@
 #[test]
 fn late_write_is_no_lease() {
     let mut hub = leader();
-    let renewal = calls(&hub.pass(millis(450)));
+    let renewal = lease_calls(&hub.pass(millis(450)));
     assert!(matches!(&*renewal, [Call::Write { .. }]), "{renewal:?}");
     hub.now = hub.now + millis(200);
     hub.feed(Event::Lease(Answer { store_ms: Some(2_700), era: Some(2), outcome: Outcome::Written(100) }));
@@ -495,7 +475,7 @@
     let mut hub = ready("hub");
     hub.pass(Duration::from_secs(3));
     hub.lease(2_000, Outcome::Read(None));
-    let leads = follow(&hub.lease(2_005, Outcome::Written(101)).to_vec()).expect("it reads for all");
+    let leads = follow(hub.lease(2_005, Outcome::Written(101))).expect("it reads for all");
     assert_eq!(leads.spread, Duration::ZERO);
 }
 
--- a/fleet/tests/store_drills.rs
+++ b/fleet/tests/store_drills.rs
@@ -115,7 +115,7 @@
     match kind {
         0 => world.kill(at),
         1 => world.kill(leader),
-        2 => world.restart(at, &engines()),
+        2 => world.restart(at),
         3 => world.suspend(at, true),
         4 => world.suspend(leader, true),
         5 => world.cut(at % ZONES.len(), true),
@@ -123,23 +123,11 @@
         7 => world.serve(leader, false),
         8 => world.isolate(leader, true),
         9 => (0..world.len()).for_each(|at| world.serve(at, false)),
-        10 => (0..world.len()).for_each(|at| world.restart(at, &engines())),
+        10 => (0..world.len()).for_each(|at| world.restart(at)),
         _ => world.drill(back),
     }
 }
 
-fn heal(world: &mut World) {
-    (0..ZONES.len()).for_each(|zone| world.cut(zone, false));
-    for at in 0..world.len() {
-        world.isolate(at, false);
-        world.serve(at, true);
-        world.suspend(at, false);
-        if !world.is_running(at) {
-            world.restart(at, &engines());
-        }
-    }
-}
-
 /// An engine begins to leave, or its entry is removed.
 fn leave(world: &mut World, watch: &mut Watch, number: usize, removed: bool) {
     if !watch.stay.remove(&id(number)) {
@@ -171,7 +159,7 @@
                 format!("g{engine} leaves, removed: {removed}")
             }
             1 => {
-                heal(&mut world);
+                world.heal();
                 "heal".to_owned()
             }
             kind => {
@@ -183,7 +171,7 @@
         steps.push(format!("{:?}: {step}", world.now));
         watch.pass(&mut world, Duration::from_millis(u.int_in_range(20..=5_000)?));
     }
-    heal(&mut world);
+    world.heal();
     watch.pass(&mut world, Duration::from_secs(9));
     let mut faults = order_faults(&world);
     faults.append(&mut watch.faults);
--- a/fleet/tests/workspace_limits.rs
+++ b/fleet/tests/workspace_limits.rs
@@ -299,7 +299,7 @@
     }
     world.pass(Duration::from_secs(1));
     for at in (0..world.len()).filter(|at| Some(*at) != but) {
-        world.restart(at, &engines());
+        world.restart(at);
     }
     world.pass(Duration::from_secs(4));
     let begin = world.outcomes.len();
@@ -373,22 +373,7 @@
                 world.serve(leader, false);
             }
         }
-        _ => world.restart(at, &engines()),
-    }
-}
-
-fn heal(world: &mut World) {
-    for at in 0..world.len() {
-        world.suspend(at, false);
-        world.serve(at, true);
-    }
-    for zone in 0..ZONES.len() {
-        world.cut(zone, false);
-    }
-    for at in 0..world.len() {
-        if !world.is_running(at) {
-            world.restart(at, &engines());
-        }
+        _ => world.restart(at),
     }
 }
 
@@ -410,7 +395,7 @@
     for _ in 0..u.int_in_range(1..=5)? {
         let at = u.int_in_range(0..=world.len() - 1)?;
         match u.int_in_range(0..=11)? {
-            8 => world.add(&engines()),
+            8 => world.add(),
             9 => {
                 let version = limits.len() as u64 + 1;
                 let factor = *u.choose(&[0.25, 0.5, 2.0])?;
@@ -429,10 +414,10 @@
         let ms = u.int_in_range(200..=4_000)?;
         run_sized(&mut world, Duration::from_millis(ms), asked, large);
         if u.ratio(1, 3)? {
-            heal(&mut world);
+            world.heal();
         }
     }
-    heal(&mut world);
+    world.heal();
     run_sized(&mut world, Duration::from_secs(3), asked, large);
     Ok(worst_excess(&world.outcomes, &limits))
 }
@@ -481,12 +466,12 @@
     let mut world = world(3, 9);
     world.blind = blind;
     run(&mut world, Duration::from_secs(6), |_| USUAL);
-    (0..10).for_each(|_| world.add(&engines()));
+    (0..10).for_each(|_| world.add());
     run(&mut world, Duration::from_secs(7), |_| 8.0 * USUAL);
     let leader = world.leader().expect("there is one");
     (3..world.len()).for_each(|at| world.isolate(at, true));
     world.drill(Duration::from_secs(8));
-    world.restart(leader, &engines());
+    world.restart(leader);
     run(&mut world, Duration::from_secs(12), |_| 8.0 * USUAL);
     worst_excess(&world.outcomes, &[(Time(0), config(1, |_| 1.0))]).0
 }
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -219,7 +219,7 @@
         }
         world.store.declare(Arc::clone(&world.config));
         for _vm in 0..vms {
-            world.add(rows);
+            world.add();
         }
         world
     }
@@ -291,7 +291,7 @@
     }
 
     /// An entry VM is added.
-    pub fn add(&mut self, rows: &[boragecove_fleet::engine::Row]) {
+    pub fn add(&mut self) {
         let at = self.vms.len();
         let state = self.state_of(at);
         self.vms.push(Vm {
@@ -307,7 +307,7 @@
             table: None,
             troubled: self.now,
         });
-        self.inform(at, rows);
+        self.inform(at);
     }
 
     fn state_of(&mut self, at: usize) -> State {
@@ -317,7 +317,7 @@
     }
 
     /// What a process that starts has of the store at once.
-    fn inform(&mut self, at: usize, _rows: &[boragecove_fleet::engine::Row]) {
+    fn inform(&mut self, at: usize) {
         self.vms[at].table = None;
         if let Some(config) = self.store.config().cloned() {
             self.feed(at, Event::Configured(config));
@@ -389,13 +389,13 @@
         self.open.retain(|(vm, _), _| *vm != at);
     }
 
-    pub fn restart(&mut self, at: usize, rows: &[boragecove_fleet::engine::Row]) {
+    pub fn restart(&mut self, at: usize) {
         self.kill(at);
         self.vms[at].state = self.state_of(at);
         self.vms[at].running = true;
         self.vms[at].suspended = false;
         self.vms[at].wake = Some(self.now);
-        self.inform(at, rows);
+        self.inform(at);
     }
 
     pub fn is_running(&self, at: usize) -> bool {
@@ -427,6 +427,19 @@
         self.vms[at].side = if isolated { 100 + (at % 100) as u8 } else { 0 };
     }
 
+    /// All disturbances but drills end, and whoever does not run starts anew.
+    pub fn heal(&mut self) {
+        (0..ZONES.len()).for_each(|zone| self.cut(zone, false));
+        for at in 0..self.len() {
+            self.isolate(at, false);
+            self.serve(at, true);
+            self.suspend(at, false);
+            if !self.is_running(at) {
+                self.restart(at);
+            }
+        }
+    }
+
     /// A version of the configuration is written to the store.
     pub fn declare(&mut self, config: Config) {
         self.config = Arc::new(config);
