Push departures of engines down the trees of entry VMs

What callers saw at scale: with 300 entry VMs an engine that leaves was sent to for up to 1.6 s by those whose next frame was that far away, of 2 s that operators allow, so that any trouble on top broke the bound. Cause: only the hub's answers to frames told of departures, and frames of 300 entry VMs are 1.5 s apart. Now the hub sends such rows down the trees that configurations take, as soon as it has read them; frames repeat them for who missed it, and late word changes nothing, since rows have revisions. In the module of links: 300 entry VMs know after 10 ms (1.6 s before), 9 after 2 ms; a fifth suspended as before. departures_spread failed for 300 and passes.

--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -207,6 +207,16 @@
         }
     }
 
+    /// What is known of it as a row of the table.
+    pub(crate) fn row(&self, now: Time) -> Row {
+        Row {
+            id: self.entry.id.clone(),
+            version: self.version,
+            entry: self.missing_until.is_none().then(|| self.entry.clone()),
+            lapses: self.missing_until.map(|until| until.since(now)),
+        }
+    }
+
     /// Requests of all entry VMs under way there.
     #[must_use]
     pub const fn load(&self) -> Load {
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -129,6 +129,7 @@
     for row in listing.rows {
         changed += usize::from(take(state, now, row, out));
     }
+    tell_departures(state, now, out);
     if let Some(record) = passed_over {
         out.push(Effect::Record(record));
     }
@@ -151,6 +152,28 @@
     flow::stir_later(state);
 }
 
+/// The hub says of engines that they leave or are gone. Whatever else it knows of the table comes with its answers to frames.
+pub(crate) fn told(state: &mut State, now: Time, rows: Vec<Row>, out: &mut Vec<Effect>) {
+    for row in rows {
+        era::heard(state, now, row.version.era, out);
+        if !era::is_past(state, row.version.era) {
+            take(state, now, row, out);
+        }
+    }
+    // Whoever told this one has told the others.
+    state.departed.clear();
+}
+
+/// As the hub, tells the others at once of engines that were found to leave or to be gone.
+fn tell_departures(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let departed = std::mem::take(&mut state.departed);
+    if departed.is_empty() || state.lease.holds(now).is_none() {
+        return;
+    }
+    let rows = departed.iter().filter_map(|id| state.row_of(now, id)).collect();
+    push::tell_departures(state, rows, out);
+}
+
 /// The table was read whole as of a version. What changed between that and the version known before may be unknown here.
 fn note_whole(state: &mut State, version: Revision) {
     if !state.listed.is_known() {
@@ -288,6 +311,9 @@
         if changed || engine.entry != entry {
             engine.changed = version;
         }
+        if changed && leaving {
+            state.departed.push(id.clone());
+        }
         engine.entry = entry;
         engine.version = version;
         engine.missing_until = None;
@@ -342,6 +368,7 @@
     if let Some(wait) = wait.filter(|_| !engine.entry.leaving) {
         let lapses = engine.missing_until.is_none();
         if lapses {
+            state.departed.push(id.clone());
             engine.changed = version;
             engine.missing_until = Some(now + wait);
             state.timers.set(now + wait, Timer::Lapse(id.clone()));
@@ -350,6 +377,7 @@
         return lapses;
     }
     forget(state, id, version);
+    state.departed.push(id.clone());
     note(state, now, id, service, "gone", version, out);
     true
 }
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -15,6 +15,7 @@
 
 use crate::crash::{self, News};
 use crate::effect::Effect;
+use crate::engine::Row;
 use crate::entries;
 use crate::frame::{self, Frame};
 use crate::lease;
@@ -53,6 +54,8 @@
     pub update: Option<Packed>,
     /// What is new of requests that crash engines.
     pub crashes: crash::News,
+    /// Rows of the engines' table that say of engines that they leave or are gone.
+    pub departures: Vec<Row>,
     /// Entry VMs that the receiver is to pass it on to.
     pub onward: Vec<SocketAddr>,
 }
@@ -180,7 +183,7 @@
             vms: addresses.len(),
         }));
         let hub = state.lease.hub().cloned();
-        let message = Message { hub, update: Some(update), crashes: News::default(), onward: addresses };
+        let message = Message { hub, update: Some(update), onward: addresses, ..Message::default() };
         forward(state, &message, out);
     }
 }
@@ -217,6 +220,13 @@
     spread(state, &message, others.cloned(), out);
 }
 
+/// As the hub: tells all others of engines that leave or are gone. Its answers to their frames say so too, and those of hundreds of entry
+/// VMs are further apart than what is left of the time in which nobody is to send there any more.
+pub(crate) fn tell_departures(state: &State, departures: Vec<Row>, out: &mut Vec<Effect>) {
+    let message = Message { departures, ..Message::default() };
+    spread(state, &message, frame::reached(state), out);
+}
+
 /// Sends a message down a tree in each availability zone.
 fn spread(
     state: &State,
@@ -254,6 +264,7 @@
         lease::told(state, now, hub, out);
     }
     crash::told(state, now, message.crashes, out);
+    entries::told(state, now, message.departures, out);
     if let Some(update) = message.update {
         take(state, now, update, "push", out);
     }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -61,6 +61,13 @@
     pub(crate) incarnation: Option<Incarnation>,
 }
 
+impl Removed {
+    /// The removal as a row of the table.
+    fn row(&self, id: &Name) -> Row {
+        Row { id: id.clone(), version: self.version, ..Row::default() }
+    }
+}
+
 /// Versions of the engines' table between which engines may have come and gone unseen.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Gap {
@@ -85,6 +92,8 @@
     pub(crate) engines: BTreeMap<Name, Engine>,
     /// Engines that were removed.
     pub(crate) removed: BTreeMap<Name, Removed>,
+    /// Engines that were found to leave or to be gone by what was read last, until the others are told.
+    pub(crate) departed: Vec<Name>,
     /// Entries in a copy of the store, of engines that had been removed before: their engines may be gone.
     pub(crate) returned: BTreeMap<Name, Row>,
     /// Engines that have said in answers that they leave.
@@ -165,6 +174,7 @@
             routes: Table::default(),
             engines: BTreeMap::new(),
             removed: BTreeMap::new(),
+            departed: Vec::new(),
             returned: BTreeMap::new(),
             departures: Departures::default(),
             intakes: intake::Table::default(),
@@ -387,19 +397,19 @@
 
     fn rows_after(&self, now: Time, version: Revision) -> Vec<Row> {
         let put = self.engines.values().filter(|engine| engine.changed > version);
-        let put = put.map(|engine| Row {
-            id: engine.entry.id.clone(),
-            version: engine.version,
-            entry: engine.missing_until.is_none().then(|| engine.entry.clone()),
-            lapses: engine.missing_until.map(|until| until.since(now)),
-        });
+        let put = put.map(|engine| engine.row(now));
         let returned = self.returned.values().filter(|row| row.version > version);
         let removed = self.removed.iter().filter(|(_, removed)| removed.version > version);
-        let removed =
-            removed.map(|(id, removed)| Row { id: id.clone(), version: removed.version, ..Row::default() });
+        let removed = removed.map(|(id, removed)| removed.row(id));
         put.chain(returned.cloned()).chain(removed).collect()
     }
 
+    /// What is known of an engine as a row of the table; none if nothing is.
+    pub(crate) fn row_of(&self, now: Time, id: &Name) -> Option<Row> {
+        let listed = self.engines.get(id).map(|engine| engine.row(now));
+        listed.or_else(|| self.removed.get(id).map(|removed| removed.row(id)))
+    }
+
     /// The mean time of a service's runs, in ms.
     pub(crate) fn pace(&self, service: &Name) -> f64 {
         self.paces.get(service).copied().unwrap_or(PACE_MS)
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -168,6 +168,16 @@
         self.vms.iter().filter(|vm| !vm.suspended).filter(lacks).count()
     }
 
+    /// Entry VMs.
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Whether an entry VM runs.
+    pub fn runs(&self, at: usize) -> bool {
+        !self.vms[at].suspended
+    }
+
     /// What an entry VM knows.
     pub fn state(&self, at: usize) -> &State {
         &self.vms[at].state
