Believe an engine of a copy only by an answer from after its doubt, and keep the leader's word over a return

Its cause is that a timer decided, not news. Now an answer to what was asked after that time decides, of the store or the leader; one that lay in a socket says nothing. suspended_while_doubting plays it.

Beside it: whoever goes on as the leader in a new era keeps the word that it has given the others on what engines hold and on the list of entry VMs, so that hundreds of them are not told all of it again.

--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -225,7 +225,7 @@
                 self.node.do_send(Feed(Event::Declared { version, config, asked }));
             }
             Table::Engines => {
-                let (listing, errors) = page.engines(whole);
+                let (listing, errors) = page.engines(asked, whole);
                 for error in errors {
                     tracing::warn!(%error, "an engine's entry");
                 }
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -126,8 +126,9 @@
         note_whole(state, listing.version);
     }
     let passed_over = passed_over(state, &listing);
+    let asked = listing.asked.unwrap_or(now);
     for row in listing.rows {
-        changed += usize::from(take(state, now, row, out));
+        changed += usize::from(take(state, now, asked, row, out));
     }
     tell_departures(state, now, out);
     if let Some(record) = passed_over {
@@ -135,6 +136,9 @@
     }
     state.listed = state.listed.max(listing.version);
     state.era.listed(listing.version.version);
+    if let Some(asked) = listing.asked {
+        confirmed(state, now, asked, out);
+    }
     if before.is_known() && before.era < listing.version.era {
         reread(state, now, out);
     }
@@ -157,7 +161,7 @@
     for row in rows {
         era::heard(state, now, row.version.era, out);
         if !era::is_past(state, row.version.era) {
-            take(state, now, row, out);
+            take(state, now, now, row, out);
         }
     }
     // Whoever told this one has told the others.
@@ -209,7 +213,7 @@
     let mut changed = 0;
     for id in gone {
         let row = Row { id, version: listing.version, entry: None, lapses };
-        changed += usize::from(take(state, now, row, out));
+        changed += usize::from(take(state, now, now, row, out));
     }
     changed
 }
@@ -238,8 +242,8 @@
     listed.max(state.removed.get(id).map(|removed| removed.version))
 }
 
-/// Takes over a row. Returns whether it changes what is believed of its engine.
-fn take(state: &mut State, now: Time, row: Row, out: &mut Vec<Effect>) -> bool {
+/// Takes over a row of an answer to what was asked then. Returns whether it changes what is believed of its engine.
+fn take(state: &mut State, now: Time, asked: Time, row: Row, out: &mut Vec<Effect>) -> bool {
     if state.removed.get(&row.id).is_some_and(|removed| removed.version >= row.version) {
         return false;
     }
@@ -250,8 +254,7 @@
         return false;
     }
     state.returned.remove(&row.id);
-    if let Some(wait) = doubt(state, now, &row) {
-        state.timers.set(now + wait, Timer::Return(row.id.clone()));
+    if is_doubtful(state, asked, &row) {
         state.returned.insert(row.id.clone(), row);
         return false;
     }
@@ -262,26 +265,28 @@
     }
 }
 
-/// How much longer an entry is not believed, if it is not: a copy of the store names an engine that had been removed before, and that has
-/// neither started nor registered since. The store removes the entry once its heartbeats are missed.
-fn doubt(state: &State, now: Time, row: &Row) -> Option<Duration> {
-    let entry = row.entry.as_ref()?;
-    let removed = state.removed.get(&row.id)?;
+/// Whether an entry is not to be believed yet: a copy of the store names an engine that had been removed before, and that has neither
+/// started nor registered since. The store removes the entry once its heartbeats are missed.
+fn is_doubtful(state: &State, asked: Time, row: &Row) -> bool {
+    let Some((entry, removed)) = row.entry.as_ref().zip(state.removed.get(&row.id)) else {
+        return false;
+    };
     let same_start = removed.incarnation.is_none_or(|known| entry.incarnation <= known);
     let from_copy =
         removed.version.era < row.version.era && !state.era.is_after_first_listing(row.version.version);
-    state.era.doubts_removed(now, &state.settings).filter(|_| same_start && from_copy)
+    same_start && from_copy && state.era.doubts_removed(asked, &state.settings)
 }
 
-/// The store has had time to remove the entry of an engine that had been removed before, and has not.
-pub(crate) fn returned(state: &mut State, now: Time, id: &Name, out: &mut Vec<Effect>) {
-    if state.era.doubts_removed(now, &state.settings).is_some() {
+/// The table was known to be as it is by an answer to what was asked then. An engine whose entry the store has had time to remove, and has
+/// not, is believed.
+pub(crate) fn confirmed(state: &mut State, now: Time, asked: Time, out: &mut Vec<Effect>) {
+    if state.returned.is_empty() || state.era.doubts_removed(asked, &state.settings) {
         return;
     }
-    if let Some(row) = state.returned.remove(id) {
-        take(state, now, row, out);
-        flow::stir_later(state);
+    for (_, row) in std::mem::take(&mut state.returned) {
+        take(state, now, asked, row, out);
     }
+    flow::stir_later(state);
 }
 
 fn put(state: &mut State, now: Time, mut entry: Entry, version: Revision, out: &mut Vec<Effect>) -> bool {
--- a/fleet/src/era.rs
+++ b/fleet/src/era.rs
@@ -56,11 +56,11 @@
         (self.number > 0 && !self.is_old && now < until).then(|| until.since(now))
     }
 
-    /// How much longer an engine that was removed before may stand in the copy although it is gone; none if the store would have removed
-    /// its entry by now.
-    pub(crate) fn doubts_removed(&self, now: Time, settings: &Settings) -> Option<Duration> {
+    /// Whether an engine that was removed before may stand in the copy although it is gone: the store would have removed its entry some
+    /// heartbeats after the era began.
+    pub(crate) fn doubts_removed(&self, at: Time, settings: &Settings) -> bool {
         let until = self.since + settings.engine_heartbeat.mul_f64(HEARTBEATS_MISSED);
-        (self.number > 0 && !self.is_old && now < until).then(|| until.since(now))
+        self.number > 0 && !self.is_old && at < until
     }
 
     /// Whether a version of this era is from after this process first read the engines' table in it.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -350,7 +350,7 @@
         let load = engine.load().minus(mine(id).map_or_else(Load::default, |entry| entry.load));
         (load != Load::default()).then(|| EngineLoad { engine: id.clone(), load })
     });
-    let Listing { rows, version: listed, whole } = state.listing_after(now, asker.listed);
+    let Listing { rows, version: listed, whole, .. } = state.listing_after(now, asker.listed);
     let view = state.view();
     let since = if asker.view.term == view.term { asker.view.version } else { 0 };
     let holds = state.lease.holds(now).is_some();
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -72,8 +72,10 @@
     }
     state.hub.fresh = reply.leads && reply.store_age < state.settings.hub_store_age;
     if reply.listed > state.listed {
-        let listing = Listing { rows: reply.rows, version: reply.listed, whole: reply.whole };
+        let listing = Listing { rows: reply.rows, version: reply.listed, whole: reply.whole, asked: sent };
         entries::listed(state, now, listing, out);
+    } else if let Some(sent) = sent.filter(|_| state.hub.fresh && reply.era == state.era.number()) {
+        entries::confirmed(state, now, sent, out);
     }
     for engine in state.engines.values_mut() {
         engine.others = Load::default();
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -302,12 +302,11 @@
         // The same process led when the store was lost, and nobody else has since.
         *held = Held { version, term, until, ..held.clone() };
         quota::named(state, &named);
-        state.members.keep_roster(term);
         note(state, "kept", state.lease.orders_in(now).map_or(0, ms), out);
         return;
     }
     let orders_from = now + gap(state, former.as_ref(), store_ms);
-    state.lease.held = Some(Held { version, term, until, orders_from, former });
+    state.lease.held = Some(Held { version, term, taken: term, until, orders_from, former });
     note(state, "taken", ms(orders_from.since(now)), out);
     state.ledger.begin(term == 1);
     // Looks are seconds apart where there are hundreds of entry VMs, and the lease is over before the next one.
--- a/fleet/src/lease/holding.rs
+++ b/fleet/src/lease/holding.rs
@@ -60,6 +60,8 @@
 pub(super) struct Held {
     pub(super) version: Revision,
     pub(super) term: u64,
+    /// The term under which this process took it, which another follows if the store comes back from an older copy meanwhile.
+    pub(super) taken: u64,
     pub(super) until: Time,
     pub(super) orders_from: Time,
     /// Who else may have given the last orders.
@@ -87,6 +89,14 @@
         self.held.as_ref().filter(|held| now < held.until).map(|held| held.orders_from.since(now))
     }
 
+    /// The term under which the process took the lease that was last seen to hold it; 0 if none was. What that has told the others since
+    /// holds on.
+    #[must_use]
+    pub fn reign(&self) -> u64 {
+        let taken = self.held.as_ref().map(|held| held.taken);
+        taken.or_else(|| self.hub().map(|row| row.term)).unwrap_or_default()
+    }
+
     /// Who was last seen to hold it.
     #[must_use]
     pub fn hub(&self) -> Option<&Row> {
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -75,11 +75,6 @@
         self.ownership.renew(now, now, membership);
     }
 
-    /// As the leader: the term has changed, and this process has led all the while.
-    pub(crate) const fn keep_roster(&mut self, term: u64) {
-        self.roster.keep(term);
-    }
-
     /// As the leader: what an entry VM is told of its place in the list.
     pub(crate) fn membership(&self, now: Time, vm: &Name, with_list: bool) -> Membership {
         self.roster.membership(now, vm, with_list)
--- a/fleet/src/ownership.rs
+++ b/fleet/src/ownership.rs
@@ -45,11 +45,6 @@
         self.term == term
     }
 
-    /// The list goes on under another term.
-    pub(crate) const fn keep(&mut self, term: u64) {
-        self.term = term;
-    }
-
     /// Under this term, the list changes from one to another.
     pub(crate) fn update(&mut self, now: Time, term: u64, before: &[Member], list: &[Member]) {
         if term != self.term {
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -127,7 +127,6 @@
         Timer::Silence(request, attempt) => outcome::silence(state, now, request, attempt, out),
         Timer::Probe(engine) => trust::probe(state, now, &engine, out),
         Timer::Lapse(engine) => entries::lapsed(state, now, &engine, out),
-        Timer::Return(engine) => entries::returned(state, now, &engine, out),
         Timer::Charge(request) => quota::again(state, now, request, out),
         Timer::Recall(engine) => intake::recall(state, now, &engine, out),
         Timer::Frame => frame::due(state, now, out),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -378,8 +378,7 @@
 
     /// The version of what is known of what engines hold.
     pub(crate) fn view(&self) -> View {
-        let term = self.lease.hub().map_or(0, |row| row.term);
-        View { term, version: self.ledger.version() }
+        View { term: self.lease.reign(), version: self.ledger.version() }
     }
 
     /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it where not all
@@ -392,7 +391,7 @@
             (false, true) => self.rows_after(now, version),
             (false, false) => Vec::new(),
         };
-        Listing { rows, version: self.listed, whole }
+        Listing { rows, version: self.listed, whole, asked: None }
     }
 
     fn rows_after(&self, now: Time, version: Revision) -> Vec<Row> {
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -17,8 +17,6 @@
     Probe(Name),
     /// An entry that went missing around an outage is to be taken as gone.
     Lapse(Name),
-    /// An entry of an engine that had been removed before, in a copy of the store, is to be believed if it still stands.
-    Return(Name),
     /// The hub is to be told.
     Frame,
     /// The lease is to be renewed or looked at.
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -111,7 +111,10 @@
         let mut links = Self { now, vms, transfers: Vec::new() };
         for at in 0..rates.len() {
             links.feed(at, Event::Configured(Arc::clone(config)));
-            links.feed(at, Event::Listed(Listing { rows: Vec::new(), version: 1.into(), whole: true }));
+            links.feed(
+                at,
+                Event::Listed(Listing { rows: Vec::new(), version: 1.into(), whole: true, asked: None }),
+            );
         }
         links
     }
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -135,7 +135,12 @@
 }
 
 pub fn listing(rows: Vec<Row>, version: impl Into<Revision>, whole: bool) -> Event {
-    Event::Listed(Listing { rows, version: version.into(), whole })
+    Event::Listed(Listing { rows, version: version.into(), whole, asked: None })
+}
+
+/// The same as the answer to a question of then.
+pub fn listed(asked: Time, rows: Vec<Row>, version: impl Into<Revision>, whole: bool) -> Event {
+    Event::Listed(Listing { rows, version: version.into(), whole, asked: Some(asked) })
 }
 
 pub fn brief(model: &str) -> Arrival {
--- a/fleet/tests/restored_store.rs
+++ b/fleet/tests/restored_store.rs
@@ -20,8 +20,8 @@
 use boragecove_fleet::revision::Revision;
 use boragecove_fleet::settings::Settings;
 use node::{
-    GATEWAY, Node, WRITER, config, entry, exchange, hub_row, lease_calls, listing, millis, plain, removed,
-    row,
+    GATEWAY, Node, WRITER, config, entry, exchange, hub_row, lease_calls, listed, listing, millis, plain,
+    removed, row,
 };
 
 const fn at(era: u64, version: u64) -> Revision {
@@ -116,7 +116,14 @@
     let mut node = ready("b");
     node.feed(listing(vec![removed(at(1, 104), "w1")], at(1, 104), false));
     node.feed(copy(at(2, 90), Some(writer("w1"))));
+    let early = node.now;
     node.pass(Duration::from_secs(5));
+    node.feed(listed(early, Vec::new(), at(2, 95), false));
+    assert!(
+        !serves(&node, "w1"),
+        "an answer that lay in the socket of a suspended machine says nothing of now"
+    );
+    node.feed(listed(node.now, Vec::new(), at(2, 96), false));
     assert!(serves(&node, "w1"), "the store would have removed it by now");
     let mut node = ready("c");
     node.feed(listing(vec![removed(at(1, 104), "w1")], at(1, 104), false));
@@ -279,6 +286,8 @@
 fn holder_goes_on() {
     let mut hub = leader();
     hub.pass(millis(100));
+    let asker = Frame { vm: "b".into(), ..Frame::default() };
+    let before = boragecove_fleet::reply(&mut hub.state, hub.now, &asker);
     hub.feed(Event::Era(2));
     let copied = Seen { version: at(1, 60), row: hub.state.lease().hub().cloned().expect("its own") };
     hub.feed(Event::Lease(Answer {
@@ -297,6 +306,9 @@
         .iter()
         .any(|effect| matches!(effect, Effect::Record(Record::Lease { state: "kept", .. })));
     assert!(kept);
+    let after = boragecove_fleet::reply(&mut hub.state, hub.now, &asker);
+    assert_eq!(after.view, before.view, "what it has said of engines is not to be told to hundreds again");
+    assert_eq!(after.membership.map(|own| own.listed), before.membership.map(|own| own.listed));
 }
 
 /// The row that the copy has names a holder of some moments ago, or none: whoever led since may still believe that it does.
--- a/fleet/tests/store/mod.rs
+++ b/fleet/tests/store/mod.rs
@@ -117,7 +117,7 @@
     }
 
     /// The engines' table, or what has changed in it; all of it for who knows it from another era.
-    pub fn engines(&self, known: Option<Revision>) -> Listing {
+    pub fn engines(&self, asked: Time, known: Option<Revision>) -> Listing {
         let after = known.filter(|known| known.era == self.era && known.version <= self.content.version);
         let rows = self.content.engines.iter().filter_map(|(id, (version, entry))| {
             let wanted = match after {
@@ -127,7 +127,7 @@
             let version = Revision::new(self.era, *version);
             wanted.then(|| Row { id: id.clone(), version, entry: entry.clone(), ..Row::default() })
         });
-        Listing { rows: rows.collect(), version: self.revision(), whole: after.is_none() }
+        Listing { rows: rows.collect(), version: self.revision(), whole: after.is_none(), asked: Some(asked) }
     }
 
     /// Keeps a copy of now, if the last one is old.
--- a/fleet/tests/store_drills.rs
+++ b/fleet/tests/store_drills.rs
@@ -190,6 +190,24 @@
     .budget_ms(world::budget_ms(6_000));
 }
 
+/// The leader knows that an engine was removed, finds it in the copy, and is suspended before it hears that it was removed again. Seen on a
+/// random day: as it went on, the time for that was over by its clock, and it believed in the engine until its next reading.
+#[test]
+fn suspended_while_doubting() {
+    let mut world = world(6, 5);
+    let mut watch = Watch { stay: (0..ENGINES).map(id).collect(), ..Watch::default() };
+    leave(&mut world, &mut watch, 2, true);
+    watch.pass(&mut world, Duration::from_secs(2));
+    world.drill(Duration::from_secs(4));
+    watch.pass(&mut world, Duration::from_millis(100));
+    let leader = world.leader().expect("there is one");
+    world.suspend(leader, true);
+    watch.pass(&mut world, Duration::from_secs(9));
+    world.suspend(leader, false);
+    watch.pass(&mut world, Duration::from_secs(3));
+    assert!(watch.faults.is_empty(), "{:#?}", &watch.faults[..watch.faults.len().min(5)]);
+}
+
 /// Days of the same kind, always the same ones.
 fn day(seed: u64, blind: bool) -> Vec<String> {
     let mut bytes = vec![0; 4_096];
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -322,7 +322,7 @@
         if let Some(config) = self.store.config().cloned() {
             self.feed(at, Event::Configured(config));
         }
-        let listing = self.seen(self.store.engines(None));
+        let listing = self.seen(self.store.engines(self.now, None));
         self.feed(at, Event::Listed(listing));
     }
 
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -170,7 +170,7 @@
 
     /// An entry VM that follows the store's tables reads what has changed.
     pub(super) fn follow(&mut self, at: usize) {
-        let listing = self.store.engines(self.vms[at].table);
+        let listing = self.store.engines(self.now, self.vms[at].table);
         self.vms[at].table = Some(listing.version);
         let listing = self.seen(listing);
         self.post(at, at, 5, Load::Listed(listing));
