--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -268,7 +268,7 @@
 /// Whether an entry is not to be believed yet: a copy of the store names an engine that had been removed before, and that has neither
 /// started nor registered since. The store removes the entry once its heartbeats are missed.
 fn is_doubtful(state: &State, asked: Time, row: &Row) -> bool {
-    let Some((entry, removed)) = row.entry.as_ref().zip(state.removed.get(&row.id)) else {
+    let Some((entry, removed)) = row.entry.as_ref().zip(removal(state, &row.id)) else {
         return false;
     };
     let same_start = removed.incarnation.is_none_or(|known| entry.incarnation <= known);
@@ -277,6 +277,14 @@
     same_start && from_copy && state.era.doubts_removed(asked, &state.settings)
 }
 
+/// The removal of an engine, also of one that is waited for to come back.
+fn removal(state: &State, id: &Name) -> Option<Removed> {
+    let lapsing = state.engines.get(id).filter(|engine| engine.missing_until.is_some());
+    let lapsing = lapsing
+        .map(|engine| Removed { version: engine.version, incarnation: Some(engine.entry.incarnation) });
+    lapsing.or_else(|| state.removed.get(id).copied())
+}
+
 /// The table was known to be as it is by an answer to what was asked then. An engine whose entry the store has had time to remove, and has
 /// not, is believed.
 pub(crate) fn confirmed(state: &mut State, now: Time, asked: Time, out: &mut Vec<Effect>) {
--- a/fleet/src/lease/holding.rs
+++ b/fleet/src/lease/holding.rs
@@ -90,9 +90,9 @@
     }
 
     /// The term under which the process took the lease that was last seen to hold it; 0 if none was. What that has told the others since
-    /// holds on.
+    /// then holds on.
     #[must_use]
-    pub fn reign(&self) -> u64 {
+    pub fn taken_term(&self) -> u64 {
         let taken = self.held.as_ref().map(|held| held.taken);
         taken.or_else(|| self.hub().map(|row| row.term)).unwrap_or_default()
     }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -378,7 +378,7 @@
 
     /// The version of what is known of what engines hold.
     pub(crate) fn view(&self) -> View {
-        View { term: self.lease.reign(), version: self.ledger.version() }
+        View { term: self.lease.taken_term(), version: self.ledger.version() }
     }
 
     /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it where not all
--- a/fleet/tests/restored_store.rs
+++ b/fleet/tests/restored_store.rs
@@ -161,6 +161,21 @@
     assert_eq!(node.state.answers_outdated(), 2);
 }
 
+/// It was removed just after one return, and is waited for, as the store comes back from a copy of before that once more.
+#[test]
+fn lapsing_over_a_second_return() {
+    let mut node = ready("a");
+    node.feed(copy(at(2, 90), Some(writer("w1"))));
+    node.pass(millis(300));
+    node.feed(listing(vec![removed(at(2, 95), "w1")], at(2, 95), false));
+    assert!(serves(&node, "w1"), "entries of sound engines lapse around an outage");
+    node.feed(copy(at(3, 80), Some(writer("w1"))));
+    node.pass(millis(1_600));
+    assert!(!serves(&node, "w1"), "the copy is from before its removal");
+    node.feed(listing(vec![row(at(3, 99), writer("w1"))], at(3, 99), false));
+    assert!(serves(&node, "w1"), "it has registered since");
+}
+
 /// Two returns, the second while engines still write again what the first one lost.
 #[test]
 fn second_return() {
