Tell whoever starts all engines in packed form, once made for all who ask within a moment

What it cost: whoever starts, or hears a new hub first, was told all rows of the engines' table and all that engines hold, 222 KB for the rows of 3,000 engines without their adapters, encoded for each of hundreds that ask within a second. From 64 engines on both are packed (encoded and deflated, as updates of the configuration are; one copy of that now, pack.rs), and one packed form serves all who ask within half a second; what has changed since follows with the next frame.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -6,25 +6,27 @@
 mod loads;
 mod message;
 mod peers;
+mod snapshot;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use bytes::Bytes;
 
 pub(crate) use answered::replied;
 pub(crate) use hold::{awaits, meets};
 pub(crate) use loads::digest_of;
 pub use message::{Absent, Declared, EngineLoad, Frame, Reply, Resident, View};
 pub(crate) use peers::{inherit, reached};
+use snapshot::Snapshots;
 
 use crate::adapter;
 use crate::crash::{self, News};
 use crate::effect::{Effect, Follow};
 use crate::engine::Load;
 use crate::era;
-use crate::event::Listing;
 use crate::intake;
 use crate::ledger;
 use crate::members::Member;
@@ -76,6 +78,8 @@
     number: u64,
     /// How often the hub was asked by a process that starts, as far as that counts.
     start_asks: u32,
+    /// What those are told who know nothing yet.
+    snapshots: Snapshots,
     /// Refusals to be told.
     pub(crate) absent: Vec<Absent>,
     /// The others' last frames, as the hub.
@@ -349,10 +353,21 @@
     let config = push::inline(state, asker);
     let quota = quota::allot(state, now, &asker.vm, asker.number, &asker.quota);
     let loads::Told { named, placed } = loads::tell(state, &asker.loads, asker.engines);
-    let Listing { rows, version: listed, whole, .. } = state.listing_after(now, asker.listed);
+    let whole = state.needs_all_rows(asker.listed);
+    let packed = if whole { snapshot::rows(state, now) } else { None };
+    let (rows, listed, rows_packed) = match packed {
+        Some((listed, packed)) => (Vec::new(), listed, packed),
+        None => (state.rows_for(now, asker.listed), state.listed, Bytes::new()),
+    };
+    let holds = state.lease.holds(now).is_some();
     let view = state.view();
     let since = if asker.view.term == view.term { asker.view.version } else { 0 };
-    let holds = state.lease.holds(now).is_some();
+    let packed = if holds && since == 0 { snapshot::residencies(state, now) } else { None };
+    let (residencies, told_view, residencies_packed) = match packed {
+        Some((view, packed)) => (Vec::new(), view, packed),
+        None if holds => (state.ledger.changed_after(since), view, Bytes::new()),
+        None => (Vec::new(), view, Bytes::new()),
+    };
     let (limits, limits_version) = state.intakes.changed_since(now, view.term, asker.limits_known);
     let outdated = asker.members != state.members.version();
     Reply {
@@ -366,11 +381,13 @@
         loads: named,
         engines: asker.engines,
         placed,
-        view,
-        residencies: if holds { state.ledger.changed_after(since) } else { Vec::new() },
+        view: told_view,
+        residencies,
+        residencies_packed,
         config,
         declared: Declared { config: version(state), store: state.declared, age: state.proof.age(now) },
         rows,
+        rows_packed,
         listed,
         whole,
         suspects: suspects(state, now),
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -1,6 +1,7 @@
 //! What an entry VM takes over of the hub's answer to its frame.
 
 use boragecove_core::time::Time;
+use serde::de::DeserializeOwned;
 
 use super::loads;
 use super::message::{Reply, Resident, View};
@@ -12,6 +13,7 @@
 use crate::event::Listing;
 use crate::flow;
 use crate::intake;
+use crate::pack;
 use crate::proof;
 use crate::push;
 use crate::quota;
@@ -77,8 +79,10 @@
         loads::take_placed(state, reply.engines, &reply.placed);
     }
     if reply.listed > state.listed {
-        let listing = Listing { rows: reply.rows, version: reply.listed, whole: reply.whole, asked: sent };
-        entries::listed(state, now, listing, out);
+        if let Some(rows) = unpacked(reply.rows, &reply.rows_packed, "engines", out) {
+            let listing = Listing { rows, version: reply.listed, whole: reply.whole, asked: sent };
+            entries::listed(state, now, listing, out);
+        }
     } else if let Some(sent) = sent.filter(|_| state.hub.fresh && reply.era == state.era.number()) {
         entries::confirmed(state, now, sent, out);
     }
@@ -95,8 +99,10 @@
     }
     state.crashes.hear_digest(reply.digest);
     crash::told(state, now, News::of(reply.crashing), out);
-    if reply.leads {
-        learn(state, reply.view, reply.residencies);
+    if reply.leads
+        && let Some(residencies) = unpacked(reply.residencies, &reply.residencies_packed, "residencies", out)
+    {
+        learn(state, reply.view, residencies);
     }
     follow(state, now, out);
     let waited = state.waiting.len();
@@ -108,6 +114,21 @@
     }
 }
 
+/// What an answer tells as it is or packed; none if that cannot be read.
+fn unpacked<T: DeserializeOwned>(
+    plain: Vec<T>,
+    packed: &[u8],
+    what: &'static str,
+    out: &mut Vec<Effect>,
+) -> Option<Vec<T>> {
+    if packed.is_empty() {
+        return Some(plain);
+    }
+    let read = pack::unpack(packed);
+    read.inspect_err(|error| out.push(Effect::Record(Record::Unusable { what, error: error.to_string() })))
+        .ok()
+}
+
 /// This process does not know what it needs yet. A hub that knows no more is asked again; one that is none, or does not answer, is looked
 /// for anew: where all were restarted at once, the next one is there within 30 ms. Each time it takes longer, since all entry VMs
 /// may do so at once, and there may be nothing to know yet.
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use boragecove_core::name::Name;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::crash;
@@ -121,12 +122,16 @@
     pub view: View,
     /// What those engines hold for which that has changed.
     pub residencies: Vec<Resident>,
+    /// The same, packed: what all engines hold, as of some moments before.
+    pub residencies_packed: Bytes,
     /// What leads from the asker's configuration to a newer one, if it is to come this way.
     pub config: Option<Packed>,
     /// The hub's configuration, and how new it is.
     pub declared: Declared,
     /// Rows of the engines' table that are newer than the asker's.
     pub rows: Vec<Row>,
+    /// The same, packed: all rows there are, as of some moments before.
+    pub rows_packed: Bytes,
     /// The store's version up to which the hub knows that table.
     pub listed: Revision,
     /// Whether the rows are all there are: the hub does not know of each removal since the asker's.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,7 +7,7 @@
 //! The modules, from the ground up: `config`, `engine`, `request`, `revision` and `settings` are the words; `entries`
 //! keeps what the store says, `era` what of that outlasts an older copy of it, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow`, `outcome` and `crash` serve requests;
 //! `access` with `key` and `proof` says whose they are, `quota` how many a workspace's may be; `frame`,
-//! `members` with `ownership`, `push` and `update` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
+//! `members` with `ownership`, `push`, `update` and `pack` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
 mod access;
 mod adapter;
@@ -34,6 +34,7 @@
 pub mod order;
 mod outcome;
 pub mod ownership;
+pub mod pack;
 pub mod place;
 mod plan;
 pub mod proof;
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -17,7 +17,6 @@
 use crate::demand::{Appetite, Counts};
 use crate::engine::{Engine, Incarnation, Row};
 use crate::era::Era;
-use crate::event::Listing;
 use crate::flow::Flow;
 use crate::frame::{Hub, View};
 use crate::intake;
@@ -390,20 +389,22 @@
         View { term: self.lease.taken_term(), version: self.ledger.version() }
     }
 
-    /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it where not all
-    /// removals since are known here.
-    pub(crate) fn listing_after(&self, now: Time, version: Revision) -> Listing {
+    /// Whether someone who knows the engines' table up to a version lacks all of it: not all removals since are known here.
+    pub(crate) fn needs_all_rows(&self, version: Revision) -> bool {
         let missed = self.gap.is_some_and(|gap| gap.after < version && version < gap.until);
-        let whole = version < self.removals_from || missed;
-        let rows = match (whole, self.listed > version) {
+        version < self.removals_from || missed
+    }
+
+    /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it.
+    pub(crate) fn rows_for(&self, now: Time, version: Revision) -> Vec<Row> {
+        match (self.needs_all_rows(version), self.listed > version) {
             (true, _) => self.rows_after(now, Revision::default()),
             (false, true) => self.rows_after(now, version),
             (false, false) => Vec::new(),
-        };
-        Listing { rows, version: self.listed, whole, asked: None }
+        }
     }
 
-    fn rows_after(&self, now: Time, version: Revision) -> Vec<Row> {
+    pub(crate) fn rows_after(&self, now: Time, version: Revision) -> Vec<Row> {
         let put = self.engines.values().filter(|engine| engine.changed > version);
         let put = put.map(|engine| engine.row(now));
         let returned = self.returned.values().filter(|row| row.version > version);
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -6,23 +6,18 @@
 use std::collections::VecDeque;
 use std::collections::hash_map::Entry;
 use std::hash::Hash;
-use std::io::{self, Read as _, Write as _};
 use std::sync::Arc;
 
 use boragecove_core::name::Name;
 use bytes::Bytes;
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::config::{Access, Config, Key, Limits, Route, Service, Workspace};
 use crate::key::Digest;
+use crate::pack;
 
-/// Bytes of an update in memory at most, whatever a packed one claims: a hundred thousand routes.
-const UNPACKED_MAX: u64 = 32 << 20;
 /// Earlier versions that an update can begin at: entry VMs are one or two behind unless they were away.
 const PAST_MAX: usize = 8;
 
@@ -68,15 +63,9 @@
 /// Why an update cannot be packed, unpacked or applied.
 #[derive(Debug, Error)]
 pub enum Error {
-    /// It cannot be encoded.
-    #[error("cannot encode the update: {0}")]
-    Encode(#[from] rmp_serde::encode::Error),
-    /// It cannot be decoded.
-    #[error("cannot decode the update: {0}")]
-    Decode(#[from] rmp_serde::decode::Error),
-    /// It cannot be deflated or inflated.
-    #[error("cannot compress the update: {0}")]
-    Compress(#[from] io::Error),
+    /// It cannot be packed or unpacked.
+    #[error("the update: {0}")]
+    Pack(#[from] pack::Error),
     /// It begins at another version than the one in force.
     #[error("the update begins at version {base}, not at {have}")]
     Base {
@@ -138,9 +127,7 @@
     ///
     /// If it cannot be encoded.
     pub fn pack(&self) -> Result<Packed, Error> {
-        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-        encoder.write_all(&rmp_serde::to_vec(self)?)?;
-        Ok(Packed { base: self.base, version: self.version, bytes: encoder.finish()?.into() })
+        Ok(Packed { base: self.base, version: self.version, bytes: pack::pack(self)? })
     }
 }
 
@@ -151,9 +138,7 @@
     ///
     /// If it cannot be decoded, or is too large.
     pub fn unpack(&self) -> Result<Update, Error> {
-        let mut bytes = Vec::new();
-        DeflateDecoder::new(&*self.bytes).take(UNPACKED_MAX).read_to_end(&mut bytes)?;
-        Ok(rmp_serde::from_slice(&bytes)?)
+        Ok(pack::unpack(&self.bytes)?)
     }
 }
 
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -11,7 +11,8 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{EngineLoad, Frame, Reply};
 use boragecove_fleet::lease::{Call, Outcome};
-use node::{Node, WRITER, address, brief, config, entry, hub_row, listing, millis, row};
+use boragecove_fleet::record::Record;
+use node::{Node, WRITER, address, brief, config, entry, exchange, hub_row, listing, millis, removed, row};
 
 fn frame(vm: &str, open: u32) -> Frame {
     let load = Load { open, reading_us: 0 };
@@ -424,3 +425,57 @@
     assert!(calls <= 2, "{calls} calls of the store");
     assert!((3..=14).contains(&frames), "{frames} frames");
 }
+
+/// The load of a restart of all: whoever starts is told all engines packed, as of a moment before, and what has changed since with its next
+/// frame.
+#[test]
+fn starts_by_packed_rows() {
+    let many = |count: usize| {
+        (0..count).map(|at| row(10 + at as u64, entry(&format!("m{at}"), WRITER, "zone-a", &["m0"])))
+    };
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    hub.feed(listing(many(300).collect(), 400, false));
+    let start = |vm: &str, hub: &mut Node| {
+        let mut node = Node::bare(vm);
+        node.now = hub.now;
+        node.pass(millis(10));
+        let effects = node.lease(0, Outcome::Read(Some(hub_row()))).to_vec();
+        let asked = effects.into_iter().find_map(|effect| match effect {
+            Effect::Frame { frame, .. } => Some(frame),
+            _ => None,
+        });
+        let told = boragecove_fleet::reply(&mut hub.state, hub.now, &asked.expect("it asks at once"));
+        assert!(told.rows.is_empty() && told.whole && !told.rows_packed.is_empty());
+        node.feed(Event::Replied(Some(Box::new(told))));
+        node
+    };
+    let first = start("a", &mut hub);
+    assert_eq!(first.state.engines().count(), 304);
+    hub.feed(listing(
+        vec![row(401, entry("late", WRITER, "zone-b", &["m1"])), removed(402, "m7")],
+        402,
+        false,
+    ));
+    let mut second = start("b", &mut hub);
+    assert_eq!(second.state.engines().count(), 304, "as of a moment before");
+    let told = exchange(&mut hub, &mut second);
+    assert_eq!(told.rows.len(), 2);
+    let knows = |id: &str| second.state.engines().any(|engine| *engine.entry.id == *id);
+    assert!(knows("late") && !knows("m7"));
+    hub.pass(Duration::from_secs(1));
+    let third = start("c", &mut hub);
+    assert!(third.state.engines().any(|engine| *engine.entry.id == *"late"), "packed anew by now");
+}
+
+/// Packed rows that cannot be read are said so, and change nothing.
+#[test]
+fn unreadable_rows() {
+    let mut node = follower();
+    node.pass(millis(200));
+    let word = Reply { listed: 9.into(), whole: true, rows_packed: b"garbled".as_slice().into(), ..reply() };
+    let told = node.feed(Event::Replied(Some(Box::new(word)))).to_vec();
+    let said = |effect: &Effect| matches!(effect, Effect::Record(Record::Unusable { what: "engines", .. }));
+    assert!(told.iter().any(said));
+    assert_eq!(node.state.engines().count(), 4);
+}
--- a/fleet/tests/update_bytes.rs
+++ b/fleet/tests/update_bytes.rs
@@ -6,6 +6,7 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use boragecove_fleet::config::{Config, Kind, Route};
+use boragecove_fleet::pack;
 use boragecove_fleet::update::{Error, Packed, Update};
 use node::GATEWAY;
 
@@ -82,7 +83,7 @@
 #[test]
 fn garbled_bytes() {
     let packed = Packed { base: 0, version: 5, bytes: vec![7; 100].into() };
-    assert!(matches!(packed.unpack(), Err(Error::Compress(_) | Error::Decode(_))));
+    assert!(matches!(packed.unpack(), Err(Error::Pack(pack::Error::Compress(_) | pack::Error::Decode(_)))));
 }
 
 /// The load of thousands of routes at once: the update is a small part of the document, and as small for a long
