--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -1,5 +1,7 @@
 //! Everything that one process knows.
 
+mod rows;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,7 +17,7 @@
 use crate::config::{Config, Pool, Table};
 use crate::crash::Register;
 use crate::demand::{Appetite, Counts};
-use crate::engine::{Engine, Incarnation, Row};
+use crate::engine::{Engine, Row};
 use crate::era::Era;
 use crate::flow::Flow;
 use crate::frame::{Hub, View};
@@ -34,6 +36,7 @@
 use crate::timer::Timer;
 use crate::trust;
 use crate::update::Updates;
+pub(crate) use rows::{Gap, Removed};
 
 /// Weight of a new sample in the mean time of a service's runs.
 const PACE_GAIN: f64 = 0.05;
@@ -51,31 +54,6 @@
     pub address: SocketAddr,
 }
 
-/// An engine's entry was removed.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Removed {
-    /// The store's version of that.
-    pub(crate) version: Revision,
-    /// The start of the engine that the entry was of; none if it was not known.
-    pub(crate) incarnation: Option<Incarnation>,
-}
-
-impl Removed {
-    /// The removal as a row of the table.
-    fn row(&self, id: &Name) -> Row {
-        Row { id: id.clone(), version: self.version, ..Row::default() }
-    }
-}
-
-/// Versions of the engines' table between which engines may have come and gone unseen.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Gap {
-    /// Up to here the table was known.
-    pub(crate) after: Revision,
-    /// As of here it was read whole.
-    pub(crate) until: Revision,
-}
-
 /// The state of one process.
 #[derive(Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "each is a belief of its own, not a state of one machine")]
@@ -389,36 +367,6 @@
         View { term: self.lease.taken_term(), version: self.ledger.version() }
     }
 
-    /// Whether someone who knows the engines' table up to a version lacks all of it: not all removals since are known here.
-    pub(crate) fn needs_all_rows(&self, version: Revision) -> bool {
-        let missed = self.gap.is_some_and(|gap| gap.after < version && version < gap.until);
-        version < self.removals_from || missed
-    }
-
-    /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it.
-    pub(crate) fn rows_for(&self, now: Time, version: Revision) -> Vec<Row> {
-        match (self.needs_all_rows(version), self.listed > version) {
-            (true, _) => self.rows_after(now, Revision::default()),
-            (false, true) => self.rows_after(now, version),
-            (false, false) => Vec::new(),
-        }
-    }
-
-    pub(crate) fn rows_after(&self, now: Time, version: Revision) -> Vec<Row> {
-        let put = self.engines.values().filter(|engine| engine.changed > version);
-        let put = put.map(|engine| engine.row(now));
-        let returned = self.returned.values().filter(|row| row.version > version);
-        let removed = self.removed.iter().filter(|(_, removed)| removed.version > version);
-        let removed = removed.map(|(id, removed)| removed.row(id));
-        put.chain(returned.cloned()).chain(removed).collect()
-    }
-
-    /// What is known of an engine as a row of the table; none if nothing is.
-    pub(crate) fn row_of(&self, now: Time, id: &Name) -> Option<Row> {
-        let listed = self.engines.get(id).map(|engine| engine.row(now));
-        listed.or_else(|| self.removed.get(id).map(|removed| removed.row(id)))
-    }
-
     /// The mean time of a service's runs, in ms.
     pub(crate) fn pace(&self, service: &Name) -> f64 {
         self.paces.get(service).copied().unwrap_or(PACE_MS)
