--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -2,6 +2,7 @@
 //! grows with the number of entry VMs, not with its square.
 
 mod answered;
+mod follow;
 mod hold;
 mod loads;
 mod message;
@@ -16,6 +17,7 @@
 use bytes::Bytes;
 
 pub(crate) use answered::replied;
+pub(crate) use follow::follow;
 pub(crate) use hold::{awaits, meets};
 pub(crate) use loads::digest_of;
 pub use message::{Absent, Declared, EngineLoad, Frame, Reply, Resident, View};
@@ -24,7 +26,7 @@
 
 use crate::adapter;
 use crate::crash::{self, News};
-use crate::effect::{Effect, Follow};
+use crate::effect::Effect;
 use crate::engine::Load;
 use crate::era;
 use crate::intake;
@@ -41,20 +43,8 @@
 
 /// Times between frames without an answer after which the hub is taken as gone.
 const FRAMES_MISSED: f64 = 2.5;
-/// How long the store may wait with its answer for changes: short, since a connection may go silent for good.
-const CHANGES_WAIT: Duration = Duration::from_millis(2_100);
 /// How often the time doubles after which a process that starts asks the hub again.
 const START_DOUBLINGS: u32 = 4;
-/// The longest pause of the hub between calls for changes: what the operator says is to be in force everywhere within
-/// two seconds, and goes from the hub to all others.
-const HUB_PAUSE_MAX: Duration = Duration::from_millis(150);
-/// The longest pause of others, who need no word of the hub: well under those two seconds.
-const ALONE_PAUSE_MAX: Duration = Duration::from_millis(800);
-/// The longest time for which a process that starts waits for the hub: a lost lease is over by then, and another entry VM leads and has read
-/// the tables.
-const START_WAIT_MAX: Duration = Duration::from_secs(4);
-/// Entry VMs a second that read whole tables where the hub does not read them for all: a tenth of what the store answers in a second.
-const WHOLE_READS_PER_S: f64 = 100.0;
 /// Loads that are known later than this say nothing any more.
 const LATENESS_MAX: Duration = Duration::from_secs(2);
 /// Refusals that are told once more, at most: an engine that is asked about one says all that it holds.
@@ -171,52 +161,6 @@
     follow(state, now, out);
 }
 
-/// Follows the store's tables only where the hub does not do it for all: calls of the store are rationed, and
-/// their number would grow with that of the entry VMs.
-pub(crate) fn follow(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    let follows = pause(state, now);
-    if follows != state.follows {
-        state.follows = follows;
-        let (wait, wait_config) = (CHANGES_WAIT, proof::patience(&state.settings, CHANGES_WAIT));
-        let leads = state.lease.holds(now).is_some();
-        let readers = if leads { 0 } else { state.hub.nodes };
-        let how = |pause| Follow {
-            listed: state.listed,
-            declared: state.declared,
-            config: version(state),
-            spread: Duration::from_secs_f64(f64::from(readers) / WHOLE_READS_PER_S),
-            wait,
-            wait_config,
-            pause,
-        };
-        out.push(Effect::Follow(follows.map(how)));
-    }
-}
-
-/// The pause between calls for the store's changes, if this process is to make any. More engines change more often
-/// and more entry VMs ask, so that both pauses grow with their number.
-fn pause(state: &State, now: Time) -> Option<Duration> {
-    let settings = &state.settings;
-    if state.lease.holds(now).is_some() {
-        let engines = state.engines.len() as f64 / f64::from(settings.follow_engines);
-        return Some(settings.follow_as_hub.mul_f64(engines.max(1.0)).min(HUB_PAUSE_MAX));
-    }
-    let known = knows(state);
-    let told = known
-        && state.hub.speaks_for_store(now, settings)
-        && !(state.needs_keys() && proof::is_doubtful(state, now));
-    let asking = !known && now.since(state.started) < start_wait(state);
-    (!told && !asking).then(|| settings.follow_alone.mul_f64(many(state)).min(ALONE_PAUSE_MAX))
-}
-
-/// How long a process that starts waits for the hub's word before it reads whole tables of the store: longer where there are many entry
-/// VMs, by the last holder of the lease. After a restart of all they would all read them, and be served later for it.
-fn start_wait(state: &State) -> Duration {
-    let nodes = state.lease.hub().map_or(0, |row| row.nodes);
-    let many = f64::from(nodes) / f64::from(state.settings.frame_nodes);
-    state.settings.hub_wait.mul_f64(many.max(1.0)).min(START_WAIT_MAX)
-}
-
 /// Whether this process has what it needs to serve.
 pub(crate) fn knows(state: &State) -> bool {
     state.listed.is_known() && state.config.is_some()
--- /dev/null
+++ b/fleet/src/frame/follow.rs
@@ -0,0 +1,69 @@
+//! Whether this process follows the store's tables itself, and how.
+
+use std::time::Duration;
+
+use boragecove_core::time::Time;
+
+use super::{knows, many, version};
+use crate::effect::{Effect, Follow};
+use crate::proof;
+use crate::state::State;
+
+/// How long the store may wait with its answer for changes: short, since a connection may go silent for good.
+const CHANGES_WAIT: Duration = Duration::from_millis(2_100);
+/// The longest pause of the hub between calls for changes: what the operator says is to be in force everywhere within
+/// two seconds, and goes from the hub to all others.
+const HUB_PAUSE_MAX: Duration = Duration::from_millis(150);
+/// The longest pause of others, who need no word of the hub: well under those two seconds.
+const ALONE_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// The longest time for which a process that starts waits for the hub: a lost lease is over by then, and another entry VM leads and has read
+/// the tables.
+const START_WAIT_MAX: Duration = Duration::from_secs(4);
+/// Entry VMs a second that read whole tables where the hub does not read them for all: a tenth of what the store answers in a second.
+const WHOLE_READS_PER_S: f64 = 100.0;
+
+/// Follows the store's tables only where the hub does not do it for all: calls of the store are rationed, and
+/// their number would grow with that of the entry VMs.
+pub(crate) fn follow(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let follows = pause(state, now);
+    if follows != state.follows {
+        state.follows = follows;
+        let (wait, wait_config) = (CHANGES_WAIT, proof::patience(&state.settings, CHANGES_WAIT));
+        let leads = state.lease.holds(now).is_some();
+        let readers = if leads { 0 } else { state.hub.nodes };
+        let how = |pause| Follow {
+            listed: state.listed,
+            declared: state.declared,
+            config: version(state),
+            spread: Duration::from_secs_f64(f64::from(readers) / WHOLE_READS_PER_S),
+            wait,
+            wait_config,
+            pause,
+        };
+        out.push(Effect::Follow(follows.map(how)));
+    }
+}
+
+/// The pause between calls for the store's changes, if this process is to make any. More engines change more often
+/// and more entry VMs ask, so that both pauses grow with their number.
+fn pause(state: &State, now: Time) -> Option<Duration> {
+    let settings = &state.settings;
+    if state.lease.holds(now).is_some() {
+        let engines = state.engines.len() as f64 / f64::from(settings.follow_engines);
+        return Some(settings.follow_as_hub.mul_f64(engines.max(1.0)).min(HUB_PAUSE_MAX));
+    }
+    let known = knows(state);
+    let told = known
+        && state.hub.speaks_for_store(now, settings)
+        && !(state.needs_keys() && proof::is_doubtful(state, now));
+    let asking = !known && now.since(state.started) < start_wait(state);
+    (!told && !asking).then(|| settings.follow_alone.mul_f64(many(state)).min(ALONE_PAUSE_MAX))
+}
+
+/// How long a process that starts waits for the hub's word before it reads whole tables of the store: longer where there are many entry
+/// VMs, by the last holder of the lease. After a restart of all they would all read them, and be served later for it.
+fn start_wait(state: &State) -> Duration {
+    let nodes = state.lease.hub().map_or(0, |row| row.nodes);
+    let many = f64::from(nodes) / f64::from(state.settings.frame_nodes);
+    state.settings.hub_wait.mul_f64(many.max(1.0)).min(START_WAIT_MAX)
+}
