--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -213,6 +213,7 @@
         let mut new = false;
         match self.table {
             Table::Operator => {
+                self.node.do_send(Feed(Event::Evacuations(page.evacuations(whole))));
                 let read = page.config().inspect_err(|error| self.log_unreadable(page, error));
                 if let Some(config) = read? {
                     self.config = config.version;
--- a/daemon/src/entry/settings.rs
+++ b/daemon/src/entry/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of an entry VM on the users' platform, in JSON with comments.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 const REPEATS_MAX: f64 = 1_000_000.0;
 /// Units of a workspace's limit, at most.
 const UNITS_MAX: f64 = 1e12;
+/// Multiples of a cold engine's rate, and requests beyond it, at most.
+const COLD_MAX: f64 = 1_000_000.0;
 /// Cores of a machine, at most.
 const CORES_MAX: f64 = 1_024.0;
 /// Mbit/s of a machine's link, at most.
@@ -126,6 +129,12 @@
     if let Some(node) = object.optional("limits") {
         limits(&node, &mut settings.fleet);
     }
+    if let Some(node) = object.optional("cold") {
+        cold(&node, &mut settings.fleet);
+    }
+    if let Some(node) = object.optional("regions") {
+        settings.fleet.regions = regions(&node);
+    }
     if let Some(node) = object.optional("without") {
         settings.fleet.without = without(&node);
     }
@@ -146,6 +155,22 @@
     set(&mut fleet.quota_slack, object.required("slack").and_then(|node| node.number(0.0, UNITS_MAX)));
 }
 
+/// Engines that have just started.
+fn cold(node: &Node<'_>, fleet: &mut fleet::Settings) {
+    let mut object = node.object();
+    set(&mut fleet.cold_overage, object.required("overage").and_then(|node| node.number(0.0, COLD_MAX)));
+    set(&mut fleet.cold_slack, object.required("slack").and_then(|node| node.number(0.0, COLD_MAX)));
+}
+
+/// The regions of availability zones.
+fn regions(node: &Node<'_>) -> BTreeMap<Name, Name> {
+    let region = |node: &Node<'_>| {
+        let mut object = node.object();
+        Some((object.required("zone")?.name()?, object.required("region")?.name()?))
+    };
+    node.list().iter().filter_map(region).collect()
+}
+
 /// Mechanisms that are switched off, in experiments only.
 fn without(node: &Node<'_>) -> Vec<fleet::Mechanism> {
     let words = fleet::Mechanism::ALL.map(|mechanism| (mechanism.label(), mechanism));
--- a/daemon/tests/deploy_template.rs
+++ b/daemon/tests/deploy_template.rs
@@ -7,7 +7,7 @@
 const TEMPLATE: &str = include_str!("../../deploy/entry.jsonc");
 
 /// What the platform knows of a machine, by the placeholders that the template uses.
-const VALUES: [(&str, &str); 19] = [
+const VALUES: [(&str, &str); 23] = [
     ("{{node_name|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"zone-a\""),
     ("{{listen.front_addr|json}}", "\"10.1.0.38:8149\""),
@@ -27,9 +27,13 @@
     ("{{bounds.quota_slack}}", "7400"),
     ("{{bounds.quota_window_s}}", "8"),
     ("{{bounds.quota_overage}}", "0.1"),
+    ("{{bounds.cold_overage}}", "1.5"),
+    ("{{bounds.cold_slack}}", "5"),
+    ("{{@}}", "zone-a"),
+    ("{{.|json}}", "\"north\""),
 ];
 /// Bounds that only some deployments have, each a section of the template.
-const SECTIONS: [&str; 2] = ["bounds.strict_revoke", "bounds.quota_window_s"];
+const SECTIONS: [&str; 4] = ["bounds.strict_revoke", "bounds.quota_window_s", "bounds.cold_overage", "zones"];
 
 /// Fills the template in, as the platform does for the placeholders that it uses, on a deployment that has all bounds.
 fn filled() -> String {
@@ -38,6 +42,8 @@
         let (begin, end) = marks(name);
         assert!(text.contains(&begin) && text.contains(&end), "{name} is no section");
         text = text.replace(&begin, "").replace(&end, "");
+        // Of a list there is one entry, which needs no comma.
+        text = text.replace("{{,}}", "");
     }
     for (placeholder, _) in VALUES {
         assert!(text.contains(placeholder), "{placeholder} is not used");
@@ -77,6 +83,9 @@
     assert!(settings.stop_within() < settings.grace);
     assert!((settings.fleet.repeat_slack - 52.0).abs() < f64::EPSILON);
     assert_eq!(settings.fleet.order_gap, Duration::from_secs(3));
+    assert!((settings.fleet.cold_overage - 1.5).abs() < f64::EPSILON);
+    assert!((settings.fleet.cold_slack - 5.0).abs() < f64::EPSILON);
+    assert_eq!(settings.fleet.regions.get("zone-a").map(|region| &**region), Some("north"));
 }
 
 #[test]
--- a/fleet/benches/hub.rs
+++ b/fleet/benches/hub.rs
@@ -64,7 +64,8 @@
         models: (0..MODELS).map(model).collect(),
         ..Pool::default()
     };
-    let service = Service { name: SERVICE.into(), connections_max: 100, pool: Some(pool) };
+    let service =
+        Service { name: SERVICE.into(), connections_max: 100, pool: Some(pool), ..Service::default() };
     Config {
         version: 1,
         routes: Vec::new(),
@@ -97,6 +98,7 @@
         slots: 12,
         leaving: false,
         remaining: None,
+        cold_left: Duration::ZERO,
         held: held(number),
         cached: Cached::default(),
     };
--- a/fleet/benches/quota.rs
+++ b/fleet/benches/quota.rs
@@ -44,8 +44,14 @@
 
 fn access(workspaces: u32) -> Access {
     let limit = Limit { per_s: 1e12, burst: 1e12, unit: Unit::Tokens { unsaid: 200.0 } };
-    let declared =
-        |number| Arc::new(Workspace { name: workspace(number), priority: None, limit: Some(limit) });
+    let declared = |number| {
+        Arc::new(Workspace {
+            name: workspace(number),
+            priority: None,
+            limit: Some(limit),
+            ..Workspace::default()
+        })
+    };
     let key = |number| Arc::new(Key { digest: digest(number), workspace: workspace(number) });
     Access { workspaces: (0..workspaces).map(declared).collect(), keys: (0..workspaces).map(key).collect() }
 }
@@ -62,7 +68,7 @@
         split: vec![Share { service: SERVICE.into(), weight: 1 }],
         ..Route::default()
     };
-    let service = Service { name: SERVICE.into(), connections_max: 100, pool: None };
+    let service = Service { name: SERVICE.into(), connections_max: 100, pool: None, ..Service::default() };
     let (routes, services) = (vec![Arc::new(route)], vec![Arc::new(service)]);
     Config { version: 1, routes, services, access, ..Config::default() }
 }
@@ -77,6 +83,7 @@
         slots: 100_000,
         leaving: false,
         remaining: None,
+        cold_left: Duration::ZERO,
         held: Vec::new(),
         cached: Cached::default(),
     };
--- a/fleet/src/adapter.rs
+++ b/fleet/src/adapter.rs
@@ -107,20 +107,20 @@
         if !engine.serves(&target.model, Some(name), now) {
             return None;
         }
-        least = Some(least.map_or(taken(state, engine), |least| least.min(taken(state, engine))));
+        least = Some(least.map_or(taken(state, now, engine), |least| least.min(taken(state, now, engine))));
     }
     least.filter(|least| *least >= CROWDED)
 }
 
 /// Slots that are taken at an engine; more than it has if requests wait there. One in need is full, however little it has.
-fn slots_taken(state: &State, engine: &Engine) -> u32 {
+fn slots_taken(state: &State, now: Time, engine: &Engine) -> u32 {
     let open = engine.load().open;
-    if state.intakes.limit_of(engine).is_some() { open.max(engine.entry.slots) } else { open }
+    if state.intakes.limit_of(engine, now).is_some() { open.max(engine.entry.slots) } else { open }
 }
 
 /// The part of its slots that is taken at an engine; more than one if requests wait there.
-fn taken(state: &State, engine: &Engine) -> f64 {
-    f64::from(slots_taken(state, engine)) / f64::from(engine.entry.slots.max(1))
+fn taken(state: &State, now: Time, engine: &Engine) -> f64 {
+    f64::from(slots_taken(state, now, engine)) / f64::from(engine.entry.slots.max(1))
 }
 
 /// Whether an adapter is at an engine or on its way there.
@@ -144,7 +144,7 @@
     let mut best: Option<(f64, Name, Option<Order>)> = None;
     for (engine, book) in holders(state, now, target) {
         let ready = book.kept(&target.model).is_some_and(|copy| copy.phase == Phase::Ready);
-        if !ready || taken(state, engine) > taken_max || book.expects(&target.model, name) {
+        if !ready || taken(state, now, engine) > taken_max || book.expects(&target.model, name) {
             continue;
         }
         let victim = if book.adapters_expected() < pool.adapters_max as usize {
@@ -159,7 +159,7 @@
             continue;
         }
         let zone = if engine.entry.zone == state.me.zone { 0.0 } else { ZONE_COST };
-        let cost = f64::from(slots_taken(state, engine))
+        let cost = f64::from(slots_taken(state, now, engine))
             + f64::from(u8::from(victim.is_some())) * VICTIM_COST
             + zone;
         if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -9,6 +9,7 @@
 use crate::engine::{Engine, Load};
 use crate::flow::COME_BACK;
 use crate::frame;
+use crate::homes::{self, Homes, Permit};
 use crate::intake::{self, Access};
 use crate::request::Prompt;
 use crate::settings::{Mechanism, Settings};
@@ -30,6 +31,8 @@
     Absent,
     /// All that could run it are in doubt, or none is known.
     Nowhere,
+    /// It may be served in some regions only, and no engine of the service can be reached there.
+    Homeless,
     /// All that could run it have too much to do; they will have room after this time.
     Full(Duration),
     /// All that could run it want nothing from this process for this time.
@@ -47,6 +50,8 @@
     pub slack: Duration,
     /// Engines that could have had the request.
     pub candidates: usize,
+    /// The word that the engine is where the request may be served.
+    pub permit: Permit,
 }
 
 /// What is wanted of an engine.
@@ -56,6 +61,8 @@
     pub(crate) service: &'a Name,
     /// What a model is wanted for; none for calls of plain services.
     pub(crate) prompt: Option<&'a Prompt>,
+    /// Where it may be served.
+    pub(crate) homes: &'a Homes,
     /// Engines that are left out.
     pub(crate) avoid: &'a [Name],
     /// Time until the answer must begin.
@@ -70,6 +77,7 @@
 #[derive(Debug)]
 struct Candidate<'a> {
     engine: &'a Engine,
+    permit: Permit,
     cost_ms: f64,
 }
 
@@ -105,6 +113,7 @@
         Some(soonest) => Choice::Full(Duration::from_secs_f64(soonest / 1_000.0)),
         None if let Some(pause) = found.pause => Choice::Paused(pause),
         None if found.holders == 0 && found.members > 0 && prompt.is_some() => Choice::Absent,
+        None if query.homes.bind() => Choice::Homeless,
         None => Choice::Nowhere,
     }
 }
@@ -116,6 +125,9 @@
     let run_ms = state.pace(service);
     let mut found = Found::default();
     for engine in state.engines_of(service) {
+        let Some(permit) = homes::permit(state, query.homes, engine) else {
+            continue;
+        };
         found.members += 1;
         let serves = |prompt: &Prompt| engine.serves(&prompt.model, prompt.adapter.as_deref(), now);
         if !engine.takes_work() || !prompt.is_none_or(serves) {
@@ -157,7 +169,7 @@
             continue;
         }
         let cost_ms = queue_ms + place_ms + beside_ms(engine, now, &state.me.zone, settings);
-        found.candidates.push(Candidate { engine, cost_ms });
+        found.candidates.push(Candidate { engine, permit, cost_ms });
     }
     found
 }
@@ -203,6 +215,7 @@
         cost_ms: chosen.cost_ms,
         slack: slack.unwrap_or(Duration::MAX),
         candidates: candidates.len(),
+        permit: chosen.permit,
     })
 }
 
--- a/fleet/src/config.rs
+++ b/fleet/src/config.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use crate::homes::Homes;
 use crate::key::Digest;
 use crate::request::Arrival;
 
@@ -43,6 +44,8 @@
     pub priority: Option<u8>,
     /// What it may ask for over all entry VMs; none if there is no limit.
     pub limit: Option<Limit>,
+    /// Where its requests may be served.
+    pub homes: Homes,
 }
 
 /// A key, and the workspace whose callers have it.
@@ -113,6 +116,8 @@
     pub split: Vec<Share>,
     /// Whether its requests need no key.
     pub public: bool,
+    /// Where its requests may be served.
+    pub homes: Homes,
 }
 
 /// Callers leave a stream that pauses, or does not begin, for the longest of this,
@@ -181,6 +186,17 @@
     pub connections_max: u32,
     /// What its engines hold, if they run models.
     pub pool: Option<Pool>,
+    /// What its engines bear after a start; none if that is no less than later.
+    pub start: Option<Start>,
+}
+
+/// What an engine bears for some time after a start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Start {
+    /// For how long.
+    pub lasts: Duration,
+    /// Requests a second from all entry VMs together.
+    pub per_s: f64,
 }
 
 /// The size of each engine of a service, and the models to be spread over them.
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -34,6 +34,8 @@
     pub leaving: bool,
     /// How long it stays at most, if it is leaving at short notice.
     pub remaining: Option<Duration>,
+    /// How long it is cold from when it wrote this, and bears few requests.
+    pub cold_left: Duration,
     /// What it held.
     pub held: Vec<Held>,
     /// Models whose weights it keeps in its own memory or on its disk.
@@ -161,6 +163,17 @@
     }
 }
 
+/// What an engine bears for some time after a start.
+#[derive(Clone, std::marker::Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests a second from all entry VMs together.
+    pub per_s: f64,
+    /// Since when it is known.
+    pub since: Time,
+    /// Until when it is cold.
+    pub until: Time,
+}
+
 /// An engine, as this process believes it to be.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -172,6 +185,10 @@
     pub changed: Revision,
     /// When its entry is to be taken as gone, if it went missing around an outage of the store.
     pub missing_until: Option<Time>,
+    /// Whether operators want nothing to be sent to its availability zone.
+    pub evacuated: bool,
+    /// How long it is cold, and what it takes meanwhile.
+    pub cold: Option<Cold>,
     /// What this process has sent there.
     pub own: Load,
     /// What the other entry VMs have sent there.
@@ -197,6 +214,8 @@
             version,
             changed: version,
             missing_until: None,
+            evacuated: false,
+            cold: None,
             own: Load::default(),
             others: Load::default(),
             share: Share::default(),
@@ -232,7 +251,7 @@
     /// Whether it may be sent work at all.
     #[must_use]
     pub const fn takes_work(&self) -> bool {
-        !self.entry.leaving
+        !self.entry.leaving && !self.evacuated
     }
 
     /// The engine started anew: nothing that was believed of what it holds, or held against it, is true any more.
@@ -240,6 +259,7 @@
     pub(crate) fn restart(&mut self) {
         self.health = Health::default();
         self.schedule = Schedule::default();
+        self.cold = None;
         self.ordered = None;
         self.absent.clear();
     }
--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -8,6 +8,7 @@
 use crate::effect::Effect;
 use crate::engine::{Engine, Entry, Row};
 use crate::frame;
+use crate::intake;
 use crate::ledger;
 use crate::record::Record;
 use crate::revision::Revision;
@@ -66,7 +67,7 @@
     entry.leaving |= state.departures.has(&id, entry.incarnation);
     state.removed.remove(&id);
     let label = if entry.leaving { "leaving" } else { "serving" };
-    let (service, leaving) = (entry.service.clone(), entry.leaving);
+    let (service, leaving, cold_left) = (entry.service.clone(), entry.leaving, entry.cold_left);
     let mut changed = true;
     if let Some(engine) = state.engines.get_mut(&id) {
         if entry.incarnation < engine.entry.incarnation {
@@ -90,13 +91,16 @@
         if changed && leaving {
             state.departed.push(id.clone());
         }
+        engine.evacuated = state.evacuations.has(&entry.zone);
         engine.entry = entry;
         engine.version = version;
         engine.missing_until = None;
     } else {
         state.engine_ids = state.engine_ids.wrapping_add(frame::digest_of(&id));
-        state.engines.insert(id.clone(), Engine::new(entry, version));
+        let evacuated = state.evacuations.has(&entry.zone);
+        state.engines.insert(id.clone(), Engine { evacuated, ..Engine::new(entry, version) });
     }
+    intake::cold(state, now, &id, cold_left);
     if changed {
         note(state, now, &id, service, label, version, out);
     }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -8,6 +8,7 @@
 use crate::config::Config;
 use crate::engine::Reach;
 use crate::engine::{Incarnation, Row};
+use crate::evacuation;
 use crate::frame::{Frame, Reply};
 use crate::lease;
 use crate::notice::{Asked, Notice, Start};
@@ -33,6 +34,8 @@
         /// When the store was asked.
         asked: Time,
     },
+    /// What operators say of availability zones was read.
+    Evacuations(evacuation::Listing),
     /// The engines' table, or what changed in it, was read.
     Listed(Listing),
     /// An answer of the store, whatever it was to, named this era.
@@ -143,6 +146,7 @@
         match self {
             Self::Configured(_) => "configured",
             Self::Declared { .. } => "declared",
+            Self::Evacuations(_) => "evacuations",
             Self::Listed(_) => "listed",
             Self::Era(_) => "era",
             Self::StoreUp(_) => "store_up",
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -20,6 +20,7 @@
 use crate::effect::Effect;
 use crate::engine::Load;
 use crate::frame;
+use crate::homes;
 use crate::key::Digest;
 use crate::quota;
 use crate::record::{Record, ms};
@@ -148,9 +149,11 @@
         return;
     };
     let (service, prompt, avoid) = (flow.service.clone(), flow.prompt.clone(), flow.avoid.clone());
+    let homes = homes::of(state, flow);
     let query = Query {
         service: &service,
         prompt: prompt.as_ref(),
+        homes: &homes,
         avoid: &avoid,
         left: flow.begin_by.since(now).saturating_sub(state.settings.reserve),
         queue: flow.queue(&state.settings),
@@ -162,6 +165,7 @@
             let wait = if can_load(state, now) { state.settings.load_wait } else { DOUBT_WAIT };
             wait_for(state, now, id, wait, fresh, out);
         }
+        Choice::Homeless => give_up(state, now, id, Code::NoBackend, Some(COME_BACK), out),
         Choice::Nowhere => wait_for(state, now, id, DOUBT_WAIT, fresh, out),
         Choice::Full(wait) if fresh || flow_waited(state, now, id) => {
             give_up(state, now, id, Code::DeadlineUnreachable, Some(wait), out);
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -11,7 +11,8 @@
 use crate::choose::Pick;
 use crate::effect::Effect;
 use crate::engine::Engine;
-use crate::intake::Advert;
+use crate::homes;
+use crate::intake;
 use crate::proof;
 use crate::quota;
 use crate::record::{Record, ms};
@@ -27,6 +28,10 @@
 
 /// Counts a request at the engine that was picked, and sends it: at once, or once it has its place in the schedule.
 pub(super) fn engage(state: &mut State, now: Time, id: Id, pick: Pick, fresh: bool, out: &mut Vec<Effect>) {
+    let Some(flow) = state.flows.get(&id) else {
+        return;
+    };
+    let surge = intake::surge_of(state, &flow.service);
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
@@ -41,9 +46,10 @@
         state.demand.sent(&target);
     }
     let limit = state.intakes.told(now, engine);
-    let limited = limit.as_ref().is_some_and(Advert::names_limit);
+    let cold = engine.cold.map(|cold| cold.until.since(now)).filter(|left| !left.is_zero());
+    let limited = state.intakes.limit_of(engine, now).is_some();
     let spaced = flow.prompt.is_some() && state.settings.uses(Mechanism::Spacing);
-    if !limited && !spaced {
+    if !limited && !spaced && surge.is_none() {
         send(state, now, id, &pick, Duration::ZERO, out);
         return;
     }
@@ -60,7 +66,7 @@
     if !state.settings.uses(Mechanism::Pressing) {
         need.target = Duration::ZERO;
     }
-    let ask = Ask { engine: pick.engine.clone(), need, wait_max, limit };
+    let ask = Ask { engine: pick.engine.clone(), need, wait_max, limit, cold };
     let zone = &engine.entry.zone;
     let owner = if limited {
         state.members.sole_owner(&pick.engine, zone).cloned()
@@ -87,8 +93,11 @@
 
 /// The owner of a schedule answered, or did not.
 pub(crate) fn granted(state: &mut State, now: Time, id: Id, grant: Option<Grant>, out: &mut Vec<Effect>) {
-    let Some(Stage::Scheduling { ask, owner, .. }) = state.flows.get(&id).map(|flow| flow.stage.clone())
-    else {
+    let Some(flow) = state.flows.get(&id) else {
+        return;
+    };
+    let surge = intake::surge_of(state, &flow.service);
+    let Stage::Scheduling { ask, owner, .. } = flow.stage.clone() else {
         return;
     };
     state.intakes.count_answer(&ask, grant);
@@ -98,12 +107,17 @@
         return;
     }
     schedule::unanswered(state, now, &owner, out);
-    if is_limited(state, &ask.engine) {
+    if is_limited(state, now, &ask.engine) {
         // Nobody else may give a place there.
         leave(state, id);
         dispatch(state, now, id, true, out);
         return;
     }
+    if surge.is_some() {
+        // It may be cold, and the next owner may know how much it has got.
+        scheduled(state, now, id, Grant::Elsewhere, out);
+        return;
+    }
     let grant = schedule::grant(state, now, &ask);
     scheduled(state, now, id, grant, out);
 }
@@ -115,7 +129,7 @@
     };
     let (pick, asked) = (pick.clone(), *asked);
     // The place may have been given before anybody knew of the limit.
-    let unaware = !ask.names_limit() && is_limited(state, &pick.engine);
+    let unaware = !ask.is_limited() && is_limited(state, now, &pick.engine);
     if let Err(Refusal { code, retry_after }) = access::recheck(state, now, id) {
         give_up(state, now, id, code, retry_after, out);
         return;
@@ -145,14 +159,17 @@
     }
 }
 
-/// Whether an engine has named a limit.
-fn is_limited(state: &State, engine: &Name) -> bool {
-    state.engines.get(engine).is_some_and(|engine| state.intakes.limit_of(engine).is_some())
+/// Whether an engine has a limit.
+fn is_limited(state: &State, now: Time, engine: &Name) -> bool {
+    state.engines.get(engine).is_some_and(|engine| state.intakes.limit_of(engine, now).is_some())
 }
 
 /// Whether an engine can still be sent a request that was meant for it.
 fn is_open(state: &State, now: Time, id: Id, engine: &Name) -> bool {
-    let prompt = state.flows.get(&id).and_then(|flow| flow.prompt.as_ref());
+    let Some(flow) = state.flows.get(&id) else {
+        return false;
+    };
+    let (prompt, homes) = (flow.prompt.as_ref(), homes::of(state, flow));
     let serves = |engine: &Engine| {
         prompt.is_none_or(|prompt| engine.serves(&prompt.model, prompt.adapter.as_deref(), now))
     };
@@ -162,6 +179,7 @@
             && !engine.health.suspected(now)
             && engine.health.pause(now).is_none()
             && serves(engine)
+            && homes::permit(state, &homes, engine).is_some()
     })
 }
 
@@ -171,18 +189,20 @@
     let silence = state.settings.silence;
     let charge = quota::account(state, now, id);
     let send_by = proof::until(state);
+    let surge = state.flows.get(&id).and_then(|flow| intake::surge_of(state, &flow.service));
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
     let Some(engine) = state.engines.get(&pick.engine) else {
         return;
     };
-    let limit = state.intakes.limit_of(engine);
+    let limit = state.intakes.limit_of(engine, now);
+    let named = state.intakes.named_by(engine).is_some();
     if limit.is_some() {
         state.intakes.count();
     }
     let at = now + wait;
-    let place_until = limit.map(|_| at + PLACE_KEPT);
+    let place_until = (limit.is_some() || surge.is_some()).then_some(at + PLACE_KEPT);
     flow.number += 1;
     flow.used += 1;
     flow.asked = 0;
@@ -216,7 +236,8 @@
         streams: flow.route.kind.streams(),
         workspace: flow.workspace.as_ref().map(|workspace| workspace.name.clone()),
         send_by: send_by.filter(|_| flow.workspace.is_some()).into_iter().chain(place_until).min(),
-        limited: limit.is_some(),
+        limited: named,
+        permit: pick.permit,
     };
     state.timers.set(at + silence, Timer::Silence(id, attempt.number));
     out.push(Effect::Step { request: id, step: Step::Send(attempt) });
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -29,6 +29,7 @@
 use crate::effect::Effect;
 use crate::engine::Load;
 use crate::era;
+use crate::evacuation;
 use crate::intake;
 use crate::ledger;
 use crate::members::Member;
@@ -254,6 +255,8 @@
         demand: state.demand.take(),
         absent: std::mem::take(&mut state.hub.absent),
         suspects: suspects(state, now),
+        evacuations_known: state.evacuations.digest(),
+        evacuations: state.evacuations.words_for_hub(),
         departures: notice::departures(state),
         limits: Vec::new(),
         limits_known: state.intakes.known(),
@@ -286,6 +289,7 @@
     for id in &frame.suspects {
         trust::look(state, now, id, out);
     }
+    evacuation::told(state, now, &frame.evacuations, out);
     for departure in &frame.departures {
         // The hub places models, and is to count no copy that the others do not use any more.
         let leaving = Notice { leaving: true, ..Notice::default() };
@@ -346,6 +350,8 @@
         listed,
         whole,
         suspects: suspects(state, now),
+        evacuations_known: state.evacuations.digest(),
+        evacuations: state.evacuations.words_beyond(asker.evacuations_known),
         limits,
         limits_version,
         digest: state.crashes.digest(now),
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -10,6 +10,7 @@
 use crate::effect::Effect;
 use crate::entries;
 use crate::era;
+use crate::evacuation;
 use crate::event::Listing;
 use crate::flow;
 use crate::intake;
@@ -50,11 +51,14 @@
     state.hub.nodes = reply.nodes;
     state.hub.answered = Some(now);
     if let Some(members) = reply.members {
-        state.members.replace(members);
+        state.members.replace(now, members);
     }
     if let Some(update) = reply.config {
         push::take(state, now, update, "hub", out);
     }
+    state.evacuations.hear_digest(reply.evacuations_known);
+    evacuation::told(state, now, &reply.evacuations, out);
+    // What stands in the operators' table up to that version is known now.
     if reply.declared.config == version(state) {
         state.declared = state.declared.max(reply.declared.store);
     }
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -10,6 +10,7 @@
 use crate::crash;
 use crate::demand::Demand;
 use crate::engine::{Incarnation, Load, Residency, Row};
+use crate::evacuation;
 use crate::intake;
 use crate::members::Member;
 use crate::notice::Start;
@@ -51,6 +52,10 @@
     pub absent: Vec<Absent>,
     /// Engines that it could not reach, or that have gone silent.
     pub suspects: Vec<Name>,
+    /// A digest of what it knows operators to say of availability zones.
+    pub evacuations_known: u64,
+    /// All of that, if the hub's digest was another.
+    pub evacuations: Vec<evacuation::Word>,
     /// Engines in its list that have said in answers that they leave.
     pub departures: Vec<Start>,
     /// What engines have said of their limits that the hub has not been told.
@@ -138,6 +143,10 @@
     pub whole: bool,
     /// Engines that the hub could not reach.
     pub suspects: Vec<Name>,
+    /// A digest of what the hub knows operators to say of availability zones.
+    pub evacuations_known: u64,
+    /// All of that, if the asker's digest is another.
+    pub evacuations: Vec<evacuation::Word>,
     /// What engines have said of their limits, as far as the asker does not know the hub's word.
     pub limits: Vec<intake::Advert>,
     /// The version of that word.
--- a/fleet/src/intake/table.rs
+++ b/fleet/src/intake/table.rs
@@ -63,11 +63,19 @@
         word.per_s.map(|per_s| Limit { per_s, heard: word.heard })
     }
 
-    /// The limit of an engine in the list.
-    pub(crate) fn limit_of(&self, engine: &Engine) -> Option<Limit> {
+    /// The limit that an engine in the list has named.
+    pub(crate) fn named_by(&self, engine: &Engine) -> Option<Limit> {
         self.limit(&engine.entry.id, engine.entry.incarnation)
     }
 
+    /// The limit of an engine in the list: the one that it has named, or what it bears while it is cold.
+    pub(crate) fn limit_of(&self, engine: &Engine, now: Time) -> Option<Limit> {
+        let cold = engine.cold.filter(|cold| now < cold.until);
+        let cold = cold.map(|cold| Limit { per_s: cold.per_s, heard: cold.since });
+        let limits = cold.into_iter().chain(self.named_by(engine));
+        limits.min_by(|one, other| one.per_s.total_cmp(&other.per_s))
+    }
+
     /// Engines that have named a limit which holds.
     pub(crate) fn limited(&self) -> usize {
         self.by_engine.values().filter(|word| word.per_s.is_some()).count()
@@ -85,7 +93,7 @@
 
     /// A question for a place was answered, or was not.
     pub(crate) fn count_answer(&mut self, ask: &Ask, grant: Option<Grant>) {
-        if ask.names_limit() {
+        if ask.is_limited() {
             *self.answers.entry(grant.map_or("silent", Grant::label)).or_default() += 1;
         }
     }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The modules, from the ground up: `config`, `engine`, `request`, `revision` and `settings` are the words; `entries`
 //! keeps what the store says, `era` what of that outlasts an older copy of it, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow`, `outcome` and `crash` serve requests;
-//! `access` with `key` and `proof` says whose they are, `quota` how many a workspace's may be; `frame`,
+//! `access` with `key` and `proof` says whose they are, `homes` and `evacuation` where they may go, `quota` how many a workspace's may be; `frame`,
 //! `members` with `ownership`, `push`, `update` and `pack` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
 mod access;
@@ -22,9 +22,11 @@
 pub mod engine;
 mod entries;
 pub mod era;
+pub mod evacuation;
 pub mod event;
 mod flow;
 pub mod frame;
+pub mod homes;
 pub mod intake;
 pub mod key;
 pub mod lease;
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -6,11 +6,15 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use rustc_hash::FxHashSet;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ownership::{Membership, Ownership, Roster};
 
+/// How long an entry VM counts that a new list lacks: it may know that list later, and what it has given is used later still.
+const DROPPED_KEPT: Duration = Duration::from_secs(3);
+
 /// An entry VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -27,6 +31,8 @@
 pub struct Members {
     list: Vec<Member>,
     version: u64,
+    /// Those that an earlier list named, and until when they may still give places.
+    dropped: Vec<(Member, Time)>,
     /// Those that did not answer, and until when they are not asked.
     silent: Vec<(Name, Time)>,
     /// As the leader: since when whom the list names.
@@ -60,7 +66,11 @@
     }
 
     /// Takes over who there is.
-    pub fn replace(&mut self, list: Vec<Member>) {
+    pub fn replace(&mut self, now: Time, list: Vec<Member>) {
+        let listed: FxHashSet<&Name> = list.iter().map(|member| &member.vm).collect();
+        self.dropped.retain(|(member, until)| *until > now && !listed.contains(&member.vm));
+        let gone = self.list.iter().filter(|member| !listed.contains(&member.vm));
+        self.dropped.extend(gone.map(|member| (member.clone(), now + DROPPED_KEPT)));
         self.version = version(&list);
         self.list = list;
     }
@@ -69,7 +79,7 @@
     pub(crate) fn lead(&mut self, now: Time, term: u64, vm: &Name, list: Vec<Member>) {
         if list != self.list || !self.roster.is_of(term) {
             self.roster.update(now, term, &self.list, &list);
-            self.replace(list);
+            self.replace(now, list);
         }
         let membership = self.membership(now, vm, true);
         self.ownership.renew(now, now, membership);
@@ -96,6 +106,14 @@
         if first && self.ownership.is_settled(now) { Claim::Sole } else { Claim::Uncertain }
     }
 
+    /// Whether an entry VM is the owner of something by the list and was by the lists of late, whoever made them: a new leader's list
+    /// may lack most of the entry VMs for a while.
+    pub(crate) fn is_owner_by_lists(&self, vm: &Name, what: &Name, zone: &Name, now: Time) -> bool {
+        let dropped = self.dropped.iter().filter(|(_, until)| *until > now).map(|(member, _)| member);
+        let all = self.list.iter().chain(dropped).chain(self.ownership.former(now));
+        first(all, what, zone).is_some_and(|owner| owner.vm == *vm)
+    }
+
     /// Who alone owns something of an availability zone, whether it answers or not.
     #[must_use]
     pub fn sole_owner(&self, what: &Name, zone: &Name) -> Option<&Member> {
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -48,7 +48,8 @@
         }));
         if let Some(prompt) = prompt {
             // One that is crowded or in need says nothing of how fast the others read.
-            let slowed = |engine: &Engine| engine.is_crowded() || state.intakes.limit_of(engine).is_some();
+            let slowed =
+                |engine: &Engine| engine.is_crowded() || state.intakes.limit_of(engine, now).is_some();
             if !state.engines.get(engine).is_some_and(slowed) && state.settings.uses(Mechanism::LearntSpeed) {
                 state.speed.learn(&flow.service, &prompt.model, prompt.tokens, now.since(*at));
             }
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -99,7 +99,7 @@
     Some(Spot {
         engine: engine.entry.id.clone(),
         usable: engine.takes_work() && engine.missing_until.is_none() && !engine.health.suspected(now),
-        limited: state.intakes.limit_of(engine).is_some(),
+        limited: state.intakes.limit_of(engine, now).is_some(),
         idle: book.idle(),
         copies: book.copies_expected().map(|(model, phase)| (model.clone(), phase)).collect(),
         young: book.younger(now, age).cloned().collect(),
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -17,6 +17,7 @@
 use crate::effect::Effect;
 use crate::engine::Row;
 use crate::entries;
+use crate::evacuation;
 use crate::frame::{self, Frame};
 use crate::lease;
 use crate::members::Member;
@@ -56,6 +57,8 @@
     pub crashes: crash::News,
     /// Rows of the engines' table that say of engines that they leave or are gone.
     pub departures: Vec<Row>,
+    /// What operators say of availability zones.
+    pub evacuations: Vec<evacuation::Word>,
     /// Entry VMs that the receiver is to pass it on to.
     pub onward: Vec<SocketAddr>,
 }
@@ -209,7 +212,8 @@
 /// This process has become the hub: the entry VMs that the one before has named are told, since they would find out by the
 /// silence of that one and a look at the store, which takes seconds where there are hundreds.
 pub(crate) fn announce(state: &State, out: &mut Vec<Effect>) {
-    let message = Message { hub: state.lease.hub().cloned(), ..Message::default() };
+    let hub = state.lease.hub().cloned();
+    let message = Message { hub, evacuations: state.evacuations.words(), ..Message::default() };
     spread(state, &message, frame::reached(state), out);
 }
 
@@ -227,6 +231,12 @@
     spread(state, &message, frame::reached(state), out);
 }
 
+/// As the hub: tells all others what operators say of availability zones.
+pub(crate) fn tell_evacuations(state: &State, evacuations: Vec<evacuation::Word>, out: &mut Vec<Effect>) {
+    let message = Message { evacuations, ..Message::default() };
+    spread(state, &message, frame::reached(state), out);
+}
+
 /// Sends a message down a tree in each availability zone.
 fn spread(
     state: &State,
@@ -265,6 +275,7 @@
     }
     crash::told(state, now, message.crashes, out);
     entries::told(state, now, message.departures, out);
+    evacuation::told(state, now, &message.evacuations, out);
     if let Some(update) = message.update {
         take(state, now, update, "push", out);
     }
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -25,6 +25,15 @@
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
 pub enum Record {
+    /// An availability zone's engines are to get nothing, or are to get work again.
+    Evacuation {
+        /// The zone.
+        zone: Name,
+        /// Whether they are to get nothing.
+        evacuated: bool,
+        /// The store's version of that word.
+        version: u64,
+    },
     /// A request was sent to an engine.
     Sent {
         /// The request's number.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -7,6 +7,7 @@
 use crate::effect::Effect;
 use crate::entries;
 use crate::era;
+use crate::evacuation;
 use crate::event::Event;
 use crate::flow;
 use crate::frame::{self, Frame, Reply};
@@ -80,6 +81,7 @@
             let read = entries::Declared { version, config, asked };
             entries::declared(state, now, &read, out);
         }
+        Event::Evacuations(listing) => evacuation::listed(state, now, listing, out),
         Event::Era(era) => era::heard(state, now, era, out),
         Event::Listed(listing) => entries::listed(state, now, listing, out),
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
@@ -127,6 +129,7 @@
         Timer::Silence(request, attempt) => outcome::silence(state, now, request, attempt, out),
         Timer::Probe(engine) => trust::probe(state, now, &engine, out),
         Timer::Lapse(engine) => entries::lapsed(state, now, &engine, out),
+        Timer::Evacuations => evacuation::lapse(state, now, out),
         Timer::Charge(request) => quota::again(state, now, request, out),
         Timer::Recall(engine) => intake::recall(state, now, &engine, out),
         Timer::Frame => frame::due(state, now, out),
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::engine::Incarnation;
+use crate::homes::Permit;
 use crate::key::Digest;
 
 /// A request's number within its process.
@@ -108,6 +109,8 @@
     /// When it may not be sent any more, since nobody says so long that its caller's key still holds, or since its place at an engine
     /// in need is over; none where neither binds.
     pub send_by: Option<Time>,
+    /// The word that the engine is where the request may be served.
+    pub permit: Permit,
     /// Whether the engine has named a limit, as far as is known: an answer that names none says that it is over.
     pub limited: bool,
 }
--- a/fleet/src/schedule.rs
+++ b/fleet/src/schedule.rs
@@ -113,13 +113,15 @@
     pub wait_max: Duration,
     /// What the asker knows of the engine's limit.
     pub limit: Option<Advert>,
+    /// For how long the engine is still cold, as far as the asker knows.
+    pub cold: Option<Duration>,
 }
 
 impl Ask {
     /// Whether the asker knows of a limit.
     #[must_use]
-    pub fn names_limit(&self) -> bool {
-        self.limit.as_ref().is_some_and(Advert::names_limit)
+    pub fn is_limited(&self) -> bool {
+        self.cold.is_some() || self.limit.as_ref().is_some_and(Advert::names_limit)
     }
 }
 
@@ -151,9 +153,12 @@
     if let Some(limit) = &ask.limit {
         intake::told(state, now, limit);
     }
+    if let Some(left) = ask.cold {
+        intake::cold(state, now, &ask.engine, left);
+    }
     let Some(engine) = state.engines.get(&ask.engine) else {
         // It was registered just now: nobody has sent it anything.
-        return if ask.names_limit() { Grant::Elsewhere } else { Grant::After(Duration::ZERO) };
+        return if ask.is_limited() { Grant::Elsewhere } else { Grant::After(Duration::ZERO) };
     };
     let apart = match intake::spacing(state, now, engine) {
         Spacing::Open => Duration::ZERO,
@@ -175,7 +180,10 @@
 /// Takes over an answer, with what it says of the schedule.
 pub(crate) fn learn(state: &mut State, now: Time, ask: &Ask, grant: Grant) {
     let again = frame::every(state);
-    let apart = state.engines.get(&ask.engine).map(|engine| intake::apart(state, engine));
+    if intake::keeps_schedule(state, now, &ask.engine) {
+        return;
+    }
+    let apart = state.engines.get(&ask.engine).map(|engine| intake::apart(state, now, engine));
     let Some((engine, apart)) = state.engines.get_mut(&ask.engine).zip(apart) else {
         return;
     };
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -1,7 +1,10 @@
 //! What the reducer goes by besides the configuration. Set once, at a process's start.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use boragecove_core::name::Name;
+
 /// Limits, intervals and weights.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -103,6 +106,12 @@
     pub quota_overage: f64,
     /// Units of a workspace's limit that may be spent over it in a window, beyond a part of it (the platform's bound).
     pub quota_slack: f64,
+    /// Part of the rate of an engine that has just started which it bears in any second (the platform's bound).
+    pub cold_overage: f64,
+    /// Requests beyond that part which it bears in any second (the platform's bound).
+    pub cold_slack: f64,
+    /// The regions of availability zones, by the zones' names.
+    pub regions: BTreeMap<Name, Name>,
     /// Mechanisms that are switched off, in experiments only.
     pub without: Vec<Mechanism>,
     /// The balancer looks at readiness every second and needs two misses: after this it sends nobody, unless most of the
@@ -233,6 +242,9 @@
             quota_window: Duration::ZERO,
             quota_overage: 0.0,
             quota_slack: 0.0,
+            cold_overage: 1.0,
+            cold_slack: 0.0,
+            regions: BTreeMap::new(),
             without: Vec::new(),
             balancer_grace: Duration::from_millis(2_500),
             stop_within: Duration::from_millis(7_650),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -19,6 +19,7 @@
 use crate::demand::{Appetite, Counts};
 use crate::engine::{Engine, Row};
 use crate::era::Era;
+use crate::evacuation::Evacuations;
 use crate::flow::Flow;
 use crate::frame::{Hub, View};
 use crate::intake;
@@ -88,6 +89,8 @@
     pub(crate) gap: Option<Gap>,
     /// The store's version up to which no newer configuration than the one in force was written; 0 if not known.
     pub(crate) declared: Revision,
+    /// Availability zones whose engines are to get nothing.
+    pub(crate) evacuations: Evacuations,
     /// When the configuration in force was last known to be the newest.
     pub(crate) proof: Proof,
     /// Limits of workspaces.
@@ -162,6 +165,7 @@
             removals_from: Revision::default(),
             gap: None,
             declared: Revision::default(),
+            evacuations: Evacuations::default(),
             proof: Proof::default(),
             quota,
             era: Era::default(),
@@ -239,6 +243,11 @@
         &self.members
     }
 
+    /// The availability zones whose engines are to get nothing.
+    pub fn evacuated(&self) -> impl Iterator<Item = &Name> {
+        self.evacuations.zones()
+    }
+
     /// The engines that are known.
     pub fn engines(&self) -> impl Iterator<Item = &Engine> {
         self.engines.values()
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -17,6 +17,8 @@
     Probe(Name),
     /// An entry that went missing around an outage is to be taken as gone.
     Lapse(Name),
+    /// Words on availability zones that a copy of the store lacks are to be taken as taken back.
+    Evacuations,
     /// The hub is to be told.
     Frame,
     /// The lease is to be renewed or looked at.
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -43,7 +43,12 @@
     let mut hub = Node::bare("hub");
     let mut config = config(1);
     let pool = Pool { adapters_max: 8, ..pool() };
-    config.services[0] = Arc::new(Service { name: WRITER.into(), connections_max: 100, pool: Some(pool) });
+    config.services[0] = Arc::new(Service {
+        name: WRITER.into(),
+        connections_max: 100,
+        pool: Some(pool),
+        ..Service::default()
+    });
     hub.feed(Event::Configured(Arc::new(config)));
     let version = rows.len() as u64;
     hub.feed(listing(rows, version, true));
--- a/fleet/tests/caller_keys.rs
+++ b/fleet/tests/caller_keys.rs
@@ -29,7 +29,7 @@
 }
 
 fn workspace(name: &str, priority: Option<u8>) -> Arc<Workspace> {
-    Arc::new(Workspace { name: name.into(), priority, limit: None })
+    Arc::new(Workspace { name: name.into(), priority, limit: None, ..Workspace::default() })
 }
 
 fn held(number: u8, workspace: &str) -> Arc<Key> {
--- /dev/null
+++ b/fleet/tests/cold_engines.rs
@@ -0,0 +1,155 @@
+//! Engines that are cold bear few requests a second, as a sum over all entry VMs, also before anybody knows.
+
+mod node;
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbtest::arbitrary::{self, Unstructured};
+use arbtest::arbtest;
+use boragecove_core::time::Time;
+use boragecove_fleet::config::{Config, Start};
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::settings::Settings;
+use node::{WRITER, brief, entry, row};
+use world::{Backends, World, ZONES};
+
+const START: Start = Start { lasts: Duration::from_secs(3), per_s: 12.0 };
+const OVERAGE: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// Time between an engine's heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// One of the engines, which all hold `m0`. All models are somewhere, so that none is to be loaded.
+fn writer(at: usize) -> Entry {
+    let held = ["m0", ["m1", "m2", "m3"][at % 3]];
+    Entry { slots: 64, ..entry(&format!("w{at}"), WRITER, ZONES[at % ZONES.len()], &held) }
+}
+
+fn config(start: Option<Start>) -> Config {
+    let mut config = node::config(1);
+    for service in &mut config.services {
+        Arc::make_mut(service).start = start;
+    }
+    config
+}
+
+fn world(vms: usize, engines: usize, start: Option<Start>, seed: u64) -> World {
+    let rows: Vec<Row> = (0..engines).map(|at| row(at as u64 + 1, writer(at))).collect();
+    let settings = Settings { cold_overage: OVERAGE, cold_slack: SLACK, ..Settings::default() };
+    let mut world = World::new(vms, config(start), &rows, settings, seed);
+    world.backends = Some(Backends::new(&rows));
+    world.pass(Duration::from_secs(6));
+    world
+}
+
+fn run(world: &mut World, time: Duration, per_s: f64) {
+    let end = world.now + time;
+    let step = Duration::from_millis(5);
+    while world.now < end {
+        let mut due = per_s * step.as_secs_f64();
+        while due > 0.0 && world.rng.f64() < due {
+            due -= 1.0;
+            let at = world.rng.usize(0..world.len());
+            world.arrive(at, &"none".into(), 0.0, brief("m0"));
+        }
+        world.pass(step);
+    }
+}
+
+/// An engine turns cold, and says so with its next heartbeat.
+fn turn_cold(world: &mut World, at: usize, per_s: f64) -> (Time, Time) {
+    let from = world.now;
+    let wait = Duration::from_millis(world.rng.u64(0..HEARTBEAT.as_millis() as u64));
+    run(world, wait, per_s);
+    world.register(Entry { cold_left: START.lasts.saturating_sub(wait), ..writer(at) });
+    (from, from + START.lasts)
+}
+
+/// By how many requests a cold engine got more than it bears in the worst second.
+fn excess(world: &World, at: usize, (from, until): (Time, Time)) -> f64 {
+    let most = world.most_in_a_second(&format!("w{at}"), from, until);
+    most as f64 - (OVERAGE * START.per_s + SLACK)
+}
+
+/// Three engines have all the work of a burst, and one of them turns cold.
+#[test]
+fn turns_cold() {
+    for seed in 0..4 {
+        let mut world = world(9, 3, Some(START), seed);
+        run(&mut world, Duration::from_secs(2), 300.0);
+        let cold = turn_cold(&mut world, 1, 300.0);
+        run(&mut world, START.lasts, 300.0);
+        let excess = excess(&world, 1, cold);
+        assert!(excess <= 0.0, "seed {seed}: {excess} more than it bears");
+    }
+}
+
+/// A zone is taken back, whose engines may be cold and have not said so.
+#[test]
+fn zone_taken_back() {
+    let mut world = world(9, 3, Some(START), 5);
+    run(&mut world, Duration::from_secs(1), 300.0);
+    world.evacuate(1, true);
+    run(&mut world, Duration::from_secs(4), 300.0);
+    world.evacuate(1, false);
+    let from = world.now;
+    run(&mut world, START.lasts, 300.0);
+    let excess = excess(&world, 1, (from, from + START.lasts));
+    assert!(excess <= 0.0, "{excess} more than it bears");
+}
+
+/// Once it is warm it gets work like the others.
+#[test]
+fn warm_again() {
+    let mut world = world(6, 3, Some(START), 6);
+    turn_cold(&mut world, 0, 40.0);
+    run(&mut world, Duration::from_secs(6), 40.0);
+    let since = world.now;
+    run(&mut world, Duration::from_secs(4), 40.0);
+    let (got, other) = (world.reached("w0", since), world.reached("w1", since));
+    assert!(2 * got > other, "{got} and {other} requests");
+}
+
+fn play(u: &mut Unstructured<'_>, start: Option<Start>) -> arbitrary::Result<f64> {
+    let mut world = world(u.int_in_range(4..=13)?, 3, start, u.arbitrary()?);
+    let load = *u.choose(&[60.0, 200.0, 400.0])?;
+    run(&mut world, Duration::from_secs(1), load);
+    let mut worst = f64::NEG_INFINITY;
+    for _ in 0..u.int_in_range(1..=3)? {
+        let vm = u.int_in_range(0..=world.len() - 1)?;
+        match u.int_in_range(0..=4)? {
+            0 => world.kill(vm),
+            1 => world.restart(vm),
+            2 => world.suspend(vm, true),
+            3 => world.serve(vm, false),
+            _ => world.heal(),
+        }
+        let at = u.int_in_range(0..=2)?;
+        let cold = turn_cold(&mut world, at, load);
+        run(&mut world, START.lasts, load);
+        worst = worst.max(excess(&world, at, cold));
+    }
+    Ok(worst)
+}
+
+/// Whoever is lost, suspended or restarted meanwhile: no cold engine gets more than it bears in any second.
+#[test]
+fn rate_holds() {
+    arbtest(|u| {
+        let excess = play(u, Some(START))?;
+        assert!(excess <= 0.0, "{excess} more than it bears");
+        Ok(())
+    })
+    .budget_ms(world::budget_ms(6_000));
+}
+
+/// A broken copy that does not know that engines turn cold: the check has to find it.
+#[test]
+fn check_bites() {
+    let mut world = world(9, 3, None, 1);
+    let cold = turn_cold(&mut world, 0, 300.0);
+    run(&mut world, START.lasts, 300.0);
+    assert!(excess(&world, 0, cold) > 0.0);
+}
--- a/fleet/tests/engine_restarts.rs
+++ b/fleet/tests/engine_restarts.rs
@@ -190,7 +190,12 @@
     let mut config = node::config(1);
     let mut pool = node::pool();
     pool.models.truncate(2);
-    config.services[0] = Arc::new(Service { name: WRITER.into(), connections_max: 100, pool: Some(pool) });
+    config.services[0] = Arc::new(Service {
+        name: WRITER.into(),
+        connections_max: 100,
+        pool: Some(pool),
+        ..Service::default()
+    });
     node.feed(Event::Configured(Arc::new(config)));
     node.feed(listing(vec![row(1, started("w1", 100, &["m0", "m1"]))], 1, true));
     node.lead();
--- /dev/null
+++ b/fleet/tests/evacuated_zones.rs
@@ -0,0 +1,235 @@
+//! Availability zones that are evacuated: who knows of it, how soon, and what is sent there meanwhile.
+
+mod links;
+mod node;
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbtest::arbitrary::{self, Unstructured};
+use arbtest::arbtest;
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::evacuation::{Listing, Word};
+use boragecove_fleet::event::Event;
+use boragecove_fleet::request::{End, Step};
+use boragecove_fleet::revision::Revision;
+use boragecove_fleet::settings::Settings;
+use links::{LARGE, Links, SMALL};
+use node::{GATEWAY, Node, WRITER, brief, config, entry, exchange, hub_row, millis, plain, row};
+use world::{Backends, World, ZONES};
+
+/// Time from the operator's word to when nothing is sent there any more, by the users' bound.
+const BOUND: Duration = Duration::from_secs(5);
+
+fn word(zone: &str, version: impl Into<Revision>, evacuated: bool) -> Word {
+    Word { zone: zone.into(), revision: version.into(), evacuated }
+}
+
+fn read(words: Vec<Word>, version: impl Into<Revision>, whole: bool) -> Event {
+    Event::Evacuations(Listing { words, version: version.into(), whole })
+}
+
+#[test]
+fn nothing_sent() {
+    let mut node = Node::ready("a");
+    node.feed(read(vec![word("zone-a", 9, true)], 9, false));
+    for _ in 0..10 {
+        let (id, attempt) = node.sent(plain("/ack/1"));
+        assert_eq!(*attempt.engine, *"g2");
+        node.ended(id, attempt.number, End::Done);
+    }
+    node.feed(read(vec![word("zone-a", 10, false)], 10, false));
+    let engines: Vec<_> = (0..20).map(|_| node.sent(plain("/ack/1")).1.engine).collect();
+    assert!(engines.iter().any(|engine| **engine == *"g1"), "it gets work again");
+}
+
+/// What has a place there and has not gone out yet goes elsewhere.
+#[test]
+fn waiting_is_withdrawn() {
+    let mut node = Node::ready("a");
+    let mut later = None;
+    for _ in 0..40 {
+        let id = node.arrive(brief("m1"));
+        if let Some(Step::Send(attempt)) = node.step(id)
+            && attempt.at > node.now
+        {
+            later = Some(id);
+            break;
+        }
+    }
+    let id = later.expect("one that waits for its place");
+    let effects = node.feed(read(vec![word("zone-a", 9, true)], 9, false)).to_vec();
+    let steps: Vec<&Step> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Step { request, step } if *request == id => Some(step),
+            _ => None,
+        })
+        .collect();
+    assert!(matches!(steps.first(), Some(Step::Wait)), "{steps:?}");
+}
+
+/// Older news changes nothing, whichever way it comes.
+#[test]
+fn older_news() {
+    let mut node = Node::ready("a");
+    node.feed(read(vec![word("zone-a", 9, true)], 9, false));
+    node.feed(read(vec![word("zone-a", 7, false)], 7, false));
+    assert_eq!(node.state.evacuated().count(), 1);
+    node.feed(read(Vec::new(), 12, true));
+    assert_eq!(node.state.evacuated().count(), 0, "a whole reading does not name it");
+    node.feed(read(vec![word("zone-a", 9, true)], 9, false));
+    assert_eq!(node.state.evacuated().count(), 0);
+}
+
+/// A copy of the store lacks the row: it holds until the operator has had time to write it again.
+#[test]
+fn copy_lacks_it() {
+    for rewritten in [false, true] {
+        let mut node = Node::ready("a");
+        node.feed(read(vec![word("zone-a", 9, true)], 9, false));
+        node.feed(read(Vec::new(), (1, 8), true));
+        assert_eq!(node.state.evacuated().count(), 1);
+        if rewritten {
+            node.feed(read(vec![word("zone-a", (1, 9), true)], (1, 9), false));
+        }
+        node.pass(Duration::from_secs(3));
+        assert_eq!(node.state.evacuated().count(), usize::from(rewritten));
+    }
+}
+
+/// One that is not the hub has read it: the hub knows with the next frame, and whoever knows nothing with the next answer.
+#[test]
+fn told_both_ways() {
+    let (mut hub, mut asker, mut third) = (Node::ready("hub"), Node::ready("a"), Node::ready("b"));
+    hub.lead();
+    for node in [&mut asker, &mut third] {
+        node.lease(5, boragecove_fleet::lease::Outcome::Read(Some(hub_row())));
+        exchange(&mut hub, node);
+    }
+    asker.feed(read(vec![word("zone-b", 9, true)], 9, false));
+    exchange(&mut hub, &mut asker);
+    assert_eq!(hub.state.evacuated().count(), 1);
+    exchange(&mut hub, &mut third);
+    assert_eq!(third.state.evacuated().count(), 1);
+    let reply = exchange(&mut hub, &mut third);
+    assert!(reply.evacuations.is_empty(), "once it knows, nothing more is told");
+}
+
+/// The hub reads it: all know within a tenth of the bound, at the size of a large deployment, and it costs one message for each.
+#[test]
+fn hundreds_of_entry_vms() {
+    for small in [294, 978] {
+        let rates = [vec![LARGE; 6], vec![SMALL; small]].concat();
+        let mut links = Links::new(&rates, &Arc::new(config(1)));
+        links.pass(Duration::from_secs(4));
+        let (begin, before) = (links.now, links.pushes());
+        links.feed(0, read(vec![word("zone-b", 9, true)], 9, false));
+        let knows = |links: &Links| (0..links.len()).all(|at| links.state(at).evacuated().count() == 1);
+        while !knows(&links) && links.now.since(begin) < BOUND {
+            links.pass(millis(2));
+        }
+        let (took, pushes) = (links.now.since(begin), links.pushes() - before);
+        println!("{small}: known everywhere after {took:?}, {pushes} messages");
+        assert!(took <= BOUND / 10, "known everywhere after {took:?}");
+        assert!(pushes <= links.len(), "{pushes} messages for {} entry VMs", links.len());
+    }
+}
+
+/// Two engines with each model in each zone but the last, and one of the plain service in each.
+fn engines() -> Vec<Row> {
+    let writer = |at: usize| {
+        let held = [["m0", "m1"], ["m1", "m2"], ["m0", "m2"]][at % 3];
+        row(at as u64 + 1, Entry { slots: 32, ..entry(&format!("w{at}"), WRITER, ZONES[at % 3], &held) })
+    };
+    let gateway = |at: usize| row(at as u64 + 10, entry(&format!("g{at}"), GATEWAY, ZONES[at], &[]));
+    (0..6).map(writer).chain((0..3).map(gateway)).collect()
+}
+
+fn world(vms: usize, seed: u64) -> World {
+    let rows = engines();
+    let mut world = World::new(vms, node::config(1), &rows, Settings::default(), seed);
+    world.backends = Some(Backends::new(&rows));
+    world.pass(Duration::from_secs(6));
+    world
+}
+
+fn run(world: &mut World, time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        let at = world.rng.usize(0..world.len());
+        let model = ["m0", "m1", "m2"][world.rng.usize(0..3)];
+        let arrival = if world.rng.bool() { brief(model) } else { plain("/ack/1") };
+        world.arrive(at, &"none".into(), 0.0, arrival);
+        world.pass(Duration::from_millis(20));
+    }
+}
+
+/// The leader is lost just after the operator's word, or the store turns it away, or its zone is cut off.
+#[test]
+fn leader_lost() {
+    for (seed, kind) in [(1, 0), (2, 1), (3, 2)] {
+        let mut world = world(9, seed);
+        let leader = world.leader().expect("there is one");
+        match kind {
+            0 => world.kill(leader),
+            1 => world.serve(leader, false),
+            _ => world.cut(leader % ZONES.len(), true),
+        }
+        let zone = (leader + 1) % ZONES.len();
+        world.evacuate(zone, true);
+        run(&mut world, Duration::from_secs(9));
+        assert_eq!(world.sent_to_evacuated(BOUND), 0, "kind {kind}");
+        world.heal();
+        world.evacuate(zone, false);
+        run(&mut world, Duration::from_secs(6));
+        let since = world.now;
+        run(&mut world, Duration::from_secs(3));
+        assert!(world.reached(&format!("g{zone}"), since) > 0, "it gets work again");
+    }
+}
+
+fn play(u: &mut Unstructured<'_>, deaf: bool) -> arbitrary::Result<usize> {
+    let mut world = world(u.int_in_range(4..=13)?, u.arbitrary()?);
+    world.deaf = deaf;
+    for _ in 0..u.int_in_range(2..=6)? {
+        let at = u.int_in_range(0..=world.len() - 1)?;
+        match u.int_in_range(0..=9)? {
+            0..=2 => world.evacuate(at % ZONES.len(), true),
+            3 => world.evacuate(at % ZONES.len(), false),
+            4 => world.kill(at),
+            5 => world.restart(at),
+            6 => world.suspend(at, true),
+            7 => world.cut(at % ZONES.len(), true),
+            8 => world.serve(at, false),
+            _ => world.heal(),
+        }
+        run(&mut world, Duration::from_millis(u.int_in_range(200..=6_000)?));
+    }
+    world.heal();
+    run(&mut world, Duration::from_secs(6));
+    Ok(world.sent_to_evacuated(BOUND))
+}
+
+/// Whoever is in touch sends nothing there after the bound, whatever is lost, cut off, suspended or restarted.
+#[test]
+fn bound_holds() {
+    arbtest(|u| {
+        let broken = play(u, false)?;
+        assert_eq!(broken, 0, "requests reached engines of an evacuated zone");
+        Ok(())
+    })
+    .budget_ms(world::budget_ms(6_000));
+}
+
+/// A broken copy that hears nothing of evacuations: the check has to find it.
+#[test]
+fn check_bites() {
+    let mut world = world(6, 1);
+    world.deaf = true;
+    world.evacuate(0, true);
+    run(&mut world, Duration::from_secs(9));
+    assert!(world.sent_to_evacuated(BOUND) > 0);
+}
--- a/fleet/tests/key_withdrawal.rs
+++ b/fleet/tests/key_withdrawal.rs
@@ -27,7 +27,9 @@
 
 /// One workspace with a key that stays, and one with a key that is taken away.
 fn config(version: u64, withdrawn: bool) -> Config {
-    let workspace = |name: &str| Arc::new(Workspace { name: name.into(), priority: None, limit: None });
+    let workspace = |name: &str| {
+        Arc::new(Workspace { name: name.into(), priority: None, limit: None, ..Workspace::default() })
+    };
     let key = |number: u8, name: &str| Arc::new(Key { digest: digest(number), workspace: name.into() });
     let mut keys = vec![key(1, "stays")];
     if !withdrawn {
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -46,6 +46,7 @@
     pub now: Time,
     vms: Vec<Vm>,
     transfers: Vec<Transfer>,
+    pushes: usize,
 }
 
 struct Vm {
@@ -108,7 +109,7 @@
             suspended: false,
         };
         let vms = rates.iter().enumerate().map(vm).collect();
-        let mut links = Self { now, vms, transfers: Vec::new() };
+        let mut links = Self { now, vms, transfers: Vec::new(), pushes: 0 };
         for at in 0..rates.len() {
             links.feed(at, Event::Configured(Arc::clone(config)));
             links.feed(
@@ -171,6 +172,11 @@
         self.vms.iter().filter(|vm| !vm.suspended).filter(lacks).count()
     }
 
+    /// Messages that were pushed from one entry VM to another.
+    pub fn pushes(&self) -> usize {
+        self.pushes
+    }
+
     /// Entry VMs.
     pub fn len(&self) -> usize {
         self.vms.len()
@@ -285,6 +291,7 @@
             }
             Effect::Push { address, message } => {
                 let to = self.at(address);
+                self.pushes += 1;
                 self.send(at, to, size(&message), None, Load::Push(message));
             }
             Effect::Lease(call) => {
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -62,6 +62,7 @@
         attempts,
         split: vec![Share { service: service.into(), weight: 1 }],
         public: false,
+        ..Route::default()
     }
 }
 
@@ -96,8 +97,8 @@
         route("list", "/list/", Kind::Idempotent, GATEWAY, 2),
     ];
     let services = [
-        Service { name: WRITER.into(), connections_max: 100, pool: Some(pool()) },
-        Service { name: GATEWAY.into(), connections_max: 100, pool: None },
+        Service { name: WRITER.into(), connections_max: 100, pool: Some(pool()), ..Service::default() },
+        Service { name: GATEWAY.into(), connections_max: 100, pool: None, ..Service::default() },
     ];
     Config {
         version,
@@ -119,6 +120,7 @@
         slots: 8,
         leaving: false,
         remaining: None,
+        cold_left: Duration::ZERO,
         held: models.iter().map(|name| Held { model: (*name).into(), adapters: Vec::new() }).collect(),
         cached: Cached::default(),
     }
--- a/fleet/tests/prompt_spacing.rs
+++ b/fleet/tests/prompt_spacing.rs
@@ -244,7 +244,7 @@
 fn places_are_given() {
     let mut owner = Node::ready("a");
     let need = Need { work: millis(35), space: millis(50), target: millis(500) };
-    let ask = Ask { engine: "w1".into(), need, wait_max: millis(60), limit: None };
+    let ask = Ask { engine: "w1".into(), need, wait_max: millis(60), ..Ask::default() };
     let mut grant = || boragecove_fleet::grant(&mut owner.state, owner.now, &ask);
     assert_eq!(grant(), Grant::After(Duration::ZERO));
     assert_eq!(grant(), Grant::After(millis(50)));
@@ -260,8 +260,8 @@
     use boragecove_fleet::members::Members;
     let list: Vec<Member> = (0..9).map(|number| member(&format!("vm-{number}"), "zone-a", 7_000)).collect();
     let (mut whole, mut rest) = (Members::default(), Members::default());
-    whole.replace(list.clone());
-    rest.replace(list[1..].to_vec());
+    whole.replace(Time::default(), list.clone());
+    rest.replace(Time::default(), list[1..].to_vec());
     assert_ne!(whole.version(), rest.version());
     let mut shares = [0_u32; 9];
     for number in 0..900 {
--- /dev/null
+++ b/fleet/tests/request_homes.rs
@@ -0,0 +1,213 @@
+//! Requests that may be served in some regions only: to which engines they are sent, whatever changes meanwhile.
+
+mod node;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use arbtest::arbitrary::{self, Unstructured};
+use arbtest::arbtest;
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_fleet::config::{Config, Route};
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::{Entry, Reach};
+use boragecove_fleet::event::Event;
+use boragecove_fleet::homes::Homes;
+use boragecove_fleet::request::{Cause, End, Events, Id, Step};
+use boragecove_fleet::schedule::Grant;
+use boragecove_fleet::settings::Settings;
+use node::{GATEWAY, Node, WRITER, config, entry, listing, millis, plain, removed, row};
+
+const REGIONS: [(&str, &str); 3] = [("zone-a", "north"), ("zone-b", "south"), ("zone-c", "south")];
+
+fn settings() -> Settings {
+    let regions = REGIONS.map(|(zone, region)| (Name::from(zone), Name::from(region)));
+    Settings { regions: BTreeMap::from(regions), ..Settings::default() }
+}
+
+fn homes(regions: &[&str]) -> Homes {
+    Homes::of(regions.iter().copied().map(Name::from))
+}
+
+/// A configuration in which requests of one route may be served in some regions only.
+fn bound(version: u64, route: &str, regions: &[&str]) -> Config {
+    let mut config = config(version);
+    let of = |known: &&mut Arc<Route>| *known.name == *route;
+    let route = config.routes.iter_mut().find(of).expect("a route");
+    Arc::make_mut(route).homes = homes(regions);
+    config
+}
+
+fn writer(id: &str, zone: &str) -> Entry {
+    entry(id, WRITER, zone, &["m0", "m1"])
+}
+
+/// A process with engines of both services in two regions.
+fn ready(config: Config) -> Node {
+    let mut node = Node::with("a", settings());
+    node.feed(Event::Configured(Arc::new(config)));
+    let rows = vec![
+        row(1, writer("w1", "zone-a")),
+        row(2, writer("w2", "zone-b")),
+        row(3, entry("g1", GATEWAY, "zone-a", &[])),
+        row(4, entry("g2", GATEWAY, "zone-b", &[])),
+    ];
+    node.feed(listing(rows, 4, true));
+    node
+}
+
+#[test]
+fn sent_home() {
+    let mut node = ready(bound(1, "ack", &["south"]));
+    for _ in 0..20 {
+        let (id, attempt) = node.sent(plain("/ack/1"));
+        assert_eq!(*attempt.engine, *"g2");
+        node.ended(id, attempt.number, End::Done);
+    }
+}
+
+/// Repeats stay at home too.
+#[test]
+fn repeats_stay_home() {
+    let mut node = ready(bound(1, "list", &["south"]));
+    let (id, attempt) = node.sent(plain("/list/1"));
+    let step = node.ended(id, attempt.number, End::Broken);
+    assert!(matches!(step, Some(Step::Refuse(_))), "no other engine is at home: {step:?}");
+}
+
+/// Where route and workspace both have homes, both bind.
+#[test]
+fn both_bind() {
+    let (north, south) = (homes(&["north"]), homes(&["south"]));
+    let region = Name::from("north");
+    assert!(north.permit(Some(&region)).is_some());
+    assert!(north.and(&south).permit(Some(&region)).is_none());
+    assert!(north.and(&Homes::default()).permit(Some(&region)).is_some());
+    assert!(north.permit(None).is_none(), "nobody knows the region");
+    assert!(Homes::default().permit(None).is_some());
+}
+
+#[test]
+fn no_home_reachable() {
+    let mut node = ready(bound(1, "ack", &["south"]));
+    node.feed(listing(vec![removed(9, "g2")], 9, false));
+    let refusal = node.refused(plain("/ack/1"));
+    assert_eq!(refusal.code, Code::NoBackend);
+    assert!(refusal.retry_after.is_some(), "it may come back");
+}
+
+/// What is declared counts at once, and can be taken back.
+#[test]
+fn homes_change() {
+    let mut node = ready(config(1));
+    node.feed(Event::Configured(Arc::new(bound(2, "ack", &["north"]))));
+    let (_, attempt) = node.sent(plain("/ack/1"));
+    assert_eq!(*attempt.engine, *"g1");
+    node.feed(Event::Configured(Arc::new(bound(3, "ack", &["south"]))));
+    let (_, attempt) = node.sent(plain("/ack/1"));
+    assert_eq!(*attempt.engine, *"g2");
+    node.feed(Event::Configured(Arc::new(config(4))));
+    node.feed(listing(vec![removed(9, "g2")], 9, false));
+    let (_, attempt) = node.sent(plain("/ack/1"));
+    assert_eq!(*attempt.engine, *"g1");
+}
+
+/// One step of a day.
+fn step(
+    u: &mut Unstructured<'_>,
+    node: &mut Node,
+    version: &mut u64,
+    deaf: bool,
+) -> arbitrary::Result<Homes> {
+    *version += 1;
+    let regions = *u.choose(&[&[][..], &["north"], &["south"], &["north", "south"], &["nowhere"]])?;
+    let declared = Homes::of(regions.iter().copied().map(Name::from));
+    let mut config = config(*version);
+    if !deaf {
+        for route in &mut config.routes {
+            Arc::make_mut(route).homes = declared.clone();
+        }
+    }
+    node.feed(Event::Configured(Arc::new(config)));
+    Ok(declared)
+}
+
+/// Plays one day. Returns whether a request was sent to an engine outside its homes.
+fn strays(u: &mut Unstructured<'_>, deaf: bool) -> arbitrary::Result<bool> {
+    let mut node = ready(config(1));
+    let zones: BTreeMap<&str, &str> = BTreeMap::from(REGIONS);
+    let at = BTreeMap::from([("w1", "zone-a"), ("g1", "zone-a"), ("w2", "zone-b"), ("g2", "zone-b")]);
+    let (mut version, mut rows, mut declared) = (1, 10, Homes::default());
+    let mut open: Vec<(Id, u32)> = Vec::new();
+    for _ in 0..u.int_in_range(5..=40)? {
+        match u.int_in_range(0..=6)? {
+            0 => declared = step(u, &mut node, &mut version, deaf)?,
+            1 => {
+                let engine = *u.choose(&["w1", "w2", "g1", "g2"])?;
+                rows += 1;
+                let service = if engine.starts_with('w') { WRITER } else { GATEWAY };
+                let known = entry(engine, service, at[engine], &["m0", "m1"]);
+                let put = if u.arbitrary()? { row(rows, known) } else { removed(rows, engine) };
+                node.feed(listing(vec![put], rows, false));
+            }
+            2 if !open.is_empty() => {
+                let (id, number) = open.swap_remove(u.choose_index(open.len())?);
+                let end = *u.choose(&[End::Done, End::Broken, End::Unsent, End::Refused(Cause::Busy)])?;
+                node.feed(Event::Ended { request: id, attempt: number, end, events: Events::default() });
+            }
+            3 => {
+                let engine = Name::from(*u.choose(&["w1", "w2", "g1", "g2"])?);
+                let reach = *u.choose(&[Reach::Open, Reach::Closed, Reach::Silent])?;
+                node.feed(Event::Probed { engine, reach });
+            }
+            4 => {
+                let all = node.pass(millis(u.int_in_range(1..=900)?));
+                node.effects = all;
+            }
+            _ => {
+                let path = *u.choose(&["/ack/1", "/list/1", "/brief/1", "/digest/1"])?;
+                let streamed = path.starts_with("/brief") || path.starts_with("/digest");
+                let arrival = if streamed { node::streamed(path, "m0", None) } else { plain(path) };
+                let request = node.arrive(arrival);
+                if node.effects.iter().any(|effect| matches!(effect, Effect::Ask { .. })) {
+                    let grant = Some(Grant::After(millis(u.int_in_range(0..=100)?)));
+                    node.feed(Event::Granted { request, grant });
+                }
+            }
+        }
+        for effect in &node.effects {
+            let Effect::Step { request, step: Step::Send(attempt) } = effect else {
+                continue;
+            };
+            let region = Name::from(zones[at[&*attempt.engine]]);
+            if declared.permit(Some(&region)).is_none() {
+                return Ok(true);
+            }
+            open.push((*request, attempt.number));
+        }
+    }
+    Ok(false)
+}
+
+/// Whatever is declared, lost, repeated and suspected, no request leaves its homes.
+#[test]
+fn never_strays() {
+    arbtest(|u| {
+        assert!(!strays(u, false)?, "a request was sent outside its homes");
+        Ok(())
+    })
+    .budget_ms(3_000);
+}
+
+/// A broken copy that does not see homes: the check has to find it.
+#[test]
+fn check_bites() {
+    let found = std::cell::Cell::new(0);
+    arbtest(|u| {
+        found.set(found.get() + u32::from(strays(u, true)?));
+        Ok(())
+    })
+    .budget_ms(500);
+    assert!(found.get() > 0);
+}
--- a/fleet/tests/restored_store.rs
+++ b/fleet/tests/restored_store.rs
@@ -390,7 +390,7 @@
 
 /// A configuration with one key, or with none once it is taken away.
 fn with_keys(version: u64, withdrawn: bool) -> Config {
-    let workspace = Workspace { name: "w".into(), priority: None, limit: None };
+    let workspace = Workspace { name: "w".into(), priority: None, limit: None, ..Workspace::default() };
     let key = Key { digest: digest(1), workspace: "w".into() };
     let keys = if withdrawn { Vec::new() } else { vec![Arc::new(key)] };
     Config { access: Some(Access { workspaces: vec![Arc::new(workspace)], keys }), ..config(version) }
--- a/fleet/tests/store/mod.rs
+++ b/fleet/tests/store/mod.rs
@@ -11,6 +11,7 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::config::Config;
 use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::evacuation::{self, Word};
 use boragecove_fleet::event::Listing;
 use boragecove_fleet::lease::{self, Call, Outcome, Seen};
 use boragecove_fleet::revision::Revision;
@@ -28,6 +29,8 @@
     /// An entry; none if it was removed.
     engines: BTreeMap<Name, (u64, Option<Entry>)>,
     config: Option<(u64, Arc<Config>)>,
+    /// Whether each availability zone is evacuated.
+    evacuations: BTreeMap<Name, (u64, bool)>,
 }
 
 #[derive(Debug, Default)]
@@ -130,6 +133,23 @@
         Listing { rows: rows.collect(), version: self.revision(), whole: after.is_none(), asked: Some(asked) }
     }
 
+    /// The operator evacuates a zone, or takes that back.
+    pub fn evacuate(&mut self, zone: &str, evacuated: bool) {
+        let version = self.write();
+        self.content.evacuations.insert(zone.into(), (version, evacuated));
+    }
+
+    /// What operators say of zones, or what has changed in it.
+    pub fn evacuations(&self, known: Option<Revision>) -> evacuation::Listing {
+        let after = known.filter(|known| known.era == self.era && known.version <= self.content.version);
+        let words = self.content.evacuations.iter().filter_map(|(zone, (version, evacuated))| {
+            let wanted = after.map_or(*evacuated, |after| *version > after.version);
+            let revision = Revision::new(self.era, *version);
+            wanted.then(|| Word { zone: zone.clone(), revision, evacuated: *evacuated })
+        });
+        evacuation::Listing { words: words.collect(), version: self.revision(), whole: after.is_none() }
+    }
+
     /// Keeps a copy of now, if the last one is old.
     pub fn keep(&mut self, now: Time) {
         if self.copies.last().is_none_or(|(at, _)| now.since(*at) >= COPY_EVERY) {
--- a/fleet/tests/workspace_limits.rs
+++ b/fleet/tests/workspace_limits.rs
@@ -52,7 +52,7 @@
     let workspace = |at: usize| {
         let per_s = per_s(at) * factor(at);
         let limit = Limit { per_s, burst: per_s, unit: Unit::Tokens { unsaid: 200.0 } };
-        Arc::new(Workspace { name: name(at), priority: None, limit: Some(limit) })
+        Arc::new(Workspace { name: name(at), priority: None, limit: Some(limit), ..Workspace::default() })
     };
     let key = |at: usize| Arc::new(Key { digest: digest(at), workspace: name(at) });
     let access = Access {
--- a/fleet/tests/world/backends.rs
+++ b/fleet/tests/world/backends.rs
@@ -22,6 +22,7 @@
 const WINDOW: Duration = Duration::from_secs(4);
 const OVERAGE: f64 = 1.5;
 const SLACK: f64 = 5.0;
+const SECOND: Duration = Duration::from_secs(1);
 
 /// A request that reached an engine.
 #[derive(Clone, Debug)]
@@ -30,6 +31,8 @@
     pub vm: usize,
     /// Since when the entry VM had been told of the limit that the engine named then; none if it had not been.
     pub told: Option<Time>,
+    /// Since when nothing was done to the entry VM, nor to the store; none while it hears nothing.
+    pub calm: Option<Time>,
 }
 
 /// A limit that an engine names.
@@ -59,6 +62,14 @@
         let zones = entries.map(|entry| (entry.id.clone(), entry.zone.clone())).collect();
         Self { zones, ..Self::default() }
     }
+
+    /// All requests that reached engines, with the engine's zone.
+    pub fn all(&self) -> impl Iterator<Item = (&Name, &str, &Reached)> {
+        let zone = |engine: &Name| self.zones.get(engine).map_or("", |zone| zone);
+        self.reached
+            .iter()
+            .flat_map(move |(engine, all)| all.iter().map(move |one| (engine, zone(engine), one)))
+    }
 }
 
 impl World {
@@ -79,6 +90,15 @@
         reached.map_or(0, |all| all.iter().filter(|one| one.at >= since).count())
     }
 
+    /// The most requests that reached an engine in any second of a time.
+    pub fn most_in_a_second(&self, engine: &str, from: Time, until: Time) -> usize {
+        let reached = self.backends.as_ref().and_then(|backends| backends.reached.get(engine));
+        let times = reached.into_iter().flatten().map(|one| one.at).filter(|at| (from..until).contains(at));
+        let times: Vec<Time> = times.collect();
+        let within = |end: &Time| times.iter().filter(|at| **at <= *end && end.since(**at) < SECOND).count();
+        times.iter().map(within).max().unwrap_or_default()
+    }
+
     /// Requests that ran more than once.
     pub fn doubled(&self) -> usize {
         self.backends.as_ref().map_or(0, |backends| backends.doubled)
@@ -137,10 +157,11 @@
             return self.ended(vm, request, attempt.number, End::Unsent);
         }
         let (now, engine) = (self.now, attempt.engine.clone());
+        let calm = self.calm_since(vm);
         let backends = self.backends.as_mut().expect("engines");
         let told = backends.told.get(&(vm, engine.clone())).copied();
         backends.doubled += usize::from(!backends.run.insert((vm, request)));
-        backends.reached.entry(engine).or_default().push(Reached { at: now, vm, told });
+        backends.reached.entry(engine).or_default().push(Reached { at: now, vm, told, calm });
         self.post(vm, vm, HEAD_MS, Load::Head(request, attempt.clone(), now));
         self.post(vm, vm, RUN_MS, Load::Ended(request, attempt.number));
     }
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -19,6 +19,7 @@
 use boragecove_fleet::State;
 use boragecove_fleet::config::Config;
 use boragecove_fleet::engine::Entry;
+use boragecove_fleet::evacuation;
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::Answer;
@@ -30,7 +31,7 @@
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::state::Identity;
 
-pub use backends::Backends;
+pub use backends::{Backends, Reached};
 pub use store::Store;
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -59,6 +60,7 @@
     pub refused: Option<Code>,
 }
 
+#[expect(clippy::struct_excessive_bools, reason = "each is a broken copy of its own")]
 pub struct World {
     pub now: Time,
     pub rng: fastrand::Rng,
@@ -84,6 +86,8 @@
     pub lax: bool,
     /// A broken copy: nobody sees the store's era.
     pub blind: bool,
+    /// A broken copy: nobody hears of evacuations.
+    pub deaf: bool,
     /// Who might give orders, and under which fencing number, since when and until when.
     pub orderers: Vec<Orderer>,
     /// Engines that answer; none where a request is done as soon as it is sent.
@@ -91,6 +95,8 @@
     zones_cut: [bool; ZONES.len()],
     /// When the store last came back from a copy.
     drilled: Option<Time>,
+    /// Evacuated zones, since when and until when.
+    evacuated: Vec<(usize, Time, Option<Time>)>,
 }
 
 #[expect(clippy::struct_excessive_bools, reason = "each is a disturbance of its own")]
@@ -154,6 +160,8 @@
     Lease(Answer),
     /// The configuration as it was when the store was asked, up to which version that holds, and when it was.
     Declared(Arc<Config>, Revision, Time),
+    /// What was read of operators' words on availability zones.
+    Evacuations(evacuation::Listing),
     /// What was read of the engines' table.
     Listed(Listing),
     /// A request that lies in the socket of a machine that is suspended.
@@ -209,10 +217,12 @@
             forgetful: false,
             lax: false,
             blind: false,
+            deaf: false,
             orderers: Vec::new(),
             backends: None,
             zones_cut: [false; ZONES.len()],
             drilled: None,
+            evacuated: Vec::new(),
         };
         for entry in rows.iter().filter_map(|row| row.entry.clone()) {
             world.register(entry);
@@ -230,6 +240,32 @@
         self.store.put(entry);
     }
 
+    /// The operator evacuates a zone, or takes that back.
+    pub fn evacuate(&mut self, zone: usize, evacuated: bool) {
+        self.store.evacuate(ZONES[zone], evacuated);
+        if evacuated {
+            self.evacuated.push((zone, self.now, None));
+        } else {
+            let over = |last: &&mut (usize, Time, Option<Time>)| last.0 == zone && last.2.is_none();
+            if let Some((_, _, until)) = self.evacuated.iter_mut().find(over) {
+                *until = Some(self.now);
+            }
+        }
+    }
+
+    /// Requests that reached an engine of an evacuated zone later than `bound` after that was said, and after anything was done to the
+    /// entry VM that sent them.
+    pub fn sent_to_evacuated(&self, bound: Duration) -> usize {
+        let broken = |zone: &str, one: &Reached| {
+            self.evacuated.iter().any(|(of, from, until)| {
+                let in_touch = one.calm.is_some_and(|calm| one.at.since(calm.max(*from)) > bound);
+                ZONES[*of] == zone && one.at > *from && until.is_none_or(|until| one.at < until) && in_touch
+            })
+        };
+        let backends = self.backends.as_ref().expect("engines");
+        backends.all().filter(|(_, zone, one)| broken(zone, one)).count()
+    }
+
     /// An engine's entry is removed.
     pub fn deregister(&mut self, engine: &str) {
         self.truth.insert(engine.into(), None);
@@ -322,6 +358,8 @@
         if let Some(config) = self.store.config().cloned() {
             self.feed(at, Event::Configured(config));
         }
+        let words = self.seen_words(self.store.evacuations(None));
+        self.feed(at, Event::Evacuations(words));
         let listing = self.seen(self.store.engines(self.now, None));
         self.feed(at, Event::Listed(listing));
     }
@@ -331,6 +369,15 @@
         if self.blind { 0 } else { self.store.era() }
     }
 
+    /// What whoever reads operators' words on availability zones sees.
+    fn seen_words(&self, mut listing: evacuation::Listing) -> evacuation::Listing {
+        if self.blind {
+            listing.version.era = 0;
+            listing.words.iter_mut().for_each(|word| word.revision.era = 0);
+        }
+        listing
+    }
+
     /// What whoever reads the engines' table sees.
     fn seen(&self, mut listing: Listing) -> Listing {
         if self.blind {
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -89,6 +89,8 @@
                 self.feed(to, Event::Configured(config));
                 self.feed(to, Event::Declared { version, config: stands, asked });
             }
+            Load::Evacuations(_) if self.deaf => {}
+            Load::Evacuations(listing) => self.feed(to, Event::Evacuations(listing)),
             Load::Listed(listing) => self.feed(to, Event::Listed(listing)),
             Load::Arrive(request, arrival) => self.feed(to, Event::Arrive { request, arrival }),
         }
@@ -170,6 +172,8 @@
 
     /// An entry VM that follows the store's tables reads what has changed.
     pub(super) fn follow(&mut self, at: usize) {
+        let words = self.seen_words(self.store.evacuations(self.vms[at].table));
+        self.post(at, at, 5, Load::Evacuations(words));
         let listing = self.store.engines(self.now, self.vms[at].table);
         self.vms[at].table = Some(listing.version);
         let listing = self.seen(listing);
