Look into others' suspicions of those engines only that are used here

Cause: what one entry VM suspected, all others tried for themselves: a cut zone of 984 entry VMs and 766 engines was 754,000 connections for each round of it. An entry VM now tries an engine that somebody else suspects only if it has sent a request there in the last 10 s, so that it opens no more connections for that than it has requests, whatever the engines and the entry VMs are. Small deployments use all engines all the time, and nothing changes there.

Test shared_suspicions counts what is tried at 766 and 1,600 suspected engines.

--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -322,6 +322,8 @@
     faults_at: Time,
     /// When anything last came from it.
     pub heard: Time,
+    /// When it was last sent a request from here.
+    pub sent: Option<Time>,
     /// When it was last asked whether it is well.
     pub asked: Time,
     /// Whether it could not be reached when it was last tried.
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -193,15 +193,16 @@
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
-    let Some(engine) = state.engines.get(&pick.engine) else {
+    let Some(engine) = state.engines.get_mut(&pick.engine) else {
         return;
     };
+    let at = now + wait;
+    engine.health.sent = Some(at);
     let limit = state.intakes.limit_of(engine, now);
     let named = state.intakes.named_by(engine).is_some();
     if limit.is_some() {
         state.intakes.count();
     }
-    let at = now + wait;
     let place_until = (limit.is_some() || surge.is_some()).then_some(at + PLACE_KEPT);
     flow.number += 1;
     flow.used += 1;
--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -19,6 +19,11 @@
 /// Suspicions that are logged in one second, at most: many engines may crash at once, and each entry VM suspects each.
 const LOGGED_PER_S: u32 = 8;
 
+/// Time for which an entry VM that has sent an engine a request looks into others' suspicions of it. What others suspect is of use to whoever
+/// is to send there next; all engines that somebody suspects, tried by each entry VM, would be as many connections as engines times entry
+/// VMs, and these are never more than an entry VM's own requests.
+const USED_WITHIN: Duration = Duration::from_secs(10);
+
 /// How many suspicions were logged in this second.
 #[derive(Debug, Default)]
 pub(crate) struct Lines {
@@ -82,7 +87,7 @@
     health.suspect(now, &state.settings);
 }
 
-/// Another entry VM suspects an engine: it is asked, unless it was heard or asked just now.
+/// Another entry VM suspects an engine: if this one uses it, it is asked, unless it was heard or asked just now.
 pub(crate) fn look(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
     if !state.settings.uses(Mechanism::SharedSuspicion) {
         return;
@@ -92,8 +97,9 @@
         return;
     };
     let health = &mut known.health;
+    let used = health.sent.is_some_and(|at| now.since(at) < USED_WITHIN);
     let fresh = now.since(health.heard) < recent / 2 || now.since(health.asked) < recent;
-    if fresh || health.suspected(now) {
+    if !used || fresh || health.suspected(now) {
         return;
     }
     health.asked = now;
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -12,6 +12,7 @@
 use boragecove_fleet::frame::{EngineLoad, Frame, Reply};
 use boragecove_fleet::lease::{Call, Outcome};
 use boragecove_fleet::record::Record;
+use boragecove_fleet::request::End;
 use node::{Node, WRITER, address, brief, config, entry, exchange, hub_row, listing, millis, removed, row};
 
 fn frame(vm: &str, open: u32) -> Frame {
@@ -306,10 +307,15 @@
     let mut hub = Node::ready("hub");
     hub.lead();
     let suspicious = Frame { suspects: vec!["w2".into()], ..frame("b", 0) };
-    hub.feed(Event::Framed(Box::new(suspicious)));
-    let probed =
-        hub.effects.iter().any(|effect| matches!(effect, Effect::Probe { engine, .. } if **engine == *"w2"));
-    assert!(probed, "another's suspicion is no proof");
+    let probed = |hub: &mut Node| {
+        let effects = hub.feed(Event::Framed(Box::new(suspicious.clone())));
+        effects.iter().any(|effect| matches!(effect, Effect::Probe { engine, .. } if **engine == *"w2"))
+    };
+    assert!(!probed(&mut hub), "it has sent nothing there");
+    let (id, attempt) = hub.sent(brief("m2"));
+    hub.ended(id, attempt.number, End::Done);
+    hub.now = hub.now + millis(600);
+    assert!(probed(&mut hub), "another's suspicion is no proof");
     let (_, attempt) = hub.sent(brief("m2"));
     assert_eq!(*attempt.engine, *"w2", "it has its work until it fails to answer");
     hub.feed(Event::Probed { engine: "w2".into(), reach: Reach::Silent });
--- /dev/null
+++ b/fleet/tests/shared_suspicions.rs
@@ -0,0 +1,82 @@
+//! What others suspect is looked into by whoever uses the engine: connections are counted, at the size of a large deployment.
+
+mod node;
+
+use std::time::Duration;
+
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::Reach;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::Reply;
+use boragecove_fleet::request::End;
+use node::{Node, WRITER, brief, entry, hub_row, listing, millis, row};
+
+/// An entry VM that knows so many engines, and has a leader.
+fn entry_vm(engines: usize) -> Node {
+    let mut node = Node::ready("a");
+    let held = |at: usize| if at < 3 { ["m3"] } else { ["m1"] };
+    let known = |at: usize| row(at as u64 + 10, entry(&format!("e{at}"), WRITER, "zone-a", &held(at)));
+    let until = engines as u64 + 10;
+    node.feed(listing((0..engines).map(known).collect(), until, false));
+    node.pass(millis(10));
+    node.lease(5, boragecove_fleet::lease::Outcome::Read(Some(hub_row())));
+    node
+}
+
+/// The leader suspects all engines of a zone. Returns how many this entry VM tries.
+fn tried(node: &mut Node, engines: usize) -> usize {
+    let suspects = (0..engines).map(|at| format!("e{at}").as_str().into()).collect();
+    let reply = Reply { leads: true, suspects, ..Reply::default() };
+    let effects = node.feed(Event::Replied(Some(Box::new(reply)))).to_vec();
+    effects.iter().filter(|effect| matches!(effect, Effect::Probe { .. })).count()
+}
+
+/// Sends so many requests for the model that three of the engines hold.
+fn use_some(node: &mut Node, requests: usize) {
+    for _ in 0..requests {
+        let id = node.arrive(brief("m3"));
+        if let Some(boragecove_fleet::request::Step::Send(attempt)) = node.step(id) {
+            node.ended(id, attempt.number, End::Done);
+        }
+        node.pass(millis(100));
+    }
+}
+
+/// A zone with 766 engines is cut off, or one with 1,600: whoever uses none of them tries none.
+#[test]
+fn nothing_that_is_not_used() {
+    for engines in [766, 1_600] {
+        let mut node = entry_vm(engines);
+        assert_eq!(tried(&mut node, engines), 0, "{engines} engines");
+    }
+}
+
+/// No entry VM tries more engines than it has sent requests lately, however many are suspected.
+#[test]
+fn no_more_than_requests() {
+    for engines in [766, 1_600] {
+        for requests in [1, 5, 20] {
+            let mut node = entry_vm(engines);
+            use_some(&mut node, requests);
+            node.pass(Duration::from_secs(2));
+            let tried = tried(&mut node, engines);
+            assert!(tried <= requests.min(3), "{engines} engines, {requests} requests: {tried} tried");
+        }
+    }
+}
+
+/// An engine that is used is tried, and what is found counts; long after it is not.
+#[test]
+fn what_is_used() {
+    let mut node = entry_vm(3);
+    use_some(&mut node, 60);
+    node.pass(Duration::from_secs(1));
+    let used = tried(&mut node, 3);
+    assert!(used > 0, "some of them were used");
+    for at in 0..3 {
+        let engine = format!("e{at}").as_str().into();
+        node.feed(Event::Probed { engine, reach: Reach::Open });
+    }
+    node.pass(Duration::from_secs(20));
+    assert_eq!(tried(&mut node, 3), 0, "nothing was sent there for long");
+}
