Let three entry VMs of each zone read the store where the leader does not

Cause: whoever the leader did not tell followed the store alone, every 0.8 s for two tables, and called it five times a second where it was turned away: entry VMs times outage. A leader that the store turns away told nobody anything new, though hundreds of others could read it. And as frames of 984 entry VMs are 5 s apart, a lost leader was missed after 12 s.

Three of each zone, strong machines first, by rendezvous hashing, send frames every half second at most, read the store when the leader does not, and tell it with their frames at once what they read; it pushes that as its own, and says that its word is good. Where no leader answers they push to their own zone. All others together make 100 calls a second for each table, also after calls that failed. Since readers miss a leader after 1.3 s, the lease is looked for in time as well.

Ruled out: reading by whoever has the store's answer first, since 167 of 984 wait in a call at any moment and all would tell.

Cold engines get a module of their own.

--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -114,6 +114,10 @@
             if !self.is_wanted().await {
                 return;
             }
+            if self.wanted.borrow().is_none() {
+                // The hub has told meanwhile.
+                continue;
+            }
             let turn = self.turn().await;
             self.answered = matches!(turn, Ok(()) | Err(Failed::HistoryGone | Failed::EraRisen));
             match turn {
@@ -133,7 +137,8 @@
                 Err(error) => {
                     tracing::debug!(table = ?self.table, %error, "cannot follow the store");
                     self.node.do_send(Feed(Event::StoreUp(false)));
-                    sleep(pause.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
+                    let least = self.wanted.borrow().map_or(Duration::ZERO, |follow| follow.failed);
+                    sleep(pause.max(least).mul_f64(0.5 + 0.5 * fastrand::f64())).await;
                     pause = (pause * 2).min(PAUSE_MAX);
                 }
             }
@@ -145,10 +150,11 @@
         if self.wanted.borrow().is_some() {
             return true;
         }
-        let Ok(wanted) = self.wanted.wait_for(Option::is_some).await else {
+        let Ok(wanted) = self.wanted.wait_for(Option::is_some).await.map(|wanted| *wanted) else {
             return false;
         };
-        if let Some(told) = *wanted {
+        if let Some(told) = wanted {
+            sleep(told.delay).await;
             let known = match self.table {
                 Table::Operator => told.declared,
                 Table::Engines => told.listed,
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -184,7 +184,7 @@
     for (run, suspect) in loss.runs.iter().zip(&suspects) {
         take_suspect(state, now, suspect, Some((run.id, engine)), out);
     }
-    push::tell(state, News { suspects, entries: Vec::new() }, out);
+    push::tell_crashes(state, News { suspects, entries: Vec::new() }, out);
 }
 
 /// A request is refused since it is like one that was quarantined.
@@ -202,7 +202,7 @@
     let entry = Entry { request, status: Status::Cleared { left: REMEMBERED } };
     state.crashes.learn(entry, now);
     note(state, request, "cleared", None, None, out);
-    push::tell(state, News::of(vec![entry]), out);
+    push::tell_crashes(state, News::of(vec![entry]), out);
 }
 
 /// Another entry VM told what it knows.
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -118,6 +118,10 @@
     pub wait: Duration,
     /// and for changes of the operator's.
     pub wait_config: Duration,
+    /// Time until the first call,
+    pub delay: Duration,
+    /// and from one that failed to the next, at least.
+    pub failed: Duration,
     /// Time from one answer to the next call: changes that come together are read together.
     pub pause: Duration,
 }
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -51,7 +51,8 @@
         state.updates.replaced(before);
     }
     announce(state, out);
-    push::changed(state, now, out);
+    push::changed(state, now, before, out);
+    frame::tell_hub(state, now, out);
 }
 
 /// Says whether this entry VM can serve.
@@ -69,7 +70,9 @@
         state.store_up = up;
         out.push(Effect::Record(Record::Store { state: if up { "found" } else { "lost" } }));
     }
-    if !up {
+    if up {
+        state.read_at = Some(now);
+    } else {
         state.store_troubled = Some(now);
     }
 }
@@ -169,11 +172,12 @@
 /// As the hub, tells the others at once of engines that were found to leave or to be gone.
 fn tell_departures(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     let departed = std::mem::take(&mut state.departed);
-    if departed.is_empty() || state.lease.holds(now).is_none() {
+    if departed.is_empty() {
         return;
     }
     let rows = departed.iter().filter_map(|id| state.row_of(now, id)).collect();
-    push::tell_departures(state, rows, out);
+    push::tell_departures(state, now, rows, out);
+    frame::tell_hub(state, now, out);
 }
 
 /// The table was read whole as of a version. What changed between that and the version known before may be unknown here.
--- a/fleet/src/evacuation.rs
+++ b/fleet/src/evacuation.rs
@@ -168,8 +168,8 @@
             news.push(word.clone());
         }
     }
-    if !news.is_empty() && state.lease.holds(now).is_some() {
-        push::tell_evacuations(state, news, out);
+    if !news.is_empty() {
+        push::tell_evacuations(state, now, news, out);
     }
 }
 
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -7,6 +7,7 @@
 mod loads;
 mod message;
 mod peers;
+mod reading;
 mod snapshot;
 
 use std::collections::BTreeMap;
@@ -20,8 +21,9 @@
 pub(crate) use follow::follow;
 pub(crate) use hold::{awaits, meets};
 pub(crate) use loads::digest_of;
-pub use message::{Absent, Declared, EngineLoad, Frame, Reply, Resident, View};
+pub use message::{Absent, Declared, EngineLoad, Frame, Reading, Reply, Resident, View};
 pub(crate) use peers::{inherit, reached};
+pub(crate) use reading::{speaks_for_zone, tell_hub};
 use snapshot::Snapshots;
 
 use crate::adapter;
@@ -37,6 +39,7 @@
 use crate::proof;
 use crate::push;
 use crate::quota;
+use crate::revision::Revision;
 use crate::settings::Settings;
 use crate::state::State;
 use crate::timer::Timer;
@@ -44,6 +47,9 @@
 
 /// Times between frames without an answer after which the hub is taken as gone.
 const FRAMES_MISSED: f64 = 2.5;
+/// Time between frames of those that read the store for the others where the hub does not, at most: they are few, and find out for all
+/// that the hub is lost or turned away.
+const READER_EVERY: Duration = Duration::from_millis(500);
 /// How often the time doubles after which a process that starts asks the hub again.
 const START_DOUBLINGS: u32 = 4;
 /// Loads that are known later than this say nothing any more.
@@ -53,6 +59,7 @@
 
 /// What this process knows of the hub, and as the hub of the others.
 #[derive(Debug, Default)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a belief of its own")]
 pub struct Hub {
     /// Whether the hub said that it holds the lease.
     pub(crate) leads: bool,
@@ -64,6 +71,12 @@
     pub(crate) view: View,
     /// When the hub last answered.
     answered: Option<Time>,
+    /// Whether this process reads the store for the others where the hub does not.
+    pub(crate) reads: bool,
+    /// What the hub knew when it answered last: its configuration, and up to where the engines' table.
+    pub(crate) known_there: (u64, Revision),
+    /// As the hub, when the store last answered one that reads it.
+    read_at: Option<Time>,
     /// Whether the last frame had no answer.
     unanswered: bool,
     /// The frame under way.
@@ -105,11 +118,15 @@
 }
 
 impl Hub {
+    /// A process that knows nobody yet: it reads the store itself.
+    pub(crate) fn new() -> Self {
+        Self { reads: true, ..Self::default() }
+    }
+
     /// Whether the hub has answered lately.
     #[must_use]
     pub fn alive(&self, now: Time, settings: &Settings) -> bool {
-        let silence =
-            settings.hub_silence.max(settings.frame_every.mul_f64(self.many(settings) * FRAMES_MISSED));
+        let silence = settings.hub_silence.max(self.pace(settings).mul_f64(FRAMES_MISSED));
         self.answered.is_some_and(|at| now.since(at) < silence)
     }
 
@@ -127,6 +144,12 @@
         (f64::from(self.nodes) / f64::from(settings.frame_nodes)).max(1.0)
     }
 
+    /// Time between this process's frames.
+    fn pace(&self, settings: &Settings) -> Duration {
+        let every = settings.frame_every.mul_f64(self.many(settings));
+        if self.reads { every.min(READER_EVERY.max(settings.frame_every)) } else { every }
+    }
+
     /// Time since the hub last answered.
     #[must_use]
     pub fn age(&self, now: Time) -> Duration {
@@ -152,7 +175,7 @@
 
 /// The next frame is due.
 pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
-    let wait = every(state);
+    let wait = pace(state);
     state.timers.set(now + wait.mul_f64(0.9 + 0.2 * state.rng.f64()), Timer::Frame);
     peers::expire(state, now);
     if state.needs_keys() {
@@ -172,6 +195,11 @@
     state.hub.many(&state.settings)
 }
 
+/// Time between this process's frames.
+pub(crate) fn pace(state: &State) -> Duration {
+    state.hub.pace(&state.settings)
+}
+
 /// Time between frames: longer where there are many entry VMs, since the hub answers them all.
 pub(crate) fn every(state: &State) -> Duration {
     state.settings.frame_every.mul_f64(many(state))
@@ -193,6 +221,7 @@
         let term = state.view().term;
         let list = peers::counted(state);
         state.members.lead(now, term, &state.me.vm, list);
+        state.hub.reads = state.members.is_reader(&state.me.vm);
         quota::renew_own(state, now);
         return;
     }
@@ -244,6 +273,7 @@
         vm: state.me.vm.clone(),
         zone: state.me.zone.clone(),
         address: Some(state.me.address),
+        weak: state.settings.weak,
         stopping: state.stopping,
         members: state.members.version(),
         config: version(state),
@@ -260,6 +290,7 @@
         departures: notice::departures(state),
         limits: Vec::new(),
         limits_known: state.intakes.known(),
+        reading: reading::gather(state, now),
         digest: state.crashes.digest(now),
         crashing: state.crashes.entries_for_hub(now),
         quota: state.quota.report(now),
@@ -289,6 +320,7 @@
     for id in &frame.suspects {
         trust::look(state, now, id, out);
     }
+    reading::heard(state, now, &frame, out);
     evacuation::told(state, now, &frame.evacuations, out);
     for departure in &frame.departures {
         // The hub places models, and is to count no copy that the others do not use any more.
@@ -334,6 +366,7 @@
         leads: holds,
         era: state.era.number(),
         store_age: now.since(state.store_heard),
+        read_age: reading::age(state, now),
         members: outdated.then(|| state.members.list().to_vec()),
         membership: holds.then(|| state.members.membership(now, &asker.vm, outdated)),
         nodes: state.hub.known(),
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -1,5 +1,7 @@
 //! What an entry VM takes over of the hub's answer to its frame.
 
+use std::time::Duration;
+
 use boragecove_core::time::Time;
 use serde::de::DeserializeOwned;
 
@@ -52,6 +54,7 @@
     state.hub.answered = Some(now);
     if let Some(members) = reply.members {
         state.members.replace(now, members);
+        state.hub.reads = state.members.is_reader(&state.me.vm);
     }
     if let Some(update) = reply.config {
         push::take(state, now, update, "hub", out);
@@ -76,7 +79,11 @@
     {
         proof::renew(state, now, sent - age, out);
     }
-    state.hub.fresh = reply.leads && reply.store_age < state.settings.hub_store_age;
+    state.hub.known_there = (reply.declared.config, reply.listed);
+    let fresh = |age: Duration| age < state.settings.hub_store_age;
+    // Those that read for the hub go on while the store turns it away.
+    let read = !state.hub.reads && reply.read_age.is_some_and(fresh);
+    state.hub.fresh = reply.leads && (fresh(reply.store_age) || read);
     let by_name = reply.placed.is_empty();
     if !by_name {
         // Rows change which engines are known, and so their positions.
--- a/fleet/src/frame/follow.rs
+++ b/fleet/src/frame/follow.rs
@@ -16,6 +16,10 @@
 const HUB_PAUSE_MAX: Duration = Duration::from_millis(150);
 /// The longest pause of others, who need no word of the hub: well under those two seconds.
 const ALONE_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// How long an answer of the store counts of one that reads it for the others: changes come at once until it has to ask again.
+pub(super) const READ_LASTS: Duration = CHANGES_WAIT.saturating_add(ALONE_PAUSE_MAX);
+/// Calls a second for each table that entry VMs make together which need not read the store for others and are not told by the hub.
+const ALONE_CALLS_PER_S: f64 = 100.0;
 /// Engines up to which a process that starts waits no longer: a link of 10 Mbit/s carries their rows in a fifth of a second.
 const START_ENGINES: f64 = 600.0;
 /// The longest time for which a process that starts waits for the hub: a lost lease is over by then, and another entry VM leads and has read
@@ -33,7 +37,11 @@
         let (wait, wait_config) = (CHANGES_WAIT, proof::patience(&state.settings, CHANGES_WAIT));
         let leads = state.lease.holds(now).is_some();
         let readers = if leads { 0 } else { state.hub.nodes };
-        let how = |pause| Follow {
+        let rare = follows.is_some_and(|pause| pause > ALONE_PAUSE_MAX);
+        let drawn = if rare { state.rng.f64() } else { 0.0 };
+        let how = |pause: Duration| Follow {
+            delay: pause.mul_f64(drawn),
+            failed: if rare { pause } else { Duration::ZERO },
             listed: state.listed,
             declared: state.declared,
             config: version(state),
@@ -59,7 +67,11 @@
         && state.hub.speaks_for_store(now, settings)
         && !(state.needs_keys() && proof::is_doubtful(state, now));
     let asking = !known && now.since(state.started) < start_wait(state);
-    (!told && !asking).then(|| settings.follow_alone.mul_f64(many(state)).min(ALONE_PAUSE_MAX))
+    let pause = settings.follow_alone.mul_f64(many(state)).min(ALONE_PAUSE_MAX);
+    // Whoever knows enough to serve leaves it to those that read for all.
+    let needs = !known || state.hub.reads || (state.needs_keys() && proof::is_doubtful(state, now));
+    let rare = Duration::from_secs_f64(f64::from(state.hub.nodes) / ALONE_CALLS_PER_S);
+    (!told && !asking).then(|| if needs { pause } else { pause.max(rare) })
 }
 
 /// How long a process that starts waits for the hub's word before it reads whole tables of the store: longer where there are many
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -30,6 +30,8 @@
     pub zone: Name,
     /// Where it listens.
     pub address: Option<SocketAddr>,
+    /// Whether its machine is too small for more than its callers.
+    pub weak: bool,
     /// Whether it stops, and is not to be asked anything.
     pub stopping: bool,
     /// Which entry VMs it knows, by the number of their list.
@@ -62,6 +64,8 @@
     pub limits: Vec<intake::Advert>,
     /// The term and the version of the hub's word on limits that it knows.
     pub limits_known: View,
+    /// What it has read in the store itself and the hub has not.
+    pub reading: Reading,
     /// A digest of what it is certain of, as to requests that crash engines.
     pub digest: u64,
     /// All of that, if the hub's digest was another.
@@ -70,6 +74,19 @@
     pub quota: quota::Report,
 }
 
+/// What an entry VM has read in the store itself, for a hub that the store turns away.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Reading {
+    /// Time since the store last answered; none from one that does not read it.
+    pub store_age: Option<Duration>,
+    /// What leads from the hub's configuration to a newer one.
+    pub config: Option<Packed>,
+    /// Rows of the engines' table that are newer than what the hub knows up to a version.
+    pub rows: Vec<Row>,
+    /// That version.
+    pub rows_after: Revision,
+}
+
 /// A version of the hub's word on what engines hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
@@ -110,6 +127,8 @@
     pub era: u64,
     /// Time since the store last answered the hub.
     pub store_age: Duration,
+    /// The same by those that read the store for the hub; none if nobody does.
+    pub read_age: Option<Duration>,
     /// All entry VMs, if the asker knows others.
     pub members: Option<Vec<Member>>,
     /// The asker's place in that list, if this is the holder of the lease.
--- a/fleet/src/frame/peers.rs
+++ b/fleet/src/frame/peers.rs
@@ -77,7 +77,12 @@
 }
 
 fn member(frame: &Frame) -> Option<Member> {
-    frame.address.map(|address| Member { vm: frame.vm.clone(), zone: frame.zone.clone(), address })
+    frame.address.map(|address| Member {
+        vm: frame.vm.clone(),
+        zone: frame.zone.clone(),
+        address,
+        weak: frame.weak,
+    })
 }
 
 /// The entry VMs that there are by the hub's word, itself among them, in the order of their names.
@@ -85,7 +90,7 @@
     let Identity { vm, zone, address } = state.me.clone();
     let mut list = Vec::with_capacity(state.hub.peers.len() + 1);
     if !state.stopping {
-        list.push(Member { vm, zone, address });
+        list.push(Member { vm, zone, address, weak: state.settings.weak });
     }
     // One that stops is not to be asked.
     let serving = state.hub.peers.values().filter(|peer| !peer.frame.stopping);
--- /dev/null
+++ b/fleet/src/frame/reading.rs
@@ -0,0 +1,74 @@
+//! What those tell who read the store where the hub does not: some entry VMs of each availability zone, however many there are.
+//!
+//! The load that this answers: the store turns the hub away, or the hub is lost, before hundreds of entry VMs. Each would read the store
+//! for itself, and hear of a change as late as its own turn comes. Instead a few read it. A hub that is there has their news with their
+//! next frames and tells the others as usual; where there is none they push to their own zone.
+
+use boragecove_core::time::Time;
+use std::time::Duration;
+
+use super::follow::READ_LASTS;
+use super::message::{Frame, Reading};
+use super::{send, version};
+use crate::effect::Effect;
+use crate::entries;
+use crate::event::Listing;
+use crate::push;
+use crate::state::State;
+
+/// What this process has read and the hub has not, as far as it has said.
+pub(super) fn gather(state: &mut State, now: Time) -> Reading {
+    if state.follows.is_none() || state.lease.holds(now).is_some() {
+        return Reading::default();
+    }
+    let (config, listed) = state.hub.known_there;
+    let newest = state.config.clone().filter(|newest| config > 0 && newest.version > config);
+    // One that cannot be packed is logged where it is pushed.
+    let update = newest.and_then(|newest| state.updates.prepare(config, &newest).ok().cloned());
+    let behind = listed.is_known() && state.listed > listed && !state.needs_all_rows(listed);
+    Reading {
+        store_age: state.read_at.map(|at| now.since(at)),
+        config: update,
+        rows: if behind { state.rows_after(now, listed) } else { Vec::new() },
+        rows_after: listed,
+    }
+}
+
+/// As the hub, takes over what an entry VM has read.
+pub(super) fn heard(state: &mut State, now: Time, frame: &Frame, out: &mut Vec<Effect>) {
+    let Reading { store_age, config, rows, rows_after } = &frame.reading;
+    if let Some(age) = store_age {
+        state.hub.read_at = state.hub.read_at.max(Some(now - *age));
+    }
+    if let Some(update) = config {
+        push::take(state, now, update.clone(), "reader", out);
+    }
+    if !rows.is_empty() && state.listed >= *rows_after && frame.listed > state.listed {
+        let listing = Listing { rows: rows.clone(), version: frame.listed, whole: false, asked: None };
+        entries::listed(state, now, listing, out);
+    }
+}
+
+/// As the hub, how old its word is by those that read the store: what they hear from it counts until they have to ask again.
+pub(super) fn age(state: &State, now: Time) -> Option<Duration> {
+    state.hub.read_at.map(|at| now.since(at).saturating_sub(READ_LASTS))
+}
+
+/// This process has read something new: a hub that may not have is told at once.
+pub(crate) fn tell_hub(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let (config, listed) = state.hub.known_there;
+    let newer = config < version(state) || listed < state.listed;
+    if reads_for_others(state, now) && newer {
+        send(state, now, out);
+    }
+}
+
+/// Whether this process tells its availability zone what it reads: no hub does, or it does not answer.
+pub(crate) fn speaks_for_zone(state: &State, now: Time) -> bool {
+    let answers = !state.hub.unanswered && state.hub.alive(now, &state.settings);
+    reads_for_others(state, now) && !answers
+}
+
+fn reads_for_others(state: &State, now: Time) -> bool {
+    state.hub.reads && state.follows.is_some() && state.lease.holds(now).is_none()
+}
--- a/fleet/src/intake.rs
+++ b/fleet/src/intake.rs
@@ -6,6 +6,7 @@
 //! gives places for a part of the limit. A limit that is heard goes along with questions for places, and to all by way of the
 //! leader. What waits for a place that was given before goes back.
 
+mod start;
 mod table;
 
 use std::time::Duration;
@@ -14,15 +15,15 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
-use crate::config::Start as ColdStart;
 use crate::effect::Effect;
-use crate::engine::{Cold, Engine};
+use crate::engine::Engine;
 use crate::flow::{self, COME_BACK};
 use crate::members::Claim;
 use crate::notice::{Asked, Start};
 use crate::record::Record;
 use crate::state::State;
 use crate::timer::Timer;
+pub(crate) use start::{cold, keeps_schedule, started, surge_of};
 pub(crate) use table::Table;
 
 /// Part of a limit for which an owner gives places that is not certain to be the only one: two of them beside a certain one keep within
@@ -34,11 +35,6 @@
 /// other.
 const AGEING: Duration = Duration::from_secs(2);
 const AGED: Duration = Duration::from_secs(2);
-/// Part of the requests that a cold engine bears in any second which an engine is given that may be cold: some arrive closer together than
-/// they were sent.
-const SURGE_PART: f64 = 0.8;
-/// The same where no entry VM is known that may give places.
-const SURGE_ALONE: f64 = 0.15;
 /// What speaks against an engine in need at most, in ms of waiting.
 const RESERVE_MS: f64 = 500.0;
 
@@ -209,77 +205,10 @@
     flow::withdraw(state, now, engine, out);
 }
 
-/// An engine has just started, or is used again after a time in which it may have been: it is cold.
-pub(crate) fn started(state: &mut State, now: Time, engine: &Name) {
-    let service = state.engines.get(engine).map(|engine| engine.entry.service.clone());
-    if let Some(start) = service.and_then(|service| start_of(state, &service)) {
-        cold(state, now, engine, start.lasts);
-    }
-}
-
-/// An engine is cold for so long: what waits for a place that was given before goes back.
-pub(crate) fn cold(state: &mut State, now: Time, engine: &Name, left: Duration) {
-    let service = state.engines.get(engine).map(|engine| engine.entry.service.clone());
-    let Some(start) = service.and_then(|service| start_of(state, &service)) else {
-        return;
-    };
-    let Some(known) = state.engines.get_mut(engine).filter(|_| !left.is_zero()) else {
-        return;
-    };
-    let before = known.cold.filter(|cold| now < cold.until);
-    let until = before.map_or(now, |cold| cold.until).max(now + left);
-    let since = before.map_or(now, |cold| cold.since);
-    known.cold = Some(Cold { per_s: start.per_s, since, until });
-    if before.is_none() {
-        let limit = Limit { per_s: start.per_s, heard: now };
-        known.schedule.keep_away(now + limit.interval(1.0));
-        state.timers.set(now, Timer::Recall(engine.clone()));
-    }
-}
-
-/// What engines of a service bear after a start.
-fn start_of(state: &State, service: &Name) -> Option<ColdStart> {
-    state.config.as_ref()?.service(service)?.start
-}
-
-/// Requests that an engine of a service may be given in any second, whatever is known of it: it may have started, or have become
-/// cold, and nobody knows yet. None where engines bear as much after a start as later.
-pub(crate) fn surge_of(state: &State, service: &Name) -> Option<f64> {
-    let start = start_of(state, service)?;
-    Some(start.per_s * state.settings.cold_overage + state.settings.cold_slack)
-}
-
-/// Whether what another says of an engine's schedule is not to be taken over: the engine may be cold, and this entry VM gives its places.
-pub(crate) fn keeps_schedule(state: &State, now: Time, engine: &Name) -> bool {
-    let known = state.engines.get(engine).map(|engine| &engine.entry);
-    known.is_some_and(|entry| {
-        surge_of(state, &entry.service).is_some()
-            && state.members.is_owner_by_lists(&state.me.vm, &entry.id, &entry.zone, now)
-    })
-}
-
-/// Whether this process has run for so long that no second holds places which its earlier start gave.
-fn has_run(state: &State, now: Time) -> bool {
-    now.since(state.started) > state.settings.schedule_wait + Duration::from_secs(1)
-}
-
-/// How far apart places are that this entry VM gives at an engine which has no limit, as far as is known here.
-fn surge_spacing(state: &State, now: Time, engine: &Engine) -> Spacing {
-    let Some(surge) = surge_of(state, &engine.entry.service) else {
-        return Spacing::Open;
-    };
-    let (vm, id, zone) = (&state.me.vm, &engine.entry.id, &engine.entry.zone);
-    if state.members.is_owner_by_lists(vm, id, zone, now) && has_run(state, now) {
-        return Spacing::Apart(interval(surge * SURGE_PART));
-    }
-    let alone = state.members.list().is_empty();
-    if alone { Spacing::Apart(interval(surge * SURGE_ALONE)) } else { Spacing::Elsewhere }
-}
-
 /// How an engine may be used now.
 pub(crate) fn access(state: &State, now: Time, engine: &Engine) -> Access {
     let Some(limit) = state.intakes.limit_of(engine, now) else {
-        return surge_access(state, now, engine);
+        return start::access(state, now, engine);
     };
     let place = Access::After(engine.schedule.wait(now), limit.reserve_ms(now));
     // Most of the time all answer, and who the owner is need not be found for each request and engine.
@@ -293,25 +222,14 @@
     silence.map_or(place, Access::Closed)
 }
 
-/// How an engine may be used that has no limit, as far as is known here. One that may be cold is left to those that have no other while the
-/// owner of its places does not answer: another owner knows nothing of the places that were given just before.
-fn surge_access(state: &State, now: Time, engine: &Engine) -> Access {
-    if surge_of(state, &engine.entry.service).is_none() || !state.members.is_any_silent(now) {
-        return Access::Open;
-    }
-    let owner = state.members.sole_owner(&engine.entry.id, &engine.entry.zone);
-    let silent = owner.is_some_and(|owner| state.members.is_silent(&owner.vm, now));
-    if silent { Access::After(Duration::ZERO, RESERVE_MS) } else { Access::Open }
-}
-
 /// How far apart places at an engine are to be that this entry VM gives.
 pub(crate) fn spacing(state: &State, now: Time, engine: &Engine) -> Spacing {
     let Some(limit) = state.intakes.limit_of(engine, now) else {
-        return surge_spacing(state, now, engine);
+        return start::spacing(state, now, engine);
     };
     match state.members.claim(&state.me.vm, &engine.entry.id, &engine.entry.zone, now) {
         // Places that this entry VM gave before it started anew are still to be used.
-        Claim::Sole if !has_run(state, now) => Spacing::Apart(limit.interval(UNCERTAIN_PART)),
+        Claim::Sole if !start::has_run(state, now) => Spacing::Apart(limit.interval(UNCERTAIN_PART)),
         Claim::Sole => Spacing::Apart(limit.interval(1.0)),
         Claim::Uncertain => Spacing::Apart(limit.interval(UNCERTAIN_PART)),
         Claim::None => Spacing::Elsewhere,
@@ -322,7 +240,6 @@
 pub(crate) fn apart(state: &State, now: Time, engine: &Engine) -> Duration {
     match state.intakes.limit_of(engine, now) {
         Some(limit) => limit.interval(1.0),
-        None => surge_of(state, &engine.entry.service)
-            .map_or(Duration::ZERO, |surge| interval(surge * SURGE_PART)),
+        None => start::apart(state, engine),
     }
 }
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -46,7 +46,8 @@
     let wait = if state.lease.held.is_some() {
         state.settings.lease_renew
     } else {
-        state.settings.lease_look.mul_f64(frame::many(state))
+        let paces = frame::pace(state).div_duration_f64(state.settings.frame_every);
+        state.settings.lease_look.mul_f64(paces)
     };
     let jitter = wait.mul_f64(0.2 * state.rng.f64());
     schedule(state, now + wait - jitter);
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -1,5 +1,6 @@
 //! The entry VMs that there are, as the hub counts them, and which of them owns what (rendezvous hashing).
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,6 +16,12 @@
 /// How long an entry VM counts that a new list lacks: it may know that list later, and what it has given is used later still.
 const DROPPED_KEPT: Duration = Duration::from_secs(3);
 
+/// Entry VMs of each availability zone that read the store for the others where the leader does not: some of them may be frozen, or turned
+/// away.
+const READERS: usize = 3;
+/// What they own, by hashing.
+const READING: &str = "store";
+
 /// An entry VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -24,12 +31,16 @@
     pub zone: Name,
     /// Where it listens for other entry VMs.
     pub address: SocketAddr,
+    /// Whether its machine is too small for more than its callers.
+    pub weak: bool,
 }
 
 /// All entry VMs.
 #[derive(Debug, Default)]
 pub struct Members {
     list: Vec<Member>,
+    /// Those that read the store for the others where the leader does not.
+    readers: Vec<Name>,
     version: u64,
     /// Those that an earlier list named, and until when they may still give places.
     dropped: Vec<(Member, Time)>,
@@ -72,9 +83,16 @@
         let gone = self.list.iter().filter(|member| !listed.contains(&member.vm));
         self.dropped.extend(gone.map(|member| (member.clone(), now + DROPPED_KEPT)));
         self.version = version(&list);
+        self.readers = readers(&list);
         self.list = list;
     }
 
+    /// Whether an entry VM reads the store for the others where the leader does not; each does while nobody is known.
+    #[must_use]
+    pub fn is_reader(&self, vm: &Name) -> bool {
+        self.list.is_empty() || self.readers.contains(vm)
+    }
+
     /// As the leader of this term, takes over who there is.
     pub(crate) fn lead(&mut self, now: Time, term: u64, vm: &Name, list: Vec<Member>) {
         if list != self.list || !self.roster.is_of(term) {
@@ -192,6 +210,21 @@
     by_zone.into_values().map(|(_, vm)| vm).collect()
 }
 
+/// Of each availability zone the entry VMs that read the store for the others: strong ones first.
+fn readers(list: &[Member]) -> Vec<Name> {
+    let mut by_zone: BTreeMap<&Name, Vec<&Member>> = BTreeMap::new();
+    let reading = Name::from(READING);
+    for member in list {
+        by_zone.entry(&member.zone).or_default().push(member);
+    }
+    let mut readers = Vec::new();
+    for mut ranked in by_zone.into_values() {
+        ranked.sort_by_cached_key(|member| (member.weak, Reverse(weight(&reading, &member.vm))));
+        readers.extend(ranked.into_iter().take(READERS).map(|member| member.vm.clone()));
+    }
+    readers
+}
+
 /// A number that differs for different lists, whoever computes it; 0 for none.
 #[must_use]
 pub fn version(list: &[Member]) -> u64 {
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -117,9 +117,35 @@
 }
 
 /// Another version is in force here: where this is the hub, the others are to have it at once.
-pub(crate) fn changed(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+pub(crate) fn changed(state: &mut State, now: Time, before: u64, out: &mut Vec<Effect>) {
     if state.lease.holds(now).is_some() {
         schedule(state, now, now, out);
+        return;
+    }
+    if !frame::speaks_for_zone(state, now) {
+        return;
+    }
+    let Some(config) = state.config.clone() else {
+        return;
+    };
+    match state.updates.prepare(before, &config) {
+        Ok(update) => {
+            let message = Message { update: Some(update.clone()), ..Message::default() };
+            tell(state, now, &message, out);
+        }
+        Err(error) => unusable(&error, out),
+    }
+}
+
+/// Tells the others: as the hub all of them, and where there is none those of the own availability zone, if this process reads the store
+/// for them.
+fn tell(state: &State, now: Time, message: &Message, out: &mut Vec<Effect>) {
+    if state.lease.holds(now).is_some() {
+        spread(state, message, frame::reached(state), out);
+    } else if frame::speaks_for_zone(state, now) {
+        let near = state.members.list().iter().filter(|member| member.zone == state.me.zone);
+        let others = near.filter(|member| member.vm != state.me.vm);
+        spread(state, message, others.cloned(), out);
     }
 }
 
@@ -196,7 +222,7 @@
     let mut lacking: BTreeMap<(Name, u64), Vec<SocketAddr>> = BTreeMap::new();
     let before = state.updates.before();
     let again = again(state);
-    for Member { vm, zone, address } in frame::reached(state) {
+    for Member { vm, zone, address, .. } in frame::reached(state) {
         // One that has not said anything yet, since the hub is a new one, goes by what was in force until now.
         let unheard = Membership { said: before, ..Membership::default() };
         let standing = state.pushes.standings.entry(vm).or_insert(unheard);
@@ -218,23 +244,28 @@
 }
 
 /// Tells all entry VMs that this one knows of what is new of requests that crash engines. No hub is needed for that.
-pub(crate) fn tell(state: &State, crashes: News, out: &mut Vec<Effect>) {
+pub(crate) fn tell_crashes(state: &State, crashes: News, out: &mut Vec<Effect>) {
     let others = state.members.list().iter().filter(|member| member.vm != state.me.vm);
     let message = Message { crashes, ..Message::default() };
     spread(state, &message, others.cloned(), out);
 }
 
-/// As the hub: tells all others of engines that leave or are gone. Its answers to their frames say so too, and those of hundreds of entry
+/// Tells the others of engines that leave or are gone. Its answers to their frames say so too, and those of hundreds of entry
 /// VMs are further apart than what is left of the time in which nobody is to send there any more.
-pub(crate) fn tell_departures(state: &State, departures: Vec<Row>, out: &mut Vec<Effect>) {
+pub(crate) fn tell_departures(state: &State, now: Time, departures: Vec<Row>, out: &mut Vec<Effect>) {
     let message = Message { departures, ..Message::default() };
-    spread(state, &message, frame::reached(state), out);
+    tell(state, now, &message, out);
 }
 
-/// As the hub: tells all others what operators say of availability zones.
-pub(crate) fn tell_evacuations(state: &State, evacuations: Vec<evacuation::Word>, out: &mut Vec<Effect>) {
+/// Tells the others what operators say of availability zones.
+pub(crate) fn tell_evacuations(
+    state: &State,
+    now: Time,
+    evacuations: Vec<evacuation::Word>,
+    out: &mut Vec<Effect>,
+) {
     let message = Message { evacuations, ..Message::default() };
-    spread(state, &message, frame::reached(state), out);
+    tell(state, now, &message, out);
 }
 
 /// Sends a message down a tree in each availability zone.
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -102,6 +102,8 @@
     pub(crate) store_up: bool,
     /// When the store last answered anything.
     pub(crate) store_heard: Time,
+    /// When the store last answered whoever follows its tables here.
+    pub(crate) read_at: Option<Time>,
     /// With which pause this process follows the store's tables, if it does so itself.
     pub(crate) follows: Option<Duration>,
     pub(crate) store_troubled: Option<Time>,
@@ -172,6 +174,7 @@
             answers_outdated: 0,
             store_up: true,
             store_heard: now,
+            read_at: None,
             follows: None,
             store_troubled: None,
             flows: FxHashMap::default(),
@@ -180,7 +183,7 @@
             budget: Budget::default(),
             demand: Counts::default(),
             appetite: Appetite::default(),
-            hub: Hub::default(),
+            hub: Hub::new(),
             lease: Lease::default(),
             ledger: Ledger::default(),
             ready: false,
--- a/fleet/tests/caller_keys.rs
+++ b/fleet/tests/caller_keys.rs
@@ -239,7 +239,7 @@
 
 /// The hub's word of another entry VM in this zone, which owns every schedule here.
 fn owned_by_another() -> Reply {
-    let other = Member { vm: "b".into(), zone: "zone-a".into(), address: address(7_002) };
+    let other = Member { vm: "b".into(), zone: "zone-a".into(), address: address(7_002), weak: false };
     Reply { members: Some(vec![other]), nodes: 2, ..Reply::default() }
 }
 
--- a/fleet/tests/config_push.rs
+++ b/fleet/tests/config_push.rs
@@ -212,7 +212,7 @@
 fn new_hub(others: u16) -> Node {
     let member = |vm: u16| {
         let frame = frame(vm, 1);
-        Member { vm: frame.vm, zone: frame.zone, address: address(7_100 + vm) }
+        Member { vm: frame.vm, zone: frame.zone, address: address(7_100 + vm), weak: false }
     };
     let mut node = Node::ready("a");
     node.pass(millis(10));
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -95,8 +95,12 @@
     let mut node = Node::ready(vm);
     node.pass(millis(10));
     node.lease(0, Outcome::Read(Some(hub_row())));
-    let member =
-        |vm: &str, zone: &str, port| Member { vm: vm.into(), zone: zone.into(), address: address(port) };
+    let member = |vm: &str, zone: &str, port| Member {
+        vm: vm.into(),
+        zone: zone.into(),
+        address: address(port),
+        weak: false,
+    };
     let members = Some(vec![
         member("a", "zone-a", 7_000),
         member("b", "zone-b", 7_002),
--- a/fleet/tests/engine_intake.rs
+++ b/fleet/tests/engine_intake.rs
@@ -291,6 +291,7 @@
             vm: vm.into(),
             zone: "zone-a".into(),
             address: node::address(port),
+            weak: false,
         };
         let members = Some(vec![other("hub", 7_001)]);
         let reply = Reply { number, leads: true, members, ..Reply::default() };
--- a/fleet/tests/prompt_spacing.rs
+++ b/fleet/tests/prompt_spacing.rs
@@ -125,7 +125,7 @@
 
 /// The members of a deployment whose first zone has nobody but `a` and, if so, another.
 fn member(vm: &str, zone: &str, port: u16) -> Member {
-    Member { vm: vm.into(), zone: zone.into(), address: address(port) }
+    Member { vm: vm.into(), zone: zone.into(), address: address(port), weak: false }
 }
 
 /// A process that knows who else there is from the hub.
--- a/fleet/tests/store/mod.rs
+++ b/fleet/tests/store/mod.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug, Default)]
 struct Content {
     version: u64,
+    /// The last version in which anything but a lease was written.
+    tables: u64,
     /// By the era that each row is of.
     leases: BTreeMap<u64, (u64, lease::Row)>,
     /// An entry; none if it was removed.
@@ -87,15 +89,22 @@
         }
     }
 
+    /// The last version in which anything but a lease was written.
+    pub fn tables(&self) -> u64 {
+        self.content.tables
+    }
+
     /// An engine writes its entry.
     pub fn put(&mut self, entry: Entry) {
         let version = self.write();
+        self.content.tables = version;
         self.content.engines.insert(entry.id.clone(), (version, Some(entry)));
     }
 
     /// An engine's entry is removed.
     pub fn remove(&mut self, engine: &Name) {
         let version = self.write();
+        self.content.tables = version;
         self.content.engines.insert(engine.clone(), (version, None));
     }
 
@@ -107,6 +116,7 @@
     /// The operator writes a configuration.
     pub fn declare(&mut self, config: Arc<Config>) {
         let version = self.write();
+        self.content.tables = version;
         self.content.config = Some((version, config));
     }
 
@@ -136,6 +146,7 @@
     /// The operator evacuates a zone, or takes that back.
     pub fn evacuate(&mut self, zone: &str, evacuated: bool) {
         let version = self.write();
+        self.content.tables = version;
         self.content.evacuations.insert(zone.into(), (version, evacuated));
     }
 
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -18,6 +18,7 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::State;
 use boragecove_fleet::config::Config;
+use boragecove_fleet::effect::Follow;
 use boragecove_fleet::engine::Entry;
 use boragecove_fleet::evacuation;
 use boragecove_fleet::event::{Event, Listing};
@@ -43,6 +44,10 @@
 const LEASE_LIMIT: Duration = Duration::from_millis(500);
 /// Time between two questions of whoever follows the store whether there is a newer configuration.
 const FOLLOW_EVERY: Duration = Duration::from_millis(400);
+/// How long a push may stand still, as in the process.
+const PUSH_STALL: Duration = Duration::from_millis(400);
+/// The usual pause after a call of the store that failed, as in the process.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// The longest time after a return of the store until what it lost is written again, by the users' terms.
 pub const REWRITTEN: Duration = Duration::from_millis(1_900);
 
@@ -80,6 +85,12 @@
     pub turned_away: f64,
     /// Part of the store's answers to writes that are lost, though the write was done.
     pub answers_lost: f64,
+    /// Whether those that follow the store do so with the pauses that they want, and the store holds their calls for changes.
+    pub paced: bool,
+    /// Calls of the store for its tables, if they are paced.
+    pub calls: usize,
+    /// Messages that were pushed.
+    pub pushes: usize,
     /// A broken copy: the lease's row says nothing of shares.
     pub forgetful: bool,
     /// A broken copy: whoever is asked for a place gives one at once.
@@ -99,7 +110,6 @@
     evacuated: Vec<(usize, Time, Option<Time>)>,
 }
 
-#[expect(clippy::struct_excessive_bools, reason = "each is a disturbance of its own")]
 struct Vm {
     state: State,
     wake: Option<Time>,
@@ -111,8 +121,10 @@
     served: bool,
     /// Its side of a cut.
     side: u8,
-    follows: bool,
+    follows: Option<Follow>,
     asks_at: Time,
+    /// Until when the store holds the call that waits for changes.
+    held_until: Option<Time>,
     /// Up to where it knows the engines' table by reading.
     table: Option<Revision>,
     /// When anything was last done to it.
@@ -149,6 +161,8 @@
     Frame(Box<Frame>),
     Reply(Option<Box<Reply>>, u64),
     Push(Box<Message>),
+    /// A push that was not taken.
+    Missed(Box<Message>),
     Draw(Id, Draw),
     Credit(Id, Name, Option<Credit>),
     Ask(Id, Ask),
@@ -214,6 +228,9 @@
             settings,
             turned_away: 0.0,
             answers_lost: 0.0,
+            paced: false,
+            calls: 0,
+            pushes: 0,
             forgetful: false,
             lax: false,
             blind: false,
@@ -338,8 +355,9 @@
             suspended: false,
             served: true,
             side: 0,
-            follows: true,
+            follows: Some(Follow::default()),
             asks_at: self.now,
+            held_until: None,
             table: None,
             troubled: self.now,
         });
@@ -540,7 +558,9 @@
                 self.vms[at].wake = None;
                 self.feed(at, Event::Wake);
             }
-            if self.vms[at].follows && self.vms[at].asks_at <= self.now {
+            if self.paced {
+                self.follow_paced(at);
+            } else if self.vms[at].follows.is_some() && self.vms[at].asks_at <= self.now {
                 self.vms[at].asks_at = self.now + FOLLOW_EVERY;
                 if self.vms[at].served && self.vms[at].side == 0 {
                     self.follow(at);
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -11,7 +11,10 @@
 use boragecove_fleet::revision::Revision;
 use boragecove_fleet::schedule::Grant;
 
-use super::{ASK_LIMIT, Done, FRAME_LIMIT, LEASE_LIMIT, Load, OnWay, START_MS, TICK, World, address};
+use super::{
+    ASK_LIMIT, Done, FAILED_PAUSE, FRAME_LIMIT, LEASE_LIMIT, Load, OnWay, PUSH_STALL, START_MS, TICK, World,
+    address,
+};
 
 impl World {
     pub(super) fn post(&mut self, from: usize, to: usize, ms: u64, load: Load) {
@@ -53,6 +56,7 @@
                 self.feed(to, Event::Replied(reply));
             }
             Load::Push(message) => self.feed(to, Event::Pushed(message)),
+            Load::Missed(message) => self.feed(to, Event::Missed(message)),
             Load::Draw(request, draw) => {
                 let credit = boragecove_fleet::credit(&mut self.vms[to].state, self.now, &draw);
                 if back && self.reaches(to, from) {
@@ -107,9 +111,12 @@
                 }
             }
             Effect::Push { address, message } => {
+                self.pushes += 1;
                 let to = self.at(address);
                 if self.reaches(at, to) {
                     self.post(at, to, 5, Load::Push(message));
+                } else if self.paced {
+                    self.post(at, at, PUSH_STALL.as_millis() as u64, Load::Missed(message));
                 }
             }
             Effect::Draw { address, request, draw } => {
@@ -131,7 +138,13 @@
             }
             Effect::Lease(call) => self.lease(at, call),
             Effect::WakeAt(wake) => self.vms[at].wake = Some(wake),
-            Effect::Follow(follow) => self.vms[at].follows = follow.is_some(),
+            Effect::Follow(follow) => {
+                if self.vms[at].follows.is_none() {
+                    self.vms[at].asks_at = self.now + follow.map_or(Duration::ZERO, |follow| follow.delay);
+                    self.vms[at].held_until = None;
+                }
+                self.vms[at].follows = follow;
+            }
             Effect::Step { request, step } => self.step(at, request, step),
             _ => {}
         }
@@ -170,6 +183,36 @@
         }
     }
 
+    /// The same with the pauses that it wants: the store holds its call until something has changed.
+    pub(super) fn follow_paced(&mut self, at: usize) {
+        let Some(follow) = self.vms[at].follows else {
+            return;
+        };
+        let in_touch = self.vms[at].served && self.vms[at].side == 0;
+        let known = self.vms[at].table.map_or(0, |table| table.version);
+        match self.vms[at].held_until {
+            None if self.vms[at].asks_at <= self.now => {
+                // There are two tables.
+                self.calls += 2;
+                if in_touch {
+                    self.vms[at].held_until = Some(self.now + follow.wait);
+                } else {
+                    self.vms[at].asks_at = self.now + follow.failed.max(FAILED_PAUSE);
+                    self.feed(at, Event::StoreUp(false));
+                }
+            }
+            Some(until) if self.store.tables() > known || until <= self.now => {
+                self.vms[at].held_until = None;
+                self.vms[at].asks_at = self.now + follow.pause;
+                if in_touch {
+                    self.feed(at, Event::StoreUp(true));
+                    self.follow(at);
+                }
+            }
+            Some(_) | None => {}
+        }
+    }
+
     /// An entry VM that follows the store's tables reads what has changed.
     pub(super) fn follow(&mut self, at: usize) {
         let words = self.seen_words(self.store.evacuations(self.vms[at].table));
