--- a/fleet/src/frame/reading.rs
+++ b/fleet/src/frame/reading.rs
@@ -4,9 +4,10 @@
 //! for itself, and hear of a change as late as its own turn comes. Instead a few read it. A hub that is there has their news with their
 //! next frames and tells the others as usual; where there is none they push to their own zone.
 
-use boragecove_core::time::Time;
 use std::time::Duration;
 
+use boragecove_core::time::Time;
+
 use super::follow::READ_LASTS;
 use super::message::{Frame, Reading};
 use super::{send, version};
