--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -122,7 +122,8 @@
         schedule(state, now, now, out);
         return;
     }
-    if !frame::speaks_for_zone(state, now) {
+    // The first one that a process that starts reads is known to the others.
+    if before == 0 || !frame::speaks_for_zone(state, now) {
         return;
     }
     let Some(config) = state.config.clone() else {
