--- a/fleet/tests/evacuated_zones.rs
+++ b/fleet/tests/evacuated_zones.rs
@@ -241,5 +241,5 @@
         assert_eq!(play(u, false)?, 0, "requests reached engines of an evacuated zone");
         Ok(())
     })
-    .seed(0x7a6ca6b1000000e9);
+    .seed(0x7a6c_a6b1_0000_00e9);
 }
