--- /dev/null
+++ b/fleet/tests/departure_roads.rs
@@ -0,0 +1,294 @@
+//! By whatever roads and in whatever order the word comes that an engine leaves, all entry VMs know it in time: from the engine itself in an
+//! answer, by its row, by a push, in a frame or in an answer to one, or by a reading of the whole table; also while leaders are
+//! lost, zones are cut off, and the store turns some away.
+
+mod node;
+mod world;
+
+use std::time::Duration;
+
+use arbtest::arbitrary::{self, Unstructured};
+use arbtest::arbtest;
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::settings::Settings;
+use node::{GATEWAY, entry, millis, row};
+use world::{Departures, Mute, World, ZONES};
+
+const ENGINES: usize = 9;
+const ALL_SIZES: [usize; 4] = [9, 65, 300, 984];
+
+/// What operators allow at a size: how long after the store took its word an engine that leaves may still be sent to, and how long nothing
+/// must have been done to an entry VM for that to hold.
+fn bounds(vms: usize) -> (Duration, Duration) {
+    let drain = match vms {
+        ..30 => 2,
+        30..150 => 3,
+        150..600 => 4,
+        _ => 5,
+    };
+    (Duration::from_secs(drain), Duration::from_secs(drain + 1))
+}
+
+fn id(number: usize) -> String {
+    format!("g{number}")
+}
+
+fn gateway(number: usize) -> Entry {
+    entry(&id(number), GATEWAY, ZONES[number % ZONES.len()], &[])
+}
+
+fn leaving(number: usize) -> Entry {
+    Entry { leaving: true, ..gateway(number) }
+}
+
+/// Entry VMs that all know the engines, and have sent their first frames.
+fn world(vms: usize, seed: u64) -> World {
+    let rows: Vec<Row> = (0..ENGINES).map(|number| row(number as u64 + 1, gateway(number))).collect();
+    let mut world = World::new(vms, node::config(1), &rows, Settings::default(), seed);
+    world.paced = true;
+    let (_, contact) = bounds(vms);
+    world.pass(contact * 3);
+    assert_eq!(world.believers("g0"), vms);
+    world
+}
+
+fn watch(vms: usize) -> Departures {
+    let (drain, contact) = bounds(vms);
+    Departures::new((0..ENGINES).map(id), drain, contact)
+}
+
+fn leader(world: &World) -> usize {
+    world.leader().expect("there is one")
+}
+
+/// An entry VM that is neither the leader nor one that reads the store.
+fn other(world: &World) -> usize {
+    let leader = leader(world);
+    let reads = |at: usize| world.state(leader).members().is_reader(&format!("vm-{at}").as_str().into());
+    let others = (0..world.len()).filter(|at| *at != leader);
+    others.clone().find(|at| !reads(*at)).or_else(|| others.clone().next()).expect("there are others")
+}
+
+fn assert_kept(vms: usize, watch: &Departures) {
+    let faults = &watch.faults;
+    assert!(faults.is_empty(), "{vms} entry VMs: {:#?}", &faults[..faults.len().min(3)]);
+}
+
+/// The row alone, the leader in touch.
+#[test]
+fn row_alone() {
+    for vms in ALL_SIZES {
+        let (mut world, mut watch) = (world(vms, 1), watch(vms));
+        world.register(leaving(0));
+        watch.take(&world, "g0");
+        watch.pass(&mut world, bounds(vms).0 + millis(500));
+        assert_kept(vms, &watch);
+    }
+}
+
+/// The engine says it in an answer to the leader, half a second before its row does: the row has no news for the leader, and all for the others.
+#[test]
+fn leader_heard_first() {
+    for vms in ALL_SIZES {
+        let (mut world, mut watch) = (world(vms, 2), watch(vms));
+        let leader = leader(&world);
+        watch.hear(&mut world, leader, "g0");
+        watch.pass(&mut world, millis(500));
+        world.register(leaving(0));
+        watch.take(&world, "g0");
+        watch.pass(&mut world, bounds(vms).0 + millis(500));
+        assert_kept(vms, &watch);
+    }
+}
+
+/// The same in an answer to another entry VM, of which the leader hears by its frame.
+#[test]
+fn another_heard_first() {
+    for vms in ALL_SIZES {
+        let (mut world, mut watch) = (world(vms, 3), watch(vms));
+        let other = other(&world);
+        watch.hear(&mut world, other, "g0");
+        watch.pass(&mut world, bounds(vms).1);
+        world.register(leaving(0));
+        watch.take(&world, "g0");
+        watch.pass(&mut world, bounds(vms).0 + millis(500));
+        assert_kept(vms, &watch);
+    }
+}
+
+/// Its word alone, which never comes to the store: all hear of it from the one that heard it.
+#[test]
+fn word_alone() {
+    for vms in ALL_SIZES {
+        let (mut world, mut watch) = (world(vms, 4), watch(vms));
+        let other = other(&world);
+        watch.hear(&mut world, other, "g0");
+        watch.pass(&mut world, bounds(vms).0 + millis(500));
+        assert_kept(vms, &watch);
+    }
+}
+
+/// The store turns the leader away: those that read it for all tell the leader, which tells the others.
+#[test]
+fn leader_turned_away() {
+    for vms in ALL_SIZES {
+        let (mut world, mut watch) = (world(vms, 5), watch(vms));
+        let leader = leader(&world);
+        world.serve(leader, false);
+        watch.pass(&mut world, millis(1_300));
+        world.register(leaving(0));
+        watch.take(&world, "g0");
+        watch.pass(&mut world, millis(300));
+        world.serve(leader, true);
+        watch.pass(&mut world, bounds(vms).0 + millis(200));
+        assert_kept(vms, &watch);
+    }
+}
+
+/// The leader is lost, or stands still, some moments before or after the store takes the row, while entry VMs of each zone read the store for
+/// a leader that it turned away until then.
+#[test]
+fn leader_lost_beside_it() {
+    for vms in [9, 65, 300] {
+        for (case, after_ms) in [0, 5, 15, 30, 100, 400].into_iter().enumerate() {
+            for turned_away in [false, true] {
+                let (mut world, mut watch) = (world(vms, 6 + case as u64), watch(vms));
+                let leader = leader(&world);
+                if turned_away {
+                    world.serve(leader, false);
+                    watch.pass(&mut world, millis(1_300));
+                }
+                if case % 2 == 0 {
+                    world.register(leaving(0));
+                    watch.take(&world, "g0");
+                }
+                watch.pass(&mut world, millis(after_ms));
+                if turned_away { world.suspend(leader, true) } else { world.kill(leader) }
+                watch.pass(&mut world, millis(after_ms));
+                if case % 2 == 1 {
+                    world.register(leaving(0));
+                    watch.take(&world, "g0");
+                }
+                watch.pass(&mut world, bounds(vms).0 + millis(200));
+                assert_kept(vms, &watch);
+            }
+        }
+    }
+}
+
+fn disturb(world: &mut World, kind: u8, at: usize) {
+    let leader = world.leader().unwrap_or(at);
+    match kind {
+        0 => world.kill(at),
+        1 => world.kill(leader),
+        2 => world.restart(at),
+        3 => world.suspend(at, true),
+        4 => world.suspend(leader, true),
+        5 => world.cut(at % ZONES.len(), true),
+        6 => world.serve(at, false),
+        7 => world.serve(leader, false),
+        8 => world.isolate(leader, true),
+        9 => (0..world.len()).filter(|vm| vm % 3 == at % 3).for_each(|vm| world.serve(vm, false)),
+        10 => world.reread(at),
+        _ => (0..world.len()).for_each(|vm| world.reread(vm)),
+    }
+}
+
+/// A word of an engine that leaves, by one road.
+fn say(world: &mut World, watch: &mut Departures, kind: u8, vm: usize, number: usize) {
+    let leader = world.leader().unwrap_or(vm);
+    match kind {
+        0 => watch.hear(world, vm, &id(number)),
+        1 => watch.hear(world, leader, &id(number)),
+        2 => {
+            world.register(leaving(number));
+            watch.take(world, &id(number));
+        }
+        _ => {
+            world.deregister(&id(number));
+            watch.take(world, &id(number));
+        }
+    }
+}
+
+/// Time to the next step: together with the one before, soon after it, or later.
+fn gap(u: &mut Unstructured<'_>) -> arbitrary::Result<Duration> {
+    let most = *u.choose(&[0, 40, 40, 400, 400, 3_000])?;
+    u.int_in_range(0..=most).map(Duration::from_millis)
+}
+
+/// Plays one day. Returns what was wrong, with what had been done until then.
+fn play(u: &mut Unstructured<'_>, sizes: &[usize], mute: Option<Mute>) -> arbitrary::Result<(Vec<String>, Vec<String>)> {
+    let vms = *u.choose(sizes)?;
+    let (mut world, mut watch) = (world(vms, u.arbitrary()?), watch(vms));
+    world.mute = mute;
+    let mut steps = vec![format!("{vms} entry VMs")];
+    let mut gone = [false; ENGINES];
+    for _ in 0..u.int_in_range(2..=9)? {
+        let at = u.int_in_range(0..=vms - 1)?;
+        let step = match u.int_in_range(0..=6)? {
+            0 => {
+                world.heal();
+                "heal".to_owned()
+            }
+            1..=3 => {
+                let number = u.int_in_range(0..=ENGINES - 1)?;
+                let kind = u.int_in_range(0..=3)?;
+                // Whoever is gone says nothing more.
+                if gone[number] {
+                    continue;
+                }
+                gone[number] = kind == 3;
+                say(&mut world, &mut watch, kind, at, number);
+                format!("word of g{number} by road {kind}, vm {at}, leader {:?}", world.leader())
+            }
+            _ => {
+                let (kind, leader) = (u.int_in_range(0..=11)?, world.leader());
+                disturb(&mut world, kind, at);
+                format!("disturbance {kind}, vm {at}, leader {leader:?}")
+            }
+        };
+        steps.push(format!("{:?}: {step}", world.now));
+        watch.pass(&mut world, gap(u)?);
+    }
+    watch.pass(&mut world, bounds(vms).0 + millis(500));
+    world.heal();
+    watch.pass(&mut world, bounds(vms).1 * 2 + Duration::from_secs(2));
+    Ok((watch.faults, steps))
+}
+
+/// Whatever the order and the road of the words, with lost leaders, cuts, suspensions, restarts and a store that turns some away.
+#[test]
+fn all_hear() {
+    arbtest(|u| {
+        let (faults, steps) = play(u, &[9, 9, 9, 20, 65], None)?;
+        assert!(faults.is_empty(), "{:#?} after {steps:#?}", &faults[..faults.len().min(5)]);
+        Ok(())
+    })
+    .budget_ms(world::budget_ms(6_000));
+}
+
+/// Days of the same kind, always the same ones.
+fn day(seed: u64, sizes: &[usize], mute: Option<Mute>) -> (Vec<String>, Vec<String>) {
+    let mut bytes = vec![0; 4_096];
+    fastrand::Rng::with_seed(seed).fill(&mut bytes);
+    play(&mut Unstructured::new(&bytes), sizes, mute).expect("bytes enough")
+}
+
+/// The same for hundreds of entry VMs.
+#[test]
+fn hundreds_hear() {
+    for seed in 0..6 {
+        let (faults, steps) = day(seed, &[300], None);
+        assert!(faults.is_empty(), "{:#?} after {steps:#?}", &faults[..faults.len().min(5)]);
+    }
+}
+
+/// Broken copies that leave it out of pushes, of frames or of answers to frames: the check has to find each.
+#[test]
+fn check_bites() {
+    for mute in [Mute::Pushes, Mute::Frames, Mute::Replies] {
+        let bites = (0..200).any(|seed| !day(seed, &[9, 20], Some(mute)).0.is_empty());
+        assert!(bites, "{mute:?}");
+    }
+}
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test uses what it needs")]
 
 mod backends;
+mod departures;
 #[path = "../store/mod.rs"]
 mod store;
 mod ways;
@@ -33,6 +34,7 @@
 use boragecove_fleet::state::Identity;
 
 pub use backends::{Backends, Reached};
+pub use departures::{Departures, Mute};
 pub use store::Store;
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -99,6 +101,8 @@
     pub blind: bool,
     /// A broken copy: nobody hears of evacuations.
     pub deaf: bool,
+    /// A broken copy: entry VMs leave engines that leave out of what they tell each other.
+    pub mute: Option<Mute>,
     /// Who might give orders, and under which fencing number, since when and until when.
     pub orderers: Vec<Orderer>,
     /// Engines that answer; none where a request is done as soon as it is sent.
@@ -235,6 +239,7 @@
             lax: false,
             blind: false,
             deaf: false,
+            mute: None,
             orderers: Vec::new(),
             backends: None,
             zones_cut: [false; ZONES.len()],
@@ -281,6 +286,13 @@
         backends.all().filter(|(_, zone, one)| broken(zone, one)).count()
     }
 
+    /// An entry VM's next reading of the engines' table is of all of it, as where the store has forgotten its history.
+    pub fn reread(&mut self, at: usize) {
+        self.vms[at].table = None;
+        self.vms[at].held_until = None;
+        self.vms[at].asks_at = self.now;
+    }
+
     /// An engine's entry is removed.
     pub fn deregister(&mut self, engine: &str) {
         self.truth.insert(engine.into(), None);
@@ -433,6 +445,13 @@
         in_touch.then(|| self.drilled.map_or(vm.troubled, |drilled| drilled.max(vm.troubled)))
     }
 
+    /// Since when nothing has been done to an entry VM that hears the others, whether or not the store serves it; none while it does not run, or
+    /// hears nobody.
+    pub fn linked_since(&self, at: usize) -> Option<Time> {
+        let vm = &self.vms[at];
+        (vm.running && !vm.suspended && vm.side == 0).then_some(vm.troubled)
+    }
+
     /// Which start of an entry VM runs.
     pub fn start_of(&self, at: usize) -> u64 {
         self.vms[at].start
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -42,7 +42,8 @@
         match load {
             Load::Frame(frame) => {
                 self.feed(to, Event::Framed(frame.clone()));
-                let reply = boragecove_fleet::reply(&mut self.vms[to].state, self.now, &frame);
+                let mut reply = boragecove_fleet::reply(&mut self.vms[to].state, self.now, &frame);
+                self.mute_reply(&mut reply);
                 if back && self.reaches(to, from) {
                     let ms = self.rng.u64(1..20);
                     self.post(to, from, ms, Load::Reply(Some(Box::new(reply)), frame.number));
@@ -102,7 +103,8 @@
 
     pub(super) fn carry(&mut self, at: usize, effect: Effect) {
         match effect {
-            Effect::Frame { address, frame } => {
+            Effect::Frame { address, mut frame } => {
+                self.mute_frame(&mut frame);
                 let to = self.at(address);
                 self.post(at, at, FRAME_LIMIT.as_millis() as u64, Load::Reply(None, frame.number));
                 if self.reaches(at, to) {
@@ -110,13 +112,16 @@
                     self.post(at, to, ms, Load::Frame(frame));
                 }
             }
-            Effect::Push { address, message } => {
+            Effect::Push { address, mut message } => {
+                self.mute_push(&mut message);
                 self.pushes += 1;
                 let to = self.at(address);
-                if self.reaches(at, to) {
+                let reaches = self.reaches(at, to);
+                if self.paced && (!reaches || self.vms[to].suspended) {
+                    self.post(at, at, PUSH_STALL.as_millis() as u64, Load::Missed(message.clone()));
+                }
+                if reaches {
                     self.post(at, to, 5, Load::Push(message));
-                } else if self.paced {
-                    self.post(at, at, PUSH_STALL.as_millis() as u64, Load::Missed(message));
                 }
             }
             Effect::Draw { address, request, draw } => {
@@ -251,6 +256,14 @@
     }
 
     pub(super) fn at(&self, address: SocketAddr) -> usize {
-        (0..self.vms.len()).find(|vm| self::address(*vm) == address).expect("an entry VM listens there")
+        let vm = match address {
+            SocketAddr::V4(address) => {
+                let [.., high, low] = address.ip().octets();
+                usize::from(high) * 250 + usize::from(low)
+            }
+            SocketAddr::V6(_) => panic!("all listen on IPv4"),
+        };
+        assert!(vm < self.vms.len(), "an entry VM listens there");
+        vm
     }
 }
