Log and count by which road a departure became known, and who was told

To tell the three hypotheses apart one has to know which road the first word that an engine leaves came by at each entry VM (an answer, its own reading, a push, a frame, the leader's answer), and whom it told. No line said either: `engine` lines come from the leader alone. Now each entry VM writes one `departure` line for each engine, and one `departures_told` line for each telling; boragecove_departures_known_total by road, and boragecove_departures_told_total by who was told.

--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -64,6 +64,16 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Known {
+    road: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Told {
+    to: &'static str,
+}
+
 /// What the rest of the process counts.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Counts {
@@ -134,6 +144,7 @@
         registry.register("step_seconds", help, self.steps.clone());
         ends(&mut registry, state);
         draws(&mut registry, state);
+        departures(&mut registry, state);
         counter(&mut registry, "connections_opened", "Connections opened", counts.connections);
         let help = "Looks for an engine that an adapter is to be brought to";
         counter(&mut registry, "adapter_places_sought", help, state.places_sought());
@@ -185,6 +196,22 @@
     registry.register("limit_places", help, places);
 }
 
+/// Engines that leave or are gone.
+fn departures(registry: &mut Registry, state: &State) {
+    let known = Family::<Known, Counter>::default();
+    for (road, count) in state.departures_known() {
+        known.get_or_create(&Known { road: road.label() }).inc_by(*count);
+    }
+    let help = "Engines that were found to leave or to be gone, by the road on which that came first";
+    registry.register("departures_known", help, known);
+    let told = Family::<Told, Counter>::default();
+    for (audience, count) in state.departures_told() {
+        told.get_or_create(&Told { to: audience.label() }).inc_by(*count);
+    }
+    let help = "Engines that others were told to leave or to be gone, by who was told";
+    registry.register("departures_told", help, told);
+}
+
 fn gauges(registry: &mut Registry, state: &State, now: Time) {
     let version = state.config().map_or(0, |config| config.version);
     let leaving = state.engines().filter(|engine| engine.entry.leaving).count();
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxHashSet;
 
 use crate::config::{Config, Table};
+use crate::departure::{self, Audience, Road};
 use crate::effect::Effect;
 use crate::engine::Row;
 use crate::era;
@@ -115,7 +116,7 @@
 }
 
 /// The engines' table, or a part of it, was read.
-pub(crate) fn listed(state: &mut State, now: Time, listing: Listing, out: &mut Vec<Effect>) {
+pub(crate) fn listed(state: &mut State, now: Time, listing: Listing, road: Road, out: &mut Vec<Effect>) {
     era::heard(state, now, listing.version.era, out);
     if outdated(state, "engines", listing.version.era, out) {
         return;
@@ -123,13 +124,13 @@
     let before = state.listed;
     let mut changed = 0;
     if listing.whole {
-        changed += missing(state, now, &listing, out);
+        changed += missing(state, now, &listing, road, out);
         note_whole(state, listing.version);
     }
     let passed_over = passed_over(state, &listing);
     let asked = listing.asked.unwrap_or(now);
     for row in listing.rows {
-        changed += usize::from(take(state, now, asked, row, out));
+        changed += usize::from(take(state, now, asked, row, road, out));
     }
     tell_departures(state, now, out);
     if let Some(record) = passed_over {
@@ -162,11 +163,12 @@
     for row in rows {
         era::heard(state, now, row.version.era, out);
         if !era::is_past(state, row.version.era) {
-            take(state, now, now, row, out);
+            take(state, now, now, row, Road::Push, out);
         }
     }
     // Whoever told this one has told the others.
-    state.departed.clear();
+    let departed = std::mem::take(&mut state.departed);
+    departure::note_told(state, Audience::Nobody, &departed, out);
 }
 
 /// As the hub, tells the others at once of engines that were found to leave or to be gone.
@@ -176,7 +178,8 @@
         return;
     }
     let rows = departed.iter().filter_map(|id| state.row_of(now, id)).collect();
-    push::tell_departures(state, now, rows, out);
+    let audience = push::tell_departures(state, now, rows, out);
+    departure::note_told(state, audience, &departed, out);
     frame::tell_hub(state, now, out);
 }
 
@@ -204,7 +207,7 @@
 }
 
 /// Takes off engines that a whole listing does not name. Returns how many.
-fn missing(state: &mut State, now: Time, listing: &Listing, out: &mut Vec<Effect>) -> usize {
+fn missing(state: &mut State, now: Time, listing: &Listing, road: Road, out: &mut Vec<Effect>) -> usize {
     let named: FxHashSet<&Name> = listing.rows.iter().map(|row| &row.id).collect();
     let known = state.engines.values().filter(|engine| engine.version <= listing.version);
     let gone: Vec<Name> =
@@ -215,7 +218,7 @@
     let mut changed = 0;
     for id in gone {
         let row = Row { id, version: listing.version, entry: None, lapses };
-        changed += usize::from(take(state, now, now, row, out));
+        changed += usize::from(take(state, now, now, row, road, out));
     }
     changed
 }
@@ -251,7 +254,7 @@
         return;
     }
     for (_, row) in std::mem::take(&mut state.returned) {
-        take(state, now, asked, row, out);
+        take(state, now, asked, row, Road::Table, out);
     }
     flow::stir_later(state);
 }
--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -5,6 +5,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::departure::{self, Road};
 use crate::effect::Effect;
 use crate::engine::{Engine, Entry, Row};
 use crate::frame;
@@ -18,8 +19,23 @@
 /// Removed engines that are remembered, so that older news of them does not bring them back.
 const REMOVED_MAX: usize = 1_000;
 
+/// How a row says that its engine is gone.
+struct Removal {
+    version: Revision,
+    /// How much longer whoever told of it waits for the engine.
+    lapses: Option<Duration>,
+    road: Road,
+}
+
 /// Takes over a row of an answer to what was asked then. Returns whether it changes what is believed of its engine.
-pub(super) fn take(state: &mut State, now: Time, asked: Time, row: Row, out: &mut Vec<Effect>) -> bool {
+pub(super) fn take(
+    state: &mut State,
+    now: Time,
+    asked: Time,
+    row: Row,
+    road: Road,
+    out: &mut Vec<Effect>,
+) -> bool {
     if state.removed.get(&row.id).is_some_and(|removed| removed.version >= row.version) {
         return false;
     }
@@ -36,8 +52,8 @@
     }
     let Row { id, version, entry, lapses } = row;
     match entry {
-        Some(entry) => put(state, now, entry, version, out),
-        None => remove(state, now, &id, version, lapses, out),
+        Some(entry) => put(state, now, entry, version, road, out),
+        None => remove(state, now, &id, Removal { version, lapses, road }, out),
     }
 }
 
@@ -61,7 +77,14 @@
     lapsing.or_else(|| state.removed.get(id).copied())
 }
 
-fn put(state: &mut State, now: Time, mut entry: Entry, version: Revision, out: &mut Vec<Effect>) -> bool {
+fn put(
+    state: &mut State,
+    now: Time,
+    mut entry: Entry,
+    version: Revision,
+    road: Road,
+    out: &mut Vec<Effect>,
+) -> bool {
     let id = entry.id.clone();
     // Its entry may be from before its own word, which the store may not have taken yet, or has lost.
     entry.leaving |= state.departures.has(&id, entry.incarnation);
@@ -104,6 +127,9 @@
     if changed {
         note(state, now, &id, service, label, version, out);
     }
+    if changed && leaving {
+        departure::note_known(state, &id, road, version.version, out);
+    }
     ledger::registered(state, now, &id, out);
     changed
 }
@@ -126,14 +152,8 @@
 
 /// An entry was removed. Around an outage of the store entries of sound engines lapse too, and are back
 /// soon after: those are kept for a while.
-fn remove(
-    state: &mut State,
-    now: Time,
-    id: &Name,
-    version: Revision,
-    lapses: Option<Duration>,
-    out: &mut Vec<Effect>,
-) -> bool {
+fn remove(state: &mut State, now: Time, id: &Name, removal: Removal, out: &mut Vec<Effect>) -> bool {
+    let Removal { version, lapses, road } = removal;
     let grace = state.settings.lapse_grace;
     let troubled = state.store_troubled.is_some_and(|at| now.since(at) < grace);
     // Whoever follows the table for all knows when its grace is over.
@@ -157,9 +177,13 @@
         }
         return lapses;
     }
+    let left_before = engine.entry.leaving;
     forget(state, id, version);
     state.departed.push(id.clone());
     note(state, now, id, service, "gone", version, out);
+    if !left_before {
+        departure::note_known(state, id, road, version.version, out);
+    }
     true
 }
 
--- a/fleet/src/era.rs
+++ b/fleet/src/era.rs
@@ -8,9 +8,9 @@
 
 use boragecove_core::time::Time;
 
+use crate::departure;
 use crate::effect::Effect;
 use crate::lease;
-use crate::notice;
 use crate::record::Record;
 use crate::settings::Settings;
 use crate::state::State;
@@ -100,7 +100,7 @@
 
 /// The store has come back from an older copy while this process ran.
 fn risen(state: &mut State, now: Time, before: Era, out: &mut Vec<Effect>) {
-    notice::keep_departures(state, now);
+    departure::keep(state, now);
     // Entries that lapsed meanwhile, or that the copy lacks, are back soon.
     state.store_troubled = Some(now);
     out.push(Effect::Record(Record::Era {
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -28,6 +28,7 @@
 
 use crate::adapter;
 use crate::crash::{self, News};
+use crate::departure::{self, Road};
 use crate::effect::Effect;
 use crate::engine::Load;
 use crate::era;
@@ -35,7 +36,6 @@
 use crate::intake;
 use crate::ledger;
 use crate::members::Member;
-use crate::notice::{self, Notice};
 use crate::proof;
 use crate::push;
 use crate::quota;
@@ -287,7 +287,7 @@
         suspects: suspects(state, now),
         evacuations_known: state.evacuations.digest(),
         evacuations: state.evacuations.words_for_hub(),
-        departures: notice::departures(state),
+        departures: departure::words(state),
         limits: Vec::new(),
         limits_known: state.intakes.known(),
         reading: reading::gather(state, now),
@@ -322,10 +322,9 @@
     }
     reading::heard(state, now, &frame, out);
     evacuation::told(state, now, &frame.evacuations, out);
-    for departure in &frame.departures {
+    for word in &frame.departures {
         // The hub places models, and is to count no copy that the others do not use any more.
-        let leaving = Notice { leaving: true, ..Notice::default() };
-        notice::noticed(state, now, departure, leaving, None, out);
+        departure::said(state, now, word, Road::Frame, out);
     }
     for limit in &frame.limits {
         intake::told(state, now, limit);
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -9,6 +9,7 @@
 use super::message::{Reply, Resident, View};
 use super::{START_DOUBLINGS, follow, knows, many, send, tell_again, version};
 use crate::crash::{self, News};
+use crate::departure::Road;
 use crate::effect::Effect;
 use crate::entries;
 use crate::era;
@@ -92,7 +93,7 @@
     if reply.listed > state.listed {
         if let Some(rows) = unpacked(reply.rows, &reply.rows_packed, "engines", out) {
             let listing = Listing { rows, version: reply.listed, whole: reply.whole, asked: sent };
-            entries::listed(state, now, listing, out);
+            entries::listed(state, now, listing, Road::Reply, out);
         }
     } else if let Some(sent) = sent.filter(|_| state.hub.fresh && reply.era == state.era.number()) {
         entries::confirmed(state, now, sent, out);
--- a/fleet/src/frame/reading.rs
+++ b/fleet/src/frame/reading.rs
@@ -11,6 +11,7 @@
 use super::follow::READ_LASTS;
 use super::message::{Frame, Reading};
 use super::{send, version};
+use crate::departure::Road;
 use crate::effect::Effect;
 use crate::entries;
 use crate::event::Listing;
@@ -46,7 +47,7 @@
     }
     if !rows.is_empty() && state.listed >= *rows_after && frame.listed > state.listed {
         let listing = Listing { rows: rows.clone(), version: frame.listed, whole: false, asked: None };
-        entries::listed(state, now, listing, out);
+        entries::listed(state, now, listing, Road::Frame, out);
     }
 }
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod config;
 pub mod crash;
 pub mod demand;
+pub mod departure;
 pub mod effect;
 pub mod engine;
 mod entries;
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::{self, News};
+use crate::departure::Audience;
 use crate::effect::Effect;
 use crate::engine::Row;
 use crate::entries;
@@ -139,15 +140,19 @@
 }
 
 /// Tells the others: as the hub all of them, and where there is none those of the own availability zone, if this process reads the store
-/// for them.
-fn tell(state: &State, now: Time, message: &Message, out: &mut Vec<Effect>) {
+/// for them. Returns whom it told.
+fn tell(state: &State, now: Time, message: &Message, out: &mut Vec<Effect>) -> Audience {
     if state.lease.holds(now).is_some() {
         spread(state, message, frame::reached(state), out);
-    } else if frame::speaks_for_zone(state, now) {
+        return Audience::All;
+    }
+    if frame::speaks_for_zone(state, now) {
         let near = state.members.list().iter().filter(|member| member.zone == state.me.zone);
         let others = near.filter(|member| member.vm != state.me.vm);
         spread(state, message, others.cloned(), out);
+        return Audience::Zone;
     }
+    Audience::Nobody
 }
 
 /// An entry VM told the hub which version it goes by.
@@ -253,9 +258,14 @@
 
 /// Tells the others of engines that leave or are gone. Its answers to their frames say so too, and those of hundreds of entry
 /// VMs are further apart than what is left of the time in which nobody is to send there any more.
-pub(crate) fn tell_departures(state: &State, now: Time, departures: Vec<Row>, out: &mut Vec<Effect>) {
+pub(crate) fn tell_departures(
+    state: &State,
+    now: Time,
+    departures: Vec<Row>,
+    out: &mut Vec<Effect>,
+) -> Audience {
     let message = Message { departures, ..Message::default() };
-    tell(state, now, &message, out);
+    tell(state, now, &message, out)
 }
 
 /// Tells the others what operators say of availability zones.
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -252,6 +252,24 @@
         /// Whether all of it was read.
         whole: bool,
     },
+    /// It became known here that an engine leaves or is gone.
+    Departure {
+        /// Its id.
+        engine: Name,
+        /// By which road that came first.
+        road: &'static str,
+        /// The store's version of its row that says so, or of the one that does not yet.
+        version: u64,
+    },
+    /// Others were told that engines leave or are gone, or were not.
+    DeparturesTold {
+        /// The first of them.
+        engine: Name,
+        /// How many.
+        engines: usize,
+        /// Who was told.
+        to: &'static str,
+    },
     /// An engine appeared, changed its state, or went.
     Engine {
         /// Its id.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -4,6 +4,7 @@
 use boragecove_core::time::Time;
 
 use crate::crash;
+use crate::departure::Road;
 use crate::effect::Effect;
 use crate::entries;
 use crate::era;
@@ -83,7 +84,7 @@
         }
         Event::Evacuations(listing) => evacuation::listed(state, now, listing, out),
         Event::Era(era) => era::heard(state, now, era, out),
-        Event::Listed(listing) => entries::listed(state, now, listing, out),
+        Event::Listed(listing) => entries::listed(state, now, listing, Road::Table, out),
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
         Event::Gone(request) => flow::gone(state, now, request),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -17,6 +17,7 @@
 use crate::config::{Config, Pool, Table};
 use crate::crash::Register;
 use crate::demand::{Appetite, Counts};
+use crate::departure::{Audience, Departures, Road};
 use crate::engine::{Engine, Row};
 use crate::era::Era;
 use crate::evacuation::Evacuations;
@@ -26,7 +27,6 @@
 use crate::lease::Lease;
 use crate::ledger::Ledger;
 use crate::members::Members;
-use crate::notice::Departures;
 use crate::proof::Proof;
 use crate::push::Pushes;
 use crate::quota::Quota;
@@ -340,6 +340,18 @@
         self.rows_passed_over
     }
 
+    /// Departures of engines that became known here, by the road on which they did first.
+    #[must_use]
+    pub const fn departures_known(&self) -> &BTreeMap<Road, u64> {
+        &self.departures.known
+    }
+
+    /// Departures of engines that this process has told others of, or has not, by whom it told.
+    #[must_use]
+    pub const fn departures_told(&self) -> &BTreeMap<Audience, u64> {
+        &self.departures.told
+    }
+
     /// Which copy of its data the store answers from.
     #[must_use]
     pub const fn era(&self) -> &Era {
--- a/fleet/tests/departure_roads.rs
+++ b/fleet/tests/departure_roads.rs
@@ -9,6 +9,7 @@
 
 use arbtest::arbitrary::{self, Unstructured};
 use arbtest::arbtest;
+use boragecove_fleet::departure::{Audience, Road};
 use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::settings::Settings;
 use node::{GATEWAY, entry, millis, row};
@@ -198,6 +199,20 @@
     }
 }
 
+/// Logs and metrics tell by which road each entry VM knew first, and whom the leader told.
+#[test]
+fn road_is_counted() {
+    let (mut world, mut watch) = (world(9, 9), watch(9));
+    let (leader, other) = (leader(&world), other(&world));
+    world.register(leaving(0));
+    watch.pass(&mut world, millis(500));
+    world.hear_leaving(other, "g1");
+    let known = |at: usize, road: Road| world.state(at).departures_known().get(&road).copied();
+    assert_eq!((known(leader, Road::Table), known(leader, Road::Push)), (Some(1), None));
+    assert_eq!((known(other, Road::Push), known(other, Road::Answer)), (Some(1), Some(1)));
+    assert_eq!(world.state(leader).departures_told().get(&Audience::All), Some(&1));
+}
+
 fn disturb(world: &mut World, kind: u8, at: usize) {
     let leader = world.leader().unwrap_or(at);
     match kind {
