Keep what an engine says apart from what its row says

What callers saw, by the tests: an engine that had said in an answer that it leaves went on getting requests from all entry VMs but the one or two that had heard it, also seconds after the store took its row.

Cause: the engine's word was written into Engine::entry, which rows of the table are compared with. The row that says the same was no change: `changed` stayed, so that no answer to a frame had the row, and nobody was pushed to. Class: what is believed, what the table said and what was told are one field.

Now entry is what the table says and nothing else; said_leaving is the engine's own word; what is believed follows from both (Engine::leaves). A row is news by the row before it, whatever else is known.

engine_notices.rs read entry.leaving for what the leader believes; it reads leaves() now, which is as strict.

--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -214,7 +214,7 @@
 
 fn gauges(registry: &mut Registry, state: &State, now: Time) {
     let version = state.config().map_or(0, |config| config.version);
-    let leaving = state.engines().filter(|engine| engine.entry.leaving).count();
+    let leaving = state.engines().filter(|engine| engine.leaves()).count();
     let suspected = state.engines().filter(|engine| engine.health.suspected(now)).count();
     gauge(registry, "requests_open", "Requests under way", state.open());
     gauge(registry, "requests_waiting", "Requests that wait for an engine", state.waiting());
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -105,7 +105,7 @@
         return;
     };
     // One that has said that it leaves, or that is gone from the list, was expected to end.
-    let Some(known) = state.engines.get(engine).filter(|engine| !engine.entry.leaving) else {
+    let Some(known) = state.engines.get(engine).filter(|engine| !engine.leaves()) else {
         return;
     };
     let runs: usize = state.crashes.losses.values().map(|loss| loss.runs.len()).sum();
--- a/fleet/src/departure.rs
+++ b/fleet/src/departure.rs
@@ -105,9 +105,9 @@
 /// The store has come back from an older copy, in which engines that leave may not have said so yet: they leave all the same.
 pub(crate) fn keep(state: &mut State, now: Time) {
     let State { engines, departures, .. } = state;
-    for Entry { id, incarnation, .. } in
-        engines.values().map(|engine| &engine.entry).filter(|entry| entry.leaving)
-    {
+    for engine in engines.values_mut().filter(|engine| engine.entry.leaving) {
+        let Entry { id, incarnation, .. } = &engine.entry;
+        engine.said_leaving = true;
         if !departures.has(id, *incarnation) {
             departures.insert(id.clone(), *incarnation, now);
         }
@@ -140,7 +140,8 @@
     let Some(known) = known else {
         return;
     };
-    let before = std::mem::replace(&mut known.entry.leaving, true);
+    let before = known.leaves();
+    known.said_leaving = true;
     let version = known.version.version;
     if !before {
         let (engine, service) = (from.engine.clone(), known.entry.service.clone());
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -177,8 +177,10 @@
 /// An engine, as this process believes it to be.
 #[derive(Clone, Debug)]
 pub struct Engine {
-    /// As it registered itself.
+    /// As it registered itself: what the table says, and nothing that is known beside it.
     pub entry: Entry,
+    /// Whether this start of it has said in an answer that it leaves.
+    pub said_leaving: bool,
     /// The store's version of its row.
     pub version: Revision,
     /// The store's version in which its row last said something else than before.
@@ -211,6 +213,7 @@
     pub fn new(entry: Entry, version: Revision) -> Self {
         Self {
             entry,
+            said_leaving: false,
             version,
             changed: version,
             missing_until: None,
@@ -248,15 +251,22 @@
         f64::from(self.load().open) > CROWDED * f64::from(self.entry.slots)
     }
 
+    /// Whether it leaves, by its row or by its own word.
+    #[must_use]
+    pub const fn leaves(&self) -> bool {
+        self.entry.leaving || self.said_leaving
+    }
+
     /// Whether it may be sent work at all.
     #[must_use]
     pub const fn takes_work(&self) -> bool {
-        !self.entry.leaving && !self.evacuated
+        !self.leaves() && !self.evacuated
     }
 
     /// The engine started anew: nothing that was believed of what it holds, or held against it, is true any more.
     /// Requests that were sent to its earlier start end by their broken connections.
     pub(crate) fn restart(&mut self) {
+        self.said_leaving = false;
         self.health = Health::default();
         self.schedule = Schedule::default();
         self.cold = None;
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -151,7 +151,7 @@
             whole: listing.whole,
             changed,
             engines: state.engines.len(),
-            leaving: state.engines.values().filter(|engine| engine.entry.leaving).count(),
+            leaving: state.engines.values().filter(|engine| engine.leaves()).count(),
         }));
     }
     announce(state, out);
--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -80,54 +80,61 @@
 fn put(
     state: &mut State,
     now: Time,
-    mut entry: Entry,
+    entry: Entry,
     version: Revision,
     road: Road,
     out: &mut Vec<Effect>,
 ) -> bool {
     let id = entry.id.clone();
-    // Its entry may be from before its own word, which the store may not have taken yet, or has lost.
-    entry.leaving |= state.departures.has(&id, entry.incarnation);
+    let (service, cold_left) = (entry.service.clone(), entry.cold_left);
+    // Its row may be from before its own word, which the store may not have taken yet, or has lost.
+    let said_leaving = state.departures.has(&id, entry.incarnation);
+    let evacuated = state.evacuations.has(&entry.zone);
     state.removed.remove(&id);
-    let label = if entry.leaving { "leaving" } else { "serving" };
-    let (service, leaving, cold_left) = (entry.service.clone(), entry.leaving, entry.cold_left);
-    let mut changed = true;
-    if let Some(engine) = state.engines.get_mut(&id) {
-        if entry.incarnation < engine.entry.incarnation {
-            // Written late by an earlier start of the engine, or in a copy of the store.
-            engine.version = version;
-            return false;
-        }
-        if entry.incarnation > engine.entry.incarnation {
-            engine.restart();
-            out.push(Effect::Record(Record::Engine {
-                engine: id.clone(),
-                service: service.clone(),
-                state: "restarted",
-                version: version.version,
-            }));
-        }
-        changed = engine.entry.leaving != leaving || engine.missing_until.is_some();
-        if changed || engine.entry != entry {
-            engine.changed = version;
-        }
-        if changed && leaving {
-            state.departed.push(id.clone());
-        }
-        engine.evacuated = state.evacuations.has(&entry.zone);
-        engine.entry = entry;
-        engine.version = version;
-        engine.missing_until = None;
-    } else {
+    if !state.engines.contains_key(&id) {
         state.engine_ids = state.engine_ids.wrapping_add(frame::digest_of(&id));
-        let evacuated = state.evacuations.has(&entry.zone);
-        state.engines.insert(id.clone(), Engine { evacuated, ..Engine::new(entry, version) });
+    }
+    let known = state.engines.get(&id);
+    let left_before = known.is_some_and(Engine::leaves);
+    // Whether the row says what the row before did not, whatever else was known of the engine: the others know it by rows.
+    let departs =
+        known.is_some_and(|known| entry.leaving && (!known.entry.leaving || known.missing_until.is_some()));
+    let lapsed = known.is_some_and(|known| known.missing_until.is_some());
+    let is_new = known.is_none();
+    let engine = state.engines.entry(id.clone()).or_insert_with(|| Engine::new(entry.clone(), version));
+    if entry.incarnation < engine.entry.incarnation {
+        // Written late by an earlier start of the engine, or in a copy of the store.
+        engine.version = version;
+        return false;
+    }
+    if entry.incarnation > engine.entry.incarnation {
+        engine.restart();
+        out.push(Effect::Record(Record::Engine {
+            engine: id.clone(),
+            service: service.clone(),
+            state: "restarted",
+            version: version.version,
+        }));
+    }
+    if lapsed || engine.entry != entry {
+        engine.changed = version;
+    }
+    engine.entry = entry;
+    engine.said_leaving = said_leaving;
+    engine.evacuated = evacuated;
+    engine.version = version;
+    engine.missing_until = None;
+    let leaves = engine.leaves();
+    if departs {
+        state.departed.push(id.clone());
     }
     intake::cold(state, now, &id, cold_left);
+    let changed = is_new || lapsed || departs || left_before != leaves;
     if changed {
+        let label = if leaves { "leaving" } else { "serving" };
         note(state, now, &id, service, label, version, out);
     }
-    if changed && leaving {
+    if leaves && !left_before {
         departure::note_known(state, &id, road, version.version, out);
     }
     ledger::registered(state, now, &id, out);
@@ -166,7 +173,7 @@
     };
     engine.version = version;
     let service = engine.entry.service.clone();
-    if let Some(wait) = wait.filter(|_| !engine.entry.leaving) {
+    if let Some(wait) = wait.filter(|_| !engine.leaves()) {
         let lapses = engine.missing_until.is_none();
         if lapses {
             state.departed.push(id.clone());
@@ -177,7 +184,7 @@
         }
         return lapses;
     }
-    let left_before = engine.entry.leaving;
+    let left_before = engine.leaves();
     forget(state, id, version);
     state.departed.push(id.clone());
     note(state, now, id, service, "gone", version, out);
--- a/fleet/src/era.rs
+++ b/fleet/src/era.rs
@@ -109,7 +109,7 @@
         listed: state.listed.version,
         declared: state.declared.version,
         engines: state.engines.len(),
-        leaving: state.engines.values().filter(|engine| engine.entry.leaving).count(),
+        leaving: state.engines.values().filter(|engine| engine.leaves()).count(),
         removed: state.removed.len(),
         led: state.lease.holds(now).is_some(),
     }));
--- a/fleet/src/ledger/orders.rs
+++ b/fleet/src/ledger/orders.rs
@@ -40,7 +40,7 @@
         return;
     };
     let (service, address) = (engine.entry.service.clone(), engine.entry.address);
-    let leaving = engine.entry.leaving;
+    let leaving = engine.leaves();
     if engine.health.pause(now).is_some() {
         return;
     }
--- a/fleet/tests/departure_roads.rs
+++ b/fleet/tests/departure_roads.rs
@@ -13,7 +13,8 @@
 use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::settings::Settings;
 use node::{GATEWAY, entry, millis, row};
-use world::{Departures, Mute, World, ZONES};
+use world::departures::{Departures, Mute};
+use world::{World, ZONES};
 
 const ENGINES: usize = 9;
 const ALL_SIZES: [usize; 4] = [9, 65, 300, 984];
@@ -93,6 +94,7 @@
     for vms in ALL_SIZES {
         let (mut world, mut watch) = (world(vms, 2), watch(vms));
         let leader = leader(&world);
+        watch.leaves("g0");
         world.hear_leaving(leader, "g0");
         watch.pass(&mut world, millis(500));
         world.register(leaving(0));
@@ -108,6 +110,7 @@
     for vms in ALL_SIZES {
         let (mut world, mut watch) = (world(vms, 3), watch(vms));
         let other = other(&world);
+        watch.leaves("g0");
         world.hear_leaving(other, "g0");
         watch.pass(&mut world, bounds(vms).1);
         world.register(leaving(0));
--- a/fleet/tests/engine_notices.rs
+++ b/fleet/tests/engine_notices.rs
@@ -136,8 +136,7 @@
     let mut hub = Node::ready("hub");
     hub.lead();
     hub.feed(Event::Framed(frame));
-    let leaving =
-        |id: &str| hub.state.engines().any(|engine| *engine.entry.id == *id && engine.entry.leaving);
+    let leaving = |id: &str| hub.state.engines().any(|engine| *engine.entry.id == *id && engine.leaves());
     assert!(leaving("w1") && !leaving("w2"), "engines of {WRITER}");
 }
 
--- a/fleet/tests/world/departures.rs
+++ b/fleet/tests/world/departures.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// An engine leaves, and only the store's word is to count for others.
+    pub fn leaves(&mut self, engine: &str) {
+        self.stay.remove(engine);
+    }
+
     /// The store takes now that an engine leaves or is gone.
     pub fn take(&mut self, world: &World, engine: &str) {
         self.stay.remove(engine);
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code, reason = "each test uses what it needs")]
 
 mod backends;
-mod departures;
+pub mod departures;
 #[path = "../store/mod.rs"]
 mod store;
 mod ways;
@@ -34,7 +34,7 @@
 use boragecove_fleet::state::Identity;
 
 pub use backends::{Backends, Reached};
-pub use departures::{Departures, Mute};
+use departures::Mute;
 pub use store::Store;
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
