Tell that an engine is removed also where it was waited for all the while

A removal counts as a change whatever was known, is pushed to all, and so is one that only a whole reading shows, of an entry that a copy had.

--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -191,13 +191,15 @@
     }));
 }
 
-/// Takes off engines that a whole listing does not name. Returns how many.
+/// Takes off engines that a whole listing does not name. Returns how many of them had been believed in.
 fn missing(state: &mut State, now: Time, listing: &Listing, road: Road, out: &mut Vec<Effect>) -> usize {
     let named: FxHashSet<&Name> = listing.rows.iter().map(|row| &row.id).collect();
     let known = state.engines.values().filter(|engine| engine.version <= listing.version);
-    let gone: Vec<Name> =
-        known.map(|engine| engine.entry.id.clone()).filter(|id| !named.contains(id)).collect();
-    state.returned.retain(|id, _| named.contains(id));
+    let known = known.map(|engine| &engine.entry.id);
+    // The others may have been told of entries that a copy of the store had.
+    let returned = state.returned.keys().filter(|id| !state.engines.contains_key(*id));
+    let gone = known.chain(returned).filter(|id| !named.contains(id));
+    let gone: Vec<Name> = gone.cloned().collect();
     // A copy of the store lacks whoever registered since.
     let lapses = state.era.rewrites(now, &state.settings);
     let mut changed = 0;
--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -170,15 +170,17 @@
         // Others may know it, or doubt an entry of it that they found in a copy.
         let incarnation = state.removed.get(id).and_then(|removed| removed.incarnation);
         note_removed(state, id, Removed { version, incarnation });
+        state.departures.found(id);
         return false;
     };
     engine.version = version;
+    // The others may have been told of an entry of it in a copy of the store, also where it was waited for all the while.
+    engine.changed = version;
     let service = engine.entry.service.clone();
     if let Some(wait) = wait.filter(|_| !engine.leaves()) {
         let lapses = engine.missing_until.is_none();
+        state.departures.found(id);
         if lapses {
-            state.departures.found(id);
-            engine.changed = version;
             engine.missing_until = Some(now + wait);
             state.timers.set(now + wait, Timer::Lapse(id.clone()));
             note(state, now, id, service, "lapsed", version, out);
--- a/fleet/tests/departure_roads.rs
+++ b/fleet/tests/departure_roads.rs
@@ -204,9 +204,9 @@
                 }
                 watch.pass(&mut world, millis(after_ms));
                 if turned_away {
-                    world.suspend(leader, true)
+                    world.suspend(leader, true);
                 } else {
-                    world.kill(leader)
+                    world.kill(leader);
                 }
                 watch.pass(&mut world, millis(after_ms));
                 if case % 2 == 1 {
