--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -313,7 +313,12 @@
     crash::told(state, now, message.crashes, out);
     entries::told(state, now, message.departures, out);
     departure::told(state, now, &message.departed, Road::Push, out);
-    departure::leave_to_others(state, out);
+    // Whoever reads the store for an availability zone tells that one alone; the hub tells all.
+    if state.lease.holds(now).is_some() {
+        departure::tell(state, now, out);
+    } else {
+        departure::leave_to_others(state, out);
+    }
     evacuation::told(state, now, &message.evacuations, out);
     if let Some(update) = message.update {
         take(state, now, update, "push", out);
--- a/fleet/tests/departure_roads.rs
+++ b/fleet/tests/departure_roads.rs
@@ -234,6 +234,25 @@
     assert_eq!(world.state(leader).departures_told().get(&Audience::All), Some(&1));
 }
 
+/// The leader is lost as it tells the others: some have heard of it, also of those that read the store for their zone.
+#[test]
+fn leader_lost_amid_pushes() {
+    for vms in [9, 65, 300] {
+        for seed in 0..2 {
+            let (mut world, mut watch) = (world(vms, 20 + seed), watch(vms));
+            let leader = leader(&world);
+            world.pushes_lost = 0.7;
+            world.register(leaving(0));
+            watch.take(&world, "g0");
+            watch.pass(&mut world, millis(12));
+            world.kill(leader);
+            world.pushes_lost = 0.0;
+            watch.pass(&mut world, bounds(vms).0 + millis(200));
+            assert_kept(vms, &watch);
+        }
+    }
+}
+
 fn disturb(world: &mut World, kind: u8, at: usize) {
     let leader = world.leader().unwrap_or(at);
     match kind {
--- a/fleet/tests/departures_spread.rs
+++ b/fleet/tests/departures_spread.rs
@@ -11,6 +11,7 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::event::Event;
+use boragecove_fleet::push::Message;
 use links::{LARGE, Links, SMALL};
 use node::{WRITER, config, entry, listing, millis, removed, row};
 
@@ -79,6 +80,34 @@
     assert_soon(known_after(&mut links, removed(10, "w2")));
 }
 
+fn pushed(row: Row) -> Event {
+    Event::Pushed(Box::new(Message { departures: vec![row], ..Message::default() }))
+}
+
+/// One that reads the store for its zone tells the hub and that zone alone, just before the hub reads the row itself.
+#[test]
+fn reader_told_the_hub() {
+    let mut links = deployment(294);
+    let row = row(9, leaving("w1"));
+    links.feed(0, pushed(row.clone()));
+    links.pass(millis(20));
+    assert_soon(known_after(&mut links, row));
+}
+
+/// The hub was told of it, and has not read the table up to there. Whoever missed its push, since it was suspended, hears of it once it goes on.
+#[test]
+fn beyond_the_last_reading() {
+    let mut links = deployment(20);
+    let late = links.len() - 1;
+    links.suspend(late, true);
+    links.feed(0, pushed(row(9, leaving("w1"))));
+    links.pass(Duration::from_secs(3));
+    assert_eq!(believers(&links, "w1"), 0, "of those that run");
+    links.suspend(late, false);
+    links.pass(Duration::from_secs(2));
+    assert_eq!(believers(&links, "w1"), 0);
+}
+
 /// Some that are to pass it on are suspended: the others know all the same, if later, and those that go on then hear of it.
 #[test]
 fn some_are_suspended() {
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -87,6 +87,8 @@
     pub turned_away: f64,
     /// Part of the store's answers to writes that are lost, though the write was done.
     pub answers_lost: f64,
+    /// Part of the pushes that are lost without anybody's knowing, as where their sender dies beside them.
+    pub pushes_lost: f64,
     /// Whether those that follow the store do so with the pauses that they want, and the store holds their calls for changes.
     pub paced: bool,
     /// Calls of the store for its tables, if they are paced.
@@ -232,6 +234,7 @@
             settings,
             turned_away: 0.0,
             answers_lost: 0.0,
+            pushes_lost: 0.0,
             paced: false,
             calls: 0,
             pushes: 0,
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -114,6 +114,9 @@
             Effect::Push { address, mut message } => {
                 self.mute_push(&mut message);
                 self.pushes += 1;
+                if self.rng.f64() < self.pushes_lost {
+                    return;
+                }
                 let to = self.at(address);
                 let reaches = self.reaches(at, to);
                 if self.paced && (!reaches || self.vms[to].suspended) {
