Answer frames with rows that are known beyond the last reading

Cause: a row that came by a push does not raise the version up to which the table is known, and answers to frames named rows only where that version was higher than the asker's. Whoever had missed the push, since it was suspended, went on sending until the leader had read the table up to there, which takes as long as the store turns it away. The same held the other way, for frames of those that read the store for a leader.

Answers and frames go by the newest row that is known, and whoever gets rows so takes them over without counting the table as read up to there.

--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -158,12 +158,12 @@
     flow::stir_later(state);
 }
 
-/// The hub says of engines that they leave or are gone. Whatever else it knows of the table comes with its answers to frames.
-pub(crate) fn told(state: &mut State, now: Time, rows: Vec<Row>, out: &mut Vec<Effect>) {
+/// Another entry VM tells some rows, up to which the table need not be known.
+pub(crate) fn told(state: &mut State, now: Time, rows: Vec<Row>, road: Road, out: &mut Vec<Effect>) {
     for row in rows {
         era::heard(state, now, row.version.era, out);
         if !era::is_past(state, row.version.era) {
-            take(state, now, now, row, Road::Push, out);
+            take(state, now, now, row, road, out);
         }
     }
 }
--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -47,6 +47,7 @@
         return false;
     }
     state.returned.remove(&row.id);
+    state.newest_row = state.newest_row.max(row.version);
     if is_doubtful(state, asked, &row) {
         state.returned.insert(row.id.clone(), row);
         return false;
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -7,7 +7,7 @@
 
 use super::loads;
 use super::message::{Reply, Resident, View};
-use super::{START_DOUBLINGS, follow, knows, many, send, tell_again, version};
+use super::{Asking, START_DOUBLINGS, follow, knows, many, send, tell_again, version};
 use crate::crash::{self, News};
 use crate::departure::{self, Answer, Road};
 use crate::effect::Effect;
@@ -33,15 +33,8 @@
         ask_again(state, now, reply.as_ref().is_some_and(|reply| reply.leads));
     }
     state.hub.unanswered = reply.is_none();
-    let Some(reply) = reply else {
-        tell_again(state, asked);
-        departure::tell_without_hub(state, out);
-        if state.hub.leads && !state.hub.alive(now, &state.settings) {
-            state.hub.leads = false;
-            out.push(Effect::Record(Record::Hub { state: "lost", nodes: state.hub.nodes }));
-        }
-        follow(state, now, out);
-        return;
+    let Some(mut reply) = reply else {
+        return unanswered(state, now, asked, out);
     };
     era::heard(state, now, reply.era, out);
     if state.lease.holds(now).is_some() {
@@ -54,11 +47,11 @@
     state.hub.leads = reply.leads;
     state.hub.nodes = reply.nodes;
     state.hub.answered = Some(now);
-    if let Some(members) = reply.members {
+    if let Some(members) = reply.members.take() {
         state.members.replace(now, members);
         state.hub.reads = state.members.is_reader(&state.me.vm);
     }
-    if let Some(update) = reply.config {
+    if let Some(update) = reply.config.take() {
         push::take(state, now, update, "hub", out);
     }
     state.evacuations.hear_digest(reply.evacuations_known);
@@ -70,10 +63,10 @@
     // An answer to an earlier frame would count from too late a moment.
     let sent = asked.as_ref().filter(|asked| asked.number == reply.number).map(|asked| asked.at);
     let told = sent.and(asked.as_ref()).map_or(0, |asked| asked.limits);
-    if let Some((sent, membership)) = sent.zip(reply.membership) {
+    if let Some((sent, membership)) = sent.zip(reply.membership.take()) {
         state.members.confirm(now, sent, membership);
     }
-    if let Some((sent, allotments)) = sent.zip(reply.quota) {
+    if let Some((sent, allotments)) = sent.zip(reply.quota.take()) {
         quota::hold(state, now, sent, allotments);
     }
     if let Some((sent, age)) = sent.zip(reply.declared.age)
@@ -86,22 +79,7 @@
     // Those that read for the hub go on while the store turns it away.
     let read = !state.hub.reads && reply.read_age.is_some_and(fresh);
     state.hub.fresh = reply.leads && (fresh(reply.store_age) || read);
-    let by_name = reply.placed.is_empty();
-    if !by_name {
-        // Rows change which engines are known, and so their positions.
-        loads::take_placed(state, reply.engines, &reply.placed);
-    }
-    if reply.listed > state.listed {
-        if let Some(rows) = unpacked(reply.rows, &reply.rows_packed, "engines", out) {
-            let listing = Listing { rows, version: reply.listed, whole: reply.whole, asked: sent };
-            entries::listed(state, now, listing, Road::Reply, out);
-        }
-    } else if let Some(sent) = sent.filter(|_| state.hub.fresh && reply.era == state.era.number()) {
-        entries::confirmed(state, now, sent, out);
-    }
-    if by_name {
-        loads::take_named(state, reply.loads);
-    }
+    learn_engines(state, now, &mut reply, sent, out);
     for id in &reply.suspects {
         trust::look(state, now, id, out);
     }
@@ -134,6 +112,43 @@
     }
 }
 
+/// The hub did not answer.
+fn unanswered(state: &mut State, now: Time, asked: Option<Asking>, out: &mut Vec<Effect>) {
+    tell_again(state, asked);
+    departure::tell_without_hub(state, out);
+    if state.hub.leads && !state.hub.alive(now, &state.settings) {
+        state.hub.leads = false;
+        out.push(Effect::Record(Record::Hub { state: "lost", nodes: state.hub.nodes }));
+    }
+    follow(state, now, out);
+}
+
+/// Takes over what the hub knows of the engines' table, and of what is under way at engines. `sent`: when it was asked.
+fn learn_engines(state: &mut State, now: Time, reply: &mut Reply, sent: Option<Time>, out: &mut Vec<Effect>) {
+    let by_name = reply.placed.is_empty();
+    if !by_name {
+        // Rows change which engines are known, and so their positions.
+        loads::take_placed(state, reply.engines, &reply.placed);
+    }
+    let rows = std::mem::take(&mut reply.rows);
+    if reply.listed > state.listed {
+        if let Some(rows) = unpacked(rows, &reply.rows_packed, "engines", out) {
+            let listing = Listing { rows, version: reply.listed, whole: reply.whole, asked: sent };
+            entries::listed(state, now, listing, Road::Reply, out);
+        }
+    } else {
+        // The hub may know some rows beyond its last reading.
+        entries::told(state, now, rows, Road::Reply, out);
+        departure::leave_to_others(state, out);
+        if let Some(sent) = sent.filter(|_| state.hub.fresh && reply.era == state.era.number()) {
+            entries::confirmed(state, now, sent, out);
+        }
+    }
+    if by_name {
+        loads::take_named(state, std::mem::take(&mut reply.loads));
+    }
+}
+
 /// What an answer tells as it is or packed; none if that cannot be read.
 fn unpacked<T: DeserializeOwned>(
     plain: Vec<T>,
--- a/fleet/src/frame/reading.rs
+++ b/fleet/src/frame/reading.rs
@@ -11,7 +11,7 @@
 use super::follow::READ_LASTS;
 use super::message::{Frame, Reading};
 use super::{send, version};
-use crate::departure::Road;
+use crate::departure::{self, Road};
 use crate::effect::Effect;
 use crate::entries;
 use crate::event::Listing;
@@ -27,7 +27,7 @@
     let newest = state.config.clone().filter(|newest| config > 0 && newest.version > config);
     // One that cannot be packed is logged where it is pushed.
     let update = newest.and_then(|newest| state.updates.prepare(config, &newest).ok().cloned());
-    let behind = listed.is_known() && state.listed > listed && !state.needs_all_rows(listed);
+    let behind = listed.is_known() && state.newest_row > listed && !state.needs_all_rows(listed);
     Reading {
         store_age: state.read_at.map(|at| now.since(at)),
         config: update,
@@ -45,9 +45,15 @@
     if let Some(update) = config {
         push::take(state, now, update.clone(), "reader", out);
     }
-    if !rows.is_empty() && state.listed >= *rows_after && frame.listed > state.listed {
+    if rows.is_empty() {
+        return;
+    }
+    if state.listed >= *rows_after && frame.listed > state.listed {
         let listing = Listing { rows: rows.clone(), version: frame.listed, whole: false, asked: None };
         entries::listed(state, now, listing, Road::Frame, out);
+    } else {
+        entries::told(state, now, rows.clone(), Road::Frame, out);
+        departure::tell(state, now, out);
     }
 }
 
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -311,7 +311,7 @@
         lease::told(state, now, hub, out);
     }
     crash::told(state, now, message.crashes, out);
-    entries::told(state, now, message.departures, out);
+    entries::told(state, now, message.departures, Road::Push, out);
     departure::told(state, now, &message.departed, Road::Push, out);
     // Whoever reads the store for an availability zone tells that one alone; the hub tells all.
     if state.lease.holds(now).is_some() {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -80,6 +80,8 @@
     pub(crate) intakes: intake::Table,
     /// The store's version up to which the engines' table is known.
     pub(crate) listed: Revision,
+    /// The store's version of the newest row that is known, which may have come by a push and be beyond that.
+    pub(crate) newest_row: Revision,
     /// The store's version from which on `removed` names all engines that were removed: none are known from before a whole
     /// reading of the table.
     pub(crate) removals_from: Revision,
@@ -161,6 +163,7 @@
             departures: Departures::default(),
             intakes: intake::Table::default(),
             listed: Revision::default(),
+            newest_row: Revision::default(),
             removals_from: Revision::default(),
             gap: None,
             declared: Revision::default(),
--- a/fleet/src/state/rows.rs
+++ b/fleet/src/state/rows.rs
@@ -41,7 +41,7 @@
 
     /// What someone lacks who knows the engines' table up to a version: what has changed, or all of it.
     pub(crate) fn rows_for(&self, now: Time, version: Revision) -> Vec<Row> {
-        match (self.needs_all_rows(version), self.listed > version) {
+        match (self.needs_all_rows(version), self.newest_row > version) {
             (true, _) => self.rows_after(now, Revision::default()),
             (false, true) => self.rows_after(now, version),
             (false, false) => Vec::new(),
