Keep it apart from an engine's row that another engine answered at its address

The third writer into what rows are compared with: a request that another engine turned away at the address (421) set entry.leaving. The leader then told whoever knew nothing yet, as a row of the table, that the engine leaves, which the table does not say; and its row saying so would have been no news.

replaced is a belief of its own, which a newer row ends. Found by reading for the same class; replaced_at_its_address failed before and passes.

--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -181,6 +181,8 @@
     pub entry: Entry,
     /// Whether this start of it has said in an answer that it leaves.
     pub said_leaving: bool,
+    /// Whether another engine has answered this process at its address since its row was read.
+    pub replaced: bool,
     /// The store's version of its row.
     pub version: Revision,
     /// The store's version in which its row last said something else than before.
@@ -214,6 +216,7 @@
         Self {
             entry,
             said_leaving: false,
+            replaced: false,
             version,
             changed: version,
             missing_until: None,
@@ -251,10 +254,10 @@
         f64::from(self.load().open) > CROWDED * f64::from(self.entry.slots)
     }
 
-    /// Whether it leaves, by its row or by its own word.
+    /// Whether it leaves or is gone, by its row, by its own word, or by that of another engine in its place.
     #[must_use]
     pub const fn leaves(&self) -> bool {
-        self.entry.leaving || self.said_leaving
+        self.entry.leaving || self.said_leaving || self.replaced
     }
 
     /// Whether it may be sent work at all.
@@ -267,6 +270,7 @@
     /// Requests that were sent to its earlier start end by their broken connections.
     pub(crate) fn restart(&mut self) {
         self.said_leaving = false;
+        self.replaced = false;
         self.health = Health::default();
         self.schedule = Schedule::default();
         self.cold = None;
--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -123,6 +123,7 @@
     }
     engine.entry = entry;
     engine.said_leaving = said_leaving;
+    engine.replaced &= engine.version >= version;
     engine.evacuated = evacuated;
     engine.version = version;
     engine.missing_until = None;
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -203,7 +203,7 @@
                 }
             }
         }
-        End::Refused(Cause::Replaced) => known.entry.leaving = true,
+        End::Refused(Cause::Replaced) => known.replaced = true,
     }
 }
 
--- a/fleet/tests/engine_notices.rs
+++ b/fleet/tests/engine_notices.rs
@@ -6,7 +6,7 @@
 
 use boragecove_core::code::Code;
 use boragecove_fleet::effect::Effect;
-use boragecove_fleet::engine::{Entry, Incarnation};
+use boragecove_fleet::engine::{Entry, Incarnation, Row};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::Outcome;
@@ -140,6 +140,28 @@
     assert!(leaving("w1") && !leaving("w2"), "engines of {WRITER}");
 }
 
+/// Another engine answered at its address: that is this process's own belief, and no word of the table to others, until the table says more.
+#[test]
+fn replaced_at_its_address() {
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    let (id, attempt) = hub.sent(plain("/ack/1"));
+    let gone = attempt.engine;
+    hub.ended(id, attempt.number, End::Refused(Cause::Replaced));
+    assert_eq!(reached(&mut hub, &gone), 0);
+    let asker = Frame { vm: "b".into(), zone: "zone-a".into(), ..Frame::default() };
+    hub.feed(Event::Framed(Box::new(asker.clone())));
+    let reply = boragecove_fleet::reply(&mut hub.state, hub.now, &asker);
+    let row = reply.rows.iter().find(|row| row.id == gone).expect("it is told");
+    assert!(row.entry.as_ref().is_some_and(|entry| !entry.leaving), "its row does not say that it leaves");
+    hub.feed(listing(vec![row_of(10, &gone)], 10, false));
+    assert!(reached(&mut hub, &gone) > 0, "it has registered anew");
+}
+
+fn row_of(version: u64, id: &str) -> Row {
+    row(version, entry(id, GATEWAY, "zone-a", &[]))
+}
+
 fn pauses(node: &mut Node, engine: &str, pause: Duration) {
     let notice = Notice { pause: Some(pause), ..Notice::default() };
     node.feed(Event::Noticed { from: start(engine, None), notice, asked: None });
