Tell no list of entry VMs where none is known yet

rate_holds, known red: a cold engine got 1 to 8 requests more than the 23 that it bears in the second in which an entry VM was restarted or resumed. The others took that list over and gave themselves places as the only entry VM there is, 12 of them for 100 ms: 3 requests more, each at the same moment as a place that the owner had given.

Only the leader tells a list, and no empty one.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -370,7 +370,9 @@
         era: state.era.number(),
         store_age: now.since(state.store_heard),
         read_age: reading::age(state, now),
-        members: outdated.then(|| state.members.list().to_vec()),
+        // One that has just become the hub, or is none, may know of nobody yet.
+        members: (holds && outdated && !state.members.list().is_empty())
+            .then(|| state.members.list().to_vec()),
         membership: holds.then(|| state.members.membership(now, &asker.vm, outdated)),
         nodes: state.hub.known(),
         loads: named,
--- a/fleet/tests/cold_engines.rs
+++ b/fleet/tests/cold_engines.rs
@@ -112,6 +112,22 @@
     assert!(2 * got > other, "{got} and {other} requests");
 }
 
+/// The leader starts anew in the moment in which an engine turns cold. Seen on a random day: until it led again it told all that there are no
+/// entry VMs, so that each gave itself places as the only one.
+#[test]
+fn leader_starts_anew() {
+    for seed in 0..8 {
+        let mut world = world(12, 3, Some(START), seed);
+        run(&mut world, Duration::from_secs(1), 200.0);
+        let leader = world.leader().expect("there is one");
+        world.restart(leader);
+        let cold = turn_cold(&mut world, 1, 200.0);
+        run(&mut world, START.lasts, 200.0);
+        let excess = excess(&world, 1, cold);
+        assert!(excess <= 0.0, "seed {seed}: {excess} more than it bears");
+    }
+}
+
 fn play(u: &mut Unstructured<'_>, start: Option<Start>) -> arbitrary::Result<f64> {
     let mut world = world(u.int_in_range(4..=13)?, 3, start, u.arbitrary()?);
     let load = *u.choose(&[60.0, 200.0, 400.0])?;
