Tell the others what an engine said also where nobody leads who answers

An entry VM whose leader answers that it does not lead any more, as after its restart, took it for one that tells the others. It keeps the word and tells the new leader; until there is one, some 2 to 3 s, nobody else knew. Now it tells all that it knows of itself, as where nobody answers.

told_without_a_leader failed before and passes.

--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -94,6 +94,8 @@
         state.intakes.answered(reply.view.term, told);
         reply.limits.iter().for_each(|limit| intake::told(state, now, limit));
         state.intakes.learnt(reply.limits_version);
+    } else {
+        departure::tell_without_hub(state, out);
     }
     state.crashes.hear_digest(reply.digest);
     crash::told(state, now, News::of(reply.crashing), out);
--- a/fleet/src/notice.rs
+++ b/fleet/src/notice.rs
@@ -80,7 +80,7 @@
     if state.lease.holds(now).is_some() {
         return;
     }
-    if frame::is_answered(state, now) {
+    if state.hub.leads && frame::is_answered(state, now) {
         frame::send(state, now, out);
     } else {
         departure::tell_without_hub(state, out);
--- a/fleet/tests/engine_notices.rs
+++ b/fleet/tests/engine_notices.rs
@@ -10,9 +10,12 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::Outcome;
+use boragecove_fleet::members::Member;
 use boragecove_fleet::notice::{Notice, Start};
 use boragecove_fleet::request::{Cause, End, Step};
-use node::{GATEWAY, Node, WRITER, brief, entry, hub_row, listing, millis, orders, plain, removed, row};
+use node::{
+    GATEWAY, Node, WRITER, address, brief, entry, hub_row, listing, millis, orders, plain, removed, row,
+};
 
 fn start(engine: &str, born: Option<u64>) -> Start {
     Start { engine: engine.into(), incarnation: Incarnation(born) }
@@ -162,6 +165,37 @@
     row(version, entry(id, GATEWAY, "zone-a", &[]))
 }
 
+/// Whoever answers frames does not lead any more, as after a restart: no leader can tell the others, and this process does.
+#[test]
+fn told_without_a_leader() {
+    for heard_before in [false, true] {
+        let mut node = Node::ready("a");
+        node.pass(millis(10));
+        node.lease(0, Outcome::Read(Some(hub_row())));
+        let member = |vm: &str, port| Member {
+            vm: vm.into(),
+            zone: "zone-a".into(),
+            address: address(port),
+            weak: false,
+        };
+        let members = Some(vec![member("a", 7_000), member("b", 7_002)]);
+        let reply = Reply { leads: true, nodes: 2, listed: 4.into(), members, ..Reply::default() };
+        node.feed(Event::Replied(Some(Box::new(reply))));
+        if heard_before {
+            leaves(&mut node, "w1", None);
+        }
+        let mut effects = node.feed(Event::Replied(Some(Box::default()))).to_vec();
+        if !heard_before {
+            leaves(&mut node, "w1", None);
+            effects.extend(node.effects.clone());
+        }
+        let told = effects.iter().any(|effect| {
+            matches!(effect, Effect::Push { message, .. } if message.departed == [start("w1", None)])
+        });
+        assert!(told, "heard before: {heard_before}");
+    }
+}
+
 fn pauses(node: &mut Node, engine: &str, pause: Duration) {
     let notice = Notice { pause: Some(pause), ..Notice::default() };
     node.feed(Event::Noticed { from: start(engine, None), notice, asked: None });
