--- a/fleet/src/departure.rs
+++ b/fleet/src/departure.rs
@@ -195,16 +195,20 @@
 pub(crate) fn said(state: &mut State, now: Time, from: &Start, road: Road, out: &mut Vec<Effect>) {
     let later =
         state.departures.words.get(&from.engine).is_some_and(|word| word.incarnation >= from.incarnation);
-    let listed = state.engines.get(&from.engine).map(|known| known.entry.incarnation);
+    let listed = state.engines.get(&from.engine).map(|known| &known.entry);
     // What an earlier start said is over.
-    if later || listed.is_some_and(|listed| listed > from.incarnation) {
+    if later || listed.is_some_and(|listed| listed.incarnation > from.incarnation) {
         return;
     }
     if listed.is_none() && from.incarnation.0.is_none() {
         return;
     }
-    state.departures.insert(from.engine.clone(), from.incarnation, road == Road::Answer, now);
-    state.departures.news.words.push(from.clone());
+    // Where its row says so too, the others know it by that.
+    let is_news = listed.is_none_or(|listed| !listed.leaving || listed.incarnation != from.incarnation);
+    state.departures.insert(from.engine.clone(), from.incarnation, is_news && road == Road::Answer, now);
+    if is_news {
+        state.departures.news.words.push(from.clone());
+    }
     let known = state.engines.get_mut(&from.engine);
     // The row of a later start is still to come.
     let Some(known) = known.filter(|known| known.entry.incarnation == from.incarnation) else {
--- a/fleet/src/notice.rs
+++ b/fleet/src/notice.rs
@@ -77,7 +77,7 @@
 /// The others hear of it by the hub, or by this process where no hub answers.
 fn tell_departure(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     departure::tell(state, now, out);
-    if state.lease.holds(now).is_some() {
+    if state.lease.holds(now).is_some() || !state.departures.is_any_untold() {
         return;
     }
     if state.hub.leads && frame::is_answered(state, now) {
--- a/fleet/tests/engine_notices.rs
+++ b/fleet/tests/engine_notices.rs
@@ -165,6 +165,34 @@
     row(version, entry(id, GATEWAY, "zone-a", &[]))
 }
 
+/// Each answer of an engine that leaves says so: the leader is told once, and not of one whose row says it too.
+#[test]
+fn told_once() {
+    let mut node = Node::ready("a");
+    node.pass(millis(10));
+    node.lease(0, Outcome::Read(Some(hub_row())));
+    let reply = |number| Reply { number, leads: true, nodes: 2, listed: 4.into(), ..Reply::default() };
+    let frame = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::Frame { frame, .. } => Some(frame.number),
+            _ => None,
+        })
+    };
+    node.feed(Event::Replied(Some(Box::new(reply(1)))));
+    leaves(&mut node, "w1", None);
+    let number = frame(&node.effects).expect("a frame at once");
+    node.feed(Event::Replied(Some(Box::new(reply(number)))));
+    leaves(&mut node, "w1", None);
+    assert_eq!(frame(&node.effects), None, "it is known there");
+    node.feed(listing(
+        vec![row(10, Entry { leaving: true, ..entry("g1", GATEWAY, "zone-a", &[]) })],
+        10,
+        false,
+    ));
+    leaves(&mut node, "g1", None);
+    assert_eq!(frame(&node.effects), None, "it is in the table");
+}
+
 /// Whoever answers frames does not lead any more, as after a restart: no leader can tell the others, and this process does.
 #[test]
 fn told_without_a_leader() {
