Check departures of drills and of roads by one watch

store_drills had a watch of its own for engines that leave, which asked less: its bound counted only for entry VMs that were in touch before the departure. Both tests use world::departures now, by which whoever is in touch knows, also of what happened before; what a drill loses counts from the moment on at which entry VMs are in touch with the store again. Disturbances that both play stand once; store_drills keeps its own for a store that turns all away, and departure_roads plays that too.

--- a/fleet/tests/departure_roads.rs
+++ b/fleet/tests/departure_roads.rs
@@ -254,19 +254,11 @@
 }
 
 fn disturb(world: &mut World, kind: u8, at: usize) {
-    let leader = world.leader().unwrap_or(at);
     match kind {
-        0 => world.kill(at),
-        1 => world.kill(leader),
-        2 => world.restart(at),
-        3 => world.suspend(at, true),
-        4 => world.suspend(leader, true),
-        5 => world.cut(at % ZONES.len(), true),
-        6 => world.serve(at, false),
-        7 => world.serve(leader, false),
-        8 => world.isolate(leader, true),
+        0..=8 => world.disturb(kind, at),
         9 => (0..world.len()).filter(|vm| vm % 3 == at % 3).for_each(|vm| world.serve(vm, false)),
-        10 => world.reread(at),
+        10 => (0..world.len()).for_each(|vm| world.serve(vm, false)),
+        11 => world.reread(at),
         _ => (0..world.len()).for_each(|vm| world.reread(vm)),
     }
 }
@@ -330,7 +322,7 @@
                 format!("the store comes back from {back:?} before")
             }
             _ => {
-                let (kind, leader) = (u.int_in_range(0..=11)?, world.leader());
+                let (kind, leader) = (u.int_in_range(0..=12)?, world.leader());
                 disturb(&mut world, kind, at);
                 format!("disturbance {kind}, vm {at}, leader {leader:?}")
             }
@@ -362,11 +354,12 @@
     play(&mut Unstructured::new(&bytes), sizes, mute).expect("bytes enough")
 }
 
-/// The same for hundreds of entry VMs.
+/// The same for hundreds of entry VMs, and for a thousand.
 #[test]
 fn hundreds_hear() {
-    for seed in 0..6 {
-        let (faults, steps) = day(seed, &[300], None);
+    let days = (0..6).map(|seed| (seed, 300)).chain([(0, 984)]);
+    for (seed, vms) in days {
+        let (faults, steps) = day(seed, &[vms], None);
         assert!(faults.is_empty(), "{:#?} after {steps:#?}", &faults[..faults.len().min(5)]);
     }
 }
--- a/fleet/tests/store_drills.rs
+++ b/fleet/tests/store_drills.rs
@@ -3,15 +3,14 @@
 mod node;
 mod world;
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use arbtest::arbitrary::{self, Unstructured};
 use arbtest::arbtest;
-use boragecove_core::time::Time;
 use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::settings::Settings;
 use node::{GATEWAY, entry, row};
+use world::departures::Departures;
 use world::{Store, World, ZONES};
 
 /// The users' rule: time between two machines' orders.
@@ -59,78 +58,25 @@
     faults
 }
 
-/// What is checked of engines while a day is played.
-#[derive(Default)]
-struct Watch {
-    /// Engines that leave or are gone, and when the store took that.
-    left: BTreeMap<String, Time>,
-    /// Engines that stay all day.
-    stay: BTreeSet<String>,
-    /// Which start of which entry VM has believed in which engine.
-    believed: BTreeSet<(usize, u64, String)>,
-    /// Which of them knows that the engine leaves.
-    knows: BTreeSet<(usize, u64, String)>,
-    faults: Vec<String>,
+fn watch() -> Departures {
+    Departures::new((0..ENGINES).map(id), LEAVES_WITHIN, CONTACT)
 }
 
-impl Watch {
-    fn look(&mut self, world: &World) {
-        for at in (0..world.len()).filter(|at| world.is_running(*at)) {
-            let calm = world.calm_since(at).map(|since| world.now.since(since)).unwrap_or_default();
-            for (engine, left) in &self.left {
-                let key = (at, world.start_of(at), engine.clone());
-                let late = world.now.since(*left);
-                if !world.believes_in(at, engine) {
-                    if self.believed.contains(&key) {
-                        self.knows.insert(key);
-                    }
-                } else if self.knows.contains(&key) {
-                    self.faults.push(format!("vm {at} believes in {engine} again, {late:?} after it left"));
-                } else if late > LEAVES_WITHIN && calm >= late + CONTACT {
-                    self.faults.push(format!("vm {at} believes in {engine}, {late:?} after it left"));
-                }
-            }
-            for engine in self.stay.iter().filter(|engine| world.believes_in(at, engine)) {
-                self.believed.insert((at, world.start_of(at), engine.clone()));
-            }
-            for engine in self.stay.iter().filter(|_| calm >= CONTACT + CONTACT) {
-                if !world.believes_in(at, engine) {
-                    self.faults.push(format!("vm {at} does not believe in {engine}, which is sound"));
-                }
-            }
-        }
-    }
-
-    fn pass(&mut self, world: &mut World, time: Duration) {
-        let end = world.now + time;
-        while world.now < end {
-            world.pass(Duration::from_millis(20));
-            self.look(world);
-        }
-    }
-}
-
-fn disturb(world: &mut World, kind: u8, at: usize, back: Duration) {
-    let leader = world.leader().unwrap_or(at);
+fn disturb(world: &mut World, watch: &mut Departures, kind: u8, at: usize, back: Duration) {
     match kind {
-        0 => world.kill(at),
-        1 => world.kill(leader),
-        2 => world.restart(at),
-        3 => world.suspend(at, true),
-        4 => world.suspend(leader, true),
-        5 => world.cut(at % ZONES.len(), true),
-        6 => world.serve(at, false),
-        7 => world.serve(leader, false),
-        8 => world.isolate(leader, true),
+        0..=8 => world.disturb(kind, at),
         9 => (0..world.len()).for_each(|at| world.serve(at, false)),
         10 => (0..world.len()).for_each(|at| world.restart(at)),
-        _ => world.drill(back),
+        _ => {
+            world.drill(back);
+            watch.drilled(world);
+        }
     }
 }
 
 /// An engine begins to leave, or its entry is removed.
-fn leave(world: &mut World, watch: &mut Watch, number: usize, removed: bool) {
-    if !watch.stay.remove(&id(number)) {
+fn leave(world: &mut World, watch: &mut Departures, number: usize, removed: bool) {
+    if !watch.stays(&id(number)) {
         return;
     }
     if removed {
@@ -138,7 +84,7 @@
     } else {
         world.register(Entry { leaving: true, ..gateway(number) });
     }
-    watch.left.insert(id(number), world.now);
+    watch.take(world, &id(number));
 }
 
 /// Plays one day. Returns what was wrong, with what had been done until then.
@@ -147,7 +93,7 @@
     world.blind = blind;
     world.answers_lost = *u.choose(&[0.0, 0.0, 0.2])?;
     let mut steps = Vec::new();
-    let mut watch = Watch { stay: (0..ENGINES).map(id).collect(), ..Watch::default() };
+    let mut watch = watch();
     for _ in 0..u.int_in_range(2..=8)? {
         let at = u.int_in_range(0..=world.len() - 1)?;
         let back = Duration::from_millis(u.int_in_range(0..=6_000)?);
@@ -164,7 +110,7 @@
             }
             kind => {
                 let kind = if kind == 2 { 11 } else { u.int_in_range(0..=11)? };
-                disturb(&mut world, kind, at, back);
+                disturb(&mut world, &mut watch, kind, at, back);
                 format!("disturbance {kind}, vm {at}, leader {leader:?}, {back:?} back")
             }
         };
@@ -195,10 +141,11 @@
 #[test]
 fn suspended_while_doubting() {
     let mut world = world(6, 5);
-    let mut watch = Watch { stay: (0..ENGINES).map(id).collect(), ..Watch::default() };
+    let mut watch = watch();
     leave(&mut world, &mut watch, 2, true);
     watch.pass(&mut world, Duration::from_secs(2));
     world.drill(Duration::from_secs(4));
+    watch.drilled(&world);
     watch.pass(&mut world, Duration::from_millis(100));
     let leader = world.leader().expect("there is one");
     world.suspend(leader, true);
@@ -238,15 +185,17 @@
 #[test]
 fn many_entry_vms() {
     let mut world = world(300, 3);
-    let mut watch = Watch { stay: (0..ENGINES).map(id).collect(), ..Watch::default() };
+    let mut watch = watch();
     leave(&mut world, &mut watch, 1, false);
     watch.pass(&mut world, Duration::from_secs(4));
     world.drill(Duration::from_secs(5));
+    watch.drilled(&world);
     let leader = world.leader().expect("there is one");
     world.kill(leader);
     watch.pass(&mut world, Duration::from_secs(9));
     assert!(world.leader().is_some());
     world.drill(Duration::from_secs(3));
+    watch.drilled(&world);
     watch.pass(&mut world, Duration::from_secs(1));
     leave(&mut world, &mut watch, 2, true);
     watch.pass(&mut world, Duration::from_secs(8));
--- a/fleet/tests/world/departures.rs
+++ b/fleet/tests/world/departures.rs
@@ -74,6 +74,11 @@
         self.stay.remove(engine);
     }
 
+    /// Whether nothing has been said of an engine's leaving.
+    pub fn stays(&self, engine: &str) -> bool {
+        self.stay.contains(engine)
+    }
+
     /// The store takes now that an engine leaves or is gone.
     pub fn take(&mut self, world: &World, engine: &str) {
         self.stay.remove(engine);
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -513,6 +513,22 @@
         self.vms[at].side = if isolated { 100 + (at % 100) as u8 } else { 0 };
     }
 
+    /// One of nine disturbances, of an entry VM or of the leader.
+    pub fn disturb(&mut self, kind: u8, at: usize) {
+        let leader = self.leader().unwrap_or(at);
+        match kind {
+            0 => self.kill(at),
+            1 => self.kill(leader),
+            2 => self.restart(at),
+            3 => self.suspend(at, true),
+            4 => self.suspend(leader, true),
+            5 => self.cut(at % ZONES.len(), true),
+            6 => self.serve(at, false),
+            7 => self.serve(leader, false),
+            _ => self.isolate(leader, true),
+        }
+    }
+
     /// All disturbances but drills end, and whoever does not run starts anew.
     pub fn heal(&mut self) {
         (0..ZONES.len()).for_each(|zone| self.cut(zone, false));
