--- a/fleet/tests/key_withdrawal.rs
+++ b/fleet/tests/key_withdrawal.rs
@@ -121,16 +121,19 @@
     .budget_ms(world::budget_ms(5_000));
 }
 
-/// The same days without the proof: the check has to find it.
+/// Days of the same kind, always the same ones.
+fn day(seed: u64, revocation: Option<Duration>) -> Duration {
+    let mut bytes = vec![0; 4_096];
+    fastrand::Rng::with_seed(seed).fill(&mut bytes);
+    play(&mut Unstructured::new(&bytes), revocation).expect("bytes enough")
+}
+
+/// The same without the proof: the check has to find it, however busy the machine is.
 #[test]
 fn check_bites() {
-    let found = std::cell::Cell::new(false);
-    arbtest(|u| {
-        found.set(found.get() || !play(u, None)?.is_zero());
-        Ok(())
-    })
-    .budget_ms(2_000);
-    assert!(found.get(), "no day breaks the bound without a proof");
+    let found = (0..200).find(|seed| !day(*seed, None).is_zero());
+    println!("{found:?}");
+    assert!(found.is_some(), "no day breaks the bound without a proof");
 }
 
 /// The store comes back from a copy of before the key was taken away, and all entry VMs start anew and read that. Returns by how much the
