List late requests to leaving engines, shown with real processes, as known red

A real entry VM, the stand-in of the store, two engines of one service, real sockets. Each breaks the users' two seconds on the code as it stands:

- lost_answer: the store's answer to the waiting call for changes is lost beside its connection, which stays open; all other calls are answered.

--- /dev/null
+++ b/daemon/tests/late_departures.rs
@@ -0,0 +1,149 @@
+//! What keeps the word from an entry VM that an engine leaves, with entry VMs as processes of their own and real sockets: an answer of the
+//! store that never comes, and a process that stands still and goes on.
+
+#[path = "../../platform/tests/standin/mod.rs"]
+mod standin;
+
+mod serving;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use serving::{Entry, LIMIT, call, streamed};
+use standin::{Engine, Store, config};
+
+/// How long after the store took its word an engine that leaves may still be sent requests, by the users' rule.
+const BOUND: Duration = Duration::from_secs(2);
+/// Time between two requests of a caller.
+const EVERY: Duration = Duration::from_millis(15);
+/// Requests that wait at the sockets of a process that stands still.
+const CALLERS: usize = 24;
+
+/// A store, and two engines of one service.
+fn platform() -> (Store, [Engine; 2]) {
+    let store = Store::start();
+    store.put("op", "config", &config(1));
+    let engines = ["i-1", "i-2"].map(|id| Engine::start(&store, id, "writer", &["m1"]));
+    (store, engines)
+}
+
+/// The engine's row says from now on that it leaves.
+fn leave(store: &Store, engine: &Engine) -> Instant {
+    engine.register(store, "writer", &["m1"], "draining");
+    Instant::now()
+}
+
+/// By how much later than `since` the last request reached an engine, if any did.
+fn last_reached(engine: &Engine, since: Instant) -> Duration {
+    let late = engine.arrived().into_iter().map(|at| at.saturating_duration_since(since));
+    late.max().unwrap_or_default()
+}
+
+/// Requests that reached an engine after `since`.
+fn reached(engine: &Engine, since: Instant) -> usize {
+    engine.arrived().into_iter().filter(|at| *at >= since).count()
+}
+
+/// Waits until the entry VM holds the lease.
+fn wait_for_lease(entry: &Entry) {
+    let end = Instant::now() + LIMIT;
+    let metrics = || call(entry.watchers, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    while !metrics().contains("boragecove_lease_held 1") {
+        assert!(Instant::now() < end, "nobody leads in time");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Callers one after the other, until they are told to stop.
+fn keep_calling(entry: &Entry, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+    let caller = |number: usize| {
+        let (address, stop) = (entry.callers, Arc::clone(stop));
+        thread::spawn(move || {
+            for request in 0.. {
+                if stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                call(address, &streamed("/brief/1", &format!("k{number}-{request}")));
+                thread::sleep(EVERY);
+            }
+        })
+    };
+    (0..4).map(caller).collect()
+}
+
+/// Requests that are sent while the process stands still. Returns how they will be answered.
+fn call_meanwhile(entry: &Entry, round: usize) -> Vec<JoinHandle<String>> {
+    let caller = |number: usize| {
+        let address = entry.callers;
+        thread::spawn(move || call(address, &streamed("/brief/1", &format!("w{round}-{number}"))))
+    };
+    (0..CALLERS).map(caller).collect()
+}
+
+/// Guards against a call for changes whose answer is lost beside its connection: it was waited for longer than operators allow.
+#[test]
+fn lost_answer() {
+    for round in 0..3_u64 {
+        let (store, [leaving, _other]) = platform();
+        let entry = Entry::start(&format!("lost-{round}"), &store);
+        wait_for_lease(&entry);
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = keep_calling(&entry, &stop);
+        thread::sleep(Duration::from_millis(500 + 230 * round));
+        store.lose_answer("servers");
+        let since = leave(&store, &leaving);
+        thread::sleep(BOUND + Duration::from_millis(1_500));
+        stop.store(true, Ordering::Relaxed);
+        callers.into_iter().for_each(|caller| caller.join().expect("ends"));
+        assert!(store.has_lost(), "nobody had asked");
+        let late = last_reached(&leaving, since);
+        println!("round {round}: last reached {late:?} after its row");
+        assert!(late < BOUND, "round {round}: reached {late:?} after its row");
+    }
+}
+
+/// Lets a process stand still for a while in which an engine leaves and callers ask. Returns how many of them reached that engine, how many the
+/// other one, and what the rest were answered.
+fn stand_still(name: &str, followers: usize, time: Duration, round: usize) -> (usize, usize, Vec<String>) {
+    let (store, [leaving, other]) = platform();
+    let leader = Entry::start(&format!("{name}-{round}"), &store);
+    wait_for_lease(&leader);
+    let others: Vec<Entry> =
+        (0..followers).map(|number| Entry::start(&format!("{name}-{round}-{number}"), &store)).collect();
+    let entry = others.first().unwrap_or(&leader);
+    thread::sleep(Duration::from_millis(700));
+    call(entry.callers, &streamed("/brief/1", "first"));
+    entry.signal("-STOP");
+    let since = leave(&store, &leaving);
+    let callers = call_meanwhile(entry, round);
+    thread::sleep(time);
+    entry.signal("-CONT");
+    let answers: Vec<String> = callers.into_iter().map(|caller| caller.join().expect("ends")).collect();
+    let rest = answers.into_iter().filter(|answer| !answer.starts_with("HTTP/1.1 200")).collect();
+    (reached(&leaving, since), reached(&other, since), rest)
+}
+
+/// Guards against requests that wait at the sockets of a process that stood still, and are sent by what it knew before: here of the leader, to
+/// which nobody pushes.
+#[test]
+fn leader_stood_still() {
+    for round in 0..3 {
+        let (late, served, rest) = stand_still("stood", 0, Duration::from_millis(2_600), round);
+        println!("round {round}: {late} reached the engine that left, {served} the other, rest {rest:#?}");
+        assert_eq!(late, 0, "round {round}: requests reached the engine that left");
+        assert_eq!(served + rest.len(), CALLERS, "round {round}");
+    }
+}
+
+/// The same of an entry VM that follows another's lead: the leader's push waits at a socket of its own, and may be read too late.
+#[test]
+fn follower_stood_still() {
+    for round in 0..3 {
+        let (late, served, rest) = stand_still("follows", 1, Duration::from_millis(2_600), round);
+        println!("round {round}: {late} reached the engine that left, {served} the other, rest {rest:#?}");
+        assert_eq!(late, 0, "round {round}: requests reached the engine that left");
+        assert_eq!(served + rest.len(), CALLERS, "round {round}");
+    }
+}
