Log and count standstills, and tell the age of the engines' table

Hypotheses 1 and 2 of late departures could not be told apart: no line says that a process stood still, and no `sent` line how old the table was by which the engine was chosen. A word counts from before it was asked for; a leader tells others the age of its own. No decision goes by either yet.

--- a/core/src/timer.rs
+++ b/core/src/timer.rs
@@ -74,10 +74,16 @@
         self.set.remove(&handle);
     }
 
+    /// By how much later than it had asked for the process is awake.
+    #[must_use]
+    pub fn late(&self, now: Time) -> Duration {
+        self.announced.map_or(Duration::ZERO, |at| now.since(at))
+    }
+
     /// Whether the process was woken long after it had asked for: it has been paused.
     #[must_use]
     pub fn overslept(&self, now: Time) -> bool {
-        self.announced.is_some_and(|at| now.since(at) >= PAUSE)
+        self.late(now) >= PAUSE
     }
 
     /// Timers that are set.
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -154,6 +154,8 @@
         counter(&mut registry, "rows_passed_over", help, state.rows_passed_over());
         let help = "Requests sent to engines that had named a limit";
         counter(&mut registry, "sent_to_limited", help, state.sent_to_limited());
+        let help = "Times that the process was awake long after it had asked for";
+        counter(&mut registry, "standstills", help, state.standstills());
         counter(&mut registry, "log_lines_dropped", "Log lines left out", counts.lines_dropped);
         gauges(&mut registry, state, now);
         let mut text = String::new();
@@ -241,6 +243,12 @@
     let proof = Gauge::<i64>::default();
     proof.set(age_ms);
     registry.register("proof_age_ms", help, proof);
+    let listed_age_ms = state.listed_age(now).map_or(-1, |age| age.as_millis() as i64);
+    let help =
+        "Time since all was known that the store had taken of the engines' table, in ms; -1 before that";
+    let listed = Gauge::<i64>::default();
+    listed.set(listed_age_ms);
+    registry.register("listed_age_ms", help, listed);
     let help = "Workspaces of whose limits a share is held here";
     gauge(registry, "quota_shares_held", help, state.quota_held(now));
     let leads = state.lease().holds(now).is_some();
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -16,6 +16,7 @@
 use crate::event::Listing;
 use crate::flow;
 use crate::frame;
+use crate::freshness;
 use crate::proof;
 use crate::push;
 use crate::quota;
@@ -139,6 +140,9 @@
     state.listed = state.listed.max(listing.version);
     state.era.listed(listing.version.version);
     if let Some(asked) = listing.asked {
+        if road == Road::Table {
+            freshness::renew(state, asked);
+        }
         confirmed(state, now, asked, out);
     }
     if before.is_known() && before.era < listing.version.era {
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -185,6 +185,7 @@
 
 fn send(state: &mut State, now: Time, id: Id, pick: &Pick, wait: Duration, out: &mut Vec<Effect>) {
     let hub_age = state.hub.age(now);
+    let listed_age = state.freshness.age(now);
     let config = state.config.as_ref().map_or(0, |config| config.version);
     let silence = state.settings.silence;
     let charge = quota::account(state, now, id);
@@ -218,6 +219,7 @@
         candidates: pick.candidates,
         open: engine.load().open.saturating_sub(1),
         hub_age_ms: ms(hub_age.min(Duration::from_hours(1))),
+        listed_age_ms: listed_age.map(ms),
         wait_ms: ms(wait),
         target_ms: ms(flow.route.target),
         pause_max_ms: flow.route.kind.streams().then_some(ms(flow.route.pause)),
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -385,6 +385,7 @@
         declared: Declared { config: version(state), store: state.declared, age: state.proof.age(now) },
         rows,
         rows_packed,
+        listed_age: state.freshness.age(now),
         listed,
         whole,
         suspects: suspects(state, now),
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -16,6 +16,7 @@
 use crate::evacuation;
 use crate::event::Listing;
 use crate::flow;
+use crate::freshness;
 use crate::intake;
 use crate::pack;
 use crate::proof;
@@ -146,6 +147,9 @@
             entries::confirmed(state, now, sent, out);
         }
     }
+    if let Some((sent, age)) = sent.zip(reply.listed_age) {
+        freshness::renew(state, sent - age);
+    }
     if by_name {
         loads::take_named(state, std::mem::take(&mut reply.loads));
     }
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -160,6 +160,8 @@
     pub rows_packed: Bytes,
     /// The store's version up to which the hub knows that table.
     pub listed: Revision,
+    /// Time since all was known there that the store had taken of that table; none if that is not known.
+    pub listed_age: Option<Duration>,
     /// Whether the rows are all there are: the hub does not know of each removal since the asker's.
     pub whole: bool,
     /// Engines that the hub could not reach.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`effect::Effect`]s to carry out. It does no I/O, reads no clock and draws no random numbers but from
 //! the seed it was given.
 //!
-//! The modules, from the ground up: `config`, `engine`, `request`, `revision` and `settings` are the words; `entries`
-//! keeps what the store says, `era` what of that outlasts an older copy of it, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow`, `outcome` and `crash` serve requests;
+//! The modules, from the ground up: `bound`, `config`, `engine`, `request`, `revision` and `settings` are the words; `entries`
+//! keeps what the store says, `freshness` how new that is, `era` what of that outlasts an older copy of it, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow`, `outcome` and `crash` serve requests;
 //! `access` with `key` and `proof` says whose they are, `homes` and `evacuation` where they may go, `quota` how many a workspace's may be; `frame`,
 //! `members` with `ownership`, `push`, `update` and `pack` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
@@ -13,6 +13,7 @@
 mod adapter;
 mod admit;
 mod book;
+pub mod bound;
 pub mod budget;
 pub mod choose;
 pub mod config;
@@ -28,6 +29,7 @@
 mod exchange;
 mod flow;
 pub mod frame;
+mod freshness;
 pub mod homes;
 pub mod intake;
 pub mod key;
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -54,6 +54,8 @@
         open: u32,
         /// Time since the hub last told of the other entry VMs' requests.
         hub_age_ms: u64,
+        /// Age of what is known of the engines' table; none before that is known.
+        listed_age_ms: Option<u64>,
         /// Time until its place in the engine's schedule.
         wait_ms: u64,
         /// The time to an answer, or to its first event, that the operator aims at.
@@ -292,6 +294,15 @@
         /// The one before.
         before_per_s: Option<f64>,
     },
+    /// The process was awake long after it had asked for: it stood still, or was busy for as long.
+    StoodStill {
+        /// By how much later it was.
+        for_ms: u64,
+        /// Age of what is known of the engines' table; none before that is known.
+        listed_age_ms: Option<u64>,
+        /// Whether it held the lease, as far as it knows.
+        led: bool,
+    },
     /// Lines that were not written in the last second, since there were too many.
     LeftOut {
         /// On what.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -12,6 +12,7 @@
 use crate::event::Event;
 use crate::flow;
 use crate::frame::{self, Frame, Reply};
+use crate::freshness;
 use crate::intake;
 use crate::lease;
 use crate::ledger;
@@ -32,6 +33,8 @@
 #[must_use]
 pub fn apply(state: &mut State, now: Time, event: Event) -> Vec<Effect> {
     let mut out = Vec::new();
+    let late = state.timers.late(now);
+    freshness::woke_late(state, now, late, &mut out);
     hand(state, now, event, &mut out);
     while let Some(timer) = state.timers.pop(now) {
         fire(state, now, timer, &mut out);
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -5,6 +5,8 @@
 
 use boragecove_core::name::Name;
 
+use crate::bound::Bound;
+
 /// Limits, intervals and weights.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -23,6 +25,8 @@
     pub load_extra: f64,
     /// Time between two machines' orders to one engine (the platform's bound).
     pub order_gap: Duration,
+    /// Time after which an engine that has said that it leaves may be sent nothing more (the platform's bound).
+    pub departure: Bound,
     /// How long a lease lasts without renewal.
     pub lease_length: Duration,
     /// How much longer others wait before they take it, and before they give orders: clocks run at rates
@@ -205,6 +209,7 @@
             load_window: Duration::from_secs(5),
             load_extra: 1.5,
             order_gap: Duration::from_secs(3),
+            departure: Bound(Duration::from_secs(2)),
             lease_length: Duration::from_millis(1_600),
             lease_margin: Duration::from_millis(200),
             lease_renew: Duration::from_millis(400),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -23,6 +23,7 @@
 use crate::evacuation::Evacuations;
 use crate::flow::Flow;
 use crate::frame::{Hub, View};
+use crate::freshness::Freshness;
 use crate::intake;
 use crate::lease::Lease;
 use crate::ledger::Ledger;
@@ -80,6 +81,8 @@
     pub(crate) intakes: intake::Table,
     /// The store's version up to which the engines' table is known.
     pub(crate) listed: Revision,
+    /// How new what is known of the engines' table is.
+    pub(crate) freshness: Freshness,
     /// The store's version of the newest row that is known, which may have come by a push and be beyond that.
     pub(crate) newest_row: Revision,
     /// The store's version from which on `removed` names all engines that were removed: none are known from before a whole
@@ -163,6 +166,7 @@
             departures: Departures::default(),
             intakes: intake::Table::default(),
             listed: Revision::default(),
+            freshness: Freshness::default(),
             newest_row: Revision::default(),
             removals_from: Revision::default(),
             gap: None,
@@ -352,6 +356,18 @@
         &self.departures.told
     }
 
+    /// Time since all was known that the store had taken of the engines' table; none before the first word.
+    #[must_use]
+    pub fn listed_age(&self, now: Time) -> Option<Duration> {
+        self.freshness.age(now)
+    }
+
+    /// How often this process stood still.
+    #[must_use]
+    pub const fn standstills(&self) -> u64 {
+        self.freshness.standstills()
+    }
+
     /// Which copy of its data the store answers from.
     #[must_use]
     pub const fn era(&self) -> &Era {
