Wait for the store's changes by the operators' bounds, and ask again at once where an answer is overdue

What callers saw: requests reached an engine 2.3 s after its row said that it leaves, where 2.0 s are allowed; a dropped route was served for over 2.0 s.

Cause: a call for changes was let wait for 2.1 s at the store, its answer had 0.7 s more, then came a pause: one answer that was lost beside its connection was more than the bound before anybody was told, at any size, since all hear it from that one call. Class: a wait on the way of news that is not added up with the others of that way, and a constant where operators set the bound.

Now the waits are parts of the bounds that operators set (settings `changes`, from drain_ms and config_apply_ms): the store holds a call for a quarter of it, a tenth later the call is made once more, without a wait, on a new connection; pauses are a fifth of it at most. Idle connections to where an answer was overdue are closed, since they may have gone silent together.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -69,6 +69,14 @@
     },
 }
 
+impl Error {
+    /// Whether nothing of an answer came in time, as where a connection has gone silent.
+    #[must_use]
+    pub const fn is_late(&self) -> bool {
+        matches!(self, Self::Late | Self::Cut { bytes: 0 })
+    }
+}
+
 /// Keeps connections for the next request to the same address.
 #[derive(Debug)]
 pub struct Client {
@@ -211,10 +219,19 @@
             Some(ended) => {
                 ended.map(|(status, headers, took)| Received { status, headers, body: body.freeze(), took })
             }
-            None => Err(Error::Cut { bytes: body.len() }),
+            None => {
+                // Connections to there may have gone silent together.
+                self.forget(address);
+                Err(Error::Cut { bytes: body.len() })
+            }
         }
     }
 
+    /// Closes idle connections to an address: the next request there opens a new one.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Opens a connection and closes it again, to see whether anything listens.
     pub(crate) async fn reach(&self, address: SocketAddr) -> Reach {
         match timeout(self.connect, TcpStream::connect(address)).await {
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -8,7 +8,7 @@
 
 use actix::Addr;
 use boragecove_core::time::Time;
-use boragecove_fleet::effect::Follow;
+use boragecove_fleet::effect::{Follow, Patience};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::revision::Revision;
 use boragecove_platform::error::Unreadable;
@@ -28,8 +28,6 @@
 const ANSWER: Duration = Duration::from_millis(700);
 /// Pause after a failed call, at first; it doubles up to the longest.
 const PAUSE_MIN: Duration = Duration::from_millis(50);
-/// Longest pause after a failed call: what changed meanwhile is to be in force within two seconds.
-const PAUSE_MAX: Duration = Duration::from_millis(400);
 /// Time that a page of the operator's table may take from its first byte to its last for that table to be followed on. While
 /// a longer one comes, other versions are written, and to follow on would bring each of them: with documents of 1 MB in quick
 /// succession an entry VM on a link of 10 Mbit/s would fall behind for as long as they come. The newest is read instead.
@@ -139,7 +137,7 @@
                     self.node.do_send(Feed(Event::StoreUp(false)));
                     let least = self.wanted.borrow().map_or(Duration::ZERO, |follow| follow.failed);
                     sleep(pause.max(least).mul_f64(0.5 + 0.5 * fastrand::f64())).await;
-                    pause = (pause * 2).min(PAUSE_MAX);
+                    pause = self.wanted.borrow().map_or(pause, |follow| (pause * 2).min(follow.retry_max));
                 }
             }
         }
@@ -170,15 +168,27 @@
         true
     }
 
-    /// Reads the table whole, or waits for its changes.
+    /// Reads the table whole, or waits for its changes; if their answer is overdue, asks for them once more.
     async fn turn(&mut self) -> Result<(), Failed> {
         let Some(version) = self.version else {
             return self.read().await;
         };
-        let wait = if self.answered { self.wait() } else { Duration::ZERO };
+        if self.answered {
+            let Patience { wait, overdue } = self.patience();
+            match self.changes(version, wait, wait + overdue).await {
+                // Its connection may deliver nothing more, or the store may be slow: one that waits for nothing tells.
+                Err(Failed::Call(error)) if error.is_late() => {}
+                ended => return ended,
+            }
+        }
+        self.changes(version, Duration::ZERO, ANSWER).await
+    }
+
+    /// Reads what has changed since a version, or waits for it as long. The answer has to begin within `first`.
+    async fn changes(&mut self, version: Revision, wait: Duration, first: Duration) -> Result<(), Failed> {
         let asked = self.clock.now();
         let follow = self.table.follow(version.version, wait);
-        let Answer { page, took } = self.call(follow, wait + ANSWER).await?;
+        let Answer { page, took } = self.call(follow, first).await?;
         if page.version.era != version.era {
             return Err(Failed::EraRisen);
         }
@@ -204,13 +214,13 @@
         Ok(())
     }
 
-    /// How long the store may wait with its answer for changes.
-    fn wait(&self) -> Duration {
-        let wait = |follow: Follow| match self.table {
-            Table::Operator => follow.wait_config,
-            Table::Engines => follow.wait,
+    /// How long an answer to a call for changes is waited for.
+    fn patience(&self) -> Patience {
+        let patience = |follow: Follow| match self.table {
+            Table::Operator => follow.operator,
+            Table::Engines => follow.engines,
         };
-        self.wanted.borrow().map_or(Duration::ZERO, wait)
+        self.wanted.borrow().map_or(Patience::default(), patience)
     }
 
     /// Tells the node what a page holds that the store was asked for then. Returns whether a configuration came that had
--- a/daemon/src/entry/settings.rs
+++ b/daemon/src/entry/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use boragecove_core::name::Name;
+use boragecove_fleet::bound::Bound;
 use boragecove_fleet::settings as fleet;
 use boragecove_wire::jsonc::{self, Node, Problems};
 
@@ -25,6 +26,8 @@
 const HUB_CORES: f64 = 0.25;
 /// Mbit/s that a hub's link should have: those answers are 3 KB each.
 const HUB_LINK_MBPS: f64 = 50.0;
+/// The shortest bound on changes that can be kept where an answer is lost.
+const CHANGES_LEAST: Duration = Duration::from_secs(1);
 /// Time of the platform's grace that is left for the end itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 
@@ -120,6 +123,9 @@
     if let Some(node) = object.optional("repeats") {
         repeats(&node, &mut settings.fleet);
     }
+    if let Some(node) = object.optional("changes") {
+        changes(&node, &mut settings.fleet);
+    }
     if let Some(node) = object.optional("orders") {
         orders(&node, &mut settings.fleet);
     }
@@ -141,6 +147,21 @@
     settings
 }
 
+/// How soon changes are in force everywhere.
+fn changes(node: &Node<'_>, fleet: &mut fleet::Settings) {
+    let mut object = node.object();
+    let bound = |node: Node<'_>| {
+        let bound = node.duration()?;
+        if bound < CHANGES_LEAST {
+            node.refuse("is too short: a call of the store, and one that is lost, take a second");
+            return None;
+        }
+        Some(Bound(bound))
+    };
+    set(&mut fleet.departure, object.optional("departures-within").and_then(bound));
+    set(&mut fleet.config, object.optional("config-within").and_then(bound));
+}
+
 /// Keys of callers.
 fn keys(node: &Node<'_>, fleet: &mut fleet::Settings) {
     let mut object = node.object();
--- a/daemon/tests/deploy_template.rs
+++ b/daemon/tests/deploy_template.rs
@@ -7,7 +7,7 @@
 const TEMPLATE: &str = include_str!("../../deploy/entry.jsonc");
 
 /// What the platform knows of a machine, by the placeholders that the template uses.
-const VALUES: [(&str, &str); 23] = [
+const VALUES: [(&str, &str); 25] = [
     ("{{node_name|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"zone-a\""),
     ("{{listen.front_addr|json}}", "\"10.1.0.38:8149\""),
@@ -18,6 +18,8 @@
     ("{{limits.cpu_share}}", "0.12"),
     ("{{limits.link_mbps}}", "10.0"),
     ("{{bounds.grace_s}}", "8"),
+    ("{{bounds.drain_ms}}", "3000"),
+    ("{{bounds.config_apply_ms}}", "4000"),
     ("{{bounds.retry_budget_ratio}}", "0.2"),
     ("{{bounds.retry_budget_slack}}", "52"),
     ("{{bounds.budget_window_s}}", "10"),
@@ -82,6 +84,8 @@
     assert!(settings.fleet.weak, "a machine of 0.12 cores is no hub if there is a larger one");
     assert!(settings.stop_within() < settings.grace);
     assert!((settings.fleet.repeat_slack - 52.0).abs() < f64::EPSILON);
+    assert_eq!(settings.fleet.departure.0, Duration::from_secs(3));
+    assert_eq!(settings.fleet.config.0, Duration::from_secs(4));
     assert_eq!(settings.fleet.order_gap, Duration::from_secs(3));
     assert!((settings.fleet.cold_overage - 1.5).abs() < f64::EPSILON);
     assert!((settings.fleet.cold_slack - 5.0).abs() < f64::EPSILON);
@@ -97,6 +101,14 @@
     assert_eq!(read(&without_sections()), None, "nothing is to be proved");
 }
 
+/// A bound on changes that nobody could keep is refused with its reason.
+#[test]
+fn bounds_too_short() {
+    let text = filled().replace("\"3000ms\"", "\"200ms\"");
+    let problems = settings::read("entry.jsonc", &text).expect_err("too short").to_string();
+    assert!(problems.contains("changes.departures-within") && problems.contains("too short"), "{problems}");
+}
+
 #[test]
 fn every_error_at_once() {
     let text =
--- a/daemon/tests/late_departures.rs
+++ b/daemon/tests/late_departures.rs
@@ -11,7 +11,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use serving::{Entry, LIMIT, call, streamed};
+use serving::{Entry, LIMIT, call, plain, streamed};
 use standin::{Engine, Store, config};
 
 /// How long after the store took its word an engine that leaves may still be sent requests, by the users' rule.
@@ -104,6 +104,29 @@
     }
 }
 
+/// The same for the operator's table: a route that the newest configuration lacks is served for as long.
+#[test]
+fn lost_config() {
+    for round in 0..3_u64 {
+        let (store, _engines) = platform();
+        let _gateway = Engine::start(&store, "i-3", "gateway", &[]);
+        let entry = Entry::start(&format!("config-{round}"), &store);
+        wait_for_lease(&entry);
+        thread::sleep(Duration::from_millis(500 + 230 * round));
+        store.lose_answer("op");
+        let mut newer = config(2);
+        newer["routes"].as_array_mut().expect("routes").retain(|route| route["name"] != "ack");
+        store.put("op", "config", &newer);
+        let since = Instant::now();
+        while !call(entry.callers, &plain("/ack/1", "c1")).starts_with("HTTP/1.1 404") {
+            assert!(since.elapsed() < BOUND, "round {round}: not in force {:?} later", since.elapsed());
+            thread::sleep(EVERY);
+        }
+        assert!(store.has_lost(), "nobody had asked");
+        println!("round {round}: in force {:?} later", since.elapsed());
+    }
+}
+
 /// Lets a process stand still for a while in which an engine leaves and callers ask. Returns how many of them reached that engine, how many the
 /// other one, and what the rest were answered.
 fn stand_still(name: &str, followers: usize, time: Duration, round: usize) -> (usize, usize, Vec<String>) {
--- a/fleet/src/bound.rs
+++ b/fleet/src/bound.rs
@@ -10,6 +10,24 @@
 pub struct Bound(pub Duration);
 
 impl Bound {
+    /// How long the store may hold a call for changes until it answers that there are none.
+    #[must_use]
+    pub fn wait(self) -> Duration {
+        self.0 / 4
+    }
+
+    /// How much later that answer may begin before the call is made anew on another connection: this one may deliver nothing more.
+    #[must_use]
+    pub fn overdue(self) -> Duration {
+        self.0 / 10
+    }
+
+    /// The longest pause between two calls for changes of those that nobody tells, and after a call that failed.
+    #[must_use]
+    pub fn pause(self) -> Duration {
+        self.0 / 5
+    }
+
     /// How late a process may wake before what it knows is in doubt: it stood still, and was told nothing meanwhile.
     #[must_use]
     pub fn standstill(self) -> Duration {
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -103,6 +103,15 @@
     Exit,
 }
 
+/// How long an answer to a call for changes is waited for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Patience {
+    /// How long the store may hold the call until it answers that there are none.
+    pub wait: Duration,
+    /// How much later its answer may begin before the call is made anew.
+    pub overdue: Duration,
+}
+
 /// How the store's tables are followed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Follow {
@@ -114,10 +123,12 @@
     pub config: u64,
     /// A table that is known from before the store came back from an older copy is read whole after a part of this time: others may do so too.
     pub spread: Duration,
-    /// How long the store may wait with its answer for changes of the engines' table,
-    pub wait: Duration,
-    /// and for changes of the operator's.
-    pub wait_config: Duration,
+    /// How changes of the engines' table are waited for,
+    pub engines: Patience,
+    /// and those of the operator's.
+    pub operator: Patience,
+    /// The longest pause after a call that failed.
+    pub retry_max: Duration,
     /// Time until the first call,
     pub delay: Duration,
     /// and from one that failed to the next, at least.
--- a/fleet/src/frame/follow.rs
+++ b/fleet/src/frame/follow.rs
@@ -5,19 +5,16 @@
 use boragecove_core::time::Time;
 
 use super::{knows, many, version};
-use crate::effect::{Effect, Follow};
+use crate::bound::Bound;
+use crate::effect::{Effect, Follow, Patience};
 use crate::proof;
+use crate::settings::Settings;
 use crate::state::State;
 
-/// How long the store may wait with its answer for changes: short, since a connection may go silent for good.
-const CHANGES_WAIT: Duration = Duration::from_millis(2_100);
-/// The longest pause of the hub between calls for changes: what the operator says is to be in force everywhere within
-/// two seconds, and goes from the hub to all others.
+/// The longest pause of the hub between calls for changes, which go from the hub to all others.
 const HUB_PAUSE_MAX: Duration = Duration::from_millis(150);
-/// The longest pause of others, who need no word of the hub: well under those two seconds.
+/// The longest pause of others, who need no word of the hub, whatever operators allow.
 const ALONE_PAUSE_MAX: Duration = Duration::from_millis(800);
-/// How long an answer of the store counts of one that reads it for the others: changes come at once until it has to ask again.
-pub(super) const READ_LASTS: Duration = CHANGES_WAIT.saturating_add(ALONE_PAUSE_MAX);
 /// Calls a second for each table that entry VMs make together which need not read the store for others and are not told by the hub.
 const ALONE_CALLS_PER_S: f64 = 100.0;
 /// Engines up to which a process that starts waits no longer: a link of 10 Mbit/s carries their rows in a fifth of a second.
@@ -34,10 +31,12 @@
     let follows = pause(state, now);
     if follows != state.follows {
         state.follows = follows;
-        let (wait, wait_config) = (CHANGES_WAIT, proof::patience(&state.settings, CHANGES_WAIT));
+        let Settings { departure, config, .. } = state.settings;
+        let config_wait = proof::patience(&state.settings, config.wait());
+        let longest = alone_pause_max(&state.settings);
         let leads = state.lease.holds(now).is_some();
         let readers = if leads { 0 } else { state.hub.nodes };
-        let rare = follows.is_some_and(|pause| pause > ALONE_PAUSE_MAX);
+        let rare = follows.is_some_and(|pause| pause > longest);
         let drawn = if rare { state.rng.f64() } else { 0.0 };
         let how = |pause: Duration| Follow {
             delay: pause.mul_f64(drawn),
@@ -46,14 +45,31 @@
             declared: state.declared,
             config: version(state),
             spread: Duration::from_secs_f64(f64::from(readers) / WHOLE_READS_PER_S),
-            wait,
-            wait_config,
+            engines: Patience { wait: departure.wait(), overdue: departure.overdue() },
+            operator: Patience { wait: config_wait, overdue: config.overdue() },
+            retry_max: strictest(&state.settings).pause(),
             pause,
         };
         out.push(Effect::Follow(follows.map(how)));
     }
 }
 
+/// How long an answer of the store counts of one that reads it for the others: changes come at once until it has to ask again.
+pub(super) fn read_lasts(settings: &Settings) -> Duration {
+    let bound = strictest(settings);
+    bound.wait() + bound.overdue() + alone_pause_max(settings)
+}
+
+/// The longest pause between calls of those that need no word of the hub.
+fn alone_pause_max(settings: &Settings) -> Duration {
+    strictest(settings).pause().min(ALONE_PAUSE_MAX)
+}
+
+/// The bound that is the shorter one: both tables are followed with the same pauses.
+fn strictest(settings: &Settings) -> Bound {
+    Bound(settings.departure.0.min(settings.config.0))
+}
+
 /// The pause between calls for the store's changes, if this process is to make any. More engines change more often
 /// and more entry VMs ask, so that both pauses grow with their number.
 fn pause(state: &State, now: Time) -> Option<Duration> {
@@ -67,7 +83,7 @@
         && state.hub.speaks_for_store(now, settings)
         && !(state.needs_keys() && proof::is_doubtful(state, now));
     let asking = !known && now.since(state.started) < start_wait(state);
-    let pause = settings.follow_alone.mul_f64(many(state)).min(ALONE_PAUSE_MAX);
+    let pause = settings.follow_alone.mul_f64(many(state)).min(alone_pause_max(settings));
     // Whoever knows enough to serve leaves it to those that read for all.
     let needs = !known || state.hub.reads || (state.needs_keys() && proof::is_doubtful(state, now));
     let rare = Duration::from_secs_f64(f64::from(state.hub.nodes) / ALONE_CALLS_PER_S);
--- a/fleet/src/frame/reading.rs
+++ b/fleet/src/frame/reading.rs
@@ -8,7 +8,7 @@
 
 use boragecove_core::time::Time;
 
-use super::follow::READ_LASTS;
+use super::follow::read_lasts;
 use super::message::{Frame, Reading};
 use super::{send, version};
 use crate::departure::{self, Road};
@@ -59,7 +59,8 @@
 
 /// As the hub, how old its word is by those that read the store: what they hear from it counts until they have to ask again.
 pub(super) fn age(state: &State, now: Time) -> Option<Duration> {
-    state.hub.read_at.map(|at| now.since(at).saturating_sub(READ_LASTS))
+    let lasts = read_lasts(&state.settings);
+    state.hub.read_at.map(|at| now.since(at).saturating_sub(lasts))
 }
 
 /// This process has read something new: a hub that may not have is told at once.
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -27,6 +27,8 @@
     pub order_gap: Duration,
     /// Time after which an engine that has said that it leaves may be sent nothing more (the platform's bound).
     pub departure: Bound,
+    /// Time after which a configuration that was accepted is in force everywhere (the platform's bound).
+    pub config: Bound,
     /// How long a lease lasts without renewal.
     pub lease_length: Duration,
     /// How much longer others wait before they take it, and before they give orders: clocks run at rates
@@ -210,6 +212,7 @@
             load_extra: 1.5,
             order_gap: Duration::from_secs(3),
             departure: Bound(Duration::from_secs(2)),
+            config: Bound(Duration::from_secs(2)),
             lease_length: Duration::from_millis(1_600),
             lease_margin: Duration::from_millis(200),
             lease_renew: Duration::from_millis(400),
--- a/fleet/tests/caller_keys.rs
+++ b/fleet/tests/caller_keys.rs
@@ -391,7 +391,7 @@
     let mut node = proven();
     let effects = node.pass(Duration::from_secs(2));
     let wait = effects.iter().find_map(|effect| match effect {
-        Effect::Follow(Some(follow)) => Some(follow.wait_config),
+        Effect::Follow(Some(follow)) => Some(follow.operator.wait),
         _ => None,
     });
     assert!(wait.is_some_and(|wait| wait * 4 < BOUND), "{wait:?}");
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -204,7 +204,7 @@
                 // There are two tables.
                 self.calls += 2;
                 if in_touch {
-                    self.vms[at].held_until = Some(self.now + follow.wait);
+                    self.vms[at].held_until = Some(self.now + follow.engines.wait);
                 } else {
                     self.vms[at].asks_at = self.now + follow.failed.max(FAILED_PAUSE);
                     self.feed(at, Event::StoreUp(false));
