Ask for a newer word after a standstill before anything is sent

Cause: what is known has an age that nobody looked at where a request is sent. Class: a decision by a belief whose age is not part of it.

What was to be sent later is looked at again. A word counts if it was asked for after the standstill. Where nobody answers within a fifth of the bound, as in a zone that is cut off, it goes on by what it knows. Without a standstill nothing waits.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -215,16 +215,12 @@
             ended = whole => Some(ended),
             () = stalled(&moved, until, stall) => None,
         };
-        match ended {
-            Some(ended) => {
-                ended.map(|(status, headers, took)| Received { status, headers, body: body.freeze(), took })
-            }
-            None => {
-                // Connections to there may have gone silent together.
-                self.forget(address);
-                Err(Error::Cut { bytes: body.len() })
-            }
-        }
+        let Some(ended) = ended else {
+            // Connections to there may have gone silent together.
+            self.forget(address);
+            return Err(Error::Cut { bytes: body.len() });
+        };
+        ended.map(|(status, headers, took)| Received { status, headers, body: body.freeze(), took })
     }
 
     /// Closes idle connections to an address: the next request there opens a new one.
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -9,7 +9,7 @@
 use actix::Addr;
 use boragecove_core::time::Time;
 use boragecove_fleet::effect::{Follow, Patience};
-use boragecove_fleet::event::Event;
+use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::revision::Revision;
 use boragecove_platform::error::Unreadable;
 use boragecove_platform::store::{self, Page, Table};
@@ -78,6 +78,35 @@
     unreadable: Cell<u64>,
 }
 
+/// One question for what has changed in the engines' table, beside whoever follows it.
+#[derive(Debug)]
+pub(crate) struct Refresh {
+    pub(crate) store: SocketAddr,
+    pub(crate) clock: Clock,
+    /// Up to which version it is known.
+    pub(crate) after: Revision,
+    /// How long an answer is waited for.
+    pub(crate) limit: Duration,
+}
+
+impl Refresh {
+    /// Asks on a new connection: the others may have gone silent. Returns what the store says.
+    pub(crate) async fn run(self, client: Rc<Client>, node: Addr<Node>) -> Event {
+        let (since, asked) = (Instant::now(), self.clock.now());
+        client.forget(self.store);
+        let request = store_request(Table::Engines.follow(self.after.version, Duration::ZERO));
+        let called = client.transfer(self.store, request, PAGE_MAX, self.limit, self.limit).await;
+        node.do_send(Transferred(Transfer::of(Kind::Engines, since, &called)));
+        let page = called.ok().filter(|received| received.status.is_success()).and_then(|received| {
+            let era = store::era(&received.headers).unwrap_or_default();
+            store::page(era, &received.body).ok()
+        });
+        // Whoever follows the table reads it whole if it is another copy's.
+        let page = page.filter(|page| page.version.era == self.after.era);
+        page.map_or(Event::Unread, |page| Event::Listed(listing(&page, asked, false)))
+    }
+}
+
 /// Follows all tables that the reducer goes by.
 pub(crate) fn start(
     settings: &Settings,
@@ -105,6 +134,15 @@
     }
 }
 
+/// What a page of the engines' table says that the store was asked for then. Entries that cannot be read are logged and left out.
+fn listing(page: &Page, asked: Time, whole: bool) -> Listing {
+    let (listing, errors) = page.engines(asked, whole);
+    for error in errors {
+        tracing::warn!(%error, "an engine's entry");
+    }
+    listing
+}
+
 impl Follower {
     async fn run(mut self) {
         let mut pause = PAUSE_MIN;
@@ -242,11 +280,7 @@
                 self.node.do_send(Feed(Event::Declared { version, config, asked }));
             }
             Table::Engines => {
-                let (listing, errors) = page.engines(asked, whole);
-                for error in errors {
-                    tracing::warn!(%error, "an engine's entry");
-                }
-                self.node.do_send(Feed(Event::Listed(listing)));
+                self.node.do_send(Feed(Event::Listed(listing(page, asked, whole))));
             }
         }
         Ok(new)
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -217,6 +217,11 @@
             Effect::Follow(how) => {
                 self.follow.send_replace(how);
             }
+            Effect::Refresh { after, limit } => {
+                let (client, store) = (Rc::clone(&self.client), self.settings.store);
+                let refresh = follow::Refresh { store, clock: self.clock, after, limit };
+                later(ctx, refresh.run(client, ctx.address()));
+            }
             Effect::Limit(limits) => {
                 self.limits.send_replace(limits);
             }
--- a/daemon/tests/late_departures.rs
+++ b/daemon/tests/late_departures.rs
@@ -96,7 +96,9 @@
         let since = leave(&store, &leaving);
         thread::sleep(BOUND + Duration::from_millis(1_500));
         stop.store(true, Ordering::Relaxed);
-        callers.into_iter().for_each(|caller| caller.join().expect("ends"));
+        for caller in callers {
+            caller.join().expect("ends");
+        }
         assert!(store.has_lost(), "nobody had asked");
         let late = last_reached(&leaving, since);
         println!("round {round}: last reached {late:?} after its row");
--- a/fleet/src/bound.rs
+++ b/fleet/src/bound.rs
@@ -28,6 +28,12 @@
         self.0 / 5
     }
 
+    /// How old the word of others on the store may be, where all goes well and one answer is overdue.
+    #[must_use]
+    pub fn word(self) -> Duration {
+        self.wait() + self.overdue() + self.pause()
+    }
+
     /// How late a process may wake before what it knows is in doubt: it stood still, and was told nothing meanwhile.
     #[must_use]
     pub fn standstill(self) -> Duration {
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -91,6 +91,14 @@
     Record(Record),
     /// Follow the store's tables like this, or leave that to the hub.
     Follow(Option<Follow>),
+    /// Ask the store at once, on a new connection, what has changed in the engines' table; the answer comes back as
+    /// [`crate::event::Event::Listed`], or as [`crate::event::Event::Unread`].
+    Refresh {
+        /// Up to which version the table is known.
+        after: Revision,
+        /// How long an answer is waited for.
+        limit: Duration,
+    },
     /// Hold callers to these limits from now on.
     Limit(Limits),
     /// Take the entry VM in or out of the balancer's rotation.
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -3,6 +3,7 @@
 mod row;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
@@ -16,7 +17,7 @@
 use crate::event::Listing;
 use crate::flow;
 use crate::frame;
-use crate::freshness;
+use crate::freshness::{self, Word};
 use crate::proof;
 use crate::push;
 use crate::quota;
@@ -141,7 +142,8 @@
     state.era.listed(listing.version.version);
     if let Some(asked) = listing.asked {
         if road == Road::Table {
-            freshness::renew(state, asked);
+            let word = Word { asked, age: Duration::ZERO, source: "store" };
+            freshness::renew(state, now, word, out);
         }
         confirmed(state, now, asked, out);
     }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -38,6 +38,8 @@
     Evacuations(evacuation::Listing),
     /// The engines' table, or what changed in it, was read.
     Listed(Listing),
+    /// The store did not say what has changed in the engines' table ([`crate::effect::Effect::Refresh`]).
+    Unread,
     /// An answer of the store, whatever it was to, named this era.
     Era(u64),
     /// The store could not be reached, or can be again.
@@ -148,6 +150,7 @@
             Self::Declared { .. } => "declared",
             Self::Evacuations(_) => "evacuations",
             Self::Listed(_) => "listed",
+            Self::Unread => "unread",
             Self::Era(_) => "era",
             Self::StoreUp(_) => "store_up",
             Self::Arrive { .. } => "arrive",
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -148,6 +148,13 @@
     let Some(flow) = state.flows.get(&id) else {
         return;
     };
+    if state.freshness.in_doubt() {
+        // One that waits is looked at again anyhow.
+        if fresh {
+            state.freshness.hold(id);
+        }
+        return;
+    }
     let (service, prompt, avoid) = (flow.service.clone(), flow.prompt.clone(), flow.avoid.clone());
     let homes = homes::of(state, flow);
     let query = Query {
@@ -235,11 +242,29 @@
     }
 }
 
+/// Looks for engines for requests that were held back, and have not ended meanwhile.
+pub(crate) fn release(state: &mut State, now: Time, held: &[Id], out: &mut Vec<Effect>) {
+    for id in held {
+        let flow = state.flows.get(id);
+        if flow.is_some_and(|flow| matches!(flow.stage, Stage::Waiting)) && !state.waiting.contains(id) {
+            dispatch(state, now, *id, true, out);
+        }
+    }
+}
+
 /// Finds other engines for the requests that have a place in an engine's schedule and have not gone out yet: the engine is
 /// to get nothing more.
 pub(crate) fn withdraw(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
-    let due =
-        |stage: &Stage| matches!(stage, Stage::Sent { engine: of, at, .. } if of == engine && *at > now);
+    withdraw_from(state, now, |of| of == engine, out);
+}
+
+/// The same for all engines.
+pub(crate) fn withdraw_all(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    withdraw_from(state, now, |_any| true, out);
+}
+
+fn withdraw_from(state: &mut State, now: Time, from: impl Fn(&Name) -> bool, out: &mut Vec<Effect>) {
+    let due = |stage: &Stage| matches!(stage, Stage::Sent { engine, at, .. } if from(engine) && *at > now);
     let mut due: Vec<Id> =
         state.flows.iter().filter(|(_, flow)| due(&flow.stage)).map(|(id, _)| *id).collect();
     due.sort_unstable();
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -135,10 +135,12 @@
         return;
     }
     match grant {
-        Grant::After(wait) if !unaware && is_open(state, now, id, &pick.engine) => {
+        Grant::After(wait)
+            if !unaware && !state.freshness.in_doubt() && is_open(state, now, id, &pick.engine) =>
+        {
             send(state, now, id, &pick, wait, out);
         }
-        // It went, was suspected, or named a limit meanwhile.
+        // It went, was suspected, or named a limit meanwhile, or may have.
         Grant::After(_) => {
             leave(state, id);
             dispatch(state, now, id, true, out);
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -16,7 +16,7 @@
 use crate::evacuation;
 use crate::event::Listing;
 use crate::flow;
-use crate::freshness;
+use crate::freshness::{self, Word};
 use crate::intake;
 use crate::pack;
 use crate::proof;
@@ -105,6 +105,7 @@
     {
         learn(state, reply.view, residencies);
     }
+    freshness::replied(state, now, sent, out);
     follow(state, now, out);
     let waited = state.waiting.len();
     flow::stir(state, now, out);
@@ -148,7 +149,7 @@
         }
     }
     if let Some((sent, age)) = sent.zip(reply.listed_age) {
-        freshness::renew(state, sent - age);
+        freshness::renew(state, now, Word { asked: sent, age, source: "leader" }, out);
     }
     if by_name {
         loads::take_named(state, std::mem::take(&mut reply.loads));
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -303,6 +303,17 @@
         /// Whether it held the lease, as far as it knows.
         led: bool,
     },
+    /// What is known of the engines' table is gone by again after a standstill.
+    Refreshed {
+        /// Whose word came; `nobody` where none did.
+        source: &'static str,
+        /// Time since the process went on.
+        after_ms: u64,
+        /// Age of what is known of the engines' table; none before that is known.
+        listed_age_ms: Option<u64>,
+        /// Requests that waited for it.
+        held: usize,
+    },
     /// Lines that were not written in the last second, since there were too many.
     LeftOut {
         /// On what.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -88,6 +88,7 @@
         Event::Evacuations(listing) => evacuation::listed(state, now, listing, out),
         Event::Era(era) => era::heard(state, now, era, out),
         Event::Listed(listing) => entries::listed(state, now, listing, Road::Table, out),
+        Event::Unread => freshness::unread(state, now, out),
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
         Event::Gone(request) => flow::gone(state, now, request),
@@ -142,6 +143,8 @@
         Timer::Plan => plan::due(state, now, out),
         Timer::Check(engine) => ledger::check(state, now, &engine, out),
         Timer::Greet => frame::send(state, now, out),
+        Timer::Refresh(since) => freshness::refresh(state, since, out),
+        Timer::Doubt(since) => freshness::give_up(state, now, since, out),
         Timer::Push => push::due(state, now, out),
         Timer::Grace => state.graced = true,
     }
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -1,6 +1,7 @@
 //! What the reducer wants to be woken for.
 
 use boragecove_core::name::Name;
+use boragecove_core::time::Time;
 
 use crate::request::Id;
 
@@ -25,6 +26,10 @@
     Lease,
     /// A hub that has just said that it is one is to be told.
     Greet,
+    /// The leader's word on the engines' table has been waited for since a standstill that ended then, and the store is to be asked.
+    Refresh(Time),
+    /// Anybody's has been.
+    Doubt(Time),
     /// A process that knows nothing yet is to look who holds the lease.
     Look,
     /// Holders of shares of a limit are to be asked once more for a request.
--- a/fleet/tests/stood_still.rs
+++ b/fleet/tests/stood_still.rs
@@ -3,8 +3,14 @@
 mod node;
 
 use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::Entry;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::Frame;
+use boragecove_fleet::lease;
 use boragecove_fleet::record::Record;
-use node::{Node, listed, millis};
+use boragecove_fleet::request::{Attempt, End, Step};
+use boragecove_fleet::settings::Settings;
+use node::{GATEWAY, Node, brief, entry, exchange, hub_row, listed, millis, plain, row, step_of};
 
 /// The lines on it among what is wanted: for how long it stood still, and how old its word of the engines' table was.
 fn noted(effects: &[Effect]) -> Vec<(u64, Option<u64>)> {
@@ -32,3 +38,186 @@
     assert_eq!(listed_age_ms, Some(3_510));
     assert_eq!(node.state.standstills(), 1);
 }
+
+/// How long the process stands still: less than its lease lasts, and longer than what it knows may be gone by.
+const STOOD: u64 = 1_500;
+
+/// Engines with the word of one that it leaves.
+fn leaving(version: u64) -> Vec<boragecove_fleet::engine::Row> {
+    vec![row(version, Entry { leaving: true, ..entry("g1", GATEWAY, "zone-a", &[]) })]
+}
+
+/// A process that leads, and has read the table just before it stands still.
+fn leader() -> Node {
+    let mut node = Node::ready("vm-1");
+    node.lead();
+    node.feed(listed(node.now, Vec::new(), 4, false));
+    node.now = node.now + millis(STOOD);
+    node
+}
+
+/// A process that follows another's lead, which has answered its frames until it stood still.
+fn follower() -> (Node, Node) {
+    let (mut hub, mut node) = (Node::ready("hub"), Node::ready("vm-1"));
+    hub.lead();
+    node.pass(millis(10));
+    node.lease(0, lease::Outcome::Read(Some(hub_row())));
+    hub.feed(listed(hub.now, Vec::new(), 4, false));
+    exchange(&mut hub, &mut node);
+    hub.now = node.now;
+    node.now = node.now + millis(STOOD);
+    hub.pass(millis(STOOD));
+    (hub, node)
+}
+
+fn refreshes(effects: &[Effect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, Effect::Refresh { .. })).count()
+}
+
+fn frames(effects: &[Effect]) -> Vec<Frame> {
+    let frame = |effect: &Effect| match effect {
+        Effect::Frame { frame, .. } => Some((**frame).clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(frame).collect()
+}
+
+/// The hub answers a frame, which the process takes over.
+fn answer(hub: &mut Node, node: &mut Node, frame: &Frame) -> Vec<Effect> {
+    hub.now = node.now;
+    hub.feed(Event::Framed(Box::new(frame.clone())));
+    let reply = boragecove_fleet::reply(&mut hub.state, hub.now, frame);
+    node.feed(Event::Replied(Some(Box::new(reply)))).to_vec()
+}
+
+fn engine_of(step: Option<Step>) -> Option<String> {
+    match step {
+        Some(Step::Send(attempt)) => Some(attempt.engine.to_string()),
+        _ => None,
+    }
+}
+
+/// Guards against requests that a leader finds at its sockets after it stood still, and sends by what it knew before.
+#[test]
+fn leader_asks_the_store() {
+    let mut node = leader();
+    let request = node.arrive(plain("/list/1"));
+    assert_eq!(node.step(request), None, "it waits for the store's word");
+    assert_eq!(refreshes(&node.effects), 1);
+    node.now = node.now + millis(5);
+    let late = listed(node.now - millis(500), Vec::new(), 4, false);
+    node.feed(late);
+    assert_eq!(node.step(request), None, "that was asked for before it went on");
+    node.feed(listed(node.now, leaving(5), 5, false));
+    assert_eq!(engine_of(node.step(request)).as_deref(), Some("g2"));
+}
+
+/// Where the store says nothing, callers wait for a part of the bound, and are served by what is known.
+#[test]
+fn silent_store() {
+    let mut node = leader();
+    let request = node.arrive(plain("/list/1"));
+    let bound = Settings::default().departure;
+    let before = node.pass(bound.pause().saturating_sub(millis(20)));
+    assert_eq!(step_of(&before, request), None);
+    let after = node.pass(millis(30));
+    assert!(matches!(step_of(&after, request), Some(Step::Send(_))), "it is served all the same");
+    // The next one waits no longer, as in a zone that is cut off.
+    node.sent(plain("/list/1"));
+}
+
+/// The store refuses at once: nobody waits for it.
+#[test]
+fn refusing_store() {
+    let mut node = leader();
+    let request = node.arrive(plain("/list/1"));
+    node.feed(Event::Unread);
+    assert!(matches!(node.step(request), Some(Step::Send(_))));
+}
+
+/// The same for an entry VM that follows another's lead: its frame is answered, and the store is left alone.
+#[test]
+fn follower_asks_the_leader() {
+    let (mut hub, mut node) = follower();
+    hub.feed(listed(hub.now, leaving(5), 5, false));
+    let request = node.arrive(plain("/list/1"));
+    assert_eq!((node.step(request), refreshes(&node.effects)), (None, 0));
+    let frame = frames(&node.effects).pop().expect("a frame at once");
+    node.now = node.now + millis(5);
+    answer(&mut hub, &mut node, &frame);
+    assert_eq!(engine_of(node.step(request)).as_deref(), Some("g2"));
+}
+
+/// A leader that has stood still as well knows no more: the store is asked after a moment.
+#[test]
+fn leader_stood_still_too() {
+    let (mut hub, mut node) = follower();
+    let request = node.arrive(plain("/list/1"));
+    let frame = frames(&node.effects).pop().expect("a frame at once");
+    node.now = node.now + millis(5);
+    answer(&mut hub, &mut node, &frame);
+    assert_eq!(node.step(request), None, "its word is as old");
+    assert_eq!(refreshes(&node.pass(millis(100))), 1);
+    node.feed(listed(node.now, leaving(5), 5, false));
+    assert_eq!(engine_of(node.step(request)).as_deref(), Some("g2"));
+}
+
+/// An answer to a frame from before the standstill says nothing of the time since.
+#[test]
+fn answered_before() {
+    let (mut hub, mut node) = follower();
+    node.now = node.now - millis(STOOD);
+    let frame = frames(&node.pass(millis(200))).pop().expect("a frame");
+    hub.now = node.now;
+    hub.feed(Event::Framed(Box::new(frame.clone())));
+    let reply = boragecove_fleet::reply(&mut hub.state, hub.now, &frame);
+    node.now = node.now + millis(STOOD);
+    hub.pass(millis(STOOD));
+    hub.feed(listed(hub.now, leaving(5), 5, false));
+    let request = node.arrive(plain("/list/1"));
+    node.feed(Event::Replied(Some(Box::new(reply))));
+    assert_eq!(node.step(request), None, "it was given before the engine left");
+    let frame = frames(&node.effects).pop().expect("another at once");
+    answer(&mut hub, &mut node, &frame);
+    assert_eq!(engine_of(node.step(request)).as_deref(), Some("g2"));
+}
+
+/// A place in a schedule that is still to come is given up: the engine may have left meanwhile.
+#[test]
+fn scheduled_before() {
+    let mut node = Node::ready("vm-1");
+    node.lead();
+    node.feed(listed(node.now - millis(700), Vec::new(), 4, false));
+    let stood = millis(800);
+    let later = |node: &Node, attempt: &Attempt| attempt.at > node.now + stood + millis(10);
+    let mut waits = Vec::new();
+    for _ in 0..60 {
+        let mut long = brief("m1");
+        long.prompt.as_mut().expect("a prompt").tokens = 4_000;
+        let id = node.arrive(long);
+        if let Some(Step::Send(attempt)) = node.step(id)
+            && later(&node, &attempt)
+        {
+            waits.push(id);
+        }
+    }
+    assert!(!waits.is_empty(), "prompts are spaced");
+    node.now = node.now + stood;
+    let effects = node.pass(millis(10));
+    for id in &waits {
+        assert_eq!(step_of(&effects, *id), Some(Step::Wait), "{id}");
+    }
+}
+
+/// A process that wakes a little late, as one that is busy does, holds nobody up.
+#[test]
+fn busy_process() {
+    let mut node = Node::ready("vm-1");
+    node.lead();
+    for _ in 0..20 {
+        node.feed(listed(node.now, Vec::new(), 4, false));
+        node.now = node.now + Settings::default().departure.standstill();
+        let (request, _) = node.sent(plain("/list/1"));
+        node.ended(request, 1, End::Done);
+    }
+}
