Write no request later than a part of the bound after its time, also on a connection that was opened for it

Cause: whether an attempt may still be sent was checked before the connection was opened, and only for keys and for places at engines in need. Class: a check that is not made where the deed is done.

Now each attempt says until when it may be written, and the client checks it before it opens a connection and once more before the first byte. A connection that was opened in vain is kept for the next attempt, which is free of charge: nothing was sent. A keyed request that ran out of time this way is not refused for want of a proof any more, where there is one.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -19,6 +19,7 @@
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
+use boragecove_core::time::Time;
 use boragecove_fleet::engine::Reach;
 use bytes::{Bytes, BytesMut};
 use rustc_hash::FxHashMap;
@@ -26,6 +27,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::clock::Clock;
 use connection::{Connection, stalled};
 pub use response::Response;
 use response::read_head;
@@ -33,6 +35,9 @@
 /// Idle connections kept to one address.
 const IDLE_MAX: usize = 32;
 
+/// How long a connection is kept on which nothing was sent.
+const UNUSED_KEPT: Duration = Duration::from_secs(1);
+
 /// A request to be sent.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -46,9 +51,27 @@
     pub body: Bytes,
 }
 
+/// Until when a request may be written. The machine may be suspended, or its connection take long to open, after it was decided.
+#[derive(Clone, Copy, Debug)]
+pub struct Expiry {
+    /// The process's time, which counts suspensions.
+    pub clock: Clock,
+    /// The first moment at which it may not be.
+    pub at: Time,
+}
+
+impl Expiry {
+    fn is_over(self) -> bool {
+        self.clock.now() >= self.at
+    }
+}
+
 /// Why no answer came.
 #[derive(Debug, Error)]
 pub enum Error {
+    /// It was too late to write the request: no byte of it was sent.
+    #[error("too late to write it")]
+    Expired,
     /// No byte of the request was sent.
     #[error("nothing was sent: {0}")]
     Unsent(io::Error),
@@ -146,18 +169,39 @@
         self.opened.get()
     }
 
-    /// Sends a request and waits for the head of its answer until `until`.
+    /// Sends a request, unless its time to be written is over, and waits for the head of its answer until `until`.
     ///
     /// # Errors
     ///
-    /// If none came.
+    /// If none came, or it was too late to write it.
     pub async fn send(
         self: &Rc<Self>,
         address: SocketAddr,
         request: Request,
         until: Instant,
+        expiry: Expiry,
+    ) -> Result<Response, Error> {
+        if expiry.is_over() {
+            return Err(Error::Expired);
+        }
+        let connection = self.connection(address, until).await?;
+        // It may have taken long to open.
+        if expiry.is_over() {
+            self.keep(address, connection, UNUSED_KEPT);
+            return Err(Error::Expired);
+        }
+        self.exchange(connection, address, request, until).await
+    }
+
+    /// Sends a request on a connection and waits for the head of its answer until `until`.
+    async fn exchange(
+        self: &Rc<Self>,
+        connection: Connection,
+        address: SocketAddr,
+        request: Request,
+        until: Instant,
     ) -> Result<Response, Error> {
-        let (mut connection, codec) = self.begin(address, request, until).await?;
+        let (mut connection, codec) = begin(connection, address, request)?;
         let waited = timeout_at(until, read_head(&mut connection, codec)).await;
         let (head, body, keep) = waited.map_err(|_elapsed| Error::Late)??;
         Ok(Response { client: Rc::clone(self), address, head, connection: Some(connection), body, keep })
@@ -175,7 +219,8 @@
         limit: usize,
         until: Instant,
     ) -> Result<Answer, Error> {
-        let mut response = self.send(address, request, until).await?;
+        let connection = self.connection(address, until).await?;
+        let mut response = self.exchange(connection, address, request, until).await?;
         let mut body = BytesMut::new();
         let whole = timeout_at(until, response.rest(&mut body, limit)).await;
         whole.map_err(|_elapsed| Error::Cut { bytes: body.len() })??;
@@ -198,7 +243,8 @@
         stall: Duration,
     ) -> Result<Received, Error> {
         let until = Instant::now() + first;
-        let (mut connection, codec) = self.begin(address, request, until).await?;
+        let connection = self.connection(address, until).await?;
+        let (mut connection, codec) = begin(connection, address, request)?;
         let moved = Rc::clone(&connection.moved);
         let client = Rc::clone(self);
         let mut body = BytesMut::new();
@@ -237,23 +283,11 @@
         }
     }
 
-    async fn begin(
-        &self,
-        address: SocketAddr,
-        request: Request,
-        until: Instant,
-    ) -> Result<(Connection, ClientCodec), Error> {
-        let mut connection = match self.take(address) {
-            Some(connection) => connection,
-            None => self.open(address, until).await?,
-        };
-        connection.written = false;
-        connection.settled = false;
-        let codec = encode(&mut connection.output, address, request)?;
-        match connection.flush_now() {
-            Ok(()) => Ok((connection, codec)),
-            Err(error) if connection.written => Err(Error::Lost(error)),
-            Err(error) => Err(Error::Unsent(error)),
+    /// An idle connection, or a new one.
+    async fn connection(&self, address: SocketAddr, until: Instant) -> Result<Connection, Error> {
+        match self.take(address) {
+            Some(connection) => Ok(connection),
+            None => self.open(address, until).await,
         }
     }
 
@@ -298,6 +332,22 @@
     }
 }
 
+/// Writes a request, as far as the connection takes it at once.
+fn begin(
+    mut connection: Connection,
+    address: SocketAddr,
+    request: Request,
+) -> Result<(Connection, ClientCodec), Error> {
+    connection.written = false;
+    connection.settled = false;
+    let codec = encode(&mut connection.output, address, request)?;
+    match connection.flush_now() {
+        Ok(()) => Ok((connection, codec)),
+        Err(error) if connection.written => Err(Error::Lost(error)),
+        Err(error) => Err(Error::Unsent(error)),
+    }
+}
+
 fn encode(output: &mut BytesMut, address: SocketAddr, request: Request) -> Result<ClientCodec, Error> {
     let mut head = RequestHead::default();
     head.method = request.method;
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::client::{Client, Error, Request, Response};
+use super::client::{Client, Error, Expiry, Request, Response};
 use super::events::{self, Events};
 use super::node::{Feed, Node};
 use super::outlet::{Head, Outlet, Part};
@@ -155,17 +155,15 @@
         self.events.restart();
         tokio::time::sleep_until(self.clock.instant(attempt.at)).await;
         let now = self.clock.now();
-        // The machine may have been suspended since it was decided.
-        if attempt.send_by.is_some_and(|by| now >= by) {
-            return End::Withheld;
-        }
         let asked = Asked { request: self.id, at: now };
         let left = attempt.deadline.since(now);
         let mut request = self.content.request.clone();
         let resume_after = self.events.last().or(self.content.resumes_after);
         front::address(&mut request.headers, &attempt, left, resume_after);
         let until = Instant::now() + left + AFTER_DEADLINE;
-        let mut answer = self.client.send(attempt.address, request, until).await;
+        let by = attempt.send_by.map_or(attempt.write_by, |by| by.min(attempt.write_by));
+        let expiry = Expiry { clock: self.clock, at: by };
+        let mut answer = self.client.send(attempt.address, request, until, expiry).await;
         for _ in 0..FOREIGN_MAX {
             let response = match answer {
                 Ok(response) => response,
@@ -205,6 +203,7 @@
     fn unanswered(&self, attempt: &Attempt, error: &Error) -> End {
         tracing::debug!(request = %self.id, engine = %attempt.engine, %error, "no whole answer");
         match error {
+            Error::Expired => End::Withheld,
             Error::Unsent(_) => End::Unsent,
             Error::Lost(_) => End::Lost,
             Error::Garbled(_) | Error::Late | Error::Cut { .. } => End::Broken,
--- a/daemon/src/entry/transfer.rs
+++ b/daemon/src/entry/transfer.rs
@@ -103,7 +103,9 @@
             Ok(head) => (Outcome::Refused, head.bytes),
             Err(Error::Late) => (Outcome::Late, 0),
             Err(Error::Cut { bytes }) => (Outcome::Late, *bytes),
-            Err(Error::Unsent(_) | Error::Lost(_) | Error::Garbled(_)) => (Outcome::Broken, 0),
+            Err(Error::Expired | Error::Unsent(_) | Error::Lost(_) | Error::Garbled(_)) => {
+                (Outcome::Broken, 0)
+            }
         };
         Self { kind, outcome, bytes: bytes as u64, took_ms: millis(since.elapsed()), status, era }
     }
--- a/daemon/tests/entry_client.rs
+++ b/daemon/tests/entry_client.rs
@@ -9,7 +9,8 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
-use boragecove_daemon::entry::client::{Client, Error, Request, Response};
+use boragecove_daemon::clock::Clock;
+use boragecove_daemon::entry::client::{Client, Error, Expiry, Request, Response};
 use bytes::Bytes;
 use tokio::time::Instant;
 
@@ -91,8 +92,14 @@
     Instant::now() + Duration::from_secs(5)
 }
 
+/// A request may be written for so long from now on.
+fn within(time: Duration) -> Expiry {
+    let clock = Clock::start();
+    Expiry { clock, at: clock.now() + time }
+}
+
 async fn answer(client: &Rc<Client>, address: SocketAddr) -> Result<Response, Error> {
-    client.send(address, request(), soon()).await
+    client.send(address, request(), soon(), within(Duration::from_secs(5))).await
 }
 
 async fn whole(client: &Rc<Client>, address: SocketAddr) -> Result<String, Error> {
@@ -199,11 +206,23 @@
         stream.read(&mut [0; 16]).map_err(|error| error.kind())
     });
     let until = Instant::now() + Duration::from_millis(100);
-    let late = client().send(address, request(), until).await;
+    let late = client().send(address, request(), until, within(Duration::from_secs(5))).await;
     assert!(matches!(late, Err(Error::Late)));
     assert_eq!(accepted.join().expect("ends"), Err(ErrorKind::ConnectionReset), "not a close in good order");
 }
 
+/// A request whose time is over is not written, and says that nothing was sent.
+#[actix_web::test]
+async fn expired_is_not_written() {
+    let (address, served) = server(vec![Play::Keep(&["HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"])]);
+    let client = client();
+    let expired = client.send(address, request(), soon(), within(Duration::ZERO)).await;
+    assert!(matches!(expired, Err(Error::Expired)));
+    whole(&client, address).await.expect("the next one is answered");
+    drop(client);
+    assert_eq!(served.recv().expect("ends"), 1);
+}
+
 /// A server that answers one request with a body of `parts` bytes, one every `pause`.
 fn trickle(parts: usize, pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
--- a/daemon/tests/late_departures.rs
+++ b/daemon/tests/late_departures.rs
@@ -6,6 +6,8 @@
 
 mod serving;
 
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -172,3 +174,77 @@
         assert_eq!(served + rest.len(), CALLERS, "round {round}");
     }
 }
+
+/// An engine's port whose queue of new connections is full until it is emptied.
+struct Choked {
+    listener: TcpListener,
+    /// Those that fill it.
+    waiting: Vec<TcpStream>,
+    taken: Vec<TcpStream>,
+}
+
+impl Choked {
+    fn open() -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let listener = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+            socket.bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+            socket.listen(1).expect("listens").into_std().expect("a listener")
+        });
+        listener.set_nonblocking(true).expect("sets");
+        let address = listener.local_addr().expect("bound");
+        let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+        let waiting = std::iter::from_fn(connect).collect();
+        Self { listener, waiting, taken: Vec::new() }
+    }
+
+    /// Takes all connections, and returns the first bytes that come on any.
+    fn bytes_within(&mut self, time: Duration) -> String {
+        let end = Instant::now() + time;
+        let mut bytes = Vec::new();
+        while Instant::now() < end && bytes.is_empty() {
+            while let Ok((stream, _)) = self.listener.accept() {
+                stream.set_nonblocking(true).expect("sets");
+                self.taken.push(stream);
+            }
+            for stream in &mut self.taken {
+                let mut part = [0; 1_024];
+                if let Ok(count) = stream.read(&mut part) {
+                    bytes.extend_from_slice(&part[..count]);
+                }
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+/// Guards against a request that was decided before the process stood still, and is written on a connection that was opened meanwhile.
+#[test]
+fn connection_opened_meanwhile() {
+    let store = Store::start();
+    store.put("op", "config", &config(1));
+    let mut choked = Choked::open();
+    let address = choked.listener.local_addr().expect("bound");
+    let row = |state: &str| {
+        serde_json::json!({"born": 1_767_465_654_898_u64, "service": "gateway", "address": address.to_string(), "zone": "zone-a",
+            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "models": [], "sequence": 3})
+    };
+    store.put("servers", "i-1", &row("ready"));
+    let entry = Entry::start_with("meanwhile", &store, r#", "connect": "5s""#);
+    wait_for_lease(&entry);
+    thread::sleep(Duration::from_millis(500));
+    let callers = entry.callers;
+    let caller = thread::spawn(move || call(callers, &plain("/ack/1", "m1")));
+    thread::sleep(Duration::from_millis(150));
+    entry.signal("-STOP");
+    store.put("servers", "i-1", &row("draining"));
+    let early = choked.bytes_within(Duration::from_millis(2_600));
+    assert!(early.is_empty(), "it stands still: {early}");
+    entry.signal("-CONT");
+    let late = choked.bytes_within(Duration::from_millis(700));
+    assert!(late.is_empty(), "written 2.6 s after the engine's row: {late}");
+    let answer = caller.join().expect("ends");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    drop(choked.waiting);
+}
--- a/fleet/src/bound.rs
+++ b/fleet/src/bound.rs
@@ -28,6 +28,12 @@
         self.0 / 5
     }
 
+    /// How long after its time an attempt may still be written: later, what it was decided by may be too old.
+    #[must_use]
+    pub fn write(self) -> Duration {
+        self.0 * 3 / 20
+    }
+
     /// How old the word of others on the store may be, where all goes well and one answer is overdue.
     #[must_use]
     pub fn word(self) -> Duration {
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -241,6 +241,7 @@
         streams: flow.route.kind.streams(),
         workspace: flow.workspace.as_ref().map(|workspace| workspace.name.clone()),
         send_by: send_by.filter(|_| flow.workspace.is_some()).into_iter().chain(place_until).min(),
+        write_by: at + state.settings.departure.write(),
         limited: named,
         permit: pick.permit,
     };
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -14,6 +14,7 @@
 use crate::flow::{self, Stage};
 use crate::frame::Absent;
 use crate::ledger;
+use crate::proof;
 use crate::record::{Record, ms};
 use crate::request::{Cause, End, Events, Id, Step};
 use crate::settings::Mechanism;
@@ -212,6 +213,7 @@
 fn again(state: &mut State, now: Time, id: Id, engine: Name, failure: Failure, out: &mut Vec<Effect>) {
     let Failure { end, doubted } = failure;
     let nodes = state.nodes(now);
+    let proven = proof::holds(state, now);
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
@@ -245,7 +247,7 @@
     let code = match end {
         End::Refused(_) => Code::BackendRefused,
         End::Unsent => Code::RetriesSpent,
-        End::Withheld if has_key => Code::KeyUnproven,
+        End::Withheld if has_key && !proven => Code::KeyUnproven,
         End::Withheld => Code::DeadlineUnreachable,
         End::Done | End::Failed | End::Lost | End::Broken => Code::BackendFailed,
     };
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -109,6 +109,8 @@
     /// When it may not be sent any more, since nobody says so long that its caller's key still holds, or since its place at an engine
     /// in need is over; none where neither binds.
     pub send_by: Option<Time>,
+    /// When it may not be written any more, since the engine may have left meanwhile.
+    pub write_by: Time,
     /// The word that the engine is where the request may be served.
     pub permit: Permit,
     /// Whether the engine has named a limit, as far as is known: an answer that names none says that it is over.
@@ -155,7 +157,7 @@
     Failed,
     /// No connection could be had: nothing was sent.
     Unsent,
-    /// It was not sent in time ([`Attempt::send_by`]), which says nothing of the engine.
+    /// It was not sent in time ([`Attempt::send_by`], [`Attempt::write_by`]), which says nothing of the engine.
     Withheld,
     /// The engine says that it did not run the request.
     Refused(Cause),
--- a/fleet/tests/world/backends.rs
+++ b/fleet/tests/world/backends.rs
@@ -150,7 +150,7 @@
         if backends.current.get(&(vm, request)) != Some(&attempt.number) {
             return;
         }
-        if attempt.send_by.is_some_and(|by| self.now >= by) {
+        if self.now >= attempt.write_by || attempt.send_by.is_some_and(|by| self.now >= by) {
             return self.ended(vm, request, attempt.number, End::Withheld);
         }
         if !self.reaches_engine(vm, &attempt.engine) {
