Push once more to an entry VM that did not take a push, and attack the way of departures by one lost message

Class: a wait that grows with the fleet on the way of news that has a bound.

Now whoever pushed sends it once more, on a new connection, without the rest of the part, which goes on at once as before. How long a push may stand still is a part of the bound as well. part_goes_on_without_its_head counts the second try apart from the nine that it reached before, and holds that there is no third.

one_lost plays departures with one message lost at a time, on any road (call for changes, frame, its answer, push, its answer, lease), or with one entry VM that stands still before and goes on after, at 6 to 984 entry VMs: nobody believes in the engine, and nothing is sent there, later than the bound of that size.

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -180,7 +180,7 @@
         match effect {
             Effect::Step { request, step } => self.step(request, step),
             Effect::Frame { address, frame } => self.frame(address, &frame, ctx),
-            Effect::Push { address, message } => self.push(address, message, ctx),
+            Effect::Push(push) => self.push(push, ctx),
             Effect::Ask { address, request, ask } => {
                 let asking = peers::ask(Rc::clone(&self.client), address, &ask);
                 later(ctx, async move { Event::Granted { request, grant: asking.await } });
--- a/daemon/src/entry/node/calls.rs
+++ b/daemon/src/entry/node/calls.rs
@@ -15,7 +15,7 @@
 use boragecove_fleet::frame::Frame;
 use boragecove_fleet::lease;
 use boragecove_fleet::notice::{Notice, Start};
-use boragecove_fleet::push;
+use boragecove_fleet::push::Push;
 use boragecove_platform::{engine, front, store};
 use bytes::Bytes;
 use tokio::time::Instant;
@@ -41,11 +41,11 @@
         later(ctx, async move { Event::Replied(sending.await.map(Box::new)) });
     }
 
-    pub(super) fn push(&self, address: SocketAddr, message: Box<push::Message>, ctx: &Context<Self>) {
-        let (client, node) = (Rc::clone(&self.client), ctx.address());
+    pub(super) fn push(&self, push: Push, ctx: &Context<Self>) {
+        let (client, node, bound) = (Rc::clone(&self.client), ctx.address(), self.settings.fleet.departure);
         actix_rt::spawn(async move {
-            if !peers::push(&client, address, &message).await {
-                node.do_send(Feed(Event::Missed(message)));
+            if !peers::push(&client, &push, bound).await {
+                node.do_send(Feed(Event::Missed(push)));
             }
         });
     }
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -11,10 +11,11 @@
 use actix_web::HttpResponse;
 use actix_web::web::{self, Data, PayloadConfig, ServiceConfig};
 use boragecove_core::name::Name;
+use boragecove_fleet::bound::Bound;
 use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
-use boragecove_fleet::push::Message;
+use boragecove_fleet::push::{Message, Push};
 use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::schedule::{Ask, Grant};
 use bytes::Bytes;
@@ -46,9 +47,9 @@
 const REACH_LIMIT: Duration = Duration::from_millis(300);
 /// Largest frame or answer that is read.
 const FRAME_MAX: usize = 4 << 20;
-/// How long a push may stand still: some ways there and back, and a machine that has spent its share of processor time
-/// stands still for most of a tenth of a second. Beyond that it is suspended or gone.
-const PUSH_STALL: Duration = Duration::from_millis(400);
+/// How long a push may stand still, whatever operators allow: some ways there and back, and a machine that has spent its share of processor
+/// time stands still for most of a tenth of a second. Beyond that it is suspended or gone.
+const PUSH_STALL_MAX: Duration = Duration::from_millis(400);
 
 /// Sends a frame to the hub. Returns its answer, or none if none began within `limit` or it stood still for
 /// as long; `node` is told what came.
@@ -111,10 +112,11 @@
     }
 }
 
-/// Pushes an update to another entry VM. Returns whether it was taken.
-pub(crate) async fn push(client: &Rc<Client>, address: SocketAddr, message: &Message) -> bool {
-    let request = post(PUSH, message);
-    let answer = client.transfer(address, request, ASK_MAX, PUSH_STALL, PUSH_STALL).await;
+/// Pushes something to another entry VM, which is to be in force within `bound`. Returns whether it was taken.
+pub(crate) async fn push(client: &Rc<Client>, push: &Push, bound: Bound) -> bool {
+    let request = post(PUSH, &push.message);
+    let stall = bound.pause().min(PUSH_STALL_MAX);
+    let answer = client.transfer(push.address, request, ASK_MAX, stall, stall).await;
     answer.is_ok_and(|received| received.status.is_success())
 }
 
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -11,7 +11,7 @@
 use crate::frame::Frame;
 use crate::lease;
 use crate::order::Order;
-use crate::push;
+use crate::push::Push;
 use crate::quota::Draw;
 use crate::record::Record;
 use crate::request::{Id, Step};
@@ -35,13 +35,8 @@
         /// The frame.
         frame: Box<Frame>,
     },
-    /// Push an update of the configuration to another entry VM; [`crate::event::Event::Missed`] follows if it was not taken.
-    Push {
-        /// Where the entry VM listens.
-        address: SocketAddr,
-        /// The update, and whom it is to be passed on to.
-        message: Box<push::Message>,
-    },
+    /// Push something to another entry VM; [`crate::event::Event::Missed`] follows if it was not taken.
+    Push(Push),
     /// Ask the owner of an engine's schedule for a place; its answer comes back as [`crate::event::Event::Granted`].
     Ask {
         /// Where the owner listens.
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -84,7 +84,7 @@
     /// Another entry VM pushed an update of the configuration.
     Pushed(Box<push::Message>),
     /// An entry VM did not take what was pushed to it.
-    Missed(Box<push::Message>),
+    Missed(push::Push),
     /// The owner of an engine's schedule answered; none if it could not be reached.
     Granted {
         /// The request that the place is for.
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -67,6 +67,17 @@
     pub onward: Vec<SocketAddr>,
 }
 
+/// A message on its way to an entry VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Push {
+    /// Where the entry VM listens.
+    pub address: SocketAddr,
+    /// What it is told, and whom it is to pass that on to.
+    pub message: Box<Message>,
+    /// Whether it did not take this before.
+    pub again: bool,
+}
+
 /// What the hub knows of an entry VM's configuration.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Membership {
@@ -299,7 +310,7 @@
         left = rest;
         if let Some((first, onward)) = part.split_first() {
             let message = Message { onward: onward.to_vec(), ..message.clone() };
-            out.push(Effect::Push { address: *first, message: Box::new(message) });
+            out.push(Effect::Push(Push { address: *first, message: Box::new(message), again: false }));
         }
     }
 }
@@ -325,10 +336,22 @@
     }
 }
 
-/// An entry VM did not take an update: the rest of its part is pushed to without it. It is pushed to again once it says
-/// that it lacks the version.
-pub(crate) fn missed(state: &State, message: &Message, out: &mut Vec<Effect>) {
-    forward(state, message, out);
+/// An entry VM did not take a push: the rest of its part is pushed to without it, and itself once more, since the connection may have been lost, and
+/// its next frame may be seconds away.
+pub(crate) fn missed(state: &State, push: Push, out: &mut Vec<Effect>) {
+    let Push { address, mut message, again } = push;
+    forward(state, &message, out);
+    if again {
+        return;
+    }
+    message.onward.clear();
+    // A large one follows once it says that it lacks the version.
+    if message.update.as_ref().is_some_and(|update| update.bytes.len() > INLINE_MAX) {
+        message.update = None;
+    }
+    if *message != Message::default() {
+        out.push(Effect::Push(Push { address, message, again: true }));
+    }
 }
 
 /// Takes over an update, now or once the version that it begins at has come.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -107,7 +107,7 @@
         Event::Framed(frame) => frame::heard(state, now, *frame, out),
         Event::Replied(reply) => frame::replied(state, now, reply.map(|reply| *reply), out),
         Event::Pushed(message) => push::received(state, now, *message, out),
-        Event::Missed(message) => push::missed(state, &message, out),
+        Event::Missed(push) => push::missed(state, push, out),
         Event::Granted { request, grant } => flow::granted(state, now, request, grant, out),
         Event::Drawn { request, workspace, credit } => {
             quota::answered(state, now, request, quota::Answer { workspace, credit }, out);
--- a/fleet/tests/config_push.rs
+++ b/fleet/tests/config_push.rs
@@ -12,7 +12,7 @@
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::{Call, Outcome, Row};
 use boragecove_fleet::members::Member;
-use boragecove_fleet::push::Message;
+use boragecove_fleet::push::{Message, Push};
 use boragecove_fleet::record::Record;
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::update::{Packed, Update};
@@ -47,7 +47,7 @@
 
 fn pushes(effects: &[Effect]) -> Vec<(SocketAddr, Message)> {
     let push = |effect: &Effect| match effect {
-        Effect::Push { address, message } if message.update.is_some() => {
+        Effect::Push(Push { address, message, .. }) if message.update.is_some() => {
             Some((*address, (**message).clone()))
         }
         _ => None,
@@ -108,15 +108,21 @@
     assert_eq!(reached(&pushes), 9);
 }
 
-/// An entry VM that is gone costs the others of its part one attempt.
+/// An entry VM that is gone costs the others of its part one attempt, and is tried once more.
 #[test]
 fn part_goes_on_without_its_head() {
     let mut node = Node::ready("a");
     let onward: Vec<SocketAddr> = (0..9).map(|vm| address(7_100 + vm)).collect();
     let message =
         Message { update: Some(packed(&config(1), &with_route(2, 2))), onward, ..Message::default() };
-    let pushes = pushes(node.feed(Event::Missed(Box::new(message))));
-    assert_eq!(reached(&pushes), 9);
+    let head = address(7_000);
+    let missed = Push { address: head, message: Box::new(message), again: false };
+    let (again, rest): (Vec<_>, Vec<_>) =
+        pushes(node.feed(Event::Missed(missed.clone()))).into_iter().partition(|(to, _)| *to == head);
+    assert_eq!((reached(&rest), reached(&again)), (9, 1));
+    let twice = Push { again: true, ..missed };
+    let rest = pushes(node.feed(Event::Missed(twice)));
+    assert!(rest.iter().all(|(to, _)| *to != head), "it is not tried for ever");
 }
 
 #[test]
@@ -243,7 +249,7 @@
 
 fn told(effects: &[Effect]) -> Vec<(Option<Row>, usize)> {
     let told = |effect: &Effect| match effect {
-        Effect::Push { message, .. } if message.update.is_none() => {
+        Effect::Push(Push { message, .. }) if message.update.is_none() => {
             Some((message.hub.clone(), 1 + message.onward.len()))
         }
         _ => None,
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -19,7 +19,7 @@
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::{self, Outcome};
 use boragecove_fleet::members::Member;
-use boragecove_fleet::push::Message;
+use boragecove_fleet::push::{Message, Push};
 use boragecove_fleet::record::Record;
 use boragecove_fleet::request::{Arrival, Attempt, End, Fingerprint, Id, Refusal, Step};
 use links::{LARGE, Links, SMALL};
@@ -84,7 +84,7 @@
 
 fn pushed(effects: &[Effect]) -> Vec<Message> {
     let message = |effect: &Effect| match effect {
-        Effect::Push { message, .. } => Some((**message).clone()),
+        Effect::Push(Push { message, .. }) => Some((**message).clone()),
         _ => None,
     };
     effects.iter().filter_map(message).collect()
--- a/fleet/tests/departures_spread.rs
+++ b/fleet/tests/departures_spread.rs
@@ -11,7 +11,7 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::event::Event;
-use boragecove_fleet::push::Message;
+use boragecove_fleet::push::{Message, Push};
 use links::{LARGE, Links, SMALL};
 use node::{WRITER, config, entry, listing, millis, removed, row};
 
@@ -126,7 +126,7 @@
     let mut links = deployment(3);
     let mut messages = Vec::new();
     for effect in links.apply(0, listing(vec![row(9, leaving("w1"))], 9, false)) {
-        if let boragecove_fleet::effect::Effect::Push { message, .. } = effect {
+        if let boragecove_fleet::effect::Effect::Push(Push { message, .. }) = effect {
             messages.push(message);
         }
     }
--- a/fleet/tests/engine_notices.rs
+++ b/fleet/tests/engine_notices.rs
@@ -12,6 +12,7 @@
 use boragecove_fleet::lease::Outcome;
 use boragecove_fleet::members::Member;
 use boragecove_fleet::notice::{Notice, Start};
+use boragecove_fleet::push::Push;
 use boragecove_fleet::request::{Cause, End, Step};
 use node::{
     GATEWAY, Node, WRITER, address, brief, entry, hub_row, listing, millis, orders, plain, removed, row,
@@ -218,7 +219,7 @@
             effects.extend(node.effects.clone());
         }
         let told = effects.iter().any(|effect| {
-            matches!(effect, Effect::Push { message, .. } if message.departed == [start("w1", None)])
+            matches!(effect, Effect::Push(Push { message, .. }) if message.departed == [start("w1", None)])
         });
         assert!(told, "heard before: {heard_before}");
     }
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -17,7 +17,7 @@
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::{Answer, Call, Outcome, Row, Seen};
-use boragecove_fleet::push::Message;
+use boragecove_fleet::push::Push;
 use boragecove_fleet::request::{Arrival, Attempt, End, Events, Id, Step};
 use boragecove_fleet::schedule::Grant;
 use boragecove_fleet::settings::Settings;
@@ -73,7 +73,7 @@
 enum Load {
     Frame(Box<Frame>),
     Reply(Box<Reply>),
-    Push(Box<Message>),
+    Push(Push),
 }
 
 impl Vm {
@@ -270,7 +270,7 @@
                 self.send(to, from, size(&reply), limit, Load::Reply(Box::new(reply)));
             }
             Load::Reply(reply) => self.feed(to, Event::Replied(Some(reply))),
-            Load::Push(message) => self.feed(to, Event::Pushed(message)),
+            Load::Push(push) => self.feed(to, Event::Pushed(push.message)),
         }
     }
 
@@ -278,7 +278,7 @@
         match &transfer.load {
             Load::Frame(_) => self.feed(transfer.from, Event::Replied(None)),
             Load::Reply(_) => self.feed(transfer.to, Event::Replied(None)),
-            Load::Push(message) => self.feed(transfer.from, Event::Missed(message.clone())),
+            Load::Push(push) => self.feed(transfer.from, Event::Missed(push.clone())),
         }
     }
 
@@ -289,10 +289,10 @@
                 let limit = Some(self.now + FRAME_LIMIT);
                 self.send(at, to, size(&frame), limit, Load::Frame(frame));
             }
-            Effect::Push { address, message } => {
-                let to = self.at(address);
+            Effect::Push(push) => {
+                let to = self.at(push.address);
                 self.pushes += 1;
-                self.send(at, to, size(&message), None, Load::Push(message));
+                self.send(at, to, size(&push.message), None, Load::Push(push));
             }
             Effect::Lease(call) => {
                 let answer = self.lease(call);
--- /dev/null
+++ b/fleet/tests/one_lost.rs
@@ -0,0 +1,198 @@
+//! One message is lost, on any road, or one entry VM stands still and goes on, while an engine leaves: no request reaches it later than operators
+//! allow, from any entry VM.
+
+mod node;
+mod world;
+
+use std::time::Duration;
+
+use arbtest::arbitrary::{self, Unstructured};
+use arbtest::arbtest;
+use boragecove_fleet::bound::Bound;
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::settings::Settings;
+use node::{GATEWAY, entry, millis, plain, row};
+use world::losses::{Loss, Road};
+use world::{Backends, World, ZONES};
+
+const ENGINES: usize = 9;
+/// Time between two requests of all callers together.
+const EVERY: Duration = Duration::from_millis(10);
+
+/// What operators allow at a size.
+fn bound(vms: usize) -> Bound {
+    Bound(Duration::from_secs(match vms {
+        ..30 => 2,
+        30..150 => 3,
+        150..600 => 4,
+        _ => 5,
+    }))
+}
+
+fn id(number: usize) -> String {
+    format!("g{number}")
+}
+
+fn gateway(number: usize) -> Entry {
+    entry(&id(number), GATEWAY, ZONES[number % ZONES.len()], &[])
+}
+
+/// Entry VMs that all know the engines, and have sent their first frames.
+fn world(vms: usize, seed: u64) -> World {
+    let rows: Vec<Row> = (0..ENGINES).map(|number| row(number as u64 + 1, gateway(number))).collect();
+    let settings = Settings { departure: bound(vms), config: bound(vms), ..Settings::default() };
+    let mut world = World::new(vms, node::config(1), &rows, settings, seed);
+    world.paced = true;
+    world.backends = Some(Backends::new(&rows));
+    world.pass(bound(vms).0 * 3);
+    world
+}
+
+/// Lets time pass in which callers ask.
+fn pass(world: &mut World, time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        let vm = world.rng.usize(0..world.len());
+        world.arrive(vm, &"".into(), 0.0, plain("/list/1"));
+        world.pass(EVERY);
+    }
+}
+
+/// What goes wrong while an engine leaves.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Loss(Loss),
+    /// An entry VM stands still from so long before the engine leaves, until so long after.
+    Standstill {
+        vm: usize,
+        before: Duration,
+        after: Duration,
+    },
+}
+
+/// An engine leaves, and something goes wrong once. Returns what was too late.
+fn leave(world: &mut World, number: usize, fault: Fault, offset: Duration) -> Vec<String> {
+    let bound = bound(world.len());
+    let engine = id(number);
+    if let Fault::Loss(loss) = fault {
+        world.loss = Some(loss);
+    }
+    pass(world, offset);
+    if let Fault::Standstill { vm, before, .. } = fault {
+        world.suspend(vm, true);
+        pass(world, before);
+    }
+    world.register(Entry { leaving: true, ..gateway(number) });
+    let taken = world.now;
+    let mut still = None;
+    if let Fault::Standstill { vm, after, .. } = fault {
+        pass(world, after);
+        world.suspend(vm, false);
+        still = Some(vm);
+    }
+    pass(world, (taken + bound.0).since(world.now));
+    // One that stood still is held to what it sends.
+    let wrong = |vm: &usize| Some(*vm) != still && world.believes_in(*vm, &engine);
+    let wrong = (0..world.len()).filter(wrong).map(|vm| format!("vm {vm} believes in {engine}"));
+    let mut faults: Vec<String> = wrong.collect();
+    pass(world, Duration::from_secs(2));
+    let late = world.senders(&engine, taken + bound.0, world.now);
+    faults
+        .extend(late.iter().map(|(vm, at)| format!("vm {vm} sent to {engine} after {:?}", at.since(taken))));
+    world.loss = None;
+    // The next one is to begin on a calm day.
+    world.register(gateway(number));
+    pass(world, bound.0 * 2);
+    faults
+}
+
+fn fault(u: &mut Unstructured<'_>, world: &World) -> arbitrary::Result<Fault> {
+    let any = u.int_in_range(0..=world.len() - 1)?;
+    let vm = if u.arbitrary()? { world.leader().unwrap_or(any) } else { any };
+    if u.ratio(2, 3)? {
+        return Ok(Fault::Loss(Loss { road: *u.choose(&Road::ALL)?, vm }));
+    }
+    let before = Duration::from_millis(u.int_in_range(0..=400)?);
+    let after = Duration::from_millis(u.int_in_range(0..=4_000)?);
+    Ok(Fault::Standstill { vm, before, after })
+}
+
+/// How the code is broken on purpose.
+#[derive(Clone, Copy, Debug, Default)]
+struct Broken {
+    /// An answer that is overdue is waited for by so much longer.
+    patient: Duration,
+    /// What is known is gone by after a standstill.
+    credulous: bool,
+}
+
+/// Plays some departures, with one fault each. Returns what was wrong.
+fn play(u: &mut Unstructured<'_>, sizes: &[usize], broken: Broken) -> arbitrary::Result<Vec<String>> {
+    let vms = *u.choose(sizes)?;
+    let mut world = world(vms, u.arbitrary()?);
+    world.patient = broken.patient;
+    world.credulous = broken.credulous;
+    let mut faults = Vec::new();
+    for _ in 0..u.int_in_range(1..=4)? {
+        let (number, fault) = (u.int_in_range(0..=ENGINES - 1)?, fault(u, &world)?);
+        let offset = Duration::from_millis(u.int_in_range(0..=600)?);
+        let leader = world.leader();
+        let late = leave(&mut world, number, fault, offset);
+        let told = late.iter().take(3);
+        faults.extend(told.map(|late| format!("{late}; leader {leader:?}, {fault:?}, {offset:?} before")));
+    }
+    Ok(faults)
+}
+
+fn day(seed: u64, sizes: &[usize], broken: Broken) -> Vec<String> {
+    let mut bytes = vec![0; 1_024];
+    fastrand::Rng::with_seed(seed).fill(&mut bytes);
+    play(&mut Unstructured::new(&bytes), sizes, broken).expect("bytes enough")
+}
+
+/// Guards against a wait, on the way by which news of a departure comes, that is longer than operators allow once it is in vain.
+#[test]
+fn any_message() {
+    arbtest(|u| {
+        let faults = play(u, &[6, 6, 9, 20], Broken::default())?;
+        assert!(faults.is_empty(), "{faults:#?}");
+        Ok(())
+    })
+    .budget_ms(world::budget_ms(10_000));
+}
+
+/// The same where there are hundreds, and a thousand.
+#[test]
+fn of_hundreds() {
+    let days = [(0, 65), (1, 65), (2, 65), (3, 300), (4, 300), (5, 984)];
+    for (seed, vms) in days {
+        let faults = day(seed, &[vms], Broken::default());
+        assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
+    }
+}
+
+/// A push is lost on its way to an entry VM that has just sent a frame: the next one, which would make up for it, is over the bound later where there
+/// are a thousand.
+#[test]
+fn lost_push() {
+    for vms in [9, 65, 300, 984] {
+        let mut world = world(vms, 7);
+        for number in 0..6 {
+            let fault = Fault::Loss(Loss { road: Road::Push, vm: world.framed });
+            let late = leave(&mut world, number, fault, Duration::ZERO);
+            assert!(late.is_empty(), "{vms} entry VMs, {fault:?}: {late:#?}");
+        }
+        assert_eq!(world.lost, 6, "{vms} entry VMs");
+    }
+}
+
+/// Broken copies: one waits for an answer that is overdue as long as it used to, one goes by what it knew before a standstill. The check has to
+/// find each.
+#[test]
+fn check_bites() {
+    let patient = Broken { patient: millis(2_200), ..Broken::default() };
+    let credulous = Broken { credulous: true, ..Broken::default() };
+    for broken in [patient, credulous] {
+        assert!((0..60).any(|seed| !day(seed, &[6, 9], broken).is_empty()), "{broken:?}");
+    }
+}
--- /dev/null
+++ b/fleet/tests/world/losses.rs
@@ -0,0 +1,84 @@
+//! One message of a deployment in a test that is lost, and entry VMs that stand still and go on.
+
+use std::time::Duration;
+
+use boragecove_core::time::Time;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::revision::Revision;
+
+use super::{Load, OnWay, World};
+
+/// By which road a message comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Road {
+    /// The store's answer to the call for changes that an entry VM has waiting.
+    Feed,
+    /// An entry VM's frame.
+    Frame,
+    /// The answer to that.
+    Reply,
+    /// A push to an entry VM.
+    Push,
+    /// The answer that it was taken.
+    PushAnswer,
+    /// The store's answer about the lease.
+    Lease,
+}
+
+impl Road {
+    pub const ALL: [Self; 6] =
+        [Self::Feed, Self::Frame, Self::Reply, Self::Push, Self::PushAnswer, Self::Lease];
+}
+
+/// A message that is to be lost: the next by a road from or to an entry VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loss {
+    pub road: Road,
+    pub vm: usize,
+}
+
+impl World {
+    /// Whether the message that comes now is the one that is to be lost.
+    pub(super) fn loses(&mut self, road: Road, vm: usize) -> bool {
+        let lost = self.loss == Some(Loss { road, vm });
+        if lost {
+            self.loss = None;
+            self.lost += 1;
+        }
+        lost
+    }
+
+    /// The store is asked at once what has changed.
+    pub(super) fn refresh(&mut self, at: usize, after: Revision, limit: Duration) {
+        if !self.vms[at].served || self.vms[at].side != 0 {
+            let event = Event::Unread;
+            return self.post(at, at, limit.as_millis() as u64, Load::Event(Box::new(event)));
+        }
+        let listing = self.store.engines(self.now, Some(after));
+        let listing = self.seen(listing);
+        self.post(at, at, 5, Load::Listed(listing));
+    }
+
+    /// An entry VM goes on after a standstill: its requests may be read before anything else, or after.
+    pub(super) fn go_on(&mut self, at: usize) {
+        if self.credulous {
+            self.feed(at, Event::Wake);
+            self.feed(at, Event::Unread);
+        } else if self.rng.bool() {
+            return;
+        }
+        let requests = |way: &mut OnWay| way.to == at && matches!(way.load, Load::Arrive(_, _));
+        let requests: Vec<OnWay> = self.on_way.extract_if(.., requests).collect();
+        for way in requests {
+            self.deliver(way);
+        }
+    }
+
+    /// Requests that have reached an engine between two moments, with the entry VMs that sent them.
+    pub fn senders(&self, engine: &str, from: Time, until: Time) -> Vec<(usize, Time)> {
+        let backends = self.backends.as_ref().expect("engines");
+        let reached =
+            backends.all().filter(|(id, _, one)| ***id == *engine && (from..until).contains(&one.at));
+        reached.map(|(_, _, one)| (one.vm, one.at)).collect()
+    }
+}
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -5,6 +5,7 @@
 
 mod backends;
 pub mod departures;
+pub mod losses;
 #[path = "../store/mod.rs"]
 mod store;
 mod ways;
@@ -25,7 +26,7 @@
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::Answer;
-use boragecove_fleet::push::Message;
+use boragecove_fleet::push::{Message, Push};
 use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::request::{Arrival, Attempt, Id};
 use boragecove_fleet::revision::Revision;
@@ -35,6 +36,7 @@
 
 pub use backends::{Backends, Reached};
 use departures::Mute;
+use losses::Loss;
 pub use store::Store;
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -95,6 +97,16 @@
     pub calls: usize,
     /// Messages that were pushed.
     pub pushes: usize,
+    /// The next message that is lost.
+    pub loss: Option<Loss>,
+    /// Messages that were lost that way.
+    pub lost: usize,
+    /// The entry VM whose frame came last: its next one is the furthest away.
+    pub framed: usize,
+    /// A broken copy: a call for changes whose answer is overdue is waited for by so much longer.
+    pub patient: Duration,
+    /// A broken copy: an entry VM goes by what it knew before a standstill.
+    pub credulous: bool,
     /// A broken copy: the lease's row says nothing of shares.
     pub forgetful: bool,
     /// A broken copy: whoever is asked for a place gives one at once.
@@ -131,6 +143,8 @@
     asks_at: Time,
     /// Until when the store holds the call that waits for changes.
     held_until: Option<Time>,
+    /// When the answer to that call is overdue, if it is lost.
+    overdue_at: Option<Time>,
     /// Up to where it knows the engines' table by reading.
     table: Option<Revision>,
     /// When anything was last done to it.
@@ -168,7 +182,7 @@
     Reply(Option<Box<Reply>>, u64),
     Push(Box<Message>),
     /// A push that was not taken.
-    Missed(Box<Message>),
+    Missed(Push),
     Draw(Id, Draw),
     Credit(Id, Name, Option<Credit>),
     Ask(Id, Ask),
@@ -184,6 +198,8 @@
     Evacuations(evacuation::Listing),
     /// What was read of the engines' table.
     Listed(Listing),
+    /// Anything else that comes of a call.
+    Event(Box<Event>),
     /// A request that lies in the socket of a machine that is suspended.
     Arrive(Id, Box<Arrival>),
 }
@@ -238,6 +254,11 @@
             paced: false,
             calls: 0,
             pushes: 0,
+            loss: None,
+            lost: 0,
+            framed: 0,
+            patient: Duration::ZERO,
+            credulous: false,
             forgetful: false,
             lax: false,
             blind: false,
@@ -372,6 +393,7 @@
             follows: Some(Follow::default()),
             asks_at: self.now,
             held_until: None,
+            overdue_at: None,
             table: None,
             troubled: self.now,
         });
@@ -491,6 +513,9 @@
     pub fn suspend(&mut self, at: usize, suspended: bool) {
         self.vms[at].troubled = self.now;
         self.vms[at].suspended = suspended;
+        if !suspended {
+            self.go_on(at);
+        }
     }
 
     pub fn serve(&mut self, at: usize, served: bool) {
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -11,6 +11,7 @@
 use boragecove_fleet::revision::Revision;
 use boragecove_fleet::schedule::Grant;
 
+use super::losses::Road;
 use super::{
     ASK_LIMIT, Done, FAILED_PAUSE, FRAME_LIMIT, LEASE_LIMIT, Load, OnWay, PUSH_STALL, START_MS, TICK, World,
 };
@@ -40,10 +41,14 @@
         let back = self.vms[from].running && self.vms[from].start == from_start;
         match load {
             Load::Frame(frame) => {
+                if self.loses(Road::Frame, from) {
+                    return;
+                }
+                self.framed = from;
                 self.feed(to, Event::Framed(frame.clone()));
                 let mut reply = boragecove_fleet::reply(&mut self.vms[to].state, self.now, &frame);
                 self.mute_reply(&mut reply);
-                if back && self.reaches(to, from) {
+                if back && self.reaches(to, from) && !self.loses(Road::Reply, from) {
                     let ms = self.rng.u64(1..20);
                     self.post(to, from, ms, Load::Reply(Some(Box::new(reply)), frame.number));
                 }
@@ -56,7 +61,7 @@
                 self.feed(to, Event::Replied(reply));
             }
             Load::Push(message) => self.feed(to, Event::Pushed(message)),
-            Load::Missed(message) => self.feed(to, Event::Missed(message)),
+            Load::Missed(push) => self.feed(to, Event::Missed(push)),
             Load::Draw(request, draw) => {
                 let credit = boragecove_fleet::credit(&mut self.vms[to].state, self.now, &draw);
                 if back && self.reaches(to, from) {
@@ -96,6 +101,7 @@
             Load::Evacuations(_) if self.deaf => {}
             Load::Evacuations(listing) => self.feed(to, Event::Evacuations(listing)),
             Load::Listed(listing) => self.feed(to, Event::Listed(listing)),
+            Load::Event(event) => self.feed(to, *event),
             Load::Arrive(request, arrival) => self.feed(to, Event::Arrive { request, arrival }),
         }
     }
@@ -111,19 +117,20 @@
                     self.post(at, to, ms, Load::Frame(frame));
                 }
             }
-            Effect::Push { address, mut message } => {
-                self.mute_push(&mut message);
+            Effect::Push(mut push) => {
+                self.mute_push(&mut push.message);
                 self.pushes += 1;
                 if self.rng.f64() < self.pushes_lost {
                     return;
                 }
-                let to = self.at(address);
-                let reaches = self.reaches(at, to);
-                if self.paced && (!reaches || self.vms[to].suspended) {
-                    self.post(at, at, PUSH_STALL.as_millis() as u64, Load::Missed(message.clone()));
+                let to = self.at(push.address);
+                let (lost, unanswered) = (self.loses(Road::Push, to), self.loses(Road::PushAnswer, to));
+                let reaches = self.reaches(at, to) && !lost;
+                if self.paced && (!reaches || unanswered || self.vms[to].suspended) {
+                    self.post(at, at, PUSH_STALL.as_millis() as u64, Load::Missed(push.clone()));
                 }
                 if reaches {
-                    self.post(at, to, 5, Load::Push(message));
+                    self.post(at, to, 5, Load::Push(push.message));
                 }
             }
             Effect::Draw { address, request, draw } => {
@@ -152,6 +159,7 @@
                 }
                 self.vms[at].follows = follow;
             }
+            Effect::Refresh { after, limit } => self.refresh(at, after, limit),
             Effect::Step { request, step } => self.step(at, request, step),
             _ => {}
         }
@@ -199,6 +207,16 @@
         // A call that came before the store's return is answered by the copy.
         let known = self.vms[at].table.filter(|table| table.era == self.store.era());
         let known = known.map_or(0, |table| table.version);
+        if let Some(overdue) = self.vms[at].overdue_at {
+            if overdue <= self.now {
+                self.vms[at].overdue_at = None;
+                self.calls += 2;
+                if in_touch {
+                    self.follow(at);
+                }
+            }
+            return;
+        }
         match self.vms[at].held_until {
             None if self.vms[at].asks_at <= self.now => {
                 // There are two tables.
@@ -213,6 +231,10 @@
             Some(until) if self.store.tables() > known || until <= self.now => {
                 self.vms[at].held_until = None;
                 self.vms[at].asks_at = self.now + follow.pause;
+                if in_touch && self.loses(Road::Feed, at) {
+                    self.vms[at].overdue_at = Some(until + follow.engines.overdue + self.patient);
+                    return;
+                }
                 if in_touch {
                     self.feed(at, Event::StoreUp(true));
                     self.follow(at);
@@ -250,6 +272,11 @@
             call => call,
         };
         let outcome = self.store.lease(&call);
+        if self.loses(Road::Lease, at) {
+            let unknown = Answer { store_ms: None, era: None, outcome: Outcome::Unknown };
+            self.post(at, at, LEASE_LIMIT.as_millis() as u64, Load::Lease(unknown));
+            return;
+        }
         if matches!(outcome, Outcome::Written(_)) && self.rng.f64() < self.answers_lost {
             let unknown = Answer { store_ms: None, era: None, outcome: Outcome::Unknown };
             self.post(at, at, LEASE_LIMIT.as_millis() as u64, Load::Lease(unknown));
