Tell whoever starts at once which engines have left since the rows were packed

Found by reading, shown by starts_by_packed_rows, which failed first: the hub tells a process that starts all rows as they were packed up to half a second before, and what has changed since with its next frame. Class: a start under traffic that goes by a word older than it looks.

Now the answer has the rows of engines that leave or are gone since beside the packed ones. The rest still follows with the next frame, so that a restart of all costs what it did. The test now asks for the departure at once, and for the new engine with the next frame as before.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -349,7 +349,8 @@
     let whole = state.needs_all_rows(asker.listed);
     let packed = if whole { snapshot::rows(state, now) } else { None };
     let (rows, listed, rows_packed) = match packed {
-        Some((listed, packed)) => (Vec::new(), listed, packed),
+        // Who leaves is told as of now: the asker's next frame may be seconds away.
+        Some((listed, packed)) => (state.departed_after(now, listed), listed, packed),
         None => (state.rows_for(now, asker.listed), state.listed, Bytes::new()),
     };
     let holds = state.lease.holds(now).is_some();
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -135,10 +135,12 @@
         loads::take_placed(state, reply.engines, &reply.placed);
     }
     let rows = std::mem::take(&mut reply.rows);
-    if reply.listed > state.listed {
+    let mut read = reply.listed <= state.listed;
+    if !read {
         if let Some(rows) = unpacked(rows, &reply.rows_packed, "engines", out) {
             let listing = Listing { rows, version: reply.listed, whole: reply.whole, asked: sent };
             entries::listed(state, now, listing, Road::Reply, out);
+            read = true;
         }
     } else {
         // The hub may know some rows beyond its last reading.
@@ -148,7 +150,7 @@
             entries::confirmed(state, now, sent, out);
         }
     }
-    if let Some((sent, age)) = sent.zip(reply.listed_age) {
+    if let Some((sent, age)) = sent.zip(reply.listed_age).filter(|_| read) {
         freshness::renew(state, now, Word { asked: sent, age, source: "leader" }, out);
     }
     if by_name {
@@ -156,7 +158,7 @@
     }
 }
 
-/// What an answer tells as it is or packed; none if that cannot be read.
+/// What an answer tells, packed and beside that; none if it cannot be read.
 fn unpacked<T: DeserializeOwned>(
     plain: Vec<T>,
     packed: &[u8],
@@ -166,9 +168,16 @@
     if packed.is_empty() {
         return Some(plain);
     }
-    let read = pack::unpack(packed);
-    read.inspect_err(|error| out.push(Effect::Record(Record::Unusable { what, error: error.to_string() })))
-        .ok()
+    match pack::unpack::<Vec<T>>(packed) {
+        Ok(mut all) => {
+            all.extend(plain);
+            Some(all)
+        }
+        Err(error) => {
+            out.push(Effect::Record(Record::Unusable { what, error: error.to_string() }));
+            None
+        }
+    }
 }
 
 /// This process does not know what it needs yet. A hub that knows no more is asked again; one that is none, or does not answer, is looked
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -154,9 +154,9 @@
     pub config: Option<Packed>,
     /// The hub's configuration, and how new it is.
     pub declared: Declared,
-    /// Rows of the engines' table that are newer than the asker's.
+    /// Rows of the engines' table that are newer than the asker's; beside packed ones those of engines that leave or are gone since.
     pub rows: Vec<Row>,
-    /// The same, packed: all rows there are, as of some moments before.
+    /// All rows there are, packed, as of some moments before.
     pub rows_packed: Bytes,
     /// The store's version up to which the hub knows that table.
     pub listed: Revision,
--- a/fleet/src/state/rows.rs
+++ b/fleet/src/state/rows.rs
@@ -57,6 +57,13 @@
         put.chain(returned.cloned()).chain(removed).collect()
     }
 
+    /// The same of engines that leave or are gone.
+    pub(crate) fn departed_after(&self, now: Time, version: Revision) -> Vec<Row> {
+        let mut rows = self.rows_after(now, version);
+        rows.retain(|row| row.entry.as_ref().is_none_or(|entry| entry.leaving));
+        rows
+    }
+
     /// What is known of an engine as a row of the table; none if nothing is.
     pub(crate) fn row_of(&self, now: Time, id: &Name) -> Option<Row> {
         let listed = self.engines.get(id).map(|engine| engine.row(now));
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -442,7 +442,7 @@
     let mut hub = Node::ready("hub");
     hub.lead();
     hub.feed(listing(many(300).collect(), 400, false));
-    let start = |vm: &str, hub: &mut Node| {
+    let start = |vm: &str, since: usize, hub: &mut Node| {
         let mut node = Node::bare(vm);
         node.now = hub.now;
         node.pass(millis(10));
@@ -452,25 +452,26 @@
             _ => None,
         });
         let told = boragecove_fleet::reply(&mut hub.state, hub.now, &asked.expect("it asks at once"));
-        assert!(told.rows.is_empty() && told.whole && !told.rows_packed.is_empty());
+        assert!(told.rows.len() == since && told.whole && !told.rows_packed.is_empty());
         node.feed(Event::Replied(Some(Box::new(told))));
         node
     };
-    let first = start("a", &mut hub);
+    let first = start("a", 0, &mut hub);
     assert_eq!(first.state.engines().count(), 304);
     hub.feed(listing(
         vec![row(401, entry("late", WRITER, "zone-b", &["m1"])), removed(402, "m7")],
         402,
         false,
     ));
-    let mut second = start("b", &mut hub);
-    assert_eq!(second.state.engines().count(), 304, "as of a moment before");
+    let mut second = start("b", 1, &mut hub);
+    let knows = |node: &Node, id: &str| node.state.engines().any(|engine| *engine.entry.id == *id);
+    assert!(!knows(&second, "m7"), "who is gone since is told at once: the next frame may be seconds away");
+    assert_eq!(second.state.engines().count(), 303, "for the rest as of a moment before");
     let told = exchange(&mut hub, &mut second);
     assert_eq!(told.rows.len(), 2);
-    let knows = |id: &str| second.state.engines().any(|engine| *engine.entry.id == *id);
-    assert!(knows("late") && !knows("m7"));
+    assert!(knows(&second, "late") && !knows(&second, "m7"));
     hub.pass(Duration::from_secs(1));
-    let third = start("c", &mut hub);
+    let third = start("c", 0, &mut hub);
     assert!(third.state.engines().any(|engine| *engine.entry.id == *"late"), "packed anew by now");
 }
 
