--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -131,6 +131,7 @@
     if departs {
         state.departures.found(&id);
     }
+    frame::learn_early(state, &id);
     intake::cold(state, now, &id, cold_left);
     let changed = is_new || lapsed || departs || left_before != leaves;
     if changed {
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -17,7 +17,7 @@
 use boragecove_core::time::Time;
 use bytes::Bytes;
 
-pub(crate) use answered::replied;
+pub(crate) use answered::{learn_early, replied};
 pub(crate) use follow::follow;
 pub(crate) use hold::{awaits, meets};
 pub(crate) use loads::digest_of;
@@ -69,6 +69,8 @@
     pub(crate) nodes: u32,
     /// What is known of what engines hold.
     pub(crate) view: View,
+    /// What it said of engines, or of starts of engines, whose rows are not known here yet.
+    early: BTreeMap<Name, Resident>,
     /// When the hub last answered.
     answered: Option<Time>,
     /// Whether this process reads the store for the others where the hub does not.
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use serde::de::DeserializeOwned;
 
@@ -27,6 +28,9 @@
 use crate::timer::Timer;
 use crate::trust;
 
+/// Engines whose rows are still to come, and of which it is kept what they hold, at most.
+const EARLY_MAX: usize = 1_000;
+
 /// The hub answered, or could not be reached.
 pub(crate) fn replied(state: &mut State, now: Time, reply: Option<Reply>, out: &mut Vec<Effect>) {
     let asked = state.hub.asking.take();
@@ -134,22 +138,7 @@
         // Rows change which engines are known, and so their positions.
         loads::take_placed(state, reply.engines, &reply.placed);
     }
-    let rows = std::mem::take(&mut reply.rows);
-    let mut read = reply.listed <= state.listed;
-    if !read {
-        if let Some(rows) = unpacked(rows, &reply.rows_packed, "engines", out) {
-            let listing = Listing { rows, version: reply.listed, whole: reply.whole, asked: sent };
-            entries::listed(state, now, listing, Road::Reply, out);
-            read = true;
-        }
-    } else {
-        // The hub may know some rows beyond its last reading.
-        entries::told(state, now, rows, Road::Reply, out);
-        departure::leave_to_others(state, out);
-        if let Some(sent) = sent.filter(|_| state.hub.fresh && reply.era == state.era.number()) {
-            entries::confirmed(state, now, sent, out);
-        }
-    }
+    let read = take_rows(state, now, reply, sent, out);
     if let Some((sent, age)) = sent.zip(reply.listed_age).filter(|_| read) {
         freshness::renew(state, now, Word { asked: sent, age, source: "leader" }, out);
     }
@@ -158,6 +147,32 @@
     }
 }
 
+/// Takes over what the hub knows of the engines' table. Returns whether all of that could be read.
+fn take_rows(
+    state: &mut State,
+    now: Time,
+    reply: &mut Reply,
+    sent: Option<Time>,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let rows = std::mem::take(&mut reply.rows);
+    if reply.listed > state.listed {
+        let Some(rows) = unpacked(rows, &reply.rows_packed, "engines", out) else {
+            return false;
+        };
+        let listing = Listing { rows, version: reply.listed, whole: reply.whole, asked: sent };
+        entries::listed(state, now, listing, Road::Reply, out);
+        return true;
+    }
+    // The hub may know some rows beyond its last reading.
+    entries::told(state, now, rows, Road::Reply, out);
+    departure::leave_to_others(state, out);
+    if let Some(sent) = sent.filter(|_| state.hub.fresh && reply.era == state.era.number()) {
+        entries::confirmed(state, now, sent, out);
+    }
+    true
+}
+
 /// What an answer tells, packed and beside that; none if it cannot be read.
 fn unpacked<T: DeserializeOwned>(
     plain: Vec<T>,
@@ -193,9 +208,29 @@
 /// orders until the new one has asked them.
 fn learn(state: &mut State, view: View, residencies: Vec<Resident>) {
     state.hub.view = view;
-    for Resident { engine, incarnation, residency } in residencies {
-        if let Some(engine) = state.engines.get_mut(&engine) {
-            engine.learn(incarnation, residency);
+    for resident in residencies {
+        let known = state.engines.get_mut(&resident.engine);
+        match known.filter(|known| known.entry.incarnation >= resident.incarnation) {
+            Some(engine) => engine.learn(resident.incarnation, resident.residency),
+            // Its row is still to come, and the hub says it once.
+            None if state.hub.early.len() < EARLY_MAX => {
+                state.hub.early.insert(resident.engine.clone(), resident);
+            }
+            None => {}
         }
     }
 }
+
+/// The row of an engine came: what the hub has said of that start of it is known by now.
+pub(crate) fn learn_early(state: &mut State, engine: &Name) {
+    let Some(known) = state.engines.get_mut(engine) else {
+        return;
+    };
+    let incarnation = known.entry.incarnation;
+    let Some(Resident { residency, .. }) =
+        state.hub.early.remove(engine).filter(|early| early.incarnation == incarnation)
+    else {
+        return;
+    };
+    known.learn(incarnation, residency);
+}
--- a/fleet/tests/engine_restarts.rs
+++ b/fleet/tests/engine_restarts.rs
@@ -58,6 +58,33 @@
     assert_eq!(engine_of(&mut node, "m3").as_deref(), Some("w1"));
 }
 
+/// Guards against what the hub says of an engine, or of a start of it, whose row has not come here yet: it is not said again until it changes.
+#[test]
+fn told_before_its_row() {
+    for id in ["w1", "w9"] {
+        let mut node = Node::ready("a");
+        node.feed(listing(vec![row(9, started("w1", 100, &["m0"]))], 9, false));
+        let residency = Residency::of(&started(id, 700, &["m3"]).held);
+        let told = |number, at| Reply {
+            leads: true,
+            view: View { term: 3, version: number },
+            residencies: vec![Resident {
+                engine: id.into(),
+                incarnation: Incarnation(Some(at)),
+                residency: residency.clone(),
+            }],
+            ..Reply::default()
+        };
+        node.feed(Event::Replied(Some(Box::new(told(8, 700)))));
+        node.feed(listing(vec![row(12, started(id, 700, &[]))], 12, false));
+        assert_eq!(engine_of(&mut node, "m3").as_deref(), Some(id));
+        // Of a start that is over by then nothing is kept.
+        node.feed(Event::Replied(Some(Box::new(told(9, 800)))));
+        node.feed(listing(vec![row(13, started(id, 900, &[]))], 13, false));
+        assert_eq!(engine_of(&mut node, "m3"), None);
+    }
+}
+
 /// An entry that an earlier start wrote late does not replace that of the newest one.
 #[test]
 fn late_entry_is_ignored() {
