--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -31,8 +31,15 @@
 
     /// With further members of its settings, each with a comma before it.
     pub fn start_with(name: &str, store: &Store, more: &str) -> Self {
+        let entry = Self::start_in("zone-a", name, store, more);
+        entry.wait_for(200);
+        entry
+    }
+
+    /// In an availability zone, without waiting until it is ready.
+    pub fn start_in(zone: &str, name: &str, store: &Store, more: &str) -> Self {
         let text = format!(
-            r#"{{"vm": "{name}", "zone": "zone-a", "store": "{}", "grace": "6s",
+            r#"{{"vm": "{name}", "zone": "{zone}", "store": "{}", "grace": "6s",
                 "listen": {{"callers": "127.0.0.1:0", "watchers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}{more}}}"#,
             store.address
         );
@@ -51,9 +58,7 @@
         let address =
             |name: &str| started[name].as_str().and_then(|text| text.parse().ok()).expect("an address");
         let (callers, watchers) = (address("callers"), address("watchers"));
-        let entry = Self { child, callers, watchers, settings, log: Some(log) };
-        entry.wait_for(200);
-        entry
+        Self { child, callers, watchers, settings, log: Some(log) }
     }
 
     /// Waits until the balancer would be told this.
