--- a/fleet/tests/one_lost.rs
+++ b/fleet/tests/one_lost.rs
@@ -196,3 +196,29 @@
         assert!((0..60).any(|seed| !day(seed, &[6, 9], broken).is_empty()), "{broken:?}");
     }
 }
+
+/// What the shorter waits cost: on a calm day the leader alone calls the store, as often as its bound says, whatever the size; where the store turns it
+/// away a bounded number of entry VMs does.
+#[test]
+fn calls_of_the_store() {
+    for vms in [6, 300, 984] {
+        let mut world = world(vms, 5);
+        let seconds = 10;
+        let count = |world: &mut World| {
+            let before = world.calls;
+            world.pass(Duration::from_secs(seconds));
+            (world.calls - before) as f64 / seconds as f64
+        };
+        let calm = count(&mut world);
+        let leader = world.leader().expect("there is one");
+        world.serve(leader, false);
+        world.pass(Duration::from_secs(3));
+        let turned_away = count(&mut world);
+        println!(
+            "{vms} entry VMs: {calm:.1} calls a second, {turned_away:.1} where the store turns the leader away"
+        );
+        assert!(calm <= 2.0 / bound(vms).wait().as_secs_f64(), "{vms} entry VMs: {calm}");
+        // Nine read for all, of each of two tables, and the leader tries.
+        assert!(turned_away <= 9.0 * 2.0 / 0.5 + 20.0, "{vms} entry VMs: {turned_away}");
+    }
+}
