--- a/daemon/tests/caller_keys.rs
+++ b/daemon/tests/caller_keys.rs
@@ -75,7 +75,7 @@
     assert!(call(entry.callers, &plain("/ack/1", "b2")).starts_with("HTTP/1.1 401"));
     assert!(gateway.callers().iter().all(|(workspace, key)| workspace == "wards" && key.is_empty()));
     assert!(!gateway.callers().is_empty());
-    let metrics = call(entry.watchers, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let metrics = entry.metrics();
     assert!(metrics.contains("boragecove_proof_age_ms"), "{metrics}");
     let log = log_of(entry);
     assert!(log.contains("\"workspace\":\"wards\""), "{log}");
--- a/daemon/tests/departure_soak.rs
+++ b/daemon/tests/departure_soak.rs
@@ -15,7 +15,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use serving::{Entry, LIMIT, call, plain};
+use serving::{Entry, LIMIT, plain};
 use standin::{Engine, Store, config};
 
 const ENTRIES: usize = 6;
@@ -146,10 +146,7 @@
 
     /// The entry VM that gives orders, if one does.
     fn leader(&self) -> Option<usize> {
-        let request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        self.entries
-            .iter()
-            .position(|entry| call(entry.watchers, request).contains("boragecove_lease_held 1"))
+        self.entries.iter().position(Entry::leads)
     }
 
     fn fault(&mut self) -> Fault {
--- a/daemon/tests/entry_process.rs
+++ b/daemon/tests/entry_process.rs
@@ -40,7 +40,7 @@
     assert!(answer.ends_with("answer to a2"), "{answer}");
     assert!(call(entry.callers, &plain("/nowhere/1", "a3")).starts_with("HTTP/1.1 404"));
     assert_eq!((writer.runs(), gateway.runs()), (vec!["a1".to_owned()], vec!["a2".to_owned()]));
-    let metrics = call(entry.watchers, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let metrics = entry.metrics();
     assert!(metrics.contains("boragecove_config_version 1"), "{metrics}");
     assert!(metrics.contains("boragecove_step_seconds_count{event=\"configured\"}"), "{metrics}");
 }
@@ -273,7 +273,7 @@
         let answer = call(entry.callers, &plain("/ack/1", &format!("u{number}")));
         assert!(answer.ends_with(&format!("answer to u{number}")), "{answer}");
     }
-    let metrics = call(entry.watchers, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let metrics = entry.metrics();
     assert!(metrics.contains("boragecove_log_lines_dropped"), "{metrics}");
 }
 
--- a/daemon/tests/late_departures.rs
+++ b/daemon/tests/late_departures.rs
@@ -13,7 +13,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use serving::{Entry, LIMIT, call, plain, streamed};
+use serving::{Entry, call, plain, streamed};
 use standin::{Engine, Store, config};
 
 /// How long after the store took its word an engine that leaves may still be sent requests, by the users' rule.
@@ -48,16 +48,6 @@
     engine.arrived().into_iter().filter(|at| *at >= since).count()
 }
 
-/// Waits until the entry VM holds the lease.
-fn wait_for_lease(entry: &Entry) {
-    let end = Instant::now() + LIMIT;
-    let metrics = || call(entry.watchers, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    while !metrics().contains("boragecove_lease_held 1") {
-        assert!(Instant::now() < end, "nobody leads in time");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// Callers one after the other, until they are told to stop.
 fn keep_calling(entry: &Entry, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
     let caller = |number: usize| {
@@ -90,7 +80,7 @@
     for round in 0..3_u64 {
         let (store, [leaving, _other]) = platform();
         let entry = Entry::start(&format!("lost-{round}"), &store);
-        wait_for_lease(&entry);
+        entry.wait_for_lease();
         let stop = Arc::new(AtomicBool::new(false));
         let callers = keep_calling(&entry, &stop);
         thread::sleep(Duration::from_millis(500 + 230 * round));
@@ -115,7 +105,7 @@
         let (store, _engines) = platform();
         let _gateway = Engine::start(&store, "i-3", "gateway", &[]);
         let entry = Entry::start(&format!("config-{round}"), &store);
-        wait_for_lease(&entry);
+        entry.wait_for_lease();
         thread::sleep(Duration::from_millis(500 + 230 * round));
         store.lose_answer("op");
         let mut newer = config(2);
@@ -136,7 +126,7 @@
 fn stand_still(name: &str, followers: usize, time: Duration, round: usize) -> (usize, usize, Vec<String>) {
     let (store, [leaving, other]) = platform();
     let leader = Entry::start(&format!("{name}-{round}"), &store);
-    wait_for_lease(&leader);
+    leader.wait_for_lease();
     let others: Vec<Entry> =
         (0..followers).map(|number| Entry::start(&format!("{name}-{round}-{number}"), &store)).collect();
     let entry = others.first().unwrap_or(&leader);
@@ -152,27 +142,27 @@
     (reached(&leaving, since), reached(&other, since), rest)
 }
 
-/// Guards against requests that wait at the sockets of a process that stood still, and are sent by what it knew before: here of the leader, to
-/// which nobody pushes.
-#[test]
-fn leader_stood_still() {
+/// Lets a process stand still in three rounds: nothing reaches the engine that left, and all callers are answered.
+fn nothing_late(name: &str, followers: usize) {
     for round in 0..3 {
-        let (late, served, rest) = stand_still("stood", 0, Duration::from_millis(2_600), round);
+        let (late, served, rest) = stand_still(name, followers, Duration::from_millis(2_600), round);
         println!("round {round}: {late} reached the engine that left, {served} the other, rest {rest:#?}");
         assert_eq!(late, 0, "round {round}: requests reached the engine that left");
         assert_eq!(served + rest.len(), CALLERS, "round {round}");
     }
 }
 
+/// Guards against requests that wait at the sockets of a process that stood still, and are sent by what it knew before: here of the leader, to
+/// which nobody pushes.
+#[test]
+fn leader_stood_still() {
+    nothing_late("stood", 0);
+}
+
 /// The same of an entry VM that follows another's lead: the leader's push waits at a socket of its own, and may be read too late.
 #[test]
 fn follower_stood_still() {
-    for round in 0..3 {
-        let (late, served, rest) = stand_still("follows", 1, Duration::from_millis(2_600), round);
-        println!("round {round}: {late} reached the engine that left, {served} the other, rest {rest:#?}");
-        assert_eq!(late, 0, "round {round}: requests reached the engine that left");
-        assert_eq!(served + rest.len(), CALLERS, "round {round}");
-    }
+    nothing_late("follows", 1);
 }
 
 /// An engine's port whose queue of new connections is full until it is emptied.
@@ -232,7 +222,7 @@
     };
     store.put("servers", "i-1", &row("ready"));
     let entry = Entry::start_with("meanwhile", &store, r#", "connect": "5s""#);
-    wait_for_lease(&entry);
+    entry.wait_for_lease();
     thread::sleep(Duration::from_millis(500));
     let callers = entry.callers;
     let caller = thread::spawn(move || call(callers, &plain("/ack/1", "m1")));
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -71,6 +71,25 @@
         }
     }
 
+    /// Its metrics, as text.
+    pub fn metrics(&self) -> String {
+        call(self.watchers, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    }
+
+    /// Whether it gives orders.
+    pub fn leads(&self) -> bool {
+        self.metrics().contains("boragecove_lease_held 1")
+    }
+
+    /// Waits until it does.
+    pub fn wait_for_lease(&self) {
+        let end = Instant::now() + LIMIT;
+        while !self.leads() {
+            assert!(Instant::now() < end, "it does not lead in time");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/daemon/tests/store_drills.rs
+++ b/daemon/tests/store_drills.rs
@@ -103,11 +103,7 @@
 
     /// The entry VM that gives orders, if one does.
     fn leader(&self) -> Option<usize> {
-        let leads = |entry: &Entry| {
-            call(entry.watchers, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                .contains("boragecove_lease_held 1")
-        };
-        self.entries.iter().position(leads)
+        self.entries.iter().position(Entry::leads)
     }
 
     /// Kills an entry VM and starts another in its place, under its name.
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -19,10 +19,10 @@
 use crate::frame;
 use crate::freshness::{self, Word};
 use crate::proof;
-use crate::push;
 use crate::quota;
 use crate::record::{Record, ms};
 use crate::revision::Revision;
+use crate::rollout;
 use crate::state::{Gap, State};
 pub(crate) use row::lapsed;
 use row::take;
@@ -54,7 +54,7 @@
         state.updates.replaced(before);
     }
     announce(state, out);
-    push::changed(state, now, before, out);
+    rollout::changed(state, now, before, out);
     frame::tell_hub(state, now, out);
 }
 
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -37,9 +37,9 @@
 use crate::ledger;
 use crate::members::Member;
 use crate::proof;
-use crate::push;
 use crate::quota;
 use crate::revision::Revision;
+use crate::rollout;
 use crate::settings::Settings;
 use crate::state::State;
 use crate::timer::Timer;
@@ -335,7 +335,7 @@
         intake::told(state, now, limit);
     }
     crash::told(state, now, News::of(frame.crashing.clone()), out);
-    push::heard(state, now, &frame, out);
+    rollout::heard(state, now, &frame, out);
     state.appetite.touch(now, &frame.demand);
     // Only what this frame says: with all that others wait for, the time for a frame would grow with the square of them.
     let wanted = adapter::waited_for(&frame.demand);
@@ -345,7 +345,7 @@
 
 /// What the hub answers to an entry VM's last frame.
 pub(crate) fn reply(state: &mut State, now: Time, asker: &Frame) -> Reply {
-    let config = push::inline(state, asker);
+    let config = rollout::inline(state, asker);
     let quota = quota::allot(state, now, &asker.vm, asker.number, &asker.quota);
     let loads::Told { named, placed } = loads::tell(state, &asker.loads, asker.engines);
     let whole = state.needs_all_rows(asker.listed);
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -21,9 +21,9 @@
 use crate::intake;
 use crate::pack;
 use crate::proof;
-use crate::push;
 use crate::quota;
 use crate::record::Record;
+use crate::rollout;
 use crate::state::State;
 use crate::timer::Timer;
 use crate::trust;
@@ -57,7 +57,7 @@
         state.hub.reads = state.members.is_reader(&state.me.vm);
     }
     if let Some(update) = reply.config.take() {
-        push::take(state, now, update, "hub", out);
+        rollout::take(state, now, update, "hub", out);
     }
     state.evacuations.hear_digest(reply.evacuations_known);
     evacuation::told(state, now, &reply.evacuations, out);
--- a/fleet/src/frame/peers.rs
+++ b/fleet/src/frame/peers.rs
@@ -51,7 +51,7 @@
     let silent = |peer: &Peer| now.since(peer.heard) > longest;
     if state.hub.peers.values().any(silent) {
         let gone = state.hub.peers.extract_if(.., |_, peer| silent(peer));
-        gone.for_each(|(vm, _)| state.pushes.forget(&vm));
+        gone.for_each(|(vm, _)| state.rollout.forget(&vm));
         recount(state);
     }
 }
--- a/fleet/src/frame/reading.rs
+++ b/fleet/src/frame/reading.rs
@@ -15,7 +15,7 @@
 use crate::effect::Effect;
 use crate::entries;
 use crate::event::Listing;
-use crate::push;
+use crate::rollout;
 use crate::state::State;
 
 /// What this process has read and the hub has not, as far as it has said.
@@ -43,7 +43,7 @@
         state.hub.read_at = state.hub.read_at.max(Some(now - *age));
     }
     if let Some(update) = config {
-        push::take(state, now, update.clone(), "reader", out);
+        rollout::take(state, now, update.clone(), "reader", out);
     }
     if rows.is_empty() {
         return;
--- a/fleet/src/freshness.rs
+++ b/fleet/src/freshness.rs
@@ -74,7 +74,7 @@
     state.freshness.at = state.freshness.at.max(Some(asked - age));
     let newer = state.freshness.doubt.is_some_and(|since| asked >= since);
     if newer && age <= state.settings.departure.word() {
-        trust(state, now, source, out);
+        go_on(state, now, source, out);
     }
 }
 
@@ -133,19 +133,19 @@
 /// The store gave no newer word.
 pub(crate) fn unread(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     if state.freshness.in_doubt() {
-        trust(state, now, "nobody", out);
+        go_on(state, now, "nobody", out);
     }
 }
 
 /// A newer word was waited for since a standstill as long as callers may wait.
 pub(crate) fn give_up(state: &mut State, now: Time, since: Time, out: &mut Vec<Effect>) {
     if state.freshness.doubt == Some(since) {
-        trust(state, now, "nobody", out);
+        go_on(state, now, "nobody", out);
     }
 }
 
 /// What is known may be gone by again.
-fn trust(state: &mut State, now: Time, source: &'static str, out: &mut Vec<Effect>) {
+fn go_on(state: &mut State, now: Time, source: &'static str, out: &mut Vec<Effect>) {
     let Some(since) = state.freshness.doubt.take() else {
         return;
     };
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,7 +7,7 @@
 //! The modules, from the ground up: `bound`, `config`, `engine`, `request`, `revision` and `settings` are the words; `entries`
 //! keeps what the store says, `freshness` how new that is, `era` what of that outlasts an older copy of it, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `admit`, `flow`, `outcome` and `crash` serve requests;
 //! `access` with `key` and `proof` says whose they are, `homes` and `evacuation` where they may go, `quota` how many a workspace's may be; `frame`,
-//! `members` with `ownership`, `push`, `update` and `pack` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
+//! `members` with `ownership`, `push`, `rollout`, `update` and `pack` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
 mod access;
 mod adapter;
@@ -50,6 +50,7 @@
 mod reduce;
 pub mod request;
 pub mod revision;
+mod rollout;
 pub mod schedule;
 pub mod settings;
 pub mod share;
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -22,6 +22,7 @@
 use crate::push;
 use crate::quota::{self, Credit, Draw};
 use crate::record::Record;
+use crate::rollout;
 use crate::schedule::{self, Ask, Grant};
 use crate::state::State;
 use crate::timer::Timer;
@@ -145,7 +146,7 @@
         Timer::Greet => frame::send(state, now, out),
         Timer::Refresh(since) => freshness::refresh(state, since, out),
         Timer::Doubt(since) => freshness::give_up(state, now, since, out),
-        Timer::Push => push::due(state, now, out),
+        Timer::Push => rollout::due(state, now, out),
         Timer::Grace => state.graced = true,
     }
 }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -29,10 +29,10 @@
 use crate::ledger::Ledger;
 use crate::members::Members;
 use crate::proof::Proof;
-use crate::push::Pushes;
 use crate::quota::Quota;
 use crate::request::{Id, Prompt};
 use crate::revision::Revision;
+use crate::rollout::Rollout;
 use crate::settings::Settings;
 use crate::speed::Speed;
 use crate::timer::Timer;
@@ -131,7 +131,7 @@
     pub(crate) refusals: BTreeMap<Code, u64>,
     pub(crate) retries: BTreeMap<&'static str, u64>,
     pub(crate) updates: Updates,
-    pub(crate) pushes: Pushes,
+    pub(crate) rollout: Rollout,
     pub(crate) crashes: Register,
     pub(crate) suspicions: trust::Lines,
     /// How often a place for an adapter was looked for.
@@ -199,7 +199,7 @@
             refusals: BTreeMap::new(),
             retries: BTreeMap::new(),
             updates: Updates::default(),
-            pushes: Pushes::default(),
+            rollout: Rollout::default(),
             crashes: Register::default(),
             suspicions: trust::Lines::default(),
             places_sought: 0,
