Play faults in series that overlap with real processes

Six entry VMs: stopped and continued, killed, told to stop, answers of the store lost or the store away, engines that leave and configurations, one beside the other for 14 s, callers on connections that they keep. Checked from outside: answers are whole and their own, nothing runs twice, what is said not to have run has not, no proper request is answered as if it were not; four seconds after the last all serve, and nothing reaches an engine that left.

--- a/daemon/tests/departure_soak.rs
+++ b/daemon/tests/departure_soak.rs
@@ -1,6 +1,6 @@
-//! Six entry VMs in three availability zones as processes of their own, whose engines leave one after the other while one thing at a time goes
-//! wrong: a process stands still and goes on, the leader too, an answer of the store is lost, a process is killed and starts anew under traffic.
-//! Callers go on all the while, on connections that they keep.
+//! Six entry VMs in three availability zones as processes of their own, whose engines leave one after the other while things go wrong: processes stand
+//! still and go on, the leader too, answers of the store are lost, it is away, processes are killed or told to stop and start anew under traffic. Callers go
+//! on all the while, on connections that they keep. One thing at a time for the bound on departures; in series that overlap for the rest.
 
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
@@ -15,7 +15,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use serving::{Entry, LIMIT, plain};
+use serving::{Entry, LIMIT, call, plain};
 use standin::{Engine, Store, config};
 
 const ENTRIES: usize = 6;
@@ -26,6 +26,12 @@
 const BOUND: Duration = Duration::from_secs(2);
 /// Time after which what went wrong is over for all.
 const CALM: Duration = Duration::from_millis(1_500);
+/// Time in which a process that is told to stop with nothing long under way has ended.
+const STOPS_WITHIN: Duration = Duration::from_secs(4);
+/// Time after which all serve, and know of what left, once nothing goes wrong any more.
+const RECOVERED: Duration = Duration::from_secs(4);
+/// How long things go wrong in series.
+const SERIES: Duration = Duration::from_secs(14);
 /// Departures of one seed.
 const ROUNDS: usize = 4;
 
@@ -42,6 +48,32 @@
     Restart { at: usize, before: Duration },
 }
 
+/// What goes wrong in a series, one beside the other.
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    /// A process stands still for so long.
+    Stop(usize, Duration),
+    Kill(usize),
+    /// A process is told to stop, and another starts in its place.
+    Terminate(usize),
+    /// The answers to so many calls of the store are lost.
+    Answers(u32),
+    /// The store refuses all calls for so long.
+    Away(Duration),
+    /// An engine leaves, and another takes its place.
+    Leave,
+    /// The operator writes another version.
+    Configure,
+}
+
+/// What ends later.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Stop(usize),
+    Terminate(usize),
+    Away,
+}
+
 /// What a caller was answered.
 #[derive(Debug)]
 struct Done {
@@ -61,6 +93,8 @@
     rng: fastrand::Rng,
     drawn: usize,
     restarts: usize,
+    version: u64,
+    ends: Vec<(Instant, End)>,
 }
 
 /// Reads one answer with a length from a connection.
@@ -125,8 +159,19 @@
         let callers = Arc::new(Mutex::new(entries.iter().map(|entry| entry.callers).collect()));
         let rng = fastrand::Rng::with_seed(seed);
         let (serving, left) = (Vec::new(), Vec::new());
-        let mut deployment =
-            Self { seed, store, entries, serving, left, callers, rng, drawn: 0, restarts: 0 };
+        let mut deployment = Self {
+            seed,
+            store,
+            entries,
+            serving,
+            left,
+            callers,
+            rng,
+            drawn: 0,
+            restarts: 0,
+            version: 1,
+            ends: Vec::new(),
+        };
         for _ in 0..ENGINES {
             deployment.add_engine();
         }
@@ -146,7 +191,8 @@
 
     /// The entry VM that gives orders, if one does.
     fn leader(&self) -> Option<usize> {
-        self.entries.iter().position(Entry::leads)
+        // One that stands still would not answer.
+        (0..ENTRIES).find(|at| !self.is_busy(*at) && self.entries[*at].leads())
     }
 
     fn fault(&mut self) -> Fault {
@@ -212,6 +258,84 @@
         fault
     }
 
+    fn action(&mut self) -> Action {
+        let any = self.rng.usize(0..ENTRIES);
+        let at = if self.rng.bool() { self.leader().unwrap_or(any) } else { any };
+        match self.rng.u32(0..12) {
+            0..=2 => Action::Stop(at, self.some_ms(3_000)),
+            3 => Action::Kill(at),
+            4 => Action::Terminate(at),
+            5..=6 => Action::Answers(self.rng.u32(1..6)),
+            7 => Action::Away(self.some_ms(2_500)),
+            8..=10 => Action::Leave,
+            _ => Action::Configure,
+        }
+    }
+
+    /// Whether a process is stopped or stops already.
+    fn is_busy(&self, at: usize) -> bool {
+        self.ends.iter().any(|(_, end)| matches!(end, End::Stop(of) | End::Terminate(of) if *of == at))
+    }
+
+    fn act(&mut self, action: Action) {
+        let now = Instant::now();
+        match action {
+            Action::Stop(at, _) | Action::Kill(at) | Action::Terminate(at) if self.is_busy(at) => {}
+            Action::Stop(at, time) => {
+                self.entries[at].signal("-STOP");
+                self.ends.push((now + time, End::Stop(at)));
+            }
+            Action::Kill(at) => self.restart(at),
+            Action::Terminate(at) => {
+                self.entries[at].terminate();
+                self.ends.push((now + STOPS_WITHIN, End::Terminate(at)));
+            }
+            Action::Answers(calls) => self.store.lose_answers(calls),
+            Action::Away(time) => {
+                self.store.down(true);
+                self.ends.push((now + time, End::Away));
+            }
+            Action::Leave => {
+                self.add_engine();
+                self.leave();
+            }
+            Action::Configure => {
+                self.version += 1;
+                self.store.put("op", "config", &config(self.version));
+            }
+        }
+    }
+
+    /// Ends what is due by then.
+    fn end_due(&mut self, by: Instant) {
+        let due: Vec<_> = self.ends.extract_if(.., |(at, _)| *at <= by).collect();
+        for (_, end) in due {
+            match end {
+                End::Stop(at) => self.entries[at].signal("-CONT"),
+                End::Terminate(at) => self.restart(at),
+                End::Away => self.store.down(false),
+            }
+        }
+    }
+
+    /// Things go wrong for so long, one beside the other; then all is well again. Returns what was done.
+    fn series(&mut self, time: Duration) -> Vec<Action> {
+        let end = Instant::now() + time;
+        let mut actions = Vec::new();
+        while Instant::now() < end {
+            let action = self.action();
+            self.act(action);
+            actions.push(action);
+            thread::sleep(self.some_ms(700));
+            self.end_due(Instant::now());
+        }
+        self.end_due(end + LIMIT);
+        self.store.lose_answers(0);
+        self.entries.iter().for_each(|entry| entry.wait_for(200));
+        thread::sleep(RECOVERED);
+        actions
+    }
+
     /// Requests that reached an engine too late after it left.
     fn late(&self) -> Vec<String> {
         let late = |(engine, since): &(Engine, Instant)| {
@@ -237,12 +361,48 @@
     Entry::start_in(ZONES[at % ZONES.len()], name, store, "")
 }
 
+/// Callers of all entry VMs, until they are told to stop.
+struct Callers {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<Vec<Done>>>,
+}
+
+impl Callers {
+    fn start(deployment: &Deployment) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let start = |number| caller(number, Arc::clone(&deployment.callers), Arc::clone(&stop));
+        let threads = (0..CALLERS).map(start).collect();
+        Self { stop, threads }
+    }
+
+    fn end(self) -> Vec<Done> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.threads.into_iter().flat_map(|thread| thread.join().expect("ends")).collect()
+    }
+}
+
+/// What is wrong with what callers were answered, and with what engines have run.
+fn wrong(done: &[Done], runs: &BTreeMap<String, usize>) -> Vec<String> {
+    let twice = runs.iter().filter(|(_, count)| **count > 1);
+    let mut faults: Vec<String> = twice.map(|(id, count)| format!("{id} ran {count} times")).collect();
+    for Done { id, status, body } in done {
+        match status {
+            200 if *body != format!("answer to {id}") => faults.push(format!("{id} was answered {body}")),
+            503 if runs.contains_key(id) => faults.push(format!("{id} was said not to have run")),
+            200 | 502..=504 => {}
+            _ => faults.push(format!("{id} was answered {status}: {body}")),
+        }
+    }
+    faults
+}
+
+fn served(done: &[Done]) -> usize {
+    done.iter().filter(|done| done.status == 200).count()
+}
+
 fn play(seed: u64) {
     let mut deployment = Deployment::start(seed);
-    let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| caller(number, Arc::clone(&deployment.callers), Arc::clone(&stop)))
-        .collect();
+    let callers = Callers::start(&deployment);
     thread::sleep(CALM);
     let mut faults = Vec::new();
     for _ in 0..ROUNDS {
@@ -250,31 +410,56 @@
         faults.extend(deployment.late().into_iter().map(|late| format!("{fault:?}: {late}")));
         deployment.left.iter_mut().for_each(|(_, since)| *since = Instant::now() + LIMIT);
     }
-    stop.store(true, Ordering::Relaxed);
-    let done: Vec<Done> = callers.into_iter().flat_map(|caller| caller.join().expect("ends")).collect();
-    let runs = deployment.runs();
-    let ran = |id: &str| runs.get(id).copied().unwrap_or_default();
-    faults.extend(
-        runs.iter().filter(|(_, count)| **count > 1).map(|(id, count)| format!("{id} ran {count} times")),
-    );
-    for Done { id, status, body } in &done {
-        match status {
-            200 if *body != format!("answer to {id}") => faults.push(format!("{id} was answered {body}")),
-            503 if ran(id) > 0 => faults.push(format!("{id} was said not to have run")),
-            _ => {}
-        }
-    }
-    let served = done.iter().filter(|done| done.status == 200).count();
-    println!("seed {seed}: {served} of {} served", done.len());
+    let done = callers.end();
+    faults.extend(wrong(&done, &deployment.runs()));
+    println!("seed {seed}: {} of {} served", served(&done), done.len());
     assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
-    assert!(served > 0, "seed {seed}: nothing was served");
+    assert!(served(&done) > 0, "seed {seed}: nothing was served");
+}
+
+fn play_series(seed: u64) {
+    let mut deployment = Deployment::start(seed);
+    let callers = Callers::start(&deployment);
+    thread::sleep(CALM);
+    let actions = deployment.series(SERIES);
+    // What has left by now is left alone, by all.
+    let now = Instant::now();
+    deployment
+        .left
+        .iter_mut()
+        .for_each(|(_, since)| *since = now.checked_sub(BOUND).expect("a running machine"));
+    thread::sleep(CALM);
+    let done = callers.end();
+    let mut faults = deployment.late();
+    faults.extend(wrong(&done, &deployment.runs()));
+    let answers = |entry: &Entry| call(entry.callers, &plain("/ack/1", "last")).starts_with("HTTP/1.1 200");
+    let silent = (0..ENTRIES).filter(|at| !answers(&deployment.entries[*at]));
+    faults.extend(silent.map(|at| format!("entry VM {at} does not serve")));
+    println!(
+        "seed {seed}, in series: {} of {} served, {} things done",
+        served(&done),
+        done.len(),
+        actions.len()
+    );
+    assert!(faults.is_empty(), "seed {seed}: {faults:#?} after {actions:#?}");
+}
+
+/// The seeds that are asked for: more by hand with `SOAK_SEEDS=50`, from `SOAK_FROM` on.
+fn seeds() -> std::ops::Range<u64> {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let from = number("SOAK_FROM").unwrap_or(0);
+    from..from + number("SOAK_SEEDS").unwrap_or(1)
 }
 
-/// Guards against requests that reach an engine which left longer ago than operators allow. More seeds by hand: `SOAK_SEEDS=50`, from `SOAK_FROM`
-/// on.
+/// Guards against requests that reach an engine which left longer ago than operators allow.
 #[test]
 fn one_at_a_time() {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
-    let (from, seeds) = (number("SOAK_FROM").unwrap_or(0), number("SOAK_SEEDS").unwrap_or(1));
-    (from..from + seeds).for_each(play);
+    seeds().for_each(play);
+}
+
+/// Whatever goes wrong beside each other, answers are whole and their own, nothing runs twice, what is said not to have run has not, and all serve again
+/// once it is over.
+#[test]
+fn in_series() {
+    seeds().for_each(play_series);
 }
