--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -97,13 +97,20 @@
         let request = store_request(Table::Engines.follow(self.after.version, Duration::ZERO));
         let called = client.transfer(self.store, request, PAGE_MAX, self.limit, self.limit).await;
         node.do_send(Transferred(Transfer::of(Kind::Engines, since, &called)));
-        let page = called.ok().filter(|received| received.status.is_success()).and_then(|received| {
-            let era = store::era(&received.headers).unwrap_or_default();
-            store::page(era, &received.body).ok()
-        });
-        // Whoever follows the table reads it whole if it is another copy's.
-        let page = page.filter(|page| page.version.era == self.after.era);
-        page.map_or(Event::Unread, |page| Event::Listed(listing(&page, asked, false)))
+        // What came of the call is logged with the transfer.
+        let Some(received) = called.ok().filter(|received| received.status.is_success()) else {
+            return Event::Unread;
+        };
+        let era = store::era(&received.headers).unwrap_or_default();
+        match store::page(era, &received.body) {
+            Ok(page) if page.version.era == self.after.era => Event::Listed(listing(&page, asked, false)),
+            // Whoever follows the table reads another copy's whole.
+            Ok(_other_copy) => Event::Unread,
+            Err(error) => {
+                tracing::warn!(%error, "changes of the engines' table");
+                Event::Unread
+            }
+        }
     }
 }
 
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -28,7 +28,7 @@
     Greet,
     /// The leader's word on the engines' table has been waited for since a standstill that ended then, and the store is to be asked.
     Refresh(Time),
-    /// Anybody's has been.
+    /// Any word on it has been waited for since then for as long as callers may wait.
     Doubt(Time),
     /// A process that knows nothing yet is to look who holds the lease.
     Look,
