--- a/daemon/tests/departure_soak.rs
+++ b/daemon/tests/departure_soak.rs
@@ -83,7 +83,8 @@
 }
 
 struct Deployment {
-    seed: u64,
+    /// What its processes' names begin with; no other deployment has it, since their settings files are named by them.
+    name: String,
     store: Store,
     entries: Vec<Entry>,
     serving: Vec<Engine>,
@@ -151,16 +152,16 @@
 }
 
 impl Deployment {
-    fn start(seed: u64) -> Self {
+    fn start(kind: &str, seed: u64) -> Self {
+        let name = format!("{kind}-{seed}");
         let store = Store::start();
         store.put("op", "config", &config(1));
-        let entries: Vec<Entry> =
-            (0..ENTRIES).map(|at| entry(&format!("leave-{seed}-{at}"), at, &store)).collect();
+        let entries: Vec<Entry> = (0..ENTRIES).map(|at| entry(&format!("{name}-{at}"), at, &store)).collect();
         let callers = Arc::new(Mutex::new(entries.iter().map(|entry| entry.callers).collect()));
         let rng = fastrand::Rng::with_seed(seed);
         let (serving, left) = (Vec::new(), Vec::new());
         let mut deployment = Self {
-            seed,
+            name,
             store,
             entries,
             serving,
@@ -222,7 +223,7 @@
         self.entries[at].signal("-KILL");
         self.restarts += 1;
         // Its settings file is its own: that of the one before goes with it.
-        let name = format!("leave-{}-{at}-{}", self.seed, self.restarts);
+        let name = format!("{}-{at}-{}", self.name, self.restarts);
         self.entries[at] = entry(&name, at, &self.store);
         self.callers.lock().expect("whole")[at] = self.entries[at].callers;
     }
@@ -401,7 +402,7 @@
 }
 
 fn play(seed: u64) {
-    let mut deployment = Deployment::start(seed);
+    let mut deployment = Deployment::start("leave", seed);
     let callers = Callers::start(&deployment);
     thread::sleep(CALM);
     let mut faults = Vec::new();
@@ -418,7 +419,7 @@
 }
 
 fn play_series(seed: u64) {
-    let mut deployment = Deployment::start(seed);
+    let mut deployment = Deployment::start("series", seed);
     let callers = Callers::start(&deployment);
     thread::sleep(CALM);
     let actions = deployment.series(SERIES);
