List entry VMs that reach no engine, shown with real processes, as known red

Six entry VMs as processes, each with proxies of its own to the engines: a library that is loaded into the process sends its connections to those, so that one process's ways can hang, be reset, or live on while new ones are refused, and the others' stay. Callers pause for a moment, in which kept connections are closed.

--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -38,6 +38,17 @@
 
     /// In an availability zone, without waiting until it is ready.
     pub fn start_in(zone: &str, name: &str, store: &Store, more: &str) -> Self {
+        Self::start_among(zone, name, store, more, [])
+    }
+
+    /// The same with these variables in its environment.
+    pub fn start_among(
+        zone: &str,
+        name: &str,
+        store: &Store,
+        more: &str,
+        environment: impl IntoIterator<Item = (&'static str, PathBuf)>,
+    ) -> Self {
         let text = format!(
             r#"{{"vm": "{name}", "zone": "{zone}", "store": "{}", "grace": "6s",
                 "listen": {{"callers": "127.0.0.1:0", "watchers": "127.0.0.1:0", "peers": "127.0.0.1:0"}}{more}}}"#,
@@ -48,6 +59,7 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_boragecoved"))
             .args(["serve", "--settings"])
             .arg(&settings)
+            .envs(environment)
             .stdout(Stdio::piped())
             .spawn()
             .expect("starts");
