--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -61,6 +61,11 @@
 }
 
 impl Expiry {
+    /// Time left to write it.
+    pub(crate) fn left(self) -> Duration {
+        self.at.since(self.clock.now())
+    }
+
     fn is_over(self) -> bool {
         self.clock.now() >= self.at
     }
--- /dev/null
+++ b/daemon/src/entry/forward.rs
@@ -0,0 +1,344 @@
+//! Requests that one entry VM passes on to an engine for another that does not reach it.
+//!
+//! The request is a `MessagePack` message. The answer is a body of parts, each a `MessagePack` message behind its length, so that its whole end, and
+//! what ended it otherwise, is told apart from a connection that broke.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::Addr;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, StatusCode, Uri};
+use actix_web::HttpResponse;
+use actix_web::web::Data;
+use boragecove_core::name::Name;
+use boragecove_fleet::engine::Incarnation;
+use boragecove_fleet::path::Denial;
+use boragecove_fleet::request::Attempt;
+use boragecove_platform::front::{self, Verdict};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::client::{Client, Error, Expiry, Request, Response};
+use super::node::{Node, Pass};
+use super::peers;
+use crate::clock::Clock;
+
+/// Where they are posted.
+pub(super) const PATH: &str = "/forward";
+/// Bytes of a request, at most: a body as large as operators may allow, and its head.
+pub(super) const REQUEST_MAX: usize = 17 << 20;
+/// Bytes of one part of an answer, at most.
+const PART_MAX: usize = 1 << 20;
+/// Parts that wait for whoever asked; then the engine is read no further.
+const BACKLOG: usize = 32;
+/// Bytes of a part's length.
+const LENGTH_BYTES: usize = 4;
+/// Answers to other requests that are left out before the one that is due.
+pub(super) const FOREIGN_MAX: u32 = 3;
+
+/// A request to be passed on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Order {
+    /// The engine's id.
+    pub(crate) engine: Name,
+    /// Which start of it is meant.
+    pub(crate) incarnation: Incarnation,
+    /// Time in which it may be written.
+    write_within: Duration,
+    /// Time in which the answer is to begin.
+    answer_within: Duration,
+    method: String,
+    target: String,
+    headers: Headers,
+    body: Bytes,
+}
+
+/// Headers by name, in order.
+type Headers = Vec<(String, Bytes)>;
+
+/// A part of the answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Part {
+    /// The engine's status and headers.
+    Head { status: u16, headers: Headers },
+    /// Bytes of the engine's body.
+    Data(Bytes),
+    /// The engine's body is complete.
+    End,
+    /// It was not passed on: nothing was sent.
+    Denied(Denial),
+    /// The engine's answer did not come, or broke off.
+    Failed(Failure),
+}
+
+/// Why an engine's answer did not come, or broke off.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Failure {
+    /// It was too late to write the request.
+    Expired,
+    /// No byte of the request was sent.
+    Unsent(String),
+    /// The request was sent, and the connection broke.
+    Lost(String),
+    /// What came is no answer.
+    Garbled(String),
+    /// Nothing came in time.
+    Late,
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        match error {
+            Error::Expired => Self::Expired,
+            Error::Unsent(error) => Self::Unsent(error.to_string()),
+            Error::Lost(error) => Self::Lost(error.to_string()),
+            Error::Garbled(what) => Self::Garbled(what),
+            Error::Late | Error::Cut { .. } => Self::Late,
+        }
+    }
+}
+
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Expired => Self::Expired,
+            Failure::Unsent(what) => Self::Unsent(io::Error::other(what)),
+            Failure::Lost(what) => Self::Lost(io::Error::other(what)),
+            Failure::Garbled(what) => Self::Garbled(what),
+            Failure::Late => Self::Late,
+        }
+    }
+}
+
+/// An answer that another entry VM passes back, once its head has come.
+#[derive(Debug)]
+pub(crate) struct Relayed {
+    parts: Parts,
+    status: StatusCode,
+    headers: HeaderMap,
+}
+
+/// The parts of an answer as they come.
+#[derive(Debug)]
+struct Parts {
+    response: Response,
+    buffer: BytesMut,
+    over: bool,
+}
+
+impl Relayed {
+    /// The engine's status.
+    pub(crate) const fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// The engine's headers.
+    pub(crate) const fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// The next bytes of the engine's body; none at its end.
+    ///
+    /// # Errors
+    ///
+    /// If it broke off.
+    pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
+        if self.parts.over {
+            return Ok(None);
+        }
+        match self.parts.next().await? {
+            Part::Data(bytes) => Ok(Some(bytes)),
+            Part::End => {
+                self.parts.close().await?;
+                Ok(None)
+            }
+            Part::Failed(failure) => Err(failure.into()),
+            Part::Head { .. } | Part::Denied(_) => Err(Error::Garbled("a head in a body".to_owned())),
+        }
+    }
+}
+
+impl Parts {
+    async fn next(&mut self) -> Result<Part, Error> {
+        loop {
+            if let Some(part) = decode(&mut self.buffer)? {
+                return Ok(part);
+            }
+            match self.response.chunk().await? {
+                Some(bytes) => self.buffer.extend_from_slice(&bytes),
+                None => return Err(Error::Lost(io::ErrorKind::UnexpectedEof.into())),
+            }
+        }
+    }
+
+    /// Reads to the end, so that the connection can be used again.
+    async fn close(&mut self) -> Result<(), Error> {
+        self.over = true;
+        while self.response.chunk().await?.is_some() {}
+        Ok(())
+    }
+}
+
+fn encode(part: &Part) -> Bytes {
+    let message = rmp_serde::to_vec(part).unwrap_or_default();
+    let mut bytes = BytesMut::with_capacity(LENGTH_BYTES + message.len());
+    bytes.put_u32(message.len() as u32);
+    bytes.extend_from_slice(&message);
+    bytes.freeze()
+}
+
+/// Takes a part out of what has come; none if it has not come whole.
+fn decode(buffer: &mut BytesMut) -> Result<Option<Part>, Error> {
+    let Some(mut length) = buffer.get(..LENGTH_BYTES) else {
+        return Ok(None);
+    };
+    let length = length.get_u32() as usize;
+    if length > PART_MAX {
+        return Err(Error::Garbled(format!("a part of {length} bytes")));
+    }
+    if buffer.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    buffer.advance(LENGTH_BYTES);
+    let message = buffer.split_to(length);
+    rmp_serde::from_slice(&message).map(Some).map_err(|error| Error::Garbled(error.to_string()))
+}
+
+fn named(headers: &HeaderMap) -> Headers {
+    let pair = |(name, value): (&HeaderName, &HeaderValue)| {
+        (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
+    };
+    headers.iter().map(pair).collect()
+}
+
+fn map_of(headers: Headers) -> Result<HeaderMap, Error> {
+    let mut map = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let name = HeaderName::try_from(name).map_err(|error| Error::Garbled(error.to_string()))?;
+        let value =
+            HeaderValue::from_maybe_shared(value).map_err(|error| Error::Garbled(error.to_string()))?;
+        map.append(name, value);
+    }
+    Ok(map)
+}
+
+/// Has a request passed on by the entry VM at `relay`, and waits for the head of the engine's answer until `until`.
+///
+/// # Errors
+///
+/// If none came; [`Error::Unsent`] and [`Error::Expired`] are certain that nothing was sent to the engine.
+pub(crate) async fn send(
+    client: &Rc<Client>,
+    relay: SocketAddr,
+    attempt: &Attempt,
+    request: Request,
+    until: Instant,
+    expiry: Expiry,
+) -> Result<Relayed, Error> {
+    let order = Order {
+        engine: attempt.engine.clone(),
+        incarnation: attempt.incarnation,
+        write_within: expiry.left(),
+        answer_within: until.saturating_duration_since(Instant::now()),
+        method: request.method.to_string(),
+        target: request.target.to_string(),
+        headers: named(&request.headers),
+        body: request.body,
+    };
+    let response = client.send(relay, peers::post(PATH, &order), until, expiry).await?;
+    if !response.status().is_success() {
+        // It was not read: whoever does not answer with parts has not passed it on.
+        return Err(Error::Unsent(io::Error::other(format!("the relay says {}", response.status()))));
+    }
+    let mut parts = Parts { response, buffer: BytesMut::new(), over: false };
+    let first = tokio::time::timeout_at(until, parts.next()).await;
+    match first.map_err(|_elapsed| Error::Late)?? {
+        Part::Head { status, headers } => {
+            let status = StatusCode::from_u16(status).map_err(|error| Error::Garbled(error.to_string()))?;
+            Ok(Relayed { headers: map_of(headers)?, status, parts })
+        }
+        Part::Denied(denial) => {
+            parts.close().await?;
+            Err(Error::Unsent(io::Error::other(format!("the relay says {}", denial.label()))))
+        }
+        Part::Failed(failure) => {
+            parts.close().await?;
+            Err(failure.into())
+        }
+        Part::Data(_) | Part::End => Err(Error::Garbled("a body without a head".to_owned())),
+    }
+}
+
+/// Serves other entry VMs: passes their requests on.
+pub(super) async fn serve(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
+    let Some(order) = peers::decode::<Order>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let (sender, mut parts) = mpsc::channel(BACKLOG);
+    node.do_send(Pass { order, parts: sender });
+    let parts = futures_util::stream::poll_fn(move |cx| parts.poll_recv(cx));
+    let encoded = futures_util::StreamExt::map(parts, |part| Ok::<_, io::Error>(encode(&part)));
+    HttpResponse::Ok().streaming(encoded)
+}
+
+/// A request of another entry VM on its way to an engine.
+#[derive(Debug)]
+pub(super) struct Passing {
+    pub(super) client: Rc<Client>,
+    pub(super) clock: Clock,
+    /// Where the engine listens.
+    pub(super) address: SocketAddr,
+    pub(super) order: Order,
+    pub(super) parts: mpsc::Sender<Part>,
+}
+
+impl Passing {
+    /// Passes it on, until its answer is over or whoever asked is gone.
+    pub(super) async fn run(self) {
+        let parts = self.parts.clone();
+        tokio::select! {
+            () = parts.closed() => {}
+            ended = self.exchange() => {
+                let last = ended.map_or_else(|error| Part::Failed(error.into()), |()| Part::End);
+                let _asker_gone = parts.send(last).await;
+            }
+        }
+    }
+
+    async fn exchange(self) -> Result<(), Error> {
+        let Self { client, clock, address, order, parts } = self;
+        let Order { engine, write_within, answer_within, method, target, headers, body, .. } = order;
+        let unreadable = |what: String| Error::Unsent(io::Error::other(what));
+        let request = Request {
+            method: Method::from_bytes(method.as_bytes()).map_err(|error| unreadable(error.to_string()))?,
+            target: target.parse::<Uri>().map_err(|error| unreadable(error.to_string()))?,
+            headers: map_of(headers).map_err(|error| unreadable(error.to_string()))?,
+            body,
+        };
+        let caller_id = front::caller_id(&request.headers);
+        let until = Instant::now() + answer_within;
+        let expiry = Expiry { clock, at: clock.now() + write_within };
+        let mut response = client.send(address, request, until, expiry).await?;
+        for _ in 0..FOREIGN_MAX {
+            let verdict =
+                front::verdict(response.status(), response.headers(), &engine, caller_id.as_deref());
+            if verdict != Verdict::Foreign {
+                break;
+            }
+            response = response.skip().await?;
+        }
+        let head = Part::Head { status: response.status().as_u16(), headers: named(response.headers()) };
+        let _asker_gone = parts.send(head).await;
+        while let Some(bytes) = response.chunk().await? {
+            for piece in bytes.chunks(PART_MAX / 2) {
+                let _asker_gone = parts.send(Part::Data(bytes.slice_ref(piece))).await;
+            }
+        }
+        Ok(())
+    }
+}
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -154,6 +154,7 @@
         counter(&mut registry, "rows_passed_over", help, state.rows_passed_over());
         let help = "Requests sent to engines that had named a limit";
         counter(&mut registry, "sent_to_limited", help, state.sent_to_limited());
+        relays(&mut registry, state);
         let help = "Times that the process was awake long after it had asked for";
         counter(&mut registry, "standstills", help, state.standstills());
         counter(&mut registry, "log_lines_dropped", "Log lines left out", counts.lines_dropped);
@@ -198,6 +199,19 @@
     registry.register("limit_places", help, places);
 }
 
+/// Requests that go by another entry VM.
+fn relays(registry: &mut Registry, state: &State) {
+    let help = "Requests sent by another entry VM";
+    counter(registry, "sent_by_relays", help, state.sent_by_relays());
+    let help = "Requests of other entry VMs passed on";
+    counter(registry, "passed_on", help, state.passed_on());
+    let denied = Family::<Retried, Counter>::default();
+    for (reason, count) in state.relays_denied() {
+        denied.get_or_create(&Retried { reason }).inc_by(*count);
+    }
+    registry.register("relays_denied", "Requests of other entry VMs not passed on, by why", denied);
+}
+
 /// Engines that leave or are gone.
 fn departures(registry: &mut Registry, state: &State) {
     let known = Family::<Known, Counter>::default();
@@ -224,6 +238,10 @@
     gauge(registry, "engines", "Engines known", state.engines().count());
     gauge(registry, "engines_leaving", "Engines that take no more work", leaving);
     gauge(registry, "engines_suspected", "Engines that could not be reached or are silent", suspected);
+    let relayed = state.engines().filter(|engine| engine.path.is_relayed()).count();
+    gauge(registry, "engines_relayed", "Engines that another entry VM passes requests on to", relayed);
+    let help = "Whether most engines in use are reached by other entry VMs alone";
+    gauge(registry, "cut_off", help, state.is_cut_off().into());
     let help = "Engines in need that have named a limit of requests a second";
     gauge(registry, "engines_limited", help, state.engines_limited());
     let help =
--- a/daemon/src/entry/mod.rs
+++ b/daemon/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod doors;
 mod events;
 mod follow;
+mod forward;
 mod held;
 mod log;
 mod metrics;
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -13,6 +13,7 @@
 use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
+use boragecove_fleet::path;
 use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::request::{Arrival, Id, Step};
 use boragecove_fleet::schedule::{Ask, Grant};
@@ -25,6 +26,7 @@
 use super::busy;
 use super::client::Client;
 use super::events::Events;
+use super::forward::{Order, Part, Passing};
 use super::held::{HOLD, Held};
 use super::log::Log;
 use super::metrics;
@@ -117,6 +119,15 @@
 #[rtype(result = "Option<Reach>")]
 pub(crate) struct Try(pub(crate) Name);
 
+/// Another entry VM has a request passed on.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+pub(crate) struct Pass {
+    pub(crate) order: Order,
+    /// Where the answer goes.
+    pub(crate) parts: mpsc::Sender<Part>,
+}
+
 /// All metrics in their text format.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "String")]
@@ -199,6 +210,10 @@
                 let client = Rc::clone(&self.client);
                 later(ctx, async move {
                     let reach = client.reach(address).await;
+                    if reach == Reach::Silent {
+                        // Connections that are open may have gone silent with it.
+                        client.forget(address);
+                    }
                     Event::Probed { engine, reach }
                 });
             }
@@ -206,6 +221,11 @@
                 let asking = peers::probe(Rc::clone(&self.client), address, &engine);
                 later(ctx, async move { Event::ProbedIndirectly { engine, reach: asking.await } });
             }
+            Effect::AskPath { vm, address, engine } => {
+                let asking = peers::probe(Rc::clone(&self.client), address, &engine);
+                let by = path::Relay { vm, address };
+                later(ctx, async move { Event::PathSeen { engine, by, reach: asking.await } });
+            }
             Effect::Record(record) => {
                 self.metrics.take(&record);
                 self.log.record(now, &record);
@@ -364,17 +384,41 @@
     type Result = ResponseFuture<Option<Reach>>;
 
     fn handle(&mut self, Try(engine): Try, _ctx: &mut Self::Context) -> Self::Result {
-        let address = self.state.address_of(&engine);
+        let look = boragecove_fleet::look(&self.state, self.clock.now(), &engine);
         let client = Rc::clone(&self.client);
         Box::pin(async move {
-            match address {
-                Some(address) => Some(client.reach(address).await),
-                None => None,
-            }
+            let look = look?;
+            let reach = client.reach(look.address).await;
+            let Some(control) = look.control.filter(|_| reach != Reach::Open) else {
+                return Some(reach);
+            };
+            (client.reach(control).await == Reach::Open).then_some(reach)
         })
     }
 }
 
+impl Handler<Pass> for Node {
+    type Result = ();
+
+    fn handle(&mut self, Pass { order, parts }: Pass, ctx: &mut Self::Context) {
+        let now = self.clock.now();
+        match boragecove_fleet::pass(&mut self.state, now, &order.engine, order.incarnation) {
+            Ok(address) => {
+                let (client, clock) = (Rc::clone(&self.client), self.clock);
+                let passing = Passing { client, clock, address, order, parts };
+                later(ctx, async move {
+                    passing.run().await;
+                    Event::Relayed
+                });
+            }
+            Err(denial) => {
+                // There is room for the first part, unless nobody waits for it.
+                let _asker_gone = parts.try_send(Part::Denied(denial));
+            }
+        }
+    }
+}
+
 impl Handler<Hear> for Node {
     type Result = ResponseFuture<Option<Reply>>;
 
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use super::client::{self, Client, Request};
+use super::forward;
 use super::node::{Feed, Hear, Node, Place, Spend, Transferred, Try};
 use super::transfer::{Kind, Transfer};
 
@@ -120,7 +121,7 @@
     answer.is_ok_and(|received| received.status.is_success())
 }
 
-fn post(path: &'static str, message: &impl Serialize) -> Request {
+pub(super) fn post(path: &'static str, message: &impl Serialize) -> Request {
     Request {
         method: Method::POST,
         target: Uri::from_static(path),
@@ -148,11 +149,16 @@
         .route(PUSH, web::post().to(pushed))
         .route(SCHEDULE, web::post().to(asked))
         .route(QUOTA, web::post().to(drawn))
-        .route(REACH, web::post().to(tried));
+        .route(REACH, web::post().to(tried))
+        .service(
+            web::resource(forward::PATH)
+                .app_data(PayloadConfig::new(forward::REQUEST_MAX))
+                .route(web::post().to(forward::serve)),
+        );
 }
 
 /// What another entry VM sent; none, and a line, if that cannot be read.
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+pub(super) fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
     let read = rmp_serde::from_slice(body);
     read.inspect_err(|error| tracing::warn!(%error, "message of another entry VM")).ok()
 }
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -6,26 +6,25 @@
 
 use actix::Addr;
 use actix_http::StatusCode;
-use actix_http::header::HeaderValue;
+use actix_http::header::{HeaderMap, HeaderValue};
 use boragecove_core::name::Name;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::notice::{Asked, Notice, Start};
 use boragecove_fleet::request::{Attempt, Cause, End, Events as Timed, Id, Refusal, Step};
 use boragecove_platform::front::{self, Verdict};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::client::{Client, Error, Expiry, Request, Response};
 use super::events::{self, Events};
+use super::forward::{self, FOREIGN_MAX, Relayed};
 use super::node::{Feed, Node};
 use super::outlet::{Head, Outlet, Part};
 use crate::clock::Clock;
 
 /// Bytes of a whole answer, at most.
 const ANSWER_MAX: usize = 16 << 20;
-/// Answers to other requests that are left out before the one that is due.
-const FOREIGN_MAX: u32 = 3;
 /// Time beyond the deadline in which an engine's own answer to it may still come.
 const AFTER_DEADLINE: Duration = Duration::from_millis(300);
 
@@ -88,6 +87,59 @@
     }
 }
 
+/// An engine's answer, once its head has come.
+#[derive(Debug)]
+enum Answer {
+    /// From the engine.
+    Direct(Response),
+    /// By another entry VM.
+    Relayed(Relayed),
+}
+
+impl Answer {
+    const fn status(&self) -> StatusCode {
+        match self {
+            Self::Direct(response) => response.status(),
+            Self::Relayed(relayed) => relayed.status(),
+        }
+    }
+
+    const fn headers(&self) -> &HeaderMap {
+        match self {
+            Self::Direct(response) => response.headers(),
+            Self::Relayed(relayed) => relayed.headers(),
+        }
+    }
+
+    /// The next bytes of the body; none at its end.
+    async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
+        match self {
+            Self::Direct(response) => response.chunk().await,
+            Self::Relayed(relayed) => relayed.chunk().await,
+        }
+    }
+
+    /// The whole body, of at most `limit` bytes.
+    async fn whole(&mut self, limit: usize) -> Result<Bytes, Error> {
+        let mut all = BytesMut::new();
+        while let Some(bytes) = self.chunk().await? {
+            if all.len() + bytes.len() > limit {
+                return Err(Error::Garbled(format!("more than {limit} bytes")));
+            }
+            all.extend_from_slice(&bytes);
+        }
+        Ok(all.freeze())
+    }
+
+    /// Leaves this answer out and waits for the next one. A relay has left out what was for others.
+    async fn skip(self) -> Result<Self, Error> {
+        match self {
+            Self::Direct(response) => response.skip().await.map(Self::Direct),
+            Self::Relayed(_) => Err(Error::Garbled("answers to other requests".to_owned())),
+        }
+    }
+}
+
 /// What ends an attempt from outside.
 enum Turn {
     Ended(End),
@@ -163,7 +215,7 @@
         let until = Instant::now() + left + AFTER_DEADLINE;
         let by = attempt.send_by.map_or(attempt.write_by, |by| by.min(attempt.write_by));
         let expiry = Expiry { clock: self.clock, at: by };
-        let mut answer = self.client.send(attempt.address, request, until, expiry).await;
+        let mut answer = self.send(&attempt, request, until, expiry).await;
         for _ in 0..FOREIGN_MAX {
             let response = match answer {
                 Ok(response) => response,
@@ -199,6 +251,23 @@
         End::Broken
     }
 
+    /// Sends the request from here, or has another entry VM pass it on.
+    async fn send(
+        &self,
+        attempt: &Attempt,
+        request: Request,
+        until: Instant,
+        expiry: Expiry,
+    ) -> Result<Answer, Error> {
+        match &attempt.relay {
+            None => self.client.send(attempt.address, request, until, expiry).await.map(Answer::Direct),
+            Some(relay) => {
+                let sent = forward::send(&self.client, relay.address, attempt, request, until, expiry);
+                sent.await.map(Answer::Relayed)
+            }
+        }
+    }
+
     /// An attempt's answer did not come, or broke off.
     fn unanswered(&self, attempt: &Attempt, error: &Error) -> End {
         tracing::debug!(request = %self.id, engine = %attempt.engine, %error, "no whole answer");
@@ -211,7 +280,7 @@
     }
 
     /// Reads a whole answer and keeps it until the reducer says what becomes of it.
-    async fn hold(&mut self, attempt: &Attempt, mut response: Response, end: End) -> End {
+    async fn hold(&mut self, attempt: &Attempt, mut response: Answer, end: End) -> End {
         let head = Head { status: response.status(), headers: front::returned(response.headers()) };
         match response.whole(ANSWER_MAX).await {
             Ok(body) => {
@@ -223,7 +292,7 @@
     }
 
     /// Passes a stream on, event by event.
-    async fn stream(&mut self, attempt: &Attempt, mut response: Response) -> End {
+    async fn stream(&mut self, attempt: &Attempt, mut response: Answer) -> End {
         let head = Head { status: response.status(), headers: front::returned(response.headers()) };
         loop {
             match response.chunk().await {
--- a/daemon/tests/unreached_engines.rs
+++ b/daemon/tests/unreached_engines.rs
@@ -30,6 +30,8 @@
 const COUNTED: Duration = Duration::from_secs(3);
 /// Time between two requests of a caller.
 const EVERY: Duration = Duration::from_millis(100);
+/// One request in so many of a caller is a stream: the engines have room for no more.
+const STREAM_EVERY: usize = 12;
 /// When callers pause after a cut began, and for how long: connections to engines that are kept are closed meanwhile.
 const PAUSE_AFTER: Duration = Duration::from_millis(700);
 const PAUSE: Duration = Duration::from_millis(1_400);
@@ -139,7 +141,7 @@
                 break;
             }
             let (at, id) = (Instant::now(), format!("e{entry}-c{number}-{request}"));
-            let served = if request % 4 == 3 {
+            let served = if request % STREAM_EVERY == number % STREAM_EVERY {
                 streamed_whole(address, &id)
             } else {
                 served_on(&mut kept, address, &id)
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -91,6 +91,7 @@
         refusals: 0,
         asked: 0,
         avoid: Vec::new(),
+        unsent: Vec::new(),
         may_have_run: false,
     }
 }
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -11,6 +11,7 @@
 use crate::frame;
 use crate::homes::{self, Homes, Permit};
 use crate::intake::{self, Access};
+use crate::path;
 use crate::request::Prompt;
 use crate::settings::{Mechanism, Settings};
 use crate::spread::{self, Unseen};
@@ -22,6 +23,9 @@
 /// many streams begins late, and those that are more urgent go first.
 const QUEUE_DEPTH: f64 = 0.6;
 
+/// What speaks against an engine that another entry VM passes requests on to, in ms of waiting.
+const RELAY_MS: f64 = 10.0;
+
 /// What was found for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -65,6 +69,8 @@
     pub(crate) homes: &'a Homes,
     /// Engines that are left out.
     pub(crate) avoid: &'a [Name],
+    /// Engines to which no connection could be opened for it.
+    pub(crate) unsent: &'a [Name],
     /// Time until the answer must begin.
     pub(crate) left: Duration,
     /// How long it may wait for a place at an engine in need.
@@ -141,7 +147,7 @@
             continue;
         }
         found.holders += 1;
-        if engine.health.suspected(now) {
+        if !path::is_reachable(state, now, engine, query.unsent.contains(&engine.entry.id)) {
             continue;
         }
         let place_ms = match intake::access(state, now, engine) {
@@ -168,7 +174,8 @@
             found.soonest_ms = Some(found.soonest_ms.map_or(room_ms, |soonest| soonest.min(room_ms)));
             continue;
         }
-        let cost_ms = queue_ms + place_ms + beside_ms(engine, now, &state.me.zone, settings);
+        let relay_ms = path::relay_of(state, engine).map_or(0.0, |_relay| RELAY_MS);
+        let cost_ms = queue_ms + place_ms + relay_ms + beside_ms(engine, now, &state.me.zone, settings);
         found.candidates.push(Candidate { engine, permit, cost_ms });
     }
     found
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -122,7 +122,7 @@
 /// An engine's port was tried from here. A refused connection may be the work of a partition, so that another entry VM is
 /// asked for what it sees, on the engine's side of such a partition.
 pub(crate) fn probed(state: &mut State, now: Time, engine: &Name, reach: Reach, out: &mut Vec<Effect>) {
-    let alone = state.members.list().iter().all(|member| member.vm == state.me.vm);
+    let alone = state.members.is_alone(&state.me.vm);
     match reach {
         Reach::Closed if alone => confirm(state, now, engine, out),
         Reach::Closed => ask(state, engine, out),
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -82,6 +82,15 @@
         /// The engine's id.
         engine: Name,
     },
+    /// Ask another entry VM whether it reaches an engine; that comes back as [`crate::event::Event::PathSeen`].
+    AskPath {
+        /// The entry VM.
+        vm: Name,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The engine's id.
+        engine: Name,
+    },
     /// Keep a record of a decision.
     Record(Record),
     /// Follow the store's tables like this, or leave that to the hub.
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -7,6 +7,7 @@
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::path::Path;
 use crate::revision::Revision;
 use crate::schedule::Schedule;
 use crate::settings::Settings;
@@ -203,6 +204,8 @@
     pub share: Share,
     /// How far it is trusted.
     pub health: Health,
+    /// How it is reached from here.
+    pub path: Path,
     /// What it holds, as the process that orders it says; none until that is known.
     pub ordered: Option<Residency>,
     /// Models that it refused as absent, and until when that is believed.
@@ -227,6 +230,7 @@
             share: Share::default(),
             schedule: Schedule::default(),
             health: Health::default(),
+            path: Path::default(),
             ordered: None,
             absent: Vec::new(),
         }
@@ -272,6 +276,7 @@
         self.said_leaving = false;
         self.replaced = false;
         self.health = Health::default();
+        self.path = Path::default();
         self.schedule = Schedule::default();
         self.cold = None;
         self.ordered = None;
@@ -340,8 +345,6 @@
     pub sent: Option<Time>,
     /// When it was last asked whether it is well.
     pub asked: Time,
-    /// Whether it could not be reached when it was last tried.
-    pub unreached: bool,
     /// When a suspicion was last logged.
     pub(crate) logged_at: Option<Time>,
     /// Whether the suspicion that there is was logged, so that its end is to be.
@@ -352,7 +355,6 @@
     /// Something came from the engine.
     pub fn hear(&mut self, now: Time) {
         self.heard = now;
-        self.unreached = false;
         self.suspect_until = None;
         self.suspicion = Duration::ZERO;
     }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -13,6 +13,7 @@
 use crate::lease;
 use crate::notice::{Asked, Notice, Start};
 use crate::order::{Receipt, Report};
+use crate::path::Relay;
 use crate::push;
 use crate::quota::Credit;
 use crate::request::{Arrival, End, Events, Id};
@@ -133,6 +134,17 @@
         /// How; none if the entry VM did not answer, or does not know the engine.
         reach: Option<Reach>,
     },
+    /// Another entry VM was asked whether it reaches an engine.
+    PathSeen {
+        /// The engine's id.
+        engine: Name,
+        /// Who was asked.
+        by: Relay,
+        /// How the engine's port answers there; none if the entry VM did not answer, or cannot tell.
+        reach: Option<Reach>,
+    },
+    /// A request of another entry VM that was passed on has ended.
+    Relayed,
     /// The settings have changed.
     Settings(Box<Settings>),
     /// The process was asked to stop.
@@ -170,6 +182,8 @@
             Self::Reported { .. } => "reported",
             Self::Probed { .. } => "probed",
             Self::ProbedIndirectly { .. } => "probed_indirectly",
+            Self::PathSeen { .. } => "path_seen",
+            Self::Relayed => "relayed",
             Self::Settings(_) => "settings",
             Self::Stop => "stop",
             Self::Wake => "wake",
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -70,6 +70,8 @@
     pub(crate) asked: u32,
     /// Engines that are not to get it again.
     pub(crate) avoid: Vec<Name>,
+    /// Engines to which no connection could be opened for it, once for each time.
+    pub(crate) unsent: Vec<Name>,
     pub(crate) may_have_run: bool,
 }
 
@@ -82,7 +84,7 @@
     /// A place in an engine's schedule was asked for.
     Scheduling { pick: Pick, ask: Ask, owner: Name },
     /// It is at an engine.
-    Sent { engine: Name, at: Time, begun: bool },
+    Sent { engine: Name, at: Time, begun: bool, relay: Option<Name> },
 }
 
 impl Flow {
@@ -156,12 +158,14 @@
         return;
     }
     let (service, prompt, avoid) = (flow.service.clone(), flow.prompt.clone(), flow.avoid.clone());
+    let unsent = flow.unsent.clone();
     let homes = homes::of(state, flow);
     let query = Query {
         service: &service,
         prompt: prompt.as_ref(),
         homes: &homes,
         avoid: &avoid,
+        unsent: &unsent,
         left: flow.begin_by.since(now).saturating_sub(state.settings.reserve),
         queue: flow.queue(&state.settings),
         target: flow.route.target,
--- a/fleet/src/flow/end.rs
+++ b/fleet/src/flow/end.rs
@@ -78,7 +78,7 @@
     let (engine, at, begun) = match std::mem::replace(&mut flow.stage, Stage::Waiting) {
         Stage::Waiting | Stage::Charging(_) => return None,
         Stage::Scheduling { pick, .. } => (pick.engine, None, false),
-        Stage::Sent { engine, at, begun } => (engine, Some(at), begun),
+        Stage::Sent { engine, at, begun, .. } => (engine, Some(at), begun),
     };
     let load = flow.load(begun);
     if let Some(target) = flow.target() {
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -13,6 +13,7 @@
 use crate::engine::Engine;
 use crate::homes;
 use crate::intake;
+use crate::path;
 use crate::proof;
 use crate::quota;
 use crate::record::{Record, ms};
@@ -178,7 +179,7 @@
     let engine = state.engines.get(engine);
     engine.is_some_and(|engine| {
         engine.takes_work()
-            && !engine.health.suspected(now)
+            && path::is_reachable(state, now, engine, false)
             && engine.health.pause(now).is_none()
             && serves(engine)
             && homes::permit(state, &homes, engine).is_some()
@@ -193,6 +194,7 @@
     let charge = quota::account(state, now, id);
     let send_by = proof::until(state);
     let surge = state.flows.get(&id).and_then(|flow| intake::surge_of(state, &flow.service));
+    let relay = state.engines.get(&pick.engine).and_then(|engine| path::relay_of(state, engine)).cloned();
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
@@ -210,7 +212,9 @@
     flow.number += 1;
     flow.used += 1;
     flow.asked = 0;
-    flow.stage = Stage::Sent { engine: pick.engine.clone(), at, begun: false };
+    state.paths.sent += u64::from(relay.is_some());
+    let relay_vm = relay.as_ref().map(|relay| relay.vm.clone());
+    flow.stage = Stage::Sent { engine: pick.engine.clone(), at, begun: false, relay: relay_vm.clone() };
     out.push(Effect::Record(Record::Sent {
         request: id.0,
         attempt: flow.number,
@@ -218,6 +222,7 @@
         route: flow.route.name.clone(),
         config,
         cost_ms: (pick.cost_ms * 10.0).round() / 10.0,
+        relay: relay_vm,
         candidates: pick.candidates,
         open: engine.load().open.saturating_sub(1),
         hub_age_ms: ms(hub_age.min(Duration::from_hours(1))),
@@ -235,6 +240,7 @@
         engine: pick.engine.clone(),
         incarnation: engine.entry.incarnation,
         address: engine.entry.address,
+        relay,
         at,
         deadline: flow.deadline,
         priority: flow.priority(),
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -36,6 +36,7 @@
 use crate::intake;
 use crate::ledger;
 use crate::members::Member;
+use crate::path;
 use crate::proof;
 use crate::quota;
 use crate::revision::Revision;
@@ -182,6 +183,7 @@
     let wait = pace(state);
     state.timers.set(now + wait.mul_f64(0.9 + 0.2 * state.rng.f64()), Timer::Frame);
     peers::expire(state, now);
+    path::judge(state, now, out);
     if state.needs_keys() {
         proof::check(state, now, out);
     }
@@ -311,7 +313,9 @@
 
 /// Engines that this process does not trust.
 fn suspects(state: &State, now: Time) -> Vec<Name> {
-    let suspected = state.engines.values().filter(|engine| engine.health.suspected(now));
+    // What others reach is no reason for anybody to look.
+    let suspected =
+        state.engines.values().filter(|engine| engine.health.suspected(now) && !engine.path.is_relayed());
     suspected.map(|engine| engine.entry.id.clone()).collect()
 }
 
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -1,7 +1,7 @@
 //! The entry VMs that there are, as the hub counts them, and which of them owns what (rendezvous hashing).
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ownership::{Membership, Ownership, Roster};
+use crate::state::Identity;
 
 /// How long an entry VM counts that a new list lacks: it may know that list later, and what it has given is used later still.
 const DROPPED_KEPT: Duration = Duration::from_secs(3);
@@ -87,6 +88,11 @@
         self.list = list;
     }
 
+    /// Whether an entry VM knows of no other.
+    pub(crate) fn is_alone(&self, vm: &Name) -> bool {
+        self.list.iter().all(|member| member.vm == *vm)
+    }
+
     /// Whether an entry VM reads the store for the others where the leader does not; each does while nobody is known.
     #[must_use]
     pub fn is_reader(&self, vm: &Name) -> bool {
@@ -184,6 +190,28 @@
         self.first(what, zone, |member| (near || member.zone == *zone) && !asked.contains(&member.vm))
     }
 
+    /// An entry VM that has not been asked yet whether it reaches an engine of an availability zone: first those that are not known not to reach others, of
+    /// zones of which nobody was asked, of the asker's zone, then of the engine's, then of any. Different askers ask different ones.
+    #[must_use]
+    pub(crate) fn relay(
+        &self,
+        engine: &Name,
+        me: &Identity,
+        zone: &Name,
+        asked: &[Name],
+        blind: impl Fn(&Name) -> bool,
+    ) -> Option<&Member> {
+        let what = Name::from(format!("{engine} {}", me.vm));
+        let asked_of = self.list.iter().filter(|member| asked.contains(&member.vm));
+        let zones: BTreeSet<&Name> = asked_of.map(|member| &member.zone).collect();
+        let rank = |member: &&Member| {
+            let near = if member.zone == me.zone { 2 } else { u8::from(member.zone == *zone) };
+            (!blind(&member.vm), !zones.contains(&member.zone), near, weight(&what, &member.vm))
+        };
+        let others = self.list.iter().filter(|member| member.vm != me.vm && !asked.contains(&member.vm));
+        others.max_by_key(rank)
+    }
+
     fn first(&self, what: &Name, zone: &Name, fits: impl Fn(&Member) -> bool) -> Option<&Member> {
         first(self.list.iter().filter(|member| fits(member)), what, zone)
     }
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -14,6 +14,7 @@
 use crate::flow::{self, Stage};
 use crate::frame::Absent;
 use crate::ledger;
+use crate::path;
 use crate::proof;
 use crate::record::{Record, ms};
 use crate::request::{Cause, End, Events, Id, Step};
@@ -25,6 +26,8 @@
 /// Sendings of one request that engines may refuse beyond the route's attempts: a refusal proves that
 /// the request has not run, so it has not had an engine yet.
 const REFUSALS_MAX: u32 = 2;
+/// Times that no connection to an engine may be opened for a request, by whatever way, until it is left out.
+const UNSENT_MAX: usize = 2;
 /// A request that may run again is given to another engine after this part of its time.
 const HANG_PART: u32 = 3;
 
@@ -36,7 +39,7 @@
     let reading_us = flow.load(false).reading_us;
     let arrived = flow.arrived;
     let prompt = flow.prompt.clone();
-    let Stage::Sent { engine, begun, at } = &mut flow.stage else {
+    let Stage::Sent { engine, begun, at, relay } = &mut flow.stage else {
         return;
     };
     let first = !std::mem::replace(begun, true);
@@ -56,8 +59,8 @@
             }
         }
     }
-    let engine = engine.clone();
-    trust::heard(state, now, &engine, out);
+    let (engine, at, relayed) = (engine.clone(), *at, relay.is_some());
+    trust::answered(state, now, &engine, relayed, at, out);
     if let Some(known) = state.engines.get_mut(&engine).filter(|_| first) {
         known.own = known.own.minus(Load { open: 0, reading_us });
     }
@@ -91,6 +94,10 @@
         return;
     }
     let begun = matches!(flow.stage, Stage::Sent { begun: true, .. });
+    let relay = match &flow.stage {
+        Stage::Sent { relay, .. } => relay.clone(),
+        Stage::Waiting | Stage::Charging(_) | Stage::Scheduling { .. } => None,
+    };
     let request = flow.fingerprint;
     let Some((engine, at)) = flow::leave(state, id) else {
         return;
@@ -124,7 +131,7 @@
     if suspect {
         crash::lost(state, now, id, &engine, at, out);
     }
-    judge(state, now, id, &engine, end, out);
+    judge(state, now, id, Judged { engine: &engine, end, relay, at }, out);
     if let Some(target) = call_target {
         learn_call(state, now, &service, &engine, end, took, target);
     }
@@ -171,15 +178,26 @@
     }
 }
 
+/// An attempt that ended.
+struct Judged<'a> {
+    engine: &'a Name,
+    end: End,
+    /// The entry VM that passed it on.
+    relay: Option<Name>,
+    /// When it was sent.
+    at: Time,
+}
+
 /// What an attempt's end says of its engine.
-fn judge(state: &mut State, now: Time, id: Id, engine: &Name, end: End, out: &mut Vec<Effect>) {
+fn judge(state: &mut State, now: Time, id: Id, judged: Judged<'_>, out: &mut Vec<Effect>) {
+    let Judged { engine, end, relay, at } = judged;
     let settings = state.settings.clone();
     let prompt = state.flows.get(&id).and_then(|flow| flow.prompt.clone());
     let Some(known) = state.engines.get_mut(engine) else {
         return;
     };
     match end {
-        End::Done => trust::heard(state, now, engine, out),
+        End::Done => trust::answered(state, now, engine, relay.is_some(), at, out),
         End::Failed => known.health.heard = now,
         End::Lost | End::Broken => known.health.fail(now, &settings),
         End::Refused(Cause::Busy) => {
@@ -187,9 +205,10 @@
             known.health.fail(now, &settings);
         }
         End::Withheld => {}
-        End::Unsent => {
-            trust::unreached(state, now, engine, out);
-        }
+        End::Unsent => match relay {
+            Some(relay) => path::relay_failed(state, now, engine, &relay, out),
+            None => trust::unreached(state, now, engine, out),
+        },
         End::Refused(Cause::Absent) => {
             known.health.heard = now;
             if let Some(prompt) = prompt {
@@ -223,8 +242,13 @@
     let service = flow.service.clone();
     let has_key = flow.workspace.is_some();
     // An engine that lacks what was asked for may get it: that is kept with the engine, for a while.
-    if !matches!(end, End::Refused(Cause::Absent) | End::Withheld) {
-        flow.avoid.push(engine);
+    match end {
+        End::Refused(Cause::Absent) | End::Withheld => {}
+        // Another entry VM may reach it, and so may one after that.
+        End::Unsent if flow.unsent.iter().filter(|of| **of == engine).count() < UNSENT_MAX => {
+            flow.unsent.push(engine);
+        }
+        _ => flow.avoid.push(engine),
     }
     // Where nothing was sent, no engine has had work of it.
     let allowed = repeatable
@@ -261,7 +285,7 @@
     let Some(flow) = state.flows.get(&id) else {
         return;
     };
-    let Stage::Sent { engine, at, begun } = flow.stage.clone() else {
+    let Stage::Sent { engine, at, begun, relay } = flow.stage.clone() else {
         return;
     };
     if flow.number != number {
@@ -272,11 +296,15 @@
     };
     let last = known.health.heard.max(at);
     let silent = now.since(last) >= settings.silence;
-    let dead = silent && known.health.unreached;
+    // One whose relay still reaches it may just be slow.
+    let relayed = relay.as_ref().is_some_and(|relay| known.path.is_relayed_by(relay));
+    let dead = silent && known.path.is_lost() && !relayed;
     let hangs = !begun
         && flow.route.kind == Kind::Idempotent
         && now.since(at) >= flow.deadline.since(flow.arrived) / HANG_PART;
-    if silent && !known.health.suspected(now) {
+    if silent && relayed {
+        path::doubt_relay(state, &engine, out);
+    } else if silent && !known.health.suspected(now) {
         trust::silent(state, now, &engine, out);
     }
     let nodes = state.nodes(now);
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -98,9 +98,11 @@
     let age = |model: &Name| pool.model(model).map_or(Duration::ZERO, |model| model.cold * EARNED);
     Some(Spot {
         engine: engine.entry.id.clone(),
-        usable: engine.takes_work() && engine.missing_until.is_none() && !engine.health.suspected(now),
+        usable: engine.takes_work()
+            && engine.missing_until.is_none()
+            && (!engine.health.suspected(now) || engine.path.is_relayed()),
         limited: state.intakes.limit_of(engine, now).is_some(),
-        idle: book.idle(),
+        idle: book.idle() && !engine.path.is_relayed(),
         copies: book.copies_expected().map(|(model, phase)| (model.clone(), phase)).collect(),
         young: book.younger(now, age).cloned().collect(),
         free_mb: pool.memory_mb - book.memory_mb(pool),
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -48,6 +48,9 @@
         config: u64,
         /// What the engine was expected to cost, in ms of waiting.
         cost_ms: f64,
+        /// The entry VM that passes it on.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        relay: Option<Name>,
         /// Engines that could have had it.
         candidates: usize,
         /// Requests under way at the engine.
@@ -314,6 +317,25 @@
         /// Requests that waited for it.
         held: usize,
     },
+    /// Requests for an engine take another way from now on.
+    Path {
+        /// The engine's id.
+        engine: Name,
+        /// Whether it is relayed, or reached from here again.
+        state: &'static str,
+        /// The entry VM that passes requests on.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        relay: Option<Name>,
+    },
+    /// Most engines that this process uses are reached by other entry VMs alone, or are not any more.
+    Reach {
+        /// Whether it is cut off.
+        state: &'static str,
+        /// Engines that others pass requests on to.
+        relayed: usize,
+        /// Engines that were heard from here lately.
+        direct: usize,
+    },
     /// Lines that were not written in the last second, since there were too many.
     LeftOut {
         /// On what.
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -1,11 +1,14 @@
 //! The reducer: one function over all events. It only hands each to the module that decides.
 
+use std::net::SocketAddr;
+
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
 use crate::crash;
 use crate::departure::Road;
 use crate::effect::Effect;
+use crate::engine::Incarnation;
 use crate::entries;
 use crate::era;
 use crate::evacuation;
@@ -18,6 +21,7 @@
 use crate::ledger;
 use crate::notice;
 use crate::outcome;
+use crate::path::{self, Denial, Look};
 use crate::plan;
 use crate::push;
 use crate::quota::{self, Credit, Draw};
@@ -79,6 +83,27 @@
     quota::draw(state, now, draw)
 }
 
+/// Another entry VM, which does not reach an engine, wants a request passed on to this start of it. Returns where the engine listens; once the
+/// request has ended, [`Event::Relayed`] is due.
+///
+/// # Errors
+///
+/// Why it is not passed on.
+pub fn pass(
+    state: &mut State,
+    now: Time,
+    engine: &Name,
+    incarnation: Incarnation,
+) -> Result<SocketAddr, Denial> {
+    path::pass(state, now, engine, incarnation)
+}
+
+/// What is to be tried to tell another entry VM how an engine's port answers here; none where nothing can be told.
+#[must_use]
+pub fn look(state: &State, now: Time, engine: &Name) -> Option<Look> {
+    path::look(state, now, engine)
+}
+
 fn hand(state: &mut State, now: Time, event: Event, out: &mut Vec<Effect>) {
     match event {
         Event::Configured(config) => entries::configured(state, now, config, "store", out),
@@ -122,6 +147,8 @@
         Event::ProbedIndirectly { engine, reach } => {
             crash::probed_indirectly(state, now, &engine, reach, out);
         }
+        Event::PathSeen { engine, by, reach } => path::seen(state, now, &engine, by, reach, out),
+        Event::Relayed => path::passed(state),
         Event::Settings(settings) => state.settings = *settings,
         Event::Stop => stop(state, now, out),
         Event::Wake => {}
@@ -165,7 +192,7 @@
 
 /// Ends the process once the balancer sends nobody any more and nothing is in flight.
 fn leave(state: &mut State, out: &mut Vec<Effect>) {
-    if state.graced && state.flows.is_empty() {
+    if state.graced && state.flows.is_empty() && !path::is_passing(state) {
         out.push(Effect::Exit);
     }
 }
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -13,6 +13,7 @@
 use crate::engine::Incarnation;
 use crate::homes::Permit;
 use crate::key::Digest;
+use crate::path::Relay;
 
 /// A request's number within its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -96,6 +97,8 @@
     pub incarnation: Incarnation,
     /// Where the engine listens.
     pub address: SocketAddr,
+    /// The entry VM that passes it on; none where the engine is reached from here.
+    pub relay: Option<Relay>,
     /// When it is to be sent.
     pub at: Time,
     /// When the engine is to stop at the latest.
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -154,11 +154,13 @@
     AdapterRelief,
     /// No more loads run at once than the weight store serves at full speed.
     BoundedLoads,
+    /// Other entry VMs pass requests on to engines that cannot be reached from here.
+    Relays,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Spacing,
         Self::Pressing,
         Self::LearntSpeed,
@@ -171,6 +173,7 @@
         Self::WatchedDrops,
         Self::AdapterRelief,
         Self::BoundedLoads,
+        Self::Relays,
     ];
 
     /// Its name in settings files.
@@ -189,6 +192,7 @@
             Self::WatchedDrops => "watched-drops",
             Self::AdapterRelief => "adapter-relief",
             Self::BoundedLoads => "bounded-loads",
+            Self::Relays => "relays",
         }
     }
 }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -28,6 +28,7 @@
 use crate::lease::Lease;
 use crate::ledger::Ledger;
 use crate::members::Members;
+use crate::path::{self, Paths};
 use crate::proof::Proof;
 use crate::quota::Quota;
 use crate::request::{Id, Prompt};
@@ -134,6 +135,8 @@
     pub(crate) rollout: Rollout,
     pub(crate) crashes: Register,
     pub(crate) suspicions: trust::Lines,
+    /// The ways to engines, and what is passed on for others.
+    pub(crate) paths: Paths,
     /// How often a place for an adapter was looked for.
     pub(crate) places_sought: u64,
     /// Rows of the engines' table that were passed over as older than what was known.
@@ -202,6 +205,7 @@
             rollout: Rollout::default(),
             crashes: Register::default(),
             suspicions: trust::Lines::default(),
+            paths: Paths::default(),
             places_sought: 0,
             rows_passed_over: 0,
             paces: FxHashMap::default(),
@@ -332,6 +336,30 @@
         self.intakes.sent()
     }
 
+    /// Whether this process is cut off from most engines that it uses, and others are not.
+    #[must_use]
+    pub const fn is_cut_off(&self) -> bool {
+        path::is_cut_off(self)
+    }
+
+    /// Requests that were sent by another entry VM.
+    #[must_use]
+    pub const fn sent_by_relays(&self) -> u64 {
+        self.paths.sent
+    }
+
+    /// Requests of other entry VMs that were passed on.
+    #[must_use]
+    pub const fn passed_on(&self) -> u64 {
+        self.paths.passed
+    }
+
+    /// Requests of other entry VMs that were not passed on, by why.
+    #[must_use]
+    pub const fn relays_denied(&self) -> &BTreeMap<&'static str, u64> {
+        &self.paths.denied
+    }
+
     /// How often a place for an adapter was looked for: what the holder of the lease has to do grows with it.
     #[must_use]
     pub const fn places_sought(&self) -> u64 {
--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -7,8 +7,9 @@
 
 use crate::crash;
 use crate::effect::Effect;
-use crate::engine::Reach;
+use crate::engine::{Engine, Reach};
 use crate::flow;
+use crate::path;
 use crate::record::Record;
 use crate::settings::Mechanism;
 use crate::state::State;
@@ -34,7 +35,7 @@
 
 impl Lines {
     /// Whether another suspicion is to be logged. What was left out in the second before is counted in a line.
-    fn take(&mut self, now: Time, out: &mut Vec<Effect>) -> bool {
+    pub(crate) fn take(&mut self, now: Time, out: &mut Vec<Effect>) -> bool {
         if now.since(self.since) >= Duration::from_secs(1) {
             if self.left_out > 0 {
                 out.push(Effect::Record(Record::LeftOut { what: "suspicions", lines: self.left_out }));
@@ -50,12 +51,12 @@
 /// An engine could not be reached: it gets no work, and is asked whether it is well once that has lasted.
 pub(crate) fn unreached(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
     suspect(state, now, engine, out);
-    let Some(known) = state.engines.get_mut(engine) else {
+    let Some(known) = state.engines.get(engine) else {
         return;
     };
-    known.health.unreached = true;
     let at = known.health.suspect_until.unwrap_or(now);
     state.timers.set(at, Timer::Probe(engine.clone()));
+    path::lost(state, now, engine, out);
 }
 
 /// An engine is silent: it gets no work until it has been asked, which is done at once, since it may just be slow.
@@ -125,7 +126,35 @@
         unreached(state, now, engine, out);
         return;
     }
-    heard(state, now, engine, out);
+    if path::opened(state, now, engine) {
+        heard(state, now, engine, out);
+    }
+}
+
+/// Something of the answer to a request came, by a relay or from an attempt of then.
+pub(crate) fn answered(
+    state: &mut State,
+    now: Time,
+    engine: &Name,
+    relayed: bool,
+    sent: Time,
+    out: &mut Vec<Effect>,
+) {
+    if path::heard(state, now, engine, relayed, Some(sent)) {
+        heard(state, now, engine, out);
+    }
+}
+
+/// Tries all engines that were used lately and are not suspected: no more than there were requests.
+pub(crate) fn look_at_used(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let used = |engine: &&mut Engine| {
+        let health = &engine.health;
+        health.sent.is_some_and(|at| now.since(at) < USED_WITHIN) && !health.suspected(now)
+    };
+    for engine in state.engines.values_mut().filter(used) {
+        engine.health.asked = now;
+        out.push(Effect::Probe { engine: engine.entry.id.clone(), address: engine.entry.address });
+    }
 }
 
 /// An engine answered: whatever was held against it is over.
@@ -143,6 +172,7 @@
         }));
     }
     known.health.hear(now);
+    path::regained(state, now, engine, out);
     if was_suspected {
         flow::stir_later(state);
     }
--- /dev/null
+++ b/fleet/tests/engine_partitions.rs
@@ -0,0 +1,242 @@
+//! Entry VMs that lose the way to engines which others reach, at the sizes of all deployments: their callers are served, nobody is misled, and all
+//! goes back to what it was. Partitions overlap with departures, restarts, lost leaders and each other.
+
+mod node;
+mod world;
+
+use std::time::Duration;
+
+use arbtest::arbitrary::{self, Unstructured};
+use arbtest::arbtest;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::settings::{Mechanism, Settings};
+use node::{GATEWAY, entry, millis, plain, row};
+use world::partitions::{CONTACT, Lost, Partition};
+use world::{Backends, World, ZONES};
+
+const ENGINES: usize = 6;
+const SIZES: [usize; 4] = [6, 65, 300, 984];
+/// How long a partition lasts in a test.
+const CUT: Duration = Duration::from_secs(8);
+/// Requests a second of all callers together.
+const ASKED_PER_S: u64 = 160;
+/// After which time nothing of a partition is left: the longest pause between two tries, and the time for which an engine must answer.
+const REJOINED: Duration = Duration::from_secs(7);
+
+fn gateway(number: usize) -> Entry {
+    Entry { slots: 64, ..entry(&format!("g{number}"), GATEWAY, ZONES[number % ZONES.len()], &[]) }
+}
+
+fn world_with(vms: usize, seed: u64, settings: Settings) -> World {
+    let rows: Vec<Row> = (0..ENGINES).map(|number| row(number as u64 + 1, gateway(number))).collect();
+    let mut world = World::new(vms, node::config(1), &rows, settings, seed);
+    world.paced = true;
+    world.backends = Some(Backends::new(&rows));
+    let start = if vms > 100 { 12 } else { 4 };
+    world.pass(Duration::from_secs(start));
+    world
+}
+
+fn world(vms: usize, seed: u64) -> World {
+    world_with(vms, seed, Settings::default())
+}
+
+/// Callers ask entry VMs at random for a while; half of them ask the first few.
+fn ask(world: &mut World, time: Duration, some: usize) {
+    let end = world.now + time;
+    while world.now < end {
+        let all = world.len();
+        let at =
+            if world.rng.bool() { world.rng.usize(0..all) } else { world.rng.usize(0..some.clamp(1, all)) };
+        let path = if world.rng.bool() { "/ack/1" } else { "/list/1" };
+        world.arrive(at, &Name::default(), 0.0, plain(path));
+        world.pass(millis(1_000 / ASKED_PER_S));
+    }
+}
+
+/// First tries at the entry VMs that were cut off, and at the others, as the users' rule counts them: served, and all.
+fn counted(world: &World, cut: &[usize], from: Time, until: Time) -> [(usize, usize); 2] {
+    let mut sums = [(0, 0); 2];
+    for (vm, (served, all)) in world.tries(from, until) {
+        let sum = &mut sums[usize::from(!cut.contains(&vm))];
+        *sum = (sum.0 + served, sum.1 + all);
+    }
+    sums
+}
+
+/// What breaks the users' rule, if anything does.
+fn broken(world: &World, cut: &[usize], from: Time, until: Time) -> Option<String> {
+    let [(served, all), (others_served, others)] = counted(world, cut, from, until);
+    let part = |served: usize, all: usize| if all == 0 { 1.0 } else { served as f64 / all as f64 };
+    let worse = part(served, all) < part(others_served, others) * 2.0 / 3.0;
+    let failed = (all - served) > 10 + (all + others) / 50;
+    (worse && failed).then(|| format!("{served} of {all} served, {others_served} of {others} elsewhere"))
+}
+
+/// Entry VMs that hold against engines that they cannot be reached, or go by others.
+fn apart(world: &World) -> usize {
+    let apart =
+        |at: &usize| world.is_running(*at) && world.state(*at).engines().any(|engine| engine.path.is_lost());
+    (0..world.len()).filter(apart).count()
+}
+
+fn all_of_zone(world: &World, zone: usize) -> Vec<usize> {
+    (0..world.len()).filter(|at| at % ZONES.len() == zone).collect()
+}
+
+/// One entry VM, all of a zone, and most of all, each by connections that hang and that are refused, at each size.
+#[test]
+fn callers_are_served() {
+    for vms in SIZES {
+        // The largest take long.
+        let cases: &[u64] = if vms < 300 { &[0, 1, 2, 3] } else { &[1, 3] };
+        for case in cases.iter().copied() {
+            let refused = case % 2 == 0;
+            let mut world = world(vms, 1 + case);
+            let cut = match case {
+                0 => vec![1],
+                1 | 2 => all_of_zone(&world, 1),
+                _ => (0..vms * 2 / 3).collect(),
+            };
+            ask(&mut world, Duration::from_secs(1), 6);
+            for at in &cut {
+                world.part(*at, Some(Partition { lost: Lost::All, refused }));
+            }
+            let began = world.now;
+            ask(&mut world, CUT, 6);
+            let until = world.now;
+            let fault = broken(&world, &cut, began + CONTACT, until - Duration::from_secs(1));
+            assert_eq!(fault, None, "{vms} entry VMs, case {case}");
+            let passed: usize = cut.iter().map(|at| world.passed_on_for(*at)).sum();
+            assert!(passed > 0, "{vms} entry VMs, case {case}: nothing was passed on");
+            assert_eq!(world.doubled(), 0, "{vms} entry VMs, case {case}: requests ran twice");
+            for at in &cut {
+                world.part(*at, None);
+            }
+            ask(&mut world, REJOINED, 6);
+            assert_eq!(apart(&world), 0, "{vms} entry VMs, case {case}: some are still apart");
+        }
+    }
+}
+
+/// Bites: without relays, callers are refused.
+#[test]
+fn refused_without_relays() {
+    let settings = Settings { without: vec![Mechanism::Relays], ..Settings::default() };
+    let mut world = world_with(6, 1, settings);
+    world.part(1, Some(Partition { lost: Lost::All, refused: true }));
+    let began = world.now;
+    ask(&mut world, CUT, 6);
+    let until = world.now;
+    assert!(broken(&world, &[1], began + CONTACT, until).is_some());
+}
+
+/// A way that comes and goes each second costs few requests: it is used again only once it has stayed.
+#[test]
+fn way_comes_and_goes() {
+    let mut world = world(6, 9);
+    ask(&mut world, Duration::from_secs(1), 6);
+    let began = world.now;
+    for round in 0..12 {
+        let partition = Partition { lost: Lost::All, refused: false };
+        world.part(1, (round % 2 == 0).then_some(partition));
+        ask(&mut world, Duration::from_secs(1), 6);
+    }
+    let fault = broken(&world, &[1], began + CONTACT, world.now - Duration::from_secs(1));
+    assert_eq!(fault, None);
+    let [(served, all), _] = counted(&world, &[1], began + CONTACT, world.now - Duration::from_secs(1));
+    assert!(served * 20 >= all * 19, "{served} of {all} served");
+}
+
+/// Plays one day. Returns what was wrong, with what had been done until then.
+fn play(
+    u: &mut Unstructured<'_>,
+    sizes: &[usize],
+    settings: Settings,
+) -> arbitrary::Result<(Vec<String>, Vec<String>)> {
+    let vms = *u.choose(sizes)?;
+    let mut world = world_with(vms, u.arbitrary()?, settings);
+    let (mut steps, mut faults) = (vec![format!("{vms} entry VMs")], Vec::new());
+    let mut left = Vec::new();
+    for _ in 0..u.int_in_range(1..=3)? {
+        let refused = u.arbitrary()?;
+        let lost = if u.ratio(1, 4)? { Lost::Half } else { Lost::All };
+        let cut: Vec<usize> = match u.int_in_range(0..=3)? {
+            0 => vec![u.int_in_range(0..=vms - 1)?],
+            1 => world.leader().into_iter().collect(),
+            2 => all_of_zone(&world, u.int_in_range(0..=2)?),
+            _ => (0..vms).filter(|at| at % 5 < 3).collect(),
+        };
+        for at in &cut {
+            world.part(*at, Some(Partition { lost, refused }));
+        }
+        let began = world.now;
+        steps.push(format!("{began:?}: {lost:?} lost, refused {refused}, by {:?}", &cut[..cut.len().min(6)]));
+        let mut troubled = false;
+        for _ in 0..u.int_in_range(0..=3)? {
+            ask(&mut world, millis(u.int_in_range(0..=2_000)?), 6);
+            let at = u.int_in_range(0..=vms - 1)?;
+            let kind = u.int_in_range(0..=5)?;
+            steps.push(format!("{:?}: kind {kind}, vm {at}, leader {:?}", world.now, world.leader()));
+            match kind {
+                0 => world.restart(at),
+                1 => {
+                    let leader = world.leader().unwrap_or(at);
+                    world.restart(leader);
+                }
+                2 => world.suspend(at, true),
+                3 => world.suspend(at, false),
+                _ if left.len() < ENGINES / 2 => {
+                    let number = left.len();
+                    world.register(Entry { leaving: true, ..gateway(number) });
+                    left.push((number, world.now));
+                }
+                _ => {}
+            }
+            troubled |= kind < 4;
+        }
+        ask(&mut world, CUT, 6);
+        let until = world.now;
+        // What was done besides lasts for as long as the users' rules allow an entry VM that was disturbed.
+        let from = if troubled { until - Duration::from_secs(3) } else { began + CONTACT };
+        let running: Vec<usize> = cut.iter().copied().filter(|at| world.calm_since(*at).is_some()).collect();
+        faults.extend(broken(&world, &running, from.max(began + CONTACT), until - Duration::from_secs(1)));
+        for at in &cut {
+            world.part(*at, None);
+        }
+        world.heal();
+        ask(&mut world, REJOINED, 6);
+        if apart(&world) > 0 {
+            faults.push(format!("{} are still apart", apart(&world)));
+        }
+        if !faults.is_empty() {
+            break;
+        }
+    }
+    if world.doubled() > 0 {
+        faults.push(format!("{} requests ran twice", world.doubled()));
+    }
+    for (number, since) in left {
+        let late = world.senders(&format!("g{number}"), since + Duration::from_secs(5), world.now);
+        faults
+            .extend(late.first().map(|late| format!("g{number} left at {since:?} and is sent to: {late:?}")));
+    }
+    let accused = (0..vms).filter(|at| world.state(*at).crashes().quarantined(world.now) > 0).count();
+    if accused > 0 {
+        faults.push(format!("{accused} hold requests to crash engines"));
+    }
+    Ok((steps, faults))
+}
+
+/// Random days: partitions of all kinds that overlap with departures, restarts, standstills and lost leaders.
+#[test]
+fn random_days() {
+    arbtest(|u| {
+        let (steps, faults) = play(u, &[6, 9, 65], Settings::default())?;
+        assert!(faults.is_empty(), "{faults:#?} after {steps:#?}");
+        Ok(())
+    })
+    .budget_ms(world::budget_ms(8_000));
+}
--- a/fleet/tests/world/backends.rs
+++ b/fleet/tests/world/backends.rs
@@ -15,7 +15,7 @@
 
 /// Time from a request's arrival at an engine to the head of its answer, and to its end.
 const HEAD_MS: u64 = 20;
-const RUN_MS: u64 = 150;
+pub(super) const RUN_MS: u64 = 150;
 /// The users' rule: how long after a word it counts for the entry VM that was told,
 const TOLD: Duration = Duration::from_millis(500);
 /// in which windows what is counted may be so many times the limit, and so many requests beyond that.
@@ -29,6 +29,8 @@
 pub struct Reached {
     pub at: Time,
     pub vm: usize,
+    /// The entry VM that passed it on.
+    pub relay: Option<usize>,
     /// Since when the entry VM had been told of the limit that the engine named then; none if it had not been.
     pub told: Option<Time>,
     /// Since when nothing was done to the entry VM, nor to the store; none while it hears nothing.
@@ -122,7 +124,7 @@
     }
 
     /// Whether a request from an entry VM reaches an engine: not over the edge of a zone that is cut off.
-    fn reaches_engine(&self, vm: usize, engine: &Name) -> bool {
+    pub(super) fn reaches_engine(&self, vm: usize, engine: &Name) -> bool {
         let zone = self.backends.as_ref().and_then(|backends| backends.zones.get(engine));
         let zone = zone.and_then(|zone| ZONES.iter().position(|name| **name == **zone));
         zone.is_some_and(|zone| {
@@ -153,17 +155,22 @@
         if self.now >= attempt.write_by || attempt.send_by.is_some_and(|by| self.now >= by) {
             return self.ended(vm, request, attempt.number, End::Withheld);
         }
-        if !self.reaches_engine(vm, &attempt.engine) {
-            return self.ended(vm, request, attempt.number, End::Unsent);
+        if self.sent_apart(vm, request, attempt) {
+            return;
         }
+        self.run(vm, None, request, attempt);
+        self.post(vm, vm, RUN_MS, Load::Ended(request, attempt.number));
+    }
+
+    /// An engine runs a request.
+    pub(super) fn run(&mut self, vm: usize, relay: Option<usize>, request: Id, attempt: &Attempt) {
         let (now, engine) = (self.now, attempt.engine.clone());
         let calm = self.calm_since(vm);
         let backends = self.backends.as_mut().expect("engines");
         let told = backends.told.get(&(vm, engine.clone())).copied();
         backends.doubled += usize::from(!backends.run.insert((vm, request)));
-        backends.reached.entry(engine).or_default().push(Reached { at: now, vm, told, calm });
+        backends.reached.entry(engine).or_default().push(Reached { at: now, vm, relay, told, calm });
         self.post(vm, vm, HEAD_MS, Load::Head(request, attempt.clone(), now));
-        self.post(vm, vm, RUN_MS, Load::Ended(request, attempt.number));
     }
 
     /// The head of an answer comes.
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -6,6 +6,7 @@
 mod backends;
 pub mod departures;
 pub mod losses;
+pub mod partitions;
 #[path = "../store/mod.rs"]
 mod store;
 mod ways;
@@ -28,7 +29,7 @@
 use boragecove_fleet::lease::Answer;
 use boragecove_fleet::push::{Message, Push};
 use boragecove_fleet::quota::{Credit, Draw};
-use boragecove_fleet::request::{Arrival, Attempt, Id};
+use boragecove_fleet::request::{Arrival, Attempt, End, Id};
 use boragecove_fleet::revision::Revision;
 use boragecove_fleet::schedule::{Ask, Grant};
 use boragecove_fleet::settings::Settings;
@@ -122,6 +123,8 @@
     /// Engines that answer; none where a request is done as soon as it is sent.
     pub backends: Option<Backends>,
     zones_cut: [bool; ZONES.len()],
+    /// Entry VMs that have lost the way to engines.
+    parted: BTreeMap<usize, partitions::Partition>,
     /// When the store last came back from a copy.
     drilled: Option<Time>,
     /// Evacuated zones, since when and until when.
@@ -191,6 +194,10 @@
     /// The head of an answer to what was sent then.
     Head(Id, Attempt, Time),
     Ended(Id, u32),
+    /// A request that was to be passed on.
+    Pass(Id, Attempt),
+    /// An attempt that had no answer, if none has come.
+    Unanswered(Id, u32, End),
     Lease(Answer),
     /// The configuration as it was when the store was asked, up to which version that holds, and when it was.
     Declared(Arc<Config>, Revision, Time),
@@ -267,6 +274,7 @@
             orderers: Vec::new(),
             backends: None,
             zones_cut: [false; ZONES.len()],
+            parted: BTreeMap::new(),
             drilled: None,
             evacuated: Vec::new(),
         };
--- /dev/null
+++ b/fleet/tests/world/partitions.rs
@@ -0,0 +1,165 @@
+//! Entry VMs of a deployment in a test that lose the way to engines, and requests that others pass on for them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::engine::Reach;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::path::Relay;
+use boragecove_fleet::request::{Attempt, End, Id};
+
+use super::backends::RUN_MS;
+use super::{Load, Reached, World};
+
+/// Time to give up opening a connection, as in the process.
+const CONNECT_MS: u64 = 400;
+/// Time to answer how a port answers there, as in the process.
+const LOOK_MS: u64 = 300;
+
+/// Which ways an entry VM has lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// Those to all engines,
+    All,
+    /// or to each second one.
+    Half,
+}
+
+/// A partition of one entry VM from engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Partition {
+    pub lost: Lost,
+    /// Whether connections are refused, or hang.
+    pub refused: bool,
+}
+
+impl World {
+    /// Takes the way to engines from an entry VM, or gives it back.
+    pub fn part(&mut self, vm: usize, partition: Option<Partition>) {
+        match partition {
+            Some(partition) => self.parted.insert(vm, partition),
+            None => self.parted.remove(&vm),
+        };
+    }
+
+    /// How a connection from an entry VM to an engine ends.
+    fn reach(&self, vm: usize, engine: &Name) -> Reach {
+        let parted = self.parted.get(&vm).filter(|partition| match partition.lost {
+            Lost::All => true,
+            Lost::Half => engine.bytes().last().is_some_and(|last| last % 2 == 0),
+        });
+        match parted {
+            Some(Partition { refused: true, .. }) => Reach::Closed,
+            None if !self.stands(engine) => Reach::Closed,
+            None if self.reaches_engine(vm, engine) => Reach::Open,
+            Some(_) | None => Reach::Silent,
+        }
+    }
+
+    /// Whether an engine runs.
+    fn stands(&self, engine: &Name) -> bool {
+        self.truth.get(engine).is_some_and(Option::is_some)
+    }
+
+    /// A port is tried.
+    pub(super) fn probe(&mut self, vm: usize, engine: Name) {
+        let reach = self.reach(vm, &engine);
+        let ms = if reach == Reach::Silent { CONNECT_MS } else { 5 };
+        self.post(vm, vm, ms, Load::Event(Box::new(Event::Probed { engine, reach })));
+    }
+
+    /// Another entry VM is asked how a port answers there.
+    pub(super) fn ask_path(&mut self, vm: usize, by: Relay, engine: Name) {
+        let to = self.at(by.address);
+        let reach = if self.reaches(vm, to) && !self.vms[to].suspended {
+            let look = boragecove_fleet::look(&self.vms[to].state, self.now, &engine);
+            let reach = self.reach(to, &engine);
+            let control = || {
+                let others = self.truth.keys().filter(|other| **other != engine);
+                others.clone().any(|other| self.reach(to, other) == Reach::Open)
+            };
+            look.filter(|look| reach == Reach::Open || look.control.is_none() || control()).map(|_| reach)
+        } else {
+            None
+        };
+        let ms = if reach == Some(Reach::Open) { 5 } else { LOOK_MS };
+        self.post(vm, vm, ms, Load::Event(Box::new(Event::PathSeen { engine, by, reach })));
+    }
+
+    /// A request's time has come, by whichever way. Returns whether it is dealt with here.
+    pub(super) fn sent_apart(&mut self, vm: usize, request: Id, attempt: &Attempt) -> bool {
+        let ended = |end| Load::Unanswered(request, attempt.number, end);
+        if let Some(relay) = &attempt.relay {
+            let to = self.at(relay.address);
+            if self.reaches(vm, to) && !self.vms[to].suspended {
+                self.post(vm, to, 3, Load::Pass(request, attempt.clone()));
+            } else {
+                self.post(vm, vm, CONNECT_MS, ended(End::Unsent));
+            }
+            return true;
+        }
+        match self.reach(vm, &attempt.engine) {
+            Reach::Open => false,
+            Reach::Closed => {
+                self.post(vm, vm, 2, ended(End::Unsent));
+                true
+            }
+            Reach::Silent => {
+                // A connection that is open takes it and says nothing.
+                if self.rng.u32(0..4) > 0 {
+                    self.post(vm, vm, CONNECT_MS, ended(End::Unsent));
+                }
+                true
+            }
+        }
+    }
+
+    /// A request comes to an entry VM that is to pass it on.
+    pub(super) fn passed(&mut self, from: usize, to: usize, request: Id, attempt: &Attempt) {
+        let now = self.now;
+        let state = &mut self.vms[to].state;
+        let allowed = boragecove_fleet::pass(state, now, &attempt.engine, attempt.incarnation);
+        if allowed.is_err() || now >= attempt.write_by {
+            if allowed.is_ok() {
+                self.feed(to, Event::Relayed);
+            }
+            return self.post(to, from, 3, Load::Unanswered(request, attempt.number, End::Unsent));
+        }
+        if self.reach(to, &attempt.engine) != Reach::Open {
+            self.post(to, to, CONNECT_MS, Load::Event(Box::new(Event::Relayed)));
+            return self.post(to, from, CONNECT_MS, Load::Unanswered(request, attempt.number, End::Unsent));
+        }
+        self.run(from, Some(to), request, attempt);
+        self.post(to, to, RUN_MS, Load::Event(Box::new(Event::Relayed)));
+        self.post(to, from, RUN_MS, Load::Ended(request, attempt.number));
+        // Where the relay ends before that, its connection breaks.
+        self.post(from, from, RUN_MS + 5, Load::Unanswered(request, attempt.number, End::Lost));
+    }
+
+    /// Requests of callers that came to entry VMs in a time, by entry VM: how many were served, and how many there were.
+    pub fn tries(&self, from: Time, until: Time) -> BTreeMap<usize, (usize, usize)> {
+        let mut tries: BTreeMap<usize, (usize, usize)> = BTreeMap::new();
+        for done in self.outcomes.iter().filter(|done| (from..until).contains(&done.asked)) {
+            let (served, all) = tries.entry(done.vm).or_default();
+            *served += usize::from(done.refused.is_none());
+            *all += 1;
+        }
+        let open = self.open.iter().filter(|(_, (asked, _, _))| (from..until).contains(asked));
+        for ((vm, _), _) in open {
+            tries.entry(*vm).or_default().1 += 1;
+        }
+        tries
+    }
+
+    /// Requests that were passed on for an entry VM.
+    pub fn passed_on_for(&self, vm: usize) -> usize {
+        let reached = self.backends.as_ref().map(|backends| backends.all().collect::<Vec<_>>());
+        let relayed = |one: &&Reached| one.vm == vm && one.relay.is_some();
+        reached.into_iter().flatten().map(|(_, _, one)| one).filter(relayed).count()
+    }
+}
+
+/// How long after a partition began the users' rule holds.
+pub const CONTACT: Duration = Duration::from_secs(3);
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -7,6 +7,7 @@
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::lease::{Answer, Call, Outcome, Row};
+use boragecove_fleet::path::Relay;
 use boragecove_fleet::request::{Cause, End, Events, Id, Step};
 use boragecove_fleet::revision::Revision;
 use boragecove_fleet::schedule::Grant;
@@ -92,6 +93,8 @@
             Load::Send(request, attempt) => self.sent(to, request, &attempt),
             Load::Head(request, attempt, at) => self.head(to, request, &attempt, at),
             Load::Ended(request, attempt) => self.ended(to, request, attempt, End::Done),
+            Load::Pass(request, attempt) => self.passed(from, to, request, &attempt),
+            Load::Unanswered(request, attempt, end) => self.ended(to, request, attempt, end),
             Load::Lease(answer) => self.feed(to, Event::Lease(answer)),
             Load::Declared(config, version, asked) => {
                 let stands = config.version;
@@ -160,6 +163,10 @@
                 self.vms[at].follows = follow;
             }
             Effect::Refresh { after, limit } => self.refresh(at, after, limit),
+            Effect::Probe { engine, .. } if self.backends.is_some() => self.probe(at, engine),
+            Effect::AskPath { vm, address, engine } if self.backends.is_some() => {
+                self.ask_path(at, Relay { vm, address }, engine);
+            }
             Effect::Step { request, step } => self.step(at, request, step),
             _ => {}
         }
