Hand the lease on where most engines in use are reached by others alone

A leader that reaches no engine went on leading: its reports and orders went unanswered, and its placement counted engines as unusable that serve the others. It gives the lease back now, and takes a free one only after four seconds, so that somebody leads where nobody reaches any engine. Orders are not relayed: those of two machines count as two holders'. Test leader_hands_on failed before ("Some(0) leads"); somebody_leads held before and after.

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -21,6 +21,7 @@
 use crate::effect::Effect;
 use crate::era;
 use crate::frame;
+use crate::path;
 use crate::push;
 use crate::quota::{self, LEASE};
 use crate::record::{Record, ms};
@@ -37,6 +38,8 @@
 /// Entry VMs a second that send a new hub their first frame: half of the 200 frames that a hub answers in a second otherwise, since its
 /// first answer to each names what all engines hold.
 const GREETINGS_PER_S: f64 = 100.0;
+/// How long a process that others reach engines for leaves a free lease to them: the engines may be down for all.
+const CUT_OFF_WAIT: Duration = Duration::from_secs(4);
 /// How long a lease that was given back is left to processes that were restarted after its holder, in ms: others may be
 /// the next to stop in a rolling restart. Just over one look at the lease.
 const YIELD_MS: u64 = 500;
@@ -56,6 +59,9 @@
     }
     let held = state.lease.held.clone();
     if let Some(held) = held.filter(|held| held.version.era == state.lease.era) {
+        if path::is_cut_off(state) && !state.members.is_alone(&state.me.vm) {
+            return hand_on(state, now, out);
+        }
         quota::propose(state, now);
         let row = own_row(state, now, held.term, held.former, state.stopping);
         call(state, now, Call::Write { expected: held.version, row }, out);
@@ -94,7 +100,14 @@
     }
 }
 
-/// Gives the lease back at a planned stop.
+/// Gives the lease back: others reach the engines that are to be given orders, and this process does not.
+fn hand_on(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    note(state, "handed_on", 0, out);
+    release(state, now, out);
+    quota::end(state);
+}
+
+/// Gives the lease back.
 pub(crate) fn release(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     let held = state.lease.held.take();
     if let Some(held) = held.filter(|held| held.version.era == state.lease.era) {
@@ -218,7 +231,7 @@
     }
     let over = store_ms > seen.row.until_ms.saturating_add(ms(state.settings.lease_margin));
     let free = over || (seen.row.released && !yields(state, &seen.row, store_ms));
-    if mine || (free && !defers(state, now, seen.version)) {
+    if (mine && !seen.row.released) || (free && !defers(state, now, seen.version)) {
         let former = seen.row.orderer(state.settings.order_gap, store_ms);
         quota::inherit(state, &seen.row.outstanding);
         quota::propose(state, now);
@@ -267,18 +280,22 @@
     call(state, now, Call::Write { expected, row }, out);
 }
 
-/// Whether a lease that is free is left to stronger machines for now: a weak one waits from its own first sight of that.
+/// Whether a lease that is free is left to others for now, stronger machines or such as reach engines: a weak one waits from its own first sight of that.
 /// After an outage of the store every lease has been over for long, and whoever looks first would take it: nine in ten are
 /// weak, and one with 10 Mbit/s and 64 others to answer had no order answered for five seconds.
 fn defers(state: &mut State, now: Time, version: Revision) -> bool {
-    if !state.settings.weak {
+    let wait = if path::is_cut_off(state) {
+        CUT_OFF_WAIT
+    } else if state.settings.weak {
+        state.settings.weak_wait
+    } else {
         return false;
-    }
+    };
     let (_, since) = *state.lease.free.insert(match state.lease.free {
         Some((seen, since)) if seen == version => (seen, since),
         _ => (version, now),
     });
-    now.since(since) < state.settings.weak_wait
+    now.since(since) < wait
 }
 
 /// When this process started, by the store's clock, in ms; 0 before that was seen.
@@ -298,9 +315,11 @@
     let version = new.version;
     let former = new.row.former.clone();
     let named = new.row.outstanding.holders.clone();
+    let released = new.row.released;
     state.lease.seen = Some(new);
-    if state.stopping {
+    if state.stopping || released {
         state.lease.held = None;
+        state.lease.tried = None;
         return;
     }
     let until = sent + state.settings.lease_length;
--- a/fleet/tests/engine_partitions.rs
+++ b/fleet/tests/engine_partitions.rs
@@ -133,6 +133,32 @@
     assert!(broken(&world, &[1], began + CONTACT, until).is_some());
 }
 
+/// A leader that reaches no engine hands the lease on, and takes none while others reach them.
+#[test]
+fn leader_hands_on() {
+    for vms in [6, 65] {
+        let mut world = world(vms, 7);
+        let leader = world.leader().expect("there is one");
+        world.part(leader, Some(Partition { lost: Lost::All, refused: false }));
+        ask(&mut world, Duration::from_secs(6), leader + 1);
+        let after = world.leader();
+        assert!(after.is_some_and(|after| after != leader), "{vms} entry VMs: {after:?} leads");
+        ask(&mut world, Duration::from_secs(6), leader + 1);
+        assert_ne!(world.leader(), Some(leader), "{vms} entry VMs: it leads again");
+    }
+}
+
+/// Where nobody reaches an engine, somebody leads all the same.
+#[test]
+fn somebody_leads() {
+    let mut world = world(6, 8);
+    for at in 0..6 {
+        world.part(at, Some(Partition { lost: Lost::All, refused: true }));
+    }
+    ask(&mut world, Duration::from_secs(10), 6);
+    assert!(world.leader().is_some());
+}
+
 /// A way that comes and goes each second costs few requests: it is used again only once it has stayed.
 #[test]
 fn way_comes_and_goes() {
