Load nothing in place of an engine that has been silent for a moment

A sound engine may take no connection for a second or so and go on. The leader counted it as unusable at once, and what it held was loaded elsewhere (test nothing_is_loaded: loads of two models within a second). It counts for 1.5 s now unless its port refuses, which a process that runs does not; it is given no order meanwhile. One that has ended, or stays silent, is replaced as before (ended_is_replaced). A run that breaks under such a silence was held against nothing before, and is not now (no_verdict).

--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -13,6 +13,8 @@
 use crate::settings::Settings;
 use crate::share::Share;
 
+/// For how long a sound engine may say nothing and take no connection.
+const SILENT_MAX: Duration = Duration::from_millis(1_500);
 /// Part of its slots that is taken at an engine where a new request may wait for one: loads are known late.
 const CROWDED: f64 = 0.7;
 
@@ -332,6 +334,10 @@
 pub struct Health {
     /// Until when it gets no work, since it could not be reached or went silent.
     pub suspect_until: Option<Time>,
+    /// Since when it has been suspected without a word from it.
+    pub(crate) suspected_since: Option<Time>,
+    /// Whether its port refused the last try: its process has ended, or something on the way refuses in its place.
+    pub(crate) refuses: bool,
     /// Until when it wants nothing from this process, as it said when it turned a request away.
     pub paused_until: Option<Time>,
     /// How long the last suspicion was; the next is twice as long.
@@ -356,6 +362,8 @@
     pub fn hear(&mut self, now: Time) {
         self.heard = now;
         self.suspect_until = None;
+        self.suspected_since = None;
+        self.refuses = false;
         self.suspicion = Duration::ZERO;
     }
 
@@ -364,6 +372,13 @@
         let least = settings.suspicion_min;
         self.suspicion = (self.suspicion * 2).clamp(least, settings.suspicion_max);
         self.suspect_until = Some(now + self.suspicion);
+        self.suspected_since.get_or_insert(now);
+    }
+
+    /// Whether it may have fallen silent for a moment, and go on with all that it holds.
+    #[must_use]
+    pub fn may_go_on(&self, now: Time) -> bool {
+        !self.refuses && self.suspected_since.is_some_and(|since| now.since(since) < SILENT_MAX)
     }
 
     /// Whether it is suspected now.
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -100,9 +100,9 @@
         engine: engine.entry.id.clone(),
         usable: engine.takes_work()
             && engine.missing_until.is_none()
-            && (!engine.health.suspected(now) || engine.path.is_relayed()),
+            && (!engine.health.suspected(now) || engine.path.is_relayed() || engine.health.may_go_on(now)),
         limited: state.intakes.limit_of(engine, now).is_some(),
-        idle: book.idle() && !engine.path.is_relayed(),
+        idle: book.idle() && !engine.health.suspected(now),
         copies: book.copies_expected().map(|(model, phase)| (model.clone(), phase)).collect(),
         young: book.younger(now, age).cloned().collect(),
         free_mb: pool.memory_mb - book.memory_mb(pool),
--- a/fleet/src/trust.rs
+++ b/fleet/src/trust.rs
@@ -123,6 +123,9 @@
 pub(crate) fn probed(state: &mut State, now: Time, engine: &Name, reach: Reach, out: &mut Vec<Effect>) {
     crash::probed(state, now, engine, reach, out);
     if reach != Reach::Open {
+        if let Some(known) = state.engines.get_mut(engine) {
+            known.health.refuses = reach == Reach::Closed;
+        }
         unreached(state, now, engine, out);
         return;
     }
--- /dev/null
+++ b/fleet/tests/silent_engines.rs
@@ -0,0 +1,120 @@
+//! A sound engine that falls silent for a second and goes on: nothing is loaded in its place, no request is held against it, and it is used again.
+
+mod node;
+
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::Reach;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::lease::{Call, Outcome};
+use boragecove_fleet::order::{Order, Report};
+use boragecove_fleet::request::{End, Step};
+use node::{Node, WRITER, brief, entry, listing, millis, orders, row};
+
+/// A leader of three engines, of which the first alone holds the model that is asked for, and the others have room.
+fn leader() -> Node {
+    let mut node = Node::ready("a");
+    let rows = vec![
+        row(20, entry("w8", WRITER, "zone-a", &["m0", "m1"])),
+        row(21, entry("w9", WRITER, "zone-a", &["m2"])),
+        row(22, entry("w10", WRITER, "zone-a", &["m3"])),
+    ];
+    node.feed(listing(rows, 23, true));
+    node.lead();
+    for _ in 0..4 {
+        let given = pass(&mut node, millis(250));
+        assert_eq!(given, Vec::new(), "all is where it is wanted");
+    }
+    node
+}
+
+/// Lets time pass; the store renews the lease, engines report what they hold, and accept no order.
+fn pass(node: &mut Node, time: Duration) -> Vec<Order> {
+    let effects = node.pass(time);
+    for effect in &effects {
+        if let Effect::Lease(Call::Write { expected, .. }) = effect {
+            let store_ms = node.now.since(Time::from_millis(node::START_MS)).as_millis() as u64;
+            node.lease(store_ms, Outcome::Written(expected.version + 1));
+        }
+        if let Effect::Report { engine, incarnation, .. } = effect {
+            let known = node.state.engines().find(|known| known.entry.id == *engine);
+            let held = known.map(|known| known.entry.held.clone()).unwrap_or_default();
+            let report = Report { held, incarnation: *incarnation, ..Report::default() };
+            node.feed(Event::Reported { engine: engine.clone(), report: Some(report) });
+        }
+    }
+    orders(&effects).into_iter().map(|dispatch| dispatch.order).collect()
+}
+
+/// Sends a request to the engine that holds `m1`. Returns what is needed to end it.
+fn send(node: &mut Node) -> (boragecove_fleet::request::Id, u32) {
+    let id = node.arrive(brief("m1"));
+    let Some(Step::Send(attempt)) = node.step(id) else {
+        panic!("it is sent");
+    };
+    assert_eq!(&*attempt.engine, "w8");
+    (id, attempt.number)
+}
+
+/// The engine's port is tried.
+fn probed(node: &mut Node, reach: Reach) {
+    node.feed(Event::Probed { engine: Name::from("w8"), reach });
+}
+
+fn loads(orders: &[Order]) -> usize {
+    orders.iter().filter(|order| matches!(order, Order::Load { .. })).count()
+}
+
+/// Guards against loads of what a silent engine holds, which it still holds a second later.
+#[test]
+fn nothing_is_loaded() {
+    let mut node = leader();
+    let (id, attempt) = send(&mut node);
+    node.ended(id, attempt, End::Unsent);
+    let mut given = Vec::new();
+    for _ in 0..4 {
+        given.extend(pass(&mut node, millis(250)));
+        probed(&mut node, Reach::Silent);
+    }
+    assert_eq!(loads(&given), 0, "{given:?}");
+    probed(&mut node, Reach::Open);
+    assert_eq!(node.state.crashes().quarantined(node.now), 0);
+    send(&mut node);
+}
+
+/// One whose port refuses has ended: what it held is loaded elsewhere at once. So is what one holds that stays silent.
+#[test]
+fn ended_is_replaced() {
+    for (reach, rounds) in [(Reach::Closed, 4), (Reach::Silent, 12)] {
+        let mut node = leader();
+        let (id, attempt) = send(&mut node);
+        node.ended(id, attempt, End::Unsent);
+        probed(&mut node, reach);
+        let mut given = Vec::new();
+        for _ in 0..rounds {
+            node.arrive(brief("m1"));
+            given.extend(pass(&mut node, millis(250)));
+            probed(&mut node, reach);
+        }
+        assert!(loads(&given) > 0, "{reach:?}: {given:?}");
+    }
+}
+
+/// A run that breaks under an engine's silence is held against no request, nor told to anybody.
+#[test]
+fn no_verdict() {
+    let mut node = leader();
+    for _ in 0..3 {
+        let (id, attempt) = send(&mut node);
+        node.ended(id, attempt, End::Lost);
+        let effects = node.feed(Event::Probed { engine: "w8".into(), reach: Reach::Silent }).to_vec();
+        assert!(!effects.iter().any(|effect| matches!(effect, Effect::Push(_))), "{effects:?}");
+        pass(&mut node, millis(300));
+        probed(&mut node, Reach::Open);
+        node.pass(millis(50));
+    }
+    assert_eq!(node.state.crashes().quarantined(node.now), 0);
+}
