Cut ways to engines in the soak of real processes, and look at the options of connections

departure_soak plays the same departures, restarts, standstills, lost answers and changes with entry VMs that lose the way to all engines, one or a zone's, while others reach them: one fault beside each departure, and in series that overlap.

unreached_engines looks at which options of its connections a process sets: TCP_NODELAY, and neither keep-alive probes nor TCP_USER_TIMEOUT. None was set before either; the test would see one that a library sets.

--- a/daemon/examples/redirect.rs
+++ b/daemon/examples/redirect.rs
@@ -1,11 +1,13 @@
 //! For tests: sends a process's connections elsewhere, so that the way from one process to another can be cut on one machine.
 //!
 //! Loaded into a process by `LD_PRELOAD`. The file that `BORAGECOVE_TEST_WAYS` names has a line for each port of this machine that is not
-//! to be connected to: the port, and the one that takes its place; 0 refuses the connection. It is read anew for each connection.
+//! to be connected to: the port, and the one that takes its place; 0 refuses the connection. It is read anew for each connection. The file that
+//! `BORAGECOVE_TEST_OPTIONS` names gets a line for each option of a connection that decides when it is given up.
 
 #![expect(unsafe_code, reason = "takes the place of a function of the C library")]
 
-use std::fs;
+use std::fs::{self, OpenOptions};
+use std::io::Write;
 
 use nix::libc;
 
@@ -51,3 +53,37 @@
     // SAFETY: the caller's own arguments.
     unsafe { libc::syscall(libc::SYS_connect, socket, address, length) as libc::c_int }
 }
+
+/// Notes that an option was set.
+fn note(option: &str) {
+    let Some(file) = std::env::var_os("BORAGECOVE_TEST_OPTIONS") else {
+        return;
+    };
+    if let Ok(mut file) = OpenOptions::new().create(true).append(true).open(file) {
+        // A test that finds no line would pass: it looks for one of a connection of its own too.
+        let _unwritten = writeln!(file, "{option}");
+    }
+}
+
+/// The C library's function of this name.
+///
+/// # Safety
+///
+/// As for that: `value` points to `length` bytes.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn setsockopt(
+    socket: libc::c_int,
+    level: libc::c_int,
+    name: libc::c_int,
+    value: *const libc::c_void,
+    length: libc::socklen_t,
+) -> libc::c_int {
+    match (level, name) {
+        (libc::SOL_SOCKET, libc::SO_KEEPALIVE) => note("SO_KEEPALIVE"),
+        (libc::IPPROTO_TCP, libc::TCP_USER_TIMEOUT) => note("TCP_USER_TIMEOUT"),
+        (libc::IPPROTO_TCP, libc::TCP_NODELAY) => note("TCP_NODELAY"),
+        _ => {}
+    }
+    // SAFETY: the caller's own arguments.
+    unsafe { libc::syscall(libc::SYS_setsockopt, socket, level, name, value, length) as libc::c_int }
+}
--- a/daemon/tests/departure_soak.rs
+++ b/daemon/tests/departure_soak.rs
@@ -5,17 +5,19 @@
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
 
+mod links;
 mod serving;
 
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use serving::{Entry, LIMIT, call, plain};
+use links::{Cut, Links};
+use serving::{Entry, LIMIT, call, plain, read_answer};
 use standin::{Engine, Store, config};
 
 const ENTRIES: usize = 6;
@@ -44,6 +46,8 @@
     Answer,
     /// Answers of the store to the next calls are lost, whatever they ask.
     Answers(u32),
+    /// Entry VMs lose the way to all engines from so long before until so long after: one, or all of its zone.
+    Cut { cut: Cut, at: usize, zone: bool, before: Duration, after: Duration },
     /// A process is killed, and another starts in its place.
     Restart { at: usize, before: Duration },
 }
@@ -60,6 +64,8 @@
     Answers(u32),
     /// The store refuses all calls for so long.
     Away(Duration),
+    /// An entry VM loses the way to all engines for so long.
+    Cut(usize, Cut, Duration),
     /// An engine leaves, and another takes its place.
     Leave,
     /// The operator writes another version.
@@ -72,6 +78,7 @@
     Stop(usize),
     Terminate(usize),
     Away,
+    Cut(usize),
 }
 
 /// What a caller was answered.
@@ -87,6 +94,8 @@
     name: String,
     store: Store,
     entries: Vec<Entry>,
+    /// Each entry VM's ways to engines, where they may be cut.
+    links: Vec<Links>,
     serving: Vec<Engine>,
     /// Engines that have left, and when the store took that.
     left: Vec<(Engine, Instant)>,
@@ -98,25 +107,6 @@
     ends: Vec<(Instant, End)>,
 }
 
-/// Reads one answer with a length from a connection.
-fn read_answer(stream: &mut TcpStream) -> Option<(u16, String)> {
-    let mut bytes = Vec::new();
-    let mut part = [0; 4_096];
-    loop {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
-            if body.len() >= length.parse::<usize>().ok()? {
-                return Some((head.get(9..12)?.parse().ok()?, body.to_owned()));
-            }
-        }
-        match stream.read(&mut part) {
-            Ok(0) | Err(_) => return None,
-            Ok(count) => bytes.extend_from_slice(&part[..count]),
-        }
-    }
-}
-
 /// A caller that asks one entry VM after the other, and keeps each connection for as long as it is answered there.
 fn caller(
     number: usize,
@@ -152,11 +142,14 @@
 }
 
 impl Deployment {
-    fn start(kind: &str, seed: u64) -> Self {
+    fn start(kind: &str, seed: u64, cuts: bool) -> Self {
         let name = format!("{kind}-{seed}");
         let store = Store::start();
         store.put("op", "config", &config(1));
-        let entries: Vec<Entry> = (0..ENTRIES).map(|at| entry(&format!("{name}-{at}"), at, &store)).collect();
+        let ways = if cuts { ENTRIES } else { 0 };
+        let links: Vec<Links> = (0..ways).map(|at| Links::new(&format!("{name}-{at}"))).collect();
+        let start = |at: usize| entry(&format!("{name}-{at}"), at, &store, links.get(at));
+        let entries: Vec<Entry> = (0..ENTRIES).map(start).collect();
         let callers = Arc::new(Mutex::new(entries.iter().map(|entry| entry.callers).collect()));
         let rng = fastrand::Rng::with_seed(seed);
         let (serving, left) = (Vec::new(), Vec::new());
@@ -164,6 +157,7 @@
             name,
             store,
             entries,
+            links,
             serving,
             left,
             callers,
@@ -183,6 +177,9 @@
     fn add_engine(&mut self) {
         self.drawn += 1;
         let engine = Engine::start(&self.store, &format!("i-{}", self.drawn), "gateway", &[]);
+        for ways in &mut self.links {
+            ways.add(engine.address);
+        }
         self.serving.push(engine);
     }
 
@@ -190,6 +187,10 @@
         Duration::from_millis(self.rng.u64(0..=most))
     }
 
+    fn some_cut(&mut self) -> Cut {
+        Cut::ALL[self.rng.usize(0..Cut::ALL.len())]
+    }
+
     /// The entry VM that gives orders, if one does.
     fn leader(&self) -> Option<usize> {
         // One that stands still would not answer.
@@ -199,6 +200,11 @@
     fn fault(&mut self) -> Fault {
         let any = self.rng.usize(0..ENTRIES);
         let at = if self.rng.bool() { self.leader().unwrap_or(any) } else { any };
+        if !self.links.is_empty() && self.rng.u32(0..3) > 0 {
+            let (before, after) = (self.some_ms(1_500), self.some_ms(2_800));
+            let (cut, zone) = (self.some_cut(), self.rng.bool());
+            return Fault::Cut { cut, at, zone, before, after };
+        }
         match self.rng.u32(0..8) {
             0..=3 => {
                 let (before, after) = (self.some_ms(300), self.some_ms(2_800));
@@ -224,7 +230,7 @@
         self.restarts += 1;
         // Its settings file is its own: that of the one before goes with it.
         let name = format!("{}-{at}-{}", self.name, self.restarts);
-        self.entries[at] = entry(&name, at, &self.store);
+        self.entries[at] = entry(&name, at, &self.store, self.links.get(at));
         self.callers.lock().expect("whole")[at] = self.entries[at].callers;
     }
 
@@ -241,6 +247,20 @@
                 thread::sleep(after);
                 self.entries[at].signal("-CONT");
             }
+            Fault::Cut { cut, at, zone, before, after } => {
+                let apart: Vec<usize> = (0..ENTRIES)
+                    .filter(|of| *of == at || (zone && of % ZONES.len() == at % ZONES.len()))
+                    .collect();
+                for of in &apart {
+                    self.links[*of].cut(Some(cut));
+                }
+                thread::sleep(before);
+                self.leave();
+                thread::sleep(after);
+                for of in &apart {
+                    self.links[*of].cut(None);
+                }
+            }
             Fault::Answer => {
                 self.store.lose_answer("servers");
                 self.leave();
@@ -262,6 +282,9 @@
     fn action(&mut self) -> Action {
         let any = self.rng.usize(0..ENTRIES);
         let at = if self.rng.bool() { self.leader().unwrap_or(any) } else { any };
+        if !self.links.is_empty() && self.rng.u32(0..3) == 0 {
+            return Action::Cut(at, self.some_cut(), self.some_ms(3_000));
+        }
         match self.rng.u32(0..12) {
             0..=2 => Action::Stop(at, self.some_ms(3_000)),
             3 => Action::Kill(at),
@@ -291,6 +314,10 @@
                 self.entries[at].terminate();
                 self.ends.push((now + STOPS_WITHIN, End::Terminate(at)));
             }
+            Action::Cut(at, cut, time) => {
+                self.links[at].cut(Some(cut));
+                self.ends.push((now + time, End::Cut(at)));
+            }
             Action::Answers(calls) => self.store.lose_answers(calls),
             Action::Away(time) => {
                 self.store.down(true);
@@ -315,6 +342,7 @@
                 End::Stop(at) => self.entries[at].signal("-CONT"),
                 End::Terminate(at) => self.restart(at),
                 End::Away => self.store.down(false),
+                End::Cut(at) => self.links[at].cut(None),
             }
         }
     }
@@ -358,8 +386,9 @@
     }
 }
 
-fn entry(name: &str, at: usize, store: &Store) -> Entry {
-    Entry::start_in(ZONES[at % ZONES.len()], name, store, "")
+fn entry(name: &str, at: usize, store: &Store, ways: Option<&Links>) -> Entry {
+    let environment = ways.into_iter().flat_map(Links::environment);
+    Entry::start_among(ZONES[at % ZONES.len()], name, store, "", environment)
 }
 
 /// Callers of all entry VMs, until they are told to stop.
@@ -401,8 +430,9 @@
     done.iter().filter(|done| done.status == 200).count()
 }
 
-fn play(seed: u64) {
-    let mut deployment = Deployment::start("leave", seed);
+fn play(seed: u64, cuts: bool) {
+    let kind = if cuts { "cut" } else { "leave" };
+    let mut deployment = Deployment::start(kind, seed, cuts);
     let callers = Callers::start(&deployment);
     thread::sleep(CALM);
     let mut faults = Vec::new();
@@ -418,8 +448,9 @@
     assert!(served(&done) > 0, "seed {seed}: nothing was served");
 }
 
-fn play_series(seed: u64) {
-    let mut deployment = Deployment::start("series", seed);
+fn play_series(seed: u64, cuts: bool) {
+    let kind = if cuts { "cuts" } else { "series" };
+    let mut deployment = Deployment::start(kind, seed, cuts);
     let callers = Callers::start(&deployment);
     thread::sleep(CALM);
     let actions = deployment.series(SERIES);
@@ -455,12 +486,24 @@
 /// Guards against requests that reach an engine which left longer ago than operators allow.
 #[test]
 fn one_at_a_time() {
-    seeds().for_each(play);
+    seeds().for_each(|seed| play(seed, false));
+}
+
+/// The same, most often with entry VMs that lose the way to all engines.
+#[test]
+fn ways_cut() {
+    seeds().for_each(|seed| play(seed, true));
 }
 
 /// Whatever goes wrong beside each other, answers are whole and their own, nothing runs twice, what is said not to have run has not, and all serve again
 /// once it is over.
 #[test]
 fn in_series() {
-    seeds().for_each(play_series);
+    seeds().for_each(|seed| play_series(seed, false));
+}
+
+/// The same with ways to engines that are cut beside.
+#[test]
+fn ways_cut_in_series() {
+    seeds().for_each(|seed| play_series(seed, true));
 }
--- a/daemon/tests/links/mod.rs
+++ b/daemon/tests/links/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test uses what it needs")]
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -81,12 +82,26 @@
         self.write();
     }
 
+    /// The options of connections that the process has set, by name.
+    pub fn options(&self) -> BTreeSet<String> {
+        let text = fs::read_to_string(self.options_file()).unwrap_or_default();
+        text.lines().map(str::to_owned).collect()
+    }
+
+    fn options_file(&self) -> PathBuf {
+        self.file.with_extension("options")
+    }
+
     /// What a process is to be started with.
-    pub fn environment(&self) -> [(&'static str, PathBuf); 2] {
+    pub fn environment(&self) -> [(&'static str, PathBuf); 3] {
         let program = PathBuf::from(env!("CARGO_BIN_EXE_boragecoved"));
         let library = program.with_file_name("examples").join("libredirect.so");
         assert!(library.exists(), "{}: build the examples of this package first", library.display());
-        [("LD_PRELOAD", library), ("BORAGECOVE_TEST_WAYS", self.file.clone())]
+        [
+            ("LD_PRELOAD", library),
+            ("BORAGECOVE_TEST_WAYS", self.file.clone()),
+            ("BORAGECOVE_TEST_OPTIONS", self.options_file()),
+        ]
     }
 
     /// Cuts all ways, or joins them again.
@@ -112,6 +127,7 @@
 impl Drop for Links {
     fn drop(&mut self) {
         let _left_behind = fs::remove_file(&self.file);
+        let _none_written = fs::remove_file(self.options_file());
     }
 }
 
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -142,6 +142,25 @@
     text
 }
 
+/// Reads one answer with a length from a connection.
+pub fn read_answer(stream: &mut TcpStream) -> Option<(u16, String)> {
+    let mut bytes = Vec::new();
+    let mut part = [0; 4_096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
+            if body.len() >= length.parse::<usize>().ok()? {
+                return Some((head.get(9..12)?.parse().ok()?, body.to_owned()));
+            }
+        }
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => bytes.extend_from_slice(&part[..count]),
+        }
+    }
+}
+
 /// A stream's request, with this body.
 pub fn streamed_with(path: &str, id: &str, body: &str) -> String {
     format!(
--- a/daemon/tests/unreached_engines.rs
+++ b/daemon/tests/unreached_engines.rs
@@ -7,7 +7,7 @@
 mod links;
 mod serving;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use links::{Cut, Links};
-use serving::{Entry, LIMIT, call, plain, streamed};
+use serving::{Entry, LIMIT, call, plain, read_answer, streamed};
 use standin::{Engine, Store, config};
 
 /// The availability zones of the entry VMs.
@@ -82,25 +82,6 @@
     }
 }
 
-/// The status of an answer with a length, read from a connection that goes on.
-fn read_status(stream: &mut TcpStream) -> Option<u16> {
-    let mut bytes = Vec::new();
-    let mut part = [0; 2_048];
-    loop {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
-            if body.len() >= length.parse::<usize>().ok()? {
-                return head.get(9..12)?.parse().ok();
-            }
-        }
-        match stream.read(&mut part) {
-            Ok(0) | Err(_) => return None,
-            Ok(count) => bytes.extend_from_slice(&part[..count]),
-        }
-    }
-}
-
 /// A call on a connection that is kept. Returns whether it was served.
 fn served_on(kept: &mut Option<TcpStream>, address: SocketAddr, id: &str) -> bool {
     let stream = kept.take().or_else(|| TcpStream::connect(address).ok());
@@ -109,7 +90,8 @@
     };
     stream.set_read_timeout(Some(LIMIT)).expect("sets");
     let text = plain("/ack/1", id).replace("Connection: close\r\n", "");
-    let status = stream.write_all(text.as_bytes()).ok().and_then(|()| read_status(&mut stream));
+    let answer = stream.write_all(text.as_bytes()).ok().and_then(|()| read_answer(&mut stream));
+    let status = answer.map(|(status, _body)| status);
     if status.is_some() {
         *kept = Some(stream);
     }
@@ -184,6 +166,9 @@
         thread::sleep(CONTACT + Duration::from_secs(1));
         word.stop.store(true, Ordering::Relaxed);
         let tries: Vec<Try> = callers.into_iter().flat_map(|caller| caller.join().expect("ends")).collect();
+        // Each attempt has a deadline: no option of the system decides when a connection is given up.
+        let options = deployment.links[0].options();
+        assert_eq!(options.iter().collect::<Vec<_>>(), ["TCP_NODELAY"], "options of connections");
         let (from, until) = (began + CONTACT, healed);
         let (served, asked) = count(&tries, from, until, cut_off, true);
         let (others_served, others) = count(&tries, from, until, cut_off, false);
