Keep brittle engines from falling over, as a sum over all entry VMs

An engine that says Server-Brittle = N falls over if it turns away more than N requests in a second, whoever sent them, and it may let fewer wait without saying so.

Each request to such an engine asks the one owner of its places now, as for engines that name a limit. The owner gives what the engine runs (slots by the mean time of a run); nobody sends one that would have to wait there; each rejection is told the owner at once, halves what it gives, and half of N stop it until the second is over. Places wait 50 ms at most: what was given before a rejection arrives after it. A service counts as brittle for 10 s, since an engine that is back says nothing before its first answer. Engines in need, placement and adapters go by named limits as before.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -30,6 +30,7 @@
 use crate::clock::Clock;
 use connection::{Connection, stalled};
 pub use response::Response;
+pub(crate) use response::append;
 use response::read_head;
 
 /// Idle connections kept to one address.
--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -128,10 +128,7 @@
     /// Appends the rest of the body to `all`, up to `limit` bytes.
     pub(super) async fn rest(&mut self, all: &mut BytesMut, limit: usize) -> Result<(), Error> {
         while let Some(bytes) = self.chunk().await? {
-            if all.len() + bytes.len() > limit {
-                return Err(Error::Garbled(format!("more than {limit} bytes")));
-            }
-            all.extend_from_slice(&bytes);
+            append(all, &bytes, limit)?;
         }
         Ok(())
     }
@@ -165,6 +162,15 @@
     }
 }
 
+/// Appends bytes of a body that may have `limit` of them.
+pub(crate) fn append(all: &mut BytesMut, bytes: &[u8], limit: usize) -> Result<(), Error> {
+    if all.len() + bytes.len() > limit {
+        return Err(Error::Garbled(format!("more than {limit} bytes")));
+    }
+    all.extend_from_slice(bytes);
+    Ok(())
+}
+
 /// Reads the head of an answer: it, how its body ends, and how long its connection can be kept.
 pub(super) async fn read_head(
     connection: &mut Connection,
--- a/daemon/src/entry/forward.rs
+++ b/daemon/src/entry/forward.rs
@@ -23,7 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::client::{Client, Error, Expiry, Request, Response};
+use super::client::{Client, Error, Expiry, Request, Response, append};
 use super::node::{Node, Pass};
 use super::peers;
 use crate::clock::Clock;
@@ -161,6 +161,19 @@
             Part::Head { .. } | Part::Denied(_) => Err(Error::Garbled("a head in a body".to_owned())),
         }
     }
+
+    /// The whole body, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// If it broke off, or is longer.
+    pub(crate) async fn whole(&mut self, limit: usize) -> Result<Bytes, Error> {
+        let mut all = BytesMut::new();
+        while let Some(bytes) = self.chunk().await? {
+            append(&mut all, &bytes, limit)?;
+        }
+        Ok(all.freeze())
+    }
 }
 
 impl Parts {
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -244,6 +244,8 @@
     gauge(registry, "cut_off", help, state.is_cut_off().into());
     let help = "Engines in need that have named a limit of requests a second";
     gauge(registry, "engines_limited", help, state.engines_limited());
+    let help = "Engines that fall over if they turn away too much";
+    gauge(registry, "engines_brittle", help, state.engines_brittle());
     let help =
         "Which copy of its data the store answers from; rises each time that it comes back from an older one";
     gauge(registry, "store_era", help, state.era().number() as usize);
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -12,7 +12,7 @@
 use boragecove_fleet::notice::{Asked, Notice, Start};
 use boragecove_fleet::request::{Attempt, Cause, End, Events as Timed, Id, Refusal, Step};
 use boragecove_platform::front::{self, Verdict};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -121,14 +121,10 @@
 
     /// The whole body, of at most `limit` bytes.
     async fn whole(&mut self, limit: usize) -> Result<Bytes, Error> {
-        let mut all = BytesMut::new();
-        while let Some(bytes) = self.chunk().await? {
-            if all.len() + bytes.len() > limit {
-                return Err(Error::Garbled(format!("more than {limit} bytes")));
-            }
-            all.extend_from_slice(&bytes);
+        match self {
+            Self::Direct(response) => response.whole(limit).await,
+            Self::Relayed(relayed) => relayed.whole(limit).await,
         }
-        Ok(all.freeze())
     }
 
     /// Leaves this answer out and waits for the next one. A relay has left out what was for others.
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -164,6 +164,11 @@
             // A prompt's wait is counted with the time to read it.
             Access::After(wait, reserve_ms) => reserve_ms + if prompt.is_none() { ms(wait) } else { 0.0 },
         };
+        if intake::would_wait(state, now, engine) {
+            let room_ms = run_ms / f64::from(engine.entry.slots.max(1));
+            found.soonest_ms = Some(found.soonest_ms.map_or(room_ms, |soonest| soonest.min(room_ms)));
+            continue;
+        }
         let queue_ms = queue_ms(engine, engine.load(), run_ms);
         let (offered, come_back_ms) = match prompt {
             Some(_) => (!is_full(engine, engine.load()), run_ms / f64::from(engine.entry.slots.max(1))),
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -82,7 +82,7 @@
     /// It waits for an engine.
     Waiting,
     /// A place in an engine's schedule was asked for.
-    Scheduling { pick: Pick, ask: Ask, owner: Name },
+    Scheduling { pick: Pick, ask: Box<Ask>, owner: Name },
     /// It is at an engine.
     Sent { engine: Name, at: Time, begun: bool, relay: Option<Name> },
 }
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -33,6 +33,7 @@
         return;
     };
     let surge = intake::surge_of(state, &flow.service);
+    let bound = state.engines.get(&pick.engine).and_then(|engine| intake::bound_of(state, now, engine));
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
@@ -48,7 +49,8 @@
     }
     let limit = state.intakes.told(now, engine);
     let cold = engine.cold.map(|cold| cold.until.since(now)).filter(|left| !left.is_zero());
-    let limited = state.intakes.limit_of(engine, now).is_some();
+    let limited = bound.is_some();
+    let brittle = limited && state.intakes.limit_of(engine, now).is_none();
     let spaced = flow.prompt.is_some() && state.settings.uses(Mechanism::Spacing);
     if !limited && !spaced && surge.is_none() {
         send(state, now, id, &pick, Duration::ZERO, out);
@@ -57,6 +59,7 @@
     // One that found the schedule of its first choice full takes what the next one offers.
     let slack = pick.slack.max(state.settings.schedule_slack);
     let most = if limited { flow.queue(&state.settings) } else { state.settings.schedule_wait };
+    let most = if brittle { most.min(intake::WAIT_MAX) } else { most };
     let left = flow.begin_by.since(now).saturating_sub(state.settings.reserve).min(most);
     let expected = engine.schedule.wait(now);
     let wait_max = if flow.asked == 0 { expected.saturating_add(slack).min(left) } else { left };
@@ -77,7 +80,7 @@
     let owner = owner.filter(|owner| owner.vm != state.me.vm);
     flow.stage = Stage::Scheduling {
         pick,
-        ask: ask.clone(),
+        ask: Box::new(ask.clone()),
         owner: owner.as_ref().map_or_else(|| state.me.vm.clone(), |owner| owner.vm.clone()),
     };
     if let Some(owner) = owner {
@@ -164,7 +167,7 @@
 
 /// Whether an engine has a limit.
 fn is_limited(state: &State, now: Time, engine: &Name) -> bool {
-    state.engines.get(engine).is_some_and(|engine| state.intakes.limit_of(engine, now).is_some())
+    state.engines.get(engine).is_some_and(|engine| intake::bound_of(state, now, engine).is_some())
 }
 
 /// Whether an engine can still be sent a request that was meant for it.
@@ -194,6 +197,7 @@
     let charge = quota::account(state, now, id);
     let send_by = proof::until(state);
     let surge = state.flows.get(&id).and_then(|flow| intake::surge_of(state, &flow.service));
+    let bound = state.engines.get(&pick.engine).and_then(|engine| intake::bound_of(state, now, engine));
     let relay = state.engines.get(&pick.engine).and_then(|engine| path::relay_of(state, engine)).cloned();
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
@@ -203,8 +207,8 @@
     };
     let at = now + wait;
     engine.health.sent = Some(at);
-    let limit = state.intakes.limit_of(engine, now);
-    let named = state.intakes.named_by(engine).is_some();
+    let limit = bound;
+    let named = state.intakes.named_by(engine).is_some() || state.intakes.is_brittle(engine);
     if limit.is_some() {
         state.intakes.count();
     }
--- a/fleet/src/intake.rs
+++ b/fleet/src/intake.rs
@@ -6,6 +6,7 @@
 //! gives places for a part of the limit. A limit that is heard goes along with questions for places, and to all by way of the
 //! leader. What waits for a place that was given before goes back.
 
+mod brittle;
 mod start;
 mod table;
 
@@ -23,6 +24,8 @@
 use crate::record::Record;
 use crate::state::State;
 use crate::timer::Timer;
+pub use brittle::Told;
+pub(crate) use brittle::{WAIT_MAX, noticed as noticed_brittle, rejected, would_wait};
 pub(crate) use start::{cold, keeps_schedule, started, surge_of};
 pub(crate) use table::Table;
 
@@ -51,7 +54,7 @@
 }
 
 /// What an entry VM tells another of an engine's limit.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Advert {
     /// Which start of which engine.
     pub from: Start,
@@ -59,13 +62,17 @@
     pub per_s: Option<f64>,
     /// Time since the engine said so.
     pub age: Duration,
+    /// What the engine bears, if it is brittle.
+    pub brittle: Option<brittle::Told>,
+    /// Time since it said so, or nothing of it any more; none if it never did.
+    pub brittle_age: Option<Duration>,
 }
 
 impl Advert {
-    /// Whether there is a limit.
+    /// Whether there is a limit, or the engine is brittle.
     #[must_use]
     pub const fn names_limit(&self) -> bool {
-        self.per_s.is_some()
+        self.per_s.is_some() || self.brittle.is_some()
     }
 }
 
@@ -165,13 +172,15 @@
 
 /// Another entry VM told of an engine's limit. What an engine said last counts.
 pub(crate) fn told(state: &mut State, now: Time, told: &Advert) {
-    let Advert { from, per_s, age } = told;
+    let Advert { from, per_s, age, .. } = told;
     let heard = now - *age;
     let listed = state.engines.get(&from.engine).map(|engine| engine.entry.incarnation);
     if listed.is_some_and(|listed| listed != from.incarnation) {
         return;
     }
-    if !state.intakes.knows_later(from, *per_s, heard) {
+    brittle::told(state, now, told);
+    let named = per_s.is_some() || state.intakes.limit(&from.engine, from.incarnation).is_some();
+    if named && !state.intakes.knows_later(from, *per_s, heard) {
         keep(state, now, from, *per_s, heard, false);
     }
 }
@@ -205,9 +214,15 @@
     flow::withdraw(state, now, engine, out);
 }
 
+/// What an engine may be given by all entry VMs together: what it has named, what it bears while it is cold, or what it runs while it is brittle.
+pub(crate) fn bound_of(state: &State, now: Time, engine: &Engine) -> Option<Limit> {
+    let limits = state.intakes.limit_of(engine, now).into_iter().chain(brittle::limit(state, now, engine));
+    limits.min_by(|one, other| one.per_s.total_cmp(&other.per_s))
+}
+
 /// How an engine may be used now.
 pub(crate) fn access(state: &State, now: Time, engine: &Engine) -> Access {
-    let Some(limit) = state.intakes.limit_of(engine, now) else {
+    let Some(limit) = bound_of(state, now, engine) else {
         return start::access(state, now, engine);
     };
     let place = Access::After(engine.schedule.wait(now), limit.reserve_ms(now));
@@ -224,7 +239,7 @@
 
 /// How far apart places at an engine are to be that this entry VM gives.
 pub(crate) fn spacing(state: &State, now: Time, engine: &Engine) -> Spacing {
-    let Some(limit) = state.intakes.limit_of(engine, now) else {
+    let Some(limit) = bound_of(state, now, engine) else {
         return start::spacing(state, now, engine);
     };
     match state.members.claim(&state.me.vm, &engine.entry.id, &engine.entry.zone, now) {
@@ -238,7 +253,7 @@
 
 /// How far apart places at an engine are that its owner gives, as far as is known here.
 pub(crate) fn apart(state: &State, now: Time, engine: &Engine) -> Duration {
-    match state.intakes.limit_of(engine, now) {
+    match bound_of(state, now, engine) {
         Some(limit) => limit.interval(1.0),
         None => start::apart(state, engine),
     }
--- a/fleet/src/intake/table.rs
+++ b/fleet/src/intake/table.rs
@@ -6,6 +6,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use super::brittle::Brittle;
 use super::{Advert, Limit};
 use crate::engine::{Engine, Incarnation};
 use crate::exchange::Exchange;
@@ -19,8 +20,8 @@
 const LIFTED_KEPT: Duration = Duration::from_mins(1);
 
 /// What is known of an engine's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Entry {
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Entry {
     incarnation: Incarnation,
     /// Requests a second; none if there is no limit any more.
     per_s: Option<f64>,
@@ -30,12 +31,18 @@
     number: u64,
     /// Whether the leader is to be told.
     own: bool,
+    /// What it bears, if it is brittle,
+    pub(super) brittle: Option<Brittle>,
+    /// and when it said so, or nothing of it any more.
+    brittle_heard: Option<Time>,
 }
 
 /// What engines have said of their limits.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     by_engine: BTreeMap<Name, Entry>,
+    /// When an engine of a service last said that it is brittle.
+    pub(super) services: BTreeMap<Name, Time>,
     /// Engines of which a line says that their word cannot be read.
     unreadable: BTreeSet<Name>,
     /// Changes of all words.
@@ -49,7 +56,13 @@
 impl Entry {
     fn told(&self, now: Time, engine: &Name) -> Advert {
         let from = Start { engine: engine.clone(), incarnation: self.incarnation };
-        Advert { from, per_s: self.per_s, age: now.since(self.heard) }
+        Advert {
+            from,
+            per_s: self.per_s,
+            age: now.since(self.heard),
+            brittle: self.brittle.as_ref().map(|brittle| brittle.told(now)),
+            brittle_age: self.brittle_heard.map(|at| now.since(at)),
+        }
     }
 }
 
@@ -120,7 +133,7 @@
             return;
         }
         for word in self.by_engine.values_mut() {
-            word.own |= word.per_s.is_some();
+            word.own |= word.per_s.is_some() || word.brittle.is_some();
         }
     }
 
@@ -166,20 +179,84 @@
         own: bool,
     ) -> Option<f64> {
         let Start { engine, incarnation } = from;
-        let before = self.by_engine.get(engine).filter(|word| word.incarnation == *incarnation).copied();
-        let said = before.and_then(|word| word.per_s);
+        let before = self.word(engine, *incarnation).cloned();
+        let said = before.as_ref().and_then(|word| word.per_s);
         let word = match before {
             Some(before) if said == per_s => Entry { heard, ..before },
-            _ => {
+            before => {
                 let number = self.exchange.next();
-                self.by_engine.retain(|_, word| word.per_s.is_some() || now.since(word.heard) < LIFTED_KEPT);
-                Entry { incarnation: *incarnation, per_s, heard, number, own }
+                self.by_engine.retain(|_, word| {
+                    word.per_s.is_some() || word.brittle.is_some() || now.since(word.heard) < LIFTED_KEPT
+                });
+                let (brittle, brittle_heard) =
+                    before.map_or((None, None), |before| (before.brittle, before.brittle_heard));
+                Entry { incarnation: *incarnation, per_s, heard, number, own, brittle, brittle_heard }
             }
         };
         self.insert(engine.clone(), word);
         said
     }
 
+    /// What this start of an engine has said.
+    pub(super) fn word(&self, engine: &Name, incarnation: Incarnation) -> Option<&Entry> {
+        self.by_engine.get(engine).filter(|word| word.incarnation == incarnation)
+    }
+
+    /// What this start of an engine has said of being brittle, and when.
+    pub(super) fn brittle_word(&self, from: &Start) -> Option<(&Brittle, Time)> {
+        let word = self.word(&from.engine, from.incarnation)?;
+        word.brittle.as_ref().zip(word.brittle_heard)
+    }
+
+    /// Keeps what this start of an engine said then of being brittle; rejections add up, whoever saw them. Returns whether that is news.
+    pub(super) fn set_brittle(
+        &mut self,
+        from: &Start,
+        said: Option<Brittle>,
+        heard: Time,
+        own: bool,
+    ) -> bool {
+        let Start { engine, incarnation } = from;
+        let known = self.word(engine, *incarnation).cloned();
+        if known.is_none() && said.is_none() {
+            return false;
+        }
+        let mut word = known.unwrap_or_else(|| Entry {
+            incarnation: *incarnation,
+            per_s: None,
+            heard: Time::default(),
+            number: 0,
+            own,
+            brittle: None,
+            brittle_heard: None,
+        });
+        let later = word.brittle_heard.is_none_or(|at| heard >= at);
+        let news = match (&mut word.brittle, said) {
+            (Some(known), Some(said)) => {
+                let other = later && known.most.total_cmp(&said.most).is_ne();
+                if other {
+                    known.most = said.most;
+                }
+                known.merge(&said.rejections) || other
+            }
+            (brittle, said) if later => {
+                let news = *brittle != said;
+                *brittle = said;
+                news
+            }
+            _ => return false,
+        };
+        if later {
+            word.brittle_heard = Some(heard);
+        }
+        if news {
+            word.number = self.exchange.next();
+            word.own = own;
+        }
+        self.insert(engine.clone(), word);
+        news
+    }
+
     fn insert(&mut self, engine: Name, word: Entry) {
         if self.by_engine.len() >= WORDS_MAX && !self.by_engine.contains_key(&engine) {
             let earliest = self.by_engine.iter().min_by_key(|(_, word)| word.heard);
--- a/fleet/src/notice.rs
+++ b/fleet/src/notice.rs
@@ -30,6 +30,8 @@
     pub pause: Option<Duration>,
     /// How many requests it takes.
     pub intake: Intake,
+    /// How many rejections in a second it bears, if it is brittle: with more it falls over.
+    pub brittle: Option<f64>,
 }
 
 /// The request of a caller that an answer is to.
@@ -42,7 +44,7 @@
 }
 
 /// A start of an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// The engine's id.
     pub engine: Name,
@@ -72,6 +74,7 @@
         keep_pause(state, now, &from.engine, pause.min(PAUSE_MAX), out);
     }
     intake::noticed(state, now, from, notice.intake, asked, out);
+    intake::noticed_brittle(state, now, from, notice.brittle, asked, out);
 }
 
 /// The others hear of it by the hub, or by this process where no hub answers.
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -13,6 +13,7 @@
 use crate::engine::{Engine, Load};
 use crate::flow::{self, Stage};
 use crate::frame::Absent;
+use crate::intake;
 use crate::ledger;
 use crate::path;
 use crate::proof;
@@ -203,6 +204,7 @@
         End::Refused(Cause::Busy) => {
             known.health.heard = now;
             known.health.fail(now, &settings);
+            intake::rejected(state, now, engine, out);
         }
         End::Withheld => {}
         End::Unsent => match relay {
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -297,6 +297,16 @@
         /// The one before.
         before_per_s: Option<f64>,
     },
+    /// An engine falls over if it turns away too much, turned a request away then, or is sound again.
+    Brittle {
+        /// The engine's id.
+        engine: Name,
+        /// Which of these.
+        state: &'static str,
+        /// Rejections in a second that it bears.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        rejections_per_s: Option<f64>,
+    },
     /// The process was awake long after it had asked for: it stood still, or was busy for as long.
     StoodStill {
         /// By how much later it was.
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -19,6 +19,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Id(pub u64);
 
+impl Id {
+    /// No request's: of questions that are asked for none.
+    pub const NONE: Self = Self(0);
+}
+
 impl fmt::Display for Id {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -324,6 +324,12 @@
         self.intakes.limited()
     }
 
+    /// Engines that fall over if they turn away too much.
+    #[must_use]
+    pub fn engines_brittle(&self) -> usize {
+        self.engines.values().filter(|engine| self.intakes.is_brittle(engine)).count()
+    }
+
     /// Questions for places at engines that had named a limit, by how they were answered.
     #[must_use]
     pub const fn limit_places(&self) -> &BTreeMap<&'static str, u64> {
--- /dev/null
+++ b/fleet/tests/brittle_engines.rs
@@ -0,0 +1,136 @@
+//! Brittle engines, by the users' rule: one that turns away more requests in a second than it bears falls over, whoever sent them. They let fewer
+//! wait all at once and say nothing of it, under load, with many entry VMs, after a lost leader and a start of all.
+
+mod node;
+mod world;
+
+use std::time::Duration;
+
+use arbtest::arbitrary::{self, Unstructured};
+use arbtest::arbtest;
+use boragecove_core::name::Name;
+use boragecove_fleet::engine::{Entry, Row};
+use boragecove_fleet::settings::Settings;
+use node::{GATEWAY, entry, millis, plain, row};
+use world::{Backends, World, ZONES};
+
+const ENGINES: usize = 10;
+const SLOTS: u32 = 8;
+/// How long after their first word engines let fewer wait.
+const CONTACT: Duration = Duration::from_secs(3);
+const SIZES: [usize; 4] = [6, 65, 300, 984];
+
+fn engine(number: usize) -> String {
+    format!("g{number}")
+}
+
+fn world(vms: usize, seed: u64) -> World {
+    let gateway = |number: usize| {
+        let entry = entry(&engine(number), GATEWAY, ZONES[number % ZONES.len()], &[]);
+        row(number as u64 + 1, Entry { slots: SLOTS, ..entry })
+    };
+    let rows: Vec<Row> = (0..ENGINES).map(gateway).collect();
+    let mut world = World::new(vms, node::config(1), &rows, Settings::default(), seed);
+    world.paced = true;
+    world.backends = Some(Backends::new(&rows));
+    world.pass(Duration::from_secs(if vms > 100 { 12 } else { 4 }));
+    world
+}
+
+/// Callers ask for so many calls a second for a while, at entry VMs at random.
+fn ask(world: &mut World, time: Duration, per_s: f64) {
+    let end = world.now + time;
+    while world.now < end {
+        let mut due = per_s * 0.005;
+        while due > 0.0 && world.rng.f64() < due {
+            due -= 1.0;
+            let at = world.rng.usize(0..world.len());
+            world.arrive(at, &Name::default(), 0.0, plain("/ack/1"));
+        }
+        world.pass(millis(5));
+    }
+}
+
+/// The users' rule: falls in one time in which a service's engines are brittle.
+fn allowed() -> usize {
+    2 + ENGINES / 10
+}
+
+fn served(world: &World) -> (usize, usize) {
+    let tries = world.tries(world.now - Duration::from_secs(6), world.now - Duration::from_secs(1));
+    tries.values().fold((0, 0), |(served, all), (one, of)| (served + one, all + of))
+}
+
+/// Engines that run 53 requests a second each are brittle, and let none wait any more, while callers ask for half, most and more than
+/// all that they run together.
+#[test]
+fn room_shrinks() {
+    for vms in SIZES {
+        for per_s in [250.0, 450.0, 700.0] {
+            let mut world = world(vms, per_s as u64);
+            ask(&mut world, Duration::from_secs(2), per_s / 2.0);
+            for number in 0..ENGINES {
+                world.make_brittle(&engine(number), 5.0, SLOTS as usize, 8);
+            }
+            ask(&mut world, CONTACT, per_s);
+            for number in 0..ENGINES {
+                world.shrink(&engine(number), 0);
+            }
+            ask(&mut world, Duration::from_secs(8), per_s);
+            let (served, all) = served(&world);
+            println!(
+                "{vms} entry VMs, {per_s} a second: {} fell over, {served} of {all} served",
+                world.falls()
+            );
+            assert!(
+                world.falls() <= allowed(),
+                "{vms} entry VMs, {per_s} a second: {} fell over",
+                world.falls()
+            );
+            assert!(served > 0, "{vms} entry VMs, {per_s} a second: nothing served");
+        }
+    }
+}
+
+/// The same with a lost leader, all entry VMs started anew, or an engine that comes back after a fall, all at random.
+fn play(u: &mut Unstructured<'_>) -> arbitrary::Result<(Vec<String>, usize)> {
+    let vms = *u.choose(&[6, 9, 65])?;
+    let mut world = world(vms, u.arbitrary()?);
+    let per_s = *u.choose(&[200.0, 350.0, 500.0])?;
+    let most = f64::from(u.int_in_range(3..=12)?);
+    let mut steps = vec![format!("{vms} entry VMs, {per_s} a second, {most} rejections")];
+    ask(&mut world, Duration::from_secs(1), per_s);
+    for number in 0..ENGINES {
+        world.make_brittle(&engine(number), most, SLOTS as usize, 6);
+    }
+    ask(&mut world, CONTACT, per_s);
+    for _ in 0..u.int_in_range(1..=4)? {
+        let (kind, number) = (u.int_in_range(0..=4)?, u.int_in_range(0..=ENGINES - 1)?);
+        steps.push(format!("{:?}: {kind}, {}", world.now, engine(number)));
+        match kind {
+            0 => {
+                let leader = world.leader().unwrap_or(0);
+                world.restart(leader);
+            }
+            1 => {
+                let at = u.int_in_range(0..=vms - 1)?;
+                world.restart(at);
+            }
+            2 => world.shrink(&engine(number), 0),
+            _ => (0..ENGINES).for_each(|number| world.shrink(&engine(number), 0)),
+        }
+        ask(&mut world, millis(u.int_in_range(0..=3_000)?), per_s);
+    }
+    ask(&mut world, Duration::from_secs(3), per_s);
+    Ok((steps, world.falls()))
+}
+
+#[test]
+fn random_days() {
+    arbtest(|u| {
+        let (steps, falls) = play(u)?;
+        assert!(falls <= allowed(), "{falls} fell over after {steps:#?}");
+        Ok(())
+    })
+    .budget_ms(world::budget_ms(6_000));
+}
--- a/fleet/tests/engine_intake.rs
+++ b/fleet/tests/engine_intake.rs
@@ -244,7 +244,7 @@
 fn told_by_frames() {
     let mut hub = Node::ready("hub");
     hub.lead();
-    let told = Advert { from: start("g1", None), per_s: Some(1.0), age: millis(30) };
+    let told = Advert { from: start("g1", None), per_s: Some(1.0), age: millis(30), ..Advert::default() };
     let frame = Frame { vm: "b".into(), zone: "zone-a".into(), limits: vec![told], ..Frame::default() };
     hub.feed(Event::Framed(Box::new(frame)));
     assert_eq!(hub.state.engines_limited(), 1);
--- a/fleet/tests/frame_bytes.rs
+++ b/fleet/tests/frame_bytes.rs
@@ -73,6 +73,7 @@
         from: Start { engine: id(number).as_str().into(), incarnation: Incarnation(Some(1_767_465_654_898)) },
         per_s: Some(2.9 + number as f64 / 100.0),
         age: Duration::from_millis(120),
+        ..Advert::default()
     };
     let rows = (0..ENGINES).map(|number| {
         let incarnation = Incarnation(Some(1_767_465_654_898));
--- a/fleet/tests/world/backends.rs
+++ b/fleet/tests/world/backends.rs
@@ -11,6 +11,7 @@
 use boragecove_fleet::notice::{Asked, Notice, Start};
 use boragecove_fleet::request::{Attempt, End, Events, Id};
 
+use super::brittle::Brittle;
 use super::{Load, World, ZONES};
 
 /// Time from a request's arrival at an engine to the head of its answer, and to its end.
@@ -56,6 +57,7 @@
     /// Requests that an engine has run, and how many ran more than once.
     run: BTreeSet<(usize, Id)>,
     doubled: usize,
+    pub(super) brittle: BTreeMap<Name, Brittle>,
 }
 
 impl Backends {
@@ -155,7 +157,7 @@
         if self.now >= attempt.write_by || attempt.send_by.is_some_and(|by| self.now >= by) {
             return self.ended(vm, request, attempt.number, End::Withheld);
         }
-        if self.sent_apart(vm, request, attempt) {
+        if self.sent_apart(vm, request, attempt) || self.turned_away_by(vm, request, attempt) {
             return;
         }
         self.run(vm, None, request, attempt);
@@ -181,11 +183,12 @@
         if need.is_some() {
             backends.told.entry((vm, attempt.engine.clone())).or_insert(now);
         }
-        if need.is_none() && !attempt.limited {
+        let brittle = self.brittleness(&attempt.engine);
+        if need.is_none() && !attempt.limited && brittle.is_none() {
             return;
         }
         let intake = need.map_or(Intake::Open, |need| Intake::Limited(need.per_s));
-        let notice = Notice { intake, ..Notice::default() };
+        let notice = Notice { intake, brittle, ..Notice::default() };
         let from = Start { engine: attempt.engine.clone(), incarnation: attempt.incarnation };
         self.feed(vm, Event::Noticed { from, notice, asked: Some(Asked { request, at }) });
     }
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test uses what it needs")]
 
 mod backends;
+mod brittle;
 pub mod departures;
 pub mod losses;
 pub mod partitions;
