Give places at brittle engines for four fifths of their slots

Runs take longer or shorter than the mean, so that places for all slots let some wait, and each rejection halves what is given.

--- a/fleet/src/intake/brittle.rs
+++ b/fleet/src/intake/brittle.rs
@@ -22,6 +22,8 @@
 use crate::state::State;
 use crate::timer::Timer;
 
+/// Part of an engine's slots that places are given for: runs take longer or shorter than the mean, and none may have to wait.
+const SLOTS_PART: f64 = 0.8;
 /// The time in which engines count what they turn away.
 const WINDOW: Duration = Duration::from_secs(1);
 /// Time after the last rejection in which an engine is given all that it runs again.
@@ -101,7 +103,8 @@
     if known.is_none() && !state.intakes.is_service_brittle(service, now) {
         return None;
     }
-    let runs_per_s = f64::from(engine.entry.slots.max(1)) * 1_000.0 / state.pace(service).max(1.0);
+    let slots = f64::from(engine.entry.slots.max(1)) * SLOTS_PART;
+    let runs_per_s = slots * 1_000.0 / state.pace(service).max(1.0);
     let heard = known.and_then(|known| known.rejections.last().copied()).unwrap_or_default();
     let per_s = known.map_or(runs_per_s, |known| known.per_s(now, runs_per_s));
     Some(Limit { per_s, heard })
