Pass nothing on by what was known before a standstill

A relay's message may be read before the process knows that it stood still, and was passed on by what it knew before: found by reading, shown by after_a_standstill, which failed. What a relay refuses, the way back, the one hop, a stop that waits for what is passed on, and whose word counts have tests of their own (request_relays).

--- a/fleet/src/freshness.rs
+++ b/fleet/src/freshness.rs
@@ -78,6 +78,17 @@
     }
 }
 
+/// Whether the process stands still until now, as far as it has not been told yet, and what it knows is too old to go by.
+pub(crate) fn is_waking(state: &State, now: Time) -> bool {
+    let bound = state.settings.departure;
+    state.timers.late(now) >= bound.standstill() && is_old(state, now)
+}
+
+/// Whether what is known of the engines' table is older than on a calm day.
+fn is_old(state: &State, now: Time) -> bool {
+    state.freshness.age(now).is_some_and(|age| age > state.settings.departure.word())
+}
+
 /// The process is awake by so much later than it had asked for.
 pub(crate) fn woke_late(state: &mut State, now: Time, late: Duration, out: &mut Vec<Effect>) {
     let bound = state.settings.departure;
@@ -91,7 +102,7 @@
         listed_age_ms: age.map(ms),
         led: leads_itself(state),
     }));
-    if age.is_none_or(|age| age <= bound.word()) {
+    if !is_old(state, now) {
         return;
     }
     state.freshness.doubt = Some(now);
--- a/fleet/src/path.rs
+++ b/fleet/src/path.rs
@@ -19,6 +19,7 @@
 use crate::effect::Effect;
 use crate::engine::{Engine, Incarnation, Reach};
 use crate::flow;
+use crate::freshness;
 use crate::record::Record;
 use crate::settings::Mechanism;
 use crate::state::State;
@@ -393,7 +394,8 @@
 }
 
 fn allow(state: &State, now: Time, engine: &Name, incarnation: Incarnation) -> Result<SocketAddr, Denial> {
-    if state.stopping || state.freshness.in_doubt() {
+    // What has come to its socket may be read before it knows that it stood still.
+    if state.stopping || state.freshness.in_doubt() || freshness::is_waking(state, now) {
         return Err(Denial::Unready);
     }
     let known = state.engines.get(engine).filter(|known| known.entry.incarnation == incarnation);
--- /dev/null
+++ b/fleet/tests/request_relays.rs
@@ -0,0 +1,179 @@
+//! Requests that one entry VM passes on to engines for another: what it refuses, whose word counts, and the way back.
+
+mod node;
+
+use std::time::Duration;
+
+use boragecove_core::name::Name;
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::{Entry, Incarnation, Reach};
+use boragecove_fleet::event::Event;
+use boragecove_fleet::members::Member;
+use boragecove_fleet::path::{Denial, Relay};
+use boragecove_fleet::request::{Attempt, End, Id, Step};
+use node::{GATEWAY, Node, address, entry, listing, millis, plain, row};
+
+/// Requests that are passed on at once, at most.
+const MOST: usize = 512;
+
+fn g1() -> Name {
+    "g1".into()
+}
+
+fn pass(node: &mut Node) -> Result<(), Denial> {
+    boragecove_fleet::pass(&mut node.state, node.now, &g1(), Incarnation::default()).map(|_address| ())
+}
+
+fn other() -> Relay {
+    Relay { vm: "b".into(), address: address(7_002) }
+}
+
+/// An entry VM that knows another, and of one engine of the plain service only.
+fn knows_another() -> Node {
+    let mut node = Node::ready("a");
+    node.feed(listing(vec![node::removed(10, "g2")], 10, false));
+    let member =
+        |vm: &str, port| Member { vm: vm.into(), zone: "zone-a".into(), address: address(port), weak: false };
+    node.pass(millis(10));
+    node.lease(5, boragecove_fleet::lease::Outcome::Read(Some(node::hub_row())));
+    let members = Some(vec![member("a", 7_000), member("b", 7_002)]);
+    let reply = boragecove_fleet::frame::Reply { leads: true, members, ..Default::default() };
+    node.feed(Event::Replied(Some(Box::new(reply))));
+    node
+}
+
+/// It loses the way to the engine while a request comes, and the other entry VM reaches it. Returns how the request goes on.
+fn lose_way(node: &mut Node) -> (Id, Attempt) {
+    let (id, attempt) = node.sent(plain("/ack/1"));
+    assert_eq!(attempt.relay, None);
+    node.ended(id, attempt.number, End::Unsent);
+    let asked = |effect: &Effect| matches!(effect, Effect::AskPath { vm, engine, .. } if *vm == other().vm && *engine == g1());
+    assert!(node.effects.iter().any(asked), "{:?}", node.effects);
+    node.feed(Event::PathSeen { engine: g1(), by: other(), reach: Some(Reach::Open) });
+    match node.step(id) {
+        Some(Step::Send(attempt)) => (id, attempt),
+        step => panic!("it is sent by the other: {step:?}"),
+    }
+}
+
+fn probed(node: &mut Node, reach: Reach) {
+    node.feed(Event::Probed { engine: g1(), reach });
+}
+
+#[test]
+fn unknown_and_leaving() {
+    let mut node = Node::ready("a");
+    assert_eq!(pass(&mut node), Ok(()));
+    let other_start = Incarnation(Some(7));
+    let denied = boragecove_fleet::pass(&mut node.state, node.now, &g1(), other_start);
+    assert_eq!(denied, Err(Denial::Unknown));
+    let denied = boragecove_fleet::pass(&mut node.state, node.now, &"g9".into(), Incarnation::default());
+    assert_eq!(denied, Err(Denial::Unknown));
+    let leaving = Entry { leaving: true, ..entry("g1", GATEWAY, "zone-a", &[]) };
+    node.feed(listing(vec![row(9, leaving)], 9, false));
+    assert_eq!(pass(&mut node), Err(Denial::Unknown));
+}
+
+#[test]
+fn not_reached_here() {
+    let mut node = Node::ready("a");
+    probed(&mut node, Reach::Silent);
+    assert_eq!(pass(&mut node), Err(Denial::Unreached));
+    probed(&mut node, Reach::Open);
+    assert_eq!(pass(&mut node), Ok(()));
+}
+
+/// One that has others' help passes nothing on: there is one hop.
+#[test]
+fn one_hop() {
+    let mut node = knows_another();
+    lose_way(&mut node);
+    assert_eq!(pass(&mut node), Err(Denial::Unreached));
+}
+
+#[test]
+fn too_many() {
+    let mut node = Node::ready("a");
+    for _ in 0..MOST {
+        assert_eq!(pass(&mut node), Ok(()));
+    }
+    assert_eq!(pass(&mut node), Err(Denial::Full));
+    node.feed(Event::Relayed);
+    assert_eq!(pass(&mut node), Ok(()));
+}
+
+/// A process that stops takes no more, and ends once the last is over.
+#[test]
+fn stop_waits() {
+    let mut node = Node::ready("a");
+    assert_eq!(pass(&mut node), Ok(()));
+    node.feed(Event::Stop);
+    assert_eq!(pass(&mut node), Err(Denial::Unready));
+    let exits = |effects: &[Effect]| effects.iter().any(|effect| matches!(effect, Effect::Exit));
+    assert!(!exits(&node.pass(Duration::from_secs(3))), "one is passed on yet");
+    assert!(exits(node.feed(Event::Relayed)));
+}
+
+/// After a standstill nothing is passed on by what was known before.
+#[test]
+fn after_a_standstill() {
+    let mut node = knows_another();
+    node.feed(node::listed(node.now, Vec::new(), 10, false));
+    assert_eq!(pass(&mut node), Ok(()));
+    node.now = node.now + Duration::from_secs(3);
+    assert_eq!(pass(&mut node), Err(Denial::Unready), "its message may be read first");
+    node.feed(Event::Wake);
+    assert_eq!(pass(&mut node), Err(Denial::Unready), "nobody has said what is new");
+}
+
+/// What a relay brings does not show that the engine can be reached from here; tries that it answers for a second do.
+#[test]
+fn way_back() {
+    let mut node = knows_another();
+    let (id, attempt) = lose_way(&mut node);
+    assert_eq!(attempt.relay, Some(other()));
+    node.ended(id, attempt.number, End::Done);
+    assert_eq!(node.sent(plain("/ack/1")).1.relay, Some(other()));
+    probed(&mut node, Reach::Open);
+    assert_eq!(node.sent(plain("/ack/1")).1.relay, Some(other()), "it may be gone again");
+    node.pass(Duration::from_secs(1));
+    probed(&mut node, Reach::Open);
+    assert_eq!(node.sent(plain("/ack/1")).1.relay, None);
+}
+
+/// A relay that cannot pass a request on is left, and the request waits for another way.
+#[test]
+fn relay_is_lost() {
+    let mut node = knows_another();
+    let (id, attempt) = lose_way(&mut node);
+    let step = node.ended(id, attempt.number, End::Unsent);
+    assert!(!matches!(step, Some(Step::Send(_) | Step::Refuse(_))), "{step:?}");
+    probed(&mut node, Reach::Open);
+    let sent_directly = |attempt: Attempt| attempt.relay.is_none();
+    assert!(sent_directly(node.sent(plain("/ack/1")).1));
+}
+
+/// One that others reach is no reason for anybody to look.
+#[test]
+fn told_to_nobody() {
+    let mut node = knows_another();
+    lose_way(&mut node);
+    let effects = node.pass(Duration::from_secs(1));
+    let frames: Vec<_> = effects
+        .iter()
+        .filter_map(
+            |effect| if let Effect::Frame { frame, .. } = effect { Some(&frame.suspects) } else { None },
+        )
+        .collect();
+    assert!(!frames.is_empty() && frames.iter().all(|suspects| suspects.is_empty()), "{frames:?}");
+}
+
+/// Whoever is asked about a port tries another engine beside it, and says nothing of one that others reach for it.
+#[test]
+fn vouches_for_nothing() {
+    let mut node = knows_another();
+    let look = boragecove_fleet::look(&node.state, node.now, &g1()).expect("it is known");
+    assert!(look.control.is_some_and(|control| control != look.address));
+    lose_way(&mut node);
+    assert_eq!(boragecove_fleet::look(&node.state, node.now, &g1()), None);
+}
