--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -240,6 +240,7 @@
     gauge(registry, "engines_suspected", "Engines that could not be reached or are silent", suspected);
     let relayed = state.engines().filter(|engine| engine.path.is_relayed()).count();
     gauge(registry, "engines_relayed", "Engines that another entry VM passes requests on to", relayed);
+    gauge(registry, "passing_on", "Requests of other entry VMs under way", state.passing_on() as usize);
     let help = "Whether most engines in use are reached by other entry VMs alone";
     gauge(registry, "cut_off", help, state.is_cut_off().into());
     let help = "Engines in need that have named a limit of requests a second";
--- a/daemon/tests/unreached_engines.rs
+++ b/daemon/tests/unreached_engines.rs
@@ -7,7 +7,7 @@
 mod links;
 mod serving;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,7 +16,7 @@
 
 use links::{Cut, Links};
 use serving::{Entry, LIMIT, call, plain, read_answer, streamed};
-use standin::{Engine, Store, config};
+use standin::{Engine, Script, Store, config};
 
 /// The availability zones of the entry VMs.
 const ZONES: [&str; 6] = ["zone-a", "zone-a", "zone-a", "zone-b", "zone-b", "zone-c"];
@@ -46,7 +46,7 @@
 
 struct Deployment {
     _store: Store,
-    _engines: Vec<Engine>,
+    engines: Vec<Engine>,
     links: Vec<Links>,
     entries: Vec<Entry>,
 }
@@ -72,7 +72,7 @@
         for entry in &entries {
             entry.wait_for(200);
         }
-        Self { _store: store, _engines: engines, links, entries }
+        Self { _store: store, engines, links, entries }
     }
 
     fn cut(&self, entries: &[usize], cut: Option<Cut>) {
@@ -206,3 +206,59 @@
 fn new_ways_are_refused() {
     served_over(Cut::Refused);
 }
+
+/// All but the last entry VM lose the way, which then passes on what the first is asked; its streams take long. Returns a stream of which a part has
+/// come.
+fn begun_stream(deployment: &Deployment) -> TcpStream {
+    let all = deployment.entries.len();
+    deployment.cut(&(0..all - 1).collect::<Vec<_>>(), Some(Cut::Reset));
+    let end = Instant::now() + LIMIT;
+    while !streamed_whole(deployment.entries[0].callers, "first") {
+        assert!(Instant::now() < end, "no stream is passed on");
+    }
+    for engine in &deployment.engines {
+        engine.play(Script::Slowly(400));
+    }
+    let mut stream = TcpStream::connect(deployment.entries[0].callers).expect("connects");
+    stream.set_read_timeout(Some(LIMIT)).expect("sets");
+    stream.write_all(streamed("/brief/1", "slow").as_bytes()).expect("is written");
+    let mut part = [0; 4_096];
+    let mut text = String::new();
+    while !text.contains("word1") {
+        let count = stream.read(&mut part).expect("goes on");
+        assert!(count > 0, "it ends before its first event: {text}");
+        text.push_str(&String::from_utf8_lossy(&part[..count]));
+    }
+    assert_eq!(passing_on(deployment), 1);
+    stream
+}
+
+/// Requests that the last entry VM passes on now.
+fn passing_on(deployment: &Deployment) -> usize {
+    let metrics = deployment.entries.last().expect("there are some").metrics();
+    let line = metrics.lines().find_map(|line| line.strip_prefix("boragecove_passing_on "));
+    line.and_then(|number| number.trim().parse().ok()).expect("a number")
+}
+
+/// Guards against runs that go on for callers who have left: their close is passed on.
+#[test]
+fn caller_leaves() {
+    let deployment = Deployment::start("leaves");
+    drop(begun_stream(&deployment));
+    let since = Instant::now();
+    while passing_on(&deployment) > 0 {
+        assert!(since.elapsed() < Duration::from_millis(500), "it is passed on {:?} later", since.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against answers that look whole though the entry VM which passed them on has ended.
+#[test]
+fn relay_is_killed() {
+    let deployment = Deployment::start("killed");
+    let mut stream = begun_stream(&deployment);
+    deployment.entries.last().expect("there are some").signal("-KILL");
+    let mut rest = String::new();
+    let ended = stream.read_to_string(&mut rest);
+    assert!(ended.is_err() || !rest.ends_with("0\r\n\r\n"), "it looks whole: {rest}");
+}
--- a/fleet/src/path.rs
+++ b/fleet/src/path.rs
@@ -79,7 +79,7 @@
     /// Entry VMs that have reached engines which are not reached from here, the latest last.
     relays: Vec<Relay>,
     /// Requests of others that are passed on now.
-    passing: u32,
+    pub(crate) passing: u32,
     /// Requests that were sent by a relay,
     pub(crate) sent: u64,
     /// that were passed on for others,
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -354,6 +354,12 @@
         self.paths.sent
     }
 
+    /// Requests of other entry VMs that are passed on now.
+    #[must_use]
+    pub const fn passing_on(&self) -> u32 {
+        self.paths.passing
+    }
+
     /// Requests of other entry VMs that were passed on.
     #[must_use]
     pub const fn passed_on(&self) -> u64 {
