--- a/fleet/src/path.rs
+++ b/fleet/src/path.rs
@@ -7,26 +7,28 @@
 //! Each engine has a path of its own, since a partition may take any part of them away. Where most that are used are reached by others
 //! alone, this process is cut off: it leads nobody then, vouches for nobody's end, and has requests relayed also to engines that it has not tried.
 
+mod pass;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::effect::Effect;
-use crate::engine::{Engine, Incarnation, Reach};
+use crate::engine::{Engine, Reach};
 use crate::flow;
-use crate::freshness;
 use crate::record::Record;
 use crate::settings::Mechanism;
 use crate::state::State;
 use crate::timer::Timer;
 use crate::trust;
+pub use pass::{Denial, Look};
+pub(crate) use pass::{is_passing, look, pass, passed};
 
-/// Other entry VMs that are asked at once or one after the other whether they reach an engine, at most, until it is tried from here again.
+/// Other entry VMs that are asked one after the other whether they reach an engine, at most, until it is tried from here again.
 const ASKED_MAX: usize = 4;
 /// Relays that are remembered, at most.
 const RELAYS_MAX: usize = 8;
@@ -38,8 +40,6 @@
 const SETTLED: Duration = Duration::from_secs(1);
 /// Time for which an engine counts that something was heard of directly.
 const HEARD_WITHIN: Duration = Duration::from_secs(2);
-/// Requests that this entry VM passes on at once for others, at most.
-const RELAYED_MAX: u32 = 512;
 
 /// The way to one engine.
 #[derive(Clone, Debug, Default)]
@@ -88,32 +88,6 @@
     pub(crate) denied: BTreeMap<&'static str, u64>,
 }
 
-/// Why a request of another entry VM is not passed on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Denial {
-    /// No such start of the engine is known, or it takes no work.
-    Unknown,
-    /// It cannot be reached from here either.
-    Unreached,
-    /// What is known here may be out of date, or the process stops.
-    Unready,
-    /// Too many are passed on already.
-    Full,
-}
-
-impl Denial {
-    /// Its name in logs and metrics.
-    #[must_use]
-    pub const fn label(self) -> &'static str {
-        match self {
-            Self::Unknown => "unknown",
-            Self::Unreached => "unreached",
-            Self::Unready => "unready",
-            Self::Full => "full",
-        }
-    }
-}
-
 impl Path {
     /// The entry VM that passes requests on; none where the engine is reached from here, or by nobody.
     #[must_use]
@@ -369,76 +343,3 @@
     let relay = relay.map(|relay| relay.vm.clone());
     out.push(Effect::Record(Record::Path { engine: engine.clone(), state: label, relay }));
 }
-
-/// Another entry VM wants a request passed on to this start of an engine. Returns where that listens. The end of it is told by
-/// [`crate::event::Event::Relayed`].
-///
-/// # Errors
-///
-/// Why it is not passed on; nothing was sent then.
-pub(crate) fn pass(
-    state: &mut State,
-    now: Time,
-    engine: &Name,
-    incarnation: Incarnation,
-) -> Result<SocketAddr, Denial> {
-    let allowed = allow(state, now, engine, incarnation);
-    match allowed {
-        Ok(_) => {
-            state.paths.passing += 1;
-            state.paths.passed += 1;
-        }
-        Err(denial) => *state.paths.denied.entry(denial.label()).or_default() += 1,
-    }
-    allowed
-}
-
-fn allow(state: &State, now: Time, engine: &Name, incarnation: Incarnation) -> Result<SocketAddr, Denial> {
-    // What has come to its socket may be read before it knows that it stood still.
-    if state.stopping || state.freshness.in_doubt() || freshness::is_waking(state, now) {
-        return Err(Denial::Unready);
-    }
-    let known = state.engines.get(engine).filter(|known| known.entry.incarnation == incarnation);
-    let known = known.filter(|known| known.takes_work()).ok_or(Denial::Unknown)?;
-    if known.path.relay.is_some() || known.health.suspected(now) {
-        return Err(Denial::Unreached);
-    }
-    if state.paths.passing >= RELAYED_MAX {
-        return Err(Denial::Full);
-    }
-    Ok(known.entry.address)
-}
-
-/// A request of another entry VM that was passed on has ended.
-pub(crate) const fn passed(state: &mut State) {
-    state.paths.passing = state.paths.passing.saturating_sub(1);
-}
-
-/// Whether requests of others are passed on now.
-pub(crate) const fn is_passing(state: &State) -> bool {
-    state.paths.passing > 0
-}
-
-/// What is to be tried to tell another entry VM how an engine's port answers here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Look {
-    /// The engine's port.
-    pub address: SocketAddr,
-    /// Another engine's. Where that does not answer either, nothing can be told: it may be this process that reaches nobody.
-    pub control: Option<SocketAddr>,
-}
-
-/// What is to be tried to tell how an engine's port answers here; none where nothing can be told.
-pub(crate) fn look(state: &State, now: Time, engine: &Name) -> Option<Look> {
-    let known = state.engines.get(engine)?;
-    if known.path.relay.is_some() {
-        // Others reach it: whatever comes of a try from here says nothing of the engine.
-        return None;
-    }
-    let trusted =
-        |other: &&Engine| other.entry.id != *engine && !other.leaves() && !other.health.suspected(now);
-    let latest = state.engines.values().filter(trusted).max_by_key(|other| other.path.heard);
-    let any = || state.engines.values().find(|other| other.entry.id != *engine && !other.leaves());
-    let control = latest.or_else(any).map(|other| other.entry.address);
-    Some(Look { address: known.entry.address, control })
-}
