Log the limit of engines in need alone

sent lines and the count of requests to engines in need took what a brittle engine runs for a limit that it had named. Found by reading the change; what places are given by is as before.

--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -207,12 +207,12 @@
     };
     let at = now + wait;
     engine.health.sent = Some(at);
-    let limit = bound;
+    let limit = state.intakes.limit_of(engine, now);
     let named = state.intakes.named_by(engine).is_some() || state.intakes.is_brittle(engine);
     if limit.is_some() {
         state.intakes.count();
     }
-    let place_until = (limit.is_some() || surge.is_some()).then_some(at + PLACE_KEPT);
+    let place_until = (bound.is_some() || surge.is_some()).then_some(at + PLACE_KEPT);
     flow.number += 1;
     flow.used += 1;
     flow.asked = 0;
