Bound what entry VMs ask each other about engines over all of them

64 questions a second of each entry VM were 63,000 of 984, each with two connections of whoever is asked, where a partition hits a zone that many engines are used from. All together ask 8,000 at most now, each 8 at least, and one that is cut off has requests for lost engines relayed too where nobody has denied that they are reached.

--- a/fleet/src/path.rs
+++ b/fleet/src/path.rs
@@ -32,8 +32,10 @@
 const ASKED_MAX: usize = 4;
 /// Relays that are remembered, at most.
 const RELAYS_MAX: usize = 8;
-/// Questions of this kind in one second, at most: an entry VM may use hundreds of engines.
-const ASKS_PER_S: u32 = 64;
+/// Questions of this kind in one second, of all entry VMs together, at most: each costs another entry VM two connections.
+const ASKS_PER_S: u32 = 8_000;
+/// The same of each entry VM, at most and at least.
+const OWN_ASKS_PER_S: (u32, u32) = (8, 64);
 /// How long an entry VM that did not reach an engine is asked about others only after those that are not known to be like that.
 const BLIND: Duration = Duration::from_secs(2);
 /// How long an engine must answer here before it is used directly again: a way that comes and goes costs requests each time.
@@ -120,10 +122,11 @@
         return path.relay.as_ref();
     }
     let since = state.paths.cut_off?;
-    if path.lost.is_some() || path.heard.is_some_and(|at| at >= since) || state.paths.relays.is_empty() {
+    let denied = path.lost.is_some() && !path.asked.is_empty();
+    if denied || path.heard.is_some_and(|at| at >= since) || state.paths.relays.is_empty() {
         return None;
     }
-    // It has not been tried since, and most others are lost.
+    // Most others are lost, and nobody has said that it cannot be reached.
     let index = xxh3_64(engine.entry.id.as_bytes()) as usize % state.paths.relays.len();
     state.paths.relays.get(index)
 }
@@ -165,7 +168,7 @@
         return;
     };
     let (vm, address) = (next.vm.clone(), next.address);
-    if !state.paths.take_ask(now) {
+    if !state.paths.take_ask(now, state.hub.nodes) {
         return;
     }
     let Some(known) = state.engines.get_mut(engine) else {
@@ -186,12 +189,14 @@
         self.relays.push(relay);
     }
 
-    fn take_ask(&mut self, now: Time) -> bool {
+    /// Whether one more question may be asked, where there are so many entry VMs.
+    fn take_ask(&mut self, now: Time, nodes: u32) -> bool {
         if now.since(self.counted.0) >= Duration::from_secs(1) {
             self.counted = (now, 0);
         }
         self.counted.1 += 1;
-        self.counted.1 <= ASKS_PER_S
+        let (least, most) = OWN_ASKS_PER_S;
+        self.counted.1 <= (ASKS_PER_S / nodes.max(1)).clamp(least, most)
     }
 }
 
--- a/fleet/tests/engine_partitions.rs
+++ b/fleet/tests/engine_partitions.rs
@@ -109,6 +109,9 @@
             let until = world.now;
             let fault = broken(&world, &cut, began + CONTACT, until - Duration::from_secs(1));
             assert_eq!(fault, None, "{vms} entry VMs, case {case}");
+            let asks_per_s = world.asks as f64 / CUT.as_secs_f64();
+            println!("{vms} entry VMs, case {case}: {asks_per_s} questions a second");
+            assert!(asks_per_s < 8_000.0, "{vms} entry VMs, case {case}: {asks_per_s} questions a second");
             let passed: usize = cut.iter().map(|at| world.passed_on_for(*at)).sum();
             assert!(passed > 0, "{vms} entry VMs, case {case}: nothing was passed on");
             assert_eq!(world.doubled(), 0, "{vms} entry VMs, case {case}: requests ran twice");
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -99,6 +99,8 @@
     pub calls: usize,
     /// Messages that were pushed.
     pub pushes: usize,
+    /// Questions of entry VMs whether others reach an engine.
+    pub asks: usize,
     /// The next message that is lost.
     pub loss: Option<Loss>,
     /// Messages that were lost that way.
@@ -262,6 +264,7 @@
             paced: false,
             calls: 0,
             pushes: 0,
+            asks: 0,
             loss: None,
             lost: 0,
             framed: 0,
--- a/fleet/tests/world/partitions.rs
+++ b/fleet/tests/world/partitions.rs
@@ -72,6 +72,7 @@
 
     /// Another entry VM is asked how a port answers there.
     pub(super) fn ask_path(&mut self, vm: usize, by: Relay, engine: Name) {
+        self.asks += 1;
         let to = self.at(by.address);
         let reach = if self.reaches(vm, to) && !self.vms[to].suspended {
             let look = boragecove_fleet::look(&self.vms[to].state, self.now, &engine);
