--- a/fleet/src/path.rs
+++ b/fleet/src/path.rs
@@ -32,7 +32,8 @@
 const ASKED_MAX: usize = 4;
 /// Relays that are remembered, at most.
 const RELAYS_MAX: usize = 8;
-/// Questions of this kind in one second, of all entry VMs together, at most: each costs another entry VM two connections.
+/// Questions of this kind in one second, of all entry VMs together, unless there are so many that each may ask the least: each costs another entry VM
+/// two connections.
 const ASKS_PER_S: u32 = 8_000;
 /// The same of each entry VM, at most and at least.
 const OWN_ASKS_PER_S: (u32, u32) = (8, 64);
