Doubt removed engines of a copy also once all was written again

An engine that was removed, and whose entry a copy of the store brings back, is doubted until the store has had time to miss its heartbeats (4.2 s). The leader's row says after 2 s that all the copy lacked was written again, and every entry VM that read it took that for the end of the doubt, for words of any time. Now that row ends the doubt 2.2 s later, by when the heartbeats are missed whenever the era began.

`settled_era_is_doubted` failed before.

--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -199,7 +199,7 @@
         past => return vacant(state, now, past.as_ref(), store_ms, out),
     };
     if seen.row.settled {
-        state.era.settle();
+        state.era.settle(now);
     }
     crash::recall(state, now, &seen.row.quarantine, store_ms, out);
     let mine = seen.row.holder == state.me.vm;
--- a/fleet/tests/restored_store.rs
+++ b/fleet/tests/restored_store.rs
@@ -284,6 +284,26 @@
     assert!(serves(&asker, "w2"));
 }
 
+/// Guards against an engine that left being sent requests again where the leader says that all was written again: the store removes the entry of an engine that is gone later than that.
+#[test]
+fn settled_era_is_doubted() {
+    let mut node = ready("a");
+    node.feed(listing(vec![removed(at(1, 104), "w1")], at(1, 104), false));
+    node.feed(copy(at(2, 90), Some(writer("w1"))));
+    node.pass(millis(2_100));
+    let mut hub = hub_row();
+    hub.version = at(2, 9);
+    hub.row.term = first_term(2);
+    hub.row.settled = true;
+    node.lease(0, Outcome::Read(Some(hub)));
+    node.pass(millis(300));
+    node.feed(listed(node.now, Vec::new(), at(2, 95), false));
+    assert!(!serves(&node, "w1"), "the store has not missed three of its heartbeats yet");
+    node.pass(millis(2_000));
+    node.feed(listed(node.now, Vec::new(), at(2, 96), false));
+    assert!(serves(&node, "w1"), "the store would have removed it by now");
+}
+
 /// An entry VM that has seen the new era tells the hub, which gives no more orders under the old one's number.
 #[test]
 fn frame_tells_the_hub() {
