Read what lay in a socket in the order in which it came, in the deployments of tests

A message to an entry VM that stands still was put at the end of what is on its way each time, so that the end of a connection could overtake the answer that had come before it. On a real connection it cannot.

--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -642,7 +642,10 @@
             }
         }
         let now = self.now;
-        let due: Vec<OnWay> = self.on_way.extract_if(.., |way| way.at <= now).collect();
+        let mut due: Vec<OnWay> = self.on_way.extract_if(.., |way| way.at <= now).collect();
+        // What lay in the socket of a machine that stood still is read first, in the order in which it came.
+        let lay = |way: &OnWay| way.at + TICK < now;
+        due.sort_by_key(|way| if lay(way) { way.at } else { now });
         for way in due {
             self.deliver(way);
         }
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -14,7 +14,7 @@
 
 use super::losses::Road;
 use super::{
-    ASK_LIMIT, Done, FAILED_PAUSE, FRAME_LIMIT, LEASE_LIMIT, Load, OnWay, PUSH_STALL, START_MS, TICK, World,
+    ASK_LIMIT, Done, FAILED_PAUSE, FRAME_LIMIT, LEASE_LIMIT, Load, OnWay, PUSH_STALL, START_MS, World,
 };
 
 impl World {
@@ -30,13 +30,13 @@
     }
 
     pub(super) fn deliver(&mut self, way: OnWay) {
-        let OnWay { from, from_start, to, to_start, load, .. } = way;
+        let OnWay { at, from, from_start, to, to_start, load } = way;
         if !self.vms[to].running || self.vms[to].start != to_start {
             return;
         }
         if self.vms[to].suspended {
             // It lies in the socket until the machine goes on.
-            self.on_way.push(OnWay { at: self.now + TICK, from, from_start, to, to_start, load });
+            self.on_way.push(OnWay { at, from, from_start, to, to_start, load });
             return;
         }
         let back = self.vms[from].running && self.vms[from].start == from_start;
