Count no engine as silent for the time in which this process stood still

A process that stood still for longer than `silence` found, as it went on, that nothing had come from any engine that it had asked: its timers were due before it had read its sockets. It suspected those engines, told the others so in its frames, and sent what may run twice once more, although the answers lay there.

--- a/fleet/src/freshness.rs
+++ b/fleet/src/freshness.rs
@@ -33,6 +33,8 @@
     held: Vec<Id>,
     /// How often the process stood still.
     standstills: u64,
+    /// When it last went on after that.
+    awake_since: Time,
 }
 
 /// A word on the engines' table.
@@ -57,6 +59,11 @@
         self.standstills
     }
 
+    /// When the process last went on after it stood still: what came meanwhile may not have been read yet.
+    pub(crate) const fn awake_since(&self) -> Time {
+        self.awake_since
+    }
+
     /// Whether a newer word is to come before anything is sent.
     pub(crate) const fn in_doubt(&self) -> bool {
         self.doubt.is_some()
@@ -96,6 +103,7 @@
         return;
     }
     state.freshness.standstills += 1;
+    state.freshness.awake_since = now;
     let age = state.freshness.age(now);
     out.push(Effect::Record(Record::StoodStill {
         for_ms: ms(late),
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -296,14 +296,16 @@
     let Some(known) = state.engines.get_mut(&engine) else {
         return;
     };
-    let last = known.health.heard.max(at);
+    // What the engine said while this process stood still is read next.
+    let awake_since = state.freshness.awake_since();
+    let last = known.health.heard.max(at).max(awake_since);
     let silent = now.since(last) >= settings.silence;
     // One whose relay still reaches it may just be slow.
     let relayed = relay.as_ref().is_some_and(|relay| known.path.is_relayed_by(relay));
     let dead = silent && known.path.is_lost() && !relayed;
     let hangs = !begun
         && flow.route.kind == Kind::Idempotent
-        && now.since(at) >= flow.deadline.since(flow.arrived) / HANG_PART;
+        && now.since(at.max(awake_since)) >= flow.deadline.since(flow.arrived) / HANG_PART;
     if silent && relayed {
         path::doubt_relay(state, &engine, out);
     } else if silent && !known.health.suspected(now) {
--- a/fleet/tests/stood_still.rs
+++ b/fleet/tests/stood_still.rs
@@ -221,3 +221,29 @@
         node.ended(request, 1, End::Done);
     }
 }
+
+/// Guards against answers that lie in the socket of a process that stood still: their engines were not silent, and the requests are not sent again.
+#[test]
+fn own_standstill_is_no_silence() {
+    let mut node = Node::ready("vm-1");
+    node.lead();
+    node.feed(listed(node.now, Vec::new(), 4, false));
+    let (request, attempt) = node.sent(plain("/list/1"));
+    node.pass(millis(100));
+    node.now = node.now + millis(STOOD);
+    let woken = node.feed(Event::Wake).to_vec();
+    assert_eq!(step_of(&woken, request), None, "it is not sent again");
+    assert!(
+        !woken.iter().any(|effect| matches!(effect, Effect::Probe { .. })),
+        "its engine is not suspected"
+    );
+    let answered = node.ended(request, attempt.number, End::Done);
+    assert_eq!(answered, Some(Step::Pass), "its answer goes to the caller");
+    node.feed(listed(node.now, Vec::new(), 4, false));
+    let (request, _) = node.sent(plain("/list/2"));
+    let awake = node.pass(millis(1_500));
+    assert!(
+        step_of(&awake, request).is_some(),
+        "an engine that says nothing to a process that runs is silent"
+    );
+}
