Tell all at once that a service's engines are brittle

Brittle engines say so in their answers, and each entry VM heard it by its own answer or by the leader's next one to its frame: seconds where there are hundreds.

Now the first word on a service goes to the leader at once, and from it down the trees to all; in a zone without a leader to those of the zone, as other news. One message for each entry VM.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -335,9 +335,7 @@
     evacuation::told(state, now, &frame.evacuations, out);
     departure::told(state, now, &frame.departures, Road::Frame, out);
     departure::tell(state, now, out);
-    for limit in &frame.limits {
-        intake::told(state, now, limit);
-    }
+    intake::told_by_frame(state, now, &frame.limits, out);
     crash::told(state, now, News::of(frame.crashing.clone()), out);
     rollout::heard(state, now, &frame, out);
     state.appetite.touch(now, &frame.demand);
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -97,7 +97,9 @@
         };
         departure::answered(state, now, &answer, out);
         state.intakes.answered(reply.view.term, told);
-        reply.limits.iter().for_each(|limit| intake::told(state, now, limit));
+        for limit in &reply.limits {
+            intake::told(state, now, limit);
+        }
         state.intakes.learnt(reply.limits_version);
     } else {
         departure::tell_without_hub(state, out);
--- a/fleet/src/intake.rs
+++ b/fleet/src/intake.rs
@@ -21,6 +21,7 @@
 use crate::flow::{self, COME_BACK};
 use crate::members::Claim;
 use crate::notice::{Asked, Start};
+use crate::push::{self, Message};
 use crate::record::Record;
 use crate::state::State;
 use crate::timer::Timer;
@@ -170,19 +171,29 @@
     keep(state, now, from, per_s, now, true);
 }
 
-/// Another entry VM told of an engine's limit. What an engine said last counts.
-pub(crate) fn told(state: &mut State, now: Time, told: &Advert) {
+/// Another entry VM told of engines' limits in a frame: the first word that a service's engines are brittle goes on to all at once.
+pub(crate) fn told_by_frame(state: &mut State, now: Time, limits: &[Advert], out: &mut Vec<Effect>) {
+    let limits: Vec<Advert> = limits.iter().filter(|limit| told(state, now, limit)).cloned().collect();
+    if !limits.is_empty() {
+        push::tell(state, now, &Message { limits, ..Message::default() }, out);
+    }
+}
+
+/// Another entry VM told of an engine's limit. What an engine said last counts. Returns whether it is the first word that the engines of
+/// its service are brittle.
+pub(crate) fn told(state: &mut State, now: Time, told: &Advert) -> bool {
     let Advert { from, per_s, age, .. } = told;
     let heard = now - *age;
     let listed = state.engines.get(&from.engine).map(|engine| engine.entry.incarnation);
     if listed.is_some_and(|listed| listed != from.incarnation) {
-        return;
+        return false;
     }
-    brittle::told(state, now, told);
+    let first = brittle::told(state, now, told);
     let named = per_s.is_some() || state.intakes.limit(&from.engine, from.incarnation).is_some();
     if named && !state.intakes.knows_later(from, *per_s, heard) {
         keep(state, now, from, *per_s, heard, false);
     }
+    first
 }
 
 /// Keeps what an engine said.
--- a/fleet/src/intake/brittle.rs
+++ b/fleet/src/intake/brittle.rs
@@ -15,7 +15,9 @@
 use super::{Advert, Limit};
 use crate::effect::Effect;
 use crate::engine::Engine;
+use crate::frame;
 use crate::notice::{Asked, Start};
+use crate::push::{self, Message};
 use crate::record::Record;
 use crate::request::Id;
 use crate::schedule::{Ask, Need};
@@ -124,22 +126,38 @@
     asked: Option<Asked>,
     out: &mut Vec<Effect>,
 ) {
-    let service = state.engines.get(&from.engine).map(|engine| engine.entry.service.clone());
+    let service = service_of(state, from);
     let before = state.intakes.brittle_word(from);
     match (most, before) {
         (None, None) => return,
         (None, Some((_, heard))) if asked.is_none_or(|asked| asked.at <= heard) => return,
         (None, Some(_)) | (Some(_), _) => {}
     }
-    if let Some(service) = service.filter(|_| most.is_some()) {
-        state.intakes.note_service(service, now);
-    }
+    let first =
+        service.filter(|_| most.is_some()).is_some_and(|service| state.intakes.note_service(service, now));
     let word = most.map(|most| Brittle { most, rejections: Vec::new() });
-    if state.intakes.set_brittle(from, word, now, true) {
-        note(from, most, if most.is_some() { "brittle" } else { "sound" }, out);
+    if !state.intakes.set_brittle(from, word, now, true) {
+        return;
+    }
+    note(from, most, if most.is_some() { "brittle" } else { "sound" }, out);
+    if first {
+        tell(state, now, from, out);
     }
 }
 
+fn service_of(state: &State, from: &Start) -> Option<Name> {
+    state.engines.get(&from.engine).map(|engine| engine.entry.service.clone())
+}
+
+/// All are told that a service's engines are brittle, since hundreds of entry VMs would go on sending for as long as it takes until each has an
+/// answer or a frame's: the leader tells them, and anybody else the leader.
+fn tell(state: &mut State, now: Time, from: &Start, out: &mut Vec<Effect>) {
+    let advert = state.engines.get(&from.engine).and_then(|known| state.intakes.told(now, known));
+    let message = Message { limits: advert.into_iter().collect(), ..Message::default() };
+    push::tell(state, now, &message, out);
+    frame::send(state, now, out);
+}
+
 /// A brittle engine turned a request away: the owner of its places hears of it at once, and what waits for a place asks anew.
 pub(crate) fn rejected(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
     let Some(known) = state.engines.get(engine) else {
@@ -163,25 +181,25 @@
     }
 }
 
-/// Another entry VM told what it knows.
-pub(crate) fn told(state: &mut State, now: Time, advert: &Advert) {
+/// Another entry VM told what it knows. Returns whether it is the first word that the engines of the service are brittle.
+pub(super) fn told(state: &mut State, now: Time, advert: &Advert) -> bool {
     let Some(told) = &advert.brittle else {
         if state.intakes.brittle_word(&advert.from).is_some() && advert.brittle_age.is_some() {
             let heard = advert.brittle_age.map_or(now, |age| now - age);
             state.intakes.set_brittle(&advert.from, None, heard, false);
         }
-        return;
+        return false;
     };
     let heard = advert.brittle_age.map_or(now, |age| now - age);
-    let service = state.engines.get(&advert.from.engine).map(|engine| engine.entry.service.clone());
-    if let Some(service) = service {
-        state.intakes.note_service(service, heard);
-    }
+    let first =
+        service_of(state, &advert.from).is_some_and(|service| state.intakes.note_service(service, heard));
     let word = Brittle::of(told, now);
     let rejected = !word.rejections.is_empty();
-    if state.intakes.set_brittle(&advert.from, Some(word), heard, false) && rejected {
+    let news = state.intakes.set_brittle(&advert.from, Some(word), heard, false);
+    if news && rejected {
         hold(state, now, &advert.from.engine);
     }
+    news && first
 }
 
 /// Places that were given go back, and the next one is as far away as it is now.
@@ -223,8 +241,10 @@
         self.services.get(service).is_some_and(|at| now.since(*at) < SERVICE_KEPT)
     }
 
-    fn note_service(&mut self, service: Name, heard: Time) {
-        let at = self.services.entry(service).or_default();
-        *at = heard.max(*at);
+    /// An engine of a service said then that it is brittle. Returns whether none had lately.
+    fn note_service(&mut self, service: Name, heard: Time) -> bool {
+        let before = self.services.get(&service).copied();
+        self.services.insert(service, before.max(Some(heard)).unwrap_or(heard));
+        before.is_none_or(|before| heard.since(before) >= SERVICE_KEPT)
     }
 }
--- a/fleet/src/push.rs
+++ b/fleet/src/push.rs
@@ -19,6 +19,7 @@
 use crate::entries;
 use crate::evacuation;
 use crate::frame;
+use crate::intake;
 use crate::lease;
 use crate::members::Member;
 use crate::notice::Start;
@@ -32,7 +33,7 @@
 const FAN_OUT: usize = 6;
 
 /// What goes down a tree: an update, the word of who the hub is, news of requests that crash engines.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// The hub that sent it; none if it was not known there.
     pub hub: Option<lease::Row>,
@@ -44,6 +45,8 @@
     pub departures: Vec<Row>,
     /// Engines that have said themselves that they leave.
     pub departed: Vec<Start>,
+    /// The first engines of their services that say that they are brittle.
+    pub limits: Vec<intake::Advert>,
     /// What operators say of availability zones.
     pub evacuations: Vec<evacuation::Word>,
     /// Entry VMs that the receiver is to pass it on to.
@@ -51,7 +54,7 @@
 }
 
 /// A message on its way to an entry VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Push {
     /// Where the entry VM listens.
     pub address: SocketAddr,
@@ -152,6 +155,9 @@
     } else {
         departure::leave_to_others(state, out);
     }
+    for limit in &message.limits {
+        intake::told(state, now, limit);
+    }
     evacuation::told(state, now, &message.evacuations, out);
     if let Some(update) = message.update {
         rollout::take(state, now, update, "push", out);
--- a/fleet/tests/brittle_engines.rs
+++ b/fleet/tests/brittle_engines.rs
@@ -102,6 +102,26 @@
     }
 }
 
+/// Guards against engines that fall over before most entry VMs have heard that they are brittle: callers ask for more than they run from the first moment
+/// on. All are told at once, each by one message.
+#[test]
+fn first_word() {
+    for vms in [65, 300, 984] {
+        for seed in [2, 3, 5] {
+            let mut world = world(vms, seed);
+            ask(&mut world, Duration::from_secs(2), 350.0);
+            let pushes = world.pushes;
+            for number in 0..ENGINES {
+                world.make_brittle(&engine(number), 5.0, SLOTS as usize, 8);
+            }
+            ask(&mut world, contact(vms), 700.0);
+            assert!(world.falls() <= allowed(), "{vms} entry VMs, seed {seed}: {} fell over", world.falls());
+            let pushes = world.pushes - pushes;
+            assert!(pushes < 2 * vms, "{vms} entry VMs, seed {seed}: {pushes} messages");
+        }
+    }
+}
+
 /// The same with a lost leader, all entry VMs started anew, or an engine that comes back after a fall, all at random.
 fn play(u: &mut Unstructured<'_>) -> arbitrary::Result<(Vec<String>, usize)> {
     let vms = *u.choose(&[6, 9, 65])?;
