--- a/fleet/benches/hub.rs
+++ b/fleet/benches/hub.rs
@@ -154,7 +154,7 @@
         let mut hub = Self { state: State::new(me, Settings::default(), 7, START), now: START };
         hub.feed(Event::Configured(Arc::new(config())));
         let rows = (0..ENGINES).map(row).collect();
-        hub.feed(Event::Listed(Listing { rows, version: (ENGINES as u64).into(), whole: true, asked: None }));
+        hub.feed(Event::Listed(Listing { rows, version: (ENGINES as u64).into(), whole: true, as_of: None }));
         hub.pass(10);
         hub.feed(Event::Lease(Answer { store_ms: Some(0), era: Some(0), outcome: Outcome::Read(None) }));
         hub.feed(Event::Lease(Answer { store_ms: Some(5), era: Some(0), outcome: Outcome::Written(1) }));
--- a/fleet/benches/quota.rs
+++ b/fleet/benches/quota.rs
@@ -108,7 +108,7 @@
         let mut leader = Self { state: State::new(me, Settings::default(), 7, START), now: START };
         leader.feed(Event::Configured(Arc::new(config(access))));
         leader.feed(Event::Listed(Listing {
-            asked: None,
+            as_of: None,
             rows: (0..3).map(engine).collect(),
             version: 9.into(),
             whole: true,
--- a/fleet/src/entries.rs
+++ b/fleet/src/entries.rs
@@ -130,9 +130,9 @@
         note_whole(state, listing.version);
     }
     let passed_over = passed_over(state, &listing);
-    let asked = listing.asked.unwrap_or_default();
+    let as_of = listing.as_of.unwrap_or_default();
     for row in listing.rows {
-        changed += usize::from(take(state, now, asked, row, road, out));
+        changed += usize::from(take(state, now, as_of, row, road, out));
     }
     departure::tell(state, now, out);
     if let Some(record) = passed_over {
@@ -140,12 +140,12 @@
     }
     state.listed = state.listed.max(listing.version);
     state.era.listed(listing.version.version);
-    if let Some(asked) = listing.asked {
+    if let Some(as_of) = listing.as_of {
         if road == Road::Table {
-            let word = Word { asked, age: Duration::ZERO, source: "store" };
+            let word = Word { asked: as_of, age: Duration::ZERO, source: "store" };
             freshness::renew(state, now, word, out);
         }
-        confirmed(state, now, asked, out);
+        confirmed(state, now, as_of, out);
     }
     if before.is_known() && before.era < listing.version.era {
         reread(state, now, out);
@@ -240,14 +240,13 @@
     listed.max(state.removed.get(id).map(|removed| removed.version))
 }
 
-/// The table was known to be as it is by an answer to what was asked then. An engine whose entry the store has had time to remove, and has
-/// not, is believed.
-pub(crate) fn confirmed(state: &mut State, now: Time, asked: Time, out: &mut Vec<Effect>) {
-    if state.returned.is_empty() || state.era.doubts_removed(asked, &state.settings) {
+/// All that the store had taken of the table by then is known. An engine whose entry the store has had time to remove, and has not, is believed.
+pub(crate) fn confirmed(state: &mut State, now: Time, as_of: Time, out: &mut Vec<Effect>) {
+    if state.returned.is_empty() || state.era.doubts_removed(as_of, &state.settings) {
         return;
     }
     for (_, row) in std::mem::take(&mut state.returned) {
-        take(state, now, asked, row, Road::Table, out);
+        take(state, now, as_of, row, Road::Table, out);
     }
     flow::stir_later(state);
 }
--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -28,11 +28,11 @@
     road: Road,
 }
 
-/// Takes over a row of an answer to what was asked then. Returns whether it changes what is believed of its engine.
+/// Takes over a row of a word that holds all that the store had taken by `as_of`. Returns whether it changes what is believed of its engine.
 pub(super) fn take(
     state: &mut State,
     now: Time,
-    asked: Time,
+    as_of: Time,
     row: Row,
     road: Road,
     out: &mut Vec<Effect>,
@@ -48,7 +48,7 @@
     }
     state.returned.remove(&row.id);
     state.newest_row = state.newest_row.max(row.version);
-    if is_doubtful(state, asked, &row) {
+    if is_doubtful(state, as_of, &row) {
         state.returned.insert(row.id.clone(), row);
         return false;
     }
@@ -61,14 +61,14 @@
 
 /// Whether an entry is not to be believed yet: a copy of the store names an engine that had been removed before, and that has neither
 /// started nor registered since. The store removes the entry once its heartbeats are missed.
-fn is_doubtful(state: &State, asked: Time, row: &Row) -> bool {
+fn is_doubtful(state: &State, as_of: Time, row: &Row) -> bool {
     let Some((entry, removed)) = row.entry.as_ref().zip(removal(state, &row.id)) else {
         return false;
     };
     let same_start = removed.incarnation.is_none_or(|known| entry.incarnation <= known);
     let from_copy =
         removed.version.era < row.version.era && !state.era.is_after_first_listing(row.version.version);
-    same_start && from_copy && state.era.doubts_removed(asked, &state.settings)
+    same_start && from_copy && state.era.doubts_removed(as_of, &state.settings)
 }
 
 /// The removal of an engine, also of one that is waited for to come back.
--- a/fleet/src/era.rs
+++ b/fleet/src/era.rs
@@ -28,7 +28,7 @@
     /// Whether the store, or another entry VM, has named any, or has said something without one.
     is_known: bool,
     /// When it became known that it had begun long ago; none if that is not known.
-    old_since: Option<Time>,
+    known_old: Option<Time>,
     /// The version up to which the engines' table was first known in this era.
     first_listed: Option<u64>,
 }
@@ -47,13 +47,13 @@
 
     /// Whether by then all that the copy lacked had been written again.
     pub(crate) fn is_settled(&self, at: Time, settings: &Settings) -> bool {
-        self.number == 0 || self.old_since.is_some() || at >= self.since + settings.rewritten_within
+        self.number == 0 || self.known_old.is_some() || at >= self.since + settings.rewritten_within
     }
 
     /// How much longer an entry that the copy lacks may still be written again; none if it has to be there.
     pub(crate) fn rewrites(&self, now: Time, settings: &Settings) -> Option<Duration> {
         let until = self.since + settings.rewritten_within;
-        (self.number > 0 && self.old_since.is_none() && now < until).then(|| until.since(now))
+        (self.number > 0 && self.known_old.is_none() && now < until).then(|| until.since(now))
     }
 
     /// Whether an engine that was removed before may stand in the copy although it is gone: the store would have removed its entry some
@@ -63,7 +63,7 @@
         let until = self.since + missed;
         // An old era began at least so long ago as writers have to write again what the copy lacked.
         let until_by_others =
-            self.old_since.map(|old| old + missed.saturating_sub(settings.rewritten_within));
+            self.known_old.map(|old| old + missed.saturating_sub(settings.rewritten_within));
         let until = until_by_others.map_or(until, |by_others| until.min(by_others));
         self.number > 0 && at < until
     }
@@ -80,7 +80,7 @@
 
     /// It began long ago, as another process knows that has seen it begin.
     pub(crate) fn settle(&mut self, now: Time) {
-        self.old_since.get_or_insert(now);
+        self.known_old.get_or_insert(now);
     }
 }
 
@@ -91,7 +91,7 @@
     if era <= before.number {
         return;
     }
-    state.era = Era { number: era, since: now, is_known: true, old_since: None, first_listed: None };
+    state.era = Era { number: era, since: now, is_known: true, known_old: None, first_listed: None };
     if before.is_known {
         risen(state, now, before, out);
     }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -201,5 +201,5 @@
     /// Whether they are all rows there are.
     pub whole: bool,
     /// All that the store had taken by then is in it; none if that is not known.
-    pub asked: Option<Time>,
+    pub as_of: Option<Time>,
 }
--- a/fleet/src/frame/answered.rs
+++ b/fleet/src/frame/answered.rs
@@ -164,7 +164,7 @@
         let Some(rows) = unpacked(rows, &reply.rows_packed, "engines", out) else {
             return false;
         };
-        let listing = Listing { rows, version: reply.listed, whole: reply.whole, asked: as_of };
+        let listing = Listing { rows, version: reply.listed, whole: reply.whole, as_of };
         entries::listed(state, now, listing, Road::Reply, out);
         return true;
     }
--- a/fleet/src/frame/reading.rs
+++ b/fleet/src/frame/reading.rs
@@ -49,7 +49,7 @@
         return;
     }
     if state.listed >= *rows_after && frame.listed > state.listed {
-        let listing = Listing { rows: rows.clone(), version: frame.listed, whole: false, asked: None };
+        let listing = Listing { rows: rows.clone(), version: frame.listed, whole: false, as_of: None };
         entries::listed(state, now, listing, Road::Frame, out);
     } else {
         entries::told(state, now, rows.clone(), Road::Frame, out);
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -115,7 +115,7 @@
             links.feed(at, Event::Configured(Arc::clone(config)));
             links.feed(
                 at,
-                Event::Listed(Listing { rows: Vec::new(), version: 1.into(), whole: true, asked: None }),
+                Event::Listed(Listing { rows: Vec::new(), version: 1.into(), whole: true, as_of: None }),
             );
         }
         links
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -137,12 +137,12 @@
 }
 
 pub fn listing(rows: Vec<Row>, version: impl Into<Revision>, whole: bool) -> Event {
-    Event::Listed(Listing { rows, version: version.into(), whole, asked: None })
+    Event::Listed(Listing { rows, version: version.into(), whole, as_of: None })
 }
 
 /// The same as the answer to a question of then.
 pub fn listed(asked: Time, rows: Vec<Row>, version: impl Into<Revision>, whole: bool) -> Event {
-    Event::Listed(Listing { rows, version: version.into(), whole, asked: Some(asked) })
+    Event::Listed(Listing { rows, version: version.into(), whole, as_of: Some(asked) })
 }
 
 pub fn brief(model: &str) -> Arrival {
--- a/fleet/tests/store/mod.rs
+++ b/fleet/tests/store/mod.rs
@@ -140,7 +140,7 @@
             let version = Revision::new(self.era, *version);
             wanted.then(|| Row { id: id.clone(), version, entry: entry.clone(), ..Row::default() })
         });
-        Listing { rows: rows.collect(), version: self.revision(), whole: after.is_none(), asked: Some(asked) }
+        Listing { rows: rows.collect(), version: self.revision(), whole: after.is_none(), as_of: Some(asked) }
     }
 
     /// The operator evacuates a zone, or takes that back.
