Take no engine for sound whose word on rejections cannot be read

Cause, by reading: a header that names no number of rejections was read like none, and none ends what the engine had said before. So an engine that is brittle, and writes the number wrongly once, would get what sound ones get.

Change: what an answer says is one of three (sound, brittle, unreadable), as with limits of requests; an unreadable one is logged once and ends nothing.

Ruled out: dropping the word in the platform's folder alone, which lets nothing be logged.

The new test does not compile without the change, so that it was not seen to fail.

--- a/fleet/src/intake.rs
+++ b/fleet/src/intake.rs
@@ -150,14 +150,7 @@
             }
             None
         }
-        Intake::Unreadable => {
-            if !state.intakes.is_new_unreadable(&from.engine) {
-                return;
-            }
-            let error = format!("the limit that {} names is no number of requests", from.engine);
-            out.push(Effect::Record(Record::Unusable { what: "engine_limit", error }));
-            return;
-        }
+        Intake::Unreadable => return unreadable(state, from, "the limit", out),
     };
     let before = before.map(|limit| limit.per_s);
     if per_s != before {
@@ -171,6 +164,15 @@
     keep(state, now, from, per_s, now, true);
 }
 
+/// Logs once that a word of an engine is no number of requests.
+fn unreadable(state: &mut State, from: &Start, what: &str, out: &mut Vec<Effect>) {
+    if !state.intakes.is_new_unreadable(&from.engine) {
+        return;
+    }
+    let error = format!("{what} that {} names is no number of requests", from.engine);
+    out.push(Effect::Record(Record::Unusable { what: "engine_limit", error }));
+}
+
 /// Another entry VM told of engines' limits in a frame: the first word that a service's engines are brittle goes on to all at once.
 pub(crate) fn told_by_frame(state: &mut State, now: Time, limits: &[Advert], out: &mut Vec<Effect>) {
     let limits: Vec<Advert> = limits.iter().filter(|limit| told(state, now, limit)).cloned().collect();
--- a/fleet/src/intake/brittle.rs
+++ b/fleet/src/intake/brittle.rs
@@ -12,11 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::table::Table;
-use super::{Advert, Limit};
+use super::{Advert, Limit, unreadable};
 use crate::effect::Effect;
 use crate::engine::Engine;
 use crate::frame;
-use crate::notice::{Asked, Start};
+use crate::notice::{Asked, Bearing, Start};
 use crate::push::{self, Message};
 use crate::record::Record;
 use crate::request::Id;
@@ -117,29 +117,33 @@
     engine.load().open >= engine.entry.slots && limit(state, now, engine).is_some()
 }
 
-/// An answer of an engine says how many rejections it bears, or nothing of that: then it is over, if the request was sent after it was said.
+/// An answer of an engine says whether it is brittle. If not, that is over if the request was sent after it was said.
 pub(crate) fn noticed(
     state: &mut State,
     now: Time,
     from: &Start,
-    most: Option<f64>,
+    bearing: Bearing,
     asked: Option<Asked>,
     out: &mut Vec<Effect>,
 ) {
-    let service = service_of(state, from);
-    let before = state.intakes.brittle_word(from);
-    match (most, before) {
-        (None, None) => return,
-        (None, Some((_, heard))) if asked.is_none_or(|asked| asked.at <= heard) => return,
-        (None, Some(_)) | (Some(_), _) => {}
-    }
-    let first =
-        service.filter(|_| most.is_some()).is_some_and(|service| state.intakes.note_service(service, now));
-    let word = most.map(|most| Brittle { most, rejections: Vec::new() });
+    let (word, label) = match bearing {
+        Bearing::Brittle(most) => (Some(Brittle { most, rejections: Vec::new() }), "brittle"),
+        Bearing::Sound => {
+            let heard = state.intakes.brittle_word(from).map(|(_, heard)| heard);
+            if heard.is_none_or(|heard| asked.is_none_or(|asked| asked.at <= heard)) {
+                return;
+            }
+            (None, "sound")
+        }
+        Bearing::Unreadable => return unreadable(state, from, "the number of rejections", out),
+    };
+    let most = word.as_ref().map(|word| word.most);
+    let service = service_of(state, from).filter(|_| most.is_some());
+    let first = service.is_some_and(|service| state.intakes.note_service(service, now));
     if !state.intakes.set_brittle(from, word, now, true) {
         return;
     }
-    note(from, most, if most.is_some() { "brittle" } else { "sound" }, out);
+    note(from, most, label, out);
     if first {
         tell(state, now, from, out);
     }
--- a/fleet/src/notice.rs
+++ b/fleet/src/notice.rs
@@ -30,8 +30,20 @@
     pub pause: Option<Duration>,
     /// How many requests it takes.
     pub intake: Intake,
-    /// How many rejections in a second it bears, if it is brittle: with more it falls over.
-    pub brittle: Option<f64>,
+    /// Whether it is brittle.
+    pub brittle: Bearing,
+}
+
+/// What an answer says of the requests that its engine can turn away.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Bearing {
+    /// Nothing: any number.
+    #[default]
+    Sound,
+    /// With more than so many in a second it falls over; finite, and not below 0.
+    Brittle(f64),
+    /// It names something that is no number of requests, which is no word either way.
+    Unreadable,
 }
 
 /// The request of a caller that an answer is to.
--- /dev/null
+++ b/fleet/tests/brittle_words.rs
@@ -0,0 +1,55 @@
+//! What engines' words that they are brittle are taken for.
+
+mod node;
+
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::frame::Reply;
+use boragecove_fleet::lease::Outcome;
+use boragecove_fleet::notice::{Asked, Bearing, Notice, Start};
+use boragecove_fleet::record::Record;
+use boragecove_fleet::request::Id;
+use node::{Node, hub_row, millis};
+
+fn start(engine: &str) -> Start {
+    Start { engine: engine.into(), ..Start::default() }
+}
+
+/// An engine's answer to a request that was sent just now.
+fn says(node: &mut Node, engine: &str, brittle: Bearing) -> Vec<Effect> {
+    let asked = Some(Asked { request: Id(1), at: node.now });
+    let notice = Notice { brittle, ..Notice::default() };
+    node.feed(Event::Noticed { from: start(engine), notice, asked }).to_vec()
+}
+
+/// One that follows a leader, which has answered it.
+fn follower() -> Node {
+    let mut node = Node::ready("a");
+    node.pass(millis(10));
+    node.lease(0, Outcome::Read(Some(hub_row())));
+    replied(&mut node);
+    node
+}
+
+/// The leader answers the frame that is under way.
+fn replied(node: &mut Node) {
+    let reply = Reply { leads: true, nodes: 3, listed: 4.into(), ..Reply::default() };
+    node.feed(Event::Replied(Some(Box::new(reply))));
+}
+
+/// Guards against an engine that is taken for sound since its word cannot be read: that is logged once, and what it said before holds.
+#[test]
+fn unreadable_ends_nothing() {
+    let mut node = follower();
+    says(&mut node, "g1", Bearing::Brittle(5.0));
+    assert_eq!(node.state.engines_brittle(), 1);
+    node.now = node.now + millis(10);
+    let unusable = |effects: &[Effect]| {
+        effects.iter().filter(|effect| matches!(effect, Effect::Record(Record::Unusable { .. }))).count()
+    };
+    assert_eq!(unusable(&says(&mut node, "g1", Bearing::Unreadable)), 1);
+    assert_eq!(unusable(&says(&mut node, "g1", Bearing::Unreadable)), 0);
+    assert_eq!(node.state.engines_brittle(), 1);
+    says(&mut node, "g1", Bearing::Sound);
+    assert_eq!(node.state.engines_brittle(), 0);
+}
--- a/fleet/tests/world/backends.rs
+++ b/fleet/tests/world/backends.rs
@@ -8,7 +8,7 @@
 use boragecove_fleet::engine::Row;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::intake::Intake;
-use boragecove_fleet::notice::{Asked, Notice, Start};
+use boragecove_fleet::notice::{Asked, Bearing, Notice, Start};
 use boragecove_fleet::request::{Attempt, End, Events, Id};
 
 use super::brittle::Brittle;
@@ -206,6 +206,7 @@
             return;
         }
         let intake = need.map_or(Intake::Open, |need| Intake::Limited(need.per_s));
+        let brittle = brittle.map_or(Bearing::Sound, Bearing::Brittle);
         let notice = Notice { intake, brittle, ..Notice::default() };
         let from = Start { engine: attempt.engine.clone(), incarnation: attempt.incarnation };
         self.feed(vm, Event::Noticed { from, notice, asked: Some(Asked { request, at }) });
