Log by what each repeat is allowed or not

Cause: on a broken window the log told that requests were sent again, and not by which count: whether a process that had just begun took a share that its life before had spent, or shared the allowance by too few entry VMs, could not be told apart.

Change: one line a repeat, allowed or not, with the requests and repeats that the process counts in its window, by how many entry VMs it divides, whether a hub has counted those lately, and how long the process has been alive.

Ruled out: nothing yet; this is what the hypotheses are told apart by.

--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -109,6 +109,7 @@
         let request = match record {
             Record::Sent { request, .. }
             | Record::Waits { request, .. }
+            | Record::Repeat { request, .. }
             | Record::Began { request, .. }
             | Record::Ended { request, .. }
             | Record::Refused { request, .. } => Some(Id(*request)),
--- a/fleet/src/budget.rs
+++ b/fleet/src/budget.rs
@@ -48,14 +48,18 @@
         allowed
     }
 
-    /// Whether this process's share allows a repeat.
-    pub(crate) fn allows(&mut self, now: Time, service: &Name, nodes: u32, settings: &Settings) -> bool {
+    /// The requests and the repeats in the window.
+    pub(crate) fn counted(&mut self, now: Time, service: &Name, settings: &Settings) -> (u32, u32) {
         let window = settings.repeat_window;
         self.slice(now, service, settings);
         let slices = &self.services[service].slices;
         let counted = slices.iter().filter(|slice| now.since(slice.from) <= window);
-        let (requests, repeats) =
-            counted.fold((0, 0), |(all, again), slice| (all + slice.requests, again + slice.repeats));
+        counted.fold((0, 0), |(all, again), slice| (all + slice.requests, again + slice.repeats))
+    }
+
+    /// Whether this process's share allows a repeat.
+    pub(crate) fn allows(&mut self, now: Time, service: &Name, nodes: u32, settings: &Settings) -> bool {
+        let (requests, repeats) = self.counted(now, service, settings);
         let slack = settings.repeat_slack / f64::from(nodes.max(1));
         let allowed = USED * settings.repeat_ratio.mul_add(f64::from(requests), slack);
         f64::from(repeats + 1) <= allowed
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -233,7 +233,6 @@
 /// time and allowance for it.
 fn again(state: &mut State, now: Time, id: Id, engine: Name, failure: Failure, out: &mut Vec<Effect>) {
     let Failure { end, doubted } = failure;
-    let nodes = state.nodes(now);
     let proven = proof::holds(state, now);
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
@@ -257,11 +256,9 @@
         && !doubted
         && within
         && in_time
-        && (matches!(end, End::Unsent | End::Withheld)
-            || state.budget.repeat(now, &service, nodes, &state.settings));
+        && (matches!(end, End::Unsent | End::Withheld) || repeat(state, now, id, &service, out));
     if allowed {
         *state.retries.entry(end.label()).or_default() += 1;
-        flow.stage = Stage::Waiting;
         flow::dispatch(state, now, id, true, out);
         return;
     }
@@ -280,6 +277,24 @@
     flow::give_up(state, now, id, code, Some(Budget::pause(&state.settings)), out);
 }
 
+/// Takes a repeat of a service from the allowance, and logs what that went by.
+fn repeat(state: &mut State, now: Time, id: Id, service: &Name, out: &mut Vec<Effect>) -> bool {
+    let nodes = state.nodes(now);
+    let (requests, repeats) = state.budget.counted(now, service, &state.settings);
+    let allowed = state.budget.repeat(now, service, nodes, &state.settings);
+    out.push(Effect::Record(Record::Repeat {
+        request: id.0,
+        service: service.clone(),
+        allowed,
+        requests,
+        repeats,
+        nodes,
+        nodes_counted: state.hub.nodes > 0 && state.hub.alive(now, &state.settings),
+        alive_ms: ms(now.since(state.started)),
+    }));
+    allowed
+}
+
 /// A look at whether an attempt's engine has gone silent. Silence alone ends nothing: the request is given to
 /// another engine only if it may be, if there is allowance for it, and if this one cannot be reached.
 pub(crate) fn silence(state: &mut State, now: Time, id: Id, number: u32, out: &mut Vec<Effect>) {
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -88,6 +88,25 @@
         /// How long it will wait at most.
         at_most_ms: u64,
     },
+    /// A request may be sent once more, or not.
+    Repeat {
+        /// The request's number.
+        request: u64,
+        /// The service.
+        service: Name,
+        /// Whether it may.
+        allowed: bool,
+        /// Requests of callers that this process counts in the window.
+        requests: u32,
+        /// Repeats that it has made in it.
+        repeats: u32,
+        /// Entry VMs that the allowance is shared by.
+        nodes: u32,
+        /// Whether a hub has counted them lately.
+        nodes_counted: bool,
+        /// Time since this process began.
+        alive_ms: u64,
+    },
     /// The first of an answer's events came.
     Began {
         /// The request's number.
