Count repeats over all lives of all entry VMs, by arrivals at engines (red)

The rule: in any window repeats at a service stay within a part of the requests for it (of that window, of the one before, or of the one half a window before) and a slack, over all entry VMs and all their lives.

--- a/fleet/tests/world/backends.rs
+++ b/fleet/tests/world/backends.rs
@@ -12,6 +12,7 @@
 use boragecove_fleet::request::{Attempt, End, Events, Id};
 
 use super::brittle::Brittle;
+use super::repeats::Repeats;
 use super::{Load, World, ZONES};
 
 /// Time from a request's arrival at an engine to the head of its answer, and to its end.
@@ -63,6 +64,7 @@
     /// Requests that may run once alone.
     pub(super) once: BTreeSet<(usize, Id)>,
     pub(super) brittle: BTreeMap<Name, Brittle>,
+    pub(super) repeats: Repeats,
 }
 
 impl Backends {
@@ -174,7 +176,10 @@
         if self.now >= attempt.write_by || attempt.send_by.is_some_and(|by| self.now >= by) {
             return self.ended(vm, request, attempt.number, End::Withheld);
         }
-        if self.sent_apart(vm, request, attempt) || self.turned_away_by(vm, request, attempt) {
+        if self.sent_apart(vm, request, attempt)
+            || self.sheds(vm, request, attempt)
+            || self.turned_away_by(vm, request, attempt)
+        {
             return;
         }
         self.run(vm, None, request, attempt);
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -8,6 +8,7 @@
 pub mod departures;
 pub mod losses;
 pub mod partitions;
+pub mod repeats;
 #[path = "../store/mod.rs"]
 mod store;
 mod ways;
@@ -606,6 +607,9 @@
 
     /// A request arrives at an entry VM that runs.
     pub fn arrive(&mut self, at: usize, workspace: &Name, cost: f64, arrival: Arrival) {
+        if let Some(backends) = &mut self.backends {
+            backends.repeats.asked(self.now);
+        }
         if !self.vms[at].running {
             return;
         }
