Let repeats be earned, and have the leader give the rest of them

Cause of the incident: all entry VMs together may make so many repeats in a window, and each kept to a share: its requests of the window, and the slack divided by how many entry VMs there are. Nobody handed the shares over. A process that was killed had spent its share, and the next one had it anew; and each guessed the divisor for itself (nine where no hub counts).

Class: a sum over all that each keeps by a share, which nobody hands over, and forgets at a restart.

Change: a process earns 0.35 of the ratio with the requests that it takes in itself, and may use that for a fifth of the window; a life that is lost leaves nothing to be spent twice, and nothing is divided. A process begins with a part at random, so that many with few requests earn in sum what one would. Half of the ratio and 0.9 of the slack are the leader's, which is asked for each repeat (one small question) and hears in frames how many requests came. The row of the lease tells by age what was given and heard; beyond that the leader gives at most a quarter of the slack until the row is written again, which the next one takes for given. A permit lapses after half a second, unsent (send_by); one that its request does not use is the next one's. The less urgent leave the last quarter to the urgent while those ask. Nobody leads: what was earned alone.

In sum: 0.35 x (1 + 0.25) + 0.5 = 0.94 of the ratio where all are killed just after each other, and 0.9 of the slack.

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -8,6 +8,7 @@
 use actix::{Actor, AsyncContext, Context, Handler, MessageResult, ResponseFuture, SpawnHandle};
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use boragecove_fleet::budget::{self, Permit};
 use boragecove_fleet::config::Limits;
 use boragecove_fleet::effect::{Effect, Follow};
 use boragecove_fleet::engine::Reach;
@@ -114,6 +115,11 @@
 #[rtype(result = "Credit")]
 pub(crate) struct Spend(pub(crate) Draw);
 
+/// Another entry VM asks for a repeat.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "Permit")]
+pub(crate) struct Repeat(pub(crate) budget::Ask);
+
 /// Another entry VM asks how the port of an engine answers here.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "Option<Reach>")]
@@ -201,6 +207,10 @@
                 let workspace = draw.workspace;
                 later(ctx, async move { Event::Drawn { request, workspace, credit: asking.await } });
             }
+            Effect::Permit { address, request, asked, ask } => {
+                let asking = peers::permit(Rc::clone(&self.client), address, ask);
+                later(ctx, async move { Event::Permitted { request, asked, permit: asking.await } });
+            }
             Effect::Lease(call) => self.lease(call, ctx),
             Effect::Order(dispatch) => self.order(&dispatch, ctx),
             Effect::Report { engine, incarnation, address } => {
@@ -380,6 +390,14 @@
     }
 }
 
+impl Handler<Repeat> for Node {
+    type Result = MessageResult<Repeat>;
+
+    fn handle(&mut self, Repeat(ask): Repeat, _ctx: &mut Self::Context) -> Self::Result {
+        MessageResult(boragecove_fleet::permit(&mut self.state, self.clock.now(), ask))
+    }
+}
+
 impl Handler<Try> for Node {
     type Result = ResponseFuture<Option<Reach>>;
 
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -12,6 +12,7 @@
 use actix_web::web::{self, Data, PayloadConfig, ServiceConfig};
 use boragecove_core::name::Name;
 use boragecove_fleet::bound::Bound;
+use boragecove_fleet::budget::{self, Permit};
 use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
@@ -25,7 +26,7 @@
 
 use super::client::{self, Client, Request};
 use super::forward;
-use super::node::{Feed, Hear, Node, Place, Spend, Transferred, Try};
+use super::node::{Feed, Hear, Node, Place, Repeat, Spend, Transferred, Try};
 use super::transfer::{Kind, Transfer};
 
 /// Where frames are posted.
@@ -36,6 +37,8 @@
 const SCHEDULE: &str = "/schedule";
 /// Where credit of workspaces' limits is asked for.
 const QUOTA: &str = "/quota";
+/// Where repeats are asked for.
+const REPEAT: &str = "/repeat";
 /// Where the port of an engine is asked about.
 const REACH: &str = "/reach";
 /// Bytes of a question for a place, or of its answer, at most.
@@ -88,6 +91,15 @@
     question(client, address, QUOTA, draw, ASK_LIMIT)
 }
 
+/// Asks the leader for a repeat. Returns its answer, or none if none came in time.
+pub(crate) fn permit(
+    client: Rc<Client>,
+    address: SocketAddr,
+    ask: budget::Ask,
+) -> impl Future<Output = Option<Permit>> + use<> {
+    question(client, address, REPEAT, &ask, ASK_LIMIT)
+}
+
 /// Asks another entry VM how the port of an engine answers there. Returns none if it did not answer, or does not know the
 /// engine.
 pub(crate) fn probe(
@@ -149,6 +161,7 @@
         .route(PUSH, web::post().to(pushed))
         .route(SCHEDULE, web::post().to(asked))
         .route(QUOTA, web::post().to(drawn))
+        .route(REPEAT, web::post().to(permitted))
         .route(REACH, web::post().to(tried))
         .service(
             web::resource(forward::PATH)
@@ -185,6 +198,13 @@
     }
 }
 
+async fn permitted(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
+    match decode::<budget::Ask>(&body) {
+        Some(ask) => answer(node.send(Repeat(ask)).await),
+        None => HttpResponse::BadRequest().finish(),
+    }
+}
+
 /// The node's answer to another entry VM.
 fn answer(answer: Result<impl Serialize, MailboxError>) -> HttpResponse {
     match answer {
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -8,6 +8,7 @@
 use boragecove_core::time::Time;
 
 use crate::access;
+use crate::budget::{self, Repeat};
 use crate::config::{Route, Workspace};
 use crate::flow::{COME_BACK, Flow, Stage};
 use crate::request::{Arrival, Refusal};
@@ -40,7 +41,7 @@
     if arrival.prompt.as_ref().is_some_and(|prompt| runs_models && !state.declared(&service, prompt)) {
         return refuse(Code::UnknownModel, None);
     }
-    state.budget.request(now, &service, &state.settings);
+    budget::request(state, now, &service);
     let flow = open(state, now, route, service, workspace, arrival);
     if let Some(target) = flow.target() {
         state.demand.arrived(&target, flow.work);
@@ -93,6 +94,10 @@
         avoid: Vec::new(),
         unsent: Vec::new(),
         may_have_run: false,
+        repeat: Repeat::First,
+        ahead: None,
+        asks_repeat: false,
+        ended: None,
     }
 }
 
--- /dev/null
+++ b/fleet/src/budget/window.rs
@@ -0,0 +1,54 @@
+//! Counts over a window that slides, in slices.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use boragecove_core::time::Time;
+
+use super::{counted, slice};
+use crate::settings::Settings;
+
+/// What was counted lately.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Window {
+    /// When each slice began, and its count.
+    slices: VecDeque<(Time, u32)>,
+}
+
+impl Window {
+    /// Counts so many now.
+    pub(super) fn add(&mut self, now: Time, count: u32, settings: &Settings) {
+        let length = slice(settings);
+        let kept = counted(settings) + length;
+        while self.slices.front().is_some_and(|(from, _)| now.since(*from) > kept) {
+            self.slices.pop_front();
+        }
+        match self.slices.back_mut() {
+            Some((from, counted)) if now.since(*from) < length => *counted = counted.saturating_add(count),
+            Some(_) | None => self.slices.push_back((now, count)),
+        }
+    }
+
+    /// What was counted, by how many times `length` ago its slice began, rounded down; without zeros at the end.
+    pub(super) fn by_age(&self, now: Time, length: Duration) -> Vec<u32> {
+        let mut ages = Vec::new();
+        for (from, count) in self.slices.iter().rev().filter(|(_, count)| *count > 0) {
+            let age = now.since(*from).div_duration_f64(length) as usize;
+            ages.resize(ages.len().max(age + 1), 0);
+            ages[age] = u32::saturating_add(ages[age], *count);
+        }
+        ages
+    }
+
+    /// The counterpart of [`Self::by_age`], where the youngest of each age was counted so long before now.
+    pub(super) fn aged(now: Time, ages: &[u32], length: Duration, before: Duration) -> Self {
+        let parts = ages.iter().enumerate().rev();
+        Self { slices: parts.map(|(age, count)| (now - (length * age as u32 + before), *count)).collect() }
+    }
+
+    /// What was counted in slices that began within this time.
+    pub(super) fn sum(&self, now: Time, within: Duration) -> u32 {
+        let within = self.slices.iter().filter(|(from, _)| now.since(*from) <= within);
+        within.fold(0, |sum, (_, count)| sum.saturating_add(*count))
+    }
+}
--- a/fleet/src/effect.rs
+++ b/fleet/src/effect.rs
@@ -6,6 +6,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::budget;
 use crate::config::Limits;
 use crate::engine::Incarnation;
 use crate::frame::Frame;
@@ -55,6 +56,17 @@
         /// The question.
         draw: Draw,
     },
+    /// Ask the leader for a repeat; its answer comes back as [`crate::event::Event::Permitted`].
+    Permit {
+        /// Where the leader listens.
+        address: SocketAddr,
+        /// The request that is to be sent once more.
+        request: Id,
+        /// Now.
+        asked: Time,
+        /// The question.
+        ask: budget::Ask,
+    },
     /// Read or write the lease.
     Lease(lease::Call),
     /// Send an order to an engine.
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -5,6 +5,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::budget::Permit;
 use crate::config::Config;
 use crate::engine::Reach;
 use crate::engine::{Incarnation, Row};
@@ -102,6 +103,15 @@
         /// The answer.
         credit: Option<Credit>,
     },
+    /// The leader answered a question for a repeat; none if it could not be reached.
+    Permitted {
+        /// The request that is to be sent once more.
+        request: Id,
+        /// When the question was asked.
+        asked: Time,
+        /// The answer.
+        permit: Option<Permit>,
+    },
     /// The lease was read or written.
     Lease(lease::Answer),
     /// An engine answered an order; none if it is not known whether the order arrived.
@@ -177,6 +187,7 @@
             Self::Missed(_) => "missed",
             Self::Granted { .. } => "granted",
             Self::Drawn { .. } => "drawn",
+            Self::Permitted { .. } => "permitted",
             Self::Lease(_) => "lease",
             Self::Ordered { .. } => "ordered",
             Self::Reported { .. } => "reported",
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -13,6 +13,7 @@
 use crate::access;
 use crate::adapter;
 use crate::admit;
+use crate::budget::{self, Obtained, Repeat};
 use crate::choose::{self, Choice, Pick, Query};
 use crate::config::{Route, Workspace};
 use crate::crash;
@@ -22,9 +23,10 @@
 use crate::frame;
 use crate::homes;
 use crate::key::Digest;
+use crate::outcome;
 use crate::quota;
 use crate::record::{Record, ms};
-use crate::request::{Arrival, Fingerprint, Id, Prompt, Refusal, Step};
+use crate::request::{Arrival, End, Fingerprint, Id, Prompt, Refusal, Step};
 use crate::schedule::Ask;
 use crate::settings::Settings;
 use crate::state::State;
@@ -73,6 +75,14 @@
     /// Engines to which no connection could be opened for it, once for each time.
     pub(crate) unsent: Vec<Name>,
     pub(crate) may_have_run: bool,
+    /// What it needs to be sent.
+    pub(crate) repeat: Repeat,
+    /// Until when it may be sent to another engine than the one that it is at, if that was asked.
+    pub(crate) ahead: Option<Time>,
+    /// Whether the leader is asked whether it may be sent once more.
+    pub(crate) asks_repeat: bool,
+    /// How its last attempt ended.
+    pub(crate) ended: Option<End>,
 }
 
 #[derive(Clone, Debug)]
@@ -171,7 +181,11 @@
         target: flow.route.target,
     };
     match choose::choose(state, now, query) {
-        Choice::Engine(pick) => engage(state, now, id, pick, fresh, out),
+        Choice::Engine(pick) => match budget::obtain(state, now, id, out) {
+            Obtained::Yes => engage(state, now, id, pick, fresh, out),
+            Obtained::Asked => {}
+            Obtained::No => outcome::not_repeated(state, now, id, out),
+        },
         Choice::Absent => {
             let wait = if can_load(state, now) { state.settings.load_wait } else { DOUBT_WAIT };
             wait_for(state, now, id, wait, fresh, out);
--- a/fleet/src/flow/end.rs
+++ b/fleet/src/flow/end.rs
@@ -7,6 +7,7 @@
 use boragecove_core::time::Time;
 
 use super::{COME_BACK, Flow, Stage, can_load};
+use crate::budget;
 use crate::effect::Effect;
 use crate::proof;
 use crate::quota;
@@ -95,6 +96,7 @@
     let Some(flow) = state.flows.remove(&id) else {
         return;
     };
+    budget::put_back(state, &flow);
     if state.waiting.remove(&id)
         && let Some(target) = flow.target()
     {
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -60,7 +60,8 @@
     let slack = pick.slack.max(state.settings.schedule_slack);
     let most = if limited { flow.queue(&state.settings) } else { state.settings.schedule_wait };
     let most = if brittle { most.min(intake::WAIT_MAX) } else { most };
-    let left = flow.begin_by.since(now).saturating_sub(state.settings.reserve).min(most);
+    let permitted = flow.repeat.until().map_or(Duration::MAX, |until| until.since(now));
+    let left = flow.begin_by.since(now).saturating_sub(state.settings.reserve).min(most).min(permitted);
     let expected = engine.schedule.wait(now);
     let wait_max = if flow.asked == 0 { expected.saturating_add(slack).min(left) } else { left };
     let mut need = Need::default();
@@ -215,6 +216,7 @@
     let place_until = (bound.is_some() || surge.is_some()).then_some(at + PLACE_KEPT);
     flow.number += 1;
     flow.used += 1;
+    flow.repeat = flow.repeat.sent();
     flow.asked = 0;
     state.paths.sent += u64::from(relay.is_some());
     let relay_vm = relay.as_ref().map(|relay| relay.vm.clone());
@@ -250,7 +252,12 @@
         priority: flow.priority(),
         streams: flow.route.kind.streams(),
         workspace: flow.workspace.as_ref().map(|workspace| workspace.name.clone()),
-        send_by: send_by.filter(|_| flow.workspace.is_some()).into_iter().chain(place_until).min(),
+        send_by: send_by
+            .filter(|_| flow.workspace.is_some())
+            .into_iter()
+            .chain(place_until)
+            .chain(flow.repeat.until())
+            .min(),
         write_by: at + state.settings.departure.write(),
         limited: named,
         permit: pick.permit,
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -27,6 +27,7 @@
 use snapshot::Snapshots;
 
 use crate::adapter;
+use crate::budget;
 use crate::crash::{self, News};
 use crate::departure::{self, Road};
 use crate::effect::Effect;
@@ -229,6 +230,7 @@
         state.members.lead(now, term, &state.me.vm, list);
         state.hub.reads = state.members.is_reader(&state.me.vm);
         quota::renew_own(state, now);
+        budget::tell_own(state, now);
         return;
     }
     let Some(row) = state.lease.hub() else {
@@ -303,6 +305,7 @@
         digest: state.crashes.digest(now),
         crashing: state.crashes.entries_for_hub(now),
         quota: state.quota.report(now),
+        asked: budget::tell(state, now),
     }
 }
 
@@ -338,6 +341,7 @@
     intake::told_by_frame(state, now, &frame.limits, out);
     crash::told(state, now, News::of(frame.crashing.clone()), out);
     rollout::heard(state, now, &frame, out);
+    budget::told(state, now, &frame.asked);
     state.appetite.touch(now, &frame.demand);
     // Only what this frame says: with all that others wait for, the time for a frame would grow with the square of them.
     let wanted = adapter::waited_for(&frame.demand);
--- a/fleet/src/frame/message.rs
+++ b/fleet/src/frame/message.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::budget;
 use crate::crash;
 use crate::demand::Demand;
 use crate::engine::{Incarnation, Load, Residency, Row};
@@ -74,6 +75,9 @@
     pub crashing: Vec<crash::Entry>,
     /// The shares of workspaces' limits that it holds.
     pub quota: quota::Report,
+    /// Requests that came since the last frame, by service.
+    #[serde(default)]
+    pub asked: Vec<budget::Asked>,
 }
 
 /// What an entry VM has read in the store itself, for a hub that the store turns away.
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -17,6 +17,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::budget;
 use crate::crash;
 use crate::effect::Effect;
 use crate::era;
@@ -62,7 +63,7 @@
         if path::is_cut_off(state) && !state.members.is_alone(&state.me.vm) {
             return hand_on(state, now, out);
         }
-        quota::propose(state, now);
+        propose(state, now);
         let row = own_row(state, now, held.term, held.former, state.stopping);
         call(state, now, Call::Write { expected: held.version, row }, out);
         return;
@@ -105,18 +106,25 @@
     note(state, "handed_on", 0, out);
     release(state, now, out);
     quota::end(state);
+    budget::end(state);
 }
 
 /// Gives the lease back.
 pub(crate) fn release(state: &mut State, now: Time, out: &mut Vec<Effect>) {
     let held = state.lease.held.take();
     if let Some(held) = held.filter(|held| held.version.era == state.lease.era) {
-        quota::propose(state, now);
+        propose(state, now);
         let row = own_row(state, now, held.term, held.former, true);
         call(state, now, Call::Write { expected: held.version, row }, out);
     }
 }
 
+/// The row is about to be written.
+fn propose(state: &mut State, now: Time) {
+    quota::propose(state, now);
+    budget::propose(state);
+}
+
 fn own_row(state: &State, now: Time, term: u64, former: Option<Former>, released: bool) -> Row {
     // Whoever gives it back sends no more orders.
     let over = if released { now } else { now + state.settings.lease_length };
@@ -128,6 +136,7 @@
     let clock = state.lease.clock;
     let ms_of = |time| clock.map_or(u64::MAX, |clock| clock.at_most(time));
     let outstanding = Box::new(quota::outstanding(state, now, ms_of));
+    let repeats = budget::spent(state, now);
     let settled = state.era.is_settled(now, &state.settings);
     let engines = state.engines.len() as u32;
     Row {
@@ -142,6 +151,7 @@
         former,
         quarantine,
         outstanding,
+        repeats,
     }
 }
 
@@ -234,7 +244,8 @@
     if (mine && !seen.row.released) || (free && !defers(state, now, seen.version)) {
         let former = seen.row.orderer(state.settings.order_gap, store_ms);
         quota::inherit(state, &seen.row.outstanding);
-        quota::propose(state, now);
+        budget::inherit(state, seen.row.repeats.as_deref(), seen.row.released);
+        propose(state, now);
         let row = own_row(state, now, seen.row.term + 1, former, false);
         call(state, now, Call::Write { expected: seen.version, row }, out);
     }
@@ -249,7 +260,7 @@
     let term = first_term(expected.era);
     if let Some(held) = state.lease.held.clone() {
         if now < held.until {
-            quota::propose(state, now);
+            propose(state, now);
             let row = own_row(state, now, term, held.former, false);
             call(state, now, Call::Write { expected, row }, out);
             return;
@@ -260,7 +271,8 @@
         return;
     }
     if expected.era == 0 {
-        quota::propose(state, now);
+        budget::inherit_nothing(state);
+        propose(state, now);
         let row = own_row(state, now, term, None, false);
         call(state, now, Call::Write { expected, row }, out);
         return;
@@ -275,7 +287,8 @@
     let until_ms = state.lease.clock.map_or(store_ms, |clock| clock.before(over));
     let former = Former { holder: Name::default(), until_ms };
     quota::inherit_unknown(state, store_ms);
-    quota::propose(state, now);
+    budget::inherit(state, None, false);
+    propose(state, now);
     let row = own_row(state, now, term, Some(former), false);
     call(state, now, Call::Write { expected, row }, out);
 }
@@ -329,12 +342,14 @@
         held.version = version;
         held.until = until;
         quota::named(state, &named);
+        budget::written(state);
         return;
     }
     if let Some(held) = state.lease.held.as_mut().filter(|held| held.version.era < version.era) {
         // The same process led when the store was lost, and nobody else has since.
         *held = Held { version, term, until, ..held.clone() };
         quota::named(state, &named);
+        budget::written(state);
         note(state, "kept", state.lease.orders_in(now).map_or(0, ms), out);
         return;
     }
@@ -348,6 +363,7 @@
     // Its lease was over before this one could be taken.
     let clock = state.lease.clock;
     quota::begin(state, now, &named, sent, |ms| clock.map_or(now + LEASE, |clock| clock.no_earlier(ms)));
+    budget::begin(state, now);
     push::announce(state, out);
     frame::follow(state, now, out);
 }
@@ -381,6 +397,7 @@
 fn lost(state: &mut State, out: &mut Vec<Effect>) {
     if state.lease.held.take().is_some() {
         quota::end(state);
+        budget::end(state);
         note(state, "lost", 0, out);
     }
 }
--- a/fleet/src/lease/row.rs
+++ b/fleet/src/lease/row.rs
@@ -6,6 +6,7 @@
 use boragecove_core::name::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::budget::Spent;
 use crate::crash::Kept;
 use crate::quota::Outstanding;
 use crate::record::ms;
@@ -42,6 +43,9 @@
     /// Shares of workspaces' limits that may be held: the next holder of the lease gives out none of them.
     #[serde(default)]
     pub outstanding: Box<Outstanding>,
+    /// Repeats that may have been given; none where that is not known.
+    #[serde(default)]
+    pub repeats: Option<Box<Spent>>,
 }
 
 /// A machine that may have given orders, before the holder of the lease.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -63,5 +63,5 @@
 mod trust;
 pub mod update;
 
-pub use reduce::{apply, awaits, credit, grant, look, meets, pass, reply};
+pub use reduce::{apply, awaits, credit, grant, look, meets, pass, permit, reply};
 pub use state::State;
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -6,7 +6,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
-use crate::budget::Budget;
+use crate::budget::{self, Obtained, Repeat};
 use crate::config::Kind;
 use crate::crash;
 use crate::effect::Effect;
@@ -230,18 +230,15 @@
 }
 
 /// Sends a request once more after a failed attempt, if it may run again or has not run, and if there is
-/// time and allowance for it.
+/// time for it. Whether there is allowance is seen once there is an engine.
 fn again(state: &mut State, now: Time, id: Id, engine: Name, failure: Failure, out: &mut Vec<Effect>) {
     let Failure { end, doubted } = failure;
-    let proven = proof::holds(state, now);
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
     let repeatable = flow.route.kind.repeatable() || !flow.may_have_run;
     let within = flow.used < flow.route.attempts && flow.refusals <= REFUSALS_MAX;
     let in_time = now + state.settings.reserve < flow.deadline;
-    let service = flow.service.clone();
-    let has_key = flow.workspace.is_some();
     // An engine that lacks what was asked for may get it: that is kept with the engine, for a while.
     match end {
         End::Refused(Cause::Absent) | End::Withheld => {}
@@ -251,48 +248,40 @@
         }
         _ => flow.avoid.push(engine),
     }
+    flow.ended = Some(end);
     // Where nothing was sent, no engine has had work of it.
-    let allowed = repeatable
-        && !doubted
-        && within
-        && in_time
-        && (matches!(end, End::Unsent | End::Withheld) || repeat(state, now, id, &service, out));
-    if allowed {
-        *state.retries.entry(end.label()).or_default() += 1;
-        flow::dispatch(state, now, id, true, out);
-        return;
-    }
-    if end == End::Failed {
-        flow::close(state, id);
-        out.push(Effect::Step { request: id, step: Step::Pass });
-        return;
-    }
-    let code = match end {
-        End::Refused(_) => Code::BackendRefused,
-        End::Unsent => Code::RetriesSpent,
-        End::Withheld if has_key && !proven => Code::KeyUnproven,
-        End::Withheld => Code::DeadlineUnreachable,
-        End::Done | End::Failed | End::Lost | End::Broken => Code::BackendFailed,
+    flow.repeat = match end {
+        End::Unsent | End::Withheld => flow.repeat.withdrawn(),
+        End::Done | End::Failed | End::Lost | End::Broken | End::Refused(_) => {
+            flow.ahead.take().map_or(Repeat::Needed, Repeat::Permitted)
+        }
     };
-    flow::give_up(state, now, id, code, Some(Budget::pause(&state.settings)), out);
+    if !(repeatable && !doubted && within && in_time) {
+        return not_repeated(state, now, id, out);
+    }
+    *state.retries.entry(end.label()).or_default() += 1;
+    flow::dispatch(state, now, id, true, out);
 }
 
-/// Takes a repeat of a service from the allowance, and logs what that went by.
-fn repeat(state: &mut State, now: Time, id: Id, service: &Name, out: &mut Vec<Effect>) -> bool {
-    let nodes = state.nodes(now);
-    let (requests, repeats) = state.budget.counted(now, service, &state.settings);
-    let allowed = state.budget.repeat(now, service, nodes, &state.settings);
-    out.push(Effect::Record(Record::Repeat {
-        request: id.0,
-        service: service.clone(),
-        allowed,
-        requests,
-        repeats,
-        nodes,
-        nodes_counted: state.hub.nodes > 0 && state.hub.alive(now, &state.settings),
-        alive_ms: ms(now.since(state.started)),
-    }));
-    allowed
+/// Ends a request that is not sent once more, by how its last attempt ended.
+pub(crate) fn not_repeated(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
+    let Some(flow) = state.flows.get(&id) else {
+        return;
+    };
+    let has_key = flow.workspace.is_some();
+    let code = match flow.ended {
+        Some(End::Failed) => {
+            flow::close(state, id);
+            out.push(Effect::Step { request: id, step: Step::Pass });
+            return;
+        }
+        Some(End::Refused(_)) => Code::BackendRefused,
+        Some(End::Unsent) => Code::RetriesSpent,
+        Some(End::Withheld) if has_key && !proof::holds(state, now) => Code::KeyUnproven,
+        Some(End::Withheld) => Code::DeadlineUnreachable,
+        Some(End::Done | End::Lost | End::Broken) | None => Code::BackendFailed,
+    };
+    flow::give_up(state, now, id, code, Some(budget::pause(&state.settings)), out);
 }
 
 /// A look at whether an attempt's engine has gone silent. Silence alone ends nothing: the request is given to
@@ -326,12 +315,11 @@
     } else if silent && !known.health.suspected(now) {
         trust::silent(state, now, &engine, out);
     }
-    let nodes = state.nodes(now);
     let Some(flow) = state.flows.get(&id) else {
         return;
     };
     let movable = flow.route.kind.repeatable() && flow.used < flow.route.attempts;
-    if (dead || hangs) && movable && state.budget.allows(now, &flow.service, nodes, &settings) {
+    if (dead || hangs) && movable && budget::ahead(state, now, id, out) == Obtained::Yes {
         ended(state, now, id, Ended { attempt: number, end: End::Broken, events: Events::default() }, out);
         return;
     }
--- a/fleet/src/quota.rs
+++ b/fleet/src/quota.rs
@@ -23,6 +23,7 @@
 use crate::settings::Settings;
 use crate::state::State;
 use allocator::Allocator;
+pub(crate) use allocator::hash;
 pub use allocator::{Holder, Lapsed, Outstanding, Unheard};
 use bucket::{Bucket, Rate, Size};
 use charge::Balance;
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -96,14 +96,12 @@
         service: Name,
         /// Whether it may.
         allowed: bool,
-        /// Requests of callers that this process counts in the window.
-        requests: u32,
-        /// Repeats that it has made in it.
-        repeats: u32,
-        /// Entry VMs that the allowance is shared by.
-        nodes: u32,
-        /// Whether a hub has counted them lately.
-        nodes_counted: bool,
+        /// By whose word, or why not.
+        by: &'static str,
+        /// Repeats that this process has earned and not used.
+        earned: usize,
+        /// Time since the hub last answered.
+        hub_age_ms: u64,
         /// Time since this process began.
         alive_ms: u64,
     },
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -5,6 +5,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
+use crate::budget::{self, Permit};
 use crate::crash;
 use crate::departure::Road;
 use crate::effect::Effect;
@@ -83,6 +84,11 @@
     quota::draw(state, now, draw)
 }
 
+/// Answers a question of another entry VM for a repeat, as the leader.
+pub fn permit(state: &mut State, now: Time, ask: budget::Ask) -> Permit {
+    budget::give(state, now, ask)
+}
+
 /// Another entry VM, which does not reach an engine, wants a request passed on to this start of it. Returns where the engine listens; once the
 /// request has ended, [`Event::Relayed`] is due.
 ///
@@ -138,6 +144,9 @@
         Event::Drawn { request, workspace, credit } => {
             quota::answered(state, now, request, quota::Answer { workspace, credit }, out);
         }
+        Event::Permitted { request, asked, permit } => {
+            budget::answered(state, now, request, asked, permit, out);
+        }
         Event::Lease(answer) => lease::answered(state, now, answer, out),
         Event::Ordered { engine, incarnation, receipt } => {
             ledger::ordered(state, now, &engine, incarnation, receipt, out);
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -16,8 +16,6 @@
     pub repeat_slack: f64,
     /// The window in which repeats are counted (the platform's bound).
     pub repeat_window: Duration,
-    /// Entry VMs that are assumed while none can be counted.
-    pub nodes_assumed: u32,
     /// Loads from the weight store are counted over this window (the platform's bound).
     pub load_window: Duration,
     /// Loads allowed in a window beyond the rate. The platform bears a tenth more and three; two are left for
@@ -211,7 +209,6 @@
             repeat_ratio: 0.2,
             repeat_slack: 50.0,
             repeat_window: Duration::from_secs(10),
-            nodes_assumed: 9,
             load_window: Duration::from_secs(5),
             load_extra: 1.5,
             order_gap: Duration::from_secs(3),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -318,6 +318,18 @@
         &self.retries
     }
 
+    /// Repeats that were allowed, by whose word.
+    #[must_use]
+    pub const fn repeats_allowed(&self) -> &BTreeMap<&'static str, u64> {
+        &self.budget.allowed
+    }
+
+    /// Repeats that were not allowed, by why.
+    #[must_use]
+    pub const fn repeats_denied(&self) -> &BTreeMap<&'static str, u64> {
+        &self.budget.denied
+    }
+
     /// Engines that have named a limit of requests a second.
     #[must_use]
     pub fn engines_limited(&self) -> usize {
@@ -436,12 +448,6 @@
         model.is_some_and(|model| prompt.adapter.as_ref().is_none_or(|name| model.adapters.contains(name)))
     }
 
-    /// Entry VMs that share the allowance of repeats.
-    pub(crate) fn nodes(&self, now: Time) -> u32 {
-        let counted = self.hub.nodes > 0 && self.hub.alive(now, &self.settings);
-        if counted { self.hub.nodes } else { self.hub.nodes.max(self.settings.nodes_assumed) }
-    }
-
     /// The version of what is known of what engines hold.
     pub(crate) fn view(&self) -> View {
         View { term: self.lease.taken_term(), version: self.ledger.version() }
--- a/fleet/tests/caller_patience.rs
+++ b/fleet/tests/caller_patience.rs
@@ -93,6 +93,7 @@
         released: false,
         quarantine: Vec::new(),
         outstanding: Box::default(),
+        repeats: None,
     };
     let seen = boragecove_fleet::lease::Seen { version: 9.into(), row };
     node.lease(0, boragecove_fleet::lease::Outcome::Read(Some(seen)));
--- a/fleet/tests/lease_clock.rs
+++ b/fleet/tests/lease_clock.rs
@@ -25,6 +25,7 @@
         former: None,
         quarantine: Vec::new(),
         outstanding: Box::default(),
+        repeats: None,
     };
     Seen { version: version.into(), row }
 }
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -322,6 +322,7 @@
             released: false,
             quarantine: Vec::new(),
             outstanding: Box::default(),
+            repeats: None,
         };
         let outcome = match call {
             Call::Write { row, .. } if row.holder == *"vm-0" => Outcome::Written(1),
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -22,6 +22,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use boragecove_fleet::State;
+use boragecove_fleet::budget::{self, Permit};
 use boragecove_fleet::config::{Config, Kind, Route};
 use boragecove_fleet::effect::Follow;
 use boragecove_fleet::engine::Entry;
@@ -114,7 +115,7 @@
     pub patient: Duration,
     /// A broken copy: an entry VM goes by what it knew before a standstill.
     pub credulous: bool,
-    /// A broken copy: the lease's row says nothing of shares.
+    /// A broken copy: the lease's row says nothing of shares, nor of repeats.
     pub forgetful: bool,
     /// A broken copy: whoever is asked for a place gives one at once.
     pub lax: bool,
@@ -194,6 +195,9 @@
     Missed(Push),
     Draw(Id, Draw),
     Credit(Id, Name, Option<Credit>),
+    /// A question for a repeat, and when it was asked.
+    Permit(Id, Time, budget::Ask),
+    Permitted(Id, Time, Option<Permit>),
     Ask(Id, Ask),
     Grant(Id, Option<Grant>),
     Send(Id, Attempt),
