--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -198,7 +198,7 @@
     let help = "Questions for places at engines that had named a limit, by how they were answered";
     registry.register("limit_places", help, places);
     let repeats = Family::<Drawn, Counter>::default();
-    for (answer, count) in state.repeats_allowed().iter().chain(state.repeats_denied()) {
+    for (answer, count) in state.repeats() {
         repeats.get_or_create(&Drawn { answer }).inc_by(*count);
     }
     let help = "Repeats that were wanted, by whose word they were made, or why they were not";
--- a/fleet/src/budget.rs
+++ b/fleet/src/budget.rs
@@ -94,9 +94,8 @@
     inherited: Option<Spent>,
     /// Until when the leader is not asked for repeats of a service, and from which rank on.
     paused: FxHashMap<u32, (Time, u8)>,
-    /// Repeats that were allowed, by who did, and those that were not, by why.
-    pub(crate) allowed: BTreeMap<&'static str, u64>,
-    pub(crate) denied: BTreeMap<&'static str, u64>,
+    /// Repeats that were wanted, by whether they were allowed, by whom or why not.
+    pub(crate) decisions: BTreeMap<&'static str, u64>,
 }
 
 /// Time in which what was allowed arrives, counted from when it was.
@@ -121,8 +120,8 @@
 
 /// A request for a service came from a caller.
 pub(crate) fn request(state: &mut State, now: Time, service: &Name) {
-    let State { budget, settings, rng, .. } = state;
-    let own = budget.own.entry(service.clone()).or_insert_with(|| Own::new(rng.f64()));
+    let State { budget, settings, quota, .. } = state;
+    let own = budget.own.entry(service.clone()).or_insert_with(|| Own::new(quota.process(), service));
     own.earn(now, settings);
     let untold = budget.untold.entry(hash(service)).or_default();
     untold.add(now, 1, settings);
--- a/fleet/src/budget/own.rs
+++ b/fleet/src/budget/own.rs
@@ -2,7 +2,9 @@
 
 use std::collections::VecDeque;
 
+use boragecove_core::name::Name;
 use boragecove_core::time::Time;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{OWN_KEPT, OWN_PART, PERMIT_KEPT};
 use crate::settings::Settings;
@@ -19,10 +21,11 @@
 }
 
 impl Own {
-    /// Of a process that begins. It begins with a part at random: where each of many processes gets few requests, they earn in sum what
-    /// one alone would.
-    pub(super) const fn new(part: f64) -> Self {
-        Self { part, earned: VecDeque::new(), returned: VecDeque::new() }
+    /// Of a process that begins, by its number, with a part that differs from process to process: where each of many gets few requests, they earn in
+    /// sum what one alone would.
+    pub(super) fn new(process: u64, service: &Name) -> Self {
+        let drawn = xxh3_64_with_seed(service.as_bytes(), process);
+        Self { part: drawn as f64 / u64::MAX as f64, earned: VecDeque::new(), returned: VecDeque::new() }
     }
 
     /// A request came.
--- a/fleet/src/budget/permit.rs
+++ b/fleet/src/budget/permit.rs
@@ -1,9 +1,11 @@
 //! The permits with which requests are sent once more.
 
-use boragecove_core::name::Name;
+use std::time::Duration;
+
 use boragecove_core::time::Time;
 
-use super::{Ask, PERMIT_KEPT, Permit, give, own, pause};
+use super::own::Own;
+use super::{Ask, PERMIT_KEPT, Permit, give, pause};
 use crate::effect::Effect;
 use crate::flow::Stage;
 use crate::flow::{self, Flow};
@@ -74,6 +76,57 @@
     No,
 }
 
+/// What came of drawing a permit.
+#[derive(Clone, Copy, Debug)]
+enum Drawn {
+    /// There is one, until then.
+    Until(Time),
+    Asked,
+    Nothing,
+}
+
+impl Drawn {
+    const fn obtained(self) -> Obtained {
+        match self {
+            Self::Until(_) => Obtained::Yes,
+            Self::Asked => Obtained::Asked,
+            Self::Nothing => Obtained::No,
+        }
+    }
+}
+
+/// Whether a repeat is allowed, by whom or why not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Decision {
+    /// It was earned here.
+    Own,
+    /// The leader gave it.
+    Leader,
+    /// The leader has none left.
+    Spent,
+    /// Nobody is known to lead.
+    Unled,
+    /// The leader did not answer in time.
+    Silent,
+}
+
+impl Decision {
+    const fn allows(self) -> bool {
+        matches!(self, Self::Own | Self::Leader)
+    }
+
+    /// Its name in logs and metrics.
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Leader => "leader",
+            Self::Spent => "spent",
+            Self::Unled => "unled",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Sees to it that a request has a permit if it needs one.
 pub(crate) fn obtain(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) -> Obtained {
     let Some(flow) = state.flows.get(&id) else {
@@ -82,11 +135,11 @@
     if flow.repeat.allows(now) {
         return Obtained::Yes;
     }
-    let (obtained, until) = draw(state, now, id, out);
-    if let Some(flow) = state.flows.get_mut(&id).filter(|_| obtained == Obtained::Yes) {
+    let drawn = draw(state, now, id, out);
+    if let (Drawn::Until(until), Some(flow)) = (drawn, state.flows.get_mut(&id)) {
         flow.repeat = Repeat::Permitted(until);
     }
-    obtained
+    drawn.obtained()
 }
 
 /// The same for a request that is at an engine, and is to be taken from it only if it may be sent to another.
@@ -97,50 +150,49 @@
     if flow.ahead.is_some_and(|until| now < until) {
         return Obtained::Yes;
     }
-    let (obtained, until) = draw(state, now, id, out);
-    if let Some(flow) = state.flows.get_mut(&id).filter(|_| obtained == Obtained::Yes) {
+    let drawn = draw(state, now, id, out);
+    if let (Drawn::Until(until), Some(flow)) = (drawn, state.flows.get_mut(&id)) {
         flow.ahead = Some(until);
     }
-    obtained
+    drawn.obtained()
 }
 
-/// Draws a permit, from what was earned here or from the leader. Returns until when it holds, if there is one.
-fn draw(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) -> (Obtained, Time) {
-    let until = now + PERMIT_KEPT;
+/// Draws a permit, from what was earned here or from the leader.
+fn draw(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) -> Drawn {
     let Some(flow) = state.flows.get(&id) else {
-        return (Obtained::No, until);
+        return Drawn::Nothing;
     };
     if flow.asks_repeat {
-        return (Obtained::Asked, until);
+        return Drawn::Asked;
     }
     let (service, rank) = (flow.service.clone(), rank(flow, now));
     let State { budget, settings, .. } = state;
     if let Some(until) = budget.own.get_mut(&service).and_then(|own| own.take(now, settings)) {
-        note(state, now, id, Ok("own"), out);
-        return (Obtained::Yes, until);
+        note(state, now, id, Decision::Own, out);
+        return Drawn::Until(until);
     }
     let ask = Ask { service: hash(&service), rank };
     if state.lease.holds(now).is_some() {
         let given = give(state, now, ask) == Permit::Given;
-        note(state, now, id, if given { Ok("leader") } else { Err("spent") }, out);
-        return (if given { Obtained::Yes } else { Obtained::No }, until);
+        note(state, now, id, if given { Decision::Leader } else { Decision::Spent }, out);
+        return if given { Drawn::Until(now + PERMIT_KEPT) } else { Drawn::Nothing };
     }
     let paused = state.budget.paused.get(&ask.service);
     if paused.is_some_and(|(until, from)| now < *until && rank >= *from) {
-        note(state, now, id, Err("spent"), out);
-        return (Obtained::No, until);
+        note(state, now, id, Decision::Spent, out);
+        return Drawn::Nothing;
     }
     let leads = state.hub.leads && state.hub.alive(now, &state.settings);
     let leader = state.lease.hub().filter(|row| leads && row.holder != state.me.vm).map(|row| row.address);
     let Some(address) = leader else {
-        note(state, now, id, Err("unled"), out);
-        return (Obtained::No, until);
+        note(state, now, id, Decision::Unled, out);
+        return Drawn::Nothing;
     };
     if let Some(flow) = state.flows.get_mut(&id) {
         flow.asks_repeat = true;
     }
     out.push(Effect::Permit { address, request: id, asked: now, ask });
-    (Obtained::Asked, until)
+    Drawn::Asked
 }
 
 /// A request ends: what it was allowed and has not used is there for the next one.
@@ -174,71 +226,56 @@
         return;
     };
     flow.asks_repeat = false;
-    let (service, rank) = (flow.service.clone(), rank(flow, now));
-    let until = asked + PERMIT_KEPT;
-    let wait = match permit {
-        Some(Permit::Given) => None,
-        Some(Permit::Short(wait)) => Some((wait, "spent")),
-        Some(Permit::Elsewhere) => Some((pause(&state.settings), "unled")),
-        None => Some((pause(&state.settings), "silent")),
+    let (service, rank) = (hash(&flow.service), rank(flow, now));
+    let (decision, wait) = match permit {
+        Some(Permit::Given) => (Decision::Leader, Duration::ZERO),
+        Some(Permit::Short(wait)) => (Decision::Spent, wait),
+        Some(Permit::Elsewhere) => (Decision::Unled, pause(&state.settings)),
+        None => (Decision::Silent, pause(&state.settings)),
     };
-    if let Some((wait, _)) = wait {
-        state.budget.paused.insert(hash(&service), (now + wait, rank));
+    note(state, now, id, decision, out);
+    if decision.allows() {
+        return permitted(state, now, id, asked + PERMIT_KEPT, out);
+    }
+    state.budget.paused.insert(service, (now + wait, rank));
+    let at_engine = state.flows.get(&id).is_some_and(|flow| matches!(flow.stage, Stage::Sent { .. }));
+    if !at_engine {
+        outcome::not_repeated(state, now, id, out);
     }
-    note(state, now, id, wait.map_or(Ok("leader"), |(_, why)| Err(why)), out);
+}
+
+/// The leader has given a repeat.
+fn permitted(state: &mut State, now: Time, id: Id, until: Time, out: &mut Vec<Effect>) {
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
     if let Stage::Sent { .. } = flow.stage {
         // The next look at its engine finds it.
-        flow.ahead = wait.is_none().then_some(until);
+        flow.ahead = Some(until);
         return;
     }
-    if wait.is_none() {
-        flow.repeat = Repeat::Permitted(until);
-        let fresh = !state.waiting.contains(&id);
-        flow::dispatch(state, now, id, fresh, out);
-        if state.flows.get(&id).is_none_or(|flow| !matches!(flow.stage, Stage::Waiting)) {
-            state.waiting.remove(&id);
-        }
-        return;
+    flow.repeat = Repeat::Permitted(until);
+    let fresh = !state.waiting.contains(&id);
+    flow::dispatch(state, now, id, fresh, out);
+    let waits = state.flows.get(&id).is_some_and(|flow| matches!(flow.stage, Stage::Waiting));
+    if !waits {
+        state.waiting.remove(&id);
     }
-    outcome::not_repeated(state, now, id, out);
 }
 
-/// Counts and logs whether a request may be sent once more, by whose word or why not.
-fn note(
-    state: &mut State,
-    now: Time,
-    id: Id,
-    decided: Result<&'static str, &'static str>,
-    out: &mut Vec<Effect>,
-) {
+/// Counts and logs a decision.
+fn note(state: &mut State, now: Time, id: Id, decision: Decision, out: &mut Vec<Effect>) {
     let Some(service) = state.flows.get(&id).map(|flow| flow.service.clone()) else {
         return;
     };
-    let counts = match decided {
-        Ok(by) => state.budget.allowed.entry(by),
-        Err(why) => state.budget.denied.entry(why),
-    };
-    *counts.or_default() += 1;
-    out.push(Effect::Record(record(state, now, id, service, decided)));
-}
-
-fn record(
-    state: &State,
-    now: Time,
-    id: Id,
-    service: Name,
-    decided: Result<&'static str, &'static str>,
-) -> Record {
-    Record::Repeat {
+    *state.budget.decisions.entry(decision.label()).or_default() += 1;
+    out.push(Effect::Record(Record::Repeat {
         request: id.0,
-        allowed: decided.is_ok(),
-        by: decided.unwrap_or_else(|why| why),
-        earned: state.budget.own.get(&service).map_or(0, own::Own::left),
+        allowed: decision.allows(),
+        by: decision.label(),
+        earned: state.budget.own.get(&service).map_or(0, Own::left),
         service,
-        hub_age_ms: ms(state.hub.age(now).min(std::time::Duration::from_hours(1))),
+        hub_age_ms: ms(state.hub.age(now).min(Duration::from_hours(1))),
         alive_ms: ms(now.since(state.started)),
-    }
+    }));
 }
--- a/fleet/src/quota.rs
+++ b/fleet/src/quota.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// A number that no other start of a process has.
+    pub(crate) const fn process(&self) -> u64 {
+        self.process
+    }
+
     /// Questions for credit, by how they were answered.
     pub(crate) const fn draws(&self) -> &BTreeMap<&'static str, u64> {
         &self.draws
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -318,16 +318,10 @@
         &self.retries
     }
 
-    /// Repeats that were allowed, by whose word.
+    /// Repeats that were wanted, by whose word they were allowed, or by why they were not.
     #[must_use]
-    pub const fn repeats_allowed(&self) -> &BTreeMap<&'static str, u64> {
-        &self.budget.allowed
-    }
-
-    /// Repeats that were not allowed, by why.
-    #[must_use]
-    pub const fn repeats_denied(&self) -> &BTreeMap<&'static str, u64> {
-        &self.budget.denied
+    pub const fn repeats(&self) -> &BTreeMap<&'static str, u64> {
+        &self.budget.decisions
     }
 
     /// Engines that have named a limit of requests a second.
