Count what a hub tells whole, by why

Change: counters of those answers and of their bytes at the holder of the lease, by four reasons. No decision is changed.

Ruled out: a counter at the asker, which does not know why.

--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -155,6 +155,7 @@
         let help = "Requests sent to engines that had named a limit";
         counter(&mut registry, "sent_to_limited", help, state.sent_to_limited());
         relays(&mut registry, state);
+        snapshots(&mut registry, state);
         let help = "Times that the process was awake long after it had asked for";
         counter(&mut registry, "standstills", help, state.standstills());
         counter(&mut registry, "log_lines_dropped", "Log lines left out", counts.lines_dropped);
@@ -205,6 +206,19 @@
     registry.register("repeats", help, repeats);
 }
 
+/// What the hub told whole.
+fn snapshots(registry: &mut Registry, state: &State) {
+    let (answers, bytes) = (Family::<Retried, Counter>::default(), Family::<Retried, Counter>::default());
+    for (reason, told) in state.told_whole() {
+        let labels = Retried { reason: reason.label() };
+        answers.get_or_create(&labels).inc_by(told.answers);
+        bytes.get_or_create(&labels).inc_by(told.bytes);
+    }
+    let help = "Answers of the hub that told all engines' rows, or all that engines hold, by why";
+    registry.register("whole_answers", help, answers);
+    registry.register("whole_answer_bytes", "Bytes of what those told, packed", bytes);
+}
+
 /// Requests that go by another entry VM.
 fn relays(registry: &mut Registry, state: &State) {
     let help = "Requests sent by another entry VM";
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -25,6 +25,7 @@
 pub(crate) use peers::{inherit, reached};
 pub(crate) use reading::{is_answered, speaks_for_zone, tell_hub};
 use snapshot::Snapshots;
+pub use snapshot::{Reason, Told};
 
 use crate::adapter;
 use crate::budget;
@@ -162,6 +163,11 @@
         self.answered.map_or(Duration::MAX, |at| now.since(at))
     }
 
+    /// How often, as the hub, all of something was told at once, by why.
+    pub(crate) const fn told_whole(&self) -> &BTreeMap<Reason, Told> {
+        &self.snapshots.told
+    }
+
     /// Entry VMs that this one knows of as the hub, itself among them.
     pub(crate) fn known(&self) -> u32 {
         (self.peers.len() + self.inherited.len()) as u32 + 1
@@ -355,7 +361,7 @@
     let quota = quota::allot(state, now, &asker.vm, asker.number, &asker.quota);
     let loads::Told { named, placed } = loads::tell(state, &asker.loads, asker.engines);
     let whole = state.needs_all_rows(asker.listed);
-    let packed = if whole { snapshot::rows(state, now) } else { None };
+    let packed = if whole { snapshot::rows(state, now, asker.listed) } else { None };
     let (rows, listed, rows_packed) = match packed {
         // Who leaves is told as of now: the asker's next frame may be seconds away.
         Some((listed, packed)) => (state.departed_after(now, listed), listed, packed),
@@ -364,7 +370,7 @@
     let holds = state.lease.holds(now).is_some();
     let view = state.view();
     let since = if asker.view.term == view.term { asker.view.version } else { 0 };
-    let packed = if holds && since == 0 { snapshot::residencies(state, now) } else { None };
+    let packed = if holds && since == 0 { snapshot::residencies(state, now, asker.view) } else { None };
     let (residencies, told_view, residencies_packed) = match packed {
         Some((view, packed)) => (Vec::new(), view, packed),
         None if holds => (state.ledger.changed_after(since), view, Bytes::new()),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -22,7 +22,7 @@
 use crate::era::Era;
 use crate::evacuation::Evacuations;
 use crate::flow::Flow;
-use crate::frame::{Hub, View};
+use crate::frame::{Hub, Reason, Told, View};
 use crate::freshness::Freshness;
 use crate::intake;
 use crate::lease::Lease;
@@ -324,6 +324,12 @@
         &self.budget.decisions
     }
 
+    /// How often, as the hub, all of something was told at once, by why.
+    #[must_use]
+    pub const fn told_whole(&self) -> &BTreeMap<Reason, Told> {
+        self.hub.told_whole()
+    }
+
     /// Engines that have named a limit of requests a second.
     #[must_use]
     pub fn engines_limited(&self) -> usize {
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -9,7 +9,7 @@
 use boragecove_fleet::engine::Load;
 use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::frame::{EngineLoad, Frame, Reply};
+use boragecove_fleet::frame::{EngineLoad, Frame, Reason, Reply};
 use boragecove_fleet::lease::{Call, Outcome};
 use boragecove_fleet::record::Record;
 use boragecove_fleet::request::End;
@@ -473,6 +473,8 @@
     hub.pass(Duration::from_secs(1));
     let third = start("c", 0, &mut hub);
     assert!(third.state.engines().any(|engine| *engine.entry.id == *"late"), "packed anew by now");
+    let told = hub.state.told_whole()[&Reason::RowsAtStart];
+    assert!(told.answers == 3 && told.bytes > 0, "{told:?}");
 }
 
 /// The load of a restart of all entry VMs before 3,000 engines: each read whole tables of the store while nobody led, 2 MB over a link of
