Keep one copy of the callers of test deployments

Cause: two worlds' tests asked for calls by the same loop, and two soaks kept connections by the same lines.

Change: `World::ask`, and `serving::Caller` with a typed outcome. Checks are as before.

--- a/daemon/tests/departure_soak.rs
+++ b/daemon/tests/departure_soak.rs
@@ -9,15 +9,14 @@
 mod serving;
 
 use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use links::{Cut, Links};
-use serving::{Entry, LIMIT, call, plain, read_answer};
+use serving::{Called, Caller, Entry, LIMIT, call, plain};
 use standin::{Engine, Store, config};
 
 const ENTRIES: usize = 6;
@@ -118,7 +117,7 @@
     stop: Arc<AtomicBool>,
 ) -> JoinHandle<Vec<Done>> {
     thread::spawn(move || {
-        let mut kept: BTreeMap<SocketAddr, TcpStream> = BTreeMap::new();
+        let mut caller = Caller::default();
         let mut done = Vec::new();
         for request in 0.. {
             if stop.load(Ordering::Relaxed) {
@@ -126,18 +125,14 @@
             }
             let address = addresses.lock().expect("whole")[(request + number) % ENTRIES];
             let id = format!("c{number}-{request}");
-            let stream = kept.remove(&address).or_else(|| TcpStream::connect(address).ok());
-            let Some(mut stream) = stream else {
-                thread::sleep(Duration::from_millis(20));
-                continue;
-            };
-            stream.set_read_timeout(Some(LIMIT)).expect("sets");
             let text = plain("/ack/1", &id).replace("Connection: close\r\n", "");
-            if stream.write_all(text.as_bytes()).is_ok()
-                && let Some((status, body)) = read_answer(&mut stream)
-            {
-                done.push(Done { id, status, body });
-                kept.insert(address, stream);
+            match caller.call(address, &text, LIMIT) {
+                Called::Answered(status, body) => done.push(Done { id, status, body }),
+                Called::Unanswered => {}
+                Called::Unsent => {
+                    thread::sleep(Duration::from_millis(20));
+                    continue;
+                }
             }
             thread::sleep(Duration::from_millis(8));
         }
--- a/daemon/tests/repeat_soak.rs
+++ b/daemon/tests/repeat_soak.rs
@@ -7,15 +7,14 @@
 
 mod serving;
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use serving::{Entry, LIMIT, plain, read_answer};
+use serving::{Called, Caller, Entry, LIMIT, plain};
 use standin::{Engine, Script, Store, config};
 
 const ENTRIES: usize = 6;
@@ -31,6 +30,8 @@
 /// How long things go wrong.
 const SERIES: Duration = Duration::from_secs(14);
 const CALM: Duration = Duration::from_secs(2);
+/// How long a caller waits for an answer.
+const ANSWER: Duration = Duration::from_secs(2);
 
 /// What goes wrong, one beside the other.
 #[derive(Clone, Copy, Debug)]
@@ -75,7 +76,7 @@
     stop: Arc<AtomicBool>,
 ) -> JoinHandle<Vec<Instant>> {
     thread::spawn(move || {
-        let mut kept: BTreeMap<SocketAddr, TcpStream> = BTreeMap::new();
+        let mut caller = Caller::default();
         let mut asked = Vec::new();
         for request in 0.. {
             if stop.load(Ordering::Relaxed) {
@@ -83,15 +84,10 @@
             }
             thread::sleep(Duration::from_millis(40));
             let address = addresses.lock().expect("whole")[(request + number) % ENTRIES];
-            let stream = kept.remove(&address).or_else(|| TcpStream::connect(address).ok());
-            let Some(mut stream) = stream else {
-                continue;
-            };
-            stream.set_read_timeout(Some(Duration::from_secs(2))).expect("sets");
             let text = plain("/ack/1", &format!("c{number}-{request}")).replace("Connection: close\r\n", "");
-            asked.push(Instant::now());
-            if stream.write_all(text.as_bytes()).is_ok() && read_answer(&mut stream).is_some() {
-                kept.insert(address, stream);
+            let at = Instant::now();
+            if !matches!(caller.call(address, &text, ANSWER), Called::Unsent) {
+                asked.push(at);
             }
         }
         asked
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test uses what it needs")]
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -131,6 +132,42 @@
     }
 }
 
+/// What came of a request on a kept connection.
+#[derive(Debug)]
+pub enum Called {
+    /// No connection could be opened.
+    Unsent,
+    /// It may have been sent, and has no answer.
+    Unanswered,
+    /// Its status and its body.
+    Answered(u16, String),
+}
+
+/// A caller that keeps each connection for as long as it is answered there.
+#[derive(Debug, Default)]
+pub struct Caller {
+    kept: BTreeMap<SocketAddr, TcpStream>,
+}
+
+impl Caller {
+    /// Sends a request to an entry VM, and waits so long for the answer.
+    pub fn call(&mut self, address: SocketAddr, request: &str, limit: Duration) -> Called {
+        let stream = self.kept.remove(&address).or_else(|| TcpStream::connect(address).ok());
+        let Some(mut stream) = stream else {
+            return Called::Unsent;
+        };
+        stream.set_read_timeout(Some(limit)).expect("sets");
+        if stream.write_all(request.as_bytes()).is_err() {
+            return Called::Unanswered;
+        }
+        let Some((status, body)) = read_answer(&mut stream) else {
+            return Called::Unanswered;
+        };
+        self.kept.insert(address, stream);
+        Called::Answered(status, body)
+    }
+}
+
 /// Sends bytes on a connection of its own and reads until it is closed.
 pub fn call(address: SocketAddr, request: &str) -> String {
     let mut text = String::new();
--- a/fleet/tests/brittle_engines.rs
+++ b/fleet/tests/brittle_engines.rs
@@ -8,10 +8,9 @@
 
 use arbtest::arbitrary::{self, Unstructured};
 use arbtest::arbtest;
-use boragecove_core::name::Name;
 use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::settings::Settings;
-use node::{GATEWAY, entry, millis, plain, row};
+use node::{GATEWAY, entry, millis, row};
 use world::{Backends, World, ZONES};
 
 const ENGINES: usize = 10;
@@ -45,20 +44,6 @@
     world
 }
 
-/// Callers ask for so many calls a second for a while, at entry VMs at random.
-fn ask(world: &mut World, time: Duration, per_s: f64) {
-    let end = world.now + time;
-    while world.now < end {
-        let mut due = per_s * 0.005;
-        while due > 0.0 && world.rng.f64() < due {
-            due -= 1.0;
-            let at = world.rng.usize(0..world.len());
-            world.arrive(at, &Name::default(), 0.0, plain("/ack/1"));
-        }
-        world.pass(millis(5));
-    }
-}
-
 /// The users' rule: falls in one time in which a service's engines are brittle.
 fn allowed() -> usize {
     2 + ENGINES / 10
@@ -78,15 +63,15 @@
         let loads: &[f64] = if vms < 300 { &[250.0, 450.0, 700.0] } else { &[700.0] };
         for per_s in loads.iter().copied() {
             let mut world = world(vms, per_s as u64);
-            ask(&mut world, Duration::from_secs(2), per_s / 2.0);
+            world.ask(Duration::from_secs(2), per_s / 2.0);
             for number in 0..ENGINES {
                 world.make_brittle(&engine(number), 5.0, SLOTS as usize, 8);
             }
-            ask(&mut world, contact(vms), per_s);
+            world.ask(contact(vms), per_s);
             for number in 0..ENGINES {
                 world.shrink(&engine(number), 0);
             }
-            ask(&mut world, Duration::from_secs(8), per_s);
+            world.ask(Duration::from_secs(8), per_s);
             let (served, all) = served(&world);
             println!(
                 "{vms} entry VMs, {per_s} a second: {} fell over, {served} of {all} served",
@@ -109,12 +94,12 @@
     for vms in [65, 300, 984] {
         for seed in [2, 3, 5] {
             let mut world = world(vms, seed);
-            ask(&mut world, Duration::from_secs(2), 350.0);
+            world.ask(Duration::from_secs(2), 350.0);
             let pushes = world.pushes;
             for number in 0..ENGINES {
                 world.make_brittle(&engine(number), 5.0, SLOTS as usize, 8);
             }
-            ask(&mut world, contact(vms), 700.0);
+            world.ask(contact(vms), 700.0);
             assert!(world.falls() <= allowed(), "{vms} entry VMs, seed {seed}: {} fell over", world.falls());
             let pushes = world.pushes - pushes;
             assert!(pushes < 2 * vms, "{vms} entry VMs, seed {seed}: {pushes} messages");
@@ -129,11 +114,11 @@
     let per_s = *u.choose(&[200.0, 350.0, 500.0])?;
     let most = f64::from(u.int_in_range(3..=12)?);
     let mut steps = vec![format!("{vms} entry VMs, {per_s} a second, {most} rejections")];
-    ask(&mut world, Duration::from_secs(1), per_s);
+    world.ask(Duration::from_secs(1), per_s);
     for number in 0..ENGINES {
         world.make_brittle(&engine(number), most, SLOTS as usize, 6);
     }
-    ask(&mut world, contact(vms), per_s);
+    world.ask(contact(vms), per_s);
     for _ in 0..u.int_in_range(1..=4)? {
         let (kind, number) = (u.int_in_range(0..=4)?, u.int_in_range(0..=ENGINES - 1)?);
         steps.push(format!("{:?}: {kind}, {}", world.now, engine(number)));
@@ -149,9 +134,9 @@
             2 => world.shrink(&engine(number), 0),
             _ => (0..ENGINES).for_each(|number| world.shrink(&engine(number), 0)),
         }
-        ask(&mut world, millis(u.int_in_range(0..=3_000)?), per_s);
+        world.ask(millis(u.int_in_range(0..=3_000)?), per_s);
     }
-    ask(&mut world, Duration::from_secs(3), per_s);
+    world.ask(Duration::from_secs(3), per_s);
     Ok((steps, world.falls()))
 }
 
--- a/fleet/tests/repeat_budget.rs
+++ b/fleet/tests/repeat_budget.rs
@@ -8,10 +8,9 @@
 
 use arbtest::arbitrary::{self, Unstructured};
 use arbtest::arbtest;
-use boragecove_core::name::Name;
 use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::settings::Settings;
-use node::{GATEWAY, entry, millis, plain, row};
+use node::{GATEWAY, entry, millis, row};
 use world::repeats::{Window, settled};
 use world::{Backends, World, ZONES};
 
@@ -46,20 +45,6 @@
     world
 }
 
-/// Callers ask for so many calls a second for a while, at entry VMs at random.
-fn ask(world: &mut World, time: Duration, per_s: f64) {
-    let end = world.now + time;
-    while world.now < end {
-        let mut due = per_s * 0.005;
-        while due > 0.0 && world.rng.f64() < due {
-            due -= 1.0;
-            let at = world.rng.usize(0..world.len());
-            world.arrive(at, &Name::default(), 0.0, plain("/ack/1"));
-        }
-        world.pass(millis(5));
-    }
-}
-
 /// What happens to the entry VMs while engines turn requests away.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
@@ -114,20 +99,20 @@
     let steps = |world: &mut World, every: Duration, step: &mut dyn FnMut(&mut World, u32)| {
         let mut number = 0;
         while every * number < length * 5 / 2 {
-            ask(world, every, per_s);
+            world.ask(every, per_s);
             step(world, number);
             number += 1;
         }
     };
-    ask(world, length / 2, per_s);
+    world.ask(length / 2, per_s);
     match trouble {
-        Trouble::Calm => ask(world, length, per_s),
+        Trouble::Calm => world.ask(length, per_s),
         Trouble::Killed(part, every) => steps(world, millis(every), &mut |world, _| kill(world, part)),
         Trouble::InTurn => {
             let every = length.div_f64(world.len() as f64).max(millis(5));
             for _ in 0..2 {
                 for at in 0..world.len() {
-                    ask(world, every, per_s);
+                    world.ask(every, per_s);
                     world.restart(at);
                 }
             }
@@ -143,9 +128,9 @@
         }),
         Trouble::CutThenRestarted => {
             (0..ZONES.len()).for_each(|zone| world.cut(zone, true));
-            ask(world, SECOND * 4, per_s);
+            world.ask(SECOND * 4, per_s);
             kill(world, 1.0);
-            ask(world, SECOND * 4, per_s);
+            world.ask(SECOND * 4, per_s);
             (0..ZONES.len()).for_each(|zone| world.cut(zone, false));
             kill(world, 1.0);
         }
@@ -163,7 +148,7 @@
             let before = world.len();
             let every = length.div_f64(before as f64).max(millis(5));
             for at in 0..before {
-                ask(world, every, per_s);
+                world.ask(every, per_s);
                 world.add();
                 if at % 2 == 0 {
                     world.kill(at);
@@ -172,7 +157,7 @@
         }
     }
     world.heal();
-    ask(world, length, per_s);
+    world.ask(length, per_s);
 }
 
 /// Plays a trouble and returns the worst window.
@@ -217,10 +202,10 @@
     let mut world = world(9, 3);
     world.forgetful = forgetful;
     world.shed(0.0);
-    ask(&mut world, settings().repeat_window, 40.0);
+    world.ask(settings().repeat_window, 40.0);
     world.shed(SHED);
     for _ in 0..8 {
-        ask(&mut world, SECOND * 2, 40.0);
+        world.ask(SECOND * 2, 40.0);
         if let Some(leader) = world.leader() {
             world.restart(leader);
         }
@@ -242,7 +227,7 @@
 fn ratio_is_needed() {
     let loose = Settings { repeat_ratio: 0.4, repeat_slack: 116.0, ..settings() };
     let mut world = world_with(9, 3, loose);
-    ask(&mut world, settled(&settings()), 100.0);
+    world.ask(settled(&settings()), 100.0);
     let worst = world.repeats().worst(&settings());
     assert!(worst.part() > 1.0, "twice of what is allowed is to be seen: {worst:?}");
 }
@@ -251,7 +236,7 @@
 fn used(vms: usize, per_s: f64) -> f64 {
     let mut world = world(vms, 5);
     world.shed(SHED_CALM);
-    ask(&mut world, settled(&settings()) * 2, per_s);
+    world.ask(settled(&settings()) * 2, per_s);
     let used = world.repeats().used(world.now, &settings());
     println!("{vms} entry VMs, {per_s} a second: {used:.2} of the repeats that are allowed are made");
     used
@@ -273,7 +258,7 @@
     let mut world = world(vms, u.arbitrary()?);
     let per_s = *u.choose(&[30.0, 100.0, 300.0])?;
     let mut steps = vec![format!("{vms} entry VMs, {per_s} a second")];
-    ask(&mut world, millis(u.int_in_range(0..=10_000)?), per_s);
+    world.ask(millis(u.int_in_range(0..=10_000)?), per_s);
     for _ in 0..u.int_in_range(1..=24)? {
         let (kind, at) = (u.int_in_range(0..=13)?, u.int_in_range(0..=world.len() - 1)?);
         steps.push(format!("{:?}: {kind}, vm {at}", world.now));
@@ -285,10 +270,10 @@
             kind => world.disturb(kind, at),
         }
         let per_s = per_s * f64::from(u.int_in_range(1..=4)?) / 4.0;
-        ask(&mut world, millis(u.int_in_range(0..=3_000)?), per_s);
+        world.ask(millis(u.int_in_range(0..=3_000)?), per_s);
     }
     world.heal();
-    ask(&mut world, settled(&settings()), per_s);
+    world.ask(settled(&settings()), per_s);
     Ok((steps, world.repeats().worst(&settings())))
 }
 
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -38,7 +38,10 @@
 use boragecove_fleet::settings::Settings;
 use boragecove_fleet::state::Identity;
 
+use crate::node::plain;
+
 pub use backends::{Backends, Reached};
+
 use departures::Mute;
 use losses::Loss;
 pub use store::Store;
@@ -628,6 +631,20 @@
         self.post(at, at, 0, Load::Arrive(request, Box::new(arrival)));
     }
 
+    /// Callers ask for so many plain calls a second for a while, at entry VMs at random.
+    pub fn ask(&mut self, time: Duration, per_s: f64) {
+        let end = self.now + time;
+        while self.now < end {
+            let mut due = per_s * TICK.as_secs_f64();
+            while due > 0.0 && self.rng.f64() < due {
+                due -= 1.0;
+                let at = self.rng.usize(0..self.len());
+                self.arrive(at, &Name::default(), 0.0, plain("/ack/1"));
+            }
+            self.tick();
+        }
+    }
+
     pub fn pass(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
