--- a/fleet/src/budget.rs
+++ b/fleet/src/budget.rs
@@ -7,8 +7,8 @@
 //! in the row of the lease, and what it may give beyond that until the row is written again is bounded, so that the next leader
 //! goes on from there.
 //!
-//! In sum, over all lives of all processes: what is earned within [`OWN_KEPT`] before a window may be used in it besides what is earned in it,
-//! and [`OWN_PART`] leaves room for that; see the constants.
+//! In sum, over all lives of all processes: what is earned within `OWN_KEPT` before a window may be used in it besides what is earned in it,
+//! and `OWN_PART` leaves room for that; see the constants.
 
 mod own;
 mod permit;
@@ -74,7 +74,7 @@
 /// The answer. One that does not arrive was spent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Permit {
-    /// One repeat may be sent within [`PERMIT_KEPT`] of the question.
+    /// One repeat may be sent within half a second of the question.
     Given,
     /// None is left, and some may be after this time.
     Short(Duration),
--- a/fleet/src/budget/pool.rs
+++ b/fleet/src/budget/pool.rs
@@ -24,7 +24,7 @@
     pub others: u32,
 }
 
-/// What was counted of a service in the window, by how many of its [`AGES`] ago that was.
+/// What was counted of a service in the window, by how many quarters of it ago that was.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
     /// A hash of the service's name.
--- a/fleet/src/budget/window.rs
+++ b/fleet/src/budget/window.rs
@@ -40,7 +40,7 @@
         ages
     }
 
-    /// The counterpart of [`Self::by_age`], where the youngest of each age was counted so long before now.
+    /// The counterpart of `by_age`, where the youngest of each age was counted so long before now.
     pub(super) fn aged(now: Time, ages: &[u32], length: Duration, before: Duration) -> Self {
         let parts = ages.iter().enumerate().rev();
         Self { slices: parts.map(|(age, count)| (now - (length * age as u32 + before), *count)).collect() }
