Log the builds of engines and what clients take up again

Whether others went on over a client's tries cannot be told from the log: it names no build and no resumption.

Read and logged now: an entry's software version (an entry that says none, or something that is no text, is used as before), the build of each sending, and Resumes and Last-Event-Id of each request. No decision goes by them yet.

--- a/daemon/src/entry/doors.rs
+++ b/daemon/src/entry/doors.rs
@@ -72,6 +72,7 @@
     let mut forwarded = front::forwarded(headers);
     let content = Content {
         caller_id: front::caller_id(headers),
+        resumes: front::resumes(headers),
         resumes_after: front::resumes_after(headers),
         credentials: front::take_credentials(&mut forwarded),
         request: Request {
--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::busy;
+use super::relay::Content;
 use super::settings::Listen;
 use super::transfer::Transfer;
 use boragecove_core::name::Name;
@@ -57,6 +58,11 @@
         path: &'a Name,
         model: Option<&'a Name>,
         adapter: Option<&'a Name>,
+        /// The attempt that began the stream that is taken up again, and its last event that the caller has.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes: Option<&'a Name>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        after_event: Option<u64>,
         patience_ms: Option<u64>,
     },
     CallerGone {
@@ -120,8 +126,8 @@
     }
 
     /// Logs that a request was read, and keeps its id for the lines that follow.
-    pub(crate) fn received(&mut self, now: Time, request: Id, arrival: &Arrival, id: Option<&Name>) {
-        if let Some(id) = id {
+    pub(crate) fn received(&mut self, now: Time, request: Id, arrival: &Arrival, content: &Content) {
+        if let Some(id) = &content.caller_id {
             self.ids.insert(request, id.clone());
         }
         let note = Note::Received {
@@ -130,6 +136,8 @@
             path: &arrival.path,
             model: arrival.prompt.as_ref().map(|prompt| &prompt.model),
             adapter: arrival.prompt.as_ref().and_then(|prompt| prompt.adapter.as_ref()),
+            resumes: content.resumes.as_ref(),
+            after_event: content.resumes_after,
             patience_ms: arrival.patience.map(|patience| patience.as_millis() as u64),
         };
         self.line(now, Some(request), note);
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -332,7 +332,7 @@
         }
         self.drawn += 1;
         let id = Id(self.drawn);
-        self.log.received(self.clock.now(), id, &arrival, content.caller_id.as_ref());
+        self.log.received(self.clock.now(), id, &arrival, &content);
         let (sender, steps) = mpsc::unbounded_channel();
         self.steps.insert(id, sender);
         let relay = Relay {
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Content {
     /// The id that the caller gave it.
     pub(crate) caller_id: Option<Name>,
+    /// The attempt that brought the first event of the stream that the caller takes up again.
+    pub(crate) resumes: Option<Name>,
     /// The event after which the caller wants a stream to go on.
     pub(crate) resumes_after: Option<u64>,
     /// The caller's key; dropped as soon as it is known that this system, and no engine, is to read it.
--- a/fleet/benches/hub.rs
+++ b/fleet/benches/hub.rs
@@ -101,6 +101,7 @@
         cold_left: Duration::ZERO,
         held: held(number),
         cached: Cached::default(),
+        build: None,
     };
     Row { id: engine(number), version: (number as u64 + 1).into(), entry: Some(entry), ..Row::default() }
 }
--- a/fleet/benches/quota.rs
+++ b/fleet/benches/quota.rs
@@ -86,6 +86,7 @@
         cold_left: Duration::ZERO,
         held: Vec::new(),
         cached: Cached::default(),
+        build: None,
     };
     Row {
         id: entry.id.clone(),
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -43,6 +43,9 @@
     pub held: Vec<Held>,
     /// Models whose weights it keeps in its own memory or on its disk.
     pub cached: Cached,
+    /// The version of its software; none if it does not say.
+    #[serde(default)]
+    pub build: Option<Name>,
 }
 
 /// A start of an engine: when it was, in ms since the Unix epoch by the engine's clock; none if the engine does not
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -225,6 +225,7 @@
         request: id.0,
         attempt: flow.number,
         engine: pick.engine.clone(),
+        build: engine.entry.build.clone(),
         route: flow.route.name.clone(),
         config,
         cost_ms: (pick.cost_ms * 10.0).round() / 10.0,
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -42,6 +42,9 @@
         attempt: u32,
         /// The engine's id.
         engine: Name,
+        /// The version of the engine's software, if it says one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        build: Option<Name>,
         /// The route it came by.
         route: Name,
         /// The configuration's version.
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -26,6 +26,8 @@
 pub const WRITER: &str = "writer";
 /// The plain service.
 pub const GATEWAY: &str = "gateway";
+/// The software that engines run unless a test says otherwise.
+pub const BUILD: &str = "v1";
 /// Milliseconds after the epoch at which tests begin.
 pub const START_MS: u64 = 1_000_000;
 
@@ -123,6 +125,7 @@
         cold_left: Duration::ZERO,
         held: models.iter().map(|name| Held { model: (*name).into(), adapters: Vec::new() }).collect(),
         cached: Cached::default(),
+        build: Some(BUILD.into()),
     }
 }
 
