Show streams that hold events of two builds (red)

Shown without a network: engines that write their build into each event, and clients that take up broken streams at any entry VM, naming the attempt that brought the first event.

Requests tell their stream and what they take up, attempts and events the build that they go by; no decision does yet.

--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -303,7 +303,8 @@
                         continue;
                     }
                     self.timing.take(Instant::now(), events::count(&whole));
-                    self.node.do_send(Feed(Event::Began(self.id)));
+                    let build = attempt.build.clone();
+                    self.node.do_send(Feed(Event::Began { request: self.id, build }));
                     self.begin(&head).await;
                     let _caller_gone = self.outlet.send(Part::Data(whole)).await;
                 }
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -55,8 +55,13 @@
     },
     /// A request's caller is gone.
     Gone(Id),
-    /// The first of an answer's events came.
-    Began(Id),
+    /// Events of an answer came, and go to the caller.
+    Began {
+        /// The request.
+        request: Id,
+        /// The version of the software of the engine that wrote them, as it was known when the request was sent there.
+        build: Option<Name>,
+    },
     /// Something came from an engine.
     Heard(Name),
     /// An answer of an engine, to whatever it was asked, said something of the engine.
@@ -177,7 +182,7 @@
             Self::StoreUp(_) => "store_up",
             Self::Arrive { .. } => "arrive",
             Self::Gone(_) => "gone",
-            Self::Began(_) => "began",
+            Self::Began { .. } => "began",
             Self::Heard(_) => "heard",
             Self::Noticed { .. } => "noticed",
             Self::Ended { .. } => "ended",
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -246,6 +246,7 @@
         number: flow.number,
         engine: pick.engine.clone(),
         incarnation: engine.entry.incarnation,
+        build: engine.entry.build.clone(),
         address: engine.entry.address,
         relay,
         at,
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -124,7 +124,7 @@
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
         Event::Gone(request) => flow::gone(state, now, request),
-        Event::Began(request) => outcome::began(state, now, request, out),
+        Event::Began { request, .. } => outcome::began(state, now, request, out),
         Event::Heard(engine) => {
             if let Some(engine) = state.engines.get_mut(&engine) {
                 engine.health.heard = now;
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -8,7 +8,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::engine::Incarnation;
 use crate::homes::Permit;
@@ -59,6 +59,25 @@
     }
 }
 
+/// A stream, by the attempt of its client that brought the first event: a hash of the id of that attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stream(u64);
+
+impl Stream {
+    /// The stream whose first event came by the attempt with this id.
+    #[must_use]
+    pub fn of(attempt_id: &str) -> Self {
+        Self(xxh3_64(attempt_id.as_bytes()))
+    }
+}
+
+/// A client takes up a stream of which it has some events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The stream; none if the client does not name it.
+    pub stream: Option<Stream>,
+}
+
 /// A request as it was read from a caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Arrival {
@@ -76,6 +95,10 @@
     pub key: Option<Digest>,
     /// Tokens that it says it reads and generates.
     pub tokens: Option<u64>,
+    /// The stream that it begins, if it begins one and has an id.
+    pub stream: Option<Stream>,
+    /// The stream that it takes up; none if it begins anew.
+    pub resumes: Option<Resumption>,
 }
 
 /// What a request wants of a model.
@@ -100,6 +123,8 @@
     pub engine: Name,
     /// The start of the engine that is meant.
     pub incarnation: Incarnation,
+    /// The version of the engine's software, as its row said; none if it did not.
+    pub build: Option<Name>,
     /// Where the engine listens.
     pub address: SocketAddr,
     /// The entry VM that passes it on; none where the engine is reached from here.
--- a/fleet/tests/adapter_waits.rs
+++ b/fleet/tests/adapter_waits.rs
@@ -17,7 +17,8 @@
 use boragecove_fleet::request::{Cause, End, Id, Step};
 use boragecove_fleet::settings::Settings;
 use node::{
-    Node, WRITER, config, entry, hub_row, listing, millis, orders, pool, removed, row, step_of, streamed,
+    Node, WRITER, began, config, entry, hub_row, listing, millis, orders, pool, removed, row, step_of,
+    streamed,
 };
 
 /// The holder of the lease. Two engines hold `m0` and `m1`, two others `m2` and `m3`, and nothing is to be moved.
@@ -349,7 +350,7 @@
     node.pass(millis(600));
     let waiting = node.arrive(streamed("/brief/1", "m1", None));
     assert_eq!(node.step(waiting), None, "its only engine is silent");
-    let effects = node.feed(Event::Began(running)).to_vec();
+    let effects = node.feed(began(running)).to_vec();
     assert!(is_sent(&effects, waiting), "the engine has answered");
 }
 
--- a/fleet/tests/crash_storm.rs
+++ b/fleet/tests/crash_storm.rs
@@ -21,7 +21,7 @@
 use boragecove_fleet::request::{Arrival, End, Events, Fingerprint, Id, Step};
 use boragecove_fleet::schedule::Grant;
 use links::{LARGE, Links, SMALL};
-use node::{HOST, WRITER, brief, config, entry, listing, millis, removed, row};
+use node::{HOST, WRITER, began, brief, config, entry, listing, millis, removed, row};
 
 const VMS: usize = 9;
 const ENGINES: usize = 12;
@@ -193,7 +193,7 @@
             if first(&self.runs[at]) {
                 self.runs[at].begun = true;
                 let (vm, request) = (self.runs[at].vm, self.runs[at].request);
-                self.links.feed(vm, Event::Began(request));
+                self.links.feed(vm, began(request));
             }
         }
         let over = |run: &mut Run| run.poison.is_none() && now.since(run.begins) >= WHOLE;
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -25,7 +25,7 @@
 use boragecove_fleet::request::{Arrival, Attempt, End, Fingerprint, Id, Refusal, Step};
 use links::{LARGE, Links, SMALL};
 use node::{
-    HOST, Node, WRITER, address, brief, config, entry, hub_row, listing, millis, plain, removed, row,
+    HOST, Node, WRITER, address, began, brief, config, entry, hub_row, listing, millis, plain, removed, row,
     step_of, streamed,
 };
 
@@ -190,7 +190,7 @@
     let mut node = Node::ready("a");
     for _ in 0..5 {
         let (id, attempt) = node.sent(body("long"));
-        node.feed(Event::Began(id));
+        node.feed(began(id));
         crash(&mut node, id, &attempt);
         mend(&mut node);
     }
@@ -335,7 +335,7 @@
 fn ends_what_is_under_way() {
     let mut node = Node::ready("a");
     let (begun, attempt) = node.sent(body("x"));
-    node.feed(Event::Began(begun));
+    node.feed(began(begun));
     crash_under(&mut node, body("x"));
     let (id, second) = node.sent(body("x"));
     let (other, _) = node.sent(body("x"));
@@ -354,7 +354,7 @@
     let mut node = Node::ready("a");
     let stream = || Arrival { fingerprint: body("x").fingerprint, ..streamed("/digest/1", "m0", None) };
     let (begun, attempt) = node.sent(stream());
-    node.feed(Event::Began(begun));
+    node.feed(began(begun));
     crash_under(&mut node, body("x"));
     crash_under(&mut node, body("x"));
     assert_eq!(quarantined(&node), 1);
--- a/fleet/tests/node/mod.rs
+++ b/fleet/tests/node/mod.rs
@@ -166,9 +166,15 @@
         fingerprint: Fingerprint::of(HOST, path, model.as_bytes()),
         key: None,
         tokens: Some(500),
+        ..Arrival::default()
     }
 }
 
+/// Events of a request came from an engine.
+pub fn began(request: Id) -> Event {
+    Event::Began { request, build: Some(BUILD.into()) }
+}
+
 pub fn plain(path: &str) -> Arrival {
     Arrival {
         host: HOST.into(),
@@ -177,7 +183,7 @@
         prompt: None,
         fingerprint: Fingerprint::of(HOST, path, b""),
         key: None,
-        tokens: None,
+        ..Arrival::default()
     }
 }
 
--- a/fleet/tests/request_attempts.rs
+++ b/fleet/tests/request_attempts.rs
@@ -8,7 +8,7 @@
 use boragecove_fleet::lease;
 use boragecove_fleet::request::{Attempt, Cause, End, Id, Refusal, Step};
 use boragecove_fleet::settings::Settings;
-use node::{Node, brief, millis, plain, step_of, streamed};
+use node::{Node, began, brief, millis, plain, step_of, streamed};
 
 fn again(step: Option<Step>) -> Attempt {
     match step {
@@ -85,7 +85,7 @@
 fn resumable_goes_on() {
     let mut node = Node::ready("a");
     let (id, first) = node.sent(streamed("/digest/1", "m0", None));
-    node.feed(Event::Began(id));
+    node.feed(began(id));
     let second = again(node.ended(id, first.number, End::Broken));
     assert_ne!(second.engine, first.engine);
 }
@@ -94,7 +94,7 @@
 fn stream_is_not_resumed() {
     let mut node = Node::ready("a");
     let (id, first) = node.sent(brief("m0"));
-    node.feed(Event::Began(id));
+    node.feed(began(id));
     let refusal = refusal(node.ended(id, first.number, End::Broken));
     assert_eq!(refusal.code, Code::BackendFailed);
 }
@@ -130,7 +130,7 @@
 fn silence_cuts_nothing() {
     let mut node = Node::ready("a");
     let (id, first) = node.sent(streamed("/digest/1", "m0", None));
-    node.feed(Event::Began(id));
+    node.feed(began(id));
     for _ in 0..8 {
         let effects = node.pass(millis(500));
         assert_eq!(step_of(&effects, id), None);
@@ -143,7 +143,7 @@
 fn unreached_engine_is_left() {
     let mut node = Node::ready("a");
     let (id, first) = node.sent(streamed("/digest/1", "m0", None));
-    node.feed(Event::Began(id));
+    node.feed(began(id));
     node.pass(millis(600));
     node.feed(Event::Probed { engine: first.engine.clone(), reach: Reach::Silent });
     let second = again(step_of(&node.pass(millis(600)), id));
--- a/fleet/tests/world/backends.rs
+++ b/fleet/tests/world/backends.rs
@@ -5,7 +5,7 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
-use boragecove_fleet::engine::Row;
+use boragecove_fleet::engine::{Entry, Row};
 use boragecove_fleet::event::Event;
 use boragecove_fleet::intake::Intake;
 use boragecove_fleet::notice::{Asked, Bearing, Notice, Start};
@@ -56,7 +56,7 @@
     told: BTreeMap<(usize, Name), Time>,
     reached: BTreeMap<Name, Vec<Reached>>,
     /// The attempt of each request that is to be sent.
-    current: BTreeMap<(usize, Id), u32>,
+    pub(super) current: BTreeMap<(usize, Id), u32>,
     /// The engine that last ran each request.
     pub(super) engine_of: BTreeMap<(usize, Id), Name>,
     /// How often engines have run each request.
@@ -74,6 +74,11 @@
         Self { zones, ..Self::default() }
     }
 
+    /// An engine is in a zone.
+    pub(super) fn place(&mut self, entry: &Entry) {
+        self.zones.insert(entry.id.clone(), entry.zone.clone());
+    }
+
     /// All requests that reached engines, with the engine's zone.
     pub fn all(&self) -> impl Iterator<Item = (&Name, &str, &Reached)> {
         let zone = |engine: &Name| self.zones.get(engine).map_or("", |zone| zone);
@@ -183,7 +188,9 @@
             return;
         }
         self.run(vm, None, request, attempt);
-        self.post(vm, vm, RUN_MS, Load::Ended(request, attempt.number));
+        if !self.streams_to(vm, None, request, attempt) {
+            self.post(vm, vm, RUN_MS, Load::Ended(request, attempt.number));
+        }
     }
 
     /// An engine runs a request.
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -11,6 +11,7 @@
 pub mod repeats;
 #[path = "../store/mod.rs"]
 mod store;
+pub mod streams;
 mod ways;
 
 use std::collections::BTreeMap;
@@ -45,6 +46,7 @@
 use departures::Mute;
 use losses::Loss;
 pub use store::Store;
+use streams::{Streams, Written};
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const TICK: Duration = Duration::from_millis(5);
@@ -132,6 +134,7 @@
     pub orderers: Vec<Orderer>,
     /// Engines that answer; none where a request is done as soon as it is sent.
     pub backends: Option<Backends>,
+    pub streams: Streams,
     zones_cut: [bool; ZONES.len()],
     /// Entry VMs that have lost the way to engines.
     parted: BTreeMap<usize, partitions::Partition>,
@@ -207,6 +210,8 @@
     /// The head of an answer to what was sent then.
     Head(Id, Attempt, Time),
     Ended(Id, u32),
+    /// An event of a stream.
+    Piece(Id, Box<Written>),
     /// A request that was to be passed on.
     Pass(Id, Attempt),
     /// An attempt that had no answer, if none has come.
@@ -288,6 +293,7 @@
             mute: None,
             orderers: Vec::new(),
             backends: None,
+            streams: Streams::default(),
             zones_cut: [false; ZONES.len()],
             parted: BTreeMap::new(),
             drilled: None,
@@ -517,6 +523,7 @@
         self.vms[at].running = false;
         self.vms[at].start += 1;
         self.forget_vm(at);
+        self.lose_streams(at);
         self.open.retain(|(vm, _), _| *vm != at);
     }
 
@@ -656,6 +663,7 @@
         self.now = self.now + TICK;
         self.store.keep(self.now);
         self.rewrite();
+        self.retry_streams();
         for at in 0..self.vms.len() {
             let vm = &self.vms[at];
             if !vm.running || vm.suspended {
--- a/fleet/tests/world/partitions.rs
+++ b/fleet/tests/world/partitions.rs
@@ -164,6 +164,9 @@
             return self.post(to, from, CONNECT_MS, Load::Unanswered(request, attempt.number, End::Unsent));
         }
         self.run(from, Some(to), request, attempt);
+        if self.streams_to(from, Some(to), request, attempt) {
+            return;
+        }
         self.post(to, to, RUN_MS, Load::Event(Box::new(Event::Relayed)));
         self.post(to, from, RUN_MS, Load::Ended(request, attempt.number));
         // Where the relay ends before that, its connection breaks.
--- /dev/null
+++ b/fleet/tests/world/streams.rs
@@ -0,0 +1,326 @@
+//! Streams in a deployment of a test, from end to end: each event bears the build of the engine that wrote it, and clients take up streams that
+//! broke, at any entry VM, naming the attempt that brought the first event.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::engine::Entry;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::request::{Arrival, Attempt, End, Id, Resumption, Stream};
+
+use super::{Load, World};
+use crate::node::streamed;
+
+/// Time from a request's arrival at an engine to its first event, and from one event to the next.
+const FIRST_MS: u64 = 60;
+const EVENT_MS: u64 = 50;
+/// Time until a broken connection is seen.
+const BROKEN_MS: u64 = 3;
+/// How often a client tries to take a stream up again.
+const TRIES: u32 = 4;
+/// Engines of a build that serve where a client may count on its stream's going on.
+const SERVING: usize = 2;
+/// The workspace of callers without a key.
+const NOBODY: &str = "";
+
+/// An event of a stream, as its client has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Piece {
+    pub build: Name,
+    pub engine: Name,
+    pub at: Time,
+}
+
+/// A client of one stream.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pub pieces: Vec<Piece>,
+    pub events: usize,
+    /// When it asked first.
+    pub asked: Time,
+    /// The attempt that brought the first event.
+    origin: Option<Stream>,
+    attempt: String,
+    tries: u32,
+    pub end: Option<Ending>,
+}
+
+/// How a client's stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Whole,
+    /// Refused at last, or broken off as often as it may be.
+    Lost(Option<Code>),
+}
+
+/// A client took a stream up again.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    pub at: Time,
+    pub client: usize,
+    /// Whether two engines of its build served then.
+    pub serves: bool,
+    /// Whether the entry VM that it came to had been in touch for this long.
+    pub calm: Option<Duration>,
+    /// Whether another event came.
+    pub went_on: bool,
+    /// How it was refused, and how long after it came.
+    pub refused: Option<(Code, Duration)>,
+}
+
+/// All streams of a deployment.
+#[derive(Debug, Default)]
+pub struct Streams {
+    pub clients: Vec<Client>,
+    pub taken: Vec<Taken>,
+    pub(super) at: BTreeMap<(usize, Id), usize>,
+    /// When clients try again.
+    retries: Vec<(Time, usize)>,
+    drawn: u64,
+    crashed: BTreeSet<Name>,
+}
+
+impl Streams {
+    /// Streams that hold events of two builds.
+    pub fn mixed(&self) -> usize {
+        let mixed = |client: &&Client| client.pieces.windows(2).any(|pair| pair[0].build != pair[1].build);
+        self.clients.iter().filter(mixed).count()
+    }
+
+    /// Of the tries to take up a stream whose build serves, the part that went on, and how many there were.
+    pub fn gone_on(&self) -> (f64, usize) {
+        self.gone_on_if(|_| true)
+    }
+
+    /// The same of those that `counts` holds for.
+    pub fn gone_on_if(&self, counts: impl Fn(&Taken) -> bool) -> (f64, usize) {
+        let taken: Vec<&Taken> = self.taken.iter().filter(|taken| taken.serves && counts(taken)).collect();
+        let on = taken.iter().filter(|taken| taken.went_on).count();
+        (on as f64 / taken.len().max(1) as f64, taken.len())
+    }
+
+    /// Streams that their clients have whole, as a part of all.
+    pub fn whole(&self) -> f64 {
+        let whole = self.clients.iter().filter(|client| client.end == Some(Ending::Whole)).count();
+        whole as f64 / self.clients.len().max(1) as f64
+    }
+}
+
+impl World {
+    /// An engine starts, holds the model `m0`, and registers.
+    pub fn start_engine(&mut self, entry: Entry) {
+        let backends = self.backends.as_mut().expect("engines");
+        backends.place(&entry);
+        self.register(entry);
+    }
+
+    /// An engine crashes: its entry stays until the store misses its heartbeats, and is removed by [`World::deregister`].
+    pub fn crash_engine(&mut self, engine: &str) {
+        let engine = Name::from(engine);
+        self.truth.insert(engine.clone(), None);
+        self.streams.crashed.insert(engine.clone());
+        let lost: Vec<(usize, Id)> = self.streams.at.keys().copied().collect();
+        for (vm, request) in lost {
+            let backends = self.backends.as_ref().expect("engines");
+            if backends.engine_of.get(&(vm, request)) != Some(&engine) {
+                continue;
+            }
+            if let Some(attempt) = backends.current.get(&(vm, request)).copied() {
+                self.post(vm, vm, BROKEN_MS, Load::Unanswered(request, attempt, End::Lost));
+            }
+        }
+    }
+
+    /// Clients begin so many streams of so many events a second for a while, at entry VMs at random.
+    pub fn stream(&mut self, time: Duration, per_s: f64, events: usize) {
+        let end = self.now + time;
+        while self.now < end {
+            let mut due = per_s * super::TICK.as_secs_f64();
+            while due > 0.0 && self.rng.f64() < due {
+                due -= 1.0;
+                self.begin_stream(events);
+            }
+            self.tick();
+        }
+    }
+
+    /// A client asks for a stream of so many events. Returns its number.
+    pub fn begin_stream(&mut self, events: usize) -> usize {
+        let client = self.streams.clients.len();
+        self.streams.clients.push(Client {
+            pieces: Vec::new(),
+            events,
+            asked: self.now,
+            origin: None,
+            attempt: String::new(),
+            tries: 0,
+            end: None,
+        });
+        self.try_stream(client);
+        client
+    }
+
+    /// A client sends an attempt, to an entry VM at random.
+    fn try_stream(&mut self, client: usize) {
+        let running: Vec<usize> = (0..self.len()).filter(|at| self.is_running(*at)).collect();
+        if running.is_empty() {
+            self.streams.retries.push((self.now + Duration::from_millis(50), client));
+            return;
+        }
+        let vm = running[self.rng.usize(0..running.len())];
+        self.try_stream_at(client, vm);
+    }
+
+    /// A client sends an attempt to an entry VM.
+    pub fn try_stream_at(&mut self, client: usize, vm: usize) {
+        let now = self.now;
+        self.streams.drawn += 1;
+        let attempt = format!("attempt-{}", self.streams.drawn);
+        let (build, origin) = {
+            let known = &self.streams.clients[client];
+            (known.pieces.first().map(|piece| piece.build.clone()), known.origin)
+        };
+        if let Some(build) = build {
+            let serves = self.serving(&build) >= SERVING;
+            let calm = self.calm_since(vm).map(|since| now.since(since));
+            let taken = Taken { at: now, client, serves, calm, went_on: false, refused: None };
+            self.streams.taken.push(taken);
+        }
+        let resumes = origin.map(|stream| Resumption { stream: Some(stream) });
+        let arrival =
+            Arrival { stream: Some(Stream::of(&attempt)), resumes, ..streamed("/digest/1", "m0", None) };
+        self.streams.clients[client].attempt = attempt;
+        let request = Id(self.drawn + 1);
+        self.streams.at.insert((vm, request), client);
+        self.arrive(vm, &Name::from(NOBODY), 0.0, arrival);
+    }
+
+    /// Engines of a build that run and do not leave.
+    pub fn serving(&self, build: &Name) -> usize {
+        let entries = self.truth.values().flatten();
+        entries.filter(|entry| !entry.leaving && entry.build.as_ref() == Some(build)).count()
+    }
+
+    /// Whether a request is a stream's, which the engine begins to write then.
+    pub(super) fn streams_to(
+        &mut self,
+        vm: usize,
+        relay: Option<usize>,
+        request: Id,
+        attempt: &Attempt,
+    ) -> bool {
+        if !self.streams.at.contains_key(&(vm, request)) {
+            return false;
+        }
+        let entry = self.truth.get(&attempt.engine).and_then(Option::as_ref);
+        let build = entry.and_then(|entry| entry.build.clone()).unwrap_or_default();
+        let relay = relay.map(|relay| (relay, self.start_of(relay)));
+        let written = Written { attempt: attempt.clone(), build, relay };
+        self.post(vm, vm, FIRST_MS, Load::Piece(request, Box::new(written)));
+        true
+    }
+
+    /// An event of a stream comes to the entry VM that serves its client.
+    pub(super) fn piece(&mut self, vm: usize, request: Id, written: Box<Written>) {
+        let Written { attempt, build, relay } = &*written;
+        let Some(client) = self.streams.at.get(&(vm, request)).copied() else {
+            return;
+        };
+        let current = self.backends.as_ref().and_then(|backends| backends.current.get(&(vm, request)));
+        let relayed = relay.is_none_or(|(at, start)| self.is_running(at) && self.start_of(at) == start);
+        if current != Some(&attempt.number) || self.streams.crashed.contains(&attempt.engine) {
+            return;
+        }
+        if !relayed {
+            return self.ended(vm, request, attempt.number, End::Lost);
+        }
+        if !self.reaches_engine(vm, &attempt.engine) && relay.is_none() {
+            // Nothing comes across, and nothing says that it is over.
+            self.post(vm, vm, EVENT_MS, Load::Piece(request, written));
+            return;
+        }
+        let piece = Piece { build: build.clone(), engine: attempt.engine.clone(), at: self.now };
+        let told = Event::Began { request, build: attempt.build.clone() };
+        let number = attempt.number;
+        let known = &mut self.streams.clients[client];
+        if known.origin.is_none() {
+            known.origin = Some(Stream::of(&known.attempt));
+        }
+        known.pieces.push(piece);
+        let whole = known.pieces.len() >= known.events;
+        if let Some(taken) = self.streams.taken.iter_mut().rev().find(|taken| taken.client == client) {
+            taken.went_on = true;
+        }
+        self.feed(vm, told);
+        if whole {
+            self.streams.clients[client].end = Some(Ending::Whole);
+            self.ended(vm, request, number, End::Done);
+        } else {
+            self.post(vm, vm, EVENT_MS, Load::Piece(request, written));
+        }
+    }
+
+    /// A request of a client is refused, or its answer breaks off.
+    pub(super) fn stream_refused(&mut self, vm: usize, request: Id, code: Code, after: Option<Duration>) {
+        let Some(client) = self.streams.at.remove(&(vm, request)) else {
+            return;
+        };
+        let now = self.now;
+        let last = self.streams.taken.iter_mut().rev().find(|taken| taken.client == client);
+        if let Some(taken) = last.filter(|taken| !taken.went_on) {
+            taken.refused = Some((code, now.since(taken.at)));
+        }
+        self.try_again(client, Some(code), after.unwrap_or(Duration::from_millis(20)));
+    }
+
+    fn try_again(&mut self, client: usize, code: Option<Code>, wait: Duration) {
+        let at = self.now + wait;
+        let known = &mut self.streams.clients[client];
+        known.tries += 1;
+        if known.tries >= TRIES {
+            known.end = Some(Ending::Lost(code));
+        } else {
+            self.streams.retries.push((at, client));
+        }
+    }
+
+    /// An entry VM is gone: its clients see their connections break.
+    pub(super) fn lose_streams(&mut self, vm: usize) {
+        let lost: Vec<((usize, Id), usize)> =
+            self.streams.at.extract_if(.., |(at, _), _| *at == vm).collect();
+        for (_, client) in lost {
+            if self.streams.clients[client].end.is_none() {
+                let wait = Duration::from_millis(self.rng.u64(5..60));
+                self.try_again(client, None, wait);
+            }
+        }
+    }
+
+    /// Clients whose time has come try again.
+    pub(super) fn retry_streams(&mut self) {
+        let now = self.now;
+        let due: Vec<(Time, usize)> = self.streams.retries.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, client) in due {
+            self.try_stream(client);
+        }
+    }
+}
+
+/// What an engine writes of a stream.
+#[derive(Clone, Debug)]
+pub struct Written {
+    attempt: Attempt,
+    build: Name,
+    /// The entry VM that passes it on, and which start of that.
+    relay: Option<(usize, u64)>,
+}
+
+impl World {
+    /// The engines that run, as they are.
+    pub fn running(&self) -> Vec<Entry> {
+        self.truth.values().flatten().cloned().collect()
+    }
+}
--- a/fleet/tests/world/ways.rs
+++ b/fleet/tests/world/ways.rs
@@ -106,6 +106,7 @@
             }
             Load::Send(request, attempt) => self.sent(to, request, &attempt),
             Load::Head(request, attempt, at) => self.head(to, request, &attempt, at),
+            Load::Piece(request, written) => self.piece(to, request, written),
             Load::Ended(request, attempt) => self.ended(to, request, attempt, End::Done),
             Load::Pass(request, attempt) => self.passed(from, to, request, &attempt),
             Load::Unanswered(request, attempt, end) => self.ended(to, request, attempt, end),
@@ -224,6 +225,11 @@
         {
             return self.send(vm, request, attempt.clone());
         }
+        match &step {
+            Step::Refuse(refusal) => self.stream_refused(vm, request, refusal.code, refusal.retry_after),
+            Step::Pass => drop(self.streams.at.remove(&(vm, request))),
+            Step::Send(_) | Step::Wait => {}
+        }
         self.outcomes.push(Done { asked, at: self.now, vm, workspace, cost, refused });
         self.open.remove(&(vm, request));
         if let Step::Send(attempt) = step {
