Let a broken stream go on at engines of its own build alone

Callers got one answer with events of two versions of a service's software: where an engine broke off, the same entry VM went on at whatever engine it chose.

Cause: the choice went by the present table alone; nothing kept which build had written what the caller has. Now the first event that goes out pins the request to the build of its engine, as the row said when it was sent (kept as a value: the id may be another start's later). Choice, places, sending and whoever passes a request on for another hold to it; the relay itself sends nothing of another build after an event has gone out. A build that is not known, or that changed under the id, pins to nothing.

--- a/daemon/src/entry/forward.rs
+++ b/daemon/src/entry/forward.rs
@@ -56,6 +56,9 @@
     target: String,
     headers: Headers,
     body: Bytes,
+    /// The version of the engine's software, as whoever asks knows it.
+    #[serde(default)]
+    pub(crate) build: Option<Name>,
 }
 
 /// Headers by name, in order.
@@ -262,6 +265,7 @@
         target: request.target.to_string(),
         headers: named(&request.headers),
         body: request.body,
+        build: attempt.build.clone(),
     };
     let response = client.send(relay, peers::post(PATH, &order), until, expiry).await?;
     if !response.status().is_success() {
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -344,6 +344,7 @@
             clock: self.clock,
             node: ctx.address(),
             begun: false,
+            written: None,
             events: Events::default(),
             held: None,
             timing: Timing::default(),
@@ -420,7 +421,13 @@
 
     fn handle(&mut self, Pass { order, parts }: Pass, ctx: &mut Self::Context) {
         let now = self.clock.now();
-        match boragecove_fleet::pass(&mut self.state, now, &order.engine, order.incarnation) {
+        match boragecove_fleet::pass(
+            &mut self.state,
+            now,
+            &order.engine,
+            order.incarnation,
+            order.build.as_ref(),
+        ) {
             Ok(address) => {
                 let (client, clock) = (Rc::clone(&self.client), self.clock);
                 let passing = Passing { client, clock, address, order, parts };
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -55,6 +55,8 @@
     pub(crate) node: Addr<Node>,
     /// Whether the head of an answer has gone to the caller.
     pub(crate) begun: bool,
+    /// The build that wrote the events that have gone to the caller, which may be one that is not known; none before the first.
+    pub(crate) written: Option<Option<Name>>,
     /// What has come of a stream.
     pub(crate) events: Events,
     /// An answer that waits for the word to pass it on.
@@ -203,6 +205,10 @@
         self.held = None;
         self.timing = Timing::default();
         self.events.restart();
+        if self.written.as_ref().is_some_and(|build| build.is_none() || *build != attempt.build) {
+            // It was decided before it was known that events of another build have gone out.
+            return End::Withheld;
+        }
         tokio::time::sleep_until(self.clock.instant(attempt.at)).await;
         let now = self.clock.now();
         let asked = Asked { request: self.id, at: now };
@@ -304,6 +310,7 @@
                     }
                     self.timing.take(Instant::now(), events::count(&whole));
                     let build = attempt.build.clone();
+                    self.written.get_or_insert_with(|| build.clone());
                     self.node.do_send(Feed(Event::Began { request: self.id, build }));
                     self.begin(&head).await;
                     let _caller_gone = self.outlet.send(Part::Data(whole)).await;
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -11,6 +11,7 @@
 use crate::budget::{self, Repeat};
 use crate::config::{Route, Workspace};
 use crate::flow::{COME_BACK, Flow, Stage};
+use crate::pin::Pin;
 use crate::request::{Arrival, Refusal};
 use crate::state::State;
 
@@ -94,6 +95,7 @@
         avoid: Vec::new(),
         unsent: Vec::new(),
         may_have_run: false,
+        pin: Pin::Free,
         repeat: Repeat::First,
         ahead: None,
         asks_repeat: false,
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -12,6 +12,7 @@
 use crate::homes::{self, Homes, Permit};
 use crate::intake::{self, Access};
 use crate::path;
+use crate::pin::Pin;
 use crate::request::Prompt;
 use crate::settings::{Mechanism, Settings};
 use crate::spread::{self, Unseen};
@@ -35,6 +36,8 @@
     Absent,
     /// All that could run it are in doubt, or none is known.
     Nowhere,
+    /// It may go on at engines of one build only, and none of that takes work.
+    Unbuilt,
     /// It may be served in some regions only, and no engine of the service can be reached there.
     Homeless,
     /// All that could run it have too much to do; they will have room after this time.
@@ -67,6 +70,8 @@
     pub(crate) prompt: Option<&'a Prompt>,
     /// Where it may be served.
     pub(crate) homes: &'a Homes,
+    /// The builds that may run it.
+    pub(crate) pin: &'a Pin,
     /// Engines that are left out.
     pub(crate) avoid: &'a [Name],
     /// Engines to which no connection could be opened for it.
@@ -91,8 +96,10 @@
 #[derive(Debug, Default)]
 struct Found<'a> {
     candidates: Vec<Candidate<'a>>,
-    /// Engines of the service.
+    /// Engines of the service that may run it, by their homes and builds.
     members: usize,
+    /// Those of them that take work, and may get this request.
+    takers: usize,
     /// Those of them that hold what is asked for.
     holders: usize,
     /// The shortest time until one that is full has room, in ms.
@@ -118,6 +125,7 @@
     match found.soonest_ms {
         Some(soonest) => Choice::Full(Duration::from_secs_f64(soonest / 1_000.0)),
         None if let Some(pause) = found.pause => Choice::Paused(pause),
+        None if query.pin.binds() && found.takers == 0 => Choice::Unbuilt,
         None if found.holders == 0 && found.members > 0 && prompt.is_some() => Choice::Absent,
         None if query.homes.bind() => Choice::Homeless,
         None => Choice::Nowhere,
@@ -134,7 +142,11 @@
         let Some(permit) = homes::permit(state, query.homes, engine) else {
             continue;
         };
+        if !query.pin.allows(engine.entry.build.as_ref()) {
+            continue;
+        }
         found.members += 1;
+        found.takers += usize::from(engine.takes_work() && !avoid.contains(&engine.entry.id));
         let serves = |prompt: &Prompt| engine.serves(&prompt.model, prompt.adapter.as_deref(), now);
         if !engine.takes_work() || !prompt.is_none_or(serves) {
             continue;
--- a/fleet/src/entries/row.rs
+++ b/fleet/src/entries/row.rs
@@ -8,6 +8,7 @@
 use crate::departure::{self, Road};
 use crate::effect::Effect;
 use crate::engine::{Engine, Entry, Row};
+use crate::flow;
 use crate::frame;
 use crate::intake;
 use crate::ledger;
@@ -121,6 +122,7 @@
     if lapsed || engine.entry != entry {
         engine.changed = version;
     }
+    let rebuilt = engine.entry.build != entry.build;
     engine.entry = entry;
     engine.said_leaving = said_leaving;
     engine.replaced &= engine.version >= version;
@@ -131,6 +133,10 @@
     if departs {
         state.departures.found(&id);
     }
+    if rebuilt {
+        // Whoever goes on with a stream there was to find the build of before.
+        flow::withdraw(state, now, &id, out);
+    }
     frame::learn_early(state, &id);
     intake::cold(state, now, &id, cold_left);
     let changed = is_new || lapsed || departs || left_before != leaves;
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -24,6 +24,7 @@
 use crate::homes;
 use crate::key::Digest;
 use crate::outcome;
+use crate::pin::Pin;
 use crate::quota;
 use crate::record::{Record, ms};
 use crate::request::{Arrival, End, Fingerprint, Id, Prompt, Refusal, Step};
@@ -75,6 +76,8 @@
     /// Engines to which no connection could be opened for it, once for each time.
     pub(crate) unsent: Vec<Name>,
     pub(crate) may_have_run: bool,
+    /// The builds that may go on with it.
+    pub(crate) pin: Pin,
     /// What it needs to be sent.
     pub(crate) repeat: Repeat,
     /// Until when it may be sent to another engine than the one that it is at, if that was asked.
@@ -168,12 +171,13 @@
         return;
     }
     let (service, prompt, avoid) = (flow.service.clone(), flow.prompt.clone(), flow.avoid.clone());
-    let unsent = flow.unsent.clone();
+    let (unsent, pin) = (flow.unsent.clone(), flow.pin.clone());
     let homes = homes::of(state, flow);
     let query = Query {
         service: &service,
         prompt: prompt.as_ref(),
         homes: &homes,
+        pin: &pin,
         avoid: &avoid,
         unsent: &unsent,
         left: flow.begin_by.since(now).saturating_sub(state.settings.reserve),
@@ -187,9 +191,12 @@
             Obtained::No => outcome::not_repeated(state, now, id, out),
         },
         Choice::Absent => {
-            let wait = if can_load(state, now) { state.settings.load_wait } else { DOUBT_WAIT };
+            // Nobody brings a model to engines of a build for one that is pinned to it.
+            let loads = can_load(state, now) && !pin.binds();
+            let wait = if loads { state.settings.load_wait } else { DOUBT_WAIT };
             wait_for(state, now, id, wait, fresh, out);
         }
+        Choice::Unbuilt => give_up(state, now, id, Code::BuildGone, Some(Duration::ZERO), out),
         Choice::Homeless => give_up(state, now, id, Code::NoBackend, Some(COME_BACK), out),
         Choice::Nowhere => wait_for(state, now, id, DOUBT_WAIT, fresh, out),
         Choice::Full(wait) if fresh || flow_waited(state, now, id) => {
--- a/fleet/src/flow/end.rs
+++ b/fleet/src/flow/end.rs
@@ -63,7 +63,11 @@
     };
     let ran = flow.may_have_run || matches!(flow.stage, Stage::Sent { .. });
     // A code that promises that nothing has run is only for requests that have not.
-    let code = if ran && code.outcomes() == [Outcome::NotRun] { Code::BackendFailed } else { code };
+    let code = match code {
+        Code::BuildGone if ran => Code::Interrupted,
+        code if ran && code.outcomes() == [Outcome::NotRun] => Code::BackendFailed,
+        code => code,
+    };
     let retry_after = if ran { None } else { retry_after };
     refuse(state, now, id, Refusal { code, retry_after }, ran, out);
     if !ran {
--- a/fleet/src/flow/place.rs
+++ b/fleet/src/flow/place.rs
@@ -187,6 +187,7 @@
             && engine.health.pause(now).is_none()
             && serves(engine)
             && homes::permit(state, &homes, engine).is_some()
+            && flow.pin.allows(engine.entry.build.as_ref())
     })
 }
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! the seed it was given.
 //!
 //! The modules, from the ground up: `bound`, `config`, `engine`, `request`, `revision` and `settings` are the words; `entries`
-//! keeps what the store says, `freshness` how new that is, `era` what of that outlasts an older copy of it, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `path`, `admit`, `flow`, `outcome` and `crash` serve requests;
+//! keeps what the store says, `freshness` how new that is, `era` what of that outlasts an older copy of it, `notice` with `intake` what engines say in their answers; `choose`, `spread`, `share`, `schedule`, `speed`, `budget`, `trust`, `path`, `pin`, `admit`, `flow`, `outcome` and `crash` serve requests;
 //! `access` with `key` and `proof` says whose they are, `homes` and `evacuation` where they may go, `quota` how many a workspace's may be; `frame`,
 //! `members` with `ownership`, `push`, `rollout`, `update` and `pack` join the entry VMs; `lease`, `ledger` with `book` and `order`, `demand`, `plan`, `place` with `tally` and `adapter` decide what engines hold.
 
@@ -42,6 +42,7 @@
 pub mod ownership;
 pub mod pack;
 pub mod path;
+mod pin;
 pub mod place;
 mod plan;
 pub mod proof;
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -32,11 +32,19 @@
 /// A request that may run again is given to another engine after this part of its time.
 const HANG_PART: u32 = 3;
 
-/// The first of an answer's events came.
-pub(crate) fn began(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
+/// Events of an answer came from an engine of this build, and go to the caller.
+pub(crate) fn began(state: &mut State, now: Time, id: Id, build: Option<&Name>, out: &mut Vec<Effect>) {
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
+    let engine = match &flow.stage {
+        Stage::Sent { engine, .. } => state.engines.get(engine),
+        Stage::Waiting | Stage::Charging(_) | Stage::Scheduling { .. } => None,
+    };
+    // One whose row says otherwise by now was sent what it wrote by an older row, or has started anew since.
+    let build = build.filter(|build| engine.is_none_or(|engine| engine.entry.build.as_ref() == Some(build)));
+    flow.pin.wrote(build);
+    flow.may_have_run = true;
     let reading_us = flow.load(false).reading_us;
     let arrived = flow.arrived;
     let prompt = flow.prompt.clone();
--- a/fleet/src/path/pass.rs
+++ b/fleet/src/path/pass.rs
@@ -16,7 +16,7 @@
 /// Why a request of another entry VM is not passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Denial {
-    /// No such start of the engine is known, or it takes no work.
+    /// No such start of the engine is known, or one of another build, or it takes no work.
     Unknown,
     /// It cannot be reached from here either.
     Unreached,
@@ -39,7 +39,7 @@
     }
 }
 
-/// Another entry VM wants a request passed on to this start of an engine. Returns where that listens. The end of it is told by
+/// Another entry VM wants a request passed on to this start of an engine, which runs this build as far as that one knows. Returns where that listens. The end of it is told by
 /// [`crate::event::Event::Relayed`].
 ///
 /// # Errors
@@ -50,8 +50,9 @@
     now: Time,
     engine: &Name,
     incarnation: Incarnation,
+    build: Option<&Name>,
 ) -> Result<SocketAddr, Denial> {
-    let allowed = allow(state, now, engine, incarnation);
+    let allowed = allow(state, now, engine, incarnation, build);
     match allowed {
         Ok(_) => {
             state.paths.passing += 1;
@@ -62,12 +63,20 @@
     allowed
 }
 
-fn allow(state: &State, now: Time, engine: &Name, incarnation: Incarnation) -> Result<SocketAddr, Denial> {
+fn allow(
+    state: &State,
+    now: Time,
+    engine: &Name,
+    incarnation: Incarnation,
+    build: Option<&Name>,
+) -> Result<SocketAddr, Denial> {
     // What has come to its socket may be read before it knows that it stood still.
     if state.stopping || state.freshness.in_doubt() || freshness::is_waking(state, now) {
         return Err(Denial::Unready);
     }
     let known = state.engines.get(engine).filter(|known| known.entry.incarnation == incarnation);
+    // One of the two goes by an older row, and whoever asks may go on with a stream.
+    let known = known.filter(|known| known.entry.build.as_ref() == build);
     let known = known.filter(|known| known.takes_work()).ok_or(Denial::Unknown)?;
     if known.path.relay.is_some() || known.health.suspected(now) {
         return Err(Denial::Unreached);
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -100,8 +100,9 @@
     now: Time,
     engine: &Name,
     incarnation: Incarnation,
+    build: Option<&Name>,
 ) -> Result<SocketAddr, Denial> {
-    path::pass(state, now, engine, incarnation)
+    path::pass(state, now, engine, incarnation, build)
 }
 
 /// What is to be tried to tell another entry VM how an engine's port answers here; none where nothing can be told.
@@ -124,7 +125,7 @@
         Event::StoreUp(up) => entries::store_up(state, now, up, out),
         Event::Arrive { request, arrival } => flow::arrive(state, now, request, *arrival, out),
         Event::Gone(request) => flow::gone(state, now, request),
-        Event::Began { request, .. } => outcome::began(state, now, request, out),
+        Event::Began { request, build } => outcome::began(state, now, request, build.as_ref(), out),
         Event::Heard(engine) => {
             if let Some(engine) = state.engines.get_mut(&engine) {
                 engine.health.heard = now;
--- a/fleet/tests/request_relays.rs
+++ b/fleet/tests/request_relays.rs
@@ -11,7 +11,7 @@
 use boragecove_fleet::members::Member;
 use boragecove_fleet::path::{Denial, Relay};
 use boragecove_fleet::request::{Attempt, End, Id, Step};
-use node::{GATEWAY, Node, address, entry, listing, millis, plain, row};
+use node::{BUILD, GATEWAY, Node, address, entry, listing, millis, plain, row};
 
 /// Requests that are passed on at once, at most.
 const MOST: usize = 512;
@@ -21,7 +21,8 @@
 }
 
 fn pass(node: &mut Node) -> Result<(), Denial> {
-    boragecove_fleet::pass(&mut node.state, node.now, &g1(), Incarnation::default()).map(|_address| ())
+    boragecove_fleet::pass(&mut node.state, node.now, &g1(), Incarnation::default(), Some(&BUILD.into()))
+        .map(|_address| ())
 }
 
 fn other() -> Relay {
@@ -65,10 +66,21 @@
     let mut node = Node::ready("a");
     assert_eq!(pass(&mut node), Ok(()));
     let other_start = Incarnation(Some(7));
-    let denied = boragecove_fleet::pass(&mut node.state, node.now, &g1(), other_start);
+    let denied = boragecove_fleet::pass(&mut node.state, node.now, &g1(), other_start, Some(&BUILD.into()));
     assert_eq!(denied, Err(Denial::Unknown));
-    let denied = boragecove_fleet::pass(&mut node.state, node.now, &"g9".into(), Incarnation::default());
+    let denied = boragecove_fleet::pass(
+        &mut node.state,
+        node.now,
+        &"g9".into(),
+        Incarnation::default(),
+        Some(&BUILD.into()),
+    );
     assert_eq!(denied, Err(Denial::Unknown));
+    for build in [None, Some(Name::from("v1.1"))] {
+        let denied =
+            boragecove_fleet::pass(&mut node.state, node.now, &g1(), Incarnation::default(), build.as_ref());
+        assert_eq!(denied, Err(Denial::Unknown), "another build than is known here: {build:?}");
+    }
     let leaving = Entry { leaving: true, ..entry("g1", GATEWAY, "zone-a", &[]) };
     node.feed(listing(vec![row(9, leaving)], 9, false));
     assert_eq!(pass(&mut node), Err(Denial::Unknown));
--- /dev/null
+++ b/fleet/tests/stream_pins.rs
@@ -0,0 +1,120 @@
+//! Inside one answer, a stream whose caller has events goes on at engines of the build that wrote them, however it lost its engine; one without
+//! events goes to any.
+
+mod node;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_fleet::engine::{Entry, Incarnation};
+use boragecove_fleet::event::Event;
+use boragecove_fleet::request::{Attempt, Cause, End, Id, Refusal, Step};
+use node::{BUILD, Node, WRITER, began, config, entry, listing, millis, removed, row, step_of, streamed};
+use std::sync::Arc;
+
+const NEXT: &str = "v1.1";
+
+/// An engine that holds `m0`.
+fn writer(id: &str, build: Option<&str>) -> Entry {
+    Entry { build: build.map(Name::from), ..entry(id, WRITER, "zone-a", &["m0"]) }
+}
+
+/// A process that knows these engines.
+fn knowing(engines: &[Entry]) -> Node {
+    let mut node = Node::bare("a");
+    node.feed(Event::Configured(Arc::new(config(1))));
+    let rows = (1..).zip(engines).map(|(version, entry)| row(version, entry.clone())).collect();
+    node.feed(listing(rows, engines.len() as u64, true));
+    node
+}
+
+/// A stream that the only engine of the first build has begun, beside engines of the next.
+fn begun() -> (Node, Id, Attempt) {
+    let mut node = knowing(&[writer("w1", Some(BUILD))]);
+    let (id, first) = node.sent(streamed("/digest/1", "m0", None));
+    node.feed(began(id));
+    let next = ["w2", "w3"].map(|engine| row(5, writer(engine, Some(NEXT))));
+    node.feed(listing(next.to_vec(), 5, false));
+    (node, id, first)
+}
+
+fn refused(step: Option<Step>) -> Refusal {
+    match step {
+        Some(Step::Refuse(refusal)) => refusal,
+        step => panic!("not refused: {step:?}"),
+    }
+}
+
+fn sent_to(step: Option<Step>) -> Name {
+    match step {
+        Some(Step::Send(attempt)) => attempt.engine,
+        step => panic!("not sent: {step:?}"),
+    }
+}
+
+/// However an attempt ends, its stream goes on at no engine of another build; where there is none of its own, that is said at once.
+#[test]
+fn other_build_refused() {
+    let ends = [End::Lost, End::Broken, End::Unsent, End::Withheld, End::Refused(Cause::Busy)];
+    for end in ends {
+        let (mut node, id, first) = begun();
+        node.feed(listing(vec![removed(6, "w1")], 6, false));
+        let refusal = refused(node.ended(id, first.number, end));
+        assert_eq!(refusal.code, Code::Interrupted, "{end:?}");
+    }
+}
+
+/// It waits, while the table changes, for an engine of its build, and goes on there once it has room.
+#[test]
+fn own_build_awaited() {
+    let (mut node, id, first) = begun();
+    let cold = Entry { held: Vec::new(), ..writer("w4", Some(BUILD)) };
+    node.feed(listing(vec![row(6, cold)], 6, false));
+    assert_eq!(
+        node.ended(id, first.number, End::Lost),
+        None,
+        "one of its build is there, and does not hold the model"
+    );
+    node.pass(millis(100));
+    let effects = node.feed(listing(vec![row(7, writer("w4", Some(BUILD)))], 7, false)).to_vec();
+    assert_eq!(sent_to(step_of(&effects, id)), Name::from("w4"));
+}
+
+/// Before its first event went to the caller, any build may have it.
+#[test]
+fn unbegun_goes_anywhere() {
+    let mut node = knowing(&[writer("w1", Some(BUILD))]);
+    let (id, first) = node.sent(streamed("/digest/1", "m0", None));
+    node.feed(listing(vec![row(5, writer("w2", Some(NEXT)))], 5, false));
+    assert_eq!(sent_to(node.ended(id, first.number, End::Lost)), Name::from("w2"));
+}
+
+/// Engines that do not say their build are not taken for engines of one.
+#[test]
+fn unsaid_build_refused() {
+    let mut node = knowing(&[writer("w1", None), writer("w2", None)]);
+    let (id, first) = node.sent(streamed("/digest/1", "m0", None));
+    node.feed(Event::Began { request: id, build: None });
+    assert_eq!(refused(node.ended(id, first.number, End::Lost)).code, Code::Interrupted);
+}
+
+/// An engine's id is another start's, of another build, by the time the first event comes: nobody knows which of them wrote it.
+#[test]
+fn build_changed_under_id() {
+    let mut node = knowing(&[writer("w1", Some(BUILD)), writer("w2", Some(BUILD))]);
+    let (id, first) = node.sent(streamed("/digest/1", "m0", None));
+    let anew = Entry { incarnation: Incarnation(Some(9)), ..writer(&first.engine, Some(NEXT)) };
+    node.feed(listing(vec![row(7, anew)], 7, false));
+    node.feed(began(id));
+    assert_eq!(refused(node.ended(id, first.number, End::Lost)).code, Code::Interrupted);
+}
+
+/// Where it has lost its engine before a place at the next was given, the next one's row may say another build by then.
+#[test]
+fn build_changed_before_sending() {
+    let mut node = knowing(&[writer("w1", Some(BUILD)), writer("w2", Some(BUILD))]);
+    let (id, first) = node.sent(streamed("/digest/1", "m0", None));
+    node.feed(began(id));
+    let other = if *first.engine == *"w1" { "w2" } else { "w1" };
+    node.feed(listing(vec![row(5, writer(other, Some(NEXT)))], 5, false));
+    assert_eq!(refused(node.ended(id, first.number, End::Lost)).code, Code::Interrupted);
+}
--- a/fleet/tests/world/partitions.rs
+++ b/fleet/tests/world/partitions.rs
@@ -152,7 +152,8 @@
     pub(super) fn passed(&mut self, from: usize, to: usize, request: Id, attempt: &Attempt) {
         let now = self.now;
         let state = &mut self.vms[to].state;
-        let allowed = boragecove_fleet::pass(state, now, &attempt.engine, attempt.incarnation);
+        let allowed =
+            boragecove_fleet::pass(state, now, &attempt.engine, attempt.incarnation, attempt.build.as_ref());
         if allowed.is_err() || now >= attempt.write_by {
             if allowed.is_ok() {
                 self.feed(to, Event::Relayed);
