--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -9,7 +9,7 @@
 
 use crate::access;
 use crate::budget::{self, Repeat};
-use crate::config::{Kind, Route, Workspace};
+use crate::config::{Route, Workspace};
 use crate::flow::{COME_BACK, Flow, Stage};
 use crate::pin::Pin;
 use crate::request::{Arrival, Refusal};
@@ -70,7 +70,7 @@
     let limit = workspace.as_ref().and_then(|workspace| workspace.limit);
     let cost = limit.map_or(0.0, |limit| limit.cost(&arrival));
     let Arrival { patience, prompt, fingerprint, key, stream, resumes, .. } = arrival;
-    let resumable = matches!(route.kind, Kind::Stream { resumable: true });
+    let resumable = route.kind.resumable();
     let deadline = now + patience.unwrap_or(route.timeout).min(route.timeout);
     let work = prompt
         .as_ref()
--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -37,7 +37,7 @@
     /// All that could run it are in doubt, or none is known.
     Nowhere,
     /// It may go on at engines of one build only, and none of that takes work.
-    Unbuilt,
+    BuildGone,
     /// It may be served in some regions only, and no engine of the service can be reached there.
     Homeless,
     /// All that could run it have too much to do; they will have room after this time.
@@ -127,7 +127,7 @@
     match found.soonest_ms {
         Some(soonest) => Choice::Full(Duration::from_secs_f64(soonest / 1_000.0)),
         None if let Some(pause) = found.pause => Choice::Paused(pause),
-        None if query.pin.binds() && found.takers == 0 => Choice::Unbuilt,
+        None if query.pin.binds() && found.takers == 0 => Choice::BuildGone,
         None if found.holders == 0 && found.members > 0 && prompt.is_some() => Choice::Absent,
         None if query.homes.bind() => Choice::Homeless,
         None => Choice::Nowhere,
--- a/fleet/src/config.rs
+++ b/fleet/src/config.rs
@@ -170,6 +170,12 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Whether its streams may be taken up after an event.
+    #[must_use]
+    pub const fn resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether the answer is a stream of events.
     #[must_use]
     pub const fn streams(self) -> bool {
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -206,7 +206,7 @@
             let wait = if loads { state.settings.load_wait } else { DOUBT_WAIT };
             wait_for(state, now, id, wait, fresh, out);
         }
-        Choice::Unbuilt => give_up(state, now, id, Code::BuildGone, Some(Duration::ZERO), out),
+        Choice::BuildGone => give_up(state, now, id, Code::BuildGone, Some(Duration::ZERO), out),
         Choice::Homeless => give_up(state, now, id, Code::NoBackend, Some(COME_BACK), out),
         Choice::Nowhere => wait_for(state, now, id, DOUBT_WAIT, fresh, out),
         Choice::Full(wait) if fresh || flow_waited(state, now, id) => {
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -28,6 +28,7 @@
 const KEEPING_MIN: usize = 8;
 /// What they own, by hashing.
 const KEEPING: &str = "streams";
+/// What those that read the store own, by hashing.
 const READING: &str = "store";
 
 /// An entry VM.
--- /dev/null
+++ b/fleet/src/pin/keepers.rs
@@ -0,0 +1,115 @@
+//! Tells some entry VMs of each availability zone, a stream's keepers, what began it: whoever did may be gone when its client takes it up elsewhere.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use boragecove_core::time::Time;
+use serde::{Deserialize, Serialize};
+
+use super::{Origin, Pin, life, only_build};
+use crate::effect::Effect;
+use crate::flow::Flow;
+use crate::frame;
+use crate::request::{Id, Stream};
+use crate::state::State;
+use crate::timer::Timer;
+
+/// Time between two tellings of the streams that last; longer with hundreds of entry VMs.
+const TELL_EVERY: Duration = Duration::from_secs(1);
+/// Over this time entry VMs tell of them where a build has come; over a longer one with hundreds of entry VMs.
+const TELL_SPREAD: Duration = Duration::from_millis(40);
+
+/// Streams of one origin.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// What began them.
+    pub origin: Origin,
+    /// The streams.
+    pub streams: Vec<Stream>,
+}
+
+/// The first events of a stream have gone to its client.
+pub(crate) fn begun(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
+    let Some((stream, origin)) = state.flows.get(&id).and_then(origin_of) else {
+        return;
+    };
+    let life = life(state);
+    state.pins.kept.insert(now, stream, origin.clone(), life);
+    if only_build(state, now, &origin.service).is_some() {
+        return;
+    }
+    for address in keepers(state, stream) {
+        tell(state, address, vec![Note { origin: origin.clone(), streams: vec![stream] }], out);
+    }
+}
+
+/// The stream that a request goes on with, and what began it.
+fn origin_of(flow: &Flow) -> Option<(Stream, Origin)> {
+    let build = match &flow.pin {
+        Pin::Free => return None,
+        Pin::Build(build) => Some(build.clone()),
+        Pin::Unknown => None,
+    };
+    let stream = flow.stream.filter(|_| flow.route.kind.resumable())?;
+    Some((stream, Origin { service: flow.service.clone(), build }))
+}
+
+/// Where the keepers of a stream listen, but for this process.
+pub(super) fn keepers(state: &State, stream: Stream) -> Vec<SocketAddr> {
+    let keepers = state.members.keepers(stream).into_iter().filter(|member| member.vm != state.me.vm);
+    keepers.map(|member| member.address).collect()
+}
+
+fn tell(state: &mut State, address: SocketAddr, notes: Vec<Note>, out: &mut Vec<Effect>) {
+    state.pins.messages += 1;
+    state.pins.told += notes.iter().map(|note| note.streams.len() as u64).sum::<u64>();
+    out.push(Effect::Note { address, notes });
+}
+
+/// It is time to tell of the streams that last.
+pub(crate) fn due(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    state.timers.set(now + TELL_EVERY.mul_f64(frame::many(state)), Timer::Pins);
+    let life = life(state);
+    state.history.prune(now, life);
+    tell_all(state, now, out);
+}
+
+/// A service has engines of another build than before: what began its streams is to be told soon, and not by all entry VMs at once.
+pub(crate) fn build_came(state: &mut State, now: Time) {
+    let within = TELL_SPREAD.mul_f64(frame::many(state) * state.rng.f64());
+    state.timers.set(now + within, Timer::TellPins);
+}
+
+/// Tells the keepers of all streams that last.
+pub(crate) fn tell_all(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let life = life(state);
+    let streams: Vec<(Stream, Origin)> = state.flows.values().filter_map(origin_of).collect();
+    let mut notes: BTreeMap<SocketAddr, BTreeMap<Origin, BTreeSet<Stream>>> = BTreeMap::new();
+    for (stream, origin) in streams {
+        state.pins.kept.insert(now, stream, origin.clone(), life);
+        if only_build(state, now, &origin.service).is_some() {
+            continue;
+        }
+        for address in keepers(state, stream) {
+            notes.entry(address).or_default().entry(origin.clone()).or_default().insert(stream);
+        }
+    }
+    for (address, origins) in notes {
+        let note = |(origin, streams): (Origin, BTreeSet<Stream>)| Note {
+            origin,
+            streams: streams.into_iter().collect(),
+        };
+        tell(state, address, origins.into_iter().map(note).collect(), out);
+    }
+}
+
+/// Another entry VM tells what began some streams.
+pub(crate) fn keep(state: &mut State, now: Time, notes: Vec<Note>) {
+    let life = life(state);
+    for Note { origin, streams } in notes {
+        for stream in streams {
+            state.pins.kept.insert(now, stream, origin.clone(), life);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/pin/trace.rs
@@ -0,0 +1,109 @@
+//! Finds out what began a stream that a client takes up.
+
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+
+use super::keepers::keepers;
+use super::{Origin, Pin, only_build};
+use crate::effect::Effect;
+use crate::flow::{self, COME_BACK, Stage};
+use crate::record::Record;
+use crate::request::Id;
+use crate::state::State;
+
+/// Whether it is known which engines may go on with a request. If its client takes up a stream that another entry VM began, that is found out
+/// first, or the request is refused.
+pub(crate) fn identify(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) -> bool {
+    let Some(flow) = state.flows.get(&id) else {
+        return false;
+    };
+    if matches!(flow.stage, Stage::Tracing { .. }) {
+        return false;
+    }
+    let Some(resumption) = flow.resumes else {
+        return true;
+    };
+    if let Some(origin) = resumption.stream.and_then(|stream| state.pins.kept.get(stream)).cloned() {
+        return settle(state, now, id, &origin, "kept", out);
+    }
+    if let [share] = &*flow.route.split
+        && let Some(build) = only_build(state, now, &share.service)
+    {
+        let origin = Origin { service: share.service.clone(), build: Some(build.clone()) };
+        return settle(state, now, id, &origin, "only", out);
+    }
+    let asked = resumption.stream.map(|stream| (stream, keepers(state, stream)));
+    let Some((stream, keepers)) = asked.filter(|(_, keepers)| !keepers.is_empty()) else {
+        unknown(state, now, id, out);
+        return false;
+    };
+    if let Some(flow) = state.flows.get_mut(&id) {
+        flow.stage = Stage::Tracing { left: keepers.len() };
+    }
+    out.extend(keepers.into_iter().map(|address| Effect::Trace { address, request: id, stream }));
+    false
+}
+
+/// A keeper answered what began the stream that a request goes on with, or did not; none if it does not know.
+pub(crate) fn traced(state: &mut State, now: Time, id: Id, origin: Option<&Origin>, out: &mut Vec<Effect>) {
+    let Some(flow) = state.flows.get_mut(&id) else {
+        return;
+    };
+    let Stage::Tracing { left } = &mut flow.stage else {
+        return;
+    };
+    *left -= 1;
+    let over = *left == 0;
+    if let Some(origin) = origin {
+        flow.stage = Stage::Waiting;
+        if settle(state, now, id, origin, "told", out) {
+            flow::dispatch(state, now, id, true, out);
+        }
+    } else if over {
+        flow.stage = Stage::Waiting;
+        unknown(state, now, id, out);
+    }
+}
+
+/// It is known what began the stream that a request goes on with. Returns whether an engine may.
+fn settle(
+    state: &mut State,
+    now: Time,
+    id: Id,
+    origin: &Origin,
+    by: &'static str,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let Some(flow) = state.flows.get_mut(&id) else {
+        return false;
+    };
+    let Some(build) = &origin.build else {
+        unknown(state, now, id, out);
+        return false;
+    };
+    let resumption = flow.resumes.take();
+    flow.stream = resumption.and_then(|resumption| resumption.stream);
+    flow.pin = Pin::Build(build.clone());
+    let allowed = flow.route.split.iter().any(|share| share.service == origin.service);
+    flow.service.clone_from(&origin.service);
+    decided(state, id, by, Some(build.clone()), out);
+    if !allowed {
+        // Requests of its route may not go there any more.
+        flow::give_up(state, now, id, Code::BuildGone, Some(Duration::ZERO), out);
+    }
+    allowed
+}
+
+/// Nobody says what began the stream that a request goes on with.
+fn unknown(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) {
+    decided(state, id, "unknown", None, out);
+    flow::give_up(state, now, id, Code::OriginUnknown, Some(COME_BACK), out);
+}
+
+fn decided(state: &mut State, id: Id, by: &'static str, build: Option<Name>, out: &mut Vec<Effect>) {
+    *state.pins.decided.entry(by).or_default() += 1;
+    out.push(Effect::Record(Record::Traced { request: id.0, by, build, kept: state.pins.kept.len() }));
+}
