--- a/fleet/src/budget.rs
+++ b/fleet/src/budget.rs
@@ -42,8 +42,6 @@
 const SLACK_PART: f64 = 0.9;
 /// Part of the slack that the leader may give beyond what the row of the lease says.
 const RESERVE_PART: f64 = 0.25;
-/// The least of that, by how many times less it is.
-const LEAST_PART: u32 = 4;
 /// Part of the window for which what was earned may be used: what one process has earned, and another one after it, are in one window only so far.
 const OWN_KEPT: f64 = 0.2;
 /// How long a repeat that was allowed may be sent.
@@ -110,11 +108,6 @@
     (settings.repeat_slack * RESERVE_PART).max(1.0) as u32
 }
 
-/// The same of a leader that has given few lately, and has not led for long.
-fn least(settings: &Settings) -> u32 {
-    (reserve(settings) / LEAST_PART).max(1)
-}
-
 /// A slice of the window.
 fn slice(settings: &Settings) -> Duration {
     settings.repeat_window / SLICES
@@ -169,10 +162,9 @@
 }
 
 /// The row of the lease is about to be written.
-pub(crate) fn propose(state: &mut State, now: Time) {
-    let State { budget, settings, .. } = state;
-    if let Some(pool) = &mut budget.pool {
-        pool.propose(now, settings);
+pub(crate) fn propose(state: &mut State) {
+    if let Some(pool) = &mut state.budget.pool {
+        pool.propose();
     }
 }
 
@@ -191,13 +183,8 @@
 
 /// This process is about to take over a lease whose row says this. Whoever has given it back has given no repeats since.
 pub(crate) fn inherit(state: &mut State, spent: Option<&Spent>, released: bool) {
-    let mut spent = spent.cloned();
-    if let Some(spent) = spent.as_mut().filter(|_| released) {
-        spent.beyond = Some(0);
-        spent.services.iter_mut().for_each(|account| account.beyond = Some(0));
-    }
-    let least = least(&state.settings);
-    state.budget.inherited = spent.map(|spent| spent.taken_over(&state.settings, least));
+    let beyond = if released { 0 } else { reserve(&state.settings) };
+    state.budget.inherited = spent.map(|spent| spent.clone().plus(beyond));
 }
 
 /// The same where nobody has held the lease before.
--- a/fleet/src/budget/pool.rs
+++ b/fleet/src/budget/pool.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::window::Window;
-use super::{Ask, Asked, POOL_PART, SLACK_PART, counted, least, reserve, slice};
+use super::{Ask, Asked, POOL_PART, SLACK_PART, counted, reserve, slice};
 use crate::settings::Settings;
 
 /// Part of a service's allowance that the less urgent may use while more urgent requests ask too.
@@ -22,9 +22,6 @@
     pub services: Vec<Account>,
     /// Repeats that may have been given of each other service.
     pub others: u32,
-    /// What may be given of each of those beyond that, until the row is written again; none in rows that do not say it.
-    #[serde(default)]
-    pub beyond: Option<u32>,
 }
 
 /// What was counted of a service in the window, by how many quarters of it ago that was.
@@ -36,25 +33,17 @@
     pub requests: Vec<u32>,
     /// Repeats that may have been given.
     pub given: Vec<u32>,
-    /// What may be given beyond that, until the row is written again; none in rows that do not say it.
-    #[serde(default)]
-    pub beyond: Option<u32>,
 }
 
 impl Spent {
-    /// For whoever takes over from a leader that may have given all that its row allows beyond what it says. The next one may give no more than
-    /// `beyond` of each service until it has written a row of its own.
-    pub(super) fn taken_over(mut self, settings: &Settings, beyond: u32) -> Self {
-        let most = reserve(settings);
-        self.others = self.others.saturating_add(self.beyond.unwrap_or(most));
-        self.beyond = Some(beyond);
+    /// The same with so many more repeats of each service.
+    pub(super) fn plus(mut self, beyond: u32) -> Self {
+        self.others = self.others.saturating_add(beyond);
         for account in &mut self.services {
-            let given = account.beyond.unwrap_or(most);
             match account.given.first_mut() {
-                Some(last) => *last = last.saturating_add(given),
-                None => account.given.push(given),
+                Some(last) => *last = last.saturating_add(beyond),
+                None => account.given.push(beyond),
             }
-            account.beyond = Some(beyond);
         }
         self
     }
@@ -73,31 +62,6 @@
     began: Time,
     /// What leaders before may have given of each service that is not counted yet.
     others: u32,
-    /// What may be given of each of those until the row is written again.
-    beyond: Beyond,
-}
-
-/// How much may be given beyond what the row of the lease says: the least of what the rows say that may stand there.
-#[derive(Clone, Copy, Debug, Default)]
-struct Beyond {
-    limit: u32,
-    /// What the row says that was composed last.
-    proposed: u32,
-}
-
-impl Beyond {
-    const fn of(limit: u32) -> Self {
-        Self { limit, proposed: limit }
-    }
-
-    fn propose(&mut self, beyond: u32) {
-        self.proposed = beyond;
-        self.limit = self.limit.min(beyond);
-    }
-
-    const fn written(&mut self) {
-        self.limit = self.proposed;
-    }
 }
 
 #[derive(Debug, Default)]
@@ -107,7 +71,6 @@
     /// Repeats that were given since the row in the store was composed, and since one was composed last.
     unwritten: u32,
     unproposed: u32,
-    beyond: Beyond,
     /// The most urgent rank that asked, and when it did last.
     urgent: Option<(u8, Time)>,
 }
@@ -115,22 +78,14 @@
 impl Pool {
     /// Of a leader that begins; nothing is known of those before where no row says it.
     pub(super) fn new(now: Time, before: Option<Spent>, settings: &Settings) -> Self {
-        let unknown = Spent { services: Vec::new(), others: u32::MAX, beyond: None };
-        let before = before.unwrap_or(unknown);
-        let beyond = |said: Option<u32>| Beyond::of(said.unwrap_or_else(|| reserve(settings)));
-        let mut pool = Self {
-            services: BTreeMap::new(),
-            began: now,
-            others: before.others,
-            beyond: beyond(before.beyond),
-        };
+        let before = before.unwrap_or(Spent { services: Vec::new(), others: u32::MAX });
+        let mut pool = Self { services: BTreeMap::new(), began: now, others: before.others };
         for account in before.services {
             let age = age(settings);
             let service = Service {
                 // Each is as old as its age may be, and the row may have been written as long ago as a lease lasts.
                 requests: Window::aged(now, &account.requests, age, age + settings.lease_length),
                 given: Window::aged(now, &account.given, age, Duration::ZERO),
-                beyond: beyond(account.beyond),
                 ..Service::default()
             };
             pool.services.insert(account.service, service);
@@ -139,9 +94,9 @@
     }
 
     fn service(&mut self, service: u32, settings: &Settings) -> &mut Service {
-        let Self { services, began, others, beyond } = self;
+        let Self { services, began, others } = self;
         services.entry(service).or_insert_with(|| {
-            let mut new = Service { beyond: *beyond, ..Service::default() };
+            let mut new = Service::default();
             new.given.add(*began, *others, settings);
             new
         })
@@ -159,7 +114,7 @@
         let service = self.service(ask.service, settings);
         let allowed = service.allowed(now, settings) * service.part(now, ask.rank, settings);
         let given = service.given(now, settings);
-        if f64::from(given.saturating_add(1)) > allowed || service.unwritten >= service.beyond.limit {
+        if f64::from(given.saturating_add(1)) > allowed || service.unwritten >= reserve(settings) {
             return false;
         }
         service.given.add(now, 1, settings);
@@ -168,17 +123,9 @@
         true
     }
 
-    /// A row is composed. Whoever has led for a window and longer may give all of the reserve before the next one; else only what was needed
-    /// lately, since each change of the leader takes that from what may be given.
-    pub(super) fn propose(&mut self, now: Time, settings: &Settings) {
-        let most = reserve(settings);
-        let stable = now.since(self.began) >= settings.repeat_window;
-        let least = if stable { most } else { least(settings) };
-        self.beyond.propose(least);
-        for service in self.services.values_mut() {
-            service.beyond.propose(service.unproposed.saturating_mul(2).clamp(least, most));
-            service.unproposed = 0;
-        }
+    /// A row is composed.
+    pub(super) fn propose(&mut self) {
+        self.services.values_mut().for_each(|service| service.unproposed = 0);
     }
 
     /// What a row is to say.
@@ -188,7 +135,6 @@
             service: *service,
             requests: counts.requests.by_age(now, age),
             given: counts.given.by_age(now, age),
-            beyond: Some(counts.beyond.proposed),
         };
         let services = self.services.iter().map(account);
         let lapsed = now.since(self.began) > counted(settings);
@@ -197,17 +143,12 @@
         Spent {
             services: services.filter(|account| !lapsed || !is_blank(account)).collect(),
             others: if lapsed { 0 } else { self.others },
-            beyond: Some(self.beyond.proposed),
         }
     }
 
     /// The row that was composed last is in the store.
     pub(super) fn written(&mut self) {
-        self.beyond.written();
-        for service in self.services.values_mut() {
-            service.unwritten = service.unproposed;
-            service.beyond.written();
-        }
+        self.services.values_mut().for_each(|service| service.unwritten = service.unproposed);
     }
 }
 
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -123,7 +123,7 @@
 /// The row is about to be written.
 fn propose(state: &mut State, now: Time) {
     quota::propose(state, now);
-    budget::propose(state, now);
+    budget::propose(state);
 }
 
 fn own_row(state: &State, now: Time, term: u64, former: Option<Former>, released: bool) -> Row {
--- a/fleet/tests/repeat_budget.rs
+++ b/fleet/tests/repeat_budget.rs
@@ -4,18 +4,13 @@
 mod node;
 mod world;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use arbtest::arbitrary::{self, Unstructured};
 use arbtest::arbtest;
-use boragecove_core::time::Time;
-use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::{Entry, Row};
-use boragecove_fleet::event::Event;
-use boragecove_fleet::lease::{Call, Outcome};
 use boragecove_fleet::settings::Settings;
-use node::{GATEWAY, Node, START_MS, entry, lease_calls, millis, row};
+use node::{GATEWAY, entry, millis, row};
 use world::repeats::{Window, settled};
 use world::{Backends, World, ZONES};
 
@@ -305,32 +300,3 @@
         }
     }
 }
-
-/// Guards against repeats that are lost with each change of the leader: whoever has just begun to lead promises few beyond what its row says, and all
-/// of the reserve only after a window, so that the next one takes few of them for given.
-#[test]
-fn reserve_by_need() {
-    let mut node = Node::bare("a");
-    node.feed(Event::Configured(Arc::new(node::config(1))));
-    node.lead();
-    let beyond = |effects: &[Effect]| {
-        let rows = lease_calls(effects).into_iter().filter_map(|call| match call {
-            Call::Write { row, .. } => row.repeats,
-            Call::Read => None,
-        });
-        rows.last().and_then(|spent| spent.beyond)
-    };
-    let mut promised = Vec::new();
-    for _ in 0..40 {
-        let effects = node.pass(millis(400));
-        if !lease_calls(&effects).is_empty() {
-            promised.extend(beyond(&effects));
-            let store_ms = node.now.since(Time::from_millis(START_MS)).as_millis() as u64;
-            node.lease(store_ms, Outcome::Written(200 + promised.len() as u64));
-        }
-    }
-    let settings = Settings::default();
-    let reserve = (settings.repeat_slack / 4.0) as u32;
-    assert_eq!(promised.first(), Some(&(reserve / 4)));
-    assert_eq!(promised.last(), Some(&reserve));
-}
