Read the parts of prompts, and log which of them a request shares

`received` now lists those that other requests may share (all but the last), as hashes that `crash` lines lead to by the number of their request. Nothing goes by them yet.

--- a/daemon/src/entry/log.rs
+++ b/daemon/src/entry/log.rs
@@ -58,6 +58,9 @@
         path: &'a Name,
         model: Option<&'a Name>,
         adapter: Option<&'a Name>,
+        /// Parts of its prompt that other requests may share, as hashes.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<String>,
         /// The attempt that began the stream that is taken up again, and its last event that the caller has.
         #[serde(skip_serializing_if = "Option::is_none")]
         resumes: Option<&'a Name>,
@@ -137,6 +140,7 @@
             path: &arrival.path,
             model: arrival.prompt.as_ref().map(|prompt| &prompt.model),
             adapter: arrival.prompt.as_ref().and_then(|prompt| prompt.adapter.as_ref()),
+            parts: arrival.parts.iter().map(ToString::to_string).collect(),
             resumes: content.resumes.as_ref(),
             after_event: content.resumes_after,
             patience_ms: arrival.patience.map(|patience| patience.as_millis() as u64),
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -30,7 +30,8 @@
     }
 }
 
-/// What a request asks of an engine, whoever sends it and under whichever id: a hash of its host, target and body.
+/// What a request asks of an engine, whoever sends it and under whichever id: a hash of its host, target and body. Or a part of
+/// its prompt, which other requests share: a hash of the part's id.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint(u64, u64);
 
@@ -38,15 +39,25 @@
     /// Of a request for `host` with this path, query and body.
     #[must_use]
     pub fn of(host: &str, target: &str, body: &[u8]) -> Self {
+        Self::hash(host, &[target.as_bytes(), body])
+    }
+
+    fn hash(first: &str, rest: &[&[u8]]) -> Self {
         let mut hash = Xxh3::new();
-        for part in [host.as_bytes(), target.as_bytes(), body] {
-            hash.update(&(part.len() as u64).to_le_bytes());
-            hash.update(part);
+        for piece in std::iter::once(first.as_bytes()).chain(rest.iter().copied()) {
+            hash.update(&(piece.len() as u64).to_le_bytes());
+            hash.update(piece);
         }
         let sum = hash.digest128();
         Self((sum >> 64) as u64, sum as u64)
     }
 
+    /// Of the part of a prompt that has this id.
+    #[must_use]
+    pub fn of_part(id: &str) -> Self {
+        Self::hash("part", &[id.as_bytes()])
+    }
+
     /// A number for it, and another one where what is said of it is the opposite.
     pub(crate) const fn digest(self, opposite: bool) -> u64 {
         if opposite { self.1 } else { self.0 }
@@ -97,6 +108,8 @@
     pub prompt: Option<Prompt>,
     /// What it asks, to tell when it comes again.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share, in order.
+    pub parts: Vec<Fingerprint>,
     /// The key that its caller has, if it names one.
     pub key: Option<Digest>,
     /// Tokens that it says it reads and generates.
