--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -48,6 +48,8 @@
     vms: Vec<Vm>,
     transfers: Vec<Transfer>,
     pushes: usize,
+    /// What entry VMs want for requests, and has not been taken.
+    wanted: Vec<(usize, Effect)>,
 }
 
 struct Vm {
@@ -110,7 +112,7 @@
             suspended: false,
         };
         let vms = rates.iter().enumerate().map(vm).collect();
-        let mut links = Self { now, vms, transfers: Vec::new(), pushes: 0 };
+        let mut links = Self { now, vms, transfers: Vec::new(), pushes: 0, wanted: Vec::new() };
         for at in 0..rates.len() {
             links.feed(at, Event::Configured(Arc::clone(config)));
             links.feed(
@@ -173,6 +175,11 @@
         self.vms.iter().filter(|vm| !vm.suspended).filter(lacks).count()
     }
 
+    /// What entry VMs wanted for requests since this was asked last, and which of them.
+    pub fn wanted(&mut self) -> Vec<(usize, Effect)> {
+        std::mem::take(&mut self.wanted)
+    }
+
     /// Messages that were pushed from one entry VM to another.
     pub fn pushes(&self) -> usize {
         self.pushes
@@ -301,6 +308,7 @@
                 let answer = self.lease(call);
                 self.feed(at, Event::Lease(answer));
             }
+            Effect::Step { .. } | Effect::Ask { .. } => self.wanted.push((at, effect)),
             Effect::WakeAt(wake) => self.vms[at].wake = Some(wake),
             // The store is read by the hub alone here; the rest concerns requests and engines.
             _ => {}
--- /dev/null
+++ b/fleet/tests/storm/mod.rs
@@ -0,0 +1,551 @@
+//! A deployment in which requests share parts of their prompts, and one part ends each engine that begins to write on it: drawn
+//! at random, without a network.
+
+#![allow(dead_code, reason = "each test uses what it needs")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragecove_core::code::Code;
+use boragecove_core::name::Name;
+use boragecove_core::time::Time;
+use boragecove_fleet::effect::Effect;
+use boragecove_fleet::engine::Reach;
+use boragecove_fleet::event::Event;
+use boragecove_fleet::path::Relay;
+use boragecove_fleet::request::{Arrival, End, Events, Fingerprint, Id, Step};
+use boragecove_fleet::schedule::Grant;
+
+use crate::links::{LARGE, Links, SMALL};
+use crate::node::{BUILD, HOST, WRITER, config, entry, listing, millis, removed, row, streamed};
+
+/// Time within which those that are in touch know what one of them has seen.
+pub const CONTACT: Duration = Duration::from_secs(3);
+/// Ends of engines under a part after which, and [`CONTACT`] later, hardly any request with it is to be sent.
+pub const ENDS_MAX: usize = 5;
+/// Sendings after that.
+pub const LATER_MAX: usize = 3;
+/// A tick of the world.
+const TICK: Duration = Duration::from_millis(10);
+/// From a sending to the run's beginning.
+const ARRIVAL: Duration = Duration::from_millis(10);
+/// From an answer's first event to its end, and between two events.
+const WRITING: Duration = Duration::from_millis(600);
+const EVENT: Duration = Duration::from_millis(100);
+/// Requests that share a first part, and parts that are second.
+pub const FIRSTS: u64 = 5;
+pub const SECONDS: u64 = 200;
+
+/// What happens in a deployment.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub seed: u64,
+    pub vms: usize,
+    pub engines: usize,
+    pub slots: u32,
+    /// Sound requests a second.
+    pub sound: f64,
+    /// Requests a second with each bad part.
+    pub bad: f64,
+    /// Bad parts: the second of a prompt, or the first.
+    pub parts: Vec<Bad>,
+    /// The longest time that an engine reads before it writes; the shortest is 30 ms.
+    pub read: Duration,
+    /// From the beginning of an answer on a bad part to its engine's end.
+    pub fuse: Duration,
+    /// Whether such an engine sends a first event before it ends.
+    pub begins: bool,
+    /// How long an engine that ended is gone.
+    pub down: Duration,
+    /// When all engines end for another cause.
+    pub waves: Vec<Duration>,
+    /// When entry VMs are killed, and which part of them.
+    pub kills: Vec<(Duration, f64)>,
+    /// When the leader stands still, and for how long.
+    pub frozen: Option<(Duration, Duration)>,
+    /// When bad requests come.
+    pub from: Duration,
+    pub lasts: Duration,
+    /// The route.
+    pub path: &'static str,
+    /// Requests whose clients come again at once if they fail: tries of each.
+    pub tries: u32,
+}
+
+/// A part that ends engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// The first of a prompt.
+    First(u64),
+    /// The second; sound requests have had it before.
+    Second(u64),
+    /// The second; no sound request has it.
+    Fresh(u64),
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            seed: 0,
+            vms: 9,
+            engines: 18,
+            slots: 30,
+            sound: 100.0,
+            bad: 2.0,
+            parts: vec![Bad::Fresh(7)],
+            read: millis(30),
+            fuse: millis(50),
+            begins: false,
+            down: Duration::from_secs(2),
+            waves: Vec::new(),
+            kills: Vec::new(),
+            frozen: None,
+            from: Duration::from_secs(3),
+            lasts: Duration::from_secs(25),
+            path: "/brief/1",
+            tries: 1,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    text: String,
+    parts: [String; 2],
+    bad: Option<usize>,
+    arrived: Time,
+    tries: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    vm: usize,
+    request: Id,
+    attempt: u32,
+    engine: Name,
+    /// When it writes its first event.
+    writes: Time,
+    /// When it has told of an event last; none before the first.
+    told: Option<Time>,
+}
+
+/// What came of sound requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Served {
+    pub asked: usize,
+    pub began: usize,
+}
+
+impl Served {
+    pub fn share(self) -> f64 {
+        if self.asked == 0 { 1.0 } else { self.began as f64 / self.asked as f64 }
+    }
+}
+
+/// What came of a storm.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Engines that ended under each bad part.
+    pub ends: Vec<usize>,
+    /// Sendings with each, from [`CONTACT`] after the fifth end.
+    pub later: Vec<usize>,
+    /// Sound requests, and those that were refused for what engines ended under.
+    pub sound: usize,
+    pub wronged: usize,
+    /// Shared parts of sound requests that were refused so.
+    pub accused: BTreeSet<String>,
+    /// Sound requests with the first part of the bad ones, and others, from twice [`CONTACT`] after the fifth end, or the last.
+    pub kin: Served,
+    pub others: Served,
+    /// Messages that were pushed.
+    pub pushes: usize,
+}
+
+struct World {
+    settings: Settings,
+    links: Links,
+    rng: fastrand::Rng,
+    version: u64,
+    begin: Time,
+    engines: BTreeSet<Name>,
+    gone: Vec<Name>,
+    back: Vec<Time>,
+    named: usize,
+    drawn: u64,
+    runs: Vec<Run>,
+    requests: BTreeMap<(usize, Id), Request>,
+    again: Vec<(usize, Request)>,
+    /// Times of the engines' ends, and of sendings, under each bad part.
+    ends: Vec<Vec<Time>>,
+    sendings: Vec<Vec<Time>>,
+    /// Sound requests: when they came, whether with the first part of bad ones, and whether they began at their first attempt.
+    served: BTreeMap<(usize, Id), (Time, bool, bool)>,
+    outcome: Outcome,
+}
+
+/// Plays a deployment.
+pub fn play(settings: Settings) -> Outcome {
+    let mut world = World::new(settings);
+    let ticks = world.settings.lasts.as_millis() / TICK.as_millis();
+    for _ in 0..ticks {
+        world.tick();
+    }
+    world.outcome()
+}
+
+impl World {
+    fn new(settings: Settings) -> Self {
+        let rates: Vec<f64> = (0..settings.vms).map(|at| if at % 3 == 0 { LARGE } else { SMALL }).collect();
+        let links = Links::new(&rates, &Arc::new(config(1)));
+        let bad = settings.parts.len();
+        let mut world = Self {
+            begin: links.now,
+            links,
+            rng: fastrand::Rng::with_seed(settings.seed),
+            version: 1,
+            engines: BTreeSet::new(),
+            gone: Vec::new(),
+            back: Vec::new(),
+            named: 0,
+            drawn: 0,
+            runs: Vec::new(),
+            requests: BTreeMap::new(),
+            again: Vec::new(),
+            ends: vec![Vec::new(); bad],
+            sendings: vec![Vec::new(); bad],
+            served: BTreeMap::new(),
+            outcome: Outcome::default(),
+            settings,
+        };
+        for _ in 0..world.settings.engines {
+            world.start();
+        }
+        world.links.pass(Duration::from_secs(3));
+        world.begin = world.links.now;
+        world
+    }
+
+    fn start(&mut self) {
+        self.named += 1;
+        let id: Name = format!("w{}", self.named).into();
+        let zone = ["zone-a", "zone-b", "zone-c"][self.named % 3];
+        let entry = boragecove_fleet::engine::Entry {
+            slots: self.settings.slots,
+            ..entry(&id, WRITER, zone, &["m0"])
+        };
+        self.version += 1;
+        let mut rows = vec![row(self.version, entry)];
+        // The store has noticed by then that those which ended are gone.
+        for gone in std::mem::take(&mut self.gone) {
+            self.version += 1;
+            rows.push(removed(self.version, &gone));
+        }
+        self.engines.insert(id);
+        let version = self.version;
+        (0..self.links.len()).for_each(|vm| self.links.feed(vm, listing(rows.clone(), version, false)));
+    }
+
+    fn now(&self) -> Time {
+        self.links.now
+    }
+
+    fn since_begin(&self) -> Duration {
+        self.now().since(self.begin)
+    }
+
+    /// Whether something that comes so often a second comes in this tick.
+    fn comes(&mut self, rate: f64) -> usize {
+        let expected = rate * TICK.as_secs_f64();
+        expected as usize + usize::from(self.rng.f64() < expected.fract())
+    }
+
+    fn vm(&mut self) -> Option<usize> {
+        let vm = self.rng.usize(..self.settings.vms);
+        self.links.runs(vm).then_some(vm)
+    }
+
+    fn draw(&mut self, bad: Option<usize>) -> Request {
+        self.drawn += 1;
+        let mut first = self.rng.u64(..FIRSTS);
+        let mut second = format!("s{}", self.rng.u64(..SECONDS));
+        match bad.map(|bad| self.settings.parts[bad]) {
+            None => {}
+            Some(Bad::First(part)) => first = part,
+            Some(Bad::Second(part)) => (first, second) = (0, format!("s{part}")),
+            Some(Bad::Fresh(part)) => (first, second) = (0, format!("x{part}")),
+        }
+        let parts = [format!("f{first}"), second];
+        // Whoever draws a bad part brings a bad request, wanted or not.
+        let bad = bad.or_else(|| {
+            let is_bad = |bad: &Bad| match bad {
+                Bad::First(part) => parts[0] == format!("f{part}"),
+                Bad::Second(part) => parts[1] == format!("s{part}"),
+                Bad::Fresh(_) => false,
+            };
+            let from = self.since_begin() >= self.settings.from;
+            self.settings.parts.iter().position(is_bad).filter(|_| from)
+        });
+        let text = format!("request {}", self.drawn);
+        Request { text, parts, bad, arrived: self.now(), tries: self.settings.tries }
+    }
+
+    fn arrive(&mut self, vm: usize, request: Request, first: bool) {
+        self.drawn += 1;
+        let id = Id(self.drawn);
+        let parts = request.parts.iter().map(|part| Fingerprint::of_part(part)).collect();
+        let path = self.settings.path;
+        let fingerprint = Fingerprint::of(HOST, path, request.text.as_bytes());
+        let arrival = Arrival { fingerprint, parts, ..streamed(path, "m0", None) };
+        if request.bad.is_none() && first {
+            self.outcome.sound += 1;
+            self.served.insert((vm, id), (self.now(), request.parts[0] == "f0", false));
+        }
+        self.requests.insert((vm, id), request);
+        self.links.feed(vm, Event::Arrive { request: id, arrival: Box::new(arrival) });
+        self.follow();
+    }
+
+    /// Does what entry VMs want for requests.
+    fn follow(&mut self) {
+        loop {
+            let wanted = self.links.wanted();
+            if wanted.is_empty() {
+                return;
+            }
+            for (vm, effect) in wanted {
+                match effect {
+                    Effect::Ask { request, .. } => {
+                        let grant = Some(Grant::After(Duration::ZERO));
+                        self.links.feed(vm, Event::Granted { request, grant });
+                    }
+                    Effect::Step { request, step } => self.step(vm, request, step),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, vm: usize, request: Id, step: Step) {
+        self.runs.retain(|run| (run.vm, run.request) != (vm, request));
+        let Some(known) = self.requests.get(&(vm, request)).cloned() else {
+            return;
+        };
+        match step {
+            Step::Send(attempt) => {
+                if let Some(bad) = known.bad {
+                    let now = self.now();
+                    self.sendings[bad].push(now);
+                }
+                let longest = self.settings.read.max(millis(30)).as_secs_f64();
+                let read = 0.03 + self.rng.f64() * (longest - 0.03);
+                let writes = attempt.at + ARRIVAL + Duration::from_secs_f64(read);
+                let run =
+                    Run { vm, request, attempt: attempt.number, engine: attempt.engine, writes, told: None };
+                if self.engines.contains(&run.engine) {
+                    self.runs.push(run);
+                } else {
+                    self.end(&run, End::Unsent);
+                }
+            }
+            Step::Refuse(refusal) => {
+                self.requests.remove(&(vm, request));
+                if known.bad.is_none() && refusal.code == Code::CrashesBackends {
+                    self.outcome.wronged += 1;
+                    self.outcome.accused.extend(known.parts.clone());
+                } else if refusal.code != Code::CrashesBackends {
+                    self.come_again(&known);
+                }
+            }
+            Step::Pass => {
+                self.requests.remove(&(vm, request));
+            }
+            Step::Wait => {}
+        }
+    }
+
+    /// Its client tries once more, at another entry VM.
+    fn come_again(&mut self, request: &Request) {
+        if request.tries > 1
+            && let Some(vm) = self.vm()
+        {
+            self.again.push((vm, Request { tries: request.tries - 1, ..request.clone() }));
+        }
+    }
+
+    fn end(&mut self, run: &Run, end: End) {
+        let ended =
+            Event::Ended { request: run.request, attempt: run.attempt, end, events: Events::default() };
+        self.links.feed(run.vm, ended);
+    }
+
+    /// An engine's process ends: what runs there breaks.
+    fn crash(&mut self, engine: &Name, bad: Option<usize>) {
+        if !self.engines.remove(engine) {
+            return;
+        }
+        self.gone.push(engine.clone());
+        self.back.push(self.now() + self.settings.down);
+        if let Some(bad) = bad {
+            let now = self.now();
+            self.ends[bad].push(now);
+        }
+        let broken: Vec<Run> = self.runs.extract_if(.., |run| run.engine == *engine).collect();
+        for run in &broken {
+            self.end(run, End::Lost);
+        }
+        let vms: BTreeSet<usize> = broken.iter().map(|run| run.vm).collect();
+        for vm in vms {
+            for event in [
+                Event::Probed { engine: engine.clone(), reach: Reach::Closed },
+                Event::ProbedIndirectly { engine: engine.clone(), reach: Some(Reach::Closed) },
+                Event::PathSeen { engine: engine.clone(), by: other(), reach: Some(Reach::Closed) },
+            ] {
+                self.links.feed(vm, event);
+            }
+        }
+        self.follow();
+    }
+
+    fn tick(&mut self) {
+        self.links.pass(TICK);
+        self.follow();
+        let at = self.since_begin();
+        let now = self.now();
+        let due = self.back.iter().filter(|back| **back <= now).count();
+        self.back.retain(|back| *back > now);
+        (0..due).for_each(|_| self.start());
+        self.disturb(at);
+        for (vm, request) in std::mem::take(&mut self.again) {
+            self.arrive(vm, request, false);
+        }
+        for _ in 0..self.comes(self.settings.sound) {
+            let request = self.draw(None);
+            if let Some(vm) = self.vm() {
+                self.arrive(vm, request, true);
+            }
+        }
+        for bad in 0..self.settings.parts.len() {
+            if at < self.settings.from {
+                continue;
+            }
+            for _ in 0..self.comes(self.settings.bad) {
+                let request = self.draw(Some(bad));
+                if let Some(vm) = self.vm() {
+                    self.arrive(vm, request, false);
+                }
+            }
+        }
+        self.write();
+    }
+
+    /// Kills, frozen leaders, and engines that end for another cause.
+    fn disturb(&mut self, at: Duration) {
+        let is_now = |then: Duration| then <= at && at < then + TICK;
+        if self.settings.waves.iter().any(|wave| is_now(*wave)) {
+            for engine in self.engines.clone() {
+                self.crash(&engine, None);
+            }
+        }
+        for (_, part) in self.settings.kills.clone().into_iter().filter(|(kill, _)| is_now(*kill)) {
+            for vm in 0..self.settings.vms {
+                if self.rng.f64() < part {
+                    self.kill(vm);
+                }
+            }
+        }
+        if let Some((from, lasts)) = self.settings.frozen {
+            if is_now(from) {
+                self.links.suspend(0, true);
+            }
+            if is_now(from + lasts) {
+                self.links.suspend(0, false);
+            }
+        }
+    }
+
+    fn kill(&mut self, vm: usize) {
+        self.runs.retain(|run| run.vm != vm);
+        self.requests.retain(|(of, _), _| *of != vm);
+        self.links.restart(vm);
+        self.links.feed(vm, Event::Configured(Arc::new(config(1))));
+        let rows = self.engines.iter().map(|id| {
+            let number: usize = id[1..].parse().expect("an engine's name ends with its number");
+            let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
+            let entry = boragecove_fleet::engine::Entry {
+                slots: self.settings.slots,
+                ..entry(id, WRITER, zone, &["m0"])
+            };
+            row(self.version, entry)
+        });
+        let rows = rows.collect();
+        self.links.feed(vm, listing(rows, self.version, true));
+    }
+
+    /// Engines write, or end.
+    fn write(&mut self) {
+        let now = self.now();
+        let ends = |world: &Self, run: &Run| {
+            let request = world.requests.get(&(run.vm, run.request))?;
+            request.bad.filter(|_| run.writes + world.settings.fuse <= now)
+        };
+        while let Some((engine, bad)) =
+            self.runs.iter().find_map(|run| Some((run.engine.clone(), ends(self, run)?)))
+        {
+            self.crash(&engine, Some(bad));
+        }
+        for at in 0..self.runs.len() {
+            let run = &self.runs[at];
+            let Some(request) = self.requests.get(&(run.vm, run.request)) else {
+                continue;
+            };
+            let writes = run.writes <= now && (request.bad.is_none() || self.settings.begins);
+            let due = run.told.is_none_or(|told| told + EVENT <= now);
+            if !writes || !due {
+                continue;
+            }
+            let (vm, request, attempt) = (run.vm, run.request, run.attempt);
+            self.runs[at].told = Some(now);
+            self.links.feed(vm, Event::Began { request, build: Some(BUILD.into()) });
+            if let Some((_, _, began)) = self.served.get_mut(&(vm, request)).filter(|_| attempt == 1) {
+                *began = true;
+            }
+        }
+        let sound =
+            |run: &Run| self.requests.get(&(run.vm, run.request)).is_none_or(|known| known.bad.is_none());
+        let over = |run: &mut Run| run.writes + WRITING <= now && sound(run);
+        let over: Vec<Run> = self.runs.extract_if(.., over).collect();
+        for run in &over {
+            self.end(run, End::Done);
+        }
+        self.follow();
+    }
+
+    fn outcome(mut self) -> Outcome {
+        let mut from: Option<Time> = None;
+        for (ends, sendings) in self.ends.iter().zip(&self.sendings) {
+            self.outcome.ends.push(ends.len());
+            let fifth = ends.get(ENDS_MAX - 1);
+            let later = fifth.map_or(0, |fifth| sendings.iter().filter(|at| **at > *fifth + CONTACT).count());
+            self.outcome.later.push(later);
+            let last = fifth.or(ends.last()).map(|at| *at + CONTACT * 2);
+            from = from.max(last);
+        }
+        let from = from.unwrap_or(self.begin);
+        // Those that came last had no time to begin.
+        let until = self.now() - Duration::from_secs(3);
+        for (came, kin, began) in self.served.values().filter(|(came, _, _)| *came >= from && *came < until) {
+            let _ = came;
+            let served = if *kin { &mut self.outcome.kin } else { &mut self.outcome.others };
+            served.asked += 1;
+            served.began += usize::from(*began);
+        }
+        self.outcome.pushes = self.links.pushes();
+        self.outcome
+    }
+}
+
+/// An entry VM that is asked for a way to an engine.
+fn other() -> Relay {
+    Relay { vm: "vm-other".into(), address: ([10, 0, 0, 9], 7_000).into() }
+}
