Hold crashes against the parts that prompts share

Callers of one route saw engine after engine end: requests with one part in their prompts, no two alike.

Cause: what is learnt of a crash was tied to the whole request (a hash of host, target and body), though its cause may be a part that many requests share. Each such request was new, with one crash each; nothing was quarantined.

Now each shared part of a run that broke unanswered has a strike, and so has the part together with the model. An answer of 300 ms voids the strikes of runs sent before it began; entry VMs whose strikes it would void are told, by one or two of all who see it. Three strikes and more are weighed against the chance that a run without the part breaks, by the runs of the last ten seconds; crashes that a convicted part explains count for nobody else. A part is convicted once engines have answered again for long enough that an answer on it would have been heard of. News, frames and the lease's row carry it as they carry quarantined requests.

--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -10,6 +10,7 @@
 use crate::access;
 use crate::budget::{self, Repeat};
 use crate::config::{Route, Workspace};
+use crate::crash;
 use crate::flow::{COME_BACK, Flow, Stage};
 use crate::pin::Pin;
 use crate::request::{Arrival, Refusal};
@@ -28,7 +29,8 @@
         return refuse(Code::UnknownPath, None);
     };
     let workspace = access::identify(state, now, &route, arrival.key)?;
-    if state.crashes.is_quarantined(arrival.fingerprint, now) {
+    let parts = crash::shared(&arrival);
+    if state.crashes.bars(arrival.fingerprint, &parts, now).is_some() {
         return refuse(Code::CrashesBackends, None);
     }
     if state.graced && !fits_before_stop(state, now, &route, arrival.patience) {
@@ -43,7 +45,7 @@
         return refuse(Code::UnknownModel, None);
     }
     budget::request(state, now, &service);
-    let flow = open(state, now, route, service, workspace, arrival);
+    let flow = Flow { parts, ..open(state, now, route, service, workspace, arrival) };
     if let Some(target) = flow.target() {
         state.demand.arrived(&target, flow.work);
     }
@@ -85,6 +87,9 @@
         key,
         prompt,
         fingerprint,
+        parts: Arc::default(),
+        sound: false,
+        first_at: None,
         arrived: now,
         deadline,
         work,
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -6,8 +6,10 @@
 //! once is quarantined without that. A success clears it. All entry VMs are told at once, down the trees of [`crate::push`];
 //! who misses that learns what is quarantined from the hub's frames, or from the lease's row in the store.
 
+mod parts;
 mod register;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use boragecove_core::code::Code;
@@ -17,11 +19,12 @@
 
 use crate::effect::Effect;
 use crate::engine::Reach;
-use crate::flow::{self, Stage};
+use crate::flow::{self, Flow, Stage};
 use crate::push;
 use crate::record::Record;
-use crate::request::{Fingerprint, Id};
+use crate::request::{Arrival, Fingerprint, Id};
 use crate::state::State;
+use crate::timer::Timer;
 
 pub use register::Register;
 
@@ -29,6 +32,16 @@
 
 /// Other entry VMs that are asked whether an engine has crashed, at most: some may have gone, or be cut off.
 const PROBERS_MAX: usize = 3;
+/// An answer that has been written for so long went well: an engine that a part of the prompt ends is gone sooner.
+const SOUND_AFTER: Duration = Duration::from_millis(300);
+/// The longest time until all are told that a part is sound, and the part of it for each entry VM: the more there are, the more
+/// see it at once.
+const TELL_WITHIN: Duration = Duration::from_millis(500);
+const TELL_STEP: Duration = Duration::from_millis(5);
+/// Time in which what one entry VM tells has been heard by all.
+const HEARD_WITHIN: Duration = Duration::from_millis(200);
+/// How often accused parts are looked at.
+const JUDGE_EVERY: Duration = Duration::from_millis(50);
 /// Runs that wait for the word whether their engine has crashed, at most; and those told of in one message.
 const LOSSES_MAX: usize = 64;
 
@@ -59,6 +72,10 @@
     pub sent: Duration,
     /// Time since it broke.
     pub broke: Duration,
+    /// What its prompt shares with others.
+    pub parts: Arc<[Fingerprint]>,
+    /// Whether its answer had begun, just before.
+    pub begun: bool,
 }
 
 /// What is certain of a request.
@@ -98,12 +115,35 @@
     pub times: u32,
 }
 
-/// A request's connection broke before its answer began. Whether the engine has crashed is seen by its port: a
+/// A run that broke.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Lost<'a> {
+    pub(crate) engine: &'a Name,
+    pub(crate) sent: Time,
+    /// Whether its answer had begun.
+    pub(crate) begun: bool,
+}
+
+/// What a request's prompt shares with others: parts, and each of them together with the model, since a part may be sound for another.
+pub(crate) fn shared(arrival: &Arrival) -> Arc<[Fingerprint]> {
+    let model = arrival.prompt.as_ref().map(|prompt| &prompt.model);
+    let for_model = |part: &Fingerprint| model.map(|model| part.of_part_for(model));
+    arrival.parts.iter().flat_map(|part| std::iter::once(*part).chain(for_model(part))).collect()
+}
+
+/// Whether a run that broke may have ended its engine; `begun`: when its answer began.
+pub(crate) fn is_suspect(now: Time, begun: Option<Time>) -> bool {
+    begun.is_none_or(|begun| now.since(begun) < SOUND_AFTER)
+}
+
+/// A request's connection broke before its answer began, or just after. Whether the engine has crashed is seen by its port: a
 /// connection may break for other reasons.
-pub(crate) fn lost(state: &mut State, now: Time, id: Id, engine: &Name, sent: Time, out: &mut Vec<Effect>) {
-    let Some(request) = state.flows.get(&id).map(|flow| flow.fingerprint) else {
+pub(crate) fn lost(state: &mut State, now: Time, id: Id, run: Lost<'_>, out: &mut Vec<Effect>) {
+    let Lost { engine, sent, begun } = run;
+    let Some(flow) = state.flows.get(&id) else {
         return;
     };
+    let (request, parts) = (flow.fingerprint, Arc::clone(&flow.parts));
     // One that has said that it leaves, or that is gone from the list, was expected to end.
     let Some(known) = state.engines.get(engine).filter(|engine| !engine.leaves()) else {
         return;
@@ -116,7 +156,7 @@
         out.push(Effect::Probe { engine: engine.clone(), address: known.entry.address });
         Loss { asked: vec![state.me.vm.clone()], ..Loss::default() }
     });
-    loss.runs.push(Run { id, request, sent, broke: now });
+    loss.runs.push(Run { id, request, parts, begun, sent, broke: now });
 }
 
 /// An engine's port was tried from here. A refused connection may be the work of a partition, so that another entry VM is
@@ -205,11 +245,14 @@
         engine: runs_models.then(|| engine.clone()),
         sent: now.since(run.sent),
         broke: now.since(run.broke),
+        parts: Arc::clone(&run.parts),
+        begun: run.begun,
     };
     let suspects: Vec<Suspect> = loss.runs.iter().map(suspect).collect();
     for (run, suspect) in loss.runs.iter().zip(&suspects) {
         take_suspect(state, now, suspect, Some((run.id, engine)), out);
     }
+    strike(state, now, &suspects);
     push::tell_crashes(state, News { suspects, entries: Vec::new() }, out);
 }
 
@@ -231,11 +274,113 @@
     push::tell_crashes(state, News::of(vec![entry]), out);
 }
 
+/// A request's answer, which began at `began`, goes well: whatever its prompt shares with others ends no engine.
+pub(crate) fn is_sound(state: &mut State, now: Time, id: Id, began: Time, out: &mut Vec<Effect>) {
+    let Some(flow) = state.flows.get_mut(&id) else {
+        return;
+    };
+    if std::mem::replace(&mut flow.sound, true) {
+        return;
+    }
+    let parts = Arc::clone(&flow.parts);
+    state.crashes.parts.serve(now);
+    for part in parts.iter().copied() {
+        let tells = state.crashes.parts.answer(part, began, now);
+        if state.crashes.is_refuted(part, began, now) {
+            clear(state, now, part, began, out);
+        } else if tells {
+            let delay = tell_delay(state);
+            state.timers.set(now + delay, Timer::Clear(part));
+        }
+    }
+}
+
+/// An answer has been written for some time.
+pub(crate) fn writes(state: &mut State, now: Time, id: Id, began: Time, out: &mut Vec<Effect>) {
+    if now.since(began) >= SOUND_AFTER {
+        is_sound(state, now, id, began, out);
+    }
+}
+
+/// An answer began here.
+pub(crate) const fn began(state: &mut State, now: Time) {
+    state.crashes.parts.begin(now);
+}
+
+/// A part that others may suspect was seen to be sound some time ago.
+pub(crate) fn clear_due(state: &mut State, now: Time, part: Fingerprint, out: &mut Vec<Effect>) {
+    if let Some(began) = state.crashes.parts.told(part) {
+        clear(state, now, part, began, out);
+    }
+}
+
+fn clear(state: &mut State, now: Time, part: Fingerprint, began: Time, out: &mut Vec<Effect>) {
+    let left = REMEMBERED.saturating_sub(now.since(began));
+    let entry = Entry { request: part, status: Status::Cleared { left } };
+    state.crashes.learn(entry, now);
+    note(state, part, "cleared", None, None, out);
+    push::tell_crashes(state, News::of(vec![entry]), out);
+}
+
+/// The longest time until all are told of what many may see at once.
+fn tell_within(state: &State) -> Duration {
+    let nodes = state.members.list().len().max(2) as u32;
+    TELL_WITHIN.min(TELL_STEP.saturating_mul(nodes))
+}
+
+/// When to tell them. Few draw a short time, so that one or two tell the others before they do; the time is drawn as in
+/// exponentially distributed feedback timers (Nonnenmacher and Biersack).
+fn tell_delay(state: &mut State) -> Duration {
+    let nodes = state.members.list().len().max(2) as f64;
+    let drawn = state.rng.f64();
+    tell_within(state).mul_f64(1.0 - (1.0 + drawn * (nodes - 1.0)).ln() / nodes.ln())
+}
+
+/// Holds crashes against what the prompts of the runs there share with others.
+fn strike(state: &mut State, now: Time, suspects: &[Suspect]) {
+    let nodes = state.members.list().len();
+    let known = &mut state.crashes.parts;
+    let mut struck = Vec::new();
+    for suspect in suspects {
+        let Some(engine) = &suspect.engine else { continue };
+        let (sent, broke) = (now - suspect.sent, now - suspect.broke);
+        known.lose(engine, broke, &suspect.parts, now);
+        for part in suspect.parts.iter() {
+            known.strike(*part, engine, sent, broke, now);
+            struck.push(*part);
+        }
+    }
+    struck.sort_unstable();
+    struck.dedup();
+    if state.crashes.accuse(&struck, now, nodes) {
+        state.timers.set(now + JUDGE_EVERY, Timer::Judge);
+    }
+}
+
+/// Accused parts are judged.
+pub(crate) fn judge(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let nodes = state.members.list().len();
+    let time = SOUND_AFTER + tell_within(state) + HEARD_WITHIN;
+    let mut entries = Vec::new();
+    while let Some(part) = state.crashes.convict(time, now, nodes) {
+        note(state, part, "quarantined", None, None, out);
+        enforce(state, now, part, out);
+        entries.extend(state.crashes.entry(part, now));
+    }
+    if !entries.is_empty() {
+        push::tell_crashes(state, News::of(entries), out);
+    }
+    if state.crashes.has_accused() {
+        state.timers.set(now + JUDGE_EVERY, Timer::Judge);
+    }
+}
+
 /// Another entry VM told what it knows.
 pub(crate) fn told(state: &mut State, now: Time, news: News, out: &mut Vec<Effect>) {
     for suspect in &news.suspects {
         take_suspect(state, now, suspect, None, out);
     }
+    strike(state, now, &news.suspects);
     for entry in news.entries {
         take_entry(state, now, entry, out);
     }
@@ -259,6 +404,9 @@
     own: Option<(Id, &Name)>,
     out: &mut Vec<Effect>,
 ) {
+    if suspect.begun {
+        return;
+    }
     let request = suspect.request;
     let quarantines = state.crashes.count(suspect, now);
     let label = if quarantines { "quarantined" } else { "suspected" };
@@ -289,7 +437,8 @@
 /// answer.
 fn enforce(state: &mut State, now: Time, request: Fingerprint, out: &mut Vec<Effect>) {
     let begun = |stage: &Stage| matches!(stage, Stage::Sent { begun: true, .. });
-    let like = state.flows.iter().filter(|(_, flow)| flow.fingerprint == request && !begun(&flow.stage));
+    let holds = |flow: &Flow| flow.fingerprint == request || flow.parts.contains(&request);
+    let like = state.flows.iter().filter(|(_, flow)| holds(flow) && !begun(&flow.stage));
     let mut like: Vec<Id> = like.map(|(id, _)| *id).collect();
     like.sort_unstable();
     for id in like {
--- a/fleet/src/crash/register.rs
+++ b/fleet/src/crash/register.rs
@@ -1,12 +1,14 @@
 //! What is known of each request under which engines have crashed, and when it is quarantined.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 use rustc_hash::FxHashMap;
 
+use super::parts::{Charge, Parts, STRIKES_SUSPECT, View};
 use super::{Entry, Kept, Status, Suspect};
 use crate::record::ms;
 use crate::request::{Fingerprint, Id};
@@ -29,7 +31,7 @@
 /// Requests that something is known of, at most: an attacker needs a crash for each.
 const CASES_MAX: usize = 256;
 
-/// What is known of a request.
+/// What is known of a request, or of a part of prompts.
 #[derive(Clone, Debug, Default)]
 struct Case {
     /// Crashes that count.
@@ -42,8 +44,10 @@
     times: u32,
     /// Until when it is not sent to engines.
     quarantined_until: Option<Time>,
-    /// Whether an engine has answered it, and no crash has counted since.
-    cleared: bool,
+    /// When what speaks against it began.
+    basis: Time,
+    /// When an engine answered it; none if it did not, or a crash has counted since.
+    cleared: Option<Time>,
     /// When all this is forgotten.
     forget_at: Time,
 }
@@ -55,7 +59,7 @@
 
     fn quarantine(&mut self, now: Time, left: Duration, times: u32) {
         self.times = self.times.max(times);
-        self.cleared = false;
+        self.cleared = None;
         self.quarantined_until = Some(now + left);
         self.forget_at = now + left + left.max(REMEMBERED);
     }
@@ -64,7 +68,7 @@
     fn status(&self, now: Time) -> Option<Status> {
         match self.quarantined_until.filter(|until| now < *until) {
             Some(until) => Some(Status::Quarantined { left: until.since(now), times: self.times }),
-            None if self.cleared && now < self.forget_at => {
+            None if self.cleared.is_some() && now < self.forget_at => {
                 Some(Status::Cleared { left: self.forget_at.since(now) })
             }
             None => None,
@@ -82,18 +86,27 @@
     pub(super) agreed: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Run {
     pub(super) id: Id,
     pub(super) request: Fingerprint,
+    pub(super) parts: Arc<[Fingerprint]>,
+    /// Whether its answer had begun.
+    pub(super) begun: bool,
     pub(super) sent: Time,
     pub(super) broke: Time,
 }
 
+/// How long the quarantine lasts that is the `times`th.
+fn length(times: u32) -> Duration {
+    QUARANTINE.saturating_mul(QUARANTINE_GROWTH.saturating_pow(times.saturating_sub(1))).min(QUARANTINE_MAX)
+}
+
 /// What a process knows of requests that crash engines.
 #[derive(Debug, Default)]
 pub struct Register {
     cases: FxHashMap<Fingerprint, Case>,
+    pub(super) parts: Parts,
     pub(super) losses: BTreeMap<Name, Loss>,
     /// The hub's digest of what is certain, as it said last.
     hub_digest: u64,
@@ -105,6 +118,17 @@
         self.cases.get(&request).is_some_and(|case| case.is_quarantined(now))
     }
 
+    /// What keeps a request with these parts from engines: itself, or one of them.
+    pub(crate) fn bars(&self, request: Fingerprint, parts: &[Fingerprint], now: Time) -> Option<Fingerprint> {
+        let all = std::iter::once(&request).chain(parts);
+        all.copied().find(|of| self.is_quarantined(*of, now))
+    }
+
+    /// Whether one of these parts is suspected.
+    pub(crate) fn suspects(&self, parts: &[Fingerprint]) -> bool {
+        parts.iter().any(|part| self.parts.strikes(*part) >= STRIKES_SUSPECT)
+    }
+
     /// Whether an engine has crashed under a request that none has answered since.
     pub(crate) fn is_suspected(&self, request: Fingerprint) -> bool {
         self.cases.get(&request).is_some_and(|case| case.crashes > 0)
@@ -127,6 +151,12 @@
         kept.collect()
     }
 
+    /// What is certain of this.
+    pub(super) fn entry(&self, request: Fingerprint, now: Time) -> Option<Entry> {
+        let status = self.cases.get(&request)?.status(now)?;
+        Some(Entry { request, status })
+    }
+
     /// All that is certain.
     fn entries(&self, now: Time) -> Vec<Entry> {
         let known = |(request, case): (&Fingerprint, &Case)| {
@@ -173,14 +203,17 @@
     pub(super) fn count(&mut self, suspect: &Suspect, now: Time) -> bool {
         let case = self.case(suspect.request, now);
         let again = now - suspect.sent >= case.since;
-        if case.is_quarantined(now) || (case.cleared && !again) {
+        if case.is_quarantined(now) || (case.cleared.is_some() && !again) {
             return false;
         }
+        if case.crashes == 0 {
+            case.basis = now - suspect.broke;
+        }
         case.forget_at = case.forget_at.max(now + REMEMBERED);
         if let Some(engine) = suspect.engine.as_ref().filter(|engine| !case.engines.contains(engine)) {
             case.engines.push(engine.clone());
         }
-        case.cleared = false;
+        case.cleared = None;
         if again {
             case.crashes += 1;
             case.since = now - suspect.broke;
@@ -189,35 +222,77 @@
         if case.crashes < CRASHES_MAX && case.engines.len() < BURST_MAX && !relapse {
             return false;
         }
-        let left = QUARANTINE.saturating_mul(QUARANTINE_GROWTH.saturating_pow(case.times));
         let times = case.times + 1;
-        case.quarantine(now, left.min(QUARANTINE_MAX), times);
+        case.quarantine(now, length(times), times);
         true
     }
 
+    /// Accuses the parts among these against which enough speaks. Returns whether any part is accused. `nodes`: entry VMs that there are.
+    pub(super) fn accuse(&mut self, struck: &[Fingerprint], now: Time, nodes: usize) -> bool {
+        let Self { cases, parts, .. } = self;
+        let convicted = |of: Fingerprint| cases.get(&of).is_some_and(|case| case.is_quarantined(now));
+        let view = View { now, nodes, convicted: &convicted };
+        for part in struck.iter().filter(|part| !convicted(**part)) {
+            parts.accuse(*part, &view);
+        }
+        parts.has_accused()
+    }
+
+    /// Quarantines the accused part with most against it of which no answer has been heard for `time`; none if there is none.
+    pub(super) fn convict(&mut self, time: Duration, now: Time, nodes: usize) -> Option<Fingerprint> {
+        let Self { cases, parts, .. } = self;
+        let convicted = |of: Fingerprint| cases.get(&of).is_some_and(|case| case.is_quarantined(now));
+        let view = View { now, nodes, convicted: &convicted };
+        let Charge { part, since, .. } = parts.ripe(time, &view)?;
+        parts.convict(part);
+        let case = self.case(part, now);
+        case.basis = since;
+        let times = case.times + 1;
+        case.quarantine(now, length(times), times);
+        Some(part)
+    }
+
+    /// Whether any part is accused.
+    pub(super) fn has_accused(&self) -> bool {
+        self.parts.has_accused()
+    }
+
+    /// Whether a quarantine of this is wrong if an answer that began at `at` went well.
+    pub(super) fn is_refuted(&self, of: Fingerprint, at: Time, now: Time) -> bool {
+        self.cases.get(&of).is_some_and(|case| case.is_quarantined(now) && at > case.basis)
+    }
+
     /// Takes over what another knows. Returns whether that quarantines a request that was not.
     pub(super) fn learn(&mut self, Entry { request, status }: Entry, now: Time) -> bool {
         let case = self.case(request, now);
         match status {
             Status::Quarantined { left, times } => {
-                let new = !case.cleared && !case.is_quarantined(now);
+                let began = now - length(times).saturating_sub(left);
+                let new = case.cleared.is_none_or(|cleared| cleared < began) && !case.is_quarantined(now);
                 if new {
+                    case.basis = began;
                     case.quarantine(now, left.min(QUARANTINE_MAX), times);
+                    self.parts.convict(request);
                 }
                 new
             }
-            // It ends for all at the same time: to be told of it again does not prolong it.
-            Status::Cleared { left } if !case.cleared => {
-                let forget_at = now + left.min(REMEMBERED);
-                *case = Case { since: now, cleared: true, forget_at, ..Case::default() };
+            Status::Cleared { left } => {
+                let left = left.min(REMEMBERED);
+                let at = now - REMEMBERED.saturating_sub(left);
+                // It ends for all at the same time: to be told of it again does not prolong it. One who missed the crashes
+                // that came after an answer may still tell of that.
+                if case.cleared.is_none() && !(case.is_quarantined(now) && at <= case.basis) {
+                    *case = Case { since: now, cleared: Some(at), forget_at: now + left, ..Case::default() };
+                }
+                self.parts.clear(request, at);
                 false
             }
-            Status::Cleared { .. } => false,
         }
     }
 
     /// Crashes that count against a request.
     pub(super) fn crashes(&self, request: Fingerprint) -> u32 {
-        self.cases.get(&request).map_or(0, |case| case.crashes)
+        let parts = self.parts.strikes(request) as u32;
+        self.cases.get(&request).map_or(0, |case| case.crashes).max(parts)
     }
 }
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -56,6 +56,12 @@
     pub(crate) key: Option<Digest>,
     pub(crate) prompt: Option<Prompt>,
     pub(crate) fingerprint: Fingerprint,
+    /// What its prompt shares with others.
+    pub(crate) parts: Arc<[Fingerprint]>,
+    /// Whether an engine has answered it for long enough to say that it ends none.
+    pub(crate) sound: bool,
+    /// When the first event came of the engine that it is at.
+    pub(crate) first_at: Option<Time>,
     pub(crate) arrived: Time,
     pub(crate) deadline: Time,
     /// When its answer must begin.
@@ -134,7 +140,7 @@
 
 /// A caller's request was read.
 pub(crate) fn arrive(state: &mut State, now: Time, id: Id, arrival: Arrival, out: &mut Vec<Effect>) {
-    let fingerprint = arrival.fingerprint;
+    let (fingerprint, parts) = (arrival.fingerprint, crash::shared(&arrival));
     match admit::admit(state, now, arrival) {
         Ok(flow) => {
             state.timers.set(flow.deadline, Timer::Deadline(id));
@@ -145,7 +151,8 @@
         }
         Err(Refusal { code, retry_after }) => {
             if code == Code::CrashesBackends {
-                crash::refused(state, id, fingerprint, out);
+                let of = state.crashes.bars(fingerprint, &parts, now).unwrap_or(fingerprint);
+                crash::refused(state, id, of, out);
             }
             end::refuse(state, now, id, Refusal { code, retry_after }, false, out);
         }
@@ -158,7 +165,7 @@
         return;
     };
     // Each way to an engine passes here: retries, resumed streams, and those that waited or lost their place in a schedule.
-    if state.crashes.is_quarantined(flow.fingerprint, now) {
+    if state.crashes.bars(flow.fingerprint, &flow.parts, now).is_some() {
         give_up(state, now, id, Code::CrashesBackends, None, out);
         return;
     }
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -8,7 +8,7 @@
 
 use crate::budget::{self, Obtained, Repeat};
 use crate::config::Kind;
-use crate::crash;
+use crate::crash::{self, Lost};
 use crate::effect::Effect;
 use crate::engine::{Engine, Load};
 use crate::flow::{self, Stage};
@@ -60,6 +60,7 @@
         return;
     };
     let first = !std::mem::replace(begun, true);
+    let first_at = *flow.first_at.get_or_insert(now);
     if first {
         out.push(Effect::Record(Record::Began {
             request: id.0,
@@ -77,6 +78,10 @@
         }
     }
     let (engine, at, relayed) = (engine.clone(), *at, relay.is_some());
+    if first {
+        crash::began(state, now);
+    }
+    crash::writes(state, now, id, first_at, out);
     trust::answered(state, now, &engine, relayed, at, out);
     if let Some(known) = state.engines.get_mut(&engine).filter(|_| first) {
         known.own = known.own.minus(Load { open: 0, reading_us });
@@ -104,7 +109,7 @@
 /// A request's attempt ended.
 pub(crate) fn ended(state: &mut State, now: Time, id: Id, ended: Ended, out: &mut Vec<Effect>) {
     let Ended { attempt: number, end, events } = ended;
-    let Some(flow) = state.flows.get(&id) else {
+    let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
     if flow.number != number {
@@ -115,7 +120,7 @@
         Stage::Sent { relay, .. } => relay.clone(),
         Stage::Waiting | Stage::Tracing { .. } | Stage::Charging(_) | Stage::Scheduling { .. } => None,
     };
-    let request = flow.fingerprint;
+    let (request, first_at) = (flow.fingerprint, flow.first_at.take());
     let Some((engine, at)) = flow::leave(state, id) else {
         return;
     };
@@ -142,11 +147,11 @@
     let took = now.since(at);
     let service = flow.service.clone();
     let call_target = flow.prompt.is_none().then_some(flow.route.target);
-    // One that has begun to answer was run without harm.
-    let suspect = end == End::Lost && !begun;
-    let doubted = suspect && state.crashes.is_suspected(request);
+    let suspect = end == End::Lost && crash::is_suspect(now, first_at);
+    let doubted =
+        suspect && (!begun && state.crashes.is_suspected(request) || state.crashes.suspects(&flow.parts));
     if suspect {
-        crash::lost(state, now, id, &engine, at, out);
+        crash::lost(state, now, id, Lost { engine: &engine, sent: at, begun }, out);
     }
     judge(state, now, id, Judged { engine: &engine, end, relay, at }, out);
     if let Some(target) = call_target {
@@ -155,6 +160,7 @@
     match end {
         End::Done => {
             crash::answered(state, now, request, out);
+            crash::is_sound(state, now, id, first_at.unwrap_or(now), out);
             state.paced(&service, took);
             if let Some(gap) = events.gap {
                 state.speed.learn_event(&service, gap);
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -194,6 +194,8 @@
         Timer::Look => lease::look(state, now, out),
         Timer::Pins => pin::due(state, now, out),
         Timer::TellPins => pin::tell_all(state, now, out),
+        Timer::Clear(part) => crash::clear_due(state, now, part, out),
+        Timer::Judge => crash::judge(state, now, out),
         Timer::Plan => plan::due(state, now, out),
         Timer::Check(engine) => ledger::check(state, now, &engine, out),
         Timer::Greet => frame::send(state, now, out),
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -58,6 +58,11 @@
         Self::hash("part", &[id.as_bytes()])
     }
 
+    /// Of a part of prompts for one model.
+    pub(crate) fn of_part_for(self, model: &str) -> Self {
+        Self::hash("model", &[&self.0.to_le_bytes(), &self.1.to_le_bytes(), model.as_bytes()])
+    }
+
     /// A number for it, and another one where what is said of it is the opposite.
     pub(crate) const fn digest(self, opposite: bool) -> u64 {
         if opposite { self.1 } else { self.0 }
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -3,7 +3,7 @@
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
-use crate::request::Id;
+use crate::request::{Fingerprint, Id};
 
 /// Something due at a time. A timer that has become pointless is ignored when it fires.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +40,10 @@
     Pins,
     /// The same, once more in between.
     TellPins,
+    /// All are to be told that a part of prompts is sound.
+    Clear(Fingerprint),
+    /// Parts of prompts under which engines crash are to be judged.
+    Judge,
     /// Placement is to be planned.
     Plan,
     /// An engine is to be asked what it holds.
--- a/fleet/tests/crashing_requests.rs
+++ b/fleet/tests/crashing_requests.rs
@@ -497,19 +497,39 @@
         |status| Frame { vm: "b".into(), crashing: vec![Entry { request, status }], ..Frame::default() };
     hub.feed(Event::Framed(Box::new(frame(quarantined))));
     hub.refused(body("x"));
-    let cleared = Status::Cleared { left: Duration::from_mins(4) };
+    let cleared = Status::Cleared { left: Duration::from_mins(8) };
     hub.feed(Event::Framed(Box::new(frame(cleared))));
     hub.feed(Event::Framed(Box::new(frame(quarantined))));
     hub.sent(body("x"));
     let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(quarantined));
     assert_eq!(told.crashing, [Entry { request, status: cleared }]);
-    hub.pass(Duration::from_mins(3));
+    hub.pass(Duration::from_mins(7));
     hub.feed(Event::Framed(Box::new(frame(cleared))));
     hub.pass(Duration::from_mins(2));
     let told = boragecove_fleet::reply(&mut hub.state, hub.now, &frame(quarantined));
     assert_eq!(told.digest, 0, "to be told again does not prolong it");
 }
 
+/// An entry VM that knows an answer of then and missed the crashes after it does not lift the quarantine.
+#[test]
+fn older_answer_lifts_nothing() {
+    let request = Fingerprint::of(HOST, "/brief/1", b"x");
+    let mut hub = Node::ready("hub");
+    hub.lead();
+    let frame =
+        |status| Frame { vm: "b".into(), crashing: vec![Entry { request, status }], ..Frame::default() };
+    let quarantined = Status::Quarantined { left: Duration::from_mins(5), times: 1 };
+    hub.feed(Event::Framed(Box::new(frame(quarantined))));
+    // The quarantine began five minutes ago, the answer six.
+    let older = Status::Cleared { left: Duration::from_mins(4) };
+    hub.feed(Event::Framed(Box::new(frame(older))));
+    hub.refused(body("x"));
+    let mut other = Node::ready("a");
+    other.feed(Event::Framed(Box::new(frame(older))));
+    other.feed(Event::Framed(Box::new(frame(quarantined))));
+    other.refused(body("x"));
+}
+
 /// 295 entry VMs, nine in ten of them with small links, and their hub suspended: two of them see a crash each.
 #[test]
 fn hundreds_without_a_hub() {
@@ -545,6 +565,8 @@
         engine: None,
         sent: millis(100),
         broke: millis(50),
+        parts: Arc::default(),
+        begun: false,
     };
     let told = |node: &mut Node, texts: &[&str]| {
         let suspects = texts.iter().map(|text| suspect(text)).collect();
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -12,6 +12,7 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::State;
 use boragecove_fleet::config::Config;
+use boragecove_fleet::crash::Kept;
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::engine::Reach;
 use boragecove_fleet::event::{Event, Listing};
@@ -50,6 +51,8 @@
     pushes: usize,
     /// What entry VMs want for requests, and has not been taken.
     wanted: Vec<(usize, Effect)>,
+    /// What the lease's row keeps in quarantine.
+    quarantine: Vec<Kept>,
 }
 
 struct Vm {
@@ -112,7 +115,8 @@
             suspended: false,
         };
         let vms = rates.iter().enumerate().map(vm).collect();
-        let mut links = Self { now, vms, transfers: Vec::new(), pushes: 0, wanted: Vec::new() };
+        let mut links =
+            Self { now, vms, transfers: Vec::new(), pushes: 0, wanted: Vec::new(), quarantine: Vec::new() };
         for at in 0..rates.len() {
             links.feed(at, Event::Configured(Arc::clone(config)));
             links.feed(
@@ -316,7 +320,12 @@
     }
 
     /// The first entry VM holds the lease for good.
-    fn lease(&self, call: Call) -> Answer {
+    fn lease(&mut self, call: Call) -> Answer {
+        if let Call::Write { row, .. } = &call
+            && row.holder == *"vm-0"
+        {
+            self.quarantine.clone_from(&row.quarantine);
+        }
         let now_ms = self.now.since(Time::from_millis(START_MS)).as_millis() as u64;
         let row = |until_ms| Row {
             holder: "vm-0".into(),
@@ -328,7 +337,7 @@
             engines: 3,
             former: None,
             released: false,
-            quarantine: Vec::new(),
+            quarantine: self.quarantine.clone(),
             outstanding: Box::default(),
             repeats: None,
             builds: None,
--- a/fleet/tests/storm/mod.rs
+++ b/fleet/tests/storm/mod.rs
@@ -124,6 +124,8 @@
     request: Id,
     attempt: u32,
     engine: Name,
+    /// When it reaches the engine.
+    begins: Time,
     /// When it writes its first event.
     writes: Time,
     /// When it has told of an event last; none before the first.
@@ -181,6 +183,8 @@
     sendings: Vec<Vec<Time>>,
     /// Sound requests: when they came, whether with the first part of bad ones, and whether they began at their first attempt.
     served: BTreeMap<(usize, Id), (Time, bool, bool)>,
+    /// Until when an entry VM that was killed or stood still is not in touch.
+    apart: Vec<Time>,
     outcome: Outcome,
 }
 
@@ -215,6 +219,7 @@
             ends: vec![Vec::new(); bad],
             sendings: vec![Vec::new(); bad],
             served: BTreeMap::new(),
+            apart: vec![Time::default(); settings.vms],
             outcome: Outcome::default(),
             settings,
         };
@@ -335,13 +340,22 @@
             Step::Send(attempt) => {
                 if let Some(bad) = known.bad {
                     let now = self.now();
-                    self.sendings[bad].push(now);
+                    if now >= self.apart[vm] {
+                        self.sendings[bad].push(now);
+                    }
                 }
                 let longest = self.settings.read.max(millis(30)).as_secs_f64();
                 let read = 0.03 + self.rng.f64() * (longest - 0.03);
-                let writes = attempt.at + ARRIVAL + Duration::from_secs_f64(read);
-                let run =
-                    Run { vm, request, attempt: attempt.number, engine: attempt.engine, writes, told: None };
+                let begins = attempt.at + ARRIVAL;
+                let run = Run {
+                    vm,
+                    request,
+                    attempt: attempt.number,
+                    engine: attempt.engine,
+                    begins,
+                    writes: begins + Duration::from_secs_f64(read),
+                    told: None,
+                };
                 if self.engines.contains(&run.engine) {
                     self.runs.push(run);
                 } else {
@@ -392,7 +406,8 @@
         }
         let broken: Vec<Run> = self.runs.extract_if(.., |run| run.engine == *engine).collect();
         for run in &broken {
-            self.end(run, End::Lost);
+            let sent = run.begins <= self.now();
+            self.end(run, if sent { End::Lost } else { End::Unsent });
         }
         let vms: BTreeSet<usize> = broken.iter().map(|run| run.vm).collect();
         for vm in vms {
@@ -460,11 +475,13 @@
             }
             if is_now(from + lasts) {
                 self.links.suspend(0, false);
+                self.apart[0] = self.now() + CONTACT;
             }
         }
     }
 
     fn kill(&mut self, vm: usize) {
+        self.apart[vm] = self.now() + CONTACT;
         self.runs.retain(|run| run.vm != vm);
         self.requests.retain(|(of, _), _| *of != vm);
         self.links.restart(vm);
