--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -124,11 +124,11 @@
     pub(crate) begun: bool,
 }
 
-/// What a request's prompt shares with others: parts, and each of them together with the model, since a part may be sound for another.
+/// What a request's prompt shares with others: each part, followed by the part together with the model, since it may be sound for
+/// another.
 pub(crate) fn shared(arrival: &Arrival) -> Arc<[Fingerprint]> {
-    let model = arrival.prompt.as_ref().map(|prompt| &prompt.model);
-    let for_model = |part: &Fingerprint| model.map(|model| part.of_part_for(model));
-    arrival.parts.iter().flat_map(|part| std::iter::once(*part).chain(for_model(part))).collect()
+    let model = arrival.prompt.as_ref().map_or("", |prompt| &prompt.model);
+    arrival.parts.iter().flat_map(|part| [*part, part.of_part_for(model)]).collect()
 }
 
 /// Whether a run that broke may have ended its engine; `begun`: when its answer began.
@@ -339,20 +339,7 @@
 /// Holds crashes against what the prompts of the runs there share with others.
 fn strike(state: &mut State, now: Time, suspects: &[Suspect]) {
     let nodes = state.members.list().len();
-    let known = &mut state.crashes.parts;
-    let mut struck = Vec::new();
-    for suspect in suspects {
-        let Some(engine) = &suspect.engine else { continue };
-        let (sent, broke) = (now - suspect.sent, now - suspect.broke);
-        known.lose(engine, broke, &suspect.parts, now);
-        for part in suspect.parts.iter() {
-            known.strike(*part, engine, sent, broke, now);
-            struck.push(*part);
-        }
-    }
-    struck.sort_unstable();
-    struck.dedup();
-    if state.crashes.accuse(&struck, now, nodes) {
+    if state.crashes.strike(suspects, now, nodes) {
         state.timers.set(now + JUDGE_EVERY, Timer::Judge);
     }
 }
--- a/fleet/src/crash/parts.rs
+++ b/fleet/src/crash/parts.rs
@@ -11,8 +11,9 @@
 
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
+use super::Suspect;
 use super::register::REMEMBERED;
 use crate::request::Fingerprint;
 
@@ -37,6 +38,8 @@
 const SERVED_MAX: usize = 4_096;
 /// Crashes that are closer together are one strike, unless the later run was sent after the earlier crash: a rack fails at once.
 const APART: Duration = Duration::from_millis(300);
+/// By how much entry VMs may differ about when an engine crashed.
+const NEWS_LATE: Duration = Duration::from_secs(2);
 /// How long it is remembered that a part was answered well, so that news of an earlier crash finds it.
 const SOUND_KEPT: Duration = Duration::from_secs(10);
 
@@ -50,10 +53,19 @@
     weight: f64,
 }
 
+impl Strike {
+    /// Whether both are the same crash. An engine may start anew under its id.
+    fn is_same(&self, other: &Self) -> bool {
+        let apart = self.broke.since(other.broke).max(other.broke.since(self.broke));
+        self.engine == other.engine && apart < NEWS_LATE
+    }
+}
+
 /// What is known of a part under which an engine has crashed.
 #[derive(Clone, Debug, Default)]
 struct Case {
     strikes: Vec<Strike>,
+    rank: Rank,
     /// When an answer on it began that went well, as all entry VMs were told.
     cleared: Option<Time>,
     /// Whether this entry VM is about to tell them.
@@ -90,7 +102,24 @@
     pub(super) part: Fingerprint,
     /// When the first run was sent that speaks against it.
     pub(super) since: Time,
-    weight: f64,
+    strikes: usize,
+    rank: Rank,
+}
+
+/// Which of several parts with the same strikes is believed to be the cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// A part by itself, whatever the model.
+    alone: bool,
+    /// The one that fewer share: to take it for the cause wrongly costs least.
+    place: usize,
+}
+
+impl Rank {
+    /// Of what stands at `index` in the list of what a prompt shares: each part is followed by the part together with the model.
+    const fn of(index: usize) -> Self {
+        Self { alone: index.is_multiple_of(2), place: index / 2 }
+    }
 }
 
 /// What a part is judged by beside its own runs.
@@ -100,6 +129,8 @@
     pub(super) nodes: usize,
     /// Whether a part is known to crash engines.
     pub(super) convicted: &'a dyn Fn(Fingerprint) -> bool,
+    /// Whether it was known to, until its time was over: one strike is enough then.
+    pub(super) relapsed: &'a dyn Fn(Fingerprint) -> bool,
 }
 
 impl Parts {
@@ -118,7 +149,7 @@
     }
 
     /// A crash broke a run, here or elsewhere.
-    pub(super) fn lose(&mut self, engine: &Name, at: Time, parts: &Arc<[Fingerprint]>, now: Time) {
+    fn lose(&mut self, engine: &Name, at: Time, parts: &Arc<[Fingerprint]>, now: Time) {
         let first = now - WINDOW;
         while self.broken.front().is_some_and(|run| run.at < first) || self.broken.len() >= BROKEN_MAX {
             self.broken.pop_front();
@@ -126,9 +157,22 @@
         self.broken.push_back(Broken { engine: engine.clone(), at, parts: Arc::clone(parts) });
     }
 
-    /// Holds a crash against a part. An engine crashes once, whoever tells of it.
-    pub(super) fn strike(&mut self, part: Fingerprint, engine: &Name, sent: Time, broke: Time, now: Time) {
-        self.case(part, now).note(engine, sent, broke, now);
+    /// Holds a crash against what a run shared with others. An engine crashes once, whoever tells of it.
+    pub(super) fn strike(&mut self, run: &Suspect, engine: &Name, view: &View<'_>) {
+        let now = view.now;
+        let (sent, broke) = (now - run.sent, now - run.broke);
+        self.lose(engine, broke, &run.parts, now);
+        let weight = -self.chance(view, |run| run.engine == *engine).ln();
+        for (index, part) in run.parts.iter().enumerate() {
+            let case = self.case(*part, now);
+            case.rank = case.rank.max(Rank::of(index));
+            case.note(Strike { engine: engine.clone(), sent, broke, weight }, now);
+        }
+    }
+
+    /// Parts that something is known of.
+    pub(super) fn len(&self) -> usize {
+        self.cases.len()
     }
 
     /// Strikes that nothing speaks against.
@@ -137,12 +181,11 @@
         self.cases.get(&part).map_or(0, |case| case.open(sound).len())
     }
 
-    /// Accuses a part if enough speaks against it. Returns whether any is accused.
-    pub(super) fn accuse(&mut self, part: Fingerprint, view: &View<'_>) -> bool {
+    /// Accuses a part if enough speaks against it.
+    pub(super) fn accuse(&mut self, part: Fingerprint, view: &View<'_>) {
         if self.weigh(part, view).is_some() {
             self.accused.entry(part).or_insert(view.now);
         }
-        !self.accused.is_empty()
     }
 
     /// The accused part with most against it, if no answer on it has been heard of for `time` in which engines answered. The others
@@ -156,7 +199,7 @@
             }
             charge
         });
-        let heaviest = charges.max_by(|one, other| one.weight.total_cmp(&other.weight))?;
+        let heaviest = charges.max_by_key(|charge| (charge.strikes, charge.rank))?;
         let since = self.accused.get(&heaviest.part)?;
         (self.answered >= *since + time).then_some(heaviest)
     }
@@ -170,40 +213,42 @@
     pub(super) fn convict(&mut self, part: Fingerprint) {
         self.accused.remove(&part);
         let strikes = self.cases.get(&part).map(|case| case.strikes.clone()).unwrap_or_default();
-        let explained = |engine: &Name| strikes.iter().any(|strike| strike.engine == *engine);
+        let explained = |of: &Strike| strikes.iter().any(|strike| strike.is_same(of));
         for (_, case) in self.cases.iter_mut().filter(|(of, _)| **of != part) {
-            case.strikes.retain(|strike| !explained(&strike.engine));
+            case.strikes.retain(|strike| !explained(strike));
         }
     }
 
     /// Weighs what speaks against a part; none if that is not enough.
-    pub(super) fn weigh(&mut self, part: Fingerprint, view: &View<'_>) -> Option<Charge> {
+    fn weigh(&mut self, part: Fingerprint, view: &View<'_>) -> Option<Charge> {
         let now = view.now;
         let sound = self.sound.get(&part).copied();
+        let strikes = self.cases.get(&part)?.open(sound).len();
+        let relapsed = (view.relapsed)(part);
         // Nothing is reckoned for the many that could not be accused whatever the chance.
-        if (self.cases.get(&part)?.open(sound).len() as f64) * -CHANCE_MIN.ln() < WEIGHT_MIN {
+        if strikes == 0 || !relapsed && strikes as f64 * -CHANCE_MIN.ln() < WEIGHT_MIN {
             return None;
         }
-        let weight = -self.chance(part, view).ln();
+        let weight = -self.chance(view, |run| run.parts.contains(&part)).ln();
         let case = self.cases.get_mut(&part)?;
         for strike in case.strikes.iter_mut().filter(|strike| now.since(strike.broke) < WINDOW) {
             strike.weight = weight;
         }
         let open = case.open(sound);
         let weight: f64 = open.iter().map(|strike| strike.weight).sum();
-        let first = open.first().filter(|_| weight >= WEIGHT_MIN)?;
-        Some(Charge { part, since: first.sent, weight })
+        let first = open.first().filter(|_| relapsed || weight >= WEIGHT_MIN)?;
+        Some(Charge { part, since: first.sent, strikes, rank: case.rank })
     }
 
-    /// The chance that a run breaks which does not hold the part.
-    fn chance(&self, part: Fingerprint, view: &View<'_>) -> f64 {
+    /// The chance that a run breaks, by those of the last seconds but for some.
+    fn chance(&self, view: &View<'_>, without: impl Fn(&Broken) -> bool) -> f64 {
         let first = view.now - WINDOW;
         let recent = || self.broken.iter().filter(|run| run.at >= first);
-        let explained: Vec<&Name> = recent()
+        let explained: FxHashSet<&Name> = recent()
             .filter(|run| run.parts.iter().any(|part| (view.convicted)(*part)))
             .map(|run| &run.engine)
             .collect();
-        let others = recent().filter(|run| !run.parts.contains(&part) && !explained.contains(&&run.engine));
+        let others = recent().filter(|run| !without(run) && !explained.contains(&run.engine));
         let broken = others.count() as f64 + PRIOR_BROKEN;
         let served = self.served.iter().filter(|at| **at >= first).count() * view.nodes.max(1);
         let runs = broken + served as f64 + PRIOR_SERVED;
@@ -261,19 +306,19 @@
 }
 
 impl Case {
-    fn note(&mut self, engine: &Name, sent: Time, broke: Time, now: Time) {
+    fn note(&mut self, strike: Strike, now: Time) {
         self.forget_at = now + REMEMBERED;
-        if self.cleared.is_some_and(|cleared| cleared > sent) {
+        if self.cleared.is_some_and(|cleared| cleared > strike.sent) {
             return;
         }
-        if let Some(strike) = self.strikes.iter_mut().find(|strike| strike.engine == *engine) {
-            strike.sent = strike.sent.max(sent);
+        if let Some(known) = self.strikes.iter_mut().find(|known| known.is_same(&strike)) {
+            known.sent = known.sent.max(strike.sent);
             return;
         }
         if self.strikes.len() >= STRIKES_MAX {
             self.strikes.remove(0);
         }
-        self.strikes.push(Strike { engine: engine.clone(), sent, broke, weight: 0.0 });
+        self.strikes.push(strike);
         self.strikes.sort_by_key(|strike| strike.broke);
     }
 
--- a/fleet/src/crash/register.rs
+++ b/fleet/src/crash/register.rs
@@ -1,6 +1,6 @@
 //! What is known of each request under which engines have crashed, and when it is quarantined.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -140,6 +140,12 @@
         self.cases.values().filter(|case| case.is_quarantined(now)).count()
     }
 
+    /// Parts of prompts under which engines have crashed, and that nothing is certain of.
+    #[must_use]
+    pub fn parts_known(&self) -> usize {
+        self.parts.len()
+    }
+
     /// What is quarantined, as it is kept in the store, whose clock shows at most `store_ms` now.
     pub(crate) fn kept(&self, now: Time, store_ms: u64) -> Vec<Kept> {
         let quarantined = self.cases.iter().filter(|(_, case)| case.is_quarantined(now));
@@ -227,13 +233,21 @@
         true
     }
 
-    /// Accuses the parts among these against which enough speaks. Returns whether any part is accused. `nodes`: entry VMs that there are.
-    pub(super) fn accuse(&mut self, struck: &[Fingerprint], now: Time, nodes: usize) -> bool {
+    /// Holds crashes against what the prompts of the runs there share with others, and accuses whatever has enough against it. Returns whether
+    /// anything is accused. `nodes`: entry VMs that there are.
+    pub(super) fn strike(&mut self, suspects: &[Suspect], now: Time, nodes: usize) -> bool {
         let Self { cases, parts, .. } = self;
         let convicted = |of: Fingerprint| cases.get(&of).is_some_and(|case| case.is_quarantined(now));
-        let view = View { now, nodes, convicted: &convicted };
-        for part in struck.iter().filter(|part| !convicted(**part)) {
-            parts.accuse(*part, &view);
+        let relapsed = |of: Fingerprint| cases.get(&of).is_some_and(|case| case.times > 0);
+        let view = View { now, nodes, convicted: &convicted, relapsed: &relapsed };
+        let mut struck = BTreeSet::new();
+        for suspect in suspects {
+            let Some(engine) = &suspect.engine else { continue };
+            parts.strike(suspect, engine, &view);
+            struck.extend(suspect.parts.iter().filter(|part| !convicted(**part)));
+        }
+        for part in struck {
+            parts.accuse(part, &view);
         }
         parts.has_accused()
     }
@@ -242,7 +256,8 @@
     pub(super) fn convict(&mut self, time: Duration, now: Time, nodes: usize) -> Option<Fingerprint> {
         let Self { cases, parts, .. } = self;
         let convicted = |of: Fingerprint| cases.get(&of).is_some_and(|case| case.is_quarantined(now));
-        let view = View { now, nodes, convicted: &convicted };
+        let relapsed = |of: Fingerprint| cases.get(&of).is_some_and(|case| case.times > 0);
+        let view = View { now, nodes, convicted: &convicted, relapsed: &relapsed };
         let Charge { part, since, .. } = parts.ripe(time, &view)?;
         parts.convict(part);
         let case = self.case(part, now);
