Take an answer that ends with its connection for what it shows

An answer, a stream too, may come with neither a length nor chunks. It counts as broken by a crash if the engine's port is found closed within two seconds, by whoever asks next: nobody is asked for it. answers_without_length: parts that end engines, all answers without a length, also with a first event before the end; with the old rule (such an end speaks for its parts) it fails. The storm's engines now answer probes when they are asked. Relayed streams, resets, ends inside an event and inside the head, and calls: unframed_answers, real sockets.

--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -6,7 +6,7 @@
 
 use actix::Addr;
 use actix_http::StatusCode;
-use actix_http::header::{HeaderMap, HeaderValue};
+use actix_http::header::{self, HeaderMap, HeaderValue};
 use boragecove_core::name::Name;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::notice::{Asked, Notice, Start};
@@ -74,6 +74,8 @@
     /// Events after the first.
     count: u32,
     pause: Duration,
+    /// Whether the answer ends with its connection.
+    unframed: bool,
 }
 
 impl Timing {
@@ -88,7 +90,7 @@
     fn events(&self) -> Timed {
         let span = self.first.zip(self.last).map(|(first, last)| last.duration_since(first));
         let gap = span.filter(|_| self.count > 0).map(|span| span / self.count);
-        Timed { pause: self.pause, gap }
+        Timed { pause: self.pause, gap, unframed: self.unframed }
     }
 }
 
@@ -116,6 +118,12 @@
         }
     }
 
+    /// Whether nothing but the end of its connection says that it is over.
+    fn is_unframed(&self) -> bool {
+        let says = |name| self.headers().contains_key(name);
+        !says(header::CONTENT_LENGTH) && !says(header::TRANSFER_ENCODING)
+    }
+
     /// The next bytes of the body; none at its end.
     async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
         match self {
@@ -287,6 +295,7 @@
     /// Reads a whole answer and keeps it until the reducer says what becomes of it.
     async fn hold(&mut self, attempt: &Attempt, mut response: Answer, end: End) -> End {
         let head = Head { status: response.status(), headers: front::returned(response.headers()) };
+        self.timing.unframed = response.is_unframed();
         match response.whole(ANSWER_MAX).await {
             Ok(body) => {
                 self.held = Some((head, body));
@@ -299,6 +308,7 @@
     /// Passes a stream on, event by event.
     async fn stream(&mut self, attempt: &Attempt, mut response: Answer) -> End {
         let head = Head { status: response.status(), headers: front::returned(response.headers()) };
+        self.timing.unframed = response.is_unframed();
         loop {
             match response.chunk().await {
                 Ok(Some(bytes)) => {
@@ -317,6 +327,8 @@
                     let _caller_gone = self.outlet.send(Part::Data(whole)).await;
                 }
                 Ok(None) if self.events.partial() => return End::Lost,
+                // Nothing says that it is over, and nothing of it has come.
+                Ok(None) if self.timing.unframed && self.timing.first.is_none() => return End::Lost,
                 Ok(None) => {
                     self.begin(&head).await;
                     return End::Done;
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -107,6 +107,13 @@
         self.signal("-TERM");
     }
 
+    /// The most memory that it has had so far, in KB.
+    pub fn memory_peak_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("reads");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("has one");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub fn signal(&self, signal: &str) {
         let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(sent.is_ok_and(|status| status.success()));
--- /dev/null
+++ b/daemon/tests/unframed_answers.rs
@@ -0,0 +1,191 @@
+//! Answers that end with their connection, and bytes without end that are no answer, from engines that speak for themselves on
+//! their sockets.
+
+#[path = "../../platform/tests/standin/mod.rs"]
+mod standin;
+
+mod serving;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use serving::{Entry, call, plain, streamed};
+use standin::{Store, config};
+
+/// Bytes that an engine sends at once where it never ends.
+const BLOCK: usize = 16 << 10;
+
+/// What an engine sends after it has read a request.
+#[derive(Clone, Copy)]
+enum Reply {
+    /// This, after a head that names no length, and the end of the connection.
+    Until(&'static str),
+    /// The same, but the connection is reset.
+    Reset(&'static str),
+    /// A head that breaks off.
+    HalfHead,
+    /// An answer to another request that never ends.
+    EndlessForeign,
+    /// A head that never ends.
+    EndlessHead,
+    /// An event that never ends.
+    EndlessEvent,
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut part = [0; 4_096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head
+                .lines()
+                .find_map(|line| line.to_lowercase().strip_prefix("content-length: ")?.parse().ok());
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => bytes.extend_from_slice(&part[..count]),
+        }
+    }
+}
+
+fn header(request: &str, name: &str) -> String {
+    let line = request.lines().find_map(|line| {
+        let (of, value) = line.split_once(": ")?;
+        of.eq_ignore_ascii_case(name).then(|| value.to_owned())
+    });
+    line.unwrap_or_default()
+}
+
+fn serve(mut stream: TcpStream, reply: Reply) {
+    while let Some(request) = read_request(&mut stream) {
+        let id = header(&request, "attempt-id");
+        if request.starts_with("GET") || id.is_empty() {
+            let body = json!({"models": [{"name": "m1", "version": 1, "adapters": []}], "busy": false, "sequence": 0}).to_string();
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
+        return answer(stream, &id, reply);
+    }
+}
+
+fn answer(mut stream: TcpStream, id: &str, reply: Reply) {
+    let head = |id: &str| {
+        format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s.{id}\r\nContent-Type: text/event-stream\r\n\r\n"
+        )
+    };
+    let endless = |stream: &mut TcpStream, first: &str, block: &[u8]| {
+        if stream.write_all(first.as_bytes()).is_ok() {
+            while stream.write_all(block).is_ok() {}
+        }
+    };
+    let _closed_meanwhile = match reply {
+        Reply::Until(body) => stream.write_all(format!("{}{body}", head(id)).as_bytes()),
+        Reply::Reset(body) => {
+            let sent = stream.write_all(format!("{}{body}", head(id)).as_bytes());
+            thread::sleep(Duration::from_millis(100));
+            reset(stream);
+            return drop(sent);
+        }
+        Reply::HalfHead => stream.write_all(b"HTTP/1.1 200 OK\r\nAttempt-"),
+        Reply::EndlessForeign => return endless(&mut stream, &head("another"), &[b'x'; BLOCK]),
+        Reply::EndlessHead => return endless(&mut stream, "HTTP/1.1 200 OK\r\nX: ", &[b'x'; BLOCK]),
+        Reply::EndlessEvent => return endless(&mut stream, &head(id), &[b'x'; BLOCK]),
+    };
+}
+
+fn reset(stream: TcpStream) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("builds");
+    runtime.block_on(async {
+        stream.set_nonblocking(true).expect("sets");
+        let stream = tokio::net::TcpStream::from_std(stream).expect("converts");
+        stream.set_zero_linger().expect("sets");
+    });
+}
+
+fn engine(store: &Store, id: &str, service: &str, reply: Reply) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("has one");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve(stream, reply));
+        }
+    });
+    let models =
+        if service == "writer" { json!([{"name": "m1", "version": 1, "adapters": []}]) } else { json!([]) };
+    let entry = json!({"born": 1_767_465_654_898_u64, "service": service, "address": address.to_string(), "zone": "zone-a",
+        "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "models": models, "sequence": 0});
+    store.put("servers", id, &entry);
+    address
+}
+
+/// An entry VM before one engine of each service.
+fn scene(name: &str, reply: Reply) -> (Store, Entry) {
+    let store = Store::start();
+    store.put("op", "config", &config(1));
+    engine(&store, "w-1", "writer", reply);
+    engine(&store, "g-1", "gateway", reply);
+    let entry = Entry::start(name, &store);
+    (store, entry)
+}
+
+fn stream_of(name: &str, reply: Reply) -> String {
+    let (_store, entry) = scene(name, reply);
+    call(entry.callers, &streamed("/brief/1", "r1"))
+}
+
+fn is_whole(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 200") && answer.ends_with("0\r\n\r\n")
+}
+
+#[test]
+fn whole_events() {
+    let answer = stream_of("unframed-whole", Reply::Until("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    assert!(is_whole(&answer), "{answer}");
+    assert!(answer.contains("data: a") && answer.contains("data: b"), "{answer}");
+}
+
+/// An engine that ends after the head leaves the same as one that has nothing to say: callers are not told that this is all.
+#[test]
+fn no_event() {
+    let answer = stream_of("unframed-none", Reply::Until(""));
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
+
+#[test]
+fn inside_an_event() {
+    let answer = stream_of("unframed-inside", Reply::Until("id: 1\ndata: a\n\nid: 2\nda"));
+    assert!(answer.contains("data: a") && !is_whole(&answer), "{answer}");
+}
+
+#[test]
+fn inside_the_head() {
+    let answer = stream_of("unframed-head", Reply::HalfHead);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
+
+#[test]
+fn reset_after_an_event() {
+    let answer = stream_of("unframed-reset", Reply::Reset("id: 1\ndata: a\n\n"));
+    assert!(answer.contains("data: a") && !is_whole(&answer), "{answer}");
+}
+
+#[test]
+fn body_of_a_call() {
+    let (_store, entry) = scene("unframed-call", Reply::Until("all of it"));
+    let answer = call(entry.callers, &plain("/ack/1", "r1"));
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("all of it"), "{answer}");
+    let (_store, entry) = scene("unframed-call-reset", Reply::Reset("some of it"));
+    let answer = call(entry.callers, &plain("/ack/1", "r1"));
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -159,10 +159,25 @@
     loss.runs.push(Run { id, request, parts, begun, sent, broke: now });
 }
 
+/// A request's answer ended with its connection just after it had begun. That is an answer, and an engine that crashes may leave the same: it
+/// counts if the engine is found to have crashed.
+pub(crate) fn closed(state: &mut State, now: Time, id: Id, run: Lost<'_>, begun: Option<Time>) {
+    let Lost { engine, sent, .. } = run;
+    let Some(flow) = state.flows.get(&id).filter(|_| is_suspect(now, begun)) else {
+        return;
+    };
+    let run =
+        Run { id, request: flow.fingerprint, parts: Arc::clone(&flow.parts), begun: true, sent, broke: now };
+    state.crashes.close(engine, run, now);
+}
+
 /// An engine's port was tried from here. A refused connection may be the work of a partition, so that another entry VM is
 /// asked for what it sees, on the engine's side of such a partition.
 pub(crate) fn probed(state: &mut State, now: Time, engine: &Name, reach: Reach, out: &mut Vec<Effect>) {
     let alone = state.members.is_alone(&state.me.vm);
+    if reach == Reach::Closed && state.engines.get(engine).is_some_and(|known| !known.leaves()) {
+        state.crashes.reopen(engine, &state.me.vm, now);
+    }
     match reach {
         Reach::Closed if alone => confirm(state, now, engine, out),
         Reach::Closed => ask(state, engine, out),
@@ -235,9 +250,10 @@
 
 /// The engine has crashed under the runs that broke there.
 fn confirm(state: &mut State, now: Time, engine: &Name, out: &mut Vec<Effect>) {
-    let Some(loss) = state.crashes.losses.remove(engine) else {
+    let Some(mut loss) = state.crashes.losses.remove(engine) else {
         return;
     };
+    loss.runs.extend(state.crashes.take_closed(engine, now));
     let service = state.engines.get(engine).map(|known| &known.entry.service);
     let runs_models = service.is_some_and(|service| state.pool(service).is_some());
     let suspect = |run: &Run| Suspect {
--- a/fleet/src/crash/register.rs
+++ b/fleet/src/crash/register.rs
@@ -1,6 +1,6 @@
 //! What is known of each request under which engines have crashed, and when it is quarantined.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +28,9 @@
 const QUARANTINE_GROWTH: u32 = 6;
 /// The longest quarantine.
 pub(super) const QUARANTINE_MAX: Duration = Duration::from_hours(24);
+/// Answers that ended with their connections that are kept, and for how long: the next request finds out whether the engine is there.
+const CLOSED_MAX: usize = 256;
+const CLOSED_KEPT: Duration = Duration::from_secs(2);
 /// Requests that something is known of, at most: an attacker needs a crash for each.
 const CASES_MAX: usize = 256;
 
@@ -97,6 +100,11 @@
     pub(super) broke: Time,
 }
 
+/// Whether an answer ended too long ago to be the work of a crash that is found now.
+fn is_stale(run: &Run, now: Time) -> bool {
+    now.since(run.broke) > CLOSED_KEPT
+}
+
 /// How long the quarantine lasts that is the `times`th.
 fn length(times: u32) -> Duration {
     QUARANTINE.saturating_mul(QUARANTINE_GROWTH.saturating_pow(times.saturating_sub(1))).min(QUARANTINE_MAX)
@@ -108,6 +116,8 @@
     cases: FxHashMap<Fingerprint, Case>,
     pub(super) parts: Parts,
     pub(super) losses: BTreeMap<Name, Loss>,
+    /// Runs whose answers ended with their connections, and their engines.
+    closed: VecDeque<(Name, Run)>,
     /// The hub's digest of what is certain, as it said last.
     hub_digest: u64,
 }
@@ -233,6 +243,33 @@
         true
     }
 
+    /// Keeps a run whose answer ended with its connection.
+    pub(super) fn close(&mut self, engine: &Name, run: Run, now: Time) {
+        while self.closed.len() >= CLOSED_MAX
+            || self.closed.front().is_some_and(|(_, run)| is_stale(run, now))
+        {
+            self.closed.pop_front();
+        }
+        self.closed.push_back((engine.clone(), run));
+    }
+
+    /// An engine's port is closed: answers that ended with their connections there may have broken off.
+    pub(super) fn reopen(&mut self, engine: &Name, me: &Name, now: Time) {
+        if !self.losses.contains_key(engine)
+            && self.closed.iter().any(|(of, run)| of == engine && !is_stale(run, now))
+        {
+            self.losses.insert(engine.clone(), Loss { asked: vec![me.clone()], ..Loss::default() });
+        }
+    }
+
+    /// An engine has crashed: the runs there whose answers had just ended with their connections.
+    pub(super) fn take_closed(&mut self, engine: &Name, now: Time) -> Vec<Run> {
+        let (here, left) = self.closed.drain(..).partition(|(of, _)| of == engine);
+        self.closed = left;
+        let here: VecDeque<(Name, Run)> = here;
+        here.into_iter().map(|(_, run)| run).filter(|run| !is_stale(run, now)).collect()
+    }
+
     /// Holds crashes against what the prompts of the runs there share with others, and accuses whatever has enough against it. Returns whether
     /// anything is accused. `nodes`: entry VMs that there are.
     pub(super) fn strike(&mut self, suspects: &[Suspect], now: Time, nodes: usize) -> bool {
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -159,8 +159,12 @@
     }
     match end {
         End::Done => {
-            crash::answered(state, now, request, out);
-            crash::is_sound(state, now, id, first_at.unwrap_or(now), out);
+            if events.unframed {
+                crash::closed(state, now, id, Lost { engine: &engine, sent: at, begun }, first_at);
+            } else {
+                crash::answered(state, now, request, out);
+                crash::is_sound(state, now, id, first_at.unwrap_or(now), out);
+            }
             state.paced(&service, took);
             if let Some(gap) = events.gap {
                 state.speed.learn_event(&service, gap);
--- a/fleet/src/request.rs
+++ b/fleet/src/request.rs
@@ -203,6 +203,8 @@
     pub pause: Duration,
     /// The mean time between two of them; none for less than two.
     pub gap: Option<Duration>,
+    /// Whether nothing but the end of its connection said that the answer was over: its engine may have crashed.
+    pub unframed: bool,
 }
 
 /// How an attempt ended.
--- a/fleet/tests/links/mod.rs
+++ b/fleet/tests/links/mod.rs
@@ -312,7 +312,11 @@
                 let answer = self.lease(call);
                 self.feed(at, Event::Lease(answer));
             }
-            Effect::Step { .. } | Effect::Ask { .. } => self.wanted.push((at, effect)),
+            Effect::Step { .. }
+            | Effect::Ask { .. }
+            | Effect::Probe { .. }
+            | Effect::IndirectProbe { .. }
+            | Effect::AskPath { .. } => self.wanted.push((at, effect)),
             Effect::WakeAt(wake) => self.vms[at].wake = Some(wake),
             // The store is read by the hub alone here; the rest concerns requests and engines.
             _ => {}
--- a/fleet/tests/part_storm.rs
+++ b/fleet/tests/part_storm.rs
@@ -74,6 +74,13 @@
     check_seeds(2, &Settings { begins: true, ..Settings::default() });
 }
 
+/// All answers end with their connections: what a crash breaks off after an event looks whole.
+#[test]
+fn answers_without_length() {
+    check_seeds(2, &Settings { closes: true, ..Settings::default() });
+    check_seeds(2, &Settings { closes: true, begins: true, ..Settings::default() });
+}
+
 /// Clients try again at once, at other entry VMs, and streams are resumed.
 #[test]
 fn impatient_clients() {
@@ -166,6 +173,8 @@
         ("rare, one in 5 s", Settings { bad: 0.2, lasts: secs(60), ..base.clone() }),
         ("10 a second", Settings { bad: 10.0, ..base.clone() }),
         ("first event before the end", Settings { begins: true, ..base.clone() }),
+        ("answers without length", Settings { closes: true, ..base.clone() }),
+        ("the same, first event", Settings { closes: true, begins: true, ..base.clone() }),
         ("waves beside", Settings { waves: every(4_000, 4, 4), down: millis(500), ..base.clone() }),
         ("none, 4 waves", none(30, every(5_000, 3, 4))),
         ("none, 4 waves, read to 2 s", none(2_000, every(5_000, 3, 4))),
--- a/fleet/tests/storm/mod.rs
+++ b/fleet/tests/storm/mod.rs
@@ -56,6 +56,8 @@
     pub fuse: Duration,
     /// Whether such an engine sends a first event before it ends.
     pub begins: bool,
+    /// Whether answers end with their connections, so that those that a crash breaks off look whole.
+    pub closes: bool,
     /// How long an engine that ended is gone.
     pub down: Duration,
     /// When all engines end for another cause.
@@ -97,6 +99,7 @@
             read: millis(30),
             fuse: millis(50),
             begins: false,
+            closes: false,
             down: Duration::from_secs(2),
             waves: Vec::new(),
             kills: Vec::new(),
@@ -325,6 +328,19 @@
                         self.links.feed(vm, Event::Granted { request, grant });
                     }
                     Effect::Step { request, step } => self.step(vm, request, step),
+                    Effect::Probe { engine, .. } => {
+                        let reach = self.reach(&engine);
+                        self.links.feed(vm, Event::Probed { engine, reach });
+                    }
+                    Effect::IndirectProbe { engine, .. } => {
+                        let reach = Some(self.reach(&engine));
+                        self.links.feed(vm, Event::ProbedIndirectly { engine, reach });
+                    }
+                    Effect::AskPath { vm: by, address, engine } => {
+                        let reach = Some(self.reach(&engine));
+                        let by = Relay { vm: by, address };
+                        self.links.feed(vm, Event::PathSeen { engine, by, reach });
+                    }
                     _ => {}
                 }
             }
@@ -388,8 +404,8 @@
     }
 
     fn end(&mut self, run: &Run, end: End) {
-        let ended =
-            Event::Ended { request: run.request, attempt: run.attempt, end, events: Events::default() };
+        let events = Events { unframed: self.settings.closes, ..Events::default() };
+        let ended = Event::Ended { request: run.request, attempt: run.attempt, end, events };
         self.links.feed(run.vm, ended);
     }
 
@@ -406,22 +422,21 @@
         }
         let broken: Vec<Run> = self.runs.extract_if(.., |run| run.engine == *engine).collect();
         for run in &broken {
-            let sent = run.begins <= self.now();
-            self.end(run, if sent { End::Lost } else { End::Unsent });
-        }
-        let vms: BTreeSet<usize> = broken.iter().map(|run| run.vm).collect();
-        for vm in vms {
-            for event in [
-                Event::Probed { engine: engine.clone(), reach: Reach::Closed },
-                Event::ProbedIndirectly { engine: engine.clone(), reach: Some(Reach::Closed) },
-                Event::PathSeen { engine: engine.clone(), by: other(), reach: Some(Reach::Closed) },
-            ] {
-                self.links.feed(vm, event);
-            }
+            let end = match run {
+                Run { begins, .. } if *begins > self.now() => End::Unsent,
+                Run { told: Some(_), .. } if self.settings.closes => End::Done,
+                _ => End::Lost,
+            };
+            self.end(run, end);
         }
         self.follow();
     }
 
+    /// How an engine's port answers.
+    fn reach(&self, engine: &Name) -> Reach {
+        if self.engines.contains(engine) { Reach::Open } else { Reach::Closed }
+    }
+
     fn tick(&mut self) {
         self.links.pass(TICK);
         self.follow();
@@ -561,8 +576,3 @@
         self.outcome
     }
 }
-
-/// An entry VM that is asked for a way to an engine.
-fn other() -> Relay {
-    Relay { vm: "vm-other".into(), address: ([10, 0, 0, 9], 7_000).into() }
-}
