Give up an answer to another request that never ends

Bytes that are no answer may come without end until the caller closes. Bound: 1 MiB is skipped, then the connection is reset and the engine's answer counts as garbled.

--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -19,6 +19,8 @@
 const KEEP_UNSAID: Duration = Duration::from_millis(800);
 /// Less than the other side says, for what is under way when it closes.
 const KEEP_MARGIN: Duration = Duration::from_millis(300);
+/// Bytes of an answer to another request, at most: it may never end.
+const SKIPPED_MAX: usize = 1 << 20;
 /// Informational answers before the real one.
 const INFORMATIONAL_MAX: u32 = 4;
 
@@ -137,9 +139,15 @@
     ///
     /// # Errors
     ///
-    /// If none comes.
+    /// If none comes, or this one is too long.
     pub async fn skip(mut self) -> Result<Self, Error> {
-        while self.read().await?.is_some() {}
+        let mut skipped = 0;
+        while let Some(bytes) = self.read().await? {
+            skipped += bytes.len();
+            if skipped > SKIPPED_MAX {
+                return Err(Error::Garbled(format!("more than {SKIPPED_MAX} bytes for another request")));
+            }
+        }
         let Some(mut connection) = self.connection.take().filter(|_| self.keep.is_some()) else {
             return Err(Error::Lost(io::ErrorKind::UnexpectedEof.into()));
         };
--- a/daemon/tests/unframed_answers.rs
+++ b/daemon/tests/unframed_answers.rs
@@ -189,3 +189,27 @@
     let answer = call(entry.callers, &plain("/ack/1", "r1"));
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
 }
+
+/// Bytes without end are given up long before the caller would, and take a bounded room however many come at once.
+#[test]
+fn bytes_without_end() {
+    for (name, reply) in [
+        ("endless-foreign", Reply::EndlessForeign),
+        ("endless-head", Reply::EndlessHead),
+        ("endless-event", Reply::EndlessEvent),
+    ] {
+        let (_store, entry) = scene(name, reply);
+        let callers = entry.callers;
+        let begin = Instant::now();
+        let calls: Vec<_> = (0..8)
+            .map(|at| thread::spawn(move || call(callers, &streamed("/brief/1", &format!("e{at}")))))
+            .collect();
+        for call in calls {
+            let answer = call.join().expect("ends");
+            assert!(!is_whole(&answer), "{name}: {} bytes", answer.len());
+        }
+        assert!(begin.elapsed() < Duration::from_secs(3), "{name}: {:?}", begin.elapsed());
+        let kilobytes = entry.memory_peak_kb();
+        assert!(kilobytes < 100_000, "{name}: {kilobytes} KB");
+    }
+}
