Try a part that ends engines on real processes

Two entry VMs and 16 engines as processes; requests that share a part come at both, among sound ones with the same first part: from 3 s after the series none ends an engine, and ten of ten sound ones with the same first part are served.

--- a/daemon/tests/crashing_requests.rs
+++ b/daemon/tests/crashing_requests.rs
@@ -16,8 +16,8 @@
 use std::thread;
 use std::time::Duration;
 
-use serving::{Entry, call, streamed_with};
-use standin::{CRASHING, Engine, Store, config};
+use serving::{Entry, call, streamed_of, streamed_with};
+use standin::{BAD_PART, CRASHING, Engine, Store, config};
 
 /// Time within which entry VMs that reach each other and the store know what one of them has seen.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -57,3 +57,37 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "another request is served: {answer}");
     }
 }
+
+/// Guards against requests of which no two are alike, and that end engine after engine by a part of their prompts.
+#[test]
+fn same_part_at_any_entry() {
+    let store = Store::start();
+    store.put("op", "config", &config(1));
+    let engines: Vec<Engine> =
+        (1..=16).map(|at| Engine::start(&store, &format!("i-{at}"), "writer", &["m1"])).collect();
+    let entries = ["part-a", "part-b"].map(|name| Entry::start(name, &store));
+    let mut number = 0;
+    let mut send = |second: &str| {
+        let entry = &entries[number % entries.len()];
+        number += 1;
+        let parts = format!("f1:100,{second}:50,{number:x}:20");
+        call(entry.callers, &streamed_of("/brief/7", &format!("p{number}"), &parts))
+    };
+    for round in 0..24 {
+        // Sound ones that share the first part come at both.
+        (0..2).for_each(|_| drop(send(&format!("a{round}"))));
+        send(BAD_PART);
+        thread::sleep(Duration::from_millis(150));
+    }
+    thread::sleep(CONTACT);
+    let before = crashes(&engines);
+    assert!((3..16).contains(&before), "{before} ended");
+    let mut served = 0;
+    for round in 0..10 {
+        let answer = send(BAD_PART);
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+        served += usize::from(send(&format!("c{round}")).starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(crashes(&engines), before, "engines that ended after that");
+    assert_eq!(served, 10, "with the same first part");
+}
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -214,6 +214,11 @@
     )
 }
 
+/// A stream's request whose prompt has these parts.
+pub fn streamed_of(path: &str, id: &str, parts: &str) -> String {
+    streamed_with(path, id, id).replace("Deadline-Ms", &format!("Prompt-Prefix: {parts}\r\nDeadline-Ms"))
+}
+
 /// A stream's request.
 pub fn streamed(path: &str, id: &str) -> String {
     streamed_with(path, id, "hi")
