Judge first what has not answered since, one look at a time

Of several parts that are accused at once, those whose answers have begun since are bystanders more often: engines that a popular first part ends take the others' answers with them before these have lasted.

--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -318,9 +318,11 @@
     }
 }
 
-/// An answer began here.
-pub(crate) const fn began(state: &mut State, now: Time) {
-    state.crashes.parts.begin(now);
+/// The answer of a request began.
+pub(crate) fn began(state: &mut State, now: Time, id: Id) {
+    if let Some(flow) = state.flows.get(&id) {
+        state.crashes.parts.begin(&flow.parts, now);
+    }
 }
 
 /// A part that others may suspect was seen to be sound some time ago.
@@ -373,7 +375,7 @@
     if !entries.is_empty() {
         push::tell_crashes(state, News::of(entries), out);
     }
-    if state.crashes.has_accused() {
+    if state.crashes.goes_on() {
         state.timers.set(now + JUDGE_EVERY, Timer::Judge);
     }
 }
--- a/fleet/src/crash/parts.rs
+++ b/fleet/src/crash/parts.rs
@@ -87,6 +87,8 @@
     cases: FxHashMap<Fingerprint, Case>,
     /// When the newest answer on a part began that went well here.
     sound: FxHashMap<Fingerprint, Time>,
+    /// When the newest answer on a part began here, whatever became of it.
+    begun: FxHashMap<Fingerprint, Time>,
     broken: VecDeque<Broken>,
     /// When answers were seen here to go well.
     served: VecDeque<Time>,
@@ -102,6 +104,8 @@
     pub(super) part: Fingerprint,
     /// When the first run was sent that speaks against it.
     pub(super) since: Time,
+    /// Whether no answer on it has begun here since.
+    silent: bool,
     strikes: usize,
     rank: Rank,
 }
@@ -134,9 +138,12 @@
 }
 
 impl Parts {
-    /// An answer began here.
-    pub(super) const fn begin(&mut self, now: Time) {
+    /// An answer on these parts began here.
+    pub(super) fn begin(&mut self, parts: &[Fingerprint], now: Time) {
         self.answered = now;
+        for part in parts {
+            keep(&mut self.begun, *part, now, now);
+        }
     }
 
     /// An answer goes well here.
@@ -199,7 +206,7 @@
             }
             charge
         });
-        let heaviest = charges.max_by_key(|charge| (charge.strikes, charge.rank))?;
+        let heaviest = charges.max_by_key(|charge| (charge.silent, charge.strikes, charge.rank))?;
         let since = self.accused.get(&heaviest.part)?;
         (self.answered >= *since + time).then_some(heaviest)
     }
@@ -223,7 +230,8 @@
     fn weigh(&mut self, part: Fingerprint, view: &View<'_>) -> Option<Charge> {
         let now = view.now;
         let sound = self.sound.get(&part).copied();
-        let strikes = self.cases.get(&part)?.open(sound).len();
+        let case = self.cases.get(&part).filter(|case| now < case.forget_at)?;
+        let strikes = case.open(sound).len();
         let relapsed = (view.relapsed)(part);
         // Nothing is reckoned for the many that could not be accused whatever the chance.
         if strikes == 0 || !relapsed && strikes as f64 * -CHANCE_MIN.ln() < WEIGHT_MIN {
@@ -237,7 +245,8 @@
         let open = case.open(sound);
         let weight: f64 = open.iter().map(|strike| strike.weight).sum();
         let first = open.first().filter(|_| relapsed || weight >= WEIGHT_MIN)?;
-        Some(Charge { part, since: first.sent, strikes, rank: case.rank })
+        let silent = self.begun.get(&part).is_none_or(|begun| *begun < first.sent);
+        Some(Charge { part, since: first.sent, silent, strikes, rank: case.rank })
     }
 
     /// The chance that a run breaks, by those of the last seconds but for some.
@@ -257,13 +266,7 @@
 
     /// An answer on a part that began at `at` goes well here. Returns whether all are to be told.
     pub(super) fn answer(&mut self, part: Fingerprint, at: Time, now: Time) -> bool {
-        if self.sound.len() >= CASES_MAX {
-            self.sound.retain(|_, sound| now.since(*sound) < SOUND_KEPT);
-        }
-        if self.sound.len() < CASES_MAX {
-            let sound = self.sound.entry(part).or_insert(at);
-            *sound = at.max(*sound);
-        }
+        keep(&mut self.sound, part, at, now);
         let Some(case) = self.cases.get_mut(&part) else {
             return false;
         };
@@ -305,6 +308,17 @@
     }
 }
 
+/// Keeps the newest time of a part.
+fn keep(times: &mut FxHashMap<Fingerprint, Time>, part: Fingerprint, at: Time, now: Time) {
+    if times.len() >= CASES_MAX {
+        times.retain(|_, known| now.since(*known) < SOUND_KEPT);
+    }
+    if times.len() < CASES_MAX {
+        let newest = times.entry(part).or_insert(at);
+        *newest = at.max(*newest);
+    }
+}
+
 impl Case {
     fn note(&mut self, strike: Strike, now: Time) {
         self.forget_at = now + REMEMBERED;
--- a/fleet/src/crash/register.rs
+++ b/fleet/src/crash/register.rs
@@ -115,6 +115,8 @@
 pub struct Register {
     cases: FxHashMap<Fingerprint, Case>,
     pub(super) parts: Parts,
+    /// Whether a look at accused parts is due.
+    judging: bool,
     pub(super) losses: BTreeMap<Name, Loss>,
     /// Runs whose answers ended with their connections, and their engines.
     closed: VecDeque<(Name, Run)>,
@@ -271,7 +273,7 @@
     }
 
     /// Holds crashes against what the prompts of the runs there share with others, and accuses whatever has enough against it. Returns whether
-    /// anything is accused. `nodes`: entry VMs that there are.
+    /// that is to be judged from now on. `nodes`: entry VMs that there are.
     pub(super) fn strike(&mut self, suspects: &[Suspect], now: Time, nodes: usize) -> bool {
         let Self { cases, parts, .. } = self;
         let convicted = |of: Fingerprint| cases.get(&of).is_some_and(|case| case.is_quarantined(now));
@@ -286,7 +288,9 @@
         for part in struck {
             parts.accuse(part, &view);
         }
-        parts.has_accused()
+        let begins = parts.has_accused() && !self.judging;
+        self.judging |= begins;
+        begins
     }
 
     /// Quarantines the accused part with most against it of which no answer has been heard for `time`; none if there is none.
@@ -304,9 +308,10 @@
         Some(part)
     }
 
-    /// Whether any part is accused.
-    pub(super) fn has_accused(&self) -> bool {
-        self.parts.has_accused()
+    /// Whether any part is still accused; if not, judging is over.
+    pub(super) fn goes_on(&mut self) -> bool {
+        self.judging = self.parts.has_accused();
+        self.judging
     }
 
     /// Whether a quarantine of this is wrong if an answer that began at `at` went well.
--- a/fleet/src/outcome.rs
+++ b/fleet/src/outcome.rs
@@ -79,7 +79,7 @@
     }
     let (engine, at, relayed) = (engine.clone(), *at, relay.is_some());
     if first {
-        crash::began(state, now);
+        crash::began(state, now, id);
     }
     crash::writes(state, now, id, first_at, out);
     trust::answered(state, now, &engine, relayed, at, out);
--- a/fleet/tests/part_storm.rs
+++ b/fleet/tests/part_storm.rs
@@ -50,6 +50,16 @@
     check_seeds(2, &Settings { parts: vec![Bad::First(2)], bad: 0.0, ..Settings::default() });
 }
 
+/// The same where engines take up to half a second to read, so that hardly any answer of others begins meanwhile.
+#[test]
+fn slow_bad_first_part() {
+    let read = millis(500);
+    check_seeds(
+        5,
+        &Settings { parts: vec![Bad::First(2)], bad: 0.0, read, sound: 200.0, ..Settings::default() },
+    );
+}
+
 #[test]
 fn three_bad_parts() {
     let parts = vec![Bad::Fresh(1), Bad::Fresh(2), Bad::Second(3)];
@@ -191,6 +201,7 @@
         ("resumable", Settings { path: "/digest/1", tries: 3, ..base.clone() }),
         ("6 entry VMs", Settings { vms: 6, ..base.clone() }),
         ("65", Settings { vms: 65, ..base.clone() }),
+        ("984", Settings { vms: 984, lasts: secs(12), ..base.clone() }),
         ("300", Settings { vms: 300, lasts: secs(20), ..base.clone() }),
     ];
     let seeds: u64 = std::env::var("STORM_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(5);
--- a/fleet/tests/prompt_parts.rs
+++ b/fleet/tests/prompt_parts.rs
@@ -465,3 +465,22 @@
     });
     assert_eq!(lines.collect::<Vec<_>>(), [("quarantined", 3)]);
 }
+
+/// However many crashes there are, accused parts are looked at once at a time, and not for ever.
+#[test]
+fn one_look_at_a_time() {
+    let mut scene = Scene::new();
+    for _ in 0..8 {
+        scene.crash("m0", &["f", BAD]);
+    }
+    let wakes =
+        |effects: &[Effect]| effects.iter().filter(|effect| matches!(effect, Effect::WakeAt(_))).count();
+    let accused = wakes(&scene.node.pass(Duration::from_secs(2)));
+    scene.node.pass(Duration::from_mins(11));
+    let forgotten = wakes(&scene.node.pass(Duration::from_secs(2)));
+    // One each 50 ms, and two for each suspected engine.
+    assert!(
+        accused <= forgotten + 40 + 2 * 8,
+        "{accused} wake-ups in two seconds, {forgotten} once it is forgotten"
+    );
+}
