--- a/fleet/tests/prompt_parts.rs
+++ b/fleet/tests/prompt_parts.rs
@@ -484,3 +484,19 @@
         "{accused} wake-ups in two seconds, {forgotten} once it is forgotten"
     );
 }
+
+/// What a crash costs on the way: each shared part, and it with its model, is a hash of 19 bytes.
+#[test]
+fn bytes_of_a_crash() {
+    let suspect = |parts: usize| Suspect {
+        request: Fingerprint::of(HOST, "/", b"x"),
+        engine: Some("i-173f3c536b".into()),
+        sent: millis(100),
+        broke: millis(50),
+        parts: (0..2 * parts).map(|at| Fingerprint::of_part(&at.to_string())).collect(),
+        begun: false,
+    };
+    let bytes = |parts| rmp_serde::to_vec(&suspect(parts)).expect("encodes").len();
+    println!("{} {} {}", bytes(0), bytes(2), bytes(16));
+    assert!(bytes(2) <= bytes(0) + 4 * 19, "{} and {}", bytes(0), bytes(2));
+}
