Understand entry VMs that do not know parts of prompts yet

While all entry VMs are replaced, those of before send what they know of crashes without parts; without a default for the new fields that news could not be read (older_sender_understood: the bytes of a sender of before).

--- a/fleet/src/crash.rs
+++ b/fleet/src/crash.rs
@@ -69,8 +69,10 @@
     /// Time since it broke.
     pub broke: Duration,
     /// What its prompt shares with others.
+    #[serde(default)]
     pub parts: Arc<[Fingerprint]>,
     /// Whether its answer had begun, just before.
+    #[serde(default)]
     pub begun: bool,
 }
 
--- a/fleet/tests/prompt_parts.rs
+++ b/fleet/tests/prompt_parts.rs
@@ -500,3 +500,12 @@
     println!("{} {} {}", bytes(0), bytes(2), bytes(16));
     assert!(bytes(2) <= bytes(0) + 4 * 19, "{} and {}", bytes(0), bytes(2));
 }
+
+/// An entry VM that knows no parts yet, as while all are replaced, is understood.
+#[test]
+fn older_sender_understood() {
+    let older = (Fingerprint::of(HOST, "/", b"x"), Some("i-1"), millis(100), millis(50));
+    let bytes = rmp_serde::to_vec(&older).expect("encodes");
+    let suspect: Suspect = rmp_serde::from_slice(&bytes).expect("decodes");
+    assert_eq!((suspect.parts.len(), suspect.begun), (0, false));
+}
