Search only what is new of an event for its end

Traced: each piece of 8 KB was appended and the whole buffer searched again, up to 1 MiB, on the one thread of the entry VM: 128 times half a megabyte for each such stream. Only the new bytes are searched now, and the last one before them, which may begin the end (events_in_pieces). Eight endless events, paired on a machine with a load of 14: 1.17 s before, 0.054 s now.

--- a/daemon/src/entry/events.rs
+++ b/daemon/src/entry/events.rs
@@ -17,11 +17,13 @@
 impl Events {
     /// Takes in more bytes and returns those of the whole events.
     pub(crate) fn push(&mut self, bytes: &Bytes) -> Bytes {
+        // What was there before has been searched, but for an end that its last byte begins.
+        let from = self.buffer.len().saturating_sub(1);
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = memmem::rfind(&self.buffer, b"\n\n") else {
+        let Some(end) = memmem::rfind(&self.buffer[from..], b"\n\n") else {
             return Bytes::new();
         };
-        let whole = self.buffer.split_to(end + 2).freeze();
+        let whole = self.buffer.split_to(from + end + 2).freeze();
         if let Some(id) = last_id(&whole) {
             self.last = Some(id);
         }
--- a/daemon/tests/unframed_answers.rs
+++ b/daemon/tests/unframed_answers.rs
@@ -23,7 +23,9 @@
 enum Reply {
     /// This, after a head that names no length, and the end of the connection.
     Until(&'static str),
-    /// The same, but the connection is reset.
+    /// A head that names no length, these pieces one after the other, and the end of the connection.
+    Pieces(&'static [&'static str]),
+    /// The same as the first, but the connection is reset.
     Reset(&'static str),
     /// A head that breaks off.
     HalfHead,
@@ -97,6 +99,14 @@
             reset(stream);
             return drop(sent);
         }
+        Reply::Pieces(pieces) => {
+            let mut sent = stream.write_all(head(id).as_bytes());
+            for piece in pieces {
+                thread::sleep(Duration::from_millis(50));
+                sent = sent.and_then(|()| stream.write_all(piece.as_bytes()));
+            }
+            sent
+        }
         Reply::HalfHead => stream.write_all(b"HTTP/1.1 200 OK\r\nAttempt-"),
         Reply::EndlessForeign => return endless(&mut stream, &head("another"), &[b'x'; BLOCK]),
         Reply::EndlessHead => return endless(&mut stream, "HTTP/1.1 200 OK\r\nX: ", &[b'x'; BLOCK]),
@@ -155,6 +165,16 @@
     assert!(answer.contains("data: a") && answer.contains("data: b"), "{answer}");
 }
 
+/// An event's end may come in two pieces, and an event in many.
+#[test]
+fn events_in_pieces() {
+    let pieces = &["id: 1\nda", "ta: a", "\n", "\nid: 2\ndata: b\n", "\n"];
+    let answer = stream_of("unframed-pieces", Reply::Pieces(pieces));
+    assert!(is_whole(&answer), "{answer}");
+    let text: String = answer.lines().filter(|line| line.starts_with("data: ")).collect();
+    assert_eq!(text, "data: adata: b");
+}
+
 /// An engine that ends after the head leaves the same as one that has nothing to say: callers are not told that this is all.
 #[test]
 fn no_event() {
