review: late orders overfill an engine that restarted under its id (case 2)

Cause: before an order, each unanswered load of an earlier start of the engine is weighed by itself, and only if its count is the next one. Two late loads with successive counts can both be carried out.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,9 +8,11 @@
 mod engine;
 mod home;
 mod http;
+mod limit;
 mod record;
 mod store;
 mod vm;
+mod worker;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -50,6 +52,7 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "home" => home::run(&record, trouble),
+        "limit" => limit::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let (text, status) = match verdict {
