review: no process starts with a bound that is a fraction of a second (case 3)

Cause: durations in the settings are whole numbers alone, while the platform's figures may be fractions and the template puts them there.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod limit;
 mod record;
+mod settings;
 mod store;
 mod vm;
 mod worker;
@@ -53,6 +54,7 @@
     let verdict = match case.as_str() {
         "home" => home::run(&record, trouble),
         "limit" => limit::run(&record, trouble),
+        "settings" => settings::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let (text, status) = match verdict {
--- a/review/standin/vm.rs
+++ b/review/standin/vm.rs
@@ -57,7 +57,7 @@
 }
 
 /// A free port of this machine.
-fn free() -> std::io::Result<SocketAddr> {
+pub fn free() -> std::io::Result<SocketAddr> {
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
