review: an event is lost where a slow reader's stream moves to another engine (case 1)

Cause: events count as sent before they are handed to the caller's connection, and the exchange that holds them is dropped when the request moves to another engine. The next engine goes on after them.

--- a/review/standin/limit.rs
+++ b/review/standin/limit.rs
@@ -26,7 +26,10 @@
         adapter_mb: 40.0,
         adapter_slots: 8,
         load: Duration::from_millis(1_200),
-        run: Duration::from_millis(800),
+        first: Duration::from_millis(40),
+        events: 19,
+        gap: Duration::from_millis(40),
+        event_bytes: 10,
         slots: 8,
     }
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each case uses what it needs")]
 
 mod engine;
+mod gap;
 mod home;
 mod http;
 mod limit;
@@ -54,6 +55,7 @@
     let verdict = match case.as_str() {
         "home" => home::run(&record, trouble),
         "limit" => limit::run(&record, trouble),
+        "gap" => gap::run(&record, trouble),
         "settings" => settings::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -2,8 +2,9 @@
 //! and start again under their id.
 
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -20,8 +21,13 @@
     pub adapter_mb: f64,
     pub adapter_slots: usize,
     pub load: Duration,
-    /// How long a request runs.
-    pub run: Duration,
+    /// The time from a request to its first event.
+    pub first: Duration,
+    /// The number of events of each stream, and the time between them.
+    pub events: u64,
+    pub gap: Duration,
+    /// Bytes of an event beside its number.
+    pub event_bytes: usize,
     pub slots: u32,
 }
 
@@ -63,6 +69,10 @@
     overloads: Vec<String>,
     /// Loads accepted so far, in all its lives.
     pub loads: Vec<String>,
+    /// Whether it is cut off from all machines.
+    is_cut: bool,
+    /// The attempts whose streams it has begun.
+    begun: Vec<String>,
 }
 
 #[derive(Clone)]
@@ -77,6 +87,13 @@
     state: Arc<Mutex<State>>,
 }
 
+unsafe extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
+/// The queue of a listener in normal operation.
+const BACKLOG: i32 = 128;
+
 /// The first start, in ms since the Unix epoch.
 const BORN: u64 = 1_767_465_654_898;
 
@@ -131,6 +148,24 @@
         self.state.lock().unwrap().late.len()
     }
 
+    /// Cuts the engine off from all machines, or joins it again. Nothing passes meanwhile, and no connection is opened.
+    pub fn cut(&self, cut: bool) {
+        self.record.line(&format!("engine {} is {}", self.id, if cut { "cut off" } else { "joined again" }));
+        self.state.lock().unwrap().is_cut = cut;
+    }
+
+    /// Waits until the engine is not cut off.
+    fn pass(&self) {
+        while self.state.lock().unwrap().is_cut {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Whether it has begun the stream of this attempt.
+    pub fn has_begun(&self, attempt: &str) -> bool {
+        self.state.lock().unwrap().begun.iter().any(|begun| begun == attempt)
+    }
+
     /// Ends the engine for this time; it then starts again under its id, empty.
     pub fn crash(&self, down: Duration) {
         self.record.line(&format!("engine {} crashes", self.id));
@@ -294,6 +329,19 @@
             if listener.is_none() {
                 listener = TcpListener::bind(self.address).ok();
             }
+            if let Some(open) = &listener
+                && self.state.lock().unwrap().is_cut
+            {
+                // A full queue takes no connection: the opening packets are dropped.
+                // SAFETY: the descriptor is an open listener.
+                unsafe { listen(open.as_raw_fd(), 0) };
+                let fill = || TcpStream::connect_timeout(&self.address, Duration::from_millis(30));
+                let filling: Vec<TcpStream> = (0..4).map_while(|_| fill().ok()).collect();
+                self.pass();
+                // SAFETY: as above.
+                unsafe { listen(open.as_raw_fd(), BACKLOG) };
+                drop(filling);
+            }
             let Some(open) = &listener else {
                 thread::sleep(Duration::from_millis(2));
                 continue;
@@ -320,7 +368,10 @@
             let alive = || self.state.lock().unwrap().born == born;
             let until = Instant::now() + Duration::from_millis(50);
             match http::read(&mut stream, &mut buffer, Some(until), &|| {}) {
-                Ok(Some(request)) if alive() => self.answer(&mut stream, &request)?,
+                Ok(Some(request)) if alive() => {
+                    self.pass();
+                    self.answer(&mut stream, &request)?;
+                }
                 Ok(_) => return Ok(()),
                 Err(error) if error.kind() == io::ErrorKind::TimedOut && alive() => {}
                 Err(error) => return Err(error),
@@ -399,11 +450,34 @@
             let headers = [("Instance-Id", self.id.as_str()), ("Not-Executed", "1"), ("Attempt-Id", &attempt)];
             return http::write(stream, "HTTP/1.1 421 Misdirected Request", &headers, b"");
         }
-        thread::sleep(self.size.run);
-        let body = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
         let seal = format!("seal.{attempt}");
-        let headers = [("Attempt-Id", attempt.as_str()), ("Response-Seal", &seal), ("Content-Type", "text/event-stream")];
-        http::write(stream, "HTTP/1.1 200 OK", &headers, body.as_bytes())
+        let after: u64 = request.header("last-event-id").parse().unwrap_or_default();
+        if after > 0 {
+            self.record.line(&format!("engine {} goes on with {attempt} after {after}", self.id));
+        }
+        self.stream(stream, &attempt, &seal, after)
+    }
+
+    /// Writes the events of a stream after one, as long as the engine lives.
+    fn stream(&self, stream: &mut TcpStream, attempt: &str, seal: &str, after: u64) -> io::Result<()> {
+        let born = self.state.lock().unwrap().born;
+        self.state.lock().unwrap().begun.push(attempt.to_owned());
+        thread::sleep(self.size.first);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {seal}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes())?;
+        for number in after + 1..=self.size.events {
+            if self.state.lock().unwrap().born != born {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            self.pass();
+            let words = "x".repeat(self.size.event_bytes);
+            let event = format!("id: {number}\ndata: word{number}{words}\n\n");
+            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            thread::sleep(self.size.gap);
+        }
+        stream.write_all(b"0\r\n\r\n")
     }
 }
 
