review: late orders are forgotten with the process that gave them (case 5)

Cause: unanswered orders are kept in the memory of the process that holds the lease. The next one fills an engine that restarted under its id, and an order of before still fits its count.

--- a/review/standin/limit.rs
+++ b/review/standin/limit.rs
@@ -1,4 +1,5 @@
-//! An engine leaves two load orders unanswered, crashes, and starts again under its id; the two orders reach it late.
+//! An engine leaves load orders unanswered, crashes, and starts again under its id; the orders reach it late. In one variant the entry VM that
+//! gives orders is killed and started again meanwhile.
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -58,7 +59,16 @@
     Ok(())
 }
 
-pub fn run(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
+/// What happens beside the crash of the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    /// Two orders are late.
+    TwoLate,
+    /// One order is late, and the entry VM is killed and started again.
+    OneLateAndRestart,
+}
+
+pub fn run(record: &Record, trouble: bool, variant: Variant) -> Result<Verdict, Failure> {
     let fail = |error: std::io::Error| error.to_string();
     let folder = Folder::new().map_err(fail)?;
     let store = Store::start().map_err(fail)?;
@@ -72,11 +82,13 @@
     }
     let engine = Worker::start(record, &store, "i-0", "writer", "hall-a", size(), &[]).map_err(fail)?;
     if trouble {
-        engine.leave_unanswered("m2");
+        if variant == Variant::TwoLate {
+            engine.leave_unanswered("m2");
+        }
         engine.leave_unanswered("m3");
     }
     let more = r#""repeats":{"ratio":0.2,"slack":58,"window":"10s"},"changes":{"departures-within":"2000ms","config-within":"2000ms"},"orders":{"gap":"3000ms","load-window":"5s"},"#;
-    let vm = Vm::start(&folder, "front-hall-a-1", "hall-a", store.address, more).map_err(fail)?;
+    let mut vm = Vm::start(&folder, "front-hall-a-1", "hall-a", store.address, more).map_err(fail)?;
     vm.wait_until_ready(Duration::from_secs(10))?;
     let wanted: Arc<Mutex<Vec<&'static str>>> = Arc::new(Mutex::new(vec!["m1/a1"]));
     let over = Arc::new(AtomicBool::new(false));
@@ -91,6 +103,10 @@
     // The engine crashes, and is back under its id after a moment.
     if trouble {
         engine.crash(Duration::from_millis(600));
+        if variant == Variant::OneLateAndRestart {
+            record.line(&format!("{} is killed, and is started again after 0.5 s", vm.name));
+            vm.kill_and_start(Duration::from_millis(500)).map_err(fail)?;
+        }
     }
     thread::sleep(Duration::from_secs(16));
     over.store(true, Ordering::SeqCst);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -54,7 +54,8 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "home" => home::run(&record, trouble),
-        "limit" => limit::run(&record, trouble),
+        "limit" => limit::run(&record, trouble, limit::Variant::TwoLate),
+        "ledger" => limit::run(&record, trouble, limit::Variant::OneLateAndRestart),
         "gap" => gap::run(&record, trouble),
         "settings" => settings::run(&record, trouble),
         _ => Err(format!("no case {case}")),
--- a/review/standin/settings.rs
+++ b/review/standin/settings.rs
@@ -2,8 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -77,20 +76,6 @@
     values.iter().fold(text, |text, (name, value)| text.replace(name, value))
 }
 
-fn spawn(folder: &Path, name: &str) -> std::io::Result<Child> {
-    let log = fs::OpenOptions::new().create(true).append(true).open(folder.join(format!("{name}.log")))?;
-    let program = std::env::var("BORAGECOVED").unwrap_or_else(|_| "target/release/boragecoved".to_owned());
-    let mut command = Command::new(program);
-    command.args(["serve", "--settings"]).arg(folder.join(format!("{name}.json")));
-    command.envs([
-        ("MIMALLOC_PURGE_DELAY", "0"),
-        ("MIMALLOC_ALLOW_THP", "0"),
-        ("MIMALLOC_ARENA_EAGER_COMMIT", "0"),
-    ]);
-    command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
-    vm::end_with_parent(&mut command).spawn()
-}
-
 /// Sends 30 requests over 3 s, and returns how many were served.
 fn served(record: &Record, machines: &[Machine], round: &str) -> usize {
     let one = |at: usize| {
@@ -131,7 +116,7 @@
         let addresses = [vm::free().map_err(fail)?, vm::free().map_err(fail)?, vm::free().map_err(fail)?];
         let text = render(&template, (&name, zone, addresses), store.address, "8");
         fs::write(folder.0.join(format!("{name}.json")), text).map_err(fail)?;
-        let child = spawn(&folder.0, &name).map_err(fail)?;
+        let child = vm::spawn(&folder.0.join(format!("{name}.json"))).map_err(fail)?;
         let [callers, watchers, peers] = addresses;
         machines.push(Machine { name, zone, callers, watchers, peers, child });
     }
@@ -180,7 +165,7 @@
     while Instant::now() < until {
         for machine in &mut machines {
             if let Ok(Some(status)) = machine.child.try_wait() {
-                machine.child = spawn(&folder.0, &machine.name).map_err(fail)?;
+                machine.child = vm::spawn(&folder.0.join(format!("{}.json", machine.name))).map_err(fail)?;
                 record.line(&format!("{} has ended ({status}) and is started", machine.name));
                 ends += 1;
             }
--- a/review/standin/vm.rs
+++ b/review/standin/vm.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -61,7 +61,33 @@
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
+/// Starts the program with this settings file. Its log goes on beside the file.
+pub fn spawn(settings: &Path) -> std::io::Result<Child> {
+    let log = fs::OpenOptions::new().create(true).append(true).open(settings.with_extension("log"))?;
+    let program = std::env::var("BORAGECOVED").unwrap_or_else(|_| "target/release/boragecoved".to_owned());
+    let mut command = Command::new(program);
+    command
+        .args(["serve", "--settings"])
+        .arg(settings)
+        .env("MIMALLOC_PURGE_DELAY", "0")
+        .env("MIMALLOC_ALLOW_THP", "0")
+        .env("MIMALLOC_ARENA_EAGER_COMMIT", "0")
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log);
+    end_with_parent(&mut command).spawn()
+}
+
 impl Vm {
+    /// Kills the process, and starts it again after this time with the same settings.
+    pub fn kill_and_start(&mut self, down: Duration) -> std::io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        thread::sleep(down);
+        self.child = spawn(&self.settings)?;
+        Ok(())
+    }
+
     /// Starts one. `more` are further members of its settings, each with a comma behind it.
     pub fn start(folder: &Folder, name: &str, zone: &str, store: SocketAddr, more: &str) -> std::io::Result<Self> {
         let (callers, watchers, peers) = (free()?, free()?, free()?);
@@ -73,19 +99,7 @@
 "store":"{store}",{more}"machine":{{"cores":0.5,"link-mbps":200}},"grace":"8s"}}"#
             ),
         )?;
-        let log = fs::File::create(folder.0.join(format!("{name}.log")))?;
-        let program = std::env::var("BORAGECOVED").unwrap_or_else(|_| "target/release/boragecoved".to_owned());
-        let mut command = Command::new(program);
-        command
-            .args(["serve", "--settings"])
-            .arg(&settings)
-            .env("MIMALLOC_PURGE_DELAY", "0")
-            .env("MIMALLOC_ALLOW_THP", "0")
-            .env("MIMALLOC_ARENA_EAGER_COMMIT", "0")
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log);
-        let child = end_with_parent(&mut command).spawn()?;
+        let child = spawn(&settings)?;
         Ok(Self { name: name.to_owned(), zone: zone.to_owned(), callers, watchers, child, settings })
     }
 
