Log and count answers that may belong to no request

Operators saw requests refused with a promise run, and kept no logs; had they kept them, no line would tell the hypotheses apart. The client now counts each answer that has other bytes in front of its status line or does not name its request (boragecove_suspect_answers_total), and logs it with its server, status, the bytes in front and the number of answers before it on its connection. Nothing is decided by it.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -6,6 +6,7 @@
 //! arrive before the expected one.
 
 mod connection;
+mod head;
 mod response;
 
 use std::cell::{Cell, RefCell};
@@ -22,6 +23,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
 use boragecove_core::time::Time;
 use boragecove_fleet::engine::Port;
+use boragecove_platform::http;
 use bytes::{Bytes, BytesMut};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -131,6 +133,7 @@
     connect: Duration,
     idle: RefCell<FxHashMap<SocketAddr, Vec<Idle>>>,
     opened: Cell<u64>,
+    suspects: Rc<Cell<u64>>,
 }
 
 #[derive(Debug)]
@@ -186,7 +189,7 @@
     /// A client that waits up to `connect` for a connection to open.
     #[must_use]
     pub fn new(connect: Duration) -> Rc<Self> {
-        Rc::new(Self { connect, idle: RefCell::default(), opened: Cell::new(0) })
+        Rc::new(Self { connect, idle: RefCell::default(), opened: Cell::new(0), suspects: Rc::default() })
     }
 
     /// Number of connections opened so far.
@@ -194,6 +197,11 @@
         self.opened.get()
     }
 
+    /// Number of answers so far that may belong to no request.
+    pub(crate) fn suspects(&self) -> u64 {
+        self.suspects.get()
+    }
+
     /// Sends a request, unless it has expired, and waits until `until` for the head of its answer.
     ///
     /// # Errors
@@ -352,7 +360,8 @@
 
     async fn open(&self, address: SocketAddr, until: Instant) -> Result<Connection, Error> {
         let until = until.min(Instant::now() + self.connect);
-        let connection = Connection::open(address, until).await.map_err(Error::Unsent)?;
+        let connection =
+            Connection::open(address, until, Rc::clone(&self.suspects)).await.map_err(Error::Unsent)?;
         self.opened.set(self.opened.get() + 1);
         Ok(connection)
     }
@@ -408,6 +417,7 @@
 ) -> Result<(Connection, ClientCodec), Error> {
     connection.has_written = false;
     connection.is_idle = false;
+    connection.request_id = request.headers.get(http::REQUEST_ID).cloned();
     let codec = encode(&mut connection.output, address, request)?;
     match connection.flush_now() {
         Ok(()) => Ok((connection, codec)),
--- a/daemon/src/entry/client/connection.rs
+++ b/daemon/src/entry/client/connection.rs
@@ -6,11 +6,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::ResponseHead;
+use actix_http::header::HeaderValue;
+use boragecove_platform::http;
 use bytes::{Buf, BytesMut};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::head::Scan;
+
 /// Size of a read in bytes.
 const READ_BYTES: usize = 8 << 10;
 
@@ -24,6 +29,12 @@
     pub(super) last_transfer: Rc<Cell<Instant>>,
     /// Whether no request is in flight on it.
     pub(super) is_idle: bool,
+    /// Number of answers that were received on it.
+    pub(super) answers: u32,
+    /// The id that the request in flight has.
+    pub(super) request_id: Option<HeaderValue>,
+    /// Number of answers on all connections of the client that may belong to no request.
+    pub(super) suspects: Rc<Cell<u64>>,
 }
 
 /// An abandoned request must not arrive later, as it would from the kernel's buffers once a network partition
@@ -39,7 +50,11 @@
 
 impl Connection {
     /// Opens a connection; fails at `until`.
-    pub(super) async fn open(address: SocketAddr, until: Instant) -> io::Result<Self> {
+    pub(super) async fn open(
+        address: SocketAddr,
+        until: Instant,
+        suspects: Rc<Cell<u64>>,
+    ) -> io::Result<Self> {
         let late = || io::Error::new(io::ErrorKind::TimedOut, "timed out while connecting");
         let stream = timeout_at(until, TcpStream::connect(address)).await.map_err(|_elapsed| late())??;
         stream.set_nodelay(true)?;
@@ -50,6 +65,9 @@
             has_written: false,
             last_transfer: Rc::new(Cell::new(Instant::now())),
             is_idle: true,
+            answers: 0,
+            request_id: None,
+            suspects,
         })
     }
 
@@ -60,6 +78,22 @@
         self.input.is_empty() && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Counts an answer, and logs it if it may belong to no request: other bytes are in front of its status line, or it does
+    /// not name the request in flight.
+    pub(super) fn record_suspect(&mut self, head: &ResponseHead, scanned: Scan) {
+        let stray = match scanned {
+            Scan::Partial { stray } | Scan::Complete { stray, .. } => stray,
+        };
+        let is_named =
+            self.request_id.is_none() || head.headers.get(http::REQUEST_ID) == self.request_id.as_ref();
+        if stray > 0 || !is_named {
+            self.suspects.set(self.suspects.get() + 1);
+            let (id, server) = (self.request_id.as_ref(), self.stream.peer_addr().ok());
+            tracing::warn!(?id, ?server, status = %head.status, stray, is_named, earlier_answers = self.answers, "answer may belong to no request");
+        }
+        self.answers += 1;
+    }
+
     /// Writes as much of the output as is possible without waiting.
     pub(super) fn flush_now(&mut self) -> io::Result<()> {
         while !self.output.is_empty() {
--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -13,6 +13,7 @@
 use bytes::{Bytes, BytesMut};
 
 use super::connection::Connection;
+use super::head;
 use super::{Client, Error};
 
 /// How long an idle connection is reused if the server sends no `keep-alive` header.
@@ -193,11 +194,13 @@
 ) -> Result<(ResponseHead, Body, Option<Duration>), Error> {
     let mut informational = 0;
     loop {
+        let scanned = head::scan(&connection.input);
         match codec.decode(&mut connection.input) {
             Ok(Some(head)) if head.status.is_informational() && informational < INFORMATIONAL_MAX => {
                 informational += 1;
             }
             Ok(Some(head)) => {
+                connection.record_suspect(&head, scanned);
                 let keep = codec.keep_alive().then(|| keep_alive_time(&head.headers));
                 let (body, keep) = body_framing(&head, codec, keep);
                 return Ok((head, body, keep));
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -79,6 +79,8 @@
 pub(crate) struct Counts {
     /// Number of connections opened.
     pub(crate) connections: u64,
+    /// Number of answers that may belong to no request.
+    pub(crate) suspect_answers: u64,
     /// Number of log lines dropped.
     pub(crate) lines_dropped: u64,
 }
@@ -146,6 +148,8 @@
         register_decisions(&mut registry, state);
         register_departures(&mut registry, state);
         counter(&mut registry, "connections_opened", "Connections opened", counts.connections);
+        let help = "Answers behind bytes that belong to no answer, or that do not name their request";
+        counter(&mut registry, "suspect_answers", help, counts.suspect_answers);
         let help = "Looks for an engine that an adapter is to be brought to";
         counter(&mut registry, "adapter_places_sought", help, state.placement_searches());
         let help = "Answers of the store from before it came back from an older copy, which came after that was known";
--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -523,7 +523,11 @@
     type Result = String;
 
     fn handle(&mut self, _scrape: Scrape, _ctx: &mut Self::Context) -> String {
-        let counts = metrics::Counts { connections: self.client.opened(), lines_dropped: self.log.dropped() };
+        let counts = metrics::Counts {
+            connections: self.client.opened(),
+            suspect_answers: self.client.suspects(),
+            lines_dropped: self.log.dropped(),
+        };
         self.metrics.encode(&self.state, self.clock.now(), counts)
     }
 }
