Take as an answer only what names its request, whatever is in front of it

Callers saw: requests that ran refused with 503 and a promise, once-only requests run twice, failures handed on as successes. Cause: bytes behind an answer belong to no request, but if they are the beginning of a head, the next answer's status line became the value of one of its headers, and what followed (id, seal) made the false status look like the right answer. The class: an answer was believed by what it says of itself on a connection that may hold leftovers.

Now the client looks at the raw bytes. A head begins at the last status line in front of its end, and is the answer only if it repeats the request's id, exactly once; success, failure and refusal alike. All else is skipped up to the next status line (1 MiB at most), by content and not by its length, so that an answer to another request that is shorter than its length no longer swallows the right one (504 at the deadline before). A refusal behind such bytes is not believed, nor one that contradicts its status, nor an answer with two framings; two heads for one request are ambiguous. A request without an id, orders, reports and calls of the store skip nothing: other bytes in front of their answer, or an answer that names a request, end the call without one. The connection is not used again. Requests without an id go on new connections. Informational heads that hold a framing are skipped (the library's assertion failed).

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -2,10 +2,11 @@
 //!
 //! It has its own connection pool, on top of the HTTP library's codec, because it must distinguish the end of an answer
 //! from the end of its connection: an answer without a length is complete only if the server closed the connection
-//! without an error, bytes after an answer are discarded with their connection, and an answer to another request may
-//! arrive before the expected one.
+//! without an error. Bytes that follow an answer belong to no request, whatever they look like and whenever they arrive:
+//! an answer is the one whose head names the request, and a connection with other bytes is not used again.
 
 mod connection;
+mod expected;
 mod head;
 mod response;
 
@@ -23,7 +24,6 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
 use boragecove_core::time::Time;
 use boragecove_fleet::engine::Port;
-use boragecove_platform::http;
 use bytes::{Bytes, BytesMut};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,7 @@
 
 use crate::clock::Clock;
 use connection::{Connection, stall_detected};
+use expected::Expected;
 pub use response::Response;
 pub(crate) use response::append;
 use response::read_head;
@@ -87,9 +88,10 @@
 }
 
 impl Reuse {
-    /// Whether an attempt of a request, counted from 1, may be sent on a connection that was used before.
-    pub(crate) const fn of_attempt(number: u32) -> Self {
-        if number > 1 { Self::Forbidden } else { Self::Allowed }
+    /// Whether an attempt of a request, counted from 1, may be sent on a connection that was used before. Without an id,
+    /// its answer can't be distinguished from bytes that follow another one.
+    pub(crate) const fn of_attempt(number: u32, has_id: bool) -> Self {
+        if number > 1 || !has_id { Self::Forbidden } else { Self::Allowed }
     }
 }
 
@@ -256,7 +258,9 @@
         let (mut connection, codec) = write_request(connection, address, request)?;
         let waited = timeout_at(until, read_head(&mut connection, codec)).await;
         let (head, body, keep) = waited.map_err(|_elapsed| Error::TimedOut)??;
-        Ok(Response { client: Rc::clone(self), address, head, connection: Some(connection), body, keep })
+        let follows_stray_bytes = connection.skipped > 0;
+        let client = Rc::clone(self);
+        Ok(Response { client, address, head, connection: Some(connection), body, keep, follows_stray_bytes })
     }
 
     /// Sends a request and reads its complete answer, of at most `limit` bytes, until `until`.
@@ -318,8 +322,10 @@
         let answer = async {
             let (head, framing, keep) = read_head(&mut connection, codec).await?;
             let begun = Instant::now();
+            let follows_stray_bytes = connection.skipped > 0;
             let connection = Some(connection);
-            let mut response = Response { client, address, head, connection, body: framing, keep };
+            let mut response =
+                Response { client, address, head, connection, body: framing, keep, follows_stray_bytes };
             response.read_rest(&mut body, limit).await?;
             let ResponseHead { status, headers, .. } = response.head;
             Ok((status, headers, begun.elapsed()))
@@ -415,9 +421,7 @@
     address: SocketAddr,
     request: Request,
 ) -> Result<(Connection, ClientCodec), Error> {
-    connection.has_written = false;
-    connection.is_idle = false;
-    connection.request_id = request.headers.get(http::REQUEST_ID).cloned();
+    connection.begin(Expected::of(&request.headers), request.method == Method::HEAD);
     let codec = encode(&mut connection.output, address, request)?;
     match connection.flush_now() {
         Ok(()) => Ok((connection, codec)),
--- a/daemon/src/entry/client/connection.rs
+++ b/daemon/src/entry/client/connection.rs
@@ -7,18 +7,23 @@
 use std::time::Duration;
 
 use actix_http::ResponseHead;
-use actix_http::header::HeaderValue;
-use boragecove_platform::http;
 use bytes::{Buf, BytesMut};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::head::Scan;
+use super::Error;
+use super::expected::Expected;
+use super::head::{self, Scan};
 
 /// Size of a read in bytes.
 const READ_BYTES: usize = 8 << 10;
 
+/// Maximum size of a head in bytes.
+const HEAD_BYTES_MAX: usize = 128 << 10;
+/// Maximum number of bytes in front of an answer that are skipped. Answers to other requests may never end.
+const SKIPPED_BYTES_MAX: usize = 1 << 20;
+
 #[derive(Debug)]
 pub(super) struct Connection {
     stream: TcpStream,
@@ -31,8 +36,12 @@
     pub(super) is_idle: bool,
     /// Number of answers that were received on it.
     pub(super) answers: u32,
-    /// The id that the request in flight has.
-    pub(super) request_id: Option<HeaderValue>,
+    /// How the answer to the request in flight names it.
+    pub(super) expected: Expected,
+    /// Whether the request in flight is answered without a body.
+    pub(super) is_head_request: bool,
+    /// Number of bytes in front of the answer to the request in flight that belong to no request.
+    pub(super) skipped: usize,
     /// Number of answers on all connections of the client that may belong to no request.
     pub(super) suspects: Rc<Cell<u64>>,
 }
@@ -66,7 +75,9 @@
             last_transfer: Rc::new(Cell::new(Instant::now())),
             is_idle: true,
             answers: 0,
-            request_id: None,
+            expected: Expected::Unnamed,
+            is_head_request: false,
+            skipped: 0,
             suspects,
         })
     }
@@ -78,18 +89,82 @@
         self.input.is_empty() && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Counts an answer, and logs it if it may belong to no request: other bytes are in front of its status line, or it does
-    /// not name the request in flight.
-    pub(super) fn record_suspect(&mut self, head: &ResponseHead, scanned: Scan) {
-        let stray = match scanned {
-            Scan::Partial { stray } | Scan::Complete { stray, .. } => stray,
-        };
-        let is_named =
-            self.request_id.is_none() || head.headers.get(http::REQUEST_ID) == self.request_id.as_ref();
-        if stray > 0 || !is_named {
+    /// Prepares for the answer to a request that is about to be written.
+    pub(super) fn begin(&mut self, expected: Expected, is_head_request: bool) {
+        self.has_written = false;
+        self.is_idle = false;
+        self.skipped = 0;
+        self.expected = expected;
+        self.is_head_request = is_head_request;
+    }
+
+    /// Reads until the input begins with a complete head, and skips what is in front of it. Returns the head's size.
+    pub(super) async fn fill_head(&mut self) -> Result<usize, Error> {
+        loop {
+            match head::scan(&self.input) {
+                Scan::Complete { stray, end } => {
+                    self.skip(stray)?;
+                    return Ok(end - stray);
+                }
+                Scan::Partial { stray } => self.skip(stray)?,
+            }
+            if self.input.len() > HEAD_BYTES_MAX {
+                return Err(Error::InvalidResponse(format!("more than {HEAD_BYTES_MAX} bytes in a head")));
+            }
+            match self.fill().await {
+                Ok(0) if self.skipped > 0 => {
+                    return Err(Error::InvalidResponse("no answer to the request".to_owned()));
+                }
+                Ok(0) => return Err(Error::Lost(io::ErrorKind::UnexpectedEof.into())),
+                Ok(_) => {}
+                Err(error) => return Err(Error::Lost(error)),
+            }
+        }
+    }
+
+    /// Skips bytes in front of the answer, which belong to no request.
+    pub(super) fn skip(&mut self, count: usize) -> Result<(), Error> {
+        if count == 0 {
+            return Ok(());
+        }
+        let skipped = self.input.split_to(count);
+        self.skip_head(count)?;
+        if self.expected.is_named_within(&skipped) {
+            // The engine's answer to this request broke off: which of two answers is meant can't be known.
+            return Err(Error::InvalidResponse("a second answer to the request".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// Counts skipped bytes of a head that was decoded.
+    pub(super) fn skip_head(&mut self, count: usize) -> Result<(), Error> {
+        self.skipped += count;
+        if self.expected == Expected::Unnamed {
+            return Err(Error::InvalidResponse("bytes in front of the answer".to_owned()));
+        }
+        if self.skipped > SKIPPED_BYTES_MAX {
+            return Err(Error::InvalidResponse(format!(
+                "more than {SKIPPED_BYTES_MAX} bytes in front of the answer"
+            )));
+        }
+        Ok(())
+    }
+
+    /// Counts an answer, and logs it if it belongs to no request or follows bytes that do.
+    pub(super) fn record_answer(&mut self, head: &ResponseHead) {
+        let is_named = self.expected.is_named_in(&head.headers);
+        if self.skipped > 0 || !is_named {
             self.suspects.set(self.suspects.get() + 1);
-            let (id, server) = (self.request_id.as_ref(), self.stream.peer_addr().ok());
-            tracing::warn!(?id, ?server, status = %head.status, stray, is_named, earlier_answers = self.answers, "answer may belong to no request");
+            let server = self.stream.peer_addr().ok();
+            tracing::warn!(
+                expected = ?self.expected,
+                ?server,
+                status = %head.status,
+                skipped = self.skipped,
+                is_named,
+                earlier_answers = self.answers,
+                "answer may belong to no request"
+            );
         }
         self.answers += 1;
     }
--- a/daemon/src/entry/client/head.rs
+++ b/daemon/src/entry/client/head.rs
@@ -8,7 +8,7 @@
 /// A status line up to its code; a zero stands for any digit.
 const STATUS_LINE: &[u8] = b"HTTP/0.0 000";
 /// The beginning of each status line.
-const PROTOCOL: &[u8] = b"HTTP/";
+pub(super) const PROTOCOL: &[u8] = b"HTTP/";
 
 /// What was found in the received bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use actix_codec::Decoder;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -21,8 +21,6 @@
 /// By how much a connection is reused shorter than the server keeps it, so that no request is in flight when the
 /// server closes it.
 const KEEP_MARGIN: Duration = Duration::from_millis(300);
-/// Maximum size in bytes of an answer to another request, which may never end.
-const SKIPPED_BYTES_MAX: usize = 1 << 20;
 /// Maximum number of informational (1xx) answers before the final one.
 const INFORMATIONAL_MAX: u32 = 4;
 
@@ -37,6 +35,7 @@
     pub(super) connection: Option<Connection>,
     pub(super) body: Body,
     pub(super) keep: Option<Duration>,
+    pub(super) follows_stray_bytes: bool,
 }
 
 pub(super) enum Body {
@@ -67,6 +66,12 @@
         &self.head.headers
     }
 
+    /// Whether bytes that belong to no request were in front of the answer.
+    #[must_use]
+    pub const fn follows_stray_bytes(&self) -> bool {
+        self.follows_stray_bytes
+    }
+
     /// The next bytes of the body; none at its end.
     ///
     /// # Errors
@@ -137,28 +142,6 @@
         Ok(())
     }
 
-    /// Skips this answer and waits for the next one on its connection.
-    ///
-    /// # Errors
-    ///
-    /// If there is no next answer, or this one is too long.
-    pub async fn skip(mut self) -> Result<Self, Error> {
-        let mut skipped = 0;
-        while let Some(bytes) = self.read().await? {
-            skipped += bytes.len();
-            if skipped > SKIPPED_BYTES_MAX {
-                return Err(Error::InvalidResponse(format!(
-                    "more than {SKIPPED_BYTES_MAX} bytes in an answer to another request"
-                )));
-            }
-        }
-        let Some(mut connection) = self.connection.take().filter(|_| self.keep.is_some()) else {
-            return Err(Error::Lost(io::ErrorKind::UnexpectedEof.into()));
-        };
-        let (head, body, keep) = read_head(&mut connection, ClientCodec::default()).await?;
-        Ok(Self { head, connection: Some(connection), body, keep, ..self })
-    }
-
     /// Returns the connection to the pool if it can be reused.
     fn release(&mut self) {
         let Some(mut connection) = self.connection.take() else {
@@ -187,36 +170,60 @@
     Ok(())
 }
 
-/// Reads the head of an answer. Returns it, the framing of its body, and how long its connection can be reused.
+/// Reads the head of the answer to the request in flight. Returns it, the framing of its body, and how long its
+/// connection can be reused. Skips what is in front of it: informational answers, and what belongs to no request.
 pub(super) async fn read_head(
     connection: &mut Connection,
     mut codec: ClientCodec,
 ) -> Result<(ResponseHead, Body, Option<Duration>), Error> {
     let mut informational = 0;
     loop {
-        let scanned = head::scan(&connection.input);
-        match codec.decode(&mut connection.input) {
-            Ok(Some(head)) if head.status.is_informational() && informational < INFORMATIONAL_MAX => {
-                informational += 1;
-            }
-            Ok(Some(head)) => {
-                connection.record_suspect(&head, scanned);
-                let keep = codec.keep_alive().then(|| keep_alive_time(&head.headers));
-                let (body, keep) = body_framing(&head, codec, keep);
-                return Ok((head, body, keep));
+        let end = connection.fill_head().await?;
+        let received = connection.input.len();
+        let Ok(Some(head)) = codec.decode(&mut connection.input) else {
+            match received - connection.input.len() {
+                // What an invalid head consists of is searched for another one.
+                0 => connection.skip(head::PROTOCOL.len())?,
+                decoded => connection.skip_head(decoded)?,
             }
-            Ok(None) => match connection.fill().await {
-                Ok(0) => return Err(Error::Lost(io::ErrorKind::UnexpectedEof.into())),
-                Ok(_) => {}
-                Err(error) => return Err(Error::Lost(error)),
-            },
-            Err(error) => return Err(Error::InvalidResponse(error.to_string())),
+            codec = ClientCodec::default();
+            continue;
+        };
+        let has_body = codec.message_type() != MessageType::None;
+        if head.status.is_informational() && !has_body && informational < INFORMATIONAL_MAX {
+            informational += 1;
+            continue;
+        }
+        connection.record_answer(&head);
+        if head.status.is_informational() || !connection.expected.is_named_in(&head.headers) {
+            // Its body is skipped up to the next status line, as its length need not be right.
+            connection.skip_head(end)?;
+            codec = ClientCodec::default();
+            continue;
         }
+        if has_two_framings(&head.headers) {
+            return Err(Error::InvalidResponse("an answer with a length and in chunks".to_owned()));
+        }
+        let keep = codec.keep_alive().then(|| keep_alive_time(&head.headers));
+        let (body, keep) = body_framing(&head, codec, keep, connection.is_head_request);
+        return Ok((head, body, keep.filter(|_| connection.skipped == 0)));
     }
 }
 
+fn has_two_framings(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) && headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// The framing of an answer's body, and how long its connection can be reused.
-fn body_framing(head: &ResponseHead, codec: ClientCodec, keep: Option<Duration>) -> (Body, Option<Duration>) {
+fn body_framing(
+    head: &ResponseHead,
+    codec: ClientCodec,
+    keep: Option<Duration>,
+    is_head_request: bool,
+) -> (Body, Option<Duration>) {
+    if is_head_request {
+        return (Body::Complete, keep);
+    }
     let framed = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     let bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
@@ -224,10 +231,8 @@
         return (Body::UntilClose, None);
     }
     match codec.message_type() {
-        actix_http::h1::MessageType::None => (Body::Complete, keep),
-        actix_http::h1::MessageType::Payload | actix_http::h1::MessageType::Stream => {
-            (Body::Framed(codec.into_payload_codec()), keep)
-        }
+        MessageType::None => (Body::Complete, keep),
+        MessageType::Payload | MessageType::Stream => (Body::Framed(codec.into_payload_codec()), keep),
     }
 }
 
--- a/daemon/src/entry/peer_relay.rs
+++ b/daemon/src/entry/peer_relay.rs
@@ -39,8 +39,6 @@
 const PARTS_BUFFERED: usize = 32;
 /// Size of a part's length prefix in bytes.
 const LENGTH_BYTES: usize = 4;
-/// Maximum number of answers to other requests that are skipped before the expected one.
-pub(super) const FOREIGN_ANSWERS_MAX: u32 = 3;
 
 /// A request to be relayed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -280,7 +278,7 @@
         headers: encode_headers(&request.headers),
         body: request.body,
         build: attempt.build.clone(),
-        reuse: Reuse::of_attempt(attempt.number),
+        reuse: Reuse::of_attempt(attempt.number, http::attempt_id(&request.headers).is_some()),
     };
     let response = client.send(relay, peers::post(PATH, &relayed), until, expiry).await?;
     if !response.status().is_success() {
@@ -362,13 +360,10 @@
         let until = Instant::now() + answer_within;
         let expiry = Expiry { clock, at: clock.now() + write_within };
         let mut response = client.send_on(reuse, address, request, until, expiry).await?;
-        for _ in 0..FOREIGN_ANSWERS_MAX {
-            let verdict =
-                http::classify_answer(response.status(), response.headers(), &engine, attempt_id.as_deref());
-            if verdict != AnswerKind::Foreign {
-                break;
-            }
-            response = response.skip().await?;
+        let kind =
+            http::classify_answer(response.status(), response.headers(), &engine, attempt_id.as_deref());
+        if matches!(kind, AnswerKind::Refused(_)) && response.follows_stray_bytes() {
+            return Err(Error::InvalidResponse("a refusal behind other bytes".to_owned()));
         }
         let head =
             Part::Head { status: response.status().as_u16(), headers: encode_headers(response.headers()) };
--- a/daemon/src/entry/request_task.rs
+++ b/daemon/src/entry/request_task.rs
@@ -21,7 +21,7 @@
 use super::client::{Client, Error, Expiry, Request, Response, Reuse};
 use super::event_buffer::{self, EventBuffer};
 use super::node::{ApplyEvent, Node};
-use super::peer_relay::{self, FOREIGN_ANSWERS_MAX, RelayedResponse};
+use super::peer_relay::{self, RelayedResponse};
 use crate::clock::Clock;
 
 /// Maximum size in bytes of an answer that is read completely.
@@ -120,6 +120,14 @@
         }
     }
 
+    /// Whether bytes that belong to no request were in front of the answer. A relay passes no promise on then.
+    const fn follows_stray_bytes(&self) -> bool {
+        match self {
+            Self::Direct(response) => response.follows_stray_bytes(),
+            Self::Relayed(_) => false,
+        }
+    }
+
     /// Whether the answer is ended by the end of its connection alone.
     fn is_unframed(&self) -> bool {
         let has = |name| self.headers().contains_key(name);
@@ -141,16 +149,6 @@
             Self::Relayed(relayed) => relayed.read_all(limit).await,
         }
     }
-
-    /// Skips this answer and waits for the next one. A relay has already skipped answers to other requests.
-    async fn skip(self) -> Result<Self, Error> {
-        match self {
-            Self::Direct(response) => response.skip().await.map(Self::Direct),
-            Self::Relayed(_) => {
-                Err(Error::InvalidResponse("the relay skipped too many answers to other requests".to_owned()))
-            }
-        }
-    }
 }
 
 /// A complete answer.
@@ -275,43 +273,49 @@
         let until = Instant::now() + left + DEADLINE_GRACE;
         let by = attempt.send_by.map_or(attempt.write_by, |by| by.min(attempt.write_by));
         let expiry = Expiry { clock: self.clock, at: by };
-        let mut answer = self.send(&attempt, request, until, expiry).await;
-        for _ in 0..FOREIGN_ANSWERS_MAX {
-            let response = match answer {
-                Ok(response) => response,
-                Err(error) => return self.failed_attempt(&attempt, &error),
-            };
-            let attempt_id = self.content.attempt_id.as_deref();
-            let verdict =
-                http::classify_answer(response.status(), response.headers(), &attempt.engine, attempt_id);
-            // Reported at once, because the body may take long. An answer of another engine has no notice of this one.
-            if verdict != AnswerKind::Refused(Cause::Replaced) {
-                let from = Start { engine: attempt.engine.clone(), incarnation: attempt.incarnation };
-                let notice = http::notice(response.status(), response.headers());
-                let own = !matches!(verdict, AnswerKind::Foreign | AnswerKind::Broken);
-                // If the engine is known to have a limit, an empty notice ends it.
-                if attempt.limited || notice != Notice::default() {
-                    let asked = own.then_some(asked);
-                    self.node.do_send(ApplyEvent(Event::NoticeReceived { from, notice, asked }));
-                }
-            }
-            match verdict {
-                AnswerKind::Foreign => answer = response.skip().await,
-                AnswerKind::Success if attempt.streams => {
-                    return self.forward_stream(&attempt, response).await;
-                }
-                AnswerKind::Success => return self.read_answer(&attempt, response, End::Done).await,
-                AnswerKind::Failure => return self.read_answer(&attempt, response, End::Failed).await,
-                AnswerKind::Refused(cause) => {
-                    // The connection can be reused once the answer was read.
-                    let _read = self.read_answer(&attempt, response, End::Refused(cause)).await;
-                    self.answer = None;
-                    return End::Refused(cause);
-                }
-                AnswerKind::Broken => return End::Broken,
+        let response = match self.send(&attempt, request, until, expiry).await {
+            Ok(response) => response,
+            Err(error) => return self.failed_attempt(&attempt, &error),
+        };
+        let kind = self.classify(&attempt, &response);
+        self.report_notice(&attempt, &response, kind, asked);
+        match kind {
+            AnswerKind::Success if attempt.streams => self.forward_stream(&attempt, response).await,
+            AnswerKind::Success => self.read_answer(&attempt, response, End::Done).await,
+            AnswerKind::Failure => self.read_answer(&attempt, response, End::Failed).await,
+            AnswerKind::Refused(cause) => {
+                // The connection can be reused once the answer was read.
+                let _read = self.read_answer(&attempt, response, End::Refused(cause)).await;
+                self.answer = None;
+                End::Refused(cause)
             }
+            AnswerKind::Foreign | AnswerKind::Broken => End::Broken,
+        }
+    }
+
+    /// Classifies an answer. One that promises that the request did not run is believed only where nothing else was
+    /// received in front of it.
+    fn classify(&self, attempt: &Attempt, response: &Answer) -> AnswerKind {
+        let id = self.content.attempt_id.as_deref();
+        match http::classify_answer(response.status(), response.headers(), &attempt.engine, id) {
+            AnswerKind::Refused(_) if response.follows_stray_bytes() => AnswerKind::Broken,
+            kind => kind,
+        }
+    }
+
+    /// Reports the state that an answer states about its engine, at once, because the body may take long.
+    fn report_notice(&self, attempt: &Attempt, response: &Answer, kind: AnswerKind, asked: AnsweredRequest) {
+        // An answer of another engine has no notice of this one.
+        if matches!(kind, AnswerKind::Foreign | AnswerKind::Refused(Cause::Replaced)) {
+            return;
+        }
+        let from = Start { engine: attempt.engine.clone(), incarnation: attempt.incarnation };
+        let notice = http::notice(response.status(), response.headers());
+        // If the engine is known to have a limit, an empty notice ends it.
+        if attempt.limited || notice != Notice::default() {
+            let asked = (kind != AnswerKind::Broken).then_some(asked);
+            self.node.do_send(ApplyEvent(Event::NoticeReceived { from, notice, asked }));
         }
-        End::Broken
     }
 
     /// Sends the request directly, or through another entry VM.
@@ -324,7 +328,7 @@
     ) -> Result<Answer, Error> {
         match &attempt.relay {
             None => {
-                let reuse = Reuse::of_attempt(attempt.number);
+                let reuse = Reuse::of_attempt(attempt.number, self.content.attempt_id.is_some());
                 let answer = self.client.send_on(reuse, attempt.address, request, until, expiry);
                 answer.await.map(Answer::Direct)
             }
--- a/daemon/tests/entry_client.rs
+++ b/daemon/tests/entry_client.rs
@@ -7,10 +7,11 @@
 use std::thread;
 use std::time::Duration;
 
-use actix_http::header::HeaderMap;
+use actix_http::header::{HeaderMap, HeaderValue};
 use actix_http::{Method, Uri};
 use boragecove_daemon::clock::Clock;
 use boragecove_daemon::entry::client::{Client, Error, Expiry, Request, Response};
+use boragecove_platform::http::REQUEST_ID;
 use bytes::Bytes;
 use tokio::time::Instant;
 
@@ -182,14 +183,78 @@
     );
 }
 
+/// A request with an id.
+fn named(id: &'static str) -> Request {
+    let headers = [(REQUEST_ID, HeaderValue::from_static(id))].into_iter().collect();
+    Request { headers, ..request() }
+}
+
+/// Sends a request with an id and reads the body of its answer.
+async fn read_named(client: &Rc<Client>, address: SocketAddr) -> Result<String, Error> {
+    let mut response = client.send(address, named("mine"), soon(), within(Duration::from_secs(5))).await?;
+    let bytes = response.read_all(1 << 20).await?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
 #[actix_web::test]
 async fn another_answer_is_skipped() {
-    const TWO: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother\
-        HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+    const TWO: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: theirs\r\nContent-Length: 5\r\n\r\nother\
+        HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 4\r\n\r\nmine";
     let (address, _) = server(vec![Behaviour::Keep(&[TWO])]);
-    let first = answer(&client(), address).await.expect("an answer");
-    let mut second = first.skip().await.expect("the next one");
-    assert_eq!(second.read_all(100).await.expect("a complete answer"), "mine");
+    assert_eq!(read_named(&client(), address).await.expect("a complete answer"), "mine");
+}
+
+/// Guards against an answer to a call without an id that belongs to another request, or follows other bytes.
+#[actix_web::test]
+async fn unnamed_calls_skip_nothing() {
+    for answers in [
+        "HTTP/1.1 200 OK\r\nAttempt-Id: theirs\r\nContent-Length: 2\r\n\r\nok",
+        "x HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 202 Accepted\r\nX-Part: HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\nok",
+    ] {
+        let (address, _) = server(vec![Behaviour::Close(answers)]);
+        let answer = read_answer(&client(), address).await;
+        assert!(matches!(answer, Err(Error::InvalidResponse(_))), "{answers:?}: {answer:?}");
+    }
+}
+
+/// Guards against an answer that broke off inside its head and is followed by a second one to the same request: which of
+/// them is meant can't be known.
+#[actix_web::test]
+async fn second_answer_is_ambiguous() {
+    const CUT: &str = "HTTP/1.1 500 Failed\r\nAttempt-Id: mine\r\nX-Part: \
+        HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 4\r\n\r\nmine";
+    let (address, _) = server(vec![Behaviour::Close(CUT)]);
+    assert!(matches!(read_named(&client(), address).await, Err(Error::InvalidResponse(_))));
+}
+
+/// Guards against an answer whose length and chunks contradict each other.
+#[actix_web::test]
+async fn two_framings() {
+    const BOTH: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n\
+        4\r\nmine\r\n0\r\n\r\n";
+    let (address, _) = server(vec![Behaviour::Close(BOTH)]);
+    assert!(matches!(read_named(&client(), address).await, Err(Error::InvalidResponse(_))));
+}
+
+/// Guards against an answer to another request that is shorter than its length: the expected answer was taken for its
+/// rest, and the request waited until its deadline.
+#[actix_web::test]
+async fn answer_after_a_short_one() {
+    const SHORT: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: theirs\r\nContent-Length: 5000\r\n\r\nother\
+        HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 4\r\n\r\nmine";
+    let (address, _) = server(vec![Behaviour::Keep(&[SHORT])]);
+    assert_eq!(read_named(&client(), address).await.expect("a complete answer"), "mine");
+}
+
+/// Guards against informational answers that hold the framing of an answer: the HTTP library's codec then fails an
+/// assertion.
+#[actix_web::test]
+async fn informational_with_framing() {
+    const FRAMED: &str = "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\n\
+        HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 4\r\n\r\nmine";
+    let (address, _) = server(vec![Behaviour::Keep(&[FRAMED])]);
+    assert_eq!(read_named(&client(), address).await.expect("a complete answer"), "mine");
 }
 
 #[actix_web::test]
