Name calls between entry VMs in their answers

What callers could get: a relay's refusal is a promise that nothing was sent to the engine, and answers of entry VMs named no call, so that bytes on a kept connection between entry VMs could make that promise (by reading; not seen). Each call now has an id that its answer repeats; an answer with another id, or behind other bytes without one, is not taken. 'Not sent' is believed of a relay only if its answer names the call; otherwise the attempt is lost, which promises nothing. Answers of older entry VMs, which name none, are taken where nothing else is in front of them.

Test: entry_client calls_between_entries (an answer with another id is taken without the change).

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -33,6 +33,7 @@
 
 use crate::clock::Clock;
 use connection::{Connection, stall_detected};
+pub(crate) use expected::CALL_ID;
 use expected::Expected;
 pub use response::Response;
 pub(crate) use response::append;
--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -14,7 +14,7 @@
 
 use super::connection::Connection;
 use super::head;
-use super::{Client, Error};
+use super::{CALL_ID, Client, Error};
 
 /// How long an idle connection is reused if the server sends no `keep-alive` header.
 const KEEP_DEFAULT: Duration = Duration::from_millis(800);
@@ -66,6 +66,11 @@
         &self.head.headers
     }
 
+    /// Whether the answer names the call of another entry VM that it belongs to.
+    pub(crate) fn names_call(&self) -> bool {
+        self.head.headers.contains_key(CALL_ID)
+    }
+
     /// Whether bytes that belong to no request were in front of the answer.
     #[must_use]
     pub const fn follows_stray_bytes(&self) -> bool {
@@ -195,7 +200,9 @@
             continue;
         }
         connection.record_answer(&head);
-        if head.status.is_informational() || !connection.expected.is_named_in(&head.headers) {
+        let follows_others = connection.skipped > 0 && !connection.expected.is_certain_in(&head.headers);
+        if head.status.is_informational() || follows_others || !connection.expected.is_named_in(&head.headers)
+        {
             // Its body is skipped up to the next status line, as its length need not be right.
             connection.skip_head(end)?;
             codec = ClientCodec::default();
--- a/daemon/src/entry/peer_relay.rs
+++ b/daemon/src/entry/peer_relay.rs
@@ -281,12 +281,11 @@
         reuse: Reuse::of_attempt(attempt.number, http::attempt_id(&request.headers).is_some()),
     };
     let response = client.send(relay, peers::post(PATH, &relayed), until, expiry).await?;
+    let names_call = response.names_call();
     if !response.status().is_success() {
         // A relay that answers without parts has not read the request.
-        return Err(Error::Unsent(io::Error::other(format!(
-            "the relay answered with status {}",
-            response.status()
-        ))));
+        let refused = io::Error::other(format!("the relay answered with status {}", response.status()));
+        return Err(unsent_if(names_call, refused));
     }
     let mut parts = Parts { response, buffer: BytesMut::new(), ended: false };
     let first = tokio::time::timeout_at(until, parts.next()).await;
@@ -298,16 +297,27 @@
         }
         Part::Denied(denial) => {
             parts.finish().await?;
-            Err(Error::Unsent(io::Error::other(format!("the relay refused: {}", denial.label()))))
+            let refused = io::Error::other(format!("the relay refused: {}", denial.label()));
+            Err(unsent_if(names_call, refused))
         }
         Part::Failed(failure) => {
             parts.finish().await?;
-            Err(failure.into())
+            match Error::from(failure) {
+                Error::Expired if names_call => Err(Error::Expired),
+                Error::Expired => Err(Error::Lost(io::ErrorKind::TimedOut.into())),
+                Error::Unsent(error) => Err(unsent_if(names_call, error)),
+                error => Err(error),
+            }
         }
         Part::Data(_) | Part::End => Err(Error::InvalidResponse("body without a head".to_owned())),
     }
 }
 
+/// The error of a relay that says that it sent nothing to the engine, which is believed only if its answer names the call.
+fn unsent_if(names_call: bool, error: io::Error) -> Error {
+    if names_call { Error::Unsent(error) } else { Error::Lost(error) }
+}
+
 /// Serves other entry VMs: relays their requests.
 pub(super) async fn serve(body: Bytes, node: Data<Addr<Node>>) -> HttpResponse {
     let Some(relayed) = peers::decode::<RelayedRequest>(&body) else {
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -6,9 +6,12 @@
 use std::time::Duration;
 
 use actix::{Addr, MailboxError};
-use actix_http::header::HeaderMap;
+use actix_http::header::{HeaderMap, HeaderValue};
 use actix_http::{Method, StatusCode, Uri};
 use actix_web::HttpResponse;
+use actix_web::body::MessageBody;
+use actix_web::dev::{ServiceRequest, ServiceResponse};
+use actix_web::middleware::{Next, from_fn};
 use actix_web::web::{self, Data, PayloadConfig, ServiceConfig};
 use boragecove_core::name::Name;
 use boragecove_fleet::bound::Bound;
@@ -26,7 +29,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use super::client::{self, Client, Request};
+use super::client::{self, CALL_ID, Client, Request};
 use super::node::{
     ApplyEvent, DrawCredit, GrantPermit, Node, Probe, QueryOrigin, ReceiveFrame, Reserve, StoreOrigins,
     Transferred,
@@ -166,11 +169,14 @@
     answer.is_ok_and(|received| received.status.is_success())
 }
 
+/// A call of another entry VM. It has an id, which distinguishes its answer from those to other calls.
 pub(super) fn post(path: &'static str, message: &impl Serialize) -> Request {
+    let mut headers = HeaderMap::new();
+    headers.insert(CALL_ID, HeaderValue::from(fastrand::u64(..)));
     Request {
         method: Method::POST,
         target: Uri::from_static(path),
-        headers: HeaderMap::new(),
+        headers,
         body: rmp_serde::to_vec(message).unwrap_or_default().into(),
     }
 }
@@ -187,9 +193,8 @@
 
 /// Configures the service for other entry VMs.
 pub(crate) fn routes(config: &mut ServiceConfig, node: Addr<Node>) {
-    config
-        .app_data(Data::new(node))
-        .app_data(PayloadConfig::new(FRAME_BYTES_MAX))
+    let calls = web::scope("")
+        .wrap(from_fn(repeat_call_id))
         .route(FRAME_PATH, web::post().to(receive_frame))
         .route(PUSH_PATH, web::post().to(receive_push))
         .route(SCHEDULE_PATH, web::post().to(answer_reservation))
@@ -203,6 +208,20 @@
                 .app_data(PayloadConfig::new(peer_relay::REQUEST_BYTES_MAX))
                 .route(web::post().to(peer_relay::serve)),
         );
+    config.app_data(Data::new(node)).app_data(PayloadConfig::new(FRAME_BYTES_MAX)).service(calls);
+}
+
+/// Names the call in its answer.
+async fn repeat_call_id(
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
+    let id = request.headers().get(CALL_ID).cloned();
+    let mut answer = next.call(request).await?;
+    if let Some(id) = id {
+        answer.headers_mut().insert(CALL_ID, id);
+    }
+    Ok(answer)
 }
 
 /// Decodes a message of another entry VM. Logs one that can't be decoded.
--- a/daemon/tests/entry_client.rs
+++ b/daemon/tests/entry_client.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use actix_http::header::{HeaderMap, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, Uri};
 use boragecove_daemon::clock::Clock;
 use boragecove_daemon::entry::client::{Client, Error, Expiry, Request, Response};
@@ -15,6 +15,9 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+/// The header with the id of a call between entry VMs.
+const CALL_ID: &str = "call-id";
+
 /// What a server does with one of the connections that it accepts.
 enum Behaviour {
     /// Reads a request, writes these bytes, and closes the connection without an error.
@@ -218,6 +221,33 @@
     }
 }
 
+/// Guards against an answer to another call between entry VMs, or bytes that look like one, that is taken for the answer
+/// to this call. Answers of older entry VMs name none, and follow nothing else.
+#[actix_web::test]
+async fn calls_between_entries() {
+    const OLDER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+    const OWN: &str = "HTTP/1.1 200 OK\r\nCall-Id: 17\r\nContent-Length: 4\r\n\r\nmine";
+    const OTHER: &str = "HTTP/1.1 503 Service Unavailable\r\nCall-Id: 16\r\nContent-Length: 0\r\n\r\n";
+    const CUT: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Part: ";
+    let call = || {
+        let headers = [(HeaderName::from_static(CALL_ID), HeaderValue::from_static("17"))];
+        Request { headers: headers.into_iter().collect(), ..request() }
+    };
+    let read = async |answer: String| {
+        let (address, _) = server(vec![Behaviour::Close(answer.leak())]);
+        let client = client();
+        let mut response = client.send(address, call(), soon(), within(Duration::from_secs(5))).await?;
+        response.read_all(100).await.map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
+    };
+    for before in ["", OTHER, CUT, "garbage"] {
+        assert_eq!(read(format!("{before}{OWN}")).await.expect("the call's answer"), "mine", "{before:?}");
+    }
+    assert_eq!(read(OLDER.to_owned()).await.expect("an older entry VM's answer"), "mine");
+    for before in [OTHER, CUT, "garbage"] {
+        assert!(read(format!("{before}{OLDER}")).await.is_err(), "{before:?}");
+    }
+}
+
 /// Guards against an answer that broke off inside its head and is followed by a second one to the same request: which of
 /// them is meant can't be known.
 #[actix_web::test]
@@ -257,6 +287,27 @@
     assert_eq!(read_named(&client(), address).await.expect("a complete answer"), "mine");
 }
 
+/// Guards against an answer that breaks off at any byte, by a close or a reset, and is taken as complete: callers would get
+/// a success with a body that is cut short.
+#[actix_web::test]
+async fn cut_at_each_byte() {
+    const LENGTH: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 9\r\n\r\nid: 1\nx\n\n";
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid: 1\nx\n\n\r\n0\r\n\r\n";
+    const CONTINUED: &str =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 4\r\n\r\nmine";
+    const BEHIND: &str = "HTTP/1.1 503 No\r\nNot-Executed: 1\r\nX: HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 4\r\n\r\nmine";
+    for whole in [LENGTH, CHUNKED, CONTINUED, BEHIND] {
+        let cuts = (0..whole.len()).map(|cut| &whole[..cut]);
+        let closed = cuts.clone().map(Behaviour::Close);
+        let (address, _) = server(closed.chain(cuts.step_by(7).map(Behaviour::Reset)).collect());
+        let client = client();
+        for at in 0..whole.len() + whole.len().div_ceil(7) {
+            let answer = read_named(&client, address).await;
+            assert!(answer.is_err(), "{at} of {whole:?}: {answer:?}");
+        }
+    }
+}
+
 #[actix_web::test]
 async fn too_long() {
     let (address, _) = server(vec![Behaviour::Close("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")]);
