--- a/daemon/tests/raw_engine/mod.rs
+++ b/daemon/tests/raw_engine/mod.rs
@@ -78,15 +78,7 @@
                 thread::spawn(move || serve(stream, &plan, &seen));
             }
         });
-        let models = if service == "writer" {
-            json!([{"name": "m1", "version": 1, "adapters": []}])
-        } else {
-            json!([])
-        };
-        let entry = json!({"born": 1_767_465_654_898_u64, "service": service, "address": address.to_string(),
-            "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "sequence": 3,
-            "models": models});
-        store.put("servers", id, &entry);
+        register(store, id, service, address);
         engine
     }
 
@@ -106,6 +98,16 @@
     }
 }
 
+/// Registers an engine with the store.
+pub fn register(store: &Store, id: &str, service: &str, address: SocketAddr) {
+    let models =
+        if service == "writer" { json!([{"name": "m1", "version": 1, "adapters": []}]) } else { json!([]) };
+    let entry = json!({"born": 1_767_465_654_898_u64, "service": service, "address": address.to_string(),
+        "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "sequence": 3,
+        "models": models});
+    store.put("servers", id, &entry);
+}
+
 fn serve(mut stream: TcpStream, plan: &Plan, seen: &Mutex<Seen>) {
     let mut answered = 0;
     while let Some(request) = read_request(&mut stream) {
