Review case: the end of the grace period cuts requests that wait at engines

Claim: when the time to stop is over, requests that are still open are cut off instead of answered, also those that wait in an engine's queue and that the rule does not excuse (rule LOST).

--- a/review/standin-2/cut_answers.rs
+++ b/review/standin-2/cut_answers.rs
@@ -42,7 +42,7 @@
     let work = Duration::from_millis(60);
     let engines: Vec<Engine> = zones
         .iter()
-        .map(|zone| Engine::start(&store, &format!("i-{zone}"), "care-gateway", zone, work))
+        .map(|zone| Engine::start(&store, &format!("i-{zone}"), "care-gateway", zone, 6, work))
         .collect();
     let machine = Machine { link_mbps: 10.0, ..Machine::default() };
     let mut entries: Vec<Entry> = zones
--- a/review/standin-2/cut_uploads.rs
+++ b/review/standin-2/cut_uploads.rs
@@ -44,7 +44,7 @@
     let zones = ["hall-a", "hall-b", "hall-c"];
     let engines: Vec<Engine> = zones
         .iter()
-        .map(|zone| Engine::start(&store, &format!("i-{zone}"), "care-gateway", zone, WORK))
+        .map(|zone| Engine::start(&store, &format!("i-{zone}"), "care-gateway", zone, 6, WORK))
         .collect();
     let mut entries: Vec<Entry> = zones
         .iter()
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! with 0 if it held, and with 2 if the case could not run. With `TROUBLE=0` it leaves the disruption out.
 
 mod cut_answers;
+mod cut_queue;
 mod cut_uploads;
 mod entry;
 mod http;
@@ -35,6 +36,7 @@
     let play = || match case.as_str() {
         "cut-answers" => cut_answers::play(&record, scratch, trouble),
         "cut-uploads" => cut_uploads::play(&record, scratch, trouble),
+        "cut-queue" => cut_queue::play(&record, scratch, trouble),
         _ => Verdict::NotRun,
     };
     // A stand-in that could not start is no finding.
