Second review: processes exceed their memory as many users come (Fault)

Claim: where callers keep their connections, a burst of 2.5 times the traffic that came before makes a process exceed the memory of its machine; the platform kills it. What connections keep is in no account.

--- a/review/standin-2/entry.rs
+++ b/review/standin-2/entry.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Id of its process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(sent.is_ok_and(|status| status.success()), "kill -{name} failed");
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and scenes of the second review's scripts. `review-2 CASE FOLDER` plays one: it exits with 1 if the rule was broken,
 //! with 0 if it held, and with 2 if the case could not run. With `TROUBLE=0` it leaves the disruption out.
 
+mod crowd;
 mod cut_answers;
 mod cut_queue;
 mod cut_uploads;
@@ -34,6 +35,7 @@
     let trouble = std::env::var("TROUBLE").is_ok_and(|value| value == "0");
     let (scratch, trouble) = (Path::new(scratch), !trouble);
     let play = || match case.as_str() {
+        "crowd" => crowd::play(&record, scratch, trouble),
         "cut-answers" => cut_answers::play(&record, scratch, trouble),
         "cut-uploads" => cut_uploads::play(&record, scratch, trouble),
         "cut-queue" => cut_queue::play(&record, scratch, trouble),
