Tell a reset from an end where a write met it first

Seen by callers: an engine that answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the part came as a complete answer, on plain routes and in streams, directly and through another entry VM.

Cause: what reads a connection writes the rest of the request first. On a connection that was reset, that write fails with the reset's error, which the system reports once. The error was dropped, and the read after it returned 0, as at an end in order, which is what ends an answer without a length.

Change: a connection keeps the error of any call that failed, and each later end is that error. A broken pipe is no such error: the system reports it where the server had closed its side in order before, so that sound engines that answer early stay served. A connection that failed isn't kept.

Ruled out: framed answers (502 before and now, none wrong), and ends in order with a reset behind them (200 before and now).

--- a/daemon/src/entry/client/connection.rs
+++ b/daemon/src/entry/client/connection.rs
@@ -33,6 +33,8 @@
     /// What is to be written after it.
     pub(super) output_body: Bytes,
     pub(super) has_written: bool,
+    /// How the connection failed; none as long as no call has reported it.
+    failure: Option<io::ErrorKind>,
     /// When bytes were last written or read.
     pub(super) last_transfer: Rc<Cell<Instant>>,
     /// Whether no request is in flight on it.
@@ -76,6 +78,7 @@
             output: BytesMut::new(),
             output_body: Bytes::new(),
             has_written: false,
+            failure: None,
             last_transfer: Rc::new(Cell::new(Instant::now())),
             is_idle: true,
             answers: 0,
@@ -184,12 +187,28 @@
                     self.advance(count);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(error) => return Err(error),
+                Err(error) => {
+                    self.record_failure(&error);
+                    return Err(error);
+                }
             }
         }
         Ok(())
     }
 
+    /// Records that the connection failed. The system reports a reset only once, to a write as well as to a read; after it,
+    /// a read returns 0, as at an end in order. A broken pipe is none: the server has closed its side in order before.
+    fn record_failure(&mut self, error: &io::Error) {
+        if error.kind() != io::ErrorKind::BrokenPipe {
+            self.failure.get_or_insert(error.kind());
+        }
+    }
+
+    /// Whether the connection failed, so that its end is not the end of an answer.
+    pub(super) const fn has_failed(&self) -> bool {
+        self.failure.is_some()
+    }
+
     /// Whether something is to be written.
     pub(super) fn has_output(&self) -> bool {
         !self.output.is_empty() || !self.output_body.is_empty()
@@ -212,7 +231,8 @@
         self.output_body = Bytes::new();
     }
 
-    /// Reads more input, and writes the remaining output meanwhile. Returns the number of bytes read; 0 at the end.
+    /// Reads more input, and writes the remaining output meanwhile. Returns the number of bytes read; 0 at the end, if the
+    /// server closed the connection in order.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
         loop {
             let both = Interest::READABLE | Interest::WRITABLE;
@@ -228,14 +248,23 @@
                 self.input.reserve(READ_BYTES);
                 match self.stream.try_read_buf(&mut self.input) {
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    read => {
-                        self.last_transfer.set(Instant::now());
-                        return read;
-                    }
+                    read => return self.received(read),
                 }
             }
         }
     }
+
+    /// The outcome of a read that did not have to wait.
+    fn received(&mut self, read: io::Result<usize>) -> io::Result<usize> {
+        self.last_transfer.set(Instant::now());
+        if let Err(error) = &read {
+            self.record_failure(error);
+        }
+        match (read, self.failure) {
+            (Ok(0), Some(failure)) => Err(failure.into()),
+            (read, _) => read,
+        }
+    }
 }
 
 /// Returns once no byte was transferred for `stall`, but not before `until`.
--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -152,7 +152,7 @@
         let Some(mut connection) = self.connection.take() else {
             return;
         };
-        connection.is_idle = !connection.has_output();
+        connection.is_idle = !connection.has_output() && !connection.has_failed();
         if let Some(keep) = self.keep
             && connection.is_idle
             && connection.input.is_empty()
