Take no head as an answer's that has other bytes in a name

Seen by callers: an answer with a blank or a tab between the name of a field and its colon came as a 200, with the line passed on; with `Content-Length : 3` as the only length the body was 3 of 18 bytes, so not the engine's.

Cause: the HTTP library's parser is told to accept blanks before the colon in answers. The lines of a head were looked at nowhere else.

Change: each line of a head is checked before the library reads it: a status line, and fields of a token, a colon directly behind it and a value without control bytes.

--- a/daemon/src/entry/client/head.rs
+++ b/daemon/src/entry/client/head.rs
@@ -64,6 +64,48 @@
     byte == expected || (*expected == b'0' && byte.is_ascii_digit())
 }
 
+/// Whether each line of a head is what the protocol allows (RFC 9112, sections 4 and 5). The HTTP library accepts some that
+/// are not.
+pub(super) fn is_valid(head: &[u8]) -> bool {
+    let Some(head) = head.strip_suffix(b"\r\n").or_else(|| head.strip_suffix(b"\n")) else {
+        return false;
+    };
+    let mut lines = head.split_inclusive(|byte| *byte == b'\n').map(without_end);
+    lines.next().is_some_and(is_status_line) && lines.all(is_field)
+}
+
+fn without_end(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
+/// Whether a line is a status line: the protocol's version, a status and perhaps a reason.
+fn is_status_line(line: &[u8]) -> bool {
+    let Some((start, reason)) = line.split_at_checked(STATUS_LINE.len()) else {
+        return false;
+    };
+    begins_status_line(start) && matches!(reason, [] | [b' ', ..]) && is_text(reason)
+}
+
+/// Whether a line is a field: a name, a colon directly behind it, and a value.
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = memchr::memchr(b':', line) else {
+        return false;
+    };
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    !name.is_empty() && name.iter().copied().all(is_token_byte) && is_text(value)
+}
+
+const fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric()
+        || matches!(byte, b'!' | b'#'..=b'\'' | b'*' | b'+' | b'-' | b'.' | b'^'..=b'`' | b'|' | b'~')
+}
+
+/// Whether bytes hold no control byte but tabs.
+fn is_text(bytes: &[u8]) -> bool {
+    !bytes.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t')
+}
+
 /// Position behind the first empty line. The HTTP library accepts lines that end without a carriage return.
 fn find_end(bytes: &[u8]) -> Option<usize> {
     let with_return = memmem::find(bytes, b"\n\r\n").map(|at| at + 3);
--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -184,6 +184,11 @@
     let mut informational = 0;
     loop {
         let end = connection.fill_head().await?;
+        if !head::is_valid(&connection.input[..end]) {
+            connection.skip(end)?;
+            codec = ClientCodec::default();
+            continue;
+        }
         let received = connection.input.len();
         let Ok(Some(head)) = codec.decode(&mut connection.input) else {
             match received - connection.input.len() {
