Take no head as an answer's whose status the protocol does not have

Seen by callers: an answer with status 600 or 999 came as an answer, with the reason "<unknown status code>". Reports, orders and calls of the store took it as one as well.

Cause: the HTTP library takes each number from 100 to 999 for a status, and the kind of an answer was told from it without a bound above.

Change: a status line has a status from 100 to 599. What is not so is no head.

Tests (malformed_heads): each number of three digits outside 100 to 599, and status lines of other forms, on new and kept connections, direct and relayed; each status from 200 to 599 is passed on. What held before and is kept as a test: 000 to 099 and fewer or more digits than three are 502.

--- a/daemon/src/entry/client/head.rs
+++ b/daemon/src/entry/client/head.rs
@@ -7,6 +7,8 @@
 
 /// A status line up to its code; a zero stands for any digit.
 const STATUS_LINE: &[u8] = b"HTTP/0.0 000";
+/// Where the status begins in it.
+const FIRST_DIGIT: usize = 9;
 /// The beginning of each status line.
 pub(super) const PROTOCOL: &[u8] = b"HTTP/";
 
@@ -79,12 +81,13 @@
     line.strip_suffix(b"\r").unwrap_or(line)
 }
 
-/// Whether a line is a status line: the protocol's version, a status and perhaps a reason.
+/// Whether a line is a status line: the protocol's version, a status from 100 to 599 and perhaps a reason.
 fn is_status_line(line: &[u8]) -> bool {
     let Some((start, reason)) = line.split_at_checked(STATUS_LINE.len()) else {
         return false;
     };
-    begins_status_line(start) && matches!(reason, [] | [b' ', ..]) && is_text(reason)
+    let has_status = begins_status_line(start) && matches!(start[FIRST_DIGIT], b'1'..=b'5');
+    has_status && matches!(reason, [] | [b' ', ..]) && is_text(reason)
 }
 
 /// Whether a line is a field: a name, a colon directly behind it, and a value.
--- a/daemon/tests/malformed_heads.rs
+++ b/daemon/tests/malformed_heads.rs
@@ -193,6 +193,42 @@
     read_each(&returns, assert_refused).await;
 }
 
+/// The protocol's statuses have three digits and begin with 1 to 5.
+#[actix_web::test]
+async fn statuses() {
+    let status = |text: &str| {
+        let mut lines = sound();
+        lines[0] = format!("HTTP/1.1 {text}").into_bytes();
+        answer_of(&lines)
+    };
+    let numbers: Vec<u16> = (0..1_000).filter(|number| !(100..600).contains(number)).collect();
+    let mut answers: Vec<_> = numbers.iter().map(|number| status(&format!("{number:03} Own"))).collect();
+    let others = [
+        "0 OK",
+        "20 OK",
+        "2000 OK",
+        "200OK",
+        "+20 OK",
+        "-20 OK",
+        "2 0 OK",
+        " 200 OK",
+        "200\tOK",
+        "200 O\0K",
+        "200 O\x7fK",
+        "200 O\rK",
+        "2e2 OK",
+    ];
+    answers.extend(others.map(status));
+    read_each(&answers, assert_refused).await;
+    let sound = |answer: &[u8], read: &Result<Bytes, Error>| {
+        assert!(matches!(read, Ok(body) if *body == *BODY.as_bytes()), "{}", answer.escape_ascii());
+    };
+    let legal = (200..600).filter(|status| ![204, 304].contains(status));
+    let mut answers: Vec<_> = legal.map(|number| status(&format!("{number} Own"))).collect();
+    answers.extend(["200 ", "200 Two words", "200 \u{fc}"].map(status));
+    read_each(&answers, sound).await;
+}
+
 /// Heads that are unusual and sound.
 #[actix_web::test]
 async fn unusual_heads() {
@@ -224,6 +260,7 @@
 async fn calls_without_an_id() {
     let heads = [
         "HTTP/1.1 000 OK",
+        "HTTP/1.1 600 OK",
         "HTTP/1.1 200 OK\r\nX-One : 1",
         "HTTP/1.1 200 OK\r\nX\0: 1",
         "HTTP/1.1 200 OK\r\nContent-Length : 1",
@@ -250,10 +287,12 @@
 }
 
 /// Heads that are none, and a sound one in front.
-const HEADS: [&str; 7] = [
+const HEADS: [&str; 9] = [
     "HTTP/1.1 200 OK\r\nX-Part: 1",
     "HTTP/1.1 000 OK",
     "HTTP/1.1 099 OK",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",
     "HTTP/1.1 200 OK\r\nX-Part : 1",
     "HTTP/1.1 200 OK\r\nX-Part\t: 1",
     "HTTP/1.1 200 OK\r\nX\x01Part: 1",
