End a call at once by a head that names it and can't be read

Seen by callers: behind an answer with two lengths, one of them misspelt or not, a request waited until its deadline (504).

Cause: a head that the HTTP library took out of the input and then refused was skipped without a look whether it names the request, so the call went on waiting for its answer on a connection that stayed open.

Change: whatever makes a head unreadable, it ends the call if it names the request, as skipped bytes did before.

--- a/daemon/src/entry/client/connection.rs
+++ b/daemon/src/entry/client/connection.rs
@@ -135,10 +135,17 @@
             return Ok(());
         }
         let skipped = self.input.split_to(count);
+        self.skip_invalid_head(count, self.expected.is_named_within(&skipped))
+    }
+
+    /// Counts skipped bytes that are no answer, and fails if they name the request.
+    pub(super) fn skip_invalid_head(&mut self, count: usize, names_request: bool) -> Result<(), Error> {
         self.skip_head(count)?;
-        if self.expected.is_named_within(&skipped) {
-            // The engine's answer to this request broke off: which of two answers is meant can't be known.
-            return Err(Error::InvalidResponse("a second answer to the request".to_owned()));
+        if names_request {
+            // The engine's answer to this request broke off, or is none: which of two answers is meant can't be known.
+            return Err(Error::InvalidResponse(
+                "bytes that name the request and are no answer to it".to_owned(),
+            ));
         }
         Ok(())
     }
--- a/daemon/src/entry/client/head.rs
+++ b/daemon/src/entry/client/head.rs
@@ -10,7 +10,7 @@
 /// Where the status begins in it.
 const FIRST_DIGIT: usize = 9;
 /// The beginning of each status line.
-pub(super) const PROTOCOL: &[u8] = b"HTTP/";
+const PROTOCOL: &[u8] = b"HTTP/";
 
 /// What was found in the received bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -10,7 +10,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{ResponseHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 use super::connection::Connection;
 use super::head;
@@ -189,13 +189,12 @@
             codec = ClientCodec::default();
             continue;
         }
-        let received = connection.input.len();
+        let names_request = connection.expected.is_named_within(&connection.input[..end]);
+        let behind = connection.input.len() - end;
         let Ok(Some(head)) = codec.decode(&mut connection.input) else {
-            match received - connection.input.len() {
-                // What an invalid head consists of is searched for another one.
-                0 => connection.skip(head::PROTOCOL.len())?,
-                decoded => connection.skip_head(decoded)?,
-            }
+            let left = connection.input.len() - behind;
+            connection.input.advance(left);
+            connection.skip_invalid_head(end, names_request)?;
             codec = ClientCodec::default();
             continue;
         };
--- a/daemon/tests/malformed_heads.rs
+++ b/daemon/tests/malformed_heads.rs
@@ -193,6 +193,29 @@
     read_each(&returns, assert_refused).await;
 }
 
+/// Two fields that contradict each other, one of them misspelt or not, end the call at once.
+#[actix_web::test]
+async fn contradicting_lengths() {
+    let lengths = [
+        "Content-Length : 3",
+        "Content-Length: 3",
+        "Content-Length: +4",
+        "Content-Length: 4, 5",
+        "Content-Length:",
+    ];
+    let answers: Vec<_> = lengths
+        .iter()
+        .flat_map(|length| {
+            [1, 4].map(|at| {
+                let mut lines = sound();
+                lines.insert(at, length.as_bytes().to_vec());
+                answer_of(&lines)
+            })
+        })
+        .collect();
+    read_each(&answers, assert_refused).await;
+}
+
 /// The protocol's statuses have three digits and begin with 1 to 5.
 #[actix_web::test]
 async fn statuses() {
