Read the platform's answers with the client that knows their ends

Seen by a test: a part of an object, of any length and even none, was returned as the object, whatever ended it, at a close and at a reset; an object whose answer ended with its connection was empty. A head with a blank in front of a colon, or a control byte in a value, counted as an answer.

Cause: the platform of the system's own deployment was called with another HTTP client, which reports the end of a connection as the end of a body, and reads no body without a length.

Change: calls go through the client of the entry VMs. A call of which nothing was sent had no effect, as before; any other without a complete answer may have had one.

Tests (platform_answers): objects cut at each byte, by a close and a reset, with a length, in chunks and without either; heads that are none, for writes and lists.

--- a/daemon/src/platform/http.rs
+++ b/daemon/src/platform/http.rs
@@ -1,20 +1,21 @@
 //! The platform over HTTP.
 
-use std::cell::RefCell;
 use std::fmt::{self, Write};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use actix_web::http::Method;
-use awc::error::{ConnectError, SendRequestError};
-use awc::{ClientRequest, Connector, SendClientRequest};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use actix_http::{Method, StatusCode};
 use boragecove_core::table::{Call, Failure, Reply};
 use boragecove_core::vm::Vm;
 use boragecove_wire::{path, platform};
 use bytes::Bytes;
 use futures_util::FutureExt;
+use tokio::time::Instant;
 
 use super::{Addresses, Answer, Objects, Table, Vms};
+use crate::entry::client::{self, Error, Request};
 
 /// Bytes of an answer at most.
 const ANSWER_MAX: usize = 64 << 20;
@@ -22,10 +23,8 @@
 /// A client of one of the platform's services.
 pub(super) struct Client {
     address: SocketAddr,
-    connect: Duration,
     limit: Duration,
-    /// Replaced, with its connections, after an answer failed to come.
-    pool: RefCell<awc::Client>,
+    http: Rc<client::Client>,
 }
 
 impl fmt::Debug for Client {
@@ -36,67 +35,73 @@
 
 /// An answer: its status and body.
 struct Answered {
-    status: u16,
+    status: StatusCode,
     body: Bytes,
 }
 
 impl Answered {
     /// Fails unless the status tells that the call was carried out.
     fn done(self) -> Result<Bytes, Failure> {
-        if (200..300).contains(&self.status) { Ok(self.body) } else { Err(Failure::Unknown) }
+        if self.status.is_success() { Ok(self.body) } else { Err(Failure::Unknown) }
     }
 }
 
 impl Client {
     pub(super) fn new(address: SocketAddr, settings: &Addresses) -> Self {
-        let pool = RefCell::new(connections(settings.connect));
-        Self { address, connect: settings.connect, limit: settings.limit, pool }
+        Self { address, limit: settings.limit, http: client::Client::new(settings.connect) }
     }
 
     /// Makes a call and reads its answer, within the time limit.
-    async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        send: impl FnOnce(ClientRequest) -> SendClientRequest,
-    ) -> Result<Answered, Failure> {
-        let url = format!("http://{}{path}", self.address);
-        let request = self.pool.borrow().request(method, url);
-        let result = tokio::time::timeout(self.limit, answer(send(request))).await;
-        let result = result.unwrap_or(Err(Failure::Unknown));
-        if matches!(result, Err(Failure::Unknown)) {
-            // The connections may all have gone silent; the next call opens a new one.
-            *self.pool.borrow_mut() = connections(self.connect);
+    async fn call(&self, method: Method, path: &str, content: Content) -> Result<Answered, Failure> {
+        let target = path.parse().map_err(|error| {
+            tracing::warn!(%error, path, "a call of the platform has no valid path");
+            Failure::Unavailable
+        })?;
+        let Content { headers, body } = content;
+        let request = Request { method, target, headers, body };
+        let until = Instant::now() + self.limit;
+        let answer = self.http.call(self.address, request, ANSWER_MAX, until).await;
+        let answer = answer.map_err(|error| self.failure(&error))?;
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            // So the platform says that a call had no effect.
+            return Err(Failure::Unavailable);
         }
-        result
+        Ok(Answered { status: answer.status, body: answer.body })
     }
-}
 
-fn connections(connect: Duration) -> awc::Client {
-    let connector = Connector::new().timeout(connect);
-    awc::Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+    /// Whether a call that got no answer may have had an effect.
+    fn failure(&self, error: &Error) -> Failure {
+        tracing::debug!(address = %self.address, %error, "a call of the platform got no answer");
+        match error {
+            Error::Expired | Error::Unsent(_) => Failure::Unavailable,
+            Error::Lost(_) | Error::InvalidResponse(_) | Error::TimedOut | Error::BodyTimedOut { .. } => {
+                // The connections may all have gone silent; the next call opens a new one.
+                self.http.close_idle(self.address);
+                Failure::Unknown
+            }
+        }
+    }
 }
 
-async fn answer(request: SendClientRequest) -> Result<Answered, Failure> {
-    let mut response = request.await.map_err(|error| failure(&error))?;
-    let status = response.status().as_u16();
-    if status == UNAVAILABLE {
-        return Err(Failure::Unavailable);
-    }
-    let body = response.body().limit(ANSWER_MAX).await.map_err(|_lost| Failure::Unknown)?;
-    Ok(Answered { status, body })
+/// What a call carries.
+#[derive(Debug, Default)]
+struct Content {
+    headers: HeaderMap,
+    body: Bytes,
 }
 
-/// The status by which the platform says that a call had no effect.
-const UNAVAILABLE: u16 = 503;
+impl Content {
+    fn bytes(body: Bytes) -> Self {
+        Self { body, ..Self::default() }
+    }
 
-/// Whether a call that got no answer may have had an effect.
-fn failure(error: &SendRequestError) -> Failure {
-    match error {
-        // So the client calls a connection that closed before the answer, too.
-        SendRequestError::Connect(ConnectError::Disconnected) => Failure::Unknown,
-        SendRequestError::Connect(_) => Failure::Unavailable,
-        _ => Failure::Unknown,
+    fn json(value: &impl serde::Serialize) -> Result<Self, Failure> {
+        let body = serde_json::to_vec(value).map_err(|error| {
+            tracing::warn!(%error, "a call of the platform could not be written");
+            Failure::Unavailable
+        })?;
+        let headers = [(CONTENT_TYPE, HeaderValue::from_static("application/json"))].into_iter().collect();
+        Ok(Self { headers, body: body.into() })
     }
 }
 
@@ -111,7 +116,7 @@
     fn call(&self, call: Call) -> Answer<'_, Reply> {
         async move {
             let call = platform::Call::from(call);
-            let answered = Self::call(self, Method::POST, path::TABLE, |request| request.send_json(&call));
+            let answered = Self::call(self, Method::POST, path::TABLE, Content::json(&call)?);
             let reply: platform::Reply = read(&answered.await?.done()?)?;
             reply.try_into().map_err(|error| {
                 tracing::warn!(%error, "a row of the table could not be read");
@@ -124,19 +129,17 @@
 
 impl Vms for Client {
     fn list(&self) -> Answer<'_, Vec<Vm>> {
-        async move { read(&self.call(Method::GET, path::VMS, ClientRequest::send).await?.done()?) }
+        async move { read(&self.call(Method::GET, path::VMS, Content::default()).await?.done()?) }
             .boxed_local()
     }
 }
 
-/// The status by which the object store says that there is nothing under a key.
-const ABSENT: u16 = 404;
-
 impl Objects for Client {
     fn get(&self, key: String) -> Answer<'_, Option<Bytes>> {
         async move {
-            let answered = self.call(Method::GET, &object_path(&key), ClientRequest::send).await?;
-            if answered.status == ABSENT {
+            let answered = self.call(Method::GET, &object_path(&key), Content::default()).await?;
+            // So the object store says that there is nothing under a key.
+            if answered.status == StatusCode::NOT_FOUND {
                 return Ok(None);
             }
             answered.done().map(Some)
@@ -146,8 +149,7 @@
 
     fn put(&self, key: String, bytes: Bytes) -> Answer<'_, ()> {
         async move {
-            let send = |request: ClientRequest| request.send_body(bytes);
-            self.call(Method::PUT, &object_path(&key), send).await?.done()?;
+            self.call(Method::PUT, &object_path(&key), Content::bytes(bytes)).await?.done()?;
             Ok(())
         }
         .boxed_local()
@@ -155,7 +157,7 @@
 
     fn delete(&self, key: String) -> Answer<'_, ()> {
         async move {
-            self.call(Method::DELETE, &object_path(&key), ClientRequest::send).await?.done()?;
+            self.call(Method::DELETE, &object_path(&key), Content::default()).await?.done()?;
             Ok(())
         }
         .boxed_local()
