Check the heads of answers in the system's own deployment as well

Seen by a test: a plain service's answer with status 600 or 999, or with a blank in front of a colon, was handed on; an informational answer was handed on as the final one, with an empty body.

Cause: the same as at entry VMs: the HTTP library accepts these heads. Its client takes the first head of an answer for the final one.

Change: what a head is stands in one place (`head`). Connections to back ends and to other entry VMs fail at one that is none, before the library reads it, and at an informational one. The library writes a request completely before it reads, so the first bytes behind a write are a head.

--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -13,8 +13,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 
 use super::connection::Connection;
-use super::head;
 use super::{CALL_ID, Client, Error};
+use crate::head;
 
 /// How long an idle connection is reused if the server sends no `keep-alive` header.
 const KEEP_DEFAULT: Duration = Duration::from_millis(800);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod connection;
 pub mod dev;
 pub mod entry;
+mod head;
 mod listener;
 pub mod logs;
 pub mod memory;
--- a/daemon/src/peers/lane.rs
+++ b/daemon/src/peers/lane.rs
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 
 use actix::Addr;
-use awc::Client;
+use awc::{Client, Connector};
 use boragecove_core::event::Event;
 use boragecove_core::name::Name;
 use boragecove_core::peer::Frame;
 use boragecove_wire::{frame, header, path};
 
+use crate::backends::dial::{Closed, Dial};
 use crate::node::{Feed, Node};
 use crate::settings::{Secret, Settings};
 
@@ -48,7 +49,8 @@
 
 impl Sender {
     pub(crate) fn new(settings: &Settings) -> Self {
-        let client = Client::builder().timeout(settings.timeouts.control).finish();
+        let connector = Connector::new().connector(Dial::new(Closed::default()));
+        let client = Client::builder().connector(connector).timeout(settings.timeouts.control).finish();
         let secret = settings.peer_secret.clone();
         Self { client, secret, lanes: BTreeMap::new() }
     }
--- a/daemon/tests/deployment/mod.rs
+++ b/daemon/tests/deployment/mod.rs
@@ -134,7 +134,7 @@
     }
 
     /// Waits for a condition.
-    pub async fn until(&self, what: &str, condition: impl AsyncFn() -> bool) {
+    pub async fn until(&self, what: &str, mut condition: impl AsyncFnMut() -> bool) {
         let wait = async {
             while !condition().await {
                 tokio::time::sleep(LOOK).await;
--- a/daemon/tests/raw_answers/mod.rs
+++ b/daemon/tests/raw_answers/mod.rs
@@ -4,6 +4,8 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -31,21 +33,45 @@
     "HTTP/1.1 200 OK\r\nContent-Length : 2",
 ];
 
+/// A server.
+#[derive(Debug)]
+pub struct Server {
+    pub address: SocketAddr,
+    requests: Arc<AtomicUsize>,
+}
+
+impl Server {
+    pub fn start(answer: String, end: End) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let requests = Arc::default();
+        let server = Self { address, requests: Arc::clone(&requests) };
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (answer, requests) = (answer.clone(), Arc::clone(&requests));
+                thread::spawn(move || serve(stream, &answer, end, &requests));
+            }
+        });
+        server
+    }
+
+    /// Number of requests that it has read.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
 /// Starts a server.
 pub fn server(answer: String, end: End) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("bound");
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let answer = answer.clone();
-            thread::spawn(move || serve(stream, &answer, end));
-        }
-    });
-    address
+    Server::start(answer, end).address
 }
 
-fn serve(mut stream: TcpStream, answer: &str, end: End) {
-    if !read_request(&mut stream) || stream.write_all(answer.as_bytes()).is_err() {
+fn serve(mut stream: TcpStream, answer: &str, end: End, requests: &AtomicUsize) {
+    if !read_request(&mut stream) {
+        return;
+    }
+    requests.fetch_add(1, Ordering::Relaxed);
+    if stream.write_all(answer.as_bytes()).is_err() {
         return;
     }
     match end {
