Hand on no empty answer in the place of one without a length

Seen by a test: a plain service of the system's own deployment that ended its answer with the connection, in order or by a reset; callers got an empty 200 that stated that it was answered.

Cause: the HTTP library's client reads no body of HTTP/1.1 that has neither a length nor chunks, and tells nobody.

Change: such an answer counts as broken, so callers are told that it may have run. Not built: to serve it whole, which needs the entry VMs' client there.

Test (service_answers, ended_by_connection): failed on the code before (HTTP/1.1, both ends); an answer of HTTP/1.0 was unknown before and is now.

--- a/daemon/src/backends/exchange.rs
+++ b/daemon/src/backends/exchange.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use actix::Addr;
-use actix_web::http::header::CONTENT_LENGTH;
+use actix_web::http::StatusCode;
+use actix_web::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use awc::{Client, ClientResponse};
 use boragecove_core::attempt::{Failure, Send};
 use boragecove_core::id;
@@ -118,7 +119,12 @@
         }
     };
     let echo = classify::echo(&job.send.destination, job.send.attempt, response.headers());
-    let outcome = match classify::head(&job.send.destination, response.status(), response.headers()) {
+    let verdict = if is_readable(&response) {
+        classify::head(&job.send.destination, response.status(), response.headers())
+    } else {
+        Verdict::Failed(Failure::Broken)
+    };
+    let outcome = match verdict {
         Verdict::Stream => stream(&job, echo, response, settings).await,
         Verdict::Whole => whole(&job, echo, response, settings).await,
         Verdict::Failed(failure) => Err(failure),
@@ -128,6 +134,13 @@
     }
 }
 
+/// Whether the library reads an answer's body: it takes one without a length, which ends with its connection, for empty.
+fn is_readable(response: &ClientResponse) -> bool {
+    let has = |name| response.headers().contains_key(name);
+    let bodiless = matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    bodiless || has(CONTENT_LENGTH) || has(TRANSFER_ENCODING)
+}
+
 impl Job {
     async fn tell(&self, step: Step) {
         let _node_is_gone = self.node.send(Progress { attempt: self.send.attempt, step }).await;
--- a/daemon/tests/service_answers.rs
+++ b/daemon/tests/service_answers.rs
@@ -71,6 +71,20 @@
     deployment.node.kill().await;
 }
 
+/// Guards against an empty answer in the place of one that ends with its connection, which is not read here.
+#[actix_web::test]
+async fn ended_by_connection() {
+    let deployment = deployment().await;
+    for version in ["1.0", "1.1"] {
+        for end in [End::Closed, End::Reset] {
+            let answer = format!("HTTP/{version} 200 OK\r\n\r\n{BODY}");
+            let (outcome, body) = got(&deployment, &answer, end).await;
+            assert_eq!(outcome, "unknown", "{version}, {end:?}: {body}");
+        }
+    }
+    deployment.node.kill().await;
+}
+
 #[actix_web::test]
 async fn invalid_heads() {
     let deployment = deployment().await;
