Wait in a planned stop for bodies that arrive and answers that are written

Cause: a request counted as open from the moment its body was complete until its engine's answer was handed to the caller's connection. Without such requests the process closed its listeners, whose connections had 300 ms.

Change: connections of callers, and then those of other entry VMs, have what is left of the grace period to end what they are at; idle ones close at once. The HTTP library knows which ones are busy: no second account is kept.

--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 use tracing_subscriber::filter::LevelFilter;
 
 use super::handlers::{self, HandlerContext};
@@ -27,7 +27,7 @@
 use crate::memory::Account;
 use crate::settings::{Timeouts, Unreadable};
 
-/// Time for connections to close once no request is in flight.
+/// Time for all connections to close at the end of the grace period.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between checks of the settings file for changes, which may be made without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
@@ -81,7 +81,9 @@
 
 struct EntryVm {
     node: actix::Addr<Node>,
-    listeners: Vec<Listener>,
+    callers: Listener,
+    peers: Listener,
+    watchers: Listener,
     stopping: watch::Sender<bool>,
     exited: watch::Receiver<bool>,
 }
@@ -89,9 +91,9 @@
 impl EntryVm {
     fn start(settings: &Settings, clock: Clock, log: log::Log) -> Result<Self, StartError> {
         // All addresses are bound before anything runs, so that an address in use has no other effect than the error.
-        let peers = bind(settings.listen.peers, Socket::bind)?;
-        let watchers = bind(settings.listen.watchers, Socket::bind)?;
-        let callers = bind(settings.listen.callers, Socket::bind_for_callers)?;
+        let peers = bind(settings.listen.peers, settings.grace, Socket::bind)?;
+        let watchers = bind(settings.listen.watchers, CLOSE_TIMEOUT, Socket::bind)?;
+        let callers = bind(settings.listen.callers, settings.grace, Socket::bind_for_callers)?;
         let listen =
             Listen { callers: callers.address(), watchers: watchers.address(), peers: peers.address() };
         log.started(clock.now(), &settings.zone, &listen);
@@ -122,28 +124,27 @@
         };
         let (peers_node, account) = (node.clone(), load.account);
         let monitoring = context.clone();
-        let listeners = vec![
-            serve_on(
-                peers,
-                || INTERNAL_TIMES,
-                None,
-                move |config| {
-                    peers::routes(config, peers_node.clone(), account.clone());
-                },
-            )?,
-            serve_on(
-                watchers,
-                || INTERNAL_TIMES,
-                None,
-                move |config| {
-                    handlers::monitoring_routes(config, monitoring.clone());
-                },
-            )?,
+        let peers = serve_on(
+            peers,
+            || INTERNAL_TIMES,
+            None,
+            move |config| {
+                peers::routes(config, peers_node.clone(), account.clone());
+            },
+        )?;
+        let watchers = serve_on(
+            watchers,
+            || INTERNAL_TIMES,
+            None,
+            move |config| {
+                handlers::monitoring_routes(config, monitoring.clone());
+            },
+        )?;
+        let callers =
             serve_on(callers, caller_times(context.limits.clone()), Some(connections), move |config| {
                 handlers::caller_routes(config, context.clone());
-            })?,
-        ];
-        Ok(Self { node, listeners, stopping, exited })
+            })?;
+        Ok(Self { node, callers, peers, watchers, stopping, exited })
     }
 
     async fn run(mut self, file: &Path, mut settings: Settings) -> Result<(), StartError> {
@@ -185,18 +186,28 @@
         self.node.do_send(Reloaded(outcome));
     }
 
-    /// Stops. Requests that end within the grace period are not interrupted; a second signal ends the wait.
+    /// Stops. Nothing is interrupted that ends within the grace period: requests, bodies that arrive, and answers that are
+    /// written. A second signal ends the wait.
     async fn stop(&mut self, settings: &Settings, again: &mut Signal) {
+        let end = Instant::now() + settings.stop_within();
         self.stopping.send_replace(true);
         self.node.do_send(ApplyEvent(Event::Stop));
         tokio::select! {
-            _ = self.exited.wait_for(|exited| *exited) => {}
-            () = tokio::time::sleep(settings.stop_within()) => {}
+            () = self.close(end) => {}
             _ = again.recv() => {}
         }
-        for listener in &self.listeners {
-            let _cut_off = tokio::time::timeout(CLOSE_TIMEOUT, listener.stop(true)).await;
+    }
+
+    /// Closes the listeners once no request is open, callers first, whose requests still need the others.
+    async fn close(&mut self, end: Instant) {
+        let exited = self.exited.wait_for(|exited| *exited);
+        // What it returns locks the channel, which the node goes on to use.
+        drop(tokio::time::timeout_at(end, exited).await);
+        for listener in [&self.callers, &self.peers] {
+            let until = end.max(Instant::now()) + CLOSE_TIMEOUT / 2;
+            let _cut_off = tokio::time::timeout_at(until, listener.stop(true)).await;
         }
+        let _cut_off = tokio::time::timeout(CLOSE_TIMEOUT / 6, self.watchers.stop(true)).await;
     }
 }
 
@@ -223,12 +234,13 @@
     }
 }
 
-/// Binds an address by `bind`.
+/// Binds an address by `bind`. Its connections have `shutdown` to end once it is closed.
 fn bind(
     address: SocketAddr,
+    shutdown: Duration,
     bind: impl FnOnce(SocketAddr, Timeouts) -> io::Result<Socket>,
 ) -> Result<Socket, StartError> {
-    let timeouts = Timeouts { shutdown: CLOSE_TIMEOUT, ..Timeouts::default() };
+    let timeouts = Timeouts { shutdown, ..Timeouts::default() };
     bind(address, timeouts).map_err(|source| StartError::Listen { address, source })
 }
 
--- /dev/null
+++ b/daemon/tests/entry_stops.rs
@@ -0,0 +1,218 @@
+//! A planned stop of an entry VM as a process: no request that was read is cut off without an answer, whether its body comes
+//! late or its answer is long. The engines write to their sockets directly.
+
+#[path = "../../platform/tests/standin/mod.rs"]
+mod standin;
+
+mod raw_engine;
+mod serving;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use raw_engine::{header, read_request, register};
+use serde_json::json;
+use serving::Entry;
+use standin::{Store, config};
+use tokio::net::TcpSocket;
+
+/// The grace period of these processes.
+const GRACE: Duration = Duration::from_secs(6);
+/// How long after the signal an entry VM serves all requests, as the balancer may still send some.
+const BALANCER_GRACE: Duration = Duration::from_millis(2_500);
+
+/// What an engine does with each request: it works for a time, and answers with this many bytes.
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    time: Duration,
+    bytes: usize,
+}
+
+/// Starts an engine, and returns the number of requests that it has read.
+fn engine(store: &Store, id: &str, service: &str, work: Work) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let read = Arc::<AtomicUsize>::default();
+    register(store, id, service, listener.local_addr().expect("bound"));
+    let count = Arc::clone(&read);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let count = Arc::clone(&count);
+            thread::spawn(move || serve(stream, work, &count));
+        }
+    });
+    read
+}
+
+fn serve(mut stream: TcpStream, work: Work, count: &AtomicUsize) {
+    while let Some(request) = read_request(&mut stream) {
+        let id = header(&request, "attempt-id");
+        let answer = if id.is_empty() {
+            let body = json!({"models": [{"name": "m1", "version": 1, "adapters": []}], "busy": false, "sequence": 0})
+                .to_string();
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        } else {
+            count.fetch_add(1, Ordering::Relaxed);
+            thread::sleep(work.time);
+            let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s.{id}\r\n");
+            format!("{head}Content-Length: {}\r\n\r\n{}", work.bytes, "x".repeat(work.bytes))
+        };
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// An entry VM whose plain service has one engine.
+fn deployment(name: &str, work: Work) -> (Store, Entry, Arc<AtomicUsize>) {
+    let store = Store::start();
+    let mut config = config(1);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(12_000);
+    }
+    store.put("op", "config", &config);
+    let read = engine(&store, "g-1", "gateway", work);
+    let entry = Entry::start(name, &store);
+    entry.wait_for(200);
+    (store, entry, read)
+}
+
+/// The head of a request that may not be repeated.
+fn head(id: &str, deadline: Duration, bytes: usize) -> String {
+    format!(
+        "POST /ack/1 HTTP/1.1\r\nHost: care.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\nContent-Length: {bytes}\r\n\r\n",
+        deadline.as_millis()
+    )
+}
+
+/// A connection of a caller that receives at most about `buffer` bytes before it reads.
+fn connect(address: SocketAddr, buffer: u32) -> TcpStream {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("builds");
+    let stream = runtime.block_on(async {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(buffer).expect("sets");
+        socket.connect(address).await.expect("connects").into_std().expect("converts")
+    });
+    stream.set_nonblocking(false).expect("sets");
+    stream.set_read_timeout(Some(serving::LIMIT)).expect("sets");
+    stream
+}
+
+/// Reads an answer at no more than `per_s` bytes a second. Returns its status, and the number of bytes that came of its body
+/// and of those that it announced; none if there is no answer.
+fn read_slowly(stream: &mut TcpStream, per_s: usize) -> Option<(u16, usize, usize)> {
+    let mut bytes = Vec::new();
+    let mut part = vec![0; 16 << 10];
+    let begun = Instant::now();
+    loop {
+        if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+            let length: usize = header(&head, "content-length").parse().ok()?;
+            let body = bytes.len() - end - 4;
+            if body >= length {
+                return Some((head.get(9..12)?.parse().ok()?, body, length));
+            }
+        }
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) if bytes.is_empty() => return None,
+            Ok(0) | Err(_) => return Some((0, bytes.len(), 0)),
+            Ok(count) => bytes.extend_from_slice(&part[..count]),
+        }
+        let due = Duration::from_secs_f64(bytes.len() as f64 / per_s as f64);
+        thread::sleep(due.saturating_sub(begun.elapsed()));
+    }
+}
+
+fn status(stream: &mut TcpStream) -> Option<u16> {
+    read_slowly(stream, usize::MAX).map(|(status, ..)| status)
+}
+
+/// Guards against a process that ends while callers send bodies: those that were complete soon after were run, and had no
+/// answer.
+#[test]
+fn late_uploads() {
+    let work = Work { time: Duration::from_millis(400), bytes: 10 };
+    let (_store, mut entry, read) = deployment("stop-uploads", work);
+    let callers = entry.callers;
+    let mut kept: Vec<_> = (0..6).map(|_| connect(callers, 64 << 10)).collect();
+    for (number, stream) in kept.iter_mut().enumerate() {
+        let request = head(&format!("before-{number}"), Duration::from_secs(3), 0);
+        stream.write_all(request.as_bytes()).expect("writes");
+        assert_eq!(status(stream), Some(200));
+    }
+    entry.terminate();
+    let signal = Instant::now();
+    let uploads = kept.into_iter().zip(0_u32..).map(|(mut stream, number)| {
+        thread::spawn(move || {
+            let body = vec![b'x'; 50_000];
+            let begin = BALANCER_GRACE.saturating_sub(Duration::from_secs(1));
+            thread::sleep(begin.saturating_sub(signal.elapsed()));
+            let request = head(&format!("late-{number}"), Duration::from_secs(2), 2 * body.len());
+            stream.write_all(request.as_bytes()).expect("writes");
+            stream.write_all(&body).expect("writes");
+            let complete = BALANCER_GRACE + Duration::from_millis(60) * (number + 1);
+            thread::sleep(complete.saturating_sub(signal.elapsed()));
+            stream.write_all(&body).expect("writes");
+            status(&mut stream)
+        })
+    });
+    let uploads: Vec<_> = uploads.collect();
+    let statuses: Vec<_> = uploads.into_iter().map(|upload| upload.join().expect("ends")).collect();
+    let runs = read.load(Ordering::Relaxed) - 6;
+    let served = statuses.iter().filter(|status| **status == Some(200)).count();
+    assert!(runs > 0, "{statuses:?}");
+    assert_eq!(runs, served, "{statuses:?}");
+    assert!(statuses.iter().all(|status| matches!(status, Some(200 | 503))), "{statuses:?}");
+    assert!(entry.exit());
+    assert!(signal.elapsed() < GRACE);
+}
+
+/// Guards against a process that ends while answers are still written, long before its grace period does.
+#[test]
+fn long_answers() {
+    let work = Work { time: Duration::from_millis(100), bytes: 12 << 20 };
+    let (_store, mut entry, _read) = deployment("stop-answers", work);
+    let mut stream = connect(entry.callers, 16 << 10);
+    stream.write_all(head("long", Duration::from_secs(12), 0).as_bytes()).expect("writes");
+    thread::sleep(Duration::from_millis(500));
+    entry.terminate();
+    let signal = Instant::now();
+    // It takes 4.2 s.
+    let read = read_slowly(&mut stream, 3_000_000);
+    assert_eq!(read, Some((200, 12 << 20, 12 << 20)));
+    assert!(entry.exit());
+    assert!(signal.elapsed() < GRACE);
+}
+
+/// A request that comes late in the grace period and may last longer is refused at once, and one that fits is served.
+#[test]
+fn late_requests() {
+    let work = Work { time: Duration::from_millis(200), bytes: 10 };
+    let (_store, mut entry, _read) = deployment("stop-late", work);
+    let callers = entry.callers;
+    let mut kept: Vec<_> = (0..3).map(|_| connect(callers, 64 << 10)).collect();
+    for (number, stream) in kept.iter_mut().enumerate() {
+        let request = head(&format!("kept-{number}"), Duration::from_secs(3), 0);
+        stream.write_all(request.as_bytes()).expect("writes");
+        assert_eq!(status(stream), Some(200));
+    }
+    // Another request keeps the process from ending.
+    let mut open = kept.pop().expect("one");
+    open.write_all(head("open", Duration::from_secs(12), 4).as_bytes()).expect("writes");
+    entry.terminate();
+    let signal = Instant::now();
+    thread::sleep(BALANCER_GRACE.saturating_sub(Duration::from_millis(300)));
+    open.write_all(b"late").expect("writes");
+    let begun = Instant::now();
+    let mut fits = kept.pop().expect("one");
+    fits.write_all(head("fits", Duration::from_secs(1), 0).as_bytes()).expect("writes");
+    assert_eq!(status(&mut fits), Some(200));
+    assert_eq!(status(&mut open), Some(200));
+    assert!(begun.elapsed() < Duration::from_secs(1));
+    drop(kept);
+    assert!(entry.exit());
+    assert!(signal.elapsed() < GRACE);
+}
