Answer what is still open as a planned stop runs out of time

Cause: at the end of the time the listeners were closed while the reducer had open requests, and nothing ended these.

Change: as the time is over, the reducer ends each open request as it would one whose engine doesn't answer: 502 if an engine may have run it, 503 if not. A body that is not complete then is refused with 503, as are requests that come afterwards. The answers have what the settings reserve for the exit.

Tests: unanswered_requests (real processes: an engine that doesn't answer, requests before and after the signal, an upload that doesn't end) and open_requests_are_answered (the reducer). A request that comes late and may last longer than the process is refused at once; that held before (calls_that_fit_are_served, late_requests).

--- a/daemon/src/entry/handlers.rs
+++ b/daemon/src/entry/handlers.rs
@@ -14,6 +14,7 @@
 use boragecove_platform::http;
 use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use super::caller_response::{self, Body, Head, Part, StreamedBody, Whole};
 use super::client::Request;
@@ -36,8 +37,9 @@
     pub(crate) ready: watch::Receiver<bool>,
     /// Limits of callers' requests, from the configuration in force.
     pub(crate) limits: watch::Receiver<Limits>,
-    /// Whether the process is stopping. Connections are then closed after their responses.
-    pub(crate) stopping: watch::Receiver<bool>,
+    /// When requests end that are still open, if the process is stopping. Connections are then closed after their
+    /// responses.
+    pub(crate) stopping: watch::Receiver<Option<Instant>>,
     /// The memory that callers make the process hold.
     pub(crate) account: Account,
     /// Counts requests that were refused before they were read completely.
@@ -105,7 +107,10 @@
     share.grow(REQUEST_BYTES).map_err(|_full| Code::EntryFull)?;
     let time = http::caller_timeout(headers).map_or(BODY_TIME_MAX, |timeout| timeout.min(BODY_TIME_MAX));
     let limits = body::Limits { bytes: limits.body_bytes, time };
-    let read = body::read(payload, body::announced(headers), limits, &mut share, connection).await;
+    let read = tokio::select! {
+        read = body::read(payload, body::announced(headers), limits, &mut share, connection) => read,
+        () = stop_expired(ctx.stopping.clone()) => return Err(Code::Stopping),
+    };
     let body = read.map_err(|problem| match problem {
         Problem::TooLarge => Code::BodyTooLarge,
         Problem::TimedOut => Code::ReadTimeout,
@@ -115,6 +120,16 @@
     Ok(Received { body, share })
 }
 
+/// Waits for the end of the time that a stopping process has for open requests.
+async fn stop_expired(mut stopping: watch::Receiver<Option<Instant>>) {
+    let end = stopping.wait_for(Option::is_some).await.ok().and_then(|end| *end);
+    match end {
+        Some(end) => tokio::time::sleep_until(end).await,
+        // Without its sender, the process has ended.
+        None => std::future::pending().await,
+    }
+}
+
 /// Hands a request to the node, and returns where its response arrives.
 fn open(request: &HttpRequest, received: Received, ctx: &HandlerContext) -> mpsc::Receiver<Part> {
     let headers = request.headers();
@@ -146,7 +161,7 @@
     ctx: &HandlerContext,
     connection: Option<Connection>,
 ) -> HttpResponse {
-    let close = *ctx.stopping.borrow();
+    let close = ctx.stopping.borrow().is_some();
     match parts.recv().await {
         Some(Part::Complete(head, whole)) => {
             response(&head, close).body(Body::whole(whole, connection, close))
@@ -176,7 +191,12 @@
     unread: Payload,
 ) -> HttpResponse {
     ctx.refusals.count(code);
-    let retry_after = (code == Code::EntryFull).then_some(FULL_RETRY_AFTER);
+    let retry_after = match code {
+        Code::EntryFull => Some(FULL_RETRY_AFTER),
+        // Other entry VMs serve it.
+        Code::Stopping => Some(Duration::ZERO),
+        _ => None,
+    };
     let refusal = Refusal { code, retry_after };
     let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_REQUEST);
     let attempt_id = http::attempt_id(request.headers());
--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -84,7 +84,7 @@
     callers: Listener,
     peers: Listener,
     watchers: Listener,
-    stopping: watch::Sender<bool>,
+    stopping: watch::Sender<Option<Instant>>,
     exited: watch::Receiver<bool>,
 }
 
@@ -99,7 +99,7 @@
         log.started(clock.now(), &settings.zone, &listen);
         let (ready, ready_receiver) = watch::channel(false);
         let (exit, exited) = watch::channel(false);
-        let (stopping, stopping_receiver) = watch::channel(false);
+        let (stopping, stopping_receiver) = watch::channel(None);
         let (limits, limits_receiver) = watch::channel(Limits::default());
         let signals = Signals { ready, limits, exited: exit };
         let load = CallerLoad {
@@ -190,7 +190,7 @@
     /// written. A second signal ends the wait.
     async fn stop(&mut self, settings: &Settings, again: &mut Signal) {
         let end = Instant::now() + settings.stop_within();
-        self.stopping.send_replace(true);
+        self.stopping.send_replace(Some(end));
         self.node.do_send(ApplyEvent(Event::Stop));
         tokio::select! {
             () = self.close(end) => {}
@@ -203,6 +203,7 @@
         let exited = self.exited.wait_for(|exited| *exited);
         // What it returns locks the channel, which the node goes on to use.
         drop(tokio::time::timeout_at(end, exited).await);
+        // At the end, what is open is answered, which takes a moment.
         for listener in [&self.callers, &self.peers] {
             let until = end.max(Instant::now()) + CLOSE_TIMEOUT / 2;
             let _cut_off = tokio::time::timeout_at(until, listener.stop(true)).await;
--- a/daemon/tests/entry_stops.rs
+++ b/daemon/tests/entry_stops.rs
@@ -1,5 +1,6 @@
 //! A planned stop of an entry VM as a process: no request that was read is cut off without an answer, whether its body comes
-//! late or its answer is long. The engines write to their sockets directly.
+//! late, its answer is long, or its engine does not answer before the end of the grace period. The engines write to their
+//! sockets directly.
 
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
@@ -187,6 +188,39 @@
     assert!(signal.elapsed() < GRACE);
 }
 
+/// Guards against requests that are cut off at the end of the grace period: each gets an answer, which promises nothing if an
+/// engine may have run it.
+#[test]
+fn unanswered_requests() {
+    let work = Work { time: Duration::from_secs(30), bytes: 10 };
+    let (store, mut entry, read) = deployment("stop-unanswered", work);
+    // Nobody serves the model, so that requests for it wait in the entry VM.
+    store.remove("servers", "w-1");
+    let send = |id: &str| {
+        let mut stream = connect(entry.callers, 64 << 10);
+        stream.write_all(head(id, Duration::from_secs(11), 0).as_bytes()).expect("writes");
+        stream
+    };
+    let mut before: Vec<_> = (0..3).map(|number| send(&format!("before-{number}"))).collect();
+    let mut upload = connect(entry.callers, 64 << 10);
+    upload.write_all(head("upload", Duration::from_secs(11), 100).as_bytes()).expect("writes");
+    upload.write_all(b"half").expect("writes");
+    thread::sleep(Duration::from_millis(300));
+    entry.terminate();
+    let signal = Instant::now();
+    before.extend((0..3).map(|number| send(&format!("after-{number}"))));
+    thread::sleep((BALANCER_GRACE + Duration::from_millis(300)).saturating_sub(signal.elapsed()));
+    for stream in &mut before {
+        let status = status(stream);
+        assert!(matches!(status, Some(502 | 504)), "{status:?} after {:?}", signal.elapsed());
+    }
+    let told = status(&mut upload);
+    assert!(matches!(told, Some(408 | 503)), "{told:?}: nothing of it was sent to an engine");
+    assert_eq!(read.load(Ordering::Relaxed), 6, "all of them may have run");
+    assert!(entry.exit());
+    assert!(signal.elapsed() < GRACE, "{:?}", signal.elapsed());
+}
+
 /// A request that comes late in the grace period and may last longer is refused at once, and one that fits is served.
 #[test]
 fn late_requests() {
--- a/fleet/src/admit.rs
+++ b/fleet/src/admit.rs
@@ -33,7 +33,8 @@
     if let Permission::Blocked(of) = crash::permission(state, now, None, arrival.fingerprint, &parts) {
         return Err(crash::refusal(state, now, of));
     }
-    if state.balancer_grace_over && !fits_before_stop(state, now, &route, arrival.caller_timeout) {
+    let is_over = state.stops_at.is_some_and(|stops_at| now >= stops_at);
+    if is_over || state.balancer_grace_over && !fits_before_stop(state, now, &route, arrival.caller_timeout) {
         // Other entry VMs have the time to serve it.
         return refuse(Code::Stopping, Some(Duration::ZERO));
     }
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -2,7 +2,9 @@
 //! functions that answer calls of other entry VMs.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use boragecove_core::code::Code;
 use boragecove_core::name::Name;
 use boragecove_core::time::Time;
 
@@ -28,7 +30,7 @@
 use crate::quota::{self, Credit, Draw};
 use crate::rate_limit;
 use crate::record::Record;
-use crate::request::Stream;
+use crate::request::{Id, Stream};
 use crate::rollout;
 use crate::schedule::{self, Grant, ReservationRequest};
 use crate::state::State;
@@ -208,6 +210,7 @@
         Timer::RefreshTimeout(since) => freshness::give_up(state, now, since, out),
         Timer::Push => rollout::push_due(state, now, out),
         Timer::BalancerGrace => state.balancer_grace_over = true,
+        Timer::StopTimeout => end_open_requests(state, now, out),
     }
 }
 
@@ -216,13 +219,26 @@
         return;
     }
     state.stopping = true;
-    state.stops_at = Some(now + state.settings.stop_timeout);
+    let stops_at = now + state.settings.stop_timeout;
+    state.stops_at = Some(stops_at);
+    state.timers.set(stops_at, Timer::StopTimeout);
     out.push(Effect::Record(Record::Stopping { open: state.flows.len() }));
     tables::update_readiness(state, out);
     lease::release(state, now, out);
     state.timers.set(now + state.settings.balancer_grace, Timer::BalancerGrace);
 }
 
+/// Ends the requests that are still open as a stopping process runs out of time, so that each caller is told whether its
+/// request may have run.
+fn end_open_requests(state: &mut State, now: Time, out: &mut Vec<Effect>) {
+    let mut open: Vec<Id> = state.flows.keys().copied().collect();
+    open.sort_unstable();
+    for request in open {
+        // Other entry VMs have the time to serve it.
+        flow::give_up(state, now, request, Code::Stopping, Some(Duration::ZERO), out);
+    }
+}
+
 /// Asks the process to exit once the balancer has stopped sending requests and nothing is in flight.
 fn exit_when_idle(state: &mut State, out: &mut Vec<Effect>) {
     if state.balancer_grace_over && state.flows.is_empty() && !path::is_relaying(state) {
--- a/fleet/src/timer.rs
+++ b/fleet/src/timer.rs
@@ -57,4 +57,6 @@
     Push,
     /// The load balancer has had time to see that this entry VM is not ready.
     BalancerGrace,
+    /// A stopping process has no more time for open requests.
+    StopTimeout,
 }
--- a/fleet/tests/planned_stop.rs
+++ b/fleet/tests/planned_stop.rs
@@ -3,11 +3,13 @@
 
 mod node;
 
+use std::time::Duration;
+
 use boragecove_core::code::Code;
 use boragecove_fleet::effect::Effect;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::lease::Call;
-use boragecove_fleet::request::End;
+use boragecove_fleet::request::{Arrival, End, Step};
 use node::{Node, millis, plain, short_stream};
 
 fn exits(effects: &[Effect]) -> bool {
@@ -63,6 +65,30 @@
     );
 }
 
+/// Guards against requests that are cut off as the process runs out of time. A caller whose request was sent is promised
+/// nothing; one that comes later is told that its request has not run.
+#[test]
+fn open_requests_are_answered() {
+    let mut node = Node::ready("a");
+    node.advance(millis(100));
+    let long = Some(Duration::from_secs(9));
+    let (sent, _attempt) = node.sent(Arrival { caller_timeout: long, ..plain("/ack/1") });
+    node.feed(Event::Stop);
+    node.advance(millis(2_600));
+    assert!(!exits(&node.effects), "a request is in flight");
+    let codes = |effects: &[Effect]| {
+        let refusal = |effect: &Effect| match effect {
+            Effect::Step { request, step: Step::Refuse(refusal) } => Some((*request, refusal.code)),
+            _ => None,
+        };
+        effects.iter().filter_map(refusal).collect::<Vec<_>>()
+    };
+    let effects = node.advance(millis(7_650 - 2_600));
+    assert_eq!(codes(&effects), [(sent, Code::BackendFailed)]);
+    assert!(exits(&effects));
+    assert_eq!(node.refused(plain("/ack/2")).code, Code::Stopping, "it is too late for any request");
+}
+
 #[test]
 fn lease_is_released() {
     let mut node = Node::ready("a");
