Keep the thread for others while an answer has no end

Seen by a test: 100 callers at once whose engines send tiny chunks without end: an ordinary caller had no answer in 20 s, direct and through another entry VM (503, since the relay counted as gone). The same with header lines without end. A store whose chunk's extension has no end: the process answered no caller at all, as what it reads of the store has no time limit while bytes arrive.

Looked for and not found: memory.

Cause: each chunk was handed on by itself, and a task went on reading as long as bytes were there; each read of a head searched all of it again; answers to others were read as heads up to a megabyte; extensions and trailers had no bound.

Change: what was received of small chunks is put together, a task gives way after 32 KiB, a head is searched once, and 32 heads in front of an answer or 64 KiB of framing between two bytes of a body end it as invalid.

--- a/daemon/src/entry/client/connection.rs
+++ b/daemon/src/entry/client/connection.rs
@@ -14,10 +14,12 @@
 
 use super::Error;
 use super::expected::Expected;
-use super::head::{self, Scan};
+use super::head::{Scan, Scanner};
 
 /// Size of a read in bytes.
 const READ_BYTES: usize = 8 << 10;
+/// Number of bytes that are read before other tasks have their turn, however fast they arrive.
+const TURN_BYTES: usize = 32 << 10;
 
 /// Maximum size of a head in bytes.
 const HEAD_BYTES_MAX: usize = 128 << 10;
@@ -37,6 +39,8 @@
     failure: Option<io::ErrorKind>,
     /// When bytes were last written or read.
     pub(super) last_transfer: Rc<Cell<Instant>>,
+    /// Number of bytes that were read in this turn.
+    turn_bytes: usize,
     /// Whether no request is in flight on it.
     pub(super) is_idle: bool,
     /// Number of answers that were received on it.
@@ -45,6 +49,7 @@
     pub(super) expected: Expected,
     /// Whether the request in flight is answered without a body.
     pub(super) is_head_request: bool,
+    scanner: Scanner,
     /// Number of bytes in front of the answer to the request in flight that belong to no request.
     pub(super) skipped: usize,
     /// Number of answers on all connections of the client that may belong to no request.
@@ -80,10 +85,12 @@
             has_written: false,
             failure: None,
             last_transfer: Rc::new(Cell::new(Instant::now())),
+            turn_bytes: 0,
             is_idle: true,
             answers: 0,
             expected: Expected::Unnamed,
             is_head_request: false,
+            scanner: Scanner::default(),
             skipped: 0,
             suspects,
         })
@@ -100,6 +107,7 @@
     pub(super) fn begin(&mut self, expected: Expected, is_head_request: bool) {
         self.has_written = false;
         self.is_idle = false;
+        self.scanner = Scanner::default();
         self.skipped = 0;
         self.expected = expected;
         self.is_head_request = is_head_request;
@@ -108,7 +116,7 @@
     /// Reads until the input begins with a complete head, and skips what is in front of it. Returns the head's size.
     pub(super) async fn fill_head(&mut self) -> Result<usize, Error> {
         loop {
-            match head::scan(&self.input) {
+            match self.scanner.scan(&self.input) {
                 Scan::Complete { stray, end } => {
                     self.skip(stray)?;
                     return Ok(end - stray);
@@ -241,6 +249,10 @@
     /// Reads more input, and writes the remaining output meanwhile. Returns the number of bytes read; 0 at the end, if the
     /// server closed the connection in order.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            tokio::task::yield_now().await;
+        }
         loop {
             let both = Interest::READABLE | Interest::WRITABLE;
             let interest = if self.has_output() { both } else { Interest::READABLE };
@@ -267,6 +279,7 @@
         if let Err(error) = &read {
             self.record_failure(error);
         }
+        self.turn_bytes += *read.as_ref().unwrap_or(&0);
         match (read, self.failure) {
             (Ok(0), Some(failure)) => Err(failure.into()),
             (read, _) => read,
--- a/daemon/src/entry/client/head.rs
+++ b/daemon/src/entry/client/head.rs
@@ -27,14 +27,31 @@
     },
 }
 
-/// Looks for the first complete head. It has one status line, which is the last one in front of its end.
-pub(super) fn scan(bytes: &[u8]) -> Scan {
-    let Some(first) = find_status_line(bytes) else {
-        return Scan::Partial { stray: bytes.len() - split_status_line(bytes) };
-    };
-    match find_end(&bytes[first..]) {
-        Some(end) => Scan::Complete { stray: last_status_line(bytes, first, first + end), end: first + end },
-        None => Scan::Partial { stray: last_status_line(bytes, first, bytes.len()) },
+/// Looks for the first complete head in bytes that are received little by little. Each byte is looked at once.
+#[derive(Debug, Default)]
+pub(super) struct Scanner {
+    /// Number of bytes that were looked at before; they begin with a status line, if there are any.
+    seen: usize,
+}
+
+impl Scanner {
+    /// Looks at the received bytes, from whose front those were removed that are no part of a head. The head has one status
+    /// line, which is the last one in front of its end.
+    pub(super) fn scan(&mut self, bytes: &[u8]) -> Scan {
+        let first = if self.seen == 0 { find_status_line(bytes) } else { Some(0) };
+        let Some(first) = first else {
+            return Scan::Partial { stray: bytes.len() - split_status_line(bytes) };
+        };
+        // What begins in the last bytes that were looked at is found as well.
+        let from = first.max(self.seen.saturating_sub(STATUS_LINE.len() - 1));
+        if let Some(end) = find_end(&bytes[from..]) {
+            self.seen = 0;
+            let end = from + end;
+            return Scan::Complete { stray: last_status_line(bytes, from, end).unwrap_or(first), end };
+        }
+        let stray = last_status_line(bytes, from, bytes.len()).unwrap_or(first);
+        self.seen = bytes.len() - stray;
+        Scan::Partial { stray }
     }
 }
 
@@ -43,10 +60,10 @@
     memmem::find_iter(bytes, PROTOCOL).find(|at| begins_status_line(&bytes[*at..]))
 }
 
-/// Position of the last status line between `first`, where one begins, and `end`.
-fn last_status_line(bytes: &[u8], first: usize, end: usize) -> usize {
-    let starts = memmem::find_iter(&bytes[first..end], PROTOCOL).map(|at| first + at);
-    starts.filter(|at| begins_status_line(&bytes[*at..end])).last().unwrap_or(first)
+/// Position of the last status line between `from` and `end`.
+fn last_status_line(bytes: &[u8], from: usize, end: usize) -> Option<usize> {
+    let starts = memmem::rfind_iter(&bytes[from..end], PROTOCOL).map(|at| from + at);
+    starts.into_iter().find(|at| begins_status_line(&bytes[*at..end]))
 }
 
 /// Number of bytes at the end that may be the beginning of a status line.
--- a/daemon/src/entry/client/response.rs
+++ b/daemon/src/entry/client/response.rs
@@ -23,6 +23,12 @@
 const KEEP_MARGIN: Duration = Duration::from_millis(300);
 /// Maximum number of informational (1xx) answers before the final one.
 const INFORMATIONAL_MAX: u32 = 4;
+/// Maximum number of heads in front of the answer that belong to no request. Each takes much longer to read than other bytes.
+const OTHER_HEADS_MAX: u32 = 32;
+/// Maximum number of bytes of a body's framing (extensions of chunks, trailers) between two of its own.
+const FRAMING_BYTES_MAX: usize = 64 << 10;
+/// Number of bytes of a body from which no more chunks are put together.
+const GATHERED_BYTES: usize = 16 << 10;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -42,11 +48,77 @@
     /// There is none, or it was received completely.
     Complete,
     /// It has a length or is chunked.
-    Framed(ClientPayloadCodec),
+    Framed(Framed),
     /// It ends with its connection.
     UntilClose,
 }
 
+/// A body with a length or in chunks.
+pub(super) struct Framed {
+    codec: ClientPayloadCodec,
+    /// Number of bytes that were read since the last one of the body.
+    framing_bytes: usize,
+    /// How the body ends behind what was decoded; none if that is not known yet.
+    end: Option<Result<(), Error>>,
+}
+
+/// What was decoded of a body.
+enum Decoded {
+    Bytes(Bytes),
+    End,
+    /// Nothing, before more is received.
+    Incomplete,
+}
+
+impl Framed {
+    const fn new(codec: ClientPayloadCodec) -> Self {
+        Self { codec, framing_bytes: 0, end: None }
+    }
+
+    /// Decodes what was received. Small chunks are put together, as each piece takes time wherever it is handled.
+    fn decode(&mut self, input: &mut BytesMut) -> Result<Decoded, Error> {
+        let (mut first, mut all) = (Bytes::new(), BytesMut::new());
+        while self.end.is_none() && all.len() < GATHERED_BYTES {
+            match self.decode_one(input) {
+                Ok(Decoded::Bytes(bytes)) if first.is_empty() => first = bytes,
+                Ok(Decoded::Bytes(bytes)) => {
+                    if all.is_empty() {
+                        all.extend_from_slice(&first);
+                    }
+                    all.extend_from_slice(&bytes);
+                }
+                Ok(Decoded::End) => self.end = Some(Ok(())),
+                Ok(Decoded::Incomplete) => break,
+                Err(error) => self.end = Some(Err(error)),
+            }
+        }
+        if !first.is_empty() {
+            return Ok(Decoded::Bytes(if all.is_empty() { first } else { all.freeze() }));
+        }
+        match self.end.take() {
+            Some(end) => end.map(|()| Decoded::End),
+            None => Ok(Decoded::Incomplete),
+        }
+    }
+
+    /// Decodes the next chunk, or a part of it.
+    fn decode_one(&mut self, input: &mut BytesMut) -> Result<Decoded, Error> {
+        let before = input.len();
+        match self.codec.decode(input).map_err(|error| Error::InvalidResponse(error.to_string()))? {
+            Some(Some(bytes)) => {
+                self.framing_bytes = 0;
+                return Ok(Decoded::Bytes(bytes));
+            }
+            Some(None) => return Ok(Decoded::End),
+            None => self.framing_bytes += before - input.len(),
+        }
+        if self.framing_bytes > FRAMING_BYTES_MAX {
+            return Err(Error::InvalidResponse(format!("more than {FRAMING_BYTES_MAX} bytes of framing")));
+        }
+        Ok(Decoded::Incomplete)
+    }
+}
+
 impl fmt::Debug for Response {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Response").field("head", &self.head).finish_non_exhaustive()
@@ -97,16 +169,15 @@
         };
         match &mut self.body {
             Body::Complete => {}
-            Body::Framed(codec) => loop {
-                match codec.decode(&mut connection.input) {
-                    Ok(Some(Some(bytes))) => return Ok(Some(bytes)),
-                    Ok(Some(None)) => break,
-                    Ok(None) => match connection.fill().await {
+            Body::Framed(framed) => loop {
+                match framed.decode(&mut connection.input)? {
+                    Decoded::Bytes(bytes) => return Ok(Some(bytes)),
+                    Decoded::End => break,
+                    Decoded::Incomplete => match connection.fill().await {
                         Ok(0) => return Err(Error::Lost(io::ErrorKind::UnexpectedEof.into())),
                         Ok(_) => {}
                         Err(error) => return Err(Error::Lost(error)),
                     },
-                    Err(error) => return Err(Error::InvalidResponse(error.to_string())),
                 }
             },
             Body::UntilClose => {
@@ -181,8 +252,14 @@
     connection: &mut Connection,
     mut codec: ClientCodec,
 ) -> Result<(ResponseHead, Body, Option<Duration>), Error> {
-    let mut informational = 0;
+    let (mut informational, mut others) = (0, 0);
     loop {
+        if others > OTHER_HEADS_MAX {
+            return Err(Error::InvalidResponse(format!(
+                "more than {OTHER_HEADS_MAX} heads in front of the answer"
+            )));
+        }
+        others += 1;
         let end = connection.fill_head().await?;
         if !head::is_valid(&connection.input[..end]) {
             connection.skip(end)?;
@@ -243,7 +320,9 @@
     }
     match codec.message_type() {
         MessageType::None => (Body::Complete, keep),
-        MessageType::Payload | MessageType::Stream => (Body::Framed(codec.into_payload_codec()), keep),
+        MessageType::Payload | MessageType::Stream => {
+            (Body::Framed(Framed::new(codec.into_payload_codec())), keep)
+        }
     }
 }
 
--- a/daemon/tests/early_answers.rs
+++ b/daemon/tests/early_answers.rs
@@ -248,10 +248,22 @@
         let cut = Entry::start_among("zone-b", name, &store, "", links.environment());
         cut.wait_for(200);
         links.cut(Some(Cut::Reset));
+        wait_for_relay(&cut);
         Self { _store: store, _links: links, entries: vec![cut, relay] }
     }
 }
 
+/// Waits until an entry VM has another one relay for it, so that its requests reach engines.
+fn wait_for_relay(entry: &Entry) {
+    let end = std::time::Instant::now() + serving::LIMIT;
+    for path in ["/ack/1", "/brief/1"] {
+        while call(entry.callers, &request(path, "relay", 0)).starts_with("HTTP/1.1 503") {
+            assert!(std::time::Instant::now() < end, "nothing is relayed");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
 /// Plays requests of both kinds, with long and short uploads, and checks what their callers get.
 fn play(name: &str, shape: &Shape, relayed: bool) {
     let deployment = Deployment::start(name, shape, relayed);
