Ask replicas before a resumed stream is bound to the only build known here

Cause: its table named one build and was younger than the age at which that counts as certain. That is safe as long as new builds get no resumable streams before they are known everywhere; but once no engine of a known build takes work, the other entry VMs begin streams at the new one at once.

Change: the replicas of a stream are asked first, as they are with several builds. "Only one build" counts if none knows an origin and one in another availability zone has answered. An entry VM that reaches nobody refuses the request as not run (OriginUnknown), as it does with an older table. Callers that do not name their stream can't be asked for: there the table decides, as before.

Weighed: to begin no stream at a new build at first (refuses callers of every release in which engines leave soon); to read the store for each resumed stream (refuses all in an outage of the store, in which nobody learns of new engines).

--- a/daemon/src/entry/node.rs
+++ b/daemon/src/entry/node.rs
@@ -268,7 +268,9 @@
             }
             Effect::QueryOrigin { address, request, stream } => {
                 let answer = peers::query_origin(Rc::clone(&self.client), address, stream);
-                spawn_event(ctx, async move { Event::OriginAnswered { request, origin: answer.await } });
+                spawn_event(ctx, async move {
+                    Event::OriginAnswered { request, replica: address, answer: answer.await }
+                });
             }
             Effect::Lease(call) => self.call_lease(call, ctx),
             Effect::Order(dispatch) => self.send_order(&dispatch, ctx),
--- a/daemon/src/entry/peers.rs
+++ b/daemon/src/entry/peers.rs
@@ -19,7 +19,7 @@
 use boragecove_fleet::engine::Port;
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{Frame, Reply};
-use boragecove_fleet::pin::{Announcement, Origin};
+use boragecove_fleet::pin::{Announcement, Origin, OriginAnswer};
 use boragecove_fleet::push::{Message, Push};
 use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::request::Stream;
@@ -127,15 +127,20 @@
     }
 }
 
-/// Asks another entry VM for the origin of a stream. Returns none if it does not know the origin, or did not answer in
-/// time.
+/// Asks another entry VM for the origin of a stream.
 pub(crate) fn query_origin(
     client: Rc<Client>,
     address: SocketAddr,
     stream: Stream,
-) -> impl Future<Output = Option<Origin>> + use<> {
+) -> impl Future<Output = OriginAnswer> + use<> {
     let answer = query::<_, Option<Origin>>(client, address, ORIGIN_PATH, &stream, QUERY_TIMEOUT);
-    async move { answer.await.flatten() }
+    async move {
+        match answer.await {
+            Some(Some(origin)) => OriginAnswer::Known(origin),
+            Some(None) => OriginAnswer::Unknown,
+            None => OriginAnswer::Missing,
+        }
+    }
 }
 
 /// Asks another entry VM to probe an engine's port. Returns none if it did not answer, or does not know the engine.
--- a/fleet/src/event.rs
+++ b/fleet/src/event.rs
@@ -1,5 +1,6 @@
 //! Every input of the reducer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use boragecove_core::name::Name;
@@ -15,7 +16,7 @@
 use crate::notice::{AnsweredRequest, Notice, Start};
 use crate::order::{Receipt, Report};
 use crate::path::Relay;
-use crate::pin::Origin;
+use crate::pin::OriginAnswer;
 use crate::push;
 use crate::quota::Credit;
 use crate::request::{Arrival, End, Id, Timing};
@@ -122,8 +123,10 @@
     OriginAnswered {
         /// The request that resumes the stream.
         request: Id,
-        /// The stream's origin; none if the entry VM does not know it, or could not be reached.
-        origin: Option<Origin>,
+        /// The address of the entry VM.
+        replica: SocketAddr,
+        /// What it answered.
+        answer: OriginAnswer,
     },
     /// The lease was read or written.
     Lease(lease::Answer),
--- a/fleet/src/flow.rs
+++ b/fleet/src/flow.rs
@@ -102,8 +102,9 @@
 pub(crate) enum Stage {
     /// It waits for credit of its workspace's limit.
     Charging(quota::Pending),
-    /// It waits for this number of entry VMs to answer which build began the stream that it resumes.
-    Tracing { left: usize },
+    /// It waits for this number of entry VMs to answer which build began the stream that it resumes. `confirmed`: one of those
+    /// that do not know it shows that this process is not out of step.
+    Tracing { left: usize, confirmed: bool },
     /// It waits for an engine.
     Waiting,
     /// It waits for a reservation in an engine's schedule.
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -182,6 +182,16 @@
         owners.into_iter().filter_map(|vm| self.list.iter().find(|member| member.vm == *vm)).collect()
     }
 
+    /// The availability zone of the entry VM at an address.
+    pub(crate) fn zone_of(&self, address: SocketAddr) -> Option<&Name> {
+        self.list.iter().find(|member| member.address == address).map(|member| &member.zone)
+    }
+
+    /// Whether there are entry VMs outside of an availability zone.
+    pub(crate) fn is_beyond(&self, zone: &Name) -> bool {
+        self.list.iter().any(|member| member.zone != *zone)
+    }
+
     /// The entry VMs that store the origin of a stream. Includes those that don't answer.
     pub(crate) fn stream_replicas(&self, stream: Stream) -> Vec<&Member> {
         let key = Name::from(stream.to_string());
--- a/fleet/src/pin.rs
+++ b/fleet/src/pin.rs
@@ -4,9 +4,10 @@
 //! serve at the same time. Within one answer, the state of the request holds the build. If the caller resumes the stream at another entry VM,
 //! that one has to find out the build. So the entry VM that forwards the first event sends the stream's origin to some entry VMs of each
 //! availability zone, picked by a hash of the stream (its replicas). It sends it again at intervals as long as the stream is open,
-//! because replicas may have been restarted. The entry VM at which the caller resumes the stream asks all replicas. This is not needed
-//! for a service of which only one build has served for as long as a stream may last (`history`). If the build is not certain, the request
-//! is refused at once.
+//! because replicas may have been restarted. The entry VM at which the caller resumes the stream asks all replicas. If none knows the origin, it can
+//! only be the build that alone has served for as long as a stream may last (`history`). This process's own table does not show that by
+//! itself, as it may be out of step: a replica in another availability zone must have answered as well. If the build is not certain, the
+//! request is refused at once.
 
 mod history;
 mod origins;
@@ -45,6 +46,17 @@
     pub(crate) streams_announced: u64,
 }
 
+/// What a replica answered on the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OriginAnswer {
+    /// It knows the origin.
+    Known(Origin),
+    /// It does not know it.
+    Unknown,
+    /// It could not be reached, or did not answer in time.
+    Missing,
+}
+
 /// The builds whose engines may write a request's next events.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Pin {
--- a/fleet/src/pin/trace.rs
+++ b/fleet/src/pin/trace.rs
@@ -1,5 +1,6 @@
 //! Finds out which build began a stream that a caller resumes.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use boragecove_core::code::Code;
@@ -7,7 +8,7 @@
 use boragecove_core::time::Time;
 
 use super::replicas::replicas;
-use super::{Origin, Pin, only_build};
+use super::{Origin, OriginAnswer, Pin, only_build};
 use crate::effect::Effect;
 use crate::flow::{self, RETRY_AFTER, Stage};
 use crate::record::Record;
@@ -29,51 +30,78 @@
     if let Some(origin) = resumption.stream.and_then(|stream| state.pins.origins.get(stream)).cloned() {
         return pin_to_origin(state, now, id, &origin, "kept", out);
     }
-    if let [destination] = &*flow.route.split
-        && let Some(build) = only_build(state, now, &destination.service)
-    {
-        let origin = Origin { service: destination.service.clone(), build: Some(build.clone()) };
-        return pin_to_origin(state, now, id, &origin, "only", out);
-    }
     let asked = resumption.stream.map(|stream| (stream, replicas(state, stream)));
     let Some((stream, replicas)) = asked.filter(|(_, replicas)| !replicas.is_empty()) else {
-        refuse_unknown(state, now, id, out);
-        return false;
+        return pin_to_only_build(state, now, id, out);
     };
     if let Some(flow) = state.flows.get_mut(&id) {
-        flow.stage = Stage::Tracing { left: replicas.len() };
+        flow.stage = Stage::Tracing { left: replicas.len(), confirmed: false };
     }
     out.extend(replicas.into_iter().map(|address| Effect::QueryOrigin { address, request: id, stream }));
     false
 }
 
-/// Handles a replica's answer on the origin of the stream that a request resumes; none if it does not know it or did not answer.
+/// Handles a replica's answer on the origin of the stream that a request resumes.
 pub(crate) fn origin_answered(
     state: &mut State,
     now: Time,
     id: Id,
-    origin: Option<&Origin>,
+    replica: SocketAddr,
+    answer: &OriginAnswer,
     out: &mut Vec<Effect>,
 ) {
+    let confirms = *answer == OriginAnswer::Unknown && is_elsewhere(state, replica);
     let Some(flow) = state.flows.get_mut(&id) else {
         return;
     };
-    let Stage::Tracing { left } = &mut flow.stage else {
+    let Stage::Tracing { left, confirmed } = &mut flow.stage else {
         return;
     };
     *left -= 1;
-    let all_answered = *left == 0;
-    if let Some(origin) = origin {
-        flow.stage = Stage::Waiting;
-        if pin_to_origin(state, now, id, origin, "told", out) {
-            flow::dispatch(state, now, id, true, out);
+    *confirmed |= confirms;
+    let (all_answered, confirmed) = (*left == 0, *confirmed);
+    let allowed = match answer {
+        OriginAnswer::Known(origin) => {
+            flow.stage = Stage::Waiting;
+            pin_to_origin(state, now, id, origin, "told", out)
         }
-    } else if all_answered {
-        flow.stage = Stage::Waiting;
-        refuse_unknown(state, now, id, out);
+        OriginAnswer::Unknown | OriginAnswer::Missing if !all_answered => return,
+        OriginAnswer::Unknown | OriginAnswer::Missing => {
+            flow.stage = Stage::Waiting;
+            if confirmed {
+                pin_to_only_build(state, now, id, out)
+            } else {
+                refuse_unknown(state, now, id, out);
+                false
+            }
+        }
+    };
+    if allowed {
+        flow::dispatch(state, now, id, true, out);
     }
 }
 
+/// Whether an entry VM is outside of this one's availability zone, with which it may be cut off. If all are inside, each counts.
+fn is_elsewhere(state: &State, address: SocketAddr) -> bool {
+    let own = &state.me.zone;
+    !state.members.is_beyond(own) || state.members.zone_of(address).is_some_and(|zone| zone != own)
+}
+
+/// Pins a request to the only build of its service, if that is certain. Returns whether the request may be dispatched.
+fn pin_to_only_build(state: &mut State, now: Time, id: Id, out: &mut Vec<Effect>) -> bool {
+    let Some(flow) = state.flows.get(&id) else {
+        return false;
+    };
+    if let [destination] = &*flow.route.split
+        && let Some(build) = only_build(state, now, &destination.service)
+    {
+        let origin = Origin { service: destination.service.clone(), build: Some(build.clone()) };
+        return pin_to_origin(state, now, id, &origin, "only", out);
+    }
+    refuse_unknown(state, now, id, out);
+    false
+}
+
 /// Pins a request to the build that began the stream that it resumes. Returns whether the request may be dispatched.
 fn pin_to_origin(
     state: &mut State,
--- a/fleet/src/reduce.rs
+++ b/fleet/src/reduce.rs
@@ -164,8 +164,8 @@
         Event::PermitAnswered { request, asked, permit } => {
             budget::permit_answered(state, now, request, asked, permit, out);
         }
-        Event::OriginAnswered { request, origin } => {
-            pin::origin_answered(state, now, request, origin.as_ref(), out);
+        Event::OriginAnswered { request, replica, answer } => {
+            pin::origin_answered(state, now, request, replica, &answer, out);
         }
         Event::Lease(answer) => lease::answered(state, now, answer, out),
         Event::Ordered { engine, incarnation, receipt } => {
--- a/fleet/tests/stream_builds.rs
+++ b/fleet/tests/stream_builds.rs
@@ -410,3 +410,66 @@
         assert!(share >= CONTINUED_AFTER_KILL_MIN, "{fault:?}: {share:.3} of {resumed} continued");
     }
 }
+
+/// How an entry VM gets out of step.
+#[derive(Clone, Copy, Debug)]
+enum OutOfStep {
+    /// It reaches neither other entry VMs nor the store.
+    Isolated,
+    /// It stands still.
+    Suspended,
+}
+
+/// Replaces all engines by ones of the other build while an entry VM is out of step. A stream that began there through another entry
+/// VM is resumed at it `later`. Returns whether it began at the new build, and whether it went on at the wrong one.
+fn resumed_out_of_step(kind: OutOfStep, later: Duration, seed: u64) -> (bool, bool) {
+    let mut world = uniform(9, seed);
+    match kind {
+        OutOfStep::Isolated => world.isolate(0, true),
+        OutOfStep::Suspended => world.suspend(0, true),
+    }
+    world.advance(millis(seed % 7 * 30));
+    for number in 0..2 * ENGINES_PER_BUILD {
+        world.start_engine(engine(20 + number, NEXT));
+        world.register(Entry { leaving: true, ..engine(number, BUILD) });
+    }
+    let at = 1 + seed as usize % 8;
+    // Its entry VM learns of the new engines.
+    world.advance(millis(300 + seed % 5 * 100));
+    let mut caller = world.begin_stream_at(at, 200);
+    let end = world.now + later;
+    while world.now < end {
+        // It may have been refused before the new engines were known there.
+        if world.streams.callers[caller].received.is_empty() && world.streams.callers[caller].end.is_some() {
+            caller = world.begin_stream_at(at, 200);
+        }
+        world.advance(millis(20));
+    }
+    if matches!(kind, OutOfStep::Suspended) {
+        world.suspend(0, false);
+    }
+    let is_newer = world.streams.builds_of(caller).contains(&Name::from(NEXT));
+    world.move_stream(caller, at, 0);
+    world.advance(SECOND);
+    (is_newer, world.streams.mixed_builds() > 0)
+}
+
+/// Guards against a stream that goes on at another build, at an entry VM that was out of step as engines of a new build joined and
+/// the others began to leave.
+#[test]
+fn resumed_at_stale_entry() {
+    let (mut newer, mut mixed) = (0, Vec::new());
+    for kind in [OutOfStep::Isolated, OutOfStep::Suspended] {
+        for later in (100..4_000).step_by(150) {
+            for seed in 0..6 {
+                let (is_newer, is_mixed) = resumed_out_of_step(kind, millis(later), 100 + seed);
+                newer += usize::from(is_newer);
+                if is_mixed {
+                    mixed.push((kind, later, seed));
+                }
+            }
+        }
+    }
+    assert!(newer >= 50, "{newer} began at the new build");
+    assert!(mixed.is_empty(), "{} of {newer} mixed: {mixed:?}", mixed.len());
+}
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -31,7 +31,7 @@
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::frame::{Frame, Reply};
 use boragecove_fleet::lease::Answer;
-use boragecove_fleet::pin::{Announcement, Origin};
+use boragecove_fleet::pin::{Announcement, OriginAnswer};
 use boragecove_fleet::push::{Message, Push};
 use boragecove_fleet::quota::{Credit, Draw};
 use boragecove_fleet::request::{Arrival, Attempt, End, Id, Stream};
@@ -222,7 +222,7 @@
     Note(Vec<Announcement>),
     /// A query for the origin of a stream, and the answer of an entry VM.
     Trace(Id, Stream),
-    Traced(Id, usize, Option<Origin>),
+    Traced(Id, usize, OriginAnswer),
     Lease(Answer),
     /// The configuration when the store was asked, the revision up to which it is the newest, and the time of the
     /// call.
--- a/fleet/tests/world/streams.rs
+++ b/fleet/tests/world/streams.rs
@@ -9,7 +9,7 @@
 use boragecove_core::time::Time;
 use boragecove_fleet::engine::Entry;
 use boragecove_fleet::event::Event;
-use boragecove_fleet::pin::Origin;
+use boragecove_fleet::pin::OriginAnswer;
 use boragecove_fleet::request::{Arrival, Attempt, End, Id, Resumption, Stream};
 
 use super::{Load, World};
@@ -322,15 +322,17 @@
         let origin = boragecove_fleet::stream_origin(&self.vms[to].state, stream);
         if self.reaches(to, from) {
             let ms = self.rng.u64(1..5);
-            self.post(to, from, ms, Load::Traced(request, to, origin));
+            let answer = origin.map_or(OriginAnswer::Unknown, OriginAnswer::Known);
+            self.post(to, from, ms, Load::Traced(request, to, answer));
         }
     }
 
     /// The entry VM answers, or the call times out. Whichever comes first cancels the other.
-    pub(super) fn traced(&mut self, vm: usize, request: Id, replica: usize, origin: Option<Origin>) {
+    pub(super) fn traced(&mut self, vm: usize, request: Id, replica: usize, answer: OriginAnswer) {
         let same = |load: &Load| matches!(load, Load::Traced(of, by, _) if *of == request && *by == replica);
         self.on_way.retain(|way| way.to != vm || !same(&way.load));
-        self.feed(vm, Event::OriginAnswered { request, origin });
+        let replica = super::address(replica);
+        self.feed(vm, Event::OriginAnswered { request, replica, answer });
     }
 
     /// An entry VM has ended, so the connections of its callers break.
--- a/fleet/tests/world/transport.rs
+++ b/fleet/tests/world/transport.rs
@@ -9,6 +9,7 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::lease::{Answer, Call, Outcome, Row};
 use boragecove_fleet::path::Relay;
+use boragecove_fleet::pin::OriginAnswer;
 use boragecove_fleet::record::Record;
 use boragecove_fleet::request::{Cause, End, Id, Step, Timing};
 use boragecove_fleet::revision::Revision;
@@ -191,7 +192,12 @@
             }
             Effect::QueryOrigin { address, request, stream } => {
                 let to = self.at(address);
-                self.post(at, at, ASK_LIMIT.as_millis() as u64, Load::Traced(request, to, None));
+                self.post(
+                    at,
+                    at,
+                    ASK_LIMIT.as_millis() as u64,
+                    Load::Traced(request, to, OriginAnswer::Missing),
+                );
                 if self.reaches(at, to) {
                     let ms = self.rng.u64(1..5);
                     self.post(at, to, ms, Load::Trace(request, stream));
