--- a/daemon/tests/early_answers.rs
+++ b/daemon/tests/early_answers.rs
@@ -5,6 +5,7 @@
 mod standin;
 
 mod links;
+mod raw_answers;
 mod raw_engine;
 mod serving;
 
@@ -21,6 +22,7 @@
 use boragecove_platform::http::REQUEST_ID;
 use bytes::Bytes;
 use links::{Cut, Links};
+use raw_answers::reset;
 use raw_engine::{header, register};
 use serde_json::json;
 use serving::{Entry, call};
@@ -138,13 +140,6 @@
     }
 }
 
-fn reset(stream: TcpStream) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("builds");
-    let _guard = runtime.enter();
-    stream.set_nonblocking(true).expect("sets");
-    tokio::net::TcpStream::from_std(stream).expect("registers").set_zero_linger().expect("sets");
-}
-
 /// Reads a head, and nothing behind it.
 fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
