Saturate times at the end of their range

Looked for after a report on odd entries of engines (numbers too large): the time until which an engine has a limit is the sum of now and what its entry states. Durations were cut to 64 bits of microseconds first, so that a sum with a longer one was any time, in the past as well.

Change: such a duration counts as the longest one.

Test (time_bounds, saturated_sums): failed on the code before.

--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -20,6 +20,11 @@
     floor(duration.saturating_add(Duration::from_nanos(NANOSECONDS_PER_MICROSECOND as u64 - 1)))
 }
 
+/// Whole microseconds of a duration; the largest number for one that has more.
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// A point in time, in microseconds since the Unix epoch. A process reads the wall clock only when it
 /// starts and then adds the time of the runtime's monotonic clock, so that its time never runs backwards.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -50,7 +55,7 @@
     type Output = Self;
 
     fn add(self, rhs: Duration) -> Self {
-        Self(self.0.saturating_add(rhs.as_micros() as u64))
+        Self(self.0.saturating_add(micros(rhs)))
     }
 }
 
@@ -58,7 +63,7 @@
     type Output = Self;
 
     fn sub(self, rhs: Duration) -> Self {
-        Self(self.0.saturating_sub(rhs.as_micros() as u64))
+        Self(self.0.saturating_sub(micros(rhs)))
     }
 }
 
