Skip an entry of the list of VMs that cannot be read

Cause: the list was decoded at once. Change: each entry is decoded by itself; one that cannot be is logged and skipped.

Test (platform_answers, odd_vms): ten entries, failed on at the first.

--- a/daemon/src/platform/http.rs
+++ b/daemon/src/platform/http.rs
@@ -12,6 +12,7 @@
 use boragecove_wire::{path, platform};
 use bytes::Bytes;
 use futures_util::FutureExt;
+use serde_json::value::RawValue;
 use tokio::time::Instant;
 
 use super::{Addresses, Answer, Objects, Table, Vms};
@@ -127,10 +128,20 @@
     }
 }
 
+/// An entry of the list of VMs; none if it cannot be read, so that it does not affect the others.
+fn listed(entry: &RawValue) -> Option<Vm> {
+    let vm = serde_json::from_str(entry.get());
+    vm.inspect_err(|error| tracing::warn!(%error, "skipping an entry of the list of VMs")).ok()
+}
+
 impl Vms for Client {
     fn list(&self) -> Answer<'_, Vec<Vm>> {
-        async move { read(&self.call(Method::GET, path::VMS, Content::default()).await?.done()?) }
-            .boxed_local()
+        async move {
+            let answered = self.call(Method::GET, path::VMS, Content::default()).await?;
+            let entries: Vec<Box<RawValue>> = read(&answered.done()?)?;
+            Ok(entries.iter().filter_map(|entry| listed(entry)).collect())
+        }
+        .boxed_local()
     }
 }
 
--- a/daemon/tests/platform_answers.rs
+++ b/daemon/tests/platform_answers.rs
@@ -86,3 +86,35 @@
         assert!(matches!(platform.vms.list().await, Err(Failure::Unknown)), "{head:?}");
     }
 }
+
+/// Guards against one entry of the list of VMs that cannot be read, by which no other entry was read any more.
+#[actix_web::test]
+async fn odd_vms() {
+    let vm = |name: &str| {
+        format!(
+            r#"{{"name":"{name}","zone":"hall-a","address":"10.0.0.1:80","role":{{"backend":"writer"}},"phase":"live"}}"#
+        )
+    };
+    let sound = vm("odd");
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        sound.replace("10.0.0.1:80", "10.0.0.1:99999"),
+        sound.replace("10.0.0.1:80", "10.0.0.1:-1"),
+        sound.replace("\"10.0.0.1:80\"", "1e999"),
+        sound.replace("\"hall-a\"", &nested),
+        sound.replace("{\"backend\":\"writer\"}", "\"watcher\""),
+        sound.replace("\"phase\":\"live\"", "\"phase\":7"),
+        sound.replace(",\"phase\":\"live\"", ""),
+        nested.clone(),
+        "18446744073709551616".to_owned(),
+        "null".to_owned(),
+    ];
+    for odd in odd {
+        assert_ne!(odd, sound);
+        let body = format!("[{},{odd},{}]", vm("w-1"), vm("w-2"));
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let listed = platform(server(answer, End::Closed)).vms.list().await;
+        let names = listed.map(|vms| vms.into_iter().map(|vm| vm.name).collect::<Vec<_>>());
+        assert_eq!(names, Ok(vec!["w-1".into(), "w-2".into()]), "{odd:.200}");
+    }
+}
