Cut nothing off as a signal comes again during a planned stop

Seen by callers: a second SIGTERM, 200 ms after the first, ended the process at once; all open requests, also such as may not be repeated, had no answer, and a body that was arriving was cut.

Cause: the second signal was read as the order to stop waiting, and what ended the wait closed the process without ending its requests. Change: further signals change nothing. The stop is bounded by the grace period, after which the platform kills the process; whoever wants it sooner kills it. Ruled out: to answer what is open at the second signal. It would fail requests that have the whole grace period to be served.

boragecoved run reads no signal after the first (by reading).

Test (entry_stops, repeated_signals): three further SIGTERM, SIGINT or SIGHUP, each with four open requests and a body that arrives. Failed on with SIGTERM: none of the five had an answer. Now all are served.

--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -11,7 +11,7 @@
 use boragecove_fleet::config::Limits;
 use boragecove_fleet::event::Event;
 use thiserror::Error;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior};
 use tracing_subscriber::filter::LevelFilter;
@@ -172,7 +172,7 @@
                 },
             }
         }
-        self.stop(&settings, &mut terminate).await;
+        self.stop(&settings).await;
         Ok(())
     }
 
@@ -187,15 +187,12 @@
     }
 
     /// Stops. Nothing is interrupted that ends within the grace period: requests, bodies that arrive, and answers that are
-    /// written. A second signal ends the wait.
-    async fn stop(&mut self, settings: &Settings, again: &mut Signal) {
+    /// written. Further signals change nothing.
+    async fn stop(&mut self, settings: &Settings) {
         let end = Instant::now() + settings.stop_within();
         self.stopping.send_replace(Some(end));
         self.node.do_send(ApplyEvent(Event::Stop));
-        tokio::select! {
-            () = self.close(end) => {}
-            _ = again.recv() => {}
-        }
+        self.close(end).await;
     }
 
     /// Closes the listeners once no request is open, callers first, whose requests still need the others.
--- a/daemon/tests/entry_stops.rs
+++ b/daemon/tests/entry_stops.rs
@@ -325,3 +325,27 @@
     assert!(entry.exit());
     assert!(signal.elapsed() < GRACE, "{:?}", signal.elapsed());
 }
+
+/// Guards against a signal that comes again while the process stops, and cuts off what would still be answered.
+#[test]
+fn repeated_signals() {
+    for again in ["-TERM", "-INT", "-HUP"] {
+        let (_store, mut entry, _read) = deployment(&format!("stop-again{again}"), Work::of_millis(1_500));
+        let mut streams = send_all(&entry, (0..4).map(|number| format!("open-{number}")));
+        let mut upload = connect(entry.callers, 64 << 10);
+        upload.write_all(head("upload", Duration::from_secs(11), 100).as_bytes()).expect("writes");
+        thread::sleep(Duration::from_millis(300));
+        entry.terminate();
+        let signal = Instant::now();
+        for _ in 0..3 {
+            thread::sleep(Duration::from_millis(200));
+            entry.signal(again);
+        }
+        upload.write_all(&[b'x'; 100]).expect("writes");
+        streams.push(upload);
+        let statuses: Vec<_> = streams.iter_mut().map(status).collect();
+        assert_eq!(statuses, [Some(200); 5], "{again}");
+        assert!(entry.exit());
+        assert!(signal.elapsed() < GRACE, "{:?}", signal.elapsed());
+    }
+}
