Keep the largest number of accepted orders as an engine accepts one more

Cause: the number was counted on without a bound. A release build went on from zero, so that every later order to the engine named a number it has not; a debug build ended there. Change: the number stays where it is. Left: a report with a lower number after that counts as older, as before.

Test (engine_orders, sequence_at_its_end): ended by the overflow on.

--- a/fleet/src/holdings.rs
+++ b/fleet/src/holdings.rs
@@ -329,7 +329,7 @@
         expected: Duration,
         adapter_ready: Duration,
     ) {
-        self.sequence = self.sequence.map(|sequence| sequence + 1);
+        self.sequence = self.sequence.map(|sequence| sequence.saturating_add(1));
         match order {
             Order::Load { model } => {
                 self.copies.push(ModelCopy {
--- a/fleet/tests/engine_orders.rs
+++ b/fleet/tests/engine_orders.rs
@@ -72,6 +72,30 @@
     assert!(matches!(node.step(id), Some(Step::Send(attempt)) if attempt.engine == engine));
 }
 
+/// Guards against a process that ends because an engine states the largest number of accepted orders and accepts one more.
+#[test]
+fn sequence_at_its_end() {
+    let mut node = Node::ready("a");
+    node.lead();
+    node.advance(millis(300));
+    node.arrive(streamed("/brief/1", "m0", Some("a7")));
+    let engine = orders(&node.effects).remove(0).engine;
+    let answered = |receipt| Event::Ordered {
+        engine: engine.clone(),
+        incarnation: Incarnation::default(),
+        receipt: Some(receipt),
+    };
+    node.feed(answered(Receipt::Conflict));
+    node.advance(millis(300));
+    let held = vec![Held { model: "m0".into(), adapters: Vec::new() }];
+    let report = Report { sequence: u64::MAX, held, ..Report::default() };
+    node.feed(Event::Reported { engine: engine.clone(), report: Some(report) });
+    node.arrive(streamed("/brief/1", "m0", Some("a8")));
+    assert!(orders(&node.effects).iter().any(|order| order.sequence == u64::MAX), "{:?}", node.effects);
+    node.feed(answered(Receipt::Accepted));
+    node.arrive(streamed("/brief/1", "m0", Some("a9")));
+}
+
 /// An engine that lacks a model of its holdings is asked for a report, even if no other event occurs there.
 #[test]
 fn refusal_as_absent_asks_the_engine() {
