--- a/daemon/tests/odd_entries.rs
+++ b/daemon/tests/odd_entries.rs
@@ -179,3 +179,22 @@
         deployment.assert_follows(&shown(&odd));
     }
 }
+
+/// Guards against a lease that nobody can hold any more because its row holds the long names of odd entries.
+#[test]
+fn lease_is_kept() {
+    let mut deployment = Deployment::start("odd-names");
+    deployment.assert_follows("the start");
+    for letter in ["x", "y"] {
+        for member in ["version", "service"] {
+            let odd = with("writer", member, &format!("\"{}\"", letter.repeat(50_000)));
+            deployment.store.put_bytes("servers", "odd", odd.as_bytes());
+            deployment.assert_follows(&format!("a long {member}"));
+        }
+    }
+    // Longer than the lease lasts without being renewed.
+    for _ in 0..50 {
+        thread::sleep(Duration::from_millis(100));
+        assert!(deployment.entries.iter().any(Entry::leads), "nobody holds the lease");
+    }
+}
