Name the row of the engines' table that is skipped in the log

The line for a row that cannot be decoded said what is wrong and not where, so that nobody could find the writer.

Measured: nothing; a line is written only for such rows.

--- a/daemon/src/entry/store_poll.rs
+++ b/daemon/src/entry/store_poll.rs
@@ -12,7 +12,7 @@
 use boragecove_fleet::event::{Event, Listing};
 use boragecove_fleet::revision::Revision;
 use boragecove_platform::error::DecodeError;
-use boragecove_platform::store::{self, Page, Table};
+use boragecove_platform::store::{self, Page, Table, Undecodable};
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
@@ -149,9 +149,9 @@
 /// The rows in a page of the engines' table; `asked` is the time of the call. Rows that can't be decoded are logged and
 /// skipped.
 fn listing(page: &Page, asked: Time, complete: bool) -> Listing {
-    let (listing, errors) = page.engines(asked, complete);
-    for error in errors {
-        tracing::warn!(%error, "skipping a row of the engines' table");
+    let (listing, undecodable) = page.engines(asked, complete);
+    for Undecodable { id, error } in undecodable {
+        tracing::warn!(%id, %error, "skipping a row of the engines' table");
     }
     listing
 }
