--- a/daemon/tests/odd_entries.rs
+++ b/daemon/tests/odd_entries.rs
@@ -6,6 +6,7 @@
 mod raw_engine;
 mod serving;
 
+use std::collections::BTreeSet;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -198,3 +199,16 @@
         assert!(deployment.entries.iter().any(Entry::leads), "nobody holds the lease");
     }
 }
+
+/// Guards against requests that an engine runs although they are not known to be meant for it: sent for a row whose key no
+/// header can carry as it is.
+#[test]
+fn ids_without_header() {
+    let mut deployment = Deployment::start("odd-ids");
+    deployment.assert_follows("the start");
+    for id in ["", " ", "\t", "odd\n", "odd\r\n", "odd\u{0}", "odd\u{7f}"] {
+        raw_engine::register(&deployment.store, id, "gateway", deployment.kept.address);
+        deployment.assert_follows(&format!("the id {id:?}"));
+        assert_eq!(deployment.kept.expected(), BTreeSet::from(["kept".to_owned()]), "{id:?}");
+    }
+}
--- a/daemon/tests/raw_engine/mod.rs
+++ b/daemon/tests/raw_engine/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test uses what it needs")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -39,6 +39,7 @@
 #[derive(Debug, Default)]
 struct Seen {
     runs: BTreeMap<String, usize>,
+    expected: BTreeSet<String>,
 }
 
 /// An engine.
@@ -75,6 +76,11 @@
         lock(&self.seen).runs.get(id).copied().unwrap_or_default()
     }
 
+    /// The ids of the engines that its requests, reports and orders were meant for; empty for one that names none.
+    pub fn expected(&self) -> BTreeSet<String> {
+        lock(&self.seen).expected.clone()
+    }
+
     /// Number of connections that were opened to it.
     pub fn connections(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
@@ -113,6 +119,7 @@
     let framed = |head: &str, body: &str| {
         format!("HTTP/1.1 {head}\r\nKeep-Alive: timeout=20\r\nContent-Length: {}\r\n\r\n{body}", body.len())
     };
+    lock(seen).expected.insert(header(request, "expect-instance"));
     if request.starts_with("GET /api/report") {
         let body = json!({"born": 1_767_465_654_898_u64, "models": [{"name": "m1", "version": 1, "adapters": []}],
             "busy": false, "sequence": 0, "state": "ready"});
