Hold the memory of a stream's event before its buffer grows

Cause: an event of up to 1 MiB entered the account of memory only once it was complete. Its buffer grew to twice that before the event was recognized as too long, kept its memory after the attempt had failed, and what lay behind a large event kept all of it. Complete events were held twice while their caller read.

--- a/daemon/src/entry/caller_response.rs
+++ b/daemon/src/entry/caller_response.rs
@@ -1,5 +1,6 @@
 //! The response channel from a request's task to its caller's connection. It is ordered and bounded.
 
+use std::mem;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -81,7 +82,7 @@
         self.events.extend_from_slice(events);
     }
 
-    /// The memory of the events, which is to be held before they are handed on.
+    /// The memory of the events.
     pub fn share(&mut self, account: &Account) -> &mut Share {
         self.share.get_or_insert_with(|| account.share())
     }
@@ -93,7 +94,7 @@
         }
         // Without the caller there is nobody to hand them on to.
         if let Ok(permit) = sender.reserve().await {
-            let bytes = self.events.split().freeze();
+            let bytes = mem::take(&mut self.events).freeze();
             permit.send(Part::Data(Whole { bytes, share: self.share.take() }));
         }
     }
--- a/daemon/src/entry/event_buffer.rs
+++ b/daemon/src/entry/event_buffer.rs
@@ -4,6 +4,8 @@
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
 
+use crate::memory::{Account, Share};
+
 /// Largest size of an event in bytes.
 const EVENT_BYTES_MAX: usize = 1 << 20;
 
@@ -11,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
     buffer: BytesMut,
+    /// The memory of the buffer.
+    share: Option<Share>,
     last: Option<u64>,
 }
 
@@ -24,6 +28,8 @@
             return Bytes::new();
         };
         let complete = self.buffer.split_to(from + end + 2).freeze();
+        // What is behind the events would keep their memory.
+        self.buffer = BytesMut::from(&*self.buffer);
         if let Some(id) = last_id(&complete) {
             self.last = Some(id);
         }
@@ -40,14 +46,39 @@
         !self.buffer.is_empty()
     }
 
-    /// Whether the incomplete event is longer than events may be.
-    pub(crate) fn is_overlong(&self) -> bool {
-        self.buffer.len() > EVENT_BYTES_MAX
+    /// Memory in bytes that the buffer takes besides what it has, once this many bytes are appended.
+    pub(crate) fn growth(&self, bytes: usize) -> usize {
+        let capacity = self.buffer.capacity();
+        let total = self.buffer.len() + bytes;
+        if total > capacity { total.max(2 * capacity) - capacity } else { 0 }
+    }
+
+    /// The memory of the buffer, which is to be held before it grows.
+    pub(crate) fn share(&mut self, account: &Account) -> &mut Share {
+        self.share.get_or_insert_with(|| account.share())
+    }
+
+    /// Hands the memory of complete events over to another share, and gives back what the buffer does not take any more.
+    pub(crate) fn hand_over(&mut self, complete: &Bytes, to: &mut Share) {
+        if let Some(share) = &mut self.share {
+            share.hand_over(complete.len(), to);
+            share.shrink(share.bytes().saturating_sub(self.buffer.capacity()));
+        }
+    }
+
+    /// Whether the incomplete event, with these bytes behind it, is longer than events may be.
+    pub(crate) fn is_overlong_with(&self, bytes: &[u8]) -> bool {
+        if self.buffer.len() + bytes.len() <= EVENT_BYTES_MAX {
+            return false;
+        }
+        let is_ended = self.buffer.ends_with(b"\n") && bytes.starts_with(b"\n");
+        !is_ended && memmem::find(bytes, b"\n\n").is_none()
     }
 
-    /// Discards an incomplete event: another engine sends it again from its start.
+    /// Discards an incomplete event, and its memory: another engine sends it again from its start.
     pub(crate) fn discard_partial(&mut self) {
-        self.buffer.clear();
+        self.buffer = BytesMut::new();
+        self.share = None;
     }
 }
 
--- a/daemon/src/entry/request_task.rs
+++ b/daemon/src/entry/request_task.rs
@@ -223,6 +223,8 @@
             Some(outcome) => outcome,
             None => self.exchange_unless_ended(attempt).await,
         };
+        // The caller may wait long for the next attempt.
+        self.events.discard_partial();
         match outcome {
             Outcome::Step(step) => Some(step),
             Outcome::CallerGone => None,
@@ -284,7 +286,6 @@
     async fn exchange(&mut self, attempt: Attempt) -> End {
         self.answer = None;
         self.timing = EventTiming::default();
-        self.events.discard_partial();
         if !self.pin.allows(attempt.build.as_ref()) {
             // When the attempt was decided on, the reducer did not know yet that events of another build were sent.
             return End::Withheld;
@@ -399,21 +400,19 @@
         loop {
             match response.chunk().await {
                 Ok(Some(bytes)) => {
-                    let complete = self.events.push(&bytes);
-                    if self.events.is_overlong() {
+                    if self.events.is_overlong_with(&bytes) {
                         return End::Broken;
                     }
-                    if complete.is_empty() {
-                        continue;
+                    let growth = self.events.growth(bytes.len());
+                    hold(self.events.share(&self.account), growth).await;
+                    let complete = self.events.push(&bytes);
+                    if !complete.is_empty() {
+                        self.take_events(attempt, &complete);
+                        // It would hold the events' memory twice while the caller reads.
+                        drop(complete);
+                        self.send_head(&head).await;
+                        self.undelivered.deliver(&self.response_sender).await;
                     }
-                    self.timing.record(Instant::now(), event_buffer::count_events(&complete));
-                    let build = attempt.build.clone();
-                    self.pin.events_from(build.as_ref());
-                    self.node.do_send(ApplyEvent(Event::Began { request: self.id, build }));
-                    self.undelivered.push(&complete);
-                    self.send_head(&head).await;
-                    hold(self.undelivered.share(&self.account), complete.len()).await;
-                    self.undelivered.deliver(&self.response_sender).await;
                 }
                 Ok(None) if self.events.has_partial() => return End::Lost,
                 // An empty answer that is ended by its connection alone can't be distinguished from a broken one.
@@ -429,6 +428,16 @@
         }
     }
 
+    /// Takes complete events to be forwarded. The next attempt goes on after them.
+    fn take_events(&mut self, attempt: &Attempt, complete: &Bytes) {
+        self.timing.record(Instant::now(), event_buffer::count_events(complete));
+        let build = attempt.build.clone();
+        self.pin.events_from(build.as_ref());
+        self.node.do_send(ApplyEvent(Event::Began { request: self.id, build }));
+        self.undelivered.push(complete);
+        self.events.hand_over(complete, self.undelivered.share(&self.account));
+    }
+
     /// Sends the head of a stream to the caller, unless an earlier attempt's head was sent.
     async fn send_head(&mut self, head: &Head) {
         if self.head_sent {
--- a/daemon/src/memory.rs
+++ b/daemon/src/memory.rs
@@ -302,6 +302,13 @@
         }
     }
 
+    /// Hands `bytes` of it over to another share of the account. Neither is one of an incomplete request.
+    pub fn hand_over(&mut self, bytes: usize, to: &mut Self) {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        to.bytes += bytes;
+    }
+
     /// The request is complete: its share is not taken back any more.
     ///
     /// # Errors
--- a/daemon/tests/endless_answers.rs
+++ b/daemon/tests/endless_answers.rs
@@ -26,6 +26,8 @@
 
 /// Number of callers in a crowd.
 const CALLERS: usize = 100;
+/// Size in bytes of a large event; events may be a little longer.
+const EVENT_BYTES: usize = 1_000_000;
 /// Size in bytes of one write.
 const BLOCK: usize = 16 << 10;
 
@@ -62,7 +64,19 @@
     }
 }
 
-/// An engine that answers each request soundly that names no endless answer. `reports` sets whether its reports have no end.
+/// What follows a large event: nothing, not even its end; or its end and the start of another event.
+const BEHIND: [&str; 2] = ["", "\n\nid: 2\ndata: "];
+
+/// Writes a large event and what follows it, and waits until the connection ends.
+fn write_unfinished(stream: &mut TcpStream, behind: &str, id: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s.{id}\r\n\r\n");
+    let event = format!("{head}id: 1\ndata: {}{behind}", "x".repeat(EVENT_BYTES));
+    if stream.write_all(event.as_bytes()).is_ok() {
+        while read_request(stream).is_some() {}
+    }
+}
+
+/// An engine that answers each request soundly that names no endless or unfinished answer. `reports` sets whether its reports have no end.
 fn engine(store: &Store, id: &str, service: &str, reports: &Arc<AtomicBool>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("bound");
@@ -83,6 +97,9 @@
         if let Ok(number) = header(&request, "x-endless").parse() {
             return write_endless(&mut stream, number, &id);
         }
+        if let Ok(number) = header(&request, "x-unfinished").parse::<usize>() {
+            return write_unfinished(&mut stream, BEHIND[number], &id);
+        }
         if id.is_empty() && reports.load(Ordering::Relaxed) {
             return write_endless(&mut stream, 6, "");
         }
@@ -101,7 +118,7 @@
     }
 }
 
-/// An entry VM of the smallest machine with two engines of each service, and one that relays for it if it is to reach them
+/// An entry VM of the smallest machine with engines of each service, and one that relays for it if it is to reach them
 /// only so.
 struct Deployment {
     _store: Store,
@@ -111,12 +128,20 @@
 }
 
 impl Deployment {
+    /// A deployment with two engines of each service.
     fn start(name: &str, relayed: bool) -> Self {
+        Self::with_writers(name, relayed, 2)
+    }
+
+    fn with_writers(name: &str, relayed: bool, writers: usize) -> Self {
         let store = Store::start();
         store.put("op", "config", &config(1));
         let (mut links, reports) = (Links::new(name), Arc::default());
-        for (id, service) in [("w-1", "writer"), ("w-2", "writer"), ("g-1", "gateway"), ("g-2", "gateway")] {
-            links.add(engine(&store, id, service, &reports));
+        for number in 1..=writers {
+            links.add(engine(&store, &format!("w-{number}"), "writer", &reports));
+        }
+        for id in ["g-1", "g-2"] {
+            links.add(engine(&store, id, "gateway", &reports));
         }
         if !relayed {
             let entries = vec![Entry::start_with(name, &store, &machine())];
@@ -131,14 +156,18 @@
 
     /// Lets a crowd come whose answers have no end. Nobody gets a complete answer.
     fn withstands(&mut self, path: &str, number: usize, after: After) {
-        assert_serves(&self.entries[0], "before the crowd");
         let head = head(path, &format!("X-Endless: {number}\r\nContent-Length: 0"));
         let shape = Shape { head, ..Shape::sized(path, 0, 0) }.then(after);
-        let crowd = Crowd::start(self.entries[0].callers, CALLERS, &shape);
+        self.withstands_shape(&shape, CALLERS, &format!("{path}, {:?}, {after:?}", ENDLESS[number]));
+    }
+
+    fn withstands_shape(&mut self, shape: &Shape, callers: usize, what: &str) {
+        assert_serves(&self.entries[0], "before the crowd");
+        let crowd = Crowd::start(self.entries[0].callers, callers, shape);
         let peaks = watch(&self.entries, &crowd);
         assert_serves(&self.entries[0], "while the crowd stays");
         let received = crowd.end();
-        let told = format!("{path}, {:?}, {after:?}: {peaks:?}", ENDLESS[number]);
+        let told = format!("{what}: {peaks:?}");
         eprintln!("{told}");
         for answer in received {
             let is_success = answer.starts_with("HTTP/1.1 200");
@@ -174,6 +203,39 @@
     }
 }
 
+/// Guards against streams that hold more than the account of memory knows, of an event that is incomplete.
+#[test]
+fn unfinished_events() {
+    let _alone = alone();
+    withstand_events("unfinished", &[0]);
+}
+
+/// Guards against streams that hold more than the account of memory knows, of a large event that was complete.
+#[test]
+fn large_events() {
+    let _alone = alone();
+    withstand_events("large-events", &[1]);
+}
+
+/// Guards against the same of both kinds, one after the other.
+#[test]
+fn both_events() {
+    let _alone = alone();
+    withstand_events("both-events", &[0, 1]);
+}
+
+/// Lets a crowd come after the other, whose streams begin with a large event and what these of [`BEHIND`] say.
+fn withstand_events(name: &str, numbers: &[usize]) {
+    for (name, relayed) in [(name.to_owned(), false), (format!("{name}-relayed"), true)] {
+        let mut deployment = Deployment::with_writers(&name, relayed, 24);
+        for number in numbers {
+            let head = head("/brief/1", &format!("X-Unfinished: {number}\r\nContent-Length: 0"));
+            let shape = Shape { head, ..Shape::sized("/brief/1", 0, 0) };
+            deployment.withstands_shape(&shape, 2 * CALLERS, &format!("{name}, {:?}", BEHIND[*number]));
+        }
+    }
+}
+
 /// Callers that read nothing of a stream without end.
 #[test]
 fn slow_callers() {
