Give freed memory back to the system at once

Cause: the account of what callers make a process hold gives memory that was freed to others; the allocator keeps it for a second. Both were there at the same time. deploy/system.toml sets MIMALLOC_PURGE_DELAY, which ends this; neither the tests nor a process that is started as the README says have it.

Change: boragecoved sets the option itself as it starts. The environment goes before it, so deployments are as before.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,14 +1,13 @@
 //! `boragecoved`: the daemon of an entry VM.
 
+mod allocator;
+
 use std::process::ExitCode;
 
 use boragecove_daemon::cmd;
-use mimalloc::MiMalloc;
-
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
 
 fn main() -> ExitCode {
+    allocator::return_freed_memory();
     match cmd::Command::parse().and_then(cmd::Command::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/daemon/tests/serving/mod.rs
+++ b/daemon/tests/serving/mod.rs
@@ -110,8 +110,18 @@
 
     /// Its peak memory usage in KB.
     pub fn memory_peak_kb(&self) -> u64 {
+        self.memory_kb("VmHWM:")
+    }
+
+    /// Its memory in bytes.
+    pub fn resident_bytes(&self) -> usize {
+        self.memory_kb("VmRSS:") as usize * 1_024
+    }
+
+    /// A line of the system's account of its memory, in KB.
+    fn memory_kb(&self, name: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("reads");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("has one");
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("has one");
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
