Count the load of engines once under a new hub

Cause: an entry VM knows the load of the others from the hub's replies. When it became the hub, it kept that number and added to it what the others reported. Only the silence of an entry VM made the sums anew; in a rolling restart the processes are back before, and each new hub passes the surplus on.

Evidence: the requests at the chosen engine in the `sent` lines grow with each stop from 8 to 102 of the 102 allowed, and stay there. Ruled out: schedules and limits of engines (no line of either), the stops themselves.

Change: a new hub keeps what the previous one reported apart and counts the larger of it and the sum of the reports, until all on its list have reported or the list lapses.

Tests: new_hub_counts_once and silent_loads_lapse failed before (13 requests in place of 9 and 4).

--- a/fleet/src/choose.rs
+++ b/fleet/src/choose.rs
@@ -229,7 +229,7 @@
     drawn: f64,
 ) -> Option<Pick> {
     let run_ms = state.mean_run_ms(service);
-    let others: u32 = candidates.iter().map(|candidate| candidate.engine.others_load.open).sum();
+    let others: u32 = candidates.iter().map(|candidate| candidate.engine.load_of_others().open).sum();
     let slots = candidates.iter().map(|candidate| candidate.engine.entry.slots).max().unwrap_or(1);
     let step_ms = match prefill {
         Some(prefill) => ms(prefill) + state.settings.open_request_ms,
--- a/fleet/src/engine.rs
+++ b/fleet/src/engine.rs
@@ -167,6 +167,12 @@
             reading_us: self.reading_us.saturating_sub(other.reading_us),
         }
     }
+
+    /// The larger of two loads, number by number.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self { open: self.open.max(other.open), reading_us: self.reading_us.max(other.reading_us) }
+    }
 }
 
 /// The limit on requests to an engine for some time after its start.
@@ -203,8 +209,10 @@
     pub cold: Option<Cold>,
     /// Load sent by this process.
     pub own_load: Load,
-    /// Load sent by the other entry VMs.
+    /// Load sent by the other entry VMs: as the hub reported it, or, at the hub, the sum of what they report.
     pub others_load: Load,
+    /// At a new hub, load sent by the other entry VMs as the previous hub reported it, until all of them report to this one.
+    pub inherited_load: Load,
     /// The schedule of prompts for it. It is exact at the entry VM that owns the schedule, and an estimate elsewhere.
     pub schedule: Schedule,
     /// Its share of the requests of a service that does not run models.
@@ -235,6 +243,7 @@
             cold: None,
             own_load: Load::default(),
             others_load: Load::default(),
+            inherited_load: Load::default(),
             throttle: Throttle::default(),
             schedule: Schedule::default(),
             health: Health::default(),
@@ -256,8 +265,19 @@
 
     /// The load from all entry VMs.
     #[must_use]
-    pub const fn load(&self) -> Load {
-        self.own_load.plus(self.others_load)
+    pub fn load(&self) -> Load {
+        self.own_load.plus(self.load_of_others())
+    }
+
+    /// The load from the other entry VMs. What the previous hub reported of them and what they report to a new one overlap.
+    #[must_use]
+    pub fn load_of_others(&self) -> Load {
+        self.others_load.max(self.inherited_load)
+    }
+
+    /// Takes the load from the other entry VMs as the hub reports it.
+    pub(crate) fn set_load_of_others(&mut self, load: Load) {
+        (self.others_load, self.inherited_load) = (load, Load::default());
     }
 
     /// Whether so many requests are in flight there that a new one may have to wait for a slot.
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -98,9 +98,9 @@
     /// As the hub: the last frame of each other entry VM.
     peers: BTreeMap<Name, Peer>,
     /// As a new hub: entry VMs that the previous hub listed and that haven't sent a frame here yet, and the time
-    /// until which they count.
+    /// until which they count; none once no one does.
     inherited: BTreeMap<Name, Member>,
-    inherited_until: Time,
+    inherited_until: Option<Time>,
 }
 
 /// A frame that is waiting for its reply.
--- a/fleet/src/frame/loads.rs
+++ b/fleet/src/frame/loads.rs
@@ -65,10 +65,10 @@
     let mut loads = by_position.chunks_exact(NUMBERS_PER_ENGINE).map(|numbers| (numbers[0], load(numbers)));
     let mut next = loads.next();
     for engine in state.engines.values_mut() {
-        engine.others_load = Load::default();
+        engine.set_load_of_others(Load::default());
         match &mut next {
             Some((0, load)) => {
-                engine.others_load = *load;
+                engine.set_load_of_others(*load);
                 next = loads.next();
             }
             Some((unloaded, _)) => *unloaded -= 1,
@@ -80,11 +80,11 @@
 /// Applies loads by engine name.
 pub(super) fn apply_by_name(state: &mut State, by_name: Vec<EngineLoad>) {
     for engine in state.engines.values_mut() {
-        engine.others_load = Load::default();
+        engine.set_load_of_others(Load::default());
     }
     for EngineLoad { engine, load } in by_name {
         if let Some(engine) = state.engines.get_mut(&engine) {
-            engine.others_load = load;
+            engine.set_load_of_others(load);
         }
     }
 }
--- a/fleet/src/frame/peers.rs
+++ b/fleet/src/frame/peers.rs
@@ -25,8 +25,11 @@
             engine.others_load = engine.others_load.plus(*load);
         }
     }
-    state.hub.inherited.remove(&frame.vm);
+    let was_inherited = state.hub.inherited.remove(&frame.vm).is_some();
     state.hub.peers.insert(frame.vm.clone(), Peer { received_at: now, frame });
+    if was_inherited && state.hub.inherited.is_empty() {
+        end_inheritance(state);
+    }
 }
 
 /// How long an entry VM that sends no frames still counts.
@@ -34,20 +37,33 @@
     PEER_SILENCE.max(frame_interval(state).mul_f64(MISSED_FRAMES_MAX))
 }
 
-/// Takes over the member list of the previous hub, as this process has become the hub. The entry VMs in it count
-/// until they send frames of their own: their number determines the frame interval and the retries allowed to each,
-/// and the owners of schedules don't change.
+/// Takes over the member list of the previous hub and the loads that it reported, as this process has become the hub. The
+/// entry VMs in the list count until they send frames of their own: their number determines the frame interval and the
+/// retries allowed to each, and the owners of schedules don't change. Their loads count until all of them have.
 pub(crate) fn inherit_members(state: &mut State, now: Time) {
     let others = state.members.list().iter().filter(|member| member.vm != state.me.vm);
     state.hub.inherited = others.map(|member| (member.vm.clone(), member.clone())).collect();
-    state.hub.inherited_until = now + silence_max(state);
+    state.hub.inherited_until = Some(now + silence_max(state));
+    for engine in state.engines.values_mut() {
+        engine.inherited_load = engine.load_of_others();
+    }
+    recount(state);
+}
+
+/// Forgets what the previous hub reported.
+fn end_inheritance(state: &mut State) {
+    state.hub.inherited_until = None;
+    state.hub.inherited.clear();
+    for engine in state.engines.values_mut() {
+        engine.inherited_load = Load::default();
+    }
 }
 
 /// Removes entry VMs that have fallen silent.
 pub(super) fn expire(state: &mut State, now: Time) {
     let limit = silence_max(state);
-    if now >= state.hub.inherited_until {
-        state.hub.inherited.clear();
+    if state.hub.inherited_until.is_some_and(|until| now >= until) {
+        end_inheritance(state);
     }
     let silent = |peer: &Peer| now.since(peer.received_at) > limit;
     if state.hub.peers.values().any(silent) {
--- a/fleet/tests/hub_frames.rs
+++ b/fleet/tests/hub_frames.rs
@@ -11,6 +11,7 @@
 use boragecove_fleet::event::Event;
 use boragecove_fleet::frame::{EngineLoad, Frame, Reason, Reply};
 use boragecove_fleet::lease::{Call, Outcome};
+use boragecove_fleet::members::Member;
 use boragecove_fleet::record::Record;
 use boragecove_fleet::request::End;
 use node::{
@@ -35,6 +36,20 @@
     Reply { leads: true, nodes: 3, engines_revision: 4.into(), ..Reply::default() }
 }
 
+/// The lease of the hub runs out, and the entry VM takes it.
+fn take_over(node: &mut Node) {
+    let reads = |effect: &Effect| matches!(effect, Effect::Lease(Call::Read));
+    while !node.advance(millis(50)).iter().any(reads) {}
+    node.lease(61_000, Outcome::Read(Some(hub_row())));
+    node.lease(61_005, Outcome::Written(100));
+    assert!(node.state.lease().held_term(node.now).is_some());
+}
+
+/// The requests at all engines, as far as an entry VM knows.
+fn open(node: &Node) -> u32 {
+    node.state.engines().map(|engine| engine.load().open).sum()
+}
+
 fn starts_following(effects: &[Effect]) -> Option<bool> {
     effects.iter().rev().find_map(|effect| match effect {
         Effect::Follow(how) => Some(how.is_some()),
@@ -102,6 +117,49 @@
     assert_eq!(others(&asker)[1..], applied[..]);
 }
 
+/// Guards against loads that the previous hub reported and that stay on top of what the entry VMs report to the new one: its
+/// engines look full to all, and requests are refused although no engine works.
+#[test]
+fn new_hub_counts_once() {
+    let mut node = follower();
+    node.advance(millis(200));
+    let members = ["a", "b", "c"].map(|vm| Member {
+        vm: vm.into(),
+        zone: "zone-a".into(),
+        address: address(7_002),
+        weak: false,
+    });
+    let loads_by_name = frame("b and c", 9).loads;
+    let reply = Reply { loads_by_name, members: Some(members.to_vec()), ..reply() };
+    node.feed(Event::Replied(Some(Box::new(reply))));
+    assert_eq!(open(&node), 9);
+    take_over(&mut node);
+    assert_eq!(open(&node), 9, "the others have not reported yet");
+    node.feed(Event::FrameReceived(Box::new(frame("b", 4))));
+    assert_eq!(open(&node), 9, "one of them has not");
+    node.feed(Event::FrameReceived(Box::new(frame("c", 3))));
+    assert_eq!(open(&node), 7);
+    node.feed(Event::FrameReceived(Box::new(frame("b", 0))));
+    node.feed(Event::FrameReceived(Box::new(frame("c", 0))));
+    assert_eq!(open(&node), 0);
+}
+
+/// Entry VMs that never report to the new hub, as they ended with the previous one, count for two seconds.
+#[test]
+fn silent_loads_lapse() {
+    let mut node = follower();
+    node.advance(millis(200));
+    let loads_by_name = frame("b and c", 9).loads;
+    node.feed(Event::Replied(Some(Box::new(Reply { loads_by_name, ..reply() }))));
+    take_over(&mut node);
+    node.feed(Event::FrameReceived(Box::new(frame("b", 4))));
+    for _ in 0..6 {
+        node.advance(millis(500));
+        node.feed(Event::FrameReceived(Box::new(frame("b", 4))));
+    }
+    assert_eq!(open(&node), 4);
+}
+
 #[test]
 fn silent_entry_vms_are_removed() {
     let mut hub = Node::ready("hub");
