Encode a request before the last look at the clock

Cause: the client looked at the clock (a request may be written for 0.3 s after it was decided on) and encoded the request then. A suspension that began in between was not seen.

Change: the request is encoded first; after the look nothing is done but to write.

--- a/daemon/src/entry/client.rs
+++ b/daemon/src/entry/client.rs
@@ -242,23 +242,25 @@
             Reuse::Allowed => self.connection(address, until).await?,
             Reuse::Forbidden => self.open(address, until).await?,
         };
-        // The connection may have taken long to open.
+        let mut encoded = encode_request(connection, address, request)?;
+        // The connection may have taken long to open. After this look nothing is done but to write, so that the machine is hardly
+        // ever suspended in between.
         if expiry.is_over() {
-            self.store_idle(address, connection, UNUSED_KEEP);
+            encoded.connection.discard_request();
+            self.store_idle(address, encoded.connection, UNUSED_KEEP);
             return Err(Error::Expired);
         }
-        self.exchange(connection, address, request, until).await
+        self.exchange(encoded, address, until).await
     }
 
-    /// Sends a request on a connection and waits until `until` for the head of its answer.
+    /// Writes a request and waits until `until` for the head of its answer.
     async fn exchange(
         self: &Rc<Self>,
-        connection: Connection,
+        encoded: Encoded,
         address: SocketAddr,
-        request: Request,
         until: Instant,
     ) -> Result<Response, Error> {
-        let (mut connection, codec) = write_request(connection, address, request)?;
+        let (mut connection, codec) = encoded.write()?;
         let waited = timeout_at(until, read_head(&mut connection, codec)).await;
         let (head, body, keep) = waited.map_err(|_elapsed| Error::TimedOut)??;
         let follows_stray_bytes = connection.skipped > 0;
@@ -279,7 +281,8 @@
         until: Instant,
     ) -> Result<Answer, Error> {
         let connection = self.connection(address, until).await?;
-        let response = self.exchange(connection, address, request, until).await?;
+        let encoded = encode_request(connection, address, request)?;
+        let response = self.exchange(encoded, address, until).await?;
         complete(response, limit, until).await
     }
 
@@ -318,7 +321,7 @@
     ) -> Result<Received, Error> {
         let until = Instant::now() + first;
         let connection = self.connection(address, until).await?;
-        let (mut connection, codec) = write_request(connection, address, request)?;
+        let (mut connection, codec) = encode_request(connection, address, request)?.write()?;
         let last_transfer = Rc::clone(&connection.last_transfer);
         let client = Rc::clone(self);
         let mut body = BytesMut::new();
@@ -418,20 +421,34 @@
     Ok(Answer { status, headers, body: body.freeze() })
 }
 
-/// Encodes a request and writes as much of it as is possible without waiting.
-fn write_request(
+/// A request that is ready to be written to its connection.
+struct Encoded {
+    connection: Connection,
+    codec: ClientCodec,
+}
+
+impl Encoded {
+    /// Writes as much of the request as is possible without waiting.
+    fn write(self) -> Result<(Connection, ClientCodec), Error> {
+        let Self { mut connection, codec } = self;
+        match connection.flush_now() {
+            Ok(()) => Ok((connection, codec)),
+            Err(error) if connection.has_written => Err(Error::Lost(error)),
+            Err(error) => Err(Error::Unsent(error)),
+        }
+    }
+}
+
+/// Encodes a request for its connection.
+fn encode_request(
     mut connection: Connection,
     address: SocketAddr,
     request: Request,
-) -> Result<(Connection, ClientCodec), Error> {
+) -> Result<Encoded, Error> {
     connection.begin(Expected::of(&request.headers), request.method == Method::HEAD);
     let (codec, body) = encode(&mut connection.output, address, request)?;
     connection.output_body = body;
-    match connection.flush_now() {
-        Ok(()) => Ok((connection, codec)),
-        Err(error) if connection.has_written => Err(Error::Lost(error)),
-        Err(error) => Err(Error::Unsent(error)),
-    }
+    Ok(Encoded { connection, codec })
 }
 
 /// Encodes a request. Returns its body if it is too large to be copied behind the head.
--- a/daemon/src/entry/client/connection.rs
+++ b/daemon/src/entry/client/connection.rs
@@ -240,6 +240,12 @@
         }
     }
 
+    /// Gives up the request in flight, of which nothing was written.
+    pub(super) fn discard_request(&mut self) {
+        self.discard_output();
+        self.is_idle = true;
+    }
+
     /// Gives up what is still to be written.
     fn discard_output(&mut self) {
         self.output.clear();
--- a/daemon/tests/entry_client.rs
+++ b/daemon/tests/entry_client.rs
@@ -18,6 +18,9 @@
 /// The header with the id of a call between entry VMs.
 const CALL_ID: &str = "call-id";
 
+/// Number of headers that take much longer to encode than a few ms.
+const HEADERS: usize = 100_000;
+
 /// What a server does with one of the connections that it accepts.
 enum Behaviour {
     /// Reads a request, writes these bytes, and closes the connection without an error.
@@ -384,3 +387,23 @@
     let answer = client().transfer(address, request(), 100, STALL, STALL).await;
     assert!(matches!(answer, Err(Error::BodyTimedOut { bytes: 0 })), "{answer:?}");
 }
+
+/// Guards against requests that are written after the machine was suspended, by a decision from before: nothing that takes time
+/// lies between the look at the clock and the write.
+#[actix_web::test]
+async fn expired_while_encoded() {
+    const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let (address, served) = server(vec![Behaviour::Keep(&[ANSWER, ANSWER])]);
+    let client = client();
+    read_answer(&client, address).await.expect("an answer, whose connection is kept");
+    let mut request = request();
+    for number in 0..HEADERS {
+        let name = HeaderName::try_from(format!("x-part-{number}")).expect("a name");
+        request.headers.insert(name, HeaderValue::from_static("x"));
+    }
+    let expired = client.send(address, request, soon(), within(Duration::from_millis(3))).await;
+    assert!(matches!(expired, Err(Error::Expired)), "{expired:?}");
+    read_answer(&client, address).await.expect("the next one is answered");
+    drop(client);
+    assert_eq!(served.recv().expect("ends"), 2);
+}
