--- a/daemon/tests/entry_stops.rs
+++ b/daemon/tests/entry_stops.rs
@@ -25,7 +25,7 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// How long after the signal an entry VM serves all requests, as the balancer may still send some.
 const BALANCER_GRACE: Duration = Duration::from_millis(2_500);
-/// By how much later than it was sent a process reads a signal, if others keep its processor busy. Up to 336 ms were seen.
+/// By how much later than it was sent a process reads a signal, if others keep its processor busy.
 const TOLD_LATE: Duration = Duration::from_millis(400);
 
 /// What an engine does with each request: it works for a time, and answers with this many bytes.
